--- /dev/null
+++ b/src/control/control-process.ts
@@ -0,0 +1,261 @@
+/** The control process: replicated groups, their leaders' duties, and the operators' interface. */
+import { join } from 'node:path';
+import { Agent } from 'undici';
+import { sendOrder, sendRelease } from '../backends/control-requests.js';
+import {
+  GroupClient,
+  type GroupConfiguration,
+  GroupHost,
+  type Member,
+  PeerDirectory,
+  type ReplicatedGroup,
+  registerGroupService,
+} from '../consensus/index.js';
+import { HttpServer } from '../http/index.js';
+import { INTENTS_GROUP } from '../intents/index.js';
+import { AWAIT_SETTLED, JournalLeader, journalGroupNames } from '../journal/index.js';
+import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
+import { RENEW_LEASE } from '../membership/index.js';
+import { type Logger, StatusServer } from '../observability/index.js';
+import { CONFIGURATION_STATUS, OperatorApi } from '../operators/index.js';
+import { type ControlSettings, createAddressResolver } from '../settings/index.js';
+import { MethodRouter, RpcServer } from '../wire/index.js';
+import { findCluster, registerProbe } from './cluster-formation.js';
+import { IdentityStore } from './identity.js';
+import { IntentsLeader } from './intents-leader.js';
+import { joinGroups } from './join-task.js';
+import { createControlMetrics } from './metrics.js';
+import { placeGroup } from './placement.js';
+
+export interface ControlProcessHooks {
+  logger: Logger;
+  /** Called when the process must end because its storage or state can no longer be trusted. */
+  onFatal: (error: unknown) => void;
+}
+
+type GroupDuty = IntentsLeader | JournalLeader;
+
+export class ControlProcess {
+  private readonly router = new MethodRouter();
+  private readonly duties = new Map<string, GroupDuty>();
+  private readonly stopping = new AbortController();
+  private readonly agent = new Agent({ connections: 4 });
+  private readonly resolveAddress: (address: string) => string;
+  private readonly intents: IntentsLeader;
+  private identity!: IdentityStore;
+  private wal!: WriteAheadLog;
+  private peers!: PeerDirectory;
+  private client!: GroupClient;
+  private host!: GroupHost;
+  private rpcServer!: RpcServer;
+  private operatorServer!: HttpServer;
+  private statusServer!: StatusServer;
+  private isReady = false;
+
+  private constructor(
+    private readonly settings: ControlSettings,
+    private readonly hooks: ControlProcessHooks,
+  ) {
+    this.resolveAddress = createAddressResolver(settings.network);
+    this.intents = new IntentsLeader(settings.lease.duration, (address, order) =>
+      sendOrder(this.agent, this.resolveAddress(address), order),
+    );
+  }
+
+  static async start(
+    settings: ControlSettings,
+    hooks: ControlProcessHooks,
+  ): Promise<ControlProcess> {
+    const process = new ControlProcess(settings, hooks);
+    await process.openStorage();
+    await process.listen();
+    void process.enterCluster().catch(hooks.onFatal);
+    return process;
+  }
+
+  /** Hands over leaderships, finishes requests under way and closes everything. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.host.stop();
+    await this.operatorServer.drain();
+    for (const duty of this.duties.values()) duty.stop();
+    this.rpcServer.close();
+    this.peers.close();
+    this.statusServer.close();
+    await this.wal.close();
+    await this.agent.destroy();
+  }
+
+  private async openStorage(): Promise<void> {
+    const { settings, hooks } = this;
+    this.identity = await IdentityStore.open(settings.dataFolder, settings.node.name);
+    this.wal = await WriteAheadLog.open({
+      folder: join(settings.dataFolder, 'log'),
+      segmentBytes: settings.storage.segment,
+      quotaBytes: settings.storage.quota,
+      onFatal: hooks.onFatal,
+    });
+  }
+
+  private async listen(): Promise<void> {
+    const { settings, hooks, router } = this;
+    const { host, internalPort, operatorPort, statusPort } = settings.listen;
+    const { secret } = settings.cluster;
+    const ownName = settings.node.name;
+    const { resolveAddress } = this;
+    this.peers = new PeerDirectory({ ownName, secret, router, resolveAddress });
+    const addresses = settings.cluster.members.map((member) => member.address);
+    this.client = new GroupClient({ peers: this.peers, addresses });
+    this.host = this.createHost();
+    this.registerHandlers();
+    this.rpcServer = await RpcServer.start({ host, port: internalPort, secret, router });
+    const { operators } = settings;
+    const api = new OperatorApi({ groups: this.client, host: this.host, operators });
+    const onError = (description: string): void =>
+      hooks.logger.error('operator request failed', { description });
+    this.operatorServer = await HttpServer.start({
+      host,
+      port: operatorPort,
+      router: api.router,
+      onError,
+    });
+    this.statusServer = await StatusServer.start({
+      host,
+      port: statusPort,
+      registry: createControlMetrics({ host: this.host, wal: this.wal, peers: this.peers }),
+      isReady: () => this.isReady,
+    });
+  }
+
+  private createHost(): GroupHost {
+    const { consensus } = this.settings;
+    return new GroupHost({
+      ownId: this.identity.identity.memberId,
+      wal: this.wal,
+      snapshots: new SnapshotStore(join(this.settings.dataFolder, 'snapshots')),
+      peers: this.peers,
+      options: {
+        heartbeatIntervalMs: consensus.heartbeatInterval,
+        electionTimeoutMs: consensus.electionTimeout,
+        snapshotEveryEntries: consensus.snapshotEveryEntries,
+        trailingEntries: consensus.trailingEntries,
+      },
+      logger: this.hooks.logger,
+      onFatal: this.hooks.onFatal,
+      onLeadershipChange: (group) => this.duties.get(group.name)?.onLeadershipChange(),
+    });
+  }
+
+  private registerHandlers(): void {
+    const { router } = this;
+    registerProbe(router, this.identity);
+    this.host.registerHandlers(router);
+    registerGroupService(router, this.host, {
+      prepareCommand: (group, body) => this.duties.get(group.name)!.prepareCommand(body),
+      answerQuery: (group, body) => this.duties.get(group.name)!.answerQuery(body),
+    });
+    router.handle(RENEW_LEASE, (request) => this.intents.renewLease(request));
+    router.handle(AWAIT_SETTLED, async (request) => {
+      const duty = this.duties.get(request.group);
+      const group = this.host.find(request.group);
+      if (!(duty instanceof JournalLeader) || !group?.isLeader) {
+        return { leaderAddress: group?.leaderAddress };
+      }
+      return { answer: await duty.awaitSettled(request) };
+    });
+    router.handle(CONFIGURATION_STATUS, async () => {
+      const group = this.host.find(INTENTS_GROUP);
+      if (!group?.isLeader) return { redirect: { leaderAddress: group?.leaderAddress } };
+      await group.confirmLeadership();
+      return { status: this.intents.status() };
+    });
+  }
+
+  private async enterCluster(): Promise<void> {
+    const { identity, peers } = this;
+    const { logger } = this.hooks;
+    const { signal } = this.stopping;
+    const { members } = this.settings.cluster;
+    const ownName = this.settings.node.name;
+    await findCluster({ ownName, members, identity, peers, logger, signal });
+    if (signal.aborted) return;
+    if (identity.identity.state === 'founding') await this.foundGroups();
+    const groups: ReplicatedGroup[] = [];
+    for (const name of this.ownGroupNames()) groups.push(await this.openGroup(name));
+    this.requireLog(groups);
+    this.host.start();
+    this.isReady = true;
+    logger.info('serving', { member: identity.identity.memberId, groups: groups.length });
+    if (identity.identity.state === 'joining') {
+      const member = this.ownMember();
+      await joinGroups({ groups, member, client: this.client, logger, signal });
+      if (!signal.aborted) await identity.save({ ...identity.identity, state: 'member' });
+    }
+  }
+
+  private async foundGroups(): Promise<void> {
+    const { identity } = this;
+    for (const name of this.ownGroupNames()) {
+      const chosen = placeGroup(
+        name,
+        this.settings.cluster.members,
+        this.settings.cluster.replicas,
+      );
+      const members = identity.identity.founders.filter((founder) =>
+        chosen.some((member) => member.name === founder.name),
+      );
+      const configuration: GroupConfiguration = { members };
+      await this.host.bootstrapGroup(name, configuration);
+    }
+    await identity.save({ ...identity.identity, state: 'member' });
+  }
+
+  /** A member that held a log must not vote without it, whatever became of the files. */
+  private requireLog(groups: ReplicatedGroup[]): void {
+    if (this.identity.identity.state !== 'member') return;
+    const empty = groups.find((group) => group.log.lastIndex === 0);
+    if (!empty) return;
+    throw new DamagedLogError(
+      'the log is gone but the identity is not; start with an empty folder',
+      {
+        step: 'control.start',
+        peer: empty.name,
+      },
+    );
+  }
+
+  private async openGroup(name: string): Promise<ReplicatedGroup> {
+    const duty = name === INTENTS_GROUP ? this.intents : this.createJournalLeader();
+    this.duties.set(name, duty);
+    const group = await this.host.openGroup(name, duty.stateMachine);
+    duty.attach(group);
+    return group;
+  }
+
+  private createJournalLeader(): JournalLeader {
+    return new JournalLeader(async (backend, programs, fence) => {
+      const { document } = this.intents.stateMachine;
+      const intent = document.backends.find((candidate) => candidate.id === backend);
+      // A back end that operators removed holds nothing for anybody.
+      if (!intent) return true;
+      return sendRelease(this.agent, this.resolveAddress(intent.address), programs, fence);
+    });
+  }
+
+  private ownGroupNames(): string[] {
+    const { cluster, node } = this.settings;
+    const names = [INTENTS_GROUP, ...journalGroupNames(cluster.journalGroups)];
+    return names.filter((group) =>
+      placeGroup(group, cluster.members, cluster.replicas).some(
+        (member) => member.name === node.name,
+      ),
+    );
+  }
+
+  private ownMember(): Member {
+    const { node, cluster } = this.settings;
+    const { address } = cluster.members.find((member) => member.name === node.name)!;
+    const id = this.identity.identity.memberId;
+    return { id, name: node.name, address, role: 'learner' };
+  }
+}
--- /dev/null
+++ b/src/control/intents-leader.ts
@@ -0,0 +1,114 @@
+/**
+ * What the leader of the intents group does beside replicating: grants configuration leases, tells
+ * when a revision is in force, and delivers orders to engines.
+ */
+import type { ReplicatedGroup } from '../consensus/index.js';
+import { monotonicMs } from '../common/index.js';
+import { type IntentCommand, type IntentQuery, IntentStateMachine } from '../intents/index.js';
+import {
+  type GatewayLease,
+  LeaseRegistry,
+  type RenewLeaseRequest,
+  type RenewLeaseResponse,
+} from '../membership/index.js';
+import { decodeValue, encodeValue } from '../wire/index.js';
+import { OrderDelivery, type OrderDeliveryOptions } from './order-delivery.js';
+
+/** What operators see of the configuration's spread. */
+export interface ConfigurationStatus {
+  /** The latest revision that a quorum accepted. */
+  acceptedRevision: number;
+  /** Whether no gateway can act on an earlier revision any more. */
+  isInForce: boolean;
+  /** Time from acceptance here until it was first seen in force, in milliseconds. */
+  inForceAfterMs?: number;
+  gateways: GatewayLease[];
+}
+
+const IN_FORCE_POLL_MS = 20;
+
+export class IntentsLeader {
+  readonly stateMachine: IntentStateMachine;
+  private group!: ReplicatedGroup;
+  private readonly leases: LeaseRegistry;
+  private readonly orders: OrderDelivery;
+  private acceptedAt = { revision: 0, atMs: 0 };
+  private inForce: { revision: number; afterMs: number } | undefined;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly leaseMs: number,
+    sendOrder: OrderDeliveryOptions['send'],
+  ) {
+    this.stateMachine = new IntentStateMachine(() => this.onRevision());
+    this.leases = new LeaseRegistry(leaseMs);
+    this.orders = new OrderDelivery({
+      current: () => ({
+        revision: this.stateMachine.revision,
+        document: this.stateMachine.document,
+      }),
+      send: sendOrder,
+    });
+  }
+
+  attach(group: ReplicatedGroup): void {
+    this.group = group;
+  }
+
+  onLeadershipChange(): void {
+    this.stop();
+    if (!this.group.isLeader) return;
+    this.leases.start();
+    this.orders.start();
+    this.timer = setInterval(() => this.watchInForce(), IN_FORCE_POLL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.leases.stop();
+    this.orders.stop();
+  }
+
+  prepareCommand(body: Uint8Array): Uint8Array {
+    return encodeValue(decodeValue<IntentCommand>(body));
+  }
+
+  answerQuery(body: Uint8Array): unknown {
+    return this.stateMachine.answer(decodeValue<IntentQuery>(body));
+  }
+
+  /** Grants a lease once a quorum has confirmed that this member still leads. */
+  async renewLease(request: RenewLeaseRequest): Promise<RenewLeaseResponse> {
+    if (!this.group.isLeader) return { redirect: { leaderAddress: this.group.leaderAddress } };
+    try {
+      await this.group.confirmLeadership();
+    } catch {
+      return { redirect: { leaderAddress: this.group.leaderAddress } };
+    }
+    this.leases.renew(request);
+    const update = this.stateMachine.updateFrom(request.revision);
+    return { grant: { leaseMs: this.leaseMs, update } };
+  }
+
+  status(): ConfigurationStatus {
+    const acceptedRevision = this.stateMachine.revision;
+    const measured = this.inForce?.revision === acceptedRevision ? this.inForce : undefined;
+    return {
+      acceptedRevision,
+      isInForce: this.leases.isInForce(acceptedRevision),
+      inForceAfterMs: measured?.afterMs,
+      gateways: this.leases.live(),
+    };
+  }
+
+  private onRevision(): void {
+    this.acceptedAt = { revision: this.stateMachine.revision, atMs: monotonicMs() };
+    this.orders.notify();
+  }
+
+  private watchInForce(): void {
+    const { revision, atMs } = this.acceptedAt;
+    if (this.inForce?.revision === revision || !this.leases.isInForce(revision)) return;
+    this.inForce = { revision, afterMs: monotonicMs() - atMs };
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway-process.ts
@@ -0,0 +1,177 @@
+/** The gateway process: everything between a caller and the back ends, holding nothing that lasts. */
+import { randomBytes } from 'node:crypto';
+import { BackendTable, EngineClient, LoadPoller, ServiceClient } from '../backends/index.js';
+import {
+  CallRunner,
+  CallerApi,
+  type CallContext,
+  HistoryCache,
+  ProgramHints,
+  TenantAuthentication,
+} from '../callers/index.js';
+import { GroupClient, PeerDirectory } from '../consensus/index.js';
+import { HttpServer } from '../http/index.js';
+import type { IntentDocument } from '../intents/index.js';
+import { JournalClient } from '../journal/index.js';
+import { RetryBudget } from '../limits/index.js';
+import { LeaseHolder } from '../membership/index.js';
+import { GatewayMetrics, type Logger, StatusServer } from '../observability/index.js';
+import { HoldPolicy } from '../retention/index.js';
+import { createRoutingPolicy } from '../routing/index.js';
+import { Admission, createQueuePolicy } from '../scheduling/index.js';
+import { type GatewaySettings, createAddressResolver } from '../settings/index.js';
+import { MethodRouter } from '../wire/index.js';
+
+const INCARNATION_BYTES = 6;
+const RETRY_BUDGET_CAPACITY = 100;
+
+export class GatewayProcess {
+  private readonly incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+  private readonly metrics = new GatewayMetrics();
+  private readonly tenants = new TenantAuthentication();
+  private readonly backends: BackendTable;
+  private readonly poller: LoadPoller;
+  private readonly peers: PeerDirectory;
+  private readonly context: CallContext;
+  private readonly runner: CallRunner;
+  private server!: HttpServer;
+  private statusServer!: StatusServer;
+  private isStopping = false;
+
+  private constructor(
+    private readonly settings: GatewaySettings,
+    private readonly logger: Logger,
+  ) {
+    const { queue, routing, calls, retention, cluster } = settings;
+    const resolveAddress = createAddressResolver(settings.network);
+    this.backends = new BackendTable(queue);
+    this.poller = new LoadPoller({
+      table: this.backends,
+      intervalMs: routing.loadPollInterval,
+      resolveAddress,
+    });
+    this.peers = new PeerDirectory({
+      ownName: settings.node.name,
+      secret: cluster.secret,
+      router: new MethodRouter(),
+      resolveAddress,
+    });
+    const groups = new GroupClient({ peers: this.peers, addresses: cluster.controlAddresses });
+    const journal = new JournalClient({
+      groups,
+      groupCount: cluster.journalGroups,
+      timeoutMs: calls.journalTimeout,
+    });
+    this.context = {
+      identity: { id: settings.node.name, incarnation: this.incarnation },
+      settings,
+      lease: this.createLease(groups),
+      journal,
+      backends: this.backends,
+      engineAdmission: this.createAdmission(),
+      serviceAdmission: this.createAdmission(),
+      engines: new EngineClient({
+        firstTokenTimeoutMs: calls.firstTokenTimeout,
+        idleTimeoutMs: calls.idleTimeout,
+      }),
+      services: new ServiceClient(calls.serviceTimeout),
+      histories: new HistoryCache(journal, calls.historyCache),
+      hints: new ProgramHints(journal),
+      holds: new HoldPolicy({
+        policy: retention.policy,
+        maxHoldMs: retention.maxHold,
+        latencyWeight: retention.latencyWeight,
+      }),
+      retries: new RetryBudget({ capacity: RETRY_BUDGET_CAPACITY }),
+      metrics: this.metrics,
+      resolveAddress,
+    };
+    this.runner = new CallRunner(this.context, logger);
+  }
+
+  static async start(settings: GatewaySettings, logger: Logger): Promise<GatewayProcess> {
+    const gateway = new GatewayProcess(settings, logger);
+    await gateway.listen();
+    gateway.context.lease.start();
+    return gateway;
+  }
+
+  /** Takes no new connections, finishes the requests under way, then closes everything. */
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    await this.server.drain();
+    this.context.lease.stop();
+    await this.poller.stop();
+    this.context.engineAdmission.close();
+    this.context.serviceAdmission.close();
+    await this.context.engines.close();
+    await this.context.services.close();
+    this.peers.close();
+    this.statusServer.close();
+  }
+
+  private async listen(): Promise<void> {
+    const { host, callerPort, statusPort } = this.settings.listen;
+    const { context, runner, tenants } = this;
+    const api = new CallerApi({ context, runner, tenants });
+    const onError = (description: string): void =>
+      this.logger.error('request failed', { description });
+    this.server = await HttpServer.start({ host, port: callerPort, router: api.router, onError });
+    this.registerGauges();
+    this.statusServer = await StatusServer.start({
+      host,
+      port: statusPort,
+      registry: this.metrics.registry,
+      isReady: () =>
+        this.context.lease.isHeld && this.context.lease.revision > 0 && !this.isStopping,
+    });
+  }
+
+  private createLease(groups: GroupClient): LeaseHolder {
+    const { node, listen, lease } = this.settings;
+    return new LeaseHolder({
+      groups,
+      gateway: node.name,
+      incarnation: this.incarnation,
+      address: `${listen.host}:${listen.callerPort}`,
+      zone: node.zone,
+      renewIntervalMs: lease.renewInterval,
+      logger: this.logger,
+      onConfiguration: (document, revision) => this.onConfiguration(document, revision),
+    });
+  }
+
+  private createAdmission(): Admission {
+    const { queue, routing } = this.settings;
+    return new Admission({
+      maxWaiting: queue.maxWaiting,
+      maxWaitMs: queue.maxWait,
+      routing: createRoutingPolicy(routing.policy),
+      queue: createQueuePolicy(queue.policy, (tenant) => this.tenants.weightOf(tenant)),
+    });
+  }
+
+  private onConfiguration(document: IntentDocument, revision: number): void {
+    this.tenants.update(document);
+    this.backends.update(document);
+    this.poller.update();
+    this.logger.info('configuration in force', { revision, backends: document.backends.length });
+  }
+
+  private registerGauges(): void {
+    const { metrics, context, peers } = this;
+    metrics.gauge('active_calls', 'Calls under way', () => this.runner.activeCalls);
+    metrics.gauge(
+      'waiting_calls',
+      'Calls that wait for an engine',
+      () => context.engineAdmission.waitingCalls,
+    );
+    metrics.gauge('revision', 'Configuration revision acted on', () => context.lease.revision);
+    metrics.gauge('control_bytes_sent', 'Bytes to control', () => peers.totalTraffic.sent);
+    metrics.gauge(
+      'control_bytes_received',
+      'Bytes from control',
+      () => peers.totalTraffic.received,
+    );
+  }
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,2 @@
+/** The gateway process. */
+export { GatewayProcess } from './gateway-process.js';
--- /dev/null
+++ b/src/http/http-server.ts
@@ -0,0 +1,214 @@
+/** A thin layer over Node's HTTP server: path patterns, bounded JSON bodies, problem documents. */
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Deferred, describeError, sleep } from '../common/index.js';
+import { HttpProblem, badRequest, problemBody, problemHeaders } from './problem.js';
+
+export interface HttpExchange {
+  request: IncomingMessage;
+  response: ServerResponse;
+  /** Values of the pattern's `:name` parts. */
+  parameters: Record<string, string>;
+  query: URLSearchParams;
+}
+
+export type HttpHandler = (exchange: HttpExchange) => Promise<void>;
+
+interface Route {
+  method: string;
+  segments: string[];
+  handler: HttpHandler;
+}
+
+const HTTP_INTERNAL_ERROR = 500;
+const HTTP_NOT_FOUND = 404;
+const HTTP_PAYLOAD_TOO_LARGE = 413;
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const CLOSE_POLL_MS = 10;
+
+export class HttpRouter {
+  private readonly routes: Route[] = [];
+
+  /** Adds a route; `:name` in the pattern matches one path segment. */
+  on(method: string, pattern: string, handler: HttpHandler): this {
+    this.routes.push({ method, segments: pattern.split('/'), handler });
+    return this;
+  }
+
+  find(
+    method: string,
+    path: string,
+  ): { handler: HttpHandler; parameters: Record<string, string> } | undefined {
+    const segments = path.split('/');
+    for (const route of this.routes) {
+      if (route.method !== method) continue;
+      const parameters = matchSegments(route.segments, segments);
+      if (parameters) return { handler: route.handler, parameters };
+    }
+    return undefined;
+  }
+}
+
+function matchSegments(pattern: string[], path: string[]): Record<string, string> | undefined {
+  if (pattern.length !== path.length) return undefined;
+  const parameters: Record<string, string> = {};
+  for (const [index, part] of pattern.entries()) {
+    const actual = path[index]!;
+    if (part.startsWith(':')) parameters[part.slice(1)] = safeDecode(actual);
+    else if (part !== actual) return undefined;
+  }
+  return parameters;
+}
+
+function safeDecode(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
+}
+
+export interface HttpServerOptions {
+  host: string;
+  port: number;
+  router: HttpRouter;
+  /** Called for errors that are nobody's request's fault. */
+  onError?: (description: string) => void;
+}
+
+export class HttpServer {
+  private active = 0;
+
+  private constructor(
+    private readonly server: Server,
+    private readonly options: HttpServerOptions,
+  ) {}
+
+  static async start(options: HttpServerOptions): Promise<HttpServer> {
+    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS });
+    const httpServer = new HttpServer(server, options);
+    server.on('request', (request, response) => void httpServer.serve(request, response));
+    server.on('clientError', (_error, socket) => socket.destroy());
+    const listening = new Deferred<void>();
+    server.once('error', (error) => listening.reject(error));
+    server.listen(options.port, options.host, () => listening.resolve());
+    await listening.promise;
+    return httpServer;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Requests under way now. */
+  get activeRequests(): number {
+    return this.active;
+  }
+
+  /** Takes no new connections and waits until all requests under way are answered. */
+  async drain(): Promise<void> {
+    this.server.close();
+    this.server.closeIdleConnections();
+    while (this.active > 0) await sleep(CLOSE_POLL_MS);
+    this.server.closeAllConnections();
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.active += 1;
+    response.on('error', () => undefined);
+    try {
+      const url = new URL(request.url ?? '/', 'http://localhost');
+      const match = this.options.router.find(request.method ?? 'GET', url.pathname);
+      if (!match) throw badRequest('no such path', 'not_found', HTTP_NOT_FOUND);
+      const { handler, parameters } = match;
+      await handler({ request, response, parameters, query: url.searchParams });
+    } catch (error) {
+      this.answerError(response, error);
+    } finally {
+      this.active -= 1;
+      if (!this.server.listening) response.socket?.end();
+    }
+  }
+
+  private answerError(response: ServerResponse, error: unknown): void {
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    if (error instanceof HttpProblem) {
+      sendProblem(response, error);
+      return;
+    }
+    this.options.onError?.(describeError(error));
+    sendProblem(
+      response,
+      new HttpProblem({
+        status: HTTP_INTERNAL_ERROR,
+        code: 'internal_error',
+        detail: 'an unexpected error',
+        outcome: 'unknown',
+        sendAgain: true,
+      }),
+    );
+  }
+}
+
+function sendProblem(response: ServerResponse, error: HttpProblem): void {
+  const body = problemBody(error.problem);
+  response.writeHead(error.problem.status, {
+    ...problemHeaders(error.problem),
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Answers with a JSON body. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Record<string, string> = {},
+): void {
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    ...headers,
+  });
+  response.end(body);
+}
+
+/**
+ * Reads a JSON body.
+ * @throws HttpProblem when it is longer than `maxBytes`, cut off or not JSON
+ */
+export async function readJson(request: IncomingMessage, maxBytes: number): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of request) {
+      bytes += (chunk as Buffer).length;
+      if (bytes <= maxBytes) chunks.push(chunk as Buffer);
+      else break;
+    }
+  } catch {
+    throw badRequest('the body was cut off');
+  }
+  if (bytes > maxBytes) {
+    throw badRequest(
+      `the body exceeds ${maxBytes} bytes`,
+      'body_too_large',
+      HTTP_PAYLOAD_TOO_LARGE,
+    );
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+  } catch {
+    throw badRequest('the body is not JSON');
+  }
+}
--- /dev/null
+++ b/src/http/index.ts
@@ -0,0 +1,4 @@
+/** HTTP parts that callers' and operators' interfaces and the emulators share. */
+export * from './http-server.js';
+export * from './problem.js';
+export * from './server-sent-events.js';
--- /dev/null
+++ b/src/intents/commands.ts
@@ -0,0 +1,61 @@
+/** Commands and queries of the intents group. */
+import type { IntentChange, IntentDocument } from './document.js';
+
+export interface PlanCommand {
+  type: 'plan';
+  operator: string;
+  document: IntentDocument;
+}
+
+export interface ConfirmCommand {
+  type: 'confirm';
+  operator: string;
+  planId: string;
+  /** Chosen by the operator's tool; a repeated request gets the first result. */
+  requestId: string;
+}
+
+export type IntentCommand = PlanCommand | ConfirmCommand;
+
+export interface Plan {
+  id: string;
+  operator: string;
+  /** The revision that the plan starts from; it can be confirmed only while this is current. */
+  baseRevision: number;
+  contentHash: string;
+  changes: IntentChange[];
+}
+
+/** One accepted change of the configuration. */
+export interface Revision {
+  revision: number;
+  planId: string;
+  contentHash: string;
+  operator: string;
+  changes: IntentChange[];
+}
+
+export type PlanResult = { status: 'planned'; plan: Plan };
+
+export type ConfirmResult =
+  | { status: 'accepted'; revision: Revision }
+  /** Another plan was confirmed since this one was made. */
+  | { status: 'stale'; current: Revision }
+  | { status: 'unknown-plan' }
+  /** The request id was used for another plan. */
+  | { status: 'request-reused'; planId: string };
+
+export type IntentQuery =
+  { type: 'document' } | { type: 'plan'; planId: string } | { type: 'history'; limit: number };
+
+export interface DocumentAnswer {
+  revision: number;
+  contentHash: string;
+  document: IntentDocument;
+}
+
+/** How a process gets from its revision to the current one. */
+export type ConfigurationUpdate =
+  | { kind: 'none' }
+  | { kind: 'changes'; revision: number; changes: IntentChange[] }
+  | { kind: 'document'; revision: number; document: IntentDocument };
--- /dev/null
+++ b/src/intents/document.ts
@@ -0,0 +1,158 @@
+/**
+ * The intent document: which models, tenants and back ends there are and how they shall be used.
+ * Operators declare the whole document; plans and deltas are computed item by item.
+ */
+import { z } from 'zod';
+import { sha256Hex } from '../common/index.js';
+
+const identifier = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'must be lower-case letters, digits, ".", "_" or "-"');
+const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, 'must be host:port');
+const sha256 = z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 in hexadecimal digits');
+
+export const modelSchema = z.strictObject({
+  id: identifier,
+  /** Version of the weights to serve. */
+  version: identifier.default('v1'),
+  /** Adapters to load beside the model. */
+  adapters: z.array(identifier).default([]),
+});
+
+export const tenantSchema = z.strictObject({
+  id: identifier,
+  /** SHA-256 of each API key; keys themselves are never stored. */
+  keyHashes: z.array(sha256).min(1),
+  models: z.array(identifier).min(1),
+  /** Share of the back ends relative to other tenants. */
+  weight: z.number().positive().max(1000).default(1),
+  /** Highest budget of one program, in tokens. */
+  maxProgramBudget: z.number().int().positive().default(10_000_000),
+});
+
+export const backendSchema = z.strictObject({
+  id: identifier,
+  kind: z.enum(['engine', 'service']),
+  zone: identifier,
+  address,
+  /** Models that an engine serves. */
+  models: z.array(identifier).default([]),
+  /** Services that a service back end offers. */
+  services: z.array(identifier).default([]),
+  /** `draining`: takes no new work, finishes what it has. */
+  state: z.enum(['active', 'draining']).default('active'),
+});
+
+export const intentDocumentSchema = z.strictObject({
+  models: z.array(modelSchema).default([]),
+  tenants: z.array(tenantSchema).default([]),
+  backends: z.array(backendSchema).default([]),
+});
+
+export type ModelIntent = z.infer<typeof modelSchema>;
+export type TenantIntent = z.infer<typeof tenantSchema>;
+export type BackendIntent = z.infer<typeof backendSchema>;
+export type IntentDocument = z.infer<typeof intentDocumentSchema>;
+export type IntentSection = keyof IntentDocument;
+export type IntentItem = ModelIntent | TenantIntent | BackendIntent;
+
+export const EMPTY_DOCUMENT: IntentDocument = { models: [], tenants: [], backends: [] };
+export const SECTIONS: readonly IntentSection[] = ['models', 'tenants', 'backends'];
+
+/** One item that differs between two documents. */
+export interface IntentChange {
+  section: IntentSection;
+  id: string;
+  action: 'add' | 'change' | 'remove';
+  /** The new item; absent for `remove`. */
+  item?: IntentItem;
+}
+
+/** Problems that the schema alone cannot see. Empty when there are none. */
+export function findInconsistencies(document: IntentDocument): string[] {
+  const problems: string[] = [];
+  for (const section of SECTIONS) problems.push(...findRepeatedIds(document, section));
+  const models = new Set(document.models.map((model) => model.id));
+  for (const tenant of document.tenants) {
+    for (const model of tenant.models) {
+      if (!models.has(model)) problems.push(`tenants/${tenant.id}: unknown model ${model}`);
+    }
+  }
+  for (const backend of document.backends) {
+    for (const model of backend.models) {
+      if (!models.has(model)) problems.push(`backends/${backend.id}: unknown model ${model}`);
+    }
+    const isUseless = backend.kind === 'engine' ? backend.models.length : backend.services.length;
+    if (isUseless === 0) problems.push(`backends/${backend.id}: serves nothing`);
+  }
+  return problems;
+}
+
+/** What leads from one document to another, in a fixed order. */
+export function diffDocuments(from: IntentDocument, to: IntentDocument): IntentChange[] {
+  return SECTIONS.flatMap((section) => diffSection(section, from[section], to[section]));
+}
+
+/** Applies changes to a document; the input stays as it is. */
+export function applyChanges(document: IntentDocument, changes: IntentChange[]): IntentDocument {
+  const result: IntentDocument = { ...document };
+  for (const section of SECTIONS) {
+    const own = changes.filter((change) => change.section === section);
+    if (own.length === 0) continue;
+    const items = new Map<string, IntentItem>(document[section].map((item) => [item.id, item]));
+    for (const change of own) {
+      if (change.item) items.set(change.id, change.item);
+      else items.delete(change.id);
+    }
+    Object.assign(result, { [section]: sortItems([...items.values()]) });
+  }
+  return result;
+}
+
+/** Orders items so that equal documents have equal text. */
+export function normalizeDocument(document: IntentDocument): IntentDocument {
+  return {
+    models: sortItems(document.models),
+    tenants: sortItems(document.tenants),
+    backends: sortItems(document.backends),
+  };
+}
+
+/** Identity of a document's content. */
+export function contentHash(document: IntentDocument): string {
+  return sha256Hex(JSON.stringify(normalizeDocument(document)));
+}
+
+function sortItems<Item extends IntentItem>(items: Item[]): Item[] {
+  return [...items].sort((left, right) => (left.id < right.id ? -1 : 1));
+}
+
+function findRepeatedIds(document: IntentDocument, section: IntentSection): string[] {
+  const seen = new Set<string>();
+  const problems: string[] = [];
+  for (const { id } of document[section]) {
+    if (seen.has(id)) problems.push(`${section}/${id}: listed twice`);
+    seen.add(id);
+  }
+  return problems;
+}
+
+function diffSection(
+  section: IntentSection,
+  from: readonly IntentItem[],
+  to: readonly IntentItem[],
+): IntentChange[] {
+  const before = new Map(from.map((item) => [item.id, item]));
+  const after = new Map(to.map((item) => [item.id, item]));
+  const changes: IntentChange[] = [];
+  for (const id of [...new Set([...before.keys(), ...after.keys()])].sort()) {
+    const old = before.get(id);
+    const item = after.get(id);
+    if (!item) changes.push({ section, id, action: 'remove' });
+    else if (!old) changes.push({ section, id, action: 'add', item });
+    else if (JSON.stringify(old) !== JSON.stringify(item)) {
+      changes.push({ section, id, action: 'change', item });
+    }
+  }
+  return changes;
+}
--- /dev/null
+++ b/src/intents/intent-state-machine.ts
@@ -0,0 +1,164 @@
+/** Intents as a replicated state machine: plans, confirmed revisions, answers to repeated requests. */
+import { LRUCache } from 'lru-cache';
+import { sha256Hex } from '../common/index.js';
+import type { StateMachine } from '../consensus/index.js';
+import { decodeValue, encodeValue } from '../wire/index.js';
+import type {
+  ConfigurationUpdate,
+  ConfirmCommand,
+  ConfirmResult,
+  DocumentAnswer,
+  IntentCommand,
+  IntentQuery,
+  Plan,
+  PlanCommand,
+  PlanResult,
+  Revision,
+} from './commands.js';
+import {
+  EMPTY_DOCUMENT,
+  type IntentDocument,
+  applyChanges,
+  contentHash,
+  diffDocuments,
+  normalizeDocument,
+} from './document.js';
+
+const MAX_PLANS = 256;
+const MAX_REMEMBERED_REQUESTS = 10_000;
+/** Revisions kept as deltas; who lacks more gets the whole document. */
+const MAX_REVISIONS = 1_024;
+const PLAN_ID_DIGITS = 16;
+
+interface EncodedIntents {
+  document: IntentDocument;
+  revisions: Revision[];
+  plans: Plan[];
+  requests: [string, RememberedRequest][];
+}
+
+interface RememberedRequest {
+  planId: string;
+  result: ConfirmResult;
+}
+
+export class IntentStateMachine implements StateMachine {
+  private currentDocument: IntentDocument = EMPTY_DOCUMENT;
+  private revisions: Revision[] = [];
+  private readonly plans = new LRUCache<string, Plan>({ max: MAX_PLANS });
+  private readonly requests = new LRUCache<string, RememberedRequest>({
+    max: MAX_REMEMBERED_REQUESTS,
+  });
+
+  /** @param onRevision called after each new revision and after a restored snapshot */
+  constructor(private readonly onRevision: () => void = () => undefined) {}
+
+  get revision(): number {
+    return this.revisions.at(-1)?.revision ?? 0;
+  }
+
+  get document(): IntentDocument {
+    return this.currentDocument;
+  }
+
+  apply(encoded: Uint8Array): PlanResult | ConfirmResult {
+    const command = decodeValue<IntentCommand>(encoded);
+    return command.type === 'plan' ? this.applyPlan(command) : this.applyConfirm(command);
+  }
+
+  snapshot(): Uint8Array {
+    const state: EncodedIntents = {
+      document: this.currentDocument,
+      revisions: this.revisions,
+      plans: this.plans
+        .dump()
+        .map(([, entry]) => entry.value)
+        .reverse(),
+      requests: this.requests
+        .dump()
+        .map(([id, entry]): [string, RememberedRequest] => [id, entry.value])
+        .reverse(),
+    };
+    return encodeValue(state);
+  }
+
+  restore(bytes: Uint8Array): void {
+    const state = decodeValue<EncodedIntents>(bytes);
+    this.currentDocument = state.document;
+    this.revisions = state.revisions;
+    this.plans.clear();
+    for (const plan of state.plans) this.plans.set(plan.id, plan);
+    this.requests.clear();
+    for (const [id, request] of state.requests) this.requests.set(id, request);
+    this.onRevision();
+  }
+
+  answer(query: IntentQuery): DocumentAnswer | Plan | Revision[] | undefined {
+    switch (query.type) {
+      case 'document':
+        return {
+          revision: this.revision,
+          contentHash: contentHash(this.currentDocument),
+          document: this.currentDocument,
+        };
+      case 'plan':
+        return this.plans.peek(query.planId);
+      case 'history':
+        return this.revisions.slice(-query.limit);
+    }
+  }
+
+  /** What a process at `knownRevision` needs to reach the current revision. */
+  updateFrom(knownRevision: number): ConfigurationUpdate {
+    if (knownRevision === this.revision) return { kind: 'none' };
+    const missing = this.revisions.filter((entry) => entry.revision > knownRevision);
+    const isGapless = missing[0]?.revision === knownRevision + 1;
+    const { revision } = this;
+    if (!isGapless || knownRevision === 0) {
+      return { kind: 'document', revision, document: this.currentDocument };
+    }
+    return { kind: 'changes', revision, changes: missing.flatMap((entry) => entry.changes) };
+  }
+
+  private applyPlan(command: PlanCommand): PlanResult {
+    const document = normalizeDocument(command.document);
+    const hash = contentHash(document);
+    const baseRevision = this.revision;
+    const id = sha256Hex(`${baseRevision}|${hash}`).slice(0, PLAN_ID_DIGITS);
+    const changes = diffDocuments(this.currentDocument, document);
+    const plan: Plan = { id, operator: command.operator, baseRevision, contentHash: hash, changes };
+    if (!this.plans.peek(id)) this.plans.set(id, plan);
+    return { status: 'planned', plan };
+  }
+
+  private applyConfirm(command: ConfirmCommand): ConfirmResult {
+    const remembered = this.requests.peek(command.requestId);
+    if (remembered) {
+      if (remembered.planId === command.planId) return remembered.result;
+      return { status: 'request-reused', planId: remembered.planId };
+    }
+    const result = this.confirm(command);
+    this.requests.set(command.requestId, { planId: command.planId, result });
+    return result;
+  }
+
+  private confirm(command: ConfirmCommand): ConfirmResult {
+    const plan = this.plans.peek(command.planId);
+    if (!plan) return { status: 'unknown-plan' };
+    const current = this.revisions.at(-1);
+    if (current?.planId === plan.id) return { status: 'accepted', revision: current };
+    if (current && plan.baseRevision !== current.revision) return { status: 'stale', current };
+    const revision: Revision = {
+      revision: this.revision + 1,
+      planId: plan.id,
+      contentHash: plan.contentHash,
+      operator: command.operator,
+      changes: plan.changes,
+    };
+    this.currentDocument = applyChanges(this.currentDocument, plan.changes);
+    this.revisions.push(revision);
+    if (this.revisions.length > MAX_REVISIONS) this.revisions.shift();
+    this.onRevision();
+    return { status: 'accepted', revision };
+  }
+}
--- /dev/null
+++ b/src/journal/commands.ts
@@ -0,0 +1,219 @@
+/** Commands of the journal and their results. */
+import type {
+  CallOutcome,
+  CallRecord,
+  CallRequest,
+  EndReason,
+  GatewayIdentity,
+  ProgramLimits,
+  ProgramRecord,
+} from './program-state.js';
+
+/** Fields of every command that names a program on behalf of a tenant. */
+interface ProgramCommand {
+  programId: string;
+  tenant: string;
+}
+
+export interface OpenCommand extends ProgramCommand {
+  type: 'open';
+  parent?: string;
+  model: string;
+  budget: number;
+  deadlineMs: number;
+  limits: ProgramLimits;
+}
+
+/** Records that an attempt is about to be sent to a back end. */
+export interface BeginCommand extends ProgramCommand {
+  type: 'begin';
+  sequence: number;
+  submission: number;
+  requestHash: string;
+  request: CallRequest;
+  token: string;
+  gateway: GatewayIdentity;
+  backend: string;
+  /** Fixed cost ceiling of a service call; for model calls the journal works it out. */
+  serviceCost: number;
+}
+
+/** Starts another attempt of a repeatable call whose attempt `fromAttempt` is lost. */
+export interface RestartCommand extends ProgramCommand {
+  type: 'restart';
+  sequence: number;
+  fromAttempt: number;
+  /** The lost attempt's token when its own gateway knows that it was never taken anywhere. */
+  neverRanToken?: string;
+  token: string;
+  gateway: GatewayIdentity;
+  backend: string;
+}
+
+export interface FinishCommand extends ProgramCommand {
+  type: 'finish';
+  sequence: number;
+  attempt: number;
+  outcome: CallOutcome;
+  answer: string;
+  cost: number;
+  finishReason: string;
+}
+
+/** Takes an attempt back that was certainly not sent; the submission is refused for good. */
+export interface WithdrawCommand extends ProgramCommand {
+  type: 'withdraw';
+  sequence: number;
+  attempt: number;
+  token: string;
+  reason: RefusalReason;
+}
+
+/** Makes sure that a submission never runs. */
+export interface RefuseCommand extends ProgramCommand {
+  type: 'refuse';
+  sequence: number;
+  submission: number;
+  reason: RefusalReason;
+}
+
+export interface EndCommand extends ProgramCommand {
+  type: 'end';
+  reason: EndReason;
+}
+
+/** A back end confirmed that it holds no memory of an ended program. */
+export interface ReleasedCommand {
+  type: 'released';
+  programId: string;
+  backend: string;
+}
+
+/** Ends programs that are past deadline or idle, and forgets those ended long ago. */
+export interface SweepCommand {
+  type: 'sweep';
+}
+
+export type JournalCommand =
+  | OpenCommand
+  | BeginCommand
+  | RestartCommand
+  | FinishCommand
+  | WithdrawCommand
+  | RefuseCommand
+  | EndCommand
+  | ReleasedCommand
+  | SweepCommand;
+
+/** A command as it is replicated: with the journal time that the leader gave it. */
+export interface StampedCommand {
+  /** Milliseconds of journal time; never goes back, unrelated to wall-clock time. */
+  atMs: number;
+  command: JournalCommand;
+}
+
+export type RefusalReason =
+  | 'budget-exhausted'
+  | 'out-of-order'
+  | 'call-in-progress'
+  | 'program-ended'
+  | 'call-limit'
+  | 'depth-limit'
+  | 'looping'
+  | 'overloaded'
+  | 'no-backend'
+  | 'no-lease'
+  | 'backend-refused'
+  | 'parent-unavailable'
+  | 'refused-before';
+
+export interface UnknownProgramResult {
+  status: 'unknown-program';
+}
+
+export interface RefusedResult {
+  status: 'refused';
+  reason: RefusalReason;
+  /** Whether a new submission of the call may succeed. */
+  canSendAgain: boolean;
+}
+
+/** Another request is recorded under this sequence number. */
+export interface ConflictResult {
+  status: 'conflict';
+}
+
+/** The call is under way. */
+export interface RunningResult {
+  status: 'running';
+  call: CallRecord;
+}
+
+export interface SettledResult {
+  status: 'settled';
+  call: CallRecord;
+}
+
+export interface BegunResult {
+  status: 'begun';
+  call: CallRecord;
+  model: string;
+  /** Prompt tokens including this call's messages. */
+  promptTokens: number;
+  /** Tokens that the program and those above and below it have spent, for scheduling. */
+  attainedService: number;
+  /** The back end that served the previous model call. */
+  previousBackend?: string;
+}
+
+export interface OpenedResult {
+  status: 'opened';
+  program: ProgramSummary;
+}
+
+export interface EndedResult {
+  status: 'ended';
+}
+
+export type OpenResult = OpenedResult | RefusedResult | ConflictResult;
+export type BeginResult =
+  | BegunResult
+  | RunningResult
+  | SettledResult
+  | RefusedResult
+  | ConflictResult
+  | UnknownProgramResult;
+export type RestartResult = BeginResult;
+export type FinishResult = SettledResult | RunningResult | UnknownProgramResult | RefusedResult;
+export type RefuseResult = RefusedResult | RunningResult | SettledResult | UnknownProgramResult;
+export type EndResult = EndedResult | UnknownProgramResult;
+
+/** A program without its calls' contents. */
+export type ProgramSummary = Omit<ProgramRecord, 'calls' | 'refused' | 'children'> & {
+  callCount: number;
+};
+
+/** One call's part of a program's history. */
+export interface HistoryTurn {
+  sequence: number;
+  messages: CallRequest['messages'];
+  answer: string;
+}
+
+export type JournalQuery =
+  | { type: 'program'; programId: string; tenant: string }
+  | { type: 'call'; programId: string; tenant: string; sequence: number }
+  | { type: 'history'; programId: string; tenant: string; afterSequence: number }
+  | { type: 'statistics' };
+
+export type ProgramAnswer = { status: 'found'; program: ProgramSummary } | UnknownProgramResult;
+export type CallAnswer =
+  RunningResult | SettledResult | RefusedResult | { status: 'unknown-call' } | UnknownProgramResult;
+export type HistoryAnswer = { status: 'found'; turns: HistoryTurn[] } | UnknownProgramResult;
+
+export interface JournalStatistics {
+  programs: number;
+  openPrograms: number;
+  pendingReleases: number;
+  calls: number;
+}
--- /dev/null
+++ b/src/journal/journal-client.ts
@@ -0,0 +1,106 @@
+/** Typed access to the journal groups from a gateway. */
+import type { GroupClient, TryResult } from '../consensus/index.js';
+import type {
+  BeginCommand,
+  BeginResult,
+  CallAnswer,
+  EndCommand,
+  EndResult,
+  FinishCommand,
+  FinishResult,
+  HistoryAnswer,
+  JournalCommand,
+  JournalQuery,
+  OpenCommand,
+  OpenResult,
+  ProgramAnswer,
+  RefuseCommand,
+  RefuseResult,
+  RestartCommand,
+  RestartResult,
+  WithdrawCommand,
+} from './commands.js';
+import { AWAIT_SETTLED, type AwaitSettledResponse } from './messages.js';
+import { journalGroupOf } from './program-id.js';
+
+export interface JournalClientOptions {
+  groups: GroupClient;
+  groupCount: number;
+  /** How long one command may take, in milliseconds. */
+  timeoutMs: number;
+}
+
+export class JournalClient {
+  constructor(private readonly options: JournalClientOptions) {}
+
+  open(command: OpenCommand): Promise<OpenResult> {
+    return this.execute(command);
+  }
+
+  begin(command: BeginCommand): Promise<BeginResult> {
+    return this.execute(command);
+  }
+
+  restart(command: RestartCommand): Promise<RestartResult> {
+    return this.execute(command);
+  }
+
+  finish(command: FinishCommand): Promise<FinishResult> {
+    return this.execute(command);
+  }
+
+  withdraw(command: WithdrawCommand): Promise<RefuseResult> {
+    return this.execute(command);
+  }
+
+  refuse(command: RefuseCommand): Promise<RefuseResult> {
+    return this.execute(command);
+  }
+
+  end(command: EndCommand): Promise<EndResult> {
+    return this.execute(command);
+  }
+
+  readProgram(programId: string, tenant: string): Promise<ProgramAnswer> {
+    return this.query({ type: 'program', programId, tenant });
+  }
+
+  readCall(programId: string, tenant: string, sequence: number): Promise<CallAnswer> {
+    return this.query({ type: 'call', programId, tenant, sequence });
+  }
+
+  readHistory(programId: string, tenant: string, afterSequence: number): Promise<HistoryAnswer> {
+    return this.query({ type: 'history', programId, tenant, afterSequence });
+  }
+
+  /** Waits at most `waitMs` for a call to settle, then answers with what is known. */
+  async awaitSettled(
+    programId: string,
+    tenant: string,
+    sequence: number,
+    waitMs: number,
+  ): Promise<CallAnswer> {
+    const { groups, groupCount, timeoutMs } = this.options;
+    const group = journalGroupOf(programId, groupCount);
+    const request = { group, programId, tenant, sequence, waitMs };
+    const limits = { timeoutMs: waitMs + timeoutMs, tryTimeoutMs: waitMs + timeoutMs };
+    return groups.callWithRedirect(group, AWAIT_SETTLED, request, readAwaitSettled, limits);
+  }
+
+  private execute<Result>(command: JournalCommand & { programId: string }): Promise<Result> {
+    const { groups, groupCount, timeoutMs } = this.options;
+    const group = journalGroupOf(command.programId, groupCount);
+    return groups.execute<JournalCommand, Result>(group, command, { timeoutMs });
+  }
+
+  private query<Answer>(query: JournalQuery & { programId: string }): Promise<Answer> {
+    const { groups, groupCount, timeoutMs } = this.options;
+    const group = journalGroupOf(query.programId, groupCount);
+    return groups.query<JournalQuery, Answer>(group, query, { timeoutMs });
+  }
+}
+
+function readAwaitSettled(response: AwaitSettledResponse): TryResult<CallAnswer> {
+  if (response.answer) return { response: response.answer };
+  return { leaderAddress: response.leaderAddress, refusal: 'not the leader' };
+}
--- /dev/null
+++ b/src/log-store/group-log-state.ts
@@ -0,0 +1,76 @@
+/** What the write-ahead log holds of one group, kept in memory and rebuilt at start. */
+import type { HardState, LogEntry, LogRecord, SnapshotMark } from './records.js';
+
+export class GroupLogState {
+  hardState: HardState = { term: 0, votedFor: undefined };
+  snapshot: SnapshotMark = { index: 0, term: 0 };
+  /** Entries after the snapshot, in order without gaps. */
+  entries: LogEntry[] = [];
+
+  get lastIndex(): number {
+    return this.snapshot.index + this.entries.length;
+  }
+
+  get lastTerm(): number {
+    return this.entries.at(-1)?.term ?? this.snapshot.term;
+  }
+
+  /** The term of the entry at `index`; undefined when it is not held. */
+  termAt(index: number): number | undefined {
+    if (index === this.snapshot.index) return this.snapshot.term;
+    return this.entryAt(index)?.term;
+  }
+
+  entryAt(index: number): LogEntry | undefined {
+    return this.entries[index - this.snapshot.index - 1];
+  }
+
+  /** Entries from `fromIndex` on, up to `maximumBytes` of data but at least one. */
+  slice(fromIndex: number, maximumBytes: number): LogEntry[] {
+    const result: LogEntry[] = [];
+    let bytes = 0;
+    for (let index = fromIndex; index <= this.lastIndex; index += 1) {
+      const entry = this.entryAt(index);
+      if (!entry) break;
+      bytes += entry.data.length;
+      if (result.length > 0 && bytes > maximumBytes) break;
+      result.push(entry);
+    }
+    return result;
+  }
+
+  /** Applies a record in the order of the log. */
+  apply(record: LogRecord): void {
+    switch (record.kind) {
+      case 'entries':
+        this.append(record.entries);
+        break;
+      case 'hard-state':
+        this.hardState = record.state;
+        break;
+      case 'truncate':
+        this.entries.length = Math.max(0, record.fromIndex - this.snapshot.index - 1);
+        break;
+      case 'snapshot':
+        this.compact(record.mark);
+        break;
+      case 'sync-marker':
+        break;
+    }
+  }
+
+  private append(entries: LogEntry[]): void {
+    for (const entry of entries) {
+      if (entry.index <= this.snapshot.index) continue;
+      this.entries.length = entry.index - this.snapshot.index - 1;
+      this.entries.push(entry);
+    }
+  }
+
+  private compact(mark: SnapshotMark): void {
+    if (mark.index <= this.snapshot.index) return;
+    const matches = this.termAt(mark.index) === mark.term;
+    this.entries = matches ? this.entries.slice(mark.index - this.snapshot.index) : [];
+    this.snapshot = mark;
+  }
+}
--- /dev/null
+++ b/src/log-store/records.ts
@@ -0,0 +1,98 @@
+/** The records that a write-ahead log holds. One log serves all replicated groups of a process. */
+import { decodeValue, encodeValue } from '../wire/frame-codec.js';
+
+/** One entry of a group's replicated log. */
+export interface LogEntry {
+  index: number;
+  term: number;
+  /** `command`: for the state machine; `configuration`: members; `empty`: a new leader's first. */
+  kind: 'command' | 'configuration' | 'empty';
+  data: Uint8Array;
+}
+
+/** What a member must never forget about its votes. */
+export interface HardState {
+  term: number;
+  votedFor: string | undefined;
+}
+
+/** A snapshot that replaces a group's log up to and including `index`. */
+export interface SnapshotMark {
+  index: number;
+  term: number;
+}
+
+export type LogRecord =
+  | { kind: 'entries'; group: string; entries: LogEntry[] }
+  | { kind: 'hard-state'; group: string; state: HardState }
+  | { kind: 'truncate'; group: string; fromIndex: number }
+  | { kind: 'snapshot'; group: string; mark: SnapshotMark }
+  | { kind: 'sync-marker' };
+
+const EMPTY = new Uint8Array(0);
+const ENTRY_KINDS: readonly LogEntry['kind'][] = ['command', 'configuration', 'empty'];
+
+/** A compact form on disk; field order is the format. */
+type Stored =
+  | ['E', string, [number, number, number, Uint8Array][]]
+  | ['H', string, number, string | null]
+  | ['T', string, number]
+  | ['S', string, number, number]
+  | ['M'];
+
+export function encodeLogRecord(record: LogRecord): Buffer {
+  return encodeValue(toStored(record));
+}
+
+function toStored(record: LogRecord): Stored {
+  switch (record.kind) {
+    case 'entries':
+      return [
+        'E',
+        record.group,
+        record.entries.map((entry) => [
+          entry.index,
+          entry.term,
+          ENTRY_KINDS.indexOf(entry.kind),
+          entry.data,
+        ]),
+      ];
+    case 'hard-state':
+      return ['H', record.group, record.state.term, record.state.votedFor ?? null];
+    case 'truncate':
+      return ['T', record.group, record.fromIndex];
+    case 'snapshot':
+      return ['S', record.group, record.mark.index, record.mark.term];
+    case 'sync-marker':
+      return ['M'];
+  }
+}
+
+export function decodeLogRecord(body: Buffer): LogRecord {
+  const stored = decodeValue<Stored>(body);
+  switch (stored[0]) {
+    case 'E':
+      return {
+        kind: 'entries',
+        group: stored[1],
+        entries: stored[2].map(([index, term, kind, data]) => ({
+          index,
+          term,
+          kind: ENTRY_KINDS[kind] ?? 'empty',
+          data: data.length === 0 ? EMPTY : Buffer.from(data),
+        })),
+      };
+    case 'H':
+      return {
+        kind: 'hard-state',
+        group: stored[1],
+        state: { term: stored[2], votedFor: stored[3] ?? undefined },
+      };
+    case 'T':
+      return { kind: 'truncate', group: stored[1], fromIndex: stored[2] };
+    case 'S':
+      return { kind: 'snapshot', group: stored[1], mark: { index: stored[2], term: stored[3] } };
+    case 'M':
+      return { kind: 'sync-marker' };
+  }
+}
--- /dev/null
+++ b/src/log-store/write-ahead-log.ts
@@ -0,0 +1,274 @@
+/**
+ * The write-ahead log of a process: segment files shared by all its replicated groups, so that one
+ * sync serves every group that has something to write (group commit). A single writer task takes
+ * all queued records, writes them in one go, syncs once and wakes their owners.
+ */
+import { mkdir, open, readdir, readFile, rm, truncate, type FileHandle } from 'node:fs/promises';
+import { join } from 'node:path';
+import { Deferred, SignalEvent } from '../common/index.js';
+import { StorageQuota, appendAndSync, syncFolder } from './data-folder.js';
+import { DamagedLogError } from './errors.js';
+import { GroupLogState } from './group-log-state.js';
+import { HEADER_BYTES, decodeRecord, encodeRecord, hasSyncedDataAfter } from './record-codec.js';
+import { type LogRecord, decodeLogRecord, encodeLogRecord } from './records.js';
+
+const SEGMENT_PREFIX = 'segment-';
+const SEGMENT_SUFFIX = '.log';
+const SEGMENT_DIGITS = 10;
+const DEFAULT_SEGMENT_BYTES = 32 * 1024 * 1024;
+const SYNC_MARKER_IDLE_MS = 20;
+/** With more segments than this, groups that hold the oldest are asked for a snapshot. */
+const MAX_SEGMENTS = 3;
+
+export interface WriteAheadLogOptions {
+  folder: string;
+  /** A segment is closed once it has this many bytes. @default 32 MiB */
+  segmentBytes?: number;
+  /** Bytes that all segments together may take. @default no limit */
+  quotaBytes?: number;
+  /** Called once when a write or sync failed so that the process must end. */
+  onFatal: (error: unknown) => void;
+}
+
+interface QueuedWrite {
+  records: LogRecord[];
+  bodies: Buffer[];
+  done: Deferred<void>;
+}
+
+interface Segment {
+  number: number;
+  bytes: number;
+  /** The highest entry index of each group in this segment. */
+  highestIndex: Map<string, number>;
+}
+
+export class WriteAheadLog {
+  private readonly groups = new Map<string, GroupLogState>();
+  private readonly queue: QueuedWrite[] = [];
+  private readonly wake = new SignalEvent();
+  private readonly quota: StorageQuota;
+  private readonly segmentBytes: number;
+  private segments: Segment[] = [];
+  private file!: FileHandle;
+  private syncedOffset = 0;
+  private markerNeeded = false;
+  private closing = false;
+  private writer: Promise<void> | undefined;
+  /** Counters for metrics: syncs done and bytes written. */
+  readonly counters = { syncs: 0, bytes: 0, records: 0 };
+
+  private constructor(private readonly options: WriteAheadLogOptions) {
+    this.quota = new StorageQuota(options.quotaBytes);
+    this.segmentBytes = options.segmentBytes ?? DEFAULT_SEGMENT_BYTES;
+  }
+
+  /**
+   * Opens the log and rebuilds every group's state from it.
+   * @throws DamagedLogError when data that had been synced is damaged
+   */
+  static async open(options: WriteAheadLogOptions): Promise<WriteAheadLog> {
+    const log = new WriteAheadLog(options);
+    await mkdir(options.folder, { recursive: true });
+    await log.recover();
+    log.writer = log.runWriter();
+    return log;
+  }
+
+  /** The state of one group; made empty when the log holds nothing of it. */
+  group(name: string): GroupLogState {
+    let state = this.groups.get(name);
+    if (!state) {
+      state = new GroupLogState();
+      this.groups.set(name, state);
+    }
+    return state;
+  }
+
+  get groupNames(): string[] {
+    return [...this.groups.keys()];
+  }
+
+  /**
+   * Applies records to the groups' states in memory at once and resolves when they are synced.
+   * @throws StorageFullError (synchronously) when there is no room; nothing was applied then
+   */
+  append(records: LogRecord[]): Promise<void> {
+    const bodies = records.map(encodeLogRecord);
+    const isRefusable = records.some((record) => record.kind === 'entries');
+    this.quota.take(sizeOnDisk(bodies), isRefusable, this.options.folder);
+    for (const record of records) this.applyToGroup(record);
+    const done = new Deferred<void>();
+    this.queue.push({ records, bodies, done });
+    this.wake.notify();
+    return done.promise;
+  }
+
+  /** Groups whose entries keep a segment from removal although later segments have come since. */
+  groupsHoldingOldSegments(): string[] {
+    if (this.segments.length <= MAX_SEGMENTS) return [];
+    const [oldest] = this.segments;
+    return [...(oldest?.highestIndex ?? [])]
+      .filter(([group, index]) => index > this.group(group).snapshot.index)
+      .map(([group]) => group);
+  }
+
+  /** Writes what is queued and closes the file. */
+  async close(): Promise<void> {
+    this.closing = true;
+    this.wake.notify();
+    await this.writer;
+    await this.file.close();
+  }
+
+  private applyToGroup(record: LogRecord): void {
+    if (record.kind !== 'sync-marker') this.group(record.group).apply(record);
+  }
+
+  private async runWriter(): Promise<void> {
+    while (!this.closing || this.queue.length > 0) {
+      if (this.queue.length === 0) {
+        await this.waitForWork();
+        continue;
+      }
+      const batch = this.queue.splice(0);
+      try {
+        await this.writeBatch(batch);
+        for (const write of batch) write.done.resolve();
+      } catch (error) {
+        for (const write of batch) write.done.reject(error);
+        this.options.onFatal(error);
+        return;
+      }
+    }
+  }
+
+  /** Once idle, records how far the segment is synced, so that later damage can be recognised. */
+  private async waitForWork(): Promise<void> {
+    if (!this.markerNeeded) {
+      await this.wake.wait();
+      return;
+    }
+    await this.wake.waitUpTo(SYNC_MARKER_IDLE_MS);
+    if (this.queue.length > 0 || this.closing) return;
+    this.markerNeeded = false;
+    const marker = encodeRecord(encodeLogRecord({ kind: 'sync-marker' }), this.syncedOffset);
+    await this.file.write(marker, 0, marker.length, this.currentSegment.bytes);
+    this.currentSegment.bytes += marker.length;
+  }
+
+  private get currentSegment(): Segment {
+    return this.segments[this.segments.length - 1]!;
+  }
+
+  private async writeBatch(batch: QueuedWrite[]): Promise<void> {
+    const records = batch.flatMap((write) => write.records);
+    const bodies = batch.flatMap((write) => write.bodies);
+    const bytes = Buffer.concat(bodies.map((body) => encodeRecord(body, this.syncedOffset)));
+    const segment = this.currentSegment;
+    await appendAndSync(this.file, bytes, segment.bytes, this.options.folder);
+    segment.bytes += bytes.length;
+    this.syncedOffset = segment.bytes;
+    this.markerNeeded = true;
+    for (const record of records) noteHighestIndex(segment, record);
+    this.counters.syncs += 1;
+    this.counters.bytes += bytes.length;
+    this.counters.records += records.length;
+    if (segment.bytes >= this.segmentBytes) await this.startSegment(segment.number + 1);
+    if (records.some((record) => record.kind === 'snapshot')) await this.removeOldSegments();
+  }
+
+  private async startSegment(number: number): Promise<void> {
+    const previous: FileHandle | undefined = this.file;
+    this.file = await open(this.segmentPath(number), 'w');
+    this.segments.push({ number, bytes: 0, highestIndex: new Map() });
+    this.syncedOffset = 0;
+    await previous?.close();
+    const heads = [...this.groups].flatMap(([group, state]): LogRecord[] => [
+      { kind: 'hard-state', group, state: state.hardState },
+      { kind: 'snapshot', group, mark: state.snapshot },
+    ]);
+    const bytes = Buffer.concat(heads.map((head) => encodeRecord(encodeLogRecord(head), 0)));
+    if (bytes.length > 0) {
+      await appendAndSync(this.file, bytes, 0, this.options.folder);
+      this.currentSegment.bytes = bytes.length;
+      this.syncedOffset = bytes.length;
+    }
+    await syncFolder(this.options.folder);
+  }
+
+  /** A segment may go once every group's snapshot covers all entries that it holds. */
+  private async removeOldSegments(): Promise<void> {
+    while (this.segments.length > 1) {
+      const oldest = this.segments[0]!;
+      for (const [group, index] of oldest.highestIndex) {
+        if (index > this.group(group).snapshot.index) return;
+      }
+      await rm(this.segmentPath(oldest.number));
+      this.quota.release(oldest.bytes);
+      this.segments.shift();
+    }
+  }
+
+  private segmentPath(number: number): string {
+    const digits = String(number).padStart(SEGMENT_DIGITS, '0');
+    return join(this.options.folder, `${SEGMENT_PREFIX}${digits}${SEGMENT_SUFFIX}`);
+  }
+
+  private async recover(): Promise<void> {
+    const names = (await readdir(this.options.folder)).filter(
+      (name) => name.startsWith(SEGMENT_PREFIX) && name.endsWith(SEGMENT_SUFFIX),
+    );
+    const numbers = names
+      .map((name) => Number(name.slice(SEGMENT_PREFIX.length, -SEGMENT_SUFFIX.length)))
+      .sort((left, right) => left - right);
+    for (const [position, number] of numbers.entries()) {
+      await this.recoverSegment(number, position === numbers.length - 1);
+    }
+    if (numbers.length === 0) {
+      await this.startSegment(1);
+      return;
+    }
+    this.file = await open(this.segmentPath(this.currentSegment.number), 'r+');
+    this.syncedOffset = this.currentSegment.bytes;
+    await this.file.datasync();
+  }
+
+  private async recoverSegment(number: number, isLast: boolean): Promise<void> {
+    const path = this.segmentPath(number);
+    const bytes = await readFile(path);
+    const segment: Segment = { number, bytes: 0, highestIndex: new Map() };
+    while (segment.bytes < bytes.length) {
+      const record = decodeRecord(bytes, segment.bytes);
+      if (!record) break;
+      const decoded = decodeLogRecord(record.body);
+      this.applyToGroup(decoded);
+      noteHighestIndex(segment, decoded);
+      segment.bytes = record.end;
+    }
+    if (segment.bytes < bytes.length) await this.cutTail(path, bytes, segment.bytes, isLast);
+    this.quota.add(segment.bytes);
+    this.segments.push(segment);
+  }
+
+  private async cutTail(path: string, bytes: Buffer, end: number, isLast: boolean): Promise<void> {
+    if (!isLast || hasSyncedDataAfter(bytes, end)) {
+      throw new DamagedLogError(
+        `damaged at byte ${end} before synced data; restore this member as a new one`,
+        { step: 'log-store.recover', peer: path },
+      );
+    }
+    await truncate(path, end);
+  }
+}
+
+function sizeOnDisk(bodies: Buffer[]): number {
+  return bodies.reduce((sum, body) => sum + HEADER_BYTES + body.length, 0);
+}
+
+function noteHighestIndex(segment: Segment, record: LogRecord): void {
+  if (record.kind !== 'entries') return;
+  const highest = record.entries.at(-1)?.index ?? 0;
+  const known = segment.highestIndex.get(record.group) ?? 0;
+  segment.highestIndex.set(record.group, Math.max(known, highest));
+}
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,4 @@
+/** Membership of gateways: configuration leases, granted by the leader of the intents group. */
+export { LeaseHolder, type LeaseHolderOptions } from './lease-holder.js';
+export { LeaseRegistry, type GatewayLease } from './lease-registry.js';
+export * from './messages.js';
--- /dev/null
+++ b/src/membership/lease-holder.ts
@@ -0,0 +1,141 @@
+/**
+ * A gateway's side of its configuration lease: one task renews it, takes over new revisions, and
+ * knows on the monotonic clock whether the gateway may start work now.
+ */
+import { SignalEvent, monotonicMs, sleep } from '../common/index.js';
+import { type GroupClient } from '../consensus/index.js';
+import {
+  EMPTY_DOCUMENT,
+  INTENTS_GROUP,
+  type ConfigurationUpdate,
+  type IntentDocument,
+  applyChanges,
+} from '../intents/index.js';
+import { type Logger } from '../observability/index.js';
+import {
+  RENEW_LEASE,
+  type LeaseGrant,
+  type RenewLeaseRequest,
+  type RenewLeaseResponse,
+} from './messages.js';
+
+export interface LeaseHolderOptions {
+  groups: GroupClient;
+  gateway: string;
+  incarnation: string;
+  address: string;
+  zone: string;
+  /** Time between two renewals, in milliseconds. */
+  renewIntervalMs: number;
+  logger: Logger;
+  /** Called when a new revision has come into force here. */
+  onConfiguration: (document: IntentDocument, revision: number) => void;
+}
+
+const RENEWAL_TIMEOUT_MS = 1_500;
+const RETRY_DELAY_MS = 50;
+
+export class LeaseHolder {
+  private expiresAtMs = Number.NEGATIVE_INFINITY;
+  private heldRevision = 0;
+  private currentDocument: IntentDocument = EMPTY_DOCUMENT;
+  private hadLease = false;
+  private readonly renewed = new SignalEvent();
+  private readonly stopping = new AbortController();
+
+  constructor(private readonly options: LeaseHolderOptions) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  /** Whether the gateway may start work now. Ask again right before each dispatch. */
+  get isHeld(): boolean {
+    return monotonicMs() < this.expiresAtMs;
+  }
+
+  get revision(): number {
+    return this.heldRevision;
+  }
+
+  get document(): IntentDocument {
+    return this.currentDocument;
+  }
+
+  /** Waits at most `timeoutMs` for the lease; resolves with whether it is held then. */
+  async waitHeld(timeoutMs: number): Promise<boolean> {
+    const deadline = monotonicMs() + timeoutMs;
+    while (!this.isHeld && monotonicMs() < deadline) {
+      await this.renewed.waitUpTo(deadline - monotonicMs());
+    }
+    return this.isHeld;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      const renewed = await this.renew();
+      this.noteChange();
+      const pause = renewed ? this.options.renewIntervalMs : RETRY_DELAY_MS;
+      await sleep(pause, this.stopping.signal);
+    }
+  }
+
+  /** One renewal; a second one follows at once when it brought a new revision. */
+  private async renew(): Promise<boolean> {
+    const sentAt = monotonicMs();
+    const before = this.heldRevision;
+    try {
+      const grant = await this.requestGrant();
+      // The revision first: the lease is for acting on what the leader knows.
+      this.takeUpdate(grant.update);
+      this.expiresAtMs = sentAt + grant.leaseMs;
+      this.renewed.notify();
+    } catch {
+      return false;
+    }
+    return this.heldRevision === before || this.renew();
+  }
+
+  private async requestGrant(): Promise<LeaseGrant> {
+    const { gateway, incarnation, address, zone, groups } = this.options;
+    const request: RenewLeaseRequest = {
+      gateway,
+      incarnation,
+      address,
+      zone,
+      revision: this.heldRevision,
+    };
+    return groups.callWithRedirect<RenewLeaseRequest, RenewLeaseResponse, LeaseGrant>(
+      INTENTS_GROUP,
+      RENEW_LEASE,
+      request,
+      (response) =>
+        'grant' in response
+          ? { response: response.grant }
+          : { leaderAddress: response.redirect.leaderAddress, refusal: 'not the leader' },
+      { timeoutMs: RENEWAL_TIMEOUT_MS },
+    );
+  }
+
+  private takeUpdate(update: ConfigurationUpdate): void {
+    // Revisions never go down, whatever arrives late.
+    if (update.kind === 'none' || update.revision <= this.heldRevision) return;
+    this.currentDocument =
+      update.kind === 'document'
+        ? update.document
+        : applyChanges(this.currentDocument, update.changes);
+    this.heldRevision = update.revision;
+    this.options.onConfiguration(this.currentDocument, this.heldRevision);
+  }
+
+  private noteChange(): void {
+    if (this.isHeld === this.hadLease) return;
+    this.hadLease = this.isHeld;
+    const message = this.hadLease ? 'configuration lease held' : 'configuration lease lost';
+    this.options.logger.info(message, { revision: this.heldRevision });
+  }
+}
--- /dev/null
+++ b/src/operators/operator-api.ts
@@ -0,0 +1,211 @@
+/** The operators' HTTP interface of a control process; any of them answers for the whole system. */
+import type { IncomingMessage } from 'node:http';
+import { z } from 'zod';
+import { sha256Hex } from '../common/index.js';
+import {
+  type GroupClient,
+  type GroupHost,
+  GroupUnavailableError,
+  votersOf,
+} from '../consensus/index.js';
+import type { ConfigurationStatus } from '../control/intents-leader.js';
+import {
+  type HttpExchange,
+  HttpProblem,
+  HttpRouter,
+  badRequest,
+  readJson,
+  sendJson,
+} from '../http/index.js';
+import {
+  type ConfirmCommand,
+  type ConfirmResult,
+  type DocumentAnswer,
+  INTENTS_GROUP,
+  type IntentQuery,
+  type Plan,
+  type PlanCommand,
+  type PlanResult,
+  type Revision,
+  findInconsistencies,
+  intentDocumentSchema,
+} from '../intents/index.js';
+import { CONFIGURATION_STATUS, type GroupStatus, type StatusResponse } from './messages.js';
+
+const MAX_DOCUMENT_BYTES = 32 * 1024 * 1024;
+const REQUEST_TIMEOUT_MS = 5_000;
+const RETRY_AFTER_MS = 1_000;
+const DEFAULT_HISTORY_LIMIT = 20;
+const MAX_HISTORY_LIMIT = 1_000;
+
+export interface Operator {
+  name: string;
+  keyHash: string;
+}
+
+export interface OperatorApiOptions {
+  groups: GroupClient;
+  host: GroupHost;
+  operators: readonly Operator[];
+}
+
+export class OperatorApi {
+  readonly router = new HttpRouter();
+
+  constructor(private readonly options: OperatorApiOptions) {
+    this.router
+      .on('POST', '/v1/plans', (exchange) => this.plan(exchange))
+      .on('GET', '/v1/plans/:id', (exchange) => this.readPlan(exchange))
+      .on('POST', '/v1/plans/:id/confirm', (exchange) => this.confirm(exchange))
+      .on('GET', '/v1/document', (exchange) => this.readDocument(exchange))
+      .on('GET', '/v1/history', (exchange) => this.readHistory(exchange))
+      .on('GET', '/v1/status', (exchange) => this.readStatus(exchange));
+  }
+
+  private async plan({ request, response }: HttpExchange): Promise<void> {
+    const operator = this.authenticate(request);
+    const document = readDocument(await readJson(request, MAX_DOCUMENT_BYTES));
+    const command: PlanCommand = { type: 'plan', operator, document };
+    const result = await this.execute<PlanCommand, PlanResult>(command);
+    sendJson(response, 201, result.plan);
+  }
+
+  private async readPlan({ request, response, parameters }: HttpExchange): Promise<void> {
+    this.authenticate(request);
+    const plan = await this.query<Plan | null>({ type: 'plan', planId: parameters.id! });
+    if (!plan) throw badRequest('no such plan', 'unknown_plan', 404);
+    sendJson(response, 200, plan);
+  }
+
+  private async confirm({ request, response, parameters }: HttpExchange): Promise<void> {
+    const operator = this.authenticate(request);
+    const requestId = request.headers['idempotency-key'];
+    if (typeof requestId !== 'string' || requestId.length === 0) {
+      throw badRequest('an Idempotency-Key header is needed, so that a repeat does no harm');
+    }
+    const command: ConfirmCommand = {
+      type: 'confirm',
+      operator,
+      planId: parameters.id!,
+      requestId: `${operator}/${requestId}`,
+    };
+    const result = await this.execute<ConfirmCommand, ConfirmResult>(command);
+    if (result.status === 'accepted') sendJson(response, 200, result.revision);
+    else throw confirmProblem(result);
+  }
+
+  private async readDocument({ request, response }: HttpExchange): Promise<void> {
+    this.authenticate(request);
+    sendJson(response, 200, await this.query<DocumentAnswer>({ type: 'document' }));
+  }
+
+  private async readHistory({ request, response, query }: HttpExchange): Promise<void> {
+    this.authenticate(request);
+    const limit = Number(query.get('limit') ?? DEFAULT_HISTORY_LIMIT);
+    if (!Number.isInteger(limit) || limit < 1 || limit > MAX_HISTORY_LIMIT) {
+      throw badRequest(`limit must be from 1 to ${MAX_HISTORY_LIMIT}`);
+    }
+    sendJson(response, 200, await this.query<Revision[]>({ type: 'history', limit }));
+  }
+
+  private async readStatus({ request, response }: HttpExchange): Promise<void> {
+    this.authenticate(request);
+    const configuration = await orUnavailable(
+      this.options.groups.callWithRedirect<
+        Record<string, never>,
+        StatusResponse,
+        ConfigurationStatus
+      >(
+        INTENTS_GROUP,
+        CONFIGURATION_STATUS,
+        {},
+        (answer) =>
+          'status' in answer
+            ? { response: answer.status }
+            : { leaderAddress: answer.redirect.leaderAddress, refusal: 'not the leader' },
+        { timeoutMs: REQUEST_TIMEOUT_MS },
+      ),
+    );
+    sendJson(response, 200, { configuration, groups: this.groupStatuses() });
+  }
+
+  private groupStatuses(): GroupStatus[] {
+    return this.options.host.all().map((group) => {
+      const voters = votersOf(group.configuration);
+      const learners = group.configuration.members.filter((member) => member.role === 'learner');
+      return {
+        group: group.name,
+        member: group.ownId,
+        state: group.state,
+        term: group.term,
+        commitIndex: group.commitIndex,
+        appliedIndex: group.applier.appliedIndex,
+        voters: voters.map((member) => member.id),
+        learners: learners.map((member) => member.id),
+      };
+    });
+  }
+
+  private authenticate(request: IncomingMessage): string {
+    const header = request.headers.authorization ?? '';
+    const key = header.startsWith('Bearer ') ? header.slice('Bearer '.length) : '';
+    const hash = sha256Hex(key);
+    const operator = this.options.operators.find((candidate) => candidate.keyHash === hash);
+    if (!operator) throw badRequest('unknown key', 'unauthorized', 401);
+    return operator.name;
+  }
+
+  private execute<Command, Result>(command: Command): Promise<Result> {
+    const limits = { timeoutMs: REQUEST_TIMEOUT_MS };
+    return orUnavailable(
+      this.options.groups.execute<Command, Result>(INTENTS_GROUP, command, limits),
+    );
+  }
+
+  private query<Answer>(query: IntentQuery): Promise<Answer> {
+    const limits = { timeoutMs: REQUEST_TIMEOUT_MS };
+    return orUnavailable(
+      this.options.groups.query<IntentQuery, Answer>(INTENTS_GROUP, query, limits),
+    );
+  }
+}
+
+function readDocument(body: unknown): z.infer<typeof intentDocumentSchema> {
+  const parsed = intentDocumentSchema.safeParse(body);
+  if (!parsed.success) {
+    const lines = parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
+    throw badRequest(lines.join('; '), 'invalid_document', 422);
+  }
+  const problems = findInconsistencies(parsed.data);
+  if (problems.length > 0) throw badRequest(problems.join('; '), 'invalid_document', 422);
+  return parsed.data;
+}
+
+function confirmProblem(result: Exclude<ConfirmResult, { status: 'accepted' }>): HttpProblem {
+  if (result.status === 'unknown-plan') return badRequest('no such plan', 'unknown_plan', 404);
+  if (result.status === 'request-reused') {
+    const detail = `this Idempotency-Key was used for plan ${result.planId}`;
+    return badRequest(detail, 'idempotency_key_reused', 422);
+  }
+  const { revision, operator, planId, contentHash } = result.current;
+  const detail =
+    `revision ${revision} was confirmed first: plan ${planId} of ${operator}, ` +
+    `content ${contentHash}; plan again`;
+  return badRequest(detail, 'stale_plan', 409);
+}
+
+async function orUnavailable<T>(work: Promise<T>): Promise<T> {
+  try {
+    return await work;
+  } catch (error) {
+    if (!(error instanceof GroupUnavailableError)) throw error;
+    throw new HttpProblem({
+      status: 503,
+      code: 'control_unavailable',
+      detail: 'no quorum of the intents group can be reached; ask again with the same key',
+      outcome: 'unknown',
+      sendAgain: true,
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,7 @@
+/** Settings files: reading, checking, units. */
+export * from './common-settings.js';
+export * from './control-settings.js';
+export * from './errors.js';
+export * from './gateway-settings.js';
+export * from './load-settings.js';
+export * from './units.js';
--- /dev/null
+++ b/src/wire/authentication.ts
@@ -0,0 +1,49 @@
+/**
+ * Mutual authentication by a shared secret. Each side sends a random nonce; each proves knowledge
+ * of the secret by an HMAC over both nonces. The secret itself never crosses the wire.
+ */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
+
+const NONCE_BYTES = 16;
+
+export interface ServerChallenge {
+  nonce: string;
+}
+
+export interface ClientProof {
+  name: string;
+  nonce: string;
+  proof: string;
+}
+
+export interface ServerProof {
+  proof: string;
+}
+
+export function createNonce(): string {
+  return randomBytes(NONCE_BYTES).toString('hex');
+}
+
+/** The proof a client sends: binds its name and both nonces. */
+export function clientProof(
+  secret: string,
+  serverNonce: string,
+  clientNonce: string,
+  name: string,
+): string {
+  return createHmac('sha256', secret)
+    .update(`client|${serverNonce}|${clientNonce}|${name}`)
+    .digest('hex');
+}
+
+/** The proof a server sends back. */
+export function serverProof(secret: string, serverNonce: string, clientNonce: string): string {
+  return createHmac('sha256', secret).update(`server|${clientNonce}|${serverNonce}`).digest('hex');
+}
+
+/** Compares two proofs in constant time. */
+export function proofsMatch(left: string, right: string): boolean {
+  const leftBytes = Buffer.from(left);
+  const rightBytes = Buffer.from(right);
+  return leftBytes.length === rightBytes.length && timingSafeEqual(leftBytes, rightBytes);
+}
--- /dev/null
+++ b/src/wire/framed-socket.ts
@@ -0,0 +1,113 @@
+/** A TCP socket that carries frames; frames written in one turn of the event loop go out together. */
+import type { Socket } from 'node:net';
+import { Deferred, TimeoutError, monotonicMs } from '../common/index.js';
+import { LinkError } from './errors.js';
+import { FrameDecoder, encodeFrame } from './frame-codec.js';
+
+export class FramedSocket {
+  /** Bytes received and sent since the socket was made. */
+  readonly traffic = { received: 0, sent: 0 };
+  private readonly decoder: FrameDecoder;
+  private readonly unread: unknown[] = [];
+  private readonly closedEvent = new Deferred<void>();
+  private waitingReader: Deferred<unknown> | undefined;
+  private listener: ((value: unknown) => void) | undefined;
+  private corked = false;
+  private lastReceived = monotonicMs();
+
+  constructor(
+    private readonly socket: Socket,
+    readonly peer: string,
+  ) {
+    this.decoder = new FrameDecoder(peer);
+    socket.setNoDelay(true);
+    socket.on('data', (chunk: Buffer) => this.receive(chunk));
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.onClose());
+  }
+
+  /** Resolves when the socket has closed, for whatever reason. */
+  get closed(): Promise<void> {
+    return this.closedEvent.promise;
+  }
+
+  get isOpen(): boolean {
+    return !this.socket.destroyed;
+  }
+
+  /** Monotonic time of the last bytes received, in milliseconds. */
+  get lastReceivedMs(): number {
+    return this.lastReceived;
+  }
+
+  send(value: unknown): void {
+    if (this.socket.destroyed) return;
+    if (!this.corked) {
+      this.corked = true;
+      this.socket.cork();
+      setImmediate(() => {
+        this.corked = false;
+        this.socket.uncork();
+      });
+    }
+    const frame = encodeFrame(value);
+    this.traffic.sent += frame.length;
+    this.socket.write(frame);
+  }
+
+  /** Hands every frame, also those already received, to `listener` from now on. */
+  listen(listener: (value: unknown) => void): void {
+    this.listener = listener;
+    for (const value of this.unread.splice(0)) listener(value);
+  }
+
+  /**
+   * Reads the next frame before a listener is set.
+   * @throws TimeoutError after `timeoutMs`
+   * @throws LinkError when the socket closes first
+   */
+  async readOne<T>(step: string, timeoutMs: number): Promise<T> {
+    if (this.unread.length > 0) return this.unread.shift() as T;
+    const waiting = new Deferred<unknown>();
+    this.waitingReader = waiting;
+    const timer = setTimeout(() => {
+      waiting.reject(new TimeoutError('no answer', { step, peer: this.peer, retriable: true }));
+    }, timeoutMs);
+    try {
+      return (await waiting.promise) as T;
+    } finally {
+      clearTimeout(timer);
+      this.waitingReader = undefined;
+    }
+  }
+
+  destroy(): void {
+    this.socket.destroy();
+  }
+
+  private receive(chunk: Buffer): void {
+    this.lastReceived = monotonicMs();
+    this.traffic.received += chunk.length;
+    let values: unknown[];
+    try {
+      values = this.decoder.push(chunk);
+    } catch {
+      this.socket.destroy();
+      return;
+    }
+    for (const value of values) this.deliver(value);
+  }
+
+  private deliver(value: unknown): void {
+    if (this.listener) this.listener(value);
+    else if (this.waitingReader) this.waitingReader.resolve(value);
+    else this.unread.push(value);
+  }
+
+  private onClose(): void {
+    this.waitingReader?.reject(
+      new LinkError('connection closed', { step: 'wire.read', peer: this.peer, retriable: true }),
+    );
+    this.closedEvent.resolve();
+  }
+}
--- /dev/null
+++ b/src/wire/peer-link.ts
@@ -0,0 +1,171 @@
+/**
+ * A lasting link to one peer: one task connects, authenticates, waits for the connection to close
+ * and connects again with backoff. Requests fail at once while the link is down.
+ */
+import { connect, type Socket } from 'node:net';
+import { Backoff, SignalEvent, sleep } from '../common/index.js';
+import { AuthenticationError, LinkError } from './errors.js';
+import {
+  type ServerChallenge,
+  type ServerProof,
+  clientProof,
+  createNonce,
+  proofsMatch,
+  serverProof,
+} from './authentication.js';
+import { FramedSocket } from './framed-socket.js';
+import type { Method } from './method.js';
+import { MethodRouter } from './method.js';
+import { type CallOptions, RpcConnection } from './rpc-connection.js';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const HANDSHAKE_TIMEOUT_MS = 2_000;
+const MAXIMUM_RECONNECT_DELAY_MS = 300;
+
+export interface PeerLinkOptions {
+  /** `host:port` to connect to. */
+  address: string;
+  /** The name this process gives to the peer. */
+  ownName: string;
+  secret: string;
+  /** Methods that the peer may call over this link. @default none */
+  router?: MethodRouter;
+}
+
+export class PeerLink {
+  private connection: RpcConnection | undefined;
+  private readonly stopping = new AbortController();
+  private readonly connected = new SignalEvent();
+  private readonly traffic = { received: 0, sent: 0 };
+
+  constructor(private readonly options: PeerLinkOptions) {
+    void this.run();
+  }
+
+  get address(): string {
+    return this.options.address;
+  }
+
+  get isConnected(): boolean {
+    return this.connection?.isOpen ?? false;
+  }
+
+  /** Bytes over all connections of this link so far. */
+  get totalTraffic(): { received: number; sent: number } {
+    const current = this.connection?.traffic ?? { received: 0, sent: 0 };
+    return {
+      received: this.traffic.received + current.received,
+      sent: this.traffic.sent + current.sent,
+    };
+  }
+
+  /** Sends a request over the current connection; see RpcConnection.call for the errors. */
+  call<Request, Response>(
+    method: Method<Request, Response>,
+    request: Request,
+    options: CallOptions,
+  ): Promise<Response> {
+    if (!this.connection?.isOpen) return Promise.reject(this.downError(method.name));
+    return this.connection.call(method, request, options);
+  }
+
+  notify<Request>(method: Method<Request, void>, request: Request): void {
+    this.connection?.notify(method, request);
+  }
+
+  /** Resolves with whether the link is up, waiting at most `timeoutMs` for it. */
+  async waitConnected(timeoutMs: number): Promise<boolean> {
+    if (!this.isConnected) await this.connected.waitUpTo(timeoutMs);
+    return this.isConnected;
+  }
+
+  close(): void {
+    this.stopping.abort();
+    this.connection?.close();
+  }
+
+  private async run(): Promise<void> {
+    const backoff = new Backoff({ initialMs: 20, maximumMs: MAXIMUM_RECONNECT_DELAY_MS });
+    while (!this.stopping.signal.aborted) {
+      try {
+        const connection = await this.open();
+        backoff.reset();
+        this.connection = connection;
+        this.connected.notify();
+        await connection.closed;
+        this.traffic.received += connection.traffic.received;
+        this.traffic.sent += connection.traffic.sent;
+        this.connection = undefined;
+      } catch {
+        // The wait below covers every cause; callers see LinkError meanwhile.
+      }
+      await sleep(backoff.nextDelayMs(), this.stopping.signal);
+    }
+  }
+
+  private async open(): Promise<RpcConnection> {
+    const socket = await dial(this.options.address);
+    const framed = new FramedSocket(socket, this.options.address);
+    try {
+      await this.authenticate(framed);
+    } catch (error) {
+      framed.destroy();
+      throw error;
+    }
+    if (this.stopping.signal.aborted) framed.destroy();
+    return new RpcConnection(
+      framed,
+      this.options.router ?? new MethodRouter(),
+      this.options.address,
+    );
+  }
+
+  private async authenticate(framed: FramedSocket): Promise<void> {
+    const { ownName, secret } = this.options;
+    const step = 'wire.authenticate';
+    const challenge = await framed.readOne<ServerChallenge>(step, HANDSHAKE_TIMEOUT_MS);
+    const nonce = createNonce();
+    const proof = clientProof(secret, challenge.nonce, nonce, ownName);
+    framed.send({ name: ownName, nonce, proof });
+    const answer = await framed.readOne<ServerProof>(step, HANDSHAKE_TIMEOUT_MS);
+    if (!proofsMatch(serverProof(secret, challenge.nonce, nonce), String(answer.proof))) {
+      throw new AuthenticationError('wrong proof', { step, peer: framed.peer });
+    }
+  }
+
+  private downError(step: string): LinkError {
+    return new LinkError('link is down', { step, peer: this.options.address, retriable: true });
+  }
+}
+
+/** Splits `host:port`. */
+export function parseAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+function dial(address: string): Promise<Socket> {
+  const { host, port } = parseAddress(address);
+  return new Promise((resolve, reject) => {
+    const socket = connect({ host, port });
+    const fail = (cause?: unknown): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      reject(
+        new LinkError('cannot connect', {
+          step: 'wire.connect',
+          peer: address,
+          retriable: true,
+          cause,
+        }),
+      );
+    };
+    const timer = setTimeout(fail, CONNECT_TIMEOUT_MS);
+    socket.once('error', fail);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.off('error', fail);
+      resolve(socket);
+    });
+  });
+}
--- /dev/null
+++ b/src/wire/rpc-server.ts
@@ -0,0 +1,79 @@
+/** Accepts authenticated connections and serves the router's methods on them. */
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { AuthenticationError } from './errors.js';
+import {
+  type ClientProof,
+  type ServerChallenge,
+  type ServerProof,
+  clientProof,
+  createNonce,
+  proofsMatch,
+  serverProof,
+} from './authentication.js';
+import { FramedSocket } from './framed-socket.js';
+import type { MethodRouter } from './method.js';
+import { RpcConnection } from './rpc-connection.js';
+
+const HANDSHAKE_TIMEOUT_MS = 3_000;
+
+export interface RpcServerOptions {
+  host: string;
+  /** 0 lets the system choose. */
+  port: number;
+  secret: string;
+  router: MethodRouter;
+}
+
+export class RpcServer {
+  private readonly connections = new Set<RpcConnection>();
+
+  private constructor(
+    private readonly server: Server,
+    private readonly options: RpcServerOptions,
+  ) {}
+
+  static async start(options: RpcServerOptions): Promise<RpcServer> {
+    const server = createServer();
+    const rpcServer = new RpcServer(server, options);
+    server.on('connection', (socket) => void rpcServer.serve(socket));
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(options.port, options.host, resolve);
+    });
+    return rpcServer;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  close(): void {
+    this.server.close();
+    for (const connection of this.connections) connection.close();
+  }
+
+  private async serve(socket: Socket): Promise<void> {
+    const framed = new FramedSocket(socket, `${socket.remoteAddress}:${socket.remotePort}`);
+    try {
+      const name = await acceptHandshake(framed, this.options.secret);
+      const connection = new RpcConnection(framed, this.options.router, name);
+      this.connections.add(connection);
+      await connection.closed;
+      this.connections.delete(connection);
+    } catch {
+      framed.destroy();
+    }
+  }
+}
+
+async function acceptHandshake(framed: FramedSocket, secret: string): Promise<string> {
+  const nonce = createNonce();
+  framed.send({ nonce } satisfies ServerChallenge);
+  const answer = await framed.readOne<ClientProof>('wire.authenticate', HANDSHAKE_TIMEOUT_MS);
+  const expected = clientProof(secret, nonce, String(answer.nonce), String(answer.name));
+  if (!proofsMatch(expected, String(answer.proof))) {
+    throw new AuthenticationError('wrong proof', { step: 'wire.authenticate', peer: framed.peer });
+  }
+  framed.send({ proof: serverProof(secret, nonce, answer.nonce) } satisfies ServerProof);
+  return answer.name;
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,15 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: [
+      'src/**/*.test.ts',
+      'emulator/**/*.test.ts',
+      'lab/**/*.test.ts',
+      'tests/**/*.test.ts',
+    ],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 4,
+  },
+});
