Tests of the write-ahead log and of replicated groups under cuts, crashes and lost disks

Cause: both stood without a test. Eighteen tests cause a dead leader, a silent cut, a lost disk followed by a second failure, a torn tail, a flipped byte and a full disk.

--- /dev/null
+++ b/lab/hollow/loopback-network.ts
@@ -0,0 +1,117 @@
+/**
+ * A network inside one process: the real handlers, with messages encoded and decoded as on the wire
+ * and counted in bytes, but without sockets. Links can be cut, one way or both.
+ */
+import type { PeerCaller } from '../../src/consensus/index.js';
+import { TimeoutError, sleep } from '../../src/common/index.js';
+import {
+  type CallOptions,
+  LinkError,
+  type Method,
+  type MethodRouter,
+  RemoteError,
+  decodeValue,
+  encodeValue,
+} from '../../src/wire/index.js';
+
+/** Bytes of a frame around a message: length and envelope (measured on the wire protocol). */
+const FRAME_OVERHEAD_BYTES = 24;
+
+export interface TrafficCount {
+  messages: number;
+  bytes: number;
+}
+
+export class LoopbackNetwork {
+  private readonly routers = new Map<string, MethodRouter>();
+  private readonly cuts = new Set<string>();
+  private readonly sent = new Map<string, TrafficCount>();
+
+  /** @param delayMs one-way delay of every message, in milliseconds */
+  constructor(private readonly delayMs: (from: string, to: string) => number = () => 0) {}
+
+  /** Makes an address answer with a router's methods. */
+  listen(address: string, router: MethodRouter): void {
+    this.routers.set(address, router);
+  }
+
+  /** Makes an address answer no more, as when its process has died. */
+  remove(address: string): void {
+    this.routers.delete(address);
+  }
+
+  /** Drops all messages from one address to another, silently. */
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  /** Cuts an address off from all others, both ways. */
+  isolate(address: string): void {
+    this.cuts.add(`${address}>*`);
+    this.cuts.add(`*>${address}`);
+  }
+
+  healAll(): void {
+    this.cuts.clear();
+  }
+
+  /** What an address has sent so far, requests and responses. */
+  trafficOf(address: string): TrafficCount {
+    return this.sent.get(address) ?? { messages: 0, bytes: 0 };
+  }
+
+  peersOf(ownAddress: string): PeerCaller {
+    return {
+      call: (address, method, request, options) =>
+        this.call(ownAddress, address, method, request, options),
+      isConnected: (address) => this.routers.has(address),
+    };
+  }
+
+  private async call<Request, Response>(
+    from: string,
+    to: string,
+    method: Method<Request, Response>,
+    request: Request,
+    options: CallOptions,
+  ): Promise<Response> {
+    const context = { step: method.name, peer: to, retriable: true };
+    const handler = this.routers.get(to)?.find(method.name);
+    if (!handler) throw new LinkError('nobody listens', context);
+    const requestBytes = this.count(from, encodeValue(request));
+    if (!(await this.carry(from, to))) return this.neverAnswers(options, context);
+    let answer: unknown;
+    try {
+      answer = await handler(decodeValue(requestBytes), { peerName: from });
+    } catch (error) {
+      const { name, message } = error as Error;
+      throw new RemoteError(message, name, context);
+    }
+    const answerBytes = this.count(to, encodeValue(answer));
+    if (!(await this.carry(to, from))) return this.neverAnswers(options, context);
+    return decodeValue<Response>(answerBytes);
+  }
+
+  private async carry(from: string, to: string): Promise<boolean> {
+    const delayMs = this.delayMs(from, to);
+    if (delayMs > 0) await sleep(delayMs);
+    const isCut = [`${from}>${to}`, `${from}>*`, `*>${to}`].some((link) => this.cuts.has(link));
+    return !isCut;
+  }
+
+  private async neverAnswers(
+    options: CallOptions,
+    context: { step: string; peer: string; retriable: boolean },
+  ): Promise<never> {
+    await sleep(options.timeoutMs);
+    throw new TimeoutError('no response in time', context);
+  }
+
+  private count(address: string, bytes: Buffer): Buffer {
+    const count = this.sent.get(address) ?? { messages: 0, bytes: 0 };
+    count.messages += 1;
+    count.bytes += bytes.length + FRAME_OVERHEAD_BYTES;
+    this.sent.set(address, count);
+    return bytes;
+  }
+}
--- /dev/null
+++ b/src/consensus/consensus.test.ts
@@ -0,0 +1,187 @@
+import { describe, expect, it, onTestFinished } from 'vitest';
+import {
+  ConsensusCluster,
+  type ClusterOptions,
+  GROUP,
+} from '../../tests/support/consensus-cluster.js';
+import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { encodeValue } from '../wire/index.js';
+import { NotLeaderError } from './errors.js';
+import { StorageFullError } from '../log-store/index.js';
+
+async function startCluster(options: Partial<ClusterOptions> = {}): Promise<ConsensusCluster> {
+  const cluster = new ConsensusCluster({ size: 3, folder: temporaryFolder(), ...options });
+  onTestFinished(() => cluster.stopAll());
+  await cluster.startAll();
+  return cluster;
+}
+
+const LIMITS = { timeoutMs: 10_000 };
+
+async function append(cluster: ConsensusCluster, items: string[]): Promise<void> {
+  const client = cluster.client();
+  for (const item of items) await client.execute(GROUP, item, LIMITS);
+}
+
+function read(cluster: ConsensusCluster): Promise<string[]> {
+  return cluster.client().query<string, string[]>(GROUP, 'all', LIMITS);
+}
+
+describe('replicated group', () => {
+  it('elects one leader and replicates commands to every member', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a', 'b', 'c']);
+    for (const { machine } of cluster.members) {
+      await waitUntil('all applied', () => machine.items.length === 3);
+      expect(machine.items).toEqual(['a', 'b', 'c']);
+    }
+  });
+
+  it('loses no acknowledged command when the leader dies', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a', 'b']);
+    const { member } = await cluster.waitLeader();
+    await cluster.crash(member.id);
+    await append(cluster, ['c']);
+    const items = await read(cluster);
+    expect(items.filter((item) => item !== 'c')).toEqual(['a', 'b']);
+    expect(items).toContain('c');
+  });
+
+  it('keeps everything over a restart of all members at once', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a', 'b', 'c']);
+    const members = cluster.members.map(({ member }) => member);
+    await cluster.stopAll();
+    for (const member of members) await cluster.start(member, false);
+    expect(await read(cluster)).toEqual(['a', 'b', 'c']);
+  });
+
+  it('lets a leader that is cut off in silence commit nothing and answer no read', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a']);
+    const old = await cluster.waitLeader();
+    cluster.network.isolate(old.member.address);
+    const lost = old.group.propose(encodeValue('lost')).catch((error: unknown) => error);
+    const staleRead = old.group.confirmLeadership().then(
+      () => 'confirmed',
+      () => 'refused',
+    );
+    await cluster.waitLeader(old.member.id);
+    await append(cluster, ['b']);
+    expect(await staleRead).toBe('refused');
+    expect(await lost).toBeInstanceOf(Error);
+    expect(old.group.isLeader).toBe(false);
+    cluster.network.healAll();
+    await waitUntil('caught up', () => old.machine.items.includes('b'));
+    expect(old.machine.items).toEqual(['a', 'b']);
+  });
+
+  it('steps down by its own clock before a majority may elect another leader', async () => {
+    const cluster = await startCluster();
+    const old = await cluster.waitLeader();
+    cluster.network.isolate(old.member.address);
+    await waitUntil('stepped down', () => !old.group.isLeader);
+    await expect(old.group.propose(encodeValue('x'))).rejects.toBeInstanceOf(NotLeaderError);
+  });
+
+  it('does not let a member that was cut off disturb the leader on its return', async () => {
+    const cluster = await startCluster();
+    const leader = await cluster.waitLeader();
+    await append(cluster, ['a']);
+    const other = cluster.members.find(({ member }) => member.id !== leader.member.id)!;
+    cluster.network.isolate(other.member.address);
+    const { term } = leader.group;
+    await append(cluster, ['b', 'c']);
+    // Several election times pass for the member that hears nobody.
+    await waitUntil('follower lost its leader', () => other.group.state !== 'leader');
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    cluster.network.healAll();
+    await waitUntil('caught up', () => other.machine.items.length === 3);
+    expect(leader.group.term).toBe(term);
+    expect(leader.group.isLeader).toBe(true);
+  });
+
+  it('brings a lagging member up by a snapshot', async () => {
+    const consensus = { snapshotEveryEntries: 20, trailingEntries: 5 };
+    const cluster = await startCluster({ consensus });
+    const leader = await cluster.waitLeader();
+    const lagging = cluster.members.find(({ member }) => member.id !== leader.member.id)!;
+    const member = await cluster.crash(lagging.member.id);
+    const items = Array.from({ length: 60 }, (_, index) => `item-${index}`);
+    await append(cluster, items);
+    await waitUntil('compacted', () => cluster.leader!.group.log.compactedTo.index > 20);
+    const back = await cluster.start(member, false);
+    await waitUntil('caught up', () => back.machine.items.length === 60);
+    expect(back.machine.items).toEqual(items);
+    expect(back.fatalErrors).toEqual([]);
+  });
+
+  it('takes a member with a lost disk back only as a new one that holds the log', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a', 'b', 'c']);
+    const leader = await cluster.waitLeader();
+    const victim = cluster.members.find(({ member }) => member.id !== leader.member.id)!;
+    const old = await cluster.crash(victim.member.id);
+    cluster.loseDisk(old);
+    const renewed = { ...old, id: `${old.name}-second`, role: 'learner' as const };
+    const back = await cluster.start(renewed, false);
+    await waitUntil('voter again', () => cluster.join(renewed));
+    expect(back.machine.items).toEqual(['a', 'b', 'c']);
+    const voters = cluster.leader!.group.configuration.members;
+    expect(voters.map(({ id }) => id)).not.toContain(old.id);
+    expect(voters).toHaveLength(3);
+    // The second failure right after the repair: the repaired member and one other carry on.
+    const third = cluster.members.find(
+      ({ member }) => member.id !== leader.member.id && member.id !== renewed.id,
+    )!;
+    await cluster.crash(third.member.id);
+    await append(cluster, ['d']);
+    expect(await read(cluster)).toEqual(['a', 'b', 'c', 'd']);
+  });
+
+  it('never answers messages meant for the identity that its folder had before', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a']);
+    const leader = await cluster.waitLeader();
+    const victim = cluster.members.find(({ member }) => member.id !== leader.member.id)!;
+    const old = await cluster.crash(victim.member.id);
+    cluster.loseDisk(old);
+    const renewed = { ...old, id: `${old.name}-second`, role: 'learner' as const };
+    const back = await cluster.start(renewed, false);
+    const other = cluster.members.find(
+      ({ member }) => member.id !== leader.member.id && member.id !== renewed.id,
+    )!;
+    await cluster.crash(other.member.id);
+    // One member with its log and one without are no majority of three.
+    await waitUntil('stepped down', () => !leader.group.isLeader);
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    expect(cluster.leader).toBeUndefined();
+    expect(back.group.term).toBe(0);
+  });
+
+  it('hands leadership over on a planned stop', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a']);
+    const leader = await cluster.waitLeader();
+    expect(await leader.group.transferLeadership()).toBe(true);
+    await cluster.waitLeader(leader.member.id);
+    await append(cluster, ['b']);
+  });
+
+  it('refuses new commands when the disk is full, and loses nothing', async () => {
+    const cluster = await startCluster({ quotaBytes: 24 * 1024 });
+    await append(cluster, ['first']);
+    const leader = await cluster.waitLeader();
+    const big = encodeValue('x'.repeat(2_000));
+    const refusals: unknown[] = [];
+    for (let index = 0; index < 20; index += 1) {
+      await leader.group.propose(big).catch((error: unknown) => refusals.push(error));
+    }
+    expect(refusals.length).toBeGreaterThan(0);
+    expect(refusals.every((error) => error instanceof StorageFullError)).toBe(true);
+    expect((await read(cluster))[0]).toBe('first');
+    for (const { fatalErrors } of cluster.members) expect(fatalErrors).toEqual([]);
+  });
+});
--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -6,13 +6,13 @@
 import { Backoff, LedgegaugeError, describeError, monotonicMs, sleep } from '../common/index.js';
 import { type Method, decodeValue, encodeValue } from '../wire/index.js';
 import { EXECUTE, type GroupRequest, type GroupResponse, QUERY } from './group-messages.js';
-import type { PeerDirectory } from './peer-directory.js';
+import type { PeerCaller } from './peer-directory.js';
 
 /** The group's leader could not be reached in time; a command may or may not have been committed. */
 export class GroupUnavailableError extends LedgegaugeError {}
 
 export interface GroupClientOptions {
-  peers: PeerDirectory;
+  peers: PeerCaller;
   /** Addresses of members to begin with. */
   addresses: string[];
   /** How long one try may take before another member is asked, in milliseconds. @default 700 */
@@ -126,7 +126,7 @@
     const { addresses, peers } = this.options;
     for (let tries = 0; tries < addresses.length; tries += 1) {
       const address = addresses[this.nextAddress++ % addresses.length]!;
-      if (peers.link(address).isConnected) return address;
+      if (peers.isConnected(address)) return address;
     }
     return addresses[this.nextAddress++ % addresses.length]!;
   }
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -12,7 +12,7 @@
 import { MembershipChanger } from './membership-changer.js';
 import { APPEND, HEARTBEATS, type Heartbeat, JOIN, SNAPSHOT, TRANSFER, VOTE } from './messages.js';
 import { type CheckedConsensusOptions } from './options.js';
-import type { PeerDirectory } from './peer-directory.js';
+import type { PeerCaller } from './peer-directory.js';
 import { type GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
 import type { StateMachine } from './state-machine.js';
 
@@ -20,7 +20,7 @@
   ownId: string;
   wal: WriteAheadLog;
   snapshots: SnapshotStore;
-  peers: PeerDirectory;
+  peers: PeerCaller;
   options: CheckedConsensusOptions;
   logger: Logger;
   onFatal: (error: unknown) => void;
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -2,9 +2,9 @@
 export * from './configuration.js';
 export * from './errors.js';
 export { GroupHost, type GroupHostOptions } from './group-host.js';
-export { JOIN } from './messages.js';
+export { JOIN, type JoinRequest, type JoinResponse } from './messages.js';
 export * from './options.js';
-export { PeerDirectory, type PeerDirectoryOptions } from './peer-directory.js';
+export { type PeerCaller, PeerDirectory, type PeerDirectoryOptions } from './peer-directory.js';
 export { ReplicatedGroup } from './replicated-group.js';
 export type { StateMachine } from './state-machine.js';
 export {
--- a/src/consensus/peer-directory.ts
+++ b/src/consensus/peer-directory.ts
@@ -1,6 +1,19 @@
 /** Links to the other members, one a member address, shared by all groups. */
 import { type CallOptions, type Method, type MethodRouter, PeerLink } from '../wire/index.js';
 
+/** Reaches other processes by their announced addresses. */
+export interface PeerCaller {
+  call<Request, Response>(
+    address: string,
+    method: Method<Request, Response>,
+    request: Request,
+    options: CallOptions,
+  ): Promise<Response>;
+
+  /** Whether a call would be sent now rather than fail at once. */
+  isConnected(address: string): boolean;
+}
+
 export interface PeerDirectoryOptions {
   ownName: string;
   secret: string;
@@ -9,7 +22,7 @@
   resolveAddress: (address: string) => string;
 }
 
-export class PeerDirectory {
+export class PeerDirectory implements PeerCaller {
   private readonly links = new Map<string, PeerLink>();
 
   constructor(private readonly options: PeerDirectoryOptions) {}
@@ -23,7 +36,11 @@
     return this.link(address).call(method, request, options);
   }
 
-  link(address: string): PeerLink {
+  isConnected(address: string): boolean {
+    return this.link(address).isConnected;
+  }
+
+  private link(address: string): PeerLink {
     let link = this.links.get(address);
     if (!link) {
       const { ownName, secret, router } = this.options;
--- a/src/control/cluster-formation.ts
+++ b/src/control/cluster-formation.ts
@@ -6,7 +6,7 @@
  */
 import { type Logger } from '../observability/index.js';
 import { sleep } from '../common/index.js';
-import type { Member, PeerDirectory } from '../consensus/index.js';
+import type { Member, PeerCaller } from '../consensus/index.js';
 import { defineMethod, type MethodRouter } from '../wire/index.js';
 import type { IdentityState, IdentityStore } from './identity.js';
 
@@ -31,7 +31,7 @@
   ownName: string;
   members: ConfiguredMember[];
   identity: IdentityStore;
-  peers: PeerDirectory;
+  peers: PeerCaller;
   logger: Logger;
   signal: AbortSignal;
 }
--- /dev/null
+++ b/src/log-store/write-ahead-log.test.ts
@@ -0,0 +1,128 @@
+import { readFileSync, readdirSync, truncateSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { DamagedLogError, StorageFullError } from './errors.js';
+import type { LogEntry } from './records.js';
+import { WriteAheadLog } from './write-ahead-log.js';
+
+function entry(index: number, term = 1, text = `entry-${index}`): LogEntry {
+  return { index, term, kind: 'command', data: Buffer.from(text) };
+}
+
+function open(folder: string, options: Partial<{ quotaBytes: number; segmentBytes: number }> = {}) {
+  const onFatal = (error: unknown): never => {
+    throw error;
+  };
+  return WriteAheadLog.open({ folder, onFatal, ...options });
+}
+
+async function writeEntries(folder: string, count: number): Promise<void> {
+  const log = await open(folder);
+  for (let index = 1; index <= count; index += 1) {
+    await log.append([{ kind: 'entries', group: 'g', entries: [entry(index)] }]);
+  }
+  await log.close();
+}
+
+function segmentPath(folder: string): string {
+  const names = readdirSync(folder).sort();
+  return join(folder, names.at(-1)!);
+}
+
+describe('write-ahead log', () => {
+  it('gives back what was synced', async () => {
+    const folder = temporaryFolder();
+    await writeEntries(folder, 3);
+    const log = await open(folder);
+    const texts = log.group('g').entries.map(({ data }) => Buffer.from(data).toString());
+    expect(texts).toEqual(['entry-1', 'entry-2', 'entry-3']);
+    await log.close();
+  });
+
+  it('keeps votes and cuts what a new leader replaced', async () => {
+    const folder = temporaryFolder();
+    const log = await open(folder);
+    await log.append([
+      { kind: 'hard-state', group: 'g', state: { term: 4, votedFor: 'me' } },
+      { kind: 'entries', group: 'g', entries: [entry(1), entry(2), entry(3)] },
+      { kind: 'truncate', group: 'g', fromIndex: 2 },
+      { kind: 'entries', group: 'g', entries: [entry(2, 4)] },
+    ]);
+    await log.close();
+    const again = await open(folder);
+    expect(again.group('g').hardState).toEqual({ term: 4, votedFor: 'me' });
+    expect(again.group('g').entries.map(({ index, term }) => [index, term])).toEqual([
+      [1, 1],
+      [2, 4],
+    ]);
+    await again.close();
+  });
+
+  it('cuts a torn tail and goes on from there', async () => {
+    const folder = temporaryFolder();
+    await writeEntries(folder, 3);
+    const path = segmentPath(folder);
+    truncateSync(path, readFileSync(path).length - 3);
+    const log = await open(folder);
+    expect(log.group('g').lastIndex).toBe(2);
+    await log.append([{ kind: 'entries', group: 'g', entries: [entry(3, 2)] }]);
+    await log.close();
+    const again = await open(folder);
+    expect(again.group('g').termAt(3)).toBe(2);
+    await again.close();
+  });
+
+  it('refuses to start when synced data in the middle is damaged', async () => {
+    const folder = temporaryFolder();
+    await writeEntries(folder, 4);
+    const path = segmentPath(folder);
+    const bytes = readFileSync(path);
+    const position = bytes.indexOf('entry-2');
+    bytes[position] = bytes[position]! ^ 0x01;
+    writeFileSync(path, bytes);
+    await expect(open(folder)).rejects.toBeInstanceOf(DamagedLogError);
+  });
+
+  it('knows damage to the last synced record from a torn write once it has been idle', async () => {
+    const folder = temporaryFolder();
+    const log = await open(folder);
+    await log.append([{ kind: 'entries', group: 'g', entries: [entry(1)] }]);
+    const path = segmentPath(folder);
+    const length = readFileSync(path).length;
+    await waitUntil('marker written', () => readFileSync(path).length > length);
+    await log.close();
+    const bytes = readFileSync(path);
+    const position = bytes.indexOf('entry-1');
+    bytes[position] = bytes[position]! ^ 0x01;
+    writeFileSync(path, bytes);
+    await expect(open(folder)).rejects.toBeInstanceOf(DamagedLogError);
+  });
+
+  it('removes segments that all snapshots cover', async () => {
+    const folder = temporaryFolder();
+    const log = await open(folder, { segmentBytes: 256 });
+    for (let index = 1; index <= 40; index += 1) {
+      await log.append([{ kind: 'entries', group: 'g', entries: [entry(index)] }]);
+    }
+    expect(readdirSync(folder).length).toBeGreaterThan(3);
+    await log.append([{ kind: 'snapshot', group: 'g', mark: { index: 40, term: 1 } }]);
+    expect(readdirSync(folder).length).toBeLessThanOrEqual(2);
+    await log.close();
+    const again = await open(folder);
+    expect(again.group('g').lastIndex).toBe(40);
+    await again.close();
+  });
+
+  it('refuses entries before the quota is used up, but still takes votes', async () => {
+    const log = await open(temporaryFolder(), { quotaBytes: 1_000 });
+    const large = entry(1, 1, 'x'.repeat(950));
+    expect(() => log.append([{ kind: 'entries', group: 'g', entries: [large] }])).toThrow(
+      StorageFullError,
+    );
+    expect(log.group('g').lastIndex).toBe(0);
+    await log.append([{ kind: 'hard-state', group: 'g', state: { term: 1, votedFor: 'a' } }]);
+    await log.close();
+  });
+});
