Reconcile engine memory of ended programs; records of emulators survive a kill

An engine used by a gateway that read on in another's stream, or a delayed call that reached the engine after the release, left memory held for a program that had ended. One control member per engine lists its holds every 2 s; the second looks half as often. Also: FinishCommand names all engines that its gateway used, and a finish after the end requests releases again.

--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -15,6 +15,7 @@
 import type { Logger } from '../../src/observability/index.js';
 import { renderPrompt } from '../model/answer-text.js';
 import { EngineModel } from '../model/engine-model.js';
+import { appendRecord } from '../record-file.js';
 import type { EngineRequest, EngineSequence } from '../model/sequence.js';
 import { blockHashes } from '../model/prefix-cache.js';
 import { CacheEventFeed } from './cache-event-feed.js';
@@ -81,7 +82,15 @@
   ) {
     const { lag, lossProbability, seed } = settings.cacheEvents;
     this.feed = new CacheEventFeed({ lagMs: lag, lossProbability, seed });
-    this.model = new EngineModel(settings.model, (event) => this.feed.add(event));
+    this.model = new EngineModel(settings.model, {
+      onCacheEvent: (event) => this.feed.add(event),
+      onExecution: (execution) =>
+        appendRecord(settings.recordFile, {
+          kind: 'engine-execution',
+          engine: settings.node.name,
+          ...execution,
+        }),
+    });
     this.runner = new EngineRunner(this.model, settings.timeScale, settings.loadReportLag);
     this.orders = new OrderBook(settings.weightStore);
   }
@@ -161,7 +170,10 @@
     if (result.kind === 'fenced') throw badRequest('a newer attempt is known', 'fenced', 409);
     if (result.kind === 'too-long') throw badRequest('prompt is too long', 'too_long', 422);
     if (result.kind === 'overloaded') throw refusal('overloaded', 'the queue is full');
-    this.arrivals.push({ program, sequence, attempt, wallClockMs: Date.now() });
+    const arrival = { program, sequence, attempt, wallClockMs: Date.now() };
+    this.arrivals.push(arrival);
+    const { name } = this.settings.node;
+    appendRecord(this.settings.recordFile, { kind: 'engine-arrival', engine: name, ...arrival });
     this.runner.notify();
     this.stream(response, result.sequence, 0);
   }
@@ -231,7 +243,8 @@
   }
 
   private async listPrograms({ response }: HttpExchange): Promise<void> {
-    sendJson(response, 200, { held: this.model.cache.heldPrograms });
+    const { cache } = this.model;
+    sendJson(response, 200, { held: cache.heldPrograms, cached: cache.cachedPrograms });
   }
 
   private async order({ request, response }: HttpExchange): Promise<void> {
--- a/emulator/engine/engine-settings.ts
+++ b/emulator/engine/engine-settings.ts
@@ -32,6 +32,8 @@
       streamRetentionMs: positive.default(defaults.streamRetentionMs),
     })
     .prefault({}),
+  /** File that every arrival and execution is appended to, for checks after a crash. */
+  recordFile: z.string().optional(),
   /** Address of the weight store to load models from; without one, models are there at once. */
   weightStore: z.string().optional(),
   log: logSettings.prefault({}),
--- a/emulator/model/engine-model.ts
+++ b/emulator/model/engine-model.ts
@@ -39,6 +39,12 @@
   outcome: 'finished' | 'cancelled';
 }
 
+/** Told of what happens in the engine. */
+export interface EngineObservers {
+  onCacheEvent?: (event: CacheEvent) => void;
+  onExecution?: (execution: ExecutionRecord) => void;
+}
+
 export class EngineModel {
   readonly cache: PrefixCache;
   readonly executions: ExecutionRecord[] = [];
@@ -51,9 +57,10 @@
 
   constructor(
     readonly options: EngineOptions,
-    onCacheEvent?: (event: CacheEvent) => void,
+    private readonly observers: EngineObservers = {},
   ) {
-    this.cache = new PrefixCache(Math.floor(options.cacheTokens / BLOCK_TOKENS), onCacheEvent);
+    const blocks = Math.floor(options.cacheTokens / BLOCK_TOKENS);
+    this.cache = new PrefixCache(blocks, observers.onCacheEvent);
   }
 
   get isIdle(): boolean {
@@ -235,7 +242,17 @@
   private record(sequence: EngineSequence, outcome: ExecutionRecord['outcome']): void {
     const { tenant, program, sequence: number, attempt, model } = sequence.request;
     const counts = sequence.usage;
-    this.executions.push({ tenant, program, sequence: number, attempt, model, ...counts, outcome });
+    const execution = {
+      tenant,
+      program,
+      sequence: number,
+      attempt,
+      model,
+      ...counts,
+      outcome,
+    };
+    this.executions.push(execution);
+    this.observers.onExecution?.(execution);
   }
 
   private forgetOldStreams(): void {
--- a/emulator/service/service-server.ts
+++ b/emulator/service/service-server.ts
@@ -14,6 +14,7 @@
 } from '../../src/http/index.js';
 import { durationWithDefault, logSettings, nodeSettings, port } from '../../src/settings/index.js';
 import type { Logger } from '../../src/observability/index.js';
+import { appendRecord } from '../record-file.js';
 
 export const serviceSettingsSchema = z.strictObject({
   node: nodeSettings,
@@ -21,6 +22,8 @@
   /** Mean time that an execution takes; exponentially distributed. */
   meanLatency: durationWithDefault('5ms'),
   seed: z.number().int().default(1),
+  /** File that every execution is appended to, for checks after a crash. */
+  recordFile: z.string().optional(),
   log: logSettings.prefault({}),
 });
 
@@ -95,7 +98,9 @@
     const operation = parameters.operation!;
     const fault = this.takeFault();
     if (fault === 'error') throw badRequest('the service failed', 'service_failed', 500);
-    this.executions.push({ key, service, operation, wallClockMs: Date.now() });
+    const execution = { key, service, operation, wallClockMs: Date.now() };
+    this.executions.push(execution);
+    appendRecord(this.settings.recordFile, { kind: 'service-execution', ...execution });
     if (fault === 'hang') return;
     await sleep(this.random.exponential(this.settings.meanLatency));
     const answer = expectedServiceAnswer(service, operation, body.data.payload);
--- a/src/callers/model-call.ts
+++ b/src/callers/model-call.ts
@@ -327,6 +327,7 @@
       answer: this.execution.text,
       cost: usage.promptTokens + usage.outputTokens,
       finishReason,
+      backends: [...this.excluded, call.current.backend],
       usage,
     });
   }
--- a/src/callers/settlement.ts
+++ b/src/callers/settlement.ts
@@ -95,6 +95,8 @@
   answer: string;
   cost: number;
   finishReason: string;
+  /** Engines that were used for the call here. @default none */
+  backends?: string[];
   usage?: EngineUsage;
 }
 
@@ -109,8 +111,15 @@
   finish: Finish,
 ): Promise<CallResult | undefined> {
   const { programId, tenant, sequence } = specification;
-  const { usage, ...outcome } = finish;
-  const command: FinishCommand = { type: 'finish', programId, tenant, sequence, ...outcome };
+  const { usage, backends = [], ...outcome } = finish;
+  const command: FinishCommand = {
+    type: 'finish',
+    programId,
+    tenant,
+    sequence,
+    backends,
+    ...outcome,
+  };
   const deadline = monotonicMs() + FINISH_PATIENCE_MS;
   for (;;) {
     try {
--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -21,6 +21,7 @@
 import { type ControlSettings, createAddressResolver } from '../settings/index.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
 import { findCluster, registerProbe } from './cluster-formation.js';
+import { HoldReconciler } from './hold-reconciler.js';
 import { IdentityStore } from './identity.js';
 import { IntentsLeader } from './intents-leader.js';
 import { joinGroups } from './join-task.js';
@@ -50,6 +51,7 @@
   private rpcServer!: RpcServer;
   private operatorServer!: HttpServer;
   private statusServer!: StatusServer;
+  private reconciler: HoldReconciler | undefined;
   private isReady = false;
 
   private constructor(
@@ -76,6 +78,7 @@
   /** Hands over leaderships, finishes requests under way and closes everything. */
   async stop(): Promise<void> {
     this.stopping.abort();
+    this.reconciler?.stop();
     await this.host.stop();
     await this.operatorServer.drain();
     for (const duty of this.duties.values()) duty.stop();
@@ -184,6 +187,8 @@
     for (const name of this.ownGroupNames()) groups.push(await this.openGroup(name));
     this.requireLog(groups);
     this.host.start();
+    this.reconciler = this.createReconciler();
+    this.reconciler.start();
     this.isReady = true;
     logger.info('serving', { member: identity.identity.memberId, groups: groups.length });
     if (identity.identity.state === 'joining') {
@@ -242,6 +247,19 @@
     });
   }
 
+  private createReconciler(): HoldReconciler {
+    const { cluster, node } = this.settings;
+    return new HoldReconciler({
+      ownName: node.name,
+      memberNames: cluster.members.map((member) => member.name),
+      groupCount: cluster.journalGroups,
+      groups: this.client,
+      agent: this.agent,
+      document: () => this.intents.stateMachine.document,
+      resolveAddress: this.resolveAddress,
+    });
+  }
+
   private ownGroupNames(): string[] {
     const { cluster, node } = this.settings;
     const names = [INTENTS_GROUP, ...journalGroupNames(cluster.journalGroups)];
--- /dev/null
+++ b/src/control/hold-reconciler.ts
@@ -0,0 +1,98 @@
+/**
+ * Finds engine memory that is held for programs that have ended although their release was
+ * delivered, for example because a delayed call came after it. Every engine is looked after by the
+ * control member that ranks highest for it, and more rarely by the second.
+ */
+import { type Agent, request } from 'undici';
+import { z } from 'zod';
+import { sendRelease } from '../backends/control-requests.js';
+import { hash32, sleep } from '../common/index.js';
+import type { GroupClient } from '../consensus/index.js';
+import type { IntentDocument } from '../intents/index.js';
+import {
+  type EndedProgramsAnswer,
+  type JournalQuery,
+  isProgramId,
+  journalGroupOf,
+} from '../journal/index.js';
+
+export interface HoldReconcilerOptions {
+  ownName: string;
+  memberNames: string[];
+  groupCount: number;
+  groups: GroupClient;
+  agent: Agent;
+  document: () => IntentDocument;
+  resolveAddress: (address: string) => string;
+}
+
+const INTERVAL_MS = 2_000;
+/** The second member looks once for so many times of the first. */
+const SECOND_RANK_ROUNDS = 2;
+const TIMEOUT_MS = 1_500;
+const heldSchema = z.object({ held: z.array(z.string()) });
+
+export class HoldReconciler {
+  private readonly stopping = new AbortController();
+  /** Fences grow with time, so that a later release is never refused for an earlier one. */
+  private round = 0;
+
+  constructor(private readonly options: HoldReconcilerOptions) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      await sleep(INTERVAL_MS, signal);
+      this.round += 1;
+      const engines = this.options.document().backends.filter(({ kind }) => kind === 'engine');
+      const own = engines.filter((engine) => this.looksAfter(engine.id));
+      await Promise.all(own.map((engine) => this.reconcile(engine.address).catch(() => undefined)));
+    }
+  }
+
+  private looksAfter(engineId: string): boolean {
+    const ranked = [...this.options.memberNames].sort(
+      (left, right) => hash32(`${engineId}|${right}`) - hash32(`${engineId}|${left}`),
+    );
+    const rank = ranked.indexOf(this.options.ownName);
+    return rank === 0 || (rank === 1 && this.round % SECOND_RANK_ROUNDS === 0);
+  }
+
+  private async reconcile(address: string): Promise<void> {
+    const { agent, resolveAddress } = this.options;
+    const target = resolveAddress(address);
+    const response = await request(`http://${target}/v1/programs`, {
+      dispatcher: agent,
+      headersTimeout: TIMEOUT_MS,
+      bodyTimeout: TIMEOUT_MS,
+    });
+    const { held } = heldSchema.parse(await response.body.json());
+    const ended = await this.findEnded(held.filter(isProgramId));
+    if (ended.length > 0) await sendRelease(agent, target, ended, this.round);
+  }
+
+  private async findEnded(programIds: string[]): Promise<string[]> {
+    const { groups, groupCount } = this.options;
+    const byGroup = new Map<string, string[]>();
+    for (const id of programIds) {
+      const group = journalGroupOf(id, groupCount);
+      byGroup.set(group, [...(byGroup.get(group) ?? []), id]);
+    }
+    const answers = await Promise.all(
+      [...byGroup].map(([group, ids]) => {
+        const query: JournalQuery = { type: 'ended-programs', programIds: ids };
+        const limits = { timeoutMs: TIMEOUT_MS };
+        return groups.query<JournalQuery, EndedProgramsAnswer>(group, query, limits);
+      }),
+    );
+    return answers.flatMap((answer) => answer.programIds);
+  }
+}
--- a/src/journal/commands.ts
+++ b/src/journal/commands.ts
@@ -58,6 +58,8 @@
   answer: string;
   cost: number;
   finishReason: string;
+  /** Engines that this gateway used for the call. */
+  backends: string[];
 }
 
 /** Takes an attempt back that was certainly not sent; the submission is refused for good. */
@@ -204,6 +206,8 @@
   | { type: 'program'; programId: string; tenant: string }
   | { type: 'call'; programId: string; tenant: string; sequence: number }
   | { type: 'history'; programId: string; tenant: string; afterSequence: number }
+  /** Which of these programs have ended or are not known any more. */
+  | { type: 'ended-programs'; programIds: string[] }
   | { type: 'statistics' };
 
 export type ProgramAnswer = { status: 'found'; program: ProgramSummary } | UnknownProgramResult;
@@ -211,6 +215,10 @@
   RunningResult | SettledResult | RefusedResult | { status: 'unknown-call' } | UnknownProgramResult;
 export type HistoryAnswer = { status: 'found'; turns: HistoryTurn[] } | UnknownProgramResult;
 
+export interface EndedProgramsAnswer {
+  programIds: string[];
+}
+
 export interface JournalStatistics {
   programs: number;
   openPrograms: number;
--- a/src/journal/queries.ts
+++ b/src/journal/queries.ts
@@ -1,6 +1,7 @@
 /** Reads of the journal's state; all copy what they return. */
 import type {
   CallAnswer,
+  EndedProgramsAnswer,
   HistoryAnswer,
   HistoryTurn,
   JournalQuery,
@@ -15,7 +16,7 @@
 export function answerJournalQuery(
   state: JournalState,
   query: JournalQuery,
-): ProgramAnswer | CallAnswer | HistoryAnswer | JournalStatistics {
+): ProgramAnswer | CallAnswer | HistoryAnswer | EndedProgramsAnswer | JournalStatistics {
   switch (query.type) {
     case 'program':
       return answerProgram(state, query.programId, query.tenant);
@@ -23,6 +24,8 @@
       return answerCall(state, query.programId, query.tenant, query.sequence);
     case 'history':
       return answerHistory(state, query.programId, query.tenant, query.afterSequence);
+    case 'ended-programs':
+      return { programIds: query.programIds.filter((id) => hasEnded(state, id)) };
     case 'statistics':
       return answerStatistics(state);
   }
@@ -67,6 +70,10 @@
   return { status: 'found', turns };
 }
 
+function hasEnded(state: JournalState, programId: string): boolean {
+  return state.programs.get(programId)?.status !== 'open';
+}
+
 function answerStatistics(state: JournalState): JournalStatistics {
   const programs = [...state.programs.values()];
   return {
--- a/src/journal/settle.ts
+++ b/src/journal/settle.ts
@@ -16,6 +16,8 @@
   const program = state.find(command.programId, command.tenant);
   const call = program && callOf(program, command.sequence);
   if (!program || !call) return { status: 'unknown-program' };
+  // An attempt that ended after its program left its prefix in the engine once more.
+  if (program.status === 'ended') state.requestRelease(program.id, command.backends);
   if (call.current.attempt !== command.attempt) {
     return { status: call.settled ? 'settled' : 'running', call: copyCall(call) };
   }
