--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -60,9 +60,11 @@
 
 /** The latest completion that arrived, for those who check draining. */
 interface ArrivalRecord {
+  tenant: string;
   program: string;
   sequence: number;
   attempt: number;
+  promptTokens: number;
   wallClockMs: number;
 }
 
@@ -89,6 +91,7 @@
           kind: 'engine-execution',
           engine: settings.node.name,
           ...execution,
+          wallClockMs: Date.now(),
         }),
     });
     this.runner = new EngineRunner(this.model, settings.timeScale, settings.loadReportLag);
@@ -170,7 +173,7 @@
     if (result.kind === 'fenced') throw badRequest('a newer attempt is known', 'fenced', 409);
     if (result.kind === 'too-long') throw badRequest('prompt is too long', 'too_long', 422);
     if (result.kind === 'overloaded') throw refusal('overloaded', 'the queue is full');
-    const arrival = { program, sequence, attempt, wallClockMs: Date.now() };
+    const arrival = { tenant, program, sequence, attempt, promptTokens, wallClockMs: Date.now() };
     this.arrivals.push(arrival);
     const { name } = this.settings.node;
     appendRecord(this.settings.recordFile, { kind: 'engine-arrival', engine: name, ...arrival });
@@ -243,8 +246,9 @@
   }
 
   private async listPrograms({ response }: HttpExchange): Promise<void> {
-    const { cache } = this.model;
-    sendJson(response, 200, { held: cache.heldPrograms, cached: cache.cachedPrograms });
+    const { cache, activePrograms } = this.model;
+    const { heldPrograms: held, cachedPrograms: cached } = cache;
+    sendJson(response, 200, { held, cached, active: activePrograms });
   }
 
   private async order({ request, response }: HttpExchange): Promise<void> {
--- a/emulator/fault-proxy/fault-proxy.ts
+++ b/emulator/fault-proxy/fault-proxy.ts
@@ -56,6 +56,7 @@
   setFault(fault: LinkFault): void {
     this.fault = fault;
     if (fault.cut) this.resetConnections();
+    else if (!fault.toTarget.drop && !fault.toClient.drop) this.resetBrokenConnections();
   }
 
   close(): void {
@@ -63,6 +64,11 @@
     this.resetConnections();
   }
 
+  /** After a silent cut: TCP cannot go on where bytes are missing for good. */
+  private resetBrokenConnections(): void {
+    for (const connection of [...this.connections]) if (connection.isBroken) connection.reset();
+  }
+
   private resetConnections(): void {
     for (const connection of [...this.connections]) connection.reset();
   }
--- a/emulator/fault-proxy/proxied-connection.ts
+++ b/emulator/fault-proxy/proxied-connection.ts
@@ -16,6 +16,7 @@
 
 export class ProxiedConnection {
   private readonly target: Socket;
+  private readonly pipes: DelayedPipe[] = [];
   private carriedToTarget = 0;
 
   constructor(
@@ -31,6 +32,11 @@
     this.carry(this.target, client, () => this.conditions().fault.toClient, false);
   }
 
+  /** Whether bytes of the stream vanished, so that it cannot go on as a TCP stream. */
+  get isBroken(): boolean {
+    return this.pipes.some((pipe) => pipe.hasLostBytes);
+  }
+
   /** Ends the connection on both sides by a reset. */
   reset(): void {
     this.client.resetAndDestroy();
@@ -45,6 +51,7 @@
     isTowardsTarget: boolean,
   ): void {
     const pipe = new DelayedPipe(from, to, fault, () => this.conditions().baseDelayMs);
+    this.pipes.push(pipe);
     from.on('data', (chunk: Buffer) => {
       if (isTowardsTarget && this.exceedsReset(chunk.length)) this.reset();
       else pipe.push(chunk);
@@ -77,6 +84,7 @@
   private lastDueMs = 0;
   private hasEnded = false;
   private timer: NodeJS.Timeout | undefined;
+  hasLostBytes = false;
 
   constructor(
     private readonly from: Socket,
@@ -87,7 +95,8 @@
 
   push(chunk: Buffer): void {
     const { drop, delayMs, jitterMs, bytesPerSecond } = this.fault();
-    if (drop) return;
+    this.hasLostBytes ||= drop;
+    if (this.hasLostBytes) return;
     const dripMs = bytesPerSecond > 0 ? (chunk.length / bytesPerSecond) * MS_PER_SECOND : 0;
     const wanted = performance.now() + this.baseDelayMs() + delayMs + Math.random() * jitterMs;
     this.lastDueMs = Math.max(wanted, this.lastDueMs) + dripMs;
--- a/emulator/model/engine-model.ts
+++ b/emulator/model/engine-model.ts
@@ -67,6 +67,12 @@
     return this.waiting.length === 0 && this.running.length === 0;
   }
 
+  /** Programs with a request that waits or runs. */
+  get activePrograms(): string[] {
+    const active = [...this.waiting, ...this.running];
+    return [...new Set(active.map((sequence) => sequence.request.program))];
+  }
+
   /** Takes a request, or joins the stream of the same attempt if it is known already. */
   submit(request: EngineRequest): SubmitResult {
     const key = streamKey(request.program, request.sequence);
--- a/emulator/service/service-server.ts
+++ b/emulator/service/service-server.ts
@@ -35,6 +35,7 @@
   key: string;
   service: string;
   operation: string;
+  payload: string;
   wallClockMs: number;
 }
 
@@ -98,12 +99,13 @@
     const operation = parameters.operation!;
     const fault = this.takeFault();
     if (fault === 'error') throw badRequest('the service failed', 'service_failed', 500);
-    const execution = { key, service, operation, wallClockMs: Date.now() };
+    const { payload } = body.data;
+    const execution = { key, service, operation, payload, wallClockMs: Date.now() };
     this.executions.push(execution);
     appendRecord(this.settings.recordFile, { kind: 'service-execution', ...execution });
     if (fault === 'hang') return;
     await sleep(this.random.exponential(this.settings.meanLatency));
-    const answer = expectedServiceAnswer(service, operation, body.data.payload);
+    const answer = expectedServiceAnswer(service, operation, payload);
     sendJson(response, 200, { answer });
   }
 
--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -6,6 +6,7 @@
 import { VERSION } from '../../src/cli/version.js';
 import { type DemoFlags, runDemo } from './demo-command.js';
 import { type FleetFlags, runFleet } from './fleet-command.js';
+import { type TortureFlags, runTorture } from './torture-command.js';
 
 const cli = cac('ledgegauge-lab');
 
@@ -25,6 +26,16 @@
   .option('--time-scale <factor>', 'Time of the emulated engines; 1 is real time', { default: 0.2 })
   .action((action: string, flags: FleetFlags) => runAction(() => runFleet(action, flags)));
 
+cli
+  .command('torture', 'Inject seeded faults under load and check every promise')
+  .option('--deployment <name>', 'pipeline or consortium', { default: 'pipeline' })
+  .option('--faults <names>', 'all, or names separated by commas', { default: 'all' })
+  .option('--seeds <count>', 'Seeds to run', { default: 10 })
+  .option('--first-seed <number>', 'The first seed; the others follow', { default: 1 })
+  .option('--keep <folder>', 'Keep the histories of seeds with violations here')
+  .option('--json', 'Print the result as one line of JSON')
+  .action((flags: TortureFlags) => runAction(() => runTorture(flags)));
+
 cli.help();
 cli.version(VERSION);
 
--- /dev/null
+++ b/lab/cli/torture-command.ts
@@ -0,0 +1,112 @@
+/** `torture`: seeded faults over a live fleet under load, and a checker that decides. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { LedgegaugeError } from '../../src/common/index.js';
+import { Fleet } from '../fleet/fleet.js';
+import { DEPLOYMENTS, isDeploymentName } from '../fleet/topology.js';
+import { selectFaults } from '../torture/faults/index.js';
+import { RecordReader } from '../torture/record-reader.js';
+import { createSchedule } from '../torture/schedule.js';
+import { type SeedResult, SeedRun } from '../torture/seed-run.js';
+import { TORTURE_TIME_SCALE } from '../torture/torture-load.js';
+import { type TortureReport, summarizeTorture } from '../torture/torture-report.js';
+import { takeDownOnSignal } from './interrupt.js';
+import { createProgress } from './progress.js';
+import { formatMs, formatTable } from './table.js';
+import { createWorkFolder, removeWorkFolder } from './work-folder.js';
+
+export interface TortureFlags {
+  deployment: string;
+  faults: string;
+  seeds: number;
+  firstSeed: number;
+  /** Folder for the histories of seeds with violations. */
+  keep?: string;
+  json?: boolean;
+}
+
+const JOURNAL_GROUPS = 3;
+
+export async function runTorture(flags: TortureFlags): Promise<void> {
+  if (!isDeploymentName(flags.deployment)) {
+    throw new LedgegaugeError('--deployment is pipeline or consortium', { step: 'cli.usage' });
+  }
+  const faults = selectFaults(flags.faults);
+  const running: { fleet?: Fleet } = {};
+  takeDownOnSignal(() => running.fleet);
+  const workFolder = createWorkFolder('torture');
+  const progress = createProgress('torture', flags.json === true);
+  const fleet = await Fleet.up({
+    deployment: DEPLOYMENTS[flags.deployment],
+    workFolder,
+    timeScale: TORTURE_TIME_SCALE,
+    journalGroups: JOURNAL_GROUPS,
+    seed: flags.firstSeed,
+    controlSettings: { consensus: { snapshotEveryEntries: 1_000, trailingEntries: 200 } },
+    onCreated: (created) => {
+      running.fleet = created;
+    },
+  });
+  const records = new RecordReader(fleet);
+  const results: SeedResult[] = [];
+  for (let seed = flags.firstSeed; seed < flags.firstSeed + flags.seeds; seed += 1) {
+    const schedule = createSchedule(seed, faults);
+    const names = schedule.faults.map((scheduled) => scheduled.fault.name).join(' + ');
+    progress.update(results.length, flags.seeds, `seed ${seed}: ${names}`);
+    const startedAt = performance.now();
+    const result = await new SeedRun(fleet, records, seed, schedule).run();
+    results.push(result);
+    reportSeed(result, performance.now() - startedAt, flags);
+  }
+  progress.stop();
+  await fleet.down();
+  const report = summarizeTorture(flags.deployment, flags.firstSeed, results);
+  if (report.violations === 0 && report.inconclusive === 0) removeWorkFolder(workFolder);
+  else process.stderr.write(`logs are kept in ${workFolder}\n`);
+  process.stdout.write(`${flags.json ? JSON.stringify(report) : tortureTable(report)}\n`);
+  process.exitCode = report.violations > 0 ? 1 : 0;
+}
+
+function reportSeed(result: SeedResult, elapsedMs: number, flags: TortureFlags): void {
+  const { seed, faults, check, inconclusive } = result;
+  const verdict = check.violations.length > 0 ? 'VIOLATION' : inconclusive ? 'unclear' : 'ok';
+  const details = [
+    ...check.violations.map(({ promise, detail }) => `${promise}: ${detail}`),
+    ...(inconclusive ? [inconclusive] : []),
+  ];
+  const seconds = (elapsedMs / 1_000).toFixed(1);
+  process.stderr.write(
+    `seed ${seed} ${verdict} ${seconds} s, ${result.history.calls.length} calls, ` +
+      `${faults.join(' + ')}${details.map((detail) => `\n    ${detail}`).join('')}\n`,
+  );
+  // Histories are large; those of good seeds are not needed again.
+  if (check.violations.length > 0 && flags.keep) {
+    mkdirSync(flags.keep, { recursive: true });
+    writeFileSync(join(flags.keep, `seed-${seed}.json`), JSON.stringify(result.history));
+  }
+}
+
+function tortureTable(report: TortureReport): string {
+  const waits = Object.entries(report.unavailableMs).map(([fault, wait]) => [
+    fault,
+    String(wait.count),
+    formatMs(wait.p50),
+    formatMs(wait.p95),
+    formatMs(wait.max),
+  ]);
+  const checks = Object.entries(report.checks).map(([promise, times]) => [
+    promise,
+    String(times),
+    String(report.seedsTesting[promise]),
+  ]);
+  return [
+    `${report.deployment}: ${report.seedsRun} seeds from ${report.firstSeed}, ` +
+      `${report.violations} violations, ${report.inconclusive} inconclusive`,
+    '',
+    formatTable(['promise', 'checks', 'seeds'], checks),
+    '',
+    formatTable(['longest wait with', 'seeds', 'p50', 'p95', 'max'], waits),
+    '',
+    `in force p50 ${formatMs(report.inForceMs.p50)}, p99 ${formatMs(report.inForceMs.p99)}`,
+  ].join('\n');
+}
--- a/lab/fleet/fleet.ts
+++ b/lab/fleet/fleet.ts
@@ -1,5 +1,6 @@
 /** A whole fleet on one machine: started, disturbed and taken down again. */
 import { mkdirSync, rmSync } from 'node:fs';
+import { join } from 'node:path';
 import { request } from 'undici';
 import { OperatorClient } from '../../src/cli/operator-client.js';
 import { LedgegaugeError, describeError, monotonicMs, sleep } from '../../src/common/index.js';
@@ -42,7 +43,7 @@
 
   /** Starts everything, founds the cluster and puts the intents into force. */
   static async up(options: FleetOptions): Promise<Fleet> {
-    mkdirSync(options.workFolder, { recursive: true });
+    mkdirSync(join(options.workFolder, 'records'), { recursive: true });
     const ports = new PortAllocator();
     const plan = await planFleet({ ...options, ports });
     const fleet = new Fleet(plan, options.workFolder, ports);
--- a/lab/load/backend-records.ts
+++ b/lab/load/backend-records.ts
@@ -13,7 +13,13 @@
 
 export interface ServiceRecords {
   service: string;
-  executions: { key: string; service: string; operation: string; wallClockMs: number }[];
+  executions: {
+    key: string;
+    service: string;
+    operation: string;
+    payload: string;
+    wallClockMs: number;
+  }[];
 }
 
 export interface BackendRecords {
--- /dev/null
+++ b/lab/torture/checker/index.ts
@@ -0,0 +1,42 @@
+/** Decides whether a history keeps every promise. Knows nothing of how the system works. */
+import type { TortureHistory } from '../history.js';
+import { completeAnswerCheck, historyCheck, isolationCheck, orderCheck } from './call-checks.js';
+import {
+  configurationCheck,
+  engineMemoryCheck,
+  leavingCheck,
+  plannedStopCheck,
+} from './operation-checks.js';
+import type { PromiseCheck, PromiseName, PromiseResult, Violation } from './promise.js';
+import { atMostOnceCheck, budgetCheck, notRunCheck } from './spending-checks.js';
+
+export type { PromiseName, PromiseResult, Violation } from './promise.js';
+
+export const PROMISE_CHECKS: readonly PromiseCheck[] = [
+  orderCheck,
+  historyCheck,
+  isolationCheck,
+  budgetCheck,
+  engineMemoryCheck,
+  completeAnswerCheck,
+  notRunCheck,
+  atMostOnceCheck,
+  leavingCheck,
+  plannedStopCheck,
+  configurationCheck,
+];
+
+export interface CheckResult {
+  /** How often each promise was put to the test. */
+  tested: Record<PromiseName, number>;
+  violations: Violation[];
+}
+
+export function checkHistory(history: TortureHistory): CheckResult {
+  const results: PromiseResult[] = PROMISE_CHECKS.map(({ check }) => check(history));
+  const tested = Object.fromEntries(
+    results.map((result) => [result.promise, result.tested]),
+  ) as Record<PromiseName, number>;
+  const direct = history.directViolations as Violation[];
+  return { tested, violations: [...results.flatMap((result) => result.violations), ...direct] };
+}
--- /dev/null
+++ b/lab/torture/checker/promise.ts
@@ -0,0 +1,65 @@
+/** What a check finds. */
+import type { TortureHistory } from '../history.js';
+
+export type PromiseName =
+  | 'order'
+  | 'history'
+  | 'isolation'
+  | 'budget'
+  | 'engine-memory'
+  | 'complete-answer'
+  | 'not-run'
+  | 'at-most-once'
+  | 'leaving'
+  | 'planned-stop'
+  | 'configuration';
+
+export interface Violation {
+  promise: PromiseName;
+  detail: string;
+}
+
+/** The result of checking one promise: how often it was really put to the test, and the failures. */
+export interface PromiseResult {
+  promise: PromiseName;
+  tested: number;
+  violations: Violation[];
+}
+
+export interface PromiseCheck {
+  promise: PromiseName;
+  check(history: TortureHistory): PromiseResult;
+}
+
+/** Collects a check's results. */
+export class ResultBuilder {
+  private tested = 0;
+  private readonly violations: Violation[] = [];
+
+  constructor(private readonly promise: PromiseName) {}
+
+  /** One test of the promise; `detail` describes the violation if `holds` is false. */
+  expect(holds: boolean, detail: () => string): void {
+    this.tested += 1;
+    if (!holds) this.violations.push({ promise: this.promise, detail: detail() });
+  }
+
+  build(): PromiseResult {
+    return { promise: this.promise, tested: this.tested, violations: this.violations };
+  }
+}
+
+/** Groups items by a key. */
+export function groupBy<Item>(
+  items: readonly Item[],
+  keyOf: (item: Item) => string,
+): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+}
--- /dev/null
+++ b/lab/torture/cluster-view.ts
@@ -0,0 +1,75 @@
+/** What the control processes of a fleet say of themselves, asked one by one. */
+import { request } from 'undici';
+import type { GroupStatus, SystemStatus } from '../../src/operators/index.js';
+import type { FleetProcess } from '../fleet/child-process.js';
+import type { Fleet } from '../fleet/fleet.js';
+import { groupBy } from './checker/promise.js';
+
+const TIMEOUT_MS = 1_500;
+
+export interface MemberView {
+  process: string;
+  groups: GroupStatus[];
+}
+
+/** Asks every control process; those that do not answer are left out. */
+export async function viewMembers(fleet: Fleet): Promise<MemberView[]> {
+  const views = await Promise.all(
+    fleet.ofKind('control').map((control) => viewMember(fleet, control).catch(() => undefined)),
+  );
+  return views.filter((view) => view !== undefined);
+}
+
+async function viewMember(fleet: Fleet, control: FleetProcess): Promise<MemberView | undefined> {
+  if (!control.isRunning) return undefined;
+  const response = await request(`http://${control.plan.operatorAddress}/v1/status`, {
+    headers: { authorization: `Bearer ${fleet.plan.operatorKey}` },
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+  });
+  const body = (await response.body.json()) as SystemStatus;
+  if (response.statusCode !== 200) return undefined;
+  return { process: control.name, groups: body.groups };
+}
+
+/** Name of the process that leads a group; undefined when none says so. */
+export async function findLeader(fleet: Fleet, group: string): Promise<string | undefined> {
+  const views = await viewMembers(fleet);
+  const leading = views
+    .flatMap((view) => view.groups.map((status) => ({ process: view.process, status })))
+    .filter(({ status }) => status.group === group && status.state === 'leader')
+    .sort((left, right) => right.status.term - left.status.term);
+  return leading[0]?.process;
+}
+
+/** Whether every group has all its members as voters, caught up, and one leader. */
+export async function isFullyReplicated(fleet: Fleet): Promise<boolean> {
+  const views = await viewMembers(fleet);
+  const count = fleet.ofKind('control').length;
+  if (views.length < count) return false;
+  const byGroup = groupBy(
+    views.flatMap((view) => view.groups),
+    (status) => status.group,
+  );
+  return [...byGroup.values()].every((statuses) => isGroupComplete(statuses, count));
+}
+
+function isGroupComplete(statuses: GroupStatus[], count: number): boolean {
+  if (statuses.length < count) return false;
+  const members = statuses.map((status) => status.member);
+  const commitIndex = Math.max(...statuses.map((status) => status.commitIndex));
+  const hasLeader = statuses.filter((status) => status.state === 'leader').length === 1;
+  return (
+    hasLeader &&
+    statuses.every(
+      ({ voters, learners, appliedIndex }) =>
+        learners.length === 0 &&
+        voters.length === count &&
+        members.every((member) => voters.includes(member)) &&
+        appliedIndex >= commitIndex - MAXIMUM_LAG,
+    )
+  );
+}
+
+/** Entries that a member may lack while load goes on. */
+const MAXIMUM_LAG = 64;
--- /dev/null
+++ b/lab/torture/faults/disk-faults.ts
@@ -0,0 +1,113 @@
+/** Disks that are lost, torn or damaged. */
+import {
+  appendFileSync,
+  openSync,
+  readSync,
+  readdirSync,
+  statSync,
+  writeSync,
+  closeSync,
+  rmSync,
+} from 'node:fs';
+import { join } from 'node:path';
+import { EXIT_STORAGE } from '../../../src/cli/exit-codes.js';
+import type { FleetProcess } from '../../fleet/child-process.js';
+import { ProcessStartError } from '../../fleet/child-process.js';
+import { isFullyReplicated } from '../cluster-view.js';
+import type { Fault } from '../fault.js';
+import { pickProcess } from './process-faults.js';
+
+const REPAIR_PATIENCE_MS = 20_000;
+const TORN_BYTES = 37;
+
+const diskLost: Fault = {
+  name: 'disk-lost',
+  family: 'disk',
+  run: (context) => context.fleet.loseDisk(pickProcess(context, 'control').name),
+};
+
+/** The second member loses its disk right after the first one's repair. */
+const disksLostInTurn: Fault = {
+  name: 'disks-lost-in-turn',
+  family: 'disk',
+  async run(context) {
+    const { fleet, random } = context;
+    const controls = [...fleet.ofKind('control')];
+    const first = random.pick(controls);
+    const second = random.pick(controls.filter((control) => control !== first));
+    await fleet.loseDisk(first.name);
+    await fleet.waitFor('repair', () => isFullyReplicated(fleet), REPAIR_PATIENCE_MS);
+    await fleet.loseDisk(second.name);
+  },
+};
+
+const tornWrite: Fault = {
+  name: 'torn-write',
+  family: 'process',
+  async run(context) {
+    const control = pickProcess(context, 'control');
+    await control.kill();
+    const segment = lastSegment(control);
+    const garbage = Array.from({ length: TORN_BYTES }, () => context.random.integer(0, 255));
+    if (segment) appendFileSync(segment, Buffer.from(garbage));
+    await control.start();
+  },
+};
+
+/** A damaged middle: the member must refuse to start; with an empty folder it joins anew. */
+const flippedByte: Fault = {
+  name: 'flipped-byte',
+  family: 'disk',
+  async run(context) {
+    const { recorder, random } = context;
+    const control = pickProcess(context, 'control');
+    await control.kill();
+    const segment = lastSegment(control);
+    if (!segment || !flipByte(segment, random.uniform())) {
+      await control.start();
+      return;
+    }
+    const exitCode = await startExpectingRefusal(control);
+    if (exitCode !== EXIT_STORAGE) {
+      const detail = `${control.name}: started upon a damaged log (exit ${exitCode ?? 'none'})`;
+      recorder.history.directViolations.push({ promise: 'history', detail });
+      await control.kill();
+    }
+    rmSync(control.plan.dataFolder!, { recursive: true, force: true });
+    await control.start();
+  },
+};
+
+async function startExpectingRefusal(control: FleetProcess): Promise<number | null | undefined> {
+  try {
+    await control.start();
+    return undefined;
+  } catch (error) {
+    if (!(error instanceof ProcessStartError)) throw error;
+    return control.exit;
+  }
+}
+
+function lastSegment(control: FleetProcess): string | undefined {
+  const folder = join(control.plan.dataFolder!, 'log');
+  const names = readdirSync(folder).filter((name) => name.endsWith('.log'));
+  const last = names.sort().at(-1);
+  return last === undefined ? undefined : join(folder, last);
+}
+
+/** Flips a byte in the first half of a file; false when the file is too short for a middle. */
+function flipByte(file: string, position: number): boolean {
+  const { size } = statSync(file);
+  const minimumBytes = 4_096;
+  if (size < minimumBytes) return false;
+  const offset = Math.floor((size / 2) * position);
+  const descriptor = openSync(file, 'r+');
+  const byte = Buffer.alloc(1);
+  readSync(descriptor, byte, 0, 1, offset);
+  byte[0] = byte[0]! ^ 0xff;
+  writeSync(descriptor, byte, 0, 1, offset);
+  closeSync(descriptor);
+  return true;
+}
+
+export const DISK_FAULTS: readonly Fault[] = [diskLost, disksLostInTurn, tornWrite, flippedByte];
--- /dev/null
+++ b/lab/torture/faults/process-faults.ts
@@ -0,0 +1,135 @@
+/** Processes that die, stand still and come back, and those that are stopped on purpose. */
+import { sleep } from '../../../src/common/index.js';
+import type { FleetProcess } from '../../fleet/child-process.js';
+import type { ProcessKind } from '../../fleet/fleet-plan.js';
+import { findLeader } from '../cluster-view.js';
+import type { Fault, FaultContext } from '../fault.js';
+
+const SHORT_DOWNTIME_MS = [200, 1_500] as const;
+/** Longer than the configuration lease of two seconds and than any election. */
+const FREEZE_MS = [2_300, 3_200] as const;
+const LEADER_FREEZE_MS = [900, 2_500] as const;
+const STOP_PATIENCE_MS = 20_000;
+
+export function pickProcess(context: FaultContext, kind: ProcessKind): FleetProcess {
+  return context.random.pick(context.fleet.ofKind(kind));
+}
+
+/** One of the groups of programs' journals. */
+export function pickJournalGroup({ fleet, random }: FaultContext): string {
+  const settings = fleet.ofKind('control')[0]!.plan.settings;
+  const { journalGroups } = settings.cluster as { journalGroups: number };
+  return `journal-${random.integer(0, journalGroups - 1)}`;
+}
+
+/** The process that leads one of the journal groups; any control process when none does. */
+export async function pickJournalLeader(context: FaultContext): Promise<FleetProcess> {
+  const leader = await findLeader(context.fleet, pickJournalGroup(context));
+  return leader === undefined ? pickProcess(context, 'control') : context.fleet.process(leader);
+}
+
+async function killAndRestart(
+  process: FleetProcess,
+  context: FaultContext,
+  downtime: readonly [number, number],
+): Promise<void> {
+  await process.kill();
+  await sleep(context.random.integer(...downtime));
+  await process.start();
+}
+
+async function freeze(
+  process: FleetProcess,
+  context: FaultContext,
+  duration: readonly [number, number],
+): Promise<void> {
+  process.signal('SIGSTOP');
+  await sleep(context.random.integer(...duration));
+  process.signal('SIGCONT');
+}
+
+async function stopAsPlanned(process: FleetProcess, context: FaultContext): Promise<void> {
+  const { fleet, recorder } = context;
+  const { kind } = process.plan;
+  const signalledAtMs = Date.now();
+  const exitCode = await process.stop(STOP_PATIENCE_MS);
+  const position = fleet.ofKind('gateway').indexOf(process);
+  recorder.history.plannedStops.push({
+    process: process.name,
+    kind,
+    address: fleet.plan.clientGateways[position],
+    signalledAtMs,
+    exitedAtMs: Date.now(),
+    exitCode,
+  });
+  await process.start();
+}
+
+function killFault(name: string, kind: ProcessKind): Fault {
+  return {
+    name,
+    family: 'process',
+    run: (context) => killAndRestart(pickProcess(context, kind), context, SHORT_DOWNTIME_MS),
+  };
+}
+
+function freezeFault(name: string, kind: ProcessKind): Fault {
+  return {
+    name,
+    family: 'process',
+    run: (context) => freeze(pickProcess(context, kind), context, FREEZE_MS),
+  };
+}
+
+function plannedStop(name: string, kind: ProcessKind): Fault {
+  return {
+    name,
+    family: 'process',
+    run: (context) => stopAsPlanned(pickProcess(context, kind), context),
+  };
+}
+
+const journalLeaderKill: Fault = {
+  name: 'journal-leader-kill',
+  family: 'process',
+  run: async (context) =>
+    killAndRestart(await pickJournalLeader(context), context, SHORT_DOWNTIME_MS),
+};
+
+const journalLeaderFreeze: Fault = {
+  name: 'journal-leader-freeze',
+  family: 'process',
+  run: async (context) => freeze(await pickJournalLeader(context), context, LEADER_FREEZE_MS),
+};
+
+/** A gateway and a journal leader at the same moment. */
+const gatewayAndLeaderKill: Fault = {
+  name: 'gateway-and-leader-kill',
+  family: 'process',
+  async run(context) {
+    const leader = await pickJournalLeader(context);
+    const gateway = pickProcess(context, 'gateway');
+    await Promise.all([
+      killAndRestart(leader, context, SHORT_DOWNTIME_MS),
+      killAndRestart(gateway, context, SHORT_DOWNTIME_MS),
+    ]);
+  },
+};
+
+export const PROCESS_FAULTS: readonly Fault[] = [
+  killFault('gateway-kill', 'gateway'),
+  freezeFault('gateway-freeze', 'gateway'),
+  killFault('engine-kill', 'engine'),
+  freezeFault('engine-freeze', 'engine'),
+  killFault('service-kill', 'service'),
+  journalLeaderKill,
+  journalLeaderFreeze,
+  gatewayAndLeaderKill,
+];
+
+export const PLANNED_STOPS: readonly Fault[] = [
+  plannedStop('planned-stop-gateway', 'gateway'),
+  plannedStop('planned-stop-control', 'control'),
+  plannedStop('planned-stop-engine', 'engine'),
+  plannedStop('planned-stop-service', 'service'),
+];
--- /dev/null
+++ b/lab/torture/history-recorder.ts
@@ -0,0 +1,45 @@
+/** Fills a history while a seed runs. */
+import type { ExchangeRecord } from '../../src/client/index.js';
+import { Recorder } from '../workload/recorder.js';
+import { type ObservedExchange, type TortureHistory, emptyHistory } from './history.js';
+
+const CALL_PATH = /^\/v1\/programs\/([^/]+)\/calls\/(\d+)$/;
+
+export class HistoryRecorder {
+  readonly history: TortureHistory;
+  readonly workload = new Recorder();
+
+  constructor(seed: number) {
+    this.history = emptyHistory(seed);
+  }
+
+  /** Notes an exchange of a caller; only those about calls matter. */
+  noteExchange(record: ExchangeRecord): void {
+    const match = CALL_PATH.exec(record.path);
+    if (!match) return;
+    const { gateway, submission, startedAtMs, endedAtMs } = record;
+    this.history.exchanges.push({
+      program: match[1]!,
+      sequence: Number(match[2]),
+      submission,
+      gateway,
+      startedAtMs,
+      endedAtMs,
+      kind: kindOf(record),
+    });
+  }
+
+  /** The history with what the workload's callers saw. */
+  complete(): TortureHistory {
+    const { calls, programs } = this.workload;
+    return { ...this.history, calls, programs };
+  }
+}
+
+function kindOf({ result }: ExchangeRecord): ObservedExchange['kind'] {
+  if (result.kind === 'broken') return 'broken';
+  if (result.kind !== 'problem') return 'answer';
+  const { outcome, sendAgain } = result.problem;
+  if (outcome === 'not_run') return 'not_run';
+  return sendAgain ? 'pending' : 'unknown';
+}
--- /dev/null
+++ b/lab/torture/probes/caller-probes.ts
@@ -0,0 +1,148 @@
+/**
+ * Callers whose copies come late, doubled and crossed: calls sent before their turn and again when
+ * it has come, and calls sent through all gateways at once.
+ */
+import { sleep } from '../../../src/common/index.js';
+import type { Fleet } from '../../fleet/fleet.js';
+import type { HistoryRecorder } from '../history-recorder.js';
+import { type Gateways, type RawCall, answerOf, callPath, isNotRun } from './gateways.js';
+
+const PAUSE_MS = 100;
+const TRIES = 40;
+const BUDGET = 100_000;
+
+export interface CallerProbesOptions {
+  fleet: Fleet;
+  gateways: Gateways;
+  recorder: HistoryRecorder;
+  /** Distinguishes payloads of this seed. */
+  seed: number;
+  signal: AbortSignal;
+}
+
+export class CallerProbes {
+  private counter = 0;
+
+  constructor(private readonly options: CallerProbesOptions) {}
+
+  /** Goes on until told to stop. */
+  async run(): Promise<void> {
+    const { signal } = this.options;
+    while (!signal.aborted) {
+      await Promise.all([this.sendBeforeItsTurn(), this.sendCopies(), this.exceedBudget()]);
+      await sleep(PAUSE_MS, signal);
+    }
+  }
+
+  /** A call refused as out of order; its delayed copy arrives when its turn has come. */
+  private async sendBeforeItsTurn(): Promise<void> {
+    const program = await this.open(BUDGET);
+    if (program === undefined) return;
+    const early = this.serviceCall(program, 2, 'early');
+    const refused = await this.send(early.call);
+    if (!this.noteIfRefused(early.payload, refused)) return;
+    const first = this.serviceCall(program, 1, 'first');
+    if (!(await this.persist(first.call))) return;
+    const copies = [0, 1].map((gateway) => this.send({ ...early.call, gateway, isResend: true }));
+    await Promise.all(copies);
+    const renewed = this.serviceCall(program, 2, 'renewed', 2);
+    await this.persist(renewed.call);
+  }
+
+  /** The same submission through every gateway, then once more. */
+  private async sendCopies(): Promise<void> {
+    const program = await this.open(BUDGET);
+    if (program === undefined) return;
+    const { call, payload } = this.serviceCall(program, 1, 'copy');
+    const { gateways, recorder } = this.options;
+    const everywhere = Array.from({ length: gateways.count }, (_, gateway) =>
+      this.send({ ...call, gateway, isResend: gateway % 2 === 1 }),
+    );
+    const exchanges = await Promise.all(everywhere);
+    exchanges.push(await this.send({ ...call, gateway: this.counter, isResend: true }));
+    const answers = exchanges.map(answerOf).filter((answer) => answer !== undefined);
+    const copied = { program, sequence: 1, payload, isRepeatable: false, answers };
+    recorder.history.copiedCalls.push(copied);
+  }
+
+  /** A call that the budget does not cover, tried through two gateways. */
+  private async exceedBudget(): Promise<void> {
+    const tooLittle = 1;
+    const program = await this.open(tooLittle);
+    if (program === undefined) return;
+    const first = this.serviceCall(program, 1, 'covered');
+    if (!(await this.persist(first.call))) return;
+    const { call, payload } = this.serviceCall(program, 2, 'uncovered');
+    const exchange = await this.send(call);
+    if (!this.noteIfRefused(payload, exchange)) return;
+    await this.send({ ...call, gateway: call.gateway + 1, isResend: true });
+  }
+
+  private noteIfRefused(payload: string, exchange: Awaited<ReturnType<Gateways['send']>>): boolean {
+    if (exchange.kind !== 'problem' || !isNotRun(exchange)) return false;
+    const { code } = exchange.problem;
+    this.options.recorder.history.refusedPayloads.push({ payload, code });
+    return true;
+  }
+
+  private async open(budget: number): Promise<string | undefined> {
+    const { fleet } = this.options;
+    const { deployment } = fleet.plan;
+    const gateway = this.counter++;
+    const body = { model: deployment.model, budget };
+    const tenant = deployment.tenants[0]!;
+    const exchange = await this.send({
+      gateway,
+      tenant,
+      method: 'POST',
+      path: '/v1/programs',
+      body,
+    });
+    if (exchange.kind !== 'document') return undefined;
+    return String((exchange.body as { id: unknown }).id);
+  }
+
+  private serviceCall(
+    program: string,
+    sequence: number,
+    purpose: string,
+    submission = 1,
+  ): { call: RawCall; payload: string } {
+    const { fleet, seed } = this.options;
+    const { deployment } = fleet.plan;
+    const payload = `${purpose}-${seed}-${program}-${sequence}-${submission}`;
+    const name = deployment.serviceNames.at(-1)!;
+    const body = { service: { name, operation: 'write', payload }, repeatable: false };
+    const call: RawCall = {
+      gateway: this.counter++,
+      tenant: deployment.tenants[0]!,
+      method: 'POST',
+      path: callPath(program, sequence),
+      body,
+      submission,
+    };
+    return { call, payload };
+  }
+
+  /** Sends the same submission until it is answered; false when it never was. */
+  private async persist(call: RawCall): Promise<boolean> {
+    let { gateway, submission = 1 } = call;
+    for (let tries = 0; tries < TRIES; tries += 1) {
+      const exchange = await this.send({ ...call, gateway, submission, isResend: tries > 0 });
+      if (answerOf(exchange) !== undefined) return true;
+      if (exchange.kind === 'problem') {
+        if (!exchange.problem.sendAgain) return false;
+        if (exchange.problem.outcome === 'not_run') {
+          submission = exchange.problem.nextSubmission ?? submission + 1;
+        }
+      }
+      gateway += 1;
+      await sleep(PAUSE_MS);
+    }
+    return false;
+  }
+
+  private send(call: RawCall): ReturnType<Gateways['send']> {
+    return this.options.gateways.send(call);
+  }
+}
--- /dev/null
+++ b/lab/torture/probes/final-reads.ts
@@ -0,0 +1,107 @@
+/** Reads after all faults are mended: recorded answers again, other tenants' programs, spending. */
+import type { Exchange } from '../../../src/client/index.js';
+import type { SeededRandom } from '../../../src/common/index.js';
+import type { Fleet } from '../../fleet/fleet.js';
+import type { TortureHistory } from '../history.js';
+import { type Gateways, answerOf, callPath } from './gateways.js';
+
+const CALLS_READ = 60;
+const PROGRAMS_READ = 20;
+const TRIES = 5;
+const NO_PROGRAM = 'p000000000000000000000000';
+
+export interface FinalReadsOptions {
+  fleet: Fleet;
+  gateways: Gateways;
+  random: SeededRandom;
+  history: TortureHistory;
+}
+
+export async function readFinally(options: FinalReadsOptions): Promise<void> {
+  await readAnswersAgain(options);
+  await readAsOtherTenant(options);
+  await readSpending(options);
+}
+
+async function readAnswersAgain({ gateways, random, history }: FinalReadsOptions): Promise<void> {
+  const completed = history.calls.filter((call) => call.outcome === 'completed');
+  for (const call of sample(random, completed, CALLS_READ)) {
+    const { program, sequence, tenant, answer } = call;
+    const path = callPath(program, sequence);
+    const gateway = random.integer(0, gateways.count - 1);
+    const exchange = await readPersistently(gateways, { gateway, tenant, path });
+    history.repeatedReads.push({
+      program,
+      sequence,
+      firstAnswer: answer!,
+      laterAnswer: answerOf(exchange) ?? describe(exchange),
+    });
+  }
+}
+
+async function readAsOtherTenant(options: FinalReadsOptions): Promise<void> {
+  const { fleet, gateways, random, history } = options;
+  const known = history.programs.filter((program) => program.id !== '');
+  for (const { id, tenant } of sample(random, known, PROGRAMS_READ)) {
+    const others = fleet.plan.deployment.tenants.filter((other) => other !== tenant);
+    const foreigner = random.pick(others);
+    const gateway = random.integer(0, gateways.count - 1);
+    const ask = (path: string): Promise<Exchange> =>
+      readPersistently(gateways, { gateway, tenant: foreigner, path });
+    const pathsOf = (program: string): string[] => [
+      `/v1/programs/${program}`,
+      callPath(program, 1),
+    ];
+    const answers = await Promise.all(pathsOf(id).map(ask));
+    const answersForNone = await Promise.all(pathsOf(NO_PROGRAM).map(ask));
+    history.foreignReads.push({
+      program: id,
+      answer: answers.map(describe).join(' '),
+      answerForNoProgram: answersForNone.map(describe).join(' '),
+    });
+  }
+}
+
+async function readSpending({ gateways, random, history }: FinalReadsOptions): Promise<void> {
+  const roots = history.programs.filter((program) => program.isRoot && program.id !== '');
+  for (const { id, tenant } of sample(random, roots, PROGRAMS_READ)) {
+    const gateway = random.integer(0, gateways.count - 1);
+    const exchange = await readPersistently(gateways, {
+      gateway,
+      tenant,
+      path: `/v1/programs/${id}`,
+    });
+    if (exchange.kind !== 'document') continue;
+    const { budget, spent } = exchange.body as { budget: number; spent: number };
+    history.spending.push({ program: id, budget, spent });
+  }
+}
+
+async function readPersistently(
+  gateways: Gateways,
+  read: { gateway: number; tenant: string; path: string },
+): Promise<Exchange> {
+  let exchange: Exchange = { kind: 'broken', reason: 'not sent' };
+  for (let tries = 0; tries < TRIES; tries += 1) {
+    exchange = await gateways.send({ ...read, gateway: read.gateway + tries, method: 'GET' });
+    const isFinal = exchange.kind === 'problem' && !exchange.problem.sendAgain;
+    if (exchange.kind === 'document' || isFinal) break;
+  }
+  return exchange;
+}
+
+function describe(exchange: Exchange): string {
+  switch (exchange.kind) {
+    case 'problem':
+      return JSON.stringify(exchange.problem);
+    case 'broken':
+      return 'broken';
+    default:
+      return `answered ${JSON.stringify(exchange)}`;
+  }
+}
+
+function sample<Item>(random: SeededRandom, items: readonly Item[], count: number): Item[] {
+  if (items.length <= count) return [...items];
+  return Array.from({ length: count }, () => random.pick(items));
+}
--- /dev/null
+++ b/lab/torture/seed-run.ts
@@ -0,0 +1,170 @@
+/** One seed: load, probes and operators on a live fleet while faults happen; then the verdict. */
+import { SeededRandom, describeError, monotonicMs, sleep } from '../../src/common/index.js';
+import type { Fleet } from '../fleet/fleet.js';
+import { type CheckResult, checkHistory } from './checker/index.js';
+import { isFullyReplicated } from './cluster-view.js';
+import type { TortureHistory } from './history.js';
+import { HistoryRecorder } from './history-recorder.js';
+import { observeMemory } from './memory-watch.js';
+import { Operators } from './operators.js';
+import { AvailabilityProbe } from './probes/availability-probe.js';
+import { CallerProbes } from './probes/caller-probes.js';
+import { readFinally } from './probes/final-reads.js';
+import { Gateways } from './probes/gateways.js';
+import type { RecordReader } from './record-reader.js';
+import { RevisionWatcher } from './revision-watcher.js';
+import { type Schedule, type ScheduledFault } from './schedule.js';
+import { TortureLoad } from './torture-load.js';
+
+/** Load goes on for at least this long, so that a leaving engine is watched beyond its limit. */
+const MINIMUM_LOAD_MS = 4_800;
+const WATCH_LEAVING_MS = 3_800;
+const HEAL_PATIENCE_MS = 30_000;
+/** How long after a fault was mended its effects on callers are counted as its own. */
+const AFTERMATH_MS = 1_500;
+
+export interface SeedResult {
+  seed: number;
+  faults: string[];
+  check: CheckResult;
+  history: TortureHistory;
+  /** Why the seed proves nothing; undefined when it does. */
+  inconclusive?: string;
+  /** The longest wait of a caller, if the seed had a single fault, in milliseconds. */
+  unavailableMs?: number;
+  /** From acceptance to in force at all reachable gateways, in milliseconds. */
+  inForceMs: number[];
+}
+
+interface FaultSpan {
+  startedAtMs: number;
+  endedAtMs: number;
+}
+
+export class SeedRun {
+  private readonly recorder: HistoryRecorder;
+  private readonly random: SeededRandom;
+  private readonly gateways: Gateways;
+  private readonly watcher: RevisionWatcher;
+  private readonly operators: Operators;
+  private readonly availability: AvailabilityProbe;
+  private readonly spans: FaultSpan[] = [];
+  private startedAtMs = 0;
+  private inconclusive: string | undefined;
+
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly records: RecordReader,
+    private readonly seed: number,
+    private readonly schedule: Schedule,
+  ) {
+    this.recorder = new HistoryRecorder(seed);
+    this.random = new SeededRandom(seed).fork();
+    this.gateways = new Gateways(fleet);
+    this.watcher = new RevisionWatcher(fleet, this.recorder);
+    this.availability = new AvailabilityProbe(fleet);
+    const { random, recorder, watcher } = this;
+    this.operators = new Operators({ fleet, random: random.fork(), recorder, watcher });
+  }
+
+  async run(): Promise<SeedResult> {
+    this.records.readInto(undefined);
+    await this.runUnderLoad();
+    await this.heal();
+    await this.operators.activateAll();
+    const history = this.recorder.complete();
+    const ended = history.programs.filter((program) => program.isEnded && program.id !== '');
+    const endedIds = new Set(ended.map((program) => program.id));
+    history.memory.push(...(await observeMemory(this.fleet, endedIds)));
+    const { fleet, gateways, random } = this;
+    await readFinally({ fleet, gateways, random, history });
+    await this.operators.noteFinalRevisions();
+    await this.gateways.close();
+    this.records.readInto(history);
+    return this.result(history);
+  }
+
+  private async runUnderLoad(): Promise<void> {
+    const { fleet, recorder, seed, gateways, schedule } = this;
+    const stopProbes = new AbortController();
+    const { signal } = stopProbes;
+    const load = new TortureLoad(fleet, recorder, seed);
+    const callers = new CallerProbes({ fleet, gateways, recorder, seed, signal });
+    this.startedAtMs = monotonicMs();
+    load.start();
+    this.watcher.start();
+    this.availability.start();
+    const probing = callers.run();
+    const events = [...schedule.faults, schedule.plannedStop].map((event) => this.inject(event));
+    await Promise.all([...events, this.drainAnEngine(), sleep(MINIMUM_LOAD_MS)]);
+    await this.mendProcesses();
+    await load.stop();
+    stopProbes.abort();
+    await probing;
+    await this.availability.stop();
+    await this.watcher.stop();
+  }
+
+  private async inject({ fault, atMs, seed }: ScheduledFault): Promise<void> {
+    await this.sleepUntil(atMs);
+    const span = { startedAtMs: monotonicMs(), endedAtMs: 0 };
+    try {
+      const { fleet, recorder } = this;
+      await fault.run({ fleet, recorder, random: new SeededRandom(seed) });
+    } catch (error) {
+      this.inconclusive ??= `${fault.name}: ${describeError(error)}`;
+    }
+    span.endedAtMs = monotonicMs();
+    if (this.schedule.faults.some((scheduled) => scheduled.fault === fault)) this.spans.push(span);
+  }
+
+  /** Operators race; the engine of the winner leaves and is watched. */
+  private async drainAnEngine(): Promise<void> {
+    await this.sleepUntil(this.schedule.operatorsAtMs);
+    const leaving = await this.operators.race();
+    if (!leaving) return;
+    await sleep(WATCH_LEAVING_MS - (Date.now() - leaving.acceptedAtMs));
+    this.recorder.history.leavings.push({ ...leaving, untilMs: Date.now() });
+  }
+
+  /** Starts what two faults on one process may have left ended. */
+  private async mendProcesses(): Promise<void> {
+    await this.fleet.healAll();
+    for (const process of this.fleet.processes.values()) {
+      process.signal('SIGCONT');
+      if (!process.isRunning) await process.start();
+    }
+  }
+
+  private async heal(): Promise<void> {
+    try {
+      await this.mendProcesses();
+      await this.fleet.waitGatewaysReady();
+      const isHealed = (): Promise<boolean> => isFullyReplicated(this.fleet);
+      await this.fleet.waitFor('full replication', isHealed, HEAL_PATIENCE_MS);
+    } catch (error) {
+      this.inconclusive ??= `not healed: ${describeError(error)}`;
+    }
+  }
+
+  private sleepUntil(atMs: number): Promise<void> {
+    return sleep(Math.max(0, this.startedAtMs + atMs - monotonicMs()));
+  }
+
+  private result(history: TortureHistory): SeedResult {
+    const { seed, schedule, spans, inconclusive } = this;
+    const [only, ...others] = spans;
+    const isSingle = only !== undefined && others.length === 0;
+    return {
+      seed,
+      faults: schedule.faults.map((scheduled) => scheduled.fault.name),
+      check: checkHistory(history),
+      history,
+      inconclusive,
+      unavailableMs: isSingle
+        ? this.availability.longestWait(only.startedAtMs, only.endedAtMs + AFTERMATH_MS)
+        : undefined,
+      inForceMs: history.inForce.flatMap(({ afterMs }) => (afterMs === undefined ? [] : [afterMs])),
+    };
+  }
+}
--- /dev/null
+++ b/lab/torture/torture-load.ts
@@ -0,0 +1,80 @@
+/** The load of a torture seed: programs one after the other in several places, some on tight budgets. */
+import { ProgramClient } from '../../src/client/index.js';
+import { SeededRandom } from '../../src/common/index.js';
+import type { Fleet } from '../fleet/fleet.js';
+import type { ProgramPlan } from '../workload/program-plan.js';
+import { ProgramRunner } from '../workload/program-runner.js';
+import { Workload } from '../workload/workload.js';
+import type { HistoryRecorder } from './history-recorder.js';
+
+/** Wall-clock time of one unit of the engines' model time. */
+export const TORTURE_TIME_SCALE = 0.06;
+const SIZE_SCALE = 0.25;
+const WORKERS = 12;
+const PATIENCE_MS = 25_000;
+const SILENCE_MS = 6_000;
+const TIGHT_BUDGET_SHARE = 0.3;
+const TIGHT_BUDGET = [1_500, 9_000] as const;
+
+export class TortureLoad {
+  private readonly workload: Workload;
+  private readonly random: SeededRandom;
+  private readonly clients: Map<string, ProgramClient>[];
+  private workers: Promise<void>[] = [];
+  private isStopping = false;
+
+  constructor(
+    fleet: Fleet,
+    private readonly recorder: HistoryRecorder,
+    seed: number,
+  ) {
+    const { deployment } = fleet.plan;
+    this.workload = new Workload({
+      deployment,
+      seed,
+      timeScale: TORTURE_TIME_SCALE,
+      sizeScale: SIZE_SCALE,
+    });
+    this.random = new SeededRandom(seed);
+    this.clients = fleet.plan.clientGateways.map((_, index) => this.createClients(fleet, index));
+  }
+
+  start(): void {
+    this.workers = Array.from({ length: WORKERS }, (_, index) => this.work(index));
+  }
+
+  /** Starts no more programs and waits for those under way. */
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    await Promise.all(this.workers);
+    const clients = this.clients.flatMap((pool) => [...pool.values()]);
+    await Promise.all(clients.map((client) => client.close()));
+  }
+
+  private async work(index: number): Promise<void> {
+    const pool = this.clients[index % this.clients.length]!;
+    while (!this.isStopping) {
+      const plan = this.nextPlan();
+      const clientOf = (tenant: string): ProgramClient => pool.get(tenant)!;
+      await new ProgramRunner(plan, { clientOf, recorder: this.recorder.workload }).run();
+    }
+  }
+
+  private nextPlan(): ProgramPlan {
+    const plan = this.workload.nextProgram();
+    if (!this.random.chance(TIGHT_BUDGET_SHARE)) return plan;
+    return { ...plan, budget: this.random.integer(...TIGHT_BUDGET) };
+  }
+
+  private createClients(fleet: Fleet, first: number): Map<string, ProgramClient> {
+    const { clientGateways, tenantKeys } = fleet.plan;
+    const gateways = [...clientGateways.slice(first), ...clientGateways.slice(0, first)];
+    const onExchange = this.recorder.noteExchange.bind(this.recorder);
+    return new Map(
+      Object.entries(tenantKeys).map(([tenant, apiKey]) => {
+        const patience = { patienceMs: PATIENCE_MS, silenceMs: SILENCE_MS };
+        return [tenant, new ProgramClient({ gateways, apiKey, ...patience, onExchange })];
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/lab/torture/torture-report.ts
@@ -0,0 +1,97 @@
+/** Adds up the seeds of a torture run. */
+import { type Percentiles, percentilesOf } from '../load/percentiles.js';
+import type { SeedResult } from './seed-run.js';
+
+export interface SeedFinding {
+  seed: number;
+  faults: string[];
+  details: string[];
+}
+
+export interface TortureReport {
+  deployment: string;
+  firstSeed: number;
+  seedsRun: number;
+  violations: number;
+  inconclusive: number;
+  /** How often each fault was injected. */
+  faultsInjected: Record<string, number>;
+  /** How often each promise was put to the test, over all seeds. */
+  checks: Record<string, number>;
+  /** In how many seeds each promise was tested at all. */
+  seedsTesting: Record<string, number>;
+  /** Longest wait of a caller in seeds with this fault alone, in milliseconds. */
+  unavailableMs: Record<string, Percentiles>;
+  inForceMs: Percentiles;
+  calls: number;
+  callsCompleted: number;
+  callsNotRun: number;
+  callsUnknown: number;
+  violatingSeeds: SeedFinding[];
+  inconclusiveSeeds: SeedFinding[];
+}
+
+export function summarizeTorture(
+  deployment: string,
+  firstSeed: number,
+  results: readonly SeedResult[],
+): TortureReport {
+  const calls = results.flatMap((result) => result.history.calls);
+  const countOf = (outcome: string): number =>
+    calls.filter((call) => call.outcome === outcome).length;
+  const violating = results.filter((result) => result.check.violations.length > 0);
+  const inconclusive = results.filter((result) => result.inconclusive !== undefined);
+  return {
+    deployment,
+    firstSeed,
+    seedsRun: results.length,
+    violations: violating.reduce((sum, { check }) => sum + check.violations.length, 0),
+    inconclusive: inconclusive.length,
+    faultsInjected: count(results.flatMap((result) => result.faults)),
+    checks: addUp(results.map((result) => result.check.tested)),
+    seedsTesting: addUp(results.map(({ check }) => testedAtAll(check.tested))),
+    unavailableMs: waitsByFault(results),
+    inForceMs: percentilesOf(results.flatMap((result) => result.inForceMs)),
+    calls: calls.length,
+    callsCompleted: countOf('completed'),
+    callsNotRun: countOf('not_run'),
+    callsUnknown: countOf('unknown'),
+    violatingSeeds: violating.map(({ seed, faults, check }) => ({
+      seed,
+      faults,
+      details: check.violations.map(({ promise, detail }) => `${promise}: ${detail}`),
+    })),
+    inconclusiveSeeds: inconclusive.map(({ seed, faults, inconclusive: reason }) => ({
+      seed,
+      faults,
+      details: [reason!],
+    })),
+  };
+}
+
+function count(names: readonly string[]): Record<string, number> {
+  return addUp(names.map((name) => ({ [name]: 1 })));
+}
+
+function addUp(parts: readonly Record<string, number>[]): Record<string, number> {
+  const sums: Record<string, number> = {};
+  for (const part of parts) {
+    for (const [name, value] of Object.entries(part)) sums[name] = (sums[name] ?? 0) + value;
+  }
+  return sums;
+}
+
+function testedAtAll(tested: Record<string, number>): Record<string, number> {
+  const entries = Object.entries(tested);
+  return Object.fromEntries(entries.map(([name, times]) => [name, times > 0 ? 1 : 0]));
+}
+
+function waitsByFault(results: readonly SeedResult[]): Record<string, Percentiles> {
+  const waits = new Map<string, number[]>();
+  for (const { faults, unavailableMs } of results) {
+    if (unavailableMs === undefined) continue;
+    const name = faults[0]!;
+    waits.set(name, [...(waits.get(name) ?? []), unavailableMs]);
+  }
+  return Object.fromEntries([...waits].map(([name, values]) => [name, percentilesOf(values)]));
+}
--- a/lab/workload/program-runner.ts
+++ b/lab/workload/program-runner.ts
@@ -44,8 +44,10 @@
       lastAnswerAtMs: submittedAtMs,
       endedAtMs: 0,
       budget,
+      parent: this.parent,
       isRoot: this.parent === undefined,
       isComplete: false,
+      isEnded: false,
       pausedMs: 0,
     };
     try {
@@ -72,6 +74,7 @@
     if (this.observed.id === '') return;
     try {
       await this.program.end();
+      this.observed.isEnded = true;
     } catch (error) {
       const isExpected = error instanceof CallFailedError || error instanceof CallPendingError;
       if (!isExpected) throw error;
@@ -113,6 +116,7 @@
     const { service, operation, payload, isRepeatable } = turn;
     const observed = this.startCall('service', isRepeatable);
     observed.service = service;
+    observed.payload = payload;
     const answer = await this.observe(observed, () =>
       this.program.callService({ name: service, operation, payload, repeatable: isRepeatable }),
     );
@@ -152,6 +156,7 @@
     try {
       const answer = await work();
       observed.outcome = 'completed';
+      observed.answer = answer.content;
       observed.endedAtMs = Date.now();
       observed.usage = answer.usage;
       observed.cost = answer.cost;
--- a/lab/workload/recorder.ts
+++ b/lab/workload/recorder.ts
@@ -15,6 +15,10 @@
   outcome: ObservedOutcome;
   /** Code of the problem, when there was one. */
   problemCode?: string;
+  /** What a service call asked for. */
+  payload?: string;
+  /** The answer, when there was one. */
+  answer?: string;
   /** Whether the answer is the one that follows from what the caller sent. */
   isCorrect: boolean;
   firstTokenMs?: number;
@@ -34,8 +38,11 @@
   lastAnswerAtMs: number;
   endedAtMs: number;
   budget: number;
+  parent?: string;
   isRoot: boolean;
   isComplete: boolean;
+  /** Whether the system confirmed the program's end. */
+  isEnded: boolean;
   /** Time spent in the program's own tools, which no scheduler can shorten. */
   pausedMs: number;
 }
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -166,6 +166,9 @@
       'Calls that wait for an engine',
       () => context.engineAdmission.waitingCalls,
     );
+    metrics.gauge('lease_held', '1 while work may be started', () =>
+      context.lease.isHeld ? 1 : 0,
+    );
     metrics.gauge('revision', 'Configuration revision acted on', () => context.lease.revision);
     metrics.gauge('control_bytes_sent', 'Bytes to control', () => peers.totalTraffic.sent);
     metrics.gauge(
