--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -26,6 +26,9 @@
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 const RETRY_AFTER_MS = 200;
+/** A comment in the stream, which tells that the engine lives while a request waits. */
+const KEEP_ALIVE = ': keep-alive\n\n';
+const KEEP_ALIVE_INTERVAL_MS = 1_000;
 
 const messageSchema = z.object({ role: z.string(), content: z.string() });
 const completionSchema = z.object({
@@ -216,7 +219,12 @@
       if (sequence.state === 'finished') this.endStream(response, sequence);
       else response.destroy();
     };
-    const stopListening = sequence.onProgress(send);
+    const keepAlive = setInterval(() => response.write(KEEP_ALIVE), KEEP_ALIVE_INTERVAL_MS);
+    const stopProgress = sequence.onProgress(send);
+    const stopListening = (): void => {
+      clearInterval(keepAlive);
+      stopProgress();
+    };
     response.on('close', stopListening);
     send();
   }
--- /dev/null
+++ b/emulator/model/engine-model.test.ts
@@ -0,0 +1,171 @@
+/** The emulated engine: batching, prefix cache, priorities, holds, fences. */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { countMessageTokens } from '../../src/common/index.js';
+import { expectedAnswer, renderPrompt } from './answer-text.js';
+import { EngineModel } from './engine-model.js';
+import { BLOCK_TOKENS, DEFAULT_ENGINE_OPTIONS } from './engine-options.js';
+import { PrefixCache, blockHashes } from './prefix-cache.js';
+import type { EngineRequest, EngineSequence } from './sequence.js';
+
+const LONG_TEXT = 'word '.repeat(2_000);
+
+function requestOf(change: Partial<EngineRequest> & { text?: string } = {}): EngineRequest {
+  const messages = [{ role: 'user', content: change.text ?? LONG_TEXT }];
+  return {
+    tenant: 't',
+    program: 'p',
+    sequence: 1,
+    attempt: 1,
+    model: 'm',
+    prompt: renderPrompt(messages),
+    promptTokens: countMessageTokens(messages),
+    maxTokens: 64,
+    priority: 0,
+    holdMs: 0,
+    ...change,
+  };
+}
+
+function submit(engine: EngineModel, request: EngineRequest): EngineSequence {
+  const result = engine.submit(request);
+  if (result.kind !== 'accepted') throw new Error(result.kind);
+  return result.sequence;
+}
+
+function runToEnd(engine: EngineModel): void {
+  while (!engine.isIdle) if (engine.step() === 0) throw new Error('stuck');
+}
+
+describe('engine', () => {
+  it('answers what a caller can work out', () => {
+    const engine = new EngineModel(DEFAULT_ENGINE_OPTIONS);
+    const sequence = submit(engine, requestOf({ text: 'hello' }));
+    runToEnd(engine);
+    const messages = [{ role: 'user', content: 'hello' }];
+    expect(sequence.text).toBe(expectedAnswer('m', messages, 64));
+  });
+
+  it('is faster with the prefix in memory, and only for the same tenant', () => {
+    const engine = new EngineModel(DEFAULT_ENGINE_OPTIONS);
+    const first = submit(engine, requestOf());
+    runToEnd(engine);
+    const same = submit(engine, requestOf({ sequence: 2 }));
+    const other = submit(engine, requestOf({ tenant: 'u', program: 'q' }));
+    runToEnd(engine);
+    expect(first.cachedTokens).toBe(0);
+    expect(same.cachedTokens).toBeGreaterThan(2_000);
+    expect(other.cachedTokens).toBe(0);
+  });
+
+  it('takes steps that grow with batch and prefill', () => {
+    const engine = new EngineModel(DEFAULT_ENGINE_OPTIONS);
+    submit(engine, requestOf());
+    const alone = engine.step();
+    const crowded = new EngineModel(DEFAULT_ENGINE_OPTIONS);
+    for (let index = 0; index < 8; index += 1) {
+      submit(crowded, requestOf({ program: `p${index}`, text: `${index} short` }));
+    }
+    expect(alone).toBeGreaterThan(crowded.step());
+    expect(crowded.step()).toBeGreaterThan(DEFAULT_ENGINE_OPTIONS.baseStepMs);
+  });
+
+  it('serves lower priorities first when the batch is full', () => {
+    const engine = new EngineModel({ ...DEFAULT_ENGINE_OPTIONS, maxBatch: 1 });
+    const running = submit(engine, requestOf({ program: 'a', text: 'a' }));
+    engine.step();
+    const late = submit(engine, requestOf({ program: 'b', text: 'b', priority: 5 }));
+    const urgent = submit(engine, requestOf({ program: 'c', text: 'c', priority: 1 }));
+    while (!running.isOver) engine.step();
+    engine.step();
+    expect([late.state, urgent.state]).toEqual(['waiting', 'decode']);
+  });
+
+  it('joins copies of an attempt and fences older ones', () => {
+    const engine = new EngineModel(DEFAULT_ENGINE_OPTIONS);
+    const first = submit(engine, requestOf());
+    expect(submit(engine, requestOf())).toBe(first);
+    const second = submit(engine, requestOf({ attempt: 2 }));
+    expect(first.state).toBe('cancelled');
+    expect(engine.submit(requestOf()).kind).toBe('fenced');
+    runToEnd(engine);
+    expect(second.state).toBe('finished');
+  });
+
+  it('refuses what can never fit and what exceeds the queue', () => {
+    const engine = new EngineModel({
+      ...DEFAULT_ENGINE_OPTIONS,
+      cacheTokens: 1_024,
+      maxWaiting: 1,
+    });
+    expect(engine.submit(requestOf()).kind).toBe('too-long');
+    submit(engine, requestOf({ text: 'a' }));
+    expect(engine.submit(requestOf({ program: 'q', text: 'b' })).kind).toBe('overloaded');
+  });
+
+  it('holds a prefix until the hold expires or the program is released', () => {
+    const engine = new EngineModel(DEFAULT_ENGINE_OPTIONS);
+    submit(engine, requestOf({ holdMs: 1_000 }));
+    submit(engine, requestOf({ program: 'q', holdMs: 5_000, text: `other ${LONG_TEXT}` }));
+    runToEnd(engine);
+    expect(engine.cache.heldPrograms).toEqual(['p', 'q']);
+    engine.idle(1_500);
+    expect(engine.cache.heldPrograms).toEqual(['q']);
+    expect(engine.releaseProgram('q')).toBeGreaterThan(0);
+    expect(engine.cache.heldPrograms).toEqual([]);
+    expect(engine.cache.blocksOf('q')).toBe(0);
+  });
+
+  it('never uses more memory than it has, whatever comes', () => {
+    const step = fc.record({
+      program: fc.integer({ min: 0, max: 5 }),
+      words: fc.integer({ min: 1, max: 400 }),
+      holdMs: fc.constantFrom(0, 100, 10_000),
+      steps: fc.integer({ min: 0, max: 30 }),
+      release: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 25 }), (steps) => {
+        const engine = new EngineModel({ ...DEFAULT_ENGINE_OPTIONS, cacheTokens: 2_048 });
+        const capacity = 2_048 / BLOCK_TOKENS;
+        for (const [index, { program, words, holdMs, steps: count, release }] of steps.entries()) {
+          const text = `program ${program} ${'abc '.repeat(words)}`;
+          engine.submit(requestOf({ program: `p${program}`, sequence: index, text, holdMs }));
+          for (let turn = 0; turn < count; turn += 1) engine.step();
+          if (release) engine.releaseProgram(`p${program}`);
+          expect(engine.cache.usedBlocks).toBeLessThanOrEqual(capacity);
+        }
+      }),
+      { numRuns: 100 },
+    );
+  });
+});
+
+describe('prefix cache', () => {
+  const hashesOf = (count: number, name: string): string[] =>
+    blockHashes('t', 'm', name.repeat(count * BLOCK_TOKENS * 4).slice(0, count * BLOCK_TOKENS * 4));
+
+  it('drops the least recently used first, but nothing that is pinned or held', () => {
+    const cache = new PrefixCache(4);
+    const [old, pinned, held] = [hashesOf(1, 'a'), hashesOf(1, 'b'), hashesOf(1, 'c')];
+    cache.store(old, 'old', 1);
+    cache.store(pinned, 'pinned', 2);
+    cache.store(held, 'held', 3);
+    cache.pin(pinned, 'pinned', 4);
+    cache.hold('held', held, 1_000);
+    cache.store(hashesOf(2, 'd'), 'new', 5);
+    expect([old, pinned, held].map((hashes) => cache.matchLength(hashes))).toEqual([0, 1, 1]);
+  });
+
+  it('tells reused from unused time', () => {
+    const cache = new PrefixCache(10);
+    const hashes = hashesOf(1, 'a');
+    cache.store(hashes, 'p', 0);
+    cache.pin(hashes, 'p', 100);
+    cache.unpin(hashes);
+    expect(cache.usageAt(150)).toEqual({
+      reusedTokenMs: 100 * BLOCK_TOKENS,
+      unusedTokenMs: 50 * BLOCK_TOKENS,
+    });
+  });
+});
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', '.ledgegauge/**'] },
+  { ignores: ['dist/**', 'build-*/**', 'node_modules/**', '.ledgegauge/**'] },
   ...tseslint.configs.recommended,
   {
     rules: {
--- a/lab/fleet/child-process.ts
+++ b/lab/fleet/child-process.ts
@@ -10,7 +10,11 @@
 /** A process did not come up. */
 export class ProcessStartError extends LedgegaugeError {}
 
-const DISTRIBUTION = fileURLToPath(new URL('../../', import.meta.url));
+/** Tests run from the sources; the programs that they start are the built ones all the same. */
+const RUNS_FROM_SOURCE = import.meta.url.endsWith('.ts');
+const DISTRIBUTION = fileURLToPath(
+  new URL(RUNS_FROM_SOURCE ? '../../dist/' : '../../', import.meta.url),
+);
 const PRODUCT = join(DISTRIBUTION, 'src/cli/ledgegauge.js');
 const EMULATOR = join(DISTRIBUTION, 'emulator/cli/ledgegauge-emulator.js');
 const START_TIMEOUT_MS = 30_000;
--- a/lab/torture/cluster-view.ts
+++ b/lab/torture/cluster-view.ts
@@ -2,7 +2,7 @@
 import { request } from 'undici';
 import type { GroupStatus, SystemStatus } from '../../src/operators/index.js';
 import type { FleetProcess } from '../fleet/child-process.js';
-import type { Fleet } from '../fleet/fleet.js';
+import { type Fleet, FleetError } from '../fleet/fleet.js';
 import { groupBy } from './checker/promise.js';
 
 const TIMEOUT_MS = 1_500;
@@ -42,16 +42,29 @@
   return leading[0]?.process;
 }
 
-/** Whether every group has all its members as voters, caught up, and one leader. */
-export async function isFullyReplicated(fleet: Fleet): Promise<boolean> {
+/** Resolves once every group has all its members as voters, caught up, and one leader. */
+export async function waitFullyReplicated(fleet: Fleet, patienceMs: number): Promise<void> {
+  await fleet.waitFor(
+    'full replication',
+    async () => {
+      const problem = await findReplicationProblem(fleet);
+      if (problem === undefined) return true;
+      throw new FleetError(problem, { step: 'cluster.view' });
+    },
+    patienceMs,
+  );
+}
+
+async function findReplicationProblem(fleet: Fleet): Promise<string | undefined> {
   const views = await viewMembers(fleet);
   const count = fleet.ofKind('control').length;
-  if (views.length < count) return false;
+  if (views.length < count) return `${views.length} of ${count} members answer`;
   const byGroup = groupBy(
     views.flatMap((view) => view.groups),
     (status) => status.group,
   );
-  return [...byGroup.values()].every((statuses) => isGroupComplete(statuses, count));
+  const incomplete = [...byGroup.values()].find((statuses) => !isGroupComplete(statuses, count));
+  return incomplete && `not complete: ${JSON.stringify(incomplete)}`;
 }
 
 function isGroupComplete(statuses: GroupStatus[], count: number): boolean {
--- a/lab/torture/faults/disk-faults.ts
+++ b/lab/torture/faults/disk-faults.ts
@@ -13,7 +13,7 @@
 import { EXIT_STORAGE } from '../../../src/cli/exit-codes.js';
 import type { FleetProcess } from '../../fleet/child-process.js';
 import { ProcessStartError } from '../../fleet/child-process.js';
-import { isFullyReplicated } from '../cluster-view.js';
+import { waitFullyReplicated } from '../cluster-view.js';
 import type { Fault } from '../fault.js';
 import { pickProcess } from './process-faults.js';
 
@@ -36,7 +36,7 @@
     const first = random.pick(controls);
     const second = random.pick(controls.filter((control) => control !== first));
     await fleet.loseDisk(first.name);
-    await fleet.waitFor('repair', () => isFullyReplicated(fleet), REPAIR_PATIENCE_MS);
+    await waitFullyReplicated(fleet, REPAIR_PATIENCE_MS);
     await fleet.loseDisk(second.name);
   },
 };
--- a/lab/torture/seed-run.ts
+++ b/lab/torture/seed-run.ts
@@ -2,7 +2,7 @@
 import { SeededRandom, describeError, monotonicMs, sleep } from '../../src/common/index.js';
 import type { Fleet } from '../fleet/fleet.js';
 import { type CheckResult, checkHistory } from './checker/index.js';
-import { isFullyReplicated } from './cluster-view.js';
+import { waitFullyReplicated } from './cluster-view.js';
 import type { TortureHistory } from './history.js';
 import { HistoryRecorder } from './history-recorder.js';
 import { observeMemory } from './memory-watch.js';
@@ -140,8 +140,7 @@
     try {
       await this.mendProcesses();
       await this.fleet.waitGatewaysReady();
-      const isHealed = (): Promise<boolean> => isFullyReplicated(this.fleet);
-      await this.fleet.waitFor('full replication', isHealed, HEAL_PATIENCE_MS);
+      await waitFullyReplicated(this.fleet, HEAL_PATIENCE_MS);
     } catch (error) {
       this.inconclusive ??= `not healed: ${describeError(error)}`;
     }
--- a/src/callers/call-problem.ts
+++ b/src/callers/call-problem.ts
@@ -1,5 +1,5 @@
 /** The problem documents by which callers learn that a call has no answer. */
-import { HttpProblem, type Problem } from '../http/index.js';
+import { HttpProblem, type Problem, unknownOutcome } from '../http/index.js';
 import type { RefusalReason } from '../journal/index.js';
 import type { CallResult } from './call-result.js';
 
@@ -62,25 +62,29 @@
     case 'unknown-program':
       return unknownProgram().problem;
     case 'journal-unavailable':
-      return {
-        status: 503,
-        code: 'outcome_pending',
-        detail:
-          'the journal cannot be reached; send the same submission again to learn the outcome',
-        outcome: 'unknown',
-        sendAgain: true,
-        retryAfterMs: result.retryAfterMs,
-      };
+      return outcomePending(
+        result.retryAfterMs,
+        'the journal cannot be reached; send the same submission again to learn the outcome',
+      ).problem;
   }
 }
 
-/** The same for programs that do not exist and for those of other tenants. */
+/**
+ * The same for programs that do not exist, for those of other tenants, and for those that were
+ * forgotten long after their end; calls of the latter may have run.
+ */
 export function unknownProgram(): HttpProblem {
+  return unknownOutcome('no such program', 'unknown_program', 404);
+}
+
+/** The gateway cannot tell now; the same submission may be sent again, here or elsewhere. */
+export function outcomePending(retryAfterMs: number, detail: string): HttpProblem {
   return new HttpProblem({
-    status: 404,
-    code: 'unknown_program',
-    detail: 'no such program',
-    outcome: 'not_run',
-    sendAgain: false,
+    status: 503,
+    code: 'outcome_pending',
+    detail,
+    outcome: 'unknown',
+    sendAgain: true,
+    retryAfterMs,
   });
 }
--- a/src/callers/caller-api.ts
+++ b/src/callers/caller-api.ts
@@ -14,7 +14,8 @@
 } from '../journal/index.js';
 import { completionDocument, writeDocument, writeEvents } from './answer-writer.js';
 import type { CallContext, CallSpecification } from './call-context.js';
-import { problemOf, refusalProblem, unknownProgram } from './call-problem.js';
+import { outcomePending, problemOf, refusalProblem, unknownProgram } from './call-problem.js';
+import type { CallResult } from './call-result.js';
 import type { CallRunner } from './call-runner.js';
 import {
   type ModelCallBody,
@@ -147,11 +148,13 @@
       request: callRequest(body),
       isResend: program.callCount > 0,
     };
-    try {
-      await this.answerCall(response, specification, body.stream ? 0 : undefined);
-    } finally {
-      void this.end(program.id, tenant.id).catch(() => undefined);
-    }
+    const execution = this.options.runner.start(specification);
+    void execution.result.then((result) => {
+      // With a key, the caller may send a call again that did not run.
+      const mayComeAgain = key !== undefined && !isFinal(result);
+      if (!mayComeAgain) void this.end(program.id, tenant.id).catch(() => undefined);
+    });
+    await this.answerCall(response, specification, body.stream ? 0 : undefined);
   }
 
   private async answerCall(
@@ -173,7 +176,9 @@
     idempotencyKey: string | undefined,
   ): Promise<ProgramSummary> {
     const { context } = this.options;
-    if (!context.lease.isHeld) throw refusalProblem('no-lease', true);
+    if (!context.lease.isHeld) {
+      throw outcomePending(JOURNAL_RETRY_AFTER_MS, 'this gateway may start no work now');
+    }
     const command = this.openCommand(tenant, body, idempotencyKey);
     const answer = await context.journal.open(command);
     if (answer.status === 'refused') throw refusalProblem(answer.reason, answer.canSendAgain);
@@ -243,6 +248,11 @@
   return { kind: 'service', messages: [], maxOutputTokens: 0, isRepeatable, service };
 }
 
+function isFinal(result: CallResult): boolean {
+  if (result.kind === 'journal-unavailable') return false;
+  return result.kind !== 'not-run' || !result.canSendAgain;
+}
+
 function programDocument(program: ProgramSummary): object {
   return {
     id: program.id,
--- a/src/callers/tenant-authentication.ts
+++ b/src/callers/tenant-authentication.ts
@@ -1,15 +1,21 @@
 /** Finds the tenant of a request by its API key. */
 import type { IncomingMessage } from 'node:http';
 import { sha256Hex } from '../common/index.js';
-import { badRequest } from '../http/index.js';
+import { type HttpProblem, unknownOutcome } from '../http/index.js';
+import { outcomePending } from './call-problem.js';
 import type { IntentDocument, TenantIntent } from '../intents/index.js';
 
 const BEARER = 'Bearer ';
+/** When a gateway that just started is likely to know its configuration, in milliseconds. */
+const RETRY_AFTER_MS = 200;
 
 export class TenantAuthentication {
   private byKeyHash = new Map<string, TenantIntent>();
   private byId = new Map<string, TenantIntent>();
 
+  /** @param isCurrent whether the configuration may be acted on now */
+  constructor(private readonly isCurrent: () => boolean) {}
+
   /** Takes over the tenants of a new configuration. */
   update(document: IntentDocument): void {
     this.byId = new Map(document.tenants.map((tenant) => [tenant.id, tenant]));
@@ -25,10 +31,19 @@
     const header = request.headers.authorization ?? '';
     const key = header.startsWith(BEARER) ? header.slice(BEARER.length) : '';
     const tenant = this.byKeyHash.get(sha256Hex(key));
-    if (!tenant) throw badRequest('unknown API key', 'unauthorized', 401);
+    if (!tenant) throw this.unknownKey();
     return tenant;
   }
 
+  /**
+   * Nothing is said of the request's fate: under another revision of the configuration, a copy of it
+   * may have been let in elsewhere.
+   */
+  private unknownKey(): HttpProblem {
+    if (this.isCurrent()) return unknownOutcome('unknown API key', 'unauthorized', 401);
+    return outcomePending(RETRY_AFTER_MS, 'this gateway has no current configuration');
+  }
+
   weightOf(tenant: string): number {
     return this.byId.get(tenant)?.weight ?? 1;
   }
--- a/src/consensus/consensus.test.ts
+++ b/src/consensus/consensus.test.ts
@@ -58,6 +58,18 @@
     expect(await read(cluster)).toEqual(['a', 'b', 'c']);
   });
 
+  it('tells a restarted follower what is committed although nothing new comes', async () => {
+    const cluster = await startCluster();
+    await append(cluster, ['a', 'b']);
+    const leader = await cluster.waitLeader();
+    const follower = cluster.members.find(({ group }) => !group.isLeader)!;
+    await waitUntil('applied', () => follower.machine.items.length === 2);
+    const member = await cluster.crash(follower.member.id);
+    const restarted = await cluster.start(member, false);
+    await waitUntil('applied again', () => restarted.machine.items.length === 2);
+    expect(leader.group.isLeader).toBe(true);
+  });
+
   it('lets a leader that is cut off in silence commit nothing and answer no read', async () => {
     const cluster = await startCluster();
     await append(cluster, ['a']);
--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -81,14 +81,17 @@
   async heartbeat(heartbeat: Heartbeat): Promise<HeartbeatResponse> {
     const { group } = this;
     const name = group.name;
-    if (heartbeat.term < group.term) return { group: name, term: group.term, accepted: false };
+    if (heartbeat.term < group.term) {
+      return { group: name, term: group.term, accepted: false, knowsMatch: false };
+    }
     this.followLeader(heartbeat.term, heartbeat.from);
-    if (this.matchedTerm === heartbeat.term) {
+    const knowsMatch = this.matchedTerm === heartbeat.term;
+    if (knowsMatch) {
       group.advanceCommit(Math.min(heartbeat.commitIndex, this.matchedIndex));
     }
     const { term } = group;
     await group.waitTermDurable();
-    return { group: name, term, accepted: true };
+    return { group: name, term, accepted: true, knowsMatch };
   }
 
   async snapshot(request: SnapshotChunk): Promise<SnapshotResponse> {
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -60,6 +60,8 @@
   group: string;
   term: number;
   accepted: boolean;
+  /** Whether the member knows how far its log matches the leader's; a restarted one does not. */
+  knowsMatch: boolean;
 }
 
 export interface SnapshotChunk extends GroupMessage {
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -244,7 +244,9 @@
       return;
     }
     if (!this.isLeader || !response.accepted || response.term !== this.term) return;
-    this.replicators.get(memberId)?.noteAcknowledged(sentAt);
+    const replicator = this.replicators.get(memberId);
+    replicator?.noteAcknowledged(sentAt);
+    if (!response.knowsMatch) replicator?.probeAgain();
     this.quorumContact.notify();
   }
 
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -54,6 +54,12 @@
     this.wake.notify();
   }
 
+  /** Finds anew how far the follower's log matches: it was restarted and has forgotten. */
+  probeAgain(): void {
+    this.hasProbed = false;
+    this.wake.notify();
+  }
+
   stop(): void {
     this.stopping.abort();
     this.wake.notify();
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -28,7 +28,7 @@
 export class GatewayProcess {
   private readonly incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   private readonly metrics = new GatewayMetrics();
-  private readonly tenants = new TenantAuthentication();
+  private readonly tenants = new TenantAuthentication(() => this.isCurrent);
   private readonly backends: BackendTable;
   private readonly poller: LoadPoller;
   private readonly peers: PeerDirectory;
@@ -122,11 +122,16 @@
       host,
       port: statusPort,
       registry: this.metrics.registry,
-      isReady: () =>
-        this.context.lease.isHeld && this.context.lease.revision > 0 && !this.isStopping,
+      isReady: () => this.isCurrent && !this.isStopping,
     });
   }
 
+  /** Whether the gateway may act on its configuration. */
+  private get isCurrent(): boolean {
+    const { lease } = this.context;
+    return lease.isHeld && lease.revision > 0;
+  }
+
   private createLease(groups: GroupClient): LeaseHolder {
     const { node, listen, lease } = this.settings;
     return new LeaseHolder({
--- a/src/http/http-server.ts
+++ b/src/http/http-server.ts
@@ -2,7 +2,7 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Deferred, describeError, sleep } from '../common/index.js';
-import { HttpProblem, badRequest, problemBody, problemHeaders } from './problem.js';
+import { HttpProblem, badRequest, problemBody, problemHeaders, unknownOutcome } from './problem.js';
 
 export interface HttpExchange {
   request: IncomingMessage;
@@ -21,6 +21,7 @@
 }
 
 const HTTP_INTERNAL_ERROR = 500;
+const HTTP_BAD_REQUEST = 400;
 const HTTP_NOT_FOUND = 404;
 const HTTP_PAYLOAD_TOO_LARGE = 413;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
@@ -130,6 +131,8 @@
     } catch (error) {
       this.answerError(response, error);
     } finally {
+      // What is left of a refused body is read and dropped, or the connection would stand still.
+      request.resume();
       this.active -= 1;
       if (!this.server.listening) response.socket?.end();
     }
@@ -188,27 +191,34 @@
  * @throws HttpProblem when it is longer than `maxBytes`, cut off or not JSON
  */
 export async function readJson(request: IncomingMessage, maxBytes: number): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of request) {
-      bytes += (chunk as Buffer).length;
-      if (bytes <= maxBytes) chunks.push(chunk as Buffer);
-      else break;
-    }
-  } catch {
-    throw badRequest('the body was cut off');
-  }
-  if (bytes > maxBytes) {
-    throw badRequest(
-      `the body exceeds ${maxBytes} bytes`,
-      'body_too_large',
-      HTTP_PAYLOAD_TOO_LARGE,
-    );
-  }
+  const body = await readBody(request, maxBytes);
   try {
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+    return JSON.parse(body.toString('utf8')) as unknown;
   } catch {
     throw badRequest('the body is not JSON');
   }
 }
+
+/** Leaves the connection usable also when the body is refused, so that the answer gets through. */
+function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  const whole = new Deferred<Buffer>();
+  let bytes = 0;
+  const take = (chunk: Buffer): void => {
+    bytes += chunk.length;
+    if (bytes <= maxBytes) {
+      chunks.push(chunk);
+      return;
+    }
+    request.off('data', take);
+    const detail = `the body exceeds ${maxBytes} bytes`;
+    whole.reject(badRequest(detail, 'body_too_large', HTTP_PAYLOAD_TOO_LARGE));
+  };
+  const cutOff = (): void =>
+    whole.reject(unknownOutcome('the body was cut off', 'body_cut_off', HTTP_BAD_REQUEST));
+  request.on('data', take);
+  request.once('end', () => whole.resolve(Buffer.concat(chunks)));
+  request.once('error', cutOff);
+  request.once('close', cutOff);
+  return whole.promise;
+}
--- /dev/null
+++ b/src/http/http.test.ts
@@ -0,0 +1,104 @@
+/** The HTTP layer: events over any cuts, bounded bodies, draining. */
+import fc from 'fast-check';
+import { request } from 'undici';
+import { describe, expect, it, onTestFinished } from 'vitest';
+import { Deferred } from '../common/index.js';
+import { HttpRouter, HttpServer, readJson, sendJson } from './http-server.js';
+import { EventParser, type ServerSentEvent, formatEvent } from './server-sent-events.js';
+
+const MAX_BYTES = 1_000;
+
+async function startServer(router: HttpRouter): Promise<{ server: HttpServer; url: string }> {
+  const server = await HttpServer.start({ host: '127.0.0.1', port: 0, router });
+  onTestFinished(() => server.close());
+  return { server, url: `http://127.0.0.1:${server.port}` };
+}
+
+const echo = new HttpRouter().on(
+  'POST',
+  '/echo/:name',
+  async ({ request: sent, response, parameters }) =>
+    sendJson(response, 200, { body: await readJson(sent, MAX_BYTES), name: parameters.name }),
+);
+
+describe('events', () => {
+  it('are the same however the stream is cut', () => {
+    const text = fc.string({ minLength: 1, unit: fc.constantFrom('a', ' ', ':', 'é', '{') });
+    const event = fc.record({ id: text, event: text, data: text });
+    const cuts = fc.array(fc.integer({ min: 0, max: 200 }), { maxLength: 8 });
+    fc.assert(
+      fc.property(fc.array(event, { maxLength: 6 }), cuts, (events, positions) => {
+        const whole = events.map(formatEvent).join('');
+        const parser = new EventParser();
+        const parsed: ServerSentEvent[] = [];
+        let from = 0;
+        for (const end of [...positions.sort((a, b) => a - b), whole.length]) {
+          const to = Math.max(from, Math.min(end, whole.length));
+          parsed.push(...parser.push(whole.slice(from, to)));
+          from = to;
+        }
+        expect(parsed).toEqual(events);
+      }),
+    );
+  });
+
+  it('do not grow without bounds', () => {
+    const parser = new EventParser();
+    expect(() => parser.push('x'.repeat(2 * 1024 * 1024))).toThrow('too long');
+  });
+
+  it('skip comments', () => {
+    expect(new EventParser().push(': keep-alive\n\ndata: 1\n\n')).toMatchObject([{ data: '1' }]);
+  });
+});
+
+describe('bodies', () => {
+  it.each([
+    ['{"a":1}', 200],
+    ['{"a":', 400],
+    [`"${'x'.repeat(MAX_BYTES)}"`, 413],
+  ])('%#: are read or refused clearly', async (body, status) => {
+    const { url } = await startServer(echo);
+    const response = await request(`${url}/echo/me`, { method: 'POST', body });
+    expect(response.statusCode).toBe(status);
+    const document = (await response.body.json()) as { outcome?: string };
+    if (status !== 200) expect(document.outcome).toBe('not_run');
+  });
+
+  it('that break off do no harm', async () => {
+    const { url } = await startServer(echo);
+    const headers = { 'content-length': '500' };
+    const broken = request(`${url}/echo/me`, {
+      method: 'POST',
+      headers,
+      body: (function* body() {
+        yield Buffer.from('{"a"');
+        throw new Error('caller dies');
+      })() as unknown as AsyncIterable<Buffer> & never,
+    });
+    await expect(broken).rejects.toThrow();
+    const next = await request(`${url}/echo/me`, { method: 'POST', body: '1' });
+    expect(next.statusCode).toBe(200);
+    await next.body.dump();
+  });
+});
+
+describe('draining', () => {
+  it('finishes what is under way and takes nothing new', async () => {
+    const gate = new Deferred<void>();
+    const router = new HttpRouter().on('GET', '/slow', async ({ response }) => {
+      await gate.promise;
+      sendJson(response, 200, {});
+    });
+    const { server, url } = await startServer(router);
+    const underWay = request(`${url}/slow`);
+    while (server.activeRequests === 0) await new Promise((resolve) => setImmediate(resolve));
+    const drained = server.drain();
+    await expect(request(`${url}/slow`)).rejects.toThrow();
+    gate.resolve();
+    const response = await underWay;
+    expect(response.statusCode).toBe(200);
+    await response.body.dump();
+    await drained;
+  });
+});
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -54,6 +54,11 @@
   return headers;
 }
 
+/** A request that is refused without a word on whether a copy of it ran, or ever will. */
+export function unknownOutcome(detail: string, code: string, status: number): HttpProblem {
+  return new HttpProblem({ status, code, detail, outcome: 'unknown', sendAgain: false });
+}
+
 /** A request that is wrong in itself: it did not run, and sending it again is no use. */
 export function badRequest(detail: string, code = 'bad_request', status = 400): HttpProblem {
   return new HttpProblem({ status, code, detail, outcome: 'not_run', sendAgain: false });
--- /dev/null
+++ b/src/intents/intents.test.ts
@@ -0,0 +1,137 @@
+/** Plans, races of operators, resends, deltas. */
+import fc from 'fast-check';
+import { beforeEach, describe, expect, it } from 'vitest';
+import { encodeValue } from '../wire/index.js';
+import type { ConfirmResult, IntentCommand, Plan, PlanResult } from './commands.js';
+import {
+  type IntentDocument,
+  applyChanges,
+  contentHash,
+  diffDocuments,
+  findInconsistencies,
+  intentDocumentSchema,
+} from './document.js';
+import { IntentStateMachine } from './intent-state-machine.js';
+
+let machine: IntentStateMachine;
+
+beforeEach(() => {
+  machine = new IntentStateMachine();
+});
+
+function documentWith(...models: string[]): IntentDocument {
+  return intentDocumentSchema.parse({ models: models.map((id) => ({ id })) });
+}
+
+function apply<Result>(command: IntentCommand): Result {
+  return machine.apply(encodeValue(command)) as Result;
+}
+
+function plan(operator: string, document: IntentDocument): Plan {
+  return apply<PlanResult>({ type: 'plan', operator, document }).plan;
+}
+
+function confirm(operator: string, planId: string, requestId: string): ConfirmResult {
+  return apply({ type: 'confirm', operator, planId, requestId });
+}
+
+describe('confirming', () => {
+  it('accepts one of two plans upon the same revision and names the winner to the other', () => {
+    const first = plan('ana', documentWith('a'));
+    const second = plan('bruno', documentWith('b'));
+    expect(first.baseRevision).toBe(second.baseRevision);
+    expect(confirm('bruno', second.id, 'r1')).toMatchObject({ status: 'accepted' });
+    expect(confirm('ana', first.id, 'r2')).toMatchObject({
+      status: 'stale',
+      current: { revision: 1, operator: 'bruno', contentHash: second.contentHash },
+    });
+    expect(machine.document.models.map((model) => model.id)).toEqual(['b']);
+  });
+
+  it('gives a resend the first result, also when the world has moved on', () => {
+    const first = plan('ana', documentWith('a'));
+    const accepted = confirm('ana', first.id, 'r1');
+    confirm('ana', plan('ana', documentWith('a', 'b')).id, 'r2');
+    expect(confirm('ana', first.id, 'r1')).toEqual(accepted);
+    expect(machine.revision).toBe(2);
+  });
+
+  it('refuses a request id that was used for another plan', () => {
+    const first = plan('ana', documentWith('a'));
+    const second = plan('ana', documentWith('b'));
+    confirm('ana', first.id, 'r1');
+    expect(confirm('ana', second.id, 'r1')).toMatchObject({ status: 'request-reused' });
+  });
+
+  it('does not confirm a stale plan under a new request id', () => {
+    const stale = plan('ana', documentWith('a'));
+    confirm('bruno', plan('bruno', documentWith('b')).id, 'r1');
+    expect(confirm('ana', stale.id, 'r2')).toMatchObject({ status: 'stale' });
+    expect(confirm('ana', 'nonsense', 'r3')).toEqual({ status: 'unknown-plan' });
+  });
+
+  it('remembers everything over a snapshot', () => {
+    const first = plan('ana', documentWith('a'));
+    const accepted = confirm('ana', first.id, 'r1');
+    const pending = plan('ana', documentWith('a', 'b'));
+    const copy = new IntentStateMachine();
+    copy.restore(machine.snapshot());
+    machine = copy;
+    expect(confirm('ana', first.id, 'r1')).toEqual(accepted);
+    expect(confirm('ana', pending.id, 'r2')).toMatchObject({ status: 'accepted' });
+  });
+});
+
+describe('updates', () => {
+  it('lead from any revision to the current one', () => {
+    const documents = ['a', 'b', 'c', 'd'].map((_, index, all) =>
+      documentWith(...all.slice(0, index + 1)),
+    );
+    const seen: IntentDocument[] = [machine.document];
+    for (const [index, document] of documents.entries()) {
+      confirm('ana', plan('ana', document).id, `r${index}`);
+      seen.push(machine.document);
+    }
+    for (const [revision, known] of seen.entries()) {
+      const update = machine.updateFrom(revision);
+      if (update.kind === 'none') expect(revision).toBe(machine.revision);
+      else if (update.kind === 'document') expect(update.document).toEqual(machine.document);
+      else expect(applyChanges(known, update.changes)).toEqual(machine.document);
+    }
+  });
+
+  it('are the whole document for one that lacks more than is kept', () => {
+    for (let index = 0; index < 1_100; index += 1) {
+      confirm('ana', plan('ana', documentWith(`m${index}`)).id, `r${index}`);
+    }
+    expect(machine.updateFrom(3)).toMatchObject({ kind: 'document', revision: 1_100 });
+    expect(machine.updateFrom(1_099)).toMatchObject({ kind: 'changes' });
+  });
+});
+
+describe('documents', () => {
+  const names = fc.subarray(['a', 'b', 'c', 'd', 'e']);
+
+  it('differ by changes that lead from one to the other', () => {
+    fc.assert(
+      fc.property(names, names, (left, right) => {
+        const [from, to] = [documentWith(...left), documentWith(...right)];
+        const changed = applyChanges(from, diffDocuments(from, to));
+        expect(contentHash(changed)).toBe(contentHash(to));
+      }),
+    );
+  });
+
+  it('name what does not fit together', () => {
+    const document = intentDocumentSchema.parse({
+      models: [{ id: 'm' }, { id: 'm' }],
+      tenants: [{ id: 't', keyHashes: ['0'.repeat(64)], models: ['none'] }],
+      backends: [{ id: 'e', kind: 'engine', zone: 'z', address: 'h:1' }],
+    });
+    expect(findInconsistencies(document)).toEqual([
+      'models/m: listed twice',
+      'tenants/t: unknown model none',
+      'backends/e: serves nothing',
+    ]);
+  });
+});
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -13,7 +13,7 @@
   attainedService: number;
   /** The back ends that serve the call, in whatever state; read anew at each try. */
   candidates: () => Backend[];
-  /** Back ends that are not to be chosen, for example because they just failed. */
+  /** Back ends to avoid while there are others, for example because they just failed. */
   excluded: ReadonlySet<string>;
 }
 
@@ -97,15 +97,20 @@
   }
 
   private choose(request: AdmissionRequest): Backend | undefined {
-    const open = request
-      .candidates()
-      .filter((backend) => backend.takesNewWork && !request.excluded.has(backend.id));
+    const open = this.openCandidates(request);
     const free = open.filter((backend) => backend.limit.hasRoom);
     if (free.length === 0) return undefined;
     const choice = this.options.routing.choose(open, request);
     return choice.limit.hasRoom ? choice : this.options.routing.choose(free, request);
   }
 
+  /** Back ends that failed the call before come last: only when there is no other at all. */
+  private openCandidates(request: AdmissionRequest): Backend[] {
+    const open = request.candidates().filter((backend) => backend.takesNewWork);
+    const untried = open.filter((backend) => !request.excluded.has(backend.id));
+    return untried.length > 0 ? untried : open;
+  }
+
   private admit(backend: Backend, request: AdmissionRequest): AdmissionResult {
     const isPrevious = backend.id === request.previousBackend;
     const cached = isPrevious ? request.knownPrefixTokens : 0;
--- /dev/null
+++ b/src/scheduling/scheduling.test.ts
@@ -0,0 +1,180 @@
+/** Admission and the order of those who wait. */
+import { describe, expect, it, onTestFinished } from 'vitest';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { Backend } from '../backends/index.js';
+import type { BackendIntent } from '../intents/index.js';
+import { createRoutingPolicy } from '../routing/index.js';
+import { Admission, type AdmissionRequest, type AdmissionResult } from './admission.js';
+import { createQueuePolicy, enginePriority } from './queue-policy.js';
+
+function backend(id: string, maxConcurrency = 1): Backend {
+  const intent: BackendIntent = {
+    id,
+    kind: 'engine',
+    zone: 'z',
+    address: 'h:1',
+    models: ['m'],
+    services: [],
+    state: 'active',
+  };
+  return new Backend(intent, maxConcurrency);
+}
+
+function admission(change: { maxWaiting?: number; maxWaitMs?: number } = {}): Admission {
+  const created = new Admission({
+    maxWaiting: 2,
+    maxWaitMs: 5_000,
+    routing: createRoutingPolicy('least-outstanding'),
+    queue: createQueuePolicy('attained-service', () => 1),
+    ...change,
+  });
+  onTestFinished(() => created.close());
+  return created;
+}
+
+function requestOf(backends: Backend[], change: Partial<AdmissionRequest> = {}): AdmissionRequest {
+  return {
+    tenant: 't',
+    program: 'p',
+    promptTokens: 100,
+    knownPrefixTokens: 0,
+    previousBackend: undefined,
+    attainedService: 0,
+    candidates: () => backends,
+    excluded: new Set(),
+    ...change,
+  };
+}
+
+function releaseOf(result: AdmissionResult): () => void {
+  if (result.kind !== 'admitted') throw new Error(result.kind);
+  return result.release;
+}
+
+describe('admission', () => {
+  it('says at once when there is no back end, or no place to wait', async () => {
+    const own = admission({ maxWaiting: 0 });
+    const only = backend('a');
+    expect(await own.acquire(requestOf([]))).toEqual({ kind: 'no-backend' });
+    await own.acquire(requestOf([only]));
+    const refused = await own.acquire(requestOf([only]));
+    expect(refused).toMatchObject({ kind: 'overloaded' });
+    expect((refused as { retryAfterMs: number }).retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('serves those who wait when a place becomes free', async () => {
+    const own = admission();
+    const only = backend('a');
+    const release = releaseOf(await own.acquire(requestOf([only])));
+    const waiting = own.acquire(requestOf([only]));
+    expect(own.waitingCalls).toBe(1);
+    release();
+    expect(await waiting).toMatchObject({ kind: 'admitted' });
+  });
+
+  it('refuses after the longest wait', async () => {
+    const own = admission({ maxWaitMs: 20 });
+    const only = backend('a');
+    await own.acquire(requestOf([only]));
+    expect(await own.acquire(requestOf([only]))).toMatchObject({ kind: 'overloaded' });
+  });
+
+  it('gives nothing to a back end that drains or was excluded', async () => {
+    const own = admission();
+    const draining = backend('a');
+    draining.intent = { ...draining.intent, state: 'draining' };
+    const [excluded, good] = [backend('b'), backend('c')];
+    const request = requestOf([draining, excluded, good], { excluded: new Set(['b']) });
+    expect(await own.acquire(request)).toMatchObject({ backend: { id: 'c' } });
+  });
+
+  it('goes back to an excluded back end when there is no other', async () => {
+    const request = requestOf([backend('a')], { excluded: new Set(['a']) });
+    expect(await admission().acquire(request)).toMatchObject({ backend: { id: 'a' } });
+  });
+
+  it('serves the program with the least service first', async () => {
+    const own = admission({ maxWaiting: 5 });
+    const only = backend('a');
+    const release = releaseOf(await own.acquire(requestOf([only])));
+    const served: string[] = [];
+    for (const [name, attainedService] of [
+      ['long', 50_000],
+      ['short', 10],
+    ] as const) {
+      void own.acquire(requestOf([only], { attainedService })).then((result) => {
+        served.push(name);
+        releaseOf(result)();
+      });
+    }
+    release();
+    await waitUntil('both served', () => served.length === 2);
+    expect(served).toEqual(['short', 'long']);
+  });
+});
+
+describe('queue order', () => {
+  const now = performance.now();
+  const call = (tenant: string, attainedService: number, enqueuedAtMs = now) => ({
+    tenant,
+    attainedService,
+    enqueuedAtMs,
+  });
+
+  it('takes tenants in turn, so that a flood delays its own calls only', () => {
+    const policy = createQueuePolicy('attained-service', () => 1);
+    policy.noteServed('flood', 20_000);
+    const calls = [...Array.from({ length: 5 }, () => call('flood', 0)), call('quiet', 0)];
+    expect(policy.order(calls)[0]!.tenant).toBe('quiet');
+  });
+
+  it('gives a heavier tenant more', () => {
+    const policy = createQueuePolicy('attained-service', (tenant) => (tenant === 'big' ? 4 : 1));
+    const calls = ['small', 'big', 'small', 'big', 'small', 'big'].map((tenant) => call(tenant, 0));
+    policy.noteServed('big', 1_000);
+    policy.noteServed('small', 1_000);
+    const order = policy.order(calls).map((entry) => entry.tenant);
+    expect(order.slice(0, 3).filter((tenant) => tenant === 'big').length).toBeGreaterThan(1);
+  });
+
+  it('makes up for waiting', () => {
+    const policy = createQueuePolicy('attained-service', () => 1);
+    const old = call('t', 10_000, now - 10_000);
+    expect(policy.order([call('t', 100), old])[0]).toBe(old);
+  });
+
+  it('is first come first served by name', () => {
+    const policy = createQueuePolicy('first-come', () => 1);
+    const first = call('t', 50_000, now - 5);
+    expect(policy.order([call('t', 0), first])[0]).toBe(first);
+    expect(enginePriority('first-come', 1_000_000)).toBe(0);
+    expect(enginePriority('attained-service', 1_000_000)).toBeGreaterThan(0);
+  });
+});
+
+describe('routing', () => {
+  const request = {
+    program: 'p',
+    promptTokens: 5_000,
+    knownPrefixTokens: 4_900,
+    previousBackend: 'b',
+  };
+
+  it('goes back to the prefix unless the queue there costs more than it saves', () => {
+    const policy = createRoutingPolicy('predicted-finish');
+    const [idle, previous] = [backend('a', 10), backend('b', 10)];
+    expect(policy.choose([idle, previous], request).id).toBe('b');
+    previous.noteDispatched(20_000);
+    expect(policy.choose([idle, previous], request).id).toBe('a');
+  });
+
+  it('has baselines by name', () => {
+    const backends = [backend('a', 10), backend('b', 10)];
+    const roundRobin = createRoutingPolicy('round-robin');
+    const chosen = [1, 2, 3].map(() => roundRobin.choose(backends, request).id);
+    expect(chosen).toEqual(['a', 'b', 'a']);
+    backends[1]!.limit.acquire();
+    expect(createRoutingPolicy('least-outstanding').choose(backends, request).id).toBe('a');
+    expect(createRoutingPolicy('sticky').choose(backends, request).id).toBe('b');
+  });
+});
--- /dev/null
+++ b/src/settings/settings.test.ts
@@ -0,0 +1,66 @@
+/** Settings files: what is wrong is named with file, path and what would be right. */
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { SettingsError } from './errors.js';
+import { gatewaySettingsSchema } from './gateway-settings.js';
+import { type SettingOverride, loadSettings } from './load-settings.js';
+
+const GOOD = `
+node: { name: gateway-1, zone: cairo-a }
+listen: { callerPort: 8080 }
+cluster:
+  secret: a-secret-long-enough
+  controlAddresses: ['10.0.0.1:7100']
+`;
+
+function load(text: string, overrides: SettingOverride[] = []): unknown {
+  const file = join(temporaryFolder(), 'gateway.yaml');
+  writeFileSync(file, text);
+  return loadSettings(gatewaySettingsSchema, file, overrides);
+}
+
+function problemOf(text: string): string {
+  try {
+    load(text);
+  } catch (error) {
+    if (error instanceof SettingsError) return error.message;
+    throw error;
+  }
+  return 'no problem';
+}
+
+describe('settings', () => {
+  it('are completed with defaults and units', () => {
+    expect(load(`${GOOD}\ncalls: { journalTimeout: 4s, maxBody: 1MiB }`)).toMatchObject({
+      calls: { journalTimeout: 4_000, maxBody: 1_048_576, idleTimeout: 3_000 },
+      routing: { policy: 'predicted-finish' },
+    });
+  });
+
+  it.each([
+    ['an unknown key', `${GOOD}\ncals: {}`, /gateway\.yaml: .*cals/],
+    ['an unknown key below', `${GOOD}\ncalls: { maxBdy: 1MiB }`, /calls: .*maxBdy/],
+    ['a number without unit', `${GOOD}\ncalls: { idleTimeout: 3 }`, /calls\.idleTimeout: .*250ms/],
+    ['a wrong unit', `${GOOD}\ncalls: { idleTimeout: 3 weeks }`, /calls\.idleTimeout: "3 weeks"/],
+    ['an impossible value', `${GOOD}\nretention: { latencyWeight: 2 }`, /retention\.latencyWeight/],
+    ['an unknown policy', `${GOOD}\nrouting: { policy: lucky }`, /routing\.policy: .*sticky/],
+    ['a missing part', 'node: { name: a, zone: b }', /listen/],
+    ['broken YAML', 'node: [', /gateway\.yaml/],
+    ['a key given twice', `${GOOD}\nnode: { name: b, zone: c }`, /unique/i],
+    ['a list', '- 1', /must hold a mapping/],
+  ])('with %s are refused', (_, text, expected) => {
+    expect(problemOf(text)).toMatch(expected);
+  });
+
+  it('give way to flags', () => {
+    const overrides = [{ path: 'listen.callerPort', value: '9090' }];
+    expect(load(GOOD, overrides)).toMatchObject({ listen: { callerPort: 9090 } });
+  });
+
+  it('name a file that cannot be read', () => {
+    const load = (): unknown => loadSettings(gatewaySettingsSchema, '/does/not/exist.yaml');
+    expect(load).toThrow(SettingsError);
+  });
+});
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -17,6 +17,9 @@
   method: string;
 }
 
+/** A shorter silence after a request says nothing about the connection. */
+const DEAD_AFTER_SILENCE_MS = 250;
+
 export interface CallOptions {
   /** How long to wait for the response, in milliseconds. */
   timeoutMs: number;
@@ -89,7 +92,8 @@
       }),
     );
     // Not a byte since the request went out: the connection is likely dead without a sign.
-    if (this.socket.lastReceivedMs < sentAt) this.socket.destroy();
+    const isSilent = this.socket.lastReceivedMs < sentAt;
+    if (isSilent && monotonicMs() - sentAt >= DEAD_AFTER_SILENCE_MS) this.socket.destroy();
   }
 
   private receive(envelope: Envelope): void {
--- /dev/null
+++ b/src/wire/wire.test.ts
@@ -0,0 +1,99 @@
+/** Authenticated requests over real sockets. */
+import { connect } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { sleep } from '../common/index.js';
+import { LinkError, RemoteError } from './errors.js';
+import { MethodRouter, defineMethod } from './method.js';
+import { PeerLink } from './peer-link.js';
+import { RpcServer } from './rpc-server.js';
+
+const SECRET = 'a-secret-of-the-test';
+const HOST = '127.0.0.1';
+const ECHO = defineMethod<{ text: string }, { text: string; from: string }>('test.echo');
+const FAIL = defineMethod<object, object>('test.fail');
+const HANG = defineMethod<object, object>('test.hang');
+const UNKNOWN = defineMethod<object, object>('test.unknown');
+const LIMITS = { timeoutMs: 2_000 };
+
+const closing: (() => void)[] = [];
+afterEach(() => {
+  for (const close of closing.splice(0)) close();
+});
+
+async function startServer(): Promise<RpcServer> {
+  const router = new MethodRouter();
+  router.handle(ECHO, ({ text }, { peerName }) => ({ text, from: peerName }));
+  router.handle(FAIL, () => {
+    throw new TypeError('broken on purpose');
+  });
+  router.handle(HANG, () => sleep(60_000).then(() => ({})));
+  const server = await RpcServer.start({ host: HOST, port: 0, secret: SECRET, router });
+  closing.push(() => server.close());
+  return server;
+}
+
+function linkTo(server: RpcServer, secret = SECRET): PeerLink {
+  const link = new PeerLink({ address: `${HOST}:${server.port}`, ownName: 'client', secret });
+  closing.push(() => link.close());
+  return link;
+}
+
+describe('a link', () => {
+  it('carries requests and tells the handler who asks', async () => {
+    const link = linkTo(await startServer());
+    expect(await link.waitConnected(5_000)).toBe(true);
+    const answer = await link.call(ECHO, { text: 'hello' }, LIMITS);
+    expect(answer).toEqual({ text: 'hello', from: 'client' });
+  });
+
+  it('is not made with a wrong secret', async () => {
+    const server = await startServer();
+    const link = linkTo(server, 'another-secret');
+    expect(await link.waitConnected(300)).toBe(false);
+    await expect(link.call(ECHO, { text: '' }, LIMITS)).rejects.toBeInstanceOf(LinkError);
+  });
+
+  it('hands over errors with the step and the peer', async () => {
+    const link = linkTo(await startServer());
+    await link.waitConnected(5_000);
+    const failed = link.call(FAIL, {}, LIMITS);
+    await expect(failed).rejects.toMatchObject({ step: 'test.fail', message: /broken on purpose/ });
+    await expect(link.call(UNKNOWN, {}, LIMITS)).rejects.toBeInstanceOf(RemoteError);
+  });
+
+  it('gives up after the time-out while other requests go on', async () => {
+    const link = linkTo(await startServer());
+    await link.waitConnected(5_000);
+    const hanging = link.call(HANG, {}, { timeoutMs: 30 });
+    await expect(hanging).rejects.toMatchObject({ name: 'TimeoutError', step: 'test.hang' });
+    await expect(link.call(ECHO, { text: 'x' }, LIMITS)).resolves.toMatchObject({ text: 'x' });
+  });
+
+  it('survives rubbish from strangers', async () => {
+    const server = await startServer();
+    const stranger = connect({ host: HOST, port: server.port });
+    const closed = new Promise((resolve) => stranger.once('close', resolve));
+    stranger.on('error', () => undefined);
+    stranger.resume();
+    stranger.write(Buffer.from('GET / HTTP/1.1\r\n\r\n'.repeat(100)));
+    await closed;
+    const link = linkTo(server);
+    expect(await link.waitConnected(5_000)).toBe(true);
+  });
+
+  it('comes back when the peer does', async () => {
+    const server = await startServer();
+    const link = linkTo(server);
+    await link.waitConnected(5_000);
+    const { port } = server;
+    server.close();
+    await waitUntil('link down', () => !link.isConnected);
+    const router = new MethodRouter();
+    router.handle(ECHO, ({ text }) => ({ text, from: 'second' }));
+    const second = await RpcServer.start({ host: HOST, port, secret: SECRET, router });
+    closing.push(() => second.close());
+    await waitUntil('link up', () => link.isConnected);
+    await expect(link.call(ECHO, { text: '' }, LIMITS)).resolves.toMatchObject({ from: 'second' });
+  });
+});
--- /dev/null
+++ b/tests/command-line.test.ts
@@ -0,0 +1,79 @@
+/** The command lines as processes: help, version, checked settings, exit codes. */
+import { spawnSync } from 'node:child_process';
+import { readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { EXIT_OK, EXIT_USAGE } from '../src/cli/exit-codes.js';
+import { temporaryFolder } from './support/temporary-folder.js';
+
+const { version } = JSON.parse(readFileSync('package.json', 'utf8')) as { version: string };
+const PROGRAMS = {
+  ledgegauge: 'dist/src/cli/ledgegauge.js',
+  'ledgegauge-emulator': 'dist/emulator/cli/ledgegauge-emulator.js',
+  'ledgegauge-lab': 'dist/lab/cli/ledgegauge-lab.js',
+};
+
+function run(program: string, ...flags: string[]): { status: number | null; output: string } {
+  const result = spawnSync(process.execPath, [program, ...flags], { encoding: 'utf8' });
+  return { status: result.status, output: result.stdout + result.stderr };
+}
+
+function settingsFile(text: string): string {
+  const file = join(temporaryFolder(), 'gateway.yaml');
+  writeFileSync(file, text);
+  return file;
+}
+
+const GOOD = `
+node: { name: gateway-1, zone: zone-a }
+listen: { callerPort: 0 }
+cluster: { secret: a-secret-long-enough, controlAddresses: ['127.0.0.1:1'] }
+`;
+
+describe.each(Object.entries(PROGRAMS))('%s', (name, program) => {
+  it('tells its version, that of the package', () => {
+    const { status, output } = run(program, '--version');
+    expect(status).toBe(EXIT_OK);
+    expect(output).toContain(`${name}/${version}`);
+  });
+
+  it('explains itself', () => {
+    const { status, output } = run(program, '--help');
+    expect(status).toBe(EXIT_OK);
+    expect(output).toContain('Commands:');
+  });
+
+  it('refuses unknown commands', () => {
+    expect(run(program, 'dance').status).toBe(EXIT_USAGE);
+  });
+});
+
+describe('check-config', () => {
+  const program = PROGRAMS.ledgegauge;
+
+  it('accepts good settings', () => {
+    expect(run(program, 'check-config', settingsFile(GOOD))).toMatchObject({ status: EXIT_OK });
+  });
+
+  it('names file, path and what would be right', () => {
+    const file = settingsFile(`${GOOD}\ncalls: { idleTimeout: soon }`);
+    const { status, output } = run(program, 'check-config', file);
+    expect(status).toBe(EXIT_USAGE);
+    expect(output).toContain(`${file}: calls.idleTimeout: "soon" is not a number with a unit`);
+  });
+
+  it('is what the daemons do before they start anything', () => {
+    const file = settingsFile(`${GOOD}\nsurprise: 1`);
+    const { status, output } = run(program, 'gateway', '--config', file);
+    expect(status).toBe(EXIT_USAGE);
+    expect(output).toContain('surprise');
+  });
+
+  it('covers flags too', () => {
+    const file = settingsFile(GOOD);
+    const flags = ['--config', file, '--set', 'routing.policy=lucky'];
+    const { status, output } = run(program, 'gateway', ...flags);
+    expect(status).toBe(EXIT_USAGE);
+    expect(output).toContain('routing.policy');
+  });
+});
