Engine load within a bounded bandwidth: reports ride on answers, subsets, rare questions

Cause: every gateway asked every engine four times a second: 1,600 gateways before 10,000 engines would send 64 million requests a second, against 6 KB a second allowed for a node. Weighed: relays a zone (each node would still receive 667 reports a period), gossip (the same bytes and later), asking before each call (two round trips a call). Chosen: the load comes with the end of every answer; a gateway watches a subset of each model's engines, those of its zone first (rendezvous hashing); only engines that have been silent are asked, with a bound on questions a second. An engine that leaves two questions unanswered gets no new work until it answers: a frozen engine is avoided after about two seconds in place of thirty. Also: the platform's list of leaving machines is read by the leader of the intents group and rides on lease grants; a probe of the circuit breaker that never ended no longer blocks its back end for good.

--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -238,6 +238,7 @@
         completion_tokens: outputTokens,
         prompt_tokens_details: { cached_tokens: cachedTokens },
       },
+      ledgegauge: { load: this.runner.laggingLoad() },
     };
     const length = sequence.answer.text.length;
     response.write(formatEvent({ id: String(length), data: JSON.stringify(last) }));
--- a/lab/fleet/fleet-plan.ts
+++ b/lab/fleet/fleet-plan.ts
@@ -92,22 +92,25 @@
 
 async function planProcesses(options: FleetPlanOptions): Promise<PlannedProcess[]> {
   const { deployment } = options;
-  const controls = await planControls(options);
+  const firstZone = deployment.zones[0]!;
+  const [weightsPort, machinesPort] = await options.ports.allocate(2);
+  const machines = simpleProcess('machines', 'machines-1', firstZone, machinesPort!, {});
+  const controls = await planControls(options, machines.address);
   const gateways = await Promise.all(
     deployment.zones.map((zone, index) => planGateway(options, controls, zone, index)),
   );
-  const [weightsPort, machinesPort] = await options.ports.allocate(2);
-  const firstZone = deployment.zones[0]!;
   const weights = simpleProcess('weights', 'weights-1', firstZone, weightsPort!, {
     transferTime: '100ms',
   });
-  const machines = simpleProcess('machines', 'machines-1', firstZone, machinesPort!, {});
   const engines = await planEngines(options);
   const services = await planServices(options);
   return [weights, machines, ...engines, ...services, ...controls, ...gateways];
 }
 
-async function planControls(options: FleetPlanOptions): Promise<PlannedProcess[]> {
+async function planControls(
+  options: FleetPlanOptions,
+  machineList: string,
+): Promise<PlannedProcess[]> {
   const { deployment, workFolder, journalGroups } = options;
   const ports = await options.ports.allocate(deployment.controlZones.length * 3);
   const members = deployment.controlZones.map((zone, index) => ({
@@ -131,6 +134,7 @@
         listen: { host: HOST, internalPort, operatorPort, statusPort },
         dataFolder,
         cluster: { secret: CLUSTER_SECRET, members, journalGroups, replicas: members.length },
+        platform: { machineList },
         operators: [{ name: 'lab', keyHash: sha256(OPERATOR_KEY) }],
         ...options.controlSettings,
       },
--- a/src/backends/backend-table.ts
+++ b/src/backends/backend-table.ts
@@ -1,14 +1,19 @@
-/** The back ends that the current configuration names. */
+/** The back ends that the current configuration names, and those of them that this gateway uses. */
 import type { IntentDocument } from '../intents/index.js';
 import { Backend } from './backend.js';
+import { type SubsetOwner, chooseSubset } from './engine-subset.js';
 
 export interface BackendTableOptions {
   engineConcurrency: number;
   serviceConcurrency: number;
+  /** Engines of one model that this gateway considers at most. */
+  engineSubset: number;
+  owner: SubsetOwner;
 }
 
 export class BackendTable {
   private readonly backends = new Map<string, Backend>();
+  private subsets = new Map<string, Backend[]>();
 
   constructor(private readonly options: BackendTableOptions) {}
 
@@ -22,28 +27,56 @@
       else this.backends.set(intent.id, new Backend(intent, this.concurrencyOf(intent.kind)));
     }
     for (const id of this.backends.keys()) if (!present.has(id)) this.backends.delete(id);
+    this.chooseSubsets();
+  }
+
+  /** Takes over which machines the platform calls leaving. */
+  markLeaving(machines: readonly string[]): void {
+    const leaving = new Set(machines);
+    for (const backend of this.backends.values()) backend.isLeaving = leaving.has(backend.id);
   }
 
   find(id: string): Backend | undefined {
     return this.backends.get(id);
   }
 
-  enginesFor(model: string): Backend[] {
-    return [...this.backends.values()].filter(
-      ({ intent }) => intent.kind === 'engine' && intent.models.includes(model),
-    );
+  /** @param previous the engine that served the program before; considered wherever it is */
+  enginesFor(model: string, previous?: string): Backend[] {
+    const subset = this.subsets.get(model) ?? [];
+    const earlier = previous === undefined ? undefined : this.backends.get(previous);
+    const isExtra = earlier?.intent.models.includes(model) && !subset.includes(earlier);
+    return isExtra ? [...subset, earlier!] : subset;
   }
 
   servicesFor(service: string): Backend[] {
-    return [...this.backends.values()].filter(
+    return this.all().filter(
       ({ intent }) => intent.kind === 'service' && intent.services.includes(service),
     );
   }
 
+  /** Engines whose load this gateway follows. */
+  watchedEngines(): Set<Backend> {
+    return new Set([...this.subsets.values()].flat());
+  }
+
   all(): Backend[] {
     return [...this.backends.values()];
   }
 
+  private chooseSubsets(): void {
+    const byModel = new Map<string, Backend[]>();
+    for (const backend of this.backends.values()) {
+      if (backend.intent.kind !== 'engine') continue;
+      for (const model of backend.intent.models) {
+        byModel.set(model, [...(byModel.get(model) ?? []), backend]);
+      }
+    }
+    const { owner, engineSubset } = this.options;
+    this.subsets = new Map(
+      [...byModel].map(([model, engines]) => [model, chooseSubset(engines, owner, engineSubset)]),
+    );
+  }
+
   private concurrencyOf(kind: 'engine' | 'service'): number {
     return kind === 'engine' ? this.options.engineConcurrency : this.options.serviceConcurrency;
   }
--- a/src/backends/backend.ts
+++ b/src/backends/backend.ts
@@ -25,6 +25,8 @@
   capacityBlocks: 0,
 };
 
+/** Unanswered questions in a row after which a back end gets no new work until it answers. */
+const SILENCES_UNTIL_AVOIDED = 2;
 /** How late a report is assumed to be: own dispatches younger than this are not in it. */
 const ASSUMED_REPORT_LAG_MS = 350;
 
@@ -32,6 +34,8 @@
   readonly breaker = new CircuitBreaker();
   readonly limit: ConcurrencyLimit;
   private report: LoadReport = EMPTY_LOAD;
+  private reportedAtMs = Number.NEGATIVE_INFINITY;
+  private silences = 0;
   private dispatched: DispatchedWork[] = [];
   /** The platform's list says that the machine is leaving. */
   isLeaving = false;
@@ -48,15 +52,29 @@
   }
 
   get takesNewWork(): boolean {
-    return this.intent.state === 'active' && !this.isLeaving && this.breaker.allows;
+    const isWanted = this.intent.state === 'active' && !this.isLeaving;
+    return isWanted && this.breaker.allows && this.silences < SILENCES_UNTIL_AVOIDED;
   }
 
   get load(): LoadReport {
     return this.report;
   }
 
+  /** Time since the last load report, in milliseconds. */
+  get reportAgeMs(): number {
+    return monotonicMs() - this.reportedAtMs;
+  }
+
   noteReport(report: LoadReport): void {
     this.report = report;
+    this.reportedAtMs = monotonicMs();
+    this.silences = 0;
+  }
+
+  /** Notes that the back end did not answer when asked for its load. */
+  noteSilence(): void {
+    this.silences += 1;
+    this.reportedAtMs = monotonicMs();
   }
 
   /** Notes work sent now, which the next reports do not show yet. */
--- a/src/backends/engine-client.ts
+++ b/src/backends/engine-client.ts
@@ -3,8 +3,10 @@
 import { z } from 'zod';
 import type { ChatMessage } from '../common/index.js';
 import { EventParser, type ServerSentEvent } from '../http/index.js';
+import type { LoadReport } from './backend.js';
 import { BackendError, BackendLostError, BackendProtocolError } from './errors.js';
 import { callBackend } from './http-call.js';
+import { loadReportSchema } from './load-poller.js';
 
 export interface EngineCall {
   tenant: string;
@@ -38,6 +40,8 @@
 export interface EngineStreamEnd {
   finishReason: string;
   usage: EngineUsage;
+  /** The engine's load, if it came along with the answer. */
+  load?: LoadReport;
 }
 
 /** A piece of an answer; the last one has an end. */
@@ -67,6 +71,7 @@
       prompt_tokens_details: z.object({ cached_tokens: z.number() }).optional(),
     })
     .nullish(),
+  ledgegauge: z.object({ load: loadReportSchema.optional() }).optional(),
 });
 
 const END_MARK = '[DONE]';
@@ -202,6 +207,7 @@
           cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
           outputTokens: usage.completion_tokens,
         },
+        load: chunk.ledgegauge?.load,
       },
     };
   }
--- a/src/backends/load-poller.ts
+++ b/src/backends/load-poller.ts
@@ -1,18 +1,25 @@
-/** Asks every engine for its load, again and again; one task an engine. */
+/**
+ * Keeps load reports of the watched engines fresh. Answers carry reports along; only engines that
+ * have been silent for a while are asked, the longest silent first, within a bound on requests a
+ * second, because the bandwidth for such things is bounded.
+ */
 import { Agent } from 'undici';
 import { z } from 'zod';
 import { sleep } from '../common/index.js';
-import type { Backend } from './backend.js';
+import type { Backend, LoadReport } from './backend.js';
 import type { BackendTable } from './backend-table.js';
 import { callBackend } from './http-call.js';
 
 export interface LoadPollerOptions {
-  table: BackendTable;
-  intervalMs: number;
-  resolveAddress: (address: string) => string;
+  table: Pick<BackendTable, 'watchedEngines'>;
+  /** An engine is asked when its last report is older than this, in milliseconds. */
+  maxAgeMs: number;
+  maxPollsPerSecond: number;
+  /** Asks one engine. */
+  fetchLoad: (backend: Backend) => Promise<LoadReport>;
 }
 
-const loadSchema = z.object({
+export const loadReportSchema = z.object({
   waiting: z.number(),
   running: z.number(),
   pendingPrefillTokens: z.number(),
@@ -20,51 +27,76 @@
   capacityBlocks: z.number(),
 });
 
+const TICK_MS = 50;
+const MS_PER_SECOND = 1_000;
 const TIMEOUT_MS = 1_000;
 
 export class LoadPoller {
-  private readonly agent = new Agent({ connections: 1, connect: { timeout: TIMEOUT_MS } });
   private readonly stopping = new AbortController();
-  private readonly polled = new Set<Backend>();
+  private readonly busy = new Set<Backend>();
+  private allowance = 0;
 
   constructor(private readonly options: LoadPollerOptions) {}
 
-  /** Starts tasks for engines that are new in the table. */
-  update(): void {
-    for (const backend of this.options.table.all()) {
-      if (backend.intent.kind !== 'engine' || this.polled.has(backend)) continue;
-      this.polled.add(backend);
-      void this.poll(backend);
-    }
+  start(): void {
+    void this.run();
   }
 
-  stop(): Promise<void> {
+  stop(): void {
     this.stopping.abort();
-    return this.agent.destroy();
   }
 
-  private async poll(backend: Backend): Promise<void> {
+  private async run(): Promise<void> {
     const { signal } = this.stopping;
-    while (!signal.aborted && this.options.table.find(backend.id) === backend) {
-      try {
-        backend.noteReport(await this.fetchLoad(backend.intent.address));
-      } catch {
-        // The last report stays; failing calls open the circuit.
+    const { maxPollsPerSecond } = this.options;
+    const perTick = (maxPollsPerSecond * TICK_MS) / MS_PER_SECOND;
+    while (!signal.aborted) {
+      this.allowance = Math.min(maxPollsPerSecond, this.allowance + perTick);
+      for (const backend of this.dueEngines().slice(0, Math.floor(this.allowance))) {
+        this.allowance -= 1;
+        void this.poll(backend);
       }
-      await sleep(this.options.intervalMs, signal);
+      await sleep(TICK_MS, signal);
     }
-    this.polled.delete(backend);
   }
 
-  private async fetchLoad(address: string): Promise<z.infer<typeof loadSchema>> {
+  private dueEngines(): Backend[] {
+    const { table, maxAgeMs } = this.options;
+    return [...table.watchedEngines()]
+      .filter((backend) => backend.reportAgeMs >= maxAgeMs && !this.busy.has(backend))
+      .sort((left, right) => right.reportAgeMs - left.reportAgeMs);
+  }
+
+  private async poll(backend: Backend): Promise<void> {
+    this.busy.add(backend);
+    try {
+      backend.noteReport(await this.options.fetchLoad(backend));
+    } catch {
+      backend.noteSilence();
+    }
+    this.busy.delete(backend);
+  }
+}
+
+/** Asks engines over HTTP. */
+export class LoadFetcher {
+  private readonly agent = new Agent({ connections: 1, connect: { timeout: TIMEOUT_MS } });
+
+  constructor(private readonly resolveAddress: (address: string) => string) {}
+
+  async fetch(backend: Backend): Promise<LoadReport> {
     const response = await callBackend(this.agent, {
       step: 'engine.load',
-      address: this.options.resolveAddress(address),
+      address: this.resolveAddress(backend.intent.address),
       method: 'GET',
       path: '/v1/load',
       headersTimeoutMs: TIMEOUT_MS,
       idleTimeoutMs: TIMEOUT_MS,
     });
-    return loadSchema.parse(await response.body.json());
+    return loadReportSchema.parse(await response.body.json());
+  }
+
+  close(): Promise<void> {
+    return this.agent.destroy();
   }
 }
--- a/src/callers/model-call.ts
+++ b/src/callers/model-call.ts
@@ -116,7 +116,7 @@
       knownPrefixTokens: hint.historyTokens,
       previousBackend: hint.previousBackend,
       attainedService: hint.attainedService,
-      candidates: () => context.backends.enginesFor(hint.model),
+      candidates: () => context.backends.enginesFor(hint.model, hint.previousBackend),
       excluded: this.excluded,
     });
   }
@@ -282,6 +282,7 @@
       try {
         const end = await this.consume(source(), backend);
         backend.breaker.noteSuccess();
+        if (end.load) backend.noteReport(end.load);
         return { kind: 'finished', end };
       } catch (error) {
         if (error instanceof LeaseLostError) return { kind: 'lost', neverRan: !mayHaveRun };
--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -25,6 +25,7 @@
 import { IdentityStore } from './identity.js';
 import { IntentsLeader } from './intents-leader.js';
 import { joinGroups } from './join-task.js';
+import { MachineList } from './machine-list.js';
 import { createControlMetrics } from './metrics.js';
 import { placeGroup } from './placement.js';
 
@@ -59,9 +60,12 @@
     private readonly hooks: ControlProcessHooks,
   ) {
     this.resolveAddress = createAddressResolver(settings.network);
-    this.intents = new IntentsLeader(settings.lease.duration, (address, order) =>
-      sendOrder(this.agent, this.resolveAddress(address), order),
-    );
+    const address = settings.platform.machineList;
+    this.intents = new IntentsLeader({
+      leaseMs: settings.lease.duration,
+      sendOrder: (engine, order) => sendOrder(this.agent, this.resolveAddress(engine), order),
+      machines: new MachineList({ agent: this.agent, address }),
+    });
   }
 
   static async start(
--- a/src/control/intents-leader.ts
+++ b/src/control/intents-leader.ts
@@ -12,6 +12,7 @@
   type RenewLeaseResponse,
 } from '../membership/index.js';
 import { decodeValue, encodeValue } from '../wire/index.js';
+import type { MachineList } from './machine-list.js';
 import { OrderDelivery, type OrderDeliveryOptions } from './order-delivery.js';
 
 /** What operators see of the configuration's spread. */
@@ -25,6 +26,13 @@
   gateways: GatewayLease[];
 }
 
+export interface IntentsLeaderOptions {
+  /** How long a configuration lease holds, in milliseconds. */
+  leaseMs: number;
+  sendOrder: OrderDeliveryOptions['send'];
+  machines: MachineList;
+}
+
 const IN_FORCE_POLL_MS = 20;
 
 export class IntentsLeader {
@@ -36,10 +44,8 @@
   private inForce: { revision: number; afterMs: number } | undefined;
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(
-    private readonly leaseMs: number,
-    sendOrder: OrderDeliveryOptions['send'],
-  ) {
+  constructor(private readonly options: IntentsLeaderOptions) {
+    const { leaseMs, sendOrder } = options;
     this.stateMachine = new IntentStateMachine(() => this.onRevision());
     this.leases = new LeaseRegistry(leaseMs);
     this.orders = new OrderDelivery({
@@ -60,6 +66,7 @@
     if (!this.group.isLeader) return;
     this.leases.start();
     this.orders.start();
+    this.options.machines.start();
     this.timer = setInterval(() => this.watchInForce(), IN_FORCE_POLL_MS);
   }
 
@@ -67,6 +74,7 @@
     clearInterval(this.timer);
     this.leases.stop();
     this.orders.stop();
+    this.options.machines.stop();
   }
 
   prepareCommand(body: Uint8Array): Uint8Array {
@@ -87,7 +95,8 @@
     }
     this.leases.renew(request);
     const update = this.stateMachine.updateFrom(request.revision);
-    return { grant: { leaseMs: this.leaseMs, update } };
+    const { leaseMs, machines } = this.options;
+    return { grant: { leaseMs, update, leaving: machines.leaving } };
   }
 
   status(): ConfigurationStatus {
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -1,6 +1,12 @@
 /** The gateway process: everything between a caller and the back ends, holding nothing that lasts. */
 import { randomBytes } from 'node:crypto';
-import { BackendTable, EngineClient, LoadPoller, ServiceClient } from '../backends/index.js';
+import {
+  BackendTable,
+  EngineClient,
+  LoadFetcher,
+  LoadPoller,
+  ServiceClient,
+} from '../backends/index.js';
 import {
   CallRunner,
   CallerApi,
@@ -30,6 +36,7 @@
   private readonly metrics = new GatewayMetrics();
   private readonly tenants = new TenantAuthentication(() => this.isCurrent);
   private readonly backends: BackendTable;
+  private readonly loads: LoadFetcher;
   private readonly poller: LoadPoller;
   private readonly peers: PeerDirectory;
   private readonly context: CallContext;
@@ -44,11 +51,17 @@
   ) {
     const { queue, routing, calls, retention, cluster } = settings;
     const resolveAddress = createAddressResolver(settings.network);
-    this.backends = new BackendTable(queue);
+    this.backends = new BackendTable({
+      ...queue,
+      engineSubset: routing.engineSubset,
+      owner: settings.node,
+    });
+    this.loads = new LoadFetcher(resolveAddress);
     this.poller = new LoadPoller({
       table: this.backends,
-      intervalMs: routing.loadPollInterval,
-      resolveAddress,
+      maxAgeMs: routing.maxLoadAge,
+      maxPollsPerSecond: routing.maxLoadPolls,
+      fetchLoad: (backend) => this.loads.fetch(backend),
     });
     this.peers = new PeerDirectory({
       ownName: settings.node.name,
@@ -93,6 +106,7 @@
     const gateway = new GatewayProcess(settings, logger);
     await gateway.listen();
     gateway.context.lease.start();
+    gateway.poller.start();
     return gateway;
   }
 
@@ -101,7 +115,8 @@
     this.isStopping = true;
     await this.server.drain();
     this.context.lease.stop();
-    await this.poller.stop();
+    this.poller.stop();
+    await this.loads.close();
     this.context.engineAdmission.close();
     this.context.serviceAdmission.close();
     await this.context.engines.close();
@@ -143,6 +158,7 @@
       renewIntervalMs: lease.renewInterval,
       logger: this.logger,
       onConfiguration: (document, revision) => this.onConfiguration(document, revision),
+      onLeaving: (machines) => this.backends.markLeaving(machines),
     });
   }
 
@@ -159,7 +175,6 @@
   private onConfiguration(document: IntentDocument, revision: number): void {
     this.tenants.update(document);
     this.backends.update(document);
-    this.poller.update();
     this.logger.info('configuration in force', { revision, backends: document.backends.length });
   }
 
--- a/src/limits/circuit-breaker.ts
+++ b/src/limits/circuit-breaker.ts
@@ -13,11 +13,11 @@
 const DEFAULT_FAILURE_THRESHOLD = 3;
 const DEFAULT_INITIAL_OPEN_MS = 500;
 const DEFAULT_MAXIMUM_OPEN_MS = 8_000;
+const PROBE_MS = 4_000;
 
 export class CircuitBreaker {
   private failures = 0;
   private openUntilMs = 0;
-  private isProbing = false;
   private readonly backoff: Backoff;
   private readonly failureThreshold: number;
 
@@ -32,23 +32,22 @@
   /** Whether a call may be sent now; after the open time, one at a time. */
   get allows(): boolean {
     if (this.failures < this.failureThreshold) return true;
-    return monotonicMs() >= this.openUntilMs && !this.isProbing;
+    return monotonicMs() >= this.openUntilMs;
   }
 
   /** Call when a call is sent. */
   noteSent(): void {
-    if (this.failures >= this.failureThreshold) this.isProbing = true;
+    // The one call that is let through has this long to succeed before another is.
+    if (this.failures >= this.failureThreshold) this.openUntilMs = monotonicMs() + PROBE_MS;
   }
 
   noteSuccess(): void {
     this.failures = 0;
-    this.isProbing = false;
     this.backoff.reset();
   }
 
   noteFailure(): void {
     this.failures += 1;
-    this.isProbing = false;
     if (this.failures >= this.failureThreshold) {
       this.openUntilMs = monotonicMs() + this.backoff.nextDelayMs();
     }
--- a/src/membership/lease-holder.ts
+++ b/src/membership/lease-holder.ts
@@ -30,6 +30,8 @@
   logger: Logger;
   /** Called when a new revision has come into force here. */
   onConfiguration: (document: IntentDocument, revision: number) => void;
+  /** Called at every renewal with the machines that the platform calls leaving. */
+  onLeaving: (machines: readonly string[]) => void;
 }
 
 const RENEWAL_TIMEOUT_MS = 1_500;
@@ -92,6 +94,7 @@
       const grant = await this.requestGrant();
       // The revision first: the lease is for acting on what the leader knows.
       this.takeUpdate(grant.update);
+      this.options.onLeaving(grant.leaving);
       this.expiresAtMs = sentAt + grant.leaseMs;
       this.renewed.notify();
     } catch {
--- a/src/membership/membership.test.ts
+++ b/src/membership/membership.test.ts
@@ -34,7 +34,7 @@
     const update: LeaseGrant['update'] = isNews
       ? { kind: 'document', revision, document }
       : { kind: 'none' };
-    return { leaseMs: LEASE_MS, update } satisfies LeaseGrant;
+    return { leaseMs: LEASE_MS, update, leaving: [] } satisfies LeaseGrant;
   }
 }
 
@@ -49,6 +49,7 @@
     renewIntervalMs: RENEW_MS,
     logger: createLogger({ name: 'test' }),
     onConfiguration: (_document, revision) => revisions.push(revision),
+    onLeaving: () => undefined,
   });
   holder.start();
   return { holder, revisions };
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -17,6 +17,8 @@
   /** How long the lease holds, counted from when the gateway sent its request, in milliseconds. */
   leaseMs: number;
   update: ConfigurationUpdate;
+  /** Machines that the platform calls leaving; a hint. */
+  leaving: string[];
 }
 
 /** The answer of a member that does not lead the intents group. */
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -31,6 +31,12 @@
     replicas: z.number().int().min(1).max(7).default(5),
   }),
   operators: z.array(z.strictObject({ name, keyHash: z.string().regex(/^[0-9a-f]{64}$/) })).min(1),
+  platform: z
+    .strictObject({
+      /** Where the platform lists live and leaving machines. */
+      machineList: address.optional(),
+    })
+    .prefault({}),
   lease: z.strictObject({ duration: durationWithDefault('2s') }).prefault({}),
   consensus: z
     .strictObject({
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -55,7 +55,12 @@
   routing: z
     .strictObject({
       policy: z.enum(routingPolicyNames).default('predicted-finish'),
-      loadPollInterval: durationWithDefault('250ms'),
+      /** An engine is asked for its load when the last report is older. */
+      maxLoadAge: durationWithDefault('250ms'),
+      /** Questions for load a second, to all engines together. */
+      maxLoadPolls: z.number().positive().default(50),
+      /** Engines of one model that the gateway considers at most, near ones first. */
+      engineSubset: z.number().int().min(1).default(48),
     })
     .prefault({}),
   queue: z
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -207,6 +207,29 @@
     await waitUntil('released', isFree, 10_000);
   });
 
+  it('called leaving by the platform get no new work soon after', async () => {
+    const { fleet } = small;
+    const [machines] = fleet.ofKind('machines');
+    const list = `http://${machines!.plan.address}/v1/machines`;
+    const note = async (state: string): Promise<void> => {
+      const body = JSON.stringify({ id: 'engine-1', state });
+      await (await request(list, { method: 'POST', body })).body.dump();
+    };
+    const enginesOfNewProgram = async (): Promise<string[]> => {
+      const program = await client.openProgram({ model: 'model' });
+      await expectRightAnswer(program);
+      return (await arrivalsOf(program.id)).map((arrival) => arrival.engine);
+    };
+    await note('leaving');
+    await sleep(2_500);
+    for (let round = 0; round < 6; round += 1) {
+      expect(await enginesOfNewProgram()).toEqual(['engine-2']);
+    }
+    await note('live');
+    const isUsed = async (): Promise<boolean> => (await enginesOfNewProgram()).includes('engine-1');
+    await waitUntil('used again', isUsed);
+  });
+
   it('told to leave get no new work after 3 s, and finish what they have', async () => {
     const { fleet } = small;
     const document = fleet.plan.intents;
