--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -6,6 +6,7 @@
 import { VERSION } from '../../src/cli/version.js';
 import { type DemoFlags, runDemo } from './demo-command.js';
 import { type FleetFlags, runFleet } from './fleet-command.js';
+import { type SlopesFlags, runSlopes } from './slopes-command.js';
 import { type TortureFlags, runTorture } from './torture-command.js';
 
 const cli = cac('ledgegauge-lab');
@@ -36,6 +37,13 @@
   .option('--json', 'Print the result as one line of JSON')
   .action((flags: TortureFlags) => runAction(() => runTorture(flags)));
 
+cli
+  .command('slopes', 'Measure how the cost of each role grows with what drives it')
+  .option('--only <names>', 'all, or experiments separated by commas', { default: 'all' })
+  .option('--output <folder>', 'Where the JSON file and the plots go', { default: 'slopes' })
+  .option('--json', 'Print the result as one line of JSON')
+  .action((flags: SlopesFlags) => runAction(() => runSlopes(flags)));
+
 cli.help();
 cli.version(VERSION);
 
--- /dev/null
+++ b/lab/hollow/hollow-messages.ts
@@ -0,0 +1,49 @@
+/** What the tool asks of a process full of hollow nodes and runners. */
+
+export interface HollowNodeSpecification {
+  name: string;
+  zone: string;
+}
+
+export type HollowCommand =
+  | {
+      type: 'start';
+      nodes: HollowNodeSpecification[];
+      /** Names of hollow runners in this process. */
+      runners: string[];
+      secret: string;
+      controlAddresses: string[];
+      renewIntervalMs: number;
+      engineSubset: number;
+      maxLoadPolls: number;
+      maxLoadAgeMs: number;
+    }
+  | { type: 'statistics' }
+  | { type: 'cut' | 'heal' | 'restart'; nodes: string[] }
+  | { type: 'stop' };
+
+export interface HollowNodeState {
+  name: string;
+  zone: string;
+  isHeld: boolean;
+  revision: number;
+  revisionSinceMs: number;
+}
+
+export interface HollowStatistics {
+  /** Processor time of the whole process so far, in milliseconds. */
+  cpuMs: number;
+  /** Heap after a collection, in bytes. */
+  heapBytes: number;
+  residentBytes: number;
+  /** Bytes to and from control over all nodes so far. */
+  controlBytes: number;
+  /** Questions for load so far. */
+  loadPolls: number;
+  nodes: HollowNodeState[];
+}
+
+export interface HollowReply {
+  id: number;
+  statistics?: HollowStatistics;
+}
--- /dev/null
+++ b/lab/slopes/control-fleet.ts
@@ -0,0 +1,93 @@
+/** A real control group without back ends, for measuring it; and its processes' meters. */
+import { createWorkFolder, removeWorkFolder } from '../cli/work-folder.js';
+import { Fleet } from '../fleet/fleet.js';
+import type { Deployment } from '../fleet/topology.js';
+import { findLeader } from '../torture/cluster-view.js';
+import { metricIn, readMetrics } from './process-meter.js';
+
+const ZONES = ['region-1-zone-1', 'region-2-zone-1', 'region-3-zone-1'];
+
+/** Control processes and, because a fleet has one a zone, idle gateways. */
+const CONTROL_ONLY: Deployment = {
+  name: 'pipeline',
+  zones: ZONES,
+  controlZones: ZONES,
+  engines: { name: 'none', count: 0 },
+  services: { name: 'none', count: 0 },
+  serviceNames: [],
+  model: 'model-1',
+  tenants: ['tenant-1'],
+  zoneDelayMs: 0,
+  clientDelayMs: 0,
+};
+
+export interface Meter {
+  /** Processor seconds so far. */
+  cpuSeconds: number;
+  residentBytes: number;
+  logBytes: number;
+  peerBytes: number;
+}
+
+export class ControlFleet {
+  private constructor(
+    readonly fleet: Fleet,
+    private readonly workFolder: string,
+  ) {}
+
+  static async up(journalGroups: number): Promise<ControlFleet> {
+    const workFolder = createWorkFolder('slopes');
+    const options = { deployment: CONTROL_ONLY, workFolder, timeScale: 1, journalGroups, seed: 1 };
+    return new ControlFleet(await Fleet.up(options), workFolder);
+  }
+
+  get secret(): string {
+    const { cluster } = this.fleet.ofKind('control')[0]!.plan.settings as {
+      cluster: { secret: string };
+    };
+    return cluster.secret;
+  }
+
+  get controlAddresses(): string[] {
+    return this.fleet.ofKind('control').map((control) => control.plan.address);
+  }
+
+  async leaderOf(group: string): Promise<string> {
+    let leader: string | undefined;
+    await this.fleet.waitFor('leader', async () => {
+      leader = await findLeader(this.fleet, group);
+      return leader !== undefined;
+    });
+    return leader!;
+  }
+
+  async meter(process: string): Promise<Meter> {
+    const { statusAddress } = this.fleet.process(process).plan;
+    const page = await readMetrics(statusAddress!);
+    const read = (name: string): number => metricIn(page, name);
+    return {
+      cpuSeconds: read('process_cpu_seconds_total'),
+      residentBytes: read('process_resident_memory_bytes'),
+      logBytes: read('ledgegauge_control_log_bytes'),
+      peerBytes:
+        read('ledgegauge_control_peer_bytes_sent') + read('ledgegauge_control_peer_bytes_received'),
+    };
+  }
+
+  async down(): Promise<void> {
+    await this.fleet.down();
+    removeWorkFolder(this.workFolder);
+  }
+}
+
+/** How a meter grew, per second. */
+export function growthPerSecond(before: Meter, after: Meter, elapsedMs: number): Meter {
+  const seconds = elapsedMs / 1_000;
+  const rate = (read: (meter: Meter) => number): number => (read(after) - read(before)) / seconds;
+  return {
+    cpuSeconds: rate((meter) => meter.cpuSeconds),
+    residentBytes: rate((meter) => meter.residentBytes),
+    logBytes: rate((meter) => meter.logBytes),
+    peerBytes: rate((meter) => meter.peerBytes),
+  };
+}
--- /dev/null
+++ b/lab/slopes/linear-fit.ts
@@ -0,0 +1,49 @@
+/** Straight lines through measured points (least squares). */
+
+export interface Point {
+  x: number;
+  y: number;
+}
+
+export interface LinearFit {
+  slope: number;
+  intercept: number;
+  /** Share of the variance that the line explains; 1 is a perfect line. */
+  rSquared: number;
+  /** Slope of the second half of the points over that of the first; far from 1 is a bend. */
+  bend: number;
+}
+
+export function fitLine(points: readonly Point[]): LinearFit {
+  const { slope, intercept } = leastSquares(points);
+  const meanY = mean(points.map((point) => point.y));
+  const total = sum(points.map((point) => (point.y - meanY) ** 2));
+  const residual = sum(points.map((point) => (point.y - intercept - slope * point.x) ** 2));
+  const rSquared = total === 0 ? 1 : 1 - residual / total;
+  return { slope, intercept, rSquared, bend: bendOf(points) };
+}
+
+function leastSquares(points: readonly Point[]): { slope: number; intercept: number } {
+  const meanX = mean(points.map((point) => point.x));
+  const meanY = mean(points.map((point) => point.y));
+  const covariance = sum(points.map(({ x, y }) => (x - meanX) * (y - meanY)));
+  const variance = sum(points.map(({ x }) => (x - meanX) ** 2));
+  const slope = variance === 0 ? 0 : covariance / variance;
+  return { slope, intercept: meanY - slope * meanX };
+}
+
+function bendOf(points: readonly Point[]): number {
+  const sorted = [...points].sort((left, right) => left.x - right.x);
+  const half = Math.ceil(sorted.length / 2);
+  const first = leastSquares(sorted.slice(0, half)).slope;
+  const second = leastSquares(sorted.slice(-half)).slope;
+  return first === 0 ? Number.NaN : second / first;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function mean(values: readonly number[]): number {
+  return sum(values) / values.length;
+}
--- /dev/null
+++ b/lab/slopes/slope.ts
@@ -0,0 +1,24 @@
+/** A measured dependence of one quantity on one driver. */
+import { type LinearFit, type Point, fitLine } from './linear-fit.js';
+
+export interface Slope {
+  /** Stable name, for example `lease.leader-cpu`. */
+  name: string;
+  role: 'gateway' | 'control leader' | 'control follower' | 'control member';
+  driver: string;
+  quantity: string;
+  points: Point[];
+  fit: LinearFit;
+}
+
+export type SlopeDescription = Omit<Slope, 'points' | 'fit'>;
+
+export function createSlope(description: SlopeDescription, points: Point[]): Slope {
+  return { ...description, points, fit: fitLine(points) };
+}
+
+/** An experiment yields one or several slopes from one series of runs. */
+export interface SlopeExperiment {
+  name: string;
+  run(report: (step: string) => void): Promise<Slope[]>;
+}
