--- a/src/control/intents-leader.ts
+++ b/src/control/intents-leader.ts
@@ -78,7 +78,7 @@
   }
 
   prepareCommand(body: Uint8Array): Uint8Array {
-    return encodeValue(decodeValue<IntentCommand>(body));
+    return encodeValue(this.stateMachine.prepare(decodeValue<IntentCommand>(body)));
   }
 
   answerQuery(body: Uint8Array): unknown {
--- a/src/intents/commands.ts
+++ b/src/intents/commands.ts
@@ -1,12 +1,19 @@
 /** Commands and queries of the intents group. */
 import type { IntentChange, IntentDocument } from './document.js';
 
+/** What an operator sends: the whole document as it shall be. */
 export interface PlanCommand {
   type: 'plan';
   operator: string;
   document: IntentDocument;
 }
 
+/** What is replicated of it: only what differs from the leader's current document. */
+export interface PreparedPlanCommand {
+  type: 'prepared-plan';
+  plan: Plan;
+}
+
 export interface ConfirmCommand {
   type: 'confirm';
   operator: string;
@@ -16,6 +23,7 @@
 }
 
 export type IntentCommand = PlanCommand | ConfirmCommand;
+export type ReplicatedIntentCommand = PreparedPlanCommand | ConfirmCommand;
 
 export interface Plan {
   id: string;
--- a/src/intents/intent-state-machine.ts
+++ b/src/intents/intent-state-machine.ts
@@ -11,8 +11,8 @@
   IntentCommand,
   IntentQuery,
   Plan,
-  PlanCommand,
   PlanResult,
+  ReplicatedIntentCommand,
   Revision,
 } from './commands.js';
 import {
@@ -62,8 +62,8 @@
   }
 
   apply(encoded: Uint8Array): PlanResult | ConfirmResult {
-    const command = decodeValue<IntentCommand>(encoded);
-    return command.type === 'plan' ? this.applyPlan(command) : this.applyConfirm(command);
+    const command = decodeValue<ReplicatedIntentCommand>(encoded);
+    return command.type === 'confirm' ? this.applyConfirm(command) : this.applyPlan(command.plan);
   }
 
   snapshot(): Uint8Array {
@@ -120,15 +120,25 @@
     return { kind: 'changes', revision, changes: missing.flatMap((entry) => entry.changes) };
   }
 
-  private applyPlan(command: PlanCommand): PlanResult {
+  /**
+   * Works out on the leader what is replicated. A plan is bound to the revision that it was worked
+   * out against; if another is confirmed before it, it is stale like any other.
+   */
+  prepare(command: IntentCommand): ReplicatedIntentCommand {
+    if (command.type === 'confirm') return command;
     const document = normalizeDocument(command.document);
     const hash = contentHash(document);
     const baseRevision = this.revision;
     const id = sha256Hex(`${baseRevision}|${hash}`).slice(0, PLAN_ID_DIGITS);
     const changes = diffDocuments(this.currentDocument, document);
-    const plan: Plan = { id, operator: command.operator, baseRevision, contentHash: hash, changes };
-    if (!this.plans.peek(id)) this.plans.set(id, plan);
-    return { status: 'planned', plan };
+    const plan = { id, operator: command.operator, baseRevision, contentHash: hash, changes };
+    return { type: 'prepared-plan', plan };
+  }
+
+  private applyPlan(plan: Plan): PlanResult {
+    const known = this.plans.peek(plan.id);
+    if (!known) this.plans.set(plan.id, plan);
+    return { status: 'planned', plan: known ?? plan };
   }
 
   private applyConfirm(command: ConfirmCommand): ConfirmResult {
--- a/src/intents/intents.test.ts
+++ b/src/intents/intents.test.ts
@@ -24,7 +24,7 @@
 }
 
 function apply<Result>(command: IntentCommand): Result {
-  return machine.apply(encodeValue(command)) as Result;
+  return machine.apply(encodeValue(machine.prepare(command))) as Result;
 }
 
 function plan(operator: string, document: IntentDocument): Plan {
