--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -6,6 +6,7 @@
 import { VERSION } from '../../src/cli/version.js';
 import { type DemoFlags, runDemo } from './demo-command.js';
 import { type FleetFlags, runFleet } from './fleet-command.js';
+import { type ScaleFlags, runScale } from './scale-command.js';
 import { type SlopesFlags, runSlopes } from './slopes-command.js';
 import { type TortureFlags, runTorture } from './torture-command.js';
 
@@ -44,6 +45,17 @@
   .option('--json', 'Print the result as one line of JSON')
   .action((flags: SlopesFlags) => runAction(() => runSlopes(flags)));
 
+cli
+  .command('scale', 'Run hollow nodes and runners before a real control group')
+  .option('--nodes <count>', 'Hollow nodes', { default: 1600 })
+  .option('--runners <count>', 'Hollow runners', { default: 10000 })
+  .option('--tenants <count>', 'Tenants in the configuration', { default: 5600 })
+  .option('--models <count>', 'Models in the configuration', { default: 30 })
+  .option('--seed <number>', 'Seed of the choices', { default: 1 })
+  .option('--output <folder>', 'Where the JSON file goes', { default: 'scale' })
+  .option('--json', 'Print the result as one line of JSON')
+  .action((flags: ScaleFlags) => runAction(() => runScale(flags)));
+
 cli.help();
 cli.version(VERSION);
 
--- a/lab/hollow/hollow-host.ts
+++ b/lab/hollow/hollow-host.ts
@@ -5,6 +5,7 @@
 import { createLogger, setLogLevel } from '../../src/observability/index.js';
 import type { HollowCommand, HollowReply, HollowStatistics } from './hollow-messages.js';
 import { HollowNode } from './hollow-node.js';
+import { SharedDocuments } from './shared-documents.js';
 
 type StartCommand = Extract<HollowCommand, { type: 'start' }>;
 
@@ -16,6 +17,7 @@
 class HollowHost {
   private readonly nodes = new Map<string, HollowNode>();
   private readonly runners = new Map<string, EngineModel>();
+  private readonly documents = new SharedDocuments();
   private loadPolls = 0;
   private start: StartCommand | undefined;
 
@@ -53,13 +55,20 @@
   }
 
   private startNode(name: string, zone: string): void {
-    const { type: _type, nodes: _nodes, runners: _runners, ...settings } = this.start!;
+    const {
+      type: _type,
+      nodes: _nodes,
+      runners: _runners,
+      sharesDocuments,
+      ...settings
+    } = this.start!;
     const node = new HollowNode({
       ...settings,
       name,
       zone,
       fetchLoad: (engine) => this.fetchLoad(engine),
       logger: createLogger({ name }),
+      documents: sharesDocuments ? this.documents : undefined,
     });
     this.nodes.set(name, node);
     node.start();
--- a/lab/hollow/hollow-messages.ts
+++ b/lab/hollow/hollow-messages.ts
@@ -17,6 +17,8 @@
       engineSubset: number;
       maxLoadPolls: number;
       maxLoadAgeMs: number;
+      /** Whether nodes share documents; not when their memory is measured. */
+      sharesDocuments: boolean;
     }
   | { type: 'statistics' }
   | { type: 'cut' | 'heal' | 'restart'; nodes: string[] }
--- a/lab/hollow/hollow-node.ts
+++ b/lab/hollow/hollow-node.ts
@@ -7,6 +7,7 @@
 import { LeaseHolder } from '../../src/membership/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
+import type { SharedDocuments } from './shared-documents.js';
 import { SwitchedPeers } from './switched-peers.js';
 
 export interface HollowNodeOptions {
@@ -21,6 +22,8 @@
   /** Asks a hollow runner for its load. */
   fetchLoad: (engine: string) => LoadReport;
   logger: Logger;
+  /** Documents shared with other nodes; undefined: own copies. */
+  documents: SharedDocuments | undefined;
 }
 
 const CONCURRENCY = 24;
@@ -40,7 +43,7 @@
     const router = new MethodRouter();
     const resolveAddress = (address: string): string => address;
     this.peers = new PeerDirectory({ ownName: name, secret, router, resolveAddress });
-    this.switched = new SwitchedPeers(this.peers satisfies PeerCaller);
+    this.switched = new SwitchedPeers(this.peers satisfies PeerCaller, options.documents);
     const groups = new GroupClient({ peers: this.switched, addresses: controlAddresses });
     this.table = new BackendTable({
       engineConcurrency: CONCURRENCY,
--- a/lab/slopes/control-fleet.ts
+++ b/lab/slopes/control-fleet.ts
@@ -8,10 +8,8 @@
 const ZONES = ['region-1-zone-1', 'region-2-zone-1', 'region-3-zone-1'];
 
 /** Control processes and, because a fleet has one a zone, idle gateways. */
-const CONTROL_ONLY: Deployment = {
+const CONTROL_ONLY: Omit<Deployment, 'zones' | 'controlZones'> = {
   name: 'pipeline',
-  zones: ZONES,
-  controlZones: ZONES,
   engines: { name: 'none', count: 0 },
   services: { name: 'none', count: 0 },
   serviceNames: [],
@@ -35,9 +33,11 @@
     private readonly workFolder: string,
   ) {}
 
-  static async up(journalGroups: number): Promise<ControlFleet> {
-    const workFolder = createWorkFolder('slopes');
-    const options = { deployment: CONTROL_ONLY, workFolder, timeScale: 1, journalGroups, seed: 1 };
+  /** @param zones zone of each control member */
+  static async up(journalGroups: number, zones: string[] = ZONES): Promise<ControlFleet> {
+    const workFolder = createWorkFolder('control');
+    const deployment = { ...CONTROL_ONLY, zones: [...new Set(zones)], controlZones: zones };
+    const options = { deployment, workFolder, timeScale: 1, journalGroups, seed: 1 };
     return new ControlFleet(await Fleet.up(options), workFolder);
   }
 
--- a/lab/slopes/document-experiment.ts
+++ b/lab/slopes/document-experiment.ts
@@ -83,6 +83,7 @@
     engineSubset: 8,
     maxLoadPolls: 1,
     maxLoadAgeMs: 60_000,
+    sharesDocuments: false,
   });
   await control.fleet.waitFor('leases held', async () => {
     const statistics = await hollow.statistics();
--- a/lab/slopes/lease-experiment.ts
+++ b/lab/slopes/lease-experiment.ts
@@ -92,6 +92,7 @@
     engineSubset: 1,
     maxLoadPolls: 1,
     maxLoadAgeMs: MS_PER_SECOND,
+    sharesDocuments: false,
   });
   await control.fleet.waitFor('leases held', async () => {
     const statistics = await hollow.statistics();
--- a/src/backends/backend-table.ts
+++ b/src/backends/backend-table.ts
@@ -1,5 +1,8 @@
-/** The back ends that the current configuration names, and those of them that this gateway uses. */
-import type { IntentDocument } from '../intents/index.js';
+/**
+ * The back ends that the current configuration names, and those of them that this gateway uses. What
+ * a gateway knows of a back end is kept only for those that it considers, not for all of a large fleet.
+ */
+import type { BackendIntent, IntentDocument } from '../intents/index.js';
 import { Backend } from './backend.js';
 import { type SubsetOwner, chooseSubset } from './engine-subset.js';
 
@@ -11,47 +14,65 @@
   owner: SubsetOwner;
 }
 
+/** Index of a document's back ends; the same for all who hold the same document. */
+const indexes = new WeakMap<readonly BackendIntent[], Map<string, BackendIntent>>();
+
+function indexOf(backends: readonly BackendIntent[]): Map<string, BackendIntent> {
+  let index = indexes.get(backends);
+  if (!index) {
+    index = new Map(backends.map((backend) => [backend.id, backend]));
+    indexes.set(backends, index);
+  }
+  return index;
+}
+
 export class BackendTable {
-  private readonly backends = new Map<string, Backend>();
+  /** Back ends that were considered since they are in the configuration. */
+  private readonly used = new Map<string, Backend>();
   private subsets = new Map<string, Backend[]>();
+  private services: Backend[] = [];
+  private intents: readonly BackendIntent[] = [];
+  private leaving: ReadonlySet<string> = new Set();
 
   constructor(private readonly options: BackendTableOptions) {}
 
   /** Takes over a new configuration; what is known of unchanged back ends stays. */
   update(document: IntentDocument): void {
-    const present = new Set<string>();
-    for (const intent of document.backends) {
-      present.add(intent.id);
-      const known = this.backends.get(intent.id);
-      if (known && known.intent.address === intent.address) known.intent = intent;
-      else this.backends.set(intent.id, new Backend(intent, this.concurrencyOf(intent.kind)));
+    if (document.backends === this.intents) return;
+    this.intents = document.backends;
+    const index = indexOf(this.intents);
+    for (const [id, backend] of this.used) {
+      const intent = index.get(id);
+      if (intent?.address === backend.intent.address) backend.intent = intent;
+      else this.used.delete(id);
     }
-    for (const id of this.backends.keys()) if (!present.has(id)) this.backends.delete(id);
     this.chooseSubsets();
+    const services = this.intents.filter(({ kind }) => kind === 'service');
+    this.services = services.map((intent) => this.use(intent));
   }
 
   /** Takes over which machines the platform calls leaving. */
   markLeaving(machines: readonly string[]): void {
-    const leaving = new Set(machines);
-    for (const backend of this.backends.values()) backend.isLeaving = leaving.has(backend.id);
+    if (machines.length === 0 && this.leaving.size === 0) return;
+    this.leaving = new Set(machines);
+    for (const backend of this.used.values()) backend.isLeaving = this.leaving.has(backend.id);
   }
 
   find(id: string): Backend | undefined {
-    return this.backends.get(id);
+    const intent = indexOf(this.intents).get(id);
+    return intent && this.use(intent);
   }
 
   /** @param previous the engine that served the program before; considered wherever it is */
   enginesFor(model: string, previous?: string): Backend[] {
     const subset = this.subsets.get(model) ?? [];
-    const earlier = previous === undefined ? undefined : this.backends.get(previous);
+    const earlier = previous === undefined ? undefined : this.find(previous);
     const isExtra = earlier?.intent.models.includes(model) && !subset.includes(earlier);
     return isExtra ? [...subset, earlier!] : subset;
   }
 
   servicesFor(service: string): Backend[] {
-    return this.all().filter(
-      ({ intent }) => intent.kind === 'service' && intent.services.includes(service),
-    );
+    return this.services.filter(({ intent }) => intent.services.includes(service));
   }
 
   /** Engines whose load this gateway follows. */
@@ -59,25 +80,36 @@
     return new Set([...this.subsets.values()].flat());
   }
 
-  all(): Backend[] {
-    return [...this.backends.values()];
-  }
-
   private chooseSubsets(): void {
-    const byModel = new Map<string, Backend[]>();
-    for (const backend of this.backends.values()) {
-      if (backend.intent.kind !== 'engine') continue;
-      for (const model of backend.intent.models) {
-        byModel.set(model, [...(byModel.get(model) ?? []), backend]);
+    const byModel = new Map<string, BackendIntent[]>();
+    for (const intent of this.intents) {
+      if (intent.kind !== 'engine') continue;
+      for (const model of intent.models) {
+        const engines = byModel.get(model);
+        if (engines) engines.push(intent);
+        else byModel.set(model, [intent]);
       }
     }
     const { owner, engineSubset } = this.options;
-    this.subsets = new Map(
-      [...byModel].map(([model, engines]) => [model, chooseSubset(engines, owner, engineSubset)]),
-    );
+    this.subsets = new Map();
+    for (const [model, engines] of byModel) {
+      const chosen = chooseSubset(engines, owner, engineSubset);
+      this.subsets.set(
+        model,
+        chosen.map((intent) => this.use(intent)),
+      );
+    }
   }
 
-  private concurrencyOf(kind: 'engine' | 'service'): number {
-    return kind === 'engine' ? this.options.engineConcurrency : this.options.serviceConcurrency;
+  private use(intent: BackendIntent): Backend {
+    let backend = this.used.get(intent.id);
+    if (!backend) {
+      const { engineConcurrency, serviceConcurrency } = this.options;
+      const isEngine = intent.kind === 'engine';
+      backend = new Backend(intent, isEngine ? engineConcurrency : serviceConcurrency);
+      backend.isLeaving = this.leaving.has(intent.id);
+      this.used.set(intent.id, backend);
+    }
+    return backend;
   }
 }
--- a/src/backends/engine-subset.ts
+++ b/src/backends/engine-subset.ts
@@ -4,7 +4,7 @@
  * about as many shares and that few change when engines come and go (rendezvous hashing).
  */
 import { hash32 } from '../common/index.js';
-import type { Backend } from './backend.js';
+import type { BackendIntent } from '../intents/index.js';
 
 export interface SubsetOwner {
   name: string;
@@ -13,14 +13,26 @@
 
 /** @returns at most `size` of the engines */
 export function chooseSubset(
-  engines: readonly Backend[],
+  engines: readonly BackendIntent[],
   owner: SubsetOwner,
   size: number,
-): Backend[] {
+): BackendIntent[] {
   if (engines.length <= size) return [...engines];
-  const rankOf = (engine: Backend): number => hash32(`${owner.name}|${engine.id}`);
-  const isNear = (engine: Backend): boolean => engine.intent.zone === owner.zone;
-  const ranked = engines.map((engine) => ({ engine, near: isNear(engine), rank: rankOf(engine) }));
-  ranked.sort((left, right) => Number(right.near) - Number(left.near) || right.rank - left.rank);
-  return ranked.slice(0, size).map(({ engine }) => engine);
+  const near = engines.filter((engine) => engine.zone === owner.zone);
+  const chosen = highestRanked(near, owner, size);
+  if (chosen.length === size) return chosen;
+  const far = engines.filter((engine) => engine.zone !== owner.zone);
+  return [...chosen, ...highestRanked(far, owner, size - chosen.length)];
+}
+
+function highestRanked(
+  engines: readonly BackendIntent[],
+  owner: SubsetOwner,
+  count: number,
+): BackendIntent[] {
+  return engines
+    .map((engine) => ({ engine, rank: hash32(`${owner.name}|${engine.id}`) }))
+    .sort((left, right) => right.rank - left.rank)
+    .slice(0, count)
+    .map(({ engine }) => engine);
 }
