--- a/lab/hollow/hollow-host.ts
+++ b/lab/hollow/hollow-host.ts
@@ -3,7 +3,12 @@
 import { EngineModel } from '../../emulator/model/engine-model.js';
 import type { LoadReport } from '../../src/backends/index.js';
 import { createLogger, setLogLevel } from '../../src/observability/index.js';
-import type { HollowCommand, HollowReply, HollowStatistics } from './hollow-messages.js';
+import type {
+  HollowCommand,
+  HollowNodeState,
+  HollowReply,
+  HollowStatistics,
+} from './hollow-messages.js';
 import { HollowNode } from './hollow-node.js';
 import { SharedDocuments } from './shared-documents.js';
 
@@ -21,25 +26,27 @@
   private loadPolls = 0;
   private start: StartCommand | undefined;
 
-  async handle(command: HollowCommand): Promise<HollowStatistics | undefined> {
+  async handle(command: HollowCommand): Promise<Omit<HollowReply, 'id'>> {
     switch (command.type) {
       case 'start':
         await this.startAll(command);
-        return undefined;
+        return {};
       case 'statistics':
-        return this.statistics();
+        return { statistics: this.statistics() };
+      case 'states':
+        return { states: this.states() };
       case 'cut':
         for (const name of command.nodes) this.nodes.get(name)?.cut();
-        return undefined;
+        return {};
       case 'heal':
         for (const name of command.nodes) this.nodes.get(name)?.heal();
-        return undefined;
+        return {};
       case 'restart':
         for (const name of command.nodes) this.restart(name);
-        return undefined;
+        return {};
       case 'stop':
         for (const node of this.nodes.values()) node.stop();
-        return undefined;
+        return {};
     }
   }
 
@@ -98,22 +105,25 @@
       residentBytes: rss,
       controlBytes: nodes.reduce((sum, node) => sum + node.controlBytes, 0),
       loadPolls: this.loadPolls,
-      nodes: nodes.map(({ options, lease, revisionSinceMs }) => ({
-        name: options.name,
-        zone: options.zone,
-        isHeld: lease.isHeld,
-        revision: lease.revision,
-        revisionSinceMs,
-      })),
     };
   }
+
+  private states(): HollowNodeState[] {
+    return [...this.nodes.values()].map(({ options, lease, revisionSinceMs }) => ({
+      name: options.name,
+      zone: options.zone,
+      isHeld: lease.isHeld,
+      revision: lease.revision,
+      revisionSinceMs,
+    }));
+  }
 }
 
 setLogLevel('error');
 const host = new HollowHost();
 process.on('message', ({ id, command }: { id: number; command: HollowCommand }) => {
-  void host.handle(command).then((statistics) => {
-    process.send!({ id, statistics } satisfies HollowReply);
+  void host.handle(command).then((answer) => {
+    process.send!({ id, ...answer } satisfies HollowReply);
     if (command.type === 'stop') process.disconnect();
   });
 });
--- a/lab/hollow/hollow-messages.ts
+++ b/lab/hollow/hollow-messages.ts
@@ -20,7 +20,8 @@
       /** Whether nodes share documents; not when their memory is measured. */
       sharesDocuments: boolean;
     }
-  | { type: 'statistics' }
+  /** `statistics` collects garbage first; `states` is cheap. */
+  | { type: 'statistics' | 'states' }
   | { type: 'cut' | 'heal' | 'restart'; nodes: string[] }
   | { type: 'stop' };
 
@@ -42,10 +43,10 @@
   controlBytes: number;
   /** Questions for load so far. */
   loadPolls: number;
-  nodes: HollowNodeState[];
 }
 
 export interface HollowReply {
   id: number;
   statistics?: HollowStatistics;
+  states?: HollowNodeState[];
 }
--- a/lab/hollow/hollow-node.ts
+++ b/lab/hollow/hollow-node.ts
@@ -3,8 +3,9 @@
  * load reports, many in one process. Its links to control can be cut in silence.
  */
 import { BackendTable, LoadPoller, type LoadReport } from '../../src/backends/index.js';
+import { hash32 } from '../../src/common/index.js';
 import { GroupClient, type PeerCaller, PeerDirectory } from '../../src/consensus/index.js';
-import { LeaseHolder } from '../../src/membership/index.js';
+import { ConfigurationFetcher, LeaseHolder } from '../../src/membership/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
 import type { SharedDocuments } from './shared-documents.js';
@@ -43,7 +44,7 @@
     const router = new MethodRouter();
     const resolveAddress = (address: string): string => address;
     this.peers = new PeerDirectory({ ownName: name, secret, router, resolveAddress });
-    this.switched = new SwitchedPeers(this.peers satisfies PeerCaller, options.documents);
+    this.switched = new SwitchedPeers(this.peers satisfies PeerCaller);
     const groups = new GroupClient({ peers: this.switched, addresses: controlAddresses });
     this.table = new BackendTable({
       engineConcurrency: CONCURRENCY,
@@ -57,8 +58,15 @@
       maxPollsPerSecond: options.maxLoadPolls,
       fetchLoad: (backend) => Promise.resolve(options.fetchLoad(backend.id)),
     });
+    const { documents } = options;
+    const fetcher = new ConfigurationFetcher({
+      peers: this.switched,
+      addresses: rotate(controlAddresses, hash32(name)),
+      decode: documents && ((bytes, revision) => documents.decode(bytes, revision)),
+    });
     this.lease = new LeaseHolder({
       groups,
+      fetcher,
       gateway: name,
       incarnation: INCARNATION,
       address: `${name}:0`,
@@ -98,3 +106,9 @@
     return sent + received;
   }
 }
+
+/** Nodes begin with different members, as real ones begin with the nearest. */
+function rotate(addresses: readonly string[], by: number): string[] {
+  const start = by % addresses.length;
+  return [...addresses.slice(start), ...addresses.slice(0, start)];
+}
--- a/lab/hollow/hollow-process.ts
+++ b/lab/hollow/hollow-process.ts
@@ -2,7 +2,12 @@
 import { type ChildProcess, fork } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 import { Deferred, LedgegaugeError } from '../../src/common/index.js';
-import type { HollowCommand, HollowReply, HollowStatistics } from './hollow-messages.js';
+import type {
+  HollowCommand,
+  HollowNodeState,
+  HollowReply,
+  HollowStatistics,
+} from './hollow-messages.js';
 
 /** The process ended before it answered. */
 export class HollowProcessError extends LedgegaugeError {}
@@ -35,6 +40,10 @@
     return (await this.send({ type: 'statistics' })).statistics!;
   }
 
+  async states(): Promise<HollowNodeState[]> {
+    return (await this.send({ type: 'states' })).states!;
+  }
+
   async stop(): Promise<void> {
     const exited = new Promise((resolve) => this.child.once('exit', resolve));
     await this.send({ type: 'stop' }).catch(() => undefined);
--- a/lab/hollow/switched-peers.ts
+++ b/lab/hollow/switched-peers.ts
@@ -1,21 +1,12 @@
 /** Links that can be cut in silence: requests get no answer, late answers are lost. */
 import type { PeerCaller } from '../../src/consensus/index.js';
 import { TimeoutError, sleep } from '../../src/common/index.js';
-import {
-  RENEW_LEASE,
-  type RenewLeaseRequest,
-  type RenewLeaseResponse,
-} from '../../src/membership/index.js';
 import type { CallOptions, Method } from '../../src/wire/index.js';
-import type { SharedDocuments } from './shared-documents.js';
 
 export class SwitchedPeers implements PeerCaller {
   isCut = false;
 
-  constructor(
-    private readonly peers: PeerCaller,
-    private readonly documents: SharedDocuments | undefined,
-  ) {}
+  constructor(private readonly peers: PeerCaller) {}
 
   async call<Request, Response>(
     address: string,
@@ -26,7 +17,7 @@
     const response = this.isCut
       ? undefined
       : await this.peers.call(address, method, request, options);
-    if (!this.isCut && response !== undefined) return this.share(method, request, response);
+    if (!this.isCut && response !== undefined) return response;
     await sleep(options.timeoutMs);
     throw new TimeoutError('no response in time', {
       step: method.name,
@@ -35,19 +26,6 @@
     });
   }
 
-  private share<Request, Response>(
-    method: Method<Request, Response>,
-    request: Request,
-    response: Response,
-  ): Response {
-    if (!this.documents || method.name !== RENEW_LEASE.name) return response;
-    const shared = this.documents.share(
-      request as RenewLeaseRequest,
-      response as RenewLeaseResponse,
-    );
-    return shared as Response;
-  }
-
   isConnected(address: string): boolean {
     return this.peers.isConnected(address);
   }
--- a/lab/scale/hollow-fleet.ts
+++ b/lab/scale/hollow-fleet.ts
@@ -61,7 +61,8 @@
   }
 
   async states(): Promise<HollowNodeState[]> {
-    return (await this.statistics()).flatMap((statistics) => statistics.nodes);
+    const states = await Promise.all(this.processes.map((process) => process.states()));
+    return states.flat();
   }
 
   /** Resolves with the time it took until `condition` held, in milliseconds. */
--- a/lab/slopes/document-experiment.ts
+++ b/lab/slopes/document-experiment.ts
@@ -1,5 +1,5 @@
 /** What the size of the configuration costs: memory of a gateway, time and bytes of a change. */
-import { monotonicMs, sleep } from '../../src/common/index.js';
+import { monotonicMs } from '../../src/common/index.js';
 import { INTENTS_GROUP } from '../../src/intents/index.js';
 import { HollowProcess } from '../hollow/hollow-process.js';
 import { ControlFleet } from './control-fleet.js';
@@ -86,8 +86,8 @@
     sharesDocuments: false,
   });
   await control.fleet.waitFor('leases held', async () => {
-    const statistics = await hollow.statistics();
-    return statistics.nodes.every((node) => node.isHeld);
+    const states = await hollow.states();
+    return states.every((node) => node.isHeld);
   });
 }
 
@@ -97,8 +97,7 @@
   revision: number,
 ): Promise<void> {
   await control.fleet.waitFor('in force', async () => {
-    const statistics = await hollow.statistics();
-    await sleep(1);
-    return statistics.nodes.every((node) => node.revision >= revision);
+    const states = await hollow.states();
+    return states.every((node) => node.revision >= revision);
   });
 }
--- a/lab/slopes/lease-experiment.ts
+++ b/lab/slopes/lease-experiment.ts
@@ -95,8 +95,8 @@
     sharesDocuments: false,
   });
   await control.fleet.waitFor('leases held', async () => {
-    const statistics = await hollow.statistics();
-    return statistics.nodes.every((node) => node.isHeld);
+    const states = await hollow.states();
+    return states.every((node) => node.isHeld);
   });
   await sleep(SETTLE_MS);
 }
--- a/src/backends/backend-table.ts
+++ b/src/backends/backend-table.ts
@@ -2,7 +2,7 @@
  * The back ends that the current configuration names, and those of them that this gateway uses. What
  * a gateway knows of a back end is kept only for those that it considers, not for all of a large fleet.
  */
-import type { BackendIntent, IntentDocument } from '../intents/index.js';
+import { type BackendIntent, type IntentDocument, findItem } from '../intents/index.js';
 import { Backend } from './backend.js';
 import { type SubsetOwner, chooseSubset } from './engine-subset.js';
 
@@ -14,22 +14,11 @@
   owner: SubsetOwner;
 }
 
-/** Index of a document's back ends; the same for all who hold the same document. */
-const indexes = new WeakMap<readonly BackendIntent[], Map<string, BackendIntent>>();
-
-function indexOf(backends: readonly BackendIntent[]): Map<string, BackendIntent> {
-  let index = indexes.get(backends);
-  if (!index) {
-    index = new Map(backends.map((backend) => [backend.id, backend]));
-    indexes.set(backends, index);
-  }
-  return index;
-}
-
 export class BackendTable {
   /** Back ends that were considered since they are in the configuration. */
   private readonly used = new Map<string, Backend>();
   private subsets = new Map<string, Backend[]>();
+  private watched: readonly Backend[] = [];
   private services: Backend[] = [];
   private intents: readonly BackendIntent[] = [];
   private leaving: ReadonlySet<string> = new Set();
@@ -40,9 +29,8 @@
   update(document: IntentDocument): void {
     if (document.backends === this.intents) return;
     this.intents = document.backends;
-    const index = indexOf(this.intents);
     for (const [id, backend] of this.used) {
-      const intent = index.get(id);
+      const intent = findItem(this.intents, id);
       if (intent?.address === backend.intent.address) backend.intent = intent;
       else this.used.delete(id);
     }
@@ -59,7 +47,7 @@
   }
 
   find(id: string): Backend | undefined {
-    const intent = indexOf(this.intents).get(id);
+    const intent = findItem(this.intents, id);
     return intent && this.use(intent);
   }
 
@@ -76,8 +64,8 @@
   }
 
   /** Engines whose load this gateway follows. */
-  watchedEngines(): Set<Backend> {
-    return new Set([...this.subsets.values()].flat());
+  get watchedEngines(): readonly Backend[] {
+    return this.watched;
   }
 
   private chooseSubsets(): void {
@@ -99,6 +87,7 @@
         chosen.map((intent) => this.use(intent)),
       );
     }
+    this.watched = [...new Set([...this.subsets.values()].flat())];
   }
 
   private use(intent: BackendIntent): Backend {
--- a/src/backends/backend.ts
+++ b/src/backends/backend.ts
@@ -34,7 +34,8 @@
   readonly breaker = new CircuitBreaker();
   readonly limit: ConcurrencyLimit;
   private report: LoadReport = EMPTY_LOAD;
-  private reportedAtMs = Number.NEGATIVE_INFINITY;
+  /** When the load was last reported or asked for in vain (monotonic, milliseconds). */
+  reportedAtMs = Number.NEGATIVE_INFINITY;
   private silences = 0;
   private dispatched: DispatchedWork[] = [];
   /** The platform's list says that the machine is leaving. */
@@ -60,11 +61,6 @@
     return this.report;
   }
 
-  /** Time since the last load report, in milliseconds. */
-  get reportAgeMs(): number {
-    return monotonicMs() - this.reportedAtMs;
-  }
-
   noteReport(report: LoadReport): void {
     this.report = report;
     this.reportedAtMs = monotonicMs();
--- a/src/backends/backends.test.ts
+++ b/src/backends/backends.test.ts
@@ -1,6 +1,11 @@
 /** The table of back ends, its subsets, and the questions for load. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { type BackendIntent, type IntentDocument, intentDocumentSchema } from '../intents/index.js';
+import {
+  type BackendIntent,
+  type IntentDocument,
+  intentDocumentSchema,
+  normalizeDocument,
+} from '../intents/index.js';
 import { Backend, type LoadReport } from './backend.js';
 import { BackendTable } from './backend-table.js';
 import { LoadPoller } from './load-poller.js';
@@ -28,7 +33,7 @@
 
 function documentOf(engines: number): IntentDocument {
   const backends = Array.from({ length: engines }, (_, index) => engine(index));
-  return intentDocumentSchema.parse({ models: [{ id: 'm' }], backends });
+  return normalizeDocument(intentDocumentSchema.parse({ models: [{ id: 'm' }], backends }));
 }
 
 function tableOf(name: string, engineSubset: number): BackendTable {
@@ -96,7 +101,7 @@
 
   function startPoller(engines: Backend[], fetchLoad: () => Promise<LoadReport>): LoadPoller {
     const poller = new LoadPoller({
-      table: { watchedEngines: () => new Set(engines) },
+      table: { watchedEngines: engines },
       maxAgeMs: 500,
       maxPollsPerSecond: 10,
       fetchLoad,
@@ -121,6 +126,7 @@
   it('are not sent to engines that reported with their answers', async () => {
     let polls = 0;
     const busy = new Backend(engine(1), 1);
+    busy.noteReport(LOAD);
     const poller = startPoller([busy], () => {
       polls += 1;
       return Promise.resolve(LOAD);
--- a/src/backends/load-poller.ts
+++ b/src/backends/load-poller.ts
@@ -5,7 +5,7 @@
  */
 import { Agent } from 'undici';
 import { z } from 'zod';
-import { sleep } from '../common/index.js';
+import { monotonicMs, sleep } from '../common/index.js';
 import type { Backend, LoadReport } from './backend.js';
 import type { BackendTable } from './backend-table.js';
 import { callBackend } from './http-call.js';
@@ -27,7 +27,7 @@
   capacityBlocks: z.number(),
 });
 
-const TICK_MS = 50;
+const MINIMUM_TICK_MS = 50;
 const MS_PER_SECOND = 1_000;
 const TIMEOUT_MS = 1_000;
 
@@ -49,22 +49,32 @@
   private async run(): Promise<void> {
     const { signal } = this.stopping;
     const { maxPollsPerSecond } = this.options;
-    const perTick = (maxPollsPerSecond * TICK_MS) / MS_PER_SECOND;
+    const tickMs = Math.max(MINIMUM_TICK_MS, MS_PER_SECOND / maxPollsPerSecond);
+    const perTick = (maxPollsPerSecond * tickMs) / MS_PER_SECOND;
     while (!signal.aborted) {
       this.allowance = Math.min(maxPollsPerSecond, this.allowance + perTick);
-      for (const backend of this.dueEngines().slice(0, Math.floor(this.allowance))) {
-        this.allowance -= 1;
-        void this.poll(backend);
-      }
-      await sleep(TICK_MS, signal);
+      this.pollLongestSilent();
+      await sleep(tickMs, signal);
     }
   }
 
-  private dueEngines(): Backend[] {
-    const { table, maxAgeMs } = this.options;
-    return [...table.watchedEngines()]
-      .filter((backend) => backend.reportAgeMs >= maxAgeMs && !this.busy.has(backend))
-      .sort((left, right) => right.reportAgeMs - left.reportAgeMs);
+  private pollLongestSilent(): void {
+    while (this.allowance >= 1) {
+      const backend = this.longestSilent();
+      if (!backend) return;
+      this.allowance -= 1;
+      void this.poll(backend);
+    }
+  }
+
+  private longestSilent(): Backend | undefined {
+    const latestMs = monotonicMs() - this.options.maxAgeMs;
+    let longest: Backend | undefined;
+    for (const backend of this.options.table.watchedEngines) {
+      if (backend.reportedAtMs > latestMs || this.busy.has(backend)) continue;
+      if (!longest || backend.reportedAtMs < longest.reportedAtMs) longest = backend;
+    }
+    return longest;
   }
 
   private async poll(backend: Backend): Promise<void> {
--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -15,12 +15,13 @@
 import { INTENTS_GROUP } from '../intents/index.js';
 import { AWAIT_SETTLED, JournalLeader, journalGroupNames } from '../journal/index.js';
 import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
-import { RENEW_LEASE } from '../membership/index.js';
+import { FETCH_CONFIGURATION, RENEW_LEASE } from '../membership/index.js';
 import { type Logger, StatusServer } from '../observability/index.js';
 import { CONFIGURATION_STATUS, OperatorApi } from '../operators/index.js';
 import { type ControlSettings, createAddressResolver } from '../settings/index.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
 import { findCluster, registerProbe } from './cluster-formation.js';
+import { ConfigurationServer } from './configuration-server.js';
 import { HoldReconciler } from './hold-reconciler.js';
 import { IdentityStore } from './identity.js';
 import { IntentsLeader } from './intents-leader.js';
@@ -162,6 +163,8 @@
       answerQuery: (group, body) => this.duties.get(group.name)!.answerQuery(body),
     });
     router.handle(RENEW_LEASE, (request) => this.intents.renewLease(request));
+    const configurations = new ConfigurationServer(this.intents.stateMachine);
+    router.handle(FETCH_CONFIGURATION, (request) => configurations.serve(request));
     router.handle(AWAIT_SETTLED, async (request) => {
       const duty = this.duties.get(request.group);
       const group = this.host.find(request.group);
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -20,7 +20,7 @@
 import type { IntentDocument } from '../intents/index.js';
 import { JournalClient } from '../journal/index.js';
 import { RetryBudget } from '../limits/index.js';
-import { LeaseHolder } from '../membership/index.js';
+import { ConfigurationFetcher, LeaseHolder } from '../membership/index.js';
 import { GatewayMetrics, type Logger, StatusServer } from '../observability/index.js';
 import { HoldPolicy } from '../retention/index.js';
 import { createRoutingPolicy } from '../routing/index.js';
@@ -149,8 +149,11 @@
 
   private createLease(groups: GroupClient): LeaseHolder {
     const { node, listen, lease } = this.settings;
+    const { peers } = this;
+    const addresses = this.settings.cluster.controlAddresses;
     return new LeaseHolder({
       groups,
+      fetcher: new ConfigurationFetcher({ peers, addresses }),
       gateway: node.name,
       incarnation: this.incarnation,
       address: `${listen.host}:${listen.callerPort}`,
--- a/src/intents/commands.ts
+++ b/src/intents/commands.ts
@@ -66,4 +66,5 @@
 export type ConfigurationUpdate =
   | { kind: 'none' }
   | { kind: 'changes'; revision: number; changes: IntentChange[] }
-  | { kind: 'document'; revision: number; document: IntentDocument };
+  /** Too much is missing: fetch the whole document of this or a later revision. */
+  | { kind: 'fetch'; revision: number };
--- a/src/intents/document.ts
+++ b/src/intents/document.ts
@@ -93,22 +93,47 @@
   return SECTIONS.flatMap((section) => diffSection(section, from[section], to[section]));
 }
 
-/** Applies changes to a document; the input stays as it is. */
+/** Applies changes to a document whose items are in order; the input stays as it is. */
 export function applyChanges(document: IntentDocument, changes: IntentChange[]): IntentDocument {
   const result: IntentDocument = { ...document };
   for (const section of SECTIONS) {
     const own = changes.filter((change) => change.section === section);
     if (own.length === 0) continue;
-    const items = new Map<string, IntentItem>(document[section].map((item) => [item.id, item]));
-    for (const change of own) {
-      if (change.item) items.set(change.id, change.item);
-      else items.delete(change.id);
-    }
-    Object.assign(result, { [section]: sortItems([...items.values()]) });
+    const items: IntentItem[] = document[section].slice();
+    for (const change of own) applyChange(items, change);
+    Object.assign(result, { [section]: items });
   }
   return result;
 }
 
+/** Finds an item by its id; the items of a document are in the order of their ids. */
+export function findItem<Item extends IntentItem>(
+  items: readonly Item[],
+  id: string,
+): Item | undefined {
+  const item = items[positionOf(items, id)];
+  return item?.id === id ? item : undefined;
+}
+
+function applyChange(items: IntentItem[], { id, item }: IntentChange): void {
+  const position = positionOf(items, id);
+  const replaced = items[position]?.id === id ? 1 : 0;
+  if (item) items.splice(position, replaced, item);
+  else items.splice(position, replaced);
+}
+
+/** Where the item with an id is, or would be, by binary search. */
+function positionOf(items: readonly IntentItem[], id: string): number {
+  let low = 0;
+  let high = items.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (items[middle]!.id < id) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
 /** Orders items so that equal documents have equal text. */
 export function normalizeDocument(document: IntentDocument): IntentDocument {
   return {
--- a/src/intents/intent-state-machine.ts
+++ b/src/intents/intent-state-machine.ts
@@ -110,12 +110,13 @@
 
   /** What a process at `knownRevision` needs to reach the current revision. */
   updateFrom(knownRevision: number): ConfigurationUpdate {
-    if (knownRevision === this.revision) return { kind: 'none' };
+    // A gateway may have fetched from a member that had applied more than this one.
+    if (knownRevision >= this.revision) return { kind: 'none' };
     const missing = this.revisions.filter((entry) => entry.revision > knownRevision);
     const isGapless = missing[0]?.revision === knownRevision + 1;
     const { revision } = this;
     if (!isGapless || knownRevision === 0) {
-      return { kind: 'document', revision, document: this.currentDocument };
+      return { kind: 'fetch', revision };
     }
     return { kind: 'changes', revision, changes: missing.flatMap((entry) => entry.changes) };
   }
--- a/src/intents/intents.test.ts
+++ b/src/intents/intents.test.ts
@@ -95,16 +95,16 @@
     for (const [revision, known] of seen.entries()) {
       const update = machine.updateFrom(revision);
       if (update.kind === 'none') expect(revision).toBe(machine.revision);
-      else if (update.kind === 'document') expect(update.document).toEqual(machine.document);
+      else if (update.kind === 'fetch') expect(revision).toBe(0);
       else expect(applyChanges(known, update.changes)).toEqual(machine.document);
     }
   });
 
-  it('are the whole document for one that lacks more than is kept', () => {
+  it('name the whole document for one that lacks more than is kept', () => {
     for (let index = 0; index < 1_100; index += 1) {
       confirm('ana', plan('ana', documentWith(`m${index}`)).id, `r${index}`);
     }
-    expect(machine.updateFrom(3)).toMatchObject({ kind: 'document', revision: 1_100 });
+    expect(machine.updateFrom(3)).toMatchObject({ kind: 'fetch', revision: 1_100 });
     expect(machine.updateFrom(1_099)).toMatchObject({ kind: 'changes' });
   });
 });
--- a/src/membership/lease-holder.ts
+++ b/src/membership/lease-holder.ts
@@ -11,6 +11,7 @@
   type IntentDocument,
   applyChanges,
 } from '../intents/index.js';
+import type { Configuration, ConfigurationFetcher } from './configuration-fetcher.js';
 import { type Logger } from '../observability/index.js';
 import {
   RENEW_LEASE,
@@ -21,6 +22,7 @@
 
 export interface LeaseHolderOptions {
   groups: GroupClient;
+  fetcher: Pick<ConfigurationFetcher, 'fetch'>;
   gateway: string;
   incarnation: string;
   address: string;
@@ -92,11 +94,13 @@
     const before = this.heldRevision;
     try {
       const grant = await this.requestGrant();
-      // The revision first: the lease is for acting on what the leader knows.
-      this.takeUpdate(grant.update);
       this.options.onLeaving(grant.leaving);
-      this.expiresAtMs = sentAt + grant.leaseMs;
-      this.renewed.notify();
+      // The revision first: the lease is for acting on what the leader knows.
+      await this.takeUpdate(grant.update);
+      if (this.heldRevision >= revisionOf(grant.update, before)) {
+        this.expiresAtMs = Math.max(this.expiresAtMs, sentAt + grant.leaseMs);
+        this.renewed.notify();
+      }
     } catch {
       return false;
     }
@@ -124,15 +128,25 @@
     );
   }
 
-  private takeUpdate(update: ConfigurationUpdate): void {
+  private async takeUpdate(update: ConfigurationUpdate): Promise<void> {
+    if (update.kind === 'changes') {
+      this.take({
+        revision: update.revision,
+        document: applyChanges(this.currentDocument, update.changes),
+      });
+    } else if (update.kind === 'fetch') {
+      const { signal } = this.stopping;
+      const fetched = await this.options.fetcher.fetch(update.revision, signal);
+      if (fetched) this.take(fetched);
+    }
+  }
+
+  private take({ revision, document }: Configuration): void {
     // Revisions never go down, whatever arrives late.
-    if (update.kind === 'none' || update.revision <= this.heldRevision) return;
-    this.currentDocument =
-      update.kind === 'document'
-        ? update.document
-        : applyChanges(this.currentDocument, update.changes);
-    this.heldRevision = update.revision;
-    this.options.onConfiguration(this.currentDocument, this.heldRevision);
+    if (revision <= this.heldRevision) return;
+    this.currentDocument = document;
+    this.heldRevision = revision;
+    this.options.onConfiguration(document, revision);
   }
 
   private noteChange(): void {
@@ -142,3 +156,8 @@
     this.options.logger.info(message, { revision: this.heldRevision });
   }
 }
+
+/** The revision that an update leads to. */
+function revisionOf(update: ConfigurationUpdate, known: number): number {
+  return update.kind === 'none' ? known : update.revision;
+}
--- a/src/membership/lease-registry.ts
+++ b/src/membership/lease-registry.ts
@@ -58,16 +58,21 @@
     return [...this.leases.values()];
   }
 
+  /** Gateways that have a configuration; one that just started acts on nothing yet. */
+  private acting(): GatewayLease[] {
+    return this.live().filter((lease) => lease.revision > 0);
+  }
+
   /** Whether no gateway can act on a revision before `revision` any more. */
   isInForce(revision: number): boolean {
     const knowsAll = monotonicMs() - this.startedAtMs >= this.leaseMs;
-    return knowsAll && this.live().every((lease) => lease.revision >= revision);
+    return knowsAll && this.acting().every((lease) => lease.revision >= revision);
   }
 
   /** The lowest revision that any gateway may act on; undefined while that is not known. */
   lowestRevision(): number | undefined {
     if (monotonicMs() - this.startedAtMs < this.leaseMs) return undefined;
-    const revisions = this.live().map((lease) => lease.revision);
+    const revisions = this.acting().map((lease) => lease.revision);
     return revisions.length === 0 ? undefined : Math.min(...revisions);
   }
 }
--- a/src/membership/membership.test.ts
+++ b/src/membership/membership.test.ts
@@ -29,11 +29,8 @@
     if (this.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, this.delayMs));
     if (!this.isReachable) throw new Error('cut off');
     const { revision } = this;
-    const document = documentWith(`m${revision}`);
     const isNews = request.revision !== revision;
-    const update: LeaseGrant['update'] = isNews
-      ? { kind: 'document', revision, document }
-      : { kind: 'none' };
+    const update: LeaseGrant['update'] = isNews ? { kind: 'fetch', revision } : { kind: 'none' };
     return { leaseMs: LEASE_MS, update, leaving: [] } satisfies LeaseGrant;
   }
 }
@@ -42,6 +39,9 @@
   const revisions: number[] = [];
   const holder = new LeaseHolder({
     groups: leader as unknown as GroupClient,
+    fetcher: {
+      fetch: (revision) => Promise.resolve({ revision, document: documentWith(`m${revision}`) }),
+    },
     gateway: 'gateway-1',
     incarnation: 'a',
     address: 'h:1',
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -28,4 +28,21 @@
 
 export type RenewLeaseResponse = { grant: LeaseGrant } | { redirect: LeaseRedirect };
 
+export interface FetchConfigurationRequest {
+  /** The lowest revision that is of use. */
+  atLeast: number;
+}
+
+export type FetchConfigurationResponse =
+  /** The document, encoded and compressed by gzip. */
+  | { revision: number; document: Uint8Array }
+  /** `behind`: the member does not have the revision yet; `busy`: come back later. */
+  | { refusal: 'behind' | 'busy' };
+
+/** Served by every control member. */
+export const FETCH_CONFIGURATION = defineMethod<
+  FetchConfigurationRequest,
+  FetchConfigurationResponse
+>('configuration.fetch');
+
 export const RENEW_LEASE = defineMethod<RenewLeaseRequest, RenewLeaseResponse>('lease.renew');
