Bench of policies, example settings, tests of the lab's own parts

bench runs five policies on the same seeds and loads, interleaved, on a fleet whose gateways and engines start anew for each run; the report has the three parts of wasted cache and the ratio to the best baseline of each seed. Also: the leader's order delivery and the reconciler of holds are bounded in requests at a time; the hash of a document is made from texts kept with its items.

--- /dev/null
+++ b/lab/bench/bench-run.ts
@@ -0,0 +1,160 @@
+/**
+ * Runs every policy on the same seeds and loads, interleaved, on one fleet whose gateways and engines
+ * are started anew for each run, so that none finds the caches of another.
+ */
+import { monotonicMs } from '../../src/common/index.js';
+import { createWorkFolder, removeWorkFolder } from '../cli/work-folder.js';
+import { Fleet } from '../fleet/fleet.js';
+import type { Deployment } from '../fleet/topology.js';
+import { readBackendRecords } from '../load/backend-records.js';
+import { runLoad } from '../load/load-run.js';
+import { type LoadSummary, summarize } from '../load/summary.js';
+import { type CacheWaste, measureCacheWaste } from './cache-waste.js';
+import { BENCH_POLICIES, type BenchPolicy, gatewaySettingsOf } from './policies.js';
+
+export interface BenchOptions {
+  deployment: Deployment;
+  seeds: number[];
+  /** Loads as shares of what the fleet can carry. */
+  loads: number[];
+  durationMs: number;
+  report: (step: string) => void;
+  onCreated: (fleet: Fleet) => void;
+}
+
+export interface BenchRunResult {
+  policy: string;
+  seed: number;
+  load: number;
+  summary: LoadSummary;
+  waste: CacheWaste;
+  /** Programs completed a second, from the first arrival to the last answer. */
+  goodput: number;
+}
+
+export interface BenchResult {
+  /** Programs a second that the fleet completes when it is never idle. */
+  capacity: number;
+  runs: BenchRunResult[];
+}
+
+const TIME_SCALE = 0.12;
+const SIZE_SCALE = 1;
+const JOURNAL_GROUPS = 4;
+const CAPACITY_CONCURRENCY = 96;
+const PATIENCE_MS = 20_000;
+const MS_PER_SECOND = 1_000;
+/** Engine memory, in tokens: scarce, so that what is kept matters. */
+const CACHE_TOKENS = 40_000;
+const LATENCY_WEIGHTS: Readonly<Record<Deployment['name'], number>> = {
+  pipeline: 0.7,
+  consortium: 0.3,
+};
+
+export class BenchRun {
+  private fleet!: Fleet;
+
+  constructor(private readonly options: BenchOptions) {}
+
+  async run(): Promise<BenchResult> {
+    const { deployment, seeds, loads, report } = this.options;
+    const workFolder = createWorkFolder('bench');
+    this.fleet = await Fleet.up({
+      deployment,
+      workFolder,
+      timeScale: TIME_SCALE,
+      journalGroups: JOURNAL_GROUPS,
+      seed: seeds[0]!,
+      engineSettings: { model: { cacheTokens: CACHE_TOKENS } },
+      onCreated: this.options.onCreated,
+    });
+    const capacity = await this.measureCapacity(seeds[0]!);
+    report(`capacity ${capacity.toFixed(1)} programs a second`);
+    const runs: BenchRunResult[] = [];
+    for (const seed of seeds) {
+      for (const load of loads) {
+        for (const policy of BENCH_POLICIES) {
+          const result = await this.runOne(policy, seed, load, load * capacity);
+          runs.push(result);
+          report(describe(result));
+        }
+      }
+    }
+    await this.fleet.down();
+    removeWorkFolder(workFolder);
+    return { capacity, runs };
+  }
+
+  private async measureCapacity(seed: number): Promise<number> {
+    await this.prepare(BENCH_POLICIES[0]!);
+    const startedAt = monotonicMs();
+    const recorder = await runLoad(this.fleet, {
+      seed,
+      timeScale: TIME_SCALE,
+      sizeScale: SIZE_SCALE,
+      programs: Number.POSITIVE_INFINITY,
+      concurrency: CAPACITY_CONCURRENCY,
+      durationMs: this.options.durationMs,
+      patienceMs: PATIENCE_MS,
+    });
+    const roots = recorder.programs.filter((program) => program.isRoot && program.isComplete);
+    return roots.length / ((monotonicMs() - startedAt) / MS_PER_SECOND);
+  }
+
+  private async runOne(
+    policy: BenchPolicy,
+    seed: number,
+    load: number,
+    ratePerSecond: number,
+  ): Promise<BenchRunResult> {
+    await this.prepare(policy);
+    const startedAt = monotonicMs();
+    const recorder = await runLoad(this.fleet, {
+      seed,
+      timeScale: TIME_SCALE,
+      sizeScale: SIZE_SCALE,
+      programs: Number.POSITIVE_INFINITY,
+      concurrency: 0,
+      ratePerSecond,
+      durationMs: this.options.durationMs,
+      patienceMs: PATIENCE_MS,
+    });
+    const seconds = (monotonicMs() - startedAt) / MS_PER_SECOND;
+    const records = await readBackendRecords(this.fleet);
+    const summary = summarize(recorder, records);
+    return {
+      policy: policy.name,
+      seed,
+      load,
+      summary,
+      waste: measureCacheWaste(recorder, records, TIME_SCALE),
+      goodput: summary.programsCompleted / seconds,
+    };
+  }
+
+  /** Starts gateways with a policy's settings, and engines with empty caches. */
+  private async prepare(policy: BenchPolicy): Promise<void> {
+    const { fleet } = this;
+    const weight = LATENCY_WEIGHTS[this.options.deployment.name];
+    const settings = gatewaySettingsOf(policy, weight);
+    const restarted = [...fleet.ofKind('gateway'), ...fleet.ofKind('engine')];
+    await Promise.all(
+      restarted.map(async (process) => {
+        await process.stop(PATIENCE_MS);
+        if (process.plan.kind === 'gateway') Object.assign(process.plan.settings, settings);
+        await process.start();
+      }),
+    );
+    await fleet.waitGatewaysReady();
+  }
+}
+
+function describe({ policy, seed, load, summary, waste, goodput }: BenchRunResult): string {
+  const { programLatencyMs, programs, programsCompleted, serviceCallMs } = summary;
+  return (
+    `seed ${seed} load ${load} ${policy}: ${programsCompleted}/${programs}, ` +
+    `p50 ${Math.round(programLatencyMs.p50)} p95 ${Math.round(programLatencyMs.p95)} ms, ` +
+    `recomputed ${(waste.recomputed * 100).toFixed(1)} %, ` +
+    `service p99 ${Math.round(serviceCallMs.p99)} ms, ${goodput.toFixed(1)} programs/s`
+  );
+}
--- /dev/null
+++ b/lab/bench/policies.ts
@@ -0,0 +1,64 @@
+/** What is compared: our policies and the baselines, as settings of the gateways. */
+import type {
+  HoldPolicyName,
+  QueuePolicyName,
+  RoutingPolicyName,
+} from '../../src/settings/index.js';
+
+export interface BenchPolicy {
+  name: string;
+  isBaseline: boolean;
+  routing: RoutingPolicyName;
+  queue: QueuePolicyName;
+  retention: HoldPolicyName;
+}
+
+export const BENCH_POLICIES: readonly BenchPolicy[] = [
+  {
+    name: 'ledgegauge',
+    isBaseline: false,
+    routing: 'predicted-finish',
+    queue: 'attained-service',
+    retention: 'expected-saving',
+  },
+  {
+    name: 'round-robin',
+    isBaseline: true,
+    routing: 'round-robin',
+    queue: 'first-come',
+    retention: 'never',
+  },
+  {
+    name: 'least-outstanding',
+    isBaseline: true,
+    routing: 'least-outstanding',
+    queue: 'first-come',
+    retention: 'never',
+  },
+  {
+    name: 'sticky',
+    isBaseline: true,
+    routing: 'sticky',
+    queue: 'first-come',
+    retention: 'never',
+  },
+  {
+    name: 'sticky-hold-always',
+    isBaseline: true,
+    routing: 'sticky',
+    queue: 'first-come',
+    retention: 'always',
+  },
+];
+
+/** The settings that a policy lays over those of a gateway. */
+export function gatewaySettingsOf(
+  policy: BenchPolicy,
+  latencyWeight: number,
+): Record<string, unknown> {
+  return {
+    routing: { policy: policy.routing },
+    queue: { policy: policy.queue },
+    retention: { policy: policy.retention, latencyWeight },
+  };
+}
--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -4,6 +4,7 @@
 import { EXIT_USAGE } from '../../src/cli/exit-codes.js';
 import { runAction } from '../../src/cli/run-daemon.js';
 import { VERSION } from '../../src/cli/version.js';
+import { type BenchFlags, runBench } from './bench-command.js';
 import { type DemoFlags, runDemo } from './demo-command.js';
 import { type FleetFlags, runFleet } from './fleet-command.js';
 import { type ScaleFlags, runScale } from './scale-command.js';
@@ -56,6 +57,17 @@
   .option('--json', 'Print the result as one line of JSON')
   .action((flags: ScaleFlags) => runAction(() => runScale(flags)));
 
+cli
+  .command('bench', 'Compare policies on the same seeds and loads')
+  .option('--deployment <name>', 'pipeline or consortium', { default: 'pipeline' })
+  .option('--seeds <count>', 'Seeds to run', { default: 3 })
+  .option('--first-seed <number>', 'The first seed', { default: 1 })
+  .option('--loads <shares>', 'Shares of what the fleet can carry', { default: '0.6,0.9,1.5' })
+  .option('--seconds <count>', 'Time in which programs arrive, for each run', { default: 8 })
+  .option('--output <folder>', 'Where the JSON file goes', { default: 'bench' })
+  .option('--json', 'Print the result as one line of JSON')
+  .action((flags: BenchFlags) => runAction(() => runBench(flags)));
+
 cli.help();
 cli.version(VERSION);
 
--- a/lab/hollow/hollow-host.ts
+++ b/lab/hollow/hollow-host.ts
@@ -2,6 +2,13 @@
 import { DEFAULT_ENGINE_OPTIONS } from '../../emulator/model/engine-options.js';
 import { EngineModel } from '../../emulator/model/engine-model.js';
 import type { LoadReport } from '../../src/backends/index.js';
+import {
+  type HttpExchange,
+  HttpRouter,
+  HttpServer,
+  readJson,
+  sendJson,
+} from '../../src/http/index.js';
 import { createLogger, setLogLevel } from '../../src/observability/index.js';
 import type {
   HollowCommand,
@@ -16,6 +23,7 @@
 
 const EMPTY_LOAD: LoadReport = new EngineModel(DEFAULT_ENGINE_OPTIONS).load();
 const MICROSECONDS_PER_MS = 1_000;
+const MAX_BODY_BYTES = 1024 * 1024;
 /** Nodes started together; a real fleet does not connect in one instant either. */
 const START_BATCH = 50;
 
@@ -31,6 +39,8 @@
       case 'start':
         await this.startAll(command);
         return {};
+      case 'listen':
+        return { port: await this.listen() };
       case 'statistics':
         return { statistics: this.statistics() };
       case 'states':
@@ -50,6 +60,20 @@
     }
   }
 
+  /** What control asks of engines; hollow ones hold nothing and take every order. */
+  private async listen(): Promise<number> {
+    const confirm = async ({ request, response }: HttpExchange): Promise<void> => {
+      await readJson(request, MAX_BODY_BYTES);
+      sendJson(response, 200, {});
+    };
+    const router = new HttpRouter()
+      .on('POST', '/v1/orders', confirm)
+      .on('POST', '/v1/releases', confirm)
+      .on('GET', '/v1/programs', async ({ response }) => sendJson(response, 200, { held: [] }));
+    const server = await HttpServer.start({ host: '127.0.0.1', port: 0, router });
+    return server.port;
+  }
+
   private async startAll(command: StartCommand): Promise<void> {
     this.start = command;
     for (const name of command.runners) {
--- a/lab/hollow/hollow-messages.ts
+++ b/lab/hollow/hollow-messages.ts
@@ -20,6 +20,8 @@
       /** Whether nodes share documents; not when their memory is measured. */
       sharesDocuments: boolean;
     }
+  /** Opens an interface that answers orders and releases for all hollow runners. */
+  | { type: 'listen' }
   /** `statistics` collects garbage first; `states` is cheap. */
   | { type: 'statistics' | 'states' }
   | { type: 'cut' | 'heal' | 'restart'; nodes: string[] }
@@ -49,4 +51,5 @@
   id: number;
   statistics?: HollowStatistics;
   states?: HollowNodeState[];
+  port?: number;
 }
--- a/lab/hollow/hollow-process.ts
+++ b/lab/hollow/hollow-process.ts
@@ -40,6 +40,11 @@
     return (await this.send({ type: 'statistics' })).statistics!;
   }
 
+  /** Resolves with the address at which the process answers for its runners. */
+  async listen(): Promise<string> {
+    return `127.0.0.1:${(await this.send({ type: 'listen' })).port!}`;
+  }
+
   async states(): Promise<HollowNodeState[]> {
     return (await this.send({ type: 'states' })).states!;
   }
--- a/lab/scale/hollow-fleet.ts
+++ b/lab/scale/hollow-fleet.ts
@@ -30,16 +30,25 @@
     return this.processes.length;
   }
 
+  /** Starts the processes; resolves with where each runner answers. */
+  async listen(): Promise<(runner: number) => string> {
+    for (let index = 0; index < PROCESSES; index += 1) this.processes.push(new HollowProcess());
+    const addresses = await Promise.all(this.processes.map((process) => process.listen()));
+    const zoneNames = SCALE_ZONES.map((zone) => zone.name);
+    return (runner) => {
+      const zone = engineZone(runner, zoneNames);
+      return addresses[zoneNames.indexOf(zone) % PROCESSES]!;
+    };
+  }
+
   async start(): Promise<void> {
     const zoneNames = SCALE_ZONES.map((zone) => zone.name);
-    for (let index = 0; index < PROCESSES; index += 1) {
+    for (const [index, process] of this.processes.entries()) {
       const isOwn = (zone: string): boolean => zoneNames.indexOf(zone) % PROCESSES === index;
       const nodes = this.nodes.filter((node) => isOwn(node.zone));
       const runners = Array.from({ length: this.size.runners }, (_, runner) => runner)
         .filter((runner) => isOwn(engineZone(runner, zoneNames)))
         .map(engineName);
-      const process = new HollowProcess();
-      this.processes.push(process);
       for (const node of nodes) this.processOf.set(node.name, process);
       await process.send({
         type: 'start',
--- a/lab/scale/scale-run.ts
+++ b/lab/scale/scale-run.ts
@@ -52,6 +52,7 @@
   private control!: ControlFleet;
   private hollow!: HollowFleet;
   private variant = 0;
+  private addressOf!: (runner: number) => string;
 
   constructor(
     private readonly size: ScaleSize,
@@ -74,6 +75,7 @@
 
   private async measure(): Promise<ScaleReport> {
     this.report('document and nodes');
+    this.addressOf = await this.hollow.listen();
     await this.change();
     const startedAt = monotonicMs();
     await this.hollow.start();
@@ -210,7 +212,9 @@
   private async change(): Promise<number> {
     const zones = SCALE_ZONES.map((zone) => zone.name);
     const { models, tenants, runners: engines } = this.size;
-    const document = createDocument({ models, tenants, engines, zones }, this.variant);
+    const { addressOf } = this;
+    const size = { models, tenants, engines, zones, addressOf };
+    const document = createDocument(size, this.variant);
     this.variant += 1;
     return (await this.control.fleet.applyIntents(document)).revision;
   }
--- a/lab/slopes/document-experiment.ts
+++ b/lab/slopes/document-experiment.ts
@@ -27,9 +27,11 @@
     for (const engines of ENGINES) {
       report(`${engines} engines`);
       const tenants = Math.round(engines * TENANT_SHARE);
-      const size = { models: MODELS, tenants, engines, zones: ZONES };
-      await control.fleet.applyIntents(createDocument(size));
       const hollow = new HollowProcess();
+      const address = await hollow.listen();
+      const addressOf = (): string => address;
+      const size = { models: MODELS, tenants, engines, zones: ZONES, addressOf };
+      await control.fleet.applyIntents(createDocument(size));
       await startNodes(hollow, control);
       const whole = await hollow.statistics();
       heap.push({ x: engines, y: whole.heapBytes / NODES });
--- a/lab/slopes/large-document.ts
+++ b/lab/slopes/large-document.ts
@@ -3,6 +3,8 @@
 import type { IntentDocument } from '../../src/intents/index.js';
 
 export interface DocumentSize {
+  /** Where each engine answers. */
+  addressOf: (engine: number) => string;
   models: number;
   tenants: number;
   engines: number;
@@ -36,7 +38,7 @@
       id: engineName(index),
       kind: 'engine' as const,
       zone: engineZone(index, size.zones),
-      address: `127.0.0.1:${1 + (index % 60_000)}`,
+      address: size.addressOf(index),
       models: Array.from(
         { length: MODELS_PER_ENGINE },
         (_, offset) =>
--- a/src/control/hold-reconciler.ts
+++ b/src/control/hold-reconciler.ts
@@ -8,7 +8,7 @@
 import { sendRelease } from '../backends/control-requests.js';
 import { hash32, sleep } from '../common/index.js';
 import type { GroupClient } from '../consensus/index.js';
-import type { IntentDocument } from '../intents/index.js';
+import type { BackendIntent, IntentDocument } from '../intents/index.js';
 import {
   type EndedProgramsAnswer,
   type JournalQuery,
@@ -27,6 +27,8 @@
 }
 
 const INTERVAL_MS = 2_000;
+/** Engines asked at the same time. */
+const MAX_PARALLEL = 16;
 /** The second member looks once for so many times of the first. */
 const SECOND_RANK_ROUNDS = 2;
 const TIMEOUT_MS = 1_500;
@@ -53,8 +55,17 @@
       await sleep(INTERVAL_MS, signal);
       this.round += 1;
       const engines = this.options.document().backends.filter(({ kind }) => kind === 'engine');
-      const own = engines.filter((engine) => this.looksAfter(engine.id));
-      await Promise.all(own.map((engine) => this.reconcile(engine.address).catch(() => undefined)));
+      const waiting = engines.filter((engine) => this.looksAfter(engine.id));
+      const workers = Array.from({ length: MAX_PARALLEL }, () => this.reconcileAll(waiting));
+      await Promise.all(workers);
+    }
+  }
+
+  /** One of several tasks that take engines from the same list. */
+  private async reconcileAll(waiting: BackendIntent[]): Promise<void> {
+    const { signal } = this.stopping;
+    for (let engine = waiting.pop(); engine && !signal.aborted; engine = waiting.pop()) {
+      await this.reconcile(engine.address).catch(() => undefined);
     }
   }
 
--- a/src/control/order-delivery.ts
+++ b/src/control/order-delivery.ts
@@ -15,11 +15,13 @@
 }
 
 const TICK_MS = 200;
-const MAXIMUM_RETRY_DELAY_MS = 1_000;
+const MAXIMUM_RETRY_DELAY_MS = 2_000;
 /** An engine is told again after this time. */
 const REPEAT_AFTER_MS = 5_000;
 /** Engines told again in one tick, at most. */
 const REPEATS_PER_TICK = 40;
+/** Orders sent in one tick, at most: a zone that is gone must not keep the leader busy. */
+const MAX_PER_TICK = 100;
 const MAX_PARALLEL = 64;
 
 type OrderContent = Omit<EngineOrder, 'fence'>;
@@ -78,7 +80,7 @@
     while (!signal.aborted) {
       const { revision, document } = this.options.current();
       if (revision !== this.knownRevision) this.takeRevision(revision, document);
-      this.sendDue(signal);
+      this.sendDue();
       await this.wake.waitUpTo(TICK_MS);
     }
   }
@@ -108,18 +110,18 @@
     known.nextAtMs = 0;
   }
 
-  private sendDue(signal: AbortSignal): void {
+  private sendDue(): void {
     const now = monotonicMs();
     const due = [...this.engines.values()].filter((engine) => engine.isDue(now));
     const changed = due.filter((engine) => !engine.isConfirmed);
     const repeated = due.filter((engine) => engine.isConfirmed).slice(0, REPEATS_PER_TICK);
-    const room = MAX_PARALLEL - this.parallel;
+    const room = Math.min(MAX_PER_TICK, MAX_PARALLEL - this.parallel);
     for (const engine of [...changed, ...repeated].slice(0, room)) {
-      void this.deliver(engine, signal);
+      void this.deliver(engine);
     }
   }
 
-  private async deliver(engine: EngineOrderState, signal: AbortSignal): Promise<void> {
+  private async deliver(engine: EngineOrderState): Promise<void> {
     const { address, content, text } = engine;
     engine.isBusy = true;
     this.parallel += 1;
@@ -134,7 +136,6 @@
     // A change that came meanwhile is due at once.
     const pauseMs = isConfirmed ? REPEAT_AFTER_MS : engine.backoff.nextDelayMs();
     engine.nextAtMs = engine.text === text ? monotonicMs() + pauseMs : 0;
-    if (!signal.aborted && this.parallel === MAX_PARALLEL - 1) this.wake.notify();
   }
 }
 
--- a/src/intents/document.ts
+++ b/src/intents/document.ts
@@ -145,11 +145,26 @@
 
 /** Identity of a document's content. */
 export function contentHash(document: IntentDocument): string {
-  return sha256Hex(JSON.stringify(normalizeDocument(document)));
+  const { models, tenants, backends } = normalizeDocument(document);
+  const texts = [models, tenants, backends].map((items) => items.map(textOf).join('\n'));
+  return sha256Hex(texts.join('\n\n'));
+}
+
+/** Items never change, so that their text is made once. */
+const texts = new WeakMap<IntentItem, string>();
+
+function textOf(item: IntentItem): string {
+  let text = texts.get(item);
+  if (text === undefined) {
+    text = JSON.stringify(item);
+    texts.set(item, text);
+  }
+  return text;
 }
 
 function sortItems<Item extends IntentItem>(items: Item[]): Item[] {
-  return [...items].sort((left, right) => (left.id < right.id ? -1 : 1));
+  const isSorted = items.every((item, index) => index === 0 || items[index - 1]!.id < item.id);
+  return isSorted ? items : [...items].sort((left, right) => (left.id < right.id ? -1 : 1));
 }
 
 function findRepeatedIds(document: IntentDocument, section: IntentSection): string[] {
@@ -175,7 +190,7 @@
     const item = after.get(id);
     if (!item) changes.push({ section, id, action: 'remove' });
     else if (!old) changes.push({ section, id, action: 'add', item });
-    else if (JSON.stringify(old) !== JSON.stringify(item)) {
+    else if (textOf(old) !== textOf(item)) {
       changes.push({ section, id, action: 'change', item });
     }
   }
--- a/tests/command-line.test.ts
+++ b/tests/command-line.test.ts
@@ -55,6 +55,15 @@
     expect(run(program, 'check-config', settingsFile(GOOD))).toMatchObject({ status: EXIT_OK });
   });
 
+  it.each([
+    'examples/pipeline/control-1.yaml',
+    'examples/pipeline/gateway-1.yaml',
+    'examples/consortium/control-1.yaml',
+    'examples/consortium/gateway-1.yaml',
+  ])('accepts %s', (file) => {
+    expect(run(program, 'check-config', file)).toMatchObject({ status: EXIT_OK });
+  });
+
   it('names file, path and what would be right', () => {
     const file = settingsFile(`${GOOD}\ncalls: { idleTimeout: soon }`);
     const { status, output } = run(program, 'check-config', file);
