--- a/lab/bench/bench-report.test.ts
+++ b/lab/bench/bench-report.test.ts
@@ -13,6 +13,7 @@
     seed,
     load: 0.9,
     goodput: 10,
+    returns: 0.5,
     waste: { recomputed, heldUnused: 0.5, heldAfterEnd: 0 },
     summary: {
       programs: 10,
--- a/lab/bench/cache-waste.ts
+++ b/lab/bench/cache-waste.ts
@@ -35,6 +35,25 @@
   };
 }
 
+/** Share of calls that went to the engine of the program's call before. */
+export function measureReturns(records: BackendRecords): number {
+  const arrivals = records.engines.flatMap(({ engine, arrivals: own }) =>
+    own.map((arrival) => ({ ...arrival, engine })),
+  );
+  const ordered = arrivals.sort((left, right) => left.wallClockMs - right.wallClockMs);
+  const lastEngine = new Map<string, string>();
+  let later = 0;
+  let returned = 0;
+  for (const { program, engine } of ordered) {
+    const before = lastEngine.get(program);
+    lastEngine.set(program, engine);
+    if (before === undefined) continue;
+    later += 1;
+    if (before === engine) returned += 1;
+  }
+  return ratio(returned, later);
+}
+
 /** In token milliseconds of wall-clock time. */
 function tokenTimeAfterEnd(recorder: Recorder, records: BackendRecords): number {
   const endedAt = new Map(recorder.programs.map((program) => [program.id, program.endedAtMs]));
