--- a/lab/bench/policies.ts
+++ b/lab/bench/policies.ts
@@ -51,13 +51,20 @@
   },
 ];
 
+/** What a deployment's users weigh most. */
+export interface BenchWeights {
+  latencyWeight: number;
+  prefixWeight: number;
+}
+
 /** The settings that a policy lays over those of a gateway. */
 export function gatewaySettingsOf(
   policy: BenchPolicy,
-  latencyWeight: number,
+  weights: BenchWeights,
 ): Record<string, unknown> {
+  const { latencyWeight, prefixWeight } = weights;
   return {
-    routing: { policy: policy.routing },
+    routing: { policy: policy.routing, prefixWeight },
     queue: { policy: policy.queue },
     retention: { policy: policy.retention, latencyWeight },
   };
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -170,7 +170,7 @@
     return new Admission({
       maxWaiting: queue.maxWaiting,
       maxWaitMs: queue.maxWait,
-      routing: createRoutingPolicy(routing.policy),
+      routing: createRoutingPolicy(routing.policy, routing.prefixWeight),
       queue: createQueuePolicy(queue.policy, (tenant) => this.tenants.weightOf(tenant)),
     });
   }
--- a/src/retention/hold-policy.ts
+++ b/src/retention/hold-policy.ts
@@ -21,7 +21,7 @@
 /** Share of programs that go on after a call, assumed until seen. */
 const ASSUMED_CONTINUATION = 0.7;
 /** Multiples of the average pause after which a return has become unlikely. */
-const PAUSE_MULTIPLE = 3;
+const PAUSE_MULTIPLE = 6;
 /** Below this share of programs that go on, a hold costs more than it saves. */
 const WORTHLESS_CONTINUATION = 0.25;
 
--- a/src/routing/routing-policy.ts
+++ b/src/routing/routing-policy.ts
@@ -43,23 +43,34 @@
   }
 }
 
-/** Weight of a running sequence against prompt tokens to compute, in tokens. Found by measurement. */
+/** Weight of a running sequence against prompt tokens to compute, in tokens. Assumed. */
 const TOKENS_PER_RUNNING_CALL = 96;
+/** Weight of a sequence that waits for a place in the batch, in tokens. Assumed. */
+const TOKENS_PER_WAITING_CALL = 600;
 
 /** The one where the answer is predicted to come first: queue plus missing prefix. */
 class PredictedFinish implements RoutingPolicy {
+  constructor(private readonly prefixWeight: number) {}
+
   choose(candidates: readonly Backend[], request: RoutingRequest): Backend {
-    return lowest(candidates, (backend) => predictedWork(backend, request));
+    return lowest(candidates, (backend) => predictedWork(backend, request, this.prefixWeight));
   }
 }
 
 /** Work before the answer can come, in prompt tokens. */
-export function predictedWork(backend: Backend, request: RoutingRequest): number {
+export function predictedWork(
+  backend: Backend,
+  request: RoutingRequest,
+  prefixWeight: number,
+): number {
   const isPrevious = backend.id === request.previousBackend;
   const cachedTokens = isPrevious ? request.knownPrefixTokens : 0;
   const missingTokens = request.promptTokens - cachedTokens;
-  const queued = backend.estimatedPrefillTokens;
-  return queued + missingTokens + TOKENS_PER_RUNNING_CALL * backend.estimatedCalls;
+  const queued =
+    backend.estimatedPrefillTokens +
+    TOKENS_PER_RUNNING_CALL * backend.estimatedCalls +
+    TOKENS_PER_WAITING_CALL * backend.load.waiting;
+  return queued + prefixWeight * missingTokens;
 }
 
 function lowest(candidates: readonly Backend[], scoreOf: (backend: Backend) => number): Backend {
@@ -75,7 +86,8 @@
   return best;
 }
 
-export function createRoutingPolicy(name: RoutingPolicyName): RoutingPolicy {
+/** @param prefixWeight what a prompt token computed again weighs against one of queueing */
+export function createRoutingPolicy(name: RoutingPolicyName, prefixWeight = 1): RoutingPolicy {
   switch (name) {
     case 'round-robin':
       return new RoundRobin();
@@ -84,6 +96,6 @@
     case 'sticky':
       return new StickyByProgram();
     case 'predicted-finish':
-      return new PredictedFinish();
+      return new PredictedFinish(prefixWeight);
   }
 }
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -55,6 +55,11 @@
   routing: z
     .strictObject({
       policy: z.enum(routingPolicyNames).default('predicted-finish'),
+      /**
+       * What a prompt token that has to be computed again weighs against one of queueing: 1 counts time
+       * only, more keeps programs at their cached prefix for longer.
+       */
+      prefixWeight: z.number().positive().default(1),
       /** An engine is asked for its load when the last report is older. */
       maxLoadAge: durationWithDefault('250ms'),
       /** Questions for load a second, to all engines together. */
