--- a/lab/cli/slopes-command.ts
+++ b/lab/cli/slopes-command.ts
@@ -1,5 +1,5 @@
 /** `slopes`: how processor time, memory and bytes of each role grow with what drives them. */
-import { mkdirSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { LedgegaugeError } from '../../src/common/index.js';
 import { drawScatterPlots } from '../plots/scatter-plot.js';
@@ -38,12 +38,26 @@
     slopes.push(...(await experiment.run(report)));
   }
   mkdirSync(flags.output, { recursive: true });
-  writeFileSync(join(flags.output, 'slopes.json'), `${JSON.stringify({ slopes }, null, 2)}\n`);
-  writeFileSync(join(flags.output, 'slopes.svg'), drawScatterPlots(slopes.map(plotOf)));
+  const file = join(flags.output, 'slopes.json');
+  const all = flags.only === 'all' ? slopes : replaceSlopes(readSlopes(file), slopes);
+  writeFileSync(file, `${JSON.stringify({ slopes: all }, null, 2)}\n`);
+  writeFileSync(join(flags.output, 'slopes.svg'), drawScatterPlots(all.map(plotOf)));
   const text = flags.json ? JSON.stringify({ slopes }) : slopesTable(slopes);
   process.stdout.write(`${text}\n`);
 }
 
+/** What earlier runs measured. */
+function readSlopes(file: string): Slope[] {
+  if (!existsSync(file)) return [];
+  return (JSON.parse(readFileSync(file, 'utf8')) as { slopes: Slope[] }).slopes;
+}
+
+/** Puts new measurements in the place of old ones of the same name. */
+function replaceSlopes(old: readonly Slope[], fresh: readonly Slope[]): Slope[] {
+  const names = new Set(fresh.map((slope) => slope.name));
+  return [...old.filter((slope) => !names.has(slope.name)), ...fresh];
+}
+
 function selectExperiments(only: string): readonly SlopeExperiment[] {
   if (only === 'all') return EXPERIMENTS;
   return only.split(',').map((name) => {
--- a/lab/slopes/control-fleet.ts
+++ b/lab/slopes/control-fleet.ts
@@ -24,6 +24,7 @@
   cpuSeconds: number;
   residentBytes: number;
   logBytes: number;
+  logSyncs: number;
   peerBytes: number;
 }
 
@@ -69,6 +70,7 @@
       cpuSeconds: read('process_cpu_seconds_total'),
       residentBytes: read('process_resident_memory_bytes'),
       logBytes: read('ledgegauge_control_log_bytes'),
+      logSyncs: read('ledgegauge_control_log_syncs'),
       peerBytes:
         read('ledgegauge_control_peer_bytes_sent') + read('ledgegauge_control_peer_bytes_received'),
     };
@@ -88,6 +90,7 @@
     cpuSeconds: rate((meter) => meter.cpuSeconds),
     residentBytes: rate((meter) => meter.residentBytes),
     logBytes: rate((meter) => meter.logBytes),
+    logSyncs: rate((meter) => meter.logSyncs),
     peerBytes: rate((meter) => meter.peerBytes),
   };
 }
--- a/lab/slopes/journal-experiment.ts
+++ b/lab/slopes/journal-experiment.ts
@@ -25,10 +25,11 @@
   async run(report) {
     const control = await ControlFleet.up(1);
     const driver = 'model calls a second (a program of two calls each)';
-    const points: Record<'leader' | 'follower' | 'disk' | 'network', Point[]> = {
+    const points: Record<'leader' | 'follower' | 'disk' | 'syncs' | 'network', Point[]> = {
       leader: [],
       follower: [],
       disk: [],
+      syncs: [],
       network: [],
     };
     for (const rate of CALL_RATES) {
@@ -47,6 +48,7 @@
       points.leader.push({ x, y: ofLeader.cpuSeconds * MS_PER_SECOND });
       points.follower.push({ x, y: ofFollower.cpuSeconds * MS_PER_SECOND });
       points.disk.push({ x, y: ofLeader.logBytes });
+      points.syncs.push({ x, y: ofLeader.logSyncs });
       points.network.push({ x, y: ofLeader.peerBytes });
     }
     await control.down();
@@ -64,6 +66,15 @@
         { name: 'call.log-bytes', role: 'control member', driver, quantity: 'log bytes a second' },
         points.disk,
       ),
+      createSlope(
+        {
+          name: 'call.log-syncs',
+          role: 'control member',
+          driver,
+          quantity: 'syncs of the log a second',
+        },
+        points.syncs,
+      ),
       createSlope(
         {
           name: 'call.peer-bytes',
