A cheaper way for each streamed token; ledgegauge-lab load

Now the one kind of chunk that comes for every token is recognised by hand, all others go through the schema, and only the text of a piece is encoded. Ruled out: passing several tokens on in one event (they come 68 ms apart).

--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -7,6 +7,7 @@
 import { type BenchFlags, runBench } from './bench-command.js';
 import { type DemoFlags, runDemo } from './demo-command.js';
 import { type FleetFlags, runFleet } from './fleet-command.js';
+import { type LoadFlags, runLoadCommand } from './load-command.js';
 import { type ScaleFlags, runScale } from './scale-command.js';
 import { type SlopesFlags, runSlopes } from './slopes-command.js';
 import { type TortureFlags, runTorture } from './torture-command.js';
@@ -57,6 +58,19 @@
   .option('--json', 'Print the result as one line of JSON')
   .action((flags: ScaleFlags) => runAction(() => runScale(flags)));
 
+cli
+  .command('load', 'Run a seeded workload on a fleet and show its figures')
+  .option('--deployment <name>', 'pipeline or consortium', { default: 'pipeline' })
+  .option('--seed <number>', 'Seed of the workload', { default: 1 })
+  .option('--seconds <count>', 'Time in which programs arrive', { default: 15 })
+  .option('--rate <count>', 'Programs a second; without it, as many as --concurrency at a time')
+  .option('--concurrency <count>', 'Programs at a time, when there is no rate', { default: 24 })
+  .option('--time-scale <factor>', 'Time of the emulated engines; 1 is real time', {
+    default: 0.15,
+  })
+  .option('--json', 'Print the result as one line of JSON')
+  .action((flags: LoadFlags) => runAction(() => runLoadCommand(flags)));
+
 cli
   .command('bench', 'Compare policies on the same seeds and loads')
   .option('--deployment <name>', 'pipeline or consortium', { default: 'pipeline' })
--- /dev/null
+++ b/lab/cli/load-command.ts
@@ -0,0 +1,92 @@
+/** `load`: a seeded workload on a fleet of its own, open or closed loop, with its figures. */
+import { LedgegaugeError } from '../../src/common/index.js';
+import { Fleet } from '../fleet/fleet.js';
+import { DEPLOYMENTS, isDeploymentName } from '../fleet/topology.js';
+import { readBackendRecords } from '../load/backend-records.js';
+import { runLoad } from '../load/load-run.js';
+import { type LoadSummary, summarize } from '../load/summary.js';
+import { takeDownOnSignal } from './interrupt.js';
+import { createProgress } from './progress.js';
+import { formatMs, formatShare, formatTable } from './table.js';
+import { createWorkFolder, removeWorkFolder } from './work-folder.js';
+
+export interface LoadFlags {
+  deployment: string;
+  seed: number;
+  seconds: number;
+  /** Programs a second; without it, the loop is closed. */
+  rate?: number;
+  concurrency: number;
+  timeScale: number;
+  json?: boolean;
+}
+
+const JOURNAL_GROUPS = 4;
+const SIZE_SCALE = 1;
+const PATIENCE_MS = 30_000;
+const MS_PER_SECOND = 1_000;
+
+export async function runLoadCommand(flags: LoadFlags): Promise<void> {
+  const { deployment, seed, timeScale, concurrency, rate } = flags;
+  if (!isDeploymentName(deployment)) {
+    throw new LedgegaugeError('--deployment is pipeline or consortium', { step: 'cli.usage' });
+  }
+  const running: { fleet?: Fleet } = {};
+  takeDownOnSignal(() => running.fleet);
+  const workFolder = createWorkFolder('load');
+  const progress = createProgress('load', flags.json === true);
+  const fleet = await Fleet.up({
+    deployment: DEPLOYMENTS[deployment],
+    workFolder,
+    timeScale,
+    journalGroups: JOURNAL_GROUPS,
+    seed,
+    onCreated: (created) => {
+      running.fleet = created;
+    },
+  });
+  const recorder = await runLoad(fleet, {
+    seed,
+    timeScale,
+    sizeScale: SIZE_SCALE,
+    programs: Number.POSITIVE_INFINITY,
+    concurrency,
+    ratePerSecond: rate,
+    durationMs: flags.seconds * MS_PER_SECOND,
+    patienceMs: PATIENCE_MS,
+    onProgress: (started, finished) => progress.update(finished, started, 'programs'),
+  });
+  const summary = summarize(recorder, await readBackendRecords(fleet));
+  await fleet.down();
+  progress.stop();
+  removeWorkFolder(workFolder);
+  process.stdout.write(`${flags.json ? JSON.stringify(summary) : loadTable(summary)}\n`);
+  process.exitCode = summary.callsWrong + summary.callsLost > 0 ? 1 : 0;
+}
+
+function loadTable(summary: LoadSummary): string {
+  const { programLatencyMs, firstTokenMs, serviceCallMs } = summary;
+  const rows = (
+    [
+      ['programs', programLatencyMs],
+      ['first token', firstTokenMs],
+      ['service calls', serviceCallMs],
+    ] as const
+  ).map(([name, times]) => [
+    name,
+    String(times.count),
+    formatMs(times.p50),
+    formatMs(times.p95),
+    formatMs(times.p99),
+    formatMs(times.max),
+  ]);
+  return [
+    formatTable(['what', 'count', 'p50', 'p95', 'p99', 'worst'], rows),
+    '',
+    `${summary.programsCompleted}/${summary.programs} programs, ${summary.calls} calls: ` +
+      `${summary.callsWrong} wrong, ${summary.callsLost} lost, ${summary.callsNotRun} not run, ` +
+      `${summary.callsUnknown} unknown`,
+    `prompt tokens from cache ${formatShare(summary.cachedShare)}, ` +
+      `computed again ${formatShare(summary.wastedCacheShare)}`,
+  ].join('\n');
+}
--- a/src/backends/engine-client.ts
+++ b/src/backends/engine-client.ts
@@ -74,6 +74,10 @@
   ledgegauge: z.object({ load: loadReportSchema.optional() }).optional(),
 });
 
+interface TextChunk {
+  choices: [{ delta: { content: string }; finish_reason?: undefined }];
+}
+
 const END_MARK = '[DONE]';
 const CONNECT_TIMEOUT_MS = 500;
 
@@ -177,6 +181,17 @@
   throw new BackendLostError('the stream ended early', context);
 }
 
+/**
+ * Recognises the one kind of chunk that comes for every token, at a fraction of the cost of the whole
+ * schema; all others, and all wrong ones, go through the schema.
+ */
+function isTextChunk(value: unknown): value is TextChunk {
+  const { choices, usage, ledgegauge } = value as Partial<TextChunk & z.infer<typeof chunkSchema>>;
+  if (!Array.isArray(choices) || choices.length !== 1 || usage || ledgegauge) return false;
+  const choice = choices[0] as Partial<TextChunk['choices'][0]> | null;
+  return typeof choice?.delta?.content === 'string' && choice.finish_reason === undefined;
+}
+
 /** Checks that the pieces of a stream join without a gap. */
 class ChunkReader {
   private hasEnded = false;
@@ -218,7 +233,8 @@
 
   private parse(data: string): z.infer<typeof chunkSchema> {
     try {
-      return chunkSchema.parse(JSON.parse(data));
+      const value: unknown = JSON.parse(data);
+      return isTextChunk(value) ? value : chunkSchema.parse(value);
     } catch (cause) {
       throw this.error('not a chunk of an answer', cause);
     }
--- a/src/callers/answer-writer.ts
+++ b/src/callers/answer-writer.ts
@@ -67,12 +67,18 @@
 
 class EventWriter {
   private generation = 0;
+  /** A piece's JSON up to its text; only the text differs from piece to piece. */
+  private readonly pieceStart: string;
 
   constructor(
     private readonly response: ServerResponse,
     private readonly subject: AnswerSubject,
     private sent: number,
-  ) {}
+  ) {
+    const { model } = subject;
+    const head = { id: answerId(subject), object: 'chat.completion.chunk', model };
+    this.pieceStart = `${JSON.stringify(head).slice(0, -1)},"choices":[{"index":0,"delta":{"content":`;
+  }
 
   async writeProgress(execution: CallExecution): Promise<void> {
     if (execution.generation !== this.generation) this.writeRestart(execution.generation);
@@ -120,15 +126,10 @@
 
   private writeText(text: string): void {
     this.writeHead();
-    const { subject } = this;
-    const piece = {
-      id: answerId(subject),
-      object: 'chat.completion.chunk',
-      model: subject.model,
-      choices: [{ index: 0, delta: { content: text.slice(this.sent) }, finish_reason: null }],
-    };
+    const content = JSON.stringify(text.slice(this.sent));
     this.sent = text.length;
-    this.response.write(formatEvent({ id: String(this.sent), data: JSON.stringify(piece) }));
+    const data = `${this.pieceStart}${content}},"finish_reason":null}]}`;
+    this.response.write(formatEvent({ id: String(this.sent), data }));
   }
 
   private writeHead(): void {
