ledgegauge-lab report; leadership transfer as a module of its own

Cause: the largest module held the hand-over of leadership beside the group's state, and a doc comment spoke of something else.

--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -8,6 +8,7 @@
 import { type DemoFlags, runDemo } from './demo-command.js';
 import { type FleetFlags, runFleet } from './fleet-command.js';
 import { type LoadFlags, runLoadCommand } from './load-command.js';
+import { type ReportFlags, runReport } from './report-command.js';
 import { type ScaleFlags, runScale } from './scale-command.js';
 import { type SlopesFlags, runSlopes } from './slopes-command.js';
 import { type TortureFlags, runTorture } from './torture-command.js';
@@ -82,6 +83,12 @@
   .option('--json', 'Print the result as one line of JSON')
   .action((flags: BenchFlags) => runAction(() => runBench(flags)));
 
+cli
+  .command('report', 'Make one page with plots from the files of bench and torture')
+  .option('--input <folder>', 'Where the JSON files are', { default: 'docs/data' })
+  .option('--output <folder>', 'Where the page goes', { default: 'report' })
+  .action((flags: ReportFlags) => runAction(() => runReport(flags)));
+
 cli.help();
 cli.version(VERSION);
 
--- /dev/null
+++ b/src/consensus/leadership-transfer.ts
@@ -0,0 +1,46 @@
+/** Hands leadership to the voter that is furthest along, for a planned stop. */
+import { monotonicMs, sleep } from '../common/index.js';
+import { votersOf } from './configuration.js';
+import { TRANSFER } from './messages.js';
+import type { ReplicatedGroup } from './replicated-group.js';
+import type { Replicator } from './replicator.js';
+
+const TRANSFER_WAIT_MS = 700;
+const TRANSFER_POLL_MS = 20;
+const TRANSFER_CALL_TIMEOUT_MS = 500;
+
+/** @returns whether a follower that holds the whole log was asked to start an election, and will */
+export async function transferLeadership(
+  group: ReplicatedGroup,
+  replicators: ReadonlyMap<string, Replicator>,
+): Promise<boolean> {
+  const deadline = monotonicMs() + TRANSFER_WAIT_MS;
+  while (group.isLeader && monotonicMs() < deadline) {
+    const target = mostCurrentFollower(group, replicators);
+    const isCaughtUp = target !== undefined && target.matchIndex >= group.log.lastIndex;
+    if (isCaughtUp && (await askToTakeOver(group, target))) return true;
+    await sleep(TRANSFER_POLL_MS);
+  }
+  return !group.isLeader;
+}
+
+function mostCurrentFollower(
+  group: ReplicatedGroup,
+  replicators: ReadonlyMap<string, Replicator>,
+): Replicator | undefined {
+  return votersOf(group.configuration)
+    .filter((voter) => voter.id !== group.ownId)
+    .map((voter) => replicators.get(voter.id))
+    .filter((replicator) => replicator !== undefined)
+    .sort((left, right) => right.matchIndex - left.matchIndex)
+    .at(0);
+}
+
+async function askToTakeOver(group: ReplicatedGroup, { member }: Replicator): Promise<boolean> {
+  const request = { group: group.name, to: member.id, from: group.ownId, term: group.term };
+  try {
+    return await group.call(member, TRANSFER, request, { timeoutMs: TRANSFER_CALL_TIMEOUT_MS });
+  } catch {
+    return false;
+  }
+}
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -23,9 +23,9 @@
 import { runElection } from './election.js';
 import { CommitUnknownError, MembershipChangeError, NotLeaderError } from './errors.js';
 import { FollowerDuty } from './follower-duty.js';
+import { transferLeadership } from './leadership-transfer.js';
 import type { MemberLog } from './member-log.js';
 import type { Heartbeat, HeartbeatResponse } from './messages.js';
-import { TRANSFER } from './messages.js';
 import type { CheckedConsensusOptions } from './options.js';
 import { Replicator } from './replicator.js';
 import type { StateMachine } from './state-machine.js';
@@ -54,10 +54,6 @@
   deferred: Deferred<unknown>;
 }
 
-const TRANSFER_WAIT_MS = 700;
-const TRANSFER_POLL_MS = 20;
-const TRANSFER_CALL_TIMEOUT_MS = 500;
-
 export class ReplicatedGroup {
   readonly name: string;
   state: MemberState = 'follower';
@@ -120,8 +116,6 @@
     return findMember(this.configuration, this.leaderId)?.address;
   }
 
-  // ---- What users of the group call -----------------------------------------------------------
-
   /**
    * Replicates a command; resolves with its result once it is committed and applied.
    * @throws NotLeaderError when this member does not lead; the command was not taken
@@ -174,22 +168,15 @@
     return this.changeConfiguration(withoutMember(this.configuration, id));
   }
 
-  /** Hands leadership to the voter that is furthest along, for a planned stop. */
+  /** Hands leadership over; takes no commands meanwhile. Resolves with whether that went well. */
   async transferLeadership(): Promise<boolean> {
     if (!this.isLeader) return true;
     this.isTransferring = true;
-    const deadline = monotonicMs() + TRANSFER_WAIT_MS;
-    let transferred = false;
-    while (this.isLeader && monotonicMs() < deadline) {
-      const target = this.mostCurrentFollower();
-      if (target && target.matchIndex >= this.log.lastIndex) {
-        transferred = await this.askToTakeOver(target.member);
-        if (transferred) break;
-      }
-      await new Promise((resolve) => setTimeout(resolve, TRANSFER_POLL_MS));
+    try {
+      return await transferLeadership(this, this.replicators);
+    } finally {
+      this.isTransferring = false;
     }
-    this.isTransferring = false;
-    return transferred;
   }
 
   stop(): void {
@@ -198,8 +185,6 @@
     this.applier.stop();
   }
 
-  // ---- Clock ----------------------------------------------------------------------------------
-
   /** Called by the host at every heartbeat interval. */
   tick(): void {
     if (this.isStopped) return;
@@ -223,15 +208,13 @@
     );
   }
 
-  /** Time since a leader was last heard, in milliseconds. */
+  /** Puts the next election off; `rank` by whole time-outs, to spread the first leaders. */
   resetElectionDeadline(rank = 0): void {
     const { electionTimeoutMs } = this.environment.options;
     const jitter = Math.random() * electionTimeoutMs;
     this.electionDeadline = monotonicMs() + electionTimeoutMs + jitter + rank * electionTimeoutMs;
   }
 
-  // ---- Leader's heartbeats, sent by the host for all groups together ----------------------------
-
   heartbeatFor(member: Member): Heartbeat | undefined {
     if (!this.replicators.has(member.id)) return undefined;
     const { name: group, ownId: from, term, commitIndex } = this;
@@ -250,8 +233,6 @@
     this.quorumContact.notify();
   }
 
-  // ---- State changes --------------------------------------------------------------------------
-
   onHigherTerm(term: number): void {
     if (term > this.term) this.becomeFollower(term, undefined);
   }
@@ -414,25 +395,6 @@
     }
   }
 
-  private mostCurrentFollower(): Replicator | undefined {
-    const voters = votersOf(this.configuration).filter((voter) => voter.id !== this.ownId);
-    return voters
-      .map((voter) => this.replicators.get(voter.id))
-      .filter((replicator) => replicator !== undefined)
-      .sort((left, right) => right.matchIndex - left.matchIndex)
-      .at(0);
-  }
-
-  private async askToTakeOver(member: Member): Promise<boolean> {
-    const { name: group, ownId: from, term } = this;
-    const request = { group, to: member.id, from, term };
-    try {
-      return await this.call(member, TRANSFER, request, { timeoutMs: TRANSFER_CALL_TIMEOUT_MS });
-    } catch {
-      return false;
-    }
-  }
-
   /** Spreads the first leaders over the members: each group prefers another one at start. */
   private startupRank(): number {
     const voters = votersOf(this.configuration)
