Routing knows which engines have a tenant's shared beginning

Cause: programs of one tenant begin with the same instructions, but a new program or sub-agent was routed as if no engine had them.

--- a/src/callers/call-context.ts
+++ b/src/callers/call-context.ts
@@ -4,6 +4,7 @@
 import type { RetryBudget } from '../limits/index.js';
 import type { LeaseHolder } from '../membership/index.js';
 import type { HoldPolicy } from '../retention/index.js';
+import type { PrefixHints } from '../routing/index.js';
 import type { Admission } from '../scheduling/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import type { GatewayMetrics } from '../observability/index.js';
@@ -23,6 +24,7 @@
   histories: HistoryCache;
   hints: ProgramHints;
   holds: HoldPolicy;
+  prefixes: PrefixHints;
   retries: RetryBudget;
   metrics: GatewayMetrics;
   resolveAddress: (address: string) => string;
--- a/src/callers/model-call.ts
+++ b/src/callers/model-call.ts
@@ -15,6 +15,7 @@
 } from '../backends/index.js';
 import { countMessageTokens, monotonicMs, sleep } from '../common/index.js';
 import type { BegunResult, CallRecord, RestartResult } from '../journal/index.js';
+import { prefixKey } from '../routing/index.js';
 import { type AdmissionResult, enginePriority } from '../scheduling/index.js';
 import { createAttemptToken } from './attempt-token.js';
 import type { CallContext, CallSpecification } from './call-context.js';
@@ -55,6 +56,7 @@
     const hint = await context.hints.get(programId, tenant);
     if (!hint) return { kind: 'unknown-program' };
     this.hint = hint;
+    this.notePrefix();
     this.noteContinued();
     context.retries.noteFirstTry();
     const admission = await this.admit();
@@ -115,6 +117,7 @@
       promptTokens: hint.historyTokens + ownTokens,
       knownPrefixTokens: hint.historyTokens,
       previousBackend: hint.previousBackend,
+      sharedTokensAt: (backend) => context.prefixes.cachedTokens(backend.id, hint.prefix),
       attainedService: hint.attainedService,
       candidates: () => context.backends.enginesFor(hint.model, hint.previousBackend),
       excluded: this.excluded,
@@ -157,6 +160,7 @@
     }
     if (end.kind === 'lost') {
       this.excluded.add(backend.id);
+      this.context.prefixes.forget(backend.id);
       return this.replaceAttempt(begun.call, end.neverRan);
     }
     return this.waitForSuccessor();
@@ -344,6 +348,16 @@
     const historyTokens = begun.promptTokens + answerTokens;
     context.hints.noteCall(programId, tenant, backend.id, historyTokens);
     this.hint.attainedService = begun.attainedService + result.cost;
+    if (this.hint.prefix) context.prefixes.note(backend.id, this.hint.prefix);
+  }
+
+  /** The first message of the first call is what programs of a tenant share. */
+  private notePrefix(): void {
+    const { tenant, sequence, request } = this.specification;
+    const [first] = request.messages;
+    if (sequence !== 1 || !first) return;
+    const key = prefixKey(tenant, this.hint.model, first.content);
+    this.hint.prefix = { key, tokens: countMessageTokens([first]) };
   }
 
   private noteContinued(): void {
--- a/src/callers/program-hints.ts
+++ b/src/callers/program-hints.ts
@@ -1,6 +1,7 @@
 /** What this gateway remembers of programs, for routing and holds only; never for correctness. */
 import { LRUCache } from 'lru-cache';
 import { monotonicMs } from '../common/index.js';
+import type { PromptPrefix } from '../routing/index.js';
 import type { JournalClient, ProgramSummary } from '../journal/index.js';
 
 export interface ProgramHint {
@@ -9,6 +10,8 @@
   /** Tokens of the history, which the previous back end computed last. */
   historyTokens: number;
   attainedService: number;
+  /** The beginning that the program's prompts share with others', once its first call was seen. */
+  prefix?: PromptPrefix;
   /** Monotonic time at which its last call ended here, in milliseconds. */
   lastCallEndedMs: number | undefined;
 }
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -23,7 +23,7 @@
 import { ConfigurationFetcher, LeaseHolder } from '../membership/index.js';
 import { GatewayMetrics, type Logger, StatusServer } from '../observability/index.js';
 import { HoldPolicy } from '../retention/index.js';
-import { createRoutingPolicy } from '../routing/index.js';
+import { PrefixHints, createRoutingPolicy } from '../routing/index.js';
 import { Admission, createQueuePolicy } from '../scheduling/index.js';
 import { type GatewaySettings, createAddressResolver } from '../settings/index.js';
 import { MethodRouter } from '../wire/index.js';
@@ -95,6 +95,7 @@
         maxHoldMs: retention.maxHold,
         latencyWeight: retention.latencyWeight,
       }),
+      prefixes: new PrefixHints(),
       retries: new RetryBudget({ capacity: RETRY_BUDGET_CAPACITY }),
       metrics: this.metrics,
       resolveAddress,
--- a/src/routing/routing-policy.ts
+++ b/src/routing/routing-policy.ts
@@ -10,6 +10,8 @@
   /** Of those, tokens that the previous back end computed for this program. */
   knownPrefixTokens: number;
   previousBackend: string | undefined;
+  /** Tokens of a shared beginning that an engine likely has. @default none anywhere */
+  sharedTokensAt?: (backend: Backend) => number;
 }
 
 export interface RoutingPolicy {
@@ -63,9 +65,7 @@
   request: RoutingRequest,
   prefixWeight: number,
 ): number {
-  const isPrevious = backend.id === request.previousBackend;
-  const cachedTokens = isPrevious ? request.knownPrefixTokens : 0;
-  const missingTokens = request.promptTokens - cachedTokens;
+  const missingTokens = request.promptTokens - cachedTokensAt(backend, request);
   const queued =
     backend.estimatedPrefillTokens +
     TOKENS_PER_RUNNING_CALL * backend.estimatedCalls +
@@ -73,6 +73,12 @@
   return queued + prefixWeight * missingTokens;
 }
 
+/** Prompt tokens that a back end likely need not compute again. */
+export function cachedTokensAt(backend: Backend, request: RoutingRequest): number {
+  if (backend.id === request.previousBackend) return request.knownPrefixTokens;
+  return request.sharedTokensAt?.(backend) ?? 0;
+}
+
 function lowest(candidates: readonly Backend[], scoreOf: (backend: Backend) => number): Backend {
   let best = candidates[0]!;
   let bestScore = scoreOf(best);
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -4,7 +4,7 @@
  */
 import { Deferred, monotonicMs } from '../common/index.js';
 import type { Backend } from '../backends/index.js';
-import type { RoutingPolicy, RoutingRequest } from '../routing/index.js';
+import { type RoutingPolicy, type RoutingRequest, cachedTokensAt } from '../routing/index.js';
 import { type QueuePolicy, type WaitingCall } from './queue-policy.js';
 
 export interface AdmissionRequest extends RoutingRequest {
@@ -112,8 +112,7 @@
   }
 
   private admit(backend: Backend, request: AdmissionRequest): AdmissionResult {
-    const isPrevious = backend.id === request.previousBackend;
-    const cached = isPrevious ? request.knownPrefixTokens : 0;
+    const cached = cachedTokensAt(backend, request);
     backend.limit.acquire();
     backend.breaker.noteSent();
     backend.noteDispatched(request.promptTokens - cached);
--- a/src/scheduling/scheduling.test.ts
+++ b/src/scheduling/scheduling.test.ts
@@ -3,7 +3,7 @@
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { Backend } from '../backends/index.js';
 import type { BackendIntent } from '../intents/index.js';
-import { createRoutingPolicy } from '../routing/index.js';
+import { PrefixHints, createRoutingPolicy, prefixKey } from '../routing/index.js';
 import { Admission, type AdmissionRequest, type AdmissionResult } from './admission.js';
 import { createQueuePolicy, enginePriority } from './queue-policy.js';
 
@@ -168,6 +168,27 @@
     expect(policy.choose([idle, previous], request).id).toBe('a');
   });
 
+  it('begins where the shared beginning is, unless the queue there is long', () => {
+    const policy = createRoutingPolicy('predicted-finish');
+    const [idle, warm] = [backend('a', 10), backend('b', 10)];
+    const hints = new PrefixHints();
+    const prefix = { key: prefixKey('t', 'm', 'you are a reviewer'), tokens: 1_200 };
+    const first = {
+      program: 'new',
+      promptTokens: 1_500,
+      knownPrefixTokens: 0,
+      previousBackend: undefined,
+      sharedTokensAt: ({ id }: Backend) => hints.cachedTokens(id, prefix),
+    };
+    hints.note('b', prefix);
+    expect(policy.choose([idle, warm], first).id).toBe('b');
+    warm.noteDispatched(2_000);
+    expect(policy.choose([idle, warm], first).id).toBe('a');
+    hints.forget('b');
+    expect(hints.cachedTokens('b', prefix)).toBe(0);
+    expect(prefixKey('t', 'm', 'x')).not.toBe(prefixKey('u', 'm', 'x'));
+  });
+
   it('has baselines by name', () => {
     const backends = [backend('a', 10), backend('b', 10)];
     const roundRobin = createRoutingPolicy('round-robin');
