A planned stop answers requests that are on their way; less waiting for what may run twice

Now a stopping server goes on answering for 600 ms, each answer with connection: close, then takes nothing new. The new test failed first (SocketError: other side closed). Also: the first four tries of a repeatable service call have 0.5 s in place of 3 s; a gateway without a lease says after 0.4 s in place of 3 s that the outcome is open; waiting for another gateway's call goes to the next member 0.7 s after its time.

--- a/src/backends/service-client.ts
+++ b/src/backends/service-client.ts
@@ -18,10 +18,12 @@
 export class ServiceClient {
   private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
 
-  constructor(private readonly timeoutMs: number) {}
-
-  /** Sends one call, once. @throws BackendError */
-  async execute(address: string, call: ServiceCall): Promise<string> {
+  /**
+   * Sends one call, once.
+   * @param timeoutMs longest time until the answer
+   * @throws BackendError
+   */
+  async execute(address: string, call: ServiceCall, timeoutMs: number): Promise<string> {
     const service = encodeURIComponent(call.service);
     const operation = encodeURIComponent(call.operation);
     const response = await callBackend(this.agent, {
@@ -31,8 +33,8 @@
       path: `/v1/services/${service}/${operation}`,
       headers: { 'x-execution-key': call.executionKey },
       body: { payload: call.payload },
-      headersTimeoutMs: this.timeoutMs,
-      idleTimeoutMs: this.timeoutMs,
+      headersTimeoutMs: timeoutMs,
+      idleTimeoutMs: timeoutMs,
     });
     try {
       return answerSchema.parse(await response.body.json()).answer;
--- a/src/callers/service-call-run.ts
+++ b/src/callers/service-call-run.ts
@@ -17,6 +17,8 @@
 /** Charged for one service call, in tokens. */
 export const SERVICE_CALL_COST = 1;
 const MAX_ATTEMPTS = 6;
+/** First attempts of a repeatable call, which get less time. */
+const SHORT_ATTEMPTS = 4;
 const FIRST_RETRY_DELAY_MS = 25;
 const MAXIMUM_RETRY_DELAY_MS = 400;
 /** Longest time from the journal's begin to the dispatch; a frozen gateway exceeds it. */
@@ -118,6 +120,7 @@
           payload,
           executionKey: `${programId}/${sequence}/${attempt}`,
         },
+        this.timeoutOf(attempt),
       );
       backend.breaker.noteSuccess();
       backend.limit.noteLatency(monotonicMs() - sentAt);
@@ -131,6 +134,13 @@
     }
   }
 
+  /** What may run twice is soon tried elsewhere; its last tries get all the time there is. */
+  private timeoutOf(attempt: number): number {
+    const { serviceTimeout, serviceTryTimeout } = this.context.settings.calls;
+    const { isRepeatable } = this.specification.request;
+    return isRepeatable && attempt <= SHORT_ATTEMPTS ? serviceTryTimeout : serviceTimeout;
+  }
+
   private async settleAnswer(call: CallRecord, answer: string): Promise<CallResult> {
     const result = await settle(this.context, this.specification, {
       attempt: call.current.attempt,
--- a/src/callers/settlement.ts
+++ b/src/callers/settlement.ts
@@ -20,6 +20,8 @@
 /** How long a finished answer is tried to be recorded before the caller is told to come back. */
 const FINISH_PATIENCE_MS = 6_000;
 const FINISH_RETRY_MS = 50;
+/** How long a gateway without a lease tries to reach the journal. */
+const NO_LEASE_PATIENCE_MS = 400;
 
 export function resultOfSettled(call: CallRecord, usage?: EngineUsage): CallResult {
   const settled = call.settled!;
@@ -80,7 +82,9 @@
 ): Promise<CallResult | CallRecord> {
   const { programId, tenant, sequence, submission } = specification;
   const command = { type: 'refuse' as const, programId, tenant, sequence, submission, reason };
-  const answer = await context.journal.refuse(command);
+  // Without a lease the journal is likely out of reach too; the caller is better off elsewhere.
+  const timeoutMs = reason === 'no-lease' ? NO_LEASE_PATIENCE_MS : undefined;
+  const answer = await context.journal.refuse(command, timeoutMs);
   if (answer.status === 'running') return answer.call;
   if (answer.status === 'refused') {
     context.metrics.refusals.inc({ reason });
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -87,7 +87,7 @@
         firstTokenTimeoutMs: calls.firstTokenTimeout,
         idleTimeoutMs: calls.idleTimeout,
       }),
-      services: new ServiceClient(calls.serviceTimeout),
+      services: new ServiceClient(),
       histories: new HistoryCache(journal, calls.historyCache),
       hints: new ProgramHints(journal),
       holds: new HoldPolicy({
--- a/src/http/http-server.ts
+++ b/src/http/http-server.ts
@@ -26,6 +26,8 @@
 const HTTP_PAYLOAD_TOO_LARGE = 413;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const CLOSE_POLL_MS = 10;
+/** Longer than a request is on its way, so that only connections out of use are closed. */
+const LINGER_MS = 600;
 
 export class HttpRouter {
   private readonly routes: Route[] = [];
@@ -79,6 +81,7 @@
 
 export class HttpServer {
   private active = 0;
+  private isDraining = false;
 
   private constructor(
     private readonly server: Server,
@@ -106,10 +109,15 @@
     return this.active;
   }
 
-  /** Takes no new connections and waits until all requests under way are answered. */
+  /**
+   * Stops without cutting a request. For a while all requests are still answered, each with the word
+   * that its connection closes, because they may have been on their way; then nothing new is taken,
+   * and what is under way is finished.
+   */
   async drain(): Promise<void> {
+    this.isDraining = true;
+    await sleep(LINGER_MS);
     this.server.close();
-    this.server.closeIdleConnections();
     while (this.active > 0) await sleep(CLOSE_POLL_MS);
     this.server.closeAllConnections();
   }
@@ -122,6 +130,7 @@
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.active += 1;
     response.on('error', () => undefined);
+    if (this.isDraining) response.setHeader('connection', 'close');
     try {
       const url = new URL(request.url ?? '/', 'http://localhost');
       const match = this.options.router.find(request.method ?? 'GET', url.pathname);
@@ -134,7 +143,6 @@
       // What is left of a refused body is read and dropped, or the connection would stand still.
       request.resume();
       this.active -= 1;
-      if (!this.server.listening) response.socket?.end();
     }
   }
 
--- a/src/journal/journal-client.ts
+++ b/src/journal/journal-client.ts
@@ -23,6 +23,9 @@
 import { AWAIT_SETTLED, type AwaitSettledResponse } from './messages.js';
 import { journalGroupOf } from './program-id.js';
 
+/** Beyond the wait itself, how long one member may take to answer. */
+const AWAIT_ANSWER_MS = 700;
+
 export interface JournalClientOptions {
   groups: GroupClient;
   groupCount: number;
@@ -53,8 +56,9 @@
     return this.execute(command);
   }
 
-  refuse(command: RefuseCommand): Promise<RefuseResult> {
-    return this.execute(command);
+  /** @param timeoutMs how long to try. @default the client's */
+  refuse(command: RefuseCommand, timeoutMs?: number): Promise<RefuseResult> {
+    return this.execute(command, timeoutMs);
   }
 
   end(command: EndCommand): Promise<EndResult> {
@@ -83,12 +87,16 @@
     const { groups, groupCount, timeoutMs } = this.options;
     const group = journalGroupOf(programId, groupCount);
     const request = { group, programId, tenant, sequence, waitMs };
-    const limits = { timeoutMs: waitMs + timeoutMs, tryTimeoutMs: waitMs + timeoutMs };
+    const tryTimeoutMs = waitMs + AWAIT_ANSWER_MS;
+    const limits = { timeoutMs: waitMs + timeoutMs, tryTimeoutMs };
     return groups.callWithRedirect(group, AWAIT_SETTLED, request, readAwaitSettled, limits);
   }
 
-  private execute<Result>(command: JournalCommand & { programId: string }): Promise<Result> {
-    const { groups, groupCount, timeoutMs } = this.options;
+  private execute<Result>(
+    command: JournalCommand & { programId: string },
+    timeoutMs = this.options.timeoutMs,
+  ): Promise<Result> {
+    const { groups, groupCount } = this.options;
     const group = journalGroupOf(command.programId, groupCount);
     return groups.execute<JournalCommand, Result>(group, command, { timeoutMs });
   }
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -46,6 +46,8 @@
       /** Longest silence within a stream. */
       idleTimeout: durationWithDefault('3s'),
       serviceTimeout: durationWithDefault('3s'),
+      /** Longest time of the first attempts of a call that may be repeated. */
+      serviceTryTimeout: durationWithDefault('500ms'),
       /** How long another gateway's call may be out of sight before it is taken over. */
       takeoverGrace: durationWithDefault('600ms'),
       /** Bytes of program histories kept in memory. */
