--- a/lab/bench/bench-run.ts
+++ b/lab/bench/bench-run.ts
@@ -57,8 +57,8 @@
  */
 const BENCH_ENGINE = { maxBatch: 6, stepMsPerPrefillToken: 0.25, cacheTokens: 40_000 };
 const WEIGHTS: Readonly<Record<Deployment['name'], BenchWeights>> = {
-  pipeline: { latencyWeight: 0.7, prefixWeight: 1 },
-  consortium: { latencyWeight: 0.6, prefixWeight: 4 },
+  pipeline: { latencyWeight: 0.7, prefixWeight: 4 },
+  consortium: { latencyWeight: 0.6, prefixWeight: 8 },
 };
 
 export class BenchRun {
--- a/src/routing/routing-policy.ts
+++ b/src/routing/routing-policy.ts
@@ -48,7 +48,7 @@
 /** Weight of a running sequence against prompt tokens to compute, in tokens. Assumed. */
 const TOKENS_PER_RUNNING_CALL = 96;
 /** Weight of a sequence that waits for a place in the batch, in tokens. Assumed. */
-const TOKENS_PER_WAITING_CALL = 600;
+const TOKENS_PER_WAITING_CALL = 200;
 
 /** The one where the answer is predicted to come first: queue plus missing prefix. */
 class PredictedFinish implements RoutingPolicy {
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -58,10 +58,10 @@
     .strictObject({
       policy: z.enum(routingPolicyNames).default('predicted-finish'),
       /**
-       * What a prompt token that has to be computed again weighs against one of queueing: 1 counts time
-       * only, more keeps programs at their cached prefix for longer.
+       * What a prompt token that has to be computed again weighs against one of queueing. Above 1,
+       * because it also drives out what others have cached.
        */
-      prefixWeight: z.number().positive().default(1),
+      prefixWeight: z.number().positive().default(4),
       /** An engine is asked for its load when the last report is older. */
       maxLoadAge: durationWithDefault('250ms'),
       /** Questions for load a second, to all engines together. */
