--- a/emulator/cli/ledgegauge-emulator.ts
+++ b/emulator/cli/ledgegauge-emulator.ts
@@ -2,9 +2,7 @@
 /** The `ledgegauge-emulator` command line: stand-ins for what the platform gives. */
 import { cac } from 'cac';
 import { addDaemonCommand } from '../../src/cli/daemon-command.js';
-import { EXIT_USAGE } from '../../src/cli/exit-codes.js';
-import { runAction } from '../../src/cli/run-daemon.js';
-import { VERSION } from '../../src/cli/version.js';
+import { runCommandLine } from '../../src/cli/run-command-line.js';
 import { EngineServer } from '../engine/engine-server.js';
 import { engineSettingsSchema } from '../engine/engine-settings.js';
 import { FaultProxy } from '../fault-proxy/fault-proxy.js';
@@ -52,16 +50,4 @@
   start: (settings, logger) => FaultProxy.start(settings, logger),
 });
 
-cli.help();
-cli.version(VERSION);
-
-await runAction(async () => {
-  cli.parse(process.argv, { run: false });
-  const isInformation = cli.options.help === true || cli.options.version === true;
-  if (!cli.matchedCommand && !isInformation) {
-    cli.outputHelp();
-    process.exitCode = EXIT_USAGE;
-    return;
-  }
-  await cli.runMatchedCommand();
-});
+await runCommandLine(cli);
--- a/lab/cli/bench-command.ts
+++ b/lab/cli/bench-command.ts
@@ -5,7 +5,7 @@
 import { type BenchReport, reportBench } from '../bench/bench-report.js';
 import { BenchRun } from '../bench/bench-run.js';
 import type { Fleet } from '../fleet/fleet.js';
-import { DEPLOYMENTS, isDeploymentName } from '../fleet/topology.js';
+import { findDeployment } from '../fleet/topology.js';
 import { takeDownOnSignal } from './interrupt.js';
 import { formatMs, formatShare, formatTable } from './table.js';
 
@@ -23,13 +23,10 @@
 
 export async function runBench(flags: BenchFlags): Promise<void> {
   const { deployment: name, output } = flags;
-  if (!isDeploymentName(name)) {
-    throw new LedgegaugeError('--deployment is pipeline or consortium', { step: 'cli.usage' });
-  }
   const running: { fleet?: Fleet } = {};
   takeDownOnSignal(() => running.fleet);
   const result = await new BenchRun({
-    deployment: DEPLOYMENTS[name],
+    deployment: findDeployment(name),
     seeds: Array.from({ length: flags.seeds }, (_, index) => flags.firstSeed + index),
     loads: readLoads(flags.loads),
     durationMs: flags.seconds * MS_PER_SECOND,
--- a/lab/cli/demo-command.ts
+++ b/lab/cli/demo-command.ts
@@ -1,7 +1,6 @@
 /** `demo`: the main job end to end: a fleet, a seeded workload, every answer checked, a table. */
-import { LedgegaugeError } from '../../src/common/index.js';
 import { Fleet } from '../fleet/fleet.js';
-import { DEPLOYMENTS, isDeploymentName } from '../fleet/topology.js';
+import { findDeployment } from '../fleet/topology.js';
 import { readBackendRecords } from '../load/backend-records.js';
 import { runLoad } from '../load/load-run.js';
 import { type LoadSummary, summarize } from '../load/summary.js';
@@ -32,16 +31,13 @@
 }
 
 export async function runDemo(flags: DemoFlags): Promise<void> {
-  if (!isDeploymentName(flags.deployment)) {
-    throw new LedgegaugeError('--deployment is pipeline or consortium', { step: 'cli.usage' });
-  }
   const running: { fleet?: Fleet } = {};
   takeDownOnSignal(() => running.fleet);
   const workFolder = createWorkFolder('demo');
   const startedAt = performance.now();
   const progress = createProgress('starting', flags.json === true);
   const fleet = await Fleet.up({
-    deployment: DEPLOYMENTS[flags.deployment],
+    deployment: findDeployment(flags.deployment),
     workFolder,
     timeScale: TIME_SCALE,
     journalGroups: JOURNAL_GROUPS,
--- a/lab/cli/fleet-command.ts
+++ b/lab/cli/fleet-command.ts
@@ -5,7 +5,7 @@
 import { LedgegaugeError, sleep } from '../../src/common/index.js';
 import { Fleet } from '../fleet/fleet.js';
 import type { ProcessKind } from '../fleet/fleet-plan.js';
-import { DEPLOYMENTS, isDeploymentName } from '../fleet/topology.js';
+import { findDeployment } from '../fleet/topology.js';
 import { takeDownOnSignal } from './interrupt.js';
 import { createProgress } from './progress.js';
 import { formatTable } from './table.js';
@@ -57,15 +57,12 @@
 }
 
 async function fleetUp(flags: FleetFlags): Promise<void> {
-  if (!isDeploymentName(flags.deployment)) {
-    throw new LedgegaugeError('--deployment is pipeline or consortium', { step: 'cli.usage' });
-  }
   const running: { fleet?: Fleet } = {};
   takeDownOnSignal(() => running.fleet);
   const workFolder = createWorkFolder('fleet');
   const progress = createProgress('starting', false);
   const fleet = await Fleet.up({
-    deployment: DEPLOYMENTS[flags.deployment],
+    deployment: findDeployment(flags.deployment),
     workFolder,
     timeScale: flags.timeScale,
     journalGroups: JOURNAL_GROUPS,
--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -1,9 +1,8 @@
 #!/usr/bin/env node
 /** The `ledgegauge-lab` command line: fleets, load, faults and measurements on one machine. */
 import { cac } from 'cac';
-import { EXIT_USAGE } from '../../src/cli/exit-codes.js';
 import { runAction } from '../../src/cli/run-daemon.js';
-import { VERSION } from '../../src/cli/version.js';
+import { runCommandLine } from '../../src/cli/run-command-line.js';
 import { type BenchFlags, runBench } from './bench-command.js';
 import { type DemoFlags, runDemo } from './demo-command.js';
 import { type FleetFlags, runFleet } from './fleet-command.js';
@@ -89,16 +88,4 @@
   .option('--output <folder>', 'Where the page goes', { default: 'report' })
   .action((flags: ReportFlags) => runAction(() => runReport(flags)));
 
-cli.help();
-cli.version(VERSION);
-
-await runAction(async () => {
-  cli.parse(process.argv, { run: false });
-  const isInformation = cli.options.help === true || cli.options.version === true;
-  if (!cli.matchedCommand && !isInformation) {
-    cli.outputHelp();
-    process.exitCode = EXIT_USAGE;
-    return;
-  }
-  await cli.runMatchedCommand();
-});
+await runCommandLine(cli);
--- a/lab/cli/load-command.ts
+++ b/lab/cli/load-command.ts
@@ -1,7 +1,6 @@
 /** `load`: a seeded workload on a fleet of its own, open or closed loop, with its figures. */
-import { LedgegaugeError } from '../../src/common/index.js';
 import { Fleet } from '../fleet/fleet.js';
-import { DEPLOYMENTS, isDeploymentName } from '../fleet/topology.js';
+import { findDeployment } from '../fleet/topology.js';
 import { readBackendRecords } from '../load/backend-records.js';
 import { runLoad } from '../load/load-run.js';
 import { type LoadSummary, summarize } from '../load/summary.js';
@@ -28,15 +27,12 @@
 
 export async function runLoadCommand(flags: LoadFlags): Promise<void> {
   const { deployment, seed, timeScale, concurrency, rate } = flags;
-  if (!isDeploymentName(deployment)) {
-    throw new LedgegaugeError('--deployment is pipeline or consortium', { step: 'cli.usage' });
-  }
   const running: { fleet?: Fleet } = {};
   takeDownOnSignal(() => running.fleet);
   const workFolder = createWorkFolder('load');
   const progress = createProgress('load', flags.json === true);
   const fleet = await Fleet.up({
-    deployment: DEPLOYMENTS[deployment],
+    deployment: findDeployment(deployment),
     workFolder,
     timeScale,
     journalGroups: JOURNAL_GROUPS,
--- a/lab/cli/torture-command.ts
+++ b/lab/cli/torture-command.ts
@@ -1,9 +1,8 @@
 /** `torture`: seeded faults over a live fleet under load, and a checker that decides. */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { LedgegaugeError } from '../../src/common/index.js';
 import { Fleet } from '../fleet/fleet.js';
-import { DEPLOYMENTS, isDeploymentName } from '../fleet/topology.js';
+import { findDeployment } from '../fleet/topology.js';
 import { selectFaults } from '../torture/faults/index.js';
 import { RecordReader } from '../torture/record-reader.js';
 import { createSchedule } from '../torture/schedule.js';
@@ -28,16 +27,13 @@
 const JOURNAL_GROUPS = 3;
 
 export async function runTorture(flags: TortureFlags): Promise<void> {
-  if (!isDeploymentName(flags.deployment)) {
-    throw new LedgegaugeError('--deployment is pipeline or consortium', { step: 'cli.usage' });
-  }
   const faults = selectFaults(flags.faults);
   const running: { fleet?: Fleet } = {};
   takeDownOnSignal(() => running.fleet);
   const workFolder = createWorkFolder('torture');
   const progress = createProgress('torture', flags.json === true);
   const fleet = await Fleet.up({
-    deployment: DEPLOYMENTS[flags.deployment],
+    deployment: findDeployment(flags.deployment),
     workFolder,
     timeScale: TORTURE_TIME_SCALE,
     journalGroups: JOURNAL_GROUPS,
--- a/lab/fleet/topology.ts
+++ b/lab/fleet/topology.ts
@@ -1,4 +1,5 @@
 /** The two deployments of the users: zones, sizes and distances. */
+import { LedgegaugeError } from '../../src/common/index.js';
 
 export type DeploymentName = 'pipeline' | 'consortium';
 
@@ -57,8 +58,12 @@
   consortium: CONSORTIUM,
 };
 
-export function isDeploymentName(text: string): text is DeploymentName {
-  return text === 'pipeline' || text === 'consortium';
+/** @throws LedgegaugeError when there is no deployment of that name */
+export function findDeployment(name: string): Deployment {
+  const found = Object.values(DEPLOYMENTS).find((deployment) => deployment.name === name);
+  if (found) return found;
+  const known = Object.keys(DEPLOYMENTS).join(' or ');
+  throw new LedgegaugeError(`--deployment is ${known}`, { step: 'cli.usage' });
 }
 
 /** The zone of the n-th of things that are spread evenly. */
--- a/src/callers/model-call.ts
+++ b/src/callers/model-call.ts
@@ -17,7 +17,7 @@
 import type { BegunResult, CallRecord, RestartResult } from '../journal/index.js';
 import { prefixKey } from '../routing/index.js';
 import { type AdmissionResult, enginePriority } from '../scheduling/index.js';
-import { createAttemptToken } from './attempt-token.js';
+import { beginCommand, restartCommand } from './attempt-commands.js';
 import type { CallContext, CallSpecification } from './call-context.js';
 import type { CallExecution } from './call-execution.js';
 import type { CallResult } from './call-result.js';
@@ -126,20 +126,8 @@
 
   private async beginAt(admission: Admitted): Promise<CallResult> {
     const { context, specification } = this;
-    const { programId, tenant, sequence, submission, requestHash, request } = specification;
-    const answer = await context.journal.begin({
-      type: 'begin',
-      programId,
-      tenant,
-      sequence,
-      submission,
-      requestHash,
-      request,
-      token: createAttemptToken(),
-      gateway: context.identity,
-      backend: admission.backend.id,
-      serviceCost: 0,
-    });
+    const command = beginCommand(context, specification, admission.backend.id, 0);
+    const answer = await context.journal.begin(command);
     if (answer.status === 'running') {
       admission.release();
       return this.follow(answer.call);
@@ -169,7 +157,7 @@
   /** Begins another attempt elsewhere in place of a lost one. */
   private async replaceAttempt(lost: CallRecord, neverRan: boolean): Promise<CallResult> {
     const { context, specification } = this;
-    const { programId, tenant, sequence } = specification;
+    const { programId, tenant } = specification;
     const mayRetry = lost.current.attempt < MAX_ATTEMPTS && context.retries.tryTake();
     if (!mayRetry || !context.lease.isHeld) return this.giveUp(lost, neverRan);
     this.hint ??= (await context.hints.get(programId, tenant))!;
@@ -178,17 +166,9 @@
     try {
       context.metrics.restarts.inc({ cause: neverRan ? 'refused' : 'lost' });
       this.execution.restart();
-      const answer = await context.journal.restart({
-        type: 'restart',
-        programId,
-        tenant,
-        sequence,
-        fromAttempt: lost.current.attempt,
-        neverRanToken: neverRan ? lost.current.token : undefined,
-        token: createAttemptToken(),
-        gateway: context.identity,
-        backend: admission.backend.id,
-      });
+      const { id } = admission.backend;
+      const command = restartCommand(context, specification, lost, neverRan, id);
+      const answer = await context.journal.restart(command);
       return await this.continueAfterRestart(answer, admission);
     } finally {
       admission.release();
--- a/src/callers/service-call-run.ts
+++ b/src/callers/service-call-run.ts
@@ -7,7 +7,7 @@
 import { Backoff, monotonicMs, sleep } from '../common/index.js';
 import type { CallRecord, RestartResult, RefusalReason } from '../journal/index.js';
 import type { AdmissionResult } from '../scheduling/index.js';
-import { createAttemptToken } from './attempt-token.js';
+import { beginCommand, restartCommand } from './attempt-commands.js';
 import type { CallContext, CallSpecification } from './call-context.js';
 import type { CallResult } from './call-result.js';
 import { refuse, resultOfRefusal, resultOfSimple, settle } from './settlement.js';
@@ -44,21 +44,10 @@
     if (admission.kind === 'no-backend') return this.refuse('no-backend');
     if (admission.kind === 'overloaded') return this.refuse('overloaded', admission.retryAfterMs);
     try {
-      const { programId, tenant, sequence, submission, requestHash, request } = specification;
+      const { id } = admission.backend;
+      const command = beginCommand(context, specification, id, SERVICE_CALL_COST);
       const proposedAt = monotonicMs();
-      const answer = await context.journal.begin({
-        type: 'begin',
-        programId,
-        tenant,
-        sequence,
-        submission,
-        requestHash,
-        request,
-        token: createAttemptToken(),
-        gateway: context.identity,
-        backend: admission.backend.id,
-        serviceCost: SERVICE_CALL_COST,
-      });
+      const answer = await context.journal.begin(command);
       if (answer.status === 'running') return await this.follow(answer.call);
       if (answer.status !== 'begun') return resultOfSimple(specification, answer);
       return await this.send(answer.call, admission, proposedAt);
@@ -155,7 +144,7 @@
   /** Another attempt if that can do no harm; else the end of the call. */
   private async retry(call: CallRecord, neverRan: boolean): Promise<CallResult> {
     const { context, specification } = this;
-    const { programId, tenant, sequence, request } = specification;
+    const { request } = specification;
     const mayRetry =
       request.isRepeatable &&
       call.current.attempt < MAX_ATTEMPTS &&
@@ -167,17 +156,9 @@
     try {
       context.metrics.restarts.inc({ cause: neverRan ? 'refused' : 'lost' });
       const proposedAt = monotonicMs();
-      const answer = await context.journal.restart({
-        type: 'restart',
-        programId,
-        tenant,
-        sequence,
-        fromAttempt: call.current.attempt,
-        neverRanToken: neverRan ? call.current.token : undefined,
-        token: createAttemptToken(),
-        gateway: context.identity,
-        backend: admission.backend.id,
-      });
+      const { id } = admission.backend;
+      const command = restartCommand(context, specification, call, neverRan, id);
+      const answer = await context.journal.restart(command);
       return await this.continueAfterRestart(answer, admission, proposedAt);
     } finally {
       admission.release();
--- a/src/cli/ledgegauge.ts
+++ b/src/cli/ledgegauge.ts
@@ -10,10 +10,9 @@
   loadSettings,
 } from '../settings/index.js';
 import { addDaemonCommand } from './daemon-command.js';
-import { EXIT_USAGE } from './exit-codes.js';
 import { addOperatorCommands } from './operator-commands.js';
 import { runAction } from './run-daemon.js';
-import { VERSION } from './version.js';
+import { runCommandLine } from './run-command-line.js';
 
 const cli = cac('ledgegauge');
 
@@ -40,9 +39,6 @@
 
 addOperatorCommands(cli);
 
-cli.help();
-cli.version(VERSION);
-
 function checkConfig(file: string, kind: string | undefined): void {
   const schemas = { control: controlSettingsSchema, gateway: gatewaySettingsSchema };
   if (kind === 'control' || kind === 'gateway') {
@@ -66,13 +62,4 @@
   process.stdout.write(`${file}: ok\n`);
 }
 
-await runAction(async () => {
-  cli.parse(process.argv, { run: false });
-  const isInformation = cli.options.help === true || cli.options.version === true;
-  if (!cli.matchedCommand && !isInformation) {
-    cli.outputHelp();
-    process.exitCode = EXIT_USAGE;
-    return;
-  }
-  await cli.runMatchedCommand();
-});
+await runCommandLine(cli);
