--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -38,9 +38,6 @@
 /** A wait ran out before its condition came true. */
 export class TimeoutError extends LedgegaugeError {}
 
-/** The process, link or task is closing and takes no more work. */
-export class ClosedError extends LedgegaugeError {}
-
 /** Describes any thrown value in one line. */
 export function describeError(error: unknown): string {
   if (error instanceof LedgegaugeError) return error.describe();
--- a/src/common/hashing.ts
+++ b/src/common/hashing.ts
@@ -9,11 +9,6 @@
   return hasher.h64ToString(text);
 }
 
-/** xxHash64 of a text. */
-export function hash64(text: string): bigint {
-  return hasher.h64(text);
-}
-
 /** xxHash32 of a text, an integer from 0 to 2^32 - 1. */
 export function hash32(text: string): number {
   return hasher.h32(text);
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -13,7 +13,6 @@
   readonly followedCalls: Counter;
   readonly backendErrors: Counter<'backend' | 'error'>;
   readonly firstToken: Histogram;
-  readonly ownTime: Histogram;
 
   constructor() {
     const registers = [this.registry];
@@ -58,12 +57,6 @@
       buckets: LATENCY_BUCKETS,
       registers,
     });
-    this.ownTime = new Histogram({
-      name: 'ledgegauge_gateway_own_seconds',
-      help: 'Time of a call spent in the gateway itself, without journal, queue and back end',
-      buckets: LATENCY_BUCKETS,
-      registers,
-    });
   }
 
   /** Registers a gauge that is read at each scrape. */
