--- /dev/null
+++ b/emulator/fault-proxy/fault-proxy.test.ts
@@ -0,0 +1,148 @@
+/** The fault proxy on real sockets: what each fault does to a connection. */
+import { type AddressInfo, type Socket, connect, createServer } from 'node:net';
+import { request } from 'undici';
+import { describe, expect, it, onTestFinished } from 'vitest';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { createLogger, setLogLevel } from '../../src/observability/index.js';
+import { FaultProxy } from './fault-proxy.js';
+import { faultProxySettingsSchema } from './fault-proxy-settings.js';
+
+setLogLevel('error');
+const HOST = '127.0.0.1';
+const LINK = 'a>b';
+
+interface Connection {
+  socket: Socket;
+  received: string;
+  isClosed: boolean;
+}
+
+/** A proxy before a server that sends back what it gets. */
+async function startProxy(): Promise<{ port: number; setFault: (fault: object) => Promise<void> }> {
+  const echo = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.pipe(socket);
+  });
+  await new Promise<void>((resolve) => echo.listen(0, HOST, resolve));
+  const [port, controlPort] = await freePorts();
+  const settings = faultProxySettingsSchema.parse({
+    node: { name: 'proxy', zone: 'zone' },
+    listen: { controlPort },
+    links: [{ id: LINK, port, target: `${HOST}:${(echo.address() as AddressInfo).port}` }],
+  });
+  const proxy = await FaultProxy.start(settings, createLogger({ name: 'proxy' }));
+  onTestFinished(async () => {
+    await proxy.stop();
+    echo.close();
+  });
+  const setFault = async (fault: object): Promise<void> => {
+    const body = JSON.stringify({ links: ['*'], fault });
+    const response = await request(`http://${HOST}:${controlPort}/v1/faults`, {
+      method: 'POST',
+      body,
+    });
+    expect(response.statusCode).toBe(200);
+    await response.body.dump();
+  };
+  return { port: port!, setFault };
+}
+
+async function freePorts(): Promise<number[]> {
+  const servers = [createServer(), createServer()];
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) =>
+          server.listen(0, HOST, () => resolve((server.address() as AddressInfo).port)),
+        ),
+    ),
+  );
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
+function open(port: number): Connection {
+  const connection: Connection = {
+    socket: connect({ host: HOST, port }),
+    received: '',
+    isClosed: false,
+  };
+  connection.socket.on('error', () => undefined);
+  connection.socket.on('data', (chunk) => (connection.received += chunk.toString()));
+  connection.socket.on('close', () => (connection.isClosed = true));
+  onTestFinished(() => void connection.socket.destroy());
+  return connection;
+}
+
+const direction = { drop: false, delayMs: 0, jitterMs: 0, bytesPerSecond: 0 };
+
+describe('the fault proxy', () => {
+  it('carries bytes both ways while there is no fault', async () => {
+    const { port } = await startProxy();
+    const connection = open(port);
+    connection.socket.write('hello');
+    await waitUntil('echo', () => connection.received === 'hello');
+  });
+
+  it('cuts connections and refuses new ones', async () => {
+    const { port, setFault } = await startProxy();
+    const old = open(port);
+    old.socket.write('x');
+    await waitUntil('echo', () => old.received === 'x');
+    await setFault({ cut: true });
+    await waitUntil('closed', () => old.isClosed);
+    const fresh = open(port);
+    await waitUntil('refused', () => fresh.isClosed);
+  });
+
+  it('drops in silence, and resets what lost bytes when the cut ends', async () => {
+    const { port, setFault } = await startProxy();
+    const connection = open(port);
+    connection.socket.write('1');
+    await waitUntil('echo', () => connection.received === '1');
+    await setFault({ toTarget: { ...direction, drop: true } });
+    connection.socket.write('2');
+    const other = open(port);
+    await waitUntil('connected', () => !other.socket.connecting);
+    expect([connection.received, connection.isClosed]).toEqual(['1', false]);
+    await setFault({});
+    await waitUntil('reset', () => connection.isClosed);
+    expect(connection.received).toBe('1');
+    other.socket.write('3');
+    await waitUntil('echo', () => other.received === '3');
+  });
+
+  it('delays', async () => {
+    const { port, setFault } = await startProxy();
+    await setFault({ toTarget: { ...direction, delayMs: 80 } });
+    const connection = open(port);
+    const startedAt = performance.now();
+    connection.socket.write('late');
+    await waitUntil('echo', () => connection.received === 'late');
+    expect(performance.now() - startedAt).toBeGreaterThanOrEqual(79);
+  });
+
+  it('resets in the middle of a message', async () => {
+    const { port, setFault } = await startProxy();
+    await setFault({ resetAfterBytes: 10 });
+    const connection = open(port);
+    connection.socket.write('12345');
+    await waitUntil('echo', () => connection.received === '12345');
+    connection.socket.write('67890abc');
+    await waitUntil('reset', () => connection.isClosed);
+    expect(connection.received).toBe('12345');
+  });
+
+  it('accepts without carrying anything when half open', async () => {
+    const { port, setFault } = await startProxy();
+    await setFault({ halfOpen: true });
+    const connection = open(port);
+    await waitUntil('connected', () => !connection.socket.connecting);
+    connection.socket.write('x');
+    await setFault({});
+    const fresh = open(port);
+    fresh.socket.write('y');
+    await waitUntil('echo', () => fresh.received === 'y');
+    expect(connection.received).toBe('');
+  });
+});
