--- /dev/null
+++ b/emulator/engine/engine-server.test.ts
@@ -0,0 +1,113 @@
+/** The emulated engine over HTTP: streams, fences, draining, ceilings, moving cached prefixes. */
+import { request } from 'undici';
+import { describe, expect, it, onTestFinished } from 'vitest';
+import { EventParser } from '../../src/http/index.js';
+import { createLogger, setLogLevel } from '../../src/observability/index.js';
+import { expectedAnswer } from '../model/answer-text.js';
+import { EngineServer } from './engine-server.js';
+import { engineSettingsSchema } from './engine-settings.js';
+
+setLogLevel('error');
+const MESSAGES = [{ role: 'user', content: 'word '.repeat(800) }];
+const MAX_TOKENS = 64;
+const TIME_SCALE = 0.02;
+const SLOW_TRANSFER_MS = 0.5;
+
+interface Usage {
+  prompt_tokens: number;
+  prompt_tokens_details: { cached_tokens: number };
+}
+
+interface Piece {
+  choices: [{ delta: { content?: string } }];
+  usage?: Usage;
+}
+
+async function startEngine(): Promise<string> {
+  const settings = engineSettingsSchema.parse({
+    node: { name: 'engine', zone: 'zone' },
+    listen: { port: 0 },
+    timeScale: TIME_SCALE,
+    model: { transferMsPerToken: SLOW_TRANSFER_MS },
+  });
+  const engine = await EngineServer.start(settings, createLogger({ name: 'engine' }));
+  onTestFinished(() => engine.stop());
+  return `http://127.0.0.1:${engine.port}`;
+}
+
+async function post(url: string, body: object): Promise<{ status: number; text: string }> {
+  const response = await request(url, { method: 'POST', body: JSON.stringify(body) });
+  return { status: response.statusCode, text: await response.body.text() };
+}
+
+function completion(change: object = {}): object {
+  const call = { tenant: 't', program: 'p', sequence: 1, attempt: 1, cost_ceiling: 100_000 };
+  const ledgegauge = { ...call, ...change };
+  return { model: 'm', messages: MESSAGES, max_tokens: MAX_TOKENS, ledgegauge };
+}
+
+function readStream(text: string): { content: string; usage: Usage } {
+  const events = new EventParser().push(text).filter((event) => event.data !== '[DONE]');
+  const pieces = events.map((event) => JSON.parse(event.data) as Piece);
+  const content = pieces.map((piece) => piece.choices[0].delta.content ?? '').join('');
+  return { content, usage: pieces.at(-1)!.usage! };
+}
+
+async function complete(url: string, change: object = {}): Promise<ReturnType<typeof readStream>> {
+  const answer = await post(`${url}/v1/chat/completions`, completion(change));
+  expect(answer.status).toBe(200);
+  return readStream(answer.text);
+}
+
+describe('the engine', () => {
+  it('streams the answer, whole or from a position, as long as it keeps the stream', async () => {
+    const url = await startEngine();
+    const { content } = await complete(url);
+    expect(content).toBe(expectedAnswer('m', MESSAGES, MAX_TOKENS));
+    const rest = await request(`${url}/v1/streams/p/1?attempt=1&from=20`);
+    expect(readStream(await rest.body.text()).content).toBe(content.slice(20));
+    const unknown = await request(`${url}/v1/streams/p/1?attempt=2&from=0`);
+    expect(unknown.statusCode).toBe(404);
+    await unknown.body.dump();
+  });
+
+  it('refuses attempts older than one it knows, and more than the ceiling', async () => {
+    const url = await startEngine();
+    await complete(url, { attempt: 2 });
+    const old = await post(`${url}/v1/chat/completions`, completion({ attempt: 1 }));
+    expect([old.status, JSON.parse(old.text)]).toMatchObject([409, { code: 'fenced' }]);
+    const dear = await post(`${url}/v1/chat/completions`, completion({ cost_ceiling: 10 }));
+    expect([dear.status, JSON.parse(dear.text)]).toMatchObject([422, { code: 'over_ceiling' }]);
+  });
+
+  it('takes no new work while draining, and no order with an old fence', async () => {
+    const url = await startEngine();
+    const models = [{ id: 'm', version: 'v1', adapters: [] }];
+    await post(`${url}/v1/orders`, { fence: 7, role: 'draining', models });
+    const refused = await post(`${url}/v1/chat/completions`, completion());
+    expect([refused.status, JSON.parse(refused.text)]).toMatchObject([
+      503,
+      { code: 'draining', outcome: 'not_run', retry_after_ms: expect.any(Number) as number },
+    ]);
+    const old = await post(`${url}/v1/orders`, { fence: 6, role: 'active', models });
+    expect(old.status).toBe(409);
+    await post(`${url}/v1/orders`, { fence: 8, role: 'active', models });
+    await complete(url);
+  });
+
+  it('moves a cached prefix to another engine, at its bandwidth', async () => {
+    const [first, second] = [await startEngine(), await startEngine()];
+    await complete(first);
+    const prefix = { tenant: 't', program: 'p', model: 'm', messages: MESSAGES };
+    const startedAt = performance.now();
+    const exported = await post(`${first}/v1/kv/export`, prefix);
+    const { hashes } = JSON.parse(exported.text) as { hashes: string[] };
+    expect(hashes.length).toBeGreaterThan(10);
+    // 64 tokens a block, half a millisecond of model time a token.
+    const expectedMs = hashes.length * 64 * SLOW_TRANSFER_MS * TIME_SCALE;
+    expect(performance.now() - startedAt).toBeGreaterThanOrEqual(expectedMs - 1);
+    await post(`${second}/v1/kv/import`, { program: 'p', hashes });
+    const { usage } = await complete(second);
+    expect(usage.prompt_tokens_details.cached_tokens).toBeGreaterThan(600);
+  });
+});
--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -1,7 +1,7 @@
 /** The emulated engine as a process: its HTTP interface. */
 import type { ServerResponse } from 'node:http';
 import { z } from 'zod';
-import { countMessageTokens, monotonicMs } from '../../src/common/index.js';
+import { countMessageTokens, monotonicMs, sleep } from '../../src/common/index.js';
 import {
   type HttpExchange,
   HttpProblem,
@@ -15,6 +15,7 @@
 import type { Logger } from '../../src/observability/index.js';
 import { renderPrompt } from '../model/answer-text.js';
 import { EngineModel } from '../model/engine-model.js';
+import { BLOCK_TOKENS } from '../model/engine-options.js';
 import { appendRecord } from '../record-file.js';
 import type { EngineRequest, EngineSequence } from '../model/sequence.js';
 import { blockHashes } from '../model/prefix-cache.js';
@@ -79,6 +80,8 @@
   private readonly faults = new FaultMode();
   private readonly releases: ReleaseRecord[] = [];
   private readonly arrivals: ArrivalRecord[] = [];
+  /** The last of the KV transfers under way. */
+  private transfers: Promise<void> = Promise.resolve();
   private server!: HttpServer;
 
   private constructor(
@@ -273,6 +276,7 @@
     const body = transferSchema.parse(await readJson(request, MAX_BODY_BYTES));
     const hashes = blockHashes(body.tenant, body.model, renderPrompt(body.messages));
     const matched = this.model.cache.matchLength(hashes);
+    await this.transfer(matched);
     sendJson(response, 200, { hashes: hashes.slice(0, matched) });
   }
 
@@ -280,10 +284,18 @@
     const body = z
       .object({ program: z.string(), hashes: z.array(z.string()) })
       .parse(await readJson(request, MAX_BODY_BYTES));
+    await this.transfer(body.hashes.length);
     this.model.cache.store(body.hashes, body.program, this.model.nowMs);
     sendJson(response, 200, { stored: body.hashes.length });
   }
 
+  /** Takes the time that blocks need on their way; transfers of one engine follow each other. */
+  private transfer(blocks: number): Promise<void> {
+    const durationMs = this.model.transferMs(blocks * BLOCK_TOKENS) * this.settings.timeScale;
+    this.transfers = this.transfers.then(() => sleep(durationMs));
+    return this.transfers;
+  }
+
   private async readRecords({ response }: HttpExchange): Promise<void> {
     sendJson(response, 200, {
       executions: this.model.executions,
