--- a/emulator/cli/ledgegauge-emulator.ts
+++ b/emulator/cli/ledgegauge-emulator.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** The `ledgegauge-emulator` command line: stand-ins for what the platform gives. */
 import { cac } from 'cac';
+import { addCheckConfigCommand } from '../../src/cli/check-config-command.js';
 import { addDaemonCommand } from '../../src/cli/daemon-command.js';
 import { runCommandLine } from '../../src/cli/run-command-line.js';
 import { EngineServer } from '../engine/engine-server.js';
@@ -50,4 +51,13 @@
   start: (settings, logger) => FaultProxy.start(settings, logger),
 });
 
+addCheckConfigCommand(cli, {
+  engine: engineSettingsSchema,
+  service: serviceSettingsSchema,
+  tool: serviceSettingsSchema,
+  weights: weightsSettingsSchema,
+  machines: machinesSettingsSchema,
+  'fault-proxy': faultProxySettingsSchema,
+});
+
 await runCommandLine(cli);
--- a/emulator/engine/engine-server.test.ts
+++ b/emulator/engine/engine-server.test.ts
@@ -71,6 +71,17 @@
     await unknown.body.dump();
   });
 
+  it('has health and metrics pages', async () => {
+    const url = await startEngine();
+    await complete(url);
+    const health = await request(`${url}/healthz`);
+    expect(health.statusCode).toBe(200);
+    await health.body.dump();
+    const metrics = await (await request(`${url}/metrics`)).body.text();
+    expect(metrics).toContain('ledgegauge_emulator_arrivals 1\n');
+    expect(metrics).toContain('process_cpu_seconds_total');
+  });
+
   it('refuses attempts older than one it knows, and more than the ceiling', async () => {
     const url = await startEngine();
     await complete(url, { attempt: 2 });
--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -17,6 +17,7 @@
 import { EngineModel } from '../model/engine-model.js';
 import { BLOCK_TOKENS } from '../model/engine-options.js';
 import { appendRecord } from '../record-file.js';
+import { addStatusPages } from '../status-pages.js';
 import type { EngineRequest, EngineSequence } from '../model/sequence.js';
 import { blockHashes } from '../model/prefix-cache.js';
 import { CacheEventFeed } from './cache-event-feed.js';
@@ -125,7 +126,7 @@
   }
 
   private createRouter(): HttpRouter {
-    return new HttpRouter()
+    const router = new HttpRouter()
       .on('POST', '/v1/chat/completions', (exchange) => this.complete(exchange))
       .on('GET', '/v1/streams/:program/:sequence', (exchange) => this.resume(exchange))
       .on('DELETE', '/v1/streams/:program/:sequence', (exchange) => this.cancel(exchange))
@@ -144,8 +145,21 @@
       .on('POST', '/v1/faults', async ({ request, response }) => {
         this.faults.set(faultModeSchema.parse(await readJson(request, MAX_BODY_BYTES)));
         sendJson(response, 200, {});
-      })
-      .on('GET', '/healthz', async ({ response }) => sendJson(response, 200, { status: 'ok' }));
+      });
+    addStatusPages(router, [
+      { name: 'arrivals', help: 'Requests taken so far', read: () => this.arrivals.length },
+      {
+        name: 'used_blocks',
+        help: 'Blocks of memory in use',
+        read: () => this.model.cache.usedBlocks,
+      },
+      {
+        name: 'held_programs',
+        help: 'Programs with a hold',
+        read: () => this.model.cache.heldPrograms.length,
+      },
+    ]);
+    return router;
   }
 
   private async complete({ request, response }: HttpExchange): Promise<void> {
--- a/emulator/fault-proxy/fault-proxy.ts
+++ b/emulator/fault-proxy/fault-proxy.ts
@@ -1,6 +1,7 @@
 /** A proxy that carries TCP links and makes them fail on request, each link by itself. */
 import { type Server, createServer } from 'node:net';
 import { z } from 'zod';
+import { addStatusPages } from '../status-pages.js';
 import { HttpRouter, HttpServer, badRequest, readJson, sendJson } from '../../src/http/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import {
@@ -102,7 +103,7 @@
   }
 
   private createRouter(): HttpRouter {
-    return new HttpRouter()
+    const router = new HttpRouter()
       .on('POST', '/v1/faults', async ({ request, response }) => {
         const body = faultRequestSchema.safeParse(await readJson(request, MAX_BODY_BYTES));
         if (!body.success) throw badRequest(body.error.message);
@@ -118,6 +119,8 @@
           [...this.links.values()].map(({ settings, fault }) => ({ ...settings, fault })),
         ),
       );
+    addStatusPages(router);
+    return router;
   }
 
   private matching(patterns: string[]): Link[] {
--- a/emulator/machines/machines-server.ts
+++ b/emulator/machines/machines-server.ts
@@ -1,5 +1,6 @@
 /** The emulated platform's list of live and leaving machines, which lags behind the truth. */
 import { z } from 'zod';
+import { addStatusPages } from '../status-pages.js';
 import { HttpRouter, HttpServer, readJson, sendJson } from '../../src/http/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { durationWithDefault, logSettings, nodeSettings, port } from '../../src/settings/index.js';
@@ -28,6 +29,7 @@
 
   static async start(settings: MachinesSettings, logger: Logger): Promise<MachinesServer> {
     const router = new HttpRouter();
+    addStatusPages(router);
     const server = await HttpServer.start({
       host: settings.listen.host,
       port: settings.listen.port,
--- a/emulator/service/service-server.ts
+++ b/emulator/service/service-server.ts
@@ -15,6 +15,7 @@
 import { durationWithDefault, logSettings, nodeSettings, port } from '../../src/settings/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { appendRecord } from '../record-file.js';
+import { addStatusPages } from '../status-pages.js';
 
 export const serviceSettingsSchema = z.strictObject({
   node: nodeSettings,
@@ -62,19 +63,21 @@
 
   static async start(settings: ServiceSettings, logger: Logger): Promise<ServiceServer> {
     const service = new ServiceServer(settings);
+    const router = new HttpRouter()
+      .on('POST', '/v1/services/:service/:operation', (exchange) => service.execute(exchange))
+      .on('GET', '/v1/records', async ({ response }) =>
+        sendJson(response, 200, { executions: service.executions }),
+      )
+      .on('POST', '/v1/faults', async ({ request, response }) => {
+        service.fault = faultSchema.parse(await readJson(request, MAX_BODY_BYTES));
+        sendJson(response, 200, {});
+      });
+    const executions = { name: 'executions', help: 'Requests executed so far' };
+    addStatusPages(router, [{ ...executions, read: () => service.executions.length }]);
     service.server = await HttpServer.start({
       host: settings.listen.host,
       port: settings.listen.port,
-      router: new HttpRouter()
-        .on('POST', '/v1/services/:service/:operation', (exchange) => service.execute(exchange))
-        .on('GET', '/v1/records', async ({ response }) =>
-          sendJson(response, 200, { executions: service.executions }),
-        )
-        .on('POST', '/v1/faults', async ({ request, response }) => {
-          service.fault = faultSchema.parse(await readJson(request, MAX_BODY_BYTES));
-          sendJson(response, 200, {});
-        })
-        .on('GET', '/healthz', async ({ response }) => sendJson(response, 200, { status: 'ok' })),
+      router,
       onError: (description) => logger.error('request failed', { description }),
     });
     return service;
--- /dev/null
+++ b/emulator/status-pages.ts
@@ -0,0 +1,32 @@
+/** Health and Prometheus metrics pages of the emulators, beside their own interface. */
+import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+import { type HttpRouter, sendJson } from '../src/http/index.js';
+
+/** A figure that is read at each scrape. */
+export interface EmulatorGauge {
+  name: string;
+  help: string;
+  read: () => number;
+}
+
+export function addStatusPages(router: HttpRouter, gauges: readonly EmulatorGauge[] = []): void {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  for (const { name, help, read } of gauges) {
+    new Gauge({
+      name: `ledgegauge_emulator_${name}`,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+  for (const path of ['/healthz', '/readyz']) {
+    router.on('GET', path, async ({ response }) => sendJson(response, 200, { status: 'ok' }));
+  }
+  router.on('GET', '/metrics', async ({ response }) => {
+    response.writeHead(200, { 'content-type': registry.contentType });
+    response.end(await registry.metrics());
+  });
+}
--- a/emulator/weights/weights-server.ts
+++ b/emulator/weights/weights-server.ts
@@ -1,5 +1,6 @@
 /** The emulated weight store: hands out models at a limited rate. */
 import { z } from 'zod';
+import { addStatusPages } from '../status-pages.js';
 import { sleep } from '../../src/common/index.js';
 import { HttpRouter, HttpServer, sendJson } from '../../src/http/index.js';
 import type { Logger } from '../../src/observability/index.js';
@@ -26,6 +27,7 @@
 
   static async start(settings: WeightsSettings, logger: Logger): Promise<WeightsServer> {
     const router = new HttpRouter();
+    addStatusPages(router);
     const server = await HttpServer.start({
       host: settings.listen.host,
       port: settings.listen.port,
--- a/tests/command-line.test.ts
+++ b/tests/command-line.test.ts
@@ -64,6 +64,19 @@
     expect(run(program, 'check-config', file)).toMatchObject({ status: EXIT_OK });
   });
 
+  it('knows the emulators too', () => {
+    const file = settingsFile('node: { name: e, zone: z }\nlisten: { port: 0 }\ntimeScale: fast');
+    const { status, output } = run(
+      PROGRAMS['ledgegauge-emulator'],
+      'check-config',
+      file,
+      '--kind',
+      'engine',
+    );
+    expect(status).toBe(EXIT_USAGE);
+    expect(output).toContain('timeScale');
+  });
+
   it('names file, path and what would be right', () => {
     const file = settingsFile(`${GOOD}\ncalls: { idleTimeout: soon }`);
     const { status, output } = run(program, 'check-config', file);
