One rendezvous ranking, one grouping, one gauge; engines ranked once a change

Cause, found by reading the change: the reconciler of holds ranked all members for every engine in every round of two seconds, with hashes made inside the sort. Also: rendezvous hashing stood in three places (placement, subsets, reconciler), grouping in two, gauges in three, the load report as type and as schema, the test for a partial declaration and the making of a change twice each; a chat completion started its execution twice (the second joined the first); MAX_PER_TICK could never bind, because MAX_PARALLEL is lower. No change of behaviour otherwise.

--- a/emulator/status-pages.ts
+++ b/emulator/status-pages.ts
@@ -1,6 +1,7 @@
 /** Health and Prometheus metrics pages of the emulators, beside their own interface. */
-import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+import { Registry, collectDefaultMetrics } from 'prom-client';
 import { type HttpRouter, sendJson } from '../src/http/index.js';
+import { addGauge } from '../src/observability/index.js';
 
 /** A figure that is read at each scrape. */
 export interface EmulatorGauge {
@@ -13,14 +14,7 @@
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
   for (const { name, help, read } of gauges) {
-    new Gauge({
-      name: `ledgegauge_emulator_${name}`,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read());
-      },
-    });
+    addGauge(registry, `ledgegauge_emulator_${name}`, help, read);
   }
   for (const path of ['/healthz', '/readyz']) {
     router.on('GET', path, async ({ response }) => sendJson(response, 200, { status: 'ok' }));
--- a/lab/torture/checker/call-checks.ts
+++ b/lab/torture/checker/call-checks.ts
@@ -1,6 +1,7 @@
 /** Checks of single calls: order, complete answers, history, isolation. */
+import { groupBy } from '../../../src/common/index.js';
 import type { EngineArrival, ServiceExecution, TortureHistory } from '../history.js';
-import { type PromiseCheck, ResultBuilder, groupBy } from './promise.js';
+import { type PromiseCheck, ResultBuilder } from './promise.js';
 
 /** Work of one call seen at a back end. */
 interface SeenWork {
--- a/lab/torture/checker/operation-checks.ts
+++ b/lab/torture/checker/operation-checks.ts
@@ -1,6 +1,7 @@
 /** Checks of operations: leaving back ends, planned stops, engine memory, configuration. */
+import { groupBy } from '../../../src/common/index.js';
 import type { ObservedConfirm, TortureHistory } from '../history.js';
-import { type PromiseCheck, ResultBuilder, groupBy } from './promise.js';
+import { type PromiseCheck, ResultBuilder } from './promise.js';
 
 /** Time after acceptance from which a leaving back end gets no new work, in milliseconds. */
 export const LEAVING_LIMIT_MS = 3_000;
--- a/lab/torture/checker/promise.ts
+++ b/lab/torture/checker/promise.ts
@@ -48,18 +48,3 @@
     return { promise: this.promise, tested: this.tested, violations: this.violations };
   }
 }
-
-/** Groups items by a key. */
-export function groupBy<Item>(
-  items: readonly Item[],
-  keyOf: (item: Item) => string,
-): Map<string, Item[]> {
-  const groups = new Map<string, Item[]>();
-  for (const item of items) {
-    const key = keyOf(item);
-    const group = groups.get(key);
-    if (group) group.push(item);
-    else groups.set(key, [item]);
-  }
-  return groups;
-}
--- a/lab/torture/checker/spending-checks.ts
+++ b/lab/torture/checker/spending-checks.ts
@@ -1,7 +1,8 @@
 /** Checks of what ran: budgets, calls told as not run, calls that may run once. */
+import { groupBy } from '../../../src/common/index.js';
 import type { ObservedExchange, TortureHistory } from '../history.js';
 import { allWork } from './call-checks.js';
-import { type PromiseCheck, ResultBuilder, groupBy } from './promise.js';
+import { type PromiseCheck, ResultBuilder } from './promise.js';
 
 const SERVICE_CALL_COST = 1;
 
--- a/lab/torture/cluster-view.ts
+++ b/lab/torture/cluster-view.ts
@@ -1,9 +1,9 @@
 /** What the control processes of a fleet say of themselves, asked one by one. */
 import { request } from 'undici';
+import { groupBy } from '../../src/common/index.js';
 import type { GroupStatus, SystemStatus } from '../../src/operators/index.js';
 import type { FleetProcess } from '../fleet/child-process.js';
 import { type Fleet, FleetError } from '../fleet/fleet.js';
-import { groupBy } from './checker/promise.js';
 
 const TIMEOUT_MS = 1_500;
 
--- a/src/backends/backend.ts
+++ b/src/backends/backend.ts
@@ -2,15 +2,7 @@
 import { monotonicMs } from '../common/index.js';
 import type { BackendIntent } from '../intents/index.js';
 import { CircuitBreaker, ConcurrencyLimit } from '../limits/index.js';
-
-/** An engine's own report of its load, which lags behind. */
-export interface LoadReport {
-  waiting: number;
-  running: number;
-  pendingPrefillTokens: number;
-  usedBlocks: number;
-  capacityBlocks: number;
-}
+import type { LoadReport } from './load-report.js';
 
 interface DispatchedWork {
   atMs: number;
--- a/src/backends/backends.test.ts
+++ b/src/backends/backends.test.ts
@@ -6,9 +6,10 @@
   intentDocumentSchema,
   normalizeDocument,
 } from '../intents/index.js';
-import { Backend, type LoadReport } from './backend.js';
+import { Backend } from './backend.js';
 import { BackendTable } from './backend-table.js';
 import { LoadPoller } from './load-poller.js';
+import type { LoadReport } from './load-report.js';
 
 const LOAD: LoadReport = {
   waiting: 0,
--- a/src/backends/engine-client.ts
+++ b/src/backends/engine-client.ts
@@ -3,10 +3,9 @@
 import { z } from 'zod';
 import type { ChatMessage } from '../common/index.js';
 import { EventParser, type ServerSentEvent } from '../http/index.js';
-import type { LoadReport } from './backend.js';
 import { BackendError, BackendLostError, BackendProtocolError } from './errors.js';
 import { callBackend } from './http-call.js';
-import { loadReportSchema } from './load-poller.js';
+import { type LoadReport, loadReportSchema } from './load-report.js';
 
 export interface EngineCall {
   tenant: string;
--- a/src/backends/index.ts
+++ b/src/backends/index.ts
@@ -1,7 +1,8 @@
 /** Back ends: model engines and small services, and what is known of each. */
-export { Backend, type LoadReport } from './backend.js';
+export { Backend } from './backend.js';
 export { BackendTable } from './backend-table.js';
 export * from './engine-client.js';
 export * from './errors.js';
 export { LoadFetcher, LoadPoller } from './load-poller.js';
+export type { LoadReport } from './load-report.js';
 export * from './service-client.js';
--- a/src/backends/load-poller.ts
+++ b/src/backends/load-poller.ts
@@ -4,11 +4,11 @@
  * second, because the bandwidth for such things is bounded.
  */
 import { Agent } from 'undici';
-import { z } from 'zod';
 import { monotonicMs, sleep } from '../common/index.js';
-import type { Backend, LoadReport } from './backend.js';
+import type { Backend } from './backend.js';
 import type { BackendTable } from './backend-table.js';
 import { callBackend } from './http-call.js';
+import { type LoadReport, loadReportSchema } from './load-report.js';
 
 export interface LoadPollerOptions {
   table: Pick<BackendTable, 'watchedEngines'>;
@@ -19,14 +19,6 @@
   fetchLoad: (backend: Backend) => Promise<LoadReport>;
 }
 
-export const loadReportSchema = z.object({
-  waiting: z.number(),
-  running: z.number(),
-  pendingPrefillTokens: z.number(),
-  usedBlocks: z.number(),
-  capacityBlocks: z.number(),
-});
-
 const MINIMUM_TICK_MS = 50;
 const MS_PER_SECOND = 1_000;
 const TIMEOUT_MS = 1_000;
--- /dev/null
+++ b/src/backends/load-report.ts
@@ -0,0 +1,12 @@
+/** An engine's own report of its load, which lags behind. */
+import { z } from 'zod';
+
+export const loadReportSchema = z.object({
+  waiting: z.number(),
+  running: z.number(),
+  pendingPrefillTokens: z.number(),
+  usedBlocks: z.number(),
+  capacityBlocks: z.number(),
+});
+
+export type LoadReport = z.infer<typeof loadReportSchema>;
--- a/src/callers/caller-api.ts
+++ b/src/callers/caller-api.ts
@@ -15,6 +15,7 @@
 import { completionDocument, writeDocument, writeEvents } from './answer-writer.js';
 import type { CallContext, CallSpecification } from './call-context.js';
 import { outcomePending, problemOf, refusalProblem, unknownProgram } from './call-problem.js';
+import type { CallExecution } from './call-execution.js';
 import type { CallResult } from './call-result.js';
 import type { CallRunner } from './call-runner.js';
 import {
@@ -101,7 +102,8 @@
       isResend: isResend(request),
     };
     const wantsEvents = 'messages' in body && body.stream;
-    await this.answerCall(response, specification, wantsEvents ? 0 : undefined);
+    const execution = this.options.runner.start(specification);
+    await this.answerCall(response, specification, execution, wantsEvents ? 0 : undefined);
   }
 
   /** Fetches a recorded answer again, or takes up the stream of a call under way. */
@@ -130,7 +132,8 @@
       sendJson(response, 200, completionDocument(subject, result));
       return;
     }
-    await this.answerCall(response, specification, offset);
+    const execution = this.options.runner.start(specification);
+    await this.answerCall(response, specification, execution, offset);
   }
 
   /** A plain chat completion: a program of one call that ends with it. */
@@ -154,15 +157,15 @@
       const mayComeAgain = key !== undefined && !isFinal(result);
       if (!mayComeAgain) void this.end(program.id, tenant.id).catch(() => undefined);
     });
-    await this.answerCall(response, specification, body.stream ? 0 : undefined);
+    await this.answerCall(response, specification, execution, body.stream ? 0 : undefined);
   }
 
   private async answerCall(
     response: ServerResponse,
     specification: CallSpecification,
+    execution: CallExecution,
     eventOffset: number | undefined,
   ): Promise<void> {
-    const execution = this.options.runner.start(specification);
     const { programId: program, sequence, tenant } = specification;
     const hint = await this.options.context.hints.get(program, tenant);
     const subject = { program, sequence, model: hint?.model ?? '' };
--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -11,6 +11,7 @@
   type Revision,
   findInconsistencies,
   intentDocumentSchema,
+  isPartialDeclaration,
   partialDocumentSchema,
 } from '../intents/index.js';
 import type { SystemStatus } from '../operators/index.js';
@@ -79,8 +80,7 @@
 /** A whole document, or with `set` or `remove` only what shall differ. */
 function readDeclaration(file: string): IntentDocument | PartialDocument {
   const raw = readYaml(file);
-  const isPartial = typeof raw === 'object' && raw !== null && ('set' in raw || 'remove' in raw);
-  if (isPartial) return checkSettings(partialDocumentSchema, raw, file);
+  if (isPartialDeclaration(raw)) return checkSettings(partialDocumentSchema, raw, file);
   const document = checkSettings(intentDocumentSchema, raw, file);
   const problems = findInconsistencies(document);
   if (problems.length === 0) return document;
--- a/src/control/hold-reconciler.ts
+++ b/src/control/hold-reconciler.ts
@@ -6,7 +6,7 @@
 import { type Agent, request } from 'undici';
 import { z } from 'zod';
 import { sendRelease } from '../backends/control-requests.js';
-import { hash32, sleep } from '../common/index.js';
+import { groupBy, rankForKey, sleep } from '../common/index.js';
 import type { GroupClient } from '../consensus/index.js';
 import type { BackendIntent, IntentDocument } from '../intents/index.js';
 import {
@@ -34,10 +34,19 @@
 const TIMEOUT_MS = 1_500;
 const heldSchema = z.object({ held: z.array(z.string()) });
 
+/** The engines that this member looks after, by its rank for them. */
+interface OwnEngines {
+  /** The back ends from which they were ranked. */
+  backends: readonly BackendIntent[];
+  first: BackendIntent[];
+  second: BackendIntent[];
+}
+
 export class HoldReconciler {
   private readonly stopping = new AbortController();
   /** Fences grow with time, so that a later release is never refused for an earlier one. */
   private round = 0;
+  private own: OwnEngines = { backends: [], first: [], second: [] };
 
   constructor(private readonly options: HoldReconcilerOptions) {}
 
@@ -54,8 +63,9 @@
     while (!signal.aborted) {
       await sleep(INTERVAL_MS, signal);
       this.round += 1;
-      const engines = this.options.document().backends.filter(({ kind }) => kind === 'engine');
-      const waiting = engines.filter((engine) => this.looksAfter(engine.id));
+      const { first, second } = this.ownEngines();
+      const isSecondDue = this.round % SECOND_RANK_ROUNDS === 0;
+      const waiting = isSecondDue ? [...first, ...second] : [...first];
       const workers = Array.from({ length: MAX_PARALLEL }, () => this.reconcileAll(waiting));
       await Promise.all(workers);
     }
@@ -69,12 +79,18 @@
     }
   }
 
-  private looksAfter(engineId: string): boolean {
-    const ranked = [...this.options.memberNames].sort(
-      (left, right) => hash32(`${engineId}|${right}`) - hash32(`${engineId}|${left}`),
-    );
-    const rank = ranked.indexOf(this.options.ownName);
-    return rank === 0 || (rank === 1 && this.round % SECOND_RANK_ROUNDS === 0);
+  /** Ranked anew only when the configuration's back ends have changed. */
+  private ownEngines(): OwnEngines {
+    const { backends } = this.options.document();
+    if (this.own.backends === backends) return this.own;
+    const { memberNames, ownName } = this.options;
+    this.own = { backends, first: [], second: [] };
+    for (const engine of backends.filter(({ kind }) => kind === 'engine')) {
+      const [first, second] = rankForKey(engine.id, memberNames, (name) => name);
+      if (first === ownName) this.own.first.push(engine);
+      else if (second === ownName) this.own.second.push(engine);
+    }
+    return this.own;
   }
 
   private async reconcile(address: string): Promise<void> {
@@ -92,11 +108,7 @@
 
   private async findEnded(programIds: string[]): Promise<string[]> {
     const { groups, groupCount } = this.options;
-    const byGroup = new Map<string, string[]>();
-    for (const id of programIds) {
-      const group = journalGroupOf(id, groupCount);
-      byGroup.set(group, [...(byGroup.get(group) ?? []), id]);
-    }
+    const byGroup = groupBy(programIds, (id) => journalGroupOf(id, groupCount));
     const answers = await Promise.all(
       [...byGroup].map(([group, ids]) => {
         const query: JournalQuery = { type: 'ended-programs', programIds: ids };
--- a/src/control/metrics.ts
+++ b/src/control/metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of a control process. */
-import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+import { Registry, collectDefaultMetrics } from 'prom-client';
 import type { GroupHost, PeerDirectory } from '../consensus/index.js';
+import { addGauge } from '../observability/index.js';
 import type { WriteAheadLog } from '../log-store/index.js';
 
 export interface ControlMetricsSources {
@@ -13,16 +14,8 @@
 export function createControlMetrics(sources: ControlMetricsSources): Registry {
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
-  const gauge = (name: string, help: string, read: () => number): void => {
-    new Gauge({
-      name: `ledgegauge_control_${name}`,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  };
+  const gauge = (name: string, help: string, read: () => number): void =>
+    addGauge(registry, `ledgegauge_control_${name}`, help, read);
   const { host, wal, peers } = sources;
   gauge('groups', 'Replicated groups on this member', () => host.all().length);
   gauge(
--- a/src/control/order-delivery.ts
+++ b/src/control/order-delivery.ts
@@ -20,8 +20,7 @@
 const REPEAT_AFTER_MS = 5_000;
 /** Engines told again in one tick, at most. */
 const REPEATS_PER_TICK = 40;
-/** Orders sent in one tick, at most: a zone that is gone must not keep the leader busy. */
-const MAX_PER_TICK = 100;
+/** Orders under way, at most: a zone that is gone must not keep the leader busy. */
 const MAX_PARALLEL = 64;
 
 type OrderContent = Omit<EngineOrder, 'fence'>;
@@ -115,7 +114,7 @@
     const due = [...this.engines.values()].filter((engine) => engine.isDue(now));
     const changed = due.filter((engine) => !engine.isConfirmed);
     const repeated = due.filter((engine) => engine.isConfirmed).slice(0, REPEATS_PER_TICK);
-    const room = Math.min(MAX_PER_TICK, MAX_PARALLEL - this.parallel);
+    const room = MAX_PARALLEL - this.parallel;
     for (const engine of [...changed, ...repeated].slice(0, room)) {
       void this.deliver(engine);
     }
--- a/src/control/placement.ts
+++ b/src/control/placement.ts
@@ -1,5 +1,5 @@
 /** Which members hold which group: by highest random weight, spread over regions and zones. */
-import { hash32 } from '../common/index.js';
+import { rankForKey } from '../common/index.js';
 import type { ConfiguredMember } from './cluster-formation.js';
 
 /**
@@ -12,9 +12,7 @@
   members: readonly ConfiguredMember[],
   replicas: number,
 ): ConfiguredMember[] {
-  const ranked = [...members].sort(
-    (left, right) => hash32(`${group}|${right.name}`) - hash32(`${group}|${left.name}`),
-  );
+  const ranked = rankForKey(group, members, (member) => member.name);
   const chosen: ConfiguredMember[] = [];
   while (chosen.length < Math.min(replicas, members.length)) {
     const free = ranked.filter((member) => !chosen.includes(member));
--- a/src/intents/document.ts
+++ b/src/intents/document.ts
@@ -177,6 +177,20 @@
   return problems;
 }
 
+/** What makes an item of what was there under its id; undefined when they are equal. */
+export function changeTo(
+  section: IntentSection,
+  old: IntentItem | undefined,
+  item: IntentItem,
+): IntentChange | undefined {
+  if (old && textOf(old) === textOf(item)) return undefined;
+  return { section, id: item.id, action: old ? 'change' : 'add', item };
+}
+
+export function removal(section: IntentSection, id: string): IntentChange {
+  return { section, id, action: 'remove' };
+}
+
 function diffSection(
   section: IntentSection,
   from: readonly IntentItem[],
@@ -186,13 +200,9 @@
   const after = new Map(to.map((item) => [item.id, item]));
   const changes: IntentChange[] = [];
   for (const id of [...new Set([...before.keys(), ...after.keys()])].sort()) {
-    const old = before.get(id);
     const item = after.get(id);
-    if (!item) changes.push({ section, id, action: 'remove' });
-    else if (!old) changes.push({ section, id, action: 'add', item });
-    else if (textOf(old) !== textOf(item)) {
-      changes.push({ section, id, action: 'change', item });
-    }
+    const change = item ? changeTo(section, before.get(id), item) : removal(section, id);
+    if (change) changes.push(change);
   }
   return changes;
 }
--- a/src/intents/intent-state-machine.ts
+++ b/src/intents/intent-state-machine.ts
@@ -66,6 +66,22 @@
     return this.currentDocument;
   }
 
+  /**
+   * Works out on the leader what is replicated. A plan is bound to the revision that it was worked
+   * out against; if another is confirmed before it, it is stale like any other.
+   */
+  prepare(command: IntentCommand): ReplicatedIntentCommand {
+    if (command.type === 'confirm') return command;
+    const { document, changes } = this.outcomeOf(command);
+    const problems = findInconsistencies(document);
+    if (problems.length > 0) return { type: 'refused-plan', problems };
+    const hash = contentHash(document);
+    const baseRevision = this.revision;
+    const id = sha256Hex(`${baseRevision}|${hash}`).slice(0, PLAN_ID_DIGITS);
+    const plan = { id, operator: command.operator, baseRevision, contentHash: hash, changes };
+    return { type: 'prepared-plan', plan };
+  }
+
   apply(encoded: Uint8Array): PlanResult | ConfirmResult {
     const command = decodeValue<ReplicatedIntentCommand>(encoded);
     switch (command.type) {
@@ -133,22 +149,6 @@
     return { kind: 'changes', revision, changes: missing.flatMap((entry) => entry.changes) };
   }
 
-  /**
-   * Works out on the leader what is replicated. A plan is bound to the revision that it was worked
-   * out against; if another is confirmed before it, it is stale like any other.
-   */
-  prepare(command: IntentCommand): ReplicatedIntentCommand {
-    if (command.type === 'confirm') return command;
-    const { document, changes } = this.outcomeOf(command);
-    const problems = findInconsistencies(document);
-    if (problems.length > 0) return { type: 'refused-plan', problems };
-    const hash = contentHash(document);
-    const baseRevision = this.revision;
-    const id = sha256Hex(`${baseRevision}|${hash}`).slice(0, PLAN_ID_DIGITS);
-    const plan = { id, operator: command.operator, baseRevision, contentHash: hash, changes };
-    return { type: 'prepared-plan', plan };
-  }
-
   private outcomeOf(command: PlanCommand | PartialPlanCommand): {
     document: IntentDocument;
     changes: IntentChange[];
--- a/src/intents/partial-document.ts
+++ b/src/intents/partial-document.ts
@@ -6,8 +6,10 @@
   type IntentItem,
   SECTIONS,
   backendSchema,
+  changeTo,
   findItem,
   modelSchema,
+  removal,
   tenantSchema,
 } from './document.js';
 
@@ -28,18 +30,22 @@
 
 export type PartialDocument = z.infer<typeof partialDocumentSchema>;
 
+/** Whether a declaration is partial: it names `set` or `remove`. */
+export function isPartialDeclaration(declaration: unknown): boolean {
+  const isMapping = typeof declaration === 'object' && declaration !== null;
+  return isMapping && ('set' in declaration || 'remove' in declaration);
+}
+
 /** What a partial document changes in a whole one; items that are equal already are left out. */
 export function changesOf(partial: PartialDocument, current: IntentDocument): IntentChange[] {
   return SECTIONS.flatMap((section): IntentChange[] => {
     const items: readonly IntentItem[] = current[section];
     const removed = partial.remove[section]
       .filter((id) => findItem(items, id))
-      .map((id): IntentChange => ({ section, id, action: 'remove' }));
-    const set = partial.set[section].flatMap((item): IntentChange[] => {
-      const known = findItem(items, item.id);
-      if (known && JSON.stringify(known) === JSON.stringify(item)) return [];
-      return [{ section, id: item.id, action: known ? 'change' : 'add', item }];
-    });
+      .map((id) => removal(section, id));
+    const set = partial.set[section]
+      .map((item) => changeTo(section, findItem(items, item.id), item))
+      .filter((change) => change !== undefined);
     return [...removed, ...set];
   });
 }
--- a/src/observability/gateway-metrics.ts
+++ b/src/observability/gateway-metrics.ts
@@ -1,5 +1,6 @@
 /** Counters and histograms of a gateway. */
-import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import { Counter, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import { addGauge } from './gauge.js';
 
 /** Bounds of latency histograms, in seconds. */
 const LATENCY_BUCKETS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
@@ -61,13 +62,6 @@
 
   /** Registers a gauge that is read at each scrape. */
   gauge(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name: `ledgegauge_gateway_${name}`,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
+    addGauge(this.registry, `ledgegauge_gateway_${name}`, help, read);
   }
 }
--- a/src/operators/operator-api.ts
+++ b/src/operators/operator-api.ts
@@ -29,6 +29,7 @@
   type PlanResult,
   type Revision,
   intentDocumentSchema,
+  isPartialDeclaration,
   partialDocumentSchema,
 } from '../intents/index.js';
 import { CONFIGURATION_STATUS, type GroupStatus, type StatusResponse } from './messages.js';
@@ -178,9 +179,8 @@
 
 /** A whole document, or with `set` or `remove` only what shall differ. */
 function readDeclaration(body: unknown): Declaration {
-  const isPartial =
-    typeof body === 'object' && body !== null && ('set' in body || 'remove' in body);
-  if (isPartial) return { type: 'partial-plan', partial: check(partialDocumentSchema, body) };
+  if (isPartialDeclaration(body))
+    return { type: 'partial-plan', partial: check(partialDocumentSchema, body) };
   return { type: 'plan', document: check(intentDocumentSchema, body) };
 }
 
