The lab's twins made one: tool fleets, gateway clients, hollow settings, records

Cause, found by reading the change: a fleet of a tool's own was set up and taken down in five commands, clients that each prefer another gateway were made in three places, hollow nodes were started twice, a bench run was driven twice, a metrics page was read in two ways, back ends' records were declared three times, the checker cast a type away. The view of a cluster and the reading of metrics moved to lab/fleet, since slopes used the one from torture and torture had its own of the other. An emulated engine made a list of cached programs at every question of the reconciler that nobody read.

--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -57,14 +57,14 @@
 });
 
 /** When memory of a program was dropped on request, for those who check the whole system. */
-interface ReleaseRecord {
+export interface ReleaseRecord {
   program: string;
   blocks: number;
   wallClockMs: number;
 }
 
 /** The latest completion that arrived, for those who check draining. */
-interface ArrivalRecord {
+export interface ArrivalRecord {
   tenant: string;
   program: string;
   sequence: number;
@@ -273,8 +273,7 @@
 
   private async listPrograms({ response }: HttpExchange): Promise<void> {
     const { cache, activePrograms } = this.model;
-    const { heldPrograms: held, cachedPrograms: cached } = cache;
-    sendJson(response, 200, { held, cached, active: activePrograms });
+    sendJson(response, 200, { held: cache.heldPrograms, active: activePrograms });
   }
 
   private async order({ request, response }: HttpExchange): Promise<void> {
--- a/emulator/model/prefix-cache.ts
+++ b/emulator/model/prefix-cache.ts
@@ -68,12 +68,6 @@
     return [...this.holds.keys()];
   }
 
-  /** Programs that were the last to use some block that is neither in use nor held. */
-  get cachedPrograms(): string[] {
-    const idle = [...this.blocks.values()].filter((block) => this.isEvictable(block));
-    return [...new Set(idle.map((block) => block.program))];
-  }
-
   /** How many leading blocks are cached. */
   matchLength(hashes: readonly string[]): number {
     let length = 0;
--- a/emulator/service/service-server.ts
+++ b/emulator/service/service-server.ts
@@ -32,7 +32,9 @@
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
-interface ServiceExecution {
+/** One execution of a request. */
+export interface ServiceExecution {
+  /** `program/sequence/attempt`. */
   key: string;
   service: string;
   operation: string;
--- a/lab/bench/bench-run.ts
+++ b/lab/bench/bench-run.ts
@@ -2,11 +2,10 @@
  * Runs every policy on the same seeds and loads, interleaved, on one fleet whose gateways and engines
  * are started anew for each run, so that none finds the caches of another.
  */
-import { createWorkFolder, removeWorkFolder } from '../cli/work-folder.js';
-import { Fleet } from '../fleet/fleet.js';
+import type { Fleet, FleetOptions } from '../fleet/fleet.js';
 import type { Deployment } from '../fleet/topology.js';
 import { readBackendRecords } from '../load/backend-records.js';
-import { runLoad } from '../load/load-run.js';
+import { type LoadOptions, runLoad } from '../load/load-run.js';
 import { type LoadSummary, summarize } from '../load/summary.js';
 import type { Recorder } from '../workload/recorder.js';
 import { type CacheWaste, measureCacheWaste, measureReturns } from './cache-waste.js';
@@ -18,13 +17,13 @@
 } from './policies.js';
 
 export interface BenchOptions {
-  deployment: Deployment;
+  /** A fleet with `benchFleet`'s options. */
+  fleet: Fleet;
   seeds: number[];
   /** Loads as shares of what the fleet can carry. */
   loads: number[];
   durationMs: number;
   report: (step: string) => void;
-  onCreated: (fleet: Fleet) => void;
 }
 
 export interface BenchRunResult {
@@ -61,23 +60,22 @@
   consortium: { latencyWeight: 0.6, prefixWeight: 8 },
 };
 
-export class BenchRun {
-  private fleet!: Fleet;
+/** Options of a fleet to run the bench on. */
+export function benchFleet(deployment: Deployment, seed: number): Omit<FleetOptions, 'workFolder'> {
+  return {
+    deployment,
+    timeScale: TIME_SCALE,
+    journalGroups: JOURNAL_GROUPS,
+    seed,
+    engineSettings: { model: BENCH_ENGINE },
+  };
+}
 
+export class BenchRun {
   constructor(private readonly options: BenchOptions) {}
 
   async run(): Promise<BenchResult> {
-    const { deployment, seeds, loads, report } = this.options;
-    const workFolder = createWorkFolder('bench');
-    this.fleet = await Fleet.up({
-      deployment,
-      workFolder,
-      timeScale: TIME_SCALE,
-      journalGroups: JOURNAL_GROUPS,
-      seed: seeds[0]!,
-      engineSettings: { model: BENCH_ENGINE },
-      onCreated: this.options.onCreated,
-    });
+    const { seeds, loads, report } = this.options;
     const capacity = await this.measureCapacity(seeds[0]!);
     report(`capacity ${capacity.toFixed(1)} programs a second`);
     const runs: BenchRunResult[] = [];
@@ -90,24 +88,30 @@
         }
       }
     }
-    await this.fleet.down();
-    removeWorkFolder(workFolder);
     return { capacity, runs };
   }
 
   private async measureCapacity(seed: number): Promise<number> {
     await this.prepare(BENCH_POLICIES[0]!);
     const startedAtMs = Date.now();
-    const recorder = await runLoad(this.fleet, {
+    const recorder = await this.drive(seed, { concurrency: CAPACITY_CONCURRENCY });
+    return this.completedPerSecond(recorder, startedAtMs);
+  }
+
+  /** Programs arrive for the time of a run: at a rate, or so many at once. */
+  private drive(
+    seed: number,
+    arrivals: Pick<LoadOptions, 'concurrency' | 'ratePerSecond'>,
+  ): Promise<Recorder> {
+    return runLoad(this.options.fleet, {
       seed,
       timeScale: TIME_SCALE,
       sizeScale: SIZE_SCALE,
       programs: Number.POSITIVE_INFINITY,
-      concurrency: CAPACITY_CONCURRENCY,
       durationMs: this.options.durationMs,
       patienceMs: PATIENCE_MS,
+      ...arrivals,
     });
-    return this.completedPerSecond(recorder, startedAtMs);
   }
 
   /** Over the second half of the time in which programs arrive: neither the start nor the tail. */
@@ -130,17 +134,8 @@
   ): Promise<BenchRunResult> {
     await this.prepare(policy);
     const startedAtMs = Date.now();
-    const recorder = await runLoad(this.fleet, {
-      seed,
-      timeScale: TIME_SCALE,
-      sizeScale: SIZE_SCALE,
-      programs: Number.POSITIVE_INFINITY,
-      concurrency: 0,
-      ratePerSecond,
-      durationMs: this.options.durationMs,
-      patienceMs: PATIENCE_MS,
-    });
-    const records = await readBackendRecords(this.fleet);
+    const recorder = await this.drive(seed, { concurrency: 0, ratePerSecond });
+    const records = await readBackendRecords(this.options.fleet);
     const summary = summarize(recorder, records);
     return {
       policy: policy.name,
@@ -155,8 +150,8 @@
 
   /** Starts gateways with a policy's settings, and engines with empty caches. */
   private async prepare(policy: BenchPolicy): Promise<void> {
-    const { fleet } = this;
-    const settings = gatewaySettingsOf(policy, WEIGHTS[this.options.deployment.name]);
+    const { fleet } = this.options;
+    const settings = gatewaySettingsOf(policy, WEIGHTS[fleet.plan.deployment.name]);
     const restarted = [...fleet.ofKind('gateway'), ...fleet.ofKind('engine')];
     await Promise.all(
       restarted.map(async (process) => {
--- a/lab/cli/bench-command.ts
+++ b/lab/cli/bench-command.ts
@@ -3,11 +3,10 @@
 import { join } from 'node:path';
 import { LedgegaugeError } from '../../src/common/index.js';
 import { type BenchReport, reportBench } from '../bench/bench-report.js';
-import { BenchRun } from '../bench/bench-run.js';
-import type { Fleet } from '../fleet/fleet.js';
+import { BenchRun, benchFleet } from '../bench/bench-run.js';
 import { findDeployment } from '../fleet/topology.js';
-import { takeDownOnSignal } from './interrupt.js';
 import { formatMs, formatShare, formatTable } from './table.js';
+import { startToolFleet } from './tool-fleet.js';
 
 export interface BenchFlags {
   deployment: string;
@@ -23,18 +22,17 @@
 
 export async function runBench(flags: BenchFlags): Promise<void> {
   const { deployment: name, output } = flags;
-  const running: { fleet?: Fleet } = {};
-  takeDownOnSignal(() => running.fleet);
+  const deployment = findDeployment(name);
+  const loads = readLoads(flags.loads);
+  const { fleet, close } = await startToolFleet('bench', benchFleet(deployment, flags.firstSeed));
   const result = await new BenchRun({
-    deployment: findDeployment(name),
+    fleet,
     seeds: Array.from({ length: flags.seeds }, (_, index) => flags.firstSeed + index),
-    loads: readLoads(flags.loads),
+    loads,
     durationMs: flags.seconds * MS_PER_SECOND,
     report: (step) => process.stderr.write(`${step}\n`),
-    onCreated: (fleet) => {
-      running.fleet = fleet;
-    },
   }).run();
+  await close();
   const report = reportBench(name, result);
   mkdirSync(output, { recursive: true });
   writeFileSync(join(output, `bench-${name}.json`), `${JSON.stringify(report, null, 2)}\n`);
--- a/lab/cli/demo-command.ts
+++ b/lab/cli/demo-command.ts
@@ -1,13 +1,11 @@
 /** `demo`: the main job end to end: a fleet, a seeded workload, every answer checked, a table. */
-import { Fleet } from '../fleet/fleet.js';
 import { findDeployment } from '../fleet/topology.js';
 import { readBackendRecords } from '../load/backend-records.js';
 import { runLoad } from '../load/load-run.js';
 import { type LoadSummary, summarize } from '../load/summary.js';
-import { takeDownOnSignal } from './interrupt.js';
 import { createProgress } from './progress.js';
 import { formatMs, formatShare, formatTable } from './table.js';
-import { createWorkFolder, removeWorkFolder } from './work-folder.js';
+import { startToolFleet } from './tool-fleet.js';
 
 export interface DemoFlags {
   deployment: string;
@@ -31,21 +29,14 @@
 }
 
 export async function runDemo(flags: DemoFlags): Promise<void> {
-  const running: { fleet?: Fleet } = {};
-  takeDownOnSignal(() => running.fleet);
-  const workFolder = createWorkFolder('demo');
   const startedAt = performance.now();
   const progress = createProgress('starting', flags.json === true);
-  const fleet = await Fleet.up({
+  const { fleet, close } = await startToolFleet('demo', {
     deployment: findDeployment(flags.deployment),
-    workFolder,
     timeScale: TIME_SCALE,
     journalGroups: JOURNAL_GROUPS,
     seed: flags.seed,
     onProgress: (done, total, step) => progress.update(done, total, step),
-    onCreated: (created) => {
-      running.fleet = created;
-    },
   });
   const processes = fleet.processes.size;
   const recorder = await runLoad(fleet, {
@@ -60,9 +51,8 @@
       progress.update(finished, flags.programs, `${started} begun`),
   });
   const records = await readBackendRecords(fleet);
-  await fleet.down();
+  await close();
   progress.stop();
-  removeWorkFolder(workFolder);
   const summary = summarize(recorder, records);
   const wallClockMs = Math.round(performance.now() - startedAt);
   const { deployment, seed } = flags;
--- a/lab/cli/fleet-command.ts
+++ b/lab/cli/fleet-command.ts
@@ -3,13 +3,13 @@
 import { join } from 'node:path';
 import { request } from 'undici';
 import { LedgegaugeError, sleep } from '../../src/common/index.js';
-import { Fleet } from '../fleet/fleet.js';
+import type { Fleet } from '../fleet/fleet.js';
 import type { ProcessKind } from '../fleet/fleet-plan.js';
 import { findDeployment } from '../fleet/topology.js';
-import { takeDownOnSignal } from './interrupt.js';
 import { createProgress } from './progress.js';
 import { formatTable } from './table.js';
-import { createWorkFolder, removeWorkFolder } from './work-folder.js';
+import { startToolFleet } from './tool-fleet.js';
+import { removeWorkFolder } from './work-folder.js';
 
 export interface FleetFlags {
   deployment: string;
@@ -57,20 +57,13 @@
 }
 
 async function fleetUp(flags: FleetFlags): Promise<void> {
-  const running: { fleet?: Fleet } = {};
-  takeDownOnSignal(() => running.fleet);
-  const workFolder = createWorkFolder('fleet');
   const progress = createProgress('starting', false);
-  const fleet = await Fleet.up({
+  const { fleet, workFolder } = await startToolFleet('fleet', {
     deployment: findDeployment(flags.deployment),
-    workFolder,
     timeScale: flags.timeScale,
     journalGroups: JOURNAL_GROUPS,
     seed: flags.seed,
     onProgress: (done, total, step) => progress.update(done, total, step),
-    onCreated: (created) => {
-      running.fleet = created;
-    },
   });
   progress.stop();
   writeState(fleet);
--- a/lab/cli/load-command.ts
+++ b/lab/cli/load-command.ts
@@ -1,13 +1,11 @@
 /** `load`: a seeded workload on a fleet of its own, open or closed loop, with its figures. */
-import { Fleet } from '../fleet/fleet.js';
 import { findDeployment } from '../fleet/topology.js';
 import { readBackendRecords } from '../load/backend-records.js';
 import { runLoad } from '../load/load-run.js';
 import { type LoadSummary, summarize } from '../load/summary.js';
-import { takeDownOnSignal } from './interrupt.js';
 import { createProgress } from './progress.js';
 import { formatMs, formatShare, formatTable } from './table.js';
-import { createWorkFolder, removeWorkFolder } from './work-folder.js';
+import { startToolFleet } from './tool-fleet.js';
 
 export interface LoadFlags {
   deployment: string;
@@ -27,19 +25,12 @@
 
 export async function runLoadCommand(flags: LoadFlags): Promise<void> {
   const { deployment, seed, timeScale, concurrency, rate } = flags;
-  const running: { fleet?: Fleet } = {};
-  takeDownOnSignal(() => running.fleet);
-  const workFolder = createWorkFolder('load');
   const progress = createProgress('load', flags.json === true);
-  const fleet = await Fleet.up({
+  const { fleet, close } = await startToolFleet('load', {
     deployment: findDeployment(deployment),
-    workFolder,
     timeScale,
     journalGroups: JOURNAL_GROUPS,
     seed,
-    onCreated: (created) => {
-      running.fleet = created;
-    },
   });
   const recorder = await runLoad(fleet, {
     seed,
@@ -53,9 +44,8 @@
     onProgress: (started, finished) => progress.update(finished, started, 'programs'),
   });
   const summary = summarize(recorder, await readBackendRecords(fleet));
-  await fleet.down();
+  await close();
   progress.stop();
-  removeWorkFolder(workFolder);
   process.stdout.write(`${flags.json ? JSON.stringify(summary) : loadTable(summary)}\n`);
   process.exitCode = summary.callsWrong + summary.callsLost > 0 ? 1 : 0;
 }
--- a/lab/cli/torture-command.ts
+++ b/lab/cli/torture-command.ts
@@ -1,7 +1,6 @@
 /** `torture`: seeded faults over a live fleet under load, and a checker that decides. */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { Fleet } from '../fleet/fleet.js';
 import { findDeployment } from '../fleet/topology.js';
 import { selectFaults } from '../torture/faults/index.js';
 import { RecordReader } from '../torture/record-reader.js';
@@ -9,10 +8,9 @@
 import { type SeedResult, SeedRun } from '../torture/seed-run.js';
 import { TORTURE_TIME_SCALE } from '../torture/torture-load.js';
 import { type TortureReport, summarizeTorture } from '../torture/torture-report.js';
-import { takeDownOnSignal } from './interrupt.js';
 import { createProgress } from './progress.js';
 import { formatMs, formatTable } from './table.js';
-import { createWorkFolder, removeWorkFolder } from './work-folder.js';
+import { startToolFleet } from './tool-fleet.js';
 
 export interface TortureFlags {
   deployment: string;
@@ -28,20 +26,13 @@
 
 export async function runTorture(flags: TortureFlags): Promise<void> {
   const faults = selectFaults(flags.faults);
-  const running: { fleet?: Fleet } = {};
-  takeDownOnSignal(() => running.fleet);
-  const workFolder = createWorkFolder('torture');
   const progress = createProgress('torture', flags.json === true);
-  const fleet = await Fleet.up({
+  const { fleet, workFolder, close } = await startToolFleet('torture', {
     deployment: findDeployment(flags.deployment),
-    workFolder,
     timeScale: TORTURE_TIME_SCALE,
     journalGroups: JOURNAL_GROUPS,
     seed: flags.firstSeed,
     controlSettings: { consensus: { snapshotEveryEntries: 1_000, trailingEntries: 200 } },
-    onCreated: (created) => {
-      running.fleet = created;
-    },
   });
   const records = new RecordReader(fleet);
   const results: SeedResult[] = [];
@@ -55,10 +46,13 @@
     reportSeed(result, performance.now() - startedAt, flags);
   }
   progress.stop();
-  await fleet.down();
   const report = summarizeTorture(flags.deployment, flags.firstSeed, results);
-  if (report.violations === 0 && report.inconclusive === 0) removeWorkFolder(workFolder);
-  else process.stderr.write(`logs are kept in ${workFolder}\n`);
+  if (report.violations === 0 && report.inconclusive === 0) {
+    await close();
+  } else {
+    await fleet.down();
+    process.stderr.write(`logs are kept in ${workFolder}\n`);
+  }
   process.stdout.write(`${flags.json ? JSON.stringify(report) : tortureTable(report)}\n`);
   process.exitCode = report.violations > 0 ? 1 : 0;
 }
--- a/lab/torture/cluster-view.ts
+++ b/lab/fleet/cluster-view.ts
@@ -2,10 +2,12 @@
 import { request } from 'undici';
 import { groupBy } from '../../src/common/index.js';
 import type { GroupStatus, SystemStatus } from '../../src/operators/index.js';
-import type { FleetProcess } from '../fleet/child-process.js';
-import { type Fleet, FleetError } from '../fleet/fleet.js';
+import type { FleetProcess } from './child-process.js';
+import { type Fleet, FleetError } from './fleet.js';
 
 const TIMEOUT_MS = 1_500;
+/** Entries that a member may lack while load goes on. */
+const MAXIMUM_LAG = 64;
 
 export interface MemberView {
   process: string;
@@ -83,6 +85,3 @@
     )
   );
 }
-
-/** Entries that a member may lack while load goes on. */
-const MAXIMUM_LAG = 64;
--- a/lab/slopes/process-meter.ts
+++ b/lab/fleet/process-metrics.ts
@@ -1,21 +1,22 @@
 /** Reads a process's own meters from its metrics page. */
 import { request } from 'undici';
 
-/** One number from a metrics page; 0 when it is not there. */
-export async function readMetric(statusAddress: string, name: string): Promise<number> {
-  return metricIn(await readMetrics(statusAddress), name);
-}
+const TIMEOUT_MS = 10_000;
 
-export async function readMetrics(statusAddress: string): Promise<string> {
-  const response = await request(`http://${statusAddress}/metrics`);
+export async function readMetrics(statusAddress: string, timeoutMs = TIMEOUT_MS): Promise<string> {
+  const response = await request(`http://${statusAddress}/metrics`, {
+    headersTimeout: timeoutMs,
+    bodyTimeout: timeoutMs,
+  });
   return response.body.text();
 }
 
+/** One number from a metrics page; 0 when it is not there. */
 export function metricIn(page: string, name: string): number {
   return Number(new RegExp(`^${name} ([0-9.e+-]+)`, 'm').exec(page)?.[1] ?? 0);
 }
 
 /** Processor time that a process has used so far, in seconds. */
-export function readProcessCpuSeconds(statusAddress: string): Promise<number> {
-  return readMetric(statusAddress, 'process_cpu_seconds_total');
+export async function readProcessCpuSeconds(statusAddress: string): Promise<number> {
+  return metricIn(await readMetrics(statusAddress), 'process_cpu_seconds_total');
 }
--- a/lab/hollow/hollow-host.ts
+++ b/lab/hollow/hollow-host.ts
@@ -86,13 +86,7 @@
   }
 
   private startNode(name: string, zone: string): void {
-    const {
-      type: _type,
-      nodes: _nodes,
-      runners: _runners,
-      sharesDocuments,
-      ...settings
-    } = this.start!;
+    const { settings, sharesDocuments } = this.start!;
     const node = new HollowNode({
       ...settings,
       name,
--- a/lab/hollow/hollow-messages.ts
+++ b/lab/hollow/hollow-messages.ts
@@ -5,18 +5,23 @@
   zone: string;
 }
 
+/** What all nodes of a process have in common. */
+export interface HollowNodeSettings {
+  secret: string;
+  controlAddresses: string[];
+  renewIntervalMs: number;
+  engineSubset: number;
+  maxLoadPolls: number;
+  maxLoadAgeMs: number;
+}
+
 export type HollowCommand =
   | {
       type: 'start';
       nodes: HollowNodeSpecification[];
       /** Names of hollow runners in this process. */
       runners: string[];
-      secret: string;
-      controlAddresses: string[];
-      renewIntervalMs: number;
-      engineSubset: number;
-      maxLoadPolls: number;
-      maxLoadAgeMs: number;
+      settings: HollowNodeSettings;
       /** Whether nodes share documents; not when their memory is measured. */
       sharesDocuments: boolean;
     }
--- a/lab/hollow/hollow-node.ts
+++ b/lab/hollow/hollow-node.ts
@@ -8,18 +8,14 @@
 import { ConfigurationFetcher, LeaseHolder } from '../../src/membership/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
+import { startingAt } from '../fleet/starting-at.js';
+import type { HollowNodeSettings } from './hollow-messages.js';
 import type { SharedDocuments } from './shared-documents.js';
 import { SwitchedPeers } from './switched-peers.js';
 
-export interface HollowNodeOptions {
+export interface HollowNodeOptions extends HollowNodeSettings {
   name: string;
   zone: string;
-  secret: string;
-  controlAddresses: string[];
-  renewIntervalMs: number;
-  engineSubset: number;
-  maxLoadPolls: number;
-  maxLoadAgeMs: number;
   /** Asks a hollow runner for its load. */
   fetchLoad: (engine: string) => LoadReport;
   logger: Logger;
@@ -61,7 +57,8 @@
     const { documents } = options;
     const fetcher = new ConfigurationFetcher({
       peers: this.switched,
-      addresses: rotate(controlAddresses, hash32(name)),
+      // Nodes begin with different members, as real ones begin with the nearest.
+      addresses: startingAt(controlAddresses, hash32(name)),
       decode: documents && ((bytes, revision) => documents.decode(bytes, revision)),
     });
     this.lease = new LeaseHolder({
@@ -106,9 +103,3 @@
     return sent + received;
   }
 }
-
-/** Nodes begin with different members, as real ones begin with the nearest. */
-function rotate(addresses: readonly string[], by: number): string[] {
-  const start = by % addresses.length;
-  return [...addresses.slice(start), ...addresses.slice(0, start)];
-}
--- a/lab/load/backend-records.ts
+++ b/lab/load/backend-records.ts
@@ -1,25 +1,22 @@
 /** What back ends recorded of a run. */
 import { request } from 'undici';
+import type { ArrivalRecord, ReleaseRecord } from '../../emulator/engine/engine-server.js';
+import type { CacheUsage } from '../../emulator/model/prefix-cache.js';
+import type { ServiceExecution } from '../../emulator/service/service-server.js';
 import type { ExecutionRecord } from '../../emulator/model/engine-model.js';
 import type { Fleet } from '../fleet/fleet.js';
 
 export interface EngineRecords {
   engine: string;
   executions: ExecutionRecord[];
-  releases: { program: string; blocks: number; wallClockMs: number }[];
-  arrivals: { program: string; sequence: number; attempt: number; wallClockMs: number }[];
-  cacheUsage: { reusedTokenMs: number; unusedTokenMs: number };
+  releases: ReleaseRecord[];
+  arrivals: ArrivalRecord[];
+  cacheUsage: CacheUsage;
 }
 
 export interface ServiceRecords {
   service: string;
-  executions: {
-    key: string;
-    service: string;
-    operation: string;
-    payload: string;
-    wallClockMs: number;
-  }[];
+  executions: ServiceExecution[];
 }
 
 export interface BackendRecords {
--- a/lab/load/load-run.ts
+++ b/lab/load/load-run.ts
@@ -1,9 +1,10 @@
 /** Drives a seeded workload against a fleet: open loop (a rate) or closed loop (so many at once). */
-import { ProgramClient } from '../../src/client/index.js';
+import type { ProgramClient } from '../../src/client/index.js';
 import { SeededRandom, monotonicMs, sleep } from '../../src/common/index.js';
 import type { Fleet } from '../fleet/fleet.js';
 import { ProgramRunner } from '../workload/program-runner.js';
 import { Recorder } from '../workload/recorder.js';
+import { closeClients, createGatewayClients } from './gateway-clients.js';
 import { Workload } from '../workload/workload.js';
 
 export interface LoadOptions {
@@ -26,11 +27,11 @@
 const MS_PER_SECOND = 1_000;
 
 export async function runLoad(fleet: Fleet, options: LoadOptions): Promise<Recorder> {
-  const { deployment, tenantKeys } = fleet.plan;
-  const { seed, timeScale, sizeScale } = options;
+  const { deployment } = fleet.plan;
+  const { seed, timeScale, sizeScale, patienceMs } = options;
   const workload = new Workload({ deployment, seed, timeScale, sizeScale });
   const recorder = options.recorder ?? new Recorder();
-  const clients = createClients(fleet, tenantKeys, options);
+  const clients = createGatewayClients(fleet, { patienceMs });
   const state = { started: 0, finished: 0 };
   const runOne = async (submittedAtMs: number): Promise<void> => {
     state.started += 1;
@@ -42,28 +43,10 @@
   };
   if (options.ratePerSecond === undefined) await runClosed(options, state, runOne);
   else await runOpen(options, options.ratePerSecond, runOne);
-  await Promise.all(clients.flatMap((pool) => [...pool.values()].map((client) => client.close())));
+  await closeClients(clients);
   return recorder;
 }
 
-/** One client a tenant for each gateway, so that load comes in at all of them. */
-function createClients(
-  fleet: Fleet,
-  tenantKeys: Record<string, string>,
-  options: LoadOptions,
-): Map<string, ProgramClient>[] {
-  const { clientGateways } = fleet.plan;
-  return clientGateways.map((_, index) => {
-    const gateways = [...clientGateways.slice(index), ...clientGateways.slice(0, index)];
-    return new Map(
-      Object.entries(tenantKeys).map(([tenant, apiKey]) => [
-        tenant,
-        new ProgramClient({ gateways, apiKey, patienceMs: options.patienceMs }),
-      ]),
-    );
-  });
-}
-
 async function runClosed(
   options: LoadOptions,
   state: { started: number },
--- a/lab/scale/hollow-fleet.ts
+++ b/lab/scale/hollow-fleet.ts
@@ -54,12 +54,14 @@
         type: 'start',
         nodes: nodes.map(({ name, zone }) => ({ name, zone })),
         runners,
-        secret: this.control.secret,
-        controlAddresses: this.control.controlAddresses,
-        renewIntervalMs: RENEW_INTERVAL_MS,
-        engineSubset: ENGINE_SUBSET,
-        maxLoadPolls: MAX_LOAD_POLLS,
-        maxLoadAgeMs: MAX_LOAD_AGE_MS,
+        settings: {
+          secret: this.control.secret,
+          controlAddresses: this.control.controlAddresses,
+          renewIntervalMs: RENEW_INTERVAL_MS,
+          engineSubset: ENGINE_SUBSET,
+          maxLoadPolls: MAX_LOAD_POLLS,
+          maxLoadAgeMs: MAX_LOAD_AGE_MS,
+        },
         sharesDocuments: true,
       });
     }
--- a/lab/slopes/control-fleet.ts
+++ b/lab/slopes/control-fleet.ts
@@ -2,8 +2,8 @@
 import { createWorkFolder, removeWorkFolder } from '../cli/work-folder.js';
 import { Fleet } from '../fleet/fleet.js';
 import type { Deployment } from '../fleet/topology.js';
-import { findLeader } from '../torture/cluster-view.js';
-import { metricIn, readMetrics } from './process-meter.js';
+import { findLeader } from '../fleet/cluster-view.js';
+import { metricIn, readMetrics } from '../fleet/process-metrics.js';
 
 const ZONES = ['region-1-zone-1', 'region-2-zone-1', 'region-3-zone-1'];
 
@@ -22,7 +22,6 @@
 export interface Meter {
   /** Processor seconds so far. */
   cpuSeconds: number;
-  residentBytes: number;
   logBytes: number;
   logSyncs: number;
   peerBytes: number;
@@ -68,7 +67,6 @@
     const read = (name: string): number => metricIn(page, name);
     return {
       cpuSeconds: read('process_cpu_seconds_total'),
-      residentBytes: read('process_resident_memory_bytes'),
       logBytes: read('ledgegauge_control_log_bytes'),
       logSyncs: read('ledgegauge_control_log_syncs'),
       peerBytes:
@@ -88,7 +86,6 @@
   const rate = (read: (meter: Meter) => number): number => (read(after) - read(before)) / seconds;
   return {
     cpuSeconds: rate((meter) => meter.cpuSeconds),
-    residentBytes: rate((meter) => meter.residentBytes),
     logBytes: rate((meter) => meter.logBytes),
     logSyncs: rate((meter) => meter.logSyncs),
     peerBytes: rate((meter) => meter.peerBytes),
--- a/lab/slopes/document-experiment.ts
+++ b/lab/slopes/document-experiment.ts
@@ -4,6 +4,7 @@
 import { HollowProcess } from '../hollow/hollow-process.js';
 import { ControlFleet } from './control-fleet.js';
 import { createDocument } from './large-document.js';
+import { startMeasuredNodes } from './hollow-nodes.js';
 import type { Point } from './linear-fit.js';
 import { type SlopeExperiment, createSlope } from './slope.js';
 
@@ -13,6 +14,11 @@
 const NODES = 8;
 const CHANGES = 4;
 const ZONES = Array.from({ length: 15 }, (_, index) => `zone-${index + 1}`);
+const HOLLOW_NODES = Array.from({ length: NODES }, (_, index) => ({
+  name: `node-${index}`,
+  zone: ZONES[0]!,
+}));
+const SETTINGS = { engineSubset: 8, maxLoadAgeMs: 60_000 };
 const MS_PER_SECOND = 1_000;
 
 export const documentExperiment: SlopeExperiment = {
@@ -32,7 +38,7 @@
       const addressOf = (): string => address;
       const size = { models: MODELS, tenants, engines, zones: ZONES, addressOf };
       await control.fleet.applyIntents(createDocument(size));
-      await startNodes(hollow, control);
+      await startMeasuredNodes(hollow, control, HOLLOW_NODES, SETTINGS);
       const whole = await hollow.statistics();
       heap.push({ x: engines, y: whole.heapBytes / NODES });
       wholeBytes.push({ x: engines, y: whole.controlBytes / NODES });
@@ -71,28 +77,6 @@
   },
 };
 
-async function startNodes(hollow: HollowProcess, control: ControlFleet): Promise<void> {
-  await hollow.send({
-    type: 'start',
-    nodes: Array.from({ length: NODES }, (_, index) => ({
-      name: `node-${index}`,
-      zone: ZONES[0]!,
-    })),
-    runners: [],
-    secret: control.secret,
-    controlAddresses: control.controlAddresses,
-    renewIntervalMs: 400,
-    engineSubset: 8,
-    maxLoadPolls: 1,
-    maxLoadAgeMs: 60_000,
-    sharesDocuments: false,
-  });
-  await control.fleet.waitFor('leases held', async () => {
-    const states = await hollow.states();
-    return states.every((node) => node.isHeld);
-  });
-}
-
 async function waitRevision(
   hollow: HollowProcess,
   control: ControlFleet,
--- a/lab/slopes/gateway-experiment.ts
+++ b/lab/slopes/gateway-experiment.ts
@@ -9,7 +9,7 @@
 import { createWorkFolder, removeWorkFolder } from '../cli/work-folder.js';
 import { Fleet } from '../fleet/fleet.js';
 import type { Deployment } from '../fleet/topology.js';
-import { readProcessCpuSeconds } from './process-meter.js';
+import { readProcessCpuSeconds } from '../fleet/process-metrics.js';
 import type { Point } from './linear-fit.js';
 import { type SlopeExperiment, createSlope } from './slope.js';
 
--- a/lab/slopes/large-document.ts
+++ b/lab/slopes/large-document.ts
@@ -11,9 +11,6 @@
   zones: readonly string[];
 }
 
-/** Models of one engine; each model is on many engines. */
-const MODELS_PER_ENGINE = 1;
-
 export function engineName(index: number): string {
   return `runner-${index}`;
 }
@@ -39,11 +36,7 @@
       kind: 'engine' as const,
       zone: engineZone(index, size.zones),
       address: size.addressOf(index),
-      models: Array.from(
-        { length: MODELS_PER_ENGINE },
-        (_, offset) =>
-          modelIds[(Math.floor(index / size.zones.length) + offset) % modelIds.length]!,
-      ),
+      models: [modelIds[Math.floor(index / size.zones.length) % modelIds.length]!],
       services: [],
       state: index === variant % size.engines && variant > 0 ? 'draining' : 'active',
     })),
--- a/lab/slopes/lease-experiment.ts
+++ b/lab/slopes/lease-experiment.ts
@@ -3,11 +3,11 @@
 import { INTENTS_GROUP } from '../../src/intents/index.js';
 import { HollowProcess } from '../hollow/hollow-process.js';
 import { ControlFleet, growthPerSecond } from './control-fleet.js';
+import { startMeasuredNodes } from './hollow-nodes.js';
 import type { Point } from './linear-fit.js';
 import { type SlopeExperiment, createSlope } from './slope.js';
 
 const SIZES = [100, 200, 400, 800, 1_600];
-const RENEW_INTERVAL_MS = 400;
 const MEASURE_MS = 5_000;
 const SETTLE_MS = 1_500;
 const MS_PER_SECOND = 1_000;
@@ -23,7 +23,13 @@
     for (const count of SIZES) {
       report(`${count} gateways`);
       const hollow = new HollowProcess();
-      await startNodes(hollow, control, count);
+      const nodes = Array.from({ length: count }, (_, index) => ({
+        name: `node-${index}`,
+        zone: 'zone',
+      }));
+      const settings = { engineSubset: 1, maxLoadAgeMs: MS_PER_SECOND };
+      await startMeasuredNodes(hollow, control, nodes, settings);
+      await sleep(SETTLE_MS);
       const leader = await control.leaderOf(INTENTS_GROUP);
       const before = await control.meter(leader);
       const statisticsBefore = await hollow.statistics();
@@ -72,31 +78,3 @@
     ];
   },
 };
-
-async function startNodes(
-  hollow: HollowProcess,
-  control: ControlFleet,
-  count: number,
-): Promise<void> {
-  const nodes = Array.from({ length: count }, (_, index) => ({
-    name: `node-${index}`,
-    zone: 'zone',
-  }));
-  await hollow.send({
-    type: 'start',
-    nodes,
-    runners: [],
-    secret: control.secret,
-    controlAddresses: control.controlAddresses,
-    renewIntervalMs: RENEW_INTERVAL_MS,
-    engineSubset: 1,
-    maxLoadPolls: 1,
-    maxLoadAgeMs: MS_PER_SECOND,
-    sharesDocuments: false,
-  });
-  await control.fleet.waitFor('leases held', async () => {
-    const states = await hollow.states();
-    return states.every((node) => node.isHeld);
-  });
-  await sleep(SETTLE_MS);
-}
--- a/lab/torture/checker/call-checks.ts
+++ b/lab/torture/checker/call-checks.ts
@@ -10,11 +10,11 @@
   atMs: number;
 }
 
-export function workOfArrival({ program, sequence, wallClockMs }: EngineArrival): SeenWork {
+function workOfArrival({ program, sequence, wallClockMs }: EngineArrival): SeenWork {
   return { program, sequence, atMs: wallClockMs };
 }
 
-export function workOfService({ key, wallClockMs }: ServiceExecution): SeenWork {
+function workOfService({ key, wallClockMs }: ServiceExecution): SeenWork {
   const [program, sequence] = key.split('/');
   return { program: program!, sequence: Number(sequence), atMs: wallClockMs };
 }
@@ -23,7 +23,8 @@
   return [...history.arrivals.map(workOfArrival), ...history.serviceExecutions.map(workOfService)];
 }
 
-function callName(program: string, sequence: number): string {
+/** Names a call among all of a history. */
+export function callName({ program, sequence }: Pick<SeenWork, 'program' | 'sequence'>): string {
   return `${program}#${sequence}`;
 }
 
@@ -34,10 +35,10 @@
     times.set(call, Math.min(times.get(call) ?? Number.POSITIVE_INFINITY, atMs));
   };
   for (const { program, sequence, outcome, wallClockMs } of history.executions) {
-    if (outcome === 'finished') note(callName(program, sequence), wallClockMs);
+    if (outcome === 'finished') note(callName({ program, sequence }), wallClockMs);
   }
   for (const work of history.serviceExecutions.map(workOfService)) {
-    note(callName(work.program, work.sequence), work.atMs);
+    note(callName(work), work.atMs);
   }
   return times;
 }
@@ -63,7 +64,7 @@
     }
     const finished = finishTimes(history);
     for (const { program, sequence, atMs } of allWork(history)) {
-      const before = finished.get(callName(program, sequence - 1));
+      const before = finished.get(callName({ program, sequence: sequence - 1 }));
       if (before === undefined) continue;
       result.expect(
         atMs >= before,
@@ -80,7 +81,7 @@
   check(history) {
     const result = new ResultBuilder('complete-answer');
     for (const call of history.calls) {
-      const name = `${call.program}#${call.sequence}`;
+      const name = callName(call);
       result.expect(call.outcome !== 'pending', () => `${name}: never had a final answer`);
       if (call.outcome !== 'completed') continue;
       result.expect(call.isCorrect, () => `${name}: the answer is not the one to its request`);
--- a/lab/torture/checker/index.ts
+++ b/lab/torture/checker/index.ts
@@ -37,6 +37,6 @@
   const tested = Object.fromEntries(
     results.map((result) => [result.promise, result.tested]),
   ) as Record<PromiseName, number>;
-  const direct = history.directViolations as Violation[];
-  return { tested, violations: [...results.flatMap((result) => result.violations), ...direct] };
+  const found = results.flatMap((result) => result.violations);
+  return { tested, violations: [...found, ...history.directViolations] };
 }
--- a/lab/torture/checker/spending-checks.ts
+++ b/lab/torture/checker/spending-checks.ts
@@ -1,15 +1,11 @@
 /** Checks of what ran: budgets, calls told as not run, calls that may run once. */
 import { groupBy } from '../../../src/common/index.js';
-import type { ObservedExchange, TortureHistory } from '../history.js';
-import { allWork } from './call-checks.js';
+import type { TortureHistory } from '../history.js';
+import { allWork, callName } from './call-checks.js';
 import { type PromiseCheck, ResultBuilder } from './promise.js';
 
 const SERVICE_CALL_COST = 1;
 
-function rootOf(program: string): string {
-  return program.split('.', 1)[0]!;
-}
-
 /** What the back ends' own records say that a program cost, without anything below it. */
 function measuredCosts(history: TortureHistory): Map<string, number> {
   const costs = new Map<string, number>();
@@ -41,7 +37,7 @@
     }
     for (const { program, budget, spent } of history.spending) {
       result.expect(spent <= budget, () => `${program}: says ${spent} of ${budget} spent`);
-      const ran = below(rootOf(program));
+      const ran = below(program);
       result.expect(ran <= spent, () => `${program}: ${ran} tokens ran, only ${spent} are counted`);
     }
     return result.build();
@@ -57,9 +53,8 @@
     for (const { payload, code } of history.refusedPayloads) {
       result.expect(!payloads.has(payload), () => `${payload}: refused as ${code}, but it ran`);
     }
-    const work = groupBy(allWork(history), ({ program, sequence }) => `${program}#${sequence}`);
-    const callOf = ({ program, sequence }: ObservedExchange): string => `${program}#${sequence}`;
-    for (const [call, exchanges] of groupBy(history.exchanges, callOf)) {
+    const work = groupBy(allWork(history), callName);
+    for (const [call, exchanges] of groupBy(history.exchanges, callName)) {
       const refused = exchanges.filter((exchange) => exchange.kind === 'not_run');
       if (refused.length === 0) continue;
       const refusedNumbers = new Set(refused.map((exchange) => exchange.submission));
--- a/lab/torture/fault.ts
+++ b/lab/torture/fault.ts
@@ -17,7 +17,7 @@
  * How much a fault takes away. `disk`: a member's data; two of them never overlap, because the
  * system promises to survive only one at a time.
  */
-export type FaultFamily = 'process' | 'network' | 'disk' | 'backend' | 'caller';
+export type FaultFamily = 'process' | 'network' | 'disk' | 'backend';
 
 export interface Fault {
   name: string;
--- a/lab/torture/faults/backend-faults.ts
+++ b/lab/torture/faults/backend-faults.ts
@@ -13,21 +13,17 @@
   mode: string,
   { random }: FaultContext,
 ): Promise<void> {
-  const response = await request(`http://${backend.plan.address}/v1/faults`, {
-    method: 'POST',
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify({ mode, count: random.integer(1, MAX_AFFECTED_ANSWERS) }),
-  });
-  await response.body.dump();
+  await setMode(backend, mode, random.integer(1, MAX_AFFECTED_ANSWERS));
   await sleep(random.integer(...AWAY_MS));
-  await stopMisbehaving(backend);
+  await setMode(backend, 'none', 0);
 }
 
-async function stopMisbehaving(backend: FleetProcess): Promise<void> {
+/** @param count how many answers are affected */
+async function setMode(backend: FleetProcess, mode: string, count: number): Promise<void> {
   const response = await request(`http://${backend.plan.address}/v1/faults`, {
     method: 'POST',
     headers: { 'content-type': 'application/json' },
-    body: JSON.stringify({ mode: 'none', count: 0 }),
+    body: JSON.stringify({ mode, count }),
   });
   await response.body.dump();
 }
--- a/lab/torture/faults/disk-faults.ts
+++ b/lab/torture/faults/disk-faults.ts
@@ -13,7 +13,7 @@
 import { EXIT_STORAGE } from '../../../src/cli/exit-codes.js';
 import type { FleetProcess } from '../../fleet/child-process.js';
 import { ProcessStartError } from '../../fleet/child-process.js';
-import { waitFullyReplicated } from '../cluster-view.js';
+import { waitFullyReplicated } from '../../fleet/cluster-view.js';
 import type { Fault, FaultContext } from '../fault.js';
 import { pickProcess } from './process-faults.js';
 
--- a/lab/torture/faults/process-faults.ts
+++ b/lab/torture/faults/process-faults.ts
@@ -2,7 +2,7 @@
 import { sleep } from '../../../src/common/index.js';
 import type { FleetProcess } from '../../fleet/child-process.js';
 import type { ProcessKind } from '../../fleet/fleet-plan.js';
-import { findLeader } from '../cluster-view.js';
+import { findLeader } from '../../fleet/cluster-view.js';
 import type { Fault, FaultContext } from '../fault.js';
 
 const SHORT_DOWNTIME_MS = [200, 1_500] as const;
--- a/lab/torture/history.ts
+++ b/lab/torture/history.ts
@@ -2,7 +2,11 @@
  * What callers, back ends and operators saw of one torture seed. The checker knows nothing else.
  * All times are wall-clock milliseconds of the one machine that everything runs on.
  */
+import type { ArrivalRecord } from '../../emulator/engine/engine-server.js';
+import type { ExecutionRecord } from '../../emulator/model/engine-model.js';
+import type { ServiceExecution as ServiceRecord } from '../../emulator/service/service-server.js';
 import type { ObservedCall, ObservedProgram } from '../workload/recorder.js';
+import type { Violation } from './checker/promise.js';
 
 /** One exchange of a caller with one gateway about one submission of a call. */
 export interface ObservedExchange {
@@ -17,35 +21,18 @@
 }
 
 /** A request that reached an engine. */
-export interface EngineArrival {
+export interface EngineArrival extends ArrivalRecord {
   engine: string;
-  tenant: string;
-  program: string;
-  sequence: number;
-  attempt: number;
-  promptTokens: number;
-  wallClockMs: number;
 }
 
 /** A request that an engine finished or stopped. */
-export interface EngineExecution {
+export interface EngineExecution extends Omit<ExecutionRecord, 'model' | 'cachedTokens'> {
   engine: string;
-  tenant: string;
-  program: string;
-  sequence: number;
-  attempt: number;
-  promptTokens: number;
-  outputTokens: number;
-  outcome: 'finished' | 'cancelled';
   wallClockMs: number;
 }
 
-export interface ServiceExecution {
-  /** `program/sequence/attempt`. */
-  key: string;
-  payload: string;
-  wallClockMs: number;
-}
+/** A request that a service executed. */
+export type ServiceExecution = Pick<ServiceRecord, 'key' | 'payload' | 'wallClockMs'>;
 
 /** A payload that a caller was told has not run. */
 export interface RefusedPayload {
@@ -167,7 +154,7 @@
   finalRevisions: FinalRevision[];
   memory: MemoryObservation[];
   /** Promises that the system broke in plain sight, seen by a fault itself. */
-  directViolations: { promise: string; detail: string }[];
+  directViolations: Violation[];
 }
 
 export function emptyHistory(seed: number): TortureHistory {
--- a/lab/torture/operators.ts
+++ b/lab/torture/operators.ts
@@ -34,7 +34,7 @@
    * Two operators drain an engine each, planned upon the same revision and confirmed together.
    * @returns the engine that leaves, unless nobody got an answer
    */
-  async race(): Promise<Leaving | undefined> {
+  async race(): Promise<Omit<Leaving, 'untilMs'> | undefined> {
     const { fleet, random } = this.options;
     const engines = fleet.ofKind('engine').map((engine) => engine.name);
     const first = random.pick(engines);
@@ -57,7 +57,7 @@
     const { watcher } = this.options;
     const { revision } = revisions[winner]!;
     await Promise.all([stale, watcher.noteInForce(revision, acceptedAtMs, IN_FORCE_PATIENCE_MS)]);
-    return { engine: winner === 0 ? first : second, acceptedAtMs, untilMs: 0 };
+    return { engine: winner === 0 ? first : second, acceptedAtMs };
   }
 
   /** Makes all back ends active again. */
--- a/lab/torture/probes/availability-probe.ts
+++ b/lab/torture/probes/availability-probe.ts
@@ -1,7 +1,12 @@
 /** Callers that send one small call after the other and note how long each takes. */
-import { ProgramClient } from '../../../src/client/index.js';
+import type { ProgramClient } from '../../../src/client/index.js';
 import { monotonicMs, sleep } from '../../../src/common/index.js';
 import type { Fleet } from '../../fleet/fleet.js';
+import {
+  type TenantClients,
+  closeClients,
+  createGatewayClients,
+} from '../../load/gateway-clients.js';
 
 const PAUSE_MS = 25;
 const PATIENCE_MS = 20_000;
@@ -12,40 +17,30 @@
 export interface ProbeTime {
   startedAtMs: number;
   endedAtMs: number;
-  succeeded: boolean;
 }
 
 export class AvailabilityProbe {
   readonly times: ProbeTime[] = [];
   private readonly stopping = new AbortController();
-  private readonly clients: ProgramClient[] = [];
+  private readonly clients: TenantClients[] = [];
   private tasks: Promise<void>[] = [];
 
   constructor(private readonly fleet: Fleet) {}
 
   start(): void {
-    const { clientGateways, tenantKeys } = this.fleet.plan;
     const [tenant] = this.fleet.plan.deployment.tenants;
-    const starts = clientGateways.flatMap((_, index) =>
-      Array.from({ length: PROBES_PER_GATEWAY }, () => index),
-    );
-    for (const index of starts) {
-      const gateways = [...clientGateways.slice(index), ...clientGateways.slice(0, index)];
-      const client = new ProgramClient({
-        gateways,
-        apiKey: tenantKeys[tenant!]!,
-        patienceMs: PATIENCE_MS,
-        silenceMs: SILENCE_MS,
-      });
-      this.clients.push(client);
-      this.tasks.push(this.probe(client));
+    const options = { patienceMs: PATIENCE_MS, silenceMs: SILENCE_MS };
+    for (let probe = 0; probe < PROBES_PER_GATEWAY; probe += 1) {
+      const sets = createGatewayClients(this.fleet, options);
+      this.clients.push(...sets);
+      this.tasks.push(...sets.map((clients) => this.probe(clients.get(tenant!)!)));
     }
   }
 
   async stop(): Promise<void> {
     this.stopping.abort();
     await Promise.all(this.tasks);
-    await Promise.all(this.clients.map((client) => client.close()));
+    await closeClients(this.clients);
   }
 
   /** The longest that a caller waited for a small call begun in a span of time. */
@@ -61,7 +56,6 @@
     const { signal } = this.stopping;
     while (!signal.aborted) {
       const startedAtMs = monotonicMs();
-      let succeeded = true;
       try {
         const program = await client.openProgram({ model });
         await program.callService({
@@ -72,9 +66,9 @@
         });
         void program.end().catch(() => undefined);
       } catch {
-        succeeded = false;
+        // How long it went on is what counts.
       }
-      this.times.push({ startedAtMs, endedAtMs: monotonicMs(), succeeded });
+      this.times.push({ startedAtMs, endedAtMs: monotonicMs() });
       await sleep(PAUSE_MS, signal);
     }
   }
--- a/lab/torture/revision-watcher.ts
+++ b/lab/torture/revision-watcher.ts
@@ -1,13 +1,11 @@
 /** Watches on which revision each gateway acts, from outside: by its metrics page. */
-import { request } from 'undici';
 import { sleep } from '../../src/common/index.js';
 import type { Fleet } from '../fleet/fleet.js';
+import { metricIn, readMetrics } from '../fleet/process-metrics.js';
 import type { HistoryRecorder } from './history-recorder.js';
 
 const POLL_MS = 100;
 const TIMEOUT_MS = 300;
-const REVISION = /^ledgegauge_gateway_revision (\d+)/m;
-const LEASE_HELD = /^ledgegauge_gateway_lease_held (\d)/m;
 
 export class RevisionWatcher {
   private readonly stopping = new AbortController();
@@ -55,11 +53,7 @@
 }
 
 async function readActingRevision(address: string): Promise<number | undefined> {
-  const response = await request(`http://${address}/metrics`, {
-    headersTimeout: TIMEOUT_MS,
-    bodyTimeout: TIMEOUT_MS,
-  });
-  const text = await response.body.text();
-  if (LEASE_HELD.exec(text)?.[1] !== '1') return undefined;
-  return Number(REVISION.exec(text)?.[1]);
+  const page = await readMetrics(address, TIMEOUT_MS);
+  if (metricIn(page, 'ledgegauge_gateway_lease_held') !== 1) return undefined;
+  return metricIn(page, 'ledgegauge_gateway_revision');
 }
--- a/lab/torture/seed-run.ts
+++ b/lab/torture/seed-run.ts
@@ -2,7 +2,7 @@
 import { SeededRandom, describeError, monotonicMs, sleep } from '../../src/common/index.js';
 import type { Fleet } from '../fleet/fleet.js';
 import { type CheckResult, checkHistory } from './checker/index.js';
-import { waitFullyReplicated } from './cluster-view.js';
+import { waitFullyReplicated } from '../fleet/cluster-view.js';
 import type { TortureHistory } from './history.js';
 import { HistoryRecorder } from './history-recorder.js';
 import { observeMemory } from './memory-watch.js';
--- a/lab/torture/torture-load.ts
+++ b/lab/torture/torture-load.ts
@@ -1,7 +1,8 @@
 /** The load of a torture seed: programs one after the other in several places, some on tight budgets. */
-import { ProgramClient } from '../../src/client/index.js';
+import type { ProgramClient } from '../../src/client/index.js';
 import { SeededRandom } from '../../src/common/index.js';
 import type { Fleet } from '../fleet/fleet.js';
+import { type TenantClients, closeClients, createGatewayClients } from '../load/gateway-clients.js';
 import type { ProgramPlan } from '../workload/program-plan.js';
 import { ProgramRunner } from '../workload/program-runner.js';
 import { Workload } from '../workload/workload.js';
@@ -19,7 +20,7 @@
 export class TortureLoad {
   private readonly workload: Workload;
   private readonly random: SeededRandom;
-  private readonly clients: Map<string, ProgramClient>[];
+  private readonly clients: TenantClients[];
   private workers: Promise<void>[] = [];
   private isStopping = false;
 
@@ -36,7 +37,11 @@
       sizeScale: SIZE_SCALE,
     });
     this.random = new SeededRandom(seed);
-    this.clients = fleet.plan.clientGateways.map((_, index) => this.createClients(fleet, index));
+    this.clients = createGatewayClients(fleet, {
+      patienceMs: PATIENCE_MS,
+      silenceMs: SILENCE_MS,
+      onExchange: (exchange) => recorder.noteExchange(exchange),
+    });
   }
 
   start(): void {
@@ -47,8 +52,7 @@
   async stop(): Promise<void> {
     this.isStopping = true;
     await Promise.all(this.workers);
-    const clients = this.clients.flatMap((pool) => [...pool.values()]);
-    await Promise.all(clients.map((client) => client.close()));
+    await closeClients(this.clients);
   }
 
   private async work(index: number): Promise<void> {
@@ -65,16 +69,4 @@
     if (!this.random.chance(TIGHT_BUDGET_SHARE)) return plan;
     return { ...plan, budget: this.random.integer(...TIGHT_BUDGET) };
   }
-
-  private createClients(fleet: Fleet, first: number): Map<string, ProgramClient> {
-    const { clientGateways, tenantKeys } = fleet.plan;
-    const gateways = [...clientGateways.slice(first), ...clientGateways.slice(0, first)];
-    const onExchange = this.recorder.noteExchange.bind(this.recorder);
-    return new Map(
-      Object.entries(tenantKeys).map(([tenant, apiKey]) => {
-        const patience = { patienceMs: PATIENCE_MS, silenceMs: SILENCE_MS };
-        return [tenant, new ProgramClient({ gateways, apiKey, ...patience, onExchange })];
-      }),
-    );
-  }
 }
--- a/lab/workload/program-runner.ts
+++ b/lab/workload/program-runner.ts
@@ -44,7 +44,6 @@
       lastAnswerAtMs: submittedAtMs,
       endedAtMs: 0,
       budget,
-      parent: this.parent,
       isRoot: this.parent === undefined,
       isComplete: false,
       isEnded: false,
--- a/lab/workload/recorder.ts
+++ b/lab/workload/recorder.ts
@@ -38,7 +38,6 @@
   lastAnswerAtMs: number;
   endedAtMs: number;
   budget: number;
-  parent?: string;
   isRoot: boolean;
   isComplete: boolean;
   /** Whether the system confirmed the program's end. */
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -8,7 +8,7 @@
 import { sleep } from '../src/common/index.js';
 import { ProcessStartError } from '../lab/fleet/child-process.js';
 import { readBackendRecords } from '../lab/load/backend-records.js';
-import { findLeader, viewMembers, waitFullyReplicated } from '../lab/torture/cluster-view.js';
+import { findLeader, viewMembers, waitFullyReplicated } from '../lab/fleet/cluster-view.js';
 import { flipByte, lastSegment } from '../lab/torture/faults/disk-faults.js';
 import { type SmallFleet, startSmallFleet } from './support/small-fleet.js';
 import { waitUntil } from './support/wait-until.js';
