--- /dev/null
+++ b/src/clustering/admission-task.ts
@@ -0,0 +1,46 @@
+/** A member's task: presents itself to its group's leader for as long as it runs. */
+import { sleep } from '../common/index.js';
+import {
+  type GroupClient,
+  type Member,
+  isVoter,
+  type ReplicatedGroup,
+} from '../consensus/index.js';
+import { REQUEST_ADMISSION } from './messages.js';
+
+const VOTER_INTERVAL_MS = 1_000;
+const CANDIDATE_INTERVAL_MS = 150;
+const ADMISSION_TIMEOUT_MS = 1_000;
+
+export interface AdmissionTaskOptions {
+  group: ReplicatedGroup;
+  member: Member;
+  client: GroupClient;
+  signal: AbortSignal;
+}
+
+export async function presentToLeader(options: AdmissionTaskOptions): Promise<void> {
+  const { group, member, client, signal } = options;
+  while (!signal.aborted) {
+    if (!group.isLeader) await requestAdmission(client, group.name, member);
+    const settled = isVoter(group.configuration, member.id);
+    await sleep(settled ? VOTER_INTERVAL_MS : CANDIDATE_INTERVAL_MS, signal);
+  }
+}
+
+async function requestAdmission(client: GroupClient, group: string, member: Member): Promise<void> {
+  try {
+    await client.callWithRedirect(
+      group,
+      REQUEST_ADMISSION,
+      { group, member },
+      (response) =>
+        response.leads
+          ? { response: true }
+          : { leaderAddress: response.leaderAddress, refusal: 'not the leader' },
+      { timeoutMs: ADMISSION_TIMEOUT_MS },
+    );
+  } catch {
+    // No leader for now: asked again soon.
+  }
+}
--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -31,10 +31,17 @@
 export class GroupClient {
   private readonly leaders = new Map<string, string>();
   private readonly tryTimeoutMs: number;
+  private addresses: string[];
   private nextAddress = 0;
 
   constructor(private readonly options: GroupClientOptions) {
     this.tryTimeoutMs = options.tryTimeoutMs ?? DEFAULT_TRY_TIMEOUT_MS;
+    this.addresses = options.addresses;
+  }
+
+  /** Replaces the addresses of members; a leader that is known stays the first to be asked. */
+  setAddresses(addresses: string[]): void {
+    this.addresses = addresses;
   }
 
   /** @throws GroupUnavailableError when no leader answered in time */
@@ -91,8 +98,13 @@
     const deadline = monotonicMs() + options.timeoutMs;
     const backoff = new Backoff({ initialMs: 10, maximumMs: 100 });
     let lastProblem = 'no member asked';
-    let address = this.leaders.get(group) ?? this.anyAddress();
+    let address: string | undefined = this.leaders.get(group) ?? this.anyAddress();
     while (monotonicMs() < deadline) {
+      if (address === undefined) {
+        await sleep(Math.min(backoff.nextDelayMs(), Math.max(0, deadline - monotonicMs())));
+        address = this.anyAddress();
+        continue;
+      }
       const timeoutMs = Math.min(
         deadline - monotonicMs(),
         options.tryTimeoutMs ?? this.tryTimeoutMs,
@@ -122,8 +134,10 @@
     });
   }
 
-  private anyAddress(): string {
-    const { addresses, peers } = this.options;
+  private anyAddress(): string | undefined {
+    const { addresses } = this;
+    const { peers } = this.options;
+    if (addresses.length === 0) return undefined;
     for (let tries = 0; tries < addresses.length; tries += 1) {
       const address = addresses[this.nextAddress++ % addresses.length]!;
       if (peers.isConnected(address)) return address;
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -102,10 +102,22 @@
     return this.state === 'leader';
   }
 
+  /** Whether this member leads and has applied all that was committed before it did. */
+  get isCurrentLeader(): boolean {
+    return this.isLeader && this.applier.appliedIndex >= this.termStartIndex;
+  }
+
   get configuration(): GroupConfiguration {
     return this.log.configuration;
   }
 
+  /** Whether the latest configuration is committed, so that the next change may begin. */
+  get isConfigurationSettled(): boolean {
+    return (
+      this.commitIndex >= this.termStartIndex && this.log.configurationIndex <= this.commitIndex
+    );
+  }
+
   get followerDuty(): FollowerDuty {
     return this.duty;
   }
@@ -148,10 +160,7 @@
 
   /** Send time of the latest message that a majority has answered (monotonic, milliseconds). */
   quorumContactMs(): number {
-    return quorumValue(this.configuration, (id) => {
-      if (id === this.ownId) return monotonicMs();
-      return this.replicators.get(id)?.acknowledgedSentAt ?? Number.NEGATIVE_INFINITY;
-    });
+    return quorumValue(this.configuration, (id) => this.contactMsOf(id));
   }
 
   /** Last index that a follower holds, for those that wait for it to catch up. */
@@ -159,6 +168,12 @@
     return this.replicators.get(memberId)?.matchIndex ?? 0;
   }
 
+  /** When the latest message that a follower answered was sent (monotonic, milliseconds). */
+  contactMsOf(memberId: string): number {
+    if (memberId === this.ownId) return monotonicMs();
+    return this.replicators.get(memberId)?.acknowledgedSentAt ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Adds a member or changes its role; one change at a time. */
   addMember(member: Member): Promise<unknown> {
     return this.changeConfiguration(withMember(this.configuration, member));
@@ -355,9 +370,7 @@
 
   private changeConfiguration(configuration: GroupConfiguration): Promise<unknown> {
     if (!this.isLeader) return Promise.reject(this.notLeader());
-    const isSettled =
-      this.commitIndex >= this.termStartIndex && this.log.configurationIndex <= this.commitIndex;
-    if (!isSettled) {
+    if (!this.isConfigurationSettled) {
       return Promise.reject(
         new MembershipChangeError('another change is under way', {
           step: 'consensus.change-members',
--- a/src/control/cluster-formation.ts
+++ b/src/control/cluster-formation.ts
@@ -35,6 +35,8 @@
   peers: PeerCaller;
   logger: Logger;
   signal: AbortSignal;
+  /** Whether this process may found a cluster, rather than only join one. @default true */
+  mayFound?: boolean;
 }
 
 export function registerProbe(router: MethodRouter, identity: IdentityStore): void {
@@ -49,7 +51,9 @@
   const { identity, logger, signal } = options;
   while (identity.identity.state === 'new' && !signal.aborted) {
     const answers = await probeOthers(options);
-    const founders = foundersKnownTo(answers) ?? foundersTogether(options, answers);
+    const mayFound = options.mayFound ?? true;
+    const founders =
+      foundersKnownTo(answers) ?? (mayFound ? foundersTogether(options, answers) : undefined);
     if (!founders) {
       await sleep(PROBE_INTERVAL_MS, signal);
       continue;
@@ -75,7 +79,8 @@
 }
 
 function foundersKnownTo(answers: (ProbeResponse | undefined)[]): Member[] | undefined {
-  return answers.find((answer) => answer && answer.state !== 'new')?.founders;
+  return answers.find((answer) => answer && answer.state !== 'new' && answer.founders.length > 0)
+    ?.founders;
 }
 
 function foundersTogether(
--- /dev/null
+++ b/src/directory/directory-client.ts
@@ -0,0 +1,88 @@
+/** Reaches the directory's leader from any process. */
+import type { GroupClient } from '../consensus/index.js';
+import type { RouteConfiguration } from '../routes/index.js';
+import type { Method } from '../wire/index.js';
+import type { BackendRegistration } from './backend-registration.js';
+import type { RetirementState } from './directory-state-machine.js';
+import {
+  COMPLETE_RETIREMENT,
+  DIRECTORY_GROUP,
+  type DirectoryView,
+  HEARTBEAT,
+  type LeaderAnswer,
+  PUT_CONFIGURATION,
+  READ_CONFIGURATION,
+  REMOVE_BACKEND,
+  RETIREMENT_STATE,
+  type RetirementAnswer,
+  START_RETIREMENT,
+  WATCH,
+  type WatchRequest,
+} from './messages.js';
+
+/** Time in which one order must be answered, in milliseconds. */
+const ORDER_TIMEOUT_MS = 2_500;
+/** Callers of registrations give up after a second. */
+const REGISTRATION_TIMEOUT_MS = 800;
+const READ_TIMEOUT_MS = 900;
+const TRY_TIMEOUT_MS = 600;
+
+export class DirectoryClient {
+  /** @param groups knows the addresses of the control processes */
+  constructor(private readonly groups: GroupClient) {}
+
+  /** Resolves once the configuration, or one of a higher generation, is committed. */
+  async putConfiguration(configuration: RouteConfiguration, source: string): Promise<void> {
+    await this.call(PUT_CONFIGURATION, { configuration, source }, ORDER_TIMEOUT_MS);
+  }
+
+  /** The newest committed configuration as its operator sent it. */
+  async readConfiguration(): Promise<string | undefined> {
+    const answer = await this.call(READ_CONFIGURATION, {}, READ_TIMEOUT_MS);
+    return answer.source;
+  }
+
+  /** Resolves once a registration's news, if there are any, are committed. */
+  async recordHeartbeat(registration: BackendRegistration): Promise<void> {
+    await this.call(HEARTBEAT, registration, REGISTRATION_TIMEOUT_MS);
+  }
+
+  async removeBackend(id: string): Promise<void> {
+    await this.call(REMOVE_BACKEND, { id }, REGISTRATION_TIMEOUT_MS);
+  }
+
+  startRetirement(node: string): Promise<RetirementAnswer> {
+    return this.call(START_RETIREMENT, { node }, READ_TIMEOUT_MS);
+  }
+
+  retirementState(node: string): Promise<RetirementState | 'none'> {
+    return this.call(RETIREMENT_STATE, { node }, READ_TIMEOUT_MS);
+  }
+
+  async completeRetirement(node: string): Promise<void> {
+    await this.call(COMPLETE_RETIREMENT, { node }, ORDER_TIMEOUT_MS);
+  }
+
+  /** Waits a while at the leader for news. */
+  watch(request: WatchRequest, timeoutMs: number): Promise<DirectoryView> {
+    return this.call(WATCH, request, timeoutMs, timeoutMs);
+  }
+
+  private call<Request, Answer>(
+    method: Method<Request, LeaderAnswer<Answer>>,
+    request: Request,
+    timeoutMs: number,
+    tryTimeoutMs = TRY_TIMEOUT_MS,
+  ): Promise<Answer> {
+    return this.groups.callWithRedirect<Request, LeaderAnswer<Answer>, Answer>(
+      DIRECTORY_GROUP,
+      method,
+      request,
+      (response) =>
+        response.answer === undefined
+          ? { leaderAddress: response.leaderAddress, refusal: response.refusal }
+          : { response: response.answer },
+      { timeoutMs, tryTimeoutMs },
+    );
+  }
+}
--- /dev/null
+++ b/src/directory/directory-commands.ts
@@ -0,0 +1,53 @@
+/** Commands of the replicated directory. */
+import type { Member } from '../consensus/index.js';
+import type { RouteConfiguration } from '../routes/index.js';
+import type { BackendRegistration } from './backend-registration.js';
+
+/** Puts a configuration in force unless one of the same or a higher generation is. */
+export interface PutConfigurationCommand {
+  kind: 'put-configuration';
+  configuration: RouteConfiguration;
+  /** What the operator sent, given back word for word when it is read. */
+  source: string;
+}
+
+/** Takes note of a back end's registration or change of phase. */
+export interface RegisterBackendCommand {
+  kind: 'register-backend';
+  registration: BackendRegistration;
+}
+
+/** A back end has left, or has been silent for too long. */
+export interface RemoveBackendCommand {
+  kind: 'remove-backend';
+  id: string;
+}
+
+/** Names the members that found the ledger group; the first such command wins. */
+export interface FoundLedgerCommand {
+  kind: 'found-ledger';
+  founders: Member[];
+}
+
+export interface StartRetirementCommand {
+  kind: 'start-retirement';
+  node: string;
+}
+
+export interface CompleteRetirementCommand {
+  kind: 'complete-retirement';
+  node: string;
+}
+
+export type DirectoryCommand =
+  | PutConfigurationCommand
+  | RegisterBackendCommand
+  | RemoveBackendCommand
+  | FoundLedgerCommand
+  | StartRetirementCommand
+  | CompleteRetirementCommand;
+
+/** Whether a command changed anything. */
+export interface DirectoryResult {
+  changed: boolean;
+}
--- /dev/null
+++ b/src/directory/directory-leader.ts
@@ -0,0 +1,286 @@
+/**
+ * What the directory's leader does beside replicating: takes orders and registrations, answers
+ * watchers, founds the ledger group, and takes silent back ends out.
+ */
+import { SignalEvent, describeError, monotonicMs } from '../common/index.js';
+import type { Member, ReplicatedGroup } from '../consensus/index.js';
+import type { Logger } from '../observability/index.js';
+import { encodeValue } from '../wire/index.js';
+import type { BackendRecord, BackendRegistration } from './backend-registration.js';
+import type { DirectoryCommand } from './directory-commands.js';
+import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
+import { HeartbeatTable } from './heartbeat-table.js';
+import { LoadBoard } from './load-board.js';
+import type {
+  BackendsView,
+  ClusterView,
+  DirectoryView,
+  KnownVersions,
+  NodeAnnouncement,
+  PutConfigurationRequest,
+  RetirementAnswer,
+  WatchRequest,
+} from './messages.js';
+import { NodeRoster } from './node-roster.js';
+
+/** How long a watcher waits for news at most, in milliseconds. */
+const WATCH_WAIT_MS = 400;
+const HOUSEKEEPING_INTERVAL_MS = 250;
+/** How long the first founding waits for more journal processes than are needed, in milliseconds. */
+const FOUNDING_SETTLE_MS = 1_000;
+/** How long founding waits for as many journal processes as are wished, in milliseconds. */
+const FOUNDING_PATIENCE_MS = 6_000;
+/** A new leader has not heard of every process before this time, in milliseconds. */
+const ROSTER_COMPLETE_AFTER_MS = 1_200;
+
+export interface DirectoryLeaderOptions {
+  /** Voters that the ledger group should have. */
+  ledgerVoters: number;
+  /** Time between two heartbeats of a back end, in milliseconds. */
+  heartbeatIntervalMs: number;
+  /** Members of the directory's own group, for watchers. */
+  controlAddresses: () => string[];
+  logger: Logger;
+}
+
+const SILENT_AFTER_INTERVALS = 2.2;
+const REMOVED_AFTER_INTERVALS = 12;
+
+/** The answer to a retirement order was not certain: this leader is too new to know all machines. */
+export class RosterIncompleteError extends Error {}
+
+export class DirectoryLeader {
+  readonly stateMachine: DirectoryStateMachine;
+  private readonly roster = new NodeRoster();
+  private readonly loads = new LoadBoard();
+  private readonly heartbeats: HeartbeatTable;
+  private readonly news = new SignalEvent();
+  private readonly timer: NodeJS.Timeout;
+  private group: ReplicatedGroup | undefined;
+  private clusterVersion = 0;
+  private silentIds = '';
+  private firstJournalAt: number | undefined;
+  private isHousekeeping = false;
+
+  constructor(private readonly options: DirectoryLeaderOptions) {
+    this.stateMachine = new DirectoryStateMachine(() => this.onStateChanged());
+    this.heartbeats = new HeartbeatTable({
+      silentAfterMs: options.heartbeatIntervalMs * SILENT_AFTER_INTERVALS,
+      removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
+    });
+    this.timer = setInterval(() => void this.keepHouse(), HOUSEKEEPING_INTERVAL_MS);
+  }
+
+  attach(group: ReplicatedGroup): void {
+    this.group = group;
+  }
+
+  onLeadershipChange(): void {
+    this.heartbeats.clear();
+    this.loads.clear();
+    this.roster.clear();
+    this.clusterVersion += 1;
+    this.news.notify();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.news.notify();
+  }
+
+  async putConfiguration(request: PutConfigurationRequest): Promise<void> {
+    const command: DirectoryCommand = { kind: 'put-configuration', ...request };
+    await this.propose(command);
+    const { generation } = request.configuration;
+    this.options.logger.info('configuration committed', { generation });
+  }
+
+  async recordHeartbeat(registration: BackendRegistration): Promise<void> {
+    this.heartbeats.note(registration.id);
+    if (!this.stateMachine.isNews(registration)) return;
+    await this.propose({ kind: 'register-backend', registration });
+    const { id, service, phase, address } = registration;
+    this.options.logger.info('back end registered', { id, service, phase, address });
+  }
+
+  async removeBackend(id: string): Promise<void> {
+    if (this.stateMachine.hasDeparted(id)) return;
+    await this.propose({ kind: 'remove-backend', id });
+    this.options.logger.info('back end removed', { id });
+  }
+
+  /** @throws RosterIncompleteError while this leader cannot tell which machines there are */
+  async startRetirement(node: string): Promise<RetirementAnswer> {
+    if (this.stateMachine.retirements.has(node)) return 'accepted';
+    const known = this.roster.find(node);
+    const isNew = monotonicMs() - (this.group?.leadingSince ?? 0) < ROSTER_COMPLETE_AFTER_MS;
+    if (isNew) throw new RosterIncompleteError('leading for too short a time');
+    if (known?.role !== 'journal') return 'unknown-node';
+    const remaining = this.roster
+      .present('journal')
+      .filter((other) => other.name !== node && !this.stateMachine.retirements.has(other.name));
+    if (remaining.length < this.options.ledgerVoters) return 'too-few-left';
+    await this.propose({ kind: 'start-retirement', node });
+    this.options.logger.info('retirement started', { node, remaining: remaining.length });
+    return 'accepted';
+  }
+
+  async completeRetirement(node: string): Promise<void> {
+    await this.propose({ kind: 'complete-retirement', node });
+    this.options.logger.info('retirement complete', { node });
+  }
+
+  retirementState(node: string): RetirementState | 'none' {
+    return this.stateMachine.retirements.get(node) ?? 'none';
+  }
+
+  /** Answers with what is newer than the watcher knows, or with nothing after a while. */
+  async watch(request: WatchRequest): Promise<DirectoryView> {
+    this.noteNode(request.node);
+    if (request.node.role === 'gateway') this.loads.report(request.node.name, request.loads);
+    const deadline = monotonicMs() + WATCH_WAIT_MS;
+    let view = this.viewFor(request);
+    while (isEmpty(view) && !request.isUrgent && this.group?.isLeader) {
+      const left = deadline - monotonicMs();
+      if (left <= 0) break;
+      await this.news.waitUpTo(left);
+      view = this.viewFor(request);
+    }
+    return view;
+  }
+
+  private viewFor({ node, known }: WatchRequest): DirectoryView {
+    const { stateMachine } = this;
+    const view: DirectoryView = { otherLoads: this.loads.othersThan(node.name) };
+    const { configuration, configurationIndex } = stateMachine;
+    if (configuration && configurationIndex > known.configuration) {
+      view.configuration = { index: configurationIndex, configuration };
+    }
+    if (this.backendsVersion !== known.backends) view.backends = this.backendsView();
+    if (this.clusterVersionFor(known)) view.cluster = this.clusterView();
+    return view;
+  }
+
+  private get backendsVersion(): string {
+    return `${this.stateMachine.backendsIndex}|${this.silentIds}`;
+  }
+
+  private clusterVersionFor(known: KnownVersions): boolean {
+    return known.cluster !== this.clusterVersionText();
+  }
+
+  private clusterVersionText(): string {
+    return `${this.group?.term ?? 0}.${this.clusterVersion}`;
+  }
+
+  private backendsView(): BackendsView {
+    const { backends, backendsIndex: index } = this.stateMachine;
+    const records = [...backends.values()].map((backend): BackendRecord => ({
+      ...backend,
+      isSilent: this.heartbeats.isSilent(backend.id),
+    }));
+    return { version: this.backendsVersion, index, backends: records };
+  }
+
+  private clusterView(): ClusterView {
+    return {
+      version: this.clusterVersionText(),
+      controlAddresses: this.options.controlAddresses(),
+      ledgerAddresses: this.ledgerAddresses(),
+      ledgerFounders: [...this.stateMachine.ledgerFounders],
+      retirements: [...this.stateMachine.retirements],
+      gatewayCount: Math.max(1, this.roster.present('gateway').length),
+    };
+  }
+
+  private ledgerAddresses(): string[] {
+    const announced = this.roster.known('journal').map((node) => node.address);
+    const founding = this.stateMachine.ledgerFounders.map((member) => member.address);
+    return [...new Set([...announced, ...founding])];
+  }
+
+  private noteNode(node: NodeAnnouncement): void {
+    if (!this.roster.note(node)) return;
+    if (node.role === 'journal') this.firstJournalAt ??= monotonicMs();
+    this.options.logger.info('process announced', { node: node.name, role: node.role });
+    this.clusterVersion += 1;
+    this.news.notify();
+  }
+
+  private async keepHouse(): Promise<void> {
+    if (!this.group?.isLeader || this.isHousekeeping) return;
+    this.isHousekeeping = true;
+    try {
+      this.refreshSilent();
+      if (this.roster.forgetSilent()) this.onClusterChanged();
+      await this.foundLedgerIfDue();
+      await this.removeLostBackends();
+    } catch (error) {
+      this.options.logger.warn('housekeeping failed', { description: describeError(error) });
+    } finally {
+      this.isHousekeeping = false;
+    }
+  }
+
+  private refreshSilent(): void {
+    const ids = [...this.stateMachine.backends.keys()];
+    this.heartbeats.keepOnly(new Set(ids));
+    const silent = ids.filter((id) => this.heartbeats.isSilent(id)).join(',');
+    if (silent === this.silentIds) return;
+    this.options.logger.info('silent back ends changed', { silent, before: this.silentIds });
+    this.silentIds = silent;
+    this.news.notify();
+  }
+
+  private async removeLostBackends(): Promise<void> {
+    for (const id of [...this.stateMachine.backends.keys()]) {
+      if (this.heartbeats.isLost(id)) await this.removeBackend(id);
+    }
+  }
+
+  private async foundLedgerIfDue(): Promise<void> {
+    if (this.stateMachine.ledgerFounders.length > 0 || this.firstJournalAt === undefined) return;
+    const present = this.roster.present('journal').filter((node) => node.memberId !== undefined);
+    const waitedMs = monotonicMs() - this.firstJournalAt;
+    const isEnough = present.length >= this.options.ledgerVoters;
+    if (waitedMs < (isEnough ? FOUNDING_SETTLE_MS : FOUNDING_PATIENCE_MS)) return;
+    const founders = chooseFounders(present, this.options.ledgerVoters);
+    await this.propose({ kind: 'found-ledger', founders });
+    const names = founders.map((member) => member.name).join(',');
+    this.options.logger.info('ledger group founded', { founders: names });
+  }
+
+  private onStateChanged(): void {
+    this.onClusterChanged();
+  }
+
+  private onClusterChanged(): void {
+    this.clusterVersion += 1;
+    this.news.notify();
+  }
+
+  private propose(command: DirectoryCommand): Promise<unknown> {
+    return this.group!.propose(encodeValue(command));
+  }
+}
+
+function isEmpty(view: DirectoryView): boolean {
+  return !view.configuration && !view.backends && !view.cluster;
+}
+
+/** Founders from as many zones as possible, in a stable order. */
+function chooseFounders(nodes: NodeAnnouncement[], wished: number): Member[] {
+  const sorted = [...nodes].sort((left, right) => left.name.localeCompare(right.name));
+  const chosen: NodeAnnouncement[] = [];
+  while (chosen.length < Math.min(wished, sorted.length)) {
+    const zones = new Set(chosen.map((node) => node.zone));
+    const rest = sorted.filter((node) => !chosen.includes(node));
+    chosen.push(rest.find((node) => !zones.has(node.zone)) ?? rest[0]!);
+  }
+  return chosen.map((node) => ({
+    id: node.memberId!,
+    name: node.name,
+    address: node.address,
+    role: 'voter',
+  }));
+}
--- /dev/null
+++ b/src/directory/directory-state-machine.ts
@@ -0,0 +1,210 @@
+/**
+ * The replicated directory: the configuration in force, the registered back ends, the founders of
+ * the ledger group and the machines that are being emptied.
+ */
+import type { Member, StateMachine } from '../consensus/index.js';
+import type { RouteConfiguration } from '../routes/index.js';
+import { decodeValue, encodeValue } from '../wire/index.js';
+import type { BackendRegistration } from './backend-registration.js';
+import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
+
+export type RetirementState = 'running' | 'complete';
+
+/** Ids of back ends that have left are remembered, so that a late heartbeat does not revive one. */
+const MAX_REMEMBERED_DEPARTURES = 2_000;
+
+interface StoredConfiguration {
+  configuration: RouteConfiguration;
+  source: string;
+}
+
+interface DirectoryState {
+  stored: StoredConfiguration | undefined;
+  configurationIndex: number;
+  backends: Map<string, BackendRegistration>;
+  backendsIndex: number;
+  departed: Set<string>;
+  ledgerFounders: Member[];
+  retirements: Map<string, RetirementState>;
+}
+
+/** The state with lists in place of maps and sets. */
+interface EncodedDirectoryState {
+  stored?: StoredConfiguration;
+  configurationIndex: number;
+  backends: BackendRegistration[];
+  backendsIndex: number;
+  departed: string[];
+  ledgerFounders: Member[];
+  retirements: [string, RetirementState][];
+}
+
+const NOTHING_CHANGED: DirectoryResult = { changed: false };
+const CHANGED: DirectoryResult = { changed: true };
+
+export class DirectoryStateMachine implements StateMachine {
+  private state: DirectoryState = emptyState();
+
+  /** @param onChange called after each command that changed the state */
+  constructor(private readonly onChange: () => void = () => undefined) {}
+
+  get configuration(): RouteConfiguration | undefined {
+    return this.state.stored?.configuration;
+  }
+
+  get configurationSource(): string | undefined {
+    return this.state.stored?.source;
+  }
+
+  /** Log index at which the configuration came into force; 0 before the first. */
+  get configurationIndex(): number {
+    return this.state.configurationIndex;
+  }
+
+  get backends(): ReadonlyMap<string, BackendRegistration> {
+    return this.state.backends;
+  }
+
+  /** Log index of the last change of back ends. */
+  get backendsIndex(): number {
+    return this.state.backendsIndex;
+  }
+
+  get ledgerFounders(): readonly Member[] {
+    return this.state.ledgerFounders;
+  }
+
+  get retirements(): ReadonlyMap<string, RetirementState> {
+    return this.state.retirements;
+  }
+
+  hasDeparted(id: string): boolean {
+    return this.state.departed.has(id);
+  }
+
+  /** Whether a registration would change what is kept of its back end. */
+  isNews(registration: BackendRegistration): boolean {
+    if (this.state.departed.has(registration.id)) return false;
+    const known = this.state.backends.get(registration.id);
+    if (!known) return true;
+    if (registration.sequence < known.sequence) return false;
+    return (
+      known.phase !== registration.phase ||
+      known.service !== registration.service ||
+      known.address !== registration.address
+    );
+  }
+
+  apply(command: Uint8Array, index: number): DirectoryResult {
+    const result = this.applyCommand(decodeValue<DirectoryCommand>(command), index);
+    if (result.changed) this.onChange();
+    return result;
+  }
+
+  snapshot(): Uint8Array {
+    const { state } = this;
+    const encoded: EncodedDirectoryState = {
+      ...state,
+      backends: [...state.backends.values()],
+      departed: [...state.departed],
+      retirements: [...state.retirements],
+    };
+    return encodeValue(encoded);
+  }
+
+  restore(bytes: Uint8Array): void {
+    const encoded = decodeValue<EncodedDirectoryState>(bytes);
+    this.state = {
+      ...encoded,
+      stored: encoded.stored ?? undefined,
+      backends: new Map(encoded.backends.map((backend) => [backend.id, backend])),
+      departed: new Set(encoded.departed),
+      retirements: new Map(encoded.retirements),
+    };
+    this.onChange();
+  }
+
+  private applyCommand(command: DirectoryCommand, index: number): DirectoryResult {
+    switch (command.kind) {
+      case 'put-configuration':
+        return this.putConfiguration(command.configuration, command.source, index);
+      case 'register-backend':
+        return this.register(command.registration, index);
+      case 'remove-backend':
+        return this.remove(command.id, index);
+      case 'found-ledger':
+        return this.foundLedger(command.founders);
+      case 'start-retirement':
+        return this.setRetirement(command.node, 'running');
+      case 'complete-retirement':
+        return this.setRetirement(command.node, 'complete');
+    }
+  }
+
+  private putConfiguration(
+    configuration: RouteConfiguration,
+    source: string,
+    index: number,
+  ): DirectoryResult {
+    const current = this.configuration;
+    if (current && configuration.generation <= current.generation) return NOTHING_CHANGED;
+    this.state.stored = { configuration, source };
+    this.state.configurationIndex = index;
+    return CHANGED;
+  }
+
+  private register(registration: BackendRegistration, index: number): DirectoryResult {
+    if (!this.isNews(registration)) return NOTHING_CHANGED;
+    const known = this.state.backends.get(registration.id);
+    // A drain is final: a later "ready" of the same incarnation can only be a mistake.
+    if (known?.phase === 'draining' && registration.phase === 'ready') return NOTHING_CHANGED;
+    for (const other of [...this.state.backends.values()]) {
+      const tookItsAddress = other.address === registration.address && other.id !== registration.id;
+      if (tookItsAddress) this.forget(other.id);
+    }
+    this.state.backends.set(registration.id, registration);
+    this.state.backendsIndex = index;
+    return CHANGED;
+  }
+
+  private remove(id: string, index: number): DirectoryResult {
+    const known = this.state.backends.has(id);
+    this.forget(id);
+    if (!known) return NOTHING_CHANGED;
+    this.state.backendsIndex = index;
+    return CHANGED;
+  }
+
+  private forget(id: string): void {
+    const { backends, departed } = this.state;
+    backends.delete(id);
+    departed.add(id);
+    const oldest = departed.values().next().value;
+    if (departed.size > MAX_REMEMBERED_DEPARTURES && oldest !== undefined) departed.delete(oldest);
+  }
+
+  private foundLedger(founders: Member[]): DirectoryResult {
+    if (this.state.ledgerFounders.length > 0) return NOTHING_CHANGED;
+    this.state.ledgerFounders = founders;
+    return CHANGED;
+  }
+
+  private setRetirement(node: string, state: RetirementState): DirectoryResult {
+    const known = this.state.retirements.get(node);
+    if (known === state || known === 'complete') return NOTHING_CHANGED;
+    this.state.retirements.set(node, state);
+    return CHANGED;
+  }
+}
+
+function emptyState(): DirectoryState {
+  return {
+    stored: undefined,
+    configurationIndex: 0,
+    backends: new Map(),
+    backendsIndex: 0,
+    departed: new Set(),
+    ledgerFounders: [],
+    retirements: new Map(),
+  };
+}
--- /dev/null
+++ b/src/directory/directory-watcher.ts
@@ -0,0 +1,124 @@
+/**
+ * Follows the directory from a process that is no member of its group: one task asks the leader
+ * for news again and again. What is held goes on being used while no leader answers, and is never
+ * replaced by anything older.
+ */
+import { SignalEvent, describeError, monotonicMs, sleep } from '../common/index.js';
+import type { Logger } from '../observability/index.js';
+import type { BackendRecord } from './backend-registration.js';
+import type { DirectoryClient } from './directory-client.js';
+import type {
+  BackendLoad,
+  BackendsView,
+  ClusterView,
+  ConfigurationView,
+  DirectoryView,
+  NodeAnnouncement,
+} from './messages.js';
+
+const WATCH_TIMEOUT_MS = 900;
+const RETRY_DELAY_MS = 50;
+
+export interface DirectoryWatcherOptions {
+  client: DirectoryClient;
+  announce: () => NodeAnnouncement;
+  /** Calls under way at this process by back end. @default none */
+  loads?: () => BackendLoad[];
+  logger: Logger;
+  onConfiguration?: (view: ConfigurationView) => void;
+  onBackends?: (backends: BackendRecord[]) => void;
+  onCluster?: (view: ClusterView) => void;
+  onOtherLoads?: (loads: BackendLoad[]) => void;
+}
+
+export class DirectoryWatcher {
+  private configurationIndex = 0;
+  private backendsVersion = '';
+  private backendsIndex = -1;
+  private clusterVersion = '';
+  private confirmedAt = Number.NEGATIVE_INFINITY;
+  private isConnected = false;
+  private readonly stopping = new AbortController();
+  private readonly confirmed = new SignalEvent();
+
+  constructor(private readonly options: DirectoryWatcherOptions) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  /** Time since a leader last answered, in milliseconds. */
+  get ageMs(): number {
+    return monotonicMs() - this.confirmedAt;
+  }
+
+  /** Resolves at the leader's next answer. */
+  waitConfirmed(): Promise<void> {
+    return this.confirmed.wait();
+  }
+
+  private async run(): Promise<void> {
+    let isUrgent = true;
+    while (!this.stopping.signal.aborted) {
+      try {
+        const askedAt = monotonicMs();
+        const view = await this.options.client.watch(this.request(isUrgent), WATCH_TIMEOUT_MS);
+        this.confirmedAt = askedAt;
+        isUrgent = false;
+        this.noteConnected(true, '');
+        this.take(view);
+        this.confirmed.notify();
+      } catch (error) {
+        isUrgent = true;
+        this.noteConnected(false, describeError(error));
+        await sleep(RETRY_DELAY_MS, this.stopping.signal);
+      }
+    }
+  }
+
+  private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
+    return {
+      node: this.options.announce(),
+      known: {
+        configuration: this.configurationIndex,
+        backends: this.backendsVersion,
+        cluster: this.clusterVersion,
+      },
+      isUrgent,
+      loads: this.options.loads?.() ?? [],
+    };
+  }
+
+  private take(view: DirectoryView): void {
+    if (view.cluster) {
+      this.clusterVersion = view.cluster.version;
+      this.options.onCluster?.(view.cluster);
+    }
+    if (view.backends) this.takeBackends(view.backends);
+    if (view.configuration && view.configuration.index > this.configurationIndex) {
+      this.configurationIndex = view.configuration.index;
+      const { generation } = view.configuration.configuration;
+      this.options.logger.info('configuration in force', { generation });
+      this.options.onConfiguration?.(view.configuration);
+    }
+    this.options.onOtherLoads?.(view.otherLoads);
+  }
+
+  private takeBackends(view: BackendsView): void {
+    if (view.index < this.backendsIndex) return;
+    this.backendsIndex = view.index;
+    this.backendsVersion = view.version;
+    this.options.onBackends?.(view.backends);
+  }
+
+  private noteConnected(isConnected: boolean, reason: string): void {
+    if (this.isConnected === isConnected) return;
+    this.isConnected = isConnected;
+    if (isConnected) this.options.logger.info('directory regained', {});
+    else this.options.logger.warn('directory lost', { reason });
+  }
+}
--- /dev/null
+++ b/src/directory/messages.ts
@@ -0,0 +1,128 @@
+/** Messages between the directory's leader and the processes that follow it. */
+import type { Member } from '../consensus/index.js';
+import type { RouteConfiguration } from '../routes/index.js';
+import { defineMethod } from '../wire/index.js';
+import type { BackendRecord, BackendRegistration } from './backend-registration.js';
+import type { RetirementState } from './directory-state-machine.js';
+
+export const DIRECTORY_GROUP = 'directory';
+
+export type NodeRole = 'gateway' | 'control' | 'journal';
+
+/** How a process presents itself to the directory's leader. */
+export interface NodeAnnouncement {
+  name: string;
+  role: NodeRole;
+  /** Identity of its data folder, for those that have one. */
+  memberId?: string;
+  /** `host:port` of its internal endpoint. */
+  address: string;
+  zone: string;
+}
+
+/** Calls under way from one gateway at one back end. */
+export interface BackendLoad {
+  id: string;
+  inFlight: number;
+}
+
+/** Which parts of the view the sender holds. */
+export interface KnownVersions {
+  configuration: number;
+  backends: string;
+  cluster: string;
+}
+
+export interface WatchRequest {
+  node: NodeAnnouncement;
+  known: KnownVersions;
+  /** Answer at once, for a process that starts. */
+  isUrgent: boolean;
+  loads: BackendLoad[];
+}
+
+export interface BackendsView {
+  version: string;
+  /** Log index; a lower one than known is stale. */
+  index: number;
+  backends: BackendRecord[];
+}
+
+export interface ClusterView {
+  version: string;
+  controlAddresses: string[];
+  ledgerAddresses: string[];
+  ledgerFounders: Member[];
+  retirements: [string, RetirementState][];
+  gatewayCount: number;
+}
+
+export interface ConfigurationView {
+  index: number;
+  configuration: RouteConfiguration;
+}
+
+/** The parts of the directory that are newer than what the watcher holds. */
+export interface DirectoryView {
+  configuration?: ConfigurationView;
+  backends?: BackendsView;
+  cluster?: ClusterView;
+  /** Calls of the other gateways by back end. */
+  otherLoads: BackendLoad[];
+}
+
+/** What every request to a leader is answered with by those that do not lead. */
+export interface LeaderAnswer<Answer> {
+  answer?: Answer;
+  leaderAddress?: string;
+  refusal?: string;
+}
+
+export type RetirementAnswer = 'accepted' | 'unknown-node' | 'too-few-left';
+
+export interface RetirementRequest {
+  node: string;
+}
+
+export interface ReadConfigurationAnswer {
+  source?: string;
+}
+
+export interface RemoveBackendRequest {
+  id: string;
+}
+
+export interface PutConfigurationRequest {
+  configuration: RouteConfiguration;
+  source: string;
+}
+
+export interface Acknowledgement {
+  isAcknowledged: true;
+}
+
+export const WATCH = defineMethod<WatchRequest, LeaderAnswer<DirectoryView>>('directory.watch');
+export const HEARTBEAT = defineMethod<BackendRegistration, LeaderAnswer<Acknowledgement>>(
+  'directory.heartbeat',
+);
+export const REMOVE_BACKEND = defineMethod<RemoveBackendRequest, LeaderAnswer<Acknowledgement>>(
+  'directory.remove-backend',
+);
+export const PUT_CONFIGURATION = defineMethod<
+  PutConfigurationRequest,
+  LeaderAnswer<Acknowledgement>
+>('directory.put-configuration');
+export const READ_CONFIGURATION = defineMethod<
+  Record<string, never>,
+  LeaderAnswer<ReadConfigurationAnswer>
+>('directory.read-configuration');
+export const START_RETIREMENT = defineMethod<RetirementRequest, LeaderAnswer<RetirementAnswer>>(
+  'directory.start-retirement',
+);
+export const RETIREMENT_STATE = defineMethod<
+  RetirementRequest,
+  LeaderAnswer<RetirementState | 'none'>
+>('directory.retirement-state');
+export const COMPLETE_RETIREMENT = defineMethod<RetirementRequest, LeaderAnswer<Acknowledgement>>(
+  'directory.complete-retirement',
+);
--- /dev/null
+++ b/src/forwarding/backend-view.ts
@@ -0,0 +1,134 @@
+/** The back ends as one gateway knows them: registrations, its own calls, and its experiences. */
+import { LRUCache } from 'lru-cache';
+import { monotonicMs } from '../common/index.js';
+import type { BackendLoad, BackendRecord } from '../directory/index.js';
+import type { PromptPart } from './call-exchange.js';
+import { BackendConnections } from './backend-connections.js';
+
+const REMEMBERED_PARTS = 4_000;
+const FIRST_SUSPICION_MS = 500;
+const LONGEST_SUSPICION_MS = 5_000;
+
+/** One back end and what this gateway does there. */
+export class BackendState {
+  /** Calls of this gateway under way here. */
+  inFlight = 0;
+  /** Calls of the other gateways, as last told. */
+  otherInFlight = 0;
+  readonly connections: BackendConnections;
+  private readonly parts = new LRUCache<string, true>({ max: REMEMBERED_PARTS });
+  private suspectUntil = 0;
+  private failures = 0;
+
+  constructor(
+    public record: BackendRecord,
+    connectionLimit: () => number,
+  ) {
+    this.connections = new BackendConnections(record.address, connectionLimit);
+  }
+
+  get id(): string {
+    return this.record.id;
+  }
+
+  get load(): number {
+    return this.inFlight + this.otherInFlight;
+  }
+
+  get isSuspect(): boolean {
+    return this.record.isSilent || monotonicMs() < this.suspectUntil;
+  }
+
+  /** A call failed in a way that speaks against the back end. */
+  noteFailure(): void {
+    const suspicion = Math.min(LONGEST_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** this.failures);
+    this.failures += 1;
+    this.suspectUntil = monotonicMs() + suspicion;
+  }
+
+  noteSuccess(): void {
+    this.failures = 0;
+    this.suspectUntil = 0;
+  }
+
+  notePrompt(parts: readonly PromptPart[]): void {
+    for (const part of parts) this.parts.set(part.id, true);
+  }
+
+  /** Tokens of a prompt that this gateway has not sent here before. */
+  missingTokens(parts: readonly PromptPart[]): number {
+    const firstMissing = parts.findIndex((part) => !this.parts.has(part.id));
+    if (firstMissing < 0) return 0;
+    return parts.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0);
+  }
+}
+
+export class BackendView {
+  private readonly backends = new Map<string, BackendState>();
+  private byService = new Map<string, BackendState[]>();
+
+  /** @param connectionLimit connections that this gateway may open to one back end of a service */
+  constructor(private readonly connectionLimit: (service: string) => number) {}
+
+  /** Takes over the registered back ends; those that are gone get no further calls. */
+  update(records: readonly BackendRecord[]): void {
+    const present = new Set(records.map((record) => record.id));
+    for (const [id, backend] of this.backends) {
+      if (present.has(id)) continue;
+      backend.connections.closeIdle();
+      this.backends.delete(id);
+    }
+    for (const record of records) this.take(record);
+    this.byService = groupByService(this.backends.values());
+  }
+
+  updateOtherLoads(loads: readonly BackendLoad[]): void {
+    for (const backend of this.backends.values()) backend.otherInFlight = 0;
+    for (const { id, inFlight } of loads) {
+      const backend = this.backends.get(id);
+      if (backend) backend.otherInFlight = inFlight;
+    }
+  }
+
+  /** Back ends of a service that may be sent new calls. */
+  serving(service: string): readonly BackendState[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  /** An incarnation answered that it is not the expected one: it gets no more calls. */
+  drop(id: string): void {
+    const backend = this.backends.get(id);
+    if (!backend) return;
+    backend.connections.closeIdle();
+    this.backends.delete(id);
+    this.byService = groupByService(this.backends.values());
+  }
+
+  loads(): BackendLoad[] {
+    return [...this.backends.values()]
+      .filter((backend) => backend.inFlight > 0)
+      .map((backend) => ({ id: backend.id, inFlight: backend.inFlight }));
+  }
+
+  private take(record: BackendRecord): void {
+    const known = this.backends.get(record.id);
+    if (known && known.record.address === record.address) {
+      known.record = record;
+      if (record.phase === 'draining') known.connections.closeIdle();
+      return;
+    }
+    const limit = (): number => this.connectionLimit(record.service);
+    this.backends.set(record.id, new BackendState(record, limit));
+  }
+}
+
+function groupByService(backends: Iterable<BackendState>): Map<string, BackendState[]> {
+  const groups = new Map<string, BackendState[]>();
+  for (const backend of backends) {
+    if (backend.record.phase !== 'ready') continue;
+    const group = groups.get(backend.record.service) ?? [];
+    group.push(backend);
+    groups.set(backend.record.service, group);
+  }
+  return groups;
+}
--- /dev/null
+++ b/src/forwarding/call-forwarder.ts
@@ -0,0 +1,248 @@
+/** Takes calls from their arrival to their final answer: route, reservation, sends, settlement. */
+import { describeError, monotonicMs } from '../common/index.js';
+import type { LedgerClient } from '../ledger/index.js';
+import type { Logger } from '../observability/index.js';
+import type { CompiledRoute, RouteTable } from '../routes/index.js';
+import type { BackendProtocol } from './backend-protocol.js';
+import type { BackendView } from './backend-view.js';
+import type { CallExchange, RefusalReason } from './call-exchange.js';
+import { type CallEnding, CallRun } from './call-run.js';
+import type { ForwardingMetrics } from './forwarding-metrics.js';
+import type { Placement } from './placement.js';
+import { StreamRelay } from './stream-relay.js';
+
+export interface CallForwarderOptions {
+  /** The routes in force; undefined before the first configuration. */
+  routes: () => RouteTable | undefined;
+  /** Time since the directory's leader last answered, in milliseconds. */
+  directoryAgeMs: () => number;
+  backends: BackendView;
+  placement: Placement;
+  ledger: LedgerClient;
+  protocol: BackendProtocol;
+  logger: Logger;
+  metrics: ForwardingMetrics;
+}
+
+/** Share of the time left that a reservation may take. */
+const RESERVE_TIME_SHARE = 0.6;
+/** Extra time for keeping a turn beyond the call's own limit, in milliseconds. */
+const KEEP_SLACK_MS = 300;
+/** An unknown route may be one that was added lately, if the directory is older than this. */
+const ROUTE_NEWS_AGE_MS = 1_500;
+/** When to come back after passing troubles, in milliseconds. */
+const RETRY_AFTER_MS = 150;
+
+interface Reservation {
+  program: string;
+  attempt: string;
+  previousTurn?: string;
+  history?: Uint8Array;
+}
+
+/** A call was refused before it was sent anywhere. */
+class RefusedError extends Error {
+  constructor(readonly reason: RefusalReason) {
+    super(reason);
+  }
+}
+
+export class CallForwarder {
+  constructor(private readonly options: CallForwarderOptions) {}
+
+  /** Resolves when the call has its final answer. */
+  async handle(exchange: CallExchange): Promise<void> {
+    let route: CompiledRoute | undefined;
+    try {
+      route = this.findRoute(exchange);
+      await this.forward(exchange, route);
+    } catch (error) {
+      if (!(error instanceof RefusedError)) throw error;
+      this.refuse(exchange, error.reason);
+      this.record(exchange, route, { kind: 'refused', reason: error.reason });
+    }
+  }
+
+  private findRoute(exchange: CallExchange): CompiledRoute {
+    const table = this.options.routes();
+    if (!table) throw new RefusedError('not-ready');
+    const { host, path, id } = exchange.description;
+    const route = table.find(host, path);
+    if (!route) {
+      const mayBeNews = this.options.directoryAgeMs() > ROUTE_NEWS_AGE_MS;
+      throw new RefusedError(mayBeNews ? 'not-ready' : 'no-route');
+    }
+    if (id === undefined) throw new RefusedError('missing-id');
+    return route;
+  }
+
+  private async forward(exchange: CallExchange, route: CompiledRoute): Promise<void> {
+    const { description } = exchange;
+    const limitMs = Math.min(description.patienceMs ?? Infinity, route.route.timeoutMs);
+    const deadlineMs = exchange.arrivedAt + limitMs;
+    const reservation = await this.reserve(exchange, route, deadlineMs);
+    const run = new CallRun({
+      exchange,
+      route,
+      body: withHistory(description.body, reservation?.history),
+      deadlineMs,
+      backends: this.options.backends,
+      placement: this.options.placement,
+      protocol: this.options.protocol,
+    });
+    const ending = await run.run();
+    const final = await this.finish(exchange, run, ending, route, reservation, deadlineMs);
+    this.record(exchange, route, final, run);
+  }
+
+  /** Sets the turn's tokens aside and reads what it continues from, where its route asks for it. */
+  private async reserve(
+    exchange: CallExchange,
+    { route }: CompiledRoute,
+    deadlineMs: number,
+  ): Promise<Reservation | undefined> {
+    const { description } = exchange;
+    const { program, previousTurn, mostTokens } = description;
+    const isTurn = route.kind === 'streaming';
+    if (!isTurn || (program?.budgetTokens === undefined && !route.retainsTurns)) return undefined;
+    const attempt = description.id!;
+    const key = program?.id ?? attempt;
+    const budgetTokens = program?.budgetTokens;
+    const timeoutMs = (deadlineMs - monotonicMs()) * RESERVE_TIME_SHARE;
+    const startedAt = monotonicMs();
+    const continued = route.retainsTurns ? previousTurn : undefined;
+    const request = { program: key, attempt, budgetTokens, mostTokens, previousTurn: continued };
+    try {
+      const answer = await this.options.ledger.reserve(request, timeoutMs);
+      this.options.metrics.reservation.observe((monotonicMs() - startedAt) / 1_000);
+      if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
+      if (continued !== undefined && !answer.history) throw new RefusedError('ledger-unavailable');
+      return { program: key, attempt, previousTurn: continued, history: answer.history };
+    } catch (error) {
+      if (error instanceof RefusedError) throw error;
+      this.options.logger.warn('reservation failed', {
+        call: attempt,
+        program: key,
+        reason: describeError(error),
+      });
+      this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
+      throw new RefusedError('ledger-unavailable');
+    }
+  }
+
+  /** Settles the reservation and gives the caller its final answer. */
+  private async finish(
+    exchange: CallExchange,
+    run: CallRun,
+    ending: CallEnding,
+    route: CompiledRoute,
+    reservation: Reservation | undefined,
+    deadlineMs: number,
+  ): Promise<CallEnding> {
+    const final = reservation
+      ? await this.settle(exchange, run, ending, route, reservation, deadlineMs)
+      : ending;
+    switch (final.kind) {
+      case 'answered':
+        run.answer.end();
+        break;
+      case 'refused':
+        this.refuse(exchange, final.reason);
+        break;
+      case 'broken-off':
+        exchange.breakOff();
+        break;
+      case 'abandoned':
+        break;
+    }
+    return final;
+  }
+
+  private async settle(
+    exchange: CallExchange,
+    run: CallRun,
+    ending: CallEnding,
+    { route }: CompiledRoute,
+    reservation: Reservation,
+    deadlineMs: number,
+  ): Promise<CallEnding> {
+    const { ledger } = this.options;
+    const { program, attempt, previousTurn } = reservation;
+    const relay = run.answer as StreamRelay;
+    const spentTokens = relay.events * this.tokensPerEvent(run.serviceName);
+    const isKept = route.retainsTurns && ending.kind === 'answered' && relay.isStream;
+    if (!isKept) {
+      ledger.settleLater({ program, attempt, spentTokens });
+      return ending;
+    }
+    const input = exchange.description.body;
+    const output = relay.collectedOutput;
+    const keep = { previousTurn, input, output, retentionMs: route.retentionMs };
+    const timeoutMs = Math.max(KEEP_SLACK_MS, deadlineMs - monotonicMs());
+    try {
+      await ledger.settle({ program, attempt, spentTokens, keep }, timeoutMs);
+      return ending;
+    } catch (error) {
+      this.options.logger.warn('turn not kept', {
+        call: attempt,
+        program,
+        reason: describeError(error),
+      });
+      ledger.settleLater({ program, attempt, spentTokens });
+      return { kind: 'broken-off' };
+    }
+  }
+
+  private tokensPerEvent(service: string): number {
+    return this.options.routes()?.service(service)?.engine?.tokensPerEvent ?? 1;
+  }
+
+  private refuse(exchange: CallExchange, reason: RefusalReason): void {
+    if (exchange.isAbandoned) return;
+    exchange.refuse({ reason, retryAfterMs: RETRY_AFTER_MS });
+  }
+
+  private record(
+    exchange: CallExchange,
+    route: CompiledRoute | undefined,
+    ending: CallEnding,
+    run?: CallRun,
+  ): void {
+    const { description, arrivedAt } = exchange;
+    const reason = ending.kind === 'refused' ? ending.reason : undefined;
+    const tookMs = monotonicMs() - arrivedAt;
+    const relay = run?.answer;
+    const firstEventAt = relay instanceof StreamRelay ? relay.firstEventAt : undefined;
+    const outcome = reason ?? ending.kind;
+    this.options.metrics.noteCall(
+      route?.route.kind,
+      outcome,
+      tookMs,
+      firstEventAt && firstEventAt - arrivedAt,
+    );
+    const isFailure = ending.kind === 'refused' || ending.kind === 'broken-off';
+    const write = isFailure ? 'warn' : 'info';
+    this.options.logger[write]('call', {
+      call: description.id,
+      program: description.program?.id,
+      session: description.program?.session,
+      route: route?.route.name,
+      outcome,
+      status: relay?.status,
+      ms: Math.round(tookMs),
+      firstMs: firstEventAt && Math.round(firstEventAt - arrivedAt),
+      sends: run && describeSends(run),
+      directoryAgeMs: isFailure ? Math.round(this.options.directoryAgeMs()) : undefined,
+    });
+  }
+}
+
+function withHistory(body: Buffer, history: Uint8Array | undefined): Buffer {
+  return history && history.length > 0 ? Buffer.concat([history, body]) : body;
+}
+
+function describeSends(run: CallRun): string {
+  return run.sends
+    .map(({ backend, result, cause, load }) => `${backend}@${load}:${cause ?? result}`)
+    .join(' ');
+}
--- /dev/null
+++ b/src/forwarding/call-run.ts
@@ -0,0 +1,215 @@
+/** One forwarded call from its placement to its final answer, written straight down. */
+import { monotonicMs } from '../common/index.js';
+import type { CompiledRoute } from '../routes/index.js';
+import type { BackendProtocol } from './backend-protocol.js';
+import type { BackendState, BackendView } from './backend-view.js';
+import { BufferedAnswer } from './buffered-answer.js';
+import type { CallExchange, RefusalReason } from './call-exchange.js';
+import type { Placement } from './placement.js';
+import { SendAttempt, type SendResult } from './send-attempt.js';
+import { StreamRelay } from './stream-relay.js';
+
+/** How a call ended. */
+export type CallEnding =
+  | { kind: 'answered' }
+  | { kind: 'refused'; reason: RefusalReason }
+  | { kind: 'broken-off' }
+  | { kind: 'abandoned' };
+
+export interface CallRunOptions {
+  exchange: CallExchange;
+  route: CompiledRoute;
+  /** The whole body to send, with the history of earlier turns where there is one. */
+  body: Buffer;
+  /** Monotonic time by which the call must have its final answer, in milliseconds. */
+  deadlineMs: number;
+  backends: BackendView;
+  placement: Placement;
+  protocol: BackendProtocol;
+}
+
+/** One send, for the log. */
+export interface SendRecord {
+  backend: string;
+  result: SendResult['kind'];
+  cause?: string;
+  load: number;
+}
+
+/** A call is sent again after broken answers so often at most. */
+const MAX_RESENDS = 2;
+
+export class CallRun {
+  readonly sends: SendRecord[] = [];
+  readonly answer: StreamRelay | BufferedAnswer;
+  private readonly service: string;
+  private readonly excluded = new Set<string>();
+  /** Back ends that may have received the call. */
+  private readonly sentTo = new Set<string>();
+  private stayWith: BackendState | undefined;
+  private attempt: SendAttempt | undefined;
+  private resends = 0;
+  private mayHaveRun = false;
+  private isOverdue = false;
+
+  constructor(private readonly options: CallRunOptions) {
+    const { exchange, route } = options;
+    this.service = route.nextService();
+    const isStreaming = route.route.kind === 'streaming';
+    const collectsOutput = route.route.retainsTurns;
+    this.answer = isStreaming
+      ? new StreamRelay({ exchange, collectsOutput })
+      : new BufferedAnswer(exchange);
+  }
+
+  get serviceName(): string {
+    return this.service;
+  }
+
+  /** Whether any back end may have begun to run the call. */
+  get wasSent(): boolean {
+    return this.mayHaveRun;
+  }
+
+  /** Sends the call until it is answered or nothing more may be tried. Does not end the answer. */
+  async run(): Promise<CallEnding> {
+    const { exchange, deadlineMs } = this.options;
+    const timer = setTimeout(() => this.onDeadline(), Math.max(0, deadlineMs - monotonicMs()));
+    exchange.onAbandoned(() => this.attempt?.stop());
+    try {
+      return await this.sendUntilAnswered();
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private async sendUntilAnswered(): Promise<CallEnding> {
+    for (;;) {
+      const stopped = this.endingOfStop();
+      if (stopped) return stopped;
+      const backend = this.nextBackend();
+      if (!backend) return this.endingWithoutBackend();
+      const result = await this.sendTo(backend);
+      const ending = this.judge(backend, result);
+      if (ending) return ending;
+    }
+  }
+
+  private nextBackend(): BackendState | undefined {
+    if (this.stayWith) return this.stayWith;
+    if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
+    const candidates = this.options.backends.serving(this.service);
+    const { description } = this.options.exchange;
+    return this.options.placement.choose(candidates, description, this.excluded);
+  }
+
+  private async sendTo(backend: BackendState): Promise<SendResult> {
+    const connection = backend.connections.acquire();
+    if (!connection) return { kind: 'not-sent', cause: 'no connection left' };
+    const { exchange, protocol, body, route } = this.options;
+    const { description } = exchange;
+    const request = protocol.encodeRequest(description, {
+      backendId: backend.id,
+      timeLeftMs: Math.max(1, Math.floor(this.options.deadlineMs - monotonicMs())),
+      priority: route.route.priority,
+      lastEventId: this.answer instanceof StreamRelay ? this.answer.lastEventId : undefined,
+    });
+    const callId = description.id;
+    const sink = this.answer;
+    const attempt = new SendAttempt({ protocol, connection, request, body, callId, sink });
+    sink.onceReadable(() => attempt.resume());
+    this.attempt = attempt;
+    const load = backend.load;
+    backend.inFlight += 1;
+    backend.notePrompt(description.promptParts);
+    const result = await attempt.run();
+    backend.inFlight -= 1;
+    this.attempt = undefined;
+    const cause = 'cause' in result ? result.cause : undefined;
+    this.sends.push({ backend: backend.id, result: result.kind, cause, load });
+    return result;
+  }
+
+  /** @returns the ending, or nothing when the call is to be sent once more */
+  private judge(backend: BackendState, result: SendResult): CallEnding | undefined {
+    switch (result.kind) {
+      case 'complete':
+        return this.judgeComplete(backend);
+      case 'not-sent':
+        this.leave(backend);
+        backend.noteFailure();
+        return undefined;
+      case 'not-executed':
+        this.leave(backend);
+        if (result.isOtherIncarnation) this.options.backends.drop(backend.id);
+        else this.sentTo.add(backend.id);
+        return undefined;
+      case 'stopped':
+        if (result.wasSent) this.noteSent(backend);
+        return this.endingOfStop() ?? { kind: 'abandoned' };
+      case 'broken':
+        this.noteSent(backend);
+        if (!result.hadHead) backend.noteFailure();
+        return this.judgeBroken(backend);
+    }
+  }
+
+  private judgeComplete(backend: BackendState): CallEnding | undefined {
+    this.noteSent(backend);
+    backend.noteSuccess();
+    const isCut = this.answer instanceof StreamRelay && this.answer.hasPartialEvent;
+    return isCut ? this.judgeBroken(backend) : { kind: 'answered' };
+  }
+
+  /** After a broken answer the call goes on only where running it again is allowed. */
+  private judgeBroken(backend: BackendState): CallEnding | undefined {
+    const { kind, isResumable, maxAttempts } = this.options.route.route;
+    const mayRepeat = kind === 'repeatable' ? !this.answer.hasBegun : isResumable;
+    if (!mayRepeat || this.resends >= MAX_RESENDS) return this.endingOfBroken();
+    this.resends += 1;
+    this.answer.restart();
+    const mayChange = this.sentTo.size < maxAttempts;
+    if (mayChange && kind === 'repeatable') this.excluded.add(backend.id);
+    else this.stayWith = backend;
+    return undefined;
+  }
+
+  private endingOfBroken(): CallEnding {
+    if (this.answer.hasBegun) return { kind: 'broken-off' };
+    return { kind: 'refused', reason: 'outcome-unknown' };
+  }
+
+  private endingWithoutBackend(): CallEnding {
+    if (this.mayHaveRun) return this.endingOfBroken();
+    if (this.sentTo.size > 0) return { kind: 'refused', reason: 'not-executed' };
+    const hasAny = this.options.backends.serving(this.service).length > 0;
+    return { kind: 'refused', reason: hasAny ? 'overloaded' : 'no-backend' };
+  }
+
+  private endingOfStop(): CallEnding | undefined {
+    if (this.options.exchange.isAbandoned) return { kind: 'abandoned' };
+    if (!this.isOverdue) return undefined;
+    if (this.answer.hasBegun) return { kind: 'broken-off' };
+    return {
+      kind: 'refused',
+      reason: this.mayHaveRun ? 'time-limit' : 'time-limit-before-start',
+    };
+  }
+
+  private leave(backend: BackendState): void {
+    this.excluded.add(backend.id);
+    this.stayWith = undefined;
+    // A back end that is gone does not count among those that the call was sent to.
+    this.sentTo.delete(backend.id);
+  }
+
+  private noteSent(backend: BackendState): void {
+    this.sentTo.add(backend.id);
+    this.mayHaveRun = true;
+  }
+
+  private onDeadline(): void {
+    this.isOverdue = true;
+    this.attempt?.stop();
+  }
+}
--- /dev/null
+++ b/src/forwarding/forwarding-metrics.ts
@@ -0,0 +1,55 @@
+/** Counters and latency histograms of forwarded calls. */
+import { Counter, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+export class ForwardingMetrics {
+  readonly registry = new Registry();
+  /** Time of reservations at the ledger, in seconds. */
+  readonly reservation: Histogram;
+  private readonly calls: Counter<'kind' | 'outcome'>;
+  private readonly duration: Histogram<'kind'>;
+  private readonly firstEvent: Histogram;
+
+  constructor() {
+    const registers = [this.registry];
+    const buckets = LATENCY_BUCKETS;
+    this.calls = new Counter({
+      name: 'ledgegauge_forwarded_calls_total',
+      help: 'Forwarded calls by kind of route and outcome',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    });
+    this.duration = new Histogram({
+      name: 'ledgegauge_forwarded_call_seconds',
+      help: 'From the arrival of a call to its final answer',
+      labelNames: ['kind'],
+      buckets,
+      registers,
+    });
+    this.firstEvent = new Histogram({
+      name: 'ledgegauge_forwarded_first_event_seconds',
+      help: 'From the arrival of a streaming call to its first event',
+      buckets,
+      registers,
+    });
+    this.reservation = new Histogram({
+      name: 'ledgegauge_reservation_seconds',
+      help: 'Time of a reservation at the ledger',
+      buckets,
+      registers,
+    });
+  }
+
+  noteCall(
+    kind: string | undefined,
+    outcome: string,
+    tookMs: number,
+    firstEventMs: number | undefined,
+  ): void {
+    const label = kind ?? 'unknown';
+    this.calls.inc({ kind: label, outcome });
+    this.duration.observe({ kind: label }, tookMs / 1_000);
+    if (firstEventMs !== undefined) this.firstEvent.observe(firstEventMs / 1_000);
+  }
+}
--- /dev/null
+++ b/src/forwarding/index.ts
@@ -0,0 +1,7 @@
+/** Forwarded calls: placement, sends, streams, and the ports that protocol adapters fill. */
+export * from './backend-protocol.js';
+export { BackendView } from './backend-view.js';
+export * from './call-exchange.js';
+export { CallForwarder, type CallForwarderOptions } from './call-forwarder.js';
+export { ForwardingMetrics } from './forwarding-metrics.js';
+export { Placement, type PlacementOptions } from './placement.js';
--- /dev/null
+++ b/src/forwarding/send-attempt.ts
@@ -0,0 +1,162 @@
+/**
+ * One send of a call to one back end: from the choice of a connection to the whole answer, to a
+ * failure of which it is known whether the back end may have run the call.
+ */
+import type { Dispatcher } from 'undici';
+import type { BackendConnection } from './backend-connections.js';
+import type { AnswerVerdict, BackendProtocol, RequestHead } from './backend-protocol.js';
+import type { AnswerHead } from './call-exchange.js';
+
+export type SendResult =
+  /** A whole answer was received. */
+  | { kind: 'complete' }
+  /** No byte of the call reached the back end. */
+  | { kind: 'not-sent'; cause: string }
+  /** The back end states that it did not run the call. */
+  | { kind: 'not-executed'; isOtherIncarnation: boolean }
+  /** The answer, or its rest, never came; the call may have run. */
+  | { kind: 'broken'; cause: string; hadHead: boolean }
+  /** The owner of the call stopped it. */
+  | { kind: 'stopped'; wasSent: boolean };
+
+/** Takes the parts of an answer as they come. */
+export interface AnswerSink {
+  onHead(head: AnswerHead): void;
+  /** @returns false to be asked for more later, through `SendAttempt.resume` */
+  onData(chunk: Buffer): boolean;
+}
+
+export interface SendAttemptOptions {
+  protocol: BackendProtocol;
+  connection: BackendConnection;
+  request: RequestHead;
+  body: Buffer;
+  callId: string | undefined;
+  sink: AnswerSink;
+}
+
+export class SendAttempt implements Dispatcher.DispatchHandler {
+  /** Whether the call may have reached the back end. */
+  wasSent = false;
+  private hadHead = false;
+  private stopReason: 'stopped' | 'not-executed' | 'broken' | undefined;
+  private verdict: AnswerVerdict | undefined;
+  private brokenCause = '';
+  private isLastOnConnection = false;
+  private controller: Dispatcher.DispatchController | undefined;
+  private finish!: (result: SendResult) => void;
+
+  constructor(private readonly options: SendAttemptOptions) {}
+
+  run(): Promise<SendResult> {
+    const { connection, request, body } = this.options;
+    return new Promise((resolve) => {
+      this.finish = resolve;
+      const options = {
+        path: request.target,
+        method: request.method as Dispatcher.HttpMethod,
+        headers: request.headers,
+        body: body.length > 0 ? body : null,
+      };
+      try {
+        connection.dispatch(options, this);
+      } catch (error) {
+        connection.discard();
+        resolve({ kind: 'not-sent', cause: String(error) });
+      }
+    });
+  }
+
+  /** Closes the connection, so that the back end stops working on the call. */
+  stop(): void {
+    this.abort('stopped');
+  }
+
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    this.wasSent = true;
+    if (this.stopReason) controller.abort(new Error(this.stopReason));
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    statusCode: number,
+    _headers: unknown,
+    statusMessage?: string,
+  ): void {
+    if (statusCode < 200) return;
+    const rawHeaders = textOf(controller.rawHeaders);
+    const verdict = this.options.protocol.readHead(statusCode, rawHeaders);
+    this.verdict = verdict;
+    this.isLastOnConnection = announcesClose(rawHeaders);
+    if (verdict.callId !== undefined && verdict.callId !== this.options.callId) {
+      this.brokenCause = 'the answer belongs to another call';
+      this.abort('broken');
+      return;
+    }
+    if (verdict.isNotExecuted) {
+      this.stopReason = 'not-executed';
+      return;
+    }
+    if (!verdict.isAuthentic) {
+      this.brokenCause = "the answer is not the back end's own";
+      this.abort('broken');
+      return;
+    }
+    this.hadHead = true;
+    const { headers } = verdict;
+    this.options.sink.onHead({ status: statusCode, statusText: statusMessage ?? '', headers });
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.stopReason) return;
+    if (!this.options.sink.onData(chunk)) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    if (this.isLastOnConnection) this.options.connection.discard();
+    else this.options.connection.release();
+    this.finish(this.stopReason === undefined ? { kind: 'complete' } : this.resultOfStop(''));
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.options.connection.discard();
+    if (this.stopReason !== undefined) this.finish(this.resultOfStop(error.message));
+    else if (!this.wasSent) this.finish({ kind: 'not-sent', cause: error.message });
+    else this.finish({ kind: 'broken', cause: error.message, hadHead: this.hadHead });
+  }
+
+  private abort(reason: 'stopped' | 'broken'): void {
+    this.stopReason ??= reason;
+    if (this.controller) this.controller.abort(new Error(reason));
+    else this.options.connection.discard();
+  }
+
+  private resultOfStop(cause: string): SendResult {
+    if (this.stopReason === 'not-executed') {
+      const isOtherIncarnation = this.verdict?.isOtherIncarnation ?? false;
+      return { kind: 'not-executed', isOtherIncarnation };
+    }
+    if (this.stopReason === 'broken') {
+      return { kind: 'broken', cause: this.brokenCause || cause, hadHead: this.hadHead };
+    }
+    return { kind: 'stopped', wasSent: this.wasSent };
+  }
+}
+
+function announcesClose(rawHeaders: readonly string[]): boolean {
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]!.toLowerCase() !== 'connection') continue;
+    if (rawHeaders[index + 1]!.toLowerCase() === 'close') return true;
+  }
+  return false;
+}
+
+function textOf(rawHeaders: unknown): string[] {
+  if (!Array.isArray(rawHeaders)) return [];
+  return rawHeaders.map((part) => (Buffer.isBuffer(part) ? part.toString('latin1') : String(part)));
+}
--- /dev/null
+++ b/src/ledger/ledger-commands.ts
@@ -0,0 +1,45 @@
+/** Commands of the replicated ledger of program budgets and kept turns. */
+
+/** Sets the most tokens of a turn aside before any of them can reach the caller. */
+export interface ReserveCommand {
+  kind: 'reserve';
+  program: string;
+  /** Id of the call attempt; a repeated reservation of the same attempt changes nothing. */
+  attempt: string;
+  /** Tokens that all turns of the program may generate; absent when the program has no budget. */
+  budgetTokens?: number;
+  /** Most tokens that this turn generates. */
+  mostTokens: number;
+  /** Id of the turn that this one continues. */
+  previousTurn?: string;
+  /** The leader's clock, in milliseconds. */
+  nowMs: number;
+}
+
+/** A turn that later turns may continue. */
+export interface KeptTurn {
+  previousTurn?: string;
+  /** The new input of this turn. */
+  input: Uint8Array;
+  /** The data of its events, each with a line feed after it. */
+  output: Uint8Array;
+  retentionMs: number;
+}
+
+/** Replaces a reservation by what was really passed on, and keeps the turn if it is to be kept. */
+export interface SettleCommand {
+  kind: 'settle';
+  program: string;
+  attempt: string;
+  spentTokens: number;
+  keep?: KeptTurn;
+  nowMs: number;
+}
+
+export type LedgerCommand = ReserveCommand | SettleCommand;
+
+export type ReserveOutcome = 'granted' | 'budget-exhausted' | 'unknown-predecessor';
+
+export interface ReserveResult {
+  outcome: ReserveOutcome;
+}
--- /dev/null
+++ b/src/ledger/ledger-service.ts
@@ -0,0 +1,61 @@
+/** Serves reservations and settlements on the process that leads the ledger group. */
+import { monotonicMs } from '../common/index.js';
+import type { ReplicatedGroup } from '../consensus/index.js';
+import { answerAsLeader } from '../directory/index.js';
+import { type MethodRouter, encodeValue } from '../wire/index.js';
+import type { LedgerCommand, ReserveResult } from './ledger-commands.js';
+import type { LedgerStateMachine } from './ledger-state-machine.js';
+import {
+  RESERVE,
+  type ReserveAnswer,
+  type ReserveRequest,
+  SETTLE,
+  type SettleBatch,
+} from './messages.js';
+
+export class LedgerService {
+  private leadingSince = 0;
+  private clockAtStart = 0;
+
+  constructor(
+    private readonly stateMachine: LedgerStateMachine,
+    private readonly findGroup: () => ReplicatedGroup | undefined,
+  ) {}
+
+  registerHandlers(router: MethodRouter): void {
+    router.handle(RESERVE, (request) =>
+      answerAsLeader(this.findGroup(), (group) => this.reserve(group, request)),
+    );
+    router.handle(SETTLE, (batch) =>
+      answerAsLeader(this.findGroup(), (group) => this.settle(group, batch)),
+    );
+  }
+
+  private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveAnswer> {
+    const command: LedgerCommand = { kind: 'reserve', ...request, nowMs: this.nowMs(group) };
+    const result = (await group.propose(encodeValue(command))) as ReserveResult;
+    const { previousTurn } = request;
+    if (result.outcome !== 'granted' || previousTurn === undefined) return result;
+    return { outcome: 'granted', history: this.stateMachine.turns.history(previousTurn) };
+  }
+
+  private async settle(group: ReplicatedGroup, batch: SettleBatch): Promise<{ isSettled: true }> {
+    const nowMs = this.nowMs(group);
+    const commands = batch.settlements.map((settlement): LedgerCommand => ({
+      kind: 'settle',
+      ...settlement,
+      nowMs,
+    }));
+    await Promise.all(commands.map((command) => group.propose(encodeValue(command))));
+    return { isSettled: true };
+  }
+
+  /** A clock that goes on from the state's where the leader before left it. */
+  private nowMs(group: ReplicatedGroup): number {
+    if (this.leadingSince !== group.leadingSince) {
+      this.leadingSince = group.leadingSince;
+      this.clockAtStart = this.stateMachine.clockMs;
+    }
+    return Math.round(this.clockAtStart + monotonicMs() - this.leadingSince);
+  }
+}
--- /dev/null
+++ b/src/ledger/ledger-state-machine.ts
@@ -0,0 +1,76 @@
+/** The replicated ledger: budgets of programs and turns that are kept. */
+import type { StateMachine } from '../consensus/index.js';
+import { decodeValue, encodeValue } from '../wire/index.js';
+import { type EncodedTurn, KeptTurns } from './kept-turns.js';
+import type {
+  LedgerCommand,
+  ReserveCommand,
+  ReserveResult,
+  SettleCommand,
+} from './ledger-commands.js';
+import { type EncodedAccount, ProgramBudgets } from './program-budgets.js';
+
+const SWEEP_INTERVAL_MS = 5_000;
+/** Turns are kept a little longer than promised, since clocks of leaders follow one another. */
+const EXPIRY_SLACK_MS = 10_000;
+
+interface EncodedLedger {
+  clockMs: number;
+  accounts: EncodedAccount[];
+  turns: EncodedTurn[];
+}
+
+export class LedgerStateMachine implements StateMachine {
+  readonly budgets = new ProgramBudgets();
+  readonly turns = new KeptTurns();
+  private clock = 0;
+  private sweptAtMs = 0;
+
+  /** The highest leader's clock that a command carried, in milliseconds. */
+  get clockMs(): number {
+    return this.clock;
+  }
+
+  apply(bytes: Uint8Array): ReserveResult | undefined {
+    const command = decodeValue<LedgerCommand>(bytes);
+    this.clock = Math.max(this.clock, command.nowMs);
+    this.sweep();
+    return command.kind === 'reserve' ? this.reserve(command) : this.settle(command);
+  }
+
+  snapshot(): Uint8Array {
+    const encoded: EncodedLedger = {
+      clockMs: this.clock,
+      accounts: this.budgets.encode(),
+      turns: this.turns.encode(),
+    };
+    return encodeValue(encoded);
+  }
+
+  restore(bytes: Uint8Array): void {
+    const encoded = decodeValue<EncodedLedger>(bytes);
+    this.clock = encoded.clockMs;
+    this.sweptAtMs = encoded.clockMs;
+    this.budgets.restore(encoded.accounts);
+    this.turns.restore(encoded.turns);
+  }
+
+  private reserve(command: ReserveCommand): ReserveResult {
+    const { previousTurn } = command;
+    const isKnown = previousTurn === undefined || this.turns.has(previousTurn);
+    if (!isKnown) return { outcome: 'unknown-predecessor' };
+    return { outcome: this.budgets.reserve(command) ? 'granted' : 'budget-exhausted' };
+  }
+
+  private settle(command: SettleCommand): undefined {
+    this.budgets.settle(command);
+    if (command.keep) this.turns.keep(command.attempt, command.keep, this.clock);
+  }
+
+  private sweep(): void {
+    if (this.clock - this.sweptAtMs < SWEEP_INTERVAL_MS) return;
+    this.sweptAtMs = this.clock;
+    this.turns.expire(this.clock - EXPIRY_SLACK_MS);
+    this.budgets.expire(this.clock);
+  }
+}
--- /dev/null
+++ b/src/ledger/messages.ts
@@ -0,0 +1,26 @@
+/** Messages between gateways and the ledger's leader. */
+import type { LeaderAnswer } from '../directory/index.js';
+import { defineMethod } from '../wire/index.js';
+import type { ReserveCommand, ReserveOutcome, SettleCommand } from './ledger-commands.js';
+
+export const LEDGER_GROUP = 'ledger';
+
+export type ReserveRequest = Omit<ReserveCommand, 'kind' | 'nowMs'>;
+export type SettleRequest = Omit<SettleCommand, 'kind' | 'nowMs'>;
+
+export interface ReserveAnswer {
+  outcome: ReserveOutcome;
+  /** What the turn continues from, oldest first, when it names a predecessor. */
+  history?: Uint8Array;
+}
+
+export interface SettleBatch {
+  settlements: SettleRequest[];
+}
+
+export interface SettleAnswer {
+  isSettled: true;
+}
+
+export const RESERVE = defineMethod<ReserveRequest, LeaderAnswer<ReserveAnswer>>('ledger.reserve');
+export const SETTLE = defineMethod<SettleBatch, LeaderAnswer<SettleAnswer>>('ledger.settle');
--- /dev/null
+++ b/src/nodes/control-node.ts
@@ -0,0 +1,114 @@
+/** The control process: a member of the directory's group, and the way in for orders to it. */
+import { findCluster, registerProbe } from '../control/cluster-formation.js';
+import { GroupClient } from '../consensus/index.js';
+import {
+  DIRECTORY_GROUP,
+  DirectoryClient,
+  DirectoryLeader,
+  registerDirectoryService,
+} from '../directory/index.js';
+import type { Logger } from '../observability/index.js';
+import { GroupMemberProcess } from './group-member-process.js';
+import { type NodeSettings, votersFor } from './node-settings.js';
+
+export interface NodeHooks {
+  logger: Logger;
+  /** Called when the process must end because its storage or state can no longer be trusted. */
+  onFatal: (error: unknown) => void;
+}
+
+const REFRESH_ADDRESSES_MS = 500;
+
+export class ControlNode {
+  readonly directory: DirectoryClient;
+  private readonly timer: NodeJS.Timeout;
+
+  private constructor(
+    private readonly settings: NodeSettings,
+    private readonly hooks: NodeHooks,
+    private readonly member: GroupMemberProcess,
+    private readonly leader: DirectoryLeader,
+    private readonly client: GroupClient,
+  ) {
+    this.directory = new DirectoryClient(client);
+    this.timer = setInterval(() => this.refreshAddresses(), REFRESH_ADDRESSES_MS);
+  }
+
+  static async start(settings: NodeSettings, hooks: NodeHooks): Promise<ControlNode> {
+    const { logger, onFatal } = hooks;
+    const leader: DirectoryLeader = new DirectoryLeader({
+      ledgerVoters: votersFor(settings.toleratedLosses),
+      heartbeatIntervalMs: settings.heartbeatIntervalMs,
+      controlAddresses: () => memberAddresses(member),
+      logger,
+    });
+    const member: GroupMemberProcess = await GroupMemberProcess.open({
+      settings,
+      groupName: DIRECTORY_GROUP,
+      stateMachine: leader.stateMachine,
+      consensus: {},
+      isRetiring: () => false,
+      onLeadershipChange: () => leader.onLeadershipChange(),
+      logger,
+      onFatal,
+    });
+    const client = new GroupClient({ peers: member.peers, addresses: settings.controlSeeds });
+    const node = new ControlNode(settings, hooks, member, leader, client);
+    registerProbe(member.router, member.identity);
+    registerDirectoryService(member.router, leader, () => member.group);
+    await member.listen();
+    void node.enterCluster().catch(onFatal);
+    return node;
+  }
+
+  /** Whether this process takes part in the directory's group. */
+  get isReady(): boolean {
+    return this.member.group !== undefined;
+  }
+
+  /** Takes over changed seeds. */
+  updateSeeds(controlSeeds: string[]): void {
+    this.settings.controlSeeds = controlSeeds;
+    this.refreshAddresses();
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await this.member.stop();
+    this.leader.stop();
+  }
+
+  private async enterCluster(): Promise<void> {
+    const { identity, peers, signal } = this.member;
+    const { settings } = this;
+    const { controlSeeds, internalAddress } = settings;
+    await findCluster({
+      ownName: internalAddress,
+      members: controlSeeds.map((address) => ({ name: address, address, zone: '', region: '' })),
+      identity,
+      peers,
+      logger: this.hooks.logger,
+      signal,
+      mayFound: settings.isFirstStart && controlSeeds.includes(internalAddress),
+    });
+    if (signal.aborted) return;
+    if (identity.identity.state === 'founding') {
+      await this.member.found({ members: identity.identity.founders });
+      await identity.save({ ...identity.identity, state: 'member' });
+    }
+    await this.member.enter(this.client);
+    this.leader.attach(this.member.group!);
+    this.refreshAddresses();
+    this.hooks.logger.info('control serving', { member: identity.identity.memberId });
+  }
+
+  private refreshAddresses(): void {
+    const own = this.settings.internalAddress;
+    const known = [...memberAddresses(this.member), ...this.settings.controlSeeds, own];
+    this.client.setAddresses([...new Set(known)]);
+  }
+}
+
+function memberAddresses(member: GroupMemberProcess): string[] {
+  return member.group?.configuration.members.map(({ address }) => address) ?? [];
+}
--- /dev/null
+++ b/src/nodes/gateway-node.ts
@@ -0,0 +1,132 @@
+/** The gateway process: follows the directory and forwards calls. */
+import { GroupClient, PeerDirectory } from '../consensus/index.js';
+import { type ClusterView, DirectoryClient, DirectoryWatcher } from '../directory/index.js';
+import {
+  BackendView,
+  type BackendProtocol,
+  CallForwarder,
+  ForwardingMetrics,
+  Placement,
+} from '../forwarding/index.js';
+import { LedgerClient } from '../ledger/index.js';
+import type { Logger } from '../observability/index.js';
+import { type RequestLimits, RouteTable } from '../routes/index.js';
+import { MethodRouter } from '../wire/index.js';
+import type { NodeSettings } from './node-settings.js';
+
+export interface GatewayNodeOptions {
+  settings: NodeSettings;
+  protocol: BackendProtocol;
+  /** Prompt tokens that an engine reads in a millisecond. @default 250 */
+  prefillTokensPerMs?: number;
+  logger: Logger;
+}
+
+const DEFAULT_PREFILL_TOKENS_PER_MS = 250;
+/** Connections to one back end even where its limit, shared out, would allow fewer. */
+const MIN_CONNECTIONS = 2;
+const DEFAULT_CONNECTIONS = 16;
+
+export class GatewayNode {
+  readonly metrics = new ForwardingMetrics();
+  readonly forwarder: CallForwarder;
+  private readonly peers: PeerDirectory;
+  private readonly controlClient: GroupClient;
+  private readonly ledgerGroups: GroupClient;
+  private readonly backends: BackendView;
+  private readonly watcher: DirectoryWatcher;
+  private routes: RouteTable | undefined;
+  private gatewayCount = 1;
+  private hasBackends = false;
+  private isStopping = false;
+
+  private constructor(private readonly options: GatewayNodeOptions) {
+    const { settings, logger } = options;
+    this.peers = new PeerDirectory({
+      ownName: settings.name,
+      secret: settings.secret,
+      router: new MethodRouter(),
+      resolveAddress: (address) => address,
+    });
+    this.controlClient = new GroupClient({ peers: this.peers, addresses: settings.controlSeeds });
+    this.ledgerGroups = new GroupClient({ peers: this.peers, addresses: [] });
+    this.backends = new BackendView((service) => this.connectionLimit(service));
+    this.watcher = this.createWatcher();
+    this.forwarder = new CallForwarder({
+      routes: () => this.routes,
+      directoryAgeMs: () => this.watcher.ageMs,
+      backends: this.backends,
+      placement: new Placement({
+        zone: settings.zone,
+        prefillTokensPerMs: options.prefillTokensPerMs ?? DEFAULT_PREFILL_TOKENS_PER_MS,
+      }),
+      ledger: new LedgerClient(this.ledgerGroups, logger),
+      protocol: options.protocol,
+      logger,
+      metrics: this.metrics,
+    });
+  }
+
+  static start(options: GatewayNodeOptions): GatewayNode {
+    const node = new GatewayNode(options);
+    node.watcher.start();
+    return node;
+  }
+
+  /** Whether new callers should come here. */
+  get isReady(): boolean {
+    return this.routes !== undefined && this.hasBackends && !this.isStopping;
+  }
+
+  get limits(): RequestLimits | undefined {
+    return this.routes?.configuration.limits;
+  }
+
+  /** No new callers are wanted any more; those that come are still served. */
+  beginStop(): void {
+    this.isStopping = true;
+  }
+
+  updateSeeds(controlSeeds: string[]): void {
+    this.options.settings.controlSeeds = controlSeeds;
+    this.controlClient.setAddresses(controlSeeds);
+  }
+
+  stop(): void {
+    this.watcher.stop();
+    this.peers.close();
+  }
+
+  private createWatcher(): DirectoryWatcher {
+    const { name, zone, internalAddress: address } = this.options.settings;
+    return new DirectoryWatcher({
+      client: new DirectoryClient(this.controlClient),
+      announce: () => ({ name, role: 'gateway', address, zone }),
+      loads: () => this.backends.loads(),
+      logger: this.options.logger,
+      onConfiguration: ({ configuration }) => {
+        this.routes = new RouteTable(configuration);
+      },
+      onBackends: (records) => {
+        this.hasBackends = true;
+        this.backends.update(records);
+      },
+      onCluster: (view) => this.takeCluster(view),
+      onOtherLoads: (loads) => this.backends.updateOtherLoads(loads),
+    });
+  }
+
+  private takeCluster(view: ClusterView): void {
+    const seeds = this.options.settings.controlSeeds;
+    this.controlClient.setAddresses([...new Set([...view.controlAddresses, ...seeds])]);
+    this.ledgerGroups.setAddresses(view.ledgerAddresses);
+    this.gatewayCount = view.gatewayCount;
+  }
+
+  /** This gateway's share of the connections that one back end takes. */
+  private connectionLimit(service: string): number {
+    const limit = this.routes?.service(service)?.maxConnections;
+    if (limit === undefined) return DEFAULT_CONNECTIONS;
+    return Math.max(MIN_CONNECTIONS, Math.floor(limit / this.gatewayCount));
+  }
+}
--- /dev/null
+++ b/src/nodes/group-member-process.ts
@@ -0,0 +1,146 @@
+/** What control and journal processes share: storage, the internal endpoint and one group. */
+import { join } from 'node:path';
+import {
+  type GroupClient,
+  type GroupConfiguration,
+  GroupHost,
+  type Member,
+  PeerDirectory,
+  type ReplicatedGroup,
+  type StateMachine,
+  checkConsensusOptions,
+  type ConsensusOptions,
+} from '../consensus/index.js';
+import { presentToLeader, VoterKeeper } from '../clustering/index.js';
+import { IdentityStore } from '../control/identity.js';
+import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
+import type { Logger } from '../observability/index.js';
+import { MethodRouter, RpcServer } from '../wire/index.js';
+import { type NodeSettings, hostOf, portOf, votersFor } from './node-settings.js';
+
+export interface GroupMemberOptions {
+  settings: NodeSettings;
+  groupName: string;
+  stateMachine: StateMachine;
+  consensus: ConsensusOptions;
+  isRetiring: (name: string) => boolean;
+  onLeadershipChange: (group: ReplicatedGroup) => void;
+  logger: Logger;
+  onFatal: (error: unknown) => void;
+}
+
+const SEGMENT_BYTES = 8 * 1024 * 1024;
+
+export class GroupMemberProcess {
+  readonly router = new MethodRouter();
+  readonly peers: PeerDirectory;
+  group: ReplicatedGroup | undefined;
+  keeper: VoterKeeper | undefined;
+  private readonly stopping = new AbortController();
+  private host!: GroupHost;
+  private rpcServer!: RpcServer;
+
+  private constructor(
+    private readonly options: GroupMemberOptions,
+    readonly identity: IdentityStore,
+    private readonly wal: WriteAheadLog,
+  ) {
+    const { settings } = options;
+    this.peers = new PeerDirectory({
+      ownName: settings.name,
+      secret: settings.secret,
+      router: this.router,
+      resolveAddress: (address) => address,
+    });
+  }
+
+  static async open(options: GroupMemberOptions): Promise<GroupMemberProcess> {
+    const { settings, onFatal } = options;
+    const folder = settings.dataFolder!;
+    const identity = await IdentityStore.open(folder, settings.name);
+    const wal = await WriteAheadLog.open({
+      folder: join(folder, 'log'),
+      segmentBytes: SEGMENT_BYTES,
+      quotaBytes: settings.storageQuotaBytes,
+      onFatal,
+    });
+    const process = new GroupMemberProcess(options, identity, wal);
+    process.createHost();
+    return process;
+  }
+
+  get signal(): AbortSignal {
+    return this.stopping.signal;
+  }
+
+  get ownMember(): Member {
+    const { name, internalAddress: address } = this.options.settings;
+    return { id: this.identity.identity.memberId, name, address, role: 'learner' };
+  }
+
+  async listen(): Promise<void> {
+    const { internalAddress, secret } = this.options.settings;
+    this.host.registerHandlers(this.router);
+    this.rpcServer = await RpcServer.start({
+      host: hostOf(internalAddress),
+      port: portOf(internalAddress),
+      secret,
+      router: this.router,
+    });
+  }
+
+  /** Writes the first entry of the group; every founder writes the same. */
+  found(configuration: GroupConfiguration): Promise<void> {
+    return this.host.bootstrapGroup(this.options.groupName, configuration);
+  }
+
+  /** Opens the group from what the disk holds of it and takes part in it. */
+  async enter(client: GroupClient): Promise<void> {
+    const { groupName, stateMachine, settings, isRetiring, logger } = this.options;
+    const group = await this.host.openGroup(groupName, stateMachine);
+    this.requireLog(group);
+    this.group = group;
+    this.keeper = new VoterKeeper(group, {
+      wishedVoters: votersFor(settings.toleratedLosses),
+      isRetiring,
+      logger,
+    });
+    this.keeper.registerHandler(this.router);
+    this.host.start();
+    const { ownMember: member, signal } = this;
+    void presentToLeader({ group, member, client, signal });
+  }
+
+  /** Hands leadership over and closes everything. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    this.keeper?.stop();
+    await this.host.stop();
+    this.rpcServer.close();
+    this.peers.close();
+    await this.wal.close();
+  }
+
+  private createHost(): void {
+    const { settings, consensus, logger, onFatal } = this.options;
+    this.host = new GroupHost({
+      ownId: this.identity.identity.memberId,
+      wal: this.wal,
+      snapshots: new SnapshotStore(join(settings.dataFolder!, 'snapshots')),
+      peers: this.peers,
+      options: checkConsensusOptions(consensus),
+      logger,
+      onFatal,
+      onLeadershipChange: this.options.onLeadershipChange,
+    });
+  }
+
+  /** A member that held a log must not vote without it, whatever became of the files. */
+  private requireLog(group: ReplicatedGroup): void {
+    if (this.identity.identity.state !== 'member' || group.log.lastIndex > 0) return;
+    throw new DamagedLogError(
+      'the log is gone but the identity is not; start with an empty folder',
+      { step: 'nodes.enter', peer: group.name },
+    );
+  }
+}
--- /dev/null
+++ b/src/nodes/node-settings.ts
@@ -0,0 +1,36 @@
+/** Settings of the processes that forward calls, whatever form they were read from. */
+
+export interface NodeSettings {
+  /** Unique name of the machine. */
+  name: string;
+  zone: string;
+  /** `host:port` of the internal endpoint. */
+  internalAddress: string;
+  /** Internal addresses of control processes to begin with. */
+  controlSeeds: string[];
+  /** Whether this is the first start of the whole system, on empty disks. */
+  isFirstStart: boolean;
+  /** Folder for durable data; only control and journal processes have one. */
+  dataFolder?: string;
+  /** Machines that may be lost at one time. */
+  toleratedLosses: number;
+  /** Time between two heartbeats of a back end, in milliseconds. */
+  heartbeatIntervalMs: number;
+  /** Shared secret of the internal protocol. */
+  secret: string;
+  /** Bytes that the data folder may take. @default no limit */
+  storageQuotaBytes?: number;
+}
+
+/** Voters of a group that must outlive so many lost machines. */
+export function votersFor(toleratedLosses: number): number {
+  return 2 * toleratedLosses + 1;
+}
+
+export function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
+
+export function portOf(address: string): number {
+  return Number(address.slice(address.lastIndexOf(':') + 1));
+}
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -1,5 +1,7 @@
 /** Logs, metrics and the status pages of a process. */
 export { addGauge } from './gauge.js';
 export { GatewayMetrics } from './gateway-metrics.js';
+export { EventLog, type EventLogOptions } from './event-log.js';
+export { LineWriter, type LineBudget, type LineWriterOptions } from './line-writer.js';
 export * from './logger.js';
 export * from './status-server.js';
--- /dev/null
+++ b/src/routes/validate-configuration.ts
@@ -0,0 +1,39 @@
+/** The checks that every route configuration passes before it is replicated. */
+import { InvalidRouteConfigurationError } from './errors.js';
+import type { Route, RouteConfiguration } from './route-configuration.js';
+
+/** @throws InvalidRouteConfigurationError naming the first violated condition */
+export function validateRouteConfiguration(configuration: RouteConfiguration): void {
+  const services = new Set(configuration.services.map((service) => service.name));
+  require(services.size === configuration.services.length, 'two services have the same name');
+  const places = new Set<string>();
+  for (const route of configuration.routes) {
+    validateRoute(route, services);
+    const place = `${route.host.toLowerCase()} ${route.pathPrefix}`;
+    require(!places.has(place), `two routes at ${place}`);
+    places.add(place);
+  }
+}
+
+function validateRoute(route: Route, services: ReadonlySet<string>): void {
+  const { name, parts } = route;
+  require(route.host.length > 0, `route ${name}: no host`);
+  require(isPrefix(route.pathPrefix), `route ${name}: prefix must start and end with a slash`);
+  require(route.timeoutMs > 0, `route ${name}: time limit is not positive`);
+  require(route.maxAttempts >= 1, `route ${name}: fewer than one attempt`);
+  require(parts.length > 0, `route ${name}: leads nowhere`);
+  for (const part of parts) {
+    require(services.has(part.service), `route ${name}: unknown service ${part.service}`);
+    require(part.weight >= 0, `route ${name}: negative weight`);
+  }
+  const sum = parts.reduce((total, part) => total + part.weight, 0);
+  require(sum > 0, `route ${name}: weights sum to nothing`);
+}
+
+function isPrefix(prefix: string): boolean {
+  return prefix.startsWith('/') && prefix.endsWith('/');
+}
+
+function require(condition: boolean, reason: string): asserts condition {
+  if (!condition) throw new InvalidRouteConfigurationError(reason);
+}
