--- a/src/consensus/options.ts
+++ b/src/consensus/options.ts
@@ -4,18 +4,27 @@
   heartbeatIntervalMs?: number;
   /** Shortest time without a leader before an election, in milliseconds. @default 450 */
   electionTimeoutMs?: number;
+  /**
+   * Shortest time without a leader before a restarted member's first election, in milliseconds.
+   * @default electionTimeoutMs
+   */
+  startupElectionTimeoutMs?: number;
   /** Entries applied between two snapshots. @default 4000 */
   snapshotEveryEntries?: number;
   /** Entries kept behind a snapshot for members that lag a little. @default 1000 */
   trailingEntries?: number;
 }
 
+const DEFAULT_ELECTION_TIMEOUT_MS = 450;
+
 export type CheckedConsensusOptions = Required<ConsensusOptions>;
 
 export function checkConsensusOptions(options: ConsensusOptions): CheckedConsensusOptions {
   return {
     heartbeatIntervalMs: options.heartbeatIntervalMs ?? 75,
-    electionTimeoutMs: options.electionTimeoutMs ?? 450,
+    electionTimeoutMs: options.electionTimeoutMs ?? DEFAULT_ELECTION_TIMEOUT_MS,
+    startupElectionTimeoutMs:
+      options.startupElectionTimeoutMs ?? options.electionTimeoutMs ?? DEFAULT_ELECTION_TIMEOUT_MS,
     snapshotEveryEntries: options.snapshotEveryEntries ?? 4_000,
     trailingEntries: options.trailingEntries ?? 1_000,
   };
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -83,7 +83,7 @@
     this.commitIndex = log.latestSnapshot?.index ?? 0;
     this.applier = new Applier(this, stateMachine, environment);
     this.duty = new FollowerDuty(this, environment);
-    this.resetElectionDeadline(this.startupRank());
+    this.setFirstElectionDeadline();
   }
 
   get ownId(): string {
@@ -223,11 +223,17 @@
     );
   }
 
-  /** Puts the next election off; `rank` by whole time-outs, to spread the first leaders. */
-  resetElectionDeadline(rank = 0): void {
+  /** Puts the next election off. */
+  resetElectionDeadline(): void {
     const { electionTimeoutMs } = this.environment.options;
-    const jitter = Math.random() * electionTimeoutMs;
-    this.electionDeadline = monotonicMs() + electionTimeoutMs + jitter + rank * electionTimeoutMs;
+    this.electionDeadline = monotonicMs() + electionTimeoutMs * (1 + Math.random());
+  }
+
+  /** The first elections are spread by whole time-outs, so that groups prefer different leaders. */
+  private setFirstElectionDeadline(): void {
+    const { startupElectionTimeoutMs } = this.environment.options;
+    const waits = 1 + Math.random() + this.startupRank();
+    this.electionDeadline = monotonicMs() + startupElectionTimeoutMs * waits;
   }
 
   heartbeatFor(member: Member): Heartbeat | undefined {
--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -145,6 +145,7 @@
       options: {
         heartbeatIntervalMs: consensus.heartbeatInterval,
         electionTimeoutMs: consensus.electionTimeout,
+        startupElectionTimeoutMs: consensus.electionTimeout,
         snapshotEveryEntries: consensus.snapshotEveryEntries,
         trailingEntries: consensus.trailingEntries,
       },
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -106,12 +106,11 @@
   private async sendTo(backend: BackendState): Promise<SendResult> {
     const connection = backend.connections.acquire();
     if (!connection) return { kind: 'not-sent', cause: 'no connection left' };
-    const { exchange, protocol, body, route } = this.options;
+    const { exchange, protocol, body } = this.options;
     const { description } = exchange;
     const request = protocol.encodeRequest(description, {
       backendId: backend.id,
       timeLeftMs: Math.max(1, Math.floor(this.options.deadlineMs - monotonicMs())),
-      priority: route.route.priority,
       lastEventId: this.answer instanceof StreamRelay ? this.answer.lastEventId : undefined,
     });
     const callId = description.id;
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -9,7 +9,7 @@
 } from '../directory/index.js';
 import type { Logger } from '../observability/index.js';
 import { GroupMemberProcess } from './group-member-process.js';
-import { type NodeSettings, votersFor } from './node-settings.js';
+import { type NodeSettings, STARTUP_ELECTION_TIMEOUT_MS, votersFor } from './node-settings.js';
 
 export interface NodeHooks {
   logger: Logger;
@@ -46,7 +46,7 @@
       settings,
       groupName: DIRECTORY_GROUP,
       stateMachine: leader.stateMachine,
-      consensus: {},
+      consensus: { startupElectionTimeoutMs: STARTUP_ELECTION_TIMEOUT_MS },
       isRetiring: () => false,
       onLeadershipChange: () => leader.onLeadershipChange(),
       logger,
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -10,7 +10,7 @@
 import { LEDGER_GROUP, LedgerService, LedgerStateMachine } from '../ledger/index.js';
 import type { NodeHooks } from './control-node.js';
 import { GroupMemberProcess } from './group-member-process.js';
-import type { NodeSettings } from './node-settings.js';
+import { type NodeSettings, STARTUP_ELECTION_TIMEOUT_MS } from './node-settings.js';
 
 const RETIREMENT_CHECK_MS = 150;
 /** Entries between two snapshots of the ledger. */
@@ -45,7 +45,10 @@
       settings,
       groupName: LEDGER_GROUP,
       stateMachine,
-      consensus: { snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES },
+      consensus: {
+        snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+        startupElectionTimeoutMs: STARTUP_ELECTION_TIMEOUT_MS,
+      },
       isRetiring: retiringNames,
       onLeadershipChange: () => undefined,
       logger,
@@ -66,6 +69,7 @@
     new LedgerService(stateMachine, () => member.group).registerHandlers(member.router);
     await member.listen();
     node.watcher.start();
+    void node.enterKnownGroup().catch(onFatal);
     void node.reportRetirements();
     return node;
   }
@@ -97,6 +101,16 @@
     void this.enterGroup(view).catch(this.hooks.onFatal);
   }
 
+  /** A member that comes back knows its group from its disk and waits for nobody. */
+  private async enterKnownGroup(): Promise<void> {
+    const { state, founders } = this.member.identity.identity;
+    if (state === 'new' || this.isEntering) return;
+    this.isEntering = true;
+    this.ledgerClient.setAddresses(founders.map(({ address }) => address));
+    await this.member.enter(this.ledgerClient);
+    this.hooks.logger.info('journal serving again', {});
+  }
+
   private async enterGroup(view: ClusterView): Promise<void> {
     const { identity } = this.member;
     const { memberId, state } = identity.identity;
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -22,6 +22,12 @@
   storageQuotaBytes?: number;
 }
 
+/**
+ * A restarted member's first election comes early, since a whole group that lost power has no
+ * leader to wait for; where there is one, the pre-vote disturbs nobody. In milliseconds.
+ */
+export const STARTUP_ELECTION_TIMEOUT_MS = 120;
+
 /** Voters of a group that must outlive so many lost machines. */
 export function votersFor(toleratedLosses: number): number {
   return 2 * toleratedLosses + 1;
