--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -24,7 +24,7 @@
 import { NodeRoster } from './node-roster.js';
 
 /** How long a watcher waits for news at most, in milliseconds. */
-const WATCH_WAIT_MS = 400;
+const WATCH_WAIT_MS = 200;
 const HOUSEKEEPING_INTERVAL_MS = 250;
 /** How long the first founding waits for more journal processes than are needed, in milliseconds. */
 const FOUNDING_SETTLE_MS = 1_000;
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -38,6 +38,8 @@
   attempt: string;
   previousTurn?: string;
   history?: Uint8Array;
+  /** How long the ledger took, in milliseconds. */
+  tookMs: number;
 }
 
 /** A call was refused before it was sent anywhere. */
@@ -92,7 +94,7 @@
     });
     const ending = await run.run();
     const final = await this.finish(exchange, run, ending, route, reservation, deadlineMs);
-    this.record(exchange, route, final, run);
+    this.record(exchange, route, final, run, reservation);
   }
 
   /** Sets the turn's tokens aside and reads what it continues from, where its route asks for it. */
@@ -114,10 +116,11 @@
     const request = { program: key, attempt, budgetTokens, mostTokens, previousTurn: continued };
     try {
       const answer = await this.options.ledger.reserve(request, timeoutMs);
-      this.options.metrics.reservation.observe((monotonicMs() - startedAt) / 1_000);
+      const tookMs = monotonicMs() - startedAt;
+      this.options.metrics.reservation.observe(tookMs / 1_000);
       if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
       if (continued !== undefined && !answer.history) throw new RefusedError('ledger-unavailable');
-      return { program: key, attempt, previousTurn: continued, history: answer.history };
+      return { program: key, attempt, previousTurn: continued, history: answer.history, tookMs };
     } catch (error) {
       if (error instanceof RefusedError) throw error;
       this.options.logger.warn('reservation failed', {
@@ -207,6 +210,7 @@
     route: CompiledRoute | undefined,
     ending: CallEnding,
     run?: CallRun,
+    reservation?: Reservation,
   ): void {
     const { description, arrivedAt } = exchange;
     const reason = ending.kind === 'refused' ? ending.reason : undefined;
@@ -231,6 +235,7 @@
       status: relay?.status,
       ms: Math.round(tookMs),
       firstMs: firstEventAt && Math.round(firstEventAt - arrivedAt),
+      reserveMs: reservation && Math.round(reservation.tookMs),
       sends: run && describeSends(run),
       directoryAgeMs: isFailure ? Math.round(this.options.directoryAgeMs()) : undefined,
     });
@@ -243,6 +248,9 @@
 
 function describeSends(run: CallRun): string {
   return run.sends
-    .map(({ backend, result, cause, load }) => `${backend}@${load}:${cause ?? result}`)
+    .map(({ backend, result, cause, ownLoad, otherLoad, headMs }) => {
+      const head = headMs === undefined ? '' : `/${Math.round(headMs)}ms`;
+      return `${backend}@${ownLoad}+${otherLoad}${head}:${cause ?? result}`;
+    })
     .join(' ');
 }
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -33,7 +33,11 @@
   backend: string;
   result: SendResult['kind'];
   cause?: string;
-  load: number;
+  /** Calls of this gateway, and of the others, that ran there when it was sent. */
+  ownLoad: number;
+  otherLoad: number;
+  /** From the send to the head of the answer, in milliseconds. */
+  headMs?: number;
 }
 
 /** A call is sent again after broken answers so often at most. */
@@ -118,14 +122,23 @@
     const attempt = new SendAttempt({ protocol, connection, request, body, callId, sink });
     sink.onceReadable(() => attempt.resume());
     this.attempt = attempt;
-    const load = backend.load;
+    const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
+    const sentAt = monotonicMs();
     backend.inFlight += 1;
     backend.notePrompt(description.promptParts);
     const result = await attempt.run();
     backend.inFlight -= 1;
     this.attempt = undefined;
     const cause = 'cause' in result ? result.cause : undefined;
-    this.sends.push({ backend: backend.id, result: result.kind, cause, load });
+    const headMs = attempt.headAt === undefined ? undefined : attempt.headAt - sentAt;
+    this.sends.push({
+      backend: backend.id,
+      result: result.kind,
+      cause,
+      ownLoad,
+      otherLoad,
+      headMs,
+    });
     return result;
   }
 
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,5 +1,5 @@
 /** Chooses the back end of a call: where its prompt is cached, unless waiting costs more. */
-import { hash32 } from '../common/index.js';
+import { rankForKey } from '../common/index.js';
 import type { BackendState } from './backend-view.js';
 import type { CallDescription } from './call-exchange.js';
 
@@ -12,8 +12,10 @@
 
 /** Cost of each call above the slots of a back end, in milliseconds. */
 const QUEUE_MS_PER_CALL = 30;
-/** Cost of sharing an engine's batch with one more call, in milliseconds. */
-const BATCH_MS_PER_CALL = 1;
+/** What one more call in an engine's batch adds to the calls that run there, in milliseconds. */
+const BATCH_MS_PER_CALL = 8;
+/** Share of a prompt's reading time by which it holds up each call that runs beside. */
+const READING_STALL_SHARE = 0.15;
 /** Cost of a call in another zone, in milliseconds. */
 const CROSS_ZONE_MS = 3;
 /** Added for a back end that failed lately or is silent, in milliseconds. */
@@ -22,6 +24,10 @@
 const AFFINITY_MS = 8;
 /** Cost of each call that runs beside on a plain service, in milliseconds. */
 const SERVICE_MS_PER_CALL = 5;
+/** Back ends where other gateways are likely to have sent a program before. */
+const LIKELY_HOMES = 2;
+/** How likely such a back end holds what this gateway never sent there. */
+const HOME_HIT_SHARE = 0.5;
 
 export class Placement {
   constructor(private readonly options: PlacementOptions) {}
@@ -32,13 +38,23 @@
     call: CallDescription,
     excluded: ReadonlySet<string>,
   ): BackendState | undefined {
-    const key = call.program && call.promptParts.length > 0 ? call.program.id : call.affinityKey;
-    const home = key === undefined ? undefined : homeOf(key, candidates);
+    const usable = candidates.filter(
+      (candidate) => !excluded.has(candidate.id) && candidate.connections.hasRoom,
+    );
+    const homes = likelyHomes(call, usable);
+    const shortlist = call.promptParts.length > 0 ? shortlistOf(call, usable, homes) : usable;
+    return this.cheapest(shortlist, call, homes) ?? this.cheapest(usable, call, homes);
+  }
+
+  private cheapest(
+    candidates: readonly BackendState[],
+    call: CallDescription,
+    homes: readonly BackendState[],
+  ): BackendState | undefined {
     let best: BackendState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const candidate of candidates) {
-      if (excluded.has(candidate.id) || !candidate.connections.hasRoom) continue;
-      const cost = this.cost(candidate, call, candidate === home) + Math.random();
+      const cost = this.cost(candidate, call, homes) + Math.random();
       if (cost >= bestCost) continue;
       best = candidate;
       bestCost = cost;
@@ -46,37 +62,81 @@
     return best;
   }
 
-  private cost(backend: BackendState, call: CallDescription, isHome: boolean): number {
+  private cost(
+    backend: BackendState,
+    call: CallDescription,
+    homes: readonly BackendState[],
+  ): number {
     const { slots, zone } = backend.record;
-    const load = backend.load;
+    const { load } = backend;
     const queueMs = Math.max(0, load + 1 - slots) * QUEUE_MS_PER_CALL;
     const zoneMs = zone === this.options.zone ? 0 : CROSS_ZONE_MS;
     const suspectMs = backend.isSuspect ? SUSPECT_MS : 0;
     const isModelCall = call.promptParts.length > 0;
     const workMs = isModelCall
-      ? this.prefillMs(backend, call, isHome) + load * BATCH_MS_PER_CALL
-      : load * SERVICE_MS_PER_CALL - (isHome ? AFFINITY_MS : 0);
+      ? this.readingMs(backend, call, homes) + load * BATCH_MS_PER_CALL
+      : load * SERVICE_MS_PER_CALL - (homes[0] === backend ? AFFINITY_MS : 0);
     return queueMs + zoneMs + suspectMs + workMs;
   }
 
-  /** Gateways agree on a program's home, so one that never sent there may count on its cache. */
-  private prefillMs(backend: BackendState, call: CallDescription, isHome: boolean): number {
+  /** Time to read the part of the prompt that is not cached, with what it costs the others. */
+  private readingMs(
+    backend: BackendState,
+    call: CallDescription,
+    homes: readonly BackendState[],
+  ): number {
     const own = call.promptParts.at(-1)?.tokens ?? 0;
-    const missing = isHome ? own : backend.missingTokens(call.promptParts);
-    return missing / this.options.prefillTokensPerMs;
+    let missing = backend.missingTokens(call.promptParts);
+    const isContinuation = call.promptParts.length > FIRST_TURN_PARTS;
+    if (isContinuation && homes.includes(backend)) {
+      missing = own + (missing - own) * (1 - HOME_HIT_SHARE);
+    }
+    const aloneMs = missing / this.options.prefillTokensPerMs;
+    return aloneMs * (1 + backend.load * READING_STALL_SHARE);
   }
 }
 
-/** The back end that rendezvous hashing gives a key. */
-function homeOf(key: string, candidates: readonly BackendState[]): BackendState | undefined {
-  let home: BackendState | undefined;
-  let highest = -1;
+/** A first turn holds what is shared and its own input. */
+const FIRST_TURN_PARTS = 2;
+
+/**
+ * Few candidates for a model call: its likely homes, the back end that is known to hold most of its
+ * prompt, and one drawn at random. Gateways share load figures that are a moment old; if each of
+ * them took the lowest of all, they would all take the same.
+ */
+function shortlistOf(
+  call: CallDescription,
+  candidates: readonly BackendState[],
+  homes: readonly BackendState[],
+): BackendState[] {
+  const shortlist = new Set(homes);
+  const holder = call.promptParts.length > FIRST_TURN_PARTS && bestHolder(call, candidates);
+  if (holder) shortlist.add(holder);
+  const drawn = candidates[Math.floor(Math.random() * candidates.length)];
+  if (drawn) shortlist.add(drawn);
+  return [...shortlist].filter((candidate) => !candidate.isSuspect);
+}
+
+function bestHolder(
+  call: CallDescription,
+  candidates: readonly BackendState[],
+): BackendState | undefined {
+  let best: BackendState | undefined;
+  let fewest = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    if (candidate.isSuspect) continue;
-    const weight = hash32(`${key}|${candidate.id}`);
-    if (weight <= highest) continue;
-    home = candidate;
-    highest = weight;
+    const missing = candidate.missingTokens(call.promptParts);
+    if (missing >= fewest) continue;
+    best = candidate;
+    fewest = missing;
   }
-  return home;
+  return best;
+}
+
+/** The back ends that rendezvous hashing gives the call's program or object, the first one first. */
+function likelyHomes(call: CallDescription, candidates: readonly BackendState[]): BackendState[] {
+  const isModelCall = call.promptParts.length > 0;
+  const key = isModelCall ? call.program?.id : call.affinityKey;
+  if (key === undefined) return [];
+  const sound = candidates.filter((candidate) => !candidate.isSuspect);
+  return rankForKey(key, sound, (candidate) => candidate.id).slice(0, LIKELY_HOMES);
 }
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -38,6 +38,8 @@
 export class SendAttempt implements Dispatcher.DispatchHandler {
   /** Whether the call may have reached the back end. */
   wasSent = false;
+  /** When the head of the answer came (monotonic, milliseconds). */
+  headAt: number | undefined;
   private hadHead = false;
   private stopReason: 'stopped' | 'not-executed' | 'broken' | undefined;
   private verdict: AnswerVerdict | undefined;
@@ -89,6 +91,7 @@
     statusMessage?: string,
   ): void {
     if (statusCode < 200) return;
+    this.headAt = performance.now();
     const rawHeaders = textOf(controller.rawHeaders);
     const verdict = this.options.protocol.readHead(statusCode, rawHeaders);
     this.verdict = verdict;
