--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,7 +1,7 @@
 /** Takes calls from their arrival to their final answer: route, reservation, sends, settlement. */
 import { describeError, monotonicMs } from '../common/index.js';
-import type { LedgerClient } from '../ledger/index.js';
-import type { Logger } from '../observability/index.js';
+import { type LedgerClient, TurnHistoryCache } from '../ledger/index.js';
+import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, RouteTable } from '../routes/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
@@ -50,6 +50,8 @@
 }
 
 export class CallForwarder {
+  private readonly histories = new TurnHistoryCache();
+
   constructor(private readonly options: CallForwarderOptions) {}
 
   /** Resolves when the call has its final answer. */
@@ -113,14 +115,23 @@
     const timeoutMs = (deadlineMs - monotonicMs()) * RESERVE_TIME_SHARE;
     const startedAt = monotonicMs();
     const continued = route.retainsTurns ? previousTurn : undefined;
-    const request = { program: key, attempt, budgetTokens, mostTokens, previousTurn: continued };
+    const known = continued === undefined ? undefined : this.histories.find(continued);
+    const request = {
+      program: key,
+      attempt,
+      budgetTokens,
+      mostTokens,
+      previousTurn: continued,
+      wantsHistory: known === undefined,
+    };
     try {
       const answer = await this.options.ledger.reserve(request, timeoutMs);
       const tookMs = monotonicMs() - startedAt;
       this.options.metrics.reservation.observe(tookMs / 1_000);
       if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
-      if (continued !== undefined && !answer.history) throw new RefusedError('ledger-unavailable');
-      return { program: key, attempt, previousTurn: continued, history: answer.history, tookMs };
+      const history = known ?? answer.history;
+      if (continued !== undefined && !history) throw new RefusedError('ledger-unavailable');
+      return { program: key, attempt, previousTurn: continued, history, tookMs };
     } catch (error) {
       if (error instanceof RefusedError) throw error;
       this.options.logger.warn('reservation failed', {
@@ -184,6 +195,7 @@
     const timeoutMs = Math.max(KEEP_SLACK_MS, deadlineMs - monotonicMs());
     try {
       await ledger.settle({ program, attempt, spentTokens, keep }, timeoutMs);
+      this.histories.remember(attempt, reservation.history, input, output);
       return ending;
     } catch (error) {
       this.options.logger.warn('turn not kept', {
@@ -212,34 +224,40 @@
     run?: CallRun,
     reservation?: Reservation,
   ): void {
-    const { description, arrivedAt } = exchange;
-    const reason = ending.kind === 'refused' ? ending.reason : undefined;
-    const tookMs = monotonicMs() - arrivedAt;
-    const relay = run?.answer;
-    const firstEventAt = relay instanceof StreamRelay ? relay.firstEventAt : undefined;
-    const outcome = reason ?? ending.kind;
-    this.options.metrics.noteCall(
-      route?.route.kind,
-      outcome,
-      tookMs,
-      firstEventAt && firstEventAt - arrivedAt,
-    );
-    const isFailure = ending.kind === 'refused' || ending.kind === 'broken-off';
-    const write = isFailure ? 'warn' : 'info';
-    this.options.logger[write]('call', {
-      call: description.id,
-      program: description.program?.id,
-      session: description.program?.session,
+    const tookMs = monotonicMs() - exchange.arrivedAt;
+    const firstEventMs = firstEventOf(exchange, run);
+    const outcome = ending.kind === 'refused' ? ending.reason : ending.kind;
+    this.options.metrics.noteCall(route?.route.kind, outcome, tookMs, firstEventMs);
+    const fields: LogFields = {
+      call: exchange.description.id,
+      program: exchange.description.program?.id,
+      session: exchange.description.program?.session,
       route: route?.route.name,
       outcome,
-      status: relay?.status,
+      status: run?.answer.status,
       ms: Math.round(tookMs),
-      firstMs: firstEventAt && Math.round(firstEventAt - arrivedAt),
+      firstMs: firstEventMs && Math.round(firstEventMs),
       reserveMs: reservation && Math.round(reservation.tookMs),
       sends: run && describeSends(run),
-      directoryAgeMs: isFailure ? Math.round(this.options.directoryAgeMs()) : undefined,
-    });
+    };
+    if (ending.kind === 'answered') this.options.logger.info('call', fields);
+    else this.options.logger.warn('call', { ...fields, ...this.situation() });
   }
+
+  /** What this gateway knew when a call failed, and how old that was. */
+  private situation(): LogFields {
+    return {
+      directoryAgeMs: Math.round(this.options.directoryAgeMs()),
+      generation: this.options.routes()?.configuration.generation,
+      settlementsWaiting: this.options.ledger.queuedSettlements,
+    };
+  }
+}
+
+function firstEventOf(exchange: CallExchange, run: CallRun | undefined): number | undefined {
+  if (!(run?.answer instanceof StreamRelay)) return undefined;
+  const { firstEventAt } = run.answer;
+  return firstEventAt === undefined ? undefined : firstEventAt - exchange.arrivedAt;
 }
 
 function withHistory(body: Buffer, history: Uint8Array | undefined): Buffer {
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -16,15 +16,17 @@
 const BATCH_MS_PER_CALL = 8;
 /** Share of a prompt's reading time by which it holds up each call that runs beside. */
 const READING_STALL_SHARE = 0.15;
-/** Cost of a call in another zone, in milliseconds. */
+/** Cost of a service call in another zone, in milliseconds. */
 const CROSS_ZONE_MS = 3;
+/** Cost of a model call in another zone, in milliseconds: its prompt is long. */
+const MODEL_CROSS_ZONE_MS = 12;
 /** Added for a back end that failed lately or is silent, in milliseconds. */
 const SUSPECT_MS = 10_000;
 /** Gain of the back end that saw the object of a call last, in milliseconds. */
 const AFFINITY_MS = 8;
 /** Cost of each call that runs beside on a plain service, in milliseconds. */
 const SERVICE_MS_PER_CALL = 5;
-/** Back ends where other gateways are likely to have sent a program before. */
+/** Back ends of a zone where its gateways are likely to have sent a program before. */
 const LIKELY_HOMES = 2;
 /** How likely such a back end holds what this gateway never sent there. */
 const HOME_HIT_SHARE = 0.5;
@@ -41,7 +43,7 @@
     const usable = candidates.filter(
       (candidate) => !excluded.has(candidate.id) && candidate.connections.hasRoom,
     );
-    const homes = likelyHomes(call, usable);
+    const homes = likelyHomes(call, usable, this.options.zone);
     const shortlist = call.promptParts.length > 0 ? shortlistOf(call, usable, homes) : usable;
     return this.cheapest(shortlist, call, homes) ?? this.cheapest(usable, call, homes);
   }
@@ -70,9 +72,10 @@
     const { slots, zone } = backend.record;
     const { load } = backend;
     const queueMs = Math.max(0, load + 1 - slots) * QUEUE_MS_PER_CALL;
-    const zoneMs = zone === this.options.zone ? 0 : CROSS_ZONE_MS;
     const suspectMs = backend.isSuspect ? SUSPECT_MS : 0;
     const isModelCall = call.promptParts.length > 0;
+    const crossZoneMs = isModelCall ? MODEL_CROSS_ZONE_MS : CROSS_ZONE_MS;
+    const zoneMs = zone === this.options.zone ? 0 : crossZoneMs;
     const workMs = isModelCall
       ? this.readingMs(backend, call, homes) + load * BATCH_MS_PER_CALL
       : load * SERVICE_MS_PER_CALL - (homes[0] === backend ? AFFINITY_MS : 0);
@@ -132,11 +135,21 @@
   return best;
 }
 
-/** The back ends that rendezvous hashing gives the call's program or object, the first one first. */
-function likelyHomes(call: CallDescription, candidates: readonly BackendState[]): BackendState[] {
+/**
+ * The back ends that rendezvous hashing gives the call's program or object: the first of all, and
+ * for a model call the first ones of this zone.
+ */
+function likelyHomes(
+  call: CallDescription,
+  candidates: readonly BackendState[],
+  zone: string,
+): BackendState[] {
   const isModelCall = call.promptParts.length > 0;
   const key = isModelCall ? call.program?.id : call.affinityKey;
   if (key === undefined) return [];
   const sound = candidates.filter((candidate) => !candidate.isSuspect);
-  return rankForKey(key, sound, (candidate) => candidate.id).slice(0, LIKELY_HOMES);
+  const ranked = rankForKey(key, sound, (candidate) => candidate.id);
+  if (!isModelCall) return ranked.slice(0, 1);
+  const near = ranked.filter((candidate) => candidate.record.zone === zone);
+  return [...new Set([...ranked.slice(0, 1), ...near.slice(0, LIKELY_HOMES)])];
 }
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -32,10 +32,11 @@
   }
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveAnswer> {
-    const command: LedgerCommand = { kind: 'reserve', ...request, nowMs: this.nowMs(group) };
+    const { wantsHistory, ...reservation } = request;
+    const command: LedgerCommand = { kind: 'reserve', ...reservation, nowMs: this.nowMs(group) };
     const result = (await group.propose(encodeValue(command))) as ReserveResult;
     const { previousTurn } = request;
-    if (result.outcome !== 'granted' || previousTurn === undefined) return result;
+    if (result.outcome !== 'granted' || previousTurn === undefined || !wantsHistory) return result;
     return { outcome: 'granted', history: this.stateMachine.turns.history(previousTurn) };
   }
 
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -5,7 +5,11 @@
 
 export const LEDGER_GROUP = 'ledger';
 
-export type ReserveRequest = Omit<ReserveCommand, 'kind' | 'nowMs'>;
+export interface ReserveRequest extends Omit<ReserveCommand, 'kind' | 'nowMs'> {
+  /** Whether the answer should carry what the turn continues from. */
+  wantsHistory: boolean;
+}
+
 export type SettleRequest = Omit<SettleCommand, 'kind' | 'nowMs'>;
 
 export interface ReserveAnswer {
