--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -238,6 +238,9 @@
       ms: Math.round(tookMs),
       firstMs: firstEventMs && Math.round(firstEventMs),
       reserveMs: reservation && Math.round(reservation.tookMs),
+      budget: exchange.description.program?.budgetTokens,
+      most: exchange.description.mostTokens || undefined,
+      events: run?.answer instanceof StreamRelay ? run.answer.events : undefined,
       sends: run && describeSends(run),
     };
     if (ending.kind === 'answered') this.options.logger.info('call', fields);
