--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -40,6 +40,8 @@
   history?: Uint8Array;
   /** How long the ledger took, in milliseconds. */
   tookMs: number;
+  /** Most tokens taken from this gateway's allowance, if the ledger could not be asked. */
+  allowanceTaken?: number;
 }
 
 /** A call was refused before it was sent anywhere. */
@@ -125,13 +127,14 @@
       wantsHistory: known === undefined,
     };
     try {
-      const answer = await this.options.ledger.reserve(request, timeoutMs);
+      const answer = await this.options.ledger.reserve(request, timeoutMs, !route.retainsTurns);
       const tookMs = monotonicMs() - startedAt;
       this.options.metrics.reservation.observe(tookMs / 1_000);
       if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
       const history = known ?? answer.history;
       if (continued !== undefined && !history) throw new RefusedError('ledger-unavailable');
-      return { program: key, attempt, previousTurn: continued, history, tookMs };
+      const { allowanceTaken } = answer;
+      return { program: key, attempt, previousTurn: continued, history, tookMs, allowanceTaken };
     } catch (error) {
       if (error instanceof RefusedError) throw error;
       this.options.logger.warn('reservation failed', {
@@ -185,6 +188,10 @@
     const relay = run.answer as StreamRelay;
     const spentTokens = relay.events * this.tokensPerEvent(run.serviceName);
     const isKept = route.retainsTurns && ending.kind === 'answered' && relay.isStream;
+    if (reservation.allowanceTaken !== undefined) {
+      ledger.settleAllowance({ program, attempt, spentTokens }, reservation.allowanceTaken);
+      return ending;
+    }
     if (!isKept) {
       ledger.settleLater({ program, attempt, spentTokens });
       return ending;
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -1,6 +1,10 @@
-/** Reaches the ledger's leader from a gateway; settlements that nobody waits for go out in batches. */
+/**
+ * Reaches the ledger's leader from a gateway. Settlements that nobody waits for go out in batches.
+ * While no leader answers, turns that nothing is kept of may go on by the gateway's allowance.
+ */
 import { describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupClient } from '../consensus/index.js';
+import { AllowanceBook } from './allowance-book.js';
 import type { LeaderAnswer } from '../directory/index.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
@@ -20,6 +24,17 @@
 /** Settlements that could not be delivered for so long are given up: the reservation stands. */
 const GIVE_UP_AFTER_MS = 30_000;
 
+/** How long a reservation may take where an allowance covers the turn, in milliseconds. */
+const COVERED_RESERVE_TIMEOUT_MS = 200;
+/** After a failure, covered turns don't ask the ledger for this time, in milliseconds. */
+const SUSPECT_MS = 400;
+
+/** A reservation as the caller's side sees it. */
+export interface Reserved extends ReserveAnswer {
+  /** Most tokens taken from the allowance, if the ledger was not asked or did not answer. */
+  allowanceTaken?: number;
+}
+
 interface QueuedSettlement {
   request: SettleRequest;
   queuedAt: number;
@@ -27,11 +42,15 @@
 
 export class LedgerClient {
   private readonly queue: QueuedSettlement[] = [];
+  private readonly allowances = new AllowanceBook();
   private isSending = false;
+  private suspectUntil = 0;
 
+  /** @param holder names this start of the process, for its allowances */
   constructor(
     private readonly groups: GroupClient,
     private readonly logger: Logger,
+    private readonly holder: string,
   ) {}
 
   /** Settlements that wait to be delivered. */
@@ -39,9 +58,39 @@
     return this.queue.length;
   }
 
-  /** @throws GroupUnavailableError when no leader answered in time; the reservation may stand */
-  reserve(request: ReserveRequest, timeoutMs: number): Promise<ReserveAnswer> {
-    return this.call(RESERVE, request, timeoutMs);
+  /**
+   * Reserves a turn's most tokens.
+   * @param mayUseAllowance whether the turn may run without the ledger's word
+   * @throws GroupUnavailableError when no leader answered in time; the reservation may stand
+   */
+  async reserve(
+    request: Omit<ReserveRequest, 'holder'>,
+    timeoutMs: number,
+    mayUseAllowance: boolean,
+  ): Promise<Reserved> {
+    const { program, mostTokens } = request;
+    const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
+    if (isCovered && monotonicMs() < this.suspectUntil) return this.takeAllowance(request);
+    const limitMs = isCovered ? Math.min(timeoutMs, COVERED_RESERVE_TIMEOUT_MS) : timeoutMs;
+    try {
+      const answer = await this.call(RESERVE, { ...request, holder: this.holder }, limitMs);
+      this.suspectUntil = 0;
+      this.allowances.update(program, answer.allowanceTokens);
+      return answer;
+    } catch (error) {
+      this.suspectUntil = monotonicMs() + SUSPECT_MS;
+      if (isCovered && this.allowances.covers(program, mostTokens)) {
+        return this.takeAllowance(request);
+      }
+      throw error;
+    }
+  }
+
+  /** The settlement of a turn that ran by the allowance. */
+  settleAllowance(request: SettleRequest, takenTokens: number): void {
+    const { program, spentTokens } = request;
+    this.allowances.giveBack(program, takenTokens - spentTokens);
+    this.settleLater({ ...request, draw: { holder: this.holder, tokens: spentTokens } });
   }
 
   /** Resolves once the settlement is committed. @throws GroupUnavailableError when it may not be */
@@ -55,6 +104,20 @@
     if (!this.isSending) void this.sendQueue();
   }
 
+  private takeAllowance({
+    program,
+    attempt,
+    mostTokens,
+  }: {
+    program: string;
+    attempt: string;
+    mostTokens: number;
+  }): Reserved {
+    this.allowances.take(program, mostTokens);
+    this.logger.info('ledger.allowance-used', { call: attempt, program, tokens: mostTokens });
+    return { outcome: 'granted', allowanceTokens: 0, allowanceTaken: mostTokens };
+  }
+
   private async sendQueue(): Promise<void> {
     this.isSending = true;
     while (this.queue.length > 0) {
@@ -63,9 +126,12 @@
       const settlements = batch.map((queued) => queued.request);
       try {
         await this.call(SETTLE, { settlements }, SETTLE_TIMEOUT_MS);
+        for (const { program, draw } of settlements) if (draw) this.allowances.confirm(program);
       } catch (error) {
         const now = monotonicMs();
-        const kept = batch.filter((queued) => now - queued.queuedAt < GIVE_UP_AFTER_MS);
+        const kept = batch.filter(
+          ({ request, queuedAt }) => request.draw || now - queuedAt < GIVE_UP_AFTER_MS,
+        );
         this.queue.unshift(...kept);
         this.logger.warn('settlements delayed', {
           waiting: this.queue.length,
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -12,10 +12,18 @@
   mostTokens: number;
   /** Id of the turn that this one continues. */
   previousTurn?: string;
+  /** One start of a gateway, which may be granted an allowance. */
+  holder?: string;
   /** The leader's clock, in milliseconds. */
   nowMs: number;
 }
 
+/** Tokens that a turn took from its gateway's allowance. */
+export interface AllowanceDraw {
+  holder: string;
+  tokens: number;
+}
+
 /** A turn that later turns may continue. */
 export interface KeptTurn {
   previousTurn?: string;
@@ -33,6 +41,7 @@
   attempt: string;
   spentTokens: number;
   keep?: KeptTurn;
+  draw?: AllowanceDraw;
   nowMs: number;
 }
 
@@ -42,4 +51,6 @@
 
 export interface ReserveResult {
   outcome: ReserveOutcome;
+  /** Tokens that the holder may let the program spend while the ledger can't be reached. */
+  allowanceTokens: number;
 }
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -37,7 +37,7 @@
     const result = (await group.propose(encodeValue(command))) as ReserveResult;
     const { previousTurn } = request;
     if (result.outcome !== 'granted' || previousTurn === undefined || !wantsHistory) return result;
-    return { outcome: 'granted', history: this.stateMachine.turns.history(previousTurn) };
+    return { ...result, history: this.stateMachine.turns.history(previousTurn) };
   }
 
   private async settle(group: ReplicatedGroup, batch: SettleBatch): Promise<{ isSettled: true }> {
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -58,8 +58,10 @@
   private reserve(command: ReserveCommand): ReserveResult {
     const { previousTurn } = command;
     const isKnown = previousTurn === undefined || this.turns.has(previousTurn);
-    if (!isKnown) return { outcome: 'unknown-predecessor' };
-    return { outcome: this.budgets.reserve(command) ? 'granted' : 'budget-exhausted' };
+    if (!isKnown) return { outcome: 'unknown-predecessor', allowanceTokens: 0 };
+    const outcome = this.budgets.reserve(command) ? 'granted' : 'budget-exhausted';
+    const allowanceTokens = outcome === 'granted' ? this.budgets.grantAllowance(command) : 0;
+    return { outcome, allowanceTokens };
   }
 
   private settle(command: SettleCommand): undefined {
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -14,6 +14,8 @@
 
 export interface ReserveAnswer {
   outcome: ReserveOutcome;
+  /** Tokens that the holder may let the program spend while the ledger can't be reached. */
+  allowanceTokens: number;
   /** What the turn continues from, oldest first, when it names a predecessor. */
   history?: Uint8Array;
 }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,4 +1,5 @@
 /** The gateway process: follows the directory and forwards calls. */
+import { randomBytes } from 'node:crypto';
 import { GroupClient, PeerDirectory } from '../consensus/index.js';
 import { type ClusterView, DirectoryClient, DirectoryWatcher } from '../directory/index.js';
 import {
@@ -26,6 +27,7 @@
 /** Connections to one back end even where its limit, shared out, would allow fewer. */
 const MIN_CONNECTIONS = 2;
 const DEFAULT_CONNECTIONS = 16;
+const HOLDER_ID_BYTES = 6;
 
 export class GatewayNode {
   readonly metrics = new ForwardingMetrics();
@@ -42,6 +44,7 @@
 
   private constructor(private readonly options: GatewayNodeOptions) {
     const { settings, logger } = options;
+    const holder = `${settings.name}-${randomBytes(HOLDER_ID_BYTES).toString('hex')}`;
     this.peers = new PeerDirectory({
       ownName: settings.name,
       secret: settings.secret,
@@ -60,7 +63,7 @@
         zone: settings.zone,
         prefillTokensPerMs: options.prefillTokensPerMs ?? DEFAULT_PREFILL_TOKENS_PER_MS,
       }),
-      ledger: new LedgerClient(this.ledgerGroups, logger),
+      ledger: new LedgerClient(this.ledgerGroups, logger, holder),
       protocol: options.protocol,
       logger,
       metrics: this.metrics,
