--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -21,6 +21,8 @@
 export interface RemoveBackendCommand {
   kind: 'remove-backend';
   id: string;
+  /** It said so itself: no heartbeat that comes later counts. One that fell silent may come back. */
+  hasDeparted: boolean;
 }
 
 /** Names the members that found the ledger group; the first such command wins. */
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -105,8 +105,8 @@
 
   async removeBackend(id: string): Promise<void> {
     if (this.stateMachine.hasDeparted(id)) return;
-    await this.propose({ kind: 'remove-backend', id });
-    this.options.logger.info('back end removed', { id });
+    await this.propose({ kind: 'remove-backend', id, hasDeparted: true });
+    this.options.logger.info('back end departed', { id });
   }
 
   /** @throws RosterIncompleteError while this leader cannot tell which machines there are */
@@ -234,7 +234,9 @@
 
   private async removeLostBackends(): Promise<void> {
     for (const id of [...this.stateMachine.backends.keys()]) {
-      if (this.heartbeats.isLost(id)) await this.removeBackend(id);
+      if (!this.heartbeats.isLost(id)) continue;
+      await this.propose({ kind: 'remove-backend', id, hasDeparted: false });
+      this.options.logger.warn('back end lost', { id });
     }
   }
 
--- /dev/null
+++ b/src/directory/directory-state-machine.test.ts
@@ -0,0 +1,141 @@
+/** The replicated directory: which commands change it, and what survives a snapshot. */
+import { describe, expect, it } from 'vitest';
+import type { RouteConfiguration } from '../routes/index.js';
+import { encodeValue } from '../wire/index.js';
+import type { BackendRegistration } from './backend-registration.js';
+import type { DirectoryCommand } from './directory-commands.js';
+import { DirectoryStateMachine } from './directory-state-machine.js';
+
+function configuration(generation: number): RouteConfiguration {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  return { generation, routes: [], services: [], limits };
+}
+
+function registration(overrides: Partial<BackendRegistration> = {}): BackendRegistration {
+  return {
+    id: 'i-1',
+    service: 's',
+    address: '127.0.0.1:1000',
+    zone: 'z',
+    slots: 4,
+    phase: 'ready',
+    sequence: 1,
+    ...overrides,
+  };
+}
+
+class Machine {
+  readonly state = new DirectoryStateMachine();
+  private index = 0;
+
+  run(command: DirectoryCommand): boolean {
+    this.index += 1;
+    return this.state.apply(encodeValue(command), this.index).changed;
+  }
+
+  put(generation: number, source: string): boolean {
+    return this.run({
+      kind: 'put-configuration',
+      configuration: configuration(generation),
+      source,
+    });
+  }
+
+  register(overrides: Partial<BackendRegistration>): boolean {
+    return this.run({ kind: 'register-backend', registration: registration(overrides) });
+  }
+}
+
+describe('configuration', () => {
+  it('lets the highest generation prevail, whatever comes later', () => {
+    const machine = new Machine();
+    expect(machine.put(7, 'seven')).toBe(true);
+    expect(machine.put(5, 'five')).toBe(false);
+    expect(machine.put(7, 'another seven')).toBe(false);
+    expect(machine.state.configurationSource).toBe('seven');
+    expect(machine.put(9, 'nine')).toBe(true);
+    expect(machine.state.configurationIndex).toBe(4);
+  });
+});
+
+describe('back ends', () => {
+  it('ignores messages that are older than what is known', () => {
+    const machine = new Machine();
+    machine.register({ sequence: 5, phase: 'draining' });
+    expect(machine.register({ sequence: 4, phase: 'ready' })).toBe(false);
+    expect(machine.state.backends.get('i-1')?.phase).toBe('draining');
+  });
+
+  it('keeps a drain that was acknowledged', () => {
+    const machine = new Machine();
+    machine.register({ phase: 'draining', sequence: 2 });
+    expect(machine.register({ phase: 'ready', sequence: 3 })).toBe(false);
+  });
+
+  it('does not revive one that has left, however late its heartbeat comes', () => {
+    const machine = new Machine();
+    machine.register({});
+    machine.run({ kind: 'remove-backend', id: 'i-1', hasDeparted: true });
+    expect(machine.register({ sequence: 99 })).toBe(false);
+    expect(machine.state.backends.size).toBe(0);
+  });
+
+  it('takes one back that had only fallen silent', () => {
+    const machine = new Machine();
+    machine.register({});
+    machine.run({ kind: 'remove-backend', id: 'i-1', hasDeparted: false });
+    expect(machine.state.backends.size).toBe(0);
+    expect(machine.register({ sequence: 2 })).toBe(true);
+  });
+
+  it('remembers a departure of one it never knew', () => {
+    const machine = new Machine();
+    machine.run({ kind: 'remove-backend', id: 'i-1', hasDeparted: true });
+    expect(machine.register({})).toBe(false);
+  });
+
+  it('gives an address to the incarnation that came last', () => {
+    const machine = new Machine();
+    machine.register({});
+    machine.register({ id: 'i-2', service: 'other' });
+    expect([...machine.state.backends.keys()]).toEqual(['i-2']);
+    expect(machine.register({ sequence: 50 })).toBe(false);
+  });
+});
+
+describe('founding and retirement', () => {
+  it('keeps the first founders', () => {
+    const machine = new Machine();
+    const founder = { id: 'a', name: 'a', address: 'a:1', role: 'voter' as const };
+    expect(machine.run({ kind: 'found-ledger', founders: [founder] })).toBe(true);
+    expect(machine.run({ kind: 'found-ledger', founders: [] })).toBe(false);
+    expect(machine.state.ledgerFounders).toEqual([founder]);
+  });
+
+  it('never goes back from a completed retirement', () => {
+    const machine = new Machine();
+    machine.run({ kind: 'start-retirement', node: 'n' });
+    machine.run({ kind: 'complete-retirement', node: 'n' });
+    expect(machine.run({ kind: 'start-retirement', node: 'n' })).toBe(false);
+    expect(machine.state.retirements.get('n')).toBe('complete');
+  });
+});
+
+describe('snapshot', () => {
+  it('holds everything', () => {
+    const machine = new Machine();
+    machine.put(3, 'three');
+    machine.register({});
+    machine.register({ id: 'i-2', address: '127.0.0.1:2' });
+    machine.run({ kind: 'remove-backend', id: 'i-1', hasDeparted: true });
+    machine.run({ kind: 'start-retirement', node: 'n' });
+    const copy = new DirectoryStateMachine();
+    copy.restore(machine.state.snapshot());
+    expect(copy.configurationSource).toBe('three');
+    expect(copy.configurationIndex).toBe(1);
+    expect([...copy.backends.keys()]).toEqual(['i-2']);
+    expect(copy.hasDeparted('i-1')).toBe(true);
+    expect(copy.backendsIndex).toBe(machine.state.backendsIndex);
+    expect([...copy.retirements]).toEqual([['n', 'running']]);
+  });
+});
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -131,7 +131,7 @@
       case 'register-backend':
         return this.register(command.registration, index);
       case 'remove-backend':
-        return this.remove(command.id, index);
+        return this.remove(command.id, command.hasDeparted, index);
       case 'found-ledger':
         return this.foundLedger(command.founders);
       case 'start-retirement':
@@ -167,9 +167,10 @@
     return CHANGED;
   }
 
-  private remove(id: string, index: number): DirectoryResult {
+  private remove(id: string, hasDeparted: boolean, index: number): DirectoryResult {
     const known = this.state.backends.has(id);
-    this.forget(id);
+    if (hasDeparted) this.forget(id);
+    else this.state.backends.delete(id);
     if (!known) return NOTHING_CHANGED;
     this.state.backendsIndex = index;
     return CHANGED;
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -180,12 +180,18 @@
     if (!mayRepeat || this.resends >= MAX_RESENDS) return this.endingOfBroken();
     this.resends += 1;
     this.answer.restart();
-    const mayChange = this.sentTo.size < maxAttempts;
-    if (mayChange && kind === 'repeatable') this.excluded.add(backend.id);
+    const mayChange = kind === 'repeatable' && this.sentTo.size < maxAttempts;
+    if (mayChange && this.hasOther(backend)) this.excluded.add(backend.id);
     else this.stayWith = backend;
     return undefined;
   }
 
+  private hasOther(backend: BackendState): boolean {
+    return this.options.backends
+      .serving(this.service)
+      .some((other) => other !== backend && !this.excluded.has(other.id));
+  }
+
   private endingOfBroken(): CallEnding {
     if (this.answer.hasBegun) return { kind: 'broken-off' };
     return { kind: 'refused', reason: 'outcome-unknown' };
--- /dev/null
+++ b/src/ledger/ledger.test.ts
@@ -0,0 +1,222 @@
+/** Budgets, allowances and kept turns in the replicated ledger. */
+import { describe, expect, it } from 'vitest';
+import fc from 'fast-check';
+import { encodeValue } from '../wire/index.js';
+import { AllowanceBook } from './allowance-book.js';
+import { TurnHistoryCache } from './history-cache.js';
+import type { LedgerCommand, ReserveResult } from './ledger-commands.js';
+import { LedgerStateMachine } from './ledger-state-machine.js';
+
+const RETENTION_MS = 60_000;
+
+class Ledger {
+  state = new LedgerStateMachine();
+  nowMs = 0;
+
+  reserve(attempt: string, options: ReserveOptions = {}): ReserveResult {
+    const { most = 100, budget = 1_000, previousTurn, holder } = options;
+    return this.apply({
+      kind: 'reserve',
+      program: 'p',
+      attempt,
+      budgetTokens: budget,
+      mostTokens: most,
+      previousTurn,
+      holder,
+      nowMs: this.nowMs,
+    })!;
+  }
+
+  settle(attempt: string, spentTokens: number, draw?: { holder: string; tokens: number }): void {
+    this.apply({ kind: 'settle', program: 'p', attempt, spentTokens, draw, nowMs: this.nowMs });
+  }
+
+  keep(attempt: string, text: string, previousTurn?: string): void {
+    const input = Buffer.from(`in-${text};`);
+    const output = Buffer.from(`out-${text};`);
+    const kept = { previousTurn, input, output, retentionMs: RETENTION_MS };
+    const { nowMs } = this;
+    this.apply({ kind: 'settle', program: 'p', attempt, spentTokens: 1, keep: kept, nowMs });
+  }
+
+  history(id: string): string | undefined {
+    const bytes = this.state.turns.history(id);
+    return bytes && Buffer.from(bytes).toString();
+  }
+
+  restart(): void {
+    const copy = new LedgerStateMachine();
+    copy.restore(this.state.snapshot());
+    this.state = copy;
+  }
+
+  private apply(command: LedgerCommand): ReserveResult | undefined {
+    return this.state.apply(encodeValue(command));
+  }
+}
+
+interface ReserveOptions {
+  most?: number;
+  budget?: number;
+  previousTurn?: string;
+  holder?: string;
+}
+
+describe('budgets', () => {
+  it('refuses a turn whose most does not fit any more', () => {
+    const ledger = new Ledger();
+    for (let turn = 0; turn < 10; turn += 1) {
+      expect(ledger.reserve(`t${turn}`).outcome).toBe('granted');
+    }
+    expect(ledger.reserve('t10').outcome).toBe('budget-exhausted');
+    ledger.settle('t0', 40);
+    expect(ledger.reserve('t11').outcome).toBe('budget-exhausted');
+    ledger.settle('t1', 0);
+    expect(ledger.reserve('t12').outcome).toBe('granted');
+  });
+
+  it('counts a repeated reservation and a repeated settlement once', () => {
+    const ledger = new Ledger();
+    ledger.reserve('t', { budget: 150 });
+    expect(ledger.reserve('t', { budget: 150 }).outcome).toBe('granted');
+    ledger.settle('t', 50);
+    ledger.settle('t', 50);
+    expect(ledger.state.budgets.committedTokens('p')).toBe(50);
+  });
+
+  it('opens nothing for a reservation that arrives after its settlement', () => {
+    const ledger = new Ledger();
+    ledger.settle('t', 30);
+    ledger.reserve('t');
+    expect(ledger.state.budgets.committedTokens('p')).toBe(30);
+  });
+
+  it('holds over a restart', () => {
+    const ledger = new Ledger();
+    ledger.reserve('t0', { budget: 250, holder: 'g' });
+    ledger.settle('t0', 100);
+    ledger.reserve('t1', { budget: 250 });
+    ledger.restart();
+    expect(ledger.state.budgets.committedTokens('p')).toBe(200);
+    expect(ledger.reserve('t2', { budget: 250 }).outcome).toBe('budget-exhausted');
+  });
+});
+
+describe('allowances', () => {
+  it('are a part of what is committed and at most a quarter of the budget', () => {
+    const ledger = new Ledger();
+    expect(ledger.reserve('t0', { holder: 'g' }).allowanceTokens).toBe(200);
+    expect(ledger.reserve('t1', { holder: 'h' }).allowanceTokens).toBe(0);
+    expect(ledger.state.budgets.committedTokens('p')).toBe(400);
+  });
+
+  it('give way to turns of the one that holds them', () => {
+    const ledger = new Ledger();
+    ledger.reserve('t0', { holder: 'g' });
+    for (let turn = 1; turn < 10; turn += 1) {
+      expect(ledger.reserve(`t${turn}`, { holder: 'g' }).outcome).toBe('granted');
+    }
+    expect(ledger.reserve('t10', { holder: 'g' }).outcome).toBe('budget-exhausted');
+  });
+
+  it('become spending when a turn ran by them', () => {
+    const ledger = new Ledger();
+    ledger.reserve('t0', { holder: 'g' });
+    ledger.settle('t0', 100);
+    ledger.settle('t1', 60, { holder: 'g', tokens: 60 });
+    expect(ledger.state.budgets.committedTokens('p')).toBe(100 + 60 + 140);
+  });
+
+  it('never let a program receive more than its budget, whoever settles or not', () => {
+    const step = fc.record({
+      gateway: fc.constantFrom('g', 'h', 'i'),
+      ledgerIsAway: fc.boolean(),
+      spent: fc.integer({ min: 0, max: 100 }),
+      settles: fc.boolean(),
+      restarts: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const ledger = new Ledger();
+        const books = new Map<string, AllowanceBook>();
+        let received = 0;
+        for (const [
+          index,
+          { gateway, ledgerIsAway, spent, settles, restarts },
+        ] of steps.entries()) {
+          const book = books.get(gateway) ?? new AllowanceBook();
+          books.set(gateway, book);
+          const attempt = `t${index}`;
+          if (ledgerIsAway) {
+            if (!book.take('p', 100)) continue;
+            received += spent;
+            book.giveBack('p', 100 - spent);
+            if (!settles) continue;
+            ledger.settle(attempt, spent, { holder: gateway, tokens: spent });
+            book.confirm('p');
+          } else {
+            const result = ledger.reserve(attempt, { budget: 700, holder: gateway });
+            if (result.outcome !== 'granted') continue;
+            book.update('p', result.allowanceTokens);
+            received += spent;
+            if (settles) ledger.settle(attempt, spent);
+          }
+          if (restarts) ledger.restart();
+        }
+        expect(received).toBeLessThanOrEqual(700);
+      }),
+    );
+  });
+});
+
+describe('kept turns', () => {
+  it('give back a chain with inputs and outputs, oldest first', () => {
+    const ledger = new Ledger();
+    ledger.keep('a', '1');
+    ledger.keep('b', '2', 'a');
+    ledger.keep('c', '3', 'a');
+    expect(ledger.history('b')).toBe('in-1;out-1;in-2;out-2;');
+    expect(ledger.history('c')).toBe('in-1;out-1;in-3;out-3;');
+  });
+
+  it('are told apart from turns that never were', () => {
+    const ledger = new Ledger();
+    ledger.keep('a', '1');
+    expect(ledger.reserve('b', { previousTurn: 'a' }).outcome).toBe('granted');
+    expect(ledger.reserve('c', { previousTurn: 'forged' }).outcome).toBe('unknown-predecessor');
+  });
+
+  it('keep their chain for as long as the last of it, then go', () => {
+    const ledger = new Ledger();
+    ledger.keep('a', '1');
+    ledger.nowMs = 50_000;
+    ledger.keep('b', '2', 'a');
+    ledger.nowMs = 100_000;
+    ledger.reserve('x');
+    expect(ledger.history('b')).toBe('in-1;out-1;in-2;out-2;');
+    ledger.nowMs = 200_000;
+    ledger.reserve('y');
+    expect(ledger.history('b')).toBeUndefined();
+    expect(ledger.reserve('z', { previousTurn: 'a' }).outcome).toBe('unknown-predecessor');
+  });
+
+  it('survive a restart', () => {
+    const ledger = new Ledger();
+    ledger.keep('a', '1');
+    ledger.keep('b', '2', 'a');
+    ledger.restart();
+    expect(ledger.history('b')).toBe('in-1;out-1;in-2;out-2;');
+  });
+});
+
+describe('history cache', () => {
+  it('continues what it has and forgets the oldest beyond its bound', () => {
+    const cache = new TurnHistoryCache(12);
+    cache.remember('a', undefined, Buffer.from('i'), Buffer.from('o'));
+    cache.remember('b', cache.find('a'), Buffer.from('j'), Buffer.from('p'));
+    expect(cache.find('b')?.toString()).toBe('iojp');
+    cache.remember('c', undefined, Buffer.from('12345'), Buffer.from('67890'));
+    expect(cache.find('a')).toBeUndefined();
+    expect(cache.find('c')?.toString()).toBe('1234567890');
+  });
+});
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -1,5 +1,6 @@
 /** The control process: a member of the directory's group, and the way in for orders to it. */
 import { findCluster, registerProbe } from '../control/cluster-formation.js';
+import type { Registry } from 'prom-client';
 import { GroupClient } from '../consensus/index.js';
 import {
   DIRECTORY_GROUP,
@@ -66,6 +67,10 @@
     return this.member.group !== undefined;
   }
 
+  createMetrics(): Registry {
+    return this.member.createMetrics();
+  }
+
   /** Takes over changed seeds. */
   updateSeeds(controlSeeds: string[]): void {
     this.settings.controlSeeds = controlSeeds;
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -1,5 +1,6 @@
 /** What control and journal processes share: storage, the internal endpoint and one group. */
 import { join } from 'node:path';
+import type { Registry } from 'prom-client';
 import {
   type GroupClient,
   type GroupConfiguration,
@@ -16,6 +17,7 @@
 import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
+import { createMemberMetrics } from './node-metrics.js';
 import { type NodeSettings, hostOf, portOf, votersFor } from './node-settings.js';
 
 export interface GroupMemberOptions {
@@ -69,6 +71,11 @@
     return process;
   }
 
+  /** Counters and gauges of this member. */
+  createMetrics(): Registry {
+    return createMemberMetrics({ findGroup: () => this.group, wal: this.wal });
+  }
+
   get signal(): AbortSignal {
     return this.stopping.signal;
   }
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -1,4 +1,5 @@
 /** The journal process: a member of the ledger's group, guided by the directory. */
+import type { Registry } from 'prom-client';
 import { GroupClient } from '../consensus/index.js';
 import { sleep } from '../common/index.js';
 import {
@@ -74,6 +75,15 @@
     return node;
   }
 
+  /** Whether this process takes part in the ledger's group. */
+  get isReady(): boolean {
+    return this.member.group !== undefined;
+  }
+
+  createMetrics(): Registry {
+    return this.member.createMetrics();
+  }
+
   updateSeeds(controlSeeds: string[]): void {
     this.settings.controlSeeds = controlSeeds;
     this.controlClient.setAddresses(controlSeeds);
--- /dev/null
+++ b/src/nodes/node-metrics.ts
@@ -0,0 +1,48 @@
+/** Counters and gauges of a process that is a member of a replicated group. */
+import { Registry } from 'prom-client';
+import type { ReplicatedGroup } from '../consensus/index.js';
+import type { WriteAheadLog } from '../log-store/index.js';
+import { addGauge } from '../observability/index.js';
+
+export interface MemberMetricsOptions {
+  findGroup: () => ReplicatedGroup | undefined;
+  wal: WriteAheadLog;
+}
+
+export function createMemberMetrics({ findGroup, wal }: MemberMetricsOptions): Registry {
+  const registry = new Registry();
+  const ofGroup = (read: (group: ReplicatedGroup) => number) => (): number => {
+    const group = findGroup();
+    return group ? read(group) : 0;
+  };
+  const add = (name: string, help: string, read: () => number): void =>
+    addGauge(registry, `ledgegauge_group_${name}`, help, read);
+  add(
+    'leading',
+    'Whether this member leads its group',
+    ofGroup((group) => Number(group.isLeader)),
+  );
+  add(
+    'term',
+    'Term of this member',
+    ofGroup((group) => group.term),
+  );
+  add(
+    'commit_index',
+    'Last log index known to be committed',
+    ofGroup((group) => group.commitIndex),
+  );
+  add(
+    'applied_index',
+    'Last log index applied',
+    ofGroup((group) => group.applier.appliedIndex),
+  );
+  add(
+    'members',
+    'Members in the latest configuration',
+    ofGroup((group) => group.configuration.members.length),
+  );
+  add('log_syncs', 'Syncs of the write-ahead log', () => wal.counters.syncs);
+  add('log_bytes', 'Bytes written to the write-ahead log', () => wal.counters.bytes);
+  return registry;
+}
--- /dev/null
+++ b/src/routes/routes.test.ts
@@ -0,0 +1,99 @@
+/** Checks of configurations, the look-up of routes, and weighted choices. */
+import { describe, expect, it } from 'vitest';
+import { InvalidRouteConfigurationError } from './errors.js';
+import type { Route, RouteConfiguration } from './route-configuration.js';
+import { RouteTable } from './route-table.js';
+import { validateRouteConfiguration } from './validate-configuration.js';
+import { WeightedChoice } from './weighted-choice.js';
+
+function route(overrides: Partial<Route> = {}): Route {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/x/',
+    kind: 'repeatable',
+    timeoutMs: 1_000,
+    objectiveMs: 100,
+    priority: 1,
+    parts: [{ service: 's', weight: 1 }],
+    maxAttempts: 1,
+    retainsTurns: false,
+    retentionMs: 60_000,
+    hasSessionAffinity: false,
+    isResumable: false,
+    ...overrides,
+  };
+}
+
+function configuration(routes: Route[]): RouteConfiguration {
+  const limits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  };
+  const services = [
+    { name: 's', maxConnections: 10 },
+    { name: 't', maxConnections: 10 },
+  ];
+  return { generation: 1, routes, services, limits };
+}
+
+describe('validation', () => {
+  it('accepts a sound configuration', () => {
+    expect(() => validateRouteConfiguration(configuration([route()]))).not.toThrow();
+  });
+
+  const invalid: [string, Route[]][] = [
+    ['an unknown service', [route({ parts: [{ service: 'nobody', weight: 1 }] })]],
+    ['two routes at one place', [route(), route({ name: 'r2' })]],
+    ['two routes at one place, hosts in other case', [route(), route({ host: 'A.example' })]],
+    ['weights that sum to nothing', [route({ parts: [{ service: 's', weight: 0 }] })]],
+    ['a negative weight', [route({ parts: [{ service: 's', weight: -1 }] })]],
+    ['a time limit of nothing', [route({ timeoutMs: 0 })]],
+    ['a prefix without a slash at its end', [route({ pathPrefix: '/x' })]],
+    ['no part', [route({ parts: [] })]],
+  ];
+  it.each(invalid)('refuses %s', (_name, routes) => {
+    expect(() => validateRouteConfiguration(configuration(routes))).toThrow(
+      InvalidRouteConfigurationError,
+    );
+  });
+});
+
+describe('route table', () => {
+  const table = new RouteTable(
+    configuration([
+      route({ name: 'short' }),
+      route({ name: 'long', pathPrefix: '/x/y/' }),
+      route({ name: 'other', host: 'b.example' }),
+    ]),
+  );
+
+  it('takes the longest prefix that begins the path', () => {
+    expect(table.find('a.example', '/x/y/z')?.route.name).toBe('long');
+    expect(table.find('a.example', '/x/yz')?.route.name).toBe('short');
+  });
+
+  it('keeps hosts apart and ignores their case', () => {
+    expect(table.find('B.EXAMPLE', '/x/1')?.route.name).toBe('other');
+    expect(table.find('c.example', '/x/1')).toBeUndefined();
+    expect(table.find('a.example', '/z/')).toBeUndefined();
+  });
+});
+
+describe('weighted choice', () => {
+  it.each([
+    [[90, 10], 1_000],
+    [[1, 1, 2], 400],
+    [[0, 5], 100],
+  ])('follows the weights %j exactly', (weights, rounds) => {
+    const choice = new WeightedChoice(weights);
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    const counts = weights.map(() => 0);
+    for (let round = 0; round < rounds; round += 1) counts[choice.next()]! += 1;
+    for (const [index, weight] of weights.entries()) {
+      expect(Math.abs(counts[index]! - (rounds * weight) / total)).toBeLessThanOrEqual(1);
+    }
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,6 +3,7 @@
 export default defineConfig({
   test: {
     include: [
+      'platform/**/*.test.ts',
       'src/**/*.test.ts',
       'emulator/**/*.test.ts',
       'lab/**/*.test.ts',
