--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -104,7 +104,6 @@
     if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
     const candidates = this.options.backends.serving(this.service);
     const { description } = this.options.exchange;
-    if (this.options.placement.isSaturated(candidates, description)) return undefined;
     return this.options.placement.choose(candidates, description, this.excluded);
   }
 
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -48,16 +48,6 @@
     return this.cheapest(shortlist, call, homes) ?? this.cheapest(usable, call, homes);
   }
 
-  /** Whether a call that begins a program would only wait, and slow down those that run. */
-  isSaturated(candidates: readonly BackendState[], call: CallDescription): boolean {
-    if (call.promptParts.length === 0 || call.promptParts.length > FIRST_TURN_PARTS) return false;
-    const sound = candidates.filter((candidate) => !candidate.isSuspect);
-    if (sound.length === 0) return false;
-    const load = sound.reduce((sum, candidate) => sum + candidate.load, 0);
-    const slots = sound.reduce((sum, candidate) => sum + candidate.record.slots, 0);
-    return load >= slots * SATURATION_SHARE;
-  }
-
   private cheapest(
     candidates: readonly BackendState[],
     call: CallDescription,
@@ -109,8 +99,6 @@
   }
 }
 
-/** Share of all slots from which on new programs are put off. */
-const SATURATION_SHARE = 0.8;
 /** A first turn holds what is shared and its own input. */
 const FIRST_TURN_PARTS = 2;
 
