--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'build-*/**', 'node_modules/**', '.ledgegauge/**'] },
+  { ignores: ['dist/**', 'target/**', 'build-*/**', 'node_modules/**', '.ledgegauge/**'] },
   ...tseslint.configs.recommended,
   {
     rules: {
@@ -16,4 +16,13 @@
       'prefer-const': 'error',
     },
   },
+  {
+    files: ['src/**/*.ts', 'lab/**/*.ts', 'emulator/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        { patterns: [{ group: ['**/platform/**'], message: 'The product knows no platform.' }] },
+      ],
+    },
+  },
 );
--- /dev/null
+++ b/src/forwarding/placement.test.ts
@@ -0,0 +1,123 @@
+/** Where calls are placed. */
+import { describe, expect, it } from 'vitest';
+import type { BackendRecord } from '../directory/index.js';
+import { BackendView } from './backend-view.js';
+import type { CallDescription } from './call-exchange.js';
+import { Placement } from './placement.js';
+
+const SERVICE = 'engines';
+const ENGINES = 10;
+const SLOTS = 12;
+
+function records(overrides: Partial<BackendRecord> = {}): BackendRecord[] {
+  return Array.from({ length: ENGINES }, (_, index) => ({
+    id: `e${index}`,
+    service: SERVICE,
+    address: `127.0.0.1:${1_000 + index}`,
+    zone: 'z1',
+    slots: SLOTS,
+    phase: 'ready' as const,
+    sequence: 1,
+    isSilent: false,
+    ...overrides,
+  }));
+}
+
+function turn(program: string, parts: [string, number][]): CallDescription {
+  return {
+    id: 'c',
+    host: 'h',
+    path: '/',
+    method: 'POST',
+    target: '/',
+    headers: [],
+    body: Buffer.alloc(0),
+    program: { id: program },
+    mostTokens: 100,
+    promptParts: parts.map(([id, tokens]) => ({ id, tokens })),
+  };
+}
+
+function gateway() {
+  const view = new BackendView(() => 100);
+  view.update(records());
+  const placement = new Placement({ zone: 'z1', prefillTokensPerMs: 250 });
+  const choose = (call: CallDescription) =>
+    placement.choose(view.serving(SERVICE), call, new Set())!;
+  return { view, choose };
+}
+
+describe('placement', () => {
+  it('keeps a program where its prompt is cached', () => {
+    const { choose } = gateway();
+    const first = choose(
+      turn('p', [
+        ['shared', 12_000],
+        ['own', 800],
+      ]),
+    );
+    first.notePrompt([
+      { id: 'shared', tokens: 12_000 },
+      { id: 'own', tokens: 800 },
+    ]);
+    for (let round = 0; round < 20; round += 1) {
+      const next = turn('p', [
+        ['shared', 12_000],
+        ['own', 800],
+        [`turn-${round}`, 300],
+      ]);
+      expect(choose(next).id).toBe(first.id);
+    }
+  });
+
+  it('leaves the cached prompt when waiting there costs more', () => {
+    const { choose } = gateway();
+    const parts: [string, number][] = [
+      ['shared', 2_000],
+      ['own', 800],
+      ['more', 100],
+    ];
+    const home = choose(turn('p', parts));
+    home.notePrompt(turn('p', parts).promptParts);
+    home.inFlight = SLOTS + 5;
+    const moved = Array.from({ length: 10 }, () => choose(turn('p', parts)).id);
+    expect(moved).not.toContain(home.id);
+  });
+
+  it('avoids back ends that failed lately or are silent, unless there are no others', () => {
+    const { view, choose } = gateway();
+    const [first, ...others] = view.serving(SERVICE);
+    for (const other of others) other.noteFailure();
+    expect(choose(turn('p', [['a', 10]])).id).toBe(first!.id);
+    first!.noteFailure();
+    expect(choose(turn('p', [['a', 10]]))).toBeDefined();
+  });
+
+  it('takes no back end that is leaving or has no connection left', () => {
+    const view = new BackendView(() => 0);
+    view.update(records());
+    const placement = new Placement({ zone: 'z1', prefillTokensPerMs: 250 });
+    const call = turn('p', [['a', 10]]);
+    expect(placement.choose(view.serving(SERVICE), call, new Set())).toBeUndefined();
+    view.update(records({ phase: 'draining' }));
+    expect(view.serving(SERVICE)).toHaveLength(0);
+  });
+
+  it('does not let all gateways take the engine that an old figure shows as the least loaded', () => {
+    const counts = new Map<string, number>();
+    const programs = 200;
+    for (let index = 0; index < programs; index += 1) {
+      const { view, choose } = gateway();
+      view.updateOtherLoads(records().map(({ id }) => ({ id, inFlight: id === 'e3' ? 2 : 5 })));
+      const { id } = choose(
+        turn(`program-${index}`, [
+          ['shared', 12_000],
+          ['own', 800],
+        ]),
+      );
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    expect(Math.max(...counts.values())).toBeLessThan(programs / 2);
+    expect(counts.size).toBe(ENGINES);
+  });
+});
