--- /dev/null
+++ b/src/cli/explain-command.ts
@@ -0,0 +1,39 @@
+/** `explain`: what became of a call or program, by the decision logs of the processes. */
+import { readFileSync } from 'node:fs';
+import type { CAC } from 'cac';
+import { type Explanation, type LogRecord, explain, parseLogLine } from '../explain/index.js';
+import { UsageError } from './daemon-command.js';
+import { runAction } from './run-daemon.js';
+
+export function addExplainCommand(cli: CAC): void {
+  cli
+    .command('explain <id> [...files]', 'Tell from log files what became of a call or program')
+    .option('--json', 'Print one JSON object')
+    .action((id: string, files: string[], flags: { json?: boolean }) =>
+      runAction(() => {
+        if (files.length === 0) throw new UsageError('name at least one log file');
+        const explanation = explain(String(id), files.flatMap(readRecords));
+        const text = flags.json ? JSON.stringify(explanation) : describe(String(id), explanation);
+        process.stdout.write(`${text}\n`);
+      }),
+    );
+}
+
+function readRecords(file: string): LogRecord[] {
+  const lines = readFileSync(file, 'utf8').split('\n');
+  return lines.flatMap((line) => parseLogLine(line) ?? []);
+}
+
+function describe(id: string, { direct, surrounding }: Explanation): string {
+  if (direct.length === 0) return `no line names ${id}`;
+  const parts = [`lines that name ${id}:`, ...direct.map(describeRecord)];
+  if (surrounding.length > 0) {
+    parts.push('', 'what changed around them:', ...surrounding.map(describeRecord));
+  }
+  return parts.join('\n');
+}
+
+function describeRecord({ time, node, event, fields }: LogRecord): string {
+  const details = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`);
+  return `  ${time}  ${node.padEnd(20)}  ${event}  ${details.join(' ')}`;
+}
--- a/src/cli/ledgegauge.ts
+++ b/src/cli/ledgegauge.ts
@@ -6,6 +6,7 @@
 import { controlSettingsSchema, gatewaySettingsSchema } from '../settings/index.js';
 import { addCheckConfigCommand } from './check-config-command.js';
 import { addDaemonCommand } from './daemon-command.js';
+import { addExplainCommand } from './explain-command.js';
 import { addOperatorCommands } from './operator-commands.js';
 import { runCommandLine } from './run-command-line.js';
 
@@ -27,5 +28,6 @@
 
 addCheckConfigCommand(cli, { control: controlSettingsSchema, gateway: gatewaySettingsSchema });
 addOperatorCommands(cli);
+addExplainCommand(cli);
 
 await runCommandLine(cli);
--- /dev/null
+++ b/src/explain/index.ts
@@ -0,0 +1,3 @@
+/** From the id of a call to its cause, by the decision logs of the processes. */
+export { explain, type Explanation } from './explanation.js';
+export { type LogRecord, parseLogLine } from './log-record.js';
