--- a/src/callers/model-call.ts
+++ b/src/callers/model-call.ts
@@ -3,50 +3,42 @@
  * to an engine and streamed; a broken stream is taken up again where it stopped; an engine that is
  * lost is replaced by a new attempt elsewhere; a call under way at another gateway is followed.
  */
-import {
-  type Backend,
-  BackendError,
-  BackendLostError,
-  BackendProtocolError,
-  type EngineChunk,
-  type EngineStreamEnd,
-  AttemptFencedError,
-  StreamUnknownError,
-} from '../backends/index.js';
-import { countMessageTokens, monotonicMs, sleep } from '../common/index.js';
+import type { Backend, EngineStreamEnd } from '../backends/index.js';
+import { countMessageTokens, monotonicMs } from '../common/index.js';
 import type { BegunResult, CallRecord, RestartResult } from '../journal/index.js';
 import { prefixKey } from '../routing/index.js';
-import { type AdmissionResult, enginePriority } from '../scheduling/index.js';
+import type { AdmissionResult } from '../scheduling/index.js';
 import { beginCommand, restartCommand } from './attempt-commands.js';
 import type { CallContext, CallSpecification } from './call-context.js';
 import type { CallExecution } from './call-execution.js';
 import type { CallResult } from './call-result.js';
+import { EngineStreamReader } from './engine-stream-reader.js';
 import type { ProgramHint } from './program-hints.js';
 import { type Finish, refuse, resultOfRefusal, resultOfSimple, settle } from './settlement.js';
 
 type Admitted = Extract<AdmissionResult, { kind: 'admitted' }>;
 
-/** How streaming one attempt ended. */
-type StreamEnd =
-  | { kind: 'finished'; end: EngineStreamEnd }
-  /** `neverRan`: the engine certainly did not take the attempt. */
-  | { kind: 'lost'; neverRan: boolean }
-  | { kind: 'fenced' };
-
 const MAX_ATTEMPTS = 4;
-const RESUME_PAUSE_MS = 50;
 const SETTLE_WAIT_MS = 1_000;
 
 export class ModelCall {
   private readonly arrivedAt = monotonicMs();
   private readonly excluded = new Set<string>();
+  private readonly streams: EngineStreamReader;
   private hint!: ProgramHint;
 
   constructor(
     private readonly context: CallContext,
     private readonly specification: CallSpecification,
     private readonly execution: CallExecution,
-  ) {}
+  ) {
+    this.streams = new EngineStreamReader({
+      context,
+      specification,
+      execution,
+      arrivedAt: this.arrivedAt,
+    });
+  }
 
   /** Runs the call from the beginning. */
   async begin(): Promise<CallResult> {
@@ -78,9 +70,7 @@
     let graceEnd = monotonicMs() + graceMs;
     for (;;) {
       const backend = context.backends.find(current.current.backend);
-      const end = backend
-        ? await this.read(backend, current, () => this.resume(backend, current))
-        : undefined;
+      const end = backend ? await this.streams.readResumed(backend, current) : undefined;
       if (end?.kind === 'finished') {
         const result = await this.settleFinished(current, end.end);
         if (result) return result;
@@ -138,7 +128,7 @@
 
   /** Streams a begun attempt and settles the call. */
   private async serve(begun: BegunResult, backend: Backend): Promise<CallResult> {
-    const end = await this.read(backend, begun.call, () => this.dispatch(begun, backend));
+    const end = await this.streams.readDispatched(backend, begun);
     if (end.kind === 'finished') {
       const result = await this.settleFinished(begun.call, end.end);
       if (result) {
@@ -212,98 +202,6 @@
     return this.resultOfAnswer(answer);
   }
 
-  private async *dispatch(begun: BegunResult, backend: Backend): AsyncGenerator<EngineChunk> {
-    const { context, specification } = this;
-    const { programId: program, tenant, sequence, request } = specification;
-    const { attempt, reservation } = begun.call.current;
-    const ownTokens = countMessageTokens(request.messages);
-    const historyTokens = begun.promptTokens - ownTokens;
-    const history = await context.histories.read(program, tenant, sequence, historyTokens);
-    const { policy } = context.settings.queue;
-    const holdMs = context.holds.holdMs({
-      prefixTokens: begun.promptTokens,
-      callCount: sequence,
-    });
-    // The last thing before sending: a gateway that was frozen meanwhile must not go on.
-    if (!context.lease.isHeld) throw new LeaseLostError();
-    yield* context.engines.complete(context.resolveAddress(backend.intent.address), {
-      tenant,
-      program,
-      sequence,
-      attempt,
-      model: begun.model,
-      messages: [...history, ...request.messages],
-      maxTokens: request.maxOutputTokens,
-      priority: enginePriority(policy, begun.attainedService),
-      costCeiling: reservation,
-      holdMs,
-    });
-  }
-
-  private resume(backend: Backend, call: CallRecord): AsyncGenerator<EngineChunk> {
-    const { context, specification, execution } = this;
-    const { programId: program, sequence } = specification;
-    const stream = { program, sequence, attempt: call.current.attempt };
-    const address = context.resolveAddress(backend.intent.address);
-    return context.engines.resume(address, stream, execution.text.length);
-  }
-
-  /**
-   * Reads an attempt's stream to its end. A broken stream is resumed until the engine has been out
-   * of reach for the grace time, or says that it does not know the stream.
-   */
-  private async read(
-    backend: Backend,
-    call: CallRecord,
-    open: () => AsyncGenerator<EngineChunk>,
-  ): Promise<StreamEnd> {
-    const graceMs = this.context.settings.calls.takeoverGrace;
-    let giveUpAt = monotonicMs() + graceMs;
-    let source = open;
-    let mayHaveRun = false;
-    for (;;) {
-      const lengthBefore = this.execution.text.length;
-      try {
-        const end = await this.consume(source(), backend);
-        backend.breaker.noteSuccess();
-        if (end.load) backend.noteReport(end.load);
-        return { kind: 'finished', end };
-      } catch (error) {
-        if (error instanceof LeaseLostError) return { kind: 'lost', neverRan: !mayHaveRun };
-        if (!(error instanceof BackendError)) throw error;
-        this.noteError(backend, error);
-        if (error instanceof AttemptFencedError) return { kind: 'fenced' };
-        mayHaveRun ||= error.mayHaveRun;
-        if (!mayHaveRun) return { kind: 'lost', neverRan: true };
-        if (error instanceof StreamUnknownError) return { kind: 'lost', neverRan: false };
-        if (error instanceof BackendProtocolError) this.execution.restart();
-        if (this.execution.text.length > lengthBefore) giveUpAt = monotonicMs() + graceMs;
-        if (monotonicMs() >= giveUpAt) return { kind: 'lost', neverRan: false };
-      }
-      await sleep(RESUME_PAUSE_MS);
-      this.context.metrics.resumedStreams.inc();
-      source = () => this.resume(backend, call);
-    }
-  }
-
-  private async consume(
-    chunks: AsyncGenerator<EngineChunk>,
-    backend: Backend,
-  ): Promise<EngineStreamEnd> {
-    const startedAt = monotonicMs();
-    let isFirst = this.execution.text.length === 0;
-    for await (const chunk of chunks) {
-      if (isFirst && chunk.text.length > 0) {
-        isFirst = false;
-        backend.limit.noteLatency(monotonicMs() - startedAt);
-        this.context.metrics.firstToken.observe((monotonicMs() - this.arrivedAt) / 1_000);
-      }
-      this.execution.append(chunk.text);
-      if (chunk.end) return chunk.end;
-    }
-    throw new BackendLostError('no last piece', { step: 'engine.stream', peer: backend.id });
-  }
-
   private settleFinished(call: CallRecord, end: EngineStreamEnd): Promise<CallResult | undefined> {
     const { usage, finishReason } = end;
     return settle(this.context, this.specification, {
@@ -345,13 +243,6 @@
     if (endedAt !== undefined) this.context.holds.noteContinued(monotonicMs() - endedAt);
   }
 
-  private noteError(backend: Backend, error: BackendError): void {
-    this.context.metrics.backendErrors.inc({ backend: backend.id, error: error.name });
-    if (error instanceof AttemptFencedError || error instanceof StreamUnknownError) return;
-    backend.breaker.noteFailure();
-    if (!error.mayHaveRun) backend.limit.noteRefusal();
-  }
-
   private async refuse(
     reason: Parameters<typeof refuse>[2],
     retryAfterMs?: number,
@@ -360,6 +251,3 @@
     return 'kind' in answer ? answer : this.follow(answer);
   }
 }
-
-/** The configuration lease ran out before the attempt was sent. */
-class LeaseLostError extends Error {}
--- a/src/membership/lease-holder.ts
+++ b/src/membership/lease-holder.ts
@@ -2,7 +2,7 @@
  * A gateway's side of its configuration lease: one task renews it, takes over new revisions, and
  * knows on the monotonic clock whether the gateway may start work now.
  */
-import { SignalEvent, monotonicMs, sleep } from '../common/index.js';
+import { monotonicMs, sleep } from '../common/index.js';
 import { type GroupClient } from '../consensus/index.js';
 import {
   EMPTY_DOCUMENT,
@@ -44,7 +44,6 @@
   private heldRevision = 0;
   private currentDocument: IntentDocument = EMPTY_DOCUMENT;
   private hadLease = false;
-  private readonly renewed = new SignalEvent();
   private readonly stopping = new AbortController();
 
   constructor(private readonly options: LeaseHolderOptions) {}
@@ -70,15 +69,6 @@
     return this.currentDocument;
   }
 
-  /** Waits at most `timeoutMs` for the lease; resolves with whether it is held then. */
-  async waitHeld(timeoutMs: number): Promise<boolean> {
-    const deadline = monotonicMs() + timeoutMs;
-    while (!this.isHeld && monotonicMs() < deadline) {
-      await this.renewed.waitUpTo(deadline - monotonicMs());
-    }
-    return this.isHeld;
-  }
-
   private async run(): Promise<void> {
     while (!this.stopping.signal.aborted) {
       const renewed = await this.renew();
@@ -99,7 +89,6 @@
       await this.takeUpdate(grant.update);
       if (this.heldRevision >= revisionOf(grant.update, before)) {
         this.expiresAtMs = Math.max(this.expiresAtMs, sentAt + grant.leaseMs);
-        this.renewed.notify();
       }
     } catch {
       return false;
