One piece for calls to a group's leader, and one for the way of an answer to its caller

Cause: the directory's and the ledger's clients had the same call, and the ledger took answerAsLeader from the directory; the error of a leader that is too new was a special case where a retriable error does it. Stream and buffered answers had the same begin, pass and resume. Unused code is out. Behaviour is meant to stay.

--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -14,4 +14,5 @@
   GroupUnavailableError,
   type TryResult,
 } from './group-client.js';
+export { type LeaderAnswer, answerAsLeader, callLeader } from './leader-calls.js';
 export { registerGroupService, type GroupServiceHooks } from './group-service.js';
--- /dev/null
+++ b/src/consensus/leader-calls.ts
@@ -0,0 +1,55 @@
+/** Calls of typed methods that only the leader of a group answers: both sides of them. */
+import { LedgegaugeError } from '../common/index.js';
+import type { Method } from '../wire/index.js';
+import { NotLeaderError } from './errors.js';
+import type { GroupCallOptions, GroupClient } from './group-client.js';
+import type { ReplicatedGroup } from './replicated-group.js';
+
+/** The leader's answer, or where the leader may be. */
+export interface LeaderAnswer<Answer> {
+  answer?: Answer;
+  leaderAddress?: string;
+  refusal?: string;
+}
+
+/**
+ * Calls a method at the group's leader.
+ * @throws GroupUnavailableError when no leader answered in time; the call may have had its effect
+ */
+export function callLeader<Request, Answer>(
+  client: GroupClient,
+  group: string,
+  method: Method<Request, LeaderAnswer<Answer>>,
+  request: Request,
+  options: GroupCallOptions,
+): Promise<Answer> {
+  return client.callWithRedirect<Request, LeaderAnswer<Answer>, Answer>(
+    group,
+    method,
+    request,
+    (response) =>
+      response.answer === undefined
+        ? { leaderAddress: response.leaderAddress, refusal: response.refusal }
+        : { response: response.answer },
+    options,
+  );
+}
+
+/** Runs `work` on the leader; anything else is answered with where the leader may be. */
+export async function answerAsLeader<Answer>(
+  group: ReplicatedGroup | undefined,
+  work: (group: ReplicatedGroup) => Promise<Answer>,
+): Promise<LeaderAnswer<Answer>> {
+  if (!group) return { refusal: 'not started' };
+  if (!group.isLeader) return { leaderAddress: group.leaderAddress, refusal: 'not the leader' };
+  if (!group.isCurrentLeader) return { refusal: 'leading, but not current yet' };
+  try {
+    return { answer: await work(group) };
+  } catch (error) {
+    if (error instanceof NotLeaderError) {
+      return { leaderAddress: error.leaderAddress, refusal: error.message };
+    }
+    if (error instanceof LedgegaugeError && error.retriable) return { refusal: error.message };
+    throw error;
+  }
+}
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -1,5 +1,5 @@
 /** Reaches the directory's leader from any process. */
-import type { GroupClient } from '../consensus/index.js';
+import { type GroupClient, type LeaderAnswer, callLeader } from '../consensus/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
 import type { Method } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -9,7 +9,6 @@
   DIRECTORY_GROUP,
   type DirectoryView,
   HEARTBEAT,
-  type LeaderAnswer,
   PUT_CONFIGURATION,
   READ_CONFIGURATION,
   REMOVE_BACKEND,
@@ -74,15 +73,6 @@
     timeoutMs: number,
     tryTimeoutMs = TRY_TIMEOUT_MS,
   ): Promise<Answer> {
-    return this.groups.callWithRedirect<Request, LeaderAnswer<Answer>, Answer>(
-      DIRECTORY_GROUP,
-      method,
-      request,
-      (response) =>
-        response.answer === undefined
-          ? { leaderAddress: response.leaderAddress, refusal: response.refusal }
-          : { response: response.answer },
-      { timeoutMs, tryTimeoutMs },
-    );
+    return callLeader(this.groups, DIRECTORY_GROUP, method, request, { timeoutMs, tryTimeoutMs });
   }
 }
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -2,7 +2,7 @@
  * What the directory's leader does beside replicating: takes orders and registrations, answers
  * watchers, founds the ledger group, and takes silent back ends out.
  */
-import { SignalEvent, describeError, monotonicMs } from '../common/index.js';
+import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { Member, ReplicatedGroup } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
@@ -47,7 +47,7 @@
 const REMOVED_AFTER_INTERVALS = 12;
 
 /** The answer to a retirement order was not certain: this leader is too new to know all machines. */
-export class RosterIncompleteError extends Error {}
+export class RosterIncompleteError extends LedgegaugeError {}
 
 export class DirectoryLeader {
   readonly stateMachine: DirectoryStateMachine;
@@ -63,7 +63,7 @@
   private isHousekeeping = false;
 
   constructor(private readonly options: DirectoryLeaderOptions) {
-    this.stateMachine = new DirectoryStateMachine(() => this.onStateChanged());
+    this.stateMachine = new DirectoryStateMachine(() => this.onClusterChanged());
     this.heartbeats = new HeartbeatTable({
       silentAfterMs: options.heartbeatIntervalMs * SILENT_AFTER_INTERVALS,
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
@@ -114,7 +114,10 @@
     if (this.stateMachine.retirements.has(node)) return 'accepted';
     const known = this.roster.find(node);
     const isNew = monotonicMs() - (this.group?.leadingSince ?? 0) < ROSTER_COMPLETE_AFTER_MS;
-    if (isNew) throw new RosterIncompleteError('leading for too short a time');
+    if (isNew) {
+      const context = { step: 'directory.start-retirement', peer: node, retriable: true };
+      throw new RosterIncompleteError('leading for too short a time', context);
+    }
     if (known?.role !== 'journal') return 'unknown-node';
     const remaining = this.roster
       .present('journal')
@@ -252,10 +255,6 @@
     this.options.logger.info('ledger group founded', { founders: names });
   }
 
-  private onStateChanged(): void {
-    this.onClusterChanged();
-  }
-
   private onClusterChanged(): void {
     this.clusterVersion += 1;
     this.news.notify();
--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -1,13 +1,11 @@
 /** Serves the directory's methods on a control process; only the leader answers. */
-import { LedgegaugeError } from '../common/index.js';
-import { NotLeaderError, type ReplicatedGroup } from '../consensus/index.js';
+import { type ReplicatedGroup, answerAsLeader } from '../consensus/index.js';
 import type { MethodRouter } from '../wire/index.js';
-import { type DirectoryLeader, RosterIncompleteError } from './directory-leader.js';
+import type { DirectoryLeader } from './directory-leader.js';
 import {
   type Acknowledgement,
   COMPLETE_RETIREMENT,
   HEARTBEAT,
-  type LeaderAnswer,
   PUT_CONFIGURATION,
   READ_CONFIGURATION,
   REMOVE_BACKEND,
@@ -18,28 +16,6 @@
 
 const ACKNOWLEDGED: Acknowledgement = { isAcknowledged: true };
 
-/** Runs `work` on the leader; anything else is answered with where the leader may be. */
-export async function answerAsLeader<Answer>(
-  group: ReplicatedGroup | undefined,
-  work: (group: ReplicatedGroup) => Promise<Answer>,
-): Promise<LeaderAnswer<Answer>> {
-  if (!group) return { refusal: 'not started' };
-  if (!group.isLeader) return { leaderAddress: group.leaderAddress, refusal: 'not the leader' };
-  if (!group.isCurrentLeader) return { refusal: 'leading, but not current yet' };
-  try {
-    return { answer: await work(group) };
-  } catch (error) {
-    if (error instanceof NotLeaderError) {
-      return { leaderAddress: error.leaderAddress, refusal: error.message };
-    }
-    const isPassing =
-      error instanceof RosterIncompleteError ||
-      (error instanceof LedgegaugeError && error.retriable);
-    if (isPassing) return { refusal: error.message };
-    throw error;
-  }
-}
-
 export function registerDirectoryService(
   router: MethodRouter,
   leader: DirectoryLeader,
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -3,7 +3,7 @@
  * for news again and again. What is held goes on being used while no leader answers, and is never
  * replaced by anything older.
  */
-import { SignalEvent, describeError, monotonicMs, sleep } from '../common/index.js';
+import { describeError, monotonicMs, sleep } from '../common/index.js';
 import type { Logger } from '../observability/index.js';
 import type { BackendRecord } from './backend-registration.js';
 import type { DirectoryClient } from './directory-client.js';
@@ -39,7 +39,6 @@
   private confirmedAt = Number.NEGATIVE_INFINITY;
   private isConnected = false;
   private readonly stopping = new AbortController();
-  private readonly confirmed = new SignalEvent();
 
   constructor(private readonly options: DirectoryWatcherOptions) {}
 
@@ -56,11 +55,6 @@
     return monotonicMs() - this.confirmedAt;
   }
 
-  /** Resolves at the leader's next answer. */
-  waitConfirmed(): Promise<void> {
-    return this.confirmed.wait();
-  }
-
   private async run(): Promise<void> {
     let isUrgent = true;
     while (!this.stopping.signal.aborted) {
@@ -71,7 +65,6 @@
         isUrgent = false;
         this.noteConnected(true, '');
         this.take(view);
-        this.confirmed.notify();
       } catch (error) {
         isUrgent = true;
         this.noteConnected(false, describeError(error));
--- a/src/directory/index.ts
+++ b/src/directory/index.ts
@@ -3,7 +3,7 @@
 export * from './directory-commands.js';
 export { DirectoryClient } from './directory-client.js';
 export { DirectoryLeader, type DirectoryLeaderOptions } from './directory-leader.js';
-export { answerAsLeader, registerDirectoryService } from './directory-service.js';
+export { registerDirectoryService } from './directory-service.js';
 export { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
 export { DirectoryWatcher, type DirectoryWatcherOptions } from './directory-watcher.js';
 export * from './messages.js';
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the directory's leader and the processes that follow it. */
-import type { Member } from '../consensus/index.js';
+import type { LeaderAnswer, Member } from '../consensus/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendRecord, BackendRegistration } from './backend-registration.js';
@@ -71,13 +71,6 @@
   otherLoads: BackendLoad[];
 }
 
-/** What every request to a leader is answered with by those that do not lead. */
-export interface LeaderAnswer<Answer> {
-  answer?: Answer;
-  leaderAddress?: string;
-  refusal?: string;
-}
-
 export type RetirementAnswer = 'accepted' | 'unknown-node' | 'too-few-left';
 
 export interface RetirementRequest {
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -88,21 +88,3 @@
   breakOff(): void;
   refuse(refusal: Refusal): void;
 }
-
-/** Reasons whose answers promise that the call has not run and never will. */
-const NOT_RUN_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
-  'no-route',
-  'missing-id',
-  'budget-exhausted',
-  'unknown-predecessor',
-  'not-ready',
-  'ledger-unavailable',
-  'no-backend',
-  'overloaded',
-  'not-executed',
-  'time-limit-before-start',
-]);
-
-export function promisesNotRun(reason: RefusalReason): boolean {
-  return NOT_RUN_REASONS.has(reason);
-}
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -70,11 +70,6 @@
     return this.service;
   }
 
-  /** Whether any back end may have begun to run the call. */
-  get wasSent(): boolean {
-    return this.mayHaveRun;
-  }
-
   /** Sends the call until it is answered or nothing more may be tried. Does not end the answer. */
   async run(): Promise<CallEnding> {
     const { exchange, deadlineMs } = this.options;
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -1,5 +1,6 @@
 /** Passes a stream of events on to the caller, whole events only, and counts what was passed on. */
 import type { AnswerHead, CallExchange } from './call-exchange.js';
+import { CallerAnswer } from './caller-answer.js';
 import { EventSplitter, dataOfEvent } from './event-splitter.js';
 import type { AnswerSink } from './send-attempt.js';
 
@@ -18,27 +19,26 @@
   lastEventId: string | undefined;
   /** When the first event was passed on (monotonic, milliseconds). */
   firstEventAt: number | undefined;
-  private head: AnswerHead | undefined;
   private splitter = new EventSplitter();
   private readonly output: Buffer[] = [];
-  private begun = false;
-  private isSlow = false;
+  private readonly answer: CallerAnswer;
 
   constructor(private readonly options: StreamRelayOptions) {
     this.lastEventId = options.exchange.description.lastEventId;
+    this.answer = new CallerAnswer(options.exchange);
   }
 
   /** Whether the caller has received a part of the answer. */
   get hasBegun(): boolean {
-    return this.begun;
+    return this.answer.hasBegun;
   }
 
   get isStream(): boolean {
-    return this.head?.status === HTTP_OK;
+    return this.status === HTTP_OK;
   }
 
   get status(): number | undefined {
-    return this.head?.status;
+    return this.answer.head?.status;
   }
 
   get hasPartialEvent(): boolean {
@@ -52,15 +52,15 @@
   /** Forgets what a send that broke off has left; the next one goes on after the last event. */
   restart(): void {
     this.splitter = new EventSplitter();
-    if (!this.begun) this.head = undefined;
+    if (!this.hasBegun) this.answer.head = undefined;
   }
 
   onHead(head: AnswerHead): void {
-    this.head ??= head;
+    this.answer.head ??= head;
   }
 
   onData(chunk: Buffer): boolean {
-    if (!this.isStream) return this.pass(chunk);
+    if (!this.isStream) return this.answer.pass(chunk);
     const passable: Buffer[] = [];
     for (const event of this.splitter.push(chunk)) {
       passable.push(event.bytes);
@@ -71,33 +71,16 @@
     }
     if (passable.length === 0) return true;
     this.firstEventAt ??= performance.now();
-    return this.pass(passable.length === 1 ? passable[0]! : Buffer.concat(passable));
+    return this.answer.pass(passable.length === 1 ? passable[0]! : Buffer.concat(passable));
   }
 
   /** Ends the answer as complete. */
   end(): void {
-    this.begin();
-    this.options.exchange.end();
+    this.answer.end();
   }
 
   /** Calls `resume` when the caller has read what waits for it. */
   onceReadable(resume: () => void): void {
-    this.options.exchange.onDrained(() => {
-      if (!this.isSlow) return;
-      this.isSlow = false;
-      resume();
-    });
-  }
-
-  private pass(chunk: Buffer): boolean {
-    this.begin();
-    this.isSlow = !this.options.exchange.write(chunk);
-    return !this.isSlow;
-  }
-
-  private begin(): void {
-    if (this.begun || !this.head) return;
-    this.begun = true;
-    this.options.exchange.begin(this.head);
+    this.answer.onceReadable(resume);
   }
 }
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -3,9 +3,8 @@
  * While no leader answers, turns that nothing is kept of may go on by the gateway's allowance.
  */
 import { describeError, monotonicMs, sleep } from '../common/index.js';
-import type { GroupClient } from '../consensus/index.js';
+import { type GroupClient, type LeaderAnswer, callLeader } from '../consensus/index.js';
 import { AllowanceBook } from './allowance-book.js';
-import type { LeaderAnswer } from '../directory/index.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
 import {
@@ -147,15 +146,7 @@
     request: Request,
     timeoutMs: number,
   ): Promise<Answer> {
-    return this.groups.callWithRedirect<Request, LeaderAnswer<Answer>, Answer>(
-      LEDGER_GROUP,
-      method,
-      request,
-      (response) =>
-        response.answer === undefined
-          ? { leaderAddress: response.leaderAddress, refusal: response.refusal }
-          : { response: response.answer },
-      { timeoutMs, tryTimeoutMs: TRY_TIMEOUT_MS },
-    );
+    const limits = { timeoutMs, tryTimeoutMs: TRY_TIMEOUT_MS };
+    return callLeader(this.groups, LEDGER_GROUP, method, request, limits);
   }
 }
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -1,7 +1,6 @@
 /** Serves reservations and settlements on the process that leads the ledger group. */
 import { monotonicMs } from '../common/index.js';
-import type { ReplicatedGroup } from '../consensus/index.js';
-import { answerAsLeader } from '../directory/index.js';
+import { type ReplicatedGroup, answerAsLeader } from '../consensus/index.js';
 import { type MethodRouter, encodeValue } from '../wire/index.js';
 import type { LedgerCommand, ReserveResult } from './ledger-commands.js';
 import type { LedgerStateMachine } from './ledger-state-machine.js';
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between gateways and the ledger's leader. */
-import type { LeaderAnswer } from '../directory/index.js';
+import type { LeaderAnswer } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { ReserveCommand, ReserveOutcome, SettleCommand } from './ledger-commands.js';
 
