Groups elect as soon as the leader's connection closes, links give silence up early, gateways wait for their first routes

Their links were in an opening that a dark machine never answers, which was given up after 1,000 ms. The journals needed 290 ms from their start to a leader; election deadlines were looked at once a heartbeat (75 ms) and spread by 120 ms a rank. Gateways that were up but knew no route refused 217 calls, which used the clients' tries up.

Ruled out: start-up (processes log their start 0.3 to 0.5 s after power is back, of which loading is 0.2 s), the commit of a new term (one round).

Now: openings are given up after 200 ms, handshakes after 400 ms, a connection is taken for dead once its first unanswered request is 250 ms old, elections have a timer of their own, a closed connection of the leader brings the election forward, the platform's groups use 300 ms, 40 ms at start. A call that comes before the first configuration waits up to 400 ms for it, then gets its answer with 300 ms as the time to come back.

--- a/src/consensus/consensus.test.ts
+++ b/src/consensus/consensus.test.ts
@@ -6,6 +6,7 @@
 } from '../../tests/support/consensus-cluster.js';
 import { temporaryFolder } from '../../tests/support/temporary-folder.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
+import { sleep } from '../common/index.js';
 import { encodeValue } from '../wire/index.js';
 import { NotLeaderError } from './errors.js';
 import { StorageFullError } from '../log-store/index.js';
@@ -18,6 +19,13 @@
 }
 
 const LIMITS = { timeoutMs: 10_000 };
+/** Nobody waits for an ordinary election time-out here. */
+const SLOW_ELECTIONS = {
+  heartbeatIntervalMs: 20,
+  electionTimeoutMs: 20_000,
+  startupElectionTimeoutMs: 50,
+  disconnectTimeoutMs: 100,
+};
 
 async function append(cluster: ConsensusCluster, items: string[]): Promise<void> {
   const client = cluster.client();
@@ -182,6 +190,41 @@
     await append(cluster, ['b']);
   });
 
+  it('elects another leader soon after the connection of the old one has closed', async () => {
+    const cluster = await startCluster({ consensus: SLOW_ELECTIONS });
+    const old = await cluster.waitLeader();
+    const others = cluster.members.filter(({ member }) => member.id !== old.member.id);
+    await waitUntil('leader known', () =>
+      others.every(({ group }) => group.leaderName === old.member.name),
+    );
+    await cluster.crash(old.member.id);
+    const crashedAt = performance.now();
+    for (const { host } of others) host.notePeerDisconnected(old.member.name);
+    await cluster.waitLeader(old.member.id);
+    expect(performance.now() - crashedAt).toBeLessThan(SLOW_ELECTIONS.electionTimeoutMs);
+  });
+
+  it('keeps a leader whose connection broke but who is heard again', async () => {
+    const cluster = await startCluster({ consensus: SLOW_ELECTIONS });
+    const leader = await cluster.waitLeader();
+    const { term } = leader.group;
+    for (let broken = 0; broken < 5; broken += 1) {
+      for (const { host } of cluster.members) host.notePeerDisconnected(leader.member.name);
+      await sleep(SLOW_ELECTIONS.disconnectTimeoutMs / 2);
+    }
+    await sleep(SLOW_ELECTIONS.disconnectTimeoutMs * 3);
+    expect(leader.group.isLeader).toBe(true);
+    expect(leader.group.term).toBe(term);
+  });
+
+  it('elects at start by its own timer, not by the beat of its heartbeats', async () => {
+    const consensus = { ...SLOW_ELECTIONS, heartbeatIntervalMs: 3_000 };
+    const cluster = await startCluster({ consensus });
+    const startedAt = performance.now();
+    await cluster.waitLeader();
+    expect(performance.now() - startedAt).toBeLessThan(consensus.heartbeatIntervalMs);
+  });
+
   it('refuses new commands when the disk is full, and loses nothing', async () => {
     const cluster = await startCluster({ quotaBytes: 24 * 1024 });
     await append(cluster, ['first']);
--- /dev/null
+++ b/src/consensus/election-timer.test.ts
@@ -0,0 +1,60 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { ElectionTimer } from './election-timer.js';
+
+let fired: number;
+let timer: ElectionTimer;
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+  fired = 0;
+  timer = new ElectionTimer(() => {
+    fired += 1;
+  });
+});
+
+afterEach(() => {
+  timer.stop();
+  vi.useRealTimers();
+});
+
+describe('election timer', () => {
+  it('fires once at its deadline, and again only when it is set again', () => {
+    timer.setIn(50);
+    vi.advanceTimersByTime(49);
+    expect(fired).toBe(0);
+    vi.advanceTimersByTime(500);
+    expect(fired).toBe(1);
+    timer.setIn(20);
+    vi.advanceTimersByTime(30);
+    expect(fired).toBe(2);
+  });
+
+  it('can be put off for as long as a leader is heard', () => {
+    timer.setIn(50);
+    for (let heard = 0; heard < 20; heard += 1) {
+      vi.advanceTimersByTime(40);
+      timer.setIn(50);
+    }
+    expect(fired).toBe(0);
+    vi.advanceTimersByTime(60);
+    expect(fired).toBe(1);
+  });
+
+  it('is brought forward, but never put off, by a sign that the leader is gone', () => {
+    timer.setIn(500);
+    timer.bringForwardTo(100);
+    vi.advanceTimersByTime(110);
+    expect(fired).toBe(1);
+    timer.setIn(30);
+    timer.bringForwardTo(100);
+    vi.advanceTimersByTime(40);
+    expect(fired).toBe(2);
+  });
+
+  it('does not fire after its end', () => {
+    timer.setIn(50);
+    timer.stop();
+    vi.advanceTimersByTime(100);
+    expect(fired).toBe(0);
+  });
+});
--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -115,6 +115,11 @@
     return true;
   }
 
+  /** What was heard of the leader no longer keeps this member from voting for another. */
+  forgetLeader(): void {
+    this.leaderHeardAt = Number.NEGATIVE_INFINITY;
+  }
+
   /** Whether a leader was heard so lately that an election would only disturb it. */
   private hearsLeader(): boolean {
     if (this.group.isLeader) return true;
--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -96,7 +96,7 @@
     attempt: (address: string, timeoutMs: number) => Promise<TryResult<Response>>,
   ): Promise<Response> {
     const deadline = monotonicMs() + options.timeoutMs;
-    const backoff = new Backoff({ initialMs: 10, maximumMs: 100 });
+    const backoff = new Backoff({ initialMs: 10, maximumMs: 50 });
     let lastProblem = 'no member asked';
     let address: string | undefined = this.leaders.get(group) ?? this.anyAddress();
     while (monotonicMs() < deadline) {
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -28,7 +28,8 @@
   onLeadershipChange: (group: ReplicatedGroup) => void;
 }
 
-const HEARTBEAT_TIMEOUT_MS = 1_000;
+/** A peer that is silent for so long is connected to anew, in milliseconds. */
+const HEARTBEAT_TIMEOUT_MS = 400;
 
 export class GroupHost {
   private readonly groups = new Map<string, ReplicatedGroup>();
@@ -85,6 +86,13 @@
     for (const group of this.all()) group.stop();
   }
 
+  /** A connection that a peer had opened to this process has closed. */
+  notePeerDisconnected(peerName: string): void {
+    for (const group of this.groups.values()) {
+      if (group.leaderName === peerName) group.noteLeaderDisconnected();
+    }
+  }
+
   /** Registers the handlers of the messages between members. */
   registerHandlers(router: MethodRouter): void {
     router.handle(VOTE, (request) => this.target(request).followerDuty.vote(request));
--- a/src/consensus/options.ts
+++ b/src/consensus/options.ts
@@ -9,6 +9,11 @@
    * @default electionTimeoutMs
    */
   startupElectionTimeoutMs?: number;
+  /**
+   * Shortest time from the end of the leader's connection to an election, in milliseconds; long
+   * enough for a leader that lives to connect again and send a heartbeat. @default 150
+   */
+  disconnectTimeoutMs?: number;
   /** Entries applied between two snapshots. @default 4000 */
   snapshotEveryEntries?: number;
   /** Entries kept behind a snapshot for members that lag a little. @default 1000 */
@@ -16,6 +21,7 @@
 }
 
 const DEFAULT_ELECTION_TIMEOUT_MS = 450;
+const DEFAULT_DISCONNECT_TIMEOUT_MS = 150;
 
 export type CheckedConsensusOptions = Required<ConsensusOptions>;
 
@@ -25,6 +31,7 @@
     electionTimeoutMs: options.electionTimeoutMs ?? DEFAULT_ELECTION_TIMEOUT_MS,
     startupElectionTimeoutMs:
       options.startupElectionTimeoutMs ?? options.electionTimeoutMs ?? DEFAULT_ELECTION_TIMEOUT_MS,
+    disconnectTimeoutMs: options.disconnectTimeoutMs ?? DEFAULT_DISCONNECT_TIMEOUT_MS,
     snapshotEveryEntries: options.snapshotEveryEntries ?? 4_000,
     trailingEntries: options.trailingEntries ?? 1_000,
   };
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -21,6 +21,7 @@
   withoutMember,
 } from './configuration.js';
 import { runElection } from './election.js';
+import { ElectionTimer } from './election-timer.js';
 import { CommitUnknownError, MembershipChangeError, NotLeaderError } from './errors.js';
 import { FollowerDuty } from './follower-duty.js';
 import { transferLeadership } from './leadership-transfer.js';
@@ -70,7 +71,7 @@
   private syncedIndex = 0;
   private hardStateWritten: Promise<void> = Promise.resolve();
   private termStartIndex = 0;
-  private electionDeadline = 0;
+  private readonly electionTimer = new ElectionTimer(() => this.onElectionDue());
   private isTransferring = false;
   private isStopped = false;
 
@@ -124,8 +125,12 @@
 
   /** Address of the member that leads, when known. */
   get leaderAddress(): string | undefined {
-    if (this.leaderId === undefined) return undefined;
-    return findMember(this.configuration, this.leaderId)?.address;
+    return this.leader?.address;
+  }
+
+  /** Name of the member that leads, when known. */
+  get leaderName(): string | undefined {
+    return this.leader?.name;
   }
 
   /**
@@ -196,24 +201,26 @@
 
   stop(): void {
     this.isStopped = true;
+    this.electionTimer.stop();
     if (this.isLeader) this.becomeFollower(this.term, undefined);
     this.applier.stop();
   }
 
-  /** Called by the host at every heartbeat interval. */
+  /** Called by the host at every heartbeat interval: a leader without a quorum steps down. */
   tick(): void {
-    if (this.isStopped) return;
-    const now = monotonicMs();
-    if (this.isLeader) {
-      const since = Math.max(this.quorumContactMs(), this.leadingSince);
-      if (now - since > this.environment.options.electionTimeoutMs) {
-        this.becomeFollower(this.term, undefined);
-      }
-      return;
+    if (this.isStopped || !this.isLeader) return;
+    const since = Math.max(this.quorumContactMs(), this.leadingSince);
+    if (monotonicMs() - since > this.environment.options.electionTimeoutMs) {
+      this.becomeFollower(this.term, undefined);
     }
-    if (now < this.electionDeadline || !isVoter(this.configuration, this.ownId)) return;
-    this.resetElectionDeadline();
-    this.startElection(false);
+  }
+
+  /** The leader's connection to this member has closed; the leader may be gone, or come back. */
+  noteLeaderDisconnected(): void {
+    if (this.isStopped || this.isLeader) return;
+    this.duty.forgetLeader();
+    const { disconnectTimeoutMs } = this.environment.options;
+    this.electionTimer.bringForwardTo(disconnectTimeoutMs * (1 + Math.random()));
   }
 
   /** Starts an election; `isTransfer` when the leader asked for it. */
@@ -226,14 +233,20 @@
   /** Puts the next election off. */
   resetElectionDeadline(): void {
     const { electionTimeoutMs } = this.environment.options;
-    this.electionDeadline = monotonicMs() + electionTimeoutMs * (1 + Math.random());
+    this.electionTimer.setIn(electionTimeoutMs * (1 + Math.random()));
+  }
+
+  private onElectionDue(): void {
+    if (this.isStopped || this.isLeader) return;
+    this.resetElectionDeadline();
+    if (isVoter(this.configuration, this.ownId)) this.startElection(false);
   }
 
   /** The first elections are spread by whole time-outs, so that groups prefer different leaders. */
   private setFirstElectionDeadline(): void {
     const { startupElectionTimeoutMs } = this.environment.options;
     const waits = 1 + Math.random() + this.startupRank();
-    this.electionDeadline = monotonicMs() + startupElectionTimeoutMs * waits;
+    this.electionTimer.setIn(startupElectionTimeoutMs * waits);
   }
 
   heartbeatFor(member: Member): Heartbeat | undefined {
@@ -355,6 +368,11 @@
     return new NotLeaderError(this.name, this.isLeader ? undefined : this.leaderAddress);
   }
 
+  private get leader(): Member | undefined {
+    if (this.leaderId === undefined) return undefined;
+    return findMember(this.configuration, this.leaderId);
+  }
+
   private appendAsLeader(content: Pick<LogEntry, 'kind' | 'data'>): Promise<unknown> {
     const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.term, ...content };
     const written = this.log.append([entry]);
--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -3,6 +3,7 @@
 import { Agent } from 'undici';
 import { sendOrder, sendRelease } from '../backends/control-requests.js';
 import {
+  checkConsensusOptions,
   GroupClient,
   type GroupConfiguration,
   GroupHost,
@@ -142,13 +143,12 @@
       wal: this.wal,
       snapshots: new SnapshotStore(join(this.settings.dataFolder, 'snapshots')),
       peers: this.peers,
-      options: {
+      options: checkConsensusOptions({
         heartbeatIntervalMs: consensus.heartbeatInterval,
         electionTimeoutMs: consensus.electionTimeout,
-        startupElectionTimeoutMs: consensus.electionTimeout,
         snapshotEveryEntries: consensus.snapshotEveryEntries,
         trailingEntries: consensus.trailingEntries,
-      },
+      }),
       logger: this.hooks.logger,
       onFatal: this.hooks.onFatal,
       onLeadershipChange: (group) => this.duties.get(group.name)?.onLeadershipChange(),
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -1,5 +1,10 @@
 /** Reaches the directory's leader from any process. */
-import { type GroupClient, type LeaderAnswer, callLeader } from '../consensus/index.js';
+import {
+  type GroupCallOptions,
+  type GroupClient,
+  type LeaderAnswer,
+  callLeader,
+} from '../consensus/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
 import type { Method } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -24,7 +29,7 @@
 /** Callers of registrations give up after a second. */
 const REGISTRATION_TIMEOUT_MS = 800;
 const READ_TIMEOUT_MS = 900;
-const TRY_TIMEOUT_MS = 600;
+const TRY_TIMEOUT_MS = 400;
 
 export class DirectoryClient {
   /** @param groups knows the addresses of the control processes */
@@ -63,16 +68,16 @@
   }
 
   /** Waits a while at the leader for news. */
-  watch(request: WatchRequest, timeoutMs: number): Promise<DirectoryView> {
-    return this.call(WATCH, request, timeoutMs, timeoutMs);
+  watch(request: WatchRequest, limits: GroupCallOptions): Promise<DirectoryView> {
+    return callLeader(this.groups, DIRECTORY_GROUP, WATCH, request, limits);
   }
 
   private call<Request, Answer>(
     method: Method<Request, LeaderAnswer<Answer>>,
     request: Request,
     timeoutMs: number,
-    tryTimeoutMs = TRY_TIMEOUT_MS,
   ): Promise<Answer> {
-    return callLeader(this.groups, DIRECTORY_GROUP, method, request, { timeoutMs, tryTimeoutMs });
+    const limits = { timeoutMs, tryTimeoutMs: TRY_TIMEOUT_MS };
+    return callLeader(this.groups, DIRECTORY_GROUP, method, request, limits);
   }
 }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -17,6 +17,8 @@
 } from './messages.js';
 
 const WATCH_TIMEOUT_MS = 900;
+/** One leader may take so long, of which it holds the question for a part, in milliseconds. */
+const WATCH_TRY_TIMEOUT_MS = 450;
 const RETRY_DELAY_MS = 50;
 
 export interface DirectoryWatcherOptions {
@@ -60,7 +62,8 @@
     while (!this.stopping.signal.aborted) {
       try {
         const askedAt = monotonicMs();
-        const view = await this.options.client.watch(this.request(isUrgent), WATCH_TIMEOUT_MS);
+        const limits = { timeoutMs: WATCH_TIMEOUT_MS, tryTimeoutMs: WATCH_TRY_TIMEOUT_MS };
+        const view = await this.options.client.watch(this.request(isUrgent), limits);
         this.confirmedAt = askedAt;
         isUrgent = false;
         this.noteConnected(true, '');
--- /dev/null
+++ b/src/forwarding/call-forwarder.test.ts
@@ -0,0 +1,121 @@
+/** What a gateway does with calls before it can send them anywhere. */
+import { describe, expect, it } from 'vitest';
+import { SignalEvent, monotonicMs, sleep } from '../common/index.js';
+import { GroupClient, type PeerCaller } from '../consensus/index.js';
+import { LedgerClient } from '../ledger/index.js';
+import { createLogger } from '../observability/index.js';
+import { type RouteConfiguration, RouteTable } from '../routes/index.js';
+import type { BackendProtocol } from './backend-protocol.js';
+import { BackendView } from './backend-view.js';
+import type { CallDescription, CallExchange, Refusal } from './call-exchange.js';
+import { CallForwarder } from './call-forwarder.js';
+import { ForwardingMetrics } from './forwarding-metrics.js';
+import { Placement } from './placement.js';
+
+const CONFIGURATION: RouteConfiguration = {
+  generation: 1,
+  routes: [
+    {
+      name: 'r',
+      host: 'h',
+      pathPrefix: '/',
+      kind: 'repeatable',
+      timeoutMs: 1_000,
+      objectiveMs: 100,
+      priority: 0,
+      parts: [{ service: 's', weight: 1 }],
+      maxAttempts: 1,
+      retainsTurns: false,
+      retentionMs: 0,
+      hasSessionAffinity: false,
+      isResumable: false,
+    },
+  ],
+  services: [{ name: 's', maxConnections: 10 }],
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+class RecordedExchange implements CallExchange {
+  readonly arrivedAt = monotonicMs();
+  readonly isAbandoned = false;
+  refusal: Refusal | undefined;
+
+  constructor(readonly description: CallDescription) {}
+
+  onAbandoned(): void {}
+  begin(): void {}
+  write(): boolean {
+    return true;
+  }
+  onDrained(): void {}
+  end(): void {}
+  breakOff(): void {}
+  refuse(refusal: Refusal): void {
+    this.refusal = refusal;
+  }
+}
+
+function callTo(path: string): RecordedExchange {
+  return new RecordedExchange({
+    id: 'a',
+    host: 'h',
+    path,
+    method: 'GET',
+    target: path,
+    headers: [],
+    body: Buffer.alloc(0),
+    mostTokens: 0,
+    promptParts: [],
+  });
+}
+
+class StartingGateway {
+  readonly forwarder: CallForwarder;
+  private readonly arrived = new SignalEvent();
+  private routes: RouteTable | undefined;
+
+  constructor() {
+    const logger = createLogger({});
+    const peers: PeerCaller = {
+      call: () => Promise.reject(new Error('nobody is there')),
+      isConnected: () => false,
+    };
+    this.forwarder = new CallForwarder({
+      routes: () => this.routes,
+      waitForRoutes: (timeoutMs) => this.arrived.waitUpTo(timeoutMs),
+      directoryAgeMs: () => 0,
+      backends: new BackendView(() => 1),
+      placement: new Placement({ zone: 'z', prefillTokensPerMs: 1 }),
+      ledger: new LedgerClient(new GroupClient({ peers, addresses: [] }), logger, 'holder'),
+      protocol: {} as BackendProtocol,
+      logger,
+      metrics: new ForwardingMetrics(),
+    });
+  }
+
+  takeConfiguration(): void {
+    this.routes = new RouteTable(CONFIGURATION);
+    this.arrived.notify();
+  }
+}
+
+describe('a gateway that has just started', () => {
+  it('lets calls wait a moment for its first configuration', async () => {
+    const gateway = new StartingGateway();
+    const exchange = callTo('/x');
+    const handled = gateway.forwarder.handle(exchange);
+    await sleep(50);
+    expect(exchange.refusal).toBeUndefined();
+    gateway.takeConfiguration();
+    await handled;
+    expect(exchange.refusal?.reason).toBe('no-backend');
+  });
+
+  it('then refuses them, and says when to come back', async () => {
+    const exchange = callTo('/x');
+    await new StartingGateway().forwarder.handle(exchange);
+    expect(exchange.refusal?.reason).toBe('not-ready');
+    expect(exchange.refusal?.retryAfterMs).toBeGreaterThan(200);
+    expect(monotonicMs() - exchange.arrivedAt).toBeLessThan(1_000);
+  });
+});
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -14,6 +14,8 @@
 export interface CallForwarderOptions {
   /** The routes in force; undefined before the first configuration. */
   routes: () => RouteTable | undefined;
+  /** Resolves when there are routes, or after a time in milliseconds. */
+  waitForRoutes: (timeoutMs: number) => Promise<void>;
   /** Time since the directory's leader last answered, in milliseconds. */
   directoryAgeMs: () => number;
   backends: BackendView;
@@ -30,8 +32,12 @@
 const KEEP_SLACK_MS = 300;
 /** An unknown route may be one that was added lately, if the directory is older than this. */
 const ROUTE_NEWS_AGE_MS = 1_500;
+/** How long a call may wait for the first configuration of a process that starts, in milliseconds. */
+const FIRST_ROUTES_WAIT_MS = 400;
 /** When to come back after passing troubles, in milliseconds. */
 const RETRY_AFTER_MS = 150;
+/** When to come back to a process that has not heard of its group's leader, in milliseconds. */
+const RETRY_AFTER_LEADER_MS = 300;
 
 interface Reservation {
   program: string;
@@ -60,6 +66,7 @@
   async handle(exchange: CallExchange): Promise<void> {
     let route: CompiledRoute | undefined;
     try {
+      if (!this.options.routes()) await this.options.waitForRoutes(FIRST_ROUTES_WAIT_MS);
       route = this.findRoute(exchange);
       await this.forward(exchange, route);
     } catch (error) {
@@ -221,7 +228,9 @@
 
   private refuse(exchange: CallExchange, reason: RefusalReason): void {
     if (exchange.isAbandoned) return;
-    exchange.refuse({ reason, retryAfterMs: RETRY_AFTER_MS });
+    const awaitsLeader = reason === 'not-ready' || reason === 'ledger-unavailable';
+    const retryAfterMs = awaitsLeader ? RETRY_AFTER_LEADER_MS : RETRY_AFTER_MS;
+    exchange.refuse({ reason, retryAfterMs });
   }
 
   private record(
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -3,7 +3,12 @@
  * While no leader answers, turns that nothing is kept of may go on by the gateway's allowance.
  */
 import { describeError, monotonicMs, sleep } from '../common/index.js';
-import { type GroupClient, type LeaderAnswer, callLeader } from '../consensus/index.js';
+import {
+  type GroupCallOptions,
+  type GroupClient,
+  type LeaderAnswer,
+  callLeader,
+} from '../consensus/index.js';
 import { AllowanceBook } from './allowance-book.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
@@ -19,7 +24,9 @@
 const BATCH_DELAY_MS = 40;
 const MAX_BATCH = 64;
 const SETTLE_TIMEOUT_MS = 2_000;
-const TRY_TIMEOUT_MS = 400;
+/** How long one leader may take over settlements, and over one reservation, in milliseconds. */
+const SETTLE_TRY_TIMEOUT_MS = 400;
+const RESERVE_TRY_TIMEOUT_MS = 250;
 /** Settlements that could not be delivered for so long are given up: the reservation stands. */
 const GIVE_UP_AFTER_MS = 30_000;
 
@@ -72,7 +79,8 @@
     if (isCovered && monotonicMs() < this.suspectUntil) return this.takeAllowance(request);
     const limitMs = isCovered ? Math.min(timeoutMs, COVERED_RESERVE_TIMEOUT_MS) : timeoutMs;
     try {
-      const answer = await this.call(RESERVE, { ...request, holder: this.holder }, limitMs);
+      const limits = { timeoutMs: limitMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
+      const answer = await this.call(RESERVE, { ...request, holder: this.holder }, limits);
       this.suspectUntil = 0;
       this.allowances.update(program, answer.allowanceTokens);
       return answer;
@@ -94,7 +102,8 @@
 
   /** Resolves once the settlement is committed. @throws GroupUnavailableError when it may not be */
   async settle(request: SettleRequest, timeoutMs: number): Promise<void> {
-    await this.call(SETTLE, { settlements: [request] }, timeoutMs);
+    const limits = { timeoutMs, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
+    await this.call(SETTLE, { settlements: [request] }, limits);
   }
 
   /** Settles soon, and again until it is committed. */
@@ -124,7 +133,8 @@
       const batch = this.queue.splice(0, MAX_BATCH);
       const settlements = batch.map((queued) => queued.request);
       try {
-        await this.call(SETTLE, { settlements }, SETTLE_TIMEOUT_MS);
+        const limits = { timeoutMs: SETTLE_TIMEOUT_MS, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
+        await this.call(SETTLE, { settlements }, limits);
         for (const { program, draw } of settlements) if (draw) this.allowances.confirm(program);
       } catch (error) {
         const now = monotonicMs();
@@ -144,9 +154,8 @@
   private call<Request, Answer>(
     method: Method<Request, LeaderAnswer<Answer>>,
     request: Request,
-    timeoutMs: number,
+    limits: GroupCallOptions,
   ): Promise<Answer> {
-    const limits = { timeoutMs, tryTimeoutMs: TRY_TIMEOUT_MS };
     return callLeader(this.groups, LEDGER_GROUP, method, request, limits);
   }
 }
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -10,7 +10,7 @@
 } from '../directory/index.js';
 import type { Logger } from '../observability/index.js';
 import { GroupMemberProcess } from './group-member-process.js';
-import { type NodeSettings, STARTUP_ELECTION_TIMEOUT_MS, votersFor } from './node-settings.js';
+import { GROUP_TIMING, type NodeSettings, votersFor } from './node-settings.js';
 
 export interface NodeHooks {
   logger: Logger;
@@ -47,7 +47,7 @@
       settings,
       groupName: DIRECTORY_GROUP,
       stateMachine: leader.stateMachine,
-      consensus: { startupElectionTimeoutMs: STARTUP_ELECTION_TIMEOUT_MS },
+      consensus: GROUP_TIMING,
       isRetiring: () => false,
       onLeadershipChange: () => leader.onLeadershipChange(),
       logger,
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,5 +1,6 @@
 /** The gateway process: follows the directory and forwards calls. */
 import { randomBytes } from 'node:crypto';
+import { SignalEvent } from '../common/index.js';
 import { GroupClient, PeerDirectory } from '../consensus/index.js';
 import { type ClusterView, DirectoryClient, DirectoryWatcher } from '../directory/index.js';
 import {
@@ -37,6 +38,7 @@
   private readonly ledgerGroups: GroupClient;
   private readonly backends: BackendView;
   private readonly watcher: DirectoryWatcher;
+  private readonly routesArrived = new SignalEvent();
   private routes: RouteTable | undefined;
   private gatewayCount = 1;
   private hasBackends = false;
@@ -57,6 +59,7 @@
     this.watcher = this.createWatcher();
     this.forwarder = new CallForwarder({
       routes: () => this.routes,
+      waitForRoutes: (timeoutMs) => this.routesArrived.waitUpTo(timeoutMs),
       directoryAgeMs: () => this.watcher.ageMs,
       backends: this.backends,
       placement: new Placement({
@@ -109,6 +112,7 @@
       logger: this.options.logger,
       onConfiguration: ({ configuration }) => {
         this.routes = new RouteTable(configuration);
+        this.routesArrived.notify();
       },
       onBackends: (records) => {
         this.hasBackends = true;
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -93,6 +93,7 @@
       port: portOf(internalAddress),
       secret,
       router: this.router,
+      onDisconnect: (peerName) => this.host.notePeerDisconnected(peerName),
     });
   }
 
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -11,7 +11,7 @@
 import { LEDGER_GROUP, LedgerService, LedgerStateMachine } from '../ledger/index.js';
 import type { NodeHooks } from './control-node.js';
 import { GroupMemberProcess } from './group-member-process.js';
-import { type NodeSettings, STARTUP_ELECTION_TIMEOUT_MS } from './node-settings.js';
+import { GROUP_TIMING, type NodeSettings } from './node-settings.js';
 
 const RETIREMENT_CHECK_MS = 150;
 /** Entries between two snapshots of the ledger. */
@@ -46,10 +46,7 @@
       settings,
       groupName: LEDGER_GROUP,
       stateMachine,
-      consensus: {
-        snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
-        startupElectionTimeoutMs: STARTUP_ELECTION_TIMEOUT_MS,
-      },
+      consensus: { ...GROUP_TIMING, snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES },
       isRetiring: retiringNames,
       onLeadershipChange: () => undefined,
       logger,
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of the processes that forward calls, whatever form they were read from. */
+import type { ConsensusOptions } from '../consensus/index.js';
 
 export interface NodeSettings {
   /** Unique name of the machine. */
@@ -23,10 +24,16 @@
 }
 
 /**
- * A restarted member's first election comes early, since a whole group that lost power has no
- * leader to wait for; where there is one, the pre-vote disturbs nobody. In milliseconds.
+ * Timing of the groups of these processes. Members are a few milliseconds apart. A restarted
+ * member's first election comes early, since a whole group that lost power has no leader to wait
+ * for; where there is one, the pre-vote disturbs nobody.
  */
-export const STARTUP_ELECTION_TIMEOUT_MS = 120;
+export const GROUP_TIMING: ConsensusOptions = {
+  heartbeatIntervalMs: 60,
+  electionTimeoutMs: 300,
+  startupElectionTimeoutMs: 40,
+  disconnectTimeoutMs: 130,
+};
 
 /** Voters of a group that must outlive so many lost machines. */
 export function votersFor(toleratedLosses: number): number {
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -18,9 +18,13 @@
 import { MethodRouter } from './method.js';
 import { type CallOptions, RpcConnection } from './rpc-connection.js';
 
-const CONNECT_TIMEOUT_MS = 1_000;
-const HANDSHAKE_TIMEOUT_MS = 2_000;
-const MAXIMUM_RECONNECT_DELAY_MS = 300;
+/**
+ * A machine without power answers nothing, and the system repeats an unanswered opening packet only
+ * after a second; a fresh try finds a machine that came back much sooner.
+ */
+const CONNECT_TIMEOUT_MS = 200;
+const HANDSHAKE_TIMEOUT_MS = 400;
+const MAXIMUM_RECONNECT_DELAY_MS = 100;
 
 export interface PeerLinkOptions {
   /** `host:port` to connect to. */
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -17,7 +17,7 @@
   method: string;
 }
 
-/** A shorter silence after a request says nothing about the connection. */
+/** A shorter silence after the first unanswered request says nothing about the connection. */
 const DEAD_AFTER_SILENCE_MS = 250;
 
 export interface CallOptions {
@@ -28,6 +28,8 @@
 export class RpcConnection {
   private nextId = 1;
   private readonly pending = new Map<number, PendingCall>();
+  /** When the first request went out after the last bytes came in (monotonic, milliseconds). */
+  private awaitingSince: number | undefined;
 
   constructor(
     private readonly socket: FramedSocket,
@@ -64,8 +66,8 @@
     if (!this.socket.isOpen) return Promise.reject(this.linkError(method.name));
     const id = this.nextId++;
     const deferred = new Deferred<unknown>();
-    const sentAt = monotonicMs();
-    const timer = setTimeout(() => this.timeOut(id, sentAt), options.timeoutMs);
+    this.awaitingSince ??= monotonicMs();
+    const timer = setTimeout(() => this.timeOut(id), options.timeoutMs);
     this.pending.set(id, { deferred, timer, method: method.name });
     this.socket.send({ k: 'q', i: id, m: method.name, b: request } satisfies Envelope);
     return deferred.promise as Promise<Response>;
@@ -80,7 +82,7 @@
     this.socket.destroy();
   }
 
-  private timeOut(id: number, sentAt: number): void {
+  private timeOut(id: number): void {
     const call = this.pending.get(id);
     if (!call) return;
     this.pending.delete(id);
@@ -91,12 +93,14 @@
         retriable: true,
       }),
     );
-    // Not a byte since the request went out: the connection is likely dead without a sign.
-    const isSilent = this.socket.lastReceivedMs < sentAt;
-    if (isSilent && monotonicMs() - sentAt >= DEAD_AFTER_SILENCE_MS) this.socket.destroy();
+    // Not a byte since a request went out: the connection is likely dead without a sign.
+    if (this.awaitingSince === undefined) return;
+    const silentSince = Math.max(this.awaitingSince, this.socket.lastReceivedMs);
+    if (monotonicMs() - silentSince >= DEAD_AFTER_SILENCE_MS) this.socket.destroy();
   }
 
   private receive(envelope: Envelope): void {
+    this.awaitingSince = undefined;
     switch (envelope.k) {
       case 'q':
         void this.answer(envelope.i, envelope.m, envelope.b);
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -14,7 +14,7 @@
 import type { MethodRouter } from './method.js';
 import { RpcConnection } from './rpc-connection.js';
 
-const HANDSHAKE_TIMEOUT_MS = 3_000;
+const HANDSHAKE_TIMEOUT_MS = 1_000;
 
 export interface RpcServerOptions {
   host: string;
@@ -22,6 +22,8 @@
   port: number;
   secret: string;
   router: MethodRouter;
+  /** Called when a connection of a peer has closed. @default nothing */
+  onDisconnect?: (peerName: string) => void;
 }
 
 export class RpcServer {
@@ -60,6 +62,7 @@
       this.connections.add(connection);
       await connection.closed;
       this.connections.delete(connection);
+      this.options.onDisconnect?.(name);
     } catch {
       framed.destroy();
     }
--- a/src/wire/wire.test.ts
+++ b/src/wire/wire.test.ts
@@ -1,5 +1,5 @@
 /** Authenticated requests over real sockets. */
-import { connect } from 'node:net';
+import { type AddressInfo, connect, createServer } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { sleep } from '../common/index.js';
@@ -82,6 +82,49 @@
     expect(await link.waitConnected(5_000)).toBe(true);
   });
 
+  it('soon tries again where a connection was taken but nobody speaks', async () => {
+    const server = await startServer();
+    let taken = 0;
+    const front = createServer((socket) => {
+      taken += 1;
+      socket.on('error', () => undefined);
+      if (taken === 1) return;
+      const onward = connect({ host: HOST, port: server.port });
+      onward.on('error', () => undefined);
+      socket.pipe(onward).pipe(socket);
+    });
+    await new Promise<void>((resolve) => front.listen(0, HOST, resolve));
+    const { port } = front.address() as AddressInfo;
+    const link = new PeerLink({ address: `${HOST}:${port}`, ownName: 'client', secret: SECRET });
+    closing.push(
+      () => link.close(),
+      () => front.close(),
+    );
+    expect(await link.waitConnected(1_500)).toBe(true);
+  });
+
+  it('gives a connection up on which short calls have met silence for long enough', async () => {
+    const link = linkTo(await startServer());
+    await link.waitConnected(5_000);
+    for (let call = 0; call < 3; call += 1) {
+      await expect(link.call(HANG, {}, { timeoutMs: 100 })).rejects.toThrow();
+    }
+    await waitUntil('a new connection', () => !link.isConnected);
+  });
+
+  it('tells the server who has left', async () => {
+    const left: string[] = [];
+    const onDisconnect = (name: string): void => void left.push(name);
+    const options = { host: HOST, port: 0, secret: SECRET, router: new MethodRouter() };
+    const server = await RpcServer.start({ ...options, onDisconnect });
+    closing.push(() => server.close());
+    const link = linkTo(server);
+    await link.waitConnected(5_000);
+    link.close();
+    await waitUntil('told', () => left.length > 0);
+    expect(left).toEqual(['client']);
+  });
+
   it('comes back when the peer does', async () => {
     const server = await startServer();
     const link = linkTo(server);
