The ledger tells a turn where the one before it ran; mute back ends are avoided

Settlements now name the back end that answered, by session; a reservation brings it back. It costs no message of its own.

A back end that owes answers and has not sent a byte for 700 ms counts as suspect, since the hint would otherwise bring turns back to a runner that went dark until its heartbeats are missed (2.6 s).

Reservation and settlement of turns are a module of their own (turn-reservations.ts).

Ruled out: more guessed homes by hashing; the guess is right only in as many cases as there are homes.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -8,6 +8,8 @@
 const REMEMBERED_PARTS = 4_000;
 const FIRST_SUSPICION_MS = 500;
 const LONGEST_SUSPICION_MS = 5_000;
+/** A back end that owes answers is suspect after so long without a byte, in milliseconds. */
+const MUTE_AFTER_MS = 700;
 
 /** One back end and what this gateway does there. */
 export class BackendState {
@@ -19,6 +21,8 @@
   private readonly parts = new LRUCache<string, true>({ max: REMEMBERED_PARTS });
   private suspectUntil = 0;
   private failures = 0;
+  /** When this gateway last heard of it, or began to wait for it (monotonic, milliseconds). */
+  private heardAt = 0;
 
   constructor(
     public record: BackendRecord,
@@ -36,7 +40,29 @@
   }
 
   get isSuspect(): boolean {
-    return this.record.isSilent || monotonicMs() < this.suspectUntil;
+    return this.record.isSilent || monotonicMs() < this.suspectUntil || this.isMute;
+  }
+
+  /** Whether answers are due here and not a byte has come for a while. */
+  get isMute(): boolean {
+    return this.inFlight > 0 && monotonicMs() - this.heardAt > MUTE_AFTER_MS;
+  }
+
+  /** A call is sent here. */
+  beginCall(parts: readonly PromptPart[]): void {
+    if (this.inFlight === 0) this.heardAt = monotonicMs();
+    this.inFlight += 1;
+    for (const part of parts) this.parts.set(part.id, true);
+  }
+
+  /** A call that was sent here is over. */
+  endCall(): void {
+    this.inFlight -= 1;
+  }
+
+  /** Bytes of an answer came in. */
+  noteHeard(): void {
+    this.heardAt = monotonicMs();
   }
 
   /** A call failed in a way that speaks against the back end. */
@@ -51,10 +77,6 @@
     this.suspectUntil = 0;
   }
 
-  notePrompt(parts: readonly PromptPart[]): void {
-    for (const part of parts) this.parts.set(part.id, true);
-  }
-
   /** Tokens of a prompt that this gateway has not sent here before. */
   missingTokens(parts: readonly PromptPart[]): number {
     const firstMissing = parts.findIndex((part) => !this.parts.has(part.id));
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,6 +1,6 @@
 /** Takes calls from their arrival to their final answer: route, reservation, sends, settlement. */
-import { describeError, monotonicMs } from '../common/index.js';
-import { type LedgerClient, TurnHistoryCache } from '../ledger/index.js';
+import { monotonicMs } from '../common/index.js';
+import type { LedgerClient } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, RouteTable } from '../routes/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
@@ -10,6 +10,7 @@
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { StreamRelay } from './stream-relay.js';
+import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
 
 export interface CallForwarderOptions {
   /** The routes in force; undefined before the first configuration. */
@@ -26,10 +27,6 @@
   metrics: ForwardingMetrics;
 }
 
-/** Share of the time left that a reservation may take. */
-const RESERVE_TIME_SHARE = 0.6;
-/** Extra time for keeping a turn beyond the call's own limit, in milliseconds. */
-const KEEP_SLACK_MS = 300;
 /** An unknown route may be one that was added lately, if the directory is older than this. */
 const ROUTE_NEWS_AGE_MS = 1_500;
 /** How long a call may wait for the first configuration of a process that starts, in milliseconds. */
@@ -39,28 +36,18 @@
 /** When to come back to a process that has not heard of its group's leader, in milliseconds. */
 const RETRY_AFTER_LEADER_MS = 300;
 
-interface Reservation {
-  program: string;
-  attempt: string;
-  previousTurn?: string;
-  history?: Uint8Array;
-  /** How long the ledger took, in milliseconds. */
-  tookMs: number;
-  /** Most tokens taken from this gateway's allowance, if the ledger could not be asked. */
-  allowanceTaken?: number;
-}
-
-/** A call was refused before it was sent anywhere. */
-class RefusedError extends Error {
-  constructor(readonly reason: RefusalReason) {
-    super(reason);
-  }
-}
-
 export class CallForwarder {
-  private readonly histories = new TurnHistoryCache();
-
-  constructor(private readonly options: CallForwarderOptions) {}
+  private readonly turns: TurnReservations;
+
+  constructor(private readonly options: CallForwarderOptions) {
+    const { ledger, logger, metrics } = options;
+    this.turns = new TurnReservations({
+      ledger,
+      logger,
+      metrics,
+      tokensPerEvent: (service) => this.tokensPerEvent(service),
+    });
+  }
 
   /** Resolves when the call has its final answer. */
   async handle(exchange: CallExchange): Promise<void> {
@@ -93,7 +80,7 @@
     const { description } = exchange;
     const limitMs = Math.min(description.patienceMs ?? Infinity, route.route.timeoutMs);
     const deadlineMs = exchange.arrivedAt + limitMs;
-    const reservation = await this.reserve(exchange, route, deadlineMs);
+    const reservation = await this.turns.reserve(exchange, route.route, deadlineMs);
     const run = new CallRun({
       exchange,
       route,
@@ -101,71 +88,19 @@
       deadlineMs,
       backends: this.options.backends,
       placement: this.options.placement,
+      promptHolder: reservation?.lastBackend,
       protocol: this.options.protocol,
     });
     const ending = await run.run();
-    const final = await this.finish(exchange, run, ending, route, reservation, deadlineMs);
+    const final = reservation
+      ? await this.turns.settle({ exchange, run, ending, route, reservation, deadlineMs })
+      : ending;
+    this.finish(exchange, run, final);
     this.record(exchange, route, final, run, reservation);
   }
 
-  /** Sets the turn's tokens aside and reads what it continues from, where its route asks for it. */
-  private async reserve(
-    exchange: CallExchange,
-    { route }: CompiledRoute,
-    deadlineMs: number,
-  ): Promise<Reservation | undefined> {
-    const { description } = exchange;
-    const { program, previousTurn, mostTokens } = description;
-    const isTurn = route.kind === 'streaming';
-    if (!isTurn || (program?.budgetTokens === undefined && !route.retainsTurns)) return undefined;
-    const attempt = description.id!;
-    const key = program?.id ?? attempt;
-    const budgetTokens = program?.budgetTokens;
-    const timeoutMs = (deadlineMs - monotonicMs()) * RESERVE_TIME_SHARE;
-    const startedAt = monotonicMs();
-    const continued = route.retainsTurns ? previousTurn : undefined;
-    const known = continued === undefined ? undefined : this.histories.find(continued);
-    const request = {
-      program: key,
-      attempt,
-      budgetTokens,
-      mostTokens,
-      previousTurn: continued,
-      wantsHistory: known === undefined,
-    };
-    try {
-      const answer = await this.options.ledger.reserve(request, timeoutMs, !route.retainsTurns);
-      const tookMs = monotonicMs() - startedAt;
-      this.options.metrics.reservation.observe(tookMs / 1_000);
-      if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
-      const history = known ?? answer.history;
-      if (continued !== undefined && !history) throw new RefusedError('ledger-unavailable');
-      const { allowanceTaken } = answer;
-      return { program: key, attempt, previousTurn: continued, history, tookMs, allowanceTaken };
-    } catch (error) {
-      if (error instanceof RefusedError) throw error;
-      this.options.logger.warn('reservation failed', {
-        call: attempt,
-        program: key,
-        reason: describeError(error),
-      });
-      this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
-      throw new RefusedError('ledger-unavailable');
-    }
-  }
-
-  /** Settles the reservation and gives the caller its final answer. */
-  private async finish(
-    exchange: CallExchange,
-    run: CallRun,
-    ending: CallEnding,
-    route: CompiledRoute,
-    reservation: Reservation | undefined,
-    deadlineMs: number,
-  ): Promise<CallEnding> {
-    const final = reservation
-      ? await this.settle(exchange, run, ending, route, reservation, deadlineMs)
-      : ending;
+  /** Gives the caller its final answer. */
+  private finish(exchange: CallExchange, run: CallRun, final: CallEnding): void {
     switch (final.kind) {
       case 'answered':
         run.answer.end();
@@ -179,47 +114,6 @@
       case 'abandoned':
         break;
     }
-    return final;
-  }
-
-  private async settle(
-    exchange: CallExchange,
-    run: CallRun,
-    ending: CallEnding,
-    { route }: CompiledRoute,
-    reservation: Reservation,
-    deadlineMs: number,
-  ): Promise<CallEnding> {
-    const { ledger } = this.options;
-    const { program, attempt, previousTurn } = reservation;
-    const relay = run.answer as StreamRelay;
-    const spentTokens = relay.events * this.tokensPerEvent(run.serviceName);
-    const isKept = route.retainsTurns && ending.kind === 'answered' && relay.isStream;
-    if (reservation.allowanceTaken !== undefined) {
-      ledger.settleAllowance({ program, attempt, spentTokens }, reservation.allowanceTaken);
-      return ending;
-    }
-    if (!isKept) {
-      ledger.settleLater({ program, attempt, spentTokens });
-      return ending;
-    }
-    const input = exchange.description.body;
-    const output = relay.collectedOutput;
-    const keep = { previousTurn, input, output, retentionMs: route.retentionMs };
-    const timeoutMs = Math.max(KEEP_SLACK_MS, deadlineMs - monotonicMs());
-    try {
-      await ledger.settle({ program, attempt, spentTokens, keep }, timeoutMs);
-      this.histories.remember(attempt, reservation.history, input, output);
-      return ending;
-    } catch (error) {
-      this.options.logger.warn('turn not kept', {
-        call: attempt,
-        program,
-        reason: describeError(error),
-      });
-      ledger.settleLater({ program, attempt, spentTokens });
-      return { kind: 'broken-off' };
-    }
   }
 
   private tokensPerEvent(service: string): number {
@@ -257,6 +151,7 @@
       budget: exchange.description.program?.budgetTokens,
       most: exchange.description.mostTokens || undefined,
       events: run?.answer instanceof StreamRelay ? run.answer.events : undefined,
+      holder: reservation?.lastBackend,
       sends: run && describeSends(run),
     };
     if (ending.kind === 'answered') this.options.logger.info('call', fields);
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -25,6 +25,8 @@
   deadlineMs: number;
   backends: BackendView;
   placement: Placement;
+  /** Id of the back end that most likely holds the prompt of the turns before, if that is known. */
+  promptHolder?: string;
   protocol: BackendProtocol;
 }
 
@@ -66,6 +68,12 @@
       : new BufferedAnswer(exchange);
   }
 
+  /** Id of the back end whose whole answer was passed on. */
+  get answeredBy(): string | undefined {
+    const last = this.sends.at(-1);
+    return last?.result === 'complete' ? last.backend : undefined;
+  }
+
   get serviceName(): string {
     return this.service;
   }
@@ -98,8 +106,11 @@
     if (this.stayWith) return this.stayWith;
     if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
     const candidates = this.options.backends.serving(this.service);
-    const { description } = this.options.exchange;
-    return this.options.placement.choose(candidates, description, this.excluded);
+    return this.options.placement.choose(candidates, {
+      call: this.options.exchange.description,
+      excluded: this.excluded,
+      promptHolder: this.options.promptHolder,
+    });
   }
 
   private async sendTo(backend: BackendState): Promise<SendResult> {
@@ -114,15 +125,15 @@
     });
     const callId = description.id;
     const sink = this.answer;
-    const attempt = new SendAttempt({ protocol, connection, request, body, callId, sink });
+    const onHeard = (): void => backend.noteHeard();
+    const attempt = new SendAttempt({ protocol, connection, request, body, callId, sink, onHeard });
     sink.onceReadable(() => attempt.resume());
     this.attempt = attempt;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
     const sentAt = monotonicMs();
-    backend.inFlight += 1;
-    backend.notePrompt(description.promptParts);
+    backend.beginCall(description.promptParts);
     const result = await attempt.run();
-    backend.inFlight -= 1;
+    backend.endCall();
     this.attempt = undefined;
     const cause = 'cause' in result ? result.cause : undefined;
     const headMs = attempt.headAt === undefined ? undefined : attempt.headAt - sentAt;
--- a/src/forwarding/placement.test.ts
+++ b/src/forwarding/placement.test.ts
@@ -1,5 +1,6 @@
 /** Where calls are placed. */
 import { describe, expect, it } from 'vitest';
+import { sleep } from '../common/index.js';
 import type { BackendRecord } from '../directory/index.js';
 import { BackendView } from './backend-view.js';
 import type { CallDescription } from './call-exchange.js';
@@ -8,6 +9,7 @@
 const SERVICE = 'engines';
 const ENGINES = 10;
 const SLOTS = 12;
+const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
 
 function records(overrides: Partial<BackendRecord> = {}): BackendRecord[] {
   return Array.from({ length: ENGINES }, (_, index) => ({
@@ -42,8 +44,8 @@
   const view = new BackendView(() => 100);
   view.update(records());
   const placement = new Placement({ zone: 'z1', prefillTokensPerMs: 250 });
-  const choose = (call: CallDescription) =>
-    placement.choose(view.serving(SERVICE), call, new Set())!;
+  const choose = (call: CallDescription, promptHolder?: string) =>
+    placement.choose(view.serving(SERVICE), { call, excluded: NOTHING_EXCLUDED, promptHolder })!;
   return { view, choose };
 }
 
@@ -56,10 +58,11 @@
         ['own', 800],
       ]),
     );
-    first.notePrompt([
+    first.beginCall([
       { id: 'shared', tokens: 12_000 },
       { id: 'own', tokens: 800 },
     ]);
+    first.endCall();
     for (let round = 0; round < 20; round += 1) {
       const next = turn('p', [
         ['shared', 12_000],
@@ -70,6 +73,33 @@
     }
   });
 
+  it('sends a turn that came through another gateway to where the turns before ran', () => {
+    for (let engine = 0; engine < ENGINES; engine += 1) {
+      const { choose } = gateway();
+      const call = turn('p', [
+        ['shared', 12_000],
+        ['first', 3_000],
+        ['second', 800],
+      ]);
+      expect(choose(call, `e${engine}`).id).toBe(`e${engine}`);
+    }
+  });
+
+  it('leaves the holder of a prompt that is full, failed lately, or is gone', () => {
+    const { view, choose } = gateway();
+    const call = turn('p', [
+      ['shared', 2_000],
+      ['first', 800],
+      ['second', 100],
+    ]);
+    const [full, failed] = view.serving(SERVICE);
+    full!.inFlight = SLOTS + 5;
+    failed!.noteFailure();
+    expect(choose(call, full!.id).id).not.toBe(full!.id);
+    expect(choose(call, failed!.id).id).not.toBe(failed!.id);
+    expect(choose(call, 'gone')).toBeDefined();
+  });
+
   it('leaves the cached prompt when waiting there costs more', () => {
     const { choose } = gateway();
     const parts: [string, number][] = [
@@ -78,7 +108,7 @@
       ['more', 100],
     ];
     const home = choose(turn('p', parts));
-    home.notePrompt(turn('p', parts).promptParts);
+    home.beginCall(turn('p', parts).promptParts);
     home.inFlight = SLOTS + 5;
     const moved = Array.from({ length: 10 }, () => choose(turn('p', parts)).id);
     expect(moved).not.toContain(home.id);
@@ -93,12 +123,31 @@
     expect(choose(turn('p', [['a', 10]]))).toBeDefined();
   });
 
+  it('avoids a back end that owes answers and has not sent a byte for a while', async () => {
+    const { view, choose } = gateway();
+    const call = turn('p', [
+      ['shared', 2_000],
+      ['first', 800],
+      ['second', 100],
+    ]);
+    const [mute, busy] = view.serving(SERVICE);
+    mute!.beginCall([]);
+    busy!.beginCall([]);
+    await sleep(800);
+    busy!.noteHeard();
+    expect(choose(call, mute!.id).id).not.toBe(mute!.id);
+    expect(choose(call, busy!.id).id).toBe(busy!.id);
+    mute!.endCall();
+    expect(choose(call, mute!.id).id).toBe(mute!.id);
+  });
+
   it('takes no back end that is leaving or has no connection left', () => {
     const view = new BackendView(() => 0);
     view.update(records());
     const placement = new Placement({ zone: 'z1', prefillTokensPerMs: 250 });
     const call = turn('p', [['a', 10]]);
-    expect(placement.choose(view.serving(SERVICE), call, new Set())).toBeUndefined();
+    const request = { call, excluded: NOTHING_EXCLUDED };
+    expect(placement.choose(view.serving(SERVICE), request)).toBeUndefined();
     view.update(records({ phase: 'draining' }));
     expect(view.serving(SERVICE)).toHaveLength(0);
   });
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -31,32 +31,47 @@
 /** How likely such a back end holds what this gateway never sent there. */
 const HOME_HIT_SHARE = 0.5;
 
+/** One call to be placed. */
+export interface PlacementRequest {
+  call: CallDescription;
+  /** Ids of back ends that are out of the question. */
+  excluded: ReadonlySet<string>;
+  /** Id of the back end that most likely holds the prompt of the turns before. */
+  promptHolder?: string;
+}
+
+/** What the cost of a back end follows from. */
+interface CostInput {
+  call: CallDescription;
+  homes: readonly BackendState[];
+  promptHolder?: string;
+}
+
 export class Placement {
   constructor(private readonly options: PlacementOptions) {}
 
   /** @returns the cheapest back end that has room, if any */
   choose(
     candidates: readonly BackendState[],
-    call: CallDescription,
-    excluded: ReadonlySet<string>,
+    { call, excluded, promptHolder }: PlacementRequest,
   ): BackendState | undefined {
     const usable = candidates.filter(
       (candidate) => !excluded.has(candidate.id) && candidate.connections.hasRoom,
     );
     const homes = likelyHomes(call, usable, this.options.zone);
-    const shortlist = call.promptParts.length > 0 ? shortlistOf(call, usable, homes) : usable;
-    return this.cheapest(shortlist, call, homes) ?? this.cheapest(usable, call, homes);
+    const input = { call, homes, promptHolder };
+    const shortlist = call.promptParts.length > 0 ? shortlistOf(usable, input) : usable;
+    return this.cheapest(shortlist, input) ?? this.cheapest(usable, input);
   }
 
   private cheapest(
     candidates: readonly BackendState[],
-    call: CallDescription,
-    homes: readonly BackendState[],
+    input: CostInput,
   ): BackendState | undefined {
     let best: BackendState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const candidate of candidates) {
-      const cost = this.cost(candidate, call, homes) + Math.random();
+      const cost = this.cost(candidate, input) + Math.random();
       if (cost >= bestCost) continue;
       best = candidate;
       bestCost = cost;
@@ -64,57 +79,55 @@
     return best;
   }
 
-  private cost(
-    backend: BackendState,
-    call: CallDescription,
-    homes: readonly BackendState[],
-  ): number {
+  private cost(backend: BackendState, input: CostInput): number {
     const { slots, zone } = backend.record;
     const { load } = backend;
     const queueMs = Math.max(0, load + 1 - slots) * QUEUE_MS_PER_CALL;
     const suspectMs = backend.isSuspect ? SUSPECT_MS : 0;
-    const isModelCall = call.promptParts.length > 0;
+    const isModelCall = input.call.promptParts.length > 0;
     const crossZoneMs = isModelCall ? MODEL_CROSS_ZONE_MS : CROSS_ZONE_MS;
     const zoneMs = zone === this.options.zone ? 0 : crossZoneMs;
     const workMs = isModelCall
-      ? this.readingMs(backend, call, homes) + load * BATCH_MS_PER_CALL
-      : load * SERVICE_MS_PER_CALL - (homes[0] === backend ? AFFINITY_MS : 0);
+      ? this.readingMs(backend, input) + load * BATCH_MS_PER_CALL
+      : load * SERVICE_MS_PER_CALL - (input.homes[0] === backend ? AFFINITY_MS : 0);
     return queueMs + zoneMs + suspectMs + workMs;
   }
 
   /** Time to read the part of the prompt that is not cached, with what it costs the others. */
-  private readingMs(
-    backend: BackendState,
-    call: CallDescription,
-    homes: readonly BackendState[],
-  ): number {
-    const own = call.promptParts.at(-1)?.tokens ?? 0;
-    let missing = backend.missingTokens(call.promptParts);
-    const isContinuation = call.promptParts.length > FIRST_TURN_PARTS;
-    if (isContinuation && homes.includes(backend)) {
-      missing = own + (missing - own) * (1 - HOME_HIT_SHARE);
-    }
+  private readingMs(backend: BackendState, input: CostInput): number {
+    const missing = missingTokensAt(backend, input);
     const aloneMs = missing / this.options.prefillTokensPerMs;
     return aloneMs * (1 + backend.load * READING_STALL_SHARE);
   }
 }
 
+/** Tokens of the prompt that a back end most likely has to read. */
+function missingTokensAt(backend: BackendState, { call, homes, promptHolder }: CostInput): number {
+  const own = call.promptParts.at(-1)?.tokens ?? 0;
+  const missing = backend.missingTokens(call.promptParts);
+  if (backend.id === promptHolder) return Math.min(own, missing);
+  const isGuess = promptHolder === undefined && call.promptParts.length > FIRST_TURN_PARTS;
+  if (!isGuess || !homes.includes(backend)) return missing;
+  return own + (missing - own) * (1 - HOME_HIT_SHARE);
+}
+
 /** A first turn holds what is shared and its own input. */
 const FIRST_TURN_PARTS = 2;
 
 /**
- * Few candidates for a model call: its likely homes, the back end that is known to hold most of its
- * prompt, and one drawn at random. Gateways share load figures that are a moment old; if each of
+ * Few candidates for a model call: its likely homes, the back ends that are known to hold most of
+ * its prompt, and one drawn at random. Gateways share load figures that are a moment old; if each of
  * them took the lowest of all, they would all take the same.
  */
 function shortlistOf(
-  call: CallDescription,
   candidates: readonly BackendState[],
-  homes: readonly BackendState[],
+  { call, homes, promptHolder }: CostInput,
 ): BackendState[] {
   const shortlist = new Set(homes);
   const holder = call.promptParts.length > FIRST_TURN_PARTS && bestHolder(call, candidates);
   if (holder) shortlist.add(holder);
+  const told = candidates.find(({ id }) => id === promptHolder);
+  if (told) shortlist.add(told);
   const drawn = candidates[Math.floor(Math.random() * candidates.length)];
   if (drawn) shortlist.add(drawn);
   return [...shortlist].filter((candidate) => !candidate.isSuspect);
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -33,6 +33,8 @@
   body: Buffer;
   callId: string | undefined;
   sink: AnswerSink;
+  /** Called when bytes of the answer come in. */
+  onHeard: () => void;
 }
 
 export class SendAttempt implements Dispatcher.DispatchHandler {
@@ -92,6 +94,7 @@
   ): void {
     if (statusCode < 200) return;
     this.headAt = performance.now();
+    this.options.onHeard();
     const rawHeaders = textOf(controller.rawHeaders);
     const verdict = this.options.protocol.readHead(statusCode, rawHeaders);
     this.verdict = verdict;
@@ -116,6 +119,7 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.options.onHeard();
     if (this.stopReason) return;
     if (!this.options.sink.onData(chunk)) controller.pause();
   }
--- /dev/null
+++ b/src/forwarding/turn-reservations.ts
@@ -0,0 +1,168 @@
+/**
+ * What a turn sets aside at the ledger before it is sent, and how that is settled when it is over.
+ */
+import { describeError, monotonicMs } from '../common/index.js';
+import { type LedgerClient, type TurnPlacement, TurnHistoryCache } from '../ledger/index.js';
+import type { Logger } from '../observability/index.js';
+import type { CompiledRoute, Route } from '../routes/index.js';
+import type { CallExchange, RefusalReason } from './call-exchange.js';
+import type { CallEnding, CallRun } from './call-run.js';
+import type { ForwardingMetrics } from './forwarding-metrics.js';
+import type { StreamRelay } from './stream-relay.js';
+
+export interface TurnReservationsOptions {
+  ledger: LedgerClient;
+  logger: Logger;
+  metrics: ForwardingMetrics;
+  /** Tokens in each event of a service's streams. */
+  tokensPerEvent: (service: string) => number;
+}
+
+/** A turn that may be sent. */
+export interface Reservation {
+  program: string;
+  attempt: string;
+  previousTurn?: string;
+  history?: Uint8Array;
+  /** How long the ledger took, in milliseconds. */
+  tookMs: number;
+  /** Most tokens taken from this gateway's allowance, if the ledger could not be asked. */
+  allowanceTaken?: number;
+  /** The back end that most likely holds the prompt of the turns before. */
+  lastBackend?: string;
+}
+
+/** A turn that was sent, or that ended before that. */
+export interface FinishedTurn {
+  exchange: CallExchange;
+  run: CallRun;
+  ending: CallEnding;
+  route: CompiledRoute;
+  reservation: Reservation;
+  /** Monotonic time by which the call must have its final answer, in milliseconds. */
+  deadlineMs: number;
+}
+
+/** A call was refused before it was sent anywhere. */
+export class RefusedError extends Error {
+  constructor(readonly reason: RefusalReason) {
+    super(reason);
+  }
+}
+
+/** Share of the time left that a reservation may take. */
+const RESERVE_TIME_SHARE = 0.6;
+/** Extra time for keeping a turn beyond the call's own limit, in milliseconds. */
+const KEEP_SLACK_MS = 300;
+
+export class TurnReservations {
+  private readonly histories = new TurnHistoryCache();
+
+  constructor(private readonly options: TurnReservationsOptions) {}
+
+  /**
+   * Sets the turn's tokens aside and reads what it continues from.
+   * @returns nothing where the route and the call ask for neither
+   * @throws RefusedError when the turn must not be sent
+   */
+  async reserve(
+    exchange: CallExchange,
+    route: Route,
+    deadlineMs: number,
+  ): Promise<Reservation | undefined> {
+    const { id, program } = exchange.description;
+    const isTurn = route.kind === 'streaming';
+    if (!isTurn || (program?.budgetTokens === undefined && !route.retainsTurns)) return undefined;
+    const attempt = id!;
+    const key = program?.id ?? attempt;
+    try {
+      return await this.ask(exchange, route, key, deadlineMs);
+    } catch (error) {
+      if (error instanceof RefusedError) throw error;
+      const reason = describeError(error);
+      this.options.logger.warn('reservation failed', { call: attempt, program: key, reason });
+      this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
+      throw new RefusedError('ledger-unavailable');
+    }
+  }
+
+  /**
+   * Replaces the reservation by what was passed on; a turn that is to be kept is committed first.
+   * @returns the ending that the caller may be told
+   */
+  async settle(turn: FinishedTurn): Promise<CallEnding> {
+    const { run, ending, route, reservation } = turn;
+    const { ledger } = this.options;
+    const { program, attempt, allowanceTaken } = reservation;
+    const relay = run.answer as StreamRelay;
+    const spentTokens = relay.events * this.options.tokensPerEvent(run.serviceName);
+    const settlement = { program, attempt, spentTokens, placement: placementOf(turn) };
+    if (allowanceTaken !== undefined) {
+      ledger.settleAllowance(settlement, allowanceTaken);
+      return ending;
+    }
+    const isKept = route.route.retainsTurns && ending.kind === 'answered' && relay.isStream;
+    if (isKept) return this.keep(turn, settlement, relay.collectedOutput);
+    ledger.settleLater(settlement);
+    return ending;
+  }
+
+  private async ask(
+    exchange: CallExchange,
+    route: Route,
+    program: string,
+    deadlineMs: number,
+  ): Promise<Reservation> {
+    const { description } = exchange;
+    const startedAt = monotonicMs();
+    const attempt = description.id!;
+    const previousTurn = route.retainsTurns ? description.previousTurn : undefined;
+    const known = previousTurn === undefined ? undefined : this.histories.find(previousTurn);
+    const request = {
+      program,
+      attempt,
+      budgetTokens: description.program?.budgetTokens,
+      mostTokens: description.mostTokens,
+      previousTurn,
+      session: description.program?.session,
+      wantsHistory: known === undefined,
+    };
+    const timeoutMs = (deadlineMs - startedAt) * RESERVE_TIME_SHARE;
+    const answer = await this.options.ledger.reserve(request, timeoutMs, !route.retainsTurns);
+    const tookMs = monotonicMs() - startedAt;
+    this.options.metrics.reservation.observe(tookMs / 1_000);
+    if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
+    const history = known ?? answer.history;
+    if (previousTurn !== undefined && !history) throw new RefusedError('ledger-unavailable');
+    const { allowanceTaken, lastBackend } = answer;
+    return { program, attempt, previousTurn, history, tookMs, allowanceTaken, lastBackend };
+  }
+
+  private async keep(
+    { exchange, ending, route, reservation, deadlineMs }: FinishedTurn,
+    settlement: { program: string; attempt: string; spentTokens: number },
+    output: Buffer,
+  ): Promise<CallEnding> {
+    const { ledger, logger } = this.options;
+    const { program, attempt, previousTurn, history } = reservation;
+    const input = exchange.description.body;
+    const keep = { previousTurn, input, output, retentionMs: route.route.retentionMs };
+    const timeoutMs = Math.max(KEEP_SLACK_MS, deadlineMs - monotonicMs());
+    try {
+      await ledger.settle({ ...settlement, keep }, timeoutMs);
+      this.histories.remember(attempt, history, input, output);
+      return ending;
+    } catch (error) {
+      logger.warn('turn not kept', { call: attempt, program, reason: describeError(error) });
+      ledger.settleLater(settlement);
+      return { kind: 'broken-off' };
+    }
+  }
+}
+
+/** Where a turn was answered, for the turns that follow it. */
+function placementOf({ exchange, run }: FinishedTurn): TurnPlacement | undefined {
+  const session = exchange.description.program?.session;
+  const backend = run.answeredBy;
+  return session === undefined || backend === undefined ? undefined : { session, backend };
+}
--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -5,3 +5,4 @@
 export { LedgerService } from './ledger-service.js';
 export { LedgerStateMachine } from './ledger-state-machine.js';
 export * from './messages.js';
+export type { TurnPlacement } from './program-placements.js';
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -1,4 +1,5 @@
 /** Commands of the replicated ledger of program budgets and kept turns. */
+import type { TurnPlacement } from './program-placements.js';
 
 /** Sets the most tokens of a turn aside before any of them can reach the caller. */
 export interface ReserveCommand {
@@ -14,6 +15,8 @@
   previousTurn?: string;
   /** One start of a gateway, which may be granted an allowance. */
   holder?: string;
+  /** The line of turns that this one belongs to. */
+  session?: string;
   /** The leader's clock, in milliseconds. */
   nowMs: number;
 }
@@ -42,6 +45,8 @@
   spentTokens: number;
   keep?: KeptTurn;
   draw?: AllowanceDraw;
+  /** Where the turn ran; absent when it was not answered. */
+  placement?: TurnPlacement;
   nowMs: number;
 }
 
@@ -53,4 +58,6 @@
   outcome: ReserveOutcome;
   /** Tokens that the holder may let the program spend while the ledger can't be reached. */
   allowanceTokens: number;
+  /** The back end that most likely holds the prompt of the turns before. */
+  lastBackend?: string;
 }
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -9,6 +9,7 @@
   SettleCommand,
 } from './ledger-commands.js';
 import { type EncodedAccount, ProgramBudgets } from './program-budgets.js';
+import { type EncodedPlacements, ProgramPlacements } from './program-placements.js';
 
 const SWEEP_INTERVAL_MS = 5_000;
 /** Turns are kept a little longer than promised, since clocks of leaders follow one another. */
@@ -18,11 +19,13 @@
   clockMs: number;
   accounts: EncodedAccount[];
   turns: EncodedTurn[];
+  placements?: EncodedPlacements[];
 }
 
 export class LedgerStateMachine implements StateMachine {
   readonly budgets = new ProgramBudgets();
   readonly turns = new KeptTurns();
+  readonly placements = new ProgramPlacements();
   private clock = 0;
   private sweptAtMs = 0;
 
@@ -43,6 +46,7 @@
       clockMs: this.clock,
       accounts: this.budgets.encode(),
       turns: this.turns.encode(),
+      placements: this.placements.encode(),
     };
     return encodeValue(encoded);
   }
@@ -53,6 +57,7 @@
     this.sweptAtMs = encoded.clockMs;
     this.budgets.restore(encoded.accounts);
     this.turns.restore(encoded.turns);
+    this.placements.restore(encoded.placements);
   }
 
   private reserve(command: ReserveCommand): ReserveResult {
@@ -61,12 +66,15 @@
     if (!isKnown) return { outcome: 'unknown-predecessor', allowanceTokens: 0 };
     const outcome = this.budgets.reserve(command) ? 'granted' : 'budget-exhausted';
     const allowanceTokens = outcome === 'granted' ? this.budgets.grantAllowance(command) : 0;
-    return { outcome, allowanceTokens };
+    const lastBackend = this.placements.find(command.program, command.session);
+    return { outcome, allowanceTokens, lastBackend };
   }
 
   private settle(command: SettleCommand): undefined {
     this.budgets.settle(command);
     if (command.keep) this.turns.keep(command.attempt, command.keep, this.clock);
+    const { program, placement } = command;
+    if (placement) this.placements.note(program, placement, this.clock);
   }
 
   private sweep(): void {
@@ -74,5 +82,6 @@
     this.sweptAtMs = this.clock;
     this.turns.expire(this.clock - EXPIRY_SLACK_MS);
     this.budgets.expire(this.clock);
+    this.placements.expire(this.clock);
   }
 }
--- a/src/ledger/ledger.test.ts
+++ b/src/ledger/ledger.test.ts
@@ -14,7 +14,7 @@
   nowMs = 0;
 
   reserve(attempt: string, options: ReserveOptions = {}): ReserveResult {
-    const { most = 100, budget = 1_000, previousTurn, holder } = options;
+    const { most = 100, budget = 1_000, previousTurn, holder, session } = options;
     return this.apply({
       kind: 'reserve',
       program: 'p',
@@ -23,6 +23,7 @@
       mostTokens: most,
       previousTurn,
       holder,
+      session,
       nowMs: this.nowMs,
     })!;
   }
@@ -50,7 +51,7 @@
     this.state = copy;
   }
 
-  private apply(command: LedgerCommand): ReserveResult | undefined {
+  apply(command: LedgerCommand): ReserveResult | undefined {
     return this.state.apply(encodeValue(command));
   }
 }
@@ -60,6 +61,7 @@
   budget?: number;
   previousTurn?: string;
   holder?: string;
+  session?: string;
 }
 
 describe('budgets', () => {
@@ -209,6 +211,38 @@
   });
 });
 
+describe('placements', () => {
+  function ranAt(ledger: Ledger, attempt: string, session: string, backend: string): void {
+    const { nowMs } = ledger;
+    const placement = { session, backend };
+    ledger.apply({ kind: 'settle', program: 'p', attempt, spentTokens: 1, placement, nowMs });
+  }
+
+  it('tell a turn where the one before it in its session ran', () => {
+    const ledger = new Ledger();
+    expect(ledger.reserve('a', { session: 's' }).lastBackend).toBeUndefined();
+    ranAt(ledger, 'a', 's', 'e1');
+    ranAt(ledger, 'b', 't', 'e2');
+    expect(ledger.reserve('c', { session: 's' }).lastBackend).toBe('e1');
+    ledger.restart();
+    expect(ledger.reserve('d', { session: 't' }).lastBackend).toBe('e2');
+  });
+
+  it('tell a new session of a program where the latest of the others ran', () => {
+    const ledger = new Ledger();
+    ranAt(ledger, 'a', 's', 'e1');
+    ranAt(ledger, 'b', 's', 'e2');
+    expect(ledger.reserve('c', { session: 'sub-agent' }).lastBackend).toBe('e2');
+  });
+
+  it('are forgotten when the program has rested for long', () => {
+    const ledger = new Ledger();
+    ranAt(ledger, 'a', 's', 'e1');
+    ledger.nowMs = 10 * 60_000;
+    expect(ledger.reserve('b', { session: 's' }).lastBackend).toBeUndefined();
+  });
+});
+
 describe('history cache', () => {
   it('continues what it has and forgets the oldest beyond its bound', () => {
     const cache = new TurnHistoryCache(12);
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between gateways and the ledger's leader. */
 import type { LeaderAnswer } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
-import type { ReserveCommand, ReserveOutcome, SettleCommand } from './ledger-commands.js';
+import type { ReserveCommand, ReserveResult, SettleCommand } from './ledger-commands.js';
 
 export const LEDGER_GROUP = 'ledger';
 
@@ -12,10 +12,7 @@
 
 export type SettleRequest = Omit<SettleCommand, 'kind' | 'nowMs'>;
 
-export interface ReserveAnswer {
-  outcome: ReserveOutcome;
-  /** Tokens that the holder may let the program spend while the ledger can't be reached. */
-  allowanceTokens: number;
+export interface ReserveAnswer extends ReserveResult {
   /** What the turn continues from, oldest first, when it names a predecessor. */
   history?: Uint8Array;
 }
