Settlements travel with reservations; a batch of them is one entry of the log

Waiting settlements now ride on the gateway's next reservation; those that find none go together, as one entry.

--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -10,6 +10,7 @@
   callLeader,
 } from '../consensus/index.js';
 import { AllowanceBook } from './allowance-book.js';
+import type { Settlement } from './ledger-commands.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
 import {
@@ -18,18 +19,15 @@
   type ReserveAnswer,
   type ReserveRequest,
   SETTLE,
-  type SettleRequest,
 } from './messages.js';
+import { type SettlementBatch, SettlementQueue } from './settlement-queue.js';
 
+/** How long settlements wait for a reservation that takes them along, in milliseconds. */
 const BATCH_DELAY_MS = 40;
-const MAX_BATCH = 64;
 const SETTLE_TIMEOUT_MS = 2_000;
 /** How long one leader may take over settlements, and over one reservation, in milliseconds. */
 const SETTLE_TRY_TIMEOUT_MS = 400;
 const RESERVE_TRY_TIMEOUT_MS = 250;
-/** Settlements that could not be delivered for so long are given up: the reservation stands. */
-const GIVE_UP_AFTER_MS = 30_000;
-
 /** How long a reservation may take where an allowance covers the turn, in milliseconds. */
 const COVERED_RESERVE_TIMEOUT_MS = 200;
 /** After a failure, covered turns don't ask the ledger for this time, in milliseconds. */
@@ -41,13 +39,8 @@
   allowanceTaken?: number;
 }
 
-interface QueuedSettlement {
-  request: SettleRequest;
-  queuedAt: number;
-}
-
 export class LedgerClient {
-  private readonly queue: QueuedSettlement[] = [];
+  private readonly queue = new SettlementQueue();
   private readonly allowances = new AllowanceBook();
   private isSending = false;
   private suspectUntil = 0;
@@ -61,16 +54,16 @@
 
   /** Settlements that wait to be delivered. */
   get queuedSettlements(): number {
-    return this.queue.length;
+    return this.queue.size;
   }
 
   /**
-   * Reserves a turn's most tokens.
+   * Reserves a turn's most tokens, and takes waiting settlements along.
    * @param mayUseAllowance whether the turn may run without the ledger's word
    * @throws GroupUnavailableError when no leader answered in time; the reservation may stand
    */
   async reserve(
-    request: Omit<ReserveRequest, 'holder'>,
+    request: Omit<ReserveRequest, 'holder' | 'settlements'>,
     timeoutMs: number,
     mayUseAllowance: boolean,
   ): Promise<Reserved> {
@@ -78,13 +71,19 @@
     const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
     if (isCovered && monotonicMs() < this.suspectUntil) return this.takeAllowance(request);
     const limitMs = isCovered ? Math.min(timeoutMs, COVERED_RESERVE_TIMEOUT_MS) : timeoutMs;
+    const limits = { timeoutMs: limitMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
+    const batch = this.queue.take();
+    const { settlements } = batch;
     try {
-      const limits = { timeoutMs: limitMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
-      const answer = await this.call(RESERVE, { ...request, holder: this.holder }, limits);
+      const whole = { ...request, holder: this.holder, settlements };
+      const answer = await this.call(RESERVE, whole, limits);
+      this.noteSettled(batch);
       this.suspectUntil = 0;
       this.allowances.update(program, answer.allowanceTokens);
       return answer;
     } catch (error) {
+      this.queue.putBack(batch);
+      this.sendSoon();
       this.suspectUntil = monotonicMs() + SUSPECT_MS;
       if (isCovered && this.allowances.covers(program, mostTokens)) {
         return this.takeAllowance(request);
@@ -94,22 +93,22 @@
   }
 
   /** The settlement of a turn that ran by the allowance. */
-  settleAllowance(request: SettleRequest, takenTokens: number): void {
-    const { program, spentTokens } = request;
+  settleAllowance(settlement: Settlement, takenTokens: number): void {
+    const { program, spentTokens } = settlement;
     this.allowances.giveBack(program, takenTokens - spentTokens);
-    this.settleLater({ ...request, draw: { holder: this.holder, tokens: spentTokens } });
+    this.settleLater({ ...settlement, draw: { holder: this.holder, tokens: spentTokens } });
   }
 
   /** Resolves once the settlement is committed. @throws GroupUnavailableError when it may not be */
-  async settle(request: SettleRequest, timeoutMs: number): Promise<void> {
+  async settle(settlement: Settlement, timeoutMs: number): Promise<void> {
     const limits = { timeoutMs, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
-    await this.call(SETTLE, { settlements: [request] }, limits);
+    await this.call(SETTLE, { settlements: [settlement] }, limits);
   }
 
   /** Settles soon, and again until it is committed. */
-  settleLater(request: SettleRequest): void {
-    this.queue.push({ request, queuedAt: monotonicMs() });
-    if (!this.isSending) void this.sendQueue();
+  settleLater(settlement: Settlement): void {
+    this.queue.add(settlement);
+    this.sendSoon();
   }
 
   private takeAllowance({
@@ -126,31 +125,37 @@
     return { outcome: 'granted', allowanceTokens: 0, allowanceTaken: mostTokens };
   }
 
+  private sendSoon(): void {
+    if (!this.isSending) void this.sendQueue();
+  }
+
   private async sendQueue(): Promise<void> {
     this.isSending = true;
-    while (this.queue.length > 0) {
+    while (this.queue.size > 0) {
       await sleep(BATCH_DELAY_MS);
-      const batch = this.queue.splice(0, MAX_BATCH);
-      const settlements = batch.map((queued) => queued.request);
-      try {
-        const limits = { timeoutMs: SETTLE_TIMEOUT_MS, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
-        await this.call(SETTLE, { settlements }, limits);
-        for (const { program, draw } of settlements) if (draw) this.allowances.confirm(program);
-      } catch (error) {
-        const now = monotonicMs();
-        const kept = batch.filter(
-          ({ request, queuedAt }) => request.draw || now - queuedAt < GIVE_UP_AFTER_MS,
-        );
-        this.queue.unshift(...kept);
-        this.logger.warn('settlements delayed', {
-          waiting: this.queue.length,
-          reason: describeError(error),
-        });
-      }
+      if (this.queue.size > 0) await this.sendBatch(this.queue.take());
     }
     this.isSending = false;
   }
 
+  private async sendBatch(batch: SettlementBatch): Promise<void> {
+    const limits = { timeoutMs: SETTLE_TIMEOUT_MS, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
+    try {
+      await this.call(SETTLE, { settlements: batch.settlements }, limits);
+      this.noteSettled(batch);
+    } catch (error) {
+      this.queue.putBack(batch);
+      const reason = describeError(error);
+      this.logger.warn('settlements delayed', { waiting: this.queue.size, reason });
+    }
+  }
+
+  private noteSettled(batch: SettlementBatch): void {
+    for (const { program, draw } of batch.settlements) {
+      if (draw) this.allowances.confirm(program);
+    }
+  }
+
   private call<Request, Answer>(
     method: Method<Request, LeaderAnswer<Answer>>,
     request: Request,
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -17,6 +17,8 @@
   holder?: string;
   /** The line of turns that this one belongs to. */
   session?: string;
+  /** Settlements of turns that are over; they count before the reservation does. */
+  settlements?: Settlement[];
   /** The leader's clock, in milliseconds. */
   nowMs: number;
 }
@@ -38,15 +40,20 @@
 }
 
 /** Replaces a reservation by what was really passed on, and keeps the turn if it is to be kept. */
-export interface SettleCommand {
-  kind: 'settle';
+export interface Settlement {
   program: string;
+  /** Id of the call attempt; a repeated settlement of the same attempt changes nothing. */
   attempt: string;
   spentTokens: number;
   keep?: KeptTurn;
   draw?: AllowanceDraw;
   /** Where the turn ran; absent when it was not answered. */
   placement?: TurnPlacement;
+}
+
+export interface SettleCommand {
+  kind: 'settle';
+  settlements: Settlement[];
   nowMs: number;
 }
 
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -9,7 +9,8 @@
   type ReserveAnswer,
   type ReserveRequest,
   SETTLE,
-  type SettleBatch,
+  type SettleAnswer,
+  type SettleRequest,
 } from './messages.js';
 
 export class LedgerService {
@@ -25,8 +26,8 @@
     router.handle(RESERVE, (request) =>
       answerAsLeader(this.findGroup(), (group) => this.reserve(group, request)),
     );
-    router.handle(SETTLE, (batch) =>
-      answerAsLeader(this.findGroup(), (group) => this.settle(group, batch)),
+    router.handle(SETTLE, (request) =>
+      answerAsLeader(this.findGroup(), (group) => this.settle(group, request)),
     );
   }
 
@@ -39,14 +40,12 @@
     return { ...result, history: this.stateMachine.turns.history(previousTurn) };
   }
 
-  private async settle(group: ReplicatedGroup, batch: SettleBatch): Promise<{ isSettled: true }> {
-    const nowMs = this.nowMs(group);
-    const commands = batch.settlements.map((settlement): LedgerCommand => ({
-      kind: 'settle',
-      ...settlement,
-      nowMs,
-    }));
-    await Promise.all(commands.map((command) => group.propose(encodeValue(command))));
+  private async settle(
+    group: ReplicatedGroup,
+    { settlements }: SettleRequest,
+  ): Promise<SettleAnswer> {
+    const command: LedgerCommand = { kind: 'settle', settlements, nowMs: this.nowMs(group) };
+    await group.propose(encodeValue(command));
     return { isSettled: true };
   }
 
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -7,6 +7,7 @@
   ReserveCommand,
   ReserveResult,
   SettleCommand,
+  Settlement,
 } from './ledger-commands.js';
 import { type EncodedAccount, ProgramBudgets } from './program-budgets.js';
 import { type EncodedPlacements, ProgramPlacements } from './program-placements.js';
@@ -38,7 +39,7 @@
     const command = decodeValue<LedgerCommand>(bytes);
     this.clock = Math.max(this.clock, command.nowMs);
     this.sweep();
-    return command.kind === 'reserve' ? this.reserve(command) : this.settle(command);
+    return command.kind === 'reserve' ? this.reserve(command) : this.settleAll(command);
   }
 
   snapshot(): Uint8Array {
@@ -61,19 +62,23 @@
   }
 
   private reserve(command: ReserveCommand): ReserveResult {
-    const { previousTurn } = command;
+    const { previousTurn, program, session } = command;
+    for (const settlement of command.settlements ?? []) this.settle(settlement);
     const isKnown = previousTurn === undefined || this.turns.has(previousTurn);
     if (!isKnown) return { outcome: 'unknown-predecessor', allowanceTokens: 0 };
     const outcome = this.budgets.reserve(command) ? 'granted' : 'budget-exhausted';
     const allowanceTokens = outcome === 'granted' ? this.budgets.grantAllowance(command) : 0;
-    const lastBackend = this.placements.find(command.program, command.session);
-    return { outcome, allowanceTokens, lastBackend };
+    return { outcome, allowanceTokens, lastBackend: this.placements.find(program, session) };
   }
 
-  private settle(command: SettleCommand): undefined {
-    this.budgets.settle(command);
-    if (command.keep) this.turns.keep(command.attempt, command.keep, this.clock);
-    const { program, placement } = command;
+  private settleAll(command: SettleCommand): undefined {
+    for (const settlement of command.settlements) this.settle(settlement);
+  }
+
+  private settle(settlement: Settlement): void {
+    const { program, attempt, keep, placement } = settlement;
+    this.budgets.settle(settlement, this.clock);
+    if (keep) this.turns.keep(attempt, keep, this.clock);
     if (placement) this.placements.note(program, placement, this.clock);
   }
 
--- a/src/ledger/ledger.test.ts
+++ b/src/ledger/ledger.test.ts
@@ -4,8 +4,9 @@
 import { encodeValue } from '../wire/index.js';
 import { AllowanceBook } from './allowance-book.js';
 import { TurnHistoryCache } from './history-cache.js';
-import type { LedgerCommand, ReserveResult } from './ledger-commands.js';
+import type { LedgerCommand, ReserveResult, Settlement } from './ledger-commands.js';
 import { LedgerStateMachine } from './ledger-state-machine.js';
+import { SettlementQueue } from './settlement-queue.js';
 
 const RETENTION_MS = 60_000;
 
@@ -14,7 +15,7 @@
   nowMs = 0;
 
   reserve(attempt: string, options: ReserveOptions = {}): ReserveResult {
-    const { most = 100, budget = 1_000, previousTurn, holder, session } = options;
+    const { most = 100, budget = 1_000, previousTurn, holder, session, settlements } = options;
     return this.apply({
       kind: 'reserve',
       program: 'p',
@@ -24,20 +25,24 @@
       previousTurn,
       holder,
       session,
+      settlements,
       nowMs: this.nowMs,
     })!;
   }
 
   settle(attempt: string, spentTokens: number, draw?: { holder: string; tokens: number }): void {
-    this.apply({ kind: 'settle', program: 'p', attempt, spentTokens, draw, nowMs: this.nowMs });
+    this.settleAll([{ program: 'p', attempt, spentTokens, draw }]);
   }
 
   keep(attempt: string, text: string, previousTurn?: string): void {
     const input = Buffer.from(`in-${text};`);
     const output = Buffer.from(`out-${text};`);
     const kept = { previousTurn, input, output, retentionMs: RETENTION_MS };
-    const { nowMs } = this;
-    this.apply({ kind: 'settle', program: 'p', attempt, spentTokens: 1, keep: kept, nowMs });
+    this.settleAll([{ program: 'p', attempt, spentTokens: 1, keep: kept }]);
+  }
+
+  settleAll(settlements: Settlement[]): void {
+    this.apply({ kind: 'settle', settlements, nowMs: this.nowMs });
   }
 
   history(id: string): string | undefined {
@@ -51,7 +56,7 @@
     this.state = copy;
   }
 
-  apply(command: LedgerCommand): ReserveResult | undefined {
+  private apply(command: LedgerCommand): ReserveResult | undefined {
     return this.state.apply(encodeValue(command));
   }
 }
@@ -62,6 +67,7 @@
   previousTurn?: string;
   holder?: string;
   session?: string;
+  settlements?: Settlement[];
 }
 
 describe('budgets', () => {
@@ -93,6 +99,16 @@
     expect(ledger.state.budgets.committedTokens('p')).toBe(30);
   });
 
+  it('counts settlements that come with a reservation before it', () => {
+    const ledger = new Ledger();
+    ledger.reserve('t0', { budget: 150 });
+    expect(ledger.reserve('t1', { budget: 150 }).outcome).toBe('budget-exhausted');
+    const settlements = [{ program: 'p', attempt: 't0', spentTokens: 30 }];
+    expect(ledger.reserve('t2', { budget: 150, settlements }).outcome).toBe('granted');
+    expect(ledger.reserve('t2', { budget: 150, settlements }).outcome).toBe('granted');
+    expect(ledger.state.budgets.committedTokens('p')).toBe(130);
+  });
+
   it('holds over a restart', () => {
     const ledger = new Ledger();
     ledger.reserve('t0', { budget: 250, holder: 'g' });
@@ -213,9 +229,8 @@
 
 describe('placements', () => {
   function ranAt(ledger: Ledger, attempt: string, session: string, backend: string): void {
-    const { nowMs } = ledger;
     const placement = { session, backend };
-    ledger.apply({ kind: 'settle', program: 'p', attempt, spentTokens: 1, placement, nowMs });
+    ledger.settleAll([{ program: 'p', attempt, spentTokens: 1, placement }]);
   }
 
   it('tell a turn where the one before it in its session ran', () => {
@@ -243,6 +258,20 @@
   });
 });
 
+describe('settlement queue', () => {
+  it('gives settlements out once, and again when they were put back', () => {
+    const queue = new SettlementQueue();
+    queue.add({ program: 'p', attempt: 'a', spentTokens: 1 });
+    queue.add({ program: 'p', attempt: 'b', spentTokens: 2 });
+    const batch = queue.take();
+    expect(batch.settlements.map(({ attempt }) => attempt)).toEqual(['a', 'b']);
+    expect(queue.take().settlements).toEqual([]);
+    queue.add({ program: 'p', attempt: 'c', spentTokens: 3 });
+    queue.putBack(batch);
+    expect(queue.take().settlements.map(({ attempt }) => attempt)).toEqual(['a', 'b', 'c']);
+  });
+});
+
 describe('history cache', () => {
   it('continues what it has and forgets the oldest beyond its bound', () => {
     const cache = new TurnHistoryCache(12);
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -10,20 +10,16 @@
   wantsHistory: boolean;
 }
 
-export type SettleRequest = Omit<SettleCommand, 'kind' | 'nowMs'>;
-
 export interface ReserveAnswer extends ReserveResult {
   /** What the turn continues from, oldest first, when it names a predecessor. */
   history?: Uint8Array;
 }
 
-export interface SettleBatch {
-  settlements: SettleRequest[];
-}
+export type SettleRequest = Omit<SettleCommand, 'kind' | 'nowMs'>;
 
 export interface SettleAnswer {
   isSettled: true;
 }
 
 export const RESERVE = defineMethod<ReserveRequest, LeaderAnswer<ReserveAnswer>>('ledger.reserve');
-export const SETTLE = defineMethod<SettleBatch, LeaderAnswer<SettleAnswer>>('ledger.settle');
+export const SETTLE = defineMethod<SettleRequest, LeaderAnswer<SettleAnswer>>('ledger.settle');
--- a/src/ledger/program-budgets.ts
+++ b/src/ledger/program-budgets.ts
@@ -3,7 +3,7 @@
  * for a moment while the ledger can't be reached. An allowance counts as committed from its grant
  * on, so a gateway that dies with one can't lead to spending beyond the budget.
  */
-import type { ReserveCommand, SettleCommand } from './ledger-commands.js';
+import type { ReserveCommand, Settlement } from './ledger-commands.js';
 
 interface ProgramAccount {
   spentTokens: number;
@@ -69,13 +69,12 @@
     return raised;
   }
 
-  settle(command: SettleCommand): void {
-    const account = this.account(command.program, command.nowMs);
-    if (account.settled.has(command.attempt)) return;
-    account.reserved.delete(command.attempt);
-    account.settled.add(command.attempt);
-    account.spentTokens += command.spentTokens;
-    const { draw } = command;
+  settle({ program, attempt, spentTokens, draw }: Settlement, nowMs: number): void {
+    const account = this.account(program, nowMs);
+    if (account.settled.has(attempt)) return;
+    account.reserved.delete(attempt);
+    account.settled.add(attempt);
+    account.spentTokens += spentTokens;
     if (!draw) return;
     const allowance = account.allowances.get(draw.holder) ?? 0;
     account.allowances.set(draw.holder, Math.max(0, allowance - draw.tokens));
