Kept turns go on by the allowance while no ledger leader answers; a failed first election is repeated soon

Such a turn now runs at once and its end waits for the commit, as before. Votes asked of members that were not up yet counted as refused, and the next election came after a whole time-out (300 to 600 ms); before any leader was heard it now comes after another start-up time.

Test first: turn-reservations.test.ts, 1 failed before (refused as ledger-unavailable), 2 passed after.

--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -23,6 +23,8 @@
 }
 
 export class FollowerDuty {
+  /** Whether any leader was heard since this process has been a member. */
+  hasHeardLeader = false;
   private leaderHeardAt = Number.NEGATIVE_INFINITY;
   /** Up to here the log is known to match the log of the leader of this term. */
   private matchedIndex = 0;
@@ -138,6 +140,7 @@
       group.becomeFollower(term, leaderId);
     }
     this.leaderHeardAt = monotonicMs();
+    this.hasHeardLeader = true;
     group.resetElectionDeadline();
   }
 
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -238,11 +238,15 @@
 
   private onElectionDue(): void {
     if (this.isStopped || this.isLeader) return;
-    this.resetElectionDeadline();
+    if (this.duty.hasHeardLeader) this.resetElectionDeadline();
+    else this.setFirstElectionDeadline();
     if (isVoter(this.configuration, this.ownId)) this.startElection(false);
   }
 
-  /** The first elections are spread by whole time-outs, so that groups prefer different leaders. */
+  /**
+   * The first elections are spread by whole time-outs, so that groups prefer different leaders. One
+   * that failed is repeated soon: the others may not have been up yet.
+   */
   private setFirstElectionDeadline(): void {
     const { startupElectionTimeoutMs } = this.environment.options;
     const waits = 1 + Math.random() + this.startupRank();
--- /dev/null
+++ b/src/forwarding/turn-reservations.test.ts
@@ -0,0 +1,125 @@
+/** Turns that are kept, while the ledger can't be reached for a moment. */
+import { describe, expect, it } from 'vitest';
+import { monotonicMs, sleep } from '../common/index.js';
+import { GroupClient, type PeerCaller } from '../consensus/index.js';
+import { LedgerClient, RESERVE, SETTLE, type SettleRequest } from '../ledger/index.js';
+import { createLogger } from '../observability/index.js';
+import type { CompiledRoute, Route } from '../routes/index.js';
+import type { Method } from '../wire/index.js';
+import type { CallExchange } from './call-exchange.js';
+import type { CallEnding, CallRun } from './call-run.js';
+import { ForwardingMetrics } from './forwarding-metrics.js';
+import { RefusedError, TurnReservations } from './turn-reservations.js';
+
+const ALLOWANCE = 200;
+const MOST_TOKENS = 100;
+const TOKENS_PER_EVENT = 10;
+const EVENTS = 3;
+const ROUTE: Route = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'streaming',
+  timeoutMs: 3_000,
+  objectiveMs: 200,
+  priority: 0,
+  parts: [{ service: 's', weight: 1 }],
+  maxAttempts: 1,
+  retainsTurns: true,
+  retentionMs: 60_000,
+  hasSessionAffinity: true,
+  isResumable: false,
+};
+
+class SwitchedLedger implements PeerCaller {
+  isUp = true;
+  readonly settled: SettleRequest[] = [];
+
+  isConnected(): boolean {
+    return this.isUp;
+  }
+
+  async call<Request, Response>(
+    _address: string,
+    method: Method<Request, Response>,
+    request: Request,
+  ): Promise<Response> {
+    if (!this.isUp) throw new Error('nobody answers');
+    if (method.name === SETTLE.name) this.settled.push(request as SettleRequest);
+    const answer =
+      method.name === RESERVE.name
+        ? { outcome: 'granted', allowanceTokens: ALLOWANCE }
+        : { isSettled: true };
+    return { answer } as Response;
+  }
+}
+
+function exchangeOf(id: string, previousTurn?: string): CallExchange {
+  const program = { id: 'p', session: 's', budgetTokens: 1_000 };
+  const body = Buffer.from(`input of ${id};`);
+  const description = { id, program, previousTurn, mostTokens: MOST_TOKENS, body };
+  return { description, arrivedAt: monotonicMs() } as CallExchange;
+}
+
+class KeptTurns {
+  readonly ledger = new SwitchedLedger();
+  private readonly reservations: TurnReservations;
+
+  constructor() {
+    const logger = createLogger({});
+    const groups = new GroupClient({ peers: this.ledger, addresses: ['leader'] });
+    this.reservations = new TurnReservations({
+      ledger: new LedgerClient(groups, logger, 'gateway'),
+      logger,
+      metrics: new ForwardingMetrics(),
+      tokensPerEvent: () => TOKENS_PER_EVENT,
+    });
+  }
+
+  /** Runs a turn from its reservation to its last event. */
+  async run(id: string, previousTurn?: string): Promise<{ settled: Promise<CallEnding> }> {
+    const exchange = exchangeOf(id, previousTurn);
+    const deadlineMs = monotonicMs() + ROUTE.timeoutMs;
+    const reservation = await this.reservations.reserve(exchange, ROUTE, deadlineMs);
+    const answer = { events: EVENTS, isStream: true, collectedOutput: Buffer.from(`${id} out;`) };
+    const settled = this.reservations.settle({
+      exchange,
+      run: { answer, serviceName: 's', answeredBy: 'e1' } as unknown as CallRun,
+      ending: { kind: 'answered' },
+      route: { route: ROUTE } as CompiledRoute,
+      reservation: reservation!,
+      deadlineMs,
+    });
+    return { settled };
+  }
+}
+
+describe('a kept turn while no leader of the ledger answers', () => {
+  it('runs by the allowance, and ends once it is committed', async () => {
+    const turns = new KeptTurns();
+    await (
+      await turns.run('a')
+    ).settled;
+    turns.ledger.isUp = false;
+    const { settled } = await turns.run('b', 'a');
+    let ending: CallEnding | undefined;
+    void settled.then((known) => (ending = known));
+    await sleep(100);
+    expect(ending).toBeUndefined();
+    turns.ledger.isUp = true;
+    expect(await settled).toEqual({ kind: 'answered' });
+    const settlement = turns.ledger.settled.flatMap(({ settlements }) => settlements).at(-1)!;
+    expect(settlement.draw).toEqual({ holder: 'gateway', tokens: EVENTS * TOKENS_PER_EVENT });
+    expect(settlement.keep?.previousTurn).toBe('a');
+    expect(settlement.placement).toEqual({ session: 's', backend: 'e1' });
+  });
+
+  it('is refused when the turn before is not known here', async () => {
+    const turns = new KeptTurns();
+    await (
+      await turns.run('a')
+    ).settled;
+    turns.ledger.isUp = false;
+    await expect(turns.run('c', 'of another gateway')).rejects.toBeInstanceOf(RefusedError);
+  });
+});
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -2,7 +2,12 @@
  * What a turn sets aside at the ledger before it is sent, and how that is settled when it is over.
  */
 import { describeError, monotonicMs } from '../common/index.js';
-import { type LedgerClient, type TurnPlacement, TurnHistoryCache } from '../ledger/index.js';
+import {
+  type LedgerClient,
+  type Settlement,
+  type TurnPlacement,
+  TurnHistoryCache,
+} from '../ledger/index.js';
 import type { Logger } from '../observability/index.js';
 import type { CompiledRoute, Route } from '../routes/index.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
@@ -96,10 +101,9 @@
     const { program, attempt, allowanceTaken } = reservation;
     const relay = run.answer as StreamRelay;
     const spentTokens = relay.events * this.options.tokensPerEvent(run.serviceName);
-    const settlement = { program, attempt, spentTokens, placement: placementOf(turn) };
+    let settlement: Settlement = { program, attempt, spentTokens, placement: placementOf(turn) };
     if (allowanceTaken !== undefined) {
-      ledger.settleAllowance(settlement, allowanceTaken);
-      return ending;
+      settlement = ledger.drawFromAllowance(settlement, allowanceTaken);
     }
     const isKept = route.route.retainsTurns && ending.kind === 'answered' && relay.isStream;
     if (isKept) return this.keep(turn, settlement, relay.collectedOutput);
@@ -128,7 +132,9 @@
       wantsHistory: known === undefined,
     };
     const timeoutMs = (deadlineMs - startedAt) * RESERVE_TIME_SHARE;
-    const answer = await this.options.ledger.reserve(request, timeoutMs, !route.retainsTurns);
+    // A history that is known here was read from the ledger or committed, so the turn before stands.
+    const needsLedger = previousTurn !== undefined && known === undefined;
+    const answer = await this.options.ledger.reserve(request, timeoutMs, !needsLedger);
     const tookMs = monotonicMs() - startedAt;
     this.options.metrics.reservation.observe(tookMs / 1_000);
     if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
@@ -140,7 +146,7 @@
 
   private async keep(
     { exchange, ending, route, reservation, deadlineMs }: FinishedTurn,
-    settlement: { program: string; attempt: string; spentTokens: number },
+    settlement: Settlement,
     output: Buffer,
   ): Promise<CallEnding> {
     const { ledger, logger } = this.options;
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -1,6 +1,6 @@
 /**
  * Reaches the ledger's leader from a gateway. Settlements that nobody waits for go out in batches.
- * While no leader answers, turns that nothing is kept of may go on by the gateway's allowance.
+ * While no leader answers, turns that need nothing else of it may go on by the gateway's allowance.
  */
 import { describeError, monotonicMs, sleep } from '../common/index.js';
 import {
@@ -92,17 +92,21 @@
     }
   }
 
-  /** The settlement of a turn that ran by the allowance. */
-  settleAllowance(settlement: Settlement, takenTokens: number): void {
+  /**
+   * Makes the settlement of a turn that ran by the allowance; what it did not spend may be taken
+   * again at once.
+   */
+  drawFromAllowance(settlement: Settlement, takenTokens: number): Settlement {
     const { program, spentTokens } = settlement;
     this.allowances.giveBack(program, takenTokens - spentTokens);
-    this.settleLater({ ...settlement, draw: { holder: this.holder, tokens: spentTokens } });
+    return { ...settlement, draw: { holder: this.holder, tokens: spentTokens } };
   }
 
   /** Resolves once the settlement is committed. @throws GroupUnavailableError when it may not be */
   async settle(settlement: Settlement, timeoutMs: number): Promise<void> {
     const limits = { timeoutMs, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
     await this.call(SETTLE, { settlements: [settlement] }, limits);
+    if (settlement.draw) this.allowances.confirm(settlement.program);
   }
 
   /** Settles soon, and again until it is committed. */
