--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -9,6 +9,7 @@
 import { type CallEnding, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
+import { StallGuard } from './stall-guard.js';
 import { StreamRelay } from './stream-relay.js';
 import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
 
@@ -38,6 +39,7 @@
 
 export class CallForwarder {
   private readonly turns: TurnReservations;
+  private readonly stallGuard = new StallGuard();
 
   constructor(private readonly options: CallForwarderOptions) {
     const { ledger, logger, metrics } = options;
@@ -53,9 +55,11 @@
   async handle(exchange: CallExchange): Promise<void> {
     let route: CompiledRoute | undefined;
     try {
+      await this.stallGuard.settle();
       if (!this.options.routes()) await this.options.waitForRoutes(FIRST_ROUTES_WAIT_MS);
       route = this.findRoute(exchange);
-      await this.forward(exchange, route);
+      if (exchange.isAbandoned) this.record(exchange, route, { kind: 'abandoned' });
+      else await this.forward(exchange, route);
     } catch (error) {
       if (!(error instanceof RefusedError)) throw error;
       this.refuse(exchange, error.reason);
@@ -63,6 +67,11 @@
     }
   }
 
+  /** Stops what runs beside the calls. */
+  stop(): void {
+    this.stallGuard.stop();
+  }
+
   private findRoute(exchange: CallExchange): CompiledRoute {
     const table = this.options.routes();
     if (!table) throw new RefusedError('not-ready');
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -13,9 +13,9 @@
 /** Cost of each call above the slots of a back end, in milliseconds. */
 const QUEUE_MS_PER_CALL = 30;
 /** What one more call in an engine's batch adds to the calls that run there, in milliseconds. */
-const BATCH_MS_PER_CALL = 8;
-/** Share of a prompt's reading time by which it holds up each call that runs beside. */
-const READING_STALL_SHARE = 0.15;
+const BATCH_MS_PER_CALL = 10;
+/** Share of a prompt's reading time that counts for each call that runs beside and is held up. */
+const READING_STALL_SHARE = 0.5;
 /** Cost of a service call in another zone, in milliseconds. */
 const CROSS_ZONE_MS = 3;
 /** Cost of a model call in another zone, in milliseconds: its prompt is long. */
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -100,6 +100,7 @@
 
   stop(): void {
     this.watcher.stop();
+    this.forwarder.stop();
     this.peers.close();
   }
 
