--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -89,9 +89,15 @@
   }
 
   async putConfiguration(request: PutConfigurationRequest): Promise<void> {
+    const { generation } = request.configuration;
+    const held = this.stateMachine.configuration?.generation;
+    // What is held is committed, so an order that it overtook, or that is sent again, is done.
+    if (held !== undefined && held >= generation) {
+      this.options.logger.info('configuration overtaken', { generation, held });
+      return;
+    }
     const command: DirectoryCommand = { kind: 'put-configuration', ...request };
     await this.propose(command);
-    const { generation } = request.configuration;
     this.options.logger.info('configuration committed', { generation });
   }
 
@@ -137,7 +143,10 @@
     return this.stateMachine.retirements.get(node) ?? 'none';
   }
 
-  /** Answers with what is newer than the watcher knows, or with nothing after a while. */
+  /**
+   * Answers with what is newer than the watcher knows, or with nothing after a while. Only gateways
+   * need configurations and back ends.
+   */
   async watch(request: WatchRequest): Promise<DirectoryView> {
     this.noteNode(request.node);
     if (request.node.role === 'gateway') this.loads.report(request.node.name, request.loads);
@@ -154,13 +163,15 @@
 
   private viewFor({ node, known }: WatchRequest): DirectoryView {
     const { stateMachine } = this;
-    const view: DirectoryView = { otherLoads: this.loads.othersThan(node.name) };
+    const view: DirectoryView = { otherLoads: [] };
+    if (this.clusterVersionFor(known)) view.cluster = this.clusterView();
+    if (node.role !== 'gateway') return view;
+    view.otherLoads = this.loads.othersThan(node.name);
     const { configuration, configurationIndex } = stateMachine;
     if (configuration && configurationIndex > known.configuration) {
       view.configuration = { index: configurationIndex, configuration };
     }
     if (this.backendsVersion !== known.backends) view.backends = this.backendsView();
-    if (this.clusterVersionFor(known)) view.cluster = this.clusterView();
     return view;
   }
 
