A repeatable call whose answer does not come is sent again, not waited for

Such a call is now given up after three times its route's objective (40 in 100 of the time left at most) and sent again, to another runner where the route allows two. Ruled out: engines (the turns were whole), refusals (none).

One lost answer makes a back end suspect only if nothing else was heard of it since the send.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -77,6 +77,11 @@
     this.suspectUntil = 0;
   }
 
+  /** @param time on the monotonic clock, in milliseconds */
+  wasHeardSince(time: number): boolean {
+    return this.heardAt > time;
+  }
+
   /** Tokens of a prompt that this gateway has not sent here before. */
   missingTokens(parts: readonly PromptPart[]): number {
     const firstMissing = parts.findIndex((part) => !this.parts.has(part.id));
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -44,6 +44,10 @@
 
 /** A call is sent again after broken answers so often at most. */
 const MAX_RESENDS = 2;
+/** A repeatable call is sent again after a silence of so many times its route's objective. */
+const SILENT_OBJECTIVES = 3;
+/** Share of the time left that such a silence may take. */
+const SILENT_TIME_SHARE = 0.4;
 
 export class CallRun {
   readonly sends: SendRecord[] = [];
@@ -55,6 +59,8 @@
   private stayWith: BackendState | undefined;
   private attempt: SendAttempt | undefined;
   private resends = 0;
+  /** When the latest send began (monotonic, milliseconds). */
+  private sentAt = 0;
   private mayHaveRun = false;
   private isOverdue = false;
 
@@ -130,13 +136,15 @@
     sink.onceReadable(() => attempt.resume());
     this.attempt = attempt;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
-    const sentAt = monotonicMs();
     backend.beginCall(description.promptParts);
+    this.sentAt = monotonicMs();
+    const timer = this.watchForSilence(attempt);
     const result = await attempt.run();
+    clearTimeout(timer);
     backend.endCall();
     this.attempt = undefined;
     const cause = 'cause' in result ? result.cause : undefined;
-    const headMs = attempt.headAt === undefined ? undefined : attempt.headAt - sentAt;
+    const headMs = attempt.headAt === undefined ? undefined : attempt.headAt - this.sentAt;
     this.sends.push({
       backend: backend.id,
       result: result.kind,
@@ -148,6 +156,15 @@
     return result;
   }
 
+  /** The answer of a call that may be repeated is not waited for until the caller gives up. */
+  private watchForSilence(attempt: SendAttempt): NodeJS.Timeout | undefined {
+    const { kind, objectiveMs } = this.options.route.route;
+    if (kind !== 'repeatable' || this.resends >= MAX_RESENDS) return undefined;
+    const leftMs = this.options.deadlineMs - monotonicMs();
+    const silenceMs = Math.min(objectiveMs * SILENT_OBJECTIVES, leftMs * SILENT_TIME_SHARE);
+    return setTimeout(() => attempt.giveUpSilent(), silenceMs);
+  }
+
   /** @returns the ending, or nothing when the call is to be sent once more */
   private judge(backend: BackendState, result: SendResult): CallEnding | undefined {
     switch (result.kind) {
@@ -167,7 +184,8 @@
         return this.endingOfStop() ?? { kind: 'abandoned' };
       case 'broken':
         this.noteSent(backend);
-        if (!result.hadHead) backend.noteFailure();
+        // One lost answer says little of a back end that answers others.
+        if (!result.hadHead && !backend.wasHeardSince(this.sentAt)) backend.noteFailure();
         return this.judgeBroken(backend);
     }
   }
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -76,6 +76,13 @@
     this.abort('stopped');
   }
 
+  /** Gives the answer up unless its head has come; the call may have run. */
+  giveUpSilent(): void {
+    if (this.headAt !== undefined) return;
+    this.brokenCause = 'silent for too long';
+    this.abort('broken');
+  }
+
   resume(): void {
     this.controller?.resume();
   }
