--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -89,7 +89,9 @@
   /** A connection that a peer had opened to this process has closed. */
   notePeerDisconnected(peerName: string): void {
     for (const group of this.groups.values()) {
-      if (group.leaderName === peerName) group.noteLeaderDisconnected();
+      if (group.leaderName !== peerName) continue;
+      this.host.logger.info('leader disconnected', { group: group.name, leader: peerName });
+      group.noteLeaderDisconnected();
     }
   }
 
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -39,10 +39,11 @@
 
 export class CallForwarder {
   private readonly turns: TurnReservations;
-  private readonly stallGuard = new StallGuard();
+  private readonly stallGuard: StallGuard;
 
   constructor(private readonly options: CallForwarderOptions) {
     const { ledger, logger, metrics } = options;
+    this.stallGuard = new StallGuard({ logger });
     this.turns = new TurnReservations({
       ledger,
       logger,
--- a/src/forwarding/stall-guard.ts
+++ b/src/forwarding/stall-guard.ts
@@ -3,8 +3,10 @@
  * its sockets are then read all at once, before it is seen which of their callers have left.
  */
 import { monotonicMs, sleep } from '../common/index.js';
+import type { Logger } from '../observability/index.js';
 
 export interface StallGuardOptions {
+  logger: Logger;
   /** A pause of the process that is shorter is nothing special, in milliseconds. @default 1000 */
   stallMs?: number;
 }
@@ -21,7 +23,7 @@
   private beatAt = monotonicMs();
   private stalledUntil = Number.NEGATIVE_INFINITY;
 
-  constructor(options: StallGuardOptions = {}) {
+  constructor(private readonly options: StallGuardOptions) {
     this.stallMs = options.stallMs ?? DEFAULT_STALL_MS;
     this.timer = setInterval(() => this.beat(), this.stallMs / 2);
     this.timer.unref();
@@ -39,7 +41,10 @@
 
   private beat(): void {
     const now = monotonicMs();
-    if (now - this.beatAt > this.stallMs) this.stalledUntil = now;
+    const pauseMs = now - this.beatAt;
     this.beatAt = now;
+    if (pauseMs <= this.stallMs) return;
+    this.stalledUntil = now;
+    this.options.logger.warn('process.stalled', { ms: Math.round(pauseMs) });
   }
 }
