--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -5,7 +5,7 @@
  * Tasks run side by side: one for each follower while leading (replicator.ts), one for an election
  * (election.ts), one that applies what is committed (applier.ts), and the host's clock tick.
  */
-import { Deferred, SignalEvent, monotonicMs } from '../common/index.js';
+import { SignalEvent, monotonicMs } from '../common/index.js';
 import type { LogEntry } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
 import { Applier } from './applier.js';
@@ -22,12 +22,13 @@
 } from './configuration.js';
 import { runElection } from './election.js';
 import { ElectionTimer } from './election-timer.js';
-import { CommitUnknownError, MembershipChangeError, NotLeaderError } from './errors.js';
+import { MembershipChangeError, NotLeaderError } from './errors.js';
 import { FollowerDuty } from './follower-duty.js';
 import { transferLeadership } from './leadership-transfer.js';
 import type { MemberLog } from './member-log.js';
 import type { Heartbeat, HeartbeatResponse } from './messages.js';
 import type { CheckedConsensusOptions } from './options.js';
+import { PendingProposals } from './pending-proposals.js';
 import { Replicator } from './replicator.js';
 import type { StateMachine } from './state-machine.js';
 
@@ -50,11 +51,6 @@
   onFatal(error: unknown): void;
 }
 
-interface PendingProposal {
-  term: number;
-  deferred: Deferred<unknown>;
-}
-
 export class ReplicatedGroup {
   readonly name: string;
   state: MemberState = 'follower';
@@ -65,7 +61,7 @@
   leadingSince = 0;
   private readonly duty: FollowerDuty;
   private readonly replicators = new Map<string, Replicator>();
-  private readonly proposals = new Map<number, PendingProposal>();
+  private readonly proposals: PendingProposals;
   private readonly quorumContact = new SignalEvent();
   /** While leading: the last index that is synced on this member. */
   private syncedIndex = 0;
@@ -81,6 +77,7 @@
     private readonly environment: GroupEnvironment,
   ) {
     this.name = log.group;
+    this.proposals = new PendingProposals(log.group);
     this.commitIndex = log.latestSnapshot?.index ?? 0;
     this.applier = new Applier(this, stateMachine, environment);
     this.duty = new FollowerDuty(this, environment);
@@ -285,10 +282,7 @@
     for (const replicator of this.replicators.values()) replicator.stop();
     this.replicators.clear();
     this.quorumContact.notify();
-    for (const proposal of this.proposals.values()) {
-      proposal.deferred.reject(new CommitUnknownError(this.name));
-    }
-    this.proposals.clear();
+    this.proposals.abandonAll();
     this.resetElectionDeadline();
     this.environment.onLeadershipChange(this);
   }
@@ -349,12 +343,7 @@
 
   /** Called by the applier for every entry, with the state machine's result. */
   onApplied(entry: LogEntry, result: unknown): void {
-    const proposal = this.proposals.get(entry.index);
-    if (proposal) {
-      this.proposals.delete(entry.index);
-      if (proposal.term === entry.term) proposal.deferred.resolve(result);
-      else proposal.deferred.reject(new CommitUnknownError(this.name));
-    }
+    this.proposals.settle(entry, result);
     if (entry.kind === 'configuration') this.stepDownIfRemoved(entry);
     this.quorumContact.notify();
   }
@@ -380,14 +369,13 @@
   private appendAsLeader(content: Pick<LogEntry, 'kind' | 'data'>): Promise<unknown> {
     const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.term, ...content };
     const written = this.log.append([entry]);
-    const deferred = new Deferred<unknown>();
-    this.proposals.set(entry.index, { term: entry.term, deferred });
+    const committed = this.proposals.add(entry);
     for (const replicator of this.replicators.values()) replicator.notify();
     written.then(
       () => this.onOwnEntrySynced(entry),
       (error) => this.environment.onFatal(error),
     );
-    return deferred.promise;
+    return committed;
   }
 
   private onOwnEntrySynced(entry: LogEntry): void {
