--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -28,7 +28,7 @@
 export class RpcConnection {
   private nextId = 1;
   private readonly pending = new Map<number, PendingCall>();
-  /** When the first request went out after the last bytes came in (monotonic, milliseconds). */
+  /** When the first request went out after the last whole message (monotonic, milliseconds). */
   private awaitingSince: number | undefined;
 
   constructor(
