Placement by an observed model of each service in place of constants of the first sites

Cause: placement reckoned with 250 prompt tokens a millisecond, 10 ms for each call beside and 30 ms for each above the slots, tuned on the first two sites.

src/performance learns from this gateway's own calls: a regression with forgetting, a weak prior and bounded influence of outliers (time of a call by prompt tokens missing, events, events beside other calls), and a pace for each back end that counts where it is significant. Cached parts are taken as gone once as many new tokens were sent as the engine keeps. Log lines of calls say what was expected.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,16 +1,26 @@
 /** The back ends as one gateway knows them: registrations, its own calls, and its experiences. */
-import { LRUCache } from 'lru-cache';
 import { monotonicMs } from '../common/index.js';
 import type { BackendLoad, BackendRecord } from '../directory/index.js';
+import { Pace, ServiceModel } from '../performance/index.js';
 import type { PromptPart } from './call-exchange.js';
 import { BackendConnections } from './backend-connections.js';
+import { PromptCacheView } from './prompt-cache-view.js';
 
-const REMEMBERED_PARTS = 4_000;
 const FIRST_SUSPICION_MS = 500;
 const LONGEST_SUSPICION_MS = 5_000;
 /** A back end that owes answers is suspect after so long without a byte, in milliseconds. */
 const MUTE_AFTER_MS = 700;
 
+/** What one back end of a service can take. */
+export interface BackendLimits {
+  /** Connections that this gateway may open to it. */
+  connections(service: string): number;
+  /** Tokens that it can keep, of all callers together. */
+  cacheTokens(service: string): number;
+  /** Gateways that send calls there. */
+  gateways(): number;
+}
+
 /** One back end and what this gateway does there. */
 export class BackendState {
   /** Calls of this gateway under way here. */
@@ -18,7 +28,9 @@
   /** Calls of the other gateways, as last told. */
   otherInFlight = 0;
   readonly connections: BackendConnections;
-  private readonly parts = new LRUCache<string, true>({ max: REMEMBERED_PARTS });
+  /** How much longer than others it takes for the same work. */
+  readonly pace = new Pace();
+  private readonly cache: PromptCacheView;
   private suspectUntil = 0;
   private failures = 0;
   /** When this gateway last heard of it, or began to wait for it (monotonic, milliseconds). */
@@ -26,9 +38,21 @@
 
   constructor(
     public record: BackendRecord,
-    connectionLimit: () => number,
+    /** How long calls of the service take. */
+    readonly model: ServiceModel,
+    private readonly limits: BackendLimits,
   ) {
-    this.connections = new BackendConnections(record.address, connectionLimit);
+    const { service, address } = record;
+    this.connections = new BackendConnections(address, () => limits.connections(service));
+    this.cache = new PromptCacheView(() => limits.cacheTokens(service) / limits.gateways());
+  }
+
+  /** Typical calls that fit at once: by slots, and by the memory that their prompts take. */
+  get places(): number {
+    const { slots, service } = this.record;
+    const { typicalPromptTokens } = this.model;
+    if (typicalPromptTokens === 0) return slots;
+    return Math.max(1, Math.min(slots, this.limits.cacheTokens(service) / typicalPromptTokens));
   }
 
   get id(): string {
@@ -52,7 +76,8 @@
   beginCall(parts: readonly PromptPart[]): void {
     if (this.inFlight === 0) this.heardAt = monotonicMs();
     this.inFlight += 1;
-    for (const part of parts) this.parts.set(part.id, true);
+    this.cache.noteSent(parts);
+    if (parts.length > 0) this.model.notePrompt(parts.reduce((sum, { tokens }) => sum + tokens, 0));
   }
 
   /** A call that was sent here is over. */
@@ -82,20 +107,18 @@
     return this.heardAt > time;
   }
 
-  /** Tokens of a prompt that this gateway has not sent here before. */
+  /** Tokens of a prompt that are not cached here, as far as this gateway's own calls tell. */
   missingTokens(parts: readonly PromptPart[]): number {
-    const firstMissing = parts.findIndex((part) => !this.parts.has(part.id));
-    if (firstMissing < 0) return 0;
-    return parts.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0);
+    return this.cache.missingTokens(parts);
   }
 }
 
 export class BackendView {
   private readonly backends = new Map<string, BackendState>();
   private byService = new Map<string, BackendState[]>();
+  private readonly models = new Map<string, ServiceModel>();
 
-  /** @param connectionLimit connections that this gateway may open to one back end of a service */
-  constructor(private readonly connectionLimit: (service: string) => number) {}
+  constructor(private readonly limits: BackendLimits) {}
 
   /** Takes over the registered back ends; those that are gone get no further calls. */
   update(records: readonly BackendRecord[]): void {
@@ -144,8 +167,16 @@
       if (record.phase === 'draining') known.connections.closeIdle();
       return;
     }
-    const limit = (): number => this.connectionLimit(record.service);
-    this.backends.set(record.id, new BackendState(record, limit));
+    const model = this.modelOf(record.service);
+    this.backends.set(record.id, new BackendState(record, model, this.limits));
+  }
+
+  private modelOf(service: string): ServiceModel {
+    const known = this.models.get(service);
+    if (known) return known;
+    const model = new ServiceModel();
+    this.models.set(service, model);
+    return model;
   }
 }
 
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -12,6 +12,8 @@
   session?: string;
   /** Tokens that all turns of the program may generate. */
   budgetTokens?: number;
+  /** Time left until the program should be over, in milliseconds; 0 when that is past. */
+  remainingMs?: number;
 }
 
 /** A call as its caller sent it. */
@@ -41,6 +43,14 @@
   lastEventId?: string;
 }
 
+/** A first turn holds what is shared and its own input. */
+const FIRST_TURN_PARTS = 2;
+
+/** Whether a model call begins its program. */
+export function isFirstTurn({ promptParts, previousTurn }: CallDescription): boolean {
+  return promptParts.length <= FIRST_TURN_PARTS && previousTurn === undefined;
+}
+
 export type RefusalReason =
   | 'no-route'
   | 'missing-id'
@@ -50,6 +60,7 @@
   | 'ledger-unavailable'
   | 'no-backend'
   | 'overloaded'
+  | 'not-admitted'
   | 'not-executed'
   | 'outcome-unknown'
   | 'time-limit-before-start'
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -5,8 +5,8 @@
 import type { CompiledRoute, RouteTable } from '../routes/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
-import type { CallExchange, RefusalReason } from './call-exchange.js';
-import { type CallEnding, CallRun } from './call-run.js';
+import type { CallExchange, ProgramContext, RefusalReason } from './call-exchange.js';
+import { type CallEnding, CallRun, type SendRecord } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { StallGuard } from './stall-guard.js';
@@ -33,9 +33,13 @@
 /** How long a call may wait for the first configuration of a process that starts, in milliseconds. */
 const FIRST_ROUTES_WAIT_MS = 400;
 /** When to come back after passing troubles, in milliseconds. */
-const RETRY_AFTER_MS = 150;
-/** When to come back to a process that has not heard of its group's leader, in milliseconds. */
-const RETRY_AFTER_LEADER_MS = 300;
+const RETRY_SOON_MS = 150;
+/** When to come back where that is not soon: a group's next leader, a service's next free places. */
+const RETRY_AFTER_MS: Partial<Record<RefusalReason, number>> = {
+  'not-ready': 300,
+  'ledger-unavailable': 300,
+  'not-admitted': 1_000,
+};
 
 export class CallForwarder {
   private readonly turns: TurnReservations;
@@ -90,10 +94,12 @@
     const { description } = exchange;
     const limitMs = Math.min(description.patienceMs ?? Infinity, route.route.timeoutMs);
     const deadlineMs = exchange.arrivedAt + limitMs;
+    const service = route.nextService();
     const reservation = await this.turns.reserve(exchange, route.route, deadlineMs);
     const run = new CallRun({
       exchange,
       route,
+      service,
       body: withHistory(description.body, reservation?.history),
       deadlineMs,
       backends: this.options.backends,
@@ -132,9 +138,7 @@
 
   private refuse(exchange: CallExchange, reason: RefusalReason): void {
     if (exchange.isAbandoned) return;
-    const awaitsLeader = reason === 'not-ready' || reason === 'ledger-unavailable';
-    const retryAfterMs = awaitsLeader ? RETRY_AFTER_LEADER_MS : RETRY_AFTER_MS;
-    exchange.refuse({ reason, retryAfterMs });
+    exchange.refuse({ reason, retryAfterMs: RETRY_AFTER_MS[reason] ?? RETRY_SOON_MS });
   }
 
   private record(
@@ -150,19 +154,17 @@
     this.options.metrics.noteCall(route?.route.kind, outcome, tookMs, firstEventMs);
     const fields: LogFields = {
       call: exchange.description.id,
-      program: exchange.description.program?.id,
-      session: exchange.description.program?.session,
       route: route?.route.name,
       outcome,
       status: run?.answer.status,
       ms: Math.round(tookMs),
       firstMs: firstEventMs && Math.round(firstEventMs),
       reserveMs: reservation && Math.round(reservation.tookMs),
-      budget: exchange.description.program?.budgetTokens,
       most: exchange.description.mostTokens || undefined,
       events: run?.answer instanceof StreamRelay ? run.answer.events : undefined,
       holder: reservation?.lastBackend,
       sends: run && describeSends(run),
+      ...describeProgram(exchange.description.program),
     };
     if (ending.kind === 'answered') this.options.logger.info('call', fields);
     else this.options.logger.warn('call', { ...fields, ...this.situation() });
@@ -188,11 +190,21 @@
   return history && history.length > 0 ? Buffer.concat([history, body]) : body;
 }
 
+function describeProgram(program: ProgramContext | undefined): LogFields {
+  if (!program) return {};
+  const { id, session, budgetTokens: budget, remainingMs } = program;
+  return { program: id, session, budget, remainingMs };
+}
+
+/** Each send as `backend@own load+others'-expected tokens to read/head/whole(expected):result`. */
 function describeSends(run: CallRun): string {
-  return run.sends
-    .map(({ backend, result, cause, ownLoad, otherLoad, headMs }) => {
-      const head = headMs === undefined ? '' : `/${Math.round(headMs)}ms`;
-      return `${backend}@${ownLoad}+${otherLoad}${head}:${cause ?? result}`;
-    })
-    .join(' ');
+  return run.sends.map(describeSend).join(' ');
+}
+
+function describeSend(send: SendRecord): string {
+  const { backend, ownLoad, otherLoad, missingTokens, headMs, tookMs, expectedMs } = send;
+  const place = `${backend}@${ownLoad}+${otherLoad}-${missingTokens}t`;
+  const head = headMs === undefined ? '' : `/${Math.round(headMs)}ms`;
+  const expected = expectedMs === undefined ? '' : `(${Math.round(expectedMs)})`;
+  return `${place}${head}/${Math.round(tookMs)}${expected}ms:${send.cause ?? send.result}`;
 }
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -1,11 +1,13 @@
 /** One forwarded call from its placement to its final answer, written straight down. */
 import { monotonicMs } from '../common/index.js';
 import type { CompiledRoute } from '../routes/index.js';
+import type { CallWork } from '../performance/index.js';
+import type { BackendConnection } from './backend-connections.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendState, BackendView } from './backend-view.js';
 import { BufferedAnswer } from './buffered-answer.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
-import type { Placement } from './placement.js';
+import type { Choice, Placement } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 import { StreamRelay } from './stream-relay.js';
 
@@ -19,6 +21,8 @@
 export interface CallRunOptions {
   exchange: CallExchange;
   route: CompiledRoute;
+  /** The service that the call goes to. */
+  service: string;
   /** The whole body to send, with the history of earlier turns where there is one. */
   body: Buffer;
   /** Monotonic time by which the call must have its final answer, in milliseconds. */
@@ -38,8 +42,14 @@
   /** Calls of this gateway, and of the others, that ran there when it was sent. */
   ownLoad: number;
   otherLoad: number;
+  /** Prompt tokens that it was expected to read. */
+  missingTokens: number;
   /** From the send to the head of the answer, in milliseconds. */
   headMs?: number;
+  /** From the send to its end, in milliseconds. */
+  tookMs: number;
+  /** What a whole answer should have taken by the service's model, in milliseconds. */
+  expectedMs?: number;
 }
 
 /** A call is sent again after broken answers so often at most. */
@@ -56,7 +66,7 @@
   private readonly excluded = new Set<string>();
   /** Back ends that may have received the call. */
   private readonly sentTo = new Set<string>();
-  private stayWith: BackendState | undefined;
+  private stayWith: Choice | undefined;
   private attempt: SendAttempt | undefined;
   private resends = 0;
   /** When the latest send began (monotonic, milliseconds). */
@@ -66,7 +76,7 @@
 
   constructor(private readonly options: CallRunOptions) {
     const { exchange, route } = options;
-    this.service = route.nextService();
+    this.service = options.service;
     const isStreaming = route.route.kind === 'streaming';
     const collectsOutput = route.route.retainsTurns;
     this.answer = isStreaming
@@ -100,15 +110,15 @@
     for (;;) {
       const stopped = this.endingOfStop();
       if (stopped) return stopped;
-      const backend = this.nextBackend();
-      if (!backend) return this.endingWithoutBackend();
-      const result = await this.sendTo(backend);
-      const ending = this.judge(backend, result);
+      const choice = this.nextBackend();
+      if (!choice) return this.endingWithoutBackend();
+      const result = await this.sendTo(choice);
+      const ending = this.judge(choice.backend, result);
       if (ending) return ending;
     }
   }
 
-  private nextBackend(): BackendState | undefined {
+  private nextBackend(): Choice | undefined {
     if (this.stayWith) return this.stayWith;
     if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
     const candidates = this.options.backends.serving(this.service);
@@ -119,43 +129,70 @@
     });
   }
 
-  private async sendTo(backend: BackendState): Promise<SendResult> {
+  private async sendTo({ backend, missingTokens }: Choice): Promise<SendResult> {
     const connection = backend.connections.acquire();
     if (!connection) return { kind: 'not-sent', cause: 'no connection left' };
-    const { exchange, protocol, body } = this.options;
-    const { description } = exchange;
-    const request = protocol.encodeRequest(description, {
-      backendId: backend.id,
-      timeLeftMs: Math.max(1, Math.floor(this.options.deadlineMs - monotonicMs())),
-      lastEventId: this.answer instanceof StreamRelay ? this.answer.lastEventId : undefined,
-    });
-    const callId = description.id;
-    const sink = this.answer;
-    const onHeard = (): void => backend.noteHeard();
-    const attempt = new SendAttempt({ protocol, connection, request, body, callId, sink, onHeard });
-    sink.onceReadable(() => attempt.resume());
+    const attempt = this.createAttempt(backend, connection);
     this.attempt = attempt;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
-    backend.beginCall(description.promptParts);
+    const { promptParts } = this.options.exchange.description;
+    backend.beginCall(promptParts);
     this.sentAt = monotonicMs();
     const timer = this.watchForSilence(attempt);
     const result = await attempt.run();
     clearTimeout(timer);
     backend.endCall();
     this.attempt = undefined;
-    const cause = 'cause' in result ? result.cause : undefined;
-    const headMs = attempt.headAt === undefined ? undefined : attempt.headAt - this.sentAt;
+    const tookMs = monotonicMs() - this.sentAt;
+    const load = ownLoad + otherLoad;
     this.sends.push({
       backend: backend.id,
       result: result.kind,
-      cause,
+      cause: 'cause' in result ? result.cause : undefined,
       ownLoad,
       otherLoad,
-      headMs,
+      missingTokens,
+      headMs: attempt.headAt === undefined ? undefined : attempt.headAt - this.sentAt,
+      tookMs,
+      expectedMs: this.noteDuration(backend, result, { missingTokens, load, tookMs }),
     });
     return result;
   }
 
+  private createAttempt(backend: BackendState, connection: BackendConnection): SendAttempt {
+    const { exchange, protocol, body } = this.options;
+    const { description } = exchange;
+    const request = protocol.encodeRequest(description, {
+      backendId: backend.id,
+      timeLeftMs: Math.max(1, Math.floor(this.options.deadlineMs - monotonicMs())),
+      lastEventId: this.answer instanceof StreamRelay ? this.answer.lastEventId : undefined,
+    });
+    const callId = description.id;
+    const sink = this.answer;
+    const onHeard = (): void => backend.noteHeard();
+    const attempt = new SendAttempt({ protocol, connection, request, body, callId, sink, onHeard });
+    sink.onceReadable(() => attempt.resume());
+    return attempt;
+  }
+
+  /**
+   * Tells the service's model and the back end's pace how long a whole answer took.
+   * @returns what the model had expected
+   */
+  private noteDuration(
+    backend: BackendState,
+    result: SendResult,
+    { missingTokens, load, tookMs }: { missingTokens: number; load: number; tookMs: number },
+  ): number | undefined {
+    if (result.kind !== 'complete' || this.sends.length > 0) return undefined;
+    const events = this.answer instanceof StreamRelay ? this.answer.events : 0;
+    const work: CallWork = { missingTokens, load, events };
+    const expectedMs = backend.model.predictMs(work);
+    backend.model.observe(work, tookMs / backend.pace.factor);
+    backend.pace.note(tookMs, expectedMs);
+    return expectedMs;
+  }
+
   /** The answer of a call that may be repeated is not waited for until the caller gives up. */
   private watchForSilence(attempt: SendAttempt): NodeJS.Timeout | undefined {
     const { kind, objectiveMs } = this.options.route.route;
@@ -206,7 +243,7 @@
     this.answer.restart();
     const mayChange = kind === 'repeatable' && this.sentTo.size < maxAttempts;
     if (mayChange && this.hasOther(backend)) this.excluded.add(backend.id);
-    else this.stayWith = backend;
+    else this.stayWith = { backend, missingTokens: 0 };
     return undefined;
   }
 
--- a/src/forwarding/placement.test.ts
+++ b/src/forwarding/placement.test.ts
@@ -40,12 +40,30 @@
   };
 }
 
+const NO_LIMITS = {
+  connections: () => 100,
+  cacheTokens: () => 500_000,
+  gateways: () => 1,
+};
+
+/** Shows the gateway calls of engines that read 250 tokens in a millisecond. */
+function teach(view: BackendView): void {
+  const { model } = view.serving(SERVICE)[0]!;
+  for (let call = 0; call < 200; call += 1) {
+    const work = { missingTokens: (call * 37) % 8_000, load: call % 13, events: 5 + (call % 7) };
+    const { missingTokens, load, events } = work;
+    model.observe(work, 20 + missingTokens / 250 + events * (20 + load));
+  }
+}
+
 function gateway(engines = records()) {
-  const view = new BackendView(() => 100);
+  const view = new BackendView(NO_LIMITS);
   view.update(engines);
-  const placement = new Placement({ zone: 'z1', prefillTokensPerMs: 250 });
+  teach(view);
+  const placement = new Placement({ zone: 'z1' });
   const choose = (call: CallDescription, promptHolder?: string) =>
-    placement.choose(view.serving(SERVICE), { call, excluded: NOTHING_EXCLUDED, promptHolder })!;
+    placement.choose(view.serving(SERVICE), { call, excluded: NOTHING_EXCLUDED, promptHolder })!
+      .backend;
   return { view, choose };
 }
 
@@ -176,9 +194,9 @@
   });
 
   it('takes no back end that is leaving or has no connection left', () => {
-    const view = new BackendView(() => 0);
+    const view = new BackendView({ ...NO_LIMITS, connections: () => 0 });
     view.update(records());
-    const placement = new Placement({ zone: 'z1', prefillTokensPerMs: 250 });
+    const placement = new Placement({ zone: 'z1' });
     const call = turn('p', [['a', 10]]);
     const request = { call, excluded: NOTHING_EXCLUDED };
     expect(placement.choose(view.serving(SERVICE), request)).toBeUndefined();
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,31 +1,25 @@
 /** Chooses the back end of a call: where its prompt is cached, unless waiting costs more. */
 import { rankForKey } from '../common/index.js';
 import type { BackendState } from './backend-view.js';
-import type { CallDescription } from './call-exchange.js';
+import { type CallDescription, isFirstTurn } from './call-exchange.js';
 
 export interface PlacementOptions {
   /** The zone of this gateway. */
   zone: string;
-  /** Prompt tokens that an engine reads in a millisecond. */
-  prefillTokensPerMs: number;
 }
 
-/** Cost of each call above the slots of a back end, in milliseconds. */
-const QUEUE_MS_PER_CALL = 30;
-/** What one more call in an engine's batch adds to the calls that run there, in milliseconds. */
-const BATCH_MS_PER_CALL = 10;
 /** Share of a prompt's reading time that counts for each call that runs beside and is held up. */
 const READING_STALL_SHARE = 0.5;
+/** Share of a call's time by which a back end with all places taken is dearer than an idle one. */
+const SPREAD_SHARE = 0.1;
 /** Cost of a service call in another zone, in milliseconds. */
 const CROSS_ZONE_MS = 3;
 /** Cost of a model call in another zone, in milliseconds: its prompt is long. */
 const MODEL_CROSS_ZONE_MS = 12;
 /** Added for a back end that failed lately or is silent, in milliseconds. */
 const SUSPECT_MS = 10_000;
-/** Gain of the back end that saw the object of a call last, in milliseconds. */
-const AFFINITY_MS = 8;
-/** Cost of each call that runs beside on a plain service, in milliseconds. */
-const SERVICE_MS_PER_CALL = 5;
+/** Gain of the back end that saw the object of a plain call last, as a share of a call's time. */
+const AFFINITY_SHARE = 0.15;
 /** Back ends of this zone that a program is likely to be sent to, whichever gateway it comes through. */
 const LIKELY_HOMES = 2;
 /** Share of a zone's engines that programs with the same beginning of their prompts meet on. */
@@ -42,6 +36,13 @@
   promptHolder?: string;
 }
 
+/** A back end for a call. */
+export interface Choice {
+  backend: BackendState;
+  /** Prompt tokens that it most likely has to read. */
+  missingTokens: number;
+}
+
 /** What the cost of a back end follows from. */
 interface CostInput {
   call: CallDescription;
@@ -56,14 +57,15 @@
   choose(
     candidates: readonly BackendState[],
     { call, excluded, promptHolder }: PlacementRequest,
-  ): BackendState | undefined {
+  ): Choice | undefined {
     const usable = candidates.filter(
       (candidate) => !excluded.has(candidate.id) && candidate.connections.hasRoom,
     );
     const homes = likelyHomes(call, usable, this.options.zone);
     const input = { call, homes, promptHolder };
     const shortlist = call.promptParts.length > 0 ? shortlistOf(usable, input) : usable;
-    return this.cheapest(shortlist, input) ?? this.cheapest(usable, input);
+    const backend = this.cheapest(shortlist, input) ?? this.cheapest(usable, input);
+    return backend && { backend, missingTokens: missingTokensAt(backend, input) };
   }
 
   private cheapest(
@@ -81,26 +83,31 @@
     return best;
   }
 
+  /** Time of the call there with the time it takes from the calls beside, in milliseconds. */
   private cost(backend: BackendState, input: CostInput): number {
-    const { slots, zone } = backend.record;
-    const { load } = backend;
-    const queueMs = Math.max(0, load + 1 - slots) * QUEUE_MS_PER_CALL;
-    const suspectMs = backend.isSuspect ? SUSPECT_MS : 0;
     const isModelCall = input.call.promptParts.length > 0;
+    const workMs = workMsAt(backend, missingTokensAt(backend, input)) + queueMsAt(backend);
+    const suspectMs = backend.isSuspect ? SUSPECT_MS : 0;
     const crossZoneMs = isModelCall ? MODEL_CROSS_ZONE_MS : CROSS_ZONE_MS;
-    const zoneMs = zone === this.options.zone ? 0 : crossZoneMs;
-    const workMs = isModelCall
-      ? this.readingMs(backend, input) + load * BATCH_MS_PER_CALL
-      : load * SERVICE_MS_PER_CALL - (input.homes[0] === backend ? AFFINITY_MS : 0);
-    return queueMs + zoneMs + suspectMs + workMs;
+    const zoneMs = backend.record.zone === this.options.zone ? 0 : crossZoneMs;
+    const isHome = !isModelCall && input.homes[0] === backend;
+    const affinityMs = isHome ? AFFINITY_SHARE * backend.model.typicalMs : 0;
+    return workMs + zoneMs + suspectMs - affinityMs;
   }
+}
 
-  /** Time to read the part of the prompt that is not cached, with what it costs the others. */
-  private readingMs(backend: BackendState, input: CostInput): number {
-    const missing = missingTokensAt(backend, input);
-    const aloneMs = missing / this.options.prefillTokensPerMs;
-    return aloneMs * (1 + backend.load * READING_STALL_SHARE);
-  }
+/** Time of the call itself, and what it holds up. */
+function workMsAt({ load, model, pace }: BackendState, missingTokens: number): number {
+  const ordinaryMs = model.predictMs({ missingTokens, load, events: model.typicalEvents });
+  const ownMs = ordinaryMs * pace.factor;
+  const readingMs = model.msPerToken * missingTokens;
+  return ownMs + load * readingMs * READING_STALL_SHARE;
+}
+
+/** Wait for a place; the load is known a moment late only, so that nearly full costs as well. */
+function queueMsAt({ load, model, places }: BackendState): number {
+  const waiting = Math.max(0, load + 1 - places);
+  return (model.typicalMs * (waiting + SPREAD_SHARE * load)) / places;
 }
 
 /** Tokens of the prompt that a back end most likely has to read. */
@@ -108,14 +115,11 @@
   const own = call.promptParts.at(-1)?.tokens ?? 0;
   const missing = backend.missingTokens(call.promptParts);
   if (backend.id === promptHolder) return Math.min(own, missing);
-  const isGuess = promptHolder === undefined && call.promptParts.length > FIRST_TURN_PARTS;
+  const isGuess = promptHolder === undefined && !isFirstTurn(call);
   if (!isGuess || !homes.includes(backend)) return missing;
   return own + (missing - own) * (1 - HOME_HIT_SHARE);
 }
 
-/** A first turn holds what is shared and its own input. */
-const FIRST_TURN_PARTS = 2;
-
 /**
  * Few candidates for a model call: its likely homes, the back ends that are known to hold most of
  * its prompt, and one drawn at random. Gateways share load figures that are a moment old; if each of
@@ -126,7 +130,7 @@
   { call, homes, promptHolder }: CostInput,
 ): BackendState[] {
   const shortlist = new Set(homes);
-  const holder = call.promptParts.length > FIRST_TURN_PARTS && bestHolder(call, candidates);
+  const holder = !isFirstTurn(call) && bestHolder(call, candidates);
   if (holder) shortlist.add(holder);
   const told = candidates.find(({ id }) => id === promptHolder);
   if (told) shortlist.add(told);
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -12,19 +12,16 @@
 } from '../forwarding/index.js';
 import { LedgerClient } from '../ledger/index.js';
 import type { Logger } from '../observability/index.js';
-import { type RequestLimits, RouteTable } from '../routes/index.js';
+import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
 
 export interface GatewayNodeOptions {
   settings: NodeSettings;
   protocol: BackendProtocol;
-  /** Prompt tokens that an engine reads in a millisecond. @default 250 */
-  prefillTokensPerMs?: number;
   logger: Logger;
 }
 
-const DEFAULT_PREFILL_TOKENS_PER_MS = 250;
 /** Connections to one back end even where its limit, shared out, would allow fewer. */
 const MIN_CONNECTIONS = 2;
 const DEFAULT_CONNECTIONS = 16;
@@ -55,17 +52,18 @@
     });
     this.controlClient = new GroupClient({ peers: this.peers, addresses: settings.controlSeeds });
     this.ledgerGroups = new GroupClient({ peers: this.peers, addresses: [] });
-    this.backends = new BackendView((service) => this.connectionLimit(service));
+    this.backends = new BackendView({
+      connections: (service) => this.connectionLimit(service),
+      cacheTokens: (service) => this.engineOf(service)?.cacheTokens ?? Infinity,
+      gateways: () => this.gatewayCount,
+    });
     this.watcher = this.createWatcher();
     this.forwarder = new CallForwarder({
       routes: () => this.routes,
       waitForRoutes: (timeoutMs) => this.routesArrived.waitUpTo(timeoutMs),
       directoryAgeMs: () => this.watcher.ageMs,
       backends: this.backends,
-      placement: new Placement({
-        zone: settings.zone,
-        prefillTokensPerMs: options.prefillTokensPerMs ?? DEFAULT_PREFILL_TOKENS_PER_MS,
-      }),
+      placement: new Placement({ zone: settings.zone }),
       ledger: new LedgerClient(this.ledgerGroups, logger, holder),
       protocol: options.protocol,
       logger,
@@ -137,4 +135,8 @@
     if (limit === undefined) return DEFAULT_CONNECTIONS;
     return Math.max(MIN_CONNECTIONS, Math.floor(limit / this.gatewayCount));
   }
+
+  private engineOf(service: string): EngineProperties | undefined {
+    return this.routes?.service(service)?.engine;
+  }
 }
