New programs are taken below a limit of load that follows how long turns take; account of a run

Now new programs are taken while the engines' load is below a limit. It falls while turns take more than twice as long as on engines with nothing else to do (a second regression learns that in calm times), and rises otherwise, no faster than turns can show what came of it. Programs that have begun go on; near the limit the hash of its id decides about a program; the less urgent are refused first. Engines have as many places as slots and memory allow. A refused program may come back after a second.

ledgegauge account FILE... tells from the logs of a whole run where turns' time went, by the second, and which calls failed and why.

--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -1,8 +1,8 @@
 /** `explain`: what became of a call or program, by the decision logs of the processes. */
-import { readFileSync } from 'node:fs';
 import type { CAC } from 'cac';
-import { type Explanation, type LogRecord, explain, parseLogLine } from '../explain/index.js';
+import { type Explanation, type LogRecord, explain } from '../explain/index.js';
 import { UsageError } from './daemon-command.js';
+import { readRecords } from './log-files.js';
 import { runAction } from './run-daemon.js';
 
 export function addExplainCommand(cli: CAC): void {
@@ -19,11 +19,6 @@
     );
 }
 
-function readRecords(file: string): LogRecord[] {
-  const lines = readFileSync(file, 'utf8').split('\n');
-  return lines.flatMap((line) => parseLogLine(line) ?? []);
-}
-
 function describe(id: string, { direct, surrounding }: Explanation): string {
   if (direct.length === 0) return `no line names ${id}`;
   const parts = [`lines that name ${id}:`, ...direct.map(describeRecord)];
--- a/src/cli/ledgegauge.ts
+++ b/src/cli/ledgegauge.ts
@@ -6,6 +6,7 @@
 import { controlSettingsSchema, gatewaySettingsSchema } from '../settings/index.js';
 import { addCheckConfigCommand } from './check-config-command.js';
 import { addDaemonCommand } from './daemon-command.js';
+import { addAccountCommand } from './account-command.js';
 import { addExplainCommand } from './explain-command.js';
 import { addOperatorCommands } from './operator-commands.js';
 import { runCommandLine } from './run-command-line.js';
@@ -29,5 +30,6 @@
 addCheckConfigCommand(cli, { control: controlSettingsSchema, gateway: gatewaySettingsSchema });
 addOperatorCommands(cli);
 addExplainCommand(cli);
+addAccountCommand(cli);
 
 await runCommandLine(cli);
--- a/src/explain/index.ts
+++ b/src/explain/index.ts
@@ -1,3 +1,11 @@
 /** From the id of a call to its cause, by the decision logs of the processes. */
+export {
+  type Account,
+  type AccountWindow,
+  type FailureCount,
+  type ProgramCounts,
+  type TurnParts,
+  accountOf,
+} from './account.js';
 export { explain, type Explanation } from './explanation.js';
 export { type LogRecord, parseLogLine } from './log-record.js';
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -140,6 +140,11 @@
     }
   }
 
+  /** Gateways that send calls to these back ends, this one included. */
+  get gateways(): number {
+    return this.limits.gateways();
+  }
+
   /** Back ends of a service that may be sent new calls. */
   serving(service: string): readonly BackendState[] {
     return this.byService.get(service) ?? [];
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -9,6 +9,7 @@
 import { type CallEnding, CallRun, type SendRecord } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
+import { ProgramAdmission } from './program-admission.js';
 import { StallGuard } from './stall-guard.js';
 import { StreamRelay } from './stream-relay.js';
 import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
@@ -41,9 +42,22 @@
   'not-admitted': 1_000,
 };
 
+/** A call that has its final answer, for the log. */
+interface FinishedCall {
+  exchange: CallExchange;
+  route: CompiledRoute | undefined;
+  ending: CallEnding;
+  /** Absent when the call was refused before it was sent anywhere. */
+  run?: CallRun;
+  reservation?: Reservation;
+  /** How long its end was held until the turn was kept, in milliseconds. */
+  keepMs?: number;
+}
+
 export class CallForwarder {
   private readonly turns: TurnReservations;
   private readonly stallGuard: StallGuard;
+  private readonly admission = new ProgramAdmission();
 
   constructor(private readonly options: CallForwarderOptions) {
     const { ledger, logger, metrics } = options;
@@ -63,12 +77,13 @@
       await this.stallGuard.settle();
       if (!this.options.routes()) await this.options.waitForRoutes(FIRST_ROUTES_WAIT_MS);
       route = this.findRoute(exchange);
-      if (exchange.isAbandoned) this.record(exchange, route, { kind: 'abandoned' });
+      if (exchange.isAbandoned) this.record({ exchange, route, ending: { kind: 'abandoned' } });
       else await this.forward(exchange, route);
     } catch (error) {
       if (!(error instanceof RefusedError)) throw error;
       this.refuse(exchange, error.reason);
-      this.record(exchange, route, { kind: 'refused', reason: error.reason });
+      const ending: CallEnding = { kind: 'refused', reason: error.reason };
+      this.record({ exchange, route, ending });
     }
   }
 
@@ -95,6 +110,7 @@
     const limitMs = Math.min(description.patienceMs ?? Infinity, route.route.timeoutMs);
     const deadlineMs = exchange.arrivedAt + limitMs;
     const service = route.nextService();
+    this.admit(exchange, route, service);
     const reservation = await this.turns.reserve(exchange, route.route, deadlineMs);
     const run = new CallRun({
       exchange,
@@ -108,11 +124,36 @@
       protocol: this.options.protocol,
     });
     const ending = await run.run();
+    this.noteEnd(exchange, run, ending);
+    const ranAt = monotonicMs();
     const final = reservation
       ? await this.turns.settle({ exchange, run, ending, route, reservation, deadlineMs })
       : ending;
+    const keepMs = monotonicMs() - ranAt;
     this.finish(exchange, run, final);
-    this.record(exchange, route, final, run, reservation);
+    this.record({ exchange, route, ending: final, run, reservation, keepMs });
+  }
+
+  /** @throws RefusedError when a new program finds its service overloaded */
+  private admit({ description }: CallExchange, { route }: CompiledRoute, service: string): void {
+    if (description.promptParts.length === 0) return;
+    const engines = this.options.backends.serving(service);
+    const isTaken = this.admission.admits(service, route, description, engines);
+    if (!isTaken) throw new RefusedError('not-admitted');
+  }
+
+  private noteEnd(
+    { description: call, arrivedAt }: CallExchange,
+    run: CallRun,
+    ending: CallEnding,
+  ): void {
+    if (call.promptParts.length === 0 || run.calmMs === undefined) return;
+    const { serviceName: service, calmMs } = run;
+    const ranOutOfTime = ending.kind === 'abandoned' || isTimeLimit(ending);
+    const tookMs = monotonicMs() - arrivedAt;
+    const engines = this.options.backends.serving(service);
+    const turn = { service, call, ranOutOfTime, tookMs, calmMs };
+    this.admission.noteEnd(turn, engines, this.options.backends.gateways);
   }
 
   /** Gives the caller its final answer. */
@@ -141,13 +182,7 @@
     exchange.refuse({ reason, retryAfterMs: RETRY_AFTER_MS[reason] ?? RETRY_SOON_MS });
   }
 
-  private record(
-    exchange: CallExchange,
-    route: CompiledRoute | undefined,
-    ending: CallEnding,
-    run?: CallRun,
-    reservation?: Reservation,
-  ): void {
+  private record({ exchange, route, ending, run, reservation, keepMs }: FinishedCall): void {
     const tookMs = monotonicMs() - exchange.arrivedAt;
     const firstEventMs = firstEventOf(exchange, run);
     const outcome = ending.kind === 'refused' ? ending.reason : ending.kind;
@@ -160,6 +195,7 @@
       ms: Math.round(tookMs),
       firstMs: firstEventMs && Math.round(firstEventMs),
       reserveMs: reservation && Math.round(reservation.tookMs),
+      keepMs: reservation && keepMs && Math.round(keepMs),
       most: exchange.description.mostTokens || undefined,
       events: run?.answer instanceof StreamRelay ? run.answer.events : undefined,
       holder: reservation?.lastBackend,
@@ -167,19 +203,30 @@
       ...describeProgram(exchange.description.program),
     };
     if (ending.kind === 'answered') this.options.logger.info('call', fields);
-    else this.options.logger.warn('call', { ...fields, ...this.situation() });
+    else this.options.logger.warn('call', { ...fields, ...this.situation(route) });
+  }
+
+  /** Loads up to which new programs are taken, as shares of the places of the route's services. */
+  private admissionLimitsOf({ route }: CompiledRoute): string {
+    return route.parts.map(({ service }) => this.admission.limitOf(service).toFixed(2)).join(',');
   }
 
   /** What this gateway knew when a call failed, and how old that was. */
-  private situation(): LogFields {
+  private situation(route: CompiledRoute | undefined): LogFields {
     return {
       directoryAgeMs: Math.round(this.options.directoryAgeMs()),
       generation: this.options.routes()?.configuration.generation,
       settlementsWaiting: this.options.ledger.queuedSettlements,
+      admissionLimits: route && this.admissionLimitsOf(route),
     };
   }
 }
 
+function isTimeLimit(ending: CallEnding): boolean {
+  if (ending.kind !== 'refused') return false;
+  return ending.reason === 'time-limit' || ending.reason === 'time-limit-before-start';
+}
+
 function firstEventOf(exchange: CallExchange, run: CallRun | undefined): number | undefined {
   if (!(run?.answer instanceof StreamRelay)) return undefined;
   const { firstEventAt } = run.answer;
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -1,7 +1,7 @@
 /** One forwarded call from its placement to its final answer, written straight down. */
 import { monotonicMs } from '../common/index.js';
 import type { CompiledRoute } from '../routes/index.js';
-import type { CallWork } from '../performance/index.js';
+import type { CallWork, ServiceModel } from '../performance/index.js';
 import type { BackendConnection } from './backend-connections.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendState, BackendView } from './backend-view.js';
@@ -68,6 +68,8 @@
   private readonly sentTo = new Set<string>();
   private stayWith: Choice | undefined;
   private attempt: SendAttempt | undefined;
+  /** How long calls of the service take, once the call was sent. */
+  private model: ServiceModel | undefined;
   private resends = 0;
   /** When the latest send began (monotonic, milliseconds). */
   private sentAt = 0;
@@ -94,6 +96,13 @@
     return this.service;
   }
 
+  /** What the call would take on back ends with nothing else to do, in milliseconds, once it was sent. */
+  get calmMs(): number | undefined {
+    const { promptParts } = this.options.exchange.description;
+    const events = this.answer instanceof StreamRelay ? this.answer.events : 0;
+    return this.model?.predictCalmMs({ missingTokens: promptParts.at(-1)?.tokens ?? 0, events });
+  }
+
   /** Sends the call until it is answered or nothing more may be tried. Does not end the answer. */
   async run(): Promise<CallEnding> {
     const { exchange, deadlineMs } = this.options;
@@ -133,6 +142,7 @@
     const connection = backend.connections.acquire();
     if (!connection) return { kind: 'not-sent', cause: 'no connection left' };
     const attempt = this.createAttempt(backend, connection);
+    this.model = backend.model;
     this.attempt = attempt;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
     const { promptParts } = this.options.exchange.description;
@@ -188,7 +198,7 @@
     const events = this.answer instanceof StreamRelay ? this.answer.events : 0;
     const work: CallWork = { missingTokens, load, events };
     const expectedMs = backend.model.predictMs(work);
-    backend.model.observe(work, tookMs / backend.pace.factor);
+    backend.model.observe(work, tookMs / backend.pace.factor, backend.places);
     backend.pace.note(tookMs, expectedMs);
     return expectedMs;
   }
--- a/src/forwarding/placement.test.ts
+++ b/src/forwarding/placement.test.ts
@@ -52,7 +52,7 @@
   for (let call = 0; call < 200; call += 1) {
     const work = { missingTokens: (call * 37) % 8_000, load: call % 13, events: 5 + (call % 7) };
     const { missingTokens, load, events } = work;
-    model.observe(work, 20 + missingTokens / 250 + events * (20 + load));
+    model.observe(work, 20 + missingTokens / 250 + events * (20 + load), SLOTS);
   }
 }
 
--- a/src/performance/performance.test.ts
+++ b/src/performance/performance.test.ts
@@ -13,6 +13,7 @@
 }
 
 const SPREAD = 0.3;
+const PLACES = 16;
 
 function drawWork(random: SeededRandom): CallWork {
   const isCold = random.chance(0.3);
@@ -32,7 +33,7 @@
   for (let call = 0; call < calls; call += 1) {
     const work = drawWork(random);
     const noise = 1 + SPREAD * (2 * random.uniform() - 1);
-    model.observe(work, timeOf(engine, work) * noise);
+    model.observe(work, timeOf(engine, work) * noise, PLACES);
   }
 }
 
@@ -89,15 +90,30 @@
     for (let round = 0; round < 30; round += 1) {
       teach(model, ENGINES[1]!, 19, random);
       const work = drawWork(random);
-      model.observe(work, timeOf(ENGINES[1]!, work) * 20);
+      model.observe(work, timeOf(ENGINES[1]!, work) * 20, PLACES);
     }
     expect(errorOf(model, ENGINES[1]!, random)).toBeLessThan(0.35);
   });
 
+  it('remembers what calls take on idle engines while all are overloaded', () => {
+    const random = new SeededRandom(77);
+    const engine = ENGINES[1]!;
+    const model = new ServiceModel();
+    teach(model, engine, 200, random);
+    const work = { missingTokens: 800, events: 10 };
+    const calm = timeOf(engine, { ...work, load: 0 });
+    for (let call = 0; call < 500; call += 1) {
+      const overloaded = { ...drawWork(random), load: random.integer(20, 40) };
+      model.observe(overloaded, 5 * timeOf(engine, overloaded), PLACES);
+    }
+    expect(model.predictCalmMs(work) / calm).toBeGreaterThan(0.7);
+    expect(model.predictCalmMs(work) / calm).toBeLessThan(1.4);
+  });
+
   it('predicts something for calls of plain services, which have neither prompts nor events', () => {
     const model = new ServiceModel();
     for (let call = 0; call < 60; call += 1) {
-      model.observe({ missingTokens: 0, load: call % 4, events: 0 }, 80 + (call % 9));
+      model.observe({ missingTokens: 0, load: call % 4, events: 0 }, 80 + (call % 9), PLACES);
     }
     expect(model.predictMs({ missingTokens: 0, load: 2, events: 0 })).toBeCloseTo(84, -1);
     expect(model.typicalMs).toBeCloseTo(84, -1);
--- a/src/performance/service-model.ts
+++ b/src/performance/service-model.ts
@@ -27,17 +27,17 @@
 const PRIOR_SAMPLES = 2;
 /** Half of what is known comes from the last hundred calls. */
 const RETENTION = 0.993;
+/** Back ends with no larger share of their places taken show what calls take when all is calm. */
+const CALM_SHARE = 0.25;
 /** Calls shorter than this share of a typical one are trusted no more than those of that length. */
 const LEAST_TRUSTED_SHARE = 0.1;
 /** Share of the newest call in the mean events and the mean time of a call. */
 const MEAN_SHARE = 0.05;
 
 export class ServiceModel {
-  private readonly regression = new DecayingLeastSquares({
-    prior: PRIOR,
-    priorSamples: PRIOR_SAMPLES,
-    retention: RETENTION,
-  });
+  private readonly regression = createRegression();
+  /** Learns from calls at back ends that had little to do. */
+  private readonly calmRegression = createRegression();
   private meanEvents: number | undefined;
   private meanMs: number | undefined;
   private meanPromptTokens: number | undefined;
@@ -67,20 +67,52 @@
     this.meanPromptTokens = mean(this.meanPromptTokens, tokens);
   }
 
-  /** Takes a call into account that was answered whole. */
-  observe(work: CallWork, tookMs: number): void {
-    // The time of a call varies in proportion to its length, so that short calls tell more.
-    const trust =
-      this.typicalMs / Math.max(this.typicalMs * LEAST_TRUSTED_SHARE, this.predictMs(work));
-    this.regression.add(inputsOf(work), tookMs, trust);
+  /**
+   * Takes a call into account that was answered whole.
+   * @param places typical calls that fit at once at the back end
+   */
+  observe(work: CallWork, tookMs: number, places: number): void {
+    learn(this.regression, work, tookMs, this.typicalMs);
+    if (work.load <= places * CALM_SHARE) {
+      learn(this.calmRegression, work, tookMs, this.typicalMs);
+    }
     this.meanEvents = mean(this.meanEvents, work.events);
     this.meanMs = mean(this.meanMs, tookMs);
   }
 
   /** Time that a call takes at a back end of ordinary speed, in milliseconds. */
   predictMs(work: CallWork): number {
-    return Math.max(1, this.regression.predict(inputsOf(work)));
+    return predict(this.regression, work);
   }
+
+  /** Time that a call would take where nothing else runs, by what calm times have shown. */
+  predictCalmMs(work: Omit<CallWork, 'load'>): number {
+    return predict(this.calmRegression, { ...work, load: 0 });
+  }
+}
+
+function createRegression(): DecayingLeastSquares {
+  return new DecayingLeastSquares({
+    prior: PRIOR,
+    priorSamples: PRIOR_SAMPLES,
+    retention: RETENTION,
+  });
+}
+
+function predict(regression: DecayingLeastSquares, work: CallWork): number {
+  return Math.max(1, regression.predict(inputsOf(work)));
+}
+
+/** The time of a call varies in proportion to its length, so that short calls tell more. */
+function learn(
+  regression: DecayingLeastSquares,
+  work: CallWork,
+  tookMs: number,
+  typicalMs: number,
+): void {
+  const shortest = typicalMs * LEAST_TRUSTED_SHARE;
+  const trust = typicalMs / Math.max(shortest, predict(regression, work));
+  regression.add(inputsOf(work), tookMs, trust);
 }
 
 /** Calls beside slow the generation of each event down. */
