--- a/emulator/model/engine-model.ts
+++ b/emulator/model/engine-model.ts
@@ -2,7 +2,7 @@
  * The emulated model engine: continuous batching with chunked prefill, a prefix cache in bounded
  * memory, priorities, streams that can be read again, holds, KV export and import. It keeps no
  * clock of its own: `step` does one iteration and says how long it takes, so the same class serves
- * the emulator process and hollow runs in virtual time.
+ * the emulator process and tests in virtual time.
  */
 import { planAnswer } from './answer-text.js';
 import { BLOCK_TOKENS, type EngineOptions } from './engine-options.js';
--- a/lab/cli/ledgegauge-lab.ts
+++ b/lab/cli/ledgegauge-lab.ts
@@ -8,7 +8,6 @@
 import { type FleetFlags, runFleet } from './fleet-command.js';
 import { type LoadFlags, runLoadCommand } from './load-command.js';
 import { type ReportFlags, runReport } from './report-command.js';
-import { type ScaleFlags, runScale } from './scale-command.js';
 import { type SlopesFlags, runSlopes } from './slopes-command.js';
 import { type TortureFlags, runTorture } from './torture-command.js';
 
@@ -47,17 +46,6 @@
   .option('--json', 'Print the result as one line of JSON')
   .action((flags: SlopesFlags) => runAction(() => runSlopes(flags)));
 
-cli
-  .command('scale', 'Run hollow nodes and runners before a real control group')
-  .option('--nodes <count>', 'Hollow nodes', { default: 1600 })
-  .option('--runners <count>', 'Hollow runners', { default: 10000 })
-  .option('--tenants <count>', 'Tenants in the configuration', { default: 5600 })
-  .option('--models <count>', 'Models in the configuration', { default: 30 })
-  .option('--seed <number>', 'Seed of the choices', { default: 1 })
-  .option('--output <folder>', 'Where the JSON file goes', { default: 'scale' })
-  .option('--json', 'Print the result as one line of JSON')
-  .action((flags: ScaleFlags) => runAction(() => runScale(flags)));
-
 cli
   .command('load', 'Run a seeded workload on a fleet and show its figures')
   .option('--deployment <name>', 'pipeline or consortium', { default: 'pipeline' })
--- a/lab/cli/slopes-command.ts
+++ b/lab/cli/slopes-command.ts
@@ -3,10 +3,8 @@
 import { join } from 'node:path';
 import { LedgegaugeError } from '../../src/common/index.js';
 import { drawScatterPlots } from '../plots/scatter-plot.js';
-import { documentExperiment } from '../slopes/document-experiment.js';
 import { gatewayExperiment } from '../slopes/gateway-experiment.js';
 import { callExperiment, groupExperiment } from '../slopes/journal-experiment.js';
-import { leaseExperiment } from '../slopes/lease-experiment.js';
 import type { Slope, SlopeExperiment } from '../slopes/slope.js';
 import { stateExperiment } from '../slopes/state-experiment.js';
 import { formatTable } from './table.js';
@@ -18,8 +16,6 @@
 }
 
 const EXPERIMENTS: readonly SlopeExperiment[] = [
-  leaseExperiment,
-  documentExperiment,
   callExperiment,
   groupExperiment,
   stateExperiment,
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -1,7 +1,6 @@
 /** A replicated group of several members in one process, over a network that can be cut. */
 import { rmSync } from 'node:fs';
 import { join } from 'node:path';
-import { LoopbackNetwork } from '../../lab/hollow/loopback-network.js';
 import {
   type ConsensusOptions,
   GroupClient,
@@ -18,6 +17,7 @@
 } from '../../src/consensus/index.js';
 import { SnapshotStore, WriteAheadLog } from '../../src/log-store/index.js';
 import { createLogger } from '../../src/observability/index.js';
+import { LoopbackNetwork } from './loopback-network.js';
 import { MethodRouter, decodeValue, encodeValue } from '../../src/wire/index.js';
 import { waitUntil } from './wait-until.js';
 
