--- a/src/explain/account.test.ts
+++ b/src/explain/account.test.ts
@@ -55,7 +55,10 @@
   });
 
   it('tells late and failed programs, and failures by reason and back end', () => {
-    const failure = { outcome: 'time-limit', sends: 'e1@0+0:broken e3@9+1:x' };
+    const failure = {
+      outcome: 'time-limit',
+      sends: 'e1@0+0-0t/3ms:other side closed e3@9+1-5t/4ms:x',
+    };
     const account = accountOf([
       turn(0, { program: 'late', remainingMs: 0 }),
       turn(10, { program: 'late', remainingMs: 0 }),
--- a/src/explain/account.ts
+++ b/src/explain/account.ts
@@ -54,6 +54,8 @@
 
 const WINDOW_SECONDS = 2;
 const MAX_EXAMPLES = 3;
+/** The beginning of each send in a call's line: back end, own load, others' load. */
+const SEND = /(\S+)@\d+\+\d+/g;
 const ANSWERED = 'answered';
 /** Outcomes that the caller or the operator brought about. */
 const EXPECTED_OUTCOMES: ReadonlySet<string> = new Set(['budget-exhausted', 'no-route']);
@@ -70,7 +72,8 @@
   reserveMs: number;
   keepMs: number;
   isLate: boolean;
-  sends: string[];
+  /** Back ends that it was sent to, in order. */
+  sentTo: string[];
 }
 
 export function accountOf(records: readonly LogRecord[]): Account {
@@ -98,7 +101,7 @@
     reserveMs: numberOf(fields.reserveMs),
     keepMs: numberOf(fields.keepMs),
     isLate: fields.remainingMs === 0,
-    sends: sends.split(' ').filter((send) => send !== ''),
+    sentTo: [...sends.matchAll(SEND)].map(([, backend]) => backend!),
   };
 }
 
@@ -115,7 +118,7 @@
     firstEventMs: mean((turn) => turn.firstMs - turn.reserveMs),
     generatingMs: mean((turn) => turn.ms - turn.firstMs - turn.keepMs),
     keepingMs: mean((turn) => turn.keepMs),
-    sentAgain: turns.filter((turn) => turn.sends.length > 1).length,
+    sentAgain: turns.filter((turn) => turn.sentTo.length > 1).length,
   };
 }
 
@@ -155,8 +158,8 @@
 
 function countFailures(failures: readonly CallLine[]): FailureCount[] {
   const counts = new Map<string, FailureCount>();
-  for (const { id, outcome, sends } of failures) {
-    const backend = sends.at(-1)?.split('@')[0] ?? '';
+  for (const { id, outcome, sentTo } of failures) {
+    const backend = sentTo.at(-1) ?? '';
     const key = `${outcome} ${backend}`;
     const count = counts.get(key) ?? { outcome, backend, calls: 0, examples: [] };
     count.calls += 1;
