--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -22,7 +22,7 @@
 /** The limit as a share of the engines' places: where it starts and the most it can be, and the least. */
 const HIGHEST_LIMIT = 1.25;
 const LOWEST_LIMIT = 0.1;
-/** The limit rises only while the load is this share of it. */
+/** Below this share of the limit the load says nothing about it, and it goes back up. */
 const TESTED_SHARE = 0.6;
 /** From the limit up to this many times of it the share of new programs that is refused rises to all. */
 const RAMP = 1.25;
@@ -114,7 +114,7 @@
   return Math.min(HIGHEST_LIMIT, Math.max(LOWEST_LIMIT, busyShare));
 }
 
-/** How far a turn is from the tolerable time: -1 where it took none, 1 where it took twice that. */
+/** How far a turn is from the tolerable time, as a share of it: -1 where it took none, 1 where it took twice that. */
 function excessOf({ call, ranOutOfTime, tookMs, calmMs }: EndedTurn): number {
   if (ranOutOfTime) return 1;
   const excess = Math.min(1, tookMs / (calmMs * TOLERABLE_STRETCH) - 1);
