--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -39,7 +39,7 @@
 const RETRY_AFTER_MS: Partial<Record<RefusalReason, number>> = {
   'not-ready': 300,
   'ledger-unavailable': 300,
-  'not-admitted': 1_000,
+  'not-admitted': 300,
 };
 
 /** A call that has its final answer, for the log. */
--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -20,10 +20,10 @@
  */
 const GAIN = 1;
 /** The limit as a share of the engines' places: where it starts and the most it can be, and the least. */
-const HIGHEST_LIMIT = 1.25;
+const HIGHEST_LIMIT = 2;
 const LOWEST_LIMIT = 0.1;
 /** Below this share of the limit the load says nothing about it, and it goes back up. */
-const TESTED_SHARE = 0.6;
+const TESTED_SHARE = 0.5;
 /** From the limit up to this many times of it the share of new programs that is refused rises to all. */
 const RAMP = 1.25;
 /** Less urgent programs are refused from this share of the limit on. */
