--- a/src/explain/account.ts
+++ b/src/explain/account.ts
@@ -2,6 +2,7 @@
  * Where the time of a whole run went, from the decision logs of its processes: turns by their parts and
  * by the second, programs against their objectives, and calls that failed by reason and back end.
  */
+import { groupBy } from '../common/index.js';
 import type { LogRecord } from './log-record.js';
 
 /** Mean times of the parts of turns, in milliseconds. */
@@ -124,18 +125,14 @@
 
 function windowsOf(calls: readonly CallLine[]): AccountWindow[] {
   const start = calls[0]?.endedAt ?? 0;
-  const spans = new Map<number, CallLine[]>();
-  for (const call of calls) {
-    const span = Math.floor((call.endedAt - start) / (WINDOW_SECONDS * 1_000));
-    const inSpan = spans.get(span) ?? [];
-    inSpan.push(call);
-    spans.set(span, inSpan);
-  }
+  const spanOf = ({ endedAt }: CallLine): number =>
+    Math.floor((endedAt - start) / (WINDOW_SECONDS * 1_000));
+  const spans = groupBy(calls, (call) => String(spanOf(call)));
   return [...spans].map(([span, inSpan]) => {
     const turns = inSpan.filter((call) => call.isTurn && call.outcome === ANSWERED);
     const times = turns.map(({ ms }) => ms).sort((left, right) => left - right);
     return {
-      fromSecond: span * WINDOW_SECONDS,
+      fromSecond: Number(span) * WINDOW_SECONDS,
       ...partsOf(turns),
       medianMs: quantile(times, 0.5),
       p95Ms: quantile(times, 0.95),
--- a/tests/support/loopback-network.ts
+++ b/tests/support/loopback-network.ts
@@ -1,6 +1,6 @@
 /**
- * A network inside one process: the real handlers, with messages encoded and decoded as on the wire
- * and counted in bytes, but without sockets. Links can be cut, one way or both.
+ * A network inside one process: the real handlers, with messages encoded and decoded as on the wire,
+ * but without sockets. Links can be cut, one way or both.
  */
 import type { PeerCaller } from '../../src/consensus/index.js';
 import { TimeoutError, sleep } from '../../src/common/index.js';
@@ -14,18 +14,9 @@
   encodeValue,
 } from '../../src/wire/index.js';
 
-/** Bytes of a frame around a message: length and envelope (measured on the wire protocol). */
-const FRAME_OVERHEAD_BYTES = 24;
-
-export interface TrafficCount {
-  messages: number;
-  bytes: number;
-}
-
 export class LoopbackNetwork {
   private readonly routers = new Map<string, MethodRouter>();
   private readonly cuts = new Set<string>();
-  private readonly sent = new Map<string, TrafficCount>();
 
   /** @param delayMs one-way delay of every message, in milliseconds */
   constructor(private readonly delayMs: (from: string, to: string) => number = () => 0) {}
@@ -55,11 +46,6 @@
     this.cuts.clear();
   }
 
-  /** What an address has sent so far, requests and responses. */
-  trafficOf(address: string): TrafficCount {
-    return this.sent.get(address) ?? { messages: 0, bytes: 0 };
-  }
-
   peersOf(ownAddress: string): PeerCaller {
     return {
       call: (address, method, request, options) =>
@@ -78,7 +64,7 @@
     const context = { step: method.name, peer: to, retriable: true };
     const handler = this.routers.get(to)?.find(method.name);
     if (!handler) throw new LinkError('nobody listens', context);
-    const requestBytes = this.count(from, encodeValue(request));
+    const requestBytes = encodeValue(request);
     if (!(await this.carry(from, to))) return this.neverAnswers(options, context);
     let answer: unknown;
     try {
@@ -87,7 +73,7 @@
       const { name, message } = error as Error;
       throw new RemoteError(message, name, context);
     }
-    const answerBytes = this.count(to, encodeValue(answer));
+    const answerBytes = encodeValue(answer);
     if (!(await this.carry(to, from))) return this.neverAnswers(options, context);
     return decodeValue<Response>(answerBytes);
   }
@@ -106,12 +92,4 @@
     await sleep(options.timeoutMs);
     throw new TimeoutError('no response in time', context);
   }
-
-  private count(address: string, bytes: Buffer): Buffer {
-    const count = this.sent.get(address) ?? { messages: 0, bytes: 0 };
-    count.messages += 1;
-    count.bytes += bytes.length + FRAME_OVERHEAD_BYTES;
-    this.sent.set(address, count);
-    return bytes;
-  }
 }
