An answer that is reset on its way no longer passes as whole, and ends no process

Cause: undici takes ECONNRESET after the head of an answer without a length for the end of its body, so a reset and an orderly close looked alike to src/forwarding.

Ruled out: a fault of BufferedAnswer (it passes on what it is told is whole); mending the error's code in a listener (depends on the order of listeners).

Now: BackendSocket raises a reset under a class of its own and announces the end of a stream only to a reader that asks for it; both products' clients use it. Each whole answer says what ended it: head, length, last chunk or close.

--- a/src/backends/engine-client.ts
+++ b/src/backends/engine-client.ts
@@ -2,7 +2,7 @@
 import { Agent, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import type { ChatMessage } from '../common/index.js';
-import { EventParser, type ServerSentEvent } from '../http/index.js';
+import { EventParser, type ServerSentEvent, backendConnector } from '../http/index.js';
 import { BackendError, BackendLostError, BackendProtocolError } from './errors.js';
 import { callBackend } from './http-call.js';
 import { type LoadReport, loadReportSchema } from './load-report.js';
@@ -81,7 +81,7 @@
 const CONNECT_TIMEOUT_MS = 500;
 
 export class EngineClient {
-  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+  private readonly agent = new Agent({ connect: backendConnector(CONNECT_TIMEOUT_MS) });
 
   constructor(private readonly options: EngineClientOptions) {}
 
--- a/src/backends/load-poller.ts
+++ b/src/backends/load-poller.ts
@@ -5,6 +5,7 @@
  */
 import { Agent } from 'undici';
 import { monotonicMs, sleep } from '../common/index.js';
+import { backendConnector } from '../http/index.js';
 import type { Backend } from './backend.js';
 import type { BackendTable } from './backend-table.js';
 import { callBackend } from './http-call.js';
@@ -82,7 +83,7 @@
 
 /** Asks engines over HTTP. */
 export class LoadFetcher {
-  private readonly agent = new Agent({ connections: 1, connect: { timeout: TIMEOUT_MS } });
+  private readonly agent = new Agent({ connections: 1, connect: backendConnector(TIMEOUT_MS) });
 
   constructor(private readonly resolveAddress: (address: string) => string) {}
 
--- a/src/backends/service-client.ts
+++ b/src/backends/service-client.ts
@@ -1,6 +1,7 @@
 /** Talks to small services: build status, log fetch, heartbeat, payments. */
 import { Agent } from 'undici';
 import { z } from 'zod';
+import { backendConnector } from '../http/index.js';
 import { BackendProtocolError } from './errors.js';
 import { callBackend } from './http-call.js';
 
@@ -16,7 +17,7 @@
 const answerSchema = z.object({ answer: z.string() });
 
 export class ServiceClient {
-  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+  private readonly agent = new Agent({ connect: backendConnector(CONNECT_TIMEOUT_MS) });
 
   /**
    * Sends one call, once.
--- a/src/forwarding/backend-connections.ts
+++ b/src/forwarding/backend-connections.ts
@@ -3,7 +3,9 @@
  * than this process's share of what the back end takes.
  */
 import { Client, type Dispatcher } from 'undici';
+import { backendConnector } from '../http/index.js';
 
+/** Longest time until a connection is established, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 450;
 /** Idle connections are closed before the back end is likely to close them, in milliseconds. */
 const KEEP_ALIVE_MS = 4_000;
@@ -65,7 +67,7 @@
     if (this.open.size >= this.limit()) return undefined;
     const client = new Client(`http://${this.address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false },
+      connect: backendConnector(CONNECT_TIMEOUT_MS),
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       headersTimeout: 0,
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -5,11 +5,12 @@
 import type { Dispatcher } from 'undici';
 import type { BackendConnection } from './backend-connections.js';
 import type { AnswerVerdict, BackendProtocol, RequestHead } from './backend-protocol.js';
+import { type AnswerEnd, endOfAnswer, headerIn } from './answer-end.js';
 import type { AnswerHead } from './call-exchange.js';
 
 export type SendResult =
   /** A whole answer was received. */
-  | { kind: 'complete' }
+  | { kind: 'complete'; endedBy: AnswerEnd }
   /** No byte of the call reached the back end. */
   | { kind: 'not-sent'; cause: string }
   /** The back end states that it did not run the call. */
@@ -47,6 +48,7 @@
   private verdict: AnswerVerdict | undefined;
   private brokenCause = '';
   private isLastOnConnection = false;
+  private endedBy: AnswerEnd = 'close';
   private controller: Dispatcher.DispatchController | undefined;
   private finish!: (result: SendResult) => void;
 
@@ -105,7 +107,8 @@
     const rawHeaders = textOf(controller.rawHeaders);
     const verdict = this.options.protocol.readHead(statusCode, rawHeaders);
     this.verdict = verdict;
-    this.isLastOnConnection = announcesClose(rawHeaders);
+    this.endedBy = endOfAnswer(this.options.request.method, statusCode, rawHeaders);
+    this.isLastOnConnection = announcesClose(rawHeaders) || this.endedBy === 'close';
     if (verdict.callId !== undefined && verdict.callId !== this.options.callId) {
       this.brokenCause = 'the answer belongs to another call';
       this.abort('broken');
@@ -126,6 +129,9 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    // The parser repeats its last callback without bytes when it is resumed; pausing it again then
+    // would leave it paused at the end of the stream, which it does not bear.
+    if (chunk.length === 0) return;
     this.options.onHeard();
     if (this.stopReason) return;
     if (!this.options.sink.onData(chunk)) controller.pause();
@@ -134,7 +140,8 @@
   onResponseEnd(): void {
     if (this.isLastOnConnection) this.options.connection.discard();
     else this.options.connection.release();
-    this.finish(this.stopReason === undefined ? { kind: 'complete' } : this.resultOfStop(''));
+    if (this.stopReason !== undefined) this.finish(this.resultOfStop(''));
+    else this.finish({ kind: 'complete', endedBy: this.endedBy });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
@@ -163,11 +170,7 @@
 }
 
 function announcesClose(rawHeaders: readonly string[]): boolean {
-  for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]!.toLowerCase() !== 'connection') continue;
-    if (rawHeaders[index + 1]!.toLowerCase() === 'close') return true;
-  }
-  return false;
+  return headerIn(rawHeaders, 'connection').some((value) => value.toLowerCase() === 'close');
 }
 
 function textOf(rawHeaders: unknown): string[] {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,3 +2,4 @@
 export * from './http-server.js';
 export * from './problem.js';
 export * from './server-sent-events.js';
+export * from './backend-socket.js';
