A member acknowledges entries only once they are synced, also when the leader repeats them

Cause: a follower whose disk stalls holds entries in memory before they are synced. A leader that gets no answer within 1 s repeats them; the follower found nothing new and answered success at once, so an entry could be committed on memory alone and be lost with the power.

Test on three members with two stalled disks: committed after the first repetition before (red), nothing acknowledged until the disks sync now. The tests' network times calls out as a real link does; without that it could not show.

--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -75,6 +75,8 @@
       const refusal = await this.appendEntries(fresh);
       if (refusal) return refusal;
     }
+    // A leader repeats what was not answered in time; those entries are held, but maybe not synced.
+    await log.waitEntriesDurable();
     await group.waitTermDurable();
     if (group.term === term) this.noteMatched(term, matched, request.commitIndex);
     return { term, success: true, matchIndex: matched, isFull: false };
--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -31,6 +31,8 @@
 export class MemberLog {
   private readonly state: GroupLogState;
   private configurations: ConfigurationAt[] = [];
+  /** The latest write of entries; the log is written in order, so those before it are synced too. */
+  private entriesWritten: Promise<void> = Promise.resolve();
 
   private constructor(
     readonly group: string,
@@ -129,11 +131,17 @@
       records.unshift({ kind: 'truncate', group: this.group, fromIndex: first.index });
     }
     const written = this.wal.append(records);
+    this.entriesWritten = written;
     if (conflicts) this.forgetConfigurationsFrom(first.index);
     this.noteConfigurations(entries);
     return written;
   }
 
+  /** Resolves when every entry that is held is synced, also those of earlier calls of `append`. */
+  waitEntriesDurable(): Promise<void> {
+    return this.entriesWritten;
+  }
+
   /** Makes a snapshot durable, then drops the entries up to `compactTo`. */
   async saveSnapshot(snapshot: StoredSnapshot, compactTo: SnapshotMark): Promise<void> {
     await this.snapshots.write(this.group, snapshot);
--- /dev/null
+++ b/src/consensus/stalled-disk.test.ts
@@ -0,0 +1,38 @@
+/** A group of which a majority's disks stall: nothing is acknowledged that is not synced. */
+import { afterEach, describe, expect, it } from 'vitest';
+import { ConsensusCluster, GROUP } from '../../tests/support/consensus-cluster.js';
+import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { sleep } from '../common/index.js';
+import { encodeValue } from '../wire/index.js';
+
+/** Longer than a leader waits for an answer before it repeats entries, in milliseconds. */
+const LONGER_THAN_A_REPETITION_MS = 2_500;
+const CALL = { timeoutMs: 5_000 };
+
+let cluster: ConsensusCluster;
+afterEach(() => cluster.stopAll());
+
+async function startCluster(): Promise<void> {
+  cluster = new ConsensusCluster({ size: 3, folder: temporaryFolder() });
+  await cluster.startAll();
+}
+
+describe('a disk that stalls', () => {
+  it('keeps its member from acknowledging entries, also those that the leader repeats', async () => {
+    await startCluster();
+    const leader = await cluster.waitLeader();
+    await cluster.client().execute(GROUP, 'before', CALL);
+    const followers = cluster.members.filter((running) => running !== leader);
+    for (const { disk } of followers) disk.stall();
+    let isAcknowledged = false;
+    const acknowledged = leader.group.propose(encodeValue('during')).then(
+      () => (isAcknowledged = true),
+      () => undefined,
+    );
+    await sleep(LONGER_THAN_A_REPETITION_MS);
+    expect(isAcknowledged).toBe(false);
+    expect(leader.machine.items).toEqual(['before']);
+    for (const { disk } of followers) disk.resume();
+    await acknowledged;
+  });
+});
--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -1,7 +1,25 @@
 /** File operations of a data folder, with the syncs that make them last. */
-import { open, readFile, rename, type FileHandle } from 'node:fs/promises';
+import { open, readFile, rename, rm } from 'node:fs/promises';
 import { join } from 'node:path';
-import { StorageFailedError, StorageFullError } from './errors.js';
+import { DiskFullError, StorageFailedError, StorageFullError } from './errors.js';
+
+/** What a log needs of a file; a `FileHandle` has all of it. */
+export interface LogFile {
+  write(
+    bytes: Uint8Array,
+    start: number,
+    length: number,
+    offset: number,
+  ): Promise<{ bytesWritten: number }>;
+  truncate(length: number): Promise<void>;
+  datasync(): Promise<void>;
+  close(): Promise<void>;
+}
+
+export type OpenLogFile = (path: string, flags: 'r+' | 'w') => Promise<LogFile>;
+
+/** Error codes of a disk, or of a share of it, that takes no more bytes. */
+const FULL_CODES: ReadonlySet<string | undefined> = new Set(['ENOSPC', 'EDQUOT']);
 
 /** Syncs a folder, so that created and renamed entries last. */
 export async function syncFolder(path: string): Promise<void> {
@@ -13,18 +31,39 @@
   }
 }
 
-/** Writes a whole file so that after a crash either the old or the new content is there. */
+/**
+ * Writes a whole file so that after a crash either the old or the new content is there.
+ * @throws DiskFullError when the disk has no room; the old content stands then
+ */
 export async function replaceFile(folder: string, name: string, bytes: Uint8Array): Promise<void> {
   const temporary = join(folder, `${name}.new`);
-  const file = await open(temporary, 'w');
+  try {
+    await writeWholeFile(temporary, bytes);
+  } catch (cause) {
+    // Whatever was written of it takes room that others need; the error itself is reported.
+    await rm(temporary, { force: true }).catch(() => undefined);
+    throw storageError(cause, { step: 'data-folder.replace', peer: temporary });
+  }
+  await rename(temporary, join(folder, name));
+  await syncFolder(folder);
+}
+
+async function writeWholeFile(path: string, bytes: Uint8Array): Promise<void> {
+  const file = await open(path, 'w');
   try {
     await file.writeFile(bytes);
     await file.datasync();
   } finally {
     await file.close();
   }
-  await rename(temporary, join(folder, name));
-  await syncFolder(folder);
+}
+
+/** Tells a full disk, which may have room again, from a failure that leaves the content unknown. */
+function storageError(cause: unknown, context: { step: string; peer: string }): Error {
+  if (FULL_CODES.has((cause as NodeJS.ErrnoException).code)) {
+    return new DiskFullError('disk is full', { ...context, retriable: true, cause });
+  }
+  return new StorageFailedError('write failed', { ...context, cause });
 }
 
 /** Reads a file, or returns undefined when there is none. */
@@ -73,22 +112,23 @@
   }
 }
 
-/** Appends to a file at a known offset and syncs it. */
+/**
+ * Appends to a file at a known offset and syncs it.
+ * @throws DiskFullError when the disk has no room; the same may be appended again later
+ * @throws StorageFailedError when the content of the file is unknown
+ */
 export async function appendAndSync(
-  file: FileHandle,
+  file: LogFile,
   bytes: Buffer,
   offset: number,
   peer: string,
 ): Promise<void> {
   try {
-    await file.write(bytes, 0, bytes.length, offset);
+    await writeWhole(file, bytes, offset);
   } catch (cause) {
-    const code = (cause as NodeJS.ErrnoException).code;
+    // A part that stays is written over by the next append, or cut off as a torn tail at a start.
     await file.truncate(offset).catch(() => undefined);
-    if (code === 'ENOSPC' || code === 'EDQUOT') {
-      throw new StorageFullError('disk is full', { step: 'log-store.append', peer, cause });
-    }
-    throw new StorageFailedError('write failed', { step: 'log-store.append', peer, cause });
+    throw storageError(cause, { step: 'log-store.append', peer });
   }
   try {
     await file.datasync();
@@ -96,3 +136,13 @@
     throw new StorageFailedError('sync failed', { step: 'log-store.sync', peer, cause });
   }
 }
+
+/** A disk that fills up accepts a part of a write without an error; the next write tells. */
+async function writeWhole(file: LogFile, bytes: Buffer, offset: number): Promise<void> {
+  let written = 0;
+  while (written < bytes.length) {
+    const length = bytes.length - written;
+    const { bytesWritten } = await file.write(bytes, written, length, offset + written);
+    written += bytesWritten;
+  }
+}
--- /dev/null
+++ b/src/log-store/full-disk.test.ts
@@ -0,0 +1,137 @@
+/** A disk that fills up, takes a part of a write, or stalls: nothing is lost and no process ends. */
+import { describe, expect, it } from 'vitest';
+import { FaultyDisk } from '../../tests/support/faulty-disk.js';
+import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { sleep } from '../common/index.js';
+import { StorageFullError } from './errors.js';
+import type { LogEntry } from './records.js';
+import { WriteAheadLog } from './write-ahead-log.js';
+
+function entry(index: number): LogEntry {
+  return { index, term: 1, kind: 'command', data: Buffer.from(`entry-${index}`) };
+}
+
+const entries = (index: number) => [
+  { kind: 'entries' as const, group: 'g', entries: [entry(index)] },
+];
+
+interface OpenLog {
+  log: WriteAheadLog;
+  fatal: unknown[];
+  /** What was reported of the disk, in order. */
+  reports: boolean[];
+}
+
+async function open(folder: string, disk: FaultyDisk, segmentBytes?: number): Promise<OpenLog> {
+  const fatal: unknown[] = [];
+  const reports: boolean[] = [];
+  const log = await WriteAheadLog.open({
+    folder,
+    segmentBytes,
+    openFile: disk.openFile,
+    onFatal: (error) => void fatal.push(error),
+    onFullChange: (isFull) => void reports.push(isFull),
+  });
+  return { log, fatal, reports };
+}
+
+/** Whether a promise has been resolved after a while. */
+async function isResolvedSoon(promise: Promise<unknown>): Promise<boolean> {
+  return Promise.race([promise.then(() => true), sleep(150).then(() => false)]);
+}
+
+describe('a disk that is full', () => {
+  it('holds writes back until there is room, refuses new entries, and is reported once', async () => {
+    const folder = temporaryFolder();
+    const disk = new FaultyDisk();
+    const { log, fatal, reports } = await open(folder, disk);
+    await log.append(entries(1));
+    disk.roomBytes = 0;
+    const held = log.append(entries(2));
+    expect(await isResolvedSoon(held)).toBe(false);
+    expect(() => log.append(entries(3))).toThrow(StorageFullError);
+    const vote = log.append([
+      { kind: 'hard-state', group: 'g', state: { term: 2, votedFor: 'a' } },
+    ]);
+    expect(await isResolvedSoon(vote)).toBe(false);
+    disk.roomBytes = undefined;
+    await Promise.all([held, vote]);
+    await log.append(entries(3));
+    await log.close();
+    expect({ fatal, reports }).toEqual({ fatal: [], reports: [true, false] });
+    const again = await open(folder, new FaultyDisk());
+    expect(again.log.group('g').entries.map(({ index }) => index)).toEqual([1, 2, 3]);
+    expect(again.log.group('g').hardState).toEqual({ term: 2, votedFor: 'a' });
+    await again.log.close();
+  });
+
+  it('never counts a write as done of which it took only a part', async () => {
+    const folder = temporaryFolder();
+    const disk = new FaultyDisk();
+    const { log, fatal } = await open(folder, disk);
+    await log.append(entries(1));
+    disk.roomBytes = 10;
+    const held = log.append(entries(2));
+    expect(await isResolvedSoon(held)).toBe(false);
+    disk.roomBytes = undefined;
+    await held;
+    await log.close();
+    expect(fatal).toEqual([]);
+    const again = await open(folder, new FaultyDisk());
+    expect(again.log.group('g').lastIndex).toBe(2);
+    await again.log.close();
+  });
+
+  it('goes on in the old segment when there is no room for the next one', async () => {
+    const folder = temporaryFolder();
+    const disk = new FaultyDisk();
+    const { log, fatal } = await open(folder, disk, 64);
+    disk.roomBytes = 60;
+    const writes: Promise<void>[] = [];
+    for (let index = 1; index <= 4; index += 1) {
+      try {
+        writes.push(log.append(entries(index)));
+      } catch (error) {
+        expect(error).toBeInstanceOf(StorageFullError);
+        break;
+      }
+      await sleep(30);
+    }
+    disk.roomBytes = undefined;
+    await Promise.all(writes);
+    const next = log.group('g').lastIndex + 1;
+    await log.append(entries(next));
+    await log.close();
+    expect(fatal).toEqual([]);
+    const again = await open(folder, new FaultyDisk(), 64);
+    expect(again.log.group('g').lastIndex).toBe(next);
+    await again.log.close();
+  });
+
+  it('lets the log be closed; what was held back was never promised', async () => {
+    const folder = temporaryFolder();
+    const disk = new FaultyDisk();
+    const { log, fatal } = await open(folder, disk);
+    await log.append(entries(1));
+    disk.roomBytes = 0;
+    void log.append(entries(2));
+    await sleep(30);
+    await log.close();
+    expect(fatal).toEqual([]);
+    const again = await open(folder, new FaultyDisk());
+    expect(again.log.group('g').lastIndex).toBe(1);
+    await again.log.close();
+  });
+
+  it('does not end the process at the marker that an idle log writes', async () => {
+    const disk = new FaultyDisk();
+    const { log, fatal } = await open(temporaryFolder(), disk);
+    await log.append(entries(1));
+    disk.roomBytes = 0;
+    await sleep(100);
+    disk.roomBytes = undefined;
+    await log.append(entries(2));
+    await log.close();
+    expect(fatal).toEqual([]);
+  });
+});
--- a/src/log-store/index.ts
+++ b/src/log-store/index.ts
@@ -1,6 +1,6 @@
 /** Durable storage of replicated groups: write-ahead log and snapshots. */
 export * from './errors.js';
-export { readFileIfPresent, replaceFile } from './data-folder.js';
+export { type LogFile, type OpenLogFile, readFileIfPresent, replaceFile } from './data-folder.js';
 export { GroupLogState } from './group-log-state.js';
 export type { HardState, LogEntry, LogRecord, SnapshotMark } from './records.js';
 export { SnapshotStore, type StoredSnapshot } from './snapshot-store.js';
--- a/src/log-store/write-ahead-log.ts
+++ b/src/log-store/write-ahead-log.ts
@@ -1,13 +1,20 @@
 /**
  * The write-ahead log of a process: segment files shared by all its replicated groups, so that one
  * sync serves every group that has something to write (group commit). A single writer task takes
- * all queued records, writes them in one go, syncs once and wakes their owners.
+ * all queued records, writes them in one go, syncs once and wakes their owners. While the disk is
+ * full it holds them back and tries again; new entries are refused meanwhile.
  */
-import { mkdir, open, readdir, readFile, rm, truncate, type FileHandle } from 'node:fs/promises';
+import { mkdir, open, readdir, readFile, rm, truncate } from 'node:fs/promises';
 import { join } from 'node:path';
-import { Deferred, SignalEvent } from '../common/index.js';
-import { StorageQuota, appendAndSync, syncFolder } from './data-folder.js';
-import { DamagedLogError } from './errors.js';
+import { Deferred, SignalEvent, sleep } from '../common/index.js';
+import {
+  type LogFile,
+  type OpenLogFile,
+  StorageQuota,
+  appendAndSync,
+  syncFolder,
+} from './data-folder.js';
+import { DamagedLogError, DiskFullError } from './errors.js';
 import { GroupLogState } from './group-log-state.js';
 import { HEADER_BYTES, decodeRecord, encodeRecord, hasSyncedDataAfter } from './record-codec.js';
 import { type LogRecord, decodeLogRecord, encodeLogRecord } from './records.js';
@@ -19,6 +26,11 @@
 const SYNC_MARKER_IDLE_MS = 20;
 /** With more segments than this, groups that hold the oldest are asked for a snapshot. */
 const MAX_SEGMENTS = 3;
+/**
+ * Pause between two tries on a full disk, in milliseconds: short beside an election time-out, so
+ * that a member takes part again as soon as there is room.
+ */
+const FULL_RETRY_MS = 100;
 
 export interface WriteAheadLogOptions {
   folder: string;
@@ -28,6 +40,10 @@
   quotaBytes?: number;
   /** Called once when a write or sync failed so that the process must end. */
   onFatal: (error: unknown) => void;
+  /** Called when the disk is found full, and when a write goes through again. */
+  onFullChange?: (isFull: boolean) => void;
+  /** Opens a segment file. @default the file system's */
+  openFile?: OpenLogFile;
 }
 
 interface QueuedWrite {
@@ -50,7 +66,9 @@
   private readonly quota: StorageQuota;
   private readonly segmentBytes: number;
   private segments: Segment[] = [];
-  private file!: FileHandle;
+  private file!: LogFile;
+  private readonly openFile: OpenLogFile;
+  private isDiskFull = false;
   private syncedOffset = 0;
   private markerNeeded = false;
   private closing = false;
@@ -61,6 +79,7 @@
   private constructor(private readonly options: WriteAheadLogOptions) {
     this.quota = new StorageQuota(options.quotaBytes);
     this.segmentBytes = options.segmentBytes ?? DEFAULT_SEGMENT_BYTES;
+    this.openFile = options.openFile ?? open;
   }
 
   /**
@@ -96,6 +115,7 @@
   append(records: LogRecord[]): Promise<void> {
     const bodies = records.map(encodeLogRecord);
     const isRefusable = records.some((record) => record.kind === 'entries');
+    if (isRefusable && this.isDiskFull) throw this.fullError();
     this.quota.take(sizeOnDisk(bodies), isRefusable, this.options.folder);
     for (const record of records) this.applyToGroup(record);
     const done = new Deferred<void>();
@@ -133,7 +153,9 @@
       }
       const batch = this.queue.splice(0);
       try {
-        await this.writeBatch(batch);
+        const isWritten = await this.writeOnceThereIsRoom(batch);
+        if (!isWritten) return;
+        await this.tidySegments(batch);
         for (const write of batch) write.done.resolve();
       } catch (error) {
         for (const write of batch) write.done.reject(error);
@@ -143,6 +165,33 @@
     }
   }
 
+  /** @returns false when the log was closed first; the owners of the batch are told nothing */
+  private async writeOnceThereIsRoom(batch: QueuedWrite[]): Promise<boolean> {
+    for (;;) {
+      try {
+        await this.writeBatch(batch);
+        this.noteFull(false);
+        return true;
+      } catch (error) {
+        if (!(error instanceof DiskFullError)) throw error;
+        this.noteFull(true);
+        if (this.closing) return false;
+        await sleep(FULL_RETRY_MS);
+      }
+    }
+  }
+
+  private noteFull(isFull: boolean): void {
+    if (isFull === this.isDiskFull) return;
+    this.isDiskFull = isFull;
+    this.options.onFullChange?.(isFull);
+  }
+
+  private fullError(): DiskFullError {
+    const context = { step: 'log-store.append', peer: this.options.folder, retriable: true };
+    return new DiskFullError('disk is full', context);
+  }
+
   /** Once idle, records how far the segment is synced, so that later damage can be recognised. */
   private async waitForWork(): Promise<void> {
     if (!this.markerNeeded) {
@@ -153,8 +202,12 @@
     if (this.queue.length > 0 || this.closing) return;
     this.markerNeeded = false;
     const marker = encodeRecord(encodeLogRecord({ kind: 'sync-marker' }), this.syncedOffset);
-    await this.file.write(marker, 0, marker.length, this.currentSegment.bytes);
-    this.currentSegment.bytes += marker.length;
+    try {
+      await this.file.write(marker, 0, marker.length, this.currentSegment.bytes);
+      this.currentSegment.bytes += marker.length;
+    } catch {
+      // The marker only sharpens what a later start can tell; the next append meets the disk itself.
+    }
   }
 
   private get currentSegment(): Segment {
@@ -174,27 +227,46 @@
     this.counters.syncs += 1;
     this.counters.bytes += bytes.length;
     this.counters.records += records.length;
-    if (segment.bytes >= this.segmentBytes) await this.startSegment(segment.number + 1);
-    if (records.some((record) => record.kind === 'snapshot')) await this.removeOldSegments();
   }
 
+  /** Removes segments that are covered and begins the next one; a full disk leaves it for later. */
+  private async tidySegments(batch: QueuedWrite[]): Promise<void> {
+    const hasSnapshot = batch.some(({ records }) =>
+      records.some((record) => record.kind === 'snapshot'),
+    );
+    if (hasSnapshot) await this.removeOldSegments();
+    const { number, bytes } = this.currentSegment;
+    if (bytes < this.segmentBytes) return;
+    try {
+      await this.startSegment(number + 1);
+    } catch (error) {
+      if (!(error instanceof DiskFullError)) throw error;
+      this.noteFull(true);
+      await rm(this.segmentPath(number + 1), { force: true });
+    }
+  }
+
+  /** @throws DiskFullError when there is no room; the log goes on in the segment before */
   private async startSegment(number: number): Promise<void> {
-    const previous: FileHandle | undefined = this.file;
-    this.file = await open(this.segmentPath(number), 'w');
-    this.segments.push({ number, bytes: 0, highestIndex: new Map() });
-    this.syncedOffset = 0;
-    await previous?.close();
+    const { folder } = this.options;
+    const file = await this.openFile(this.segmentPath(number), 'w');
     const heads = [...this.groups].flatMap(([group, state]): LogRecord[] => [
       { kind: 'hard-state', group, state: state.hardState },
       { kind: 'snapshot', group, mark: state.snapshot },
     ]);
     const bytes = Buffer.concat(heads.map((head) => encodeRecord(encodeLogRecord(head), 0)));
-    if (bytes.length > 0) {
-      await appendAndSync(this.file, bytes, 0, this.options.folder);
-      this.currentSegment.bytes = bytes.length;
-      this.syncedOffset = bytes.length;
+    try {
+      if (bytes.length > 0) await appendAndSync(file, bytes, 0, folder);
+      await syncFolder(folder);
+    } catch (error) {
+      await file.close();
+      throw error;
     }
-    await syncFolder(this.options.folder);
+    const previous: LogFile | undefined = this.file;
+    this.file = file;
+    this.segments.push({ number, bytes: bytes.length, highestIndex: new Map() });
+    this.syncedOffset = bytes.length;
+    await previous?.close();
   }
 
   /** A segment may go once every group's snapshot covers all entries that it holds. */
@@ -229,7 +301,7 @@
       await this.startSegment(1);
       return;
     }
-    this.file = await open(this.segmentPath(this.currentSegment.number), 'r+');
+    this.file = await this.openFile(this.segmentPath(this.currentSegment.number), 'r+');
     this.syncedOffset = this.currentSegment.bytes;
     await this.file.datasync();
   }
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -17,6 +17,7 @@
 } from '../../src/consensus/index.js';
 import { SnapshotStore, WriteAheadLog } from '../../src/log-store/index.js';
 import { createLogger } from '../../src/observability/index.js';
+import { FaultyDisk } from './faulty-disk.js';
 import { LoopbackNetwork } from './loopback-network.js';
 import { MethodRouter, decodeValue, encodeValue } from '../../src/wire/index.js';
 import { waitUntil } from './wait-until.js';
@@ -47,6 +48,8 @@
   host: GroupHost;
   group: ReplicatedGroup;
   wal: WriteAheadLog;
+  /** The disk below its write-ahead log. */
+  disk: FaultyDisk;
   fatalErrors: unknown[];
 }
 
@@ -80,7 +83,13 @@
     const fatalErrors: unknown[] = [];
     const onFatal = (error: unknown): void => void fatalErrors.push(error);
     const { quotaBytes } = this.options;
-    const wal = await WriteAheadLog.open({ folder: join(folder, 'log'), quotaBytes, onFatal });
+    const disk = new FaultyDisk();
+    const wal = await WriteAheadLog.open({
+      folder: join(folder, 'log'),
+      quotaBytes,
+      openFile: disk.openFile,
+      onFatal,
+    });
     const router = new MethodRouter();
     const host = new GroupHost({
       ownId: member.id,
@@ -102,7 +111,7 @@
     const group = await host.openGroup(GROUP, machine);
     this.network.listen(member.address, router);
     host.start();
-    const running = { member, machine, host, group, wal, fatalErrors };
+    const running = { member, machine, host, group, wal, disk, fatalErrors };
     this.running.set(member.id, running);
     return running;
   }
@@ -112,6 +121,7 @@
     const running = this.running.get(id)!;
     this.network.remove(running.member.address);
     running.host.stopNow();
+    running.disk.resume();
     await running.wal.close();
     this.running.delete(id);
     return running.member;
--- /dev/null
+++ b/tests/support/faulty-disk.ts
@@ -0,0 +1,46 @@
+/** Files of a write-ahead log whose disk fills up, accepts parts of writes, or stalls, on request. */
+import { open } from 'node:fs/promises';
+import type { LogFile, OpenLogFile } from '../../src/log-store/index.js';
+import { Deferred } from '../../src/common/index.js';
+
+export class FaultyDisk {
+  /** Writes beyond this many bytes from now on are refused; no limit when undefined. */
+  roomBytes: number | undefined;
+  private stalled: Deferred<void> | undefined;
+
+  /** Syncs wait until `resume`. */
+  stall(): void {
+    this.stalled = new Deferred();
+  }
+
+  resume(): void {
+    this.stalled?.resolve();
+    this.stalled = undefined;
+  }
+
+  readonly openFile: OpenLogFile = async (path, flags) => {
+    const file = await open(path, flags);
+    const faulty: LogFile = {
+      write: (bytes, start, length, offset) =>
+        file.write(bytes, start, this.takeRoom(length), offset),
+      truncate: (length) => file.truncate(length),
+      datasync: async () => {
+        await this.stalled?.promise;
+        await file.datasync();
+      },
+      close: () => file.close(),
+    };
+    return faulty;
+  };
+
+  /** Like a real disk, accepts what fits of a write and refuses the next one. */
+  private takeRoom(length: number): number {
+    if (this.roomBytes === undefined) return length;
+    if (this.roomBytes === 0) {
+      throw Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' });
+    }
+    const taken = Math.min(length, this.roomBytes);
+    this.roomBytes -= taken;
+    return taken;
+  }
+}
--- a/tests/support/loopback-network.ts
+++ b/tests/support/loopback-network.ts
@@ -1,6 +1,7 @@
 /**
  * A network inside one process: the real handlers, with messages encoded and decoded as on the wire,
- * but without sockets. Links can be cut, one way or both.
+ * but without sockets. Links can be cut, one way or both, and
+ * a call whose handler takes longer than the caller waits times out, as on a real link.
  */
 import type { PeerCaller } from '../../src/consensus/index.js';
 import { TimeoutError, sleep } from '../../src/common/index.js';
@@ -68,8 +69,10 @@
     if (!(await this.carry(from, to))) return this.neverAnswers(options, context);
     let answer: unknown;
     try {
-      answer = await handler(decodeValue(requestBytes), { peerName: from });
+      const answered = handler(decodeValue(requestBytes), { peerName: from });
+      answer = await Promise.race([answered, this.neverAnswers(options, context)]);
     } catch (error) {
+      if (error instanceof TimeoutError) throw error;
       const { name, message } = error as Error;
       throw new RemoteError(message, name, context);
     }
