A full disk ends no process: writes wait for room, and another member leads

A write of which the disk takes a part counted as whole.

A quota that is used up is no reason to hand over: it is used up on every member alike (an existing test showed the leader moving around).

--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -1,6 +1,6 @@
 /** The task that applies committed entries to the state machine, and makes and installs snapshots. */
 import { SignalEvent } from '../common/index.js';
-import type { StoredSnapshot } from '../log-store/index.js';
+import { StorageFullError, type StoredSnapshot } from '../log-store/index.js';
 import { encodeConfiguration } from './configuration.js';
 import type { GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
 import type { StateMachine } from './state-machine.js';
@@ -109,9 +109,15 @@
     this.snapshotIndex = index;
     void log
       .saveSnapshot(snapshot, compactTo)
-      .catch((error) => this.environment.onFatal(error))
+      .catch((error) => this.onSnapshotFailed(error))
       .finally(() => {
         this.isSnapshotting = false;
       });
   }
+
+  /** Without room the log is kept as it is, and the next snapshot is due as ever. */
+  private onSnapshotFailed(error: unknown): void {
+    if (error instanceof StorageFullError) this.environment.onSnapshotSkipped(this.group, error);
+    else this.environment.onFatal(error);
+  }
 }
--- /dev/null
+++ b/src/consensus/full-disk.test.ts
@@ -0,0 +1,33 @@
+/** A group of which one member's disk fills up. */
+import { afterEach, describe, expect, it } from 'vitest';
+import { ConsensusCluster, GROUP } from '../../tests/support/consensus-cluster.js';
+import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+
+const CALL = { timeoutMs: 5_000 };
+
+let cluster: ConsensusCluster;
+afterEach(() => cluster.stopAll());
+
+async function startCluster(): Promise<void> {
+  cluster = new ConsensusCluster({ size: 3, folder: temporaryFolder() });
+  await cluster.startAll();
+}
+
+describe('a disk that fills up', () => {
+  it('makes its leader hand over; it follows again once there is room', async () => {
+    await startCluster();
+    const first = await cluster.waitLeader();
+    const client = cluster.client();
+    await client.execute(GROUP, 'one', CALL);
+    first.disk.roomBytes = 0;
+    await client.execute(GROUP, 'two', CALL);
+    await client.execute(GROUP, 'three', CALL);
+    await client.execute(GROUP, 'four', CALL);
+    expect(cluster.leader?.member.id).not.toBe(first.member.id);
+    expect(cluster.members.flatMap(({ fatalErrors }) => fatalErrors)).toEqual([]);
+    first.disk.roomBytes = undefined;
+    await waitUntil('the first leader has caught up', () => first.machine.items.length === 4);
+    expect(first.machine.items).toEqual(['one', 'two', 'three', 'four']);
+  });
+});
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -45,6 +45,8 @@
       call: (member, method, request, options) => this.call(member, method, request, options),
       requestHeartbeats: () => this.requestHeartbeats(),
       onLeadershipChange: (group) => this.onLeadershipChange(group),
+      onSnapshotSkipped: (group, error) =>
+        host.logger.warn('snapshot skipped', { group: group.name, cause: error.describe() }),
       onFatal: host.onFatal,
     };
   }
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -6,7 +6,7 @@
  * (election.ts), one that applies what is committed (applier.ts), and the host's clock tick.
  */
 import { SignalEvent, monotonicMs } from '../common/index.js';
-import type { LogEntry } from '../log-store/index.js';
+import { DiskFullError, type LogEntry, type StorageFullError } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
 import { Applier } from './applier.js';
 import {
@@ -48,6 +48,8 @@
   requestHeartbeats(): void;
   /** Called when this member starts or stops leading. */
   onLeadershipChange(group: ReplicatedGroup): void;
+  /** Called when there was no room for a snapshot; it is tried again later. */
+  onSnapshotSkipped(group: ReplicatedGroup, error: StorageFullError): void;
   onFatal(error: unknown): void;
 }
 
@@ -141,10 +143,16 @@
     try {
       return this.appendAsLeader({ kind: 'command', data: command });
     } catch (error) {
+      if (error instanceof DiskFullError) this.leaveLeadership();
       return Promise.reject(error);
     }
   }
 
+  /** A leader whose disk takes no entries lets another lead; a quota is used up everywhere alike. */
+  private leaveLeadership(): void {
+    void this.transferLeadership().catch((error) => this.environment.onFatal(error));
+  }
+
   /**
    * Resolves when this member was still the leader after the call began and has applied all that
    * was committed by then, so that a read of the state machine is linearizable.
--- a/src/control/identity.ts
+++ b/src/control/identity.ts
@@ -7,10 +7,13 @@
 import { mkdir } from 'node:fs/promises';
 import { join } from 'node:path';
 import type { Member } from '../consensus/index.js';
-import { readFileIfPresent, replaceFile } from '../log-store/index.js';
+import { sleep } from '../common/index.js';
+import { StorageFullError, readFileIfPresent, replaceFile } from '../log-store/index.js';
 
 const IDENTITY_FILE = 'identity.json';
 const ID_BYTES = 8;
+/** Pause between two tries on a full disk, in milliseconds; a start can bear that much. */
+const FULL_RETRY_MS = 200;
 
 /**
  * `new`: belongs to no cluster yet; `founding`: writes the first entries; `member`: founded the
@@ -45,8 +48,20 @@
     return this.current;
   }
 
+  /** Resolves once the identity is durable; waits while the disk is full. */
   async save(identity: Identity): Promise<void> {
-    await replaceFile(this.folder, IDENTITY_FILE, Buffer.from(JSON.stringify(identity, null, 2)));
+    const bytes = Buffer.from(JSON.stringify(identity, null, 2));
+    while (!(await this.replaceIfThereIsRoom(bytes))) await sleep(FULL_RETRY_MS);
     this.current = identity;
   }
+
+  private async replaceIfThereIsRoom(bytes: Buffer): Promise<boolean> {
+    try {
+      await replaceFile(this.folder, IDENTITY_FILE, bytes);
+      return true;
+    } catch (error) {
+      if (error instanceof StorageFullError) return false;
+      throw error;
+    }
+  }
 }
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -57,7 +57,7 @@
   }
 
   static async open(options: GroupMemberOptions): Promise<GroupMemberProcess> {
-    const { settings, onFatal } = options;
+    const { settings, logger, onFatal } = options;
     const folder = settings.dataFolder!;
     const identity = await IdentityStore.open(folder, settings.name);
     const wal = await WriteAheadLog.open({
@@ -65,6 +65,7 @@
       segmentBytes: SEGMENT_BYTES,
       quotaBytes: settings.storageQuotaBytes,
       onFatal,
+      onFullChange: (isFull) => noteFullDisk(logger, isFull),
     });
     const process = new GroupMemberProcess(options, identity, wal);
     process.createHost();
@@ -152,3 +153,8 @@
     );
   }
 }
+
+function noteFullDisk(logger: Logger, isFull: boolean): void {
+  if (isFull) logger.warn('disk full', { effect: 'new entries refused, writes wait for room' });
+  else logger.info('disk has room again', {});
+}
