--- a/lab/slopes/journal-memory-host.ts
+++ b/lab/slopes/journal-memory-host.ts
@@ -68,7 +68,7 @@
 globalThis.gc!();
 const heapBytes = process.memoryUsage().heapUsed - emptyHeap;
 const startedAt = performance.now();
-const snapshotBytes = machine.snapshot().length;
+const snapshotBytes = Buffer.concat([...machine.snapshot()]).length;
 const snapshotMs = performance.now() - startedAt;
 const result: JournalMemory = { heapBytes, snapshotBytes, snapshotMs };
 process.stdout.write(`${JSON.stringify(result)}\n`);
--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -1,6 +1,6 @@
 /** The task that applies committed entries to the state machine, and makes and installs snapshots. */
 import { SignalEvent } from '../common/index.js';
-import { StorageFullError, type StoredSnapshot } from '../log-store/index.js';
+import { type SnapshotSource, StorageFullError, type StoredSnapshot } from '../log-store/index.js';
 import { encodeConfiguration } from './configuration.js';
 import type { GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
 import type { StateMachine } from './state-machine.js';
@@ -98,11 +98,11 @@
     this.isSnapshotting = true;
     const { log } = this.group;
     const index = this.appliedIndex;
-    const snapshot: StoredSnapshot = {
+    const snapshot: SnapshotSource = {
       index,
       term: log.termAt(index) ?? 0,
       configuration: encodeConfiguration(log.configurationAt(index)),
-      state: this.stateMachine.snapshot(),
+      pieces: this.stateMachine.snapshot(),
     };
     const compactedTo = Math.max(log.compactedTo.index, compactIndex);
     const compactTo = { index: compactedTo, term: log.termAt(compactedTo) ?? 0 };
--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -18,8 +18,9 @@
 interface IncomingSnapshot {
   index: number;
   from: string;
-  chunks: Uint8Array[];
-  bytes: number;
+  /** The whole state, of which the first `received` bytes are there. */
+  state: Buffer;
+  received: number;
 }
 
 export class FollowerDuty {
@@ -184,18 +185,20 @@
   private collect(request: SnapshotChunk): Uint8Array | 'refused' | undefined {
     if (request.offset === 0) {
       const { index } = request.mark;
-      this.incoming = { index, from: request.from, chunks: [], bytes: 0 };
+      const state = Buffer.allocUnsafe(request.stateBytes);
+      this.incoming = { index, from: request.from, state, received: 0 };
     }
     const { incoming } = this;
     const continues =
       incoming?.index === request.mark.index &&
       incoming.from === request.from &&
-      incoming.bytes === request.offset;
+      incoming.received === request.offset &&
+      incoming.received + request.chunk.length <= incoming.state.length;
     if (!incoming || !continues) return 'refused';
-    incoming.chunks.push(Buffer.from(request.chunk));
-    incoming.bytes += request.chunk.length;
-    if (!request.isLast) return undefined;
+    incoming.state.set(request.chunk, incoming.received);
+    incoming.received += request.chunk.length;
+    if (incoming.received < incoming.state.length) return undefined;
     this.incoming = undefined;
-    return Buffer.concat(incoming.chunks);
+    return incoming.state;
   }
 }
--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -9,6 +9,8 @@
   type LogEntry,
   type LogRecord,
   type SnapshotMark,
+  type SnapshotReader,
+  type SnapshotSource,
   type SnapshotStore,
   type StoredSnapshot,
   type WriteAheadLog,
@@ -143,14 +145,14 @@
   }
 
   /** Makes a snapshot durable, then drops the entries up to `compactTo`. */
-  async saveSnapshot(snapshot: StoredSnapshot, compactTo: SnapshotMark): Promise<void> {
+  async saveSnapshot(snapshot: SnapshotSource, compactTo: SnapshotMark): Promise<void> {
     await this.snapshots.write(this.group, snapshot);
     await this.wal.append([{ kind: 'snapshot', group: this.group, mark: compactTo }]);
   }
 
   /** Makes a snapshot from the leader durable, before the log gives way to it. */
-  storeSnapshot(snapshot: StoredSnapshot): Promise<void> {
-    return this.snapshots.write(this.group, snapshot);
+  storeSnapshot({ state, ...head }: StoredSnapshot): Promise<void> {
+    return this.snapshots.write(this.group, { ...head, pieces: [state] });
   }
 
   /** Lets a stored snapshot take the place of the log up to its index. */
@@ -161,8 +163,9 @@
     return written;
   }
 
-  readSnapshot(): Promise<StoredSnapshot | undefined> {
-    return this.snapshots.read(this.group);
+  /** Begins to read the stored snapshot piece by piece; the caller closes the reader. */
+  openSnapshot(): Promise<SnapshotReader | undefined> {
+    return this.snapshots.open(this.group);
   }
 
   /** The configuration in force at `index`. */
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -67,9 +67,11 @@
 export interface SnapshotChunk extends GroupMessage {
   mark: SnapshotMark;
   configuration: Uint8Array;
+  /** Bytes of the whole state. */
+  stateBytes: number;
+  /** Where in the state the chunk belongs. */
   offset: number;
   chunk: Uint8Array;
-  isLast: boolean;
 }
 
 export interface SnapshotResponse {
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -3,6 +3,7 @@
  * the follower holds the whole log; then waits for more.
  */
 import { Backoff, SignalEvent, monotonicMs, sleep } from '../common/index.js';
+import type { SnapshotReader } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
 import type { Member } from './configuration.js';
 import type { MemberLog } from './member-log.js';
@@ -130,22 +131,31 @@
   }
 
   private async sendSnapshot(): Promise<void> {
-    const { group, ownId, term, log } = this.leader;
-    const snapshot = await log.readSnapshot();
-    if (!snapshot) return;
-    const mark = { index: snapshot.index, term: snapshot.term };
-    const base = { group, to: this.member.id, from: ownId, term, mark };
+    const reader = await this.leader.log.openSnapshot();
+    if (!reader) return;
+    try {
+      await this.sendChunks(reader);
+    } finally {
+      await reader.close();
+    }
+    if (this.isStopped) return;
+    this.matchIndex = Math.max(this.matchIndex, reader.head.index);
+    this.nextIndex = this.matchIndex + 1;
+    this.leader.onFollowerProgress();
+  }
+
+  /** One chunk after the other, each answered before the next is read; a broken one begins anew. */
+  private async sendChunks(reader: SnapshotReader): Promise<void> {
+    const { group, ownId, term } = this.leader;
+    const { configuration, ...mark } = reader.head;
+    const { stateBytes } = reader;
+    const base = { group, to: this.member.id, from: ownId, term, mark, configuration, stateBytes };
     let offset = 0;
     do {
-      const chunk = snapshot.state.subarray(offset, offset + SNAPSHOT_CHUNK_BYTES);
-      const isLast = offset + chunk.length >= snapshot.state.length;
-      const { configuration } = snapshot;
-      await this.sendChunk({ ...base, configuration, offset, chunk, isLast });
+      const chunk = await reader.read(SNAPSHOT_CHUNK_BYTES);
+      await this.sendChunk({ ...base, offset, chunk });
       offset += chunk.length;
-    } while (offset < snapshot.state.length && !this.isStopped);
-    this.matchIndex = Math.max(this.matchIndex, snapshot.index);
-    this.nextIndex = this.matchIndex + 1;
-    this.leader.onFollowerProgress();
+    } while (offset < stateBytes && !this.isStopped);
   }
 
   private async sendChunk(chunk: SnapshotChunk): Promise<void> {
--- a/src/consensus/state-machine.ts
+++ b/src/consensus/state-machine.ts
@@ -6,9 +6,12 @@
    */
   apply(command: Uint8Array, index: number): unknown;
 
-  /** Encodes the whole state. */
-  snapshot(): Uint8Array;
+  /**
+   * The whole state as it is at the call, in pieces. They may be encoded when they are asked for, so
+   * that a large state is not held twice, but must not show what is applied in between.
+   */
+  snapshot(): Iterable<Uint8Array>;
 
-  /** Replaces the state by an encoded one. */
+  /** Replaces the state by an encoded one: all pieces of a snapshot behind one another. */
   restore(state: Uint8Array): void;
 }
--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -130,7 +130,7 @@
     machine.run({ kind: 'remove-backend', id: 'i-1', hasDeparted: true });
     machine.run({ kind: 'start-retirement', node: 'n' });
     const copy = new DirectoryStateMachine();
-    copy.restore(machine.state.snapshot());
+    copy.restore(Buffer.concat([...machine.state.snapshot()]));
     expect(copy.configurationSource).toBe('three');
     expect(copy.configurationIndex).toBe(1);
     expect([...copy.backends.keys()]).toEqual(['i-2']);
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -101,7 +101,7 @@
     return result;
   }
 
-  snapshot(): Uint8Array {
+  snapshot(): Iterable<Uint8Array> {
     const { state } = this;
     const encoded: EncodedDirectoryState = {
       ...state,
@@ -109,7 +109,7 @@
       departed: [...state.departed],
       retirements: [...state.retirements],
     };
-    return encodeValue(encoded);
+    return [encodeValue(encoded)];
   }
 
   restore(bytes: Uint8Array): void {
--- a/src/intents/intent-state-machine.ts
+++ b/src/intents/intent-state-machine.ts
@@ -94,7 +94,7 @@
     }
   }
 
-  snapshot(): Uint8Array {
+  snapshot(): Iterable<Uint8Array> {
     const state: EncodedIntents = {
       document: this.currentDocument,
       revisions: this.revisions,
@@ -107,7 +107,7 @@
         .map(([id, entry]): [string, RememberedRequest] => [id, entry.value])
         .reverse(),
     };
-    return encodeValue(state);
+    return [encodeValue(state)];
   }
 
   restore(bytes: Uint8Array): void {
--- a/src/intents/intents.test.ts
+++ b/src/intents/intents.test.ts
@@ -78,7 +78,7 @@
     const accepted = confirm('ana', first.id, 'r1');
     const pending = plan('ana', documentWith('a', 'b'));
     const copy = new IntentStateMachine();
-    copy.restore(machine.snapshot());
+    copy.restore(Buffer.concat([...machine.snapshot()]));
     machine = copy;
     expect(confirm('ana', first.id, 'r1')).toEqual(accepted);
     expect(confirm('ana', pending.id, 'r2')).toMatchObject({ status: 'accepted' });
--- a/src/journal/journal-state-machine.ts
+++ b/src/journal/journal-state-machine.ts
@@ -21,8 +21,8 @@
     return result;
   }
 
-  snapshot(): Uint8Array {
-    return this.state.encode();
+  snapshot(): Iterable<Uint8Array> {
+    return [this.state.encode()];
   }
 
   restore(bytes: Uint8Array): void {
--- a/src/journal/journal.test.ts
+++ b/src/journal/journal.test.ts
@@ -274,8 +274,10 @@
     finish(program, 1);
     begin(program, 3);
     const copy = new JournalStateMachine(() => undefined);
-    copy.restore(bench.machine.snapshot());
-    expect(decodeValue(copy.snapshot())).toEqual(decodeValue(bench.machine.snapshot()));
+    copy.restore(Buffer.concat([...bench.machine.snapshot()]));
+    const [encodedCopy] = copy.snapshot();
+    const [encoded] = bench.machine.snapshot();
+    expect(decodeValue(encodedCopy!)).toEqual(decodeValue(encoded!));
     bench.machine = copy;
     expect(begin(program, 3)).toMatchObject({ reason: 'refused-before' });
   });
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -1,6 +1,6 @@
 /** The replicated ledger: budgets of programs and turns that are kept. */
 import type { StateMachine } from '../consensus/index.js';
-import { decodeValue, encodeValue } from '../wire/index.js';
+import { decodeFrames, decodeValue, encodeFrame } from '../wire/index.js';
 import { type EncodedTurn, KeptTurns } from './kept-turns.js';
 import type {
   LedgerCommand,
@@ -13,13 +13,18 @@
 import { type EncodedPlacements, ProgramPlacements } from './program-placements.js';
 
 const SWEEP_INTERVAL_MS = 5_000;
+/**
+ * About so many bytes of turns are encoded in one piece of a snapshot: far above the cost of a write,
+ * far below what a process may hold.
+ */
+const SNAPSHOT_PIECE_BYTES = 256 * 1024;
 /** Turns are kept a little longer than promised, since clocks of leaders follow one another. */
 const EXPIRY_SLACK_MS = 10_000;
 
+/** The first frame of a snapshot; turns follow, in frames of some size. */
 interface EncodedLedger {
   clockMs: number;
   accounts: EncodedAccount[];
-  turns: EncodedTurn[];
   placements?: EncodedPlacements[];
 }
 
@@ -42,23 +47,38 @@
     return command.kind === 'reserve' ? this.reserve(command) : this.settleAll(command);
   }
 
-  snapshot(): Uint8Array {
-    const encoded: EncodedLedger = {
+  snapshot(): Iterable<Uint8Array> {
+    const head: EncodedLedger = {
       clockMs: this.clock,
       accounts: this.budgets.encode(),
-      turns: this.turns.encode(),
       placements: this.placements.encode(),
     };
-    return encodeValue(encoded);
+    return this.encodePieces(encodeFrame(head), this.turns.encode());
   }
 
   restore(bytes: Uint8Array): void {
-    const encoded = decodeValue<EncodedLedger>(bytes);
-    this.clock = encoded.clockMs;
-    this.sweptAtMs = encoded.clockMs;
-    this.budgets.restore(encoded.accounts);
-    this.turns.restore(encoded.turns);
-    this.placements.restore(encoded.placements);
+    const [head, ...turns] = decodeFrames(bytes) as [EncodedLedger, ...EncodedTurn[][]];
+    this.clock = head.clockMs;
+    this.sweptAtMs = head.clockMs;
+    this.budgets.restore(head.accounts);
+    this.turns.restore(turns.flat());
+    this.placements.restore(head.placements);
+  }
+
+  /** Inputs and outputs of turns never change, so they are encoded as the pieces are asked for. */
+  private *encodePieces(head: Uint8Array, turns: readonly EncodedTurn[]): Generator<Uint8Array> {
+    yield head;
+    let piece: EncodedTurn[] = [];
+    let bytes = 0;
+    for (const turn of turns) {
+      piece.push(turn);
+      bytes += turn.input.length + turn.output.length;
+      if (bytes < SNAPSHOT_PIECE_BYTES) continue;
+      yield encodeFrame(piece);
+      piece = [];
+      bytes = 0;
+    }
+    yield encodeFrame(piece);
   }
 
   private reserve(command: ReserveCommand): ReserveResult {
--- a/src/ledger/ledger.test.ts
+++ b/src/ledger/ledger.test.ts
@@ -52,7 +52,7 @@
 
   restart(): void {
     const copy = new LedgerStateMachine();
-    copy.restore(this.state.snapshot());
+    copy.restore(Buffer.concat([...this.state.snapshot()]));
     this.state = copy;
   }
 
@@ -70,6 +70,35 @@
   settlements?: Settlement[];
 }
 
+describe('a snapshot', () => {
+  it('holds many large turns in several pieces', () => {
+    const ledger = new Ledger();
+    const text = 'x'.repeat(50_000);
+    for (let turn = 0; turn < 20; turn += 1) ledger.keep(`t${turn}`, `${turn}${text}`);
+    expect([...ledger.state.snapshot()].length).toBeGreaterThan(3);
+    ledger.restart();
+    for (let turn = 0; turn < 20; turn += 1) {
+      expect(ledger.history(`t${turn}`)).toBe(`in-${turn}${text};out-${turn}${text};`);
+    }
+  });
+
+  it('shows the state of its moment, however late its pieces are asked for', () => {
+    const ledger = new Ledger();
+    ledger.reserve('t0', { budget: 1_000 });
+    ledger.keep('k0', 'first');
+    const pieces = ledger.state.snapshot();
+    ledger.settle('t0', 900);
+    ledger.keep('k1', 'second');
+    ledger.nowMs = RETENTION_MS * 3;
+    ledger.settle('t9', 0);
+    const copy = new LedgerStateMachine();
+    copy.restore(Buffer.concat([...pieces]));
+    expect(copy.budgets.committedTokens('p')).toBe(101);
+    expect(copy.turns.has('k0')).toBe(true);
+    expect(copy.turns.has('k1')).toBe(false);
+  });
+});
+
 describe('budgets', () => {
   it('refuses a turn whose most does not fit any more', () => {
     const ledger = new Ledger();
--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -35,10 +35,22 @@
  * Writes a whole file so that after a crash either the old or the new content is there.
  * @throws DiskFullError when the disk has no room; the old content stands then
  */
-export async function replaceFile(folder: string, name: string, bytes: Uint8Array): Promise<void> {
+export function replaceFile(folder: string, name: string, bytes: Uint8Array): Promise<void> {
+  return replaceFileWith(folder, name, (path) => writeWholeFile(path, bytes));
+}
+
+/**
+ * The same for a file that `writeAndSync` writes under the path that it is given.
+ * @throws DiskFullError when the disk has no room; the old content stands then
+ */
+export async function replaceFileWith(
+  folder: string,
+  name: string,
+  writeAndSync: (path: string) => Promise<void>,
+): Promise<void> {
   const temporary = join(folder, `${name}.new`);
   try {
-    await writeWholeFile(temporary, bytes);
+    await writeAndSync(temporary);
   } catch (cause) {
     // Whatever was written of it takes room that others need; the error itself is reported.
     await rm(temporary, { force: true }).catch(() => undefined);
--- a/src/log-store/snapshot-store.ts
+++ b/src/log-store/snapshot-store.ts
@@ -1,13 +1,9 @@
-/** Snapshot files: one a group, replaced as a whole, with a checksum in front. */
+/** Snapshot files: one a group, replaced as a whole. */
 import { mkdir } from 'node:fs/promises';
 import { join } from 'node:path';
-import { crc32 } from 'node:zlib';
-import { decodeValue, encodeValue } from '../wire/frame-codec.js';
-import { readFileIfPresent, replaceFile } from './data-folder.js';
-import { DamagedLogError } from './errors.js';
+import { replaceFileWith } from './data-folder.js';
 import type { SnapshotMark } from './records.js';
-
-const CHECKSUM_BYTES = 4;
+import { SnapshotReader, type SnapshotSource, writeSnapshotFile } from './snapshot-file.js';
 
 export interface StoredSnapshot extends SnapshotMark {
   /** Encoded members of the group at `index`. */
@@ -22,35 +18,43 @@
 
   constructor(private readonly folder: string) {}
 
-  /** Makes a snapshot durable, unless a later one of the group is stored already. */
-  write(group: string, snapshot: StoredSnapshot): Promise<void> {
-    const written = this.writing.then(() => this.replace(group, snapshot));
+  /**
+   * Makes a snapshot durable, unless a later one of the group is stored already.
+   * @throws DiskFullError when there is no room; the one before stands then
+   */
+  write(group: string, source: SnapshotSource): Promise<void> {
+    const written = this.writing.then(() => this.replace(group, source));
     this.writing = written.catch(() => undefined);
     return written;
   }
 
-  private async replace(group: string, snapshot: StoredSnapshot): Promise<void> {
-    if (snapshot.index <= (this.latestIndex.get(group) ?? 0)) return;
+  private async replace(group: string, source: SnapshotSource): Promise<void> {
+    if (source.index <= (this.latestIndex.get(group) ?? 0)) return;
     await mkdir(this.folder, { recursive: true });
-    const body = encodeValue(snapshot);
-    const checksum = Buffer.alloc(CHECKSUM_BYTES);
-    checksum.writeUInt32LE(crc32(body));
-    await replaceFile(this.folder, fileName(group), Buffer.concat([checksum, body]));
-    this.latestIndex.set(group, snapshot.index);
+    await replaceFileWith(this.folder, fileName(group), (path) => writeSnapshotFile(path, source));
+    this.latestIndex.set(group, source.index);
   }
 
-  /** @throws DamagedLogError when the file's checksum does not match */
+  /**
+   * The whole snapshot of a group.
+   * @throws DamagedLogError when the file's checksum does not match
+   */
   async read(group: string): Promise<StoredSnapshot | undefined> {
-    const path = join(this.folder, fileName(group));
-    const bytes = await readFileIfPresent(path);
-    if (!bytes) return undefined;
-    const body = bytes.subarray(CHECKSUM_BYTES);
-    if (bytes.length < CHECKSUM_BYTES || bytes.readUInt32LE(0) !== crc32(body)) {
-      throw new DamagedLogError('snapshot is damaged', { step: 'snapshot.read', peer: path });
+    const reader = await this.open(group);
+    if (!reader) return undefined;
+    try {
+      const state = await reader.read(reader.stateBytes);
+      const { index } = reader.head;
+      this.latestIndex.set(group, Math.max(index, this.latestIndex.get(group) ?? 0));
+      return { ...reader.head, state };
+    } finally {
+      await reader.close();
     }
-    const snapshot = decodeValue<StoredSnapshot>(body);
-    this.latestIndex.set(group, Math.max(snapshot.index, this.latestIndex.get(group) ?? 0));
-    return snapshot;
+  }
+
+  /** Begins to read a group's snapshot piece by piece; the caller closes the reader. */
+  open(group: string): Promise<SnapshotReader | undefined> {
+    return SnapshotReader.open(join(this.folder, fileName(group)));
   }
 }
 
--- a/src/wire/frame-codec.ts
+++ b/src/wire/frame-codec.ts
@@ -35,6 +35,11 @@
 
   constructor(private readonly peer: string) {}
 
+  /** Whether bytes of an unfinished frame were taken. */
+  get hasPartialFrame(): boolean {
+    return this.buffered > 0;
+  }
+
   /**
    * Takes the next bytes and returns the values whose frames are complete.
    * @throws FrameError when a length is beyond the maximum or a body does not decode
@@ -70,3 +75,13 @@
     return new FrameError(message, { step: 'wire.decode', peer: this.peer, cause });
   }
 }
+
+/** Decodes frames that stand behind one another. @throws FrameError when the last one is cut off */
+export function decodeFrames(bytes: Uint8Array): unknown[] {
+  const decoder = new FrameDecoder('stored frames');
+  const values = decoder.push(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length));
+  if (decoder.hasPartialFrame) {
+    throw new FrameError('the last frame is cut off', { step: 'wire.decode' });
+  }
+  return values;
+}
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,6 +1,12 @@
 /** The internal protocol: authenticated, framed, typed requests between the system's processes. */
 export * from './errors.js';
-export { decodeValue, encodeValue, encodeFrame, FrameDecoder } from './frame-codec.js';
+export {
+  decodeFrames,
+  decodeValue,
+  encodeFrame,
+  encodeValue,
+  FrameDecoder,
+} from './frame-codec.js';
 export * from './method.js';
 export { PeerLink, type PeerLinkOptions, parseAddress } from './peer-link.js';
 export { RpcServer, type RpcServerOptions } from './rpc-server.js';
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -33,8 +33,8 @@
     return this.items.length;
   }
 
-  snapshot(): Uint8Array {
-    return encodeValue(this.items);
+  snapshot(): Iterable<Uint8Array> {
+    return [encodeValue(this.items)];
   }
 
   restore(state: Uint8Array): void {
