A leader whose process stood still reads waiting answers before it steps down

Cause: the check for a quorum ran from the first timer after a standstill, before the answers that had come meanwhile were read, and gave leadership up. Test: red before.

--- a/src/consensus/consensus.test.ts
+++ b/src/consensus/consensus.test.ts
@@ -217,6 +217,18 @@
     expect(leader.group.term).toBe(term);
   });
 
+  it('keeps a leader whose process stood still while answers to it were waiting', async () => {
+    const cluster = await startCluster();
+    const leader = await cluster.waitLeader();
+    await append(cluster, ['a']);
+    const { term } = leader.group;
+    const standstillEndsAt = performance.now() + 300;
+    while (performance.now() < standstillEndsAt);
+    leader.group.tick();
+    expect(leader.group.isLeader).toBe(true);
+    expect(leader.group.term).toBe(term);
+  });
+
   it('elects at start by its own timer, not by the beat of its heartbeats', async () => {
     const consensus = { ...SLOW_ELECTIONS, heartbeatIntervalMs: 3_000 };
     const cluster = await startCluster({ consensus });
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -32,6 +32,9 @@
 import { Replicator } from './replicator.js';
 import type { StateMachine } from './state-machine.js';
 
+/** A tick that is late by this share of an election time-out says that the process stood still. */
+const STALL_SHARE = 0.5;
+
 export type MemberState = 'follower' | 'candidate' | 'leader';
 
 /** What a group needs of the process around it. */
@@ -70,6 +73,7 @@
   private hardStateWritten: Promise<void> = Promise.resolve();
   private termStartIndex = 0;
   private readonly electionTimer = new ElectionTimer(() => this.onElectionDue());
+  private lastTickAt = monotonicMs();
   private isTransferring = false;
   private isStopped = false;
 
@@ -213,11 +217,21 @@
 
   /** Called by the host at every heartbeat interval: a leader without a quorum steps down. */
   tick(): void {
+    const stalledMs = this.noteTick();
     if (this.isStopped || !this.isLeader) return;
+    const { electionTimeoutMs } = this.environment.options;
+    // After a standstill of this process, answers wait to be read; the next tick knows of them.
+    if (stalledMs > electionTimeoutMs * STALL_SHARE) return;
     const since = Math.max(this.quorumContactMs(), this.leadingSince);
-    if (monotonicMs() - since > this.environment.options.electionTimeoutMs) {
-      this.becomeFollower(this.term, undefined);
-    }
+    if (monotonicMs() - since > electionTimeoutMs) this.becomeFollower(this.term, undefined);
+  }
+
+  /** @returns how much later than due this tick came, in milliseconds */
+  private noteTick(): number {
+    const now = monotonicMs();
+    const lateMs = now - this.lastTickAt - this.environment.options.heartbeatIntervalMs;
+    this.lastTickAt = now;
+    return lateMs;
   }
 
   /** The leader's connection to this member has closed; the leader may be gone, or come back. */
