Configurations are packed once, and the cluster's view is sent when it has changed

After a configuration with many routes the directory's leader encoded it anew for each gateway, at each change and for each watch that had timed out, stood still for longer than an election time-out, lost its leadership, and so did the next. Each registration and each announcement also sent the whole view of the cluster to everybody.

The cluster's view gets a new version only when its content has changed, and changes within 100 ms are told together.

Tests: one buffer for all gateways; 200 announcements in less than 20 answers; no view of the cluster for a back end or a configuration.

--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -23,6 +23,7 @@
   WATCH,
   type WatchRequest,
 } from './messages.js';
+import { packConfiguration } from './packed-configuration.js';
 
 /** Time in which one order must be answered, in milliseconds. */
 const ORDER_TIMEOUT_MS = 2_500;
@@ -37,7 +38,8 @@
 
   /** Resolves once the configuration, or one of a higher generation, is committed. */
   async putConfiguration(configuration: RouteConfiguration, source: string): Promise<void> {
-    await this.call(PUT_CONFIGURATION, { configuration, source }, ORDER_TIMEOUT_MS);
+    const packed = packConfiguration(configuration, source);
+    await this.call(PUT_CONFIGURATION, packed, ORDER_TIMEOUT_MS);
   }
 
   /** The newest committed configuration as its operator sent it. */
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -1,14 +1,11 @@
 /** Commands of the replicated directory. */
 import type { Member } from '../consensus/index.js';
-import type { RouteConfiguration } from '../routes/index.js';
 import type { BackendRegistration } from './backend-registration.js';
+import type { PackedConfiguration } from './packed-configuration.js';
 
 /** Puts a configuration in force unless one of the same or a higher generation is. */
-export interface PutConfigurationCommand {
+export interface PutConfigurationCommand extends PackedConfiguration {
   kind: 'put-configuration';
-  configuration: RouteConfiguration;
-  /** What the operator sent, given back word for word when it is read. */
-  source: string;
 }
 
 /** Takes note of a back end's registration or change of phase. */
--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -1,10 +1,13 @@
 /** What the directory's leader answers, over a group that commits at once. */
 import { describe, expect, it, onTestFinished } from 'vitest';
 import type { ReplicatedGroup } from '../consensus/index.js';
+import { sleep } from '../common/index.js';
 import { createLogger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
+import type { BackendRegistration } from './backend-registration.js';
 import { DirectoryLeader } from './directory-leader.js';
-import type { NodeRole, WatchRequest } from './messages.js';
+import type { NodeAnnouncement, NodeRole, WatchRequest } from './messages.js';
+import { packConfiguration, unpackRoutes, unpackSource } from './packed-configuration.js';
 
 class CommittingLeader {
   readonly proposals: Uint8Array[] = [];
@@ -36,10 +39,35 @@
       services: [],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     };
-    return this.leader.putConfiguration({ configuration, source: `${generation}` });
+    return this.leader.putConfiguration(packConfiguration(configuration, `${generation}`));
   }
 }
 
+const HERD_SIZE = 200;
+const HERD_WINDOW_MS = 700;
+/** Longer than changes of the cluster are gathered, in milliseconds. */
+const SETTLE_MS = 300;
+
+const registration: BackendRegistration = {
+  id: 'i-1',
+  service: 's',
+  address: '127.0.0.1:1000',
+  zone: 'z',
+  slots: 4,
+  phase: 'ready',
+  sequence: 1,
+};
+
+function journalNode(number: number): NodeAnnouncement {
+  return {
+    name: `j${number}`,
+    role: 'journal',
+    address: `j${number}:1`,
+    zone: 'z',
+    memberId: `m${number}`,
+  };
+}
+
 function watchOf(role: NodeRole): WatchRequest {
   return {
     node: { name: role, role, address: 'a:1', zone: 'z' },
@@ -56,7 +84,7 @@
     await committing.put(5);
     await committing.put(3);
     expect(committing.proposals).toHaveLength(1);
-    expect(committing.leader.stateMachine.configurationSource).toBe('5');
+    expect(unpackSource(committing.leader.stateMachine.configuration!)).toBe('5');
     await committing.put(6);
     expect(committing.proposals).toHaveLength(2);
   });
@@ -65,11 +93,61 @@
     const committing = new CommittingLeader();
     await committing.put(5);
     const forGateway = await committing.leader.watch(watchOf('gateway'));
-    expect(forGateway.configuration?.configuration.generation).toBe(5);
+    expect(unpackRoutes(forGateway.configuration!.routes).generation).toBe(5);
     expect(forGateway.backends).toBeDefined();
     const forJournal = await committing.leader.watch(watchOf('journal'));
     expect(forJournal.cluster).toBeDefined();
     expect(forJournal.configuration).toBeUndefined();
     expect(forJournal.backends).toBeUndefined();
   });
+
+  it('sends the one packed configuration that it keeps to every gateway', async () => {
+    const committing = new CommittingLeader();
+    await committing.put(5);
+    const first = await committing.leader.watch(watchOf('gateway'));
+    const second = await committing.leader.watch(watchOf('gateway'));
+    expect(first.configuration!.routes).toBe(committing.leader.stateMachine.configuration!.routes);
+    expect(second.configuration!.routes).toBe(first.configuration!.routes);
+  });
+
+  it('tells a watcher of many processes that announce themselves at once in few answers', async () => {
+    const committing = new CommittingLeader();
+    let known = (await committing.leader.watch(watchOf('journal'))).cluster!.version;
+    let answers = 0;
+    const until = performance.now() + HERD_WINDOW_MS;
+    const herd = Array.from({ length: HERD_SIZE }, async (_, number) => {
+      await sleep((number * HERD_WINDOW_MS) / HERD_SIZE / 2);
+      const request = watchOf('journal');
+      await committing.leader.watch({ ...request, node: journalNode(number) });
+    });
+    while (performance.now() < until) {
+      const request = { ...watchOf('journal'), isUrgent: false };
+      const view = await committing.leader.watch({
+        ...request,
+        known: { ...request.known, cluster: known },
+      });
+      if (!view.cluster) continue;
+      answers += 1;
+      known = view.cluster.version;
+    }
+    await Promise.all(herd);
+    const last = await committing.leader.watch(watchOf('journal'));
+    expect(last.cluster!.ledgerAddresses.length).toBeGreaterThanOrEqual(HERD_SIZE);
+    expect(answers).toBeGreaterThan(0);
+    expect(answers).toBeLessThan(HERD_SIZE / 10);
+  });
+
+  it('does not send the cluster again because a back end or a configuration has changed', async () => {
+    const committing = new CommittingLeader();
+    const { version } = (await committing.leader.watch(watchOf('gateway'))).cluster!;
+    await sleep(SETTLE_MS);
+    const settled = await committing.leader.watch(watchOf('gateway'));
+    await committing.put(5);
+    await committing.leader.recordHeartbeat(registration);
+    await sleep(SETTLE_MS);
+    const after = await committing.leader.watch(watchOf('gateway'));
+    expect(version).toBeDefined();
+    expect(after.cluster!.version).toBe(settled.cluster!.version);
+    expect(after.backends!.backends).toHaveLength(1);
+  });
 });
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -30,6 +30,8 @@
 const FOUNDING_SETTLE_MS = 1_000;
 /** How long founding waits for as many journal processes as are wished, in milliseconds. */
 const FOUNDING_PATIENCE_MS = 6_000;
+/** Changes of the cluster within this time are told together, in milliseconds. */
+const CLUSTER_NEWS_DELAY_MS = 100;
 /** A new leader has not heard of every process before this time, in milliseconds. */
 const ROSTER_COMPLETE_AFTER_MS = 1_200;
 
@@ -58,12 +60,15 @@
   private readonly timer: NodeJS.Timeout;
   private group: ReplicatedGroup | undefined;
   private clusterVersion = 0;
+  /** What the latest cluster version stands for, to tell whether anything has changed. */
+  private clusterContent = '';
+  private clusterTimer: NodeJS.Timeout | undefined;
   private silentIds = '';
   private firstJournalAt: number | undefined;
   private isHousekeeping = false;
 
   constructor(private readonly options: DirectoryLeaderOptions) {
-    this.stateMachine = new DirectoryStateMachine(() => this.onClusterChanged());
+    this.stateMachine = new DirectoryStateMachine(() => this.onStateChanged());
     this.heartbeats = new HeartbeatTable({
       silentAfterMs: options.heartbeatIntervalMs * SILENT_AFTER_INTERVALS,
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
@@ -85,11 +90,12 @@
 
   stop(): void {
     clearInterval(this.timer);
+    clearTimeout(this.clusterTimer);
     this.news.notify();
   }
 
   async putConfiguration(request: PutConfigurationRequest): Promise<void> {
-    const { generation } = request.configuration;
+    const { generation } = request;
     const held = this.stateMachine.configuration?.generation;
     // What is held is committed, so an order that it overtook, or that is sent again, is done.
     if (held !== undefined && held >= generation) {
@@ -167,9 +173,9 @@
     if (this.clusterVersionFor(known)) view.cluster = this.clusterView();
     if (node.role !== 'gateway') return view;
     view.otherLoads = this.loads.othersThan(node.name);
-    const { configuration, configurationIndex } = stateMachine;
-    if (configuration && configurationIndex > known.configuration) {
-      view.configuration = { index: configurationIndex, configuration };
+    const { configuration, configurationIndex: index } = stateMachine;
+    if (configuration && index > known.configuration) {
+      view.configuration = { index, routes: configuration.routes };
     }
     if (this.backendsVersion !== known.backends) view.backends = this.backendsView();
     return view;
@@ -217,8 +223,7 @@
     if (!this.roster.note(node)) return;
     if (node.role === 'journal') this.firstJournalAt ??= monotonicMs();
     this.options.logger.info('process announced', { node: node.name, role: node.role });
-    this.clusterVersion += 1;
-    this.news.notify();
+    this.scheduleClusterNews();
   }
 
   private async keepHouse(): Promise<void> {
@@ -226,7 +231,8 @@
     this.isHousekeeping = true;
     try {
       this.refreshSilent();
-      if (this.roster.forgetSilent()) this.onClusterChanged();
+      this.roster.forgetSilent();
+      this.tellClusterNews();
       await this.foundLedgerIfDue();
       await this.removeLostBackends();
     } catch (error) {
@@ -266,7 +272,25 @@
     this.options.logger.info('ledger group founded', { founders: names });
   }
 
-  private onClusterChanged(): void {
+  private onStateChanged(): void {
+    this.news.notify();
+    this.scheduleClusterNews();
+  }
+
+  /** Many processes announce themselves at once; each piece of news goes to every watcher. */
+  private scheduleClusterNews(): void {
+    this.clusterTimer ??= setTimeout(() => {
+      this.clusterTimer = undefined;
+      this.tellClusterNews();
+    }, CLUSTER_NEWS_DELAY_MS);
+  }
+
+  /** Makes a new version of the cluster's view if it differs from the one before. */
+  private tellClusterNews(): void {
+    const { version: _version, ...content } = this.clusterView();
+    const text = JSON.stringify(content);
+    if (text === this.clusterContent) return;
+    this.clusterContent = text;
     this.clusterVersion += 1;
     this.news.notify();
   }
--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -13,6 +13,7 @@
   START_RETIREMENT,
   WATCH,
 } from './messages.js';
+import { unpackSource } from './packed-configuration.js';
 
 const ACKNOWLEDGED: Acknowledgement = { isAcknowledged: true };
 
@@ -43,7 +44,8 @@
   router.handle(READ_CONFIGURATION, () =>
     answerAsLeader(findGroup(), async (group) => {
       await group.confirmLeadership();
-      return { source: leader.stateMachine.configurationSource };
+      const { configuration } = leader.stateMachine;
+      return { source: configuration && unpackSource(configuration) };
     }),
   );
   router.handle(START_RETIREMENT, ({ node }) =>
--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -5,6 +5,7 @@
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine } from './directory-state-machine.js';
+import { packConfiguration, unpackSource } from './packed-configuration.js';
 
 function configuration(generation: number): RouteConfiguration {
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
@@ -36,8 +37,7 @@
   put(generation: number, source: string): boolean {
     return this.run({
       kind: 'put-configuration',
-      configuration: configuration(generation),
-      source,
+      ...packConfiguration(configuration(generation), source),
     });
   }
 
@@ -52,7 +52,7 @@
     expect(machine.put(7, 'seven')).toBe(true);
     expect(machine.put(5, 'five')).toBe(false);
     expect(machine.put(7, 'another seven')).toBe(false);
-    expect(machine.state.configurationSource).toBe('seven');
+    expect(unpackSource(machine.state.configuration!)).toBe('seven');
     expect(machine.put(9, 'nine')).toBe(true);
     expect(machine.state.configurationIndex).toBe(4);
   });
@@ -131,7 +131,7 @@
     machine.run({ kind: 'start-retirement', node: 'n' });
     const copy = new DirectoryStateMachine();
     copy.restore(Buffer.concat([...machine.state.snapshot()]));
-    expect(copy.configurationSource).toBe('three');
+    expect(unpackSource(copy.configuration!)).toBe('three');
     expect(copy.configurationIndex).toBe(1);
     expect([...copy.backends.keys()]).toEqual(['i-2']);
     expect(copy.hasDeparted('i-1')).toBe(true);
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -3,23 +3,18 @@
  * the ledger group and the machines that are being emptied.
  */
 import type { Member, StateMachine } from '../consensus/index.js';
-import type { RouteConfiguration } from '../routes/index.js';
 import { decodeValue, encodeValue } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
+import type { PackedConfiguration } from './packed-configuration.js';
 
 export type RetirementState = 'running' | 'complete';
 
 /** Ids of back ends that have left are remembered, so that a late heartbeat does not revive one. */
 const MAX_REMEMBERED_DEPARTURES = 2_000;
 
-interface StoredConfiguration {
-  configuration: RouteConfiguration;
-  source: string;
-}
-
 interface DirectoryState {
-  stored: StoredConfiguration | undefined;
+  configuration: PackedConfiguration | undefined;
   configurationIndex: number;
   backends: Map<string, BackendRegistration>;
   backendsIndex: number;
@@ -30,7 +25,7 @@
 
 /** The state with lists in place of maps and sets. */
 interface EncodedDirectoryState {
-  stored?: StoredConfiguration;
+  configuration?: PackedConfiguration;
   configurationIndex: number;
   backends: BackendRegistration[];
   backendsIndex: number;
@@ -48,12 +43,8 @@
   /** @param onChange called after each command that changed the state */
   constructor(private readonly onChange: () => void = () => undefined) {}
 
-  get configuration(): RouteConfiguration | undefined {
-    return this.state.stored?.configuration;
-  }
-
-  get configurationSource(): string | undefined {
-    return this.state.stored?.source;
+  get configuration(): PackedConfiguration | undefined {
+    return this.state.configuration;
   }
 
   /** Log index at which the configuration came into force; 0 before the first. */
@@ -116,7 +107,7 @@
     const encoded = decodeValue<EncodedDirectoryState>(bytes);
     this.state = {
       ...encoded,
-      stored: encoded.stored ?? undefined,
+      configuration: encoded.configuration ?? undefined,
       backends: new Map(encoded.backends.map((backend) => [backend.id, backend])),
       departed: new Set(encoded.departed),
       retirements: new Map(encoded.retirements),
@@ -127,7 +118,7 @@
   private applyCommand(command: DirectoryCommand, index: number): DirectoryResult {
     switch (command.kind) {
       case 'put-configuration':
-        return this.putConfiguration(command.configuration, command.source, index);
+        return this.putConfiguration(command, index);
       case 'register-backend':
         return this.register(command.registration, index);
       case 'remove-backend':
@@ -142,13 +133,12 @@
   }
 
   private putConfiguration(
-    configuration: RouteConfiguration,
-    source: string,
+    { generation, routes, source }: PackedConfiguration,
     index: number,
   ): DirectoryResult {
     const current = this.configuration;
-    if (current && configuration.generation <= current.generation) return NOTHING_CHANGED;
-    this.state.stored = { configuration, source };
+    if (current && generation <= current.generation) return NOTHING_CHANGED;
+    this.state.configuration = { generation, routes, source };
     this.state.configurationIndex = index;
     return CHANGED;
   }
@@ -200,7 +190,7 @@
 
 function emptyState(): DirectoryState {
   return {
-    stored: undefined,
+    configuration: undefined,
     configurationIndex: 0,
     backends: new Map(),
     backendsIndex: 0,
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -5,16 +5,17 @@
  */
 import { describeError, monotonicMs, sleep } from '../common/index.js';
 import type { Logger } from '../observability/index.js';
+import type { RouteConfiguration } from '../routes/index.js';
 import type { BackendRecord } from './backend-registration.js';
 import type { DirectoryClient } from './directory-client.js';
 import type {
   BackendLoad,
   BackendsView,
   ClusterView,
-  ConfigurationView,
   DirectoryView,
   NodeAnnouncement,
 } from './messages.js';
+import { unpackRoutes } from './packed-configuration.js';
 
 const WATCH_TIMEOUT_MS = 900;
 /** One leader may take so long, of which it holds the question for a part, in milliseconds. */
@@ -27,7 +28,7 @@
   /** Calls under way at this process by back end. @default none */
   loads?: () => BackendLoad[];
   logger: Logger;
-  onConfiguration?: (view: ConfigurationView) => void;
+  onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
   onCluster?: (view: ClusterView) => void;
   onOtherLoads?: (loads: BackendLoad[]) => void;
@@ -96,10 +97,11 @@
     }
     if (view.backends) this.takeBackends(view.backends);
     if (view.configuration && view.configuration.index > this.configurationIndex) {
+      const configuration = unpackRoutes(view.configuration.routes);
       this.configurationIndex = view.configuration.index;
-      const { generation } = view.configuration.configuration;
+      const { generation } = configuration;
       this.options.logger.info('configuration in force', { generation });
-      this.options.onConfiguration?.(view.configuration);
+      this.options.onConfiguration?.(configuration);
     }
     this.options.onOtherLoads?.(view.otherLoads);
   }
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,9 +1,9 @@
 /** Messages between the directory's leader and the processes that follow it. */
 import type { LeaderAnswer, Member } from '../consensus/index.js';
-import type { RouteConfiguration } from '../routes/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendRecord, BackendRegistration } from './backend-registration.js';
 import type { RetirementState } from './directory-state-machine.js';
+import type { PackedConfiguration } from './packed-configuration.js';
 
 export const DIRECTORY_GROUP = 'directory';
 
@@ -58,8 +58,10 @@
 }
 
 export interface ConfigurationView {
+  /** Log index at which it came into force. */
   index: number;
-  configuration: RouteConfiguration;
+  /** Packed routes; see `PackedConfiguration`. */
+  routes: Uint8Array;
 }
 
 /** The parts of the directory that are newer than what the watcher holds. */
@@ -85,10 +87,7 @@
   id: string;
 }
 
-export interface PutConfigurationRequest {
-  configuration: RouteConfiguration;
-  source: string;
-}
+export type PutConfigurationRequest = PackedConfiguration;
 
 export interface Acknowledgement {
   isAcknowledged: true;
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -109,7 +109,7 @@
       announce: () => ({ name, role: 'gateway', address, zone }),
       loads: () => this.backends.loads(),
       logger: this.options.logger,
-      onConfiguration: ({ configuration }) => {
+      onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
         this.routesArrived.notify();
       },
