Packed routes are JSON, which the engine reads natively

Hypothesis: a gateway that starts with a configuration of 2,000 routes spends much of its time in a decoder that is not compiled yet. Measured here, processor time until ready, six starts each: 210 to 290 ms with MessagePack, 170 to 240 ms with JSON, 160 to 190 ms with four routes.

--- a/src/directory/packed-configuration.ts
+++ b/src/directory/packed-configuration.ts
@@ -1,16 +1,16 @@
 /**
  * A configuration as it is replicated, kept and sent to gateways: packed once, by the process that
  * takes the order. A configuration of thousands of routes takes a leader hundreds of milliseconds to
- * encode for all its gateways, but almost nothing to copy.
+ * encode for all its gateways, but almost nothing to copy. JSON, because the engine reads it natively: a
+ * gateway that has just started reads MessagePack with code that is not compiled yet.
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type { RouteConfiguration } from '../routes/index.js';
-import { decodeValue, encodeValue } from '../wire/index.js';
 
 export interface PackedConfiguration {
   /** Chosen by operators; the highest prevails. */
   generation: number;
-  /** The `RouteConfiguration`, in MessagePack, deflated. */
+  /** The `RouteConfiguration`, in JSON, deflated. */
   routes: Uint8Array;
   /** What the operator sent, given back word for word when it is read; UTF-8, deflated. */
   source: Uint8Array;
@@ -25,14 +25,14 @@
 ): PackedConfiguration {
   return {
     generation: configuration.generation,
-    routes: deflateRawSync(encodeValue(configuration), { level: DEFLATE_LEVEL }),
+    routes: deflateRawSync(JSON.stringify(configuration), { level: DEFLATE_LEVEL }),
     source: deflateRawSync(source, { level: DEFLATE_LEVEL }),
   };
 }
 
 /** @param routes of a `PackedConfiguration` */
 export function unpackRoutes(routes: Uint8Array): RouteConfiguration {
-  return decodeValue<RouteConfiguration>(inflateRawSync(routes));
+  return JSON.parse(inflateRawSync(routes).toString('utf8')) as RouteConfiguration;
 }
 
 export function unpackSource({ source }: PackedConfiguration): string {
