--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -29,12 +29,10 @@
 import type { Heartbeat, HeartbeatResponse } from './messages.js';
 import type { CheckedConsensusOptions } from './options.js';
 import { PendingProposals } from './pending-proposals.js';
+import { QuorumCheck } from './quorum-check.js';
 import { Replicator } from './replicator.js';
 import type { StateMachine } from './state-machine.js';
 
-/** A tick that is late by this share of an election time-out says that the process stood still. */
-const STALL_SHARE = 0.5;
-
 export type MemberState = 'follower' | 'candidate' | 'leader';
 
 /** What a group needs of the process around it. */
@@ -67,13 +65,13 @@
   private readonly duty: FollowerDuty;
   private readonly replicators = new Map<string, Replicator>();
   private readonly proposals: PendingProposals;
+  private readonly quorumCheck: QuorumCheck;
   private readonly quorumContact = new SignalEvent();
   /** While leading: the last index that is synced on this member. */
   private syncedIndex = 0;
   private hardStateWritten: Promise<void> = Promise.resolve();
   private termStartIndex = 0;
   private readonly electionTimer = new ElectionTimer(() => this.onElectionDue());
-  private lastTickAt = monotonicMs();
   private isTransferring = false;
   private isStopped = false;
 
@@ -87,6 +85,7 @@
     this.commitIndex = log.latestSnapshot?.index ?? 0;
     this.applier = new Applier(this, stateMachine, environment);
     this.duty = new FollowerDuty(this, environment);
+    this.quorumCheck = new QuorumCheck(environment.options);
     this.setFirstElectionDeadline();
   }
 
@@ -217,21 +216,9 @@
 
   /** Called by the host at every heartbeat interval: a leader without a quorum steps down. */
   tick(): void {
-    const stalledMs = this.noteTick();
-    if (this.isStopped || !this.isLeader) return;
-    const { electionTimeoutMs } = this.environment.options;
-    // After a standstill of this process, answers wait to be read; the next tick knows of them.
-    if (stalledMs > electionTimeoutMs * STALL_SHARE) return;
-    const since = Math.max(this.quorumContactMs(), this.leadingSince);
-    if (monotonicMs() - since > electionTimeoutMs) this.becomeFollower(this.term, undefined);
-  }
-
-  /** @returns how much later than due this tick came, in milliseconds */
-  private noteTick(): number {
-    const now = monotonicMs();
-    const lateMs = now - this.lastTickAt - this.environment.options.heartbeatIntervalMs;
-    this.lastTickAt = now;
-    return lateMs;
+    const contactMs = Math.max(this.quorumContactMs(), this.leadingSince);
+    const isLost = this.quorumCheck.isQuorumLost(contactMs);
+    if (isLost && this.isLeader && !this.isStopped) this.becomeFollower(this.term, undefined);
   }
 
   /** The leader's connection to this member has closed; the leader may be gone, or come back. */
--- a/src/forwarding/answer-end.ts
+++ b/src/forwarding/answer-end.ts
@@ -1,4 +1,5 @@
 /** How an answer says where it ends (RFC 9112, section 6.3). */
+import { headerValues } from '../http/index.js';
 
 /** What marks the end of an answer. Anything else that ends a connection cuts the answer off. */
 export type AnswerEnd =
@@ -20,23 +21,14 @@
   rawHeaders: readonly string[],
 ): AnswerEnd {
   if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status)) return 'head';
-  if (headerIn(rawHeaders, 'transfer-encoding').length > 0) {
+  if (headerValues(rawHeaders, 'transfer-encoding').length > 0) {
     return isChunked(rawHeaders) ? 'last-chunk' : 'close';
   }
-  return headerIn(rawHeaders, 'content-length').length > 0 ? 'length' : 'close';
-}
-
-/** All values of a header, by its name in lower case. */
-export function headerIn(rawHeaders: readonly string[], name: string): string[] {
-  const values: string[] = [];
-  for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]!.toLowerCase() === name) values.push(rawHeaders[index + 1]!);
-  }
-  return values;
+  return headerValues(rawHeaders, 'content-length').length > 0 ? 'length' : 'close';
 }
 
 /** Whether chunks are the last of the transfer codings. */
 function isChunked(rawHeaders: readonly string[]): boolean {
-  const codings = headerIn(rawHeaders, 'transfer-encoding').join(',').split(',');
+  const codings = headerValues(rawHeaders, 'transfer-encoding').join(',').split(',');
   return codings.at(-1)!.trim().toLowerCase() === 'chunked';
 }
--- a/src/forwarding/answer-fuzz.test.ts
+++ b/src/forwarding/answer-fuzz.test.ts
@@ -15,9 +15,9 @@
 } from '../../tests/support/raw-backend.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { SeededRandom } from '../common/index.js';
+import { headerValues } from '../http/index.js';
 import { BackendConnections } from './backend-connections.js';
 import type { BackendProtocol } from './backend-protocol.js';
-import { headerIn } from './answer-end.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 
 /** Seeds that failed once stand here, each with a line on the cause. */
@@ -45,10 +45,10 @@
 const protocol: BackendProtocol = {
   encodeRequest: ({ id }) => ({ method: 'GET', target: `/${id}`, headers: [] }),
   readHead: (status, rawHeaders) => ({
-    callId: headerIn(rawHeaders, 'x-call')[0],
+    callId: headerValues(rawHeaders, 'x-call')[0],
     isNotExecuted: status === 421,
     isOtherIncarnation: false,
-    isAuthentic: headerIn(rawHeaders, 'x-stamp').length > 0,
+    isAuthentic: headerValues(rawHeaders, 'x-stamp').length > 0,
     headers: [...rawHeaders],
   }),
 };
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -3,9 +3,10 @@
  * failure of which it is known whether the back end may have run the call.
  */
 import type { Dispatcher } from 'undici';
+import { headerValues } from '../http/index.js';
 import type { BackendConnection } from './backend-connections.js';
 import type { AnswerVerdict, BackendProtocol, RequestHead } from './backend-protocol.js';
-import { type AnswerEnd, endOfAnswer, headerIn } from './answer-end.js';
+import { type AnswerEnd, endOfAnswer } from './answer-end.js';
 import type { AnswerHead } from './call-exchange.js';
 
 export type SendResult =
@@ -170,7 +171,7 @@
 }
 
 function announcesClose(rawHeaders: readonly string[]): boolean {
-  return headerIn(rawHeaders, 'connection').some((value) => value.toLowerCase() === 'close');
+  return headerValues(rawHeaders, 'connection').some((value) => value.toLowerCase() === 'close');
 }
 
 function textOf(rawHeaders: unknown): string[] {
