Back ends' sockets read by exact length only after the end has come

A read of an exact length beyond the high-water mark raises it for good; before the end there is no reason for one. Framing and fuzz tests pass.

--- a/src/http/backend-socket.ts
+++ b/src/http/backend-socket.ts
@@ -44,9 +44,10 @@
 
   /** Announces the end of the stream only to a read that asks for bytes and finds none left. */
   override read(size?: number): unknown {
-    if (size === 0 && this.hasReceivedEnd) return null;
-    const wanted = size ?? (this.readableLength > 0 ? this.readableLength : undefined);
-    return super.read(wanted);
+    if (!this.hasReceivedEnd) return super.read(size);
+    if (size === 0) return null;
+    // A read of all that is buffered would find the end as well; one of its exact length does not.
+    return super.read(size ?? (this.readableLength > 0 ? this.readableLength : undefined));
   }
 
   private describe(error: Error | null): Error | null {
