A part of a marker, or a segment file without room, loses nothing on a full disk

A segment file that could not be made ended the process; caught, it would have left the member refusing entries until its next vote. Both tests red before.

--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -70,6 +70,15 @@
   }
 }
 
+/** Makes an empty file. @throws DiskFullError when the disk has no room for it */
+export async function createFile(path: string, openFile: OpenLogFile): Promise<LogFile> {
+  try {
+    return await openFile(path, 'w');
+  } catch (cause) {
+    throw storageError(cause, { step: 'data-folder.create', peer: path });
+  }
+}
+
 /** Tells a full disk, which may have room again, from a failure that leaves the content unknown. */
 function storageError(cause: unknown, context: { step: string; peer: string }): Error {
   if (FULL_CODES.has((cause as NodeJS.ErrnoException).code)) {
--- a/src/log-store/full-disk.test.ts
+++ b/src/log-store/full-disk.test.ts
@@ -134,4 +134,36 @@
     await log.close();
     expect(fatal).toEqual([]);
   });
+
+  it('writes over a marker of which it took only a part', async () => {
+    const folder = temporaryFolder();
+    const disk = new FaultyDisk();
+    const { log, fatal } = await open(folder, disk);
+    await log.append(entries(1));
+    disk.roomBytes = 5;
+    await sleep(100);
+    disk.roomBytes = undefined;
+    await log.append(entries(2));
+    await log.close();
+    expect(fatal).toEqual([]);
+    const again = await open(folder, new FaultyDisk());
+    expect(again.log.group('g').lastIndex).toBe(2);
+    await again.log.close();
+  });
+
+  it('goes on in the old segment when the next file cannot be made', async () => {
+    const folder = temporaryFolder();
+    const disk = new FaultyDisk();
+    const { log, fatal } = await open(folder, disk, 16);
+    const written = log.append(entries(1));
+    disk.refusesNewFiles = true;
+    await written;
+    disk.refusesNewFiles = false;
+    await log.append(entries(2));
+    await log.close();
+    expect(fatal).toEqual([]);
+    const again = await open(folder, new FaultyDisk(), 16);
+    expect(again.log.group('g').lastIndex).toBe(2);
+    await again.log.close();
+  });
 });
--- a/src/log-store/write-ahead-log.ts
+++ b/src/log-store/write-ahead-log.ts
@@ -12,6 +12,7 @@
   type OpenLogFile,
   StorageQuota,
   appendAndSync,
+  createFile,
   syncFolder,
 } from './data-folder.js';
 import { DamagedLogError, DiskFullError } from './errors.js';
@@ -203,8 +204,10 @@
     this.markerNeeded = false;
     const marker = encodeRecord(encodeLogRecord({ kind: 'sync-marker' }), this.syncedOffset);
     try {
-      await this.file.write(marker, 0, marker.length, this.currentSegment.bytes);
-      this.currentSegment.bytes += marker.length;
+      const { bytes } = this.currentSegment;
+      const { bytesWritten } = await this.file.write(marker, 0, marker.length, bytes);
+      // The next append writes over a part of a marker.
+      if (bytesWritten === marker.length) this.currentSegment.bytes += marker.length;
     } catch {
       // The marker only sharpens what a later start can tell; the next append meets the disk itself.
     }
@@ -241,7 +244,7 @@
       await this.startSegment(number + 1);
     } catch (error) {
       if (!(error instanceof DiskFullError)) throw error;
-      this.noteFull(true);
+      // The old segment still takes writes; they meet a full disk themselves.
       await rm(this.segmentPath(number + 1), { force: true });
     }
   }
@@ -249,7 +252,7 @@
   /** @throws DiskFullError when there is no room; the log goes on in the segment before */
   private async startSegment(number: number): Promise<void> {
     const { folder } = this.options;
-    const file = await this.openFile(this.segmentPath(number), 'w');
+    const file = await createFile(this.segmentPath(number), this.openFile);
     const heads = [...this.groups].flatMap(([group, state]): LogRecord[] => [
       { kind: 'hard-state', group, state: state.hardState },
       { kind: 'snapshot', group, mark: state.snapshot },
--- a/tests/support/faulty-disk.ts
+++ b/tests/support/faulty-disk.ts
@@ -6,6 +6,8 @@
 export class FaultyDisk {
   /** Writes beyond this many bytes from now on are refused; no limit when undefined. */
   roomBytes: number | undefined;
+  /** Files can't be made, though those that are there may still be written. */
+  refusesNewFiles = false;
   private stalled: Deferred<void> | undefined;
 
   /** Syncs wait until `resume`. */
@@ -19,6 +21,7 @@
   }
 
   readonly openFile: OpenLogFile = async (path, flags) => {
+    if (this.refusesNewFiles && flags === 'w') throw noSpace();
     const file = await open(path, flags);
     const faulty: LogFile = {
       write: (bytes, start, length, offset) =>
@@ -36,11 +39,13 @@
   /** Like a real disk, accepts what fits of a write and refuses the next one. */
   private takeRoom(length: number): number {
     if (this.roomBytes === undefined) return length;
-    if (this.roomBytes === 0) {
-      throw Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' });
-    }
+    if (this.roomBytes === 0) throw noSpace();
     const taken = Math.min(length, this.roomBytes);
     this.roomBytes -= taken;
     return taken;
   }
 }
+
+function noSpace(): Error {
+  return Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' });
+}
