--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -207,5 +207,5 @@
  * of which a leader fills many with messages to its followers, or a received frame.
  */
 function withOwnMemory(entry: LogEntry): LogEntry {
-  return { ...entry, data: Uint8Array.from(entry.data) };
+  return { ...entry, data: new Uint8Array(entry.data) };
 }
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -164,15 +164,16 @@
       await this.news.waitUpTo(left);
       view = this.viewFor(request);
     }
+    if (request.node.role === 'gateway') view.otherLoads = this.loads.othersThan(request.node.name);
     return view;
   }
 
+  /** What is newer than the watcher knows; calls under way are added to the answer itself. */
   private viewFor({ node, known }: WatchRequest): DirectoryView {
     const { stateMachine } = this;
     const view: DirectoryView = { otherLoads: [] };
     if (this.clusterVersionFor(known)) view.cluster = this.clusterView();
     if (node.role !== 'gateway') return view;
-    view.otherLoads = this.loads.othersThan(node.name);
     const { configuration, configurationIndex: index } = stateMachine;
     if (configuration && index > known.configuration) {
       view.configuration = { index, routes: configuration.routes };
--- a/src/forwarding/answer-end.ts
+++ b/src/forwarding/answer-end.ts
@@ -1,5 +1,5 @@
 /** How an answer says where it ends (RFC 9112, section 6.3). */
-import { headerValues } from '../http/index.js';
+import { firstHeader, headerValues } from '../http/index.js';
 
 /** What marks the end of an answer. Anything else that ends a connection cuts the answer off. */
 export type AnswerEnd =
@@ -21,14 +21,13 @@
   rawHeaders: readonly string[],
 ): AnswerEnd {
   if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status)) return 'head';
-  if (headerValues(rawHeaders, 'transfer-encoding').length > 0) {
-    return isChunked(rawHeaders) ? 'last-chunk' : 'close';
-  }
-  return headerValues(rawHeaders, 'content-length').length > 0 ? 'length' : 'close';
+  const codings = headerValues(rawHeaders, 'transfer-encoding');
+  if (codings.length > 0) return isChunked(codings) ? 'last-chunk' : 'close';
+  return firstHeader(rawHeaders, 'content-length') === undefined ? 'close' : 'length';
 }
 
 /** Whether chunks are the last of the transfer codings. */
-function isChunked(rawHeaders: readonly string[]): boolean {
-  const codings = headerValues(rawHeaders, 'transfer-encoding').join(',').split(',');
-  return codings.at(-1)!.trim().toLowerCase() === 'chunked';
+function isChunked(codings: readonly string[]): boolean {
+  const last = codings.join(',').split(',').at(-1)!;
+  return last.trim().toLowerCase() === 'chunked';
 }
--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -1,5 +1,5 @@
 /** File operations of a data folder, with the syncs that make them last. */
-import { open, readFile, rename, rm } from 'node:fs/promises';
+import { type FileHandle, open, readFile, rename, rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { DiskFullError, StorageFailedError, StorageFullError } from './errors.js';
 
@@ -36,21 +36,21 @@
  * @throws DiskFullError when the disk has no room; the old content stands then
  */
 export function replaceFile(folder: string, name: string, bytes: Uint8Array): Promise<void> {
-  return replaceFileWith(folder, name, (path) => writeWholeFile(path, bytes));
+  return replaceFileWith(folder, name, (file) => file.writeFile(bytes));
 }
 
 /**
- * The same for a file that `writeAndSync` writes under the path that it is given.
+ * The same for content that is written to the new file piece by piece.
  * @throws DiskFullError when the disk has no room; the old content stands then
  */
 export async function replaceFileWith(
   folder: string,
   name: string,
-  writeAndSync: (path: string) => Promise<void>,
+  writeContent: (file: FileHandle) => Promise<void>,
 ): Promise<void> {
   const temporary = join(folder, `${name}.new`);
   try {
-    await writeAndSync(temporary);
+    await writeAndSync(temporary, writeContent);
   } catch (cause) {
     // Whatever was written of it takes room that others need; the error itself is reported.
     await rm(temporary, { force: true }).catch(() => undefined);
@@ -60,10 +60,13 @@
   await syncFolder(folder);
 }
 
-async function writeWholeFile(path: string, bytes: Uint8Array): Promise<void> {
+async function writeAndSync(
+  path: string,
+  writeContent: (file: FileHandle) => Promise<void>,
+): Promise<void> {
   const file = await open(path, 'w');
   try {
-    await file.writeFile(bytes);
+    await writeContent(file);
     await file.datasync();
   } finally {
     await file.close();
--- a/src/log-store/snapshot-file.ts
+++ b/src/log-store/snapshot-file.ts
@@ -27,18 +27,8 @@
   pieces: Iterable<Uint8Array>;
 }
 
-/** Writes a snapshot to a new file and syncs it. */
-export async function writeSnapshotFile(path: string, source: SnapshotSource): Promise<void> {
-  const file = await open(path, 'w');
-  try {
-    await writeSnapshot(file, source);
-    await file.datasync();
-  } finally {
-    await file.close();
-  }
-}
-
-async function writeSnapshot(file: FileHandle, source: SnapshotSource): Promise<void> {
+/** Writes a snapshot to an empty file. */
+export async function writeSnapshot(file: FileHandle, source: SnapshotSource): Promise<void> {
   const { index, term, configuration } = source;
   const head = encodeValue({ index, term, configuration });
   const length = Buffer.alloc(LENGTH_BYTES);
--- a/src/log-store/snapshot-store.ts
+++ b/src/log-store/snapshot-store.ts
@@ -2,12 +2,14 @@
 import { mkdir } from 'node:fs/promises';
 import { join } from 'node:path';
 import { replaceFileWith } from './data-folder.js';
-import type { SnapshotMark } from './records.js';
-import { SnapshotReader, type SnapshotSource, writeSnapshotFile } from './snapshot-file.js';
+import {
+  type SnapshotHead,
+  SnapshotReader,
+  type SnapshotSource,
+  writeSnapshot,
+} from './snapshot-file.js';
 
-export interface StoredSnapshot extends SnapshotMark {
-  /** Encoded members of the group at `index`. */
-  configuration: Uint8Array;
+export interface StoredSnapshot extends SnapshotHead {
   /** Encoded state of the state machine at `index`. */
   state: Uint8Array;
 }
@@ -31,7 +33,7 @@
   private async replace(group: string, source: SnapshotSource): Promise<void> {
     if (source.index <= (this.latestIndex.get(group) ?? 0)) return;
     await mkdir(this.folder, { recursive: true });
-    await replaceFileWith(this.folder, fileName(group), (path) => writeSnapshotFile(path, source));
+    await replaceFileWith(this.folder, fileName(group), (file) => writeSnapshot(file, source));
     this.latestIndex.set(group, source.index);
   }
 
