--- a/src/consensus/consensus.test.ts
+++ b/src/consensus/consensus.test.ts
@@ -1,23 +1,15 @@
-import { describe, expect, it, onTestFinished } from 'vitest';
+import { describe, expect, it } from 'vitest';
 import {
-  ConsensusCluster,
-  type ClusterOptions,
+  type ConsensusCluster,
   GROUP,
+  startCluster,
 } from '../../tests/support/consensus-cluster.js';
-import { temporaryFolder } from '../../tests/support/temporary-folder.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { sleep } from '../common/index.js';
 import { encodeValue } from '../wire/index.js';
 import { NotLeaderError } from './errors.js';
 import { StorageFullError } from '../log-store/index.js';
 
-async function startCluster(options: Partial<ClusterOptions> = {}): Promise<ConsensusCluster> {
-  const cluster = new ConsensusCluster({ size: 3, folder: temporaryFolder(), ...options });
-  onTestFinished(() => cluster.stopAll());
-  await cluster.startAll();
-  return cluster;
-}
-
 const LIMITS = { timeoutMs: 10_000 };
 /** Nobody waits for an ordinary election time-out here. */
 const SLOW_ELECTIONS = {
--- a/src/consensus/full-disk.test.ts
+++ b/src/consensus/full-disk.test.ts
@@ -1,22 +1,13 @@
 /** A group of which one member's disk fills up. */
-import { afterEach, describe, expect, it } from 'vitest';
-import { ConsensusCluster, GROUP } from '../../tests/support/consensus-cluster.js';
-import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { describe, expect, it } from 'vitest';
+import { GROUP, startCluster } from '../../tests/support/consensus-cluster.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 
 const CALL = { timeoutMs: 5_000 };
 
-let cluster: ConsensusCluster;
-afterEach(() => cluster.stopAll());
-
-async function startCluster(): Promise<void> {
-  cluster = new ConsensusCluster({ size: 3, folder: temporaryFolder() });
-  await cluster.startAll();
-}
-
 describe('a disk that fills up', () => {
   it('makes its leader hand over; it follows again once there is room', async () => {
-    await startCluster();
+    const cluster = await startCluster();
     const first = await cluster.waitLeader();
     const client = cluster.client();
     await client.execute(GROUP, 'one', CALL);
--- a/src/consensus/stalled-disk.test.ts
+++ b/src/consensus/stalled-disk.test.ts
@@ -1,7 +1,6 @@
 /** A group of which a majority's disks stall: nothing is acknowledged that is not synced. */
-import { afterEach, describe, expect, it } from 'vitest';
-import { ConsensusCluster, GROUP } from '../../tests/support/consensus-cluster.js';
-import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { describe, expect, it } from 'vitest';
+import { GROUP, startCluster } from '../../tests/support/consensus-cluster.js';
 import { sleep } from '../common/index.js';
 import { encodeValue } from '../wire/index.js';
 
@@ -9,17 +8,9 @@
 const LONGER_THAN_A_REPETITION_MS = 2_500;
 const CALL = { timeoutMs: 5_000 };
 
-let cluster: ConsensusCluster;
-afterEach(() => cluster.stopAll());
-
-async function startCluster(): Promise<void> {
-  cluster = new ConsensusCluster({ size: 3, folder: temporaryFolder() });
-  await cluster.startAll();
-}
-
 describe('a disk that stalls', () => {
   it('keeps its member from acknowledging entries, also those that the leader repeats', async () => {
-    await startCluster();
+    const cluster = await startCluster();
     const leader = await cluster.waitLeader();
     await cluster.client().execute(GROUP, 'before', CALL);
     const followers = cluster.members.filter((running) => running !== leader);
--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -1,10 +1,9 @@
 /** What the directory's leader answers, over a group that commits at once. */
 import { describe, expect, it, onTestFinished } from 'vitest';
+import { emptyConfiguration, sampleRegistration } from '../../tests/support/directory-samples.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
 import { sleep } from '../common/index.js';
 import { createLogger } from '../observability/index.js';
-import type { RouteConfiguration } from '../routes/index.js';
-import type { BackendRegistration } from './backend-registration.js';
 import { DirectoryLeader } from './directory-leader.js';
 import type { NodeAnnouncement, NodeRole, WatchRequest } from './messages.js';
 import { packConfiguration, unpackRoutes, unpackSource } from './packed-configuration.js';
@@ -33,13 +32,9 @@
   }
 
   put(generation: number): Promise<void> {
-    const configuration: RouteConfiguration = {
-      generation,
-      routes: [],
-      services: [],
-      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    };
-    return this.leader.putConfiguration(packConfiguration(configuration, `${generation}`));
+    return this.leader.putConfiguration(
+      packConfiguration(emptyConfiguration(generation), `${generation}`),
+    );
   }
 }
 
@@ -48,16 +43,6 @@
 /** Longer than changes of the cluster are gathered, in milliseconds. */
 const SETTLE_MS = 300;
 
-const registration: BackendRegistration = {
-  id: 'i-1',
-  service: 's',
-  address: '127.0.0.1:1000',
-  zone: 'z',
-  slots: 4,
-  phase: 'ready',
-  sequence: 1,
-};
-
 function journalNode(number: number): NodeAnnouncement {
   return {
     name: `j${number}`,
@@ -143,7 +128,7 @@
     await sleep(SETTLE_MS);
     const settled = await committing.leader.watch(watchOf('gateway'));
     await committing.put(5);
-    await committing.leader.recordHeartbeat(registration);
+    await committing.leader.recordHeartbeat(sampleRegistration());
     await sleep(SETTLE_MS);
     const after = await committing.leader.watch(watchOf('gateway'));
     expect(version).toBeDefined();
--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -1,30 +1,12 @@
 /** The replicated directory: which commands change it, and what survives a snapshot. */
 import { describe, expect, it } from 'vitest';
-import type { RouteConfiguration } from '../routes/index.js';
+import { emptyConfiguration, sampleRegistration } from '../../tests/support/directory-samples.js';
 import { encodeValue } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine } from './directory-state-machine.js';
 import { packConfiguration, unpackSource } from './packed-configuration.js';
 
-function configuration(generation: number): RouteConfiguration {
-  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  return { generation, routes: [], services: [], limits };
-}
-
-function registration(overrides: Partial<BackendRegistration> = {}): BackendRegistration {
-  return {
-    id: 'i-1',
-    service: 's',
-    address: '127.0.0.1:1000',
-    zone: 'z',
-    slots: 4,
-    phase: 'ready',
-    sequence: 1,
-    ...overrides,
-  };
-}
-
 class Machine {
   readonly state = new DirectoryStateMachine();
   private index = 0;
@@ -37,12 +19,12 @@
   put(generation: number, source: string): boolean {
     return this.run({
       kind: 'put-configuration',
-      ...packConfiguration(configuration(generation), source),
+      ...packConfiguration(emptyConfiguration(generation), source),
     });
   }
 
   register(overrides: Partial<BackendRegistration>): boolean {
-    return this.run({ kind: 'register-backend', registration: registration(overrides) });
+    return this.run({ kind: 'register-backend', registration: sampleRegistration(overrides) });
   }
 }
 
--- a/src/forwarding/answer-framing.test.ts
+++ b/src/forwarding/answer-framing.test.ts
@@ -8,27 +8,12 @@
   wait,
   write,
 } from '../../tests/support/raw-backend.js';
+import { type RawOutcome, type RawSend, ownLines, sendRaw } from '../../tests/support/raw-sends.js';
 import { BackendConnections } from './backend-connections.js';
-import type { AnswerVerdict, BackendProtocol } from './backend-protocol.js';
-import { SendAttempt, type SendResult } from './send-attempt.js';
+import type { SendResult } from './send-attempt.js';
 
 const OWN_ID = 'call-1';
-const protocol: BackendProtocol = {
-  encodeRequest: () => ({ method: 'GET', target: '/x', headers: [] }),
-  readHead: (status, rawHeaders): AnswerVerdict => ({
-    callId: rawHeaders[rawHeaders.findIndex((name) => name.toLowerCase() === 'x-call') + 1],
-    isNotExecuted: status === 421,
-    isOtherIncarnation: false,
-    isAuthentic: true,
-    headers: [...rawHeaders],
-  }),
-};
-
-/** The answer as the forwarding code has it in the end. */
-interface Outcome {
-  result: SendResult;
-  body: string;
-}
+const OWN = ownLines(OWN_ID).join('\r\n');
 
 let backend: RawBackend | undefined;
 afterEach(() => backend?.stop());
@@ -38,33 +23,15 @@
   return new BackendConnections(backend.address, () => 1);
 }
 
-/** @param isSlowReader takes the first part of the body and asks for no more */
-async function send(
+function send(
   connections: BackendConnections,
-  { method = 'GET', isSlowReader = false } = {},
-): Promise<Outcome> {
-  let body = '';
-  const sink = {
-    onHead: () => undefined,
-    onData(chunk: Buffer): boolean {
-      body += chunk.toString('latin1');
-      return !isSlowReader;
-    },
-  };
-  const attempt = new SendAttempt({
-    protocol,
-    connection: connections.acquire()!,
-    request: { method, target: '/x', headers: [] },
-    body: Buffer.alloc(0),
-    callId: OWN_ID,
-    sink,
-    onHeard: () => undefined,
-  });
-  return { result: await attempt.run(), body };
+  options: Partial<RawSend> = {},
+): Promise<RawOutcome> {
+  return sendRaw(connections, { id: OWN_ID, ...options });
 }
 
 function head(...lines: string[]): string {
-  return ['HTTP/1.1 200 OK', `X-Call: ${OWN_ID}`, ...lines].join('\r\n') + '\r\n\r\n';
+  return ['HTTP/1.1 200 OK', ...ownLines(OWN_ID), ...lines].join('\r\n') + '\r\n\r\n';
 }
 
 describe('an answer that ends with its connection', () => {
@@ -91,7 +58,7 @@
 
   it('is broken when it is reset while its reader is slow', async () => {
     const connections = await startBackend([write(beginning), wait(30), write('more'), ...reset]);
-    const { result } = await send(connections, { isSlowReader: true });
+    const { result } = await send(connections, { mayGoOn: () => false });
     expect(result).toMatchObject({ kind: 'broken', hadHead: true });
   });
 });
@@ -101,25 +68,14 @@
     const body = 'x'.repeat(400_000);
     backend = await RawBackend.start(() => [write(head() + body), close]);
     const connections = new BackendConnections(backend.address, () => 1);
-    let received = 0;
-    const attempt: SendAttempt = new SendAttempt({
-      protocol,
-      connection: connections.acquire()!,
-      request: { method: 'GET', target: '/x', headers: [] },
-      body: Buffer.alloc(0),
-      callId: OWN_ID,
-      sink: {
-        onHead: () => undefined,
-        onData(chunk: Buffer): boolean {
-          received += chunk.length;
-          setTimeout(() => attempt.resume(), 10);
-          return false;
-        },
+    const { result, body: received } = await send(connections, {
+      mayGoOn(attempt) {
+        setTimeout(() => attempt.resume(), 10);
+        return false;
       },
-      onHeard: () => undefined,
     });
-    expect(await attempt.run()).toMatchObject({ kind: 'complete', endedBy: 'close' });
-    expect(received).toBe(body.length);
+    expect(result).toMatchObject({ kind: 'complete', endedBy: 'close' });
+    expect(received).toBe(body);
   });
 });
 
@@ -267,12 +223,12 @@
   },
   {
     name: 'no body after 204, whatever its head says of a length',
-    steps: [write(`HTTP/1.1 204 No Content\r\nX-Call: ${OWN_ID}\r\nContent-Length: 0\r\n\r\n`)],
+    steps: [write(`HTTP/1.1 204 No Content\r\n${OWN}\r\nContent-Length: 0\r\n\r\n`)],
     expected: whole('head'),
   },
   {
     name: 'no body after 304',
-    steps: [write(`HTTP/1.1 304 Not Modified\r\nX-Call: ${OWN_ID}\r\n\r\n`)],
+    steps: [write(`HTTP/1.1 304 Not Modified\r\n${OWN}\r\n\r\n`)],
     expected: whole('head'),
   },
   {
--- a/src/forwarding/answer-fuzz.test.ts
+++ b/src/forwarding/answer-fuzz.test.ts
@@ -13,12 +13,10 @@
   wait,
   write,
 } from '../../tests/support/raw-backend.js';
+import { ownLines, sendRaw } from '../../tests/support/raw-sends.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { SeededRandom } from '../common/index.js';
-import { headerValues } from '../http/index.js';
 import { BackendConnections } from './backend-connections.js';
-import type { BackendProtocol } from './backend-protocol.js';
-import { SendAttempt, type SendResult } from './send-attempt.js';
 
 /** Seeds that failed once stand here, each with a line on the cause. */
 const FAILED_SEEDS: readonly number[] = [];
@@ -42,19 +40,8 @@
   headBytes: number;
 }
 
-const protocol: BackendProtocol = {
-  encodeRequest: ({ id }) => ({ method: 'GET', target: `/${id}`, headers: [] }),
-  readHead: (status, rawHeaders) => ({
-    callId: headerValues(rawHeaders, 'x-call')[0],
-    isNotExecuted: status === 421,
-    isOtherIncarnation: false,
-    isAuthentic: headerValues(rawHeaders, 'x-stamp').length > 0,
-    headers: [...rawHeaders],
-  }),
-};
-
 function headOf(id: string, framing: Framing, bodyBytes: number): string {
-  const lines = ['HTTP/1.1 200 OK', `X-Call: ${id}`, 'X-Stamp: s'];
+  const lines = ['HTTP/1.1 200 OK', ...ownLines(id)];
   if (framing === 'length') lines.push(`Content-Length: ${bodyBytes}`);
   if (framing === 'chunks') lines.push('Transfer-Encoding: chunked');
   return `${lines.join('\r\n')}\r\n\r\n`;
@@ -108,29 +95,6 @@
   return isOrderlyEnd && body === bytes.slice(headBytes, cutAt);
 }
 
-async function call(
-  connections: BackendConnections,
-  id: string,
-): Promise<{ result: SendResult; body: string }> {
-  let body = '';
-  const attempt = new SendAttempt({
-    protocol,
-    connection: connections.acquire()!,
-    request: { method: 'GET', target: `/${id}`, headers: [] },
-    body: Buffer.alloc(0),
-    callId: id,
-    sink: {
-      onHead: () => undefined,
-      onData: (chunk) => {
-        body += chunk.toString('latin1');
-        return true;
-      },
-    },
-    onHeard: () => undefined,
-  });
-  return { result: await attempt.run(), body };
-}
-
 /** Plays answers one after the other on kept connections and checks each. */
 async function playConversation(answers: PlannedAnswer[], random: SeededRandom): Promise<void> {
   const scripts = new Map(answers.map((answer) => [answer.id, scriptOf(answer, random)]));
@@ -140,7 +104,7 @@
   try {
     const connections = new BackendConnections(backend.address, () => 2);
     for (const answer of answers) {
-      const { result, body } = await call(connections, answer.id);
+      const { result, body } = await sendRaw(connections, { id: answer.id });
       if (result.kind === 'complete') {
         expect(isCompleteAllowed(answer, body), JSON.stringify({ answer, body })).toBe(true);
       } else if (answer.damage === 'none' && result.kind === 'broken') {
--- a/src/log-store/full-disk.test.ts
+++ b/src/log-store/full-disk.test.ts
@@ -35,6 +35,14 @@
   return { log, fatal, reports };
 }
 
+/** What a start from the folder finds, on a sound disk. */
+async function lastIndexAfterRestart(folder: string, segmentBytes?: number): Promise<number> {
+  const { log } = await open(folder, new FaultyDisk(), segmentBytes);
+  const { lastIndex } = log.group('g');
+  await log.close();
+  return lastIndex;
+}
+
 /** Whether a promise has been resolved after a while. */
 async function isResolvedSoon(promise: Promise<unknown>): Promise<boolean> {
   return Promise.race([promise.then(() => true), sleep(150).then(() => false)]);
@@ -77,9 +85,7 @@
     await held;
     await log.close();
     expect(fatal).toEqual([]);
-    const again = await open(folder, new FaultyDisk());
-    expect(again.log.group('g').lastIndex).toBe(2);
-    await again.log.close();
+    expect(await lastIndexAfterRestart(folder)).toBe(2);
   });
 
   it('goes on in the old segment when there is no room for the next one', async () => {
@@ -103,9 +109,7 @@
     await log.append(entries(next));
     await log.close();
     expect(fatal).toEqual([]);
-    const again = await open(folder, new FaultyDisk(), 64);
-    expect(again.log.group('g').lastIndex).toBe(next);
-    await again.log.close();
+    expect(await lastIndexAfterRestart(folder, 64)).toBe(next);
   });
 
   it('lets the log be closed; what was held back was never promised', async () => {
@@ -118,9 +122,7 @@
     await sleep(30);
     await log.close();
     expect(fatal).toEqual([]);
-    const again = await open(folder, new FaultyDisk());
-    expect(again.log.group('g').lastIndex).toBe(1);
-    await again.log.close();
+    expect(await lastIndexAfterRestart(folder)).toBe(1);
   });
 
   it('does not end the process at the marker that an idle log writes', async () => {
@@ -146,9 +148,7 @@
     await log.append(entries(2));
     await log.close();
     expect(fatal).toEqual([]);
-    const again = await open(folder, new FaultyDisk());
-    expect(again.log.group('g').lastIndex).toBe(2);
-    await again.log.close();
+    expect(await lastIndexAfterRestart(folder)).toBe(2);
   });
 
   it('goes on in the old segment when the next file cannot be made', async () => {
@@ -162,8 +162,6 @@
     await log.append(entries(2));
     await log.close();
     expect(fatal).toEqual([]);
-    const again = await open(folder, new FaultyDisk(), 16);
-    expect(again.log.group('g').lastIndex).toBe(2);
-    await again.log.close();
+    expect(await lastIndexAfterRestart(folder, 16)).toBe(2);
   });
 });
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -1,6 +1,7 @@
 /** A replicated group of several members in one process, over a network that can be cut. */
 import { rmSync } from 'node:fs';
 import { join } from 'node:path';
+import { onTestFinished } from 'vitest';
 import {
   type ConsensusOptions,
   GroupClient,
@@ -20,6 +21,7 @@
 import { FaultyDisk } from './faulty-disk.js';
 import { LoopbackNetwork } from './loopback-network.js';
 import { MethodRouter, decodeValue, encodeValue } from '../../src/wire/index.js';
+import { temporaryFolder } from './temporary-folder.js';
 import { waitUntil } from './wait-until.js';
 
 export const GROUP = 'test-group';
@@ -183,6 +185,16 @@
   }
 }
 
+/** A running cluster of three, or as the options say; it ends with the test. */
+export async function startCluster(
+  options: Partial<ClusterOptions> = {},
+): Promise<ConsensusCluster> {
+  const cluster = new ConsensusCluster({ size: 3, folder: temporaryFolder(), ...options });
+  onTestFinished(() => cluster.stopAll());
+  await cluster.startAll();
+  return cluster;
+}
+
 function founder(name: string): Member {
   return { id: `${name}-first`, name, address: name, role: 'voter' };
 }
--- /dev/null
+++ b/tests/support/directory-samples.ts
@@ -0,0 +1,24 @@
+/** Small values of the directory for tests. */
+import type { BackendRegistration } from '../../src/directory/index.js';
+import type { RouteConfiguration } from '../../src/routes/index.js';
+
+/** A configuration without routes. */
+export function emptyConfiguration(generation: number): RouteConfiguration {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  return { generation, routes: [], services: [], limits };
+}
+
+export function sampleRegistration(
+  overrides: Partial<BackendRegistration> = {},
+): BackendRegistration {
+  return {
+    id: 'i-1',
+    service: 's',
+    address: '127.0.0.1:1000',
+    zone: 'z',
+    slots: 4,
+    phase: 'ready',
+    sequence: 1,
+    ...overrides,
+  };
+}
--- /dev/null
+++ b/tests/support/raw-sends.ts
@@ -0,0 +1,60 @@
+/** Sends single calls to a `RawBackend`, through the connections and the code that forwards calls. */
+import type { BackendConnections } from '../../src/forwarding/backend-connections.js';
+import type { BackendProtocol } from '../../src/forwarding/index.js';
+import { SendAttempt, type SendResult } from '../../src/forwarding/send-attempt.js';
+import { headerValues } from '../../src/http/index.js';
+
+const HTTP_MISDIRECTED = 421;
+
+/** Lines by which an answer of the back end names its call and itself. */
+export function ownLines(callId: string): string[] {
+  return [`X-Call: ${callId}`, 'X-Stamp: s'];
+}
+
+export const rawProtocol: BackendProtocol = {
+  encodeRequest: ({ id }) => ({ method: 'GET', target: `/${id}`, headers: [] }),
+  readHead: (status, rawHeaders) => ({
+    callId: headerValues(rawHeaders, 'x-call')[0],
+    isNotExecuted: status === HTTP_MISDIRECTED,
+    isOtherIncarnation: false,
+    isAuthentic: headerValues(rawHeaders, 'x-stamp').length > 0,
+    headers: [...rawHeaders],
+  }),
+};
+
+export interface RawSend {
+  id: string;
+  /** @default GET */
+  method?: string;
+  /** Called with each part of the body; returns whether to go on reading. @default goes on */
+  mayGoOn?: (attempt: SendAttempt) => boolean;
+}
+
+/** What the forwarding code has of an answer in the end. */
+export interface RawOutcome {
+  result: SendResult;
+  body: string;
+}
+
+export async function sendRaw(
+  connections: BackendConnections,
+  { id, method = 'GET', mayGoOn = () => true }: RawSend,
+): Promise<RawOutcome> {
+  let body = '';
+  const attempt: SendAttempt = new SendAttempt({
+    protocol: rawProtocol,
+    connection: connections.acquire()!,
+    request: { method, target: `/${id}`, headers: [] },
+    body: Buffer.alloc(0),
+    callId: id,
+    sink: {
+      onHead: () => undefined,
+      onData(chunk: Buffer): boolean {
+        body += chunk.toString('latin1');
+        return mayGoOn(attempt);
+      },
+    },
+    onHeard: () => undefined,
+  });
+  return { result: await attempt.run(), body };
+}
