A store for values on disk: the base of kept turns that take no heap

The store appends values to segment files without a sync, syncs on demand, drops whole segments, moves the rest of mostly dead ones, reads with a checksum, finds its records at a start by an index a sealed segment or by reading. Memory: a location a value, values that wait (bounded) and a cache (bounded).

Shown: 13 tests, among them a model with restarts and losses of power, a loss of power at every operation of a scenario (8 draws each), full disks, damage, a fuzz of the record reader. Nothing uses the store yet.

--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -83,7 +83,7 @@
 }
 
 /** Tells a full disk, which may have room again, from a failure that leaves the content unknown. */
-function storageError(cause: unknown, context: { step: string; peer: string }): Error {
+export function storageError(cause: unknown, context: { step: string; peer: string }): Error {
   if (FULL_CODES.has((cause as NodeJS.ErrnoException).code)) {
     return new DiskFullError('disk is full', { ...context, retriable: true, cause });
   }
@@ -162,7 +162,11 @@
 }
 
 /** A disk that fills up accepts a part of a write without an error; the next write tells. */
-async function writeWhole(file: LogFile, bytes: Buffer, offset: number): Promise<void> {
+export async function writeWhole(
+  file: Pick<LogFile, 'write'>,
+  bytes: Buffer,
+  offset: number,
+): Promise<void> {
   let written = 0;
   while (written < bytes.length) {
     const length = bytes.length - written;
--- a/src/log-store/index.ts
+++ b/src/log-store/index.ts
@@ -1,6 +1,14 @@
 /** Durable storage of replicated groups: write-ahead log and snapshots. */
 export * from './errors.js';
-export { type LogFile, type OpenLogFile, readFileIfPresent, replaceFile } from './data-folder.js';
+export {
+  type LogFile,
+  type OpenLogFile,
+  readFileIfPresent,
+  replaceFile,
+  storageError,
+  syncFolder,
+  writeWhole,
+} from './data-folder.js';
 export { GroupLogState } from './group-log-state.js';
 export type { HardState, LogEntry, LogRecord, SnapshotMark } from './records.js';
 export { type SnapshotHead, SnapshotReader, type SnapshotSource } from './snapshot-file.js';
--- /dev/null
+++ b/src/value-store/value-store.test.ts
@@ -0,0 +1,365 @@
+/** Values on disk: against a model, over losses of power at each step, full and damaged disks. */
+import fc from 'fast-check';
+import { describe, expect, it, onTestFinished } from 'vitest';
+import { PowerLostError, SimulatedFolder } from '../../tests/support/simulated-folder.js';
+import { temporaryFolder } from '../../tests/support/temporary-folder.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { SeededRandom, sleep } from '../common/index.js';
+import { DiskFullError } from '../log-store/index.js';
+import { createLogger } from '../observability/index.js';
+import { type StoreFolder, openStoreFolder } from './store-folder.js';
+import { decodeValueRecord, encodeValueRecord, scanValueRecords } from './value-record.js';
+import { ValueStore, type ValueStoreOptions } from './value-store.js';
+
+const SMALL_SEGMENT = 1_000;
+/** What is left of unsynced writes is drawn so often for each operation at which power goes. */
+const SEEDS_A_STEP = 8;
+
+function valueOf(key: string, bytes = 200): Buffer {
+  return Buffer.from(`${key}:`.repeat(Math.ceil(bytes / (key.length + 1)))).subarray(0, bytes);
+}
+
+interface OpenedStore {
+  store: ValueStore;
+  fatal: unknown[];
+}
+
+async function open(
+  folder: StoreFolder,
+  options: Partial<ValueStoreOptions> = {},
+): Promise<OpenedStore> {
+  const fatal: unknown[] = [];
+  const store = await ValueStore.open({
+    folder,
+    logger: createLogger({ test: 'value-store' }),
+    onFatal: (error) => void fatal.push(error),
+    segmentBytes: SMALL_SEGMENT,
+    cacheBytes: 300,
+    ...options,
+  });
+  onTestFinished(() => store.close());
+  return { store, fatal };
+}
+
+function putAll(store: ValueStore, keys: readonly string[]): void {
+  for (const key of keys) store.put(key, valueOf(key));
+}
+
+async function expectAll(store: ValueStore, keys: readonly string[]): Promise<void> {
+  for (const key of keys) expect((await store.get(key))?.toString()).toBe(valueOf(key).toString());
+}
+
+function keysFrom(first: number, count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `key-${first + index}`);
+}
+
+describe('a value store', () => {
+  it('gives back what was put, before and after it is written, and after a restart', async () => {
+    const folder = await openStoreFolder(temporaryFolder());
+    const { store } = await open(folder);
+    const keys = keysFrom(0, 30);
+    putAll(store, keys);
+    await expectAll(store, keys);
+    await store.sync();
+    await expectAll(store, keys);
+    await store.close();
+    const { store: again } = await open(folder);
+    await expectAll(again, keys);
+    expect(again.size).toBe(30);
+    expect(await again.get('none')).toBeUndefined();
+  });
+
+  it('holds no more in memory than its limits, whatever is kept', async () => {
+    const folder = new SimulatedFolder();
+    const { store } = await open(folder, { maxPendingBytes: 1_000 });
+    for (const key of keysFrom(0, 200)) {
+      await store.waitForRoom();
+      store.put(key, valueOf(key));
+      expect(store.pendingBytes).toBeLessThanOrEqual(1_000 + 200);
+    }
+    await store.sync();
+    expect(store.pendingBytes).toBe(0);
+    expect(store.size).toBe(200);
+  });
+
+  it('removes segments of which nothing is wanted, and moves the rest of mostly dead ones', async () => {
+    const folder = new SimulatedFolder();
+    const { store } = await open(folder);
+    const keys = keysFrom(0, 100);
+    putAll(store, keys);
+    await store.sync();
+    const full = store.diskBytes.total;
+    const kept = keys.filter((_, index) => index % 10 === 0);
+    for (const key of keys) if (!kept.includes(key)) store.delete(key);
+    await waitUntil('mostly removed', () => store.diskBytes.total < full / 3);
+    await expectAll(store, kept);
+    await store.close();
+    const { store: again } = await open(folder);
+    again.retain((key) => kept.includes(key));
+    await expectAll(again, kept);
+    expect(again.size).toBe(kept.length);
+  });
+
+  it('writes little more than was put when values leave in the order in which they came', async () => {
+    const { store } = await open(new SimulatedFolder());
+    for (let first = 0; first < 600; first += 20) {
+      putAll(store, keysFrom(first, 20));
+      await store.sync();
+      for (const key of keysFrom(first - 100, 20)) store.delete(key);
+    }
+    const { putBytes, writtenBytes } = store.counters;
+    expect(writtenBytes / putBytes).toBeLessThan(1.1);
+    expect(store.diskBytes.total).toBeLessThan(putBytes / 3);
+  });
+
+  it('does not read what it never had, nor writes what was dropped before', async () => {
+    const folder = new SimulatedFolder();
+    const { store } = await open(folder);
+    store.put('a', valueOf('a'));
+    store.delete('a');
+    await store.sync();
+    expect(store.has('a')).toBe(false);
+    expect(store.counters.writtenBytes).toBe(0);
+  });
+});
+
+describe('a damaged value', () => {
+  it('is never served; those beside it are', async () => {
+    const folder = new SimulatedFolder();
+    const keys = keysFrom(0, 3);
+    const { store } = await open(folder, { cacheBytes: 1 });
+    putAll(store, keys);
+    await store.sync();
+    folder.damage(folder.names[0]!, 250);
+    expect(await store.get('key-1')).toBeUndefined();
+    expect(store.has('key-1')).toBe(false);
+    expect(store.counters.damaged).toBe(1);
+    await expectAll(store, ['key-0', 'key-2']);
+    store.put('key-1', valueOf('key-1'));
+    await store.sync();
+    await expectAll(store, keys);
+  });
+
+  it('is not found by a start, whether its segment has an index or not', async () => {
+    const folder = new SimulatedFolder();
+    const keys = keysFrom(0, 8);
+    const { store } = await open(folder);
+    putAll(store, keys);
+    await store.sync();
+    await store.close();
+    const segments = folder.names.filter((name) => name.endsWith('.segment'));
+    const index = folder.names.find((name) => name.endsWith('.index'))!;
+    folder.damage(index, 9);
+    folder.damage(segments[0]!, 250);
+    const { store: again } = await open(folder);
+    expect(await again.get('key-1')).toBeUndefined();
+    await expectAll(
+      again,
+      keys.filter((key) => key !== 'key-1'),
+    );
+  });
+});
+
+describe('a full disk', () => {
+  it('fails a sync, goes on serving, and writes once there is room', async () => {
+    const folder = new SimulatedFolder();
+    const { store, fatal } = await open(folder);
+    putAll(store, keysFrom(0, 3));
+    await store.sync();
+    folder.roomBytes = 150;
+    putAll(store, keysFrom(3, 3));
+    await expect(store.sync()).rejects.toBeInstanceOf(DiskFullError);
+    await expectAll(store, keysFrom(0, 6));
+    folder.roomBytes = Number.POSITIVE_INFINITY;
+    await waitUntil('written', () => store.pendingBytes === 0);
+    await store.sync();
+    await store.close();
+    const { store: again } = await open(folder);
+    await expectAll(again, keysFrom(0, 6));
+    expect(fatal).toEqual([]);
+  });
+
+  it('by the quota makes room from what is dead, and refuses when all is wanted', async () => {
+    const { store, fatal } = await open(new SimulatedFolder(), { quotaBytes: 6 * SMALL_SEGMENT });
+    const keys = keysFrom(0, 22);
+    putAll(store, keys);
+    await store.sync();
+    putAll(store, keysFrom(22, 8));
+    await expect(store.sync()).rejects.toBeInstanceOf(DiskFullError);
+    expect(store.diskBytes.total).toBeLessThanOrEqual(6 * SMALL_SEGMENT);
+    // Every second one goes: no segment is empty, so the rest of some has to be moved.
+    const dropped = keys.filter((_, index) => index % 2 === 0);
+    for (const key of dropped) store.delete(key);
+    await waitUntil('written', () => store.pendingBytes === 0);
+    await store.sync();
+    await expectAll(store, [...keys.filter((key) => !dropped.includes(key)), ...keysFrom(22, 8)]);
+    expect(store.diskBytes.total).toBeLessThanOrEqual(6 * SMALL_SEGMENT);
+    expect(fatal).toEqual([]);
+  });
+});
+
+/** Puts, syncs, drops and cleans; tells through `synced` and `dropped` what may be relied on. */
+async function scenario(
+  store: ValueStore,
+  synced: Set<string>,
+  dropped: Set<string>,
+): Promise<void> {
+  for (let round = 0; round < 6; round += 1) {
+    const keys = keysFrom(round * 10, 10);
+    putAll(store, keys);
+    await store.sync();
+    for (const key of keys) synced.add(key);
+    // One of each segment stays, so that it is moved.
+    for (const key of keys.filter((_, index) => index % 5 !== 0)) {
+      dropped.add(key);
+      store.delete(key);
+    }
+    await sleep(3);
+  }
+}
+
+describe('a loss of power', () => {
+  it('at any operation keeps every value that was synced and is still wanted', async () => {
+    const calm = new SimulatedFolder();
+    const { store } = await open(calm);
+    await scenario(store, new Set(), new Set());
+    await store.close();
+    const operations = new Set<string>();
+    for (let at = 2; at <= calm.operations.length; at += 1) {
+      const folder = new SimulatedFolder();
+      folder.powerLossAt = at;
+      const synced = new Set<string>();
+      const dropped = new Set<string>();
+      const opened = await open(folder);
+      await Promise.race([
+        scenario(opened.store, synced, dropped).catch((error) => {
+          if (!(error instanceof PowerLostError)) expect(error).toHaveProperty('cause');
+        }),
+        waitUntil('power lost', () => opened.fatal.length > 0),
+      ]);
+      operations.add(folder.operations.at(-1)!);
+      const wanted = [...synced].filter((key) => !dropped.has(key));
+      for (let seed = 0; seed < SEEDS_A_STEP; seed += 1) {
+        const left = folder.afterPowerLoss(new SeededRandom(seed));
+        const { store: again, fatal } = await open(left);
+        await expectAll(again, wanted);
+        expect(fatal).toEqual([]);
+      }
+    }
+    expect([...operations].sort()).toEqual(
+      ['create', 'datasync', 'read', 'remove', 'replace', 'sync folder', 'write'].sort(),
+    );
+  });
+});
+
+/** A store beside a plain map of what it must hold. */
+class ModelledStore {
+  /** Wanted keys, and whether a sync has covered them. */
+  private readonly wanted = new Map<string, boolean>();
+  private folder = new SimulatedFolder();
+  private opened!: OpenedStore;
+
+  constructor(private readonly random: SeededRandom) {}
+
+  async start(): Promise<void> {
+    this.opened = await open(this.folder, { segmentBytes: 600 });
+    this.store.retain((key) => this.wanted.has(key));
+  }
+
+  put(key: string): void {
+    this.store.put(key, valueOf(key, 90));
+    if (!this.wanted.has(key)) this.wanted.set(key, false);
+  }
+
+  delete(key: string): void {
+    this.store.delete(key);
+    this.wanted.delete(key);
+  }
+
+  async check(key: string): Promise<void> {
+    const expected = this.wanted.has(key) ? valueOf(key, 90).toString() : undefined;
+    expect((await this.store.get(key))?.toString()).toBe(expected);
+    expect(this.opened.fatal).toEqual([]);
+  }
+
+  async checkAll(): Promise<void> {
+    for (const key of this.wanted.keys()) await this.check(key);
+  }
+
+  async sync(): Promise<void> {
+    await this.store.sync();
+    for (const key of this.wanted.keys()) this.wanted.set(key, true);
+  }
+
+  async restart(): Promise<void> {
+    await this.sync();
+    await this.store.close();
+    await this.start();
+  }
+
+  async losePower(): Promise<void> {
+    const left = this.folder.afterPowerLoss(this.random);
+    await this.store.close();
+    this.folder = left;
+    await this.start();
+    for (const [key, isSynced] of this.wanted) {
+      if (isSynced) expect(this.store.has(key)).toBe(true);
+      else if (!this.store.has(key)) this.wanted.delete(key);
+    }
+  }
+
+  private get store(): ValueStore {
+    return this.opened.store;
+  }
+}
+
+describe('a value store against a model', () => {
+  const key = fc.nat(40).map((number) => `k${number}`);
+  const step = fc.oneof(
+    { weight: 6, arbitrary: fc.record({ kind: fc.constant('put' as const), key }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant('delete' as const), key }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant('check' as const), key }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('sync' as const), key }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('restart' as const), key }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('losePower' as const), key }) },
+  );
+
+  it('holds what it must and nothing else', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.array(step, { maxLength: 80 }), fc.nat(), async (steps, seed) => {
+        const modelled = new ModelledStore(new SeededRandom(seed));
+        await modelled.start();
+        for (const { kind, key } of steps) await modelled[kind](key);
+        await modelled.checkAll();
+      }),
+      { numRuns: 100 },
+    );
+  });
+});
+
+describe('the reader of records', () => {
+  const originals = keysFrom(0, 12).map((key, index) => ({ key, value: valueOf(key, index * 9) }));
+  const bytes = Buffer.concat(originals.map(({ key, value }) => encodeValueRecord(key, value)));
+  const known = new Map(originals.map(({ key, value }) => [key, value.toString()]));
+
+  it('never takes a damaged or torn record for a whole one', () => {
+    const random = new SeededRandom(7);
+    for (let round = 0; round < 3_000; round += 1) {
+      const copy = Buffer.from(bytes.subarray(0, random.integer(0, bytes.length)));
+      for (let flips = random.integer(0, 6); flips > 0 && copy.length > 0; flips -= 1) {
+        copy[random.integer(0, copy.length - 1)] = random.integer(0, 255);
+      }
+      for (const { key, offset } of scanValueRecords(copy)) {
+        expect(decodeValueRecord(copy, offset)!.value.toString()).toBe(known.get(key));
+      }
+    }
+  });
+
+  it('finds every whole record behind a damaged one', () => {
+    for (let damaged = 0; damaged < bytes.length; damaged += 1) {
+      const copy = Buffer.from(bytes);
+      copy[damaged]! ^= 0x10;
+      expect(scanValueRecords(copy)).toHaveLength(originals.length - 1);
+    }
+  });
+});
--- /dev/null
+++ b/tests/support/simulated-folder.ts
@@ -0,0 +1,178 @@
+/**
+ * A folder in memory for value stores. It can lose power at any operation: what was synced stays,
+ * every later write is kept, dropped or torn. It can also run out of room.
+ */
+import type { StoreFile, StoreFolder } from '../../src/value-store/index.js';
+import { type SeededRandom, sleep } from '../../src/common/index.js';
+
+interface Write {
+  bytes: Buffer;
+  offset: number;
+}
+
+class SimulatedFile {
+  /** Content that outlives a loss of power. */
+  durable: Buffer = Buffer.alloc(0);
+  unsynced: Write[] = [];
+  /** Whether the file itself outlives a loss of power. */
+  isNameDurable = false;
+
+  get content(): Buffer {
+    return this.unsynced.reduce(withWrite, this.durable);
+  }
+
+  sync(): void {
+    this.durable = this.content;
+    this.unsynced = [];
+    this.isNameDurable = true;
+  }
+
+  afterPowerLoss(random: SeededRandom): Buffer {
+    const kept = this.unsynced.flatMap((write): Write[] => {
+      const fate = random.integer(0, 2);
+      if (fate === 0) return [];
+      if (fate === 1) return [write];
+      return [{ ...write, bytes: write.bytes.subarray(0, random.integer(0, write.bytes.length)) }];
+    });
+    return kept.reduce(withWrite, this.durable);
+  }
+}
+
+function withWrite(content: Buffer, { bytes, offset }: Write): Buffer {
+  const result = Buffer.alloc(Math.max(content.length, offset + bytes.length));
+  content.copy(result);
+  bytes.copy(result, offset);
+  return result;
+}
+
+/** The operation at which power is lost. */
+export class PowerLostError extends Error {}
+
+export class SimulatedFolder implements StoreFolder {
+  readonly path = 'simulated';
+  private files = new Map<string, SimulatedFile>();
+  /** Removed files whose removal is not durable yet. */
+  private removed = new Map<string, SimulatedFile>();
+  /** Operations so far, by name, in order. */
+  readonly operations: string[] = [];
+  /** Power goes at this operation, counted from 1. */
+  powerLossAt = Number.POSITIVE_INFINITY;
+  /** Bytes that may still be written. */
+  roomBytes = Number.POSITIVE_INFINITY;
+  private hasPower = true;
+
+  /** What is there when power is back. */
+  afterPowerLoss(random: SeededRandom): SimulatedFolder {
+    const folder = new SimulatedFolder();
+    const mayStay = [...this.removed].filter(() => random.chance(0.5));
+    for (const [name, file] of [...mayStay, ...this.files]) {
+      if (!file.isNameDurable && random.chance(0.5)) continue;
+      const copy = new SimulatedFile();
+      copy.durable = file.afterPowerLoss(random);
+      copy.isNameDurable = true;
+      folder.files.set(name, copy);
+    }
+    return folder;
+  }
+
+  /** Flips a bit of a file, as a bad sector would. */
+  damage(name: string, offset: number): void {
+    const file = this.files.get(name)!;
+    file.sync();
+    file.durable[offset]! ^= 1;
+  }
+
+  contentOf(name: string): Buffer {
+    return this.files.get(name)!.content;
+  }
+
+  get names(): string[] {
+    return [...this.files.keys()].sort();
+  }
+
+  async list(): Promise<string[]> {
+    await this.step('list');
+    return this.names;
+  }
+
+  async create(name: string): Promise<StoreFile> {
+    await this.step('create');
+    this.files.set(name, new SimulatedFile());
+    return this.handle(name);
+  }
+
+  async open(name: string): Promise<StoreFile> {
+    await this.step('open');
+    return this.handle(name);
+  }
+
+  async replace(name: string, bytes: Uint8Array): Promise<void> {
+    await this.step('replace');
+    const file = new SimulatedFile();
+    file.unsynced.push({ bytes: Buffer.from(bytes), offset: 0 });
+    file.sync();
+    this.files.set(name, file);
+  }
+
+  async remove(name: string): Promise<void> {
+    await this.step('remove');
+    const file = this.files.get(name);
+    if (!file) return;
+    this.files.delete(name);
+    this.removed.set(name, file);
+  }
+
+  async sync(): Promise<void> {
+    await this.step('sync folder');
+    this.removed.clear();
+    for (const file of this.files.values()) file.isNameDurable = true;
+  }
+
+  private async step(operation: string): Promise<void> {
+    await sleep(0);
+    if (!this.hasPower) throw new PowerLostError(operation);
+    this.operations.push(operation);
+    if (this.operations.length < this.powerLossAt) return;
+    this.hasPower = false;
+    throw new PowerLostError(operation);
+  }
+
+  private handle(name: string): StoreFile {
+    const file = this.files.get(name)!;
+    let isOpen = true;
+    const step = async (operation: string): Promise<void> => {
+      if (!isOpen) throw new Error('EBADF: file is closed');
+      await this.step(operation);
+    };
+    return {
+      read: async (buffer, start, length, offset) => {
+        await step('read');
+        const part = file.content.subarray(offset, offset + length);
+        buffer.set(part, start);
+        return { bytesRead: part.length };
+      },
+      write: async (bytes, start, length, offset) => {
+        const bytesWritten = Math.min(length, this.roomBytes);
+        if (bytesWritten === 0) throw Object.assign(new Error('no space'), { code: 'ENOSPC' });
+        this.roomBytes -= bytesWritten;
+        const written = Buffer.from(bytes.subarray(start, start + bytesWritten));
+        // Power may go in the middle of a write, so that it counts as one of the unsynced.
+        file.unsynced.push({ bytes: written, offset });
+        await step('write');
+        return { bytesWritten };
+      },
+      truncate: async () => step('truncate'),
+      datasync: async () => {
+        await step('datasync');
+        file.sync();
+      },
+      close: async () => {
+        isOpen = false;
+      },
+      size: async () => {
+        await step('size');
+        return file.content.length;
+      },
+    };
+  }
+}
