Learners that hold everything get entries once a heartbeat interval

Cause: the leader of the ledger sends every entry to every learner as soon as it is there; at 24 storage machines 19 of 23 followers are learners, for whose answers nothing waits.

Not taken: keeping most storage machines out of the group, which saves more but leaves fewer copies ready when two disks are lost.

--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -93,6 +93,14 @@
     return this.environment.ownId;
   }
 
+  get heartbeatIntervalMs(): number {
+    return this.environment.options.heartbeatIntervalMs;
+  }
+
+  isVoter(memberId: string): boolean {
+    return isVoter(this.configuration, memberId);
+  }
+
   get group(): string {
     return this.name;
   }
@@ -429,8 +437,10 @@
       this.replicators.delete(id);
     }
     for (const member of this.configuration.members) {
-      if (member.id === this.ownId || this.replicators.has(member.id)) continue;
-      this.replicators.set(member.id, new Replicator(this, member));
+      if (member.id === this.ownId) continue;
+      const replicator = this.replicators.get(member.id);
+      if (!replicator) this.replicators.set(member.id, new Replicator(this, member));
+      else if (member.role === 'voter') replicator.notePromoted();
     }
   }
 
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -22,6 +22,9 @@
   readonly term: number;
   readonly commitIndex: number;
   readonly log: MemberLog;
+  readonly heartbeatIntervalMs: number;
+  /** Whether a member counts for commits. */
+  isVoter(memberId: string): boolean;
   call<Request, Response>(
     member: Member,
     method: Method<Request, Response>,
@@ -41,6 +44,8 @@
   private hasProbed = false;
   private readonly wake = new SignalEvent();
   private readonly stopping = new AbortController();
+  /** Ends the pause in which entries for a learner gather. */
+  private gathering: AbortController | undefined;
 
   constructor(
     private readonly leader: ReplicationLeader,
@@ -61,8 +66,14 @@
     this.wake.notify();
   }
 
+  /** The follower counts for commits from now on. */
+  notePromoted(): void {
+    this.gathering?.abort();
+  }
+
   stop(): void {
     this.stopping.abort();
+    this.gathering?.abort();
     this.wake.notify();
   }
 
@@ -83,14 +94,28 @@
         continue;
       }
       try {
+        const { lastIndex } = this.leader.log;
         await this.sendNext();
         backoff.reset();
+        if (this.matchIndex >= lastIndex) await this.gatherForLearner();
       } catch {
         await sleep(backoff.nextDelayMs(), this.stopping.signal);
       }
     }
   }
 
+  /**
+   * Nothing waits for the answers of a learner that holds all there is: it gets what comes next
+   * together, once a heartbeat interval.
+   */
+  private async gatherForLearner(): Promise<void> {
+    const { leader, member } = this;
+    if (leader.isVoter(member.id) || this.isStopped) return;
+    this.gathering = new AbortController();
+    await sleep(leader.heartbeatIntervalMs, this.gathering.signal);
+    this.gathering = undefined;
+  }
+
   private async sendNext(): Promise<void> {
     const needsSnapshot = this.nextIndex <= this.leader.log.compactedTo.index;
     if (needsSnapshot) await this.sendSnapshot();
--- a/tests/support/loopback-network.ts
+++ b/tests/support/loopback-network.ts
@@ -18,6 +18,8 @@
 export class LoopbackNetwork {
   private readonly routers = new Map<string, MethodRouter>();
   private readonly cuts = new Set<string>();
+  /** Requests so far by receiver and method, as `address method`. */
+  readonly requests = new Map<string, number>();
 
   /** @param delayMs one-way delay of every message, in milliseconds */
   constructor(private readonly delayMs: (from: string, to: string) => number = () => 0) {}
@@ -63,6 +65,8 @@
     options: CallOptions,
   ): Promise<Response> {
     const context = { step: method.name, peer: to, retriable: true };
+    const kind = `${to} ${method.name}`;
+    this.requests.set(kind, (this.requests.get(kind) ?? 0) + 1);
     const handler = this.routers.get(to)?.find(method.name);
     if (!handler) throw new LinkError('nobody listens', context);
     const requestBytes = encodeValue(request);
