A value that comes just as the store's writer goes to rest is written

Cause: the writer saw that nothing was waiting, then waited for a signal; a value put in the few steps between was signalled to nobody, and a sync after it waited until the next value came.

Now: whatever comes sets a flag that the writer looks at right before it rests. Ruled out: the simulated folder, whose operations all end.

--- a/src/value-store/value-store.test.ts
+++ b/src/value-store/value-store.test.ts
@@ -112,6 +112,19 @@
     expect(store.diskBytes.total).toBeLessThan(putBytes / 3);
   });
 
+  it('does not miss a value that comes just as its writer goes to rest', async () => {
+    const { store } = await open(new SimulatedFolder(), { maxPendingBytes: 0 });
+    for (let gap = 0; gap < 40; gap += 1) {
+      store.put(`first-${gap}`, valueOf('first'));
+      // Resolves in the step in which the value is written, some steps before the writer rests.
+      await store.waitForRoom();
+      for (let turn = 0; turn < gap; turn += 1) await Promise.resolve();
+      store.put(`second-${gap}`, valueOf('second'));
+      const isSynced = store.sync().then(() => true);
+      expect(await Promise.race([isSynced, sleep(1_000)]), `gap ${gap}`).toBe(true);
+    }
+  });
+
   it('does not read what it never had, nor writes what was dropped before', async () => {
     const folder = new SimulatedFolder();
     const { store } = await open(folder);
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -62,6 +62,8 @@
   private readonly progress = new SignalEvent();
   private isFull = false;
   private isClosing = false;
+  /** Something came since the writer last looked; it may have looked just before. */
+  private hasNews = false;
   private writer: Promise<void> = Promise.resolve();
   /** Bytes of records: put by callers, written in all, and moved by cleaning; damaged records. */
   readonly counters = { putBytes: 0, writtenBytes: 0, movedBytes: 0, damaged: 0 };
@@ -109,7 +111,7 @@
     if (this.has(key)) return;
     this.pending.add(key, value);
     this.counters.putBytes += recordBytes(key, value);
-    this.wake.notify();
+    this.wakeWriter();
   }
 
   /** @returns undefined when the value is not held, or damaged, which drops it */
@@ -137,7 +139,7 @@
     if (!location) return;
     this.locations.delete(key);
     this.release(location);
-    this.wake.notify();
+    this.wakeWriter();
   }
 
   /** Drops every value whose key is not wanted. */
@@ -166,7 +168,7 @@
   /** Ends after the write that is under way; what still waits is not written. */
   async close(): Promise<void> {
     this.isClosing = true;
-    this.wake.notify();
+    this.wakeWriter();
     this.progress.notify();
     await this.writer;
     await this.files.close();
@@ -186,9 +188,10 @@
   private async runWriter(): Promise<void> {
     while (!this.isClosing) {
       try {
+        this.hasNews = false;
         const didWork = await this.workOnce();
         this.noteFull(false);
-        if (!didWork && !this.isClosing) await this.wake.wait();
+        if (!didWork && !this.hasNews) await this.wake.wait();
       } catch (error) {
         if (!(error instanceof DiskFullError)) {
           this.options.onFatal(error);
@@ -200,6 +203,11 @@
     }
   }
 
+  private wakeWriter(): void {
+    this.hasNews = true;
+    this.wake.notify();
+  }
+
   /** One step of the writer. @returns whether there was something to do */
   private async workOnce(): Promise<boolean> {
     await this.removeEmptySegments();
