--- a/src/control/identity.ts
+++ b/src/control/identity.ts
@@ -4,11 +4,15 @@
  * never vote under the old one.
  */
 import { randomBytes } from 'node:crypto';
-import { mkdir } from 'node:fs/promises';
 import { join } from 'node:path';
 import type { Member } from '../consensus/index.js';
 import { sleep } from '../common/index.js';
-import { StorageFullError, readFileIfPresent, replaceFile } from '../log-store/index.js';
+import {
+  StorageFullError,
+  makeFolder,
+  readFileIfPresent,
+  replaceFile,
+} from '../log-store/index.js';
 
 const IDENTITY_FILE = 'identity.json';
 const ID_BYTES = 8;
@@ -35,7 +39,7 @@
   ) {}
 
   static async open(folder: string, name: string): Promise<IdentityStore> {
-    await mkdir(folder, { recursive: true });
+    await makeFolder(folder);
     const bytes = await readFileIfPresent(join(folder, IDENTITY_FILE));
     if (bytes) return new IdentityStore(folder, JSON.parse(bytes.toString('utf8')) as Identity);
     const memberId = `${name}-${randomBytes(ID_BYTES).toString('hex')}`;
--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -1,6 +1,6 @@
 /** File operations of a data folder, with the syncs that make them last. */
-import { type FileHandle, open, readFile, rename, rm } from 'node:fs/promises';
-import { join } from 'node:path';
+import { type FileHandle, mkdir, open, readFile, rename, rm } from 'node:fs/promises';
+import { dirname, join } from 'node:path';
 import { DiskFullError, StorageFailedError, StorageFullError } from './errors.js';
 
 /** What a log needs of a file; a `FileHandle` has all of it. */
@@ -21,6 +21,17 @@
 /** Error codes of a disk, or of a share of it, that takes no more bytes. */
 const FULL_CODES: ReadonlySet<string | undefined> = new Set(['ENOSPC', 'EDQUOT']);
 
+/**
+ * Makes a folder, with those above it that are missing, so that it lasts: files that are synced in a
+ * folder whose own name is lost are lost with it.
+ */
+export async function makeFolder(path: string): Promise<void> {
+  const firstMade = await mkdir(path, { recursive: true });
+  if (firstMade === undefined) return;
+  const stop = dirname(firstMade);
+  for (let made = path; made !== stop; made = dirname(made)) await syncFolder(dirname(made));
+}
+
 /** Syncs a folder, so that created and renamed entries last. */
 export async function syncFolder(path: string): Promise<void> {
   const folder = await open(path, 'r');
--- a/src/log-store/index.ts
+++ b/src/log-store/index.ts
@@ -3,6 +3,7 @@
 export {
   type LogFile,
   type OpenLogFile,
+  makeFolder,
   readFileIfPresent,
   replaceFile,
   storageError,
--- a/src/log-store/snapshot-store.ts
+++ b/src/log-store/snapshot-store.ts
@@ -1,7 +1,6 @@
 /** Snapshot files: one a group, replaced as a whole. */
-import { mkdir } from 'node:fs/promises';
 import { join } from 'node:path';
-import { replaceFileWith } from './data-folder.js';
+import { makeFolder, replaceFileWith } from './data-folder.js';
 import {
   type SnapshotHead,
   SnapshotReader,
@@ -32,7 +31,7 @@
 
   private async replace(group: string, source: SnapshotSource): Promise<void> {
     if (source.index <= (this.latestIndex.get(group) ?? 0)) return;
-    await mkdir(this.folder, { recursive: true });
+    await makeFolder(this.folder);
     await replaceFileWith(this.folder, fileName(group), (file) => writeSnapshot(file, source));
     this.latestIndex.set(group, source.index);
   }
--- a/src/log-store/write-ahead-log.ts
+++ b/src/log-store/write-ahead-log.ts
@@ -4,7 +4,7 @@
  * all queued records, writes them in one go, syncs once and wakes their owners. While the disk is
  * full it holds them back and tries again; new entries are refused meanwhile.
  */
-import { mkdir, open, readdir, readFile, rm, truncate } from 'node:fs/promises';
+import { open, readdir, readFile, rm, truncate } from 'node:fs/promises';
 import { join } from 'node:path';
 import { Deferred, SignalEvent, sleep } from '../common/index.js';
 import {
@@ -13,6 +13,7 @@
   StorageQuota,
   appendAndSync,
   createFile,
+  makeFolder,
   syncFolder,
 } from './data-folder.js';
 import { DamagedLogError, DiskFullError } from './errors.js';
@@ -89,7 +90,7 @@
    */
   static async open(options: WriteAheadLogOptions): Promise<WriteAheadLog> {
     const log = new WriteAheadLog(options);
-    await mkdir(options.folder, { recursive: true });
+    await makeFolder(options.folder);
     await log.recover();
     log.writer = log.runWriter();
     return log;
--- a/src/value-store/store-folder.ts
+++ b/src/value-store/store-folder.ts
@@ -1,7 +1,13 @@
 /** The files of a value store, and the few operations on them that it needs. */
-import { type FileHandle, mkdir, open, readdir, rm } from 'node:fs/promises';
+import { type FileHandle, open, readdir, rm } from 'node:fs/promises';
 import { join } from 'node:path';
-import { type LogFile, replaceFile, storageError, syncFolder } from '../log-store/index.js';
+import {
+  type LogFile,
+  makeFolder,
+  replaceFile,
+  storageError,
+  syncFolder,
+} from '../log-store/index.js';
 
 /** One file; offsets and lengths are in bytes. */
 export interface StoreFile extends LogFile {
@@ -32,7 +38,7 @@
 
 /** A folder of the file system, made if it is not there. */
 export async function openStoreFolder(path: string): Promise<StoreFolder> {
-  await mkdir(path, { recursive: true });
+  await makeFolder(path);
   return {
     path,
     list: () => readdir(path),
