A machine that lost its disk is taken back once, not added and removed by turns

Cause: a process that comes back with an empty disk has a new identity under its old name and address.

Now the latest to present itself under a name or address is the one that counts.

--- a/src/clustering/voter-keeper.ts
+++ b/src/clustering/voter-keeper.ts
@@ -47,11 +47,20 @@
       if (group !== this.group.name || !this.group.isLeader) {
         return { leads: false, leaderAddress: this.group.leaderAddress };
       }
-      this.candidates.set(member.id, { member, seenAt: monotonicMs() });
+      this.noteCandidate(member);
       return { leads: true };
     });
   }
 
+  /** The latest to present itself under a name or address runs there; another identity is over. */
+  private noteCandidate(member: Member): void {
+    for (const [id, { member: other }] of this.candidates) {
+      const isSamePlace = other.name === member.name || other.address === member.address;
+      if (isSamePlace && id !== member.id) this.candidates.delete(id);
+    }
+    this.candidates.set(member.id, { member, seenAt: monotonicMs() });
+  }
+
   stop(): void {
     clearInterval(this.timer);
   }
