--- a/src/log-store/group-log-state.ts
+++ b/src/log-store/group-log-state.ts
@@ -70,9 +70,14 @@
     }
   }
 
+  /**
+   * At a start, segments that a later snapshot covers are gone: the first entry that is found may
+   * lie far behind the snapshot known so far. It keeps its place, and what is missing stays empty.
+   */
   private cutFrom(index: number): void {
     const kept = Math.max(0, index - this.snapshot.index - 1);
-    this.heldBytes -= bytesOf(this.entries.splice(kept));
+    if (kept < this.entries.length) this.heldBytes -= bytesOf(this.entries.slice(kept));
+    this.entries.length = kept;
   }
 
   private compact(mark: SnapshotMark): void {
--- a/src/log-store/write-ahead-log.test.ts
+++ b/src/log-store/write-ahead-log.test.ts
@@ -115,6 +115,36 @@
     await again.close();
   });
 
+  it('finds every entry behind the snapshot in its place when segments before it are gone', async () => {
+    const folder = temporaryFolder();
+    const log = await open(folder, { segmentBytes: 256 });
+    const append = async (first: number, last: number): Promise<void> => {
+      for (let index = first; index <= last; index += 1) {
+        await log.append([{ kind: 'entries', group: 'g', entries: [entry(index)] }]);
+      }
+    };
+    const snapshot = (index: number): Promise<void> =>
+      log.append([{ kind: 'snapshot', group: 'g', mark: { index, term: 1 } }]);
+    await append(1, 40);
+    // The segments that are left begin with marks of older snapshots than the entries behind them.
+    await snapshot(33);
+    await append(41, 60);
+    await snapshot(45);
+    await log.close();
+    const again = await open(folder, { segmentBytes: 256 });
+    const state = again.group('g');
+    expect(state.lastIndex).toBe(60);
+    let bytes = 0;
+    for (let index = state.snapshot.index + 1; index <= 60; index += 1) {
+      const found = state.entryAt(index);
+      expect(found?.index).toBe(index);
+      expect(Buffer.from(found!.data).toString()).toBe(`entry-${index}`);
+      bytes += found!.data.length;
+    }
+    expect(state.heldBytes).toBe(bytes);
+    await again.close();
+  });
+
   it('refuses entries before the quota is used up, but still takes votes', async () => {
     const log = await open(temporaryFolder(), { quotaBytes: 1_000 });
     const large = entry(1, 1, 'x'.repeat(950));
