--- a/emulator/fault-proxy/fault-proxy.ts
+++ b/emulator/fault-proxy/fault-proxy.ts
@@ -102,15 +102,24 @@
     this.controlServer.close();
   }
 
+  /**
+   * Changes the fault of links.
+   * @param names `*` stands for any text
+   * @returns how many links were changed
+   */
+  setFault(names: string[], fault: LinkFault): number {
+    const changed = this.matching(names);
+    for (const link of changed) link.setFault(fault);
+    this.logger.info('fault set', { links: names.join(','), count: changed.length });
+    return changed.length;
+  }
+
   private createRouter(): HttpRouter {
     const router = new HttpRouter()
       .on('POST', '/v1/faults', async ({ request, response }) => {
         const body = faultRequestSchema.safeParse(await readJson(request, MAX_BODY_BYTES));
         if (!body.success) throw badRequest(body.error.message);
-        const changed = this.matching(body.data.links);
-        for (const link of changed) link.setFault(body.data.fault);
-        this.logger.info('fault set', { links: body.data.links.join(','), count: changed.length });
-        sendJson(response, 200, { changed: changed.length });
+        sendJson(response, 200, { changed: this.setFault(body.data.links, body.data.fault) });
       })
       .on('GET', '/v1/links', async ({ response }) =>
         sendJson(
