--- a/lab/slopes/kept-turns-experiment.ts
+++ b/lab/slopes/kept-turns-experiment.ts
@@ -50,7 +50,7 @@
   const folder = await mkdtemp(join(tmpdir(), 'ledgegauge-kept-turns-'));
   try {
     const sizes = [String(turns), String(TURN_BYTES), folder];
-    const { stdout } = await promisify(execFile)(process.execPath, ['--expose-gc', HOST, ...sizes]);
+    const { stdout } = await promisify(execFile)(process.execPath, [HOST, ...sizes]);
     return JSON.parse(stdout) as KeptTurnsFigures;
   } finally {
     await rm(folder, { recursive: true, force: true });
--- a/lab/slopes/kept-turns-host.ts
+++ b/lab/slopes/kept-turns-host.ts
@@ -2,7 +2,7 @@
  * A process that keeps turns on disk as a journal does, and measures what they take: memory, disk,
  * the time of a start, and the time that a new member needs to fetch them over a loopback link.
  *
- *     node --expose-gc kept-turns-host.js TURNS BYTES_EACH FOLDER
+ *     node kept-turns-host.js TURNS BYTES_EACH FOLDER
  */
 import { join } from 'node:path';
 import { monotonicMs, sleep } from '../../src/common/index.js';
@@ -10,6 +10,7 @@
 import type { Logger } from '../../src/observability/index.js';
 import { ValueStore, openStoreFolder } from '../../src/value-store/index.js';
 import { MethodRouter, PeerLink, RpcServer, encodeValue } from '../../src/wire/index.js';
+import { usedBytes } from './used-bytes.js';
 
 /** What was measured; times in milliseconds. */
 export interface KeptTurnsFigures {
@@ -70,17 +71,6 @@
   return turn.toString(16).padStart(16, '0');
 }
 
-async function usedBytes(): Promise<number> {
-  let least = Number.POSITIVE_INFINITY;
-  for (let reading = 0; reading < 5; reading += 1) {
-    globalThis.gc!();
-    const { heapUsed, external } = process.memoryUsage();
-    least = Math.min(least, heapUsed + external);
-    await sleep(20);
-  }
-  return least;
-}
-
 const noPeers = (): Promise<never> => Promise.reject(new Error('no other members'));
 
 async function measure(turns: number, bytes: number, folder: string): Promise<KeptTurnsFigures> {
--- a/src/ledger/kept-turns-memory.test.ts
+++ b/src/ledger/kept-turns-memory.test.ts
@@ -1,9 +1,7 @@
 /** What kept turns take of a process's memory, whatever was said in them. */
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
 import { expect, it, onTestFinished } from 'vitest';
+import { usedBytes } from '../../lab/slopes/used-bytes.js';
 import { temporaryFolder } from '../../tests/support/temporary-folder.js';
-import { sleep } from '../common/index.js';
 import { createLogger } from '../observability/index.js';
 import { ValueStore, openStoreFolder } from '../value-store/index.js';
 import { KeptTurns } from './kept-turns.js';
@@ -15,21 +13,6 @@
 /** Index and location of a turn in the heap: 300 were measured on Node 20. */
 const MOST_BYTES_A_TURN = 450;
 
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
-
-/** Buffers are given back in the background after a collection, so that one reading may be early. */
-async function usedBytes(): Promise<number> {
-  let least = Number.POSITIVE_INFINITY;
-  for (let reading = 0; reading < 5; reading += 1) {
-    collectGarbage();
-    const { heapUsed, external } = process.memoryUsage();
-    least = Math.min(least, heapUsed + external);
-    await sleep(20);
-  }
-  return least;
-}
-
 it('grows by an index entry a turn, not by what was said', { timeout: 60_000 }, async () => {
   const values = await ValueStore.open({
     folder: await openStoreFolder(temporaryFolder()),
