A reset that arrives with the last bytes is no orderly close

Cause: libuv reports the end of the stream, without an error, when a reset arrives together with the last bytes (its short cut for a hang-up after a read that did not fill the buffer).

Now: at the end of the stream the connection is asked for its peer. After an orderly close it has one, since our side is still open; after a reset it has none.

Test: bytes and reset written in one step, 30 times; failed before ("expected undefined to be an instance of ConnectionResetError").

--- a/src/http/backend-socket.ts
+++ b/src/http/backend-socket.ts
@@ -4,6 +4,8 @@
  *
  * - After the head of an answer without a length, undici takes ECONNRESET for an orderly close and
  *   completes the body. A reset is raised under a class of its own here, which fails the answer.
+ * - A reset that arrives with the last bytes is reported as the end of the stream; the connection
+ *   has no peer any more then, which tells it from an orderly close.
  * - While its parser is paused for a slow reader, undici asserts that the stream does not end, and
  *   the assertion ends the process. Node announces the end as soon as the peer has closed and
  *   nothing is buffered; here it waits until the reader asks for more.
@@ -38,8 +40,22 @@
   }
 
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk === null) this.hasReceivedEnd = true;
-    return super.push(chunk, encoding);
+    if (chunk !== null) return super.push(chunk, encoding);
+    if (this.isPeerGone) {
+      this.destroy(this.resetError(undefined));
+      return false;
+    }
+    this.hasReceivedEnd = true;
+    return super.push(null);
+  }
+
+  /**
+   * libuv reports the end of the stream, and no error, when a reset arrives together with the last
+   * bytes. After an orderly close the connection still has a peer, since this side is open; after a
+   * reset it has none. Node asks for the address once and keeps it, so nothing may ask before.
+   */
+  private get isPeerGone(): boolean {
+    return !this.destroyed && this.remoteAddress === undefined;
   }
 
   /** Announces the end of the stream only to a read that asks for bytes and finds none left. */
@@ -51,13 +67,12 @@
   }
 
   private describe(error: Error | null): Error | null {
-    if ((error as NodeJS.ErrnoException | null)?.code !== RESET_CODE) return error;
-    const context = {
-      step: 'backend.receive',
-      peer: this.peerAddress,
-      retriable: true,
-      cause: error,
-    };
+    const isReset = (error as NodeJS.ErrnoException | null)?.code === RESET_CODE;
+    return isReset ? this.resetError(error) : error;
+  }
+
+  private resetError(cause: unknown): ConnectionResetError {
+    const context = { step: 'backend.receive', peer: this.peerAddress, retriable: true, cause };
     return new ConnectionResetError('connection reset', context);
   }
 }
