--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -1,42 +1,10 @@
 /** What the directory's leader answers, over a group that commits at once. */
-import { describe, expect, it, onTestFinished } from 'vitest';
-import { emptyConfiguration, sampleRegistration } from '../../tests/support/directory-samples.js';
-import type { ReplicatedGroup } from '../consensus/index.js';
+import { describe, expect, it } from 'vitest';
+import { CommittingDirectory } from '../../tests/support/committing-directory.js';
+import { sampleRegistration } from '../../tests/support/directory-samples.js';
 import { sleep } from '../common/index.js';
-import { createLogger } from '../observability/index.js';
-import { DirectoryLeader } from './directory-leader.js';
 import type { NodeAnnouncement, NodeRole, WatchRequest } from './messages.js';
-import { packConfiguration, unpackRoutes, unpackSource } from './packed-configuration.js';
-
-class CommittingLeader {
-  readonly proposals: Uint8Array[] = [];
-  readonly leader = new DirectoryLeader({
-    ledgerVoters: 3,
-    heartbeatIntervalMs: 1_000,
-    controlAddresses: () => [],
-    logger: createLogger({}),
-  });
-
-  constructor() {
-    const group = {
-      isLeader: true,
-      term: 1,
-      leadingSince: 0,
-      propose: (command: Uint8Array) => {
-        this.proposals.push(command);
-        return Promise.resolve(this.leader.stateMachine.apply(command, this.proposals.length));
-      },
-    };
-    this.leader.attach(group as unknown as ReplicatedGroup);
-    onTestFinished(() => this.leader.stop());
-  }
-
-  put(generation: number): Promise<void> {
-    return this.leader.putConfiguration(
-      packConfiguration(emptyConfiguration(generation), `${generation}`),
-    );
-  }
-}
+import { unpackRoutes, unpackSource } from './packed-configuration.js';
 
 const HERD_SIZE = 200;
 const HERD_WINDOW_MS = 700;
@@ -64,7 +32,7 @@
 
 describe('the directory leader', () => {
   it('commits a configuration once, however often it is sent, and none that was overtaken', async () => {
-    const committing = new CommittingLeader();
+    const committing = new CommittingDirectory();
     await committing.put(5);
     await committing.put(5);
     await committing.put(3);
@@ -75,7 +43,7 @@
   });
 
   it('sends configurations and back ends to gateways only', async () => {
-    const committing = new CommittingLeader();
+    const committing = new CommittingDirectory();
     await committing.put(5);
     const forGateway = await committing.leader.watch(watchOf('gateway'));
     expect(unpackRoutes(forGateway.configuration!.routes).generation).toBe(5);
@@ -87,7 +55,7 @@
   });
 
   it('sends the one packed configuration that it keeps to every gateway', async () => {
-    const committing = new CommittingLeader();
+    const committing = new CommittingDirectory();
     await committing.put(5);
     const first = await committing.leader.watch(watchOf('gateway'));
     const second = await committing.leader.watch(watchOf('gateway'));
@@ -96,7 +64,7 @@
   });
 
   it('tells a watcher of many processes that announce themselves at once in few answers', async () => {
-    const committing = new CommittingLeader();
+    const committing = new CommittingDirectory();
     let known = (await committing.leader.watch(watchOf('journal'))).cluster!.version;
     let answers = 0;
     const until = performance.now() + HERD_WINDOW_MS;
@@ -123,7 +91,7 @@
   });
 
   it('does not send the cluster again because a back end or a configuration has changed', async () => {
-    const committing = new CommittingLeader();
+    const committing = new CommittingDirectory();
     const { version } = (await committing.leader.watch(watchOf('gateway'))).cluster!;
     await sleep(SETTLE_MS);
     const settled = await committing.leader.watch(watchOf('gateway'));
