A member that was removed for its silence is no candidate any more

A reachable member that is removed as one voter too many stays a candidate, and comes back as a learner at once.

--- a/src/clustering/voter-keeper.ts
+++ b/src/clustering/voter-keeper.ts
@@ -99,7 +99,7 @@
       ownId: this.group.ownId,
       wishedVoters: this.options.wishedVoters,
       candidates: [...this.candidates.values()],
-      isReachable: (id) => now - this.lastContactMs(id) < UNREACHABLE_AFTER_MS,
+      isReachable: (id) => this.isReachable(id),
       isLost: (id) => now - this.lastContactMs(id) > LOST_AFTER_MS,
       isCaughtUp: (id) => this.lagOf(id) <= CAUGHT_UP_LAG,
       isRetiring: this.options.isRetiring,
@@ -115,10 +115,24 @@
       member: member?.id,
     });
     if (step.kind === 'hand-over') await group.transferLeadership();
-    else if (step.kind === 'remove') await group.removeMember(step.member.id);
+    else if (step.kind === 'remove') await this.remove(step.member);
     else await group.addMember(step.member);
   }
 
+  /**
+   * A silent member that presented itself before its removal is no candidate any more; a process that
+   * still runs presents itself again. Otherwise a member without power is taken back and removed by
+   * turns, and all watchers are told each time.
+   */
+  private async remove(member: Member): Promise<void> {
+    if (!this.isReachable(member.id)) this.candidates.delete(member.id);
+    await this.group.removeMember(member.id);
+  }
+
+  private isReachable(id: string): boolean {
+    return monotonicMs() - this.lastContactMs(id) < UNREACHABLE_AFTER_MS;
+  }
+
   /** A member counts as heard when this leader began to lead. */
   private lastContactMs(id: string): number {
     return Math.max(this.group.contactMsOf(id), this.group.leadingSince);
