An order is acknowledged once gateways in touch hold it, or have been given time to

Cause: an acknowledgement meant that the group had committed; nothing bounded the time until gateways went by it. Gateways say what they hold with each question for news, so the leader waits, 1 s at most for a configuration, 0.5 s for a back end that leaves, for those that have asked within 0.6 s, and names the others in one log line. A gateway that refuses calls while it has no news was weighed and left: it costs service in every loss of the control processes, and callers are better served by the configuration before.

--- a/src/directory/confirmed-acknowledgement.test.ts
+++ b/src/directory/confirmed-acknowledgement.test.ts
@@ -12,7 +12,7 @@
 import { sleep } from '../common/index.js';
 import type { DirectoryView, KnownVersions } from './messages.js';
 
-const NOTHING: KnownVersions = { configuration: 0, backends: '', cluster: '' };
+const NOTHING: KnownVersions = { configuration: 0, backends: '', backendsIndex: 0, cluster: '' };
 /** An order must be answered within this time whatever gateways do, in milliseconds. */
 const LONGEST_WAIT_MS = 1_300;
 const GATEWAY_DELAY_MS = 150;
@@ -36,6 +36,7 @@
     this.known = {
       configuration: view.configuration?.index ?? this.known.configuration,
       backends: view.backends?.version ?? this.known.backends,
+      backendsIndex: view.backends?.index ?? this.known.backendsIndex,
       cluster: view.cluster?.version ?? this.known.cluster,
     };
     return view;
--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -24,7 +24,7 @@
 function watchOf(role: NodeRole): WatchRequest {
   return {
     node: { name: role, role, address: 'a:1', zone: 'z' },
-    known: { configuration: 0, backends: '', cluster: '' },
+    known: { configuration: 0, backends: '', backendsIndex: 0, cluster: '' },
     isUrgent: true,
     loads: [],
   };
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -9,6 +9,7 @@
 import type { BackendRecord, BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
+import { type ConfirmedPart, GatewayConfirmations } from './gateway-confirmations.js';
 import { HeartbeatTable } from './heartbeat-table.js';
 import { LoadBoard } from './load-board.js';
 import type {
@@ -48,6 +49,13 @@
 const SILENT_AFTER_INTERVALS = 2.2;
 const REMOVED_AFTER_INTERVALS = 12;
 
+/** An acknowledged configuration is waited for so long at gateways that lag, in milliseconds. */
+const CONFIGURATION_CONFIRM_MS = 1_000;
+/** The same for a back end that leaves, whose call is given up after 0.8 s, in milliseconds. */
+const BACKENDS_CONFIRM_MS = 500;
+/** Names of lagging gateways in one log line. */
+const MAX_LOGGED_GATEWAYS = 8;
+
 /** The answer to a retirement order was not certain: this leader is too new to know all machines. */
 export class RosterIncompleteError extends LedgegaugeError {}
 
@@ -55,6 +63,7 @@
   readonly stateMachine: DirectoryStateMachine;
   private readonly roster = new NodeRoster();
   private readonly loads = new LoadBoard();
+  private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly news = new SignalEvent();
   private readonly timer: NodeJS.Timeout;
@@ -83,6 +92,7 @@
   onLeadershipChange(): void {
     this.heartbeats.clear();
     this.loads.clear();
+    this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
     this.news.notify();
@@ -94,31 +104,39 @@
     this.news.notify();
   }
 
+  /** Resolves when it is committed and gateways in touch act by it, or have been given time to. */
   async putConfiguration(request: PutConfigurationRequest): Promise<void> {
     const { generation } = request;
     const held = this.stateMachine.configuration?.generation;
     // What is held is committed, so an order that it overtook, or that is sent again, is done.
     if (held !== undefined && held >= generation) {
       this.options.logger.info('configuration overtaken', { generation, held });
-      return;
+    } else {
+      const command: DirectoryCommand = { kind: 'put-configuration', ...request };
+      await this.propose(command);
+      this.options.logger.info('configuration committed', { generation });
     }
-    const command: DirectoryCommand = { kind: 'put-configuration', ...request };
-    await this.propose(command);
-    this.options.logger.info('configuration committed', { generation });
+    await this.confirm('configuration', CONFIGURATION_CONFIRM_MS);
   }
 
+  /** For a back end that leaves, resolves when gateways in touch know, or after a while. */
   async recordHeartbeat(registration: BackendRegistration): Promise<void> {
-    this.heartbeats.note(registration.id);
-    if (!this.stateMachine.isNews(registration)) return;
-    await this.propose({ kind: 'register-backend', registration });
     const { id, service, phase, address } = registration;
-    this.options.logger.info('back end registered', { id, service, phase, address });
+    this.heartbeats.note(id);
+    if (this.stateMachine.isNews(registration)) {
+      await this.propose({ kind: 'register-backend', registration });
+      this.options.logger.info('back end registered', { id, service, phase, address });
+    }
+    if (phase === 'draining') await this.confirm('backendsIndex', BACKENDS_CONFIRM_MS);
   }
 
+  /** Resolves when gateways in touch know, or after a while. */
   async removeBackend(id: string): Promise<void> {
-    if (this.stateMachine.hasDeparted(id)) return;
-    await this.propose({ kind: 'remove-backend', id, hasDeparted: true });
-    this.options.logger.info('back end departed', { id });
+    if (!this.stateMachine.hasDeparted(id)) {
+      await this.propose({ kind: 'remove-backend', id, hasDeparted: true });
+      this.options.logger.info('back end departed', { id });
+    }
+    await this.confirm('backendsIndex', BACKENDS_CONFIRM_MS);
   }
 
   /** @throws RosterIncompleteError while this leader cannot tell which machines there are */
@@ -155,7 +173,10 @@
    */
   async watch(request: WatchRequest): Promise<DirectoryView> {
     this.noteNode(request.node);
-    if (request.node.role === 'gateway') this.loads.report(request.node.name, request.loads);
+    if (request.node.role === 'gateway') {
+      this.loads.report(request.node.name, request.loads);
+      this.confirmations.note(request.node.name, request.known);
+    }
     const deadline = monotonicMs() + WATCH_WAIT_MS;
     let view = this.viewFor(request);
     while (isEmpty(view) && !request.isUrgent && this.group?.isLeader) {
@@ -296,6 +317,18 @@
     this.news.notify();
   }
 
+  /** Waits until gateways in touch hold what this leader holds of a part of the directory now. */
+  private async confirm(part: ConfirmedPart, timeoutMs: number): Promise<void> {
+    const { configurationIndex, backendsIndex } = this.stateMachine;
+    const index = part === 'configuration' ? configurationIndex : backendsIndex;
+    const leadingSince = this.group?.leadingSince ?? 0;
+    const lagging = await this.confirmations.wait({ part, index, timeoutMs, leadingSince });
+    if (lagging.length === 0) return;
+    const names = lagging.slice(0, MAX_LOGGED_GATEWAYS).join(',');
+    const gateways = lagging.length;
+    this.options.logger.warn('acknowledged before gateways hold it', { part, gateways, names });
+  }
+
   private propose(command: DirectoryCommand): Promise<unknown> {
     return this.group!.propose(encodeValue(command));
   }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -98,6 +98,7 @@
       known: {
         configuration: this.configurationIndex,
         backends: this.backendsVersion,
+        backendsIndex: Math.max(0, this.backendsIndex),
         cluster: this.clusterVersion,
       },
       isUrgent,
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -28,8 +28,11 @@
 
 /** Which parts of the view the sender holds. */
 export interface KnownVersions {
+  /** Log index of the configuration; 0 for none. */
   configuration: number;
   backends: string;
+  /** Log index of the last change among the back ends that are held; 0 for none. */
+  backendsIndex: number;
   cluster: string;
 }
 
