Calls wait for the ledger as long as that can pay; refusals say when what was missing is expected

Cause: a reservation waited for 0.6 of the time left whether the ledger had been away for a moment or for a minute, and callers were told constants. Now it waits while a typical turn still fits, but not at all once the outage has lasted longer than that; a refusal tells the expected rest of the outage, or the time in which the excess load drains, spread over half as much more. A probe finds the leader while nobody waits.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -150,6 +150,17 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** What a call of a service takes, in milliseconds. */
+  typicalMs(service: string): number {
+    return this.modelOf(service).typicalMs;
+  }
+
+  /** What a typical turn takes at least: its prompt is cached and nothing else runs, in milliseconds. */
+  calmTurnMs(service: string): number {
+    const model = this.modelOf(service);
+    return model.predictCalmMs({ missingTokens: 0, events: model.typicalEvents });
+  }
+
   /** An incarnation answered that it is not the expected one: it gets no more calls. */
   drop(id: string): void {
     const backend = this.backends.get(id);
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -33,14 +33,12 @@
 const ROUTE_NEWS_AGE_MS = 1_500;
 /** How long a call may wait for the first configuration of a process that starts, in milliseconds. */
 const FIRST_ROUTES_WAIT_MS = 400;
-/** When to come back after passing troubles, in milliseconds. */
+/** When to come back after passing troubles, at the soonest, in milliseconds. */
 const RETRY_SOON_MS = 150;
-/** When to come back where that is not soon: a group's next leader, a service's next free places. */
-const RETRY_AFTER_MS: Partial<Record<RefusalReason, number>> = {
-  'not-ready': 300,
-  'ledger-unavailable': 300,
-  'not-admitted': 300,
-};
+/** Another gateway most likely has routes; one that starts takes twice as long, in milliseconds. */
+const RETRY_NOT_READY_MS = 300;
+/** Callers refused together come back spread over this share of the time that they were told. */
+const RETRY_SPREAD = 0.5;
 
 /** A call that has its final answer, for the log. */
 interface FinishedCall {
@@ -81,7 +79,7 @@
       else await this.forward(exchange, route);
     } catch (error) {
       if (!(error instanceof RefusedError)) throw error;
-      this.refuse(exchange, error.reason);
+      this.refuse(exchange, error.reason, error.retryAfterMs);
       const ending: CallEnding = { kind: 'refused', reason: error.reason };
       this.record({ exchange, route, ending });
     }
@@ -111,7 +109,9 @@
     const deadlineMs = exchange.arrivedAt + limitMs;
     const service = route.nextService();
     this.admit(exchange, route, service);
-    const reservation = await this.turns.reserve(exchange, route.route, deadlineMs);
+    const calmMs = this.options.backends.calmTurnMs(service);
+    const time = { deadlineMs, calmMs };
+    const reservation = await this.turns.reserve(exchange, route.route, time);
     const run = new CallRun({
       exchange,
       route,
@@ -138,8 +138,10 @@
   private admit({ description }: CallExchange, { route }: CompiledRoute, service: string): void {
     if (description.promptParts.length === 0) return;
     const engines = this.options.backends.serving(service);
-    const isTaken = this.admission.admits(service, route, description, engines);
-    if (!isTaken) throw new RefusedError('not-admitted');
+    if (this.admission.admits(service, route, description, engines)) return;
+    const typicalMs = this.options.backends.typicalMs(service);
+    const drainMs = this.admission.drainMs(service, engines, typicalMs);
+    throw new RefusedError('not-admitted', drainMs);
   }
 
   private noteEnd(
@@ -177,9 +179,12 @@
     return this.options.routes()?.service(service)?.engine?.tokensPerEvent ?? 1;
   }
 
-  private refuse(exchange: CallExchange, reason: RefusalReason): void {
+  /** @param expectedMs when what was missing will likely be there, if that is known */
+  private refuse(exchange: CallExchange, reason: RefusalReason, expectedMs = 0): void {
     if (exchange.isAbandoned) return;
-    exchange.refuse({ reason, retryAfterMs: RETRY_AFTER_MS[reason] ?? RETRY_SOON_MS });
+    const leastMs = reason === 'not-ready' ? RETRY_NOT_READY_MS : RETRY_SOON_MS;
+    const spread = 1 + RETRY_SPREAD * Math.random();
+    exchange.refuse({ reason, retryAfterMs: Math.max(leastMs, expectedMs) * spread });
   }
 
   private record({ exchange, route, ending, run, reservation, keepMs }: FinishedCall): void {
--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -98,6 +98,16 @@
     return hash32(program.id) / HASH_RANGE >= refusedShare;
   }
 
+  /**
+   * Time until as many calls have ended as there are too many, in milliseconds.
+   * @param typicalMs what a call of the service takes
+   */
+  drainMs(service: string, engines: readonly EngineOccupancy[], typicalMs: number): number {
+    const busyShare = busyShareOf(engines);
+    const excessShare = busyShare === 0 ? 0 : 1 - this.limitOf(service) / busyShare;
+    return Math.max(0, excessShare) * typicalMs;
+  }
+
   private limitFor(service: string, { priority }: Route): ServiceLimit {
     let limit = this.limits.get(service);
     if (!limit) {
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -15,6 +15,7 @@
 const MOST_TOKENS = 100;
 const TOKENS_PER_EVENT = 10;
 const EVENTS = 3;
+const CALM_TURN_MS = 50;
 const ROUTE: Route = {
   name: 'r',
   host: 'h',
@@ -80,7 +81,10 @@
   async run(id: string, previousTurn?: string): Promise<{ settled: Promise<CallEnding> }> {
     const exchange = exchangeOf(id, previousTurn);
     const deadlineMs = monotonicMs() + ROUTE.timeoutMs;
-    const reservation = await this.reservations.reserve(exchange, ROUTE, deadlineMs);
+    const reservation = await this.reservations.reserve(exchange, ROUTE, {
+      deadlineMs,
+      calmMs: CALM_TURN_MS,
+    });
     const answer = { events: EVENTS, isStream: true, collectedOutput: Buffer.from(`${id} out;`) };
     const settled = this.reservations.settle({
       exchange,
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -23,6 +23,14 @@
   tokensPerEvent: (service: string) => number;
 }
 
+/** The time that a turn has. */
+export interface TurnTime {
+  /** Monotonic time by which it must have its final answer, in milliseconds. */
+  deadlineMs: number;
+  /** What the turn takes where its prompt is cached and nothing else runs, in milliseconds. */
+  calmMs: number;
+}
+
 /** A turn that may be sent. */
 export interface Reservation {
   program: string;
@@ -50,13 +58,15 @@
 
 /** A call was refused before it was sent anywhere. */
 export class RefusedError extends Error {
-  constructor(readonly reason: RefusalReason) {
+  /** @param retryAfterMs when the caller had better come back, if that is known, in milliseconds */
+  constructor(
+    readonly reason: RefusalReason,
+    readonly retryAfterMs?: number,
+  ) {
     super(reason);
   }
 }
 
-/** Share of the time left that a reservation may take. */
-const RESERVE_TIME_SHARE = 0.6;
 /** Extra time for keeping a turn beyond the call's own limit, in milliseconds. */
 const KEEP_SLACK_MS = 300;
 
@@ -73,7 +83,7 @@
   async reserve(
     exchange: CallExchange,
     route: Route,
-    deadlineMs: number,
+    time: TurnTime,
   ): Promise<Reservation | undefined> {
     const { id, program } = exchange.description;
     const isTurn = route.kind === 'streaming';
@@ -81,13 +91,13 @@
     const attempt = id!;
     const key = program?.id ?? attempt;
     try {
-      return await this.ask(exchange, route, key, deadlineMs);
+      return await this.ask(exchange, route, key, time);
     } catch (error) {
       if (error instanceof RefusedError) throw error;
       const reason = describeError(error);
       this.options.logger.warn('reservation failed', { call: attempt, program: key, reason });
       this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
-      throw new RefusedError('ledger-unavailable');
+      throw this.ledgerAway();
     }
   }
 
@@ -115,7 +125,7 @@
     exchange: CallExchange,
     route: Route,
     program: string,
-    deadlineMs: number,
+    { deadlineMs, calmMs }: TurnTime,
   ): Promise<Reservation> {
     const { description } = exchange;
     const startedAt = monotonicMs();
@@ -131,19 +141,23 @@
       session: description.program?.session,
       wantsHistory: known === undefined,
     };
-    const timeoutMs = (deadlineMs - startedAt) * RESERVE_TIME_SHARE;
+    const usefulMs = deadlineMs - startedAt - calmMs;
     // A history that is known here was read from the ledger or committed, so the turn before stands.
     const needsLedger = previousTurn !== undefined && known === undefined;
-    const answer = await this.options.ledger.reserve(request, timeoutMs, !needsLedger);
+    const answer = await this.options.ledger.reserve(request, usefulMs, !needsLedger);
     const tookMs = monotonicMs() - startedAt;
     this.options.metrics.reservation.observe(tookMs / 1_000);
     if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
     const history = known ?? answer.history;
-    if (previousTurn !== undefined && !history) throw new RefusedError('ledger-unavailable');
+    if (previousTurn !== undefined && !history) throw this.ledgerAway();
     const { allowanceTaken, lastBackend } = answer;
     return { program, attempt, previousTurn, history, tookMs, allowanceTaken, lastBackend };
   }
 
+  private ledgerAway(): RefusedError {
+    return new RefusedError('ledger-unavailable', this.options.ledger.expectedOutageMs);
+  }
+
   private async keep(
     { exchange, ending, route, reservation, deadlineMs }: FinishedTurn,
     settlement: Settlement,
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -6,10 +6,12 @@
 import {
   type GroupCallOptions,
   type GroupClient,
+  GroupUnavailableError,
   type LeaderAnswer,
   callLeader,
 } from '../consensus/index.js';
 import { AllowanceBook } from './allowance-book.js';
+import { OutageEstimate } from './outage-estimate.js';
 import type { Settlement } from './ledger-commands.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
@@ -42,7 +44,9 @@
 export class LedgerClient {
   private readonly queue = new SettlementQueue();
   private readonly allowances = new AllowanceBook();
+  private readonly outage = new OutageEstimate();
   private isSending = false;
+  private isProbing = false;
   private suspectUntil = 0;
 
   /** @param holder names this start of the process, for its allowances */
@@ -52,6 +56,11 @@
     private readonly holder: string,
   ) {}
 
+  /** Expected time until a leader answers, in milliseconds; 0 while it does. */
+  get expectedOutageMs(): number {
+    return this.outage.remainingMs;
+  }
+
   /** Settlements that wait to be delivered. */
   get queuedSettlements(): number {
     return this.queue.size;
@@ -59,18 +68,23 @@
 
   /**
    * Reserves a turn's most tokens, and takes waiting settlements along.
+   * @param usefulMs how long an answer is of any use, in milliseconds
    * @param mayUseAllowance whether the turn may run without the ledger's word
-   * @throws GroupUnavailableError when no leader answered in time; the reservation may stand
+   * @throws GroupUnavailableError when no leader answered while waiting for one could pay; the
+   *   reservation may stand
    */
   async reserve(
     request: Omit<ReserveRequest, 'holder' | 'settlements'>,
-    timeoutMs: number,
+    usefulMs: number,
     mayUseAllowance: boolean,
   ): Promise<Reserved> {
     const { program, mostTokens } = request;
     const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
     if (isCovered && monotonicMs() < this.suspectUntil) return this.takeAllowance(request);
-    const limitMs = isCovered ? Math.min(timeoutMs, COVERED_RESERVE_TIMEOUT_MS) : timeoutMs;
+    const limitMs = isCovered
+      ? Math.min(usefulMs, COVERED_RESERVE_TIMEOUT_MS)
+      : this.outage.waitMs(usefulMs);
+    if (limitMs <= 0) throw this.refuseToWait();
     const limits = { timeoutMs: limitMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
     const batch = this.queue.take();
     const { settlements } = batch;
@@ -160,11 +174,36 @@
     }
   }
 
-  private call<Request, Answer>(
+  /** Somebody has to find out when a leader is back, also while no call waits for it. */
+  private refuseToWait(): GroupUnavailableError {
+    void this.probe();
+    return new GroupUnavailableError('a leader will hardly answer in time', {
+      step: RESERVE.name,
+      peer: LEDGER_GROUP,
+      retriable: true,
+    });
+  }
+
+  private async probe(): Promise<void> {
+    if (this.isProbing) return;
+    this.isProbing = true;
+    await this.sendBatch(this.queue.take());
+    this.isProbing = false;
+  }
+
+  private async call<Request, Answer>(
     method: Method<Request, LeaderAnswer<Answer>>,
     request: Request,
     limits: GroupCallOptions,
   ): Promise<Answer> {
-    return callLeader(this.groups, LEDGER_GROUP, method, request, limits);
+    this.outage.noteAsked();
+    try {
+      const answer = await callLeader(this.groups, LEDGER_GROUP, method, request, limits);
+      this.outage.noteAnswered();
+      return answer;
+    } catch (error) {
+      this.outage.noteFailed();
+      throw error;
+    }
   }
 }
