--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -187,6 +187,8 @@
 
   /** Without room the log is kept as it is, and the snapshot stays due. */
   private onSnapshotFailed(error: unknown, before: SnapshotDue): void {
+    // Stores are closed after their group: the log holds all that the snapshot would have held.
+    if (this.isStopped) return;
     if (!(error instanceof StorageFullError)) {
       this.environment.onFatal(error);
       return;
--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -185,3 +185,29 @@
     written += bytesWritten;
   }
 }
+
+/** A file that can be read anywhere; offsets and lengths are in bytes. */
+export interface ReadableFile {
+  read(
+    buffer: Uint8Array,
+    start: number,
+    length: number,
+    offset: number,
+  ): Promise<{ bytesRead: number }>;
+}
+
+/** Reads exactly so many bytes, into memory of their own; undefined when the file ends before. */
+export async function readBytes(
+  file: ReadableFile,
+  offset: number,
+  length: number,
+): Promise<Buffer | undefined> {
+  const bytes = Buffer.allocUnsafeSlow(length);
+  let read = 0;
+  while (read < length) {
+    const { bytesRead } = await file.read(bytes, read, length - read, offset + read);
+    if (bytesRead === 0) return undefined;
+    read += bytesRead;
+  }
+  return bytes;
+}
--- a/src/log-store/index.ts
+++ b/src/log-store/index.ts
@@ -3,7 +3,9 @@
 export {
   type LogFile,
   type OpenLogFile,
+  type ReadableFile,
   makeFolder,
+  readBytes,
   readFileIfPresent,
   replaceFile,
   storageError,
--- a/src/log-store/snapshot-file.ts
+++ b/src/log-store/snapshot-file.ts
@@ -9,6 +9,7 @@
 import { type FileHandle, open } from 'node:fs/promises';
 import { crc32 } from 'node:zlib';
 import { decodeValue, encodeValue } from '../wire/frame-codec.js';
+import { readBytes } from './data-folder.js';
 import { DamagedLogError } from './errors.js';
 import type { SnapshotMark } from './records.js';
 
@@ -84,12 +85,12 @@
 
   private static async readHead(path: string, file: FileHandle): Promise<SnapshotReader> {
     const { size } = await file.stat();
-    const prelude = await readExactly(file, path, 0, Math.min(size, PRELUDE_BYTES));
+    const prelude = await readOrDamaged(file, path, 0, Math.min(size, PRELUDE_BYTES));
     if (prelude.length < PRELUDE_BYTES) throw damaged(path);
     const headBytes = prelude.readUInt32LE(CHECKSUM_BYTES);
     const stateStart = PRELUDE_BYTES + headBytes;
     if (stateStart > size) throw damaged(path);
-    const head = await readExactly(file, path, PRELUDE_BYTES, headBytes);
+    const head = await readOrDamaged(file, path, PRELUDE_BYTES, headBytes);
     const checksum = crc32(head, crc32(prelude.subarray(CHECKSUM_BYTES)));
     return new SnapshotReader(
       path,
@@ -109,7 +110,7 @@
   async read(maximumBytes: number): Promise<Buffer> {
     const length = Math.min(maximumBytes, this.stateBytes - this.offset);
     const position = this.stateStart + this.offset;
-    const bytes = await readExactly(this.file, this.path, position, length);
+    const bytes = await readOrDamaged(this.file, this.path, position, length);
     this.offset += length;
     this.checksum = crc32(bytes, this.checksum);
     const isEnd = this.offset === this.stateBytes;
@@ -122,19 +123,14 @@
   }
 }
 
-async function readExactly(
+async function readOrDamaged(
   file: FileHandle,
   path: string,
   position: number,
   length: number,
 ): Promise<Buffer> {
-  const bytes = Buffer.allocUnsafe(length);
-  let read = 0;
-  while (read < length) {
-    const { bytesRead } = await file.read(bytes, read, length - read, position + read);
-    if (bytesRead === 0) throw damaged(path);
-    read += bytesRead;
-  }
+  const bytes = await readBytes(file, position, length);
+  if (!bytes) throw damaged(path);
   return bytes;
 }
 
--- a/src/value-store/segment-files.ts
+++ b/src/value-store/segment-files.ts
@@ -3,8 +3,8 @@
  * enough, and removing those that hold nothing any more. A start never goes on writing in a file of
  * the run before, whose end may be torn.
  */
-import { StorageFailedError, storageError, writeWhole } from '../log-store/index.js';
-import { type StoreFile, type StoreFolder, readBytes } from './store-folder.js';
+import { StorageFailedError, readBytes, storageError, writeWhole } from '../log-store/index.js';
+import type { StoreFile, StoreFolder } from './store-folder.js';
 import { type ScannedRecord, scanValueRecords } from './value-record.js';
 import { ValueSegment, decodeIndex, encodeIndex, segmentNumbers } from './value-segment.js';
 
--- a/src/value-store/store-folder.ts
+++ b/src/value-store/store-folder.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import {
   type LogFile,
+  type ReadableFile,
   makeFolder,
   replaceFile,
   storageError,
@@ -10,13 +11,7 @@
 } from '../log-store/index.js';
 
 /** One file; offsets and lengths are in bytes. */
-export interface StoreFile extends LogFile {
-  read(
-    buffer: Uint8Array,
-    start: number,
-    length: number,
-    offset: number,
-  ): Promise<{ bytesRead: number }>;
+export interface StoreFile extends LogFile, ReadableFile {
   size(): Promise<number>;
 }
 
@@ -66,19 +61,3 @@
     size: async () => (await file.stat()).size,
   };
 }
-
-/** Reads exactly so many bytes; undefined when the file ends before. */
-export async function readBytes(
-  file: StoreFile,
-  offset: number,
-  length: number,
-): Promise<Buffer | undefined> {
-  const bytes = Buffer.allocUnsafeSlow(length);
-  let read = 0;
-  while (read < length) {
-    const { bytesRead } = await file.read(bytes, read, length - read, offset + read);
-    if (bytesRead === 0) return undefined;
-    read += bytesRead;
-  }
-  return bytes;
-}
--- a/src/value-store/value-store.test.ts
+++ b/src/value-store/value-store.test.ts
@@ -54,6 +54,17 @@
 }
 
 describe('a value store', () => {
+  /**
+   * Symptom: a process that stops waits for ever. Sequence: values are put, the store is closed, and a sync
+   * waits for what is not written any more. Cause: it waited for a writer that had ended.
+   */
+  it('does not let a sync wait for what a closed store no longer writes', async () => {
+    const { store } = await open(await openStoreFolder(temporaryFolder()));
+    await store.close();
+    putAll(store, keysFrom(0, 1));
+    await expect(store.sync()).rejects.toThrow('closed');
+  });
+
   it('gives back what was put, before and after it is written, and after a restart', async () => {
     const folder = await openStoreFolder(temporaryFolder());
     const { store } = await open(folder);
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -6,12 +6,12 @@
  * elsewhere until then (here: in the replicated log).
  */
 import { LRUCache } from 'lru-cache';
-import { SignalEvent, describeError } from '../common/index.js';
-import { DiskFullError } from '../log-store/index.js';
+import { LedgegaugeError, SignalEvent, describeError } from '../common/index.js';
+import { DiskFullError, readBytes } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
 import { PendingValues } from './pending-values.js';
 import { type AppendedRecord, SegmentFiles } from './segment-files.js';
-import { type StoreFolder, readBytes } from './store-folder.js';
+import type { StoreFolder } from './store-folder.js';
 import {
   decodeValueRecord,
   encodeValueRecord,
@@ -49,6 +49,9 @@
   maxPendingBytes?: number;
 }
 
+/** The store was closed; what was put last may not be on disk. */
+export class ValueStoreClosedError extends LedgegaugeError {}
+
 export class ValueStore {
   private readonly locations = new Map<string, ValueLocation>();
   private readonly pending = new PendingValues();
@@ -150,11 +153,14 @@
   /**
    * Resolves when everything put before is durable.
    * @throws DiskFullError when the disk, or the store's share of it, has no room for it now
+   * @throws ValueStoreClosedError when the store was closed before it was written
    */
   async sync(): Promise<void> {
     const sequence = this.pending.latestSequence;
     while (!this.pending.isDoneUpTo(sequence)) {
       if (this.isFull) throw this.fullError();
+      // Nobody writes it any more: the process that stops would wait for ever.
+      if (this.isClosing) throw this.closedError();
       await this.progress.wait();
     }
     await this.files.sync();
@@ -176,12 +182,7 @@
 
   private async recover(): Promise<void> {
     for (const { segment, records } of await this.files.recover()) {
-      for (const { key, offset, length } of records) {
-        const earlier = this.locations.get(key);
-        if (earlier) this.release(earlier);
-        this.locations.set(key, { segment, offset, length });
-        segment.liveBytes += length;
-      }
+      for (const { key, offset, length } of records) this.place(key, { segment, offset, length });
     }
   }
 
@@ -342,6 +343,11 @@
     else this.options.logger.info('value store has room again', state);
   }
 
+  private closedError(): ValueStoreClosedError {
+    const context = { step: 'value-store.sync', peer: this.options.folder.path, retriable: false };
+    return new ValueStoreClosedError('closed before everything was written', context);
+  }
+
   private fullError(): DiskFullError {
     const context = { step: 'value-store.write', peer: this.options.folder.path, retriable: true };
     return new DiskFullError('no room for values', context);
