--- a/emulator/fault-proxy/fault-proxy-settings.ts
+++ b/emulator/fault-proxy/fault-proxy-settings.ts
@@ -29,6 +29,8 @@
 export const linkSchema = z.strictObject({
   /** Name of the link, for example `zone-a>control-2`. */
   id: z.string().min(1),
+  /** Where the link listens. @default the proxy's host */
+  host: z.string().optional(),
   port,
   target: address,
   /** Delay of the link while there is no fault, each way. */
--- a/emulator/fault-proxy/fault-proxy.ts
+++ b/emulator/fault-proxy/fault-proxy.ts
@@ -50,7 +50,7 @@
     });
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(this.settings.port, host, resolve);
+      this.server.listen(this.settings.port, this.settings.host ?? host, resolve);
     });
   }
 
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -89,11 +89,11 @@
   }
 
   async listen(): Promise<void> {
-    const { internalAddress, secret } = this.options.settings;
+    const { internalAddress, listenAddress = internalAddress, secret } = this.options.settings;
     this.host.registerHandlers(this.router);
     this.rpcServer = await RpcServer.start({
-      host: hostOf(internalAddress),
-      port: portOf(internalAddress),
+      host: hostOf(listenAddress),
+      port: portOf(listenAddress),
       secret,
       router: this.router,
       onDisconnect: (peerName) => this.host.notePeerDisconnected(peerName),
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -5,8 +5,10 @@
   /** Unique name of the machine. */
   name: string;
   zone: string;
-  /** `host:port` of the internal endpoint. */
+  /** `host:port` of the internal endpoint, as other processes are told. */
   internalAddress: string;
+  /** `host:port` that the internal endpoint listens on, behind a relay. @default internalAddress */
+  listenAddress?: string;
   /** Internal addresses of control processes to begin with. */
   controlSeeds: string[];
   /** Whether this is the first start of the whole system, on empty disks. */
