The check for a quorum leaves out its own lateness, in place of a grace that repeats

Cause: each late check granted the grace meant for the one after a standstill, so a leader that is late at all of them would answer readers without a quorum for as long as that lasted. Before: ten late checks find nothing; now the second does. A leader that is late but answered stays, one that stood still gets one check as before.

--- a/src/consensus/quorum-check.ts
+++ b/src/consensus/quorum-check.ts
@@ -2,9 +2,6 @@
 import { monotonicMs } from '../common/index.js';
 import type { CheckedConsensusOptions } from './options.js';
 
-/** A check that is late by this share of an election time-out says that the process stood still. */
-const STALL_SHARE = 0.5;
-
 type QuorumTiming = Pick<CheckedConsensusOptions, 'heartbeatIntervalMs' | 'electionTimeoutMs'>;
 
 export class QuorumCheck {
@@ -13,16 +10,16 @@
   constructor(private readonly timing: QuorumTiming) {}
 
   /**
-   * Call it at every heartbeat interval. After a standstill of this process answers wait to be read,
-   * so the quorum only counts as lost at the next check.
+   * Call it at every heartbeat interval. What this check itself is late by doesn't count: after a
+   * standstill of this process answers wait to be read. A leader that is late at every check steps
+   * down at the second one without an answer, instead of answering readers for as long as that lasts.
    * @param contactMs send time of the latest message that a majority has answered (monotonic)
    */
   isQuorumLost(contactMs: number): boolean {
     const now = monotonicMs();
     const { heartbeatIntervalMs, electionTimeoutMs } = this.timing;
-    const lateMs = now - this.checkedAt - heartbeatIntervalMs;
+    const lateMs = Math.max(0, now - this.checkedAt - heartbeatIntervalMs);
     this.checkedAt = now;
-    if (lateMs > electionTimeoutMs * STALL_SHARE) return false;
-    return now - contactMs > electionTimeoutMs;
+    return now - contactMs - lateMs > electionTimeoutMs;
   }
 }
