--- a/src/consensus/open-tries.ts
+++ b/src/consensus/open-tries.ts
@@ -1,5 +1,5 @@
 /** The members of a group that one call has asked and that have not answered yet. */
-import { describeError, monotonicMs, sleep } from '../common/index.js';
+import { describeError, monotonicMs } from '../common/index.js';
 import type { CallOptions } from '../wire/index.js';
 
 /** What one member said: the result, or where else to ask. */
@@ -23,7 +23,9 @@
 }
 
 export class OpenTries<Response> {
-  private readonly open = new Map<string, Promise<TryAnswer<Response>>>();
+  private readonly open = new Set<string>();
+  private readonly answers: TryAnswer<Response>[] = [];
+  private onAnswer: () => void = () => undefined;
 
   constructor(
     private readonly attempt: Attempt<Response>,
@@ -36,19 +38,33 @@
 
   /** Asks a member, unless its answer is outstanding. */
   begin(address: string): void {
-    if (!this.open.has(address)) this.open.set(address, this.ask(address));
+    if (this.open.has(address)) return;
+    this.open.add(address);
+    void this.ask(address).then((answer) => {
+      this.answers.push(answer);
+      this.onAnswer();
+    });
   }
 
   /** The next answer or failure of any member, or nothing after `timeoutMs`. */
   async next(timeoutMs: number): Promise<TryAnswer<Response> | undefined> {
-    const timer = new AbortController();
-    const overdue = sleep(timeoutMs, timer.signal).then(() => undefined);
-    const answer = await Promise.race([...this.open.values(), overdue]);
-    timer.abort();
+    if (this.answers.length === 0) await this.waitForAnswer(timeoutMs);
+    const answer = this.answers.shift();
     if (answer) this.open.delete(answer.address);
     return answer;
   }
 
+  private async waitForAnswer(timeoutMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, timeoutMs);
+      this.onAnswer = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.onAnswer = () => undefined;
+  }
+
   private async ask(address: string): Promise<TryAnswer<Response>> {
     const { deadline, silenceMs } = this.limits;
     const timeoutMs = Math.max(1, deadline - monotonicMs());
--- a/src/directory/gateway-confirmations.ts
+++ b/src/directory/gateway-confirmations.ts
@@ -33,18 +33,27 @@
 export class GatewayConfirmations {
   private readonly gateways = new Map<string, GatewayKnowledge>();
   private readonly asked = new SignalEvent();
+  private waiting = 0;
 
   /** A gateway asks for news, and says what it holds. */
   note(name: string, known: KnownVersions): void {
     this.gateways.set(name, { known, askedAt: monotonicMs() });
-    this.asked.notify();
+    if (this.waiting > 0) this.asked.notify();
   }
 
   /**
    * Waits until the gateways in touch hold a change.
    * @returns the names of those that did not in time
    */
-  async wait({ part, index, timeoutMs, leadingSince }: AwaitedChange): Promise<string[]> {
+  async wait(change: AwaitedChange): Promise<string[]> {
+    this.waiting += 1;
+    const lagging = await this.waitForAll(change);
+    this.waiting -= 1;
+    return lagging;
+  }
+
+  private async waitForAll(change: AwaitedChange): Promise<string[]> {
+    const { part, index, timeoutMs, leadingSince } = change;
     const startedAt = monotonicMs();
     const allKnownAt = Math.min(leadingSince + IN_TOUCH_MS, startedAt + timeoutMs);
     for (;;) {
