A peer has left when its last connection has closed

Cause: a suspect connection that is replaced, and a replacement that proved needless, were told as the peer's leaving, which brings an election forward: most likely when a leader is late anyway. Test: two connections of a name, of which one closes; told before, not told now. The test of silent connections asks for the end of a call on the old connection instead of that message, which no longer comes while another is open: as strict.

--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -22,7 +22,10 @@
   port: number;
   secret: string;
   router: MethodRouter;
-  /** Called when a connection of a peer has closed. @default nothing */
+  /**
+   * Called when the last connection of a peer has closed: one that was replaced says nothing about the
+   * peer, and a leader that is taken for gone costs an election. @default nothing
+   */
   onDisconnect?: (peerName: string) => void;
 }
 
@@ -54,6 +57,10 @@
     for (const connection of this.connections) connection.close();
   }
 
+  private isConnected(peerName: string): boolean {
+    return [...this.connections].some((connection) => connection.peerName === peerName);
+  }
+
   private async serve(socket: Socket): Promise<void> {
     const framed = new FramedSocket(socket, `${socket.remoteAddress}:${socket.remotePort}`);
     try {
@@ -62,7 +69,7 @@
       this.connections.add(connection);
       await connection.closed;
       this.connections.delete(connection);
-      this.options.onDisconnect?.(name);
+      if (!this.isConnected(name)) this.options.onDisconnect?.(name);
     } catch {
       framed.destroy();
     }
