A covered turn with little time left runs; members are asked as soon as they are known

Cause of the first, found by reading: a turn that an allowance covers was refused where less time was left than a typical turn takes. Of the second: a client that knew no member waited a whole try time-out (250 to 700 ms) before it looked for addresses again.

--- a/src/consensus/group-client.test.ts
+++ b/src/consensus/group-client.test.ts
@@ -69,4 +69,14 @@
     // Two hints a pause, and pauses of 25 ms at least but for the first ones.
     expect(asked).toBeLessThan((3 * LIMITS.timeoutMs) / 25);
   });
+
+  it('asks members as soon as it is told of them', async () => {
+    const peers = new ScriptedPeers({ leader: () => Promise.resolve({ response: 'here' }) });
+    const client = new GroupClient({ peers, addresses: [] });
+    setTimeout(() => client.setAddresses(['leader']), 50);
+    const startedAt = performance.now();
+    const answer = client.callWithRedirect(GROUP, ASK, {}, (response) => response, LIMITS);
+    expect(await answer).toBe('here');
+    expect(performance.now() - startedAt).toBeLessThan(LIMITS.tryTimeoutMs - 50);
+  });
 });
--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -119,6 +119,7 @@
     let waitMs = tryTimeoutMs;
     while (monotonicMs() < deadline) {
       if (address !== undefined) tries.begin(address);
+      else waitMs = backoff.nextDelayMs();
       const answer = await tries.next(Math.min(waitMs, deadline - monotonicMs()));
       if (answer && 'response' in answer) {
         this.leaders.set(group, answer.address);
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -78,9 +78,13 @@
   }
 
   /** Runs a turn from its reservation to its last event. */
-  async run(id: string, previousTurn?: string): Promise<{ settled: Promise<CallEnding> }> {
+  async run(
+    id: string,
+    previousTurn?: string,
+    leftMs = ROUTE.timeoutMs,
+  ): Promise<{ settled: Promise<CallEnding> }> {
     const exchange = exchangeOf(id, previousTurn);
-    const deadlineMs = monotonicMs() + ROUTE.timeoutMs;
+    const deadlineMs = monotonicMs() + leftMs;
     const reservation = await this.reservations.reserve(exchange, ROUTE, {
       deadlineMs,
       typicalMs: TYPICAL_TURN_MS,
@@ -118,6 +122,16 @@
     expect(settlement.placement).toEqual({ session: 's', backend: 'e1' });
   });
 
+  it('runs by the allowance also with less time left than a typical turn takes', async () => {
+    const turns = new KeptTurns();
+    await (
+      await turns.run('a')
+    ).settled;
+    turns.ledger.isUp = false;
+    await expect(turns.run('b', 'a', TYPICAL_TURN_MS / 2)).resolves.toBeDefined();
+    turns.ledger.isUp = true;
+  });
+
   it('is refused when the turn before is not known here', async () => {
     const turns = new KeptTurns();
     await (
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -81,9 +81,7 @@
     const { program, mostTokens } = request;
     const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
     if (isCovered && monotonicMs() < this.suspectUntil) return this.takeAllowance(request);
-    const limitMs = isCovered
-      ? Math.min(usefulMs, COVERED_RESERVE_TIMEOUT_MS)
-      : this.outage.waitMs(usefulMs);
+    const limitMs = isCovered ? COVERED_RESERVE_TIMEOUT_MS : this.outage.waitMs(usefulMs);
     if (limitMs <= 0) throw this.refuseToWait();
     const limits = { timeoutMs: limitMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
     const batch = this.queue.take();
