--- a/tests/support/committing-directory.ts
+++ b/tests/support/committing-directory.ts
@@ -6,6 +6,13 @@
 import { createLogger } from '../../src/observability/index.js';
 import { emptyConfiguration } from './directory-samples.js';
 
+export interface CommittingDirectoryOptions {
+  /** Members that hold each entry as soon as it is committed. @default none */
+  followers?: CommittingDirectory[];
+  /** Address of the member that leads, for one that follows. @default this one leads */
+  leaderAddress?: () => string;
+}
+
 export class CommittingDirectory {
   readonly proposals: Uint8Array[] = [];
   readonly leader = new DirectoryLeader({
@@ -16,22 +23,29 @@
   });
   readonly group: ReplicatedGroup;
 
-  constructor() {
+  constructor(private readonly options: CommittingDirectoryOptions = {}) {
+    const { leaderAddress } = options;
     const group = {
-      isLeader: true,
-      isCurrentLeader: true,
+      isLeader: leaderAddress === undefined,
+      isCurrentLeader: leaderAddress === undefined,
+      get leaderAddress() {
+        return leaderAddress?.();
+      },
       term: 1,
       leadingSince: 0,
-      propose: (command: Uint8Array) => {
-        this.proposals.push(command);
-        return Promise.resolve(this.leader.stateMachine.apply(command, this.proposals.length));
-      },
+      propose: (command: Uint8Array) => Promise.resolve(this.commit(command)),
     };
     this.group = group as unknown as ReplicatedGroup;
     this.leader.attach(this.group);
     onTestFinished(() => this.leader.stop());
   }
 
+  private commit(command: Uint8Array): unknown {
+    this.proposals.push(command);
+    for (const follower of this.options.followers ?? []) follower.commit(command);
+    return this.leader.stateMachine.apply(command, this.proposals.length);
+  }
+
   put(generation: number): Promise<void> {
     return this.leader.putConfiguration(
       packConfiguration(emptyConfiguration(generation), `${generation}`),
