A gateway whose leader is silent or behind learns from any member what was committed

Cause: news of a drain or a configuration came from the directory's leader alone. While it owed its answer, members that had applied the very entry answered 'not the leader' and pointed at it; nothing bounded how old a gateway's knowledge grew. Any member now tells what it has applied; a gateway asks them in turn once the leader's answer is 0.6 s overdue. Indexes only rise, so nothing goes back, and a process that no leader has answered yet waits for one. Ruled out: asking members at every question (work at rest for nothing); serving watches by followers altogether (loads and heartbeats are the leader's).

--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -6,7 +6,7 @@
  * twice when an answer is lost, so they must be idempotent.
  */
 import { Backoff, LedgegaugeError, monotonicMs, sleep } from '../common/index.js';
-import { type Method, decodeValue, encodeValue } from '../wire/index.js';
+import { type CallOptions, type Method, decodeValue, encodeValue } from '../wire/index.js';
 import { EXECUTE, type GroupRequest, type GroupResponse, QUERY } from './group-messages.js';
 import { type Attempt, OpenTries, type TryResult } from './open-tries.js';
 import type { PeerCaller } from './peer-directory.js';
@@ -85,6 +85,24 @@
     );
   }
 
+  /**
+   * Calls a method that every member answers: another one each time, the one that leads only where there is
+   * no other.
+   * @throws LinkError, TimeoutError, RemoteError when that member doesn't answer
+   */
+  async callAnyMember<Request, Response>(
+    group: string,
+    method: Method<Request, Response>,
+    request: Request,
+    limits: CallOptions,
+  ): Promise<Response> {
+    const leader = this.leaders.get(group);
+    const others = this.addresses.filter((address) => address !== leader);
+    const address = this.nextOf(others) ?? this.nextOf(this.addresses);
+    if (address === undefined) throw noMemberError(method.name, group);
+    return this.options.peers.call(address, method, request, limits);
+  }
+
   private async request<Body, Answer>(
     method: Method<GroupRequest, GroupResponse>,
     group: string,
@@ -150,11 +168,18 @@
 
   /** The next member that may be asked, a connected one if there is any. */
   private anyAddress(tries: OpenTries<unknown>): string | undefined {
-    const { peers } = this.options;
-    const free = this.addresses.filter((address) => !tries.has(address));
-    if (free.length === 0) return undefined;
-    const first = this.nextAddress++ % free.length;
-    const inTurn = [...free.slice(first), ...free.slice(0, first)];
-    return inTurn.find((address) => peers.isConnected(address)) ?? inTurn[0];
+    return this.nextOf(this.addresses.filter((address) => !tries.has(address)));
+  }
+
+  /** One of some members in turn, a connected one if there is any. */
+  private nextOf(addresses: readonly string[]): string | undefined {
+    if (addresses.length === 0) return undefined;
+    const first = this.nextAddress++ % addresses.length;
+    const inTurn = [...addresses.slice(first), ...addresses.slice(0, first)];
+    return inTurn.find((address) => this.options.peers.isConnected(address)) ?? inTurn[0];
   }
 }
+
+function noMemberError(step: string, group: string): GroupUnavailableError {
+  return new GroupUnavailableError('no member is known', { step, peer: group, retriable: true });
+}
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -10,6 +10,9 @@
 import type { BackendRegistration } from './backend-registration.js';
 import type { RetirementState } from './directory-state-machine.js';
 import {
+  COMMITTED_NEWS,
+  type CommittedNews,
+  type CommittedNewsRequest,
   COMPLETE_RETIREMENT,
   DIRECTORY_GROUP,
   type DirectoryView,
@@ -25,6 +28,8 @@
 } from './messages.js';
 import { packConfiguration } from './packed-configuration.js';
 
+/** One member may take so long to say what it holds before the next is asked, in milliseconds. */
+const COMMITTED_NEWS_TIMEOUT_MS = 300;
 /** Time in which one order must be answered, in milliseconds. */
 const ORDER_TIMEOUT_MS = 2_500;
 /** Callers of registrations give up after a second. */
@@ -74,6 +79,15 @@
     return callLeader(this.groups, DIRECTORY_GROUP, WATCH, request, limits);
   }
 
+  /**
+   * Asks one member after the other, a call each, what it has applied.
+   * @throws LinkError, TimeoutError when that one doesn't answer
+   */
+  committedNews(held: CommittedNewsRequest): Promise<CommittedNews> {
+    const limits = { timeoutMs: COMMITTED_NEWS_TIMEOUT_MS };
+    return this.groups.callAnyMember(DIRECTORY_GROUP, COMMITTED_NEWS, held, limits);
+  }
+
   private call<Request, Answer>(
     method: Method<Request, LeaderAnswer<Answer>>,
     request: Request,
--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -1,9 +1,10 @@
-/** Serves the directory's methods on a control process; only the leader answers. */
+/** Serves the directory's methods on a control process; only the leader answers all but one of them. */
 import { type ReplicatedGroup, answerAsLeader } from '../consensus/index.js';
 import type { MethodRouter } from '../wire/index.js';
 import type { DirectoryLeader } from './directory-leader.js';
 import {
   type Acknowledgement,
+  COMMITTED_NEWS,
   COMPLETE_RETIREMENT,
   HEARTBEAT,
   PUT_CONFIGURATION,
@@ -23,6 +24,7 @@
   findGroup: () => ReplicatedGroup | undefined,
 ): void {
   router.handle(WATCH, (request) => answerAsLeader(findGroup(), () => leader.watch(request)));
+  router.handle(COMMITTED_NEWS, (held) => leader.stateMachine.newsSince(held));
   router.handle(HEARTBEAT, (registration) =>
     answerAsLeader(findGroup(), async () => {
       await leader.recordHeartbeat(registration);
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -6,6 +6,7 @@
 import { decodeValue, encodeValue } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
+import type { CommittedNews, CommittedNewsRequest } from './messages.js';
 import type { PackedConfiguration } from './packed-configuration.js';
 
 export type RetirementState = 'running' | 'complete';
@@ -86,6 +87,19 @@
     );
   }
 
+  /** What was applied here after what the asker holds. */
+  newsSince(held: CommittedNewsRequest): CommittedNews {
+    const { configuration, configurationIndex, backends, backendsIndex } = this.state;
+    const news: CommittedNews = {};
+    if (configuration && configurationIndex > held.configurationIndex) {
+      news.configuration = { index: configurationIndex, routes: configuration.routes };
+    }
+    if (backendsIndex > held.backendsIndex) {
+      news.backends = { index: backendsIndex, backends: [...backends.values()] };
+    }
+    return news;
+  }
+
   apply(command: Uint8Array, index: number): DirectoryResult {
     const result = this.applyCommand(decodeValue<DirectoryCommand>(command), index);
     if (result.changed) this.onChange();
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -1,18 +1,20 @@
 /**
  * Follows the directory from a process that is no member of its group: one task asks the leader
- * for news again and again. What is held goes on being used while no leader answers, and is never
- * replaced by anything older.
+ * for news again and again. While no leader answers, another one asks the other members what they hold.
+ * What is held goes on being used meanwhile, and is never replaced by anything older.
  */
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
-import type { BackendRecord } from './backend-registration.js';
+import type { BackendRecord, BackendRegistration } from './backend-registration.js';
 import type { DirectoryClient } from './directory-client.js';
 import type {
   BackendLoad,
   BackendsView,
   ClusterView,
+  CommittedNews,
+  ConfigurationView,
   DirectoryView,
   NodeAnnouncement,
 } from './messages.js';
@@ -27,6 +29,15 @@
 const FIRST_RETRY_DELAY_MS = 50;
 const MAXIMUM_RETRY_DELAY_MS = 400;
 
+/**
+ * Without an answer of the leader for so long, the other members are asked, in milliseconds: three of the
+ * times for which a leader holds a question. A drain that was acknowledged reaches a gateway beside a silent leader
+ * within 1 s; from the leader alone it came after 2.9 s, or not at all, where gateways have 2 s.
+ */
+const LEADER_OVERDUE_MS = 600;
+/** Time between two members that are asked, at least, in milliseconds; half as long again at most. */
+const MEMBER_INTERVAL_MS = 150;
+
 const WATCH_LIMITS: GroupCallOptions = {
   timeoutMs: WATCH_TIMEOUT_MS,
   tryTimeoutMs: WATCH_TRY_TIMEOUT_MS,
@@ -49,6 +60,8 @@
   private configurationIndex = 0;
   private backendsVersion = '';
   private backendsIndex = -1;
+  /** Back ends whose heartbeats were missing when a leader last told of them. */
+  private silentBackends: ReadonlySet<string> = new Set();
   private clusterVersion = '';
   private confirmedAt = Number.NEGATIVE_INFINITY;
   private isConnected = false;
@@ -58,6 +71,7 @@
 
   start(): void {
     void this.run();
+    if (this.options.onBackends) void this.followMembers();
   }
 
   stop(): void {
@@ -92,6 +106,31 @@
     }
   }
 
+  /**
+   * A process that no leader has answered yet waits for one: a member that has just started may hold what
+   * is long out of force.
+   */
+  private async followMembers(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      await sleep(MEMBER_INTERVAL_MS * (1 + Math.random() / 2), signal);
+      const hasHeardLeader = Number.isFinite(this.confirmedAt);
+      if (hasHeardLeader && this.ageMs > LEADER_OVERDUE_MS) await this.askMember();
+    }
+  }
+
+  private async askMember(): Promise<void> {
+    const { configurationIndex } = this;
+    const backendsIndex = Math.max(0, this.backendsIndex);
+    try {
+      const held = { configurationIndex, backendsIndex };
+      this.takeCommitted(await this.options.client.committedNews(held));
+    } catch (error) {
+      const reason = describeError(error);
+      this.options.logger.debug('member told no news', { reason });
+    }
+  }
+
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
     return {
       node: this.options.announce(),
@@ -112,20 +151,40 @@
       this.options.onCluster?.(view.cluster);
     }
     if (view.backends) this.takeBackends(view.backends);
-    if (view.configuration && view.configuration.index > this.configurationIndex) {
-      const configuration = unpackRoutes(view.configuration.routes);
-      this.configurationIndex = view.configuration.index;
-      const { generation } = configuration;
-      this.options.logger.info('configuration in force', { generation });
-      this.options.onConfiguration?.(configuration);
-    }
+    if (view.configuration) this.takeConfiguration(view.configuration);
     this.options.onOtherLoads?.(view.otherLoads);
   }
 
+  /** The version of the back ends stays, so that the next leader adds what only it knows. */
+  private takeCommitted({ configuration, backends }: CommittedNews): void {
+    if (configuration) this.takeConfiguration(configuration);
+    if (!backends || backends.index <= this.backendsIndex) return;
+    const { index } = backends;
+    const leaderAgeMs = Math.round(this.ageMs);
+    this.options.logger.info('back ends told by a member', { index, leaderAgeMs });
+    this.backendsIndex = index;
+    const isSilent = ({ id }: BackendRegistration): boolean => this.silentBackends.has(id);
+    this.options.onBackends?.(
+      backends.backends.map((backend) => ({ ...backend, isSilent: isSilent(backend) })),
+    );
+  }
+
+  private takeConfiguration({ index, routes }: ConfigurationView): void {
+    if (index <= this.configurationIndex) return;
+    const configuration = unpackRoutes(routes);
+    this.configurationIndex = index;
+    const { generation } = configuration;
+    const leaderAgeMs = Math.round(this.ageMs);
+    this.options.logger.info('configuration in force', { generation, leaderAgeMs });
+    this.options.onConfiguration?.(configuration);
+  }
+
   private takeBackends(view: BackendsView): void {
     if (view.index < this.backendsIndex) return;
     this.backendsIndex = view.index;
     this.backendsVersion = view.version;
+    const silent = view.backends.filter(({ isSilent }) => isSilent);
+    this.silentBackends = new Set(silent.map(({ id }) => id));
     this.options.onBackends?.(view.backends);
   }
 
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -67,6 +67,27 @@
   routes: Uint8Array;
 }
 
+/** What the sender holds of the parts that calls are forwarded by. */
+export interface CommittedNewsRequest {
+  /** Log index of the configuration; 0 for none. */
+  configurationIndex: number;
+  /** Log index of the last change of back ends; 0 for none. */
+  backendsIndex: number;
+}
+
+/** Back ends without what only a leader knows of them. */
+export interface RegisteredBackends {
+  /** Log index of the last change. */
+  index: number;
+  backends: BackendRegistration[];
+}
+
+/** What one member has applied after what the sender holds; any member tells it, also one that lags. */
+export interface CommittedNews {
+  configuration?: ConfigurationView;
+  backends?: RegisteredBackends;
+}
+
 /** The parts of the directory that are newer than what the watcher holds. */
 export interface DirectoryView {
   configuration?: ConfigurationView;
@@ -97,6 +118,9 @@
 }
 
 export const WATCH = defineMethod<WatchRequest, LeaderAnswer<DirectoryView>>('directory.watch');
+export const COMMITTED_NEWS = defineMethod<CommittedNewsRequest, CommittedNews>(
+  'directory.committed-news',
+);
 export const HEARTBEAT = defineMethod<BackendRegistration, LeaderAnswer<Acknowledgement>>(
   'directory.heartbeat',
 );
