--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -3,7 +3,7 @@
  * watchers, founds the ledger group, and takes silent back ends out.
  */
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
-import type { Member, ReplicatedGroup } from '../consensus/index.js';
+import type { ReplicatedGroup } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
 import type { BackendRecord, BackendRegistration } from './backend-registration.js';
@@ -11,6 +11,7 @@
 import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
 import { type ConfirmedPart, GatewayConfirmations } from './gateway-confirmations.js';
 import { HeartbeatTable } from './heartbeat-table.js';
+import { LedgerFounding } from './ledger-founding.js';
 import { LoadBoard } from './load-board.js';
 import type {
   BackendsView,
@@ -27,10 +28,6 @@
 /** How long a watcher waits for news at most, in milliseconds. */
 const WATCH_WAIT_MS = 200;
 const HOUSEKEEPING_INTERVAL_MS = 250;
-/** How long the first founding waits for more journal processes than are needed, in milliseconds. */
-const FOUNDING_SETTLE_MS = 1_000;
-/** How long founding waits for as many journal processes as are wished, in milliseconds. */
-const FOUNDING_PATIENCE_MS = 6_000;
 /** Changes of the cluster within this time are told together, in milliseconds. */
 const CLUSTER_NEWS_DELAY_MS = 100;
 /** A new leader has not heard of every process before this time, in milliseconds. */
@@ -65,6 +62,7 @@
   private readonly loads = new LoadBoard();
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
+  private readonly founding: LedgerFounding;
   private readonly news = new SignalEvent();
   private readonly timer: NodeJS.Timeout;
   private group: ReplicatedGroup | undefined;
@@ -73,7 +71,6 @@
   private clusterContent = '';
   private clusterTimer: NodeJS.Timeout | undefined;
   private silentIds = '';
-  private firstJournalAt: number | undefined;
   private isHousekeeping = false;
 
   constructor(private readonly options: DirectoryLeaderOptions) {
@@ -82,6 +79,7 @@
       silentAfterMs: options.heartbeatIntervalMs * SILENT_AFTER_INTERVALS,
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
     });
+    this.founding = new LedgerFounding(options.ledgerVoters);
     this.timer = setInterval(() => void this.keepHouse(), HOUSEKEEPING_INTERVAL_MS);
   }
 
@@ -243,7 +241,7 @@
 
   private noteNode(node: NodeAnnouncement): void {
     if (!this.roster.note(node)) return;
-    if (node.role === 'journal') this.firstJournalAt ??= monotonicMs();
+    if (node.role === 'journal') this.founding.noteJournal();
     this.options.logger.info('process announced', { node: node.name, role: node.role });
     this.scheduleClusterNews();
   }
@@ -283,12 +281,9 @@
   }
 
   private async foundLedgerIfDue(): Promise<void> {
-    if (this.stateMachine.ledgerFounders.length > 0 || this.firstJournalAt === undefined) return;
-    const present = this.roster.present('journal').filter((node) => node.memberId !== undefined);
-    const waitedMs = monotonicMs() - this.firstJournalAt;
-    const isEnough = present.length >= this.options.ledgerVoters;
-    if (waitedMs < (isEnough ? FOUNDING_SETTLE_MS : FOUNDING_PATIENCE_MS)) return;
-    const founders = chooseFounders(present, this.options.ledgerVoters);
+    if (this.stateMachine.ledgerFounders.length > 0) return;
+    const founders = this.founding.dueFounders(this.roster.present('journal'));
+    if (!founders) return;
     await this.propose({ kind: 'found-ledger', founders });
     const names = founders.map((member) => member.name).join(',');
     this.options.logger.info('ledger group founded', { founders: names });
@@ -337,20 +332,3 @@
 function isEmpty(view: DirectoryView): boolean {
   return !view.configuration && !view.backends && !view.cluster;
 }
-
-/** Founders from as many zones as possible, in a stable order. */
-function chooseFounders(nodes: NodeAnnouncement[], wished: number): Member[] {
-  const sorted = [...nodes].sort((left, right) => left.name.localeCompare(right.name));
-  const chosen: NodeAnnouncement[] = [];
-  while (chosen.length < Math.min(wished, sorted.length)) {
-    const zones = new Set(chosen.map((node) => node.zone));
-    const rest = sorted.filter((node) => !chosen.includes(node));
-    chosen.push(rest.find((node) => !zones.has(node.zone)) ?? rest[0]!);
-  }
-  return chosen.map((node) => ({
-    id: node.memberId!,
-    name: node.name,
-    address: node.address,
-    role: 'voter',
-  }));
-}
