The directory's leader answers its watchers over several turns of the event loop

Cause: all watchers wake at a change, and were answered in one turn; heartbeats and votes waited behind them. Ruled out: a longer election time-out, which costs every real loss of a leader.

--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -6,6 +6,7 @@
 import type { ReplicatedGroup } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
+import { AnswerTurns } from './answer-turns.js';
 import type { BackendRecord, BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
@@ -27,6 +28,11 @@
 
 /** How long a watcher waits for news at most, in milliseconds. */
 const WATCH_WAIT_MS = 200;
+/**
+ * A change wakes the questions of all watchers. Answered in one turn of the event loop, they kept heartbeats and votes
+ * back, and a leader of a tenth of a core lost its lead for its watchers alone.
+ */
+const ANSWERS_PER_TURN = 8;
 const HOUSEKEEPING_INTERVAL_MS = 250;
 /** Changes of the cluster within this time are told together, in milliseconds. */
 const CLUSTER_NEWS_DELAY_MS = 100;
@@ -64,6 +70,7 @@
   private readonly heartbeats: HeartbeatTable;
   private readonly founding: LedgerFounding;
   private readonly news = new SignalEvent();
+  private readonly answerTurns = new AnswerTurns(ANSWERS_PER_TURN);
   private readonly timer: NodeJS.Timeout;
   private group: ReplicatedGroup | undefined;
   private clusterVersion = 0;
@@ -181,6 +188,7 @@
       const left = deadline - monotonicMs();
       if (left <= 0) break;
       await this.news.waitUpTo(left);
+      await this.answerTurns.next();
       view = this.viewFor(request);
     }
     if (request.node.role === 'gateway') view.otherLoads = this.loads.othersThan(request.node.name);
