A second run adds to a stream only what goes on where the first one broke

Cause: after a break, a stream that may be taken up is sent again after its last event. The head of the first run stands, and the relay took whatever came next for the rest: an engine's own 500 with Content-Length 0 is a whole answer without a partial event, so the caller's stream was ended as complete. A run that began again repeated events, one that began later left some out, and the body of a failure was passed on among events.

Repair: a second answer must have the first one's status and type; its events must rise, and by one where ids count events. Anything else is a broken send (sent again twice at most, then broken off visibly). A stream whose last events had no comparable ids, and a failure that broke off, are not taken up. The length of the first run does not frame a stream that may be taken up.

--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -79,11 +79,11 @@
   constructor(private readonly options: CallRunOptions) {
     const { exchange, route } = options;
     this.service = options.service;
-    const isStreaming = route.route.kind === 'streaming';
-    const collectsOutput = route.route.retainsTurns;
-    this.answer = isStreaming
-      ? new StreamRelay({ exchange, collectsOutput })
-      : new BufferedAnswer(exchange);
+    const { kind, retainsTurns: collectsOutput, isResumable } = route.route;
+    this.answer =
+      kind === 'streaming'
+        ? new StreamRelay({ exchange, collectsOutput, isResumable })
+        : new BufferedAnswer(exchange);
   }
 
   /** Id of the back end whose whole answer was passed on. */
@@ -246,9 +246,8 @@
 
   /** After a broken answer the call goes on only where running it again is allowed. */
   private judgeBroken(backend: BackendState): CallEnding | undefined {
-    const { kind, isResumable, maxAttempts } = this.options.route.route;
-    const mayRepeat = kind === 'repeatable' ? !this.answer.hasBegun : isResumable;
-    if (!mayRepeat || this.resends >= MAX_RESENDS) return this.endingOfBroken();
+    const { kind, maxAttempts } = this.options.route.route;
+    if (!this.mayRepeat || this.resends >= MAX_RESENDS) return this.endingOfBroken();
     this.resends += 1;
     this.answer.restart();
     const mayChange = kind === 'repeatable' && this.sentTo.size < maxAttempts;
@@ -257,6 +256,11 @@
     return undefined;
   }
 
+  private get mayRepeat(): boolean {
+    if (this.answer instanceof StreamRelay) return this.answer.mayGoOn;
+    return this.options.route.route.kind === 'repeatable' && !this.answer.hasBegun;
+  }
+
   private hasOther(backend: BackendState): boolean {
     return this.options.backends
       .serving(this.service)
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -26,6 +26,8 @@
   onHead(head: AnswerHead): void;
   /** @returns false to be asked for more later, through `SendAttempt.resume` */
   onData(chunk: Buffer): boolean;
+  /** Why the answer is of no use, once that is known; it is given up then. */
+  readonly objection?: string;
 }
 
 export interface SendAttemptOptions {
@@ -82,8 +84,7 @@
   /** Gives the answer up unless its head has come; the call may have run. */
   giveUpSilent(): void {
     if (this.headAt !== undefined) return;
-    this.brokenCause = 'silent for too long';
-    this.abort('broken');
+    this.giveUp('silent for too long');
   }
 
   resume(): void {
@@ -111,8 +112,7 @@
     this.endedBy = endOfAnswer(this.options.request.method, statusCode, rawHeaders);
     this.isLastOnConnection = announcesClose(rawHeaders) || this.endedBy === 'close';
     if (verdict.callId !== undefined && verdict.callId !== this.options.callId) {
-      this.brokenCause = 'the answer belongs to another call';
-      this.abort('broken');
+      this.giveUp('the answer belongs to another call');
       return;
     }
     if (verdict.isNotExecuted) {
@@ -120,13 +120,13 @@
       return;
     }
     if (!verdict.isAuthentic) {
-      this.brokenCause = "the answer is not the back end's own";
-      this.abort('broken');
+      this.giveUp("the answer is not the back end's own");
       return;
     }
     this.hadHead = true;
     const { headers } = verdict;
     this.options.sink.onHead({ status: statusCode, statusText: statusMessage ?? '', headers });
+    this.heedObjection();
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -136,6 +136,7 @@
     this.options.onHeard();
     if (this.stopReason) return;
     if (!this.options.sink.onData(chunk)) controller.pause();
+    this.heedObjection();
   }
 
   onResponseEnd(): void {
@@ -152,6 +153,16 @@
     else this.finish({ kind: 'broken', cause: error.message, hadHead: this.hadHead });
   }
 
+  private heedObjection(): void {
+    const { objection } = this.options.sink;
+    if (objection !== undefined) this.giveUp(objection);
+  }
+
+  private giveUp(cause: string): void {
+    this.brokenCause = cause;
+    this.abort('broken');
+  }
+
   private abort(reason: 'stopped' | 'broken'): void {
     this.stopReason ??= reason;
     if (this.controller) this.controller.abort(new Error(reason));
