A caller's readiness for more is told to the send that is under way

Cause: each send added a listener to the caller's drain; the first one took the news for itself, and a second send of the same call, paused for a slow caller, stood still until the time limit (2,002 ms in the test, then broken off). Repair: one listener, which tells the send that was named last. The test is green after it.

--- a/src/forwarding/caller-answer.ts
+++ b/src/forwarding/caller-answer.ts
@@ -6,8 +6,11 @@
   head: AnswerHead | undefined;
   private begun = false;
   private isSlow = false;
+  private resume: (() => void) | undefined;
 
-  constructor(private readonly exchange: CallExchange) {}
+  constructor(private readonly exchange: CallExchange) {
+    exchange.onDrained(() => this.onDrained());
+  }
 
   /** Whether the caller has received a part of the answer. */
   get hasBegun(): boolean {
@@ -27,13 +30,15 @@
     this.exchange.end(chunk);
   }
 
-  /** Calls `resume` when the caller has read what waits for it. */
+  /** Calls `resume`, and none that was named before, when the caller has read what waits for it. */
   onceReadable(resume: () => void): void {
-    this.exchange.onDrained(() => {
-      if (!this.isSlow) return;
-      this.isSlow = false;
-      resume();
-    });
+    this.resume = resume;
+  }
+
+  private onDrained(): void {
+    if (!this.isSlow) return;
+    this.isSlow = false;
+    this.resume?.();
   }
 
   private begin(): void {
