--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -6,6 +6,7 @@
 export * from './options.js';
 export { type PeerCaller, PeerDirectory, type PeerDirectoryOptions } from './peer-directory.js';
 export { ReplicatedGroup } from './replicated-group.js';
+export type { ReplicationTraffic } from './replication-traffic.js';
 export type { ExternalState, StateMachine } from './state-machine.js';
 export {
   GroupClient,
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -30,6 +30,7 @@
 import type { CheckedConsensusOptions } from './options.js';
 import { PendingProposals } from './pending-proposals.js';
 import { QuorumCheck } from './quorum-check.js';
+import { createReplicationTraffic } from './replication-traffic.js';
 import { Replicator } from './replicator.js';
 import type { StateMachine } from './state-machine.js';
 
@@ -62,6 +63,7 @@
   readonly applier: Applier;
   /** Monotonic time since when this member has led, in milliseconds. */
   leadingSince = 0;
+  readonly traffic = createReplicationTraffic();
   private readonly duty: FollowerDuty;
   private readonly replicators = new Map<string, Replicator>();
   private readonly proposals: PendingProposals;
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -3,11 +3,12 @@
  * the follower holds the whole log; then waits for more.
  */
 import { Backoff, SignalEvent, monotonicMs, sleep } from '../common/index.js';
-import type { SnapshotReader } from '../log-store/index.js';
+import type { LogEntry, SnapshotReader } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
 import type { Member } from './configuration.js';
 import type { MemberLog } from './member-log.js';
 import { APPEND, SNAPSHOT, type AppendResponse, type SnapshotChunk } from './messages.js';
+import type { ReplicationTraffic } from './replication-traffic.js';
 
 const MAX_APPEND_BYTES = 1024 * 1024;
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024;
@@ -23,6 +24,7 @@
   readonly commitIndex: number;
   readonly log: MemberLog;
   readonly heartbeatIntervalMs: number;
+  readonly traffic: ReplicationTraffic;
   /** Whether a member counts for commits. */
   isVoter(memberId: string): boolean;
   call<Request, Response>(
@@ -41,6 +43,8 @@
   /** When the latest message that the follower answered was sent, on the monotonic clock. */
   acknowledgedSentAt = Number.NEGATIVE_INFINITY;
   private nextIndex: number;
+  /** The last index that was sent, whether or not it was answered. */
+  private sentIndex = 0;
   private hasProbed = false;
   private readonly wake = new SignalEvent();
   private readonly stopping = new AbortController();
@@ -129,6 +133,7 @@
     const entries = this.hasProbed ? log.slice(this.nextIndex, MAX_APPEND_BYTES) : [];
     const base = { group, to: this.member.id, from: ownId, term };
     const request = { ...base, previousIndex, previousTerm, entries, commitIndex };
+    this.countEntries(entries);
     const sentAt = monotonicMs();
     const response = await this.leader.call(this.member, APPEND, request, {
       timeoutMs: APPEND_TIMEOUT_MS,
@@ -137,6 +142,15 @@
     await this.takeResponse(response, sentAt);
   }
 
+  private countEntries(entries: readonly LogEntry[]): void {
+    const { traffic } = this.leader;
+    const firstSent = this.leader.isVoter(this.member.id) ? 'voterEntries' : 'learnerEntries';
+    for (const { index, data } of entries) {
+      traffic[index <= this.sentIndex ? 'repeatedEntries' : firstSent] += data.length;
+    }
+    this.sentIndex = Math.max(this.sentIndex, entries.at(-1)?.index ?? 0);
+  }
+
   private async takeResponse(response: AppendResponse, sentAt: number): Promise<void> {
     if (response.term > this.leader.term) {
       this.leader.onHigherTerm(response.term);
@@ -178,6 +192,7 @@
     let offset = 0;
     do {
       const chunk = await reader.read(SNAPSHOT_CHUNK_BYTES);
+      this.leader.traffic.snapshots += chunk.length;
       await this.sendChunk({ ...base, offset, chunk });
       offset += chunk.length;
     } while (offset < stateBytes && !this.isStopped);
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -29,6 +29,8 @@
 export class LedgerService {
   private leadingSince = 0;
   private clockAtStart = 0;
+  /** Bytes of kept turns sent: with reservations, and to whoever asked for turns. */
+  readonly sentBytes = { histories: 0, turns: 0 };
 
   constructor(private readonly options: LedgerServiceOptions) {}
 
@@ -43,11 +45,13 @@
   }
 
   /** Any member answers, also one that does not lead. */
-  private readTurns(request: ReadTurnsRequest): Promise<ReadTurnsAnswer> {
+  private async readTurns(request: ReadTurnsRequest): Promise<ReadTurnsAnswer> {
     const appliedIndex = this.options.findGroup()?.applier.appliedIndex ?? 0;
     const { atIndex } = request;
     const mayTellExpired = atIndex !== undefined && appliedIndex >= atIndex;
-    return this.options.stateMachine.external.answer(request, mayTellExpired);
+    const answer = await this.options.stateMachine.external.answer(request, mayTellExpired);
+    for (const [, value] of answer.values) this.sentBytes.turns += value.length;
+    return answer;
   }
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveAnswer> {
@@ -58,10 +62,9 @@
     const { previousTurn } = request;
     if (result.outcome !== 'granted' || previousTurn === undefined || !wantsHistory) return result;
     const others = group.configuration.members.filter(({ id }) => id !== group.ownId);
-    return {
-      ...result,
-      history: await this.options.stateMachine.external.read(previousTurn, others),
-    };
+    const history = await this.options.stateMachine.external.read(previousTurn, others);
+    this.sentBytes.histories += history?.length ?? 0;
+    return { ...result, history };
   }
 
   private async settle(
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -46,6 +46,7 @@
     private readonly controlClient: GroupClient,
     private readonly ledgerClient: GroupClient,
     private readonly values: ValueStore,
+    private readonly service: LedgerService,
   ) {
     this.watcher = new DirectoryWatcher({
       client: directory,
@@ -81,6 +82,13 @@
     const controlClient = new GroupClient({ peers, addresses: settings.controlSeeds });
     const ledgerClient = new GroupClient({ peers, addresses: [] });
     const directory = new DirectoryClient(controlClient);
+    const memory = new MemoryGuard(budget.total, logger);
+    const service = new LedgerService({
+      stateMachine,
+      findGroup: () => member.group,
+      mustRefuse: () => memory.isTight(),
+    });
+    service.registerHandlers(member.router);
     const node: JournalNode = new JournalNode(
       settings,
       hooks,
@@ -89,13 +97,8 @@
       controlClient,
       ledgerClient,
       values,
+      service,
     );
-    const memory = new MemoryGuard(budget.total, logger);
-    new LedgerService({
-      stateMachine,
-      findGroup: () => member.group,
-      mustRefuse: () => memory.isTight(),
-    }).registerHandlers(member.router);
     await member.listen();
     node.watcher.start();
     void node.enterKnownGroup().catch(onFatal);
@@ -120,6 +123,9 @@
     add('_written_bytes', 'Bytes written so far', () => values.counters.writtenBytes);
     add('_moved_bytes', 'Bytes of them that were moved', () => values.counters.movedBytes);
     add('_damaged', 'Values found damaged', () => values.counters.damaged);
+    const { sentBytes } = this.service;
+    add('_sent_history_bytes', 'Bytes sent with reservations', () => sentBytes.histories);
+    add('_sent_turn_bytes', 'Bytes sent to readers of turns', () => sentBytes.turns);
     return registry;
   }
 
--- a/src/nodes/node-metrics.ts
+++ b/src/nodes/node-metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and gauges of a process that is a member of a replicated group. */
 import { Registry } from 'prom-client';
-import type { ReplicatedGroup } from '../consensus/index.js';
+import type { ReplicatedGroup, ReplicationTraffic } from '../consensus/index.js';
 import type { WriteAheadLog } from '../log-store/index.js';
 import { addGauge } from '../observability/index.js';
 
@@ -42,6 +42,16 @@
     'Members in the latest configuration',
     ofGroup((group) => group.configuration.members.length),
   );
+  const addTraffic = (name: string, help: string, purpose: keyof ReplicationTraffic): void =>
+    add(
+      `sent_${name}_bytes`,
+      help,
+      ofGroup((group) => group.traffic[purpose]),
+    );
+  addTraffic('voter_entries', 'Bytes of entries sent to voters, repeats apart', 'voterEntries');
+  addTraffic('learner_entries', 'Bytes of entries sent to learners', 'learnerEntries');
+  addTraffic('repeated_entries', 'Bytes of entries sent again', 'repeatedEntries');
+  addTraffic('snapshots', 'Bytes of snapshots sent', 'snapshots');
   add('log_syncs', 'Syncs of the write-ahead log', () => wal.counters.syncs);
   add('log_bytes', 'Bytes written to the write-ahead log', () => wal.counters.bytes);
   return registry;
