Failing test: a group doesn't get up again after a burst that filled its leader's link

Five voters and three learners on links of 47 Mbit/s, commands of 17 kB from 20 clients: 25 a second, 130 a second for 4 s, 25 a second again. Before the burst all are committed in some 25 ms. The network is a stand-in with a bounded link a machine, shared fairly by connections.

--- /dev/null
+++ b/src/consensus/overload.test.ts
@@ -0,0 +1,119 @@
+/**
+ * The leader of a group of five voters and three learners sent each kept prompt to all seven over one
+ * link. A burst of some seconds filled that link: heartbeats and votes waited behind appends for longer
+ * than an election time-out, batches that were still on their way were sent again, and leadership went
+ * round without end, long after the load had fallen to a fifth of what had been served before. In the run
+ * that settled it, with links of 47 Mbit/s and commands of 17 kB, 25 commands a second took 25 ms each
+ * before the burst; in the six seconds after it two to nine of each 25 were committed, in terms 7 to 13.
+ */
+import { expect, it } from 'vitest';
+import {
+  type ConsensusCluster,
+  GROUP,
+  startCluster,
+} from '../../tests/support/consensus-cluster.js';
+import { LoopbackNetwork } from '../../tests/support/loopback-network.js';
+import { MeteredLinks } from '../../tests/support/metered-links.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { monotonicMs, sleep } from '../common/index.js';
+import type { GroupClient } from './group-client.js';
+
+const TIMING = { heartbeatIntervalMs: 60, electionTimeoutMs: 300, startupElectionTimeoutMs: 40 };
+const BYTES_PER_SECOND = 47e6 / 8;
+const LATENCY_MS = 1;
+const COMMAND_BYTES = 17_000;
+const VOTERS = 5;
+const LEARNERS = ['member-6', 'member-7', 'member-8'];
+const CLIENTS = 20;
+/** How long a client waits for its command, and one member may take before it asks others. */
+const CLIENT_LIMITS = { timeoutMs: 1_000, tryTimeoutMs: 250 };
+
+const QUIET_PER_SECOND = 25;
+const BURST_PER_SECOND = 130;
+const BEFORE_MS = 1_000;
+const BURST_MS = 4_000;
+const AFTER_MS = 5_000;
+/** How long after the burst all is to be as before. */
+const RECOVERY_MS = 2_000;
+/** What the leader's link bears while it sends to the other voters alone: 86 commands a second. */
+const MOST_PER_SECOND = BYTES_PER_SECOND / COMMAND_BYTES / (VOTERS - 1);
+
+interface SentCommand {
+  sentAt: number;
+  isServed: boolean;
+}
+
+class Load {
+  private readonly commands: SentCommand[] = [];
+  private readonly clients: GroupClient[];
+  private readonly open = new Set<Promise<void>>();
+
+  constructor(cluster: ConsensusCluster) {
+    this.clients = Array.from({ length: CLIENTS }, (_, index) => cluster.client(`client-${index}`));
+  }
+
+  /** Sends commands evenly, whatever becomes of them. */
+  async send(perSecond: number, forMs: number): Promise<void> {
+    const startedAt = monotonicMs();
+    for (let sent = 0; monotonicMs() - startedAt < forMs; sent += 1) {
+      this.sendOne();
+      await sleep(startedAt + ((sent + 1) * 1_000) / perSecond - monotonicMs());
+    }
+  }
+
+  async finish(): Promise<void> {
+    await Promise.all(this.open);
+  }
+
+  /** How many of the commands sent in a span were committed while their clients waited. */
+  servedBetween(from: number, to: number): { sent: number; served: number } {
+    const own = this.commands.filter(({ sentAt }) => sentAt >= from && sentAt < to);
+    return { sent: own.length, served: own.filter(({ isServed }) => isServed).length };
+  }
+
+  private sendOne(): void {
+    const command: SentCommand = { sentAt: monotonicMs(), isServed: false };
+    const number = this.commands.push(command);
+    const client = this.clients[number % CLIENTS]!;
+    const text = `${number}`.padEnd(COMMAND_BYTES, '.');
+    const sent = client.execute(GROUP, text, CLIENT_LIMITS).then(
+      () => void (command.isServed = true),
+      () => undefined,
+    );
+    this.open.add(sent);
+    void sent.finally(() => this.open.delete(sent));
+  }
+}
+
+async function startGroup(): Promise<ConsensusCluster> {
+  const links = new MeteredLinks({ bytesPerSecond: BYTES_PER_SECOND, latencyMs: LATENCY_MS });
+  const network = new LoopbackNetwork(undefined, links);
+  const cluster = await startCluster({ size: VOTERS, consensus: TIMING, network });
+  const { group } = await cluster.waitLeader();
+  for (const name of LEARNERS) {
+    const member = { id: `${name}-first`, name, address: name, role: 'learner' as const };
+    await cluster.start(member, false);
+    await waitUntil('settled', () => group.isConfigurationSettled);
+    await group.addMember(member);
+  }
+  return cluster;
+}
+
+it('keeps its leader and most of its rate in a burst, and serves all again soon after', async () => {
+  const cluster = await startGroup();
+  const { group } = await cluster.waitLeader();
+  const { term } = group;
+  const load = new Load(cluster);
+  await load.send(QUIET_PER_SECOND, BEFORE_MS);
+  const burstAt = monotonicMs();
+  await load.send(BURST_PER_SECOND, BURST_MS);
+  const overAt = monotonicMs();
+  await load.send(QUIET_PER_SECOND, AFTER_MS);
+  await load.finish();
+
+  const burst = load.servedBetween(burstAt, overAt);
+  const after = load.servedBetween(overAt + RECOVERY_MS, overAt + AFTER_MS);
+  expect.soft({ leads: group.isLeader, term: group.term }).toEqual({ leads: true, term });
+  expect.soft(burst.served / (BURST_MS / 1_000)).toBeGreaterThan(MOST_PER_SECOND / 2);
+  expect.soft(after.served).toBe(after.sent);
+});
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -68,16 +68,19 @@
   quotaBytes?: number;
   /** Makes the state machine of a member. @default a list without external state */
   createMachine?: (member: Member) => ListMachine;
+  /** @default one without delays */
+  network?: LoopbackNetwork;
 }
 
 const FAST_TIMING: ConsensusOptions = { heartbeatIntervalMs: 20, electionTimeoutMs: 120 };
 
 export class ConsensusCluster {
-  readonly network = new LoopbackNetwork();
+  readonly network: LoopbackNetwork;
   readonly running = new Map<string, RunningMember>();
   private readonly founders: GroupConfiguration;
 
   constructor(private readonly options: ClusterOptions) {
+    this.network = options.network ?? new LoopbackNetwork();
     this.founders = {
       members: Array.from({ length: options.size }, (_, index) => founder(`member-${index + 1}`)),
     };
--- a/tests/support/loopback-network.ts
+++ b/tests/support/loopback-network.ts
@@ -14,6 +14,12 @@
   decodeValue,
   encodeValue,
 } from '../../src/wire/index.js';
+import type { MeteredLinks } from './metered-links.js';
+
+interface Caller {
+  from: string;
+  lane: string;
+}
 
 export class LoopbackNetwork {
   private readonly routers = new Map<string, MethodRouter>();
@@ -21,8 +27,14 @@
   /** Requests so far by receiver and method, as `address method`. */
   readonly requests = new Map<string, number>();
 
-  /** @param delayMs one-way delay of every message, in milliseconds */
-  constructor(private readonly delayMs: (from: string, to: string) => number = () => 0) {}
+  /**
+   * @param delayMs one-way delay of every message, in milliseconds
+   * @param links what messages have to pass beside that; none by default
+   */
+  constructor(
+    private readonly delayMs: (from: string, to: string) => number = () => 0,
+    private readonly links?: MeteredLinks,
+  ) {}
 
   /** Makes an address answer with a router's methods. */
   listen(address: string, router: MethodRouter): void {
@@ -49,16 +61,31 @@
     this.cuts.clear();
   }
 
-  peersOf(ownAddress: string): PeerCaller {
+  /** @param lane tells connections of one caller to the same peer apart */
+  peersOf(ownAddress: string, lane = ''): PeerCaller {
     return {
       call: (address, method, request, options) =>
-        this.call(ownAddress, address, method, request, options),
+        this.callInTime({ from: ownAddress, lane }, address, method, request, options),
       isConnected: (address) => this.routers.has(address),
     };
   }
 
+  /** On metered links the way counts for the caller's limit as well as the handler. */
+  private callInTime<Request, Response>(
+    caller: Caller,
+    to: string,
+    method: Method<Request, Response>,
+    request: Request,
+    options: CallOptions,
+  ): Promise<Response> {
+    const answer = this.call(caller, to, method, request, options);
+    if (!this.links) return answer;
+    const context = { step: method.name, peer: to, retriable: true };
+    return Promise.race([answer, this.neverAnswers(options, context)]);
+  }
+
   private async call<Request, Response>(
-    from: string,
+    { from, lane }: Caller,
     to: string,
     method: Method<Request, Response>,
     request: Request,
@@ -70,6 +97,8 @@
     const handler = this.routers.get(to)?.find(method.name);
     if (!handler) throw new LinkError('nobody listens', context);
     const requestBytes = encodeValue(request);
+    const connection = `${from}>${to}${lane}`;
+    await this.links?.carry(from, to, connection, requestBytes.length);
     if (!(await this.carry(from, to))) return this.neverAnswers(options, context);
     let answer: unknown;
     try {
@@ -81,6 +110,7 @@
       throw new RemoteError(message, name, context);
     }
     const answerBytes = encodeValue(answer);
+    await this.links?.carry(to, from, connection, answerBytes.length);
     if (!(await this.carry(to, from))) return this.neverAnswers(options, context);
     return decodeValue<Response>(answerBytes);
   }
