Heartbeats and votes have connections of their own, and a leader takes in what commits soon

Cause: a burst that filled the leader's link made heartbeats and votes wait behind appends for longer than an election time-out; what callers had given up stayed in the log as a backlog that each new leader had to get through first, and batches of 1 MB that were still on their way were sent again.

Now small messages have their own connection a peer, which voters keep open. A leader lets into its log what the group commits within two heartbeats, by the commits it observes; the rest waits for 0.3 s at most (ledger), newest first once the oldest has waited for half of that, and is refused as overloaded. Batches follow the time that a follower takes; a time-out is longer after one; learners give way while commands wait.

--- a/src/consensus/errors.ts
+++ b/src/consensus/errors.ts
@@ -22,3 +22,10 @@
 
 /** A membership change is refused, for example because another one is under way. */
 export class MembershipChangeError extends LedgegaugeError {}
+
+/** The leader has more commands than the group commits in time; this one was not taken. */
+export class GroupOverloadedError extends LedgegaugeError {
+  constructor(group: string) {
+    super(`${group} is overloaded`, { step: 'consensus.propose', retriable: true });
+  }
+}
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -6,7 +6,7 @@
 import { monotonicMs } from '../common/index.js';
 import type { SnapshotStore, WriteAheadLog } from '../log-store/index.js';
 import type { CallOptions, Method, MethodRouter } from '../wire/index.js';
-import type { GroupConfiguration, Member } from './configuration.js';
+import { type GroupConfiguration, type Member, isVoter, votersOf } from './configuration.js';
 import { WrongMemberError } from './errors.js';
 import { MemberLog } from './member-log.js';
 import { MembershipChanger } from './membership-changer.js';
@@ -21,6 +21,11 @@
   wal: WriteAheadLog;
   snapshots: SnapshotStore;
   peers: PeerCaller;
+  /**
+   * Connections of their own for heartbeats and votes: behind appends on a full link they would be
+   * late, and the leader would be taken for gone. @default peers
+   */
+  urgentPeers?: PeerCaller;
   options: CheckedConsensusOptions;
   logger: Logger;
   onFatal: (error: unknown) => void;
@@ -28,6 +33,9 @@
   onLeadershipChange: (group: ReplicatedGroup) => void;
 }
 
+/** Messages that are small and must not wait behind entries. */
+const URGENT_METHODS: ReadonlySet<string> = new Set([HEARTBEATS.name, VOTE.name, TRANSFER.name]);
+
 /** A peer that is silent for so long is connected to anew, in milliseconds. */
 const HEARTBEAT_TIMEOUT_MS = 400;
 
@@ -37,8 +45,10 @@
   private readonly changer = new MembershipChanger();
   private heartbeatsRequested = false;
   private timer: NodeJS.Timeout | undefined;
+  private readonly urgentPeers: PeerCaller;
 
   constructor(private readonly host: GroupHostOptions) {
+    this.urgentPeers = host.urgentPeers ?? host.peers;
     this.environment = {
       ownId: host.ownId,
       options: host.options,
@@ -47,6 +57,8 @@
       onLeadershipChange: (group) => this.onLeadershipChange(group),
       onSnapshotSkipped: (group, error) =>
         host.logger.warn('snapshot skipped', { group: group.name, cause: error.describe() }),
+      onProposalsRefused: (group, count) =>
+        host.logger.warn('overloaded, commands refused', { group: group.name, count }),
       onFatal: host.onFatal,
     };
   }
@@ -136,17 +148,31 @@
     request: Request,
     options: CallOptions,
   ): Promise<Response> {
-    return this.host.peers.call(member.address, method, request, options);
+    const isUrgent = URGENT_METHODS.has(method.name);
+    const connections = isUrgent ? this.urgentPeers : this.host.peers;
+    return connections.call(member.address, method, request, options);
   }
 
   private tick(): void {
     for (const group of this.groups.values()) group.tick();
     this.sendHeartbeats();
+    this.keepVotersConnected();
     for (const name of this.host.wal.groupsHoldingOldSegments()) {
       this.groups.get(name)?.applier.requestSnapshot();
     }
   }
 
+  /** A candidate whose connections are yet to be opened would lose its first election to that. */
+  private keepVotersConnected(): void {
+    for (const { configuration } of this.groups.values()) {
+      if (!isVoter(configuration, this.host.ownId)) continue;
+      for (const { id, address } of votersOf(configuration)) {
+        // To ask is to open the link if there is none.
+        if (id !== this.host.ownId) this.urgentPeers.isConnected(address);
+      }
+    }
+  }
+
   private requestHeartbeats(): void {
     if (this.heartbeatsRequested) return;
     this.heartbeatsRequested = true;
@@ -175,7 +201,7 @@
     const sentAt = monotonicMs();
     try {
       const options = { timeoutMs: HEARTBEAT_TIMEOUT_MS };
-      const responses = await this.host.peers.call(address, HEARTBEATS, { heartbeats }, options);
+      const responses = await this.urgentPeers.call(address, HEARTBEATS, { heartbeats }, options);
       for (const response of responses) {
         const heartbeat = heartbeats.find((sent) => sent.group === response.group);
         if (!heartbeat) continue;
--- a/src/consensus/options.ts
+++ b/src/consensus/options.ts
@@ -27,10 +27,16 @@
    * them go, unless the disk or the quorum is away. @default no limit
    */
   maxHeldBytes?: number;
+  /**
+   * How long a command may wait for its place in the log of a leader that has more than the group
+   * commits soon, before it is refused, in milliseconds. @default 1000
+   */
+  maxProposalWaitMs?: number;
 }
 
 const DEFAULT_ELECTION_TIMEOUT_MS = 450;
 const DEFAULT_DISCONNECT_TIMEOUT_MS = 150;
+const DEFAULT_MAX_PROPOSAL_WAIT_MS = 1_000;
 
 export type CheckedConsensusOptions = Required<ConsensusOptions>;
 
@@ -46,5 +52,6 @@
     trailingEntries: options.trailingEntries ?? 1_000,
     trailingBytes: options.trailingBytes ?? Number.POSITIVE_INFINITY,
     maxHeldBytes: options.maxHeldBytes ?? Number.POSITIVE_INFINITY,
+    maxProposalWaitMs: options.maxProposalWaitMs ?? DEFAULT_MAX_PROPOSAL_WAIT_MS,
   };
 }
--- /dev/null
+++ b/src/consensus/proposal-gate.ts
@@ -0,0 +1,170 @@
+/**
+ * Lets as many commands into a leader's log as the group commits soon; the others wait for a moment, and
+ * are refused once waiting has no use. Without it a burst that is over leaves a backlog that callers
+ * have given up, and everything after it is late.
+ */
+import { Deferred, monotonicMs } from '../common/index.js';
+import { CommitWindow } from './commit-window.js';
+import { GroupOverloadedError } from './errors.js';
+
+/** Bytes that may wait: what a link of 100 Mbit/s brings in the longest wait. */
+const MAX_WAITING_BYTES = 4 * 1024 * 1024;
+
+export interface ProposalGateOptions {
+  group: string;
+  /** How long a command may take from the log to its commit, in milliseconds. */
+  commitTargetMs: number;
+  /** How long a command may wait before it goes to the log, in milliseconds. */
+  maxWaitMs: number;
+  /** Appends a command; resolves with its result once it is committed and applied. */
+  append: (command: Uint8Array) => Promise<unknown>;
+  /** Called at most once a second while commands are refused, with how many were since the last call. */
+  onRefused: (count: number) => void;
+}
+
+const REFUSAL_REPORT_MS = 1_000;
+
+interface WaitingCommand {
+  command: Uint8Array;
+  result: Deferred<unknown>;
+  since: number;
+}
+
+export class ProposalGate {
+  /** Oldest first. */
+  private waiting: WaitingCommand[] = [];
+  private waitingBytes = 0;
+  private readonly window: CommitWindow;
+  private timer: NodeJS.Timeout | undefined;
+  private reportedAt = Number.NEGATIVE_INFINITY;
+  private reportedRefusals = 0;
+  /** Commands refused so far. */
+  refused = 0;
+
+  constructor(private readonly options: ProposalGateOptions) {
+    this.window = new CommitWindow(options.commitTargetMs);
+  }
+
+  /** Whether commands wait. */
+  get isHolding(): boolean {
+    return this.waiting.length > 0;
+  }
+
+  /**
+   * Appends a command now, or when there is room for it.
+   * @throws GroupOverloadedError when there was none in time; the command was not taken
+   */
+  pass(command: Uint8Array): Promise<unknown> {
+    if (this.waiting.length === 0 && this.window.hasRoom(command.length)) {
+      return this.append(command);
+    }
+    if (this.waitingBytes + command.length > MAX_WAITING_BYTES) {
+      return Promise.reject(this.overloaded());
+    }
+    const result = new Deferred<unknown>();
+    this.waiting.push({ command, result, since: monotonicMs() });
+    this.waitingBytes += command.length;
+    this.armTimer();
+    return result.promise;
+  }
+
+  /** Refuses all that waits; what is under way is settled by its owner. */
+  refuseAll(reason: Error): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    this.waitingBytes = 0;
+    for (const { result } of this.waiting.splice(0)) result.reject(reason);
+  }
+
+  /** Leadership has ended. */
+  close(reason: Error): void {
+    this.refuseAll(reason);
+    this.window.clear();
+  }
+
+  private append(command: Uint8Array): Promise<unknown> {
+    const { window } = this;
+    const bytes = command.length;
+    const appendedAt = monotonicMs();
+    const committed = this.options.append(command);
+    window.take(bytes);
+    const free = (): void => {
+      window.noteCommitted(bytes, monotonicMs() - appendedAt);
+      this.admit();
+    };
+    committed.then(free, () => undefined);
+    return committed;
+  }
+
+  private admit(): void {
+    for (;;) {
+      const next = this.next();
+      if (!next || !this.window.hasRoom(next.command.length)) return;
+      this.remove(next);
+      this.appendFor(next);
+    }
+  }
+
+  private appendFor({ command, result }: WaitingCommand): void {
+    try {
+      this.append(command).then(
+        (value) => result.resolve(value),
+        (error) => result.reject(error),
+      );
+    } catch (error) {
+      result.reject(error);
+    }
+  }
+
+  /**
+   * Those that came last once the oldest has waited for long: the group is overloaded then, and in
+   * order each would be served just when its caller gives up.
+   */
+  private next(): WaitingCommand | undefined {
+    const [oldest] = this.waiting;
+    if (!oldest) return undefined;
+    const isOverloaded = monotonicMs() - oldest.since > this.options.maxWaitMs / 2;
+    return isOverloaded ? this.waiting.at(-1) : oldest;
+  }
+
+  private remove(command: WaitingCommand): void {
+    if (this.waiting.at(-1) === command) this.waiting.pop();
+    else this.waiting.shift();
+    this.waitingBytes -= command.command.length;
+  }
+
+  private armTimer(): void {
+    const [oldest] = this.waiting;
+    if (!oldest || this.timer) return;
+    const dueInMs = Math.max(1, oldest.since + this.options.maxWaitMs - monotonicMs());
+    this.timer = setTimeout(() => this.refuseOverdue(), dueInMs);
+  }
+
+  private refuseOverdue(): void {
+    this.timer = undefined;
+    const dueBefore = monotonicMs() - this.options.maxWaitMs;
+    for (
+      let oldest = this.waiting[0];
+      oldest && oldest.since <= dueBefore;
+      oldest = this.waiting[0]
+    ) {
+      this.remove(oldest);
+      oldest.result.reject(this.overloaded());
+    }
+    this.armTimer();
+  }
+
+  private overloaded(): GroupOverloadedError {
+    this.refused += 1;
+    this.reportRefusals();
+    return new GroupOverloadedError(this.options.group);
+  }
+
+  private reportRefusals(): void {
+    const now = monotonicMs();
+    if (now - this.reportedAt < REFUSAL_REPORT_MS) return;
+    this.reportedAt = now;
+    this.options.onRefused(this.refused - this.reportedRefusals);
+    this.reportedRefusals = this.refused;
+  }
+}
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -29,11 +29,15 @@
 import type { Heartbeat, HeartbeatResponse } from './messages.js';
 import type { CheckedConsensusOptions } from './options.js';
 import { PendingProposals } from './pending-proposals.js';
+import { ProposalGate } from './proposal-gate.js';
 import { QuorumCheck } from './quorum-check.js';
 import { createReplicationTraffic } from './replication-traffic.js';
 import { Replicator } from './replicator.js';
 import type { StateMachine } from './state-machine.js';
 
+/** A command is to be committed within so many heartbeat intervals. */
+const COMMIT_TARGET_HEARTBEATS = 2;
+
 export type MemberState = 'follower' | 'candidate' | 'leader';
 
 /** What a group needs of the process around it. */
@@ -52,6 +56,8 @@
   onLeadershipChange(group: ReplicatedGroup): void;
   /** Called when there was no room for a snapshot; it is tried again later. */
   onSnapshotSkipped(group: ReplicatedGroup, error: StorageFullError): void;
+  /** Called at most once a second while a leader refuses commands for their number. */
+  onProposalsRefused(group: ReplicatedGroup, count: number): void;
   onFatal(error: unknown): void;
 }
 
@@ -67,6 +73,7 @@
   private readonly duty: FollowerDuty;
   private readonly replicators = new Map<string, Replicator>();
   private readonly proposals: PendingProposals;
+  private readonly gate: ProposalGate;
   private readonly quorumCheck: QuorumCheck;
   private readonly quorumContact = new SignalEvent();
   /** While leading: the last index that is synced on this member. */
@@ -84,6 +91,14 @@
   ) {
     this.name = log.group;
     this.proposals = new PendingProposals(log.group);
+    const { heartbeatIntervalMs, maxProposalWaitMs } = environment.options;
+    this.gate = new ProposalGate({
+      group: log.group,
+      commitTargetMs: COMMIT_TARGET_HEARTBEATS * heartbeatIntervalMs,
+      maxWaitMs: maxProposalWaitMs,
+      append: (data) => this.appendAsLeader({ kind: 'command', data }),
+      onRefused: (count) => environment.onProposalsRefused(this, count),
+    });
     this.commitIndex = log.latestSnapshot?.index ?? 0;
     this.applier = new Applier(this, stateMachine, environment);
     this.duty = new FollowerDuty(this, environment);
@@ -149,6 +164,8 @@
    * Replicates a command; resolves with its result once it is committed and applied.
    * @throws NotLeaderError when this member does not lead; the command was not taken
    * @throws StorageFullError when the log has no room; the command was not taken
+   * @throws GroupOverloadedError when there are more commands than the group commits in time; this one
+   *   was not taken
    * @throws CommitUnknownError when leadership ended first; the command may be committed
    */
   propose(command: Uint8Array): Promise<unknown> {
@@ -157,7 +174,7 @@
       return Promise.reject(this.heldTooMuch());
     }
     try {
-      return this.appendAsLeader({ kind: 'command', data: command });
+      return this.gate.pass(command);
     } catch (error) {
       if (error instanceof DiskFullError) this.leaveLeadership();
       return Promise.reject(error);
@@ -205,6 +222,16 @@
     return this.replicators.get(memberId)?.acknowledgedSentAt ?? Number.NEGATIVE_INFINITY;
   }
 
+  /** Whether there are more commands than the group commits soon. */
+  get isOverloaded(): boolean {
+    return this.gate.isHolding;
+  }
+
+  /** Commands refused so far because there were more than the group committed in time. */
+  get refusedProposals(): number {
+    return this.gate.refused;
+  }
+
   /** Adds a member or changes its role; one change at a time. */
   addMember(member: Member): Promise<unknown> {
     return this.changeConfiguration(withMember(this.configuration, member));
@@ -218,6 +245,7 @@
   async transferLeadership(): Promise<boolean> {
     if (!this.isLeader) return true;
     this.isTransferring = true;
+    this.gate.refuseAll(this.notLeader());
     try {
       return await transferLeadership(this, this.replicators);
     } finally {
@@ -309,6 +337,7 @@
     for (const replicator of this.replicators.values()) replicator.stop();
     this.replicators.clear();
     this.quorumContact.notify();
+    this.gate.close(this.notLeader());
     this.proposals.abandonAll();
     this.resetElectionDeadline();
     this.environment.onLeadershipChange(this);
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -2,19 +2,39 @@
  * A leader's task for one follower: sends entries, or a snapshot where the entries are gone, until
  * the follower holds the whole log; then waits for more.
  */
-import { Backoff, SignalEvent, monotonicMs, sleep } from '../common/index.js';
+import { Backoff, SignalEvent, TimeoutError, monotonicMs, sleep } from '../common/index.js';
 import type { LogEntry, SnapshotReader } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
+import { BatchLimit } from './batch-limit.js';
 import type { Member } from './configuration.js';
 import type { MemberLog } from './member-log.js';
-import { APPEND, SNAPSHOT, type AppendResponse, type SnapshotChunk } from './messages.js';
+import {
+  APPEND,
+  SNAPSHOT,
+  type AppendRequest,
+  type AppendResponse,
+  type SnapshotChunk,
+} from './messages.js';
 import type { ReplicationTraffic } from './replication-traffic.js';
 
-const MAX_APPEND_BYTES = 1024 * 1024;
+/** A batch of entries is to be answered within so many heartbeat intervals. */
+const BATCH_TARGET_HEARTBEATS = 2;
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024;
 const APPEND_TIMEOUT_MS = 1_000;
+/**
+ * After a time-out: what is on its way still may be received, and the same bytes sent again and again
+ * would fill the link for good. A connection that has ended ends the wait at once.
+ */
+const LONGEST_APPEND_TIMEOUT_MS = 4_000;
+/** A peer that sends nothing for so long is connected to anew, in milliseconds: as for heartbeats. */
+const APPEND_SILENCE_MS = 400;
 const SNAPSHOT_TIMEOUT_MS = 5_000;
 const FULL_FOLLOWER_WAIT_MS = 500;
+/**
+ * While commands wait, a learner's share of the time: it rests so many times as long as
+ * its batch took. Three learners beside four voters take 0.16 of a full link then, not 0.43.
+ */
+const LEARNER_REST = 3;
 
 /** What the task needs of its leader. */
 export interface ReplicationLeader {
@@ -25,6 +45,8 @@
   readonly log: MemberLog;
   readonly heartbeatIntervalMs: number;
   readonly traffic: ReplicationTraffic;
+  /** Whether there are more commands than the group commits soon. */
+  readonly isOverloaded: boolean;
   /** Whether a member counts for commits. */
   isVoter(memberId: string): boolean;
   call<Request, Response>(
@@ -48,6 +70,8 @@
   private hasProbed = false;
   private readonly wake = new SignalEvent();
   private readonly stopping = new AbortController();
+  private readonly batchLimit: BatchLimit;
+  private appendTimeoutMs = APPEND_TIMEOUT_MS;
   /** Ends the pause in which entries for a learner gather. */
   private gathering: AbortController | undefined;
 
@@ -56,6 +80,7 @@
     readonly member: Member,
   ) {
     this.nextIndex = leader.log.lastIndex + 1;
+    this.batchLimit = new BatchLimit(BATCH_TARGET_HEARTBEATS * leader.heartbeatIntervalMs);
     void this.run();
   }
 
@@ -99,9 +124,10 @@
       }
       try {
         const { lastIndex } = this.leader.log;
+        const sentAt = monotonicMs();
         await this.sendNext();
         backoff.reset();
-        if (this.matchIndex >= lastIndex) await this.gatherForLearner();
+        await this.restAsLearner(monotonicMs() - sentAt, this.matchIndex >= lastIndex);
       } catch {
         await sleep(backoff.nextDelayMs(), this.stopping.signal);
       }
@@ -109,14 +135,19 @@
   }
 
   /**
-   * Nothing waits for the answers of a learner that holds all there is: it gets what comes next
-   * together, once a heartbeat interval.
+   * Nothing waits for the answers of a learner. One that holds all there is gets what comes next
+   * together, once a heartbeat interval; one that does not gives way to commands that wait.
    */
-  private async gatherForLearner(): Promise<void> {
+  private async restAsLearner(tookMs: number, holdsAll: boolean): Promise<void> {
     const { leader, member } = this;
     if (leader.isVoter(member.id) || this.isStopped) return;
+    const restMs = Math.max(
+      holdsAll ? leader.heartbeatIntervalMs : 0,
+      leader.isOverloaded ? LEARNER_REST * tookMs : 0,
+    );
+    if (restMs === 0) return;
     this.gathering = new AbortController();
-    await sleep(leader.heartbeatIntervalMs, this.gathering.signal);
+    await sleep(restMs, this.gathering.signal);
     this.gathering = undefined;
   }
 
@@ -130,25 +161,42 @@
     const { log, group, ownId, term, commitIndex } = this.leader;
     const previousIndex = this.nextIndex - 1;
     const previousTerm = log.termAt(previousIndex) ?? 0;
-    const entries = this.hasProbed ? log.slice(this.nextIndex, MAX_APPEND_BYTES) : [];
+    const entries = this.hasProbed ? log.slice(this.nextIndex, this.batchLimit.bytes) : [];
     const base = { group, to: this.member.id, from: ownId, term };
     const request = { ...base, previousIndex, previousTerm, entries, commitIndex };
-    this.countEntries(entries);
     const sentAt = monotonicMs();
-    const response = await this.leader.call(this.member, APPEND, request, {
-      timeoutMs: APPEND_TIMEOUT_MS,
-    });
+    const response = await this.callAppend(request);
     if (this.isStopped) return;
     await this.takeResponse(response, sentAt);
   }
 
-  private countEntries(entries: readonly LogEntry[]): void {
+  private async callAppend(request: AppendRequest): Promise<AppendResponse> {
+    const bytes = this.countEntries(request.entries);
+    const sentAt = monotonicMs();
+    const options = { timeoutMs: this.appendTimeoutMs, silenceMs: APPEND_SILENCE_MS };
+    try {
+      const response = await this.leader.call(this.member, APPEND, request, options);
+      this.appendTimeoutMs = APPEND_TIMEOUT_MS;
+      return response;
+    } catch (error) {
+      if (error instanceof TimeoutError) this.appendTimeoutMs = LONGEST_APPEND_TIMEOUT_MS;
+      throw error;
+    } finally {
+      this.batchLimit.note(bytes, monotonicMs() - sentAt);
+    }
+  }
+
+  /** @returns the bytes of the entries together */
+  private countEntries(entries: readonly LogEntry[]): number {
     const { traffic } = this.leader;
     const firstSent = this.leader.isVoter(this.member.id) ? 'voterEntries' : 'learnerEntries';
+    let bytes = 0;
     for (const { index, data } of entries) {
       traffic[index <= this.sentIndex ? 'repeatedEntries' : firstSent] += data.length;
+      bytes += data.length;
     }
     this.sentIndex = Math.max(this.sentIndex, entries.at(-1)?.index ?? 0);
+    return bytes;
   }
 
   private async takeResponse(response: AppendResponse, sentAt: number): Promise<void> {
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -38,6 +38,7 @@
 export class GroupMemberProcess {
   readonly router = new MethodRouter();
   readonly peers: PeerDirectory;
+  private readonly urgentPeers: PeerDirectory;
   group: ReplicatedGroup | undefined;
   keeper: VoterKeeper | undefined;
   private readonly stopping = new AbortController();
@@ -50,12 +51,14 @@
     private readonly wal: WriteAheadLog,
   ) {
     const { settings } = options;
-    this.peers = new PeerDirectory({
+    const links = {
       ownName: settings.name,
       secret: settings.secret,
       router: this.router,
-      resolveAddress: (address) => address,
-    });
+      resolveAddress: (address: string) => address,
+    };
+    this.peers = new PeerDirectory(links);
+    this.urgentPeers = new PeerDirectory(links);
   }
 
   static async open(options: GroupMemberOptions): Promise<GroupMemberProcess> {
@@ -129,6 +132,7 @@
     await this.host.stop();
     this.rpcServer.close();
     this.peers.close();
+    this.urgentPeers.close();
     await this.wal.close();
   }
 
@@ -139,6 +143,7 @@
       wal: this.wal,
       snapshots: new SnapshotStore(join(settings.dataFolder!, 'snapshots')),
       peers: this.peers,
+      urgentPeers: this.urgentPeers,
       options: checkConsensusOptions(consensus),
       logger,
       onFatal,
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -27,6 +27,11 @@
  */
 const SNAPSHOT_EVERY_BYTES = 4 * 1024 * 1024;
 const TRAILING_BYTES = 2 * 1024 * 1024;
+/**
+ * How long a reservation or settlement may wait for its place in the log, in milliseconds: a turn that
+ * waits for longer than an election takes is late whatever becomes of it.
+ */
+const MAX_PROPOSAL_WAIT_MS = 300;
 /**
  * How long another member may take to be reached, and to send values of kept turns, in milliseconds:
  * an answer of 512 KiB takes 0.2 s on the slowest link that was met (21 Mbit/s).
@@ -224,5 +229,6 @@
     snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
     trailingBytes: TRAILING_BYTES,
     maxHeldBytes: budget.heldEntries,
+    maxProposalWaitMs: MAX_PROPOSAL_WAIT_MS,
   };
 }
--- a/src/nodes/node-metrics.ts
+++ b/src/nodes/node-metrics.ts
@@ -42,6 +42,11 @@
     'Members in the latest configuration',
     ofGroup((group) => group.configuration.members.length),
   );
+  add(
+    'refused_commands',
+    'Commands refused since there were more than were committed in time',
+    ofGroup((group) => group.refusedProposals),
+  );
   const addTraffic = (name: string, help: string, purpose: keyof ReplicationTraffic): void =>
     add(
       `sent_${name}_bytes`,
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -109,6 +109,7 @@
       wal,
       snapshots: new SnapshotStore(join(folder, 'snapshots')),
       peers: this.network.peersOf(member.address),
+      urgentPeers: this.network.peersOf(member.address, ' urgent'),
       options: checkConsensusOptions({ ...FAST_TIMING, ...this.options.consensus }),
       logger: createLogger({ member: member.id }),
       onFatal,
