--- a/tests/support/metered-links.ts
+++ b/tests/support/metered-links.ts
@@ -8,6 +8,8 @@
 export interface MeteredLinksOptions {
   /** Of each machine's link, one way. */
   bytesPerSecond: number;
+  /** Of the links of some machines. @default as for all */
+  slower?: ReadonlyMap<string, number>;
   /** Time from one machine to another, in milliseconds. */
   latencyMs: number;
 }
@@ -37,16 +39,19 @@
   private async carryNow(from: string, to: string, bytes: number): Promise<void> {
     for (let left = bytes; left > 0; left -= WINDOW_BYTES) {
       const size = Math.min(left, WINDOW_BYTES);
-      const leftAt = this.passLink(`out ${from}`, monotonicMs(), size);
-      const arrivesAt = this.passLink(`in ${to}`, leftAt + this.options.latencyMs, size);
+      const leftAt = this.passLink('out', from, monotonicMs(), size);
+      const arrivesAt = this.passLink('in', to, leftAt + this.options.latencyMs, size);
       await sleep(Math.max(0, arrivesAt - monotonicMs()));
     }
   }
 
-  /** @returns when the last byte has passed a link that it reaches at `reachedAt` */
-  private passLink(link: string, reachedAt: number, bytes: number): number {
+  /** @returns when the last byte has passed a machine's link that it reaches at `reachedAt` */
+  private passLink(way: 'in' | 'out', machine: string, reachedAt: number, bytes: number): number {
+    const { slower, bytesPerSecond } = this.options;
+    const rate = slower?.get(machine) ?? bytesPerSecond;
+    const link = `${way} ${machine}`;
     const startsAt = Math.max(reachedAt, this.freeAt.get(link) ?? 0);
-    const passedAt = startsAt + (bytes / this.options.bytesPerSecond) * 1_000;
+    const passedAt = startsAt + (bytes / rate) * 1_000;
     this.freeAt.set(link, passedAt);
     return passedAt;
   }
