--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -27,6 +27,11 @@
  */
 const SNAPSHOT_EVERY_BYTES = 4 * 1024 * 1024;
 const TRAILING_BYTES = 2 * 1024 * 1024;
+/**
+ * How long a reservation or settlement may wait for its place in the log, in milliseconds: a turn that
+ * waits for longer than an election takes is late whatever becomes of it.
+ */
+const MAX_PROPOSAL_WAIT_MS = 300;
 /**
  * How long another member may take to be reached, and to send values of kept turns, in milliseconds:
  * an answer of 512 KiB takes 0.2 s on the slowest link that was met (21 Mbit/s).
@@ -46,6 +51,7 @@
     private readonly controlClient: GroupClient,
     private readonly ledgerClient: GroupClient,
     private readonly values: ValueStore,
+    private readonly service: LedgerService,
   ) {
     this.watcher = new DirectoryWatcher({
       client: directory,
@@ -81,6 +87,13 @@
     const controlClient = new GroupClient({ peers, addresses: settings.controlSeeds });
     const ledgerClient = new GroupClient({ peers, addresses: [] });
     const directory = new DirectoryClient(controlClient);
+    const memory = new MemoryGuard(budget.total, logger);
+    const service = new LedgerService({
+      stateMachine,
+      findGroup: () => member.group,
+      mustRefuse: () => memory.isTight(),
+    });
+    service.registerHandlers(member.router);
     const node: JournalNode = new JournalNode(
       settings,
       hooks,
@@ -89,13 +102,8 @@
       controlClient,
       ledgerClient,
       values,
+      service,
     );
-    const memory = new MemoryGuard(budget.total, logger);
-    new LedgerService({
-      stateMachine,
-      findGroup: () => member.group,
-      mustRefuse: () => memory.isTight(),
-    }).registerHandlers(member.router);
     await member.listen();
     node.watcher.start();
     void node.enterKnownGroup().catch(onFatal);
@@ -120,6 +128,9 @@
     add('_written_bytes', 'Bytes written so far', () => values.counters.writtenBytes);
     add('_moved_bytes', 'Bytes of them that were moved', () => values.counters.movedBytes);
     add('_damaged', 'Values found damaged', () => values.counters.damaged);
+    const { sentBytes } = this.service;
+    add('_sent_history_bytes', 'Bytes sent with reservations', () => sentBytes.histories);
+    add('_sent_turn_bytes', 'Bytes sent to readers of turns', () => sentBytes.turns);
     return registry;
   }
 
@@ -218,5 +229,6 @@
     snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
     trailingBytes: TRAILING_BYTES,
     maxHeldBytes: budget.heldEntries,
+    maxProposalWaitMs: MAX_PROPOSAL_WAIT_MS,
   };
 }
