A broken stream goes on at another back end when its own has said that it leaves

Cause: after a break the call stayed with its back end without another look at the directory. Now it changes to another one within the route's attempts, or is broken off. Ruled out: sending once more while the leaving was heard lately, since a call's time is longer than the bound of a drain.

--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -250,8 +250,11 @@
     if (!this.mayRepeat || this.resends >= MAX_RESENDS) return this.endingOfBroken();
     this.resends += 1;
     this.answer.restart();
-    const mayChange = kind === 'repeatable' && this.sentTo.size < maxAttempts;
+    // Resending to one that leaves would break what it was told when its leaving was acknowledged.
+    const isLeaving = !this.options.backends.serving(this.service).includes(backend);
+    const mayChange = (kind === 'repeatable' || isLeaving) && this.sentTo.size < maxAttempts;
     if (mayChange && this.hasOther(backend)) this.excluded.add(backend.id);
+    else if (isLeaving) return this.endingOfBroken();
     else this.stayWith = { backend, missingTokens: 0 };
     return undefined;
   }
