--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -11,7 +11,7 @@
   Placement,
 } from '../forwarding/index.js';
 import { LedgerClient } from '../ledger/index.js';
-import type { Logger } from '../observability/index.js';
+import { type Logger, addGauge } from '../observability/index.js';
 import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
@@ -58,6 +58,7 @@
       gateways: () => this.gatewayCount,
     });
     this.watcher = this.createWatcher();
+    this.addGauges();
     this.forwarder = new CallForwarder({
       routes: () => this.routes,
       waitForRoutes: (timeoutMs) => this.routesArrived.waitUpTo(timeoutMs),
@@ -102,6 +103,22 @@
     this.peers.close();
   }
 
+  /** How old this gateway's knowledge is, and which configuration it acts by. */
+  private addGauges(): void {
+    const add = (name: string, help: string, read: () => number): void =>
+      addGauge(this.metrics.registry, `ledgegauge_directory_${name}`, help, read);
+    add(
+      'age_seconds',
+      "Time since the directory's leader last answered",
+      () => this.watcher.ageMs / 1_000,
+    );
+    add(
+      'generation',
+      'Generation of the configuration in force; 0 before the first',
+      () => this.routes?.configuration.generation ?? 0,
+    );
+  }
+
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
