A silent connection is replaced by tries that overlap and go on

Cause: suspicion led to one handshake. Where that met silence too, the suspect connection stayed, its questions stayed open to their own time limits, and nothing tried again. A link without a connection waited for each handshake in turn, with limits that doubled. Each call whose time ran out in one silence doubled the limit of silence, up to 4 s, which is longer than a drain may take.

The limit of silence doubles once a silence, follows what a late peer has shown (1.25 times as long), and is 1.5 s at most.

Ruled out: closing a suspect connection at once. It loses the answers of a peer that is only late.

--- a/src/wire/adaptive-timeout.ts
+++ b/src/wire/adaptive-timeout.ts
@@ -9,6 +9,9 @@
   maximumMs: number;
 }
 
+/** How much later than the one before an answer may come, as a factor. */
+const LATENESS_MARGIN = 1.25;
+
 export class AdaptiveTimeout {
   private limitMs: number;
 
@@ -25,6 +28,12 @@
     this.limitMs = Math.min(this.options.maximumMs, this.limitMs * 2);
   }
 
+  /** The peer did answer, that late: the next limit lets an answer that is a little later still through. */
+  noteLate(afterMs: number): void {
+    const enoughMs = Math.max(this.limitMs, afterMs * LATENESS_MARGIN);
+    this.limitMs = Math.min(this.options.maximumMs, enoughMs);
+  }
+
   /** The peer answered in time. */
   reset(): void {
     this.limitMs = this.options.baseMs;
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -3,11 +3,12 @@
  * and connects again with backoff. Requests fail at once while the link is down.
  *
  * A connection that met silence is kept until another one has proved better: closing it for the
- * silence of a peer that is only late loses its answers and gives it a handshake to do for each.
+ * silence of a peer that is only late loses its answers and gives it a handshake to do for each. Others
+ * are tried for as long as it stays silent; once one has taken its place, its calls fail and may be made
+ * again.
  */
 import { connect, type Socket } from 'node:net';
-import { Backoff, SignalEvent, TimeoutError, sleep } from '../common/index.js';
-import { AdaptiveTimeout } from './adaptive-timeout.js';
+import { Backoff, SignalEvent, sleep } from '../common/index.js';
 import { AuthenticationError, LinkError } from './errors.js';
 import {
   type ServerChallenge,
@@ -17,6 +18,7 @@
   proofsMatch,
   serverProof,
 } from './authentication.js';
+import { ConnectionRace, type ConnectionTry } from './connection-race.js';
 import { FramedSocket } from './framed-socket.js';
 import type { Method } from './method.js';
 import { MethodRouter } from './method.js';
@@ -26,11 +28,13 @@
  * A machine without power answers nothing, and the system repeats an unanswered opening packet only
  * after a second; a fresh try finds a machine that came back much sooner.
  */
-const CONNECT_TIMEOUT_MS = 200;
-/** A peer that takes connections, but is late, is given longer with each handshake in vain. */
-const HANDSHAKE_TIMEOUT_MS = 400;
-const LONGEST_HANDSHAKE_MS = 3_200;
-const MAXIMUM_RECONNECT_DELAY_MS = 100;
+export const CONNECT_TIMEOUT_MS = 200;
+/**
+ * A peer that takes connections, but is late, is heard however late it is: other tries begin beside this
+ * one, so that it holds up nothing.
+ */
+const HANDSHAKE_STEP_TIMEOUT_MS = 3_200;
+export const MAXIMUM_RECONNECT_DELAY_MS = 100;
 
 export interface PeerLinkOptions {
   /** `host:port` to connect to. */
@@ -44,14 +48,9 @@
 
 export class PeerLink {
   private connection: RpcConnection | undefined;
-  /** Takes the place of a suspect connection once that has closed. */
-  private replacement: RpcConnection | undefined;
-  private isReplacing = false;
+  /** Opens the connection that comes next, from when the one before is suspect or has closed. */
+  private race: ConnectionRace | undefined;
   private readonly silenceLimit = createSilenceLimit();
-  private readonly handshakeLimit = new AdaptiveTimeout({
-    baseMs: HANDSHAKE_TIMEOUT_MS,
-    maximumMs: LONGEST_HANDSHAKE_MS,
-  });
   private readonly stopping = new AbortController();
   private readonly connected = new SignalEvent();
   private readonly traffic = { received: 0, sent: 0 };
@@ -101,91 +100,100 @@
   close(): void {
     this.stopping.abort();
     this.connection?.close();
-    this.replacement?.close();
+    this.race?.stop();
   }
 
   private async run(): Promise<void> {
     const backoff = new Backoff({ initialMs: 20, maximumMs: MAXIMUM_RECONNECT_DELAY_MS });
     while (!this.stopping.signal.aborted) {
       try {
-        const connection = this.takeReplacement() ?? (await this.open());
+        const connection = await this.startRace().winner;
+        this.race = undefined;
+        if (!connection) continue;
         backoff.reset();
-        this.connection = connection;
-        this.connected.notify();
-        await connection.closed;
-        this.traffic.received += connection.traffic.received;
-        this.traffic.sent += connection.traffic.sent;
-        this.connection = undefined;
-        if (this.replacement) continue;
+        await this.use(connection);
+        if (this.race) continue;
       } catch {
         // The wait below covers every cause; callers see LinkError meanwhile.
+        this.race = undefined;
       }
       await sleep(backoff.nextDelayMs(), this.stopping.signal);
     }
   }
 
-  private takeReplacement(): RpcConnection | undefined {
-    const { replacement } = this;
-    this.replacement = undefined;
-    return replacement?.isOpen ? replacement : undefined;
+  /** Resolves when the connection has closed. */
+  private async use(connection: RpcConnection): Promise<void> {
+    this.connection = connection;
+    this.connected.notify();
+    await connection.closed;
+    this.traffic.received += connection.traffic.received;
+    this.traffic.sent += connection.traffic.sent;
+    this.connection = undefined;
+  }
+
+  /** The race for the next connection, which may be on already. */
+  private startRace(): ConnectionRace {
+    this.race ??= new ConnectionRace({
+      open: (attempt) => this.open(attempt),
+      silenceLimitMs: () => this.silenceLimit.currentMs,
+    });
+    return this.race;
   }
 
   private async replace(suspect: RpcConnection): Promise<void> {
-    if (this.isReplacing) return;
-    this.isReplacing = true;
+    if (suspect !== this.connection) return;
     try {
-      const fresh = await this.open();
-      if (!suspect.isSuspect || !suspect.isOpen) {
-        fresh.close();
-        return;
-      }
-      this.replacement = fresh;
-      suspect.close();
-    } catch (error) {
+      const fresh = await this.startRace().winner;
+      if (fresh) suspect.close();
+    } catch {
       // Late in the handshake says no more than the silence did; a machine that can't be reached does.
-      if (error instanceof LinkError && suspect.isSuspect) suspect.close();
-    } finally {
-      this.isReplacing = false;
+      suspect.close();
     }
   }
 
-  private async open(): Promise<RpcConnection> {
+  /** The suspect connection speaks again: its peer was only late. */
+  private keep(connection: RpcConnection): void {
+    if (connection !== this.connection) return;
+    this.race?.stop();
+    this.race = undefined;
+  }
+
+  private async open(attempt: ConnectionTry): Promise<RpcConnection> {
     const socket = await dial(this.options.address);
     const framed = new FramedSocket(socket, this.options.address);
+    const giveUp = (): void => framed.destroy();
+    attempt.signal.addEventListener('abort', giveUp, { once: true });
     try {
-      await this.authenticate(framed);
+      if (attempt.signal.aborted) giveUp();
+      await this.exchangeProofs(framed, attempt);
     } catch (error) {
       framed.destroy();
       throw error;
+    } finally {
+      attempt.signal.removeEventListener('abort', giveUp);
     }
-    if (this.stopping.signal.aborted) framed.destroy();
+    return this.createConnection(framed);
+  }
+
+  private createConnection(framed: FramedSocket): RpcConnection {
     const router = this.options.router ?? new MethodRouter();
     const connection: RpcConnection = new RpcConnection(framed, router, this.options.address, {
       silenceLimit: this.silenceLimit,
       onSuspect: () => void this.replace(connection),
+      onTrusted: () => this.keep(connection),
     });
     return connection;
   }
 
-  private async authenticate(framed: FramedSocket): Promise<void> {
-    try {
-      await this.exchangeProofs(framed);
-      this.handshakeLimit.reset();
-    } catch (error) {
-      if (error instanceof TimeoutError) this.handshakeLimit.noteExpired();
-      throw error;
-    }
-  }
-
-  private async exchangeProofs(framed: FramedSocket): Promise<void> {
+  private async exchangeProofs(framed: FramedSocket, { onHeard }: ConnectionTry): Promise<void> {
     const { ownName, secret } = this.options;
     const step = 'wire.authenticate';
-    const limitMs = this.handshakeLimit.currentMs;
-    const challenge = await framed.readOne<ServerChallenge>(step, limitMs);
+    const challenge = await framed.readOne<ServerChallenge>(step, HANDSHAKE_STEP_TIMEOUT_MS);
+    onHeard();
     const nonce = createNonce();
     const proof = clientProof(secret, challenge.nonce, nonce, ownName);
     framed.send({ name: ownName, nonce, proof });
-    const answer = await framed.readOne<ServerProof>(step, limitMs);
+    const answer = await framed.readOne<ServerProof>(step, HANDSHAKE_STEP_TIMEOUT_MS);
     if (!proofsMatch(serverProof(secret, challenge.nonce, nonce), String(answer.proof))) {
       throw new AuthenticationError('wrong proof', { step, peer: framed.peer });
     }
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -22,9 +22,13 @@
 }
 
 /** A shorter silence after the first unanswered request says nothing about the connection. */
-const SUSPECT_AFTER_SILENCE_MS = 250;
-/** Longer than any silence of a process that still works, in milliseconds. */
-const LONGEST_SILENCE_MS = 4_000;
+export const SUSPECT_AFTER_SILENCE_MS = 250;
+/**
+ * The limit for a peer whose answers have come late, in milliseconds. A lost connection is noticed no
+ * later, which the time of a drain leaves room for; a peer that is later still is given a handshake to
+ * do beside each question.
+ */
+export const LONGEST_SILENCE_MS = 1_500;
 
 export interface CallOptions {
   /** How long to wait for the response, in milliseconds. */
@@ -39,6 +43,8 @@
 export interface RpcConnectionOptions {
   /** Called when requests have met silence for long; the peer may be gone, or late. @default closes */
   onSuspect?: () => void;
+  /** Called when a suspect connection speaks again. @default nothing */
+  onTrusted?: () => void;
   /** How long a silence has to be, shared by the connections to one peer. @default its own */
   silenceLimit?: AdaptiveTimeout;
 }
@@ -57,7 +63,8 @@
   /** When the first request went out after the last whole message (monotonic, milliseconds). */
   private awaitingSince: number | undefined;
   private suspicionTimer: NodeJS.Timeout | undefined;
-  private suspect = false;
+  /** Since when the peer has been silent (monotonic, milliseconds), while the connection is suspect. */
+  private suspectSince: number | undefined;
   private readonly silenceLimit: AdaptiveTimeout;
 
   constructor(
@@ -81,7 +88,7 @@
 
   /** Whether requests have met silence for long; the next whole message ends the suspicion. */
   get isSuspect(): boolean {
-    return this.suspect;
+    return this.suspectSince !== undefined;
   }
 
   get traffic(): { received: number; sent: number } {
@@ -160,15 +167,17 @@
       }, missingMs);
       return;
     }
+    // Calls whose time runs out later in the same silence say nothing new.
+    if (this.isSuspect) return;
+    this.suspectSince = silentSince;
     this.silenceLimit.noteExpired();
-    this.suspect = true;
     if (this.options.onSuspect) this.options.onSuspect();
     else this.socket.destroy();
   }
 
   private receive(envelope: Envelope): void {
     this.awaitingSince = undefined;
-    this.suspect = false;
+    this.endSuspicion();
     switch (envelope.k) {
       case 'q':
         void this.answer(envelope.i, envelope.m, envelope.b);
@@ -187,6 +196,13 @@
     }
   }
 
+  private endSuspicion(): void {
+    if (this.suspectSince === undefined) return;
+    this.silenceLimit.noteLate(monotonicMs() - this.suspectSince);
+    this.suspectSince = undefined;
+    this.options.onTrusted?.();
+  }
+
   private async answer(id: number, method: string, request: unknown): Promise<void> {
     try {
       const response = await this.runHandler(method, request);
