A question that was lost with its connection is asked again at once

Cause: the failure of an open question was read only after the pause that was on, then another pause followed, and the member was asked again only when another one pointed at it. Now what is overdue ends a pause, and a leader that others have pointed at, and whose connection was lost, is asked again itself, once.

Ruled out: asking at once after any refusal of that member; one that says it doesn't lead is not lost.

--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -5,9 +5,10 @@
  * would otherwise do the same work again and again, and none of it in time. Commands may reach the log
  * twice when an answer is lost, so they must be idempotent.
  */
-import { Backoff, LedgegaugeError, monotonicMs, sleep } from '../common/index.js';
+import { Backoff, LedgegaugeError, monotonicMs } from '../common/index.js';
 import { type Method, decodeValue, encodeValue } from '../wire/index.js';
 import { EXECUTE, type GroupRequest, type GroupResponse, QUERY } from './group-messages.js';
+import { LeaderHints } from './leader-hints.js';
 import { type Attempt, OpenTries, type TryResult } from './open-tries.js';
 import type { PeerCaller } from './peer-directory.js';
 
@@ -112,8 +113,7 @@
       maximumMs: options.maximumPauseMs ?? DEFAULT_MAXIMUM_PAUSE_MS,
     });
     const tries = new OpenTries(attempt, { deadline, silenceMs: tryTimeoutMs });
-    /** Hints followed since the last pause: two members may point at each other. */
-    const hinted = new Set<string>();
+    const hints = new LeaderHints(tries);
     let lastProblem = 'no member asked';
     let address = this.leaders.get(group) ?? this.anyAddress(tries);
     let waitMs = tryTimeoutMs;
@@ -126,19 +126,17 @@
         return answer.response;
       }
       lastProblem = answer?.refusal ?? lastProblem;
-      const hint = answer?.leaderAddress;
-      // A hint at a member that owes an answer is old: who leads next is known soon, so it is asked for.
-      if (hint !== undefined && !tries.has(hint) && !hinted.has(hint)) {
-        hinted.add(hint);
+      const hint = answer && hints.follow(answer);
+      if (hint !== undefined) {
         address = hint;
         waitMs = tryTimeoutMs;
         continue;
       }
       this.leaders.delete(group);
-      hinted.clear();
+      hints.notePause();
       waitMs = Math.min(backoff.nextDelayMs(), Math.max(0, deadline - monotonicMs()));
-      // While some are overdue, the pause is the wait for them.
-      if (answer) await sleep(waitMs);
+      // An answer that is overdue ends the pause; while some are, the pause is the wait for them.
+      if (answer) await tries.pause(waitMs);
       address = this.anyAddress(tries);
     }
     throw new GroupUnavailableError(`no leader answered: ${lastProblem}`, {
--- /dev/null
+++ b/src/consensus/leader-hints.ts
@@ -0,0 +1,39 @@
+/** Whom the answers of members, in one call, point at as the leader. */
+import type { OpenTries, TryAnswer } from './open-tries.js';
+
+export class LeaderHints {
+  /** Hints followed since the last pause: two members may point at each other. */
+  private readonly followed = new Set<string>();
+  /** The member that owes an answer and that another one has pointed at. */
+  private awaited: string | undefined;
+
+  constructor(private readonly tries: OpenTries<unknown>) {}
+
+  /** The member to ask at once on account of an answer, if there is one. */
+  follow(answer: TryAnswer<unknown>): string | undefined {
+    const hint = this.hintOf(answer);
+    if (hint === undefined) return undefined;
+    // A hint at a member that owes an answer is old: who leads next is known soon, so it is asked for.
+    if (this.tries.has(hint)) {
+      this.awaited = hint;
+      return undefined;
+    }
+    if (this.followed.has(hint)) return undefined;
+    this.followed.add(hint);
+    return hint;
+  }
+
+  notePause(): void {
+    this.followed.clear();
+  }
+
+  /** An awaited leader whose connection was lost is asked again itself: the link is mostly up already. */
+  private hintOf(answer: TryAnswer<unknown>): string | undefined {
+    if ('leaderAddress' in answer && answer.leaderAddress !== undefined) {
+      return answer.leaderAddress;
+    }
+    if (!answer.isLost || answer.address !== this.awaited) return undefined;
+    this.awaited = undefined;
+    return answer.address;
+  }
+}
--- a/src/consensus/open-tries.ts
+++ b/src/consensus/open-tries.ts
@@ -1,6 +1,6 @@
 /** The members of a group that one call has asked and that have not answered yet. */
 import { describeError, monotonicMs } from '../common/index.js';
-import type { CallOptions } from '../wire/index.js';
+import { type CallOptions, LinkError } from '../wire/index.js';
 
 /** What one member said: the result, or where else to ask. */
 export type TryResult<Response> =
@@ -13,7 +13,11 @@
 ) => Promise<TryResult<Response>>;
 
 /** What a member said, and which one. */
-export type TryAnswer<Response> = TryResult<Response> & { address: string };
+export type TryAnswer<Response> = TryResult<Response> & {
+  address: string;
+  /** The question or its answer was lost with the connection. */
+  isLost: boolean;
+};
 
 export interface OpenTriesLimits {
   /** When the whole call ends (monotonic, milliseconds). */
@@ -48,12 +52,17 @@
 
   /** The next answer or failure of any member, or nothing after `timeoutMs`. */
   async next(timeoutMs: number): Promise<TryAnswer<Response> | undefined> {
-    if (this.answers.length === 0) await this.waitForAnswer(timeoutMs);
+    await this.pause(timeoutMs);
     const answer = this.answers.shift();
     if (answer) this.open.delete(answer.address);
     return answer;
   }
 
+  /** Waits, but no longer than until an answer or a failure is there to be read. */
+  async pause(forMs: number): Promise<void> {
+    if (this.answers.length === 0) await this.waitForAnswer(forMs);
+  }
+
   private async waitForAnswer(timeoutMs: number): Promise<void> {
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, timeoutMs);
@@ -69,9 +78,11 @@
     const { deadline, silenceMs } = this.limits;
     const timeoutMs = Math.max(1, deadline - monotonicMs());
     try {
-      return { ...(await this.attempt(address, { timeoutMs, silenceMs })), address };
+      const result = await this.attempt(address, { timeoutMs, silenceMs });
+      return { ...result, address, isLost: false };
     } catch (error) {
-      return { address, leaderAddress: undefined, refusal: describeError(error) };
+      const isLost = error instanceof LinkError;
+      return { address, isLost, leaderAddress: undefined, refusal: describeError(error) };
     }
   }
 }
