--- a/src/forwarding/answer-fuzz.test.ts
+++ b/src/forwarding/answer-fuzz.test.ts
@@ -19,7 +19,10 @@
 import { BackendConnections } from './backend-connections.js';
 
 /** Seeds that failed once stand here, each with a line on the cause. */
-const FAILED_SEEDS: readonly number[] = [];
+const FAILED_SEEDS: readonly number[] = [
+  // The back end of the test wrote a foreign answer into the middle of its own next one.
+  632882262,
+];
 const REGULAR_SEEDS = 30;
 const CALLS_PER_SEED = 8;
 const DAMAGES = ['none', 'none', 'close', 'reset', 'foreign-answer', 'garbage'] as const;
--- a/tests/support/raw-backend.ts
+++ b/tests/support/raw-backend.ts
@@ -61,12 +61,14 @@
     socket.on('error', () => undefined);
     socket.on('close', () => this.sockets.delete(socket));
     let received = '';
+    // One request at a time: what follows an answer never lands inside the next one.
+    let played = Promise.resolve();
     socket.on('data', (chunk: Buffer) => {
       received += chunk.toString('latin1');
       for (let end = received.indexOf(END_OF_HEAD); end >= 0; end = received.indexOf(END_OF_HEAD)) {
         const request = received.slice(0, end);
         received = received.slice(end + END_OF_HEAD.length);
-        void this.play(socket, request);
+        played = played.then(() => this.play(socket, request));
       }
     });
   }
