--- a/src/forwarding/answer-fuzz.test.ts
+++ b/src/forwarding/answer-fuzz.test.ts
@@ -22,6 +22,8 @@
 const FAILED_SEEDS: readonly number[] = [
   // The back end of the test wrote a foreign answer into the middle of its own next one.
   632882262,
+  // A whole answer, then a close while the next request is written: that one is rightly broken.
+  517682882,
 ];
 const REGULAR_SEEDS = 30;
 const CALLS_PER_SEED = 8;
@@ -98,6 +100,12 @@
   return isOrderlyEnd && body === bytes.slice(headBytes, cutAt);
 }
 
+/** Whether an answer that counts as whole leaves a connection behind that fails the next call. */
+function mayBreakNext({ damage, cutAt, bytes }: PlannedAnswer): boolean {
+  const isCutAtItsEnd = (damage === 'close' || damage === 'reset') && cutAt === bytes.length;
+  return damage === 'foreign-answer' || damage === 'garbage' || isCutAtItsEnd;
+}
+
 /** Plays answers one after the other on kept connections and checks each. */
 async function playConversation(answers: PlannedAnswer[], random: SeededRandom): Promise<void> {
   const scripts = new Map(answers.map((answer) => [answer.id, scriptOf(answer, random)]));
@@ -112,9 +120,7 @@
         expect(isCompleteAllowed(answer, body), JSON.stringify({ answer, body })).toBe(true);
       } else if (answer.damage === 'none' && result.kind === 'broken') {
         // Only what an answer before it left on the connection may break a sound one.
-        expect(
-          answers.some(({ damage }) => damage === 'foreign-answer' || damage === 'garbage'),
-        ).toBe(true);
+        expect(answers.some(mayBreakNext)).toBe(true);
       }
       expect(result.kind).not.toBe('not-executed');
     }
