--- a/src/forwarding/event-sequence.test.ts
+++ b/src/forwarding/event-sequence.test.ts
@@ -78,4 +78,14 @@
       expect(mayGoOnAfter(ids)).toBe(false);
     },
   );
+
+  // A second run's event without an id was turned away, and yet counted as passed on, so that a third
+  // run was not tried.
+  it('may be taken up after an event that was turned away', () => {
+    const sequence = new EventSequence(undefined);
+    sequence.take('1');
+    sequence.beginRun();
+    expect(sequence.take(undefined)).toBe(false);
+    expect(sequence.mayGoOn).toBe(true);
+  });
 });
