An event that is turned away leaves the stream as it was

Cause: a second run's event without an id marked the stream as one that can't be taken up, though the event was not passed on; a third run was not tried. Found by reading.

--- a/src/forwarding/event-sequence.ts
+++ b/src/forwarding/event-sequence.ts
@@ -50,8 +50,9 @@
   /** An event without a number before it, or without one of its own. */
   private takeFirst(next: number | undefined): boolean {
     if (next === undefined) {
+      if (this.isAtSeam) return false;
       this.isComparable = false;
-      return !this.isAtSeam;
+      return true;
     }
     if (next <= HIGHEST_FIRST_COUNT) this.numbering = 'counting';
     this.last = next;
