--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -3,7 +3,7 @@
 import { VOTE } from './messages.js';
 import type { GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
 
-const VOTE_TIMEOUT_MS = 400;
+export const VOTE_TIMEOUT_MS = 400;
 
 interface VoteRound {
   term: number;
--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -37,7 +37,7 @@
 
 const DEFAULT_TRY_TIMEOUT_MS = 700;
 const FIRST_PAUSE_MS = 10;
-const DEFAULT_MAXIMUM_PAUSE_MS = 50;
+export const DEFAULT_MAXIMUM_PAUSE_MS = 50;
 
 export class GroupClient {
   private readonly leaders = new Map<string, string>();
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -26,9 +26,9 @@
 import { packConfiguration } from './packed-configuration.js';
 
 /** Time in which one order must be answered, in milliseconds. */
-const ORDER_TIMEOUT_MS = 2_500;
+export const ORDER_TIMEOUT_MS = 2_500;
 /** Callers of registrations give up after a second. */
-const REGISTRATION_TIMEOUT_MS = 800;
+export const REGISTRATION_TIMEOUT_MS = 800;
 const READ_TIMEOUT_MS = 900;
 const TRY_TIMEOUT_MS = 400;
 
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -25,7 +25,7 @@
 import { NodeRoster } from './node-roster.js';
 
 /** How long a watcher waits for news at most, in milliseconds. */
-const WATCH_WAIT_MS = 200;
+export const WATCH_WAIT_MS = 200;
 const HOUSEKEEPING_INTERVAL_MS = 250;
 /** How long the first founding waits for more journal processes than are needed, in milliseconds. */
 const FOUNDING_SETTLE_MS = 1_000;
@@ -50,9 +50,9 @@
 const REMOVED_AFTER_INTERVALS = 12;
 
 /** An acknowledged configuration is waited for so long at gateways that lag, in milliseconds. */
-const CONFIGURATION_CONFIRM_MS = 1_000;
+export const CONFIGURATION_CONFIRM_MS = 1_000;
 /** The same for a back end that leaves, whose call is given up after 0.8 s, in milliseconds. */
-const BACKENDS_CONFIRM_MS = 500;
+export const BACKENDS_CONFIRM_MS = 500;
 /** Names of lagging gateways in one log line. */
 const MAX_LOGGED_GATEWAYS = 8;
 
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -19,11 +19,11 @@
 import { unpackRoutes } from './packed-configuration.js';
 
 /** The answer of a leader that is behind is waited for so long, in milliseconds. */
-const WATCH_TIMEOUT_MS = 3_000;
+export const WATCH_TIMEOUT_MS = 3_000;
 /** One leader may take so long before others are asked, of which it holds the question for a part. */
-const WATCH_TRY_TIMEOUT_MS = 450;
+export const WATCH_TRY_TIMEOUT_MS = 450;
 /** Pause between members that are asked; all gateways ask at once while there is no leader. */
-const WATCH_MAXIMUM_PAUSE_MS = 150;
+export const WATCH_MAXIMUM_PAUSE_MS = 150;
 const FIRST_RETRY_DELAY_MS = 50;
 const MAXIMUM_RETRY_DELAY_MS = 400;
 
--- a/src/directory/gateway-confirmations.ts
+++ b/src/directory/gateway-confirmations.ts
@@ -10,7 +10,7 @@
  * A gateway that has not asked for so long is not waited for, in milliseconds: three of the times for
  * which a question is held, so that one that was killed delays an order by no more.
  */
-const IN_TOUCH_MS = 600;
+export const IN_TOUCH_MS = 600;
 
 /** The parts of the directory that gateways act by. */
 export type ConfirmedPart = 'configuration' | 'backendsIndex';
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -34,6 +34,8 @@
  * one, so that it holds up nothing.
  */
 const HANDSHAKE_STEP_TIMEOUT_MS = 3_200;
+/** A leader that lives is back, and has sent a heartbeat, before its followers begin an election. */
+export const FIRST_RECONNECT_DELAY_MS = 20;
 export const MAXIMUM_RECONNECT_DELAY_MS = 100;
 
 export interface PeerLinkOptions {
@@ -104,7 +106,10 @@
   }
 
   private async run(): Promise<void> {
-    const backoff = new Backoff({ initialMs: 20, maximumMs: MAXIMUM_RECONNECT_DELAY_MS });
+    const backoff = new Backoff({
+      initialMs: FIRST_RECONNECT_DELAY_MS,
+      maximumMs: MAXIMUM_RECONNECT_DELAY_MS,
+    });
     while (!this.stopping.signal.aborted) {
       try {
         const connection = await this.startRace().winner;
