A connection that has been silent for long is no sign of its peer

Cause: the accepting side never hears of the end of a connection that went silent both ways. It stayed in the table and counted as another connection of that peer, so that the end of the living one told nobody: followers of a leader that died after such a loss waited for its heartbeats' time-out (300 to 600 ms) instead of 130 to 260 ms.

Now only connections on which something came within the longest silence count. Ruled out: closing older connections of the same name when one is opened; a process may hold two links.

The silent connection itself stays until TCP gives it up.

--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -91,6 +91,11 @@
     return this.suspectSince !== undefined;
   }
 
+  /** Time since the last bytes from the peer, in milliseconds. */
+  get silentMs(): number {
+    return monotonicMs() - this.socket.lastReceivedMs;
+  }
+
   get traffic(): { received: number; sent: number } {
     return this.socket.traffic;
   }
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -12,7 +12,7 @@
 } from './authentication.js';
 import { FramedSocket } from './framed-socket.js';
 import type { MethodRouter } from './method.js';
-import { RpcConnection } from './rpc-connection.js';
+import { LONGEST_SILENCE_MS, RpcConnection } from './rpc-connection.js';
 
 const HANDSHAKE_TIMEOUT_MS = 1_000;
 
@@ -23,8 +23,8 @@
   secret: string;
   router: MethodRouter;
   /**
-   * Called when the last connection of a peer has closed: one that was replaced says nothing about the
-   * peer, and a leader that is taken for gone costs an election. @default nothing
+   * Called when the last connection on which a peer has spoken lately has closed: one that was replaced
+   * says nothing about the peer, and a leader that is taken for gone costs an election. @default nothing
    */
   onDisconnect?: (peerName: string) => void;
 }
@@ -57,8 +57,11 @@
     for (const connection of this.connections) connection.close();
   }
 
+  /** A connection whose end was lost on the way stays here: a silent one is no sign of its peer. */
   private isConnected(peerName: string): boolean {
-    return [...this.connections].some((connection) => connection.peerName === peerName);
+    return [...this.connections].some(
+      (connection) => connection.peerName === peerName && connection.silentMs <= LONGEST_SILENCE_MS,
+    );
   }
 
   private async serve(socket: Socket): Promise<void> {
