Voters send committed entries on to learners, so that the leader's link carries each entry to voters only

Each learner falls to one voter, the same by every member's reckoning, which sends it what is committed in the name of the leader it follows; that is in the log of every leader of that term and later ones. A learner's answers to heartbeats tell the leader how far it is.

--- a/src/clustering/voter-keeper.ts
+++ b/src/clustering/voter-keeper.ts
@@ -18,6 +18,11 @@
 const LOST_AFTER_MS = 8_000;
 /** How many entries a learner may lack when it is made a voter. */
 const CAUGHT_UP_LAG = 64;
+/**
+ * Or it may lack what came in so many of the latest intervals. Under load a learner that is up to date
+ * lacks some hundred entries at any moment, and a lost voter would not be replaced by it.
+ */
+const CAUGHT_UP_INTERVALS = 5;
 
 export interface VoterKeeperOptions {
   wishedVoters: number;
@@ -33,6 +38,8 @@
 export class VoterKeeper {
   private readonly candidates = new Map<string, SeenCandidate>();
   private readonly timer: NodeJS.Timeout;
+  /** Last indexes of the log at the latest intervals, oldest first. */
+  private readonly lastIndexes: number[] = [];
   private isBusy = false;
 
   constructor(
@@ -76,6 +83,8 @@
   }
 
   private async keep(): Promise<void> {
+    this.lastIndexes.push(this.group.log.lastIndex);
+    if (this.lastIndexes.length > CAUGHT_UP_INTERVALS) this.lastIndexes.shift();
     if (this.isBusy || !this.group.isCurrentLeader || !this.group.isConfigurationSettled) return;
     const step = this.nextStep();
     if (!step) return;
@@ -101,7 +110,7 @@
       candidates: [...this.candidates.values()],
       isReachable: (id) => this.isReachable(id),
       isLost: (id) => now - this.lastContactMs(id) > LOST_AFTER_MS,
-      isCaughtUp: (id) => this.lagOf(id) <= CAUGHT_UP_LAG,
+      isCaughtUp: (id) => this.isCaughtUp(id),
       isRetiring: this.options.isRetiring,
     });
   }
@@ -138,6 +147,12 @@
     return Math.max(this.group.contactMsOf(id), this.group.leadingSince);
   }
 
+  private isCaughtUp(id: string): boolean {
+    const [earlierLastIndex = 0] = this.lastIndexes;
+    const heldIndex = this.group.matchIndexOf(id);
+    return this.lagOf(id) <= CAUGHT_UP_LAG || heldIndex >= earlierLastIndex;
+  }
+
   private lagOf(id: string): number {
     return this.group.log.lastIndex - this.group.matchIndexOf(id);
   }
--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -93,16 +93,18 @@
     const { group } = this;
     const name = group.name;
     if (heartbeat.term < group.term) {
-      return { group: name, term: group.term, accepted: false, knowsMatch: false };
+      return { group: name, term: group.term, accepted: false, knowsMatch: false, matchIndex: 0 };
     }
     this.followLeader(heartbeat.term, heartbeat.from);
     const knowsMatch = this.matchedTerm === heartbeat.term;
     if (knowsMatch) {
       group.advanceCommit(Math.min(heartbeat.commitIndex, this.matchedIndex));
     }
+    // Taken before the wait, as the term is: in a later one they would tell of another leader's log.
     const { term } = group;
+    const { matchedIndex: matchIndex } = this;
     await group.waitTermDurable();
-    return { group: name, term, accepted: true, knowsMatch };
+    return { group: name, term, accepted: true, knowsMatch, matchIndex };
   }
 
   async snapshot(request: SnapshotChunk): Promise<SnapshotResponse> {
--- /dev/null
+++ b/src/consensus/learner-relays.ts
@@ -0,0 +1,193 @@
+/**
+ * A voter's tasks beside following: it sends committed entries on to the learners that fall to it, so that
+ * the leader's link, on which every commit waits, carries each entry to voters only.
+ *
+ * What is committed is in the log of every leader of this term and later ones. So it may be sent in the
+ * name of the leader that this member follows, as that leader would send it.
+ */
+import type { LogEntry } from '../log-store/index.js';
+import type { CallOptions, Method } from '../wire/index.js';
+import { type GroupConfiguration, type Member, isVoter, votersOf } from './configuration.js';
+import type { MemberLog } from './member-log.js';
+import type { ReplicationTraffic } from './replication-traffic.js';
+import { type ReplicatedLog, type ReplicationLeader, Replicator } from './replicator.js';
+
+/** What the tasks need of their member. */
+export interface RelayingMember {
+  readonly group: string;
+  readonly ownId: string;
+  readonly isFollower: boolean;
+  readonly leaderId: string | undefined;
+  readonly term: number;
+  readonly commitIndex: number;
+  readonly log: MemberLog;
+  readonly configuration: GroupConfiguration;
+  readonly heartbeatIntervalMs: number;
+  readonly traffic: ReplicationTraffic;
+  call<Request, Response>(
+    member: Member,
+    method: Method<Request, Response>,
+    request: Request,
+    options: CallOptions,
+  ): Promise<Response>;
+}
+
+/** The voter that sends entries on to a learner, the same for all members that know the configuration. */
+export function relayOf(
+  configuration: GroupConfiguration,
+  leaderId: string,
+  learnerId: string,
+): Member | undefined {
+  const byId = (left: Member, right: Member): number => (left.id < right.id ? -1 : 1);
+  const learners = configuration.members.filter(({ role }) => role === 'learner').sort(byId);
+  const place = learners.findIndex(({ id }) => id === learnerId);
+  const voters = votersOf(configuration)
+    .filter(({ id }) => id !== leaderId)
+    .sort(byId);
+  return place < 0 ? undefined : voters[place % voters.length];
+}
+
+export class LearnerRelays {
+  private readonly relays = new Map<string, Replicator>();
+  private source: RelaySource | undefined;
+
+  constructor(private readonly member: RelayingMember) {}
+
+  /** Begins and ends tasks as leader and configuration ask for; call it at every heartbeat interval. */
+  update(): void {
+    const { member } = this;
+    const { leaderId, term } = member;
+    if (
+      !member.isFollower ||
+      leaderId === undefined ||
+      !isVoter(member.configuration, member.ownId)
+    ) {
+      this.stop();
+      return;
+    }
+    if (this.source?.ownId !== leaderId || this.source.term !== term) this.stop();
+    this.source ??= new RelaySource(member, { leaderId, term, onHigherTerm: () => this.stop() });
+    const own = member.configuration.members.filter(
+      ({ id }) => relayOf(member.configuration, leaderId, id)?.id === member.ownId,
+    );
+    for (const learner of own) this.begin(learner, this.source);
+    for (const id of this.relays.keys()) {
+      if (!own.some((learner) => learner.id === id)) this.end(id);
+    }
+  }
+
+  /** More is committed. */
+  notify(): void {
+    for (const relay of this.relays.values()) relay.notify();
+  }
+
+  stop(): void {
+    for (const id of this.relays.keys()) this.end(id);
+    this.source = undefined;
+  }
+
+  private begin(learner: Member, source: RelaySource): void {
+    if (!this.relays.has(learner.id)) this.relays.set(learner.id, new Replicator(source, learner));
+  }
+
+  private end(id: string): void {
+    this.relays.get(id)?.stop();
+    this.relays.delete(id);
+  }
+}
+
+interface RelayTerm {
+  leaderId: string;
+  term: number;
+  onHigherTerm: () => void;
+}
+
+/** A member's committed entries, in the name of the leader that it follows. */
+class RelaySource implements ReplicationLeader {
+  readonly isOverloaded = false;
+  /** Two members that send snapshots at the same time would each break off the other's. */
+  readonly sendsSnapshots = false;
+  readonly log: ReplicatedLog;
+
+  constructor(
+    private readonly member: RelayingMember,
+    private readonly of: RelayTerm,
+  ) {
+    this.log = new CommittedLog(member);
+  }
+
+  get group(): string {
+    return this.member.group;
+  }
+
+  get ownId(): string {
+    return this.of.leaderId;
+  }
+
+  get term(): number {
+    return this.of.term;
+  }
+
+  get commitIndex(): number {
+    return this.member.commitIndex;
+  }
+
+  get heartbeatIntervalMs(): number {
+    return this.member.heartbeatIntervalMs;
+  }
+
+  get traffic(): ReplicationTraffic {
+    return this.member.traffic;
+  }
+
+  isVoter(memberId: string): boolean {
+    return isVoter(this.member.configuration, memberId);
+  }
+
+  isRelayed(): boolean {
+    return false;
+  }
+
+  call<Request, Response>(
+    member: Member,
+    method: Method<Request, Response>,
+    request: Request,
+    options: CallOptions,
+  ): Promise<Response> {
+    return this.member.call(member, method, request, options);
+  }
+
+  onFollowerProgress(): void {
+    // The learner's own answers to heartbeats tell the leader.
+  }
+
+  onHigherTerm(): void {
+    this.of.onHigherTerm();
+  }
+}
+
+/** A log up to what is committed: what follows may still be replaced. */
+class CommittedLog implements ReplicatedLog {
+  constructor(private readonly member: RelayingMember) {}
+
+  get lastIndex(): number {
+    return this.member.commitIndex;
+  }
+
+  get compactedTo(): MemberLog['compactedTo'] {
+    return this.member.log.compactedTo;
+  }
+
+  termAt(index: number): number | undefined {
+    return this.member.log.termAt(index);
+  }
+
+  slice(fromIndex: number, maximumBytes: number): LogEntry[] {
+    const entries = this.member.log.slice(fromIndex, maximumBytes);
+    return entries.filter(({ index }) => index <= this.lastIndex);
+  }
+
+  openSnapshot(): ReturnType<MemberLog['openSnapshot']> {
+    return this.member.log.openSnapshot();
+  }
+}
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -62,6 +62,8 @@
   accepted: boolean;
   /** Whether the member knows how far its log matches the leader's; a restarted one does not. */
   knowsMatch: boolean;
+  /** How far it matches then; entries up to there are synced. */
+  matchIndex: number;
 }
 
 export interface SnapshotChunk extends GroupMessage {
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -24,6 +24,7 @@
 import { ElectionTimer } from './election-timer.js';
 import { MembershipChangeError, NotLeaderError } from './errors.js';
 import { FollowerDuty } from './follower-duty.js';
+import { LearnerRelays, relayOf } from './learner-relays.js';
 import { transferLeadership } from './leadership-transfer.js';
 import type { MemberLog } from './member-log.js';
 import type { Heartbeat, HeartbeatResponse } from './messages.js';
@@ -70,10 +71,12 @@
   /** Monotonic time since when this member has led, in milliseconds. */
   leadingSince = 0;
   readonly traffic = createReplicationTraffic();
+  readonly sendsSnapshots = true;
   private readonly duty: FollowerDuty;
   private readonly replicators = new Map<string, Replicator>();
   private readonly proposals: PendingProposals;
   private readonly gate: ProposalGate;
+  private readonly relays = new LearnerRelays(this);
   private readonly quorumCheck: QuorumCheck;
   private readonly quorumContact = new SignalEvent();
   /** While leading: the last index that is synced on this member. */
@@ -118,6 +121,15 @@
     return isVoter(this.configuration, memberId);
   }
 
+  /** Whether another voter sends entries on to a learner. */
+  isRelayed(memberId: string): boolean {
+    return relayOf(this.configuration, this.ownId, memberId) !== undefined;
+  }
+
+  get isFollower(): boolean {
+    return this.state === 'follower' && !this.isStopped;
+  }
+
   get group(): string {
     return this.name;
   }
@@ -258,10 +270,12 @@
     this.electionTimer.stop();
     if (this.isLeader) this.becomeFollower(this.term, undefined);
     this.applier.stop();
+    this.relays.stop();
   }
 
   /** Called by the host at every heartbeat interval: a leader without a quorum steps down. */
   tick(): void {
+    this.relays.update();
     const contactMs = Math.max(this.quorumContactMs(), this.leadingSince);
     const isLost = this.quorumCheck.isQuorumLost(contactMs);
     if (isLost && this.isLeader && !this.isStopped) this.becomeFollower(this.term, undefined);
@@ -319,7 +333,8 @@
     if (!this.isLeader || !response.accepted || response.term !== this.term) return;
     const replicator = this.replicators.get(memberId);
     replicator?.noteAcknowledged(sentAt);
-    if (!response.knowsMatch) replicator?.probeAgain();
+    if (response.knowsMatch) replicator?.noteMatch(response.matchIndex);
+    else replicator?.probeAgain();
     this.quorumContact.notify();
   }
 
@@ -385,6 +400,7 @@
     if (index <= this.commitIndex) return;
     this.commitIndex = Math.min(index, this.log.lastIndex);
     this.applier.notify();
+    this.relays.notify();
   }
 
   onFollowerProgress(): void {
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -35,20 +35,37 @@
  * its batch took. Three learners beside four voters take 0.16 of a full link then, not 0.43.
  */
 const LEARNER_REST = 3;
+/**
+ * A learner that gets no further for so long, in milliseconds, is sent entries by the leader itself: some
+ * heartbeats, in which a voter that works sends several batches.
+ */
+const RELAY_PATIENCE_MS = 600;
+/** For how long then, in milliseconds; a relay that is still gone costs another wait after that. */
+const DIRECT_MS = 3_000;
+
+/** What the task needs of the log that it sends. */
+export type ReplicatedLog = Pick<
+  MemberLog,
+  'lastIndex' | 'compactedTo' | 'termAt' | 'slice' | 'openSnapshot'
+>;
 
-/** What the task needs of its leader. */
+/** What the task needs of its leader, or of a voter that sends entries on in the leader's name. */
 export interface ReplicationLeader {
   readonly group: string;
   readonly ownId: string;
   readonly term: number;
   readonly commitIndex: number;
-  readonly log: MemberLog;
+  readonly log: ReplicatedLog;
   readonly heartbeatIntervalMs: number;
   readonly traffic: ReplicationTraffic;
   /** Whether there are more commands than the group commits soon. */
   readonly isOverloaded: boolean;
+  /** Whether it sends a snapshot where entries are gone, or leaves that to another. */
+  readonly sendsSnapshots: boolean;
   /** Whether a member counts for commits. */
   isVoter(memberId: string): boolean;
+  /** Whether another member sends entries on to this one. */
+  isRelayed(memberId: string): boolean;
   call<Request, Response>(
     member: Member,
     method: Method<Request, Response>,
@@ -72,6 +89,7 @@
   private readonly stopping = new AbortController();
   private readonly batchLimit: BatchLimit;
   private appendTimeoutMs = APPEND_TIMEOUT_MS;
+  private relayMissedAt = Number.NEGATIVE_INFINITY;
   /** Ends the pause in which entries for a learner gather. */
   private gathering: AbortController | undefined;
 
@@ -92,9 +110,16 @@
   /** Finds anew how far the follower's log matches: it was restarted and has forgotten. */
   probeAgain(): void {
     this.hasProbed = false;
+    this.gathering?.abort();
     this.wake.notify();
   }
 
+  /** The follower has said how far its log matches. */
+  noteMatch(index: number): void {
+    this.matchIndex = Math.max(this.matchIndex, index);
+    this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
+  }
+
   /** The follower counts for commits from now on. */
   notePromoted(): void {
     this.gathering?.abort();
@@ -128,6 +153,7 @@
         await this.sendNext();
         backoff.reset();
         await this.restAsLearner(monotonicMs() - sentAt, this.matchIndex >= lastIndex);
+        await this.leaveToRelay();
       } catch {
         await sleep(backoff.nextDelayMs(), this.stopping.signal);
       }
@@ -145,16 +171,50 @@
       holdsAll ? leader.heartbeatIntervalMs : 0,
       leader.isOverloaded ? LEARNER_REST * tookMs : 0,
     );
-    if (restMs === 0) return;
+    if (restMs > 0) await this.pause(restMs);
+  }
+
+  /** Sends a learner nothing as long as the voter that sends entries on brings it forward. */
+  private async leaveToRelay(): Promise<void> {
+    const { leader } = this;
+    while (this.mayLeaveToRelay) {
+      if (monotonicMs() - this.relayMissedAt < DIRECT_MS) return;
+      const { lastIndex } = leader.log;
+      const { matchIndex } = this;
+      await this.pause(RELAY_PATIENCE_MS);
+      if (this.matchIndex < lastIndex && this.matchIndex === matchIndex) {
+        this.relayMissedAt = monotonicMs();
+      }
+    }
+  }
+
+  /** A learner that holds nothing yet is brought there by the leader, and so is one that has forgotten. */
+  private get mayLeaveToRelay(): boolean {
+    if (this.isStopped || !this.hasProbed || this.needsSnapshot) return false;
+    return this.matchIndex > 0 && this.leader.isRelayed(this.member.id);
+  }
+
+  /** Ends early when the member is promoted, or has forgotten how far its log matches. */
+  private async pause(milliseconds: number): Promise<void> {
     this.gathering = new AbortController();
-    await sleep(restMs, this.gathering.signal);
+    await sleep(milliseconds, this.gathering.signal);
     this.gathering = undefined;
   }
 
+  private get needsSnapshot(): boolean {
+    return this.nextIndex <= this.leader.log.compactedTo.index;
+  }
+
   private async sendNext(): Promise<void> {
-    const needsSnapshot = this.nextIndex <= this.leader.log.compactedTo.index;
-    if (needsSnapshot) await this.sendSnapshot();
-    else await this.sendEntries();
+    if (!this.needsSnapshot) await this.sendEntries();
+    else if (this.leader.sendsSnapshots) await this.sendSnapshot();
+    else await this.waitForSnapshotOfOther();
+  }
+
+  private async waitForSnapshotOfOther(): Promise<void> {
+    await this.pause(RELAY_PATIENCE_MS);
+    this.nextIndex = this.leader.log.lastIndex + 1;
+    this.hasProbed = false;
   }
 
   private async sendEntries(): Promise<void> {
