--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -25,7 +25,7 @@
  * After a time-out: what is on its way still may be received, and the same bytes sent again and again
  * would fill the link for good. A connection that has ended ends the wait at once.
  */
-const LONGEST_APPEND_TIMEOUT_MS = 4_000;
+const LONGEST_APPEND_TIMEOUT_MS = 2_000;
 /** A peer that sends nothing for so long is connected to anew, in milliseconds: as for heartbeats. */
 const APPEND_SILENCE_MS = 400;
 const SNAPSHOT_TIMEOUT_MS = 5_000;
