Members can be asked for histories, and the leader names those that hold one

A turn that comes through another gateway than the one before it needs all that was said before. A gateway that says it may read elsewhere is told two members that hold the turn instead, by turns; a member answers once it has applied the entry that brings the turn, and 0.2 s at most. One that doesn't say so is answered as before, which is how a gateway goes on where no member gives the history. Gateways do not say it yet.

--- a/src/ledger/kept-turns.ts
+++ b/src/ledger/kept-turns.ts
@@ -8,6 +8,8 @@
 interface IndexedTurn {
   previousTurn: string | undefined;
   expiresAtMs: number;
+  /** Log index of the entry that brought it; 0 when a snapshot did. */
+  keptAtIndex: number;
 }
 
 /** One turn of a snapshot; the order of the fields is the format. */
@@ -28,12 +30,20 @@
     return this.turns.has(id);
   }
 
-  /** Keeps a turn, and its whole chain for at least as long. */
-  keep(id: string, turn: KeptTurn, nowMs: number): void {
+  /** Log index from which on the state names a turn; undefined when it is not kept. */
+  keptAtIndex(id: string): number | undefined {
+    return this.turns.get(id)?.keptAtIndex;
+  }
+
+  /**
+   * Keeps a turn, and its whole chain for at least as long.
+   * @param keptAtIndex log index of the entry that brings it
+   */
+  keep(id: string, turn: KeptTurn, nowMs: number, keptAtIndex = 0): void {
     if (this.turns.has(id)) return;
     const { previousTurn, input, output, retentionMs } = turn;
     const expiresAtMs = nowMs + retentionMs;
-    this.turns.set(id, { previousTurn: previousTurn ?? undefined, expiresAtMs });
+    this.turns.set(id, { previousTurn: previousTurn ?? undefined, expiresAtMs, keptAtIndex });
     this.values.put(id, Buffer.concat([input, output]));
     this.extendChain(previousTurn, expiresAtMs);
   }
@@ -74,7 +84,7 @@
     this.turns = new Map(
       encoded.map(([id, previousTurn, expiresAtMs]) => [
         id,
-        { previousTurn: previousTurn ?? undefined, expiresAtMs },
+        { previousTurn: previousTurn ?? undefined, expiresAtMs, keptAtIndex: 0 },
       ]),
     );
     this.mayHoldOthers = true;
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -1,12 +1,16 @@
 /** Serves reservations and settlements on the process that leads the ledger group. */
-import { LedgegaugeError, monotonicMs } from '../common/index.js';
+import { LedgegaugeError, monotonicMs, sleep } from '../common/index.js';
 import { type ReplicatedGroup, answerAsLeader } from '../consensus/index.js';
 import { type MethodRouter, encodeValue } from '../wire/index.js';
 import type { LedgerCommand, ReserveResult } from './ledger-commands.js';
 import type { LedgerStateMachine } from './ledger-state-machine.js';
 import {
+  type HistorySource,
+  READ_HISTORY,
   READ_TURNS,
   RESERVE,
+  type ReadHistoryAnswer,
+  type ReadHistoryRequest,
   type ReadTurnsAnswer,
   type ReadTurnsRequest,
   type ReserveAnswer,
@@ -16,6 +20,13 @@
   type SettleRequest,
 } from './messages.js';
 
+/** A member that has not answered its leader for so long is not named to readers, in milliseconds. */
+const LATE_MEMBER_MS = 500;
+/** Members named for one history: a second for when the first has just gone. */
+const NAMED_MEMBERS = 2;
+/** How long a read waits here for the entry that brings its turn, in milliseconds: some heartbeats. */
+const APPLY_WAIT_MS = 200;
+
 export interface LedgerServiceOptions {
   stateMachine: LedgerStateMachine;
   findGroup: () => ReplicatedGroup | undefined;
@@ -29,6 +40,7 @@
 export class LedgerService {
   private leadingSince = 0;
   private clockAtStart = 0;
+  private nextHolder = 0;
   /** Bytes of kept turns sent: with reservations, and to whoever asked for turns. */
   readonly sentBytes = { histories: 0, turns: 0 };
 
@@ -41,9 +53,39 @@
     router.handle(SETTLE, (request) =>
       answerAsLeader(this.options.findGroup(), (group) => this.settle(group, request)),
     );
+    router.handle(READ_HISTORY, (request) => this.readHistory(request));
     router.handle(READ_TURNS, (request) => this.readTurns(request));
   }
 
+  /** Members that hold a turn and answer, each as likely as the others. */
+  private historySource(group: ReplicatedGroup, turn: string): HistorySource | undefined {
+    const atIndex = this.options.stateMachine.turns.keptAtIndex(turn);
+    if (atIndex === undefined) return undefined;
+    const heardSince = monotonicMs() - LATE_MEMBER_MS;
+    const holders = group.configuration.members.filter(
+      ({ id }) =>
+        id !== group.ownId &&
+        group.matchIndexOf(id) >= atIndex &&
+        group.contactMsOf(id) >= heardSince,
+    );
+    if (holders.length === 0) return undefined;
+    const first = this.nextHolder++ % holders.length;
+    const named = [...holders.slice(first), ...holders.slice(0, first)].slice(0, NAMED_MEMBERS);
+    return { addresses: named.map(({ address }) => address), atIndex };
+  }
+
+  /** Any member answers from what it holds itself. */
+  private async readHistory({ turn, atIndex }: ReadHistoryRequest): Promise<ReadHistoryAnswer> {
+    const applier = this.options.findGroup()?.applier;
+    if (!applier) return {};
+    const isApplied = (): boolean => applier.appliedIndex >= atIndex;
+    if (!isApplied()) await Promise.race([applier.waitApplied(atIndex), sleep(APPLY_WAIT_MS)]);
+    if (!isApplied()) return {};
+    const history = await this.options.stateMachine.external.read(turn, []);
+    this.sentBytes.histories += history?.length ?? 0;
+    return { history };
+  }
+
   /** Any member answers, also one that does not lead. */
   private async readTurns(request: ReadTurnsRequest): Promise<ReadTurnsAnswer> {
     const appliedIndex = this.options.findGroup()?.applier.appliedIndex ?? 0;
@@ -56,11 +98,13 @@
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveAnswer> {
     if (this.options.mustRefuse()) throw overloadedError();
-    const { wantsHistory, ...reservation } = request;
+    const { wantsHistory, mayReadElsewhere, ...reservation } = request;
     const command: LedgerCommand = { kind: 'reserve', ...reservation, nowMs: this.nowMs(group) };
     const result = (await group.propose(encodeValue(command))) as ReserveResult;
     const { previousTurn } = request;
     if (result.outcome !== 'granted' || previousTurn === undefined || !wantsHistory) return result;
+    const source = mayReadElsewhere ? this.historySource(group, previousTurn) : undefined;
+    if (source) return { ...result, historySource: source };
     const others = group.configuration.members.filter(({ id }) => id !== group.ownId);
     const history = await this.options.stateMachine.external.read(previousTurn, others);
     this.sentBytes.histories += history?.length ?? 0;
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -45,6 +45,8 @@
   readonly external: TurnHistories;
   private clock = 0;
   private sweptAtMs = 0;
+  /** Log index of the command that is being applied. */
+  private index = 0;
 
   constructor(options: LedgerStateOptions) {
     this.turns = new KeptTurns(options.values);
@@ -56,7 +58,8 @@
     return this.clock;
   }
 
-  apply(bytes: Uint8Array): ReserveResult | undefined {
+  apply(bytes: Uint8Array, index = 0): ReserveResult | undefined {
+    this.index = index;
     const command = decodeValue<LedgerCommand>(bytes);
     this.clock = Math.max(this.clock, command.nowMs);
     this.sweep();
@@ -98,7 +101,7 @@
   private settle(settlement: Settlement): void {
     const { program, attempt, keep, placement } = settlement;
     this.budgets.settle(settlement, this.clock);
-    if (keep) this.turns.keep(attempt, keep, this.clock);
+    if (keep) this.turns.keep(attempt, keep, this.clock, this.index);
     if (placement) this.placements.note(program, placement, this.clock);
   }
 
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -8,11 +8,23 @@
 export interface ReserveRequest extends Omit<ReserveCommand, 'kind' | 'nowMs'> {
   /** Whether the answer should carry what the turn continues from. */
   wantsHistory: boolean;
+  /** Whether the answer may name members to read it at instead. */
+  mayReadElsewhere?: boolean;
+}
+
+/** Where a history can be read. */
+export interface HistorySource {
+  /** Members that hold it. */
+  addresses: string[];
+  /** Log index from which on their state names it. */
+  atIndex: number;
 }
 
 export interface ReserveAnswer extends ReserveResult {
   /** What the turn continues from, oldest first, when it names a predecessor. */
   history?: Uint8Array;
+  /** Where to read it, in place of it. */
+  historySource?: HistorySource;
 }
 
 export type SettleRequest = Omit<SettleCommand, 'kind' | 'nowMs'>;
@@ -37,6 +49,21 @@
   covered: number;
 }
 
+/** Asks a member that holds them for a turn with all that it continues. */
+export interface ReadHistoryRequest {
+  turn: string;
+  /** The member answers once it has applied the log up to here. */
+  atIndex: number;
+}
+
+export interface ReadHistoryAnswer {
+  /** Absent when this member can't give it now. */
+  history?: Uint8Array;
+}
+
+export const READ_HISTORY = defineMethod<ReadHistoryRequest, ReadHistoryAnswer>(
+  'ledger.read-history',
+);
 export const READ_TURNS = defineMethod<ReadTurnsRequest, ReadTurnsAnswer>('ledger.read-turns');
 export const RESERVE = defineMethod<ReserveRequest, LeaderAnswer<ReserveAnswer>>('ledger.reserve');
 export const SETTLE = defineMethod<SettleRequest, LeaderAnswer<SettleAnswer>>('ledger.settle');
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -36,7 +36,7 @@
     this.external = external;
   }
 
-  apply(command: Uint8Array): number {
+  apply(command: Uint8Array): unknown {
     this.items.push(decodeValue<string>(command));
     return this.items.length;
   }
@@ -56,6 +56,8 @@
   host: GroupHost;
   group: ReplicatedGroup;
   wal: WriteAheadLog;
+  /** Methods that it answers. */
+  router: MethodRouter;
   /** The disk below its write-ahead log. */
   disk: FaultyDisk;
   fatalErrors: unknown[];
@@ -125,7 +127,7 @@
     const group = await host.openGroup(GROUP, machine);
     this.network.listen(member.address, router);
     host.start();
-    const running = { member, machine, host, group, wal, disk, fatalErrors };
+    const running = { member, machine, host, group, wal, router, disk, fatalErrors };
     this.running.set(member.id, running);
     return running;
   }
