--- /dev/null
+++ b/src/consensus/proposal-gate.test.ts
@@ -0,0 +1,109 @@
+/** Which commands go to a leader's log, which wait, and which are refused. */
+import { describe, expect, it } from 'vitest';
+import { Deferred, sleep } from '../common/index.js';
+import { GroupOverloadedError } from './errors.js';
+import { ProposalGate } from './proposal-gate.js';
+
+const COMMIT_TARGET_MS = 20;
+const MAX_WAIT_MS = 200;
+/** More than half of the first window, so that one is under way at a time. */
+const LARGE_BYTES = 300 * 1024;
+
+class Log {
+  /** First byte of each command, in the order in which they came. */
+  readonly appended: number[] = [];
+  readonly reported: number[] = [];
+  private readonly open: Deferred<unknown>[] = [];
+  readonly gate = new ProposalGate({
+    group: 'test',
+    commitTargetMs: COMMIT_TARGET_MS,
+    maxWaitMs: MAX_WAIT_MS,
+    append: (command) => this.append(command),
+    onRefused: (count) => this.reported.push(count),
+  });
+
+  /** Settles with the command's number, or the name of the error. */
+  async propose(number: number, bytes = LARGE_BYTES): Promise<unknown> {
+    const command = Buffer.alloc(bytes, number);
+    return this.gate.pass(command).catch((error: Error) => error.constructor.name);
+  }
+
+  /** Commits the oldest command that is not committed. */
+  async commit(): Promise<void> {
+    this.open.shift()!.resolve('committed');
+    await sleep(0);
+  }
+
+  private append(command: Uint8Array): Promise<unknown> {
+    const committed = new Deferred<unknown>();
+    this.appended.push(command[0]!);
+    this.open.push(committed);
+    return committed.promise;
+  }
+}
+
+describe('a gate before the log', () => {
+  it('lets small commands through at once, and one alone whatever its size', async () => {
+    const log = new Log();
+    for (let number = 0; number < 100; number += 1) void log.propose(number, 200);
+    expect(log.appended).toHaveLength(100);
+    const other = new Log();
+    void other.propose(1, 3 * LARGE_BYTES);
+    expect(other.appended).toEqual([1]);
+  });
+
+  it('lets the next in, in order, when one is committed', async () => {
+    const log = new Log();
+    const results = [1, 2, 3].map((number) => log.propose(number));
+    expect(log.appended).toEqual([1]);
+    expect(log.gate.isHolding).toBe(true);
+    await log.commit();
+    await log.commit();
+    expect(log.appended).toEqual([1, 2, 3]);
+    expect(log.gate.isHolding).toBe(false);
+    await log.commit();
+    expect(await Promise.all(results)).toEqual(['committed', 'committed', 'committed']);
+  });
+
+  it('refuses what has waited for too long, and says so', async () => {
+    const log = new Log();
+    void log.propose(1);
+    const refused = await Promise.all([log.propose(2), log.propose(3)]);
+    expect(refused).toEqual([GroupOverloadedError.name, GroupOverloadedError.name]);
+    expect(log.appended).toEqual([1]);
+    expect(log.gate.refused).toBe(2);
+    expect(log.reported).toEqual([1]);
+  });
+
+  it('lets those that came last in first once the oldest has waited for long', async () => {
+    const log = new Log();
+    void log.propose(1);
+    void log.propose(2);
+    await sleep(MAX_WAIT_MS * 0.75);
+    void log.propose(3);
+    await log.commit();
+    expect(log.appended).toEqual([1, 3]);
+  });
+
+  it('takes less at a time while commits are late', async () => {
+    const log = new Log();
+    void log.propose(1, 100 * 1024);
+    for (let number = 2; number < 6; number += 1) {
+      void log.propose(number, 200 * 1024);
+      await sleep(2 * COMMIT_TARGET_MS);
+      await log.commit();
+    }
+    void log.propose(6, 200 * 1024);
+    expect(log.gate.isHolding).toBe(true);
+  });
+
+  it('refuses at once what waits when leadership ends, and begins anew', async () => {
+    const log = new Log();
+    void log.propose(1);
+    const waiting = log.propose(2);
+    log.gate.close(new Error('not the leader'));
+    expect(await waiting).toBe(Error.name);
+    void log.propose(3);
+    expect(log.appended).toEqual([1, 3]);
+  });
+});
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -99,7 +99,7 @@
       group: log.group,
       commitTargetMs: COMMIT_TARGET_HEARTBEATS * heartbeatIntervalMs,
       maxWaitMs: maxProposalWaitMs,
-      append: (data) => this.appendAsLeader({ kind: 'command', data }),
+      append: (data) => this.appendCommand(data),
       onRefused: (count) => environment.onProposalsRefused(this, count),
     });
     this.commitIndex = log.latestSnapshot?.index ?? 0;
@@ -180,16 +180,19 @@
    *   was not taken
    * @throws CommitUnknownError when leadership ended first; the command may be committed
    */
-  propose(command: Uint8Array): Promise<unknown> {
-    if (!this.isLeader || this.isTransferring) return Promise.reject(this.notLeader());
-    if (this.log.heldBytes >= this.environment.options.maxHeldBytes) {
-      return Promise.reject(this.heldTooMuch());
-    }
+  async propose(command: Uint8Array): Promise<unknown> {
+    if (!this.isLeader || this.isTransferring) throw this.notLeader();
+    const isFull = this.log.heldBytes >= this.environment.options.maxHeldBytes;
+    if (isFull) throw this.heldTooMuch();
+    return this.gate.pass(command);
+  }
+
+  private appendCommand(data: Uint8Array): Promise<unknown> {
     try {
-      return this.gate.pass(command);
+      return this.appendAsLeader({ kind: 'command', data });
     } catch (error) {
       if (error instanceof DiskFullError) this.leaveLeadership();
-      return Promise.reject(error);
+      throw error;
     }
   }
 
