--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -1,7 +1,6 @@
 /** The ledger: what programs may still spend, and the turns that later turns continue. */
 export * from './ledger-commands.js';
 export { TurnHistoryCache } from './history-cache.js';
-export { HistoryReader } from './history-reader.js';
 export { LedgerClient } from './ledger-client.js';
 export { LedgerService } from './ledger-service.js';
 export { LedgerStateMachine } from './ledger-state-machine.js';
@@ -9,3 +8,4 @@
 export type { TurnValues } from './turn-values.js';
 export * from './messages.js';
 export type { TurnPlacement } from './program-placements.js';
+export { HistoryReader } from './history-reader.js';
