--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -8,3 +8,4 @@
 export type { TurnValues } from './turn-values.js';
 export * from './messages.js';
 export type { TurnPlacement } from './program-placements.js';
+export { HistoryReader } from './history-reader.js';
