A gateway asks a struggling ledger by few, and a silent one by one

Cause: each turn that waited asked member after member every 10 to 50 ms, with all undelivered settlements at every try, so that one gateway with 20 turns a second put 1,996 questions in 3 s to members of which none led, and a leader that came back was met by all of them at once. Settlements waited 40 ms only for a reservation that takes them along, which at ten turns a second hardly ever comes.

--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -4,6 +4,7 @@
 import { describeError, monotonicMs } from '../common/index.js';
 import {
   type LedgerClient,
+  NotReservedError,
   type Settlement,
   type TurnPlacement,
   TurnHistoryCache,
@@ -96,7 +97,9 @@
       if (error instanceof RefusedError) throw error;
       const reason = describeError(error);
       this.options.logger.warn('reservation failed', { call: attempt, program: key, reason });
-      this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
+      if (!(error instanceof NotReservedError)) {
+        this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
+      }
       throw this.ledgerAway();
     }
   }
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -2,7 +2,7 @@
  * Reaches the ledger's leader from a gateway. Settlements that nobody waits for go out in batches.
  * While no leader answers, turns that need nothing else of it may go on by the gateway's allowance.
  */
-import { describeError, monotonicMs, sleep } from '../common/index.js';
+import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import {
   type GroupCallOptions,
   type GroupClient,
@@ -22,10 +22,20 @@
   type ReserveRequest,
   SETTLE,
 } from './messages.js';
+import { ReservationWindow } from './reservation-window.js';
 import { type SettlementBatch, SettlementQueue } from './settlement-queue.js';
 
 /** How long settlements wait for a reservation that takes them along, in milliseconds. */
-const BATCH_DELAY_MS = 40;
+const RIDE_WAIT_MS = 250;
+/** Settlements ride with a reservation while the ledger has owed no answer for longer than this, in milliseconds. */
+const RIDE_SILENCE_MS = 50;
+/** Settlements that failed are sent again after a wait up to these, in milliseconds. */
+const RESEND_WAIT_MS = 200;
+const MOST_RESEND_WAIT_MS = 1_000;
+/** Settlements that go with a question whether a leader is back. */
+const PROBE_BATCH = 1;
+/** Longest pause between two members that a question goes to, in milliseconds: an election time-out. */
+const MAXIMUM_PAUSE_MS = 250;
 const SETTLE_TIMEOUT_MS = 2_000;
 /** How long one leader may take over settlements, and over one reservation, in milliseconds. */
 const SETTLE_TRY_TIMEOUT_MS = 400;
@@ -35,6 +45,9 @@
 /** After a failure, covered turns don't ask the ledger for this time, in milliseconds. */
 const SUSPECT_MS = 400;
 
+/** The reservation was not told to the ledger, so that it can't stand. */
+export class NotReservedError extends GroupUnavailableError {}
+
 /** A reservation as the caller's side sees it. */
 export interface Reserved extends ReserveAnswer {
   /** Most tokens taken from the allowance, if the ledger was not asked or did not answer. */
@@ -45,6 +58,7 @@
   private readonly queue = new SettlementQueue();
   private readonly allowances = new AllowanceBook();
   private readonly outage = new OutageEstimate();
+  private readonly window = new ReservationWindow(() => this.outage.remainingMs > 0);
   private isSending = false;
   private isProbing = false;
   private suspectUntil = 0;
@@ -70,6 +84,7 @@
    * Reserves a turn's most tokens, and takes waiting settlements along.
    * @param usefulMs how long an answer is of any use, in milliseconds
    * @param mayUseAllowance whether the turn may run without the ledger's word
+   * @throws NotReservedError when the ledger was not asked
    * @throws GroupUnavailableError when no leader answered while waiting for one could pay; the
    *   reservation may stand
    */
@@ -83,19 +98,12 @@
     if (isCovered && monotonicMs() < this.suspectUntil) return this.takeAllowance(request);
     const limitMs = isCovered ? COVERED_RESERVE_TIMEOUT_MS : this.outage.waitMs(usefulMs);
     if (limitMs <= 0) throw this.refuseToWait();
-    const limits = { timeoutMs: limitMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
-    const batch = this.queue.take();
-    const { settlements } = batch;
     try {
-      const whole = { ...request, holder: this.holder, settlements };
-      const answer = await this.call(RESERVE, whole, limits);
-      this.noteSettled(batch);
+      const answer = await this.ask(request, limitMs);
       this.suspectUntil = 0;
       this.allowances.update(program, answer.allowanceTokens);
       return answer;
     } catch (error) {
-      this.queue.putBack(batch);
-      this.sendSoon();
       this.suspectUntil = monotonicMs() + SUSPECT_MS;
       if (isCovered && this.allowances.covers(program, mostTokens)) {
         return this.takeAllowance(request);
@@ -127,6 +135,33 @@
     this.sendSoon();
   }
 
+  /** Asks the ledger once there is room for one more question. */
+  private async ask(
+    request: Omit<ReserveRequest, 'holder' | 'settlements'>,
+    limitMs: number,
+  ): Promise<ReserveAnswer> {
+    const deadlineMs = monotonicMs() + limitMs;
+    const hasEntered = await this.window.enter(limitMs);
+    if (!hasEntered) throw this.notReserved('too many wait for the ledger');
+    const batch = this.queue.take(this.outage.silenceMs < RIDE_SILENCE_MS ? undefined : 0);
+    const { settlements } = batch;
+    const startedAt = monotonicMs();
+    const timeoutMs = Math.max(1, deadlineMs - startedAt);
+    const limits = { timeoutMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
+    try {
+      const whole = { ...request, holder: this.holder, settlements };
+      const answer = await this.call(RESERVE, whole, limits);
+      this.window.leaveAnswered(monotonicMs() - startedAt);
+      this.noteSettled(batch);
+      return answer;
+    } catch (error) {
+      this.window.leaveFailed(monotonicMs() - startedAt);
+      this.queue.putBack(batch);
+      this.sendSoon();
+      throw error;
+    }
+  }
+
   private takeAllowance({
     program,
     attempt,
@@ -147,25 +182,39 @@
 
   private async sendQueue(): Promise<void> {
     this.isSending = true;
+    const resendWait = new Backoff({ initialMs: RESEND_WAIT_MS, maximumMs: MOST_RESEND_WAIT_MS });
     while (this.queue.size > 0) {
-      await sleep(BATCH_DELAY_MS);
-      if (this.queue.size > 0) await this.sendBatch(this.queue.take());
+      const rideMs = RIDE_WAIT_MS - this.queue.oldestAgeMs;
+      if (rideMs > 0) await sleep(rideMs);
+      // A reservation that asks for a leader finds it for settlements too.
+      else if (this.isAway && this.window.isAsking) await sleep(RESEND_WAIT_MS);
+      else if (await this.sendBatch(this.queue.take(this.isAway ? PROBE_BATCH : undefined)))
+        resendWait.reset();
+      else await sleep(resendWait.nextDelayMs());
     }
     this.isSending = false;
   }
 
-  private async sendBatch(batch: SettlementBatch): Promise<void> {
+  /** @returns whether it was settled */
+  private async sendBatch(batch: SettlementBatch): Promise<boolean> {
     const limits = { timeoutMs: SETTLE_TIMEOUT_MS, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
     try {
       await this.call(SETTLE, { settlements: batch.settlements }, limits);
       this.noteSettled(batch);
+      return true;
     } catch (error) {
       this.queue.putBack(batch);
       const reason = describeError(error);
       this.logger.warn('settlements delayed', { waiting: this.queue.size, reason });
+      return false;
     }
   }
 
+  /** Whether no leader has answered for longer than an answer takes. */
+  private get isAway(): boolean {
+    return this.outage.remainingMs > 0;
+  }
+
   private noteSettled(batch: SettlementBatch): void {
     for (const { program, draw } of batch.settlements) {
       if (draw) this.allowances.confirm(program);
@@ -173,9 +222,13 @@
   }
 
   /** Somebody has to find out when a leader is back, also while no call waits for it. */
-  private refuseToWait(): GroupUnavailableError {
+  private refuseToWait(): NotReservedError {
     void this.probe();
-    return new GroupUnavailableError('a leader will hardly answer in time', {
+    return this.notReserved('a leader will hardly answer in time');
+  }
+
+  private notReserved(reason: string): NotReservedError {
+    return new NotReservedError(reason, {
       step: RESERVE.name,
       peer: LEDGER_GROUP,
       retriable: true,
@@ -183,9 +236,9 @@
   }
 
   private async probe(): Promise<void> {
-    if (this.isProbing) return;
+    if (this.isProbing || this.window.isAsking) return;
     this.isProbing = true;
-    await this.sendBatch(this.queue.take());
+    await this.sendBatch(this.queue.take(PROBE_BATCH));
     this.isProbing = false;
   }
 
@@ -196,7 +249,8 @@
   ): Promise<Answer> {
     this.outage.noteAsked();
     try {
-      const answer = await callLeader(this.groups, LEDGER_GROUP, method, request, limits);
+      const paced = { ...limits, maximumPauseMs: MAXIMUM_PAUSE_MS };
+      const answer = await callLeader(this.groups, LEDGER_GROUP, method, request, paced);
       this.outage.noteAnswered();
       return answer;
     } catch (error) {
--- a/src/ledger/outage-estimate.ts
+++ b/src/ledger/outage-estimate.ts
@@ -59,7 +59,8 @@
     return usefulMs > silenceMs ? usefulMs : 0;
   }
 
-  private get silenceMs(): number {
+  /** How long a leader has owed an answer, in milliseconds; 0 when nobody asks. */
+  get silenceMs(): number {
     if (this.unansweredSince === undefined || !this.isValid) return 0;
     return monotonicMs() - this.unansweredSince;
   }
--- a/src/ledger/settlement-queue.ts
+++ b/src/ledger/settlement-queue.ts
@@ -35,13 +35,19 @@
     return this.queued.length;
   }
 
+  /** How long the oldest has waited, in milliseconds; 0 when there is none. */
+  get oldestAgeMs(): number {
+    const [oldest] = this.queued;
+    return oldest ? monotonicMs() - oldest.queuedAt : 0;
+  }
+
   add(settlement: Settlement): void {
     this.queued.push({ settlement, queuedAt: monotonicMs() });
   }
 
   /** Takes the oldest out; whoever takes them settles them or puts them back. */
-  take(): SettlementBatch {
-    return new SettlementBatch(this.queued.splice(0, MAX_BATCH));
+  take(most = MAX_BATCH): SettlementBatch {
+    return new SettlementBatch(this.queued.splice(0, most));
   }
 
   putBack(batch: SettlementBatch): void {
