--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -27,7 +27,7 @@
 /** The limit as a multiple of the load where turns take the onset share, and where they take the aimed one. */
 const ONSET_HEADROOM = 1.5;
 const AIMED_HEADROOM = 0.7;
-/** No turn counts as taking more than so many times the time told. */
+/** Turns that ran out of time, or reached no engine, count as taking so many times the time told. */
 const MOST_TIME_SHARE = 2;
 /** Share of the newest turn in what is known of the latest ones. */
 const NEWEST_SHARE = 0.2;
@@ -85,8 +85,9 @@
 class ServiceState {
   /** Load up to which new programs are taken, as a share of the engines' places. */
   limit = HIGHEST_LIMIT;
-  /** What the latest turns took, as a share of the time aimed at. */
-  latestShare = 0;
+  /** What the latest turns took, and what callers told for them, in milliseconds. */
+  private latestTookMs = 0;
+  private latestToldMs = 0;
   /** Share of them that ended later than their program should have. */
   lateShare = 0;
   /** Share of their time that they waited for the ledger. */
@@ -111,7 +112,7 @@
   toldTime(route: string): ToldTime {
     let told = this.toldTimes.get(route);
     if (!told) {
-      told = new ToldTime();
+      told = new ToldTime(this.clock);
       this.toldTimes.set(route, told);
     }
     return told;
@@ -121,7 +122,7 @@
   private get bearable(): number {
     const { latestBusy } = this;
     const latestShare =
-      this.latestShare * Math.min(MOST_LATE_FACTOR, 1 + LATE_WEIGHT * this.lateShare);
+      this.timeShare * Math.min(MOST_LATE_FACTOR, 1 + LATE_WEIGHT * this.lateShare);
     if (latestShare < ONSET_SHARE) return HIGHEST_LIMIT;
     const toAim = Math.min(1, (latestShare - ONSET_SHARE) / (AIMED_SHARE - ONSET_SHARE));
     const headroom = ONSET_HEADROOM + (AIMED_HEADROOM - ONSET_HEADROOM) * toAim;
@@ -136,14 +137,22 @@
 
   /** Whether a new program would lately have been refused. */
   get refusesSome(): boolean {
-    return this.latestShare >= ONSET_SHARE;
+    return this.timeShare >= ONSET_SHARE;
+  }
+
+  /** What the latest turns took, as a share of what callers told for them. */
+  private get timeShare(): number {
+    return this.latestTookMs / Math.max(1, this.latestToldMs);
   }
 
   note(turn: EndedTurn, capacity: ServiceCapacity): void {
-    const timeShare = timeShareOf(turn, this.toldTime(turn.route.name).stretch);
+    const toldMs = this.toldMsOf(turn);
+    const tookMs =
+      turn.ranOutOfTime || turn.calmMs === undefined ? toldMs * MOST_TIME_SHARE : turn.tookMs;
     const ledgerShare = turn.ledgerMs / Math.max(1, turn.tookMs);
     this.lateShare += ((endedLate(turn) ? 1 : 0) - this.lateShare) * NEWEST_SHARE;
-    this.latestShare += (timeShare - this.latestShare) * NEWEST_SHARE;
+    this.latestTookMs += (tookMs - this.latestTookMs) * NEWEST_SHARE;
+    this.latestToldMs += (toldMs - this.latestToldMs) * NEWEST_SHARE;
     this.ledgerShare += (ledgerShare - this.ledgerShare) * NEWEST_SHARE;
     this.latestBusy += (this.busyShare(capacity) - this.latestBusy) * NEWEST_SHARE;
     const now = this.clock();
@@ -152,6 +161,12 @@
     this.limit = Math.min(highest, this.bearable);
   }
 
+  /** What callers told for a turn; one that reached no engine counts as a typical one. */
+  private toldMsOf({ route, calmMs }: EndedTurn): number {
+    const told = this.toldTime(route.name);
+    return calmMs === undefined ? this.latestToldMs : calmMs * told.stretch;
+  }
+
   /** Turns under way, at engines and at the ledger, as a share of the places of all engines. */
   busyShare({ engines, gateways }: ServiceCapacity): number {
     const places = placesOf(engines);
@@ -230,12 +245,6 @@
   }
 }
 
-/** What a turn took as a share of the time aimed at; most where it ran out of time or reached no engine. */
-function timeShareOf({ ranOutOfTime, tookMs, calmMs }: EndedTurn, stretch: number): number {
-  if (ranOutOfTime || calmMs === undefined) return MOST_TIME_SHARE;
-  return Math.min(MOST_TIME_SHARE, tookMs / (calmMs * stretch));
-}
-
 function endedLate({ call, tookMs }: EndedTurn): boolean {
   const { remainingMs } = call.program ?? {};
   return remainingMs !== undefined && remainingMs <= tookMs;
