What a turn took at an engine with little to do is what it takes; settlements ride while answers are as slow as usual

Settlements rode only while answers took less than 50 ms; they do while none is overdue by as much as answers take.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -2,6 +2,7 @@
 import { monotonicMs } from '../common/index.js';
 import type { LedgerClient } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
+import { isCalm } from '../performance/index.js';
 import type { CompiledRoute, RouteTable } from '../routes/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
@@ -134,7 +135,7 @@
     const final = turn ? await this.atLedger(service, this.turns.settle(turn)) : ending;
     const keepMs = monotonicMs() - ranAt;
     const ledgerMs = (reservation?.tookMs ?? 0) + keepMs;
-    this.noteEnd(exchange, route, service, { ending: final, ledgerMs, calmMs: run.calmMs });
+    this.noteEnd(exchange, route, service, { ending: final, ledgerMs, calmMs: this.calmMsOf(run) });
     this.finish(exchange, run, final);
     this.record({ exchange, route, ending: final, run, reservation, keepMs });
   }
@@ -192,6 +193,19 @@
     this.admission.noteEnd(turn, this.capacityOf(service));
   }
 
+  /**
+   * What the call would have taken at an engine with nothing else to do. At one that had little to do it
+   * is what it took: whatever was slow there, less load would not have helped.
+   */
+  private calmMsOf(run: CallRun): number | undefined {
+    const last = run.sends.at(-1);
+    if (last?.result !== 'complete') return run.calmMs;
+    const engines = this.options.backends.serving(run.serviceName);
+    const engine = engines.find(({ id }) => id === last.backend);
+    const wasCalm = engine && isCalm(last.ownLoad + last.otherLoad, engine.places);
+    return wasCalm ? last.tookMs : run.calmMs;
+  }
+
   private capacityOf(service: string): ServiceCapacity {
     const { backends } = this.options;
     return { engines: backends.serving(service), gateways: backends.gateways };
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -27,7 +27,7 @@
 
 /** How long settlements wait for a reservation that takes them along, in milliseconds. */
 const RIDE_WAIT_MS = 250;
-/** Settlements ride with a reservation while the ledger has owed no answer for longer than this, in milliseconds. */
+/** Settlements ride with a reservation while no answer is overdue: by this, or by as much as answers take. */
 const RIDE_SILENCE_MS = 50;
 /** Settlements that failed are sent again after a wait up to these, in milliseconds. */
 const RESEND_WAIT_MS = 200;
@@ -143,7 +143,7 @@
     const deadlineMs = monotonicMs() + limitMs;
     const hasEntered = await this.window.enter(limitMs);
     if (!hasEntered) throw this.notReserved('too many wait for the ledger');
-    const batch = this.queue.take(this.outage.silenceMs < RIDE_SILENCE_MS ? undefined : 0);
+    const batch = this.queue.take(this.mayRide ? undefined : 0);
     const { settlements } = batch;
     const startedAt = monotonicMs();
     const timeoutMs = Math.max(1, deadlineMs - startedAt);
@@ -162,6 +162,11 @@
     }
   }
 
+  private get mayRide(): boolean {
+    const ordinaryMs = Math.max(RIDE_SILENCE_MS, 2 * this.window.answerMs);
+    return !this.isAway && this.outage.silenceMs < ordinaryMs;
+  }
+
   private takeAllowance({
     program,
     attempt,
--- a/src/ledger/reservation-window.ts
+++ b/src/ledger/reservation-window.ts
@@ -17,8 +17,7 @@
 export class ReservationWindow {
   private size = MOST_UNDER_WAY;
   private underWay = 0;
-  /** What an answer takes, in milliseconds. */
-  private answerMs = 0;
+  private expectedMs = 0;
   /** Oldest first. */
   private readonly waiting: Deferred<boolean>[] = [];
 
@@ -30,6 +29,11 @@
     return this.underWay > 0;
   }
 
+  /** What an answer takes, in milliseconds. */
+  get answerMs(): number {
+    return this.expectedMs;
+  }
+
   /**
    * @param usefulMs how long an answer is of any use, in milliseconds
    * @returns whether there was room while an answer could still come in time; whoever entered has to leave
@@ -41,7 +45,7 @@
     }
     const entered = new Deferred<boolean>();
     this.waiting.push(entered);
-    const timer = setTimeout(() => this.giveUp(entered), usefulMs - this.answerMs);
+    const timer = setTimeout(() => this.giveUp(entered), usefulMs - this.expectedMs);
     try {
       return await entered.promise;
     } finally {
@@ -51,7 +55,7 @@
 
   /** The ledger has answered. */
   leaveAnswered(tookMs: number): void {
-    this.answerMs += (tookMs - this.answerMs) * LATEST_SHARE;
+    this.expectedMs += (tookMs - this.expectedMs) * LATEST_SHARE;
     if (tookMs < SLOW_ANSWER_MS) this.size = Math.min(MOST_UNDER_WAY, this.size + 1);
     else this.size = stepTowards(this.size, MOST_WHILE_SLOW);
     this.leave();
@@ -59,7 +63,7 @@
 
   /** The ledger has not answered in time. */
   leaveFailed(tookMs: number): void {
-    this.answerMs += Math.max(0, tookMs - this.answerMs) * LATEST_SHARE;
+    this.expectedMs += Math.max(0, tookMs - this.expectedMs) * LATEST_SHARE;
     this.size = 1;
     this.leave();
   }
