Turns of other gateways at the ledger are told by how long turns wait there; no route is starved

One own turn at the ledger counted as one of each gateway: with 53 gateways and some three turns a second each, 0.14 of all places or nothing, whatever the load was. Little's law tells it from the waits of the latest turns; own turns that pile up count as before, but for one.

--- a/src/forwarding/program-admission.test.ts
+++ b/src/forwarding/program-admission.test.ts
@@ -215,4 +215,21 @@
     expect(takenOf(urgent)).toBe(200);
     expect(takenOf(patient)).toBeLessThan(100);
   });
+
+  it('does not refuse all programs of the least urgent route before any others', () => {
+    const admission = new ProgramAdmission();
+    const routes = [0, 1].map((priority) => ({ name: `r${priority}`, priority }) as Route);
+    const atLimit = { engines: [{ load: 2.1 * PLACES, places: PLACES }], gateways: 1 };
+    const [urgent, patient] = [...routes, ...routes]
+      .map(
+        (route) =>
+          Array.from({ length: 400 }, (_, index) => {
+            const call = callOf({ id: `p${index}`, bornAt: 0, turnsLeft: TURNS, sends: 0 }, 0);
+            return admission.admits(SERVICE, route, call, atLimit);
+          }).filter(Boolean).length,
+      )
+      .slice(2);
+    expect(urgent).toBeGreaterThan(320);
+    expect(patient).toBeGreaterThan(110);
+  });
 });
--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -43,12 +43,14 @@
 const HIGHEST_LIMIT = 2;
 /** The least, where turns spend this share of their time at the ledger, and where they spend less: engines that are half empty are not what makes turns late. */
 const LEDGER_BOUND_SHARE = 0.2;
-const LOWEST_LIMIT_AT_LEDGER = 0.1;
+const LOWEST_LIMIT_AT_LEDGER = 0.02;
 const LOWEST_LIMIT_AT_ENGINES = 0.25;
 /** From the limit up to this many times of it the share of new programs that is refused rises to all. */
 const RAMP = 1.35;
 /** Less urgent programs are refused from this share of the limit on. */
 const LESS_URGENT_SHARE = 0.8;
+/** So many of them are refused before any more urgent ones are: what is less urgent is not starved. */
+const LESS_URGENT_REFUSED = 0.65;
 const HASH_RANGE = 2 ** 32;
 
 /** How full an engine is. */
@@ -90,8 +92,8 @@
   private latestToldMs = 0;
   /** Share of them that ended later than their program should have. */
   lateShare = 0;
-  /** Share of their time that they waited for the ledger. */
-  ledgerShare = 0;
+  /** How long they waited for the ledger, in milliseconds. */
+  private latestLedgerMs = 0;
   /** The load when they ended. */
   latestBusy = 0;
   /** Turns of this gateway that wait for the ledger. */
@@ -131,7 +133,7 @@
   }
 
   private get lowest(): number {
-    const isAtLedger = this.ledgerShare >= LEDGER_BOUND_SHARE;
+    const isAtLedger = this.latestLedgerMs >= this.latestTookMs * LEDGER_BOUND_SHARE;
     return isAtLedger ? LOWEST_LIMIT_AT_LEDGER : LOWEST_LIMIT_AT_ENGINES;
   }
 
@@ -149,11 +151,10 @@
     const toldMs = this.toldMsOf(turn);
     const tookMs =
       turn.ranOutOfTime || turn.calmMs === undefined ? toldMs * MOST_TIME_SHARE : turn.tookMs;
-    const ledgerShare = turn.ledgerMs / Math.max(1, turn.tookMs);
     this.lateShare += ((endedLate(turn) ? 1 : 0) - this.lateShare) * NEWEST_SHARE;
     this.latestTookMs += (tookMs - this.latestTookMs) * NEWEST_SHARE;
     this.latestToldMs += (toldMs - this.latestToldMs) * NEWEST_SHARE;
-    this.ledgerShare += (ledgerShare - this.ledgerShare) * NEWEST_SHARE;
+    this.latestLedgerMs += (turn.ledgerMs - this.latestLedgerMs) * NEWEST_SHARE;
     this.latestBusy += (this.busyShare(capacity) - this.latestBusy) * NEWEST_SHARE;
     const now = this.clock();
     const highest = this.limit * 2 ** ((now - this.limitedAt) / DOUBLING_MS);
@@ -167,11 +168,19 @@
     return calmMs === undefined ? this.latestToldMs : calmMs * told.stretch;
   }
 
-  /** Turns under way, at engines and at the ledger, as a share of the places of all engines. */
+  /**
+   * Turns under way, at engines and at the ledger, as a share of the places of all engines. How many of
+   * other gateways wait for the ledger follows from how long turns wait there (Little's law); what this gateway
+   * has waiting there says so sooner, but for one turn, which may be chance.
+   */
   busyShare({ engines, gateways }: ServiceCapacity): number {
     const places = placesOf(engines);
+    if (places === 0) return 0;
     const atEngines = engines.reduce((sum, engine) => sum + engine.load, 0);
-    return places === 0 ? 0 : (atEngines + this.atLedger.value * gateways) / places;
+    const engineMs = Math.max(1, this.latestTookMs - this.latestLedgerMs);
+    const atLedger = (atEngines * this.latestLedgerMs) / engineMs;
+    const seenAtLedger = (this.atLedger.value - 1) * gateways;
+    return (atEngines + Math.max(atLedger, seenAtLedger)) / places;
   }
 }
 
@@ -216,9 +225,9 @@
     const state = this.stateFor(service, route);
     const { program } = call;
     if (!program || !isFirstTurn(call)) return true;
+    const load = state.busyShare(capacity) / state.limit;
     const isLessUrgent = route.priority > (state.leastUrgent + state.mostUrgent) / 2;
-    const bearable = state.limit * (isLessUrgent ? LESS_URGENT_SHARE : 1);
-    const refusedShare = (state.busyShare(capacity) / bearable - 1) / (RAMP - 1);
+    const refusedShare = isLessUrgent ? lessUrgentRefused(load) : refusedOf(load);
     return hash32(program.id) / HASH_RANGE >= refusedShare;
   }
 
@@ -245,6 +254,16 @@
   }
 }
 
+/** @param load as a share of what is borne */
+function refusedOf(load: number): number {
+  return (load - 1) / (RAMP - 1);
+}
+
+function lessUrgentRefused(load: number): number {
+  const first = Math.min(LESS_URGENT_REFUSED, refusedOf(load / LESS_URGENT_SHARE));
+  return Math.max(first, refusedOf(load));
+}
+
 function endedLate({ call, tookMs }: EndedTurn): boolean {
   const { remainingMs } = call.program ?? {};
   return remainingMs !== undefined && remainingMs <= tookMs;
--- a/src/forwarding/told-time.test.ts
+++ b/src/forwarding/told-time.test.ts
@@ -41,6 +41,7 @@
 
   it('is not taken for longer where traffic begins and most turns are first ones', () => {
     const expected = (AIM_SHARE * (CALM_MS + PAUSE_MS)) / CALM_MS;
-    for (const seconds of [1, 2, 3, 5]) expect(toldAfter(seconds, 50)).toBeLessThan(1.15 * expected);
+    for (const seconds of [1, 2, 3, 5])
+      expect(toldAfter(seconds, 50)).toBeLessThan(1.15 * expected);
   });
 });
