--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -137,11 +137,6 @@
     return isAtLedger ? LOWEST_LIMIT_AT_LEDGER : LOWEST_LIMIT_AT_ENGINES;
   }
 
-  /** Whether a new program would lately have been refused. */
-  get refusesSome(): boolean {
-    return this.timeShare >= ONSET_SHARE;
-  }
-
   /** What the latest turns took, as a share of what callers told for them. */
   private get timeShare(): number {
     return this.latestTookMs / Math.max(1, this.latestToldMs);
@@ -216,7 +211,7 @@
     if (!state) return;
     state.note(turn, capacity);
     const { calmMs, ranOutOfTime } = turn;
-    if (calmMs === undefined || ranOutOfTime || state.refusesSome) return;
+    if (calmMs === undefined || ranOutOfTime) return;
     state.toldTime(turn.route.name).note(answeredTurnOf(turn, calmMs));
   }
 
