--- a/src/consensus/learner-relays.ts
+++ b/src/consensus/learner-relays.ts
@@ -113,7 +113,12 @@
     private readonly member: RelayingMember,
     private readonly of: RelayTerm,
   ) {
-    this.log = new CommittedLog(member);
+    this.log = new CommittedLog(member, () => this.isCurrent);
+  }
+
+  private get isCurrent(): boolean {
+    const { leaderId, term } = this.member;
+    return leaderId === this.of.leaderId && term === this.of.term;
   }
 
   get group(): string {
@@ -129,7 +134,7 @@
   }
 
   get commitIndex(): number {
-    return this.member.commitIndex;
+    return this.log.lastIndex;
   }
 
   get heartbeatIntervalMs(): number {
@@ -168,10 +173,15 @@
 
 /** A log up to what is committed: what follows may still be replaced. */
 class CommittedLog implements ReplicatedLog {
-  constructor(private readonly member: RelayingMember) {}
+  /** @param isCurrent whether the leader in whose name entries are sent is still followed */
+  constructor(
+    private readonly member: RelayingMember,
+    private readonly isCurrent: () => boolean,
+  ) {}
 
+  /** What a later leader commits must not go out in the name of this one. */
   get lastIndex(): number {
-    return this.member.commitIndex;
+    return this.isCurrent() ? this.member.commitIndex : 0;
   }
 
   get compactedTo(): MemberLog['compactedTo'] {
--- /dev/null
+++ b/src/consensus/lost-answers.test.ts
@@ -0,0 +1,95 @@
+/**
+ * Appends were stored, and their answers were lost with their connections; the next heartbeats said how far the
+ * followers' logs match. Leaders took that for what needs no sending any more, but did not count it for commits:
+ * one command was still open after 4 s, a new leader stayed "leading, but not current yet", and one whose window for
+ * commands was full refused 60 of 60 that followed, with its lead and term unchanged.
+ */
+import { describe, expect, it } from 'vitest';
+import { GROUP, startCluster } from '../../tests/support/consensus-cluster.js';
+import { LoopbackNetwork } from '../../tests/support/loopback-network.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { sleep } from '../common/index.js';
+import { LinkError, encodeValue } from '../wire/index.js';
+import type { PeerCaller } from './index.js';
+import { APPEND, type AppendRequest } from './messages.js';
+
+/** Until a connection is found silent, in milliseconds; a heartbeat passes on another one meanwhile. */
+const FOUND_SILENT_MS = 60;
+/** Well above what a commit takes here, in milliseconds. */
+const COMMITTED_WITHIN_MS = 1_500;
+
+/** Loses the answers to some appends. */
+class AnswerLosingNetwork extends LoopbackNetwork {
+  loses: (request: AppendRequest) => boolean = () => false;
+
+  override peersOf(own: string, lane = ''): PeerCaller {
+    const peers = super.peersOf(own, lane);
+    return {
+      isConnected: (address) => peers.isConnected(address),
+      call: async (address, method, request, options) => {
+        const answer = await peers.call(address, method, request, options);
+        const isLost = method.name === APPEND.name && this.loses(request as AppendRequest);
+        if (!isLost) return answer;
+        await sleep(FOUND_SILENT_MS);
+        throw new LinkError('connection replaced', { step: APPEND.name, retriable: true });
+      },
+    };
+  }
+}
+
+async function startGroup(network: AnswerLosingNetwork) {
+  const cluster = await startCluster({ network, consensus: { maxProposalWaitMs: 300 } });
+  const leader = await cluster.waitLeader();
+  await cluster.client().execute(GROUP, 'first', { timeoutMs: 5_000 });
+  await sleep(200);
+  return { cluster, leader };
+}
+
+describe('a leader that loses the answers to its appends', () => {
+  it('commits what its followers hold', async () => {
+    const network = new AnswerLosingNetwork();
+    const { group } = (await startGroup(network)).leader;
+    const lostIndex = group.log.lastIndex + 1;
+    let left = 2;
+    network.loses = ({ entries }) => entries.some(({ index }) => index === lostIndex) && left-- > 0;
+    let isCommitted = false;
+    void group.propose(encodeValue('second')).then(() => (isCommitted = true));
+    await waitUntil('committed', () => isCommitted, COMMITTED_WITHIN_MS);
+  });
+
+  it('becomes current when that happens to its first entry', async () => {
+    const network = new AnswerLosingNetwork();
+    const { cluster, leader } = await startGroup(network);
+    const { term } = leader.group;
+    let hasLost = false;
+    network.loses = ({ entries }) => {
+      const isFirst = entries.some((entry) => entry.kind === 'empty' && entry.term > term);
+      if (!isFirst || hasLost) return false;
+      hasLost = true;
+      return true;
+    };
+    await cluster.crash(leader.member.id);
+    const { group } = await cluster.waitLeader(leader.member.id);
+    await waitUntil('current', () => group.isCurrentLeader, COMMITTED_WITHIN_MS);
+  });
+
+  it('takes commands again after a moment of it under load', async () => {
+    const network = new AnswerLosingNetwork();
+    const { group } = (await startGroup(network)).leader;
+    const until = performance.now() + 500;
+    network.loses = ({ entries }) => entries.length > 0 && performance.now() < until;
+    const propose = (text: string, bytes: number): Promise<boolean> =>
+      group.propose(encodeValue(text.padEnd(bytes, '.'))).then(
+        () => true,
+        () => false,
+      );
+    for (let number = 0; number < 12; number += 1) void propose(`early-${number}`, 100_000);
+    await sleep(1_500);
+    const later: Promise<boolean>[] = [];
+    for (let number = 0; number < 20; number += 1) {
+      later.push(propose(`later-${number}`, 60_000));
+      await sleep(50);
+    }
+    expect((await Promise.all(later)).filter((wasTaken) => !wasTaken)).toHaveLength(0);
+  });
+});
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -114,10 +114,15 @@
     this.wake.notify();
   }
 
-  /** The follower has said how far its log matches. */
+  /**
+   * The follower has said how far its log matches. That counts for commits at once: no append follows
+   * where the answer to the last one was lost, and what waits for its commit would wait for good.
+   */
   noteMatch(index: number): void {
-    this.matchIndex = Math.max(this.matchIndex, index);
-    this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
+    if (index <= this.matchIndex) return;
+    this.matchIndex = index;
+    this.nextIndex = Math.max(this.nextIndex, index + 1);
+    this.leader.onFollowerProgress();
   }
 
   /** The follower counts for commits from now on. */
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -2,7 +2,6 @@
 import { monotonicMs } from '../common/index.js';
 import type { LedgerClient } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
-import { isCalm } from '../performance/index.js';
 import type { CompiledRoute, RouteTable } from '../routes/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
@@ -10,15 +9,10 @@
 import { type CallEnding, CallRun, type SendRecord } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
-import { ProgramAdmission, type ServiceCapacity } from './program-admission.js';
+import { ProgramAdmission } from './program-admission.js';
 import { StallGuard } from './stall-guard.js';
 import { StreamRelay } from './stream-relay.js';
-import {
-  RefusedError,
-  type Reservation,
-  type TurnTime,
-  TurnReservations,
-} from './turn-reservations.js';
+import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
 
 export interface CallForwarderOptions {
   /** The routes in force; undefined before the first configuration. */
@@ -117,7 +111,7 @@
     this.admit(exchange, route, service);
     const typicalMs = this.options.backends.typicalMs(service);
     const time = { deadlineMs, typicalMs };
-    const reservation = await this.reserve(exchange, route, service, time);
+    const reservation = await this.turns.reserve(exchange, route.route, time);
     const run = new CallRun({
       exchange,
       route,
@@ -130,85 +124,38 @@
       protocol: this.options.protocol,
     });
     const ending = await run.run();
+    this.noteEnd(exchange, run, ending);
     const ranAt = monotonicMs();
-    const turn = reservation && { exchange, run, ending, route, reservation, deadlineMs };
-    const final = turn ? await this.atLedger(service, this.turns.settle(turn)) : ending;
+    const final = reservation
+      ? await this.turns.settle({ exchange, run, ending, route, reservation, deadlineMs })
+      : ending;
     const keepMs = monotonicMs() - ranAt;
-    const ledgerMs = (reservation?.tookMs ?? 0) + keepMs;
-    this.noteEnd(exchange, route, service, { ending: final, ledgerMs, calmMs: this.calmMsOf(run) });
     this.finish(exchange, run, final);
     this.record({ exchange, route, ending: final, run, reservation, keepMs });
   }
 
-  /** @throws RefusedError when the turn must not be sent; a ledger that answers none counts as too busy */
-  private async reserve(
-    exchange: CallExchange,
-    route: CompiledRoute,
-    service: string,
-    time: TurnTime,
-  ): Promise<Reservation | undefined> {
-    try {
-      return await this.atLedger(service, this.turns.reserve(exchange, route.route, time));
-    } catch (error) {
-      const isAway = error instanceof RefusedError && error.reason === 'ledger-unavailable';
-      if (isAway) {
-        const ending: CallEnding = { kind: 'refused', reason: error.reason };
-        const ledgerMs = monotonicMs() - exchange.arrivedAt;
-        this.noteEnd(exchange, route, service, { ending, ledgerMs });
-      }
-      throw error;
-    }
-  }
-
-  /** Counts the turn among those that wait for the ledger. */
-  private async atLedger<Result>(service: string, wait: Promise<Result>): Promise<Result> {
-    this.admission.noteLedgerAsked(service);
-    try {
-      return await wait;
-    } finally {
-      this.admission.noteLedgerLeft(service);
-    }
-  }
-
   /** @throws RefusedError when a new program finds its service overloaded */
   private admit({ description }: CallExchange, { route }: CompiledRoute, service: string): void {
     if (description.promptParts.length === 0) return;
-    const capacity = this.capacityOf(service);
-    if (this.admission.admits(service, route, description, capacity)) return;
+    const engines = this.options.backends.serving(service);
+    if (this.admission.admits(service, route, description, engines)) return;
     const typicalMs = this.options.backends.typicalMs(service);
-    const drainMs = this.admission.drainMs(service, capacity, typicalMs);
+    const drainMs = this.admission.drainMs(service, engines, typicalMs);
     throw new RefusedError('not-admitted', drainMs);
   }
 
   private noteEnd(
     { description: call, arrivedAt }: CallExchange,
-    { route }: CompiledRoute,
-    service: string,
-    { ending, ledgerMs, calmMs }: { ending: CallEnding; ledgerMs: number; calmMs?: number },
+    run: CallRun,
+    ending: CallEnding,
   ): void {
-    if (call.promptParts.length === 0) return;
+    if (call.promptParts.length === 0 || run.calmMs === undefined) return;
+    const { serviceName: service, calmMs } = run;
     const ranOutOfTime = ending.kind === 'abandoned' || isTimeLimit(ending);
     const tookMs = monotonicMs() - arrivedAt;
-    const turn = { service, route, call, ranOutOfTime, tookMs, ledgerMs, calmMs };
-    this.admission.noteEnd(turn, this.capacityOf(service));
-  }
-
-  /**
-   * What the call would have taken at an engine with nothing else to do. At one that had little to do it
-   * is what it took: whatever was slow there, less load would not have helped.
-   */
-  private calmMsOf(run: CallRun): number | undefined {
-    const last = run.sends.at(-1);
-    if (last?.result !== 'complete') return run.calmMs;
-    const engines = this.options.backends.serving(run.serviceName);
-    const engine = engines.find(({ id }) => id === last.backend);
-    const wasCalm = engine && isCalm(last.ownLoad + last.otherLoad, engine.places);
-    return wasCalm ? last.tookMs : run.calmMs;
-  }
-
-  private capacityOf(service: string): ServiceCapacity {
-    const { backends } = this.options;
-    return { engines: backends.serving(service), gateways: backends.gateways };
+    const engines = this.options.backends.serving(service);
+    const turn = { service, call, ranOutOfTime, tookMs, calmMs };
+    this.admission.noteEnd(turn, engines, this.options.backends.gateways);
   }
 
   /** Gives the caller its final answer. */
--- a/src/ledger/history-reader.ts
+++ b/src/ledger/history-reader.ts
@@ -2,7 +2,7 @@
  * Reads at other members what a turn continues from. A history is many times the size of all else in an
  * answer; the leader's link, on which every commit waits, is spared it.
  */
-import { LedgegaugeError, describeError } from '../common/index.js';
+import { LedgegaugeError, describeError, monotonicMs } from '../common/index.js';
 import type { PeerDirectory } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import { type HistorySource, READ_HISTORY } from './messages.js';
@@ -22,9 +22,18 @@
     private readonly logger: Logger,
   ) {}
 
-  /** @throws HistoryNotReadError when no member gave it */
-  async read(turn: string, { addresses, atIndex }: HistorySource): Promise<Uint8Array> {
+  /**
+   * @param limitMs after which no further member is asked, in milliseconds
+   * @throws HistoryNotReadError when no member gave it
+   */
+  async read(
+    turn: string,
+    { addresses, atIndex }: HistorySource,
+    limitMs: number,
+  ): Promise<Uint8Array> {
+    const deadlineMs = monotonicMs() + limitMs;
     for (const address of addresses) {
+      if (monotonicMs() >= deadlineMs) break;
       const history = await this.readAt(address, turn, atIndex);
       if (history) return history;
     }
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -41,6 +41,8 @@
 /** How long one leader may take over settlements, and over one reservation, in milliseconds. */
 const SETTLE_TRY_TIMEOUT_MS = 400;
 const RESERVE_TRY_TIMEOUT_MS = 250;
+/** Share of a reservation's time for reading a history elsewhere, so that the leader can still be asked for it. */
+const READ_SHARE = 0.5;
 /** How long a reservation may take where an allowance covers the turn, in milliseconds. */
 const COVERED_RESERVE_TIMEOUT_MS = 200;
 /** After a failure, covered turns don't ask the ledger for this time, in milliseconds. */
@@ -153,11 +155,29 @@
     const { historySource } = answer;
     if (!histories || !historySource || previousTurn === undefined) return answer;
     try {
-      return { ...answer, history: await histories.read(previousTurn, historySource) };
+      const history = await histories.read(previousTurn, historySource, limitMs * READ_SHARE);
+      return { ...answer, history };
     } catch (error) {
       const reason = describeError(error);
       this.logger.info('history asked of the leader', { turn: previousTurn, reason });
-      return this.ask(request, Math.max(1, deadlineMs - monotonicMs()));
+      return this.askOnceMore(request, Math.max(1, deadlineMs - monotonicMs()));
+    }
+  }
+
+  /** For a turn that is reserved already: whatever comes of it, the reservation may stand. */
+  private async askOnceMore(
+    request: Omit<ReserveRequest, 'holder' | 'settlements'>,
+    limitMs: number,
+  ): Promise<ReserveAnswer> {
+    try {
+      return await this.ask(request, limitMs);
+    } catch (error) {
+      if (!(error instanceof NotReservedError)) throw error;
+      throw new GroupUnavailableError(error.message, {
+        step: RESERVE.name,
+        peer: LEDGER_GROUP,
+        retriable: true,
+      });
     }
   }
 
