--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -44,6 +44,8 @@
   private readonly tryTimeoutMs: number;
   private addresses: string[];
   private nextAddress = 0;
+  /** When a member was last called as any of them (monotonic, milliseconds). */
+  private readonly calledAt = new Map<string, number>();
 
   constructor(private readonly options: GroupClientOptions) {
     this.tryTimeoutMs = options.tryTimeoutMs ?? DEFAULT_TRY_TIMEOUT_MS;
@@ -99,8 +101,9 @@
   ): Promise<Response> {
     const leader = this.leaders.get(group);
     const others = this.addresses.filter((address) => address !== leader);
-    const address = this.nextOf(others) ?? this.nextOf(this.addresses);
+    const address = this.leastRecentlyCalled(others.length > 0 ? others : this.addresses);
     if (address === undefined) throw noMemberError(method.name, group);
+    this.calledAt.set(address, monotonicMs());
     return this.options.peers.call(address, method, request, limits);
   }
 
@@ -169,6 +172,14 @@
     return this.nextOf(this.addresses.filter((address) => !tries.has(address)));
   }
 
+  /** Nobody is called twice before all have been: one that is silent would hold the others up again and again. */
+  private leastRecentlyCalled(addresses: readonly string[]): string | undefined {
+    const connected = addresses.filter((address) => this.options.peers.isConnected(address));
+    const candidates = connected.length > 0 ? connected : addresses;
+    const calledAt = (address: string): number => this.calledAt.get(address) ?? 0;
+    return [...candidates].sort((left, right) => calledAt(left) - calledAt(right))[0];
+  }
+
   /** One of some members in turn, a connected one if there is any. */
   private nextOf(addresses: readonly string[]): string | undefined {
     if (addresses.length === 0) return undefined;
