Members that all fail at once are asked with pauses

In the wire's log all gateways say 'process.stalled' with 1,892 to 2,341 ms after a loss of power. Only an answer, or the loss of an awaited leader's connection, ends a pause.

--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -156,8 +156,8 @@
       this.leaders.delete(group);
       hints.notePause();
       waitMs = Math.min(backoff.nextDelayMs(), Math.max(0, deadline - monotonicMs()));
-      // An answer that is overdue ends the pause; while some are, the pause is the wait for them.
-      if (answer) await tries.pause(waitMs);
+      // While some are overdue, the pause is the wait for them.
+      if (answer) await tries.pause(waitMs, (next) => hints.endsPause(next));
       address = this.anyAddress(tries);
     }
     throw new GroupUnavailableError(`no leader answered: ${lastProblem}`, {
--- a/src/consensus/leader-hints.ts
+++ b/src/consensus/leader-hints.ts
@@ -23,6 +23,11 @@
     return hint;
   }
 
+  /** Whether an answer that comes during a pause is worth reading at once. */
+  endsPause(answer: TryAnswer<unknown>): boolean {
+    return 'response' in answer || this.isAwaitedLost(answer);
+  }
+
   notePause(): void {
     this.followed.clear();
   }
@@ -32,8 +37,12 @@
     if ('leaderAddress' in answer && answer.leaderAddress !== undefined) {
       return answer.leaderAddress;
     }
-    if (!answer.isLost || answer.address !== this.awaited) return undefined;
+    if (!this.isAwaitedLost(answer)) return undefined;
     this.awaited = undefined;
     return answer.address;
   }
+
+  private isAwaitedLost({ isLost, address }: TryAnswer<unknown>): boolean {
+    return isLost && address === this.awaited;
+  }
 }
--- a/src/consensus/open-tries.ts
+++ b/src/consensus/open-tries.ts
@@ -52,15 +52,23 @@
 
   /** The next answer or failure of any member, or nothing after `timeoutMs`. */
   async next(timeoutMs: number): Promise<TryAnswer<Response> | undefined> {
-    await this.pause(timeoutMs);
+    if (this.answers.length === 0) await this.waitForAnswer(timeoutMs);
     const answer = this.answers.shift();
     if (answer) this.open.delete(answer.address);
     return answer;
   }
 
-  /** Waits, but no longer than until an answer or a failure is there to be read. */
-  async pause(forMs: number): Promise<void> {
-    if (this.answers.length === 0) await this.waitForAnswer(forMs);
+  /**
+   * Waits, but no longer than until an answer that ends the pause is there to be read. A failure mustn't end the
+   * pause after another one: members that all fail at once would be asked without any.
+   */
+  async pause(forMs: number, endsPause: (answer: TryAnswer<Response>) => boolean): Promise<void> {
+    const until = monotonicMs() + forMs;
+    while (!this.answers.some(endsPause)) {
+      const leftMs = until - monotonicMs();
+      if (leftMs <= 0) return;
+      await this.waitForAnswer(leftMs);
+    }
   }
 
   private async waitForAnswer(timeoutMs: number): Promise<void> {
