A back end that was taken out for its silence doesn't come back once another one has its address

Lost ones are remembered with their addresses; the next to register there ends them. Red without (one test), green with; one that had only fallen silent still comes back.

--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -70,6 +70,20 @@
     expect(machine.register({ sequence: 2 })).toBe(true);
   });
 
+  // A heartbeat that a cut had held up arrived after its sender had been taken out for its silence and another
+  // back end had registered at the address: the living one was forgotten for good.
+  it('takes none back whose address another one has', () => {
+    const machine = new Machine();
+    machine.register({});
+    machine.run({ kind: 'remove-backend', id: 'i-1', hasDeparted: false });
+    machine.register({ id: 'i-2' });
+    const copy = new DirectoryStateMachine();
+    copy.restore(Buffer.concat([...machine.state.snapshot()]));
+    expect(copy.isNews(sampleRegistration({ sequence: 2 }))).toBe(false);
+    expect(machine.register({ sequence: 2 })).toBe(false);
+    expect([...machine.state.backends.keys()]).toEqual(['i-2']);
+  });
+
   it('remembers a departure of one it never knew', () => {
     const machine = new Machine();
     machine.run({ kind: 'remove-backend', id: 'i-1', hasDeparted: true });
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -13,6 +13,8 @@
 
 /** Ids of back ends that have left are remembered, so that a late heartbeat does not revive one. */
 const MAX_REMEMBERED_DEPARTURES = 2_000;
+/** Back ends that were silent for long are remembered in the same way. */
+const MAX_REMEMBERED_LOSSES = 2_000;
 
 interface DirectoryState {
   configuration: PackedConfiguration | undefined;
@@ -20,6 +22,11 @@
   backends: Map<string, BackendRegistration>;
   backendsIndex: number;
   departed: Set<string>;
+  /**
+   * Addresses of back ends that were taken out for their silence, by id. One may come back, but not once another
+   * has its address: a heartbeat that was held up would take the living one out.
+   */
+  lost: Map<string, string>;
   ledgerFounders: Member[];
   retirements: Map<string, RetirementState>;
 }
@@ -31,6 +38,7 @@
   backends: BackendRegistration[];
   backendsIndex: number;
   departed: string[];
+  lost: [string, string][];
   ledgerFounders: Member[];
   retirements: [string, RetirementState][];
 }
@@ -112,6 +120,7 @@
       ...state,
       backends: [...state.backends.values()],
       departed: [...state.departed],
+      lost: [...state.lost],
       retirements: [...state.retirements],
     };
     return [encodeValue(encoded)];
@@ -124,6 +133,7 @@
       configuration: encoded.configuration ?? undefined,
       backends: new Map(encoded.backends.map((backend) => [backend.id, backend])),
       departed: new Set(encoded.departed),
+      lost: new Map(encoded.lost),
       retirements: new Map(encoded.retirements),
     };
     this.onChange();
@@ -166,26 +176,43 @@
       const tookItsAddress = other.address === registration.address && other.id !== registration.id;
       if (tookItsAddress) this.forget(other.id);
     }
+    this.replaceLost(registration);
     this.state.backends.set(registration.id, registration);
     this.state.backendsIndex = index;
     return CHANGED;
   }
 
   private remove(id: string, hasDeparted: boolean, index: number): DirectoryResult {
-    const known = this.state.backends.has(id);
+    const known = this.state.backends.get(id);
     if (hasDeparted) this.forget(id);
-    else this.state.backends.delete(id);
+    else if (known) this.noteLost(known);
     if (!known) return NOTHING_CHANGED;
     this.state.backendsIndex = index;
     return CHANGED;
   }
 
   private forget(id: string): void {
-    const { backends, departed } = this.state;
+    const { backends, departed, lost } = this.state;
     backends.delete(id);
+    lost.delete(id);
     departed.add(id);
-    const oldest = departed.values().next().value;
-    if (departed.size > MAX_REMEMBERED_DEPARTURES && oldest !== undefined) departed.delete(oldest);
+    dropOldest(departed, MAX_REMEMBERED_DEPARTURES);
+  }
+
+  private noteLost({ id, address }: BackendRegistration): void {
+    const { backends, lost } = this.state;
+    backends.delete(id);
+    lost.set(id, address);
+    dropOldest(lost, MAX_REMEMBERED_LOSSES);
+  }
+
+  /** Those that were lost at the address are over; the back end itself is lost no more. */
+  private replaceLost({ id, address }: BackendRegistration): void {
+    const { lost } = this.state;
+    lost.delete(id);
+    for (const [other, otherAddress] of [...lost]) {
+      if (otherAddress === address) this.forget(other);
+    }
   }
 
   private foundLedger(founders: Member[]): DirectoryResult {
@@ -202,6 +229,12 @@
   }
 }
 
+/** Sets and maps keep the order in which their entries came. */
+function dropOldest(remembered: Set<string> | Map<string, string>, most: number): void {
+  const oldest = remembered.keys().next().value;
+  if (remembered.size > most && oldest !== undefined) remembered.delete(oldest);
+}
+
 function emptyState(): DirectoryState {
   return {
     configuration: undefined,
@@ -209,6 +242,7 @@
     backends: new Map(),
     backendsIndex: 0,
     departed: new Set(),
+    lost: new Map(),
     ledgerFounders: [],
     retirements: new Map(),
   };
