--- a/src/directory/silent-connections.test.ts
+++ b/src/directory/silent-connections.test.ts
@@ -11,13 +11,9 @@
 import { sampleRegistration } from '../../tests/support/directory-samples.js';
 import { SilencingRelay } from '../../tests/support/silencing-relay.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
-import { GroupClient, PeerDirectory } from '../consensus/index.js';
-import { createLogger } from '../observability/index.js';
+import { type HeldNews, watchDirectory } from '../../tests/support/watched-directory.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
-import type { BackendRecord } from './backend-registration.js';
-import { DirectoryClient } from './directory-client.js';
 import { registerDirectoryService } from './directory-service.js';
-import { DirectoryWatcher } from './directory-watcher.js';
 import { WATCH } from './messages.js';
 
 const SECRET = 'a-secret-of-the-test';
@@ -44,44 +40,24 @@
 
 /** A watcher, a leader behind a relay, and two members that point at it. */
 class WatchedDirectory {
-  readonly directory = new CommittingDirectory();
-  generation = 0;
-  backends: BackendRecord[] = [];
-
-  private constructor(readonly relay: SilencingRelay) {}
+  private constructor(
+    readonly directory: CommittingDirectory,
+    readonly relay: SilencingRelay,
+    readonly held: HeldNews,
+  ) {}
 
   static async start(): Promise<WatchedDirectory> {
     const router = new MethodRouter();
     const relay = await SilencingRelay.start(await serve(router));
-    const watched = new WatchedDirectory(relay);
-    const { leader, group } = watched.directory;
-    registerDirectoryService(router, leader, () => group);
+    const directory = new CommittingDirectory();
+    registerDirectoryService(router, directory.leader, () => directory.group);
     const followers = [await serve(pointTo(relay.address)), await serve(pointTo(relay.address))];
-    watched.watch([...followers.map((port) => `${HOST}:${port}`), relay.address]);
-    return watched;
+    const addresses = [...followers.map((port) => `${HOST}:${port}`), relay.address];
+    return new WatchedDirectory(directory, relay, watchDirectory(addresses, SECRET));
   }
 
   isDraining(): boolean {
-    return this.backends.some(({ phase }) => phase === 'draining');
-  }
-
-  private watch(addresses: string[]): void {
-    const peers = new PeerDirectory({
-      ownName: 'gateway-1',
-      secret: SECRET,
-      router: new MethodRouter(),
-      resolveAddress: (address) => address,
-    });
-    onTestFinished(() => peers.close());
-    const watcher = new DirectoryWatcher({
-      client: new DirectoryClient(new GroupClient({ peers, addresses })),
-      announce: () => ({ name: 'gateway-1', role: 'gateway', address: 'g:1', zone: 'z' }),
-      logger: createLogger({}),
-      onConfiguration: ({ generation }) => (this.generation = generation),
-      onBackends: (backends) => (this.backends = backends),
-    });
-    watcher.start();
-    onTestFinished(() => watcher.stop());
+    return this.held.backends.some(({ phase }) => phase === 'draining');
   }
 }
 
@@ -102,16 +78,16 @@
 async function blindToConfigurationMs(silentMs: number): Promise<number> {
   const watched = await WatchedDirectory.start();
   await watched.directory.put(1);
-  await waitUntil('first configuration held', () => watched.generation === 1);
+  await waitUntil('first configuration held', () => watched.held.generation === 1);
   const change = (): Promise<void> => watched.directory.put(2);
-  return blindMs(watched, silentMs, change, () => watched.generation === 2);
+  return blindMs(watched, silentMs, change, () => watched.held.generation === 2);
 }
 
 async function blindToDrainMs(silentMs: number): Promise<number> {
   const watched = await WatchedDirectory.start();
   const { leader } = watched.directory;
   await leader.recordHeartbeat(sampleRegistration());
-  await waitUntil('back end known', () => watched.backends.length === 1);
+  await waitUntil('back end known', () => watched.held.backends.length === 1);
   const draining = sampleRegistration({ phase: 'draining', sequence: 2 });
   const change = (): Promise<void> => leader.recordHeartbeat(draining);
   return blindMs(watched, silentMs, change, () => watched.isDraining());
--- a/src/directory/silent-leader.test.ts
+++ b/src/directory/silent-leader.test.ts
@@ -10,13 +10,9 @@
 import { sampleRegistration } from '../../tests/support/directory-samples.js';
 import { LateRelay } from '../../tests/support/late-relay.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
-import { GroupClient, PeerDirectory } from '../consensus/index.js';
-import { createLogger } from '../observability/index.js';
+import { watchDirectory } from '../../tests/support/watched-directory.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
-import type { BackendRecord } from './backend-registration.js';
-import { DirectoryClient } from './directory-client.js';
 import { registerDirectoryService } from './directory-service.js';
-import { DirectoryWatcher } from './directory-watcher.js';
 
 const SECRET = 'a-secret-of-the-test';
 const HOST = '127.0.0.1';
@@ -33,32 +29,6 @@
   return server.port;
 }
 
-interface HeldNews {
-  generation: number;
-  backends: readonly BackendRecord[];
-}
-
-function watch(addresses: string[]): HeldNews {
-  const peers = new PeerDirectory({
-    ownName: 'gateway-1',
-    secret: SECRET,
-    router: new MethodRouter(),
-    resolveAddress: (address) => address,
-  });
-  onTestFinished(() => peers.close());
-  const held: HeldNews = { generation: 0, backends: [] };
-  const watcher = new DirectoryWatcher({
-    client: new DirectoryClient(new GroupClient({ peers, addresses })),
-    announce: () => ({ name: 'gateway-1', role: 'gateway', address: 'g:1', zone: 'z' }),
-    logger: createLogger({}),
-    onConfiguration: ({ generation }) => (held.generation = generation),
-    onBackends: (backends) => (held.backends = backends),
-  });
-  watcher.start();
-  onTestFinished(() => watcher.stop());
-  return held;
-}
-
 it('a gateway learns from any member what was committed while the leader is silent', async () => {
   let leaderAddress = '';
   const followers = [1, 2].map(
@@ -68,7 +38,8 @@
   const relay = await LateRelay.start(await serve(directory));
   leaderAddress = relay.address;
   const ports = await Promise.all(followers.map(serve));
-  const held = watch([...ports.map((port) => `${HOST}:${port}`), leaderAddress]);
+  const addresses = [...ports.map((port) => `${HOST}:${port}`), leaderAddress];
+  const held = watchDirectory(addresses, SECRET);
 
   await directory.put(1);
   await directory.leader.recordHeartbeat(sampleRegistration());
