Sight: a member's load by second, and where a reservation's time goes

Logs could not tell a full link, a busy processor, a slow disk and a narrow window of a slow ledger apart: reserveMs held the wait in the gateway, the leader's answer and the history's reading together. Each member of a group now writes one line a second while it is busy (commands, time at the gate, own sync, commit, bytes by purpose, processor time, busy share of its event loop), and a call's line says windowMs+leaderMs+historyMs and the bytes of its input.

--- a/src/consensus/commit-window.ts
+++ b/src/consensus/commit-window.ts
@@ -22,6 +22,10 @@
   /** @param targetMs how long a command may take from the log to its commit, in milliseconds */
   constructor(private readonly targetMs: number) {}
 
+  get bytes(): number {
+    return this.limitBytes;
+  }
+
   /** Whether a command may go to the log now; one alone always may. */
   hasRoom(bytes: number): boolean {
     return this.underWayBytes === 0 || this.underWayBytes + bytes <= this.limitBytes;
--- a/src/consensus/configuration.ts
+++ b/src/consensus/configuration.ts
@@ -66,3 +66,21 @@
 export function withoutMember(configuration: GroupConfiguration, id: string): GroupConfiguration {
   return { members: configuration.members.filter((member) => member.id !== id) };
 }
+
+/**
+ * A member's place in a group's first election, from 0 on: each group prefers another voter at start, so
+ * that leaders are spread over the members.
+ */
+export function startupRank(
+  configuration: GroupConfiguration,
+  ownId: string,
+  groupName: string,
+): number {
+  const voters = votersOf(configuration)
+    .map((voter) => voter.name)
+    .sort();
+  const own = findMember(configuration, ownId)?.name;
+  if (own === undefined || voters.length === 0) return 0;
+  const offset = [...groupName].reduce((sum, character) => sum + character.charCodeAt(0), 0);
+  return (voters.indexOf(own) + offset) % voters.length;
+}
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -112,7 +112,13 @@
   /** Registers the handlers of the messages between members. */
   registerHandlers(router: MethodRouter): void {
     router.handle(VOTE, (request) => this.target(request).followerDuty.vote(request));
-    router.handle(APPEND, (request) => this.target(request).followerDuty.append(request));
+    router.handle(APPEND, async (request) => {
+      const group = this.target(request);
+      const receivedAt = monotonicMs();
+      const response = await group.followerDuty.append(request);
+      group.times.append.note(monotonicMs() - receivedAt);
+      return response;
+    });
     router.handle(SNAPSHOT, (request) => this.target(request).followerDuty.snapshot(request));
     router.handle(TRANSFER, (request) => this.target(request).followerDuty.transfer(request));
     router.handle(HEARTBEATS, ({ heartbeats }) => {
--- a/src/consensus/proposal-gate.test.ts
+++ b/src/consensus/proposal-gate.test.ts
@@ -1,6 +1,7 @@
 /** Which commands go to a leader's log, which wait, and which are refused. */
 import { describe, expect, it } from 'vitest';
 import { Deferred, sleep } from '../common/index.js';
+import { createCommitTimes } from './commit-times.js';
 import { GroupOverloadedError } from './errors.js';
 import { ProposalGate } from './proposal-gate.js';
 
@@ -19,6 +20,7 @@
     commitTargetMs: COMMIT_TARGET_MS,
     maxWaitMs: MAX_WAIT_MS,
     append: (command) => this.append(command),
+    times: createCommitTimes(),
     onRefused: (count) => this.reported.push(count),
   });
 
--- a/src/consensus/proposal-gate.ts
+++ b/src/consensus/proposal-gate.ts
@@ -4,6 +4,7 @@
  * have given up, and everything after it is late.
  */
 import { Deferred, monotonicMs } from '../common/index.js';
+import type { CommitTimes } from './commit-times.js';
 import { CommitWindow } from './commit-window.js';
 import { GroupOverloadedError } from './errors.js';
 
@@ -18,6 +19,8 @@
   maxWaitMs: number;
   /** Appends a command; resolves with its result once it is committed and applied. */
   append: (command: Uint8Array) => Promise<unknown>;
+  /** How long commands waited, and took from the log to the end of applying, in milliseconds. */
+  times: Pick<CommitTimes, 'gate' | 'commit'>;
   /** Called at most once a second while commands are refused, with how many were since the last call. */
   onRefused: (count: number) => void;
 }
@@ -50,12 +53,18 @@
     return this.waiting.length > 0;
   }
 
+  /** Bytes of commands that may be under way at a time. */
+  get windowBytes(): number {
+    return this.window.bytes;
+  }
+
   /**
    * Appends a command now, or when there is room for it.
    * @throws GroupOverloadedError when there was none in time; the command was not taken
    */
   pass(command: Uint8Array): Promise<unknown> {
     if (this.waiting.length === 0 && this.window.hasRoom(command.length)) {
+      this.options.times.gate.note(0);
       return this.append(command);
     }
     if (this.waitingBytes + command.length > MAX_WAITING_BYTES) {
@@ -89,7 +98,9 @@
     const committed = this.options.append(command);
     window.take(bytes);
     const free = (): void => {
-      window.noteCommitted(bytes, monotonicMs() - appendedAt);
+      const tookMs = monotonicMs() - appendedAt;
+      this.options.times.commit.note(tookMs);
+      window.noteCommitted(bytes, tookMs);
       this.admit();
     };
     committed.then(free, () => undefined);
@@ -105,7 +116,8 @@
     }
   }
 
-  private appendFor({ command, result }: WaitingCommand): void {
+  private appendFor({ command, result, since }: WaitingCommand): void {
+    this.options.times.gate.note(monotonicMs() - since);
     try {
       this.append(command).then(
         (value) => result.resolve(value),
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -9,6 +9,7 @@
 import { DiskFullError, type LogEntry, StorageFullError } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
 import { Applier } from './applier.js';
+import { createCommitTimes } from './commit-times.js';
 import {
   type GroupConfiguration,
   type Member,
@@ -16,7 +17,7 @@
   findMember,
   isVoter,
   quorumValue,
-  votersOf,
+  startupRank,
   withMember,
   withoutMember,
 } from './configuration.js';
@@ -71,6 +72,7 @@
   /** Monotonic time since when this member has led, in milliseconds. */
   leadingSince = 0;
   readonly traffic = createReplicationTraffic();
+  readonly times = createCommitTimes();
   readonly sendsSnapshots = true;
   private readonly duty: FollowerDuty;
   private readonly replicators = new Map<string, Replicator>();
@@ -100,6 +102,7 @@
       commitTargetMs: COMMIT_TARGET_HEARTBEATS * heartbeatIntervalMs,
       maxWaitMs: maxProposalWaitMs,
       append: (data) => this.appendCommand(data),
+      times: this.times,
       onRefused: (count) => environment.onProposalsRefused(this, count),
     });
     this.commitIndex = log.latestSnapshot?.index ?? 0;
@@ -247,6 +250,11 @@
     return this.gate.refused;
   }
 
+  /** Bytes of commands that may be between the log and their commit at a time. */
+  get commitWindowBytes(): number {
+    return this.gate.windowBytes;
+  }
+
   /** Adds a member or changes its role; one change at a time. */
   addMember(member: Member): Promise<unknown> {
     return this.changeConfiguration(withMember(this.configuration, member));
@@ -318,7 +326,7 @@
    */
   private setFirstElectionDeadline(): void {
     const { startupElectionTimeoutMs } = this.environment.options;
-    const waits = 1 + Math.random() + this.startupRank();
+    const waits = 1 + Math.random() + startupRank(this.configuration, this.ownId, this.name);
     this.electionTimer.setIn(startupElectionTimeoutMs * waits);
   }
 
@@ -443,11 +451,15 @@
 
   private appendAsLeader(content: Pick<LogEntry, 'kind' | 'data'>): Promise<unknown> {
     const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.term, ...content };
+    const appendedAt = monotonicMs();
     const written = this.log.append([entry]);
     const committed = this.proposals.add(entry);
     for (const replicator of this.replicators.values()) replicator.notify();
     written.then(
-      () => this.onOwnEntrySynced(entry),
+      () => {
+        this.times.ownSync.note(monotonicMs() - appendedAt);
+        this.onOwnEntrySynced(entry);
+      },
       (error) => this.environment.onFatal(error),
     );
     return committed;
@@ -500,15 +512,4 @@
       this.becomeFollower(this.term, undefined);
     }
   }
-
-  /** Spreads the first leaders over the members: each group prefers another one at start. */
-  private startupRank(): number {
-    const voters = votersOf(this.configuration)
-      .map((voter) => voter.name)
-      .sort();
-    const own = findMember(this.configuration, this.ownId)?.name;
-    if (own === undefined || voters.length === 0) return 0;
-    const offset = [...this.name].reduce((sum, character) => sum + character.charCodeAt(0), 0);
-    return (voters.indexOf(own) + offset) % voters.length;
-  }
 }
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,6 +1,6 @@
 /** Takes calls from their arrival to their final answer: route, reservation, sends, settlement. */
 import { monotonicMs } from '../common/index.js';
-import type { LedgerClient } from '../ledger/index.js';
+import type { LedgerClient, ReservationTimes } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, RouteTable } from '../routes/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
@@ -199,11 +199,9 @@
       status: run?.answer.status,
       ms: Math.round(tookMs),
       firstMs: firstEventMs && Math.round(firstEventMs),
-      reserveMs: reservation && Math.round(reservation.tookMs),
-      keepMs: reservation && keepMs && Math.round(keepMs),
+      ...describeReservation(exchange, reservation, keepMs),
       most: exchange.description.mostTokens || undefined,
       events: run?.answer instanceof StreamRelay ? run.answer.events : undefined,
-      holder: reservation?.lastBackend,
       sends: run && describeSends(run),
       ...describeProgram(exchange.description.program),
     };
@@ -248,6 +246,27 @@
   return { program: id, session, budget, remainingMs };
 }
 
+function describeReservation(
+  { description }: CallExchange,
+  reservation: Reservation | undefined,
+  keepMs: number | undefined,
+): LogFields {
+  if (!reservation) return {};
+  const { tookMs, times, lastBackend } = reservation;
+  return {
+    reserveMs: Math.round(tookMs),
+    reserveParts: times && describeTimes(times),
+    keepMs: keepMs && Math.round(keepMs),
+    inputBytes: description.body.length,
+    holder: lastBackend,
+  };
+}
+
+/** In milliseconds: waited in this gateway, asked the leader, read the history elsewhere. */
+function describeTimes({ windowMs, leaderMs, historyMs }: ReservationTimes): string {
+  return [windowMs, leaderMs, historyMs].map(Math.round).join('+');
+}
+
 /** Each send as `backend@own load+others'-expected tokens to read/head/whole(expected):result`. */
 function describeSends(run: CallRun): string {
   return run.sends.map(describeSend).join(' ');
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -5,6 +5,7 @@
 import {
   type LedgerClient,
   NotReservedError,
+  type ReservationTimes,
   type Settlement,
   type TurnPlacement,
   TurnHistoryCache,
@@ -40,6 +41,8 @@
   history?: Uint8Array;
   /** How long the ledger took, in milliseconds. */
   tookMs: number;
+  /** Where that time went; absent where the ledger was not asked. */
+  times?: ReservationTimes;
   /** Most tokens taken from this gateway's allowance, if the ledger could not be asked. */
   allowanceTaken?: number;
   /** The back end that most likely holds the prompt of the turns before. */
@@ -153,8 +156,8 @@
     if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
     const history = known ?? answer.history;
     if (previousTurn !== undefined && !history) throw this.ledgerAway();
-    const { allowanceTaken, lastBackend } = answer;
-    return { program, attempt, previousTurn, history, tookMs, allowanceTaken, lastBackend };
+    const { allowanceTaken, lastBackend, times } = answer;
+    return { program, attempt, previousTurn, history, tookMs, times, allowanceTaken, lastBackend };
   }
 
   private ledgerAway(): RefusedError {
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -51,8 +51,20 @@
 /** The reservation was not told to the ledger, so that it can't stand. */
 export class NotReservedError extends GroupUnavailableError {}
 
+/** Where the time of a reservation went, in milliseconds. */
+export interface ReservationTimes {
+  /** In this gateway, until there was room for one more question. */
+  windowMs: number;
+  /** At the ledger's leader, the way there and back included. */
+  leaderMs: number;
+  /** Reading the history at another member. */
+  historyMs: number;
+}
+
 /** A reservation as the caller's side sees it. */
 export interface Reserved extends ReserveAnswer {
+  /** Absent where the ledger was not asked or did not answer. */
+  times?: ReservationTimes;
   /** Most tokens taken from the allowance, if the ledger was not asked or did not answer. */
   allowanceTaken?: number;
 }
@@ -146,7 +158,7 @@
   private async askWithHistory(
     request: Omit<ReserveRequest, 'holder' | 'settlements'>,
     limitMs: number,
-  ): Promise<ReserveAnswer> {
+  ): Promise<Reserved> {
     const { histories } = this;
     const { previousTurn } = request;
     const deadlineMs = monotonicMs() + limitMs;
@@ -154,9 +166,11 @@
     const answer = await this.ask({ ...request, mayReadElsewhere }, limitMs);
     const { historySource } = answer;
     if (!histories || !historySource || previousTurn === undefined) return answer;
+    const readAt = monotonicMs();
     try {
       const history = await histories.read(previousTurn, historySource, limitMs * READ_SHARE);
-      return { ...answer, history };
+      const times = { ...answer.times, historyMs: monotonicMs() - readAt };
+      return { ...answer, history, times };
     } catch (error) {
       const reason = describeError(error);
       this.logger.info('history asked of the leader', { turn: previousTurn, reason });
@@ -168,7 +182,7 @@
   private async askOnceMore(
     request: Omit<ReserveRequest, 'holder' | 'settlements'>,
     limitMs: number,
-  ): Promise<ReserveAnswer> {
+  ): Promise<Reserved> {
     try {
       return await this.ask(request, limitMs);
     } catch (error) {
@@ -185,8 +199,9 @@
   private async ask(
     request: Omit<ReserveRequest, 'holder' | 'settlements'>,
     limitMs: number,
-  ): Promise<ReserveAnswer> {
-    const deadlineMs = monotonicMs() + limitMs;
+  ): Promise<Reserved & { times: ReservationTimes }> {
+    const askedAt = monotonicMs();
+    const deadlineMs = askedAt + limitMs;
     const hasEntered = await this.window.enter(limitMs);
     if (!hasEntered) throw this.notReserved('too many wait for the ledger');
     const batch = this.queue.take(this.mayRide ? undefined : 0);
@@ -197,9 +212,10 @@
     try {
       const whole = { ...request, holder: this.holder, settlements };
       const answer = await this.call(RESERVE, whole, limits);
-      this.window.leaveAnswered(monotonicMs() - startedAt);
+      const leaderMs = monotonicMs() - startedAt;
+      this.window.leaveAnswered(leaderMs);
       this.noteSettled(batch);
-      return answer;
+      return { ...answer, times: { windowMs: startedAt - askedAt, leaderMs, historyMs: 0 } };
     } catch (error) {
       this.window.leaveFailed(monotonicMs() - startedAt);
       this.queue.putBack(batch);
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -17,6 +17,7 @@
 import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
+import { MemberLoadLog } from './member-load-log.js';
 import { createMemberMetrics } from './node-metrics.js';
 import { type NodeSettings, hostOf, portOf, votersFor } from './node-settings.js';
 
@@ -44,6 +45,7 @@
   private readonly stopping = new AbortController();
   private host!: GroupHost;
   private rpcServer!: RpcServer;
+  private readonly loadLog: MemberLoadLog;
 
   private constructor(
     private readonly options: GroupMemberOptions,
@@ -59,6 +61,8 @@
     };
     this.peers = new PeerDirectory(links);
     this.urgentPeers = new PeerDirectory(links);
+    const findGroup = (): ReplicatedGroup | undefined => this.group;
+    this.loadLog = new MemberLoadLog({ findGroup, wal, logger: options.logger });
   }
 
   static async open(options: GroupMemberOptions): Promise<GroupMemberProcess> {
@@ -129,6 +133,7 @@
   async stop(): Promise<void> {
     this.stopping.abort();
     this.keeper?.stop();
+    this.loadLog.stop();
     await this.host.stop();
     this.rpcServer.close();
     this.peers.close();
