--- /dev/null
+++ b/lab/ledger/ledger-host.ts
@@ -0,0 +1,127 @@
+/**
+ * One member of a ledger as a process, for measuring it without a directory and gateways.
+ *
+ *     node ledger-host.js SETTINGS
+ *
+ * SETTINGS is a JSON object as in `LedgerHostSettings`. A line `usage` on standard input is answered with
+ * a line of `LedgerHostUsage`; the end of standard input ends the process.
+ */
+import { mkdir, writeFile } from 'node:fs/promises';
+import { createInterface } from 'node:readline';
+import { join } from 'node:path';
+import { GroupClient, type Member } from '../../src/consensus/index.js';
+import type { Identity } from '../../src/control/identity.js';
+import {
+  LEDGER_GROUP,
+  LedgerService,
+  LedgerStateMachine,
+  READ_TURNS,
+} from '../../src/ledger/index.js';
+import { GroupMemberProcess } from '../../src/nodes/group-member-process.js';
+import { GROUP_TIMING } from '../../src/nodes/node-settings.js';
+import type { Logger } from '../../src/observability/index.js';
+import { ValueStore, openStoreFolder } from '../../src/value-store/index.js';
+
+export interface LedgerHostSettings {
+  member: Member;
+  founders: Member[];
+  folder: string;
+  secret: string;
+  toleratedLosses: number;
+}
+
+export interface LedgerHostUsage {
+  leads: boolean;
+  /** Processor time so far, in milliseconds. */
+  processorMs: number;
+  /** Bytes of log entries that were sent to voters so far. */
+  voterBytes: number;
+  logSyncs: number;
+}
+
+const READ_LIMITS = { connectMs: 500, timeoutMs: 2_000 };
+
+/** Standard output carries the figures only. */
+const SILENT: Logger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+function endProcess(error: unknown): never {
+  throw error;
+}
+
+/** The members are known beforehand, so that they need no directory to found their group. */
+async function writeIdentity({ member, founders, folder }: LedgerHostSettings): Promise<void> {
+  await mkdir(folder, { recursive: true });
+  const identity: Identity = { memberId: member.id, state: 'member', founders };
+  await writeFile(join(folder, 'identity.json'), JSON.stringify(identity));
+}
+
+async function startMember(settings: LedgerHostSettings): Promise<GroupMemberProcess> {
+  const { member, founders, folder, secret, toleratedLosses } = settings;
+  await writeIdentity(settings);
+  const values = await ValueStore.open({
+    folder: await openStoreFolder(join(folder, 'values')),
+    logger: SILENT,
+    onFatal: endProcess,
+  });
+  const stateMachine = new LedgerStateMachine({
+    values,
+    readTurnsAt: (address, request) =>
+      host.peers.callWhenConnected(address, READ_TURNS, request, READ_LIMITS),
+    logger: SILENT,
+  });
+  const host: GroupMemberProcess = await GroupMemberProcess.open({
+    settings: {
+      name: member.name,
+      zone: 'zone',
+      internalAddress: member.address,
+      controlSeeds: [],
+      isFirstStart: true,
+      dataFolder: folder,
+      toleratedLosses,
+      heartbeatIntervalMs: 1_000,
+      secret,
+    },
+    groupName: LEDGER_GROUP,
+    stateMachine,
+    consensus: GROUP_TIMING,
+    logQuotaBytes: undefined,
+    isRetiring: () => false,
+    onLeadershipChange: () => undefined,
+    logger: SILENT,
+    onFatal: endProcess,
+  });
+  const service = new LedgerService({
+    stateMachine,
+    findGroup: () => host.group,
+    mustRefuse: () => false,
+  });
+  service.registerHandlers(host.router);
+  await host.listen();
+  await host.found({ members: founders });
+  await host.enter(
+    new GroupClient({ peers: host.peers, addresses: founders.map(({ address }) => address) }),
+  );
+  return host;
+}
+
+function usageOf({ group }: GroupMemberProcess): LedgerHostUsage {
+  const { user, system } = process.cpuUsage();
+  return {
+    leads: group?.isLeader ?? false,
+    processorMs: (user + system) / 1_000,
+    voterBytes: group?.traffic.voterEntries ?? 0,
+    logSyncs: group?.times.ownSync.take().count ?? 0,
+  };
+}
+
+const host = await startMember(JSON.parse(process.argv[2]!) as LedgerHostSettings);
+console.log('ready');
+for await (const line of createInterface({ input: process.stdin })) {
+  if (line === 'usage') console.log(JSON.stringify(usageOf(host)));
+}
+process.exit(0);
