--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -1,8 +1,11 @@
 /** Members of a replicated ledger over a stand-in network, for tests of what is read of kept turns. */
+import { type ConsensusOptions, GroupClient, type PeerCaller } from '../../src/consensus/index.js';
 import {
   HistoryReader,
+  LedgerClient,
   LedgerService,
   LedgerStateMachine,
+  READ_TURNS,
   type Settlement,
 } from '../../src/ledger/index.js';
 import { createLogger } from '../../src/observability/index.js';
@@ -12,12 +15,26 @@
   type RunningMember,
   startCluster,
 } from './consensus-cluster.js';
+import { LoopbackNetwork } from './loopback-network.js';
 import { MemoryValues } from './memory-values.js';
+import type { MeteredLinks } from './metered-links.js';
 import { waitUntil } from './wait-until.js';
 
 const INPUT = Buffer.alloc(17_000, 'i');
 const OUTPUT = Buffer.from('data: o\n');
 const RETENTION_MS = 60_000;
+/** How long one member may take to send values to another. */
+const READ_LIMITS = { timeoutMs: 2_000 };
+
+export interface LedgerClusterOptions {
+  /** @default 3 */
+  voters?: number;
+  /** @default 0 */
+  learners?: number;
+  /** What messages have to pass. @default nothing */
+  links?: MeteredLinks;
+  consensus?: ConsensusOptions;
+}
 
 export const ledgerTestLogger = createLogger({ test: 'histories' });
 
@@ -34,11 +51,16 @@
 /** A ledger in place of the cluster's list. */
 class LedgerMachine extends ListMachine {
   readonly values = new MemoryValues();
-  readonly state = new LedgerStateMachine({
-    values: this.values,
-    readTurnsAt: () => Promise.reject(new Error('no other members')),
-    logger: ledgerTestLogger,
-  });
+  readonly state: LedgerStateMachine;
+
+  constructor(peers: PeerCaller) {
+    super();
+    this.state = new LedgerStateMachine({
+      values: this.values,
+      readTurnsAt: (address, request) => peers.call(address, READ_TURNS, request, READ_LIMITS),
+      logger: ledgerTestLogger,
+    });
+  }
 
   override apply(command: Uint8Array, index = 0): unknown {
     return this.state.apply(command, index);
@@ -65,9 +87,27 @@
     private readonly members: readonly LedgerMember[],
   ) {}
 
-  static async start(): Promise<LedgerCluster> {
-    const cluster = await startCluster({ createMachine: () => new LedgerMachine() });
-    await cluster.waitLeader();
+  static async start({
+    voters = 3,
+    learners = 0,
+    links,
+    consensus,
+  }: LedgerClusterOptions = {}): Promise<LedgerCluster> {
+    const network = new LoopbackNetwork(undefined, links);
+    const cluster = await startCluster({
+      size: voters,
+      network,
+      consensus,
+      createMachine: (member) => new LedgerMachine(network.peersOf(member.address)),
+    });
+    const { group } = await cluster.waitLeader();
+    for (let number = 1; number <= learners; number += 1) {
+      const name = `learner-${number}`;
+      const member = { id: `${name}-first`, name, address: name, role: 'learner' as const };
+      await cluster.start(member, false);
+      await waitUntil('settled', () => group.isConfigurationSettled);
+      await group.addMember(member);
+    }
     return new LedgerCluster(cluster, cluster.members.map(serveLedger));
   }
 
@@ -81,6 +121,20 @@
     return new HistoryReader({ callWhenConnected: peers.call }, ledgerTestLogger);
   }
 
+  /** The ledger as a gateway reaches it. */
+  createClient(name: string): LedgerClient {
+    const { network } = this.cluster;
+    const peers = network.peersOf(name);
+    const groups = new GroupClient({ peers, addresses: this.addresses, tryTimeoutMs: 300 });
+    return new LedgerClient(groups, ledgerTestLogger, name);
+  }
+
+  /** Whether a member holds the value of a turn. */
+  holdsValue(memberId: string, turn: string): boolean {
+    const found = this.members.find(({ running }) => running.member.id === memberId);
+    return found?.machine.values.has(turn) ?? false;
+  }
+
   /** Bytes of histories that the leader has sent, or all others together. */
   sentBy(isLeader: boolean): number {
     return this.members
