The ledger's log names kept turns; gateways send their values to the voters

Cause of the incident: each kept turn went in a log entry to four voters over the leader's link, which from the burst on carried 4 to 5 MB/s of 5.9 and nothing else in time. Ruled out as the standing state's cause: processor (event loop busy for 0.65 to 0.8 there), disk (followers answer an append in 5 ms), a window that is too narrow (it is narrow because commits take what four copies take).

A value is now made durable at the leader before the entry that names it is appended, and at a follower before the entry goes to its log, so that what is acknowledged or found in a log is there as before. Gateways send values to the followers as notices; the leader does for one that does not know them; a follower that lacks one after 100 ms asks another voter, the leader last, and learners do so always. Syncs of values are shared by all that wait.

--- a/lab/ledger/ledger-host.ts
+++ b/lab/ledger/ledger-host.ts
@@ -96,6 +96,7 @@
     onFatal: endProcess,
   });
   const service = new LedgerService({
+    peers: host.peers,
     stateMachine,
     findGroup: () => host.group,
     mustRefuse: () => false,
--- a/lab/ledger/main.ts
+++ b/lab/ledger/main.ts
@@ -13,7 +13,7 @@
 import { fileURLToPath } from 'node:url';
 import { monotonicMs, sleep } from '../../src/common/index.js';
 import { GroupClient, type Member, PeerDirectory } from '../../src/consensus/index.js';
-import { HistoryReader, LedgerClient } from '../../src/ledger/index.js';
+import { HistoryReader, LedgerClient, ValueCopies } from '../../src/ledger/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
 import type { LedgerHostSettings, LedgerHostUsage } from './ledger-host.js';
@@ -169,7 +169,8 @@
       resolveAddress: (address) => address,
     });
     const groups = new GroupClient({ peers, addresses });
-    return new LedgerClient(groups, SILENT, `holder-${index}`, new HistoryReader(peers, SILENT));
+    const histories = new HistoryReader(peers, SILENT);
+    return new LedgerClient(groups, SILENT, `holder-${index}`, histories, new ValueCopies(peers));
   });
   for (const rate of rates) await measure(hosts, clients, rate);
   await Promise.all(hosts.map((host) => host.stop()));
--- a/src/common/signal-event.ts
+++ b/src/common/signal-event.ts
@@ -1,5 +1,4 @@
 import { Deferred } from './deferred.js';
-import { sleep } from './clock.js';
 
 /** An event on which tasks wait; each `notify` wakes all that wait at that moment. */
 export class SignalEvent {
@@ -18,8 +17,13 @@
 
   /** Resolves at the next `notify` or after `timeoutMs`, whichever comes first. */
   async waitUpTo(timeoutMs: number): Promise<void> {
-    const controller = new AbortController();
-    await Promise.race([this.waiting.promise, sleep(timeoutMs, controller.signal)]);
-    controller.abort();
+    const { waiting } = this;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, timeoutMs);
+      void waiting.promise.then(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
   }
 }
--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -1,12 +1,20 @@
 /** The task that applies committed entries to the state machine, and makes and installs snapshots. */
 import { SignalEvent } from '../common/index.js';
 import {
+  type LogEntry,
   type SnapshotMark,
   type SnapshotSource,
   StorageFullError,
   type StoredSnapshot,
 } from '../log-store/index.js';
-import { decodeConfiguration, encodeConfiguration } from './configuration.js';
+import {
+  type GroupConfiguration,
+  type Member,
+  decodeConfiguration,
+  encodeConfiguration,
+  isVoter,
+  sourcesOf,
+} from './configuration.js';
 import type { GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
 import type { StateMachine } from './state-machine.js';
 
@@ -42,6 +50,8 @@
     const snapshot = group.log.latestSnapshot;
     if (snapshot) stateMachine.restore(snapshot.state);
     this.appliedIndex = snapshot?.index ?? 0;
+    const { log } = group;
+    stateMachine.external?.noteLogged(log.slice(this.appliedIndex + 1, Number.POSITIVE_INFINITY));
     this.snapshotIndex = this.appliedIndex;
     void this.run().catch((error) => environment.onFatal(error));
   }
@@ -90,12 +100,39 @@
   private async obtainExternal(snapshot: StoredSnapshot): Promise<void> {
     const { external } = this.stateMachine;
     if (!external) return;
-    const { members } = decodeConfiguration(snapshot.configuration);
-    const others = members.filter(({ id }) => id !== this.environment.ownId);
-    await external.fetchMissing(snapshot, others);
+    const sources = this.sourcesIn(decodeConfiguration(snapshot.configuration));
+    await external.fetchMissing(snapshot, sources);
     await external.sync();
   }
 
+  /**
+   * Makes durable what received entries name before they go to the log.
+   * @throws when that can't be had now; the entries must not be acknowledged then
+   */
+  async obtainFor(entries: readonly LogEntry[]): Promise<void> {
+    const { external } = this.stateMachine;
+    if (!external || entries.length === 0) return;
+    const configuration = this.knownConfiguration(entries);
+    const getsCopies = isVoter(configuration, this.environment.ownId);
+    await external.obtain(entries, this.sourcesIn(configuration), getsCopies);
+  }
+
+  private sourcesIn(configuration: GroupConfiguration): Member[] {
+    return sourcesOf(configuration, this.environment.ownId, this.group.leaderId);
+  }
+
+  noteLogged(entries: readonly LogEntry[]): void {
+    this.stateMachine.external?.noteLogged(entries);
+  }
+
+  /** A member that holds nothing yet learns its group from the first entries. */
+  private knownConfiguration(entries: readonly LogEntry[]): GroupConfiguration {
+    const { configuration } = this.group;
+    if (configuration.members.length > 0) return configuration;
+    const latest = entries.findLast(({ kind }) => kind === 'configuration');
+    return latest ? decodeConfiguration(latest.data) : configuration;
+  }
+
   /** Makes a snapshot soon that lets the whole log before it go. */
   requestSnapshot(): void {
     if (this.isSnapshotting || this.appliedIndex <= this.group.log.compactedTo.index) return;
--- a/src/consensus/configuration.ts
+++ b/src/consensus/configuration.ts
@@ -84,3 +84,23 @@
   const offset = [...groupName].reduce((sum, character) => sum + character.charCodeAt(0), 0);
   return (voters.indexOf(own) + offset) % voters.length;
 }
+
+/**
+ * Whom a member asks for what it lacks, in this order: voters, so that two that lack much don't ask the same
+ * one first; the leader behind them, since every commit waits on its link; learners last, which may lack it.
+ */
+export function sourcesOf(
+  configuration: GroupConfiguration,
+  ownId: string,
+  leaderId: string | undefined,
+): Member[] {
+  const others = configuration.members.filter(({ id }) => id !== ownId);
+  const rankOf = ({ id, role }: Member): number => {
+    if (id === leaderId) return 1;
+    return role === 'voter' ? 0 : 2;
+  };
+  return others
+    .map((member) => ({ member, rank: rankOf(member) + Math.random() / 2 }))
+    .sort((left, right) => left.rank - right.rank)
+    .map(({ member }) => member);
+}
--- a/src/consensus/external-state.test.ts
+++ b/src/consensus/external-state.test.ts
@@ -32,6 +32,12 @@
     return this.synced();
   }
 
+  obtain(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  noteLogged(): void {}
+
   fetchMissing(_snapshot: unknown, sources: readonly { name: string }[]): Promise<void> {
     this.fetches += 1;
     this.sourcesAsked = sources.map(({ name }) => name);
--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -67,6 +67,9 @@
     const { group } = this;
     if (request.term < group.term) return this.refuseAppend(0);
     this.followLeader(request.term, request.from);
+    await group.applier.obtainFor(request.entries);
+    // Another leader may have been followed meanwhile.
+    if (request.term < group.term) return this.refuseAppend(0);
     const { log } = group;
     const compacted = log.compactedTo.index;
     const knownTerm = log.termAt(request.previousIndex);
@@ -166,7 +169,9 @@
       return this.refuseAsFull();
     }
     try {
-      await group.log.append(fresh);
+      const written = group.log.append(fresh);
+      group.applier.noteLogged(fresh);
+      await written;
     } catch (error) {
       if (!(error instanceof StorageFullError)) throw error;
       return this.refuseAsFull();
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -4,7 +4,12 @@
 export { GroupHost, type GroupHostOptions } from './group-host.js';
 export { JOIN, type JoinRequest, type JoinResponse } from './messages.js';
 export * from './options.js';
-export { type PeerCaller, PeerDirectory, type PeerDirectoryOptions } from './peer-directory.js';
+export {
+  type PeerCaller,
+  PeerDirectory,
+  type PeerDirectoryOptions,
+  type PeerNotifier,
+} from './peer-directory.js';
 export { ReplicatedGroup } from './replicated-group.js';
 export type { ReplicationTraffic } from './replication-traffic.js';
 export type { ExternalState, StateMachine } from './state-machine.js';
--- a/src/consensus/peer-directory.ts
+++ b/src/consensus/peer-directory.ts
@@ -14,6 +14,11 @@
   isConnected(address: string): boolean;
 }
 
+/** Sends notices to other processes by their announced addresses. */
+export interface PeerNotifier {
+  notify<Request>(address: string, method: Method<Request, void>, request: Request): void;
+}
+
 export interface PeerDirectoryOptions {
   ownName: string;
   secret: string;
@@ -22,7 +27,7 @@
   resolveAddress: (address: string) => string;
 }
 
-export class PeerDirectory implements PeerCaller {
+export class PeerDirectory implements PeerCaller, PeerNotifier {
   private readonly links = new Map<string, PeerLink>();
 
   constructor(private readonly options: PeerDirectoryOptions) {}
@@ -36,6 +41,11 @@
     return this.link(address).call(method, request, options);
   }
 
+  /** Sends a notice if the link is up; nothing tells whether it arrived. */
+  notify<Request>(address: string, method: Method<Request, void>, request: Request): void {
+    this.link(address).notify(method, request);
+  }
+
   isConnected(address: string): boolean {
     return this.link(address).isConnected;
   }
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -453,6 +453,7 @@
     const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.term, ...content };
     const appendedAt = monotonicMs();
     const written = this.log.append([entry]);
+    this.applier.noteLogged([entry]);
     const committed = this.proposals.add(entry);
     for (const replicator of this.replicators.values()) replicator.notify();
     written.then(
--- a/src/consensus/state-machine.ts
+++ b/src/consensus/state-machine.ts
@@ -1,5 +1,5 @@
 /** What a replicated group replicates. */
-import type { StoredSnapshot } from '../log-store/index.js';
+import type { LogEntry, StoredSnapshot } from '../log-store/index.js';
 import type { Member } from './configuration.js';
 
 export interface StateMachine {
@@ -33,6 +33,22 @@
    */
   sync(): Promise<void>;
 
+  /**
+   * Makes durable here what entries name, before they go to this member's log: an entry that is
+   * acknowledged, or found in the log at a start, names nothing that this member lacks.
+   * @param sources members that may hold what is missing here, in the order in which they are asked
+   * @param getsCopies whether others may be sending here what entries name
+   * @throws when something is missing that no member gave, or the disk has no room for it now
+   */
+  obtain(
+    entries: readonly LogEntry[],
+    sources: readonly Member[],
+    getsCopies: boolean,
+  ): Promise<void>;
+
+  /** Entries stand in this member's log now; what they name is wanted until they are applied. */
+  noteLogged(entries: readonly LogEntry[]): void;
+
   /**
    * Fetches from other members what a snapshot names and this member does not hold. What was fetched
    * stays when it fails, so that the next try goes on from there.
--- a/src/ledger/kept-turns.ts
+++ b/src/ledger/kept-turns.ts
@@ -2,8 +2,9 @@
  * The index of the turns that are kept for later ones, each linked to the turn it continued. Their
  * inputs and outputs are values on this member's disk.
  */
-import type { KeptTurn } from './ledger-commands.js';
+import { type KeptTurn, type NamedTurn, carriesValue } from './ledger-commands.js';
 import type { TurnValues } from './turn-values.js';
+import { UnnamedValues } from './unnamed-values.js';
 
 interface IndexedTurn {
   previousTurn: string | undefined;
@@ -20,6 +21,9 @@
   /** After a restore the store may hold values of turns that the state does not name. */
   private mayHoldOthers = true;
 
+  /** Values that no turn of the state names yet. */
+  readonly unnamed = new UnnamedValues();
+
   constructor(private readonly values: TurnValues) {}
 
   get size(): number {
@@ -39,12 +43,13 @@
    * Keeps a turn, and its whole chain for at least as long.
    * @param keptAtIndex log index of the entry that brings it
    */
-  keep(id: string, turn: KeptTurn, nowMs: number, keptAtIndex = 0): void {
+  keep(id: string, turn: KeptTurn | NamedTurn, nowMs: number, keptAtIndex = 0): void {
+    this.unnamed.noteNamed(id);
     if (this.turns.has(id)) return;
-    const { previousTurn, input, output, retentionMs } = turn;
+    const { previousTurn, retentionMs } = turn;
     const expiresAtMs = nowMs + retentionMs;
     this.turns.set(id, { previousTurn: previousTurn ?? undefined, expiresAtMs, keptAtIndex });
-    this.values.put(id, Buffer.concat([input, output]));
+    if (carriesValue(turn)) this.values.put(id, valueOf(turn));
     this.extendChain(previousTurn, expiresAtMs);
   }
 
@@ -61,7 +66,11 @@
     return ids.reverse();
   }
 
-  expire(nowMs: number): void {
+  /** @param appliedIndex log index up to which the state is applied */
+  expire(nowMs: number, appliedIndex: number): void {
+    for (const id of this.unnamed.expire(appliedIndex)) {
+      if (!this.turns.has(id)) this.values.delete(id);
+    }
     for (const [id, turn] of this.turns) {
       if (turn.expiresAtMs >= nowMs) continue;
       this.turns.delete(id);
@@ -69,7 +78,7 @@
     }
     if (!this.mayHoldOthers) return;
     this.mayHoldOthers = false;
-    this.values.retain((id) => this.turns.has(id));
+    this.values.retain((id) => this.turns.has(id) || this.unnamed.has(id));
   }
 
   /** All turns as they are now, encoded in groups of `groupSize` as they are asked for. */
@@ -87,6 +96,7 @@
         { previousTurn: previousTurn ?? undefined, expiresAtMs, keptAtIndex: 0 },
       ]),
     );
+    for (const id of this.turns.keys()) this.unnamed.noteNamed(id);
     this.mayHoldOthers = true;
   }
 
@@ -101,6 +111,11 @@
   }
 }
 
+/** A turn's value: its input followed by its output. */
+export function valueOf({ input, output }: KeptTurn): Buffer {
+  return Buffer.concat([input, output]);
+}
+
 /** Columns in place of objects, so that a snapshot of a large index takes little memory. */
 interface TurnColumns {
   ids: readonly string[];
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -25,6 +25,7 @@
 } from './messages.js';
 import { ReservationWindow } from './reservation-window.js';
 import { type SettlementBatch, SettlementQueue } from './settlement-queue.js';
+import type { ValueCopies } from './value-copies.js';
 
 /** How long settlements wait for a reservation that takes them along, in milliseconds. */
 const RIDE_WAIT_MS = 250;
@@ -81,12 +82,14 @@
   /**
    * @param holder names this start of the process, for its allowances
    * @param histories reads histories at members that don't lead; without it the leader sends them
+   * @param copies sends kept turns to members that don't lead; without it they ask one another for them
    */
   constructor(
     private readonly groups: GroupClient,
     private readonly logger: Logger,
     private readonly holder: string,
     private readonly histories?: HistoryReader,
+    private readonly copies?: ValueCopies,
   ) {}
 
   /** Expected time until a leader answers, in milliseconds; 0 while it does. */
@@ -144,7 +147,13 @@
   /** Resolves once the settlement is committed. @throws GroupUnavailableError when it may not be */
   async settle(settlement: Settlement, timeoutMs: number): Promise<void> {
     const limits = { timeoutMs, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
-    await this.call(SETTLE, { settlements: [settlement] }, limits);
+    const copiedTo = this.copies?.send(settlement);
+    const { copyTargets } = await this.call(
+      SETTLE,
+      { settlements: [settlement], copiedTo },
+      limits,
+    );
+    if (copyTargets) this.copies?.noteTargets(copyTargets);
     if (settlement.draw) this.allowances.confirm(settlement.program);
   }
 
@@ -210,8 +219,10 @@
     const timeoutMs = Math.max(1, deadlineMs - startedAt);
     const limits = { timeoutMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
     try {
-      const whole = { ...request, holder: this.holder, settlements };
+      const copyTargets = this.copies?.version;
+      const whole = { ...request, holder: this.holder, settlements, copyTargets };
       const answer = await this.call(RESERVE, whole, limits);
+      if (answer.copyTargets) this.copies?.noteTargets(answer.copyTargets);
       const leaderMs = monotonicMs() - startedAt;
       this.window.leaveAnswered(leaderMs);
       this.noteSettled(batch);
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -39,13 +39,19 @@
   retentionMs: number;
 }
 
+/** A kept turn as the log names it; its input and output are with every member that holds the entry. */
+export interface NamedTurn {
+  previousTurn?: string;
+  retentionMs: number;
+}
+
 /** Replaces a reservation by what was really passed on, and keeps the turn if it is to be kept. */
 export interface Settlement {
   program: string;
   /** Id of the call attempt; a repeated settlement of the same attempt changes nothing. */
   attempt: string;
   spentTokens: number;
-  keep?: KeptTurn;
+  keep?: KeptTurn | NamedTurn;
   draw?: AllowanceDraw;
   /** Where the turn ran; absent when it was not answered. */
   placement?: TurnPlacement;
@@ -57,6 +63,11 @@
   nowMs: number;
 }
 
+/** Whether a kept turn comes with its input and output, and not by name only. */
+export function carriesValue(keep: KeptTurn | NamedTurn): keep is KeptTurn {
+  return 'input' in keep;
+}
+
 export type LedgerCommand = ReserveCommand | SettleCommand;
 
 export type ReserveOutcome = 'granted' | 'budget-exhausted' | 'unknown-predecessor';
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -1,10 +1,22 @@
 /** Serves reservations and settlements on the process that leads the ledger group. */
 import { LedgegaugeError, monotonicMs, sleep } from '../common/index.js';
-import { type ReplicatedGroup, answerAsLeader } from '../consensus/index.js';
+import {
+  type PeerNotifier,
+  type ReplicatedGroup,
+  answerAsLeader,
+  votersOf,
+} from '../consensus/index.js';
 import { type MethodRouter, encodeValue } from '../wire/index.js';
-import type { LedgerCommand, ReserveResult } from './ledger-commands.js';
+import { valueOf } from './kept-turns.js';
+import {
+  type LedgerCommand,
+  type ReserveResult,
+  type Settlement,
+  carriesValue,
+} from './ledger-commands.js';
 import type { LedgerStateMachine } from './ledger-state-machine.js';
 import {
+  type CopyTargets,
   type HistorySource,
   READ_HISTORY,
   READ_TURNS,
@@ -18,6 +30,7 @@
   SETTLE,
   type SettleAnswer,
   type SettleRequest,
+  TAKE_COPY,
 } from './messages.js';
 
 /** A member that has not answered its leader for so long is not named to readers, in milliseconds. */
@@ -28,6 +41,7 @@
 const APPLY_WAIT_MS = 200;
 
 export interface LedgerServiceOptions {
+  peers: PeerNotifier;
   stateMachine: LedgerStateMachine;
   findGroup: () => ReplicatedGroup | undefined;
   /** Whether this process is so short of memory that reservations must wait. */
@@ -54,6 +68,9 @@
       answerAsLeader(this.options.findGroup(), (group) => this.settle(group, request)),
     );
     router.handle(READ_HISTORY, (request) => this.readHistory(request));
+    router.handle(TAKE_COPY, ({ turn, value }) =>
+      this.options.stateMachine.external.takeCopy(turn, value),
+    );
     router.handle(READ_TURNS, (request) => this.readTurns(request));
   }
 
@@ -98,9 +115,11 @@
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveAnswer> {
     if (this.options.mustRefuse()) throw overloadedError();
-    const { wantsHistory, mayReadElsewhere, ...reservation } = request;
+    const { wantsHistory, mayReadElsewhere, copyTargets: known, ...reservation } = request;
     const command: LedgerCommand = { kind: 'reserve', ...reservation, nowMs: this.nowMs(group) };
-    const result = (await group.propose(encodeValue(command))) as ReserveResult;
+    const reserved = (await group.propose(encodeValue(command))) as ReserveResult;
+    const targets = copyTargetsOf(group);
+    const result = targets.version === known ? reserved : { ...reserved, copyTargets: targets };
     const { previousTurn } = request;
     if (result.outcome !== 'granted' || previousTurn === undefined || !wantsHistory) return result;
     const source = mayReadElsewhere ? this.historySource(group, previousTurn) : undefined;
@@ -113,11 +132,45 @@
 
   private async settle(
     group: ReplicatedGroup,
-    { settlements }: SettleRequest,
+    { settlements: received, copiedTo }: SettleRequest,
   ): Promise<SettleAnswer> {
+    const targets = copyTargetsOf(group);
+    const isCopied = copiedTo === targets.version;
+    const settlements = await this.storeValues(received, isCopied ? [] : targets.addresses);
     const command: LedgerCommand = { kind: 'settle', settlements, nowMs: this.nowMs(group) };
     await group.propose(encodeValue(command));
-    return { isSettled: true };
+    return { isSettled: true, copyTargets: isCopied ? undefined : targets };
+  }
+
+  /**
+   * Makes values durable here and leaves their names in the settlements. In the log a value would go to every
+   * voter over this member's link, which bounded what the ledger took: four copies of each.
+   */
+  private async storeValues(
+    settlements: readonly Settlement[],
+    copyTo: readonly string[],
+  ): Promise<Settlement[]> {
+    const values = new Map<string, Buffer>();
+    const named = settlements.map((settlement): Settlement => {
+      const { attempt, keep } = settlement;
+      if (!keep || !carriesValue(keep)) return settlement;
+      values.set(attempt, valueOf(keep));
+      const { previousTurn, retentionMs } = keep;
+      return { ...settlement, keep: { previousTurn, retentionMs } };
+    });
+    if (values.size === 0) return named;
+    this.sendCopies(values, copyTo);
+    await this.options.stateMachine.external.store(values);
+    return named;
+  }
+
+  /** For a gateway that does not know the followers of this leader yet. */
+  private sendCopies(values: ReadonlyMap<string, Buffer>, addresses: readonly string[]): void {
+    for (const [turn, value] of values) {
+      for (const address of addresses) {
+        this.options.peers.notify(address, TAKE_COPY, { turn, value });
+      }
+    }
   }
 
   /** A clock that goes on from the state's where the leader before left it. */
@@ -130,6 +183,15 @@
   }
 }
 
+function copyTargetsOf(group: ReplicatedGroup): CopyTargets {
+  const { configuration, ownId, term } = group;
+  const followers = votersOf(configuration).filter(({ id }) => id !== ownId);
+  return {
+    version: `${term}.${group.log.configurationIndex}`,
+    addresses: followers.map(({ address }) => address),
+  };
+}
+
 function overloadedError(): LedgerOverloadedError {
   return new LedgerOverloadedError('short of memory', { step: 'ledger.reserve', retriable: true });
 }
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -1,14 +1,16 @@
 /** The replicated ledger: budgets of programs and turns that are kept. */
 import type { StateMachine } from '../consensus/index.js';
+import type { LogEntry } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
 import { decodeFrames, decodeValue, encodeFrame } from '../wire/index.js';
 import { type EncodedTurn, KeptTurns } from './kept-turns.js';
-import type {
-  LedgerCommand,
-  ReserveCommand,
-  ReserveResult,
-  SettleCommand,
-  Settlement,
+import {
+  type LedgerCommand,
+  type ReserveCommand,
+  type ReserveResult,
+  type SettleCommand,
+  type Settlement,
+  carriesValue,
 } from './ledger-commands.js';
 import { type EncodedAccount, ProgramBudgets } from './program-budgets.js';
 import { type EncodedPlacements, ProgramPlacements } from './program-placements.js';
@@ -50,7 +52,12 @@
 
   constructor(options: LedgerStateOptions) {
     this.turns = new KeptTurns(options.values);
-    this.external = new TurnHistories({ ...options, turns: this.turns, turnsNamedBy });
+    this.external = new TurnHistories({
+      ...options,
+      turns: this.turns,
+      turnsNamedBy,
+      turnsNamedIn,
+    });
   }
 
   /** The highest leader's clock that a command carried, in milliseconds. */
@@ -108,7 +115,7 @@
   private sweep(): void {
     if (this.clock - this.sweptAtMs < SWEEP_INTERVAL_MS) return;
     this.sweptAtMs = this.clock;
-    this.turns.expire(this.clock - EXPIRY_SLACK_MS);
+    this.turns.expire(this.clock - EXPIRY_SLACK_MS, this.index);
     this.budgets.expire(this.clock);
     this.placements.expire(this.clock);
   }
@@ -127,6 +134,16 @@
   return { head, turns: groups.flat() };
 }
 
+/** Turns that an entry names without their values. */
+function turnsNamedIn({ kind, data }: LogEntry): string[] {
+  if (kind !== 'command') return [];
+  const command = decodeValue<LedgerCommand>(data);
+  if (command.kind !== 'settle') return [];
+  return command.settlements.flatMap(({ attempt, keep }) =>
+    keep && !carriesValue(keep) ? [attempt] : [],
+  );
+}
+
 function turnsNamedBy(state: Uint8Array): string[] {
   return decodeState(state).turns.map(([id]) => id);
 }
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -10,6 +10,15 @@
   wantsHistory: boolean;
   /** Whether the answer may name members to read it at instead. */
   mayReadElsewhere?: boolean;
+  /** Version of the copy targets that the gateway knows. */
+  copyTargets?: string;
+}
+
+/** Where a gateway sends values of kept turns beside the leader: the voters that follow it. */
+export interface CopyTargets {
+  /** Changes with the leader and with the members. */
+  version: string;
+  addresses: string[];
 }
 
 /** Where a history can be read. */
@@ -25,12 +34,19 @@
   history?: Uint8Array;
   /** Where to read it, in place of it. */
   historySource?: HistorySource;
+  /** Present where the gateway knows others. */
+  copyTargets?: CopyTargets;
 }
 
-export type SettleRequest = Omit<SettleCommand, 'kind' | 'nowMs'>;
+export interface SettleRequest extends Omit<SettleCommand, 'kind' | 'nowMs'> {
+  /** Version of the copy targets to which the values were sent as well; absent when they were not. */
+  copiedTo?: string;
+}
 
 export interface SettleAnswer {
   isSettled: true;
+  /** Present where the gateway sent values to others, or to none. */
+  copyTargets?: CopyTargets;
 }
 
 /** Asks a member for values of kept turns that the sender lacks. */
@@ -61,6 +77,14 @@
   history?: Uint8Array;
 }
 
+/** Brings a follower the value of a turn ahead of the log entry that names it. */
+export interface TakeCopyNotice {
+  turn: string;
+  /** The turn's input followed by its output. */
+  value: Uint8Array;
+}
+
+export const TAKE_COPY = defineMethod<TakeCopyNotice, void>('ledger.take-copy');
 export const READ_HISTORY = defineMethod<ReadHistoryRequest, ReadHistoryAnswer>(
   'ledger.read-history',
 );
--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -3,9 +3,9 @@
  * A value that is missing here, because the member is new or the value is damaged, is fetched from
  * other members.
  */
-import { LedgegaugeError, describeError } from '../common/index.js';
+import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ExternalState, Member } from '../consensus/index.js';
-import type { StoredSnapshot } from '../log-store/index.js';
+import type { LogEntry, StoredSnapshot } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
 import type { KeptTurns } from './kept-turns.js';
 import type { ReadTurnsAnswer, ReadTurnsRequest } from './messages.js';
@@ -24,16 +24,38 @@
 /** Values read from the disk at the same time: Node's pool has four threads. */
 const TURNS_READ_TOGETHER = 8;
 
+/**
+ * How long a follower waits for values that are being sent to it, in milliseconds: the entry that names one
+ * comes behind it by a sync and a message, so that it is late only on a full link. Then another is asked.
+ */
+const COPY_WAIT_MS = 100;
+/**
+ * Values that may wait for their entries, beyond which copies from gateways are not taken: some seconds of
+ * what the busiest ledger keeps. A follower asks other members for what it did not take.
+ */
+const MOST_UNNAMED = 4_000;
+
+const REPORT_INTERVAL_MS = 1_000;
+
 export interface TurnHistoriesOptions {
   turns: KeptTurns;
   values: TurnValues;
   readTurnsAt: ReadTurnsAt;
   /** Ids of the turns that an encoded state names. */
   turnsNamedBy: (state: Uint8Array) => string[];
+  /** Turns that a log entry names without their values. */
+  turnsNamedIn: (entry: LogEntry) => string[];
   logger: Logger;
 }
 
 export class TurnHistories implements ExternalState {
+  private readonly copyArrived = new SignalEvent();
+  /** The latest fetch of what entries name. */
+  private obtaining: Promise<void> = Promise.resolve();
+  /** Since the latest report: values asked of other members, and those that none gave. */
+  private readonly fetched = { asked: 0, missing: 0 };
+  private reportedAt = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly options: TurnHistoriesOptions) {}
 
   waitForRoom(): Promise<void> {
@@ -82,13 +104,87 @@
     return answer;
   }
 
+  /** Takes a value ahead of the entry that names it. */
+  takeCopy(turn: string, value: Uint8Array): void {
+    if (this.options.turns.unnamed.size >= MOST_UNNAMED) return;
+    this.put(turn, value);
+    this.copyArrived.notify();
+  }
+
+  /**
+   * Makes a value durable at the leader, ahead of the entry that names it.
+   * @throws DiskFullError when there is no room for it now
+   */
+  async store(values: ReadonlyMap<string, Buffer>): Promise<void> {
+    await this.options.values.waitForRoom();
+    for (const [turn, value] of values) this.put(turn, value);
+    await this.options.values.sync();
+  }
+
+  async obtain(
+    entries: readonly LogEntry[],
+    sources: readonly Member[],
+    getsCopies: boolean,
+  ): Promise<void> {
+    const named = entries.flatMap((entry) => this.options.turnsNamedIn(entry));
+    if (named.length === 0) return;
+    if (getsCopies) await this.waitForCopies(named);
+    // One after the other: a leader that hears nothing in time sends the same entries again.
+    const obtained = this.obtaining.then(() =>
+      this.obtainNow(named, sources, entries.at(-1)!.index),
+    );
+    this.obtaining = obtained.catch(() => undefined);
+    await obtained;
+  }
+
+  noteLogged(entries: readonly LogEntry[]): void {
+    const { unnamed } = this.options.turns;
+    for (const entry of entries) {
+      for (const turn of this.options.turnsNamedIn(entry)) {
+        unnamed.noteLogged(turn, entry.index);
+      }
+    }
+  }
+
   async fetchMissing({ state, index }: StoredSnapshot, sources: readonly Member[]): Promise<void> {
     const isMissing = (id: string): boolean => !this.options.values.has(id);
     const wanted = new Set(this.options.turnsNamedBy(state).filter(isMissing));
-    if (wanted.size > 0) await this.fetch(wanted, sources, index);
+    if (wanted.size === 0) return;
+    await this.fetch(wanted, sources, index);
     if (wanted.size > 0) throw missingError(wanted.size);
   }
 
+  private put(turn: string, value: Uint8Array): void {
+    const { turns } = this.options;
+    if (!turns.has(turn)) turns.unnamed.noteHeld(turn);
+    // Of its own, since what was received is a view of a frame that holds much else.
+    this.options.values.put(turn, Buffer.from(value));
+  }
+
+  private async obtainNow(
+    named: readonly string[],
+    sources: readonly Member[],
+    atIndex: number,
+  ): Promise<void> {
+    const missing = new Set(this.missingOf(named));
+    if (missing.size > 0) await this.fetch(missing, sources, atIndex);
+    if (missing.size > 0) throw missingError(missing.size);
+    await this.options.values.sync();
+  }
+
+  private missingOf(named: readonly string[]): string[] {
+    return named.filter((turn) => !this.options.values.has(turn));
+  }
+
+  private async waitForCopies(named: readonly string[]): Promise<void> {
+    const deadlineMs = monotonicMs() + COPY_WAIT_MS;
+    for (;;) {
+      const leftMs = deadlineMs - monotonicMs();
+      if (leftMs <= 0 || this.missingOf(named).length === 0) return;
+      await this.copyArrived.waitUpTo(leftMs);
+    }
+  }
+
   private valuesOf(turns: readonly string[]): Promise<(Buffer | undefined)[]> {
     return Promise.all(turns.map((id) => this.options.values.get(id)));
   }
@@ -109,7 +205,19 @@
         this.options.logger.warn('kept turns not fetched', { peer: address, cause });
       }
     }
-    this.options.logger.info('kept turns fetched', { asked, missing: wanted.size });
+    this.reportFetched(asked, wanted.size);
+  }
+
+  /** At most once a second: a new member fetches what each batch of entries names. */
+  private reportFetched(asked: number, missing: number): void {
+    this.fetched.asked += asked;
+    this.fetched.missing += missing;
+    const now = monotonicMs();
+    if (now - this.reportedAt < REPORT_INTERVAL_MS) return;
+    this.reportedAt = now;
+    this.options.logger.info('kept turns fetched', { ...this.fetched });
+    this.fetched.asked = 0;
+    this.fetched.missing = 0;
   }
 
   /** One request after the other, each answer written before the next is asked for. */
@@ -120,7 +228,7 @@
       const answer = await this.options.readTurnsAt(address, { turns, atIndex });
       for (const [id, value] of answer.values) {
         await this.options.values.waitForRoom();
-        this.options.values.put(id, Buffer.from(value));
+        this.put(id, value);
         wanted.delete(id);
       }
       for (const id of answer.expired) wanted.delete(id);
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -10,7 +10,7 @@
   ForwardingMetrics,
   Placement,
 } from '../forwarding/index.js';
-import { HistoryReader, LedgerClient } from '../ledger/index.js';
+import { HistoryReader, LedgerClient, ValueCopies } from '../ledger/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
 import { MethodRouter } from '../wire/index.js';
@@ -70,6 +70,7 @@
         logger,
         holder,
         new HistoryReader(this.peers, logger),
+        new ValueCopies(this.peers),
       ),
       protocol: options.protocol,
       logger,
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -89,6 +89,7 @@
     const directory = new DirectoryClient(controlClient);
     const memory = new MemoryGuard(budget.total, logger);
     const service = new LedgerService({
+      peers,
       stateMachine,
       findGroup: () => member.group,
       mustRefuse: () => memory.isTight(),
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -11,6 +11,7 @@
 import type { Logger } from '../observability/index.js';
 import { PendingValues } from './pending-values.js';
 import { type AppendedRecord, SegmentFiles } from './segment-files.js';
+import { SharedSync } from './shared-sync.js';
 import type { StoreFolder } from './store-folder.js';
 import {
   decodeValueRecord,
@@ -57,6 +58,7 @@
   private readonly pending = new PendingValues();
   private readonly cache: LRUCache<string, Buffer>;
   private readonly files: SegmentFiles;
+  private readonly sharedSync: SharedSync;
   private readonly segmentBytes: number;
   private readonly maxPendingBytes: number;
   private readonly quotaBytes: number;
@@ -76,6 +78,7 @@
     this.maxPendingBytes = options.maxPendingBytes ?? DEFAULT_MAX_PENDING_BYTES;
     this.quotaBytes = options.quotaBytes ?? Number.POSITIVE_INFINITY;
     this.files = new SegmentFiles(options.folder, this.segmentBytes);
+    this.sharedSync = new SharedSync(() => this.syncFiles());
     this.cache = new LRUCache({
       maxSize: options.cacheBytes ?? DEFAULT_CACHE_BYTES,
       sizeCalculation: (value) => Math.max(1, value.length),
@@ -163,7 +166,7 @@
       if (this.isClosing) throw this.closedError();
       await this.progress.wait();
     }
-    await this.files.sync();
+    await this.sharedSync.run();
   }
 
   /** Resolves once few enough bytes wait to be written. */
@@ -180,6 +183,16 @@
     await this.files.close();
   }
 
+  /** After a failed sync nobody knows what is durable, and a later one would not tell. */
+  private async syncFiles(): Promise<void> {
+    try {
+      await this.files.sync();
+    } catch (error) {
+      this.options.onFatal(error);
+      throw error;
+    }
+  }
+
   private async recover(): Promise<void> {
     for (const { segment, records } of await this.files.recover()) {
       for (const { key, offset, length } of records) this.place(key, { segment, offset, length });
--- a/src/wire/framed-socket.ts
+++ b/src/wire/framed-socket.ts
@@ -40,6 +40,11 @@
     return this.lastReceived;
   }
 
+  /** Bytes that were sent and have not left this process yet. */
+  get waitingBytes(): number {
+    return this.socket.writableLength;
+  }
+
   send(value: unknown): void {
     if (this.socket.destroyed) return;
     if (!this.corked) {
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -30,6 +30,9 @@
  */
 export const LONGEST_SILENCE_MS = 1_500;
 
+/** Bytes that may wait for a peer before notices to it are dropped: some large ones. */
+const MOST_WAITING_NOTICE_BYTES = 256 * 1024;
+
 export interface CallOptions {
   /** How long to wait for the response, in milliseconds. */
   timeoutMs: number;
@@ -129,8 +132,12 @@
     return deferred.promise as Promise<Response>;
   }
 
-  /** Sends a notice; nothing tells whether it arrived. */
+  /**
+   * Sends a notice; nothing tells whether it arrived. A peer that is behind gets none: they would wait in
+   * memory for as long as it is, and notices are worth little when they are late.
+   */
   notify<Request>(method: Method<Request, void>, request: Request): void {
+    if (this.isSuspect || this.socket.waitingBytes > MOST_WAITING_NOTICE_BYTES) return;
     this.socket.send({ k: 'n', m: method.name, b: request } satisfies Envelope);
   }
 
--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -7,6 +7,7 @@
   LedgerStateMachine,
   READ_TURNS,
   type Settlement,
+  ValueCopies,
 } from '../../src/ledger/index.js';
 import { createLogger } from '../../src/observability/index.js';
 import {
@@ -50,16 +51,18 @@
 
 /** A ledger in place of the cluster's list. */
 class LedgerMachine extends ListMachine {
-  readonly values = new MemoryValues();
+  readonly values: MemoryValues;
   readonly state: LedgerStateMachine;
 
-  constructor(peers: PeerCaller) {
-    super();
-    this.state = new LedgerStateMachine({
-      values: this.values,
+  constructor(peers: PeerCaller, values = new MemoryValues()) {
+    const state = new LedgerStateMachine({
+      values,
       readTurnsAt: (address, request) => peers.call(address, READ_TURNS, request, READ_LIMITS),
       logger: ledgerTestLogger,
     });
+    super(state.external);
+    this.state = state;
+    this.values = values;
   }
 
   override apply(command: Uint8Array, index = 0): unknown {
@@ -108,7 +111,8 @@
       await waitUntil('settled', () => group.isConfigurationSettled);
       await group.addMember(member);
     }
-    return new LedgerCluster(cluster, cluster.members.map(serveLedger));
+    const members = cluster.members.map((running) => serveLedger(running, network));
+    return new LedgerCluster(cluster, members);
   }
 
   get addresses(): string[] {
@@ -126,7 +130,9 @@
     const { network } = this.cluster;
     const peers = network.peersOf(name);
     const groups = new GroupClient({ peers, addresses: this.addresses, tryTimeoutMs: 300 });
-    return new LedgerClient(groups, ledgerTestLogger, name);
+    const reader = new HistoryReader({ callWhenConnected: peers.call }, ledgerTestLogger);
+    const copies = new ValueCopies(network.notifierOf(name));
+    return new LedgerClient(groups, ledgerTestLogger, name, reader, copies);
   }
 
   /** Whether a member holds the value of a turn. */
@@ -152,11 +158,16 @@
   }
 }
 
-function serveLedger(running: RunningMember): LedgerMember {
+function serveLedger(running: RunningMember, network: LoopbackNetwork): LedgerMember {
   const machine = running.machine as LedgerMachine;
   const { state: stateMachine } = machine;
   const findGroup = () => running.group;
-  const service = new LedgerService({ stateMachine, findGroup, mustRefuse: () => false });
+  const service = new LedgerService({
+    peers: network.notifierOf(running.member.address),
+    stateMachine,
+    findGroup,
+    mustRefuse: () => false,
+  });
   service.registerHandlers(running.router);
   return { running, machine, service };
 }
--- a/tests/support/loopback-network.ts
+++ b/tests/support/loopback-network.ts
@@ -3,7 +3,7 @@
  * but without sockets. Links can be cut, one way or both, and
  * a call whose handler takes longer than the caller waits times out, as on a real link.
  */
-import type { PeerCaller } from '../../src/consensus/index.js';
+import type { PeerCaller, PeerNotifier } from '../../src/consensus/index.js';
 import { TimeoutError, sleep } from '../../src/common/index.js';
 import {
   type CallOptions,
@@ -16,6 +16,8 @@
 } from '../../src/wire/index.js';
 import type { MeteredLinks } from './metered-links.js';
 
+const NOTICE_OPTIONS: CallOptions = { timeoutMs: 5_000 };
+
 interface Caller {
   from: string;
   lane: string;
@@ -70,6 +72,17 @@
     };
   }
 
+  /** Sends notices as `ownAddress`; they share its connections. */
+  notifierOf(ownAddress: string): PeerNotifier {
+    const { call } = this.peersOf(ownAddress);
+    return {
+      notify: (address, method, request) => {
+        // Nobody is told whether a notice arrived.
+        void call(address, method, request, NOTICE_OPTIONS).catch(() => undefined);
+      },
+    };
+  }
+
   /** On metered links the way counts for the caller's limit as well as the handler. */
   private callInTime<Request, Response>(
     caller: Caller,
