Values gather before they are written; tests of copied values

A follower takes some hundred values a second one by one; each write to disk costs it as much as a message. Tests: who holds a kept turn when its gateway is told, lost copies, a leader lost with its disk, learners, a gateway that sends none, starts with entries that are not applied, syncs that are shared.

--- a/lab/ledger/main.ts
+++ b/lab/ledger/main.ts
@@ -21,12 +21,12 @@
 const HOST = fileURLToPath(new URL('ledger-host.js', import.meta.url));
 const FIRST_PORT = 17_540;
 const VOTERS = 5;
-const GATEWAYS = 53;
+const GATEWAYS = Number(process.env.GW ?? 53);
 const SECRET = 'measurement';
 const KEPT_BYTES = Number(process.env.KEPT ?? 4_300);
 /** Of three turns so many are kept. */
 const KEPT_OF_THREE = 1.5;
-const WARM_UP_MS = 6_000;
+const WARM_UP_MS = Number(process.env.WARM ?? 6_000);
 const MEASURED_MS = 6_000;
 const TURN_MS = 100;
 
--- /dev/null
+++ b/src/ledger/copied-values.test.ts
@@ -0,0 +1,103 @@
+/** Kept turns that the log only names: with whom their values are, whatever becomes of the copies. */
+import { describe, expect, it } from 'vitest';
+import {
+  KEPT_HISTORY,
+  KEPT_TURN,
+  LedgerCluster,
+  ledgerTestLogger,
+} from '../../tests/support/ledger-cluster.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { GroupClient, callLeader } from '../consensus/index.js';
+import { LedgerClient } from './ledger-client.js';
+import { LEDGER_GROUP, RESERVE, TAKE_COPY } from './messages.js';
+
+const LIMITS = { timeoutMs: 5_000 };
+const VOTERS = 5;
+const QUORUM = 3;
+const NEXT_TURN = {
+  program: 'p',
+  attempt: 'turn-2',
+  mostTokens: 10,
+  previousTurn: KEPT_TURN.attempt,
+  wantsHistory: true,
+};
+
+function copiesTaken(ledger: LedgerCluster): number {
+  const { requests } = ledger.cluster.network;
+  return ledger.addresses.reduce(
+    (sum, address) => sum + (requests.get(`${address} ${TAKE_COPY.name}`) ?? 0),
+    0,
+  );
+}
+
+function holders(ledger: LedgerCluster): number {
+  return ledger.cluster.members.filter(({ member }) =>
+    ledger.holdsValue(member.id, KEPT_TURN.attempt),
+  ).length;
+}
+
+describe('a turn that is kept', () => {
+  it('is with a majority once its gateway is told so', async () => {
+    const ledger = await LedgerCluster.start({ voters: VOTERS });
+    const client = ledger.createClient('gateway');
+    await client.settle(KEPT_TURN, LIMITS.timeoutMs);
+    expect(holders(ledger)).toBeGreaterThanOrEqual(QUORUM);
+    await waitUntil('with all', () => holders(ledger) === VOTERS);
+  });
+
+  it('is sent by its gateway to the followers that it learned of from the leader', async () => {
+    const ledger = await LedgerCluster.start({ voters: VOTERS });
+    const client = ledger.createClient('gateway');
+    const first = { program: 'p', attempt: 'turn-1', mostTokens: 10, wantsHistory: false };
+    await client.reserve(first, LIMITS.timeoutMs, false);
+    await client.settle(KEPT_TURN, LIMITS.timeoutMs);
+    expect(copiesTaken(ledger)).toBe(VOTERS - 1);
+  });
+
+  it('reaches members to which its copies were lost', async () => {
+    const ledger = await LedgerCluster.start({ voters: VOTERS });
+    const leader = await ledger.cluster.waitLeader();
+    const client = ledger.createClient('gateway');
+    const first = { program: 'p', attempt: 'turn-1', mostTokens: 10, wantsHistory: false };
+    await client.reserve(first, LIMITS.timeoutMs, false);
+    for (const address of ledger.addresses) {
+      if (address !== leader.member.address) ledger.cluster.network.cut('gateway', address);
+    }
+    await client.settle(KEPT_TURN, LIMITS.timeoutMs);
+    expect(holders(ledger)).toBeGreaterThanOrEqual(QUORUM);
+    await waitUntil('with all', () => holders(ledger) === VOTERS);
+  });
+
+  it('is read through the next leader after the one that kept it has gone for good', async () => {
+    const ledger = await LedgerCluster.start({ voters: VOTERS });
+    const { cluster, addresses } = ledger;
+    const client = ledger.createClient('gateway');
+    await client.settle(KEPT_TURN, LIMITS.timeoutMs);
+    const { member } = await cluster.waitLeader();
+    cluster.loseDisk(await cluster.crash(member.id));
+    await cluster.waitLeader(member.id);
+    const groups = new GroupClient({ peers: cluster.network.peersOf('other'), addresses });
+    const { outcome, history } = await callLeader(groups, LEDGER_GROUP, RESERVE, NEXT_TURN, LIMITS);
+    expect(outcome).toBe('granted');
+    expect(Buffer.from(history!)).toEqual(KEPT_HISTORY);
+  });
+
+  it('reaches learners, which are sent no copies', async () => {
+    const ledger = await LedgerCluster.start({ learners: 2 });
+    const client = ledger.createClient('gateway');
+    await client.settle(KEPT_TURN, LIMITS.timeoutMs);
+    await waitUntil('with learners', () => holders(ledger) === ledger.cluster.members.length);
+  });
+
+  it('is kept for a gateway that sends no copies at all', async () => {
+    const ledger = await LedgerCluster.start({ voters: VOTERS });
+    const { network } = ledger.cluster;
+    const groups = new GroupClient({
+      peers: network.peersOf('gateway'),
+      addresses: ledger.addresses,
+    });
+    const client = new LedgerClient(groups, ledgerTestLogger, 'gateway');
+    await client.settle(KEPT_TURN, LIMITS.timeoutMs);
+    await waitUntil('with all', () => holders(ledger) === VOTERS);
+  });
+});
--- a/src/ledger/turn-histories.test.ts
+++ b/src/ledger/turn-histories.test.ts
@@ -1,7 +1,9 @@
 /** Histories of turns whose values are missing here and are fetched from other members. */
 import { describe, expect, it } from 'vitest';
 import { MemoryValues } from '../../tests/support/memory-values.js';
+import { monotonicMs, sleep } from '../common/index.js';
 import type { Member } from '../consensus/index.js';
+import type { LogEntry } from '../log-store/index.js';
 import { createLogger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
 import { LedgerStateMachine } from './ledger-state-machine.js';
@@ -16,6 +18,8 @@
   readonly values = new Map<string, MemoryValues>();
   readonly states = new Map<string, LedgerStateMachine>();
   readonly requests: { address: string; turns: number }[] = [];
+  /** Whether members know which turns are over. @default those that are asked for a state do */
+  tellsExpired: boolean | undefined;
   /** Members that are not reached after so many more requests. */
   readonly diesAfter = new Map<string, number>();
 
@@ -42,7 +46,8 @@
     const left = this.diesAfter.get(address);
     if (left === 0) throw new Error(`${address} is gone`);
     if (left !== undefined) this.diesAfter.set(address, left - 1);
-    return this.states.get(address)!.external.answer(request, request.atIndex !== undefined);
+    const mayTell = this.tellsExpired ?? request.atIndex !== undefined;
+    return this.states.get(address)!.external.answer(request, mayTell);
   }
 }
 
@@ -147,3 +152,81 @@
     expect(members.values.get('learner')!.values.size).toBe(0);
   });
 });
+
+describe('what log entries name', () => {
+  const ENTRY_INDEX = 20;
+
+  function entryNaming(...turns: string[]): LogEntry {
+    const settlements = turns.map((attempt) => {
+      return { program: 'p', attempt, spentTokens: 0, keep: { retentionMs: RETENTION_MS } };
+    });
+    const data = encodeValue({ kind: 'settle', settlements, nowMs: 0 });
+    return { index: ENTRY_INDEX, term: 1, kind: 'command', data };
+  }
+
+  it('is waited for where copies are on their way, and not asked of others', async () => {
+    const members = new Members();
+    const follower = members.add('follower');
+    members.add('leader');
+    const obtained = follower.external.obtain([entryNaming('a', 'b')], members.sources, true);
+    await sleep(10);
+    follower.external.takeCopy('a', textOf('a'));
+    follower.external.takeCopy('b', textOf('b'));
+    await obtained;
+    expect(members.requests).toEqual([]);
+  });
+
+  it('is fetched where no copy comes, once for all that wait for it', async () => {
+    const members = new Members();
+    const follower = members.add('follower');
+    const leader = members.add('leader');
+    await leader.external.store(new Map([['a', textOf('a')]]));
+    const sources = members.sources.filter(({ id }) => id === 'leader');
+    const entries = [entryNaming('a')];
+    const both = [1, 2].map(() => follower.external.obtain(entries, sources, true));
+    await Promise.all(both);
+    expect(members.values.get('follower')!.has('a')).toBe(true);
+    expect(members.requests).toHaveLength(1);
+  });
+
+  it('is asked for at once by a member that gets no copies', async () => {
+    const members = new Members();
+    const learner = members.add('learner');
+    const voter = members.add('voter');
+    await voter.external.store(new Map([['a', textOf('a')]]));
+    const startedAt = monotonicMs();
+    await learner.external.obtain([entryNaming('a')], members.sources, false);
+    expect(monotonicMs() - startedAt).toBeLessThan(50);
+  });
+
+  it('must not be acknowledged when no member gives it', async () => {
+    const members = new Members();
+    members.tellsExpired = false;
+    const follower = members.add('follower');
+    members.add('leader');
+    const obtained = follower.external.obtain([entryNaming('a')], members.sources, false);
+    await expect(obtained).rejects.toBeInstanceOf(TurnValuesMissingError);
+  });
+
+  it('is not needed when the turn is over by the state of a member that has applied the entry', async () => {
+    const members = new Members();
+    const follower = members.add('follower');
+    members.add('voter');
+    members.tellsExpired = true;
+    await follower.external.obtain([entryNaming('a')], members.sources.slice(1), false);
+    expect(members.values.get('follower')!.has('a')).toBe(false);
+  });
+
+  it('survives a start, though the snapshot does not name it', async () => {
+    const members = new Members();
+    const follower = members.add('follower');
+    await follower.external.store(new Map([['a', textOf('a')]]));
+    follower.restore(snapshotOf(members.add('other')).state);
+    follower.external.noteLogged([entryNaming('a')]);
+    keep(follower, 'late', undefined, 10 * RETENTION_MS);
+    expect(members.values.get('follower')!.has('a')).toBe(true);
+    const { data, index } = entryNaming('a');
+    follower.apply(data, index);
+    expect((await follower.external.read('a', []))?.toString()).toBe(textOf('a').toString());
+  });
+});
--- /dev/null
+++ b/src/ledger/unnamed-values.test.ts
@@ -0,0 +1,48 @@
+/** How long values wait for the log entry that names them. */
+import { describe, expect, it } from 'vitest';
+import { UnnamedValues } from './unnamed-values.js';
+
+const LONGER_THAN_ANY_WAIT_MS = 61_000;
+
+function startedAt(nowMs: number) {
+  const clock = { nowMs };
+  return { clock, unnamed: new UnnamedValues(() => clock.nowMs) };
+}
+
+describe('a value that no entry has named', () => {
+  it('expires once, after its time', () => {
+    const { clock, unnamed } = startedAt(0);
+    unnamed.noteHeld('a');
+    expect(unnamed.expire(100)).toEqual([]);
+    clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
+    expect(unnamed.expire(100)).toEqual(['a']);
+    expect(unnamed.expire(100)).toEqual([]);
+  });
+
+  it('stays for as long as an entry that names it may still be applied', () => {
+    const { clock, unnamed } = startedAt(0);
+    unnamed.noteHeld('a');
+    unnamed.noteLogged('a', 7);
+    clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
+    expect(unnamed.expire(6)).toEqual([]);
+    expect(unnamed.has('a')).toBe(true);
+    // Another leader's entry took the place of the one that named it.
+    expect(unnamed.expire(7)).toEqual(['a']);
+  });
+
+  it('does not lose its entry when it arrives once more', () => {
+    const { clock, unnamed } = startedAt(0);
+    unnamed.noteLogged('a', 7);
+    unnamed.noteHeld('a');
+    clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
+    expect(unnamed.expire(6)).toEqual([]);
+  });
+});
+
+it('a value whose entry was applied is no longer waited for', () => {
+  const { clock, unnamed } = startedAt(0);
+  unnamed.noteLogged('a', 7);
+  unnamed.noteNamed('a');
+  clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
+  expect(unnamed.expire(7)).toEqual([]);
+});
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -32,6 +32,12 @@
 const CLEAN_BELOW_SHARE = 0.25;
 /** A full store cleans no segment of which less than this share is dead: it would gain too little. */
 const WORTHWHILE_DEAD_SHARE = 0.1;
+/**
+ * Values gather until somebody needs them on disk, there are so many bytes of them, or the oldest has waited
+ * for so long, in milliseconds: they come one by one, and each write costs as much processor time as a message.
+ */
+const GATHERED_BYTES = 256 * 1024;
+const GATHER_MS = 100;
 /** Pause between two tries on a full disk, in milliseconds: as the write-ahead log's. */
 const FULL_RETRY_MS = 100;
 
@@ -67,6 +73,11 @@
   private readonly progress = new SignalEvent();
   private isFull = false;
   private isClosing = false;
+  /** Syncs that wait for what is pending. */
+  private waitingSyncs = 0;
+  private gatherTimer: NodeJS.Timeout | undefined;
+  /** The oldest pending value has waited for long enough. */
+  private hasGathered = false;
   /** Something came since the writer last looked; it may have looked just before. */
   private hasNews = false;
   private writer: Promise<void> = Promise.resolve();
@@ -117,7 +128,8 @@
     if (this.has(key)) return;
     this.pending.add(key, value);
     this.counters.putBytes += recordBytes(key, value);
-    this.wakeWriter();
+    if (this.isWriteDue) this.wakeWriter();
+    else this.gatherTimer ??= setTimeout(() => this.endGathering(), GATHER_MS);
   }
 
   /** @returns undefined when the value is not held, or damaged, which drops it */
@@ -160,11 +172,11 @@
    */
   async sync(): Promise<void> {
     const sequence = this.pending.latestSequence;
-    while (!this.pending.isDoneUpTo(sequence)) {
-      if (this.isFull) throw this.fullError();
-      // Nobody writes it any more: the process that stops would wait for ever.
-      if (this.isClosing) throw this.closedError();
-      await this.progress.wait();
+    this.waitingSyncs += 1;
+    try {
+      await this.waitWritten(sequence);
+    } finally {
+      this.waitingSyncs -= 1;
     }
     await this.sharedSync.run();
   }
@@ -177,12 +189,33 @@
   /** Ends after the write that is under way; what still waits is not written. */
   async close(): Promise<void> {
     this.isClosing = true;
+    clearTimeout(this.gatherTimer);
     this.wakeWriter();
     this.progress.notify();
     await this.writer;
     await this.files.close();
   }
 
+  private async waitWritten(sequence: number): Promise<void> {
+    if (!this.pending.isDoneUpTo(sequence)) this.wakeWriter();
+    while (!this.pending.isDoneUpTo(sequence)) {
+      if (this.isFull) throw this.fullError();
+      // Nobody writes it any more: the process that stops would wait for ever.
+      if (this.isClosing) throw this.closedError();
+      await this.progress.wait();
+    }
+  }
+
+  private get isWriteDue(): boolean {
+    return this.hasGathered || this.waitingSyncs > 0 || this.pending.bytes >= GATHERED_BYTES;
+  }
+
+  private endGathering(): void {
+    this.gatherTimer = undefined;
+    this.hasGathered = true;
+    this.wakeWriter();
+  }
+
   /** After a failed sync nobody knows what is durable, and a later one would not tell. */
   private async syncFiles(): Promise<void> {
     try {
@@ -225,10 +258,11 @@
   /** One step of the writer. @returns whether there was something to do */
   private async workOnce(): Promise<boolean> {
     await this.removeEmptySegments();
-    if (this.pending.size > 0) {
+    if (this.pending.size > 0 && this.isWriteDue) {
       await this.writePending();
       return true;
     }
+    this.hasGathered = false;
     const segment = this.worthCleaning();
     if (segment) await this.clean(segment);
     return segment !== undefined;
