Values of kept turns go to each member's log beside the entry that names them

An entry's values now stand in its own record on disk: one sync makes both durable, a record that is torn tears both, and a start finds them together.

--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -50,8 +50,7 @@
     const snapshot = group.log.latestSnapshot;
     if (snapshot) stateMachine.restore(snapshot.state);
     this.appliedIndex = snapshot?.index ?? 0;
-    const { log } = group;
-    stateMachine.external?.noteLogged(log.slice(this.appliedIndex + 1, Number.POSITIVE_INFINITY));
+    stateMachine.external?.noteLogged(group.log.takeAttached(this.appliedIndex));
     this.snapshotIndex = this.appliedIndex;
     void this.run().catch((error) => environment.onFatal(error));
   }
@@ -106,15 +105,15 @@
   }
 
   /**
-   * Makes durable what received entries name before they go to the log.
-   * @throws when that can't be had now; the entries must not be acknowledged then
+   * Attaches to received entries what they name.
+   * @throws when that can't be had now; the entries must not go to the log then
    */
-  async obtainFor(entries: readonly LogEntry[]): Promise<void> {
+  async attachTo(entries: readonly LogEntry[]): Promise<readonly LogEntry[]> {
     const { external } = this.stateMachine;
-    if (!external || entries.length === 0) return;
+    if (!external || entries.length === 0) return entries;
     const configuration = this.knownConfiguration(entries);
     const getsCopies = isVoter(configuration, this.environment.ownId);
-    await external.obtain(entries, this.sourcesIn(configuration), getsCopies);
+    return external.attach(entries, this.sourcesIn(configuration), getsCopies);
   }
 
   private sourcesIn(configuration: GroupConfiguration): Member[] {
@@ -162,7 +161,7 @@
       const isCommand = entry.kind === 'command';
       const result = isCommand ? this.stateMachine.apply(entry.data, entry.index) : undefined;
       this.appliedIndex = entry.index;
-      this.bytesSinceSnapshot += entry.data.length;
+      this.bytesSinceSnapshot += bytesOnDisk(entry);
       this.group.onApplied(entry, result);
     }
   }
@@ -183,7 +182,7 @@
     const lowest = Math.max(log.compactedTo.index, this.appliedIndex - trailingEntries);
     let bytes = 0;
     for (let index = this.appliedIndex; index > lowest; index -= 1) {
-      bytes += log.entryAt(index)?.data.length ?? 0;
+      bytes += bytesOnDisk(log.entryAt(index));
       if (bytes > trailingBytes) return index;
     }
     return lowest;
@@ -236,3 +235,7 @@
     setTimeout(() => this.allowNextSnapshot(), SNAPSHOT_RETRY_MS).unref();
   }
 }
+
+function bytesOnDisk(entry: LogEntry | undefined): number {
+  return entry ? entry.data.length + (entry.attachedBytes ?? 0) : 0;
+}
--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -67,7 +67,7 @@
     const { group } = this;
     if (request.term < group.term) return this.refuseAppend(0);
     this.followLeader(request.term, request.from);
-    await group.applier.obtainFor(request.entries);
+    const entries = await group.applier.attachTo(request.entries);
     // Another leader may have been followed meanwhile.
     if (request.term < group.term) return this.refuseAppend(0);
     const { log } = group;
@@ -76,7 +76,7 @@
     if (request.previousIndex > compacted && knownTerm !== request.previousTerm) {
       return this.refuseAppend(this.lastPlausibleMatch(request));
     }
-    const fresh = request.entries.filter(
+    const fresh = entries.filter(
       (entry) => entry.index > compacted && log.termAt(entry.index) !== entry.term,
     );
     const { term } = group;
--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -139,12 +139,24 @@
       records.unshift({ kind: 'truncate', group: this.group, fromIndex: first.index });
     }
     const written = this.wal.append(records);
+    entries.forEach(dropAttachments);
     this.entriesWritten = written;
     if (conflicts) this.forgetConfigurationsFrom(first.index);
     this.noteConfigurations(entries);
     return written;
   }
 
+  /**
+   * Hands over what a start found attached to entries behind an index; it is held no longer.
+   * @returns copies of the entries
+   */
+  takeAttached(behindIndex: number): LogEntry[] {
+    const held = this.state.entries;
+    const found = held.filter(({ index }) => index > behindIndex).map((entry) => ({ ...entry }));
+    held.forEach(dropAttachments);
+    return found;
+  }
+
   /** Resolves when every entry that is held is synced, also those of earlier calls of `append`. */
   waitEntriesDurable(): Promise<void> {
     return this.entriesWritten;
@@ -207,6 +219,13 @@
   }
 }
 
+/** What is on disk with an entry is held elsewhere in memory, if at all. */
+function dropAttachments(entry: LogEntry): void {
+  if (!entry.attachments) return;
+  entry.attachedBytes = entry.attachments.reduce((sum, { length }) => sum + length, 0);
+  entry.attachments = undefined;
+}
+
 /**
  * Entries stay in memory for long, but come as views of buffers that hold much else: the encoder's,
  * of which a leader fills many with messages to its followers, or a received frame.
--- a/src/consensus/proposal-gate.ts
+++ b/src/consensus/proposal-gate.ts
@@ -11,6 +11,13 @@
 /** Bytes that may wait: what a link of 100 Mbit/s brings in the longest wait. */
 const MAX_WAITING_BYTES = 4 * 1024 * 1024;
 
+/** What a leader is asked to replicate. */
+export interface Proposal {
+  command: Uint8Array;
+  /** What goes to this member's disk with the command; see `LogEntry.attachments`. @default nothing */
+  attachments?: readonly Uint8Array[];
+}
+
 export interface ProposalGateOptions {
   group: string;
   /** How long a command may take from the log to its commit, in milliseconds. */
@@ -18,7 +25,7 @@
   /** How long a command may wait before it goes to the log, in milliseconds. */
   maxWaitMs: number;
   /** Appends a command; resolves with its result once it is committed and applied. */
-  append: (command: Uint8Array) => Promise<unknown>;
+  append: (proposal: Proposal) => Promise<unknown>;
   /** How long commands waited, and took from the log to the end of applying, in milliseconds. */
   times: Pick<CommitTimes, 'gate' | 'commit'>;
   /** Called at most once a second while commands are refused, with how many were since the last call. */
@@ -27,15 +34,15 @@
 
 const REFUSAL_REPORT_MS = 1_000;
 
-interface WaitingCommand {
-  command: Uint8Array;
+interface WaitingProposal {
+  proposal: Proposal;
   result: Deferred<unknown>;
   since: number;
 }
 
 export class ProposalGate {
   /** Oldest first. */
-  private waiting: WaitingCommand[] = [];
+  private waiting: WaitingProposal[] = [];
   private waitingBytes = 0;
   private readonly window: CommitWindow;
   private timer: NodeJS.Timeout | undefined;
@@ -62,17 +69,17 @@
    * Appends a command now, or when there is room for it.
    * @throws GroupOverloadedError when there was none in time; the command was not taken
    */
-  pass(command: Uint8Array): Promise<unknown> {
-    if (this.waiting.length === 0 && this.window.hasRoom(command.length)) {
+  pass(proposal: Proposal): Promise<unknown> {
+    if (this.waiting.length === 0 && this.window.hasRoom(proposal.command.length)) {
       this.options.times.gate.note(0);
-      return this.append(command);
+      return this.append(proposal);
     }
-    if (this.waitingBytes + command.length > MAX_WAITING_BYTES) {
+    if (this.waitingBytes + heldBytes(proposal) > MAX_WAITING_BYTES) {
       return Promise.reject(this.overloaded());
     }
     const result = new Deferred<unknown>();
-    this.waiting.push({ command, result, since: monotonicMs() });
-    this.waitingBytes += command.length;
+    this.waiting.push({ proposal, result, since: monotonicMs() });
+    this.waitingBytes += heldBytes(proposal);
     this.armTimer();
     return result.promise;
   }
@@ -91,11 +98,11 @@
     this.window.clear();
   }
 
-  private append(command: Uint8Array): Promise<unknown> {
+  private append(proposal: Proposal): Promise<unknown> {
     const { window } = this;
-    const bytes = command.length;
+    const bytes = proposal.command.length;
     const appendedAt = monotonicMs();
-    const committed = this.options.append(command);
+    const committed = this.options.append(proposal);
     window.take(bytes);
     const free = (): void => {
       const tookMs = monotonicMs() - appendedAt;
@@ -110,16 +117,16 @@
   private admit(): void {
     for (;;) {
       const next = this.next();
-      if (!next || !this.window.hasRoom(next.command.length)) return;
+      if (!next || !this.window.hasRoom(next.proposal.command.length)) return;
       this.remove(next);
       this.appendFor(next);
     }
   }
 
-  private appendFor({ command, result, since }: WaitingCommand): void {
+  private appendFor({ proposal, result, since }: WaitingProposal): void {
     this.options.times.gate.note(monotonicMs() - since);
     try {
-      this.append(command).then(
+      this.append(proposal).then(
         (value) => result.resolve(value),
         (error) => result.reject(error),
       );
@@ -132,17 +139,17 @@
    * Those that came last once the oldest has waited for long: the group is overloaded then, and in
    * order each would be served just when its caller gives up.
    */
-  private next(): WaitingCommand | undefined {
+  private next(): WaitingProposal | undefined {
     const [oldest] = this.waiting;
     if (!oldest) return undefined;
     const isOverloaded = monotonicMs() - oldest.since > this.options.maxWaitMs / 2;
     return isOverloaded ? this.waiting.at(-1) : oldest;
   }
 
-  private remove(command: WaitingCommand): void {
-    if (this.waiting.at(-1) === command) this.waiting.pop();
+  private remove(waiting: WaitingProposal): void {
+    if (this.waiting.at(-1) === waiting) this.waiting.pop();
     else this.waiting.shift();
-    this.waitingBytes -= command.command.length;
+    this.waitingBytes -= heldBytes(waiting.proposal);
   }
 
   private armTimer(): void {
@@ -180,3 +187,7 @@
     this.reportedRefusals = this.refused;
   }
 }
+
+function heldBytes({ command, attachments = [] }: Proposal): number {
+  return attachments.reduce((sum, { length }) => sum + length, command.length);
+}
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -31,7 +31,7 @@
 import type { Heartbeat, HeartbeatResponse } from './messages.js';
 import type { CheckedConsensusOptions } from './options.js';
 import { PendingProposals } from './pending-proposals.js';
-import { ProposalGate } from './proposal-gate.js';
+import { type Proposal, ProposalGate } from './proposal-gate.js';
 import { QuorumCheck } from './quorum-check.js';
 import { createReplicationTraffic } from './replication-traffic.js';
 import { Replicator } from './replicator.js';
@@ -101,7 +101,7 @@
       group: log.group,
       commitTargetMs: COMMIT_TARGET_HEARTBEATS * heartbeatIntervalMs,
       maxWaitMs: maxProposalWaitMs,
-      append: (data) => this.appendCommand(data),
+      append: (proposal) => this.appendCommand(proposal),
       times: this.times,
       onRefused: (count) => environment.onProposalsRefused(this, count),
     });
@@ -177,22 +177,23 @@
 
   /**
    * Replicates a command; resolves with its result once it is committed and applied.
+   * @param attachments what goes to this member's disk with it; see `LogEntry.attachments`
    * @throws NotLeaderError when this member does not lead; the command was not taken
    * @throws StorageFullError when the log has no room; the command was not taken
    * @throws GroupOverloadedError when there are more commands than the group commits in time; this one
    *   was not taken
    * @throws CommitUnknownError when leadership ended first; the command may be committed
    */
-  async propose(command: Uint8Array): Promise<unknown> {
+  async propose(command: Uint8Array, attachments?: readonly Uint8Array[]): Promise<unknown> {
     if (!this.isLeader || this.isTransferring) throw this.notLeader();
     const isFull = this.log.heldBytes >= this.environment.options.maxHeldBytes;
     if (isFull) throw this.heldTooMuch();
-    return this.gate.pass(command);
+    return this.gate.pass({ command, attachments });
   }
 
-  private appendCommand(data: Uint8Array): Promise<unknown> {
+  private appendCommand({ command: data, attachments }: Proposal): Promise<unknown> {
     try {
-      return this.appendAsLeader({ kind: 'command', data });
+      return this.appendAsLeader({ kind: 'command', data, attachments });
     } catch (error) {
       if (error instanceof DiskFullError) this.leaveLeadership();
       throw error;
@@ -245,14 +246,9 @@
     return this.gate.isHolding;
   }
 
-  /** Commands refused so far because there were more than the group committed in time. */
-  get refusedProposals(): number {
-    return this.gate.refused;
-  }
-
-  /** Bytes of commands that may be between the log and their commit at a time. */
-  get commitWindowBytes(): number {
-    return this.gate.windowBytes;
+  /** Commands refused so far as too many, and bytes of commands that may wait for their commit at a time. */
+  get admission(): { refused: number; windowBytes: number } {
+    return { refused: this.gate.refused, windowBytes: this.gate.windowBytes };
   }
 
   /** Adds a member or changes its role; one change at a time. */
@@ -449,7 +445,9 @@
     return findMember(this.configuration, this.leaderId);
   }
 
-  private appendAsLeader(content: Pick<LogEntry, 'kind' | 'data'>): Promise<unknown> {
+  private appendAsLeader(
+    content: Pick<LogEntry, 'kind' | 'data' | 'attachments'>,
+  ): Promise<unknown> {
     const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.term, ...content };
     const appendedAt = monotonicMs();
     const written = this.log.append([entry]);
--- a/src/consensus/state-machine.ts
+++ b/src/consensus/state-machine.ts
@@ -34,19 +34,22 @@
   sync(): Promise<void>;
 
   /**
-   * Makes durable here what entries name, before they go to this member's log: an entry that is
-   * acknowledged, or found in the log at a start, names nothing that this member lacks.
+   * Attaches to received entries what they name, so that it goes to the log in one record with them: an entry
+   * that is acknowledged, or found in the log at a start, names nothing that this member lacks.
    * @param sources members that may hold what is missing here, in the order in which they are asked
    * @param getsCopies whether others may be sending here what entries name
-   * @throws when something is missing that no member gave, or the disk has no room for it now
+   * @throws when something is missing that no member gave
    */
-  obtain(
+  attach(
     entries: readonly LogEntry[],
     sources: readonly Member[],
     getsCopies: boolean,
-  ): Promise<void>;
+  ): Promise<readonly LogEntry[]>;
 
-  /** Entries stand in this member's log now; what they name is wanted until they are applied. */
+  /**
+   * Entries stand in this member's log; what they name is wanted until they are applied. At a start they
+   * bring it along.
+   */
   noteLogged(entries: readonly LogEntry[]): void;
 
   /**
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -136,34 +136,15 @@
   ): Promise<SettleAnswer> {
     const targets = copyTargetsOf(group);
     const isCopied = copiedTo === targets.version;
-    const settlements = await this.storeValues(received, isCopied ? [] : targets.addresses);
+    const values = valuesIn(received);
+    if (!isCopied) this.sendCopies(values, targets.addresses);
+    const settlements = received.map(withoutValue);
     const command: LedgerCommand = { kind: 'settle', settlements, nowMs: this.nowMs(group) };
-    await group.propose(encodeValue(command));
+    await this.options.stateMachine.external.hold(values);
+    await group.propose(encodeValue(command), [...values.values()]);
     return { isSettled: true, copyTargets: isCopied ? undefined : targets };
   }
 
-  /**
-   * Makes values durable here and leaves their names in the settlements. In the log a value would go to every
-   * voter over this member's link, which bounded what the ledger took: four copies of each.
-   */
-  private async storeValues(
-    settlements: readonly Settlement[],
-    copyTo: readonly string[],
-  ): Promise<Settlement[]> {
-    const values = new Map<string, Buffer>();
-    const named = settlements.map((settlement): Settlement => {
-      const { attempt, keep } = settlement;
-      if (!keep || !carriesValue(keep)) return settlement;
-      values.set(attempt, valueOf(keep));
-      const { previousTurn, retentionMs } = keep;
-      return { ...settlement, keep: { previousTurn, retentionMs } };
-    });
-    if (values.size === 0) return named;
-    this.sendCopies(values, copyTo);
-    await this.options.stateMachine.external.store(values);
-    return named;
-  }
-
   /** For a gateway that does not know the followers of this leader yet. */
   private sendCopies(values: ReadonlyMap<string, Buffer>, addresses: readonly string[]): void {
     for (const [turn, value] of values) {
@@ -183,6 +164,26 @@
   }
 }
 
+/** By the turn's id, in the order of the settlements. */
+function valuesIn(settlements: readonly Settlement[]): Map<string, Buffer> {
+  const values = new Map<string, Buffer>();
+  for (const { attempt, keep } of settlements) {
+    if (keep && carriesValue(keep)) values.set(attempt, valueOf(keep));
+  }
+  return values;
+}
+
+/**
+ * In a log entry a value would go to every voter over this member's link, four copies of each, which bounded
+ * what the ledger took.
+ */
+function withoutValue(settlement: Settlement): Settlement {
+  const { keep } = settlement;
+  if (!keep || !carriesValue(keep)) return settlement;
+  const { previousTurn, retentionMs } = keep;
+  return { ...settlement, keep: { previousTurn, retentionMs } };
+}
+
 function copyTargetsOf(group: ReplicatedGroup): CopyTargets {
   const { configuration, ownId, term } = group;
   const followers = votersOf(configuration).filter(({ id }) => id !== ownId);
--- a/src/log-store/records.ts
+++ b/src/log-store/records.ts
@@ -8,6 +8,13 @@
   /** `command`: for the state machine; `configuration`: members; `empty`: a new leader's first. */
   kind: 'command' | 'configuration' | 'empty';
   data: Uint8Array;
+  /**
+   * What goes to this member's disk in one record with the entry, and neither to other members with it nor
+   * into memory: present on the way to the log, and behind a start until it was taken.
+   */
+  attachments?: readonly Uint8Array[];
+  /** Bytes of the attachments on disk. @default 0 */
+  attachedBytes?: number;
 }
 
 /** What a member must never forget about its votes. */
@@ -32,9 +39,17 @@
 const EMPTY = new Uint8Array(0);
 const ENTRY_KINDS: readonly LogEntry['kind'][] = ['command', 'configuration', 'empty'];
 
+type StoredEntry = [
+  index: number,
+  term: number,
+  kind: number,
+  data: Uint8Array,
+  attachments?: readonly Uint8Array[],
+];
+
 /** A compact form on disk; field order is the format. */
 type Stored =
-  | ['E', string, [number, number, number, Uint8Array][]]
+  | ['E', string, StoredEntry[]]
   | ['H', string, number, string | null]
   | ['T', string, number]
   | ['S', string, number, number]
@@ -44,19 +59,28 @@
   return encodeValue(toStored(record));
 }
 
+function toStoredEntry({ index, term, kind, data, attachments }: LogEntry): StoredEntry {
+  const stored: StoredEntry = [index, term, ENTRY_KINDS.indexOf(kind), data];
+  if (attachments && attachments.length > 0) stored.push(attachments);
+  return stored;
+}
+
+function fromStoredEntry([index, term, kind, data, attachments]: StoredEntry): LogEntry {
+  const entry: LogEntry = {
+    index,
+    term,
+    kind: ENTRY_KINDS[kind] ?? 'empty',
+    data: data.length === 0 ? EMPTY : Buffer.from(data),
+  };
+  if (!attachments) return entry;
+  const attachedBytes = attachments.reduce((sum, { length }) => sum + length, 0);
+  return { ...entry, attachments, attachedBytes };
+}
+
 function toStored(record: LogRecord): Stored {
   switch (record.kind) {
     case 'entries':
-      return [
-        'E',
-        record.group,
-        record.entries.map((entry) => [
-          entry.index,
-          entry.term,
-          ENTRY_KINDS.indexOf(entry.kind),
-          entry.data,
-        ]),
-      ];
+      return ['E', record.group, record.entries.map(toStoredEntry)];
     case 'hard-state':
       return ['H', record.group, record.state.term, record.state.votedFor ?? null];
     case 'truncate':
@@ -75,12 +99,7 @@
       return {
         kind: 'entries',
         group: stored[1],
-        entries: stored[2].map(([index, term, kind, data]) => ({
-          index,
-          term,
-          kind: ENTRY_KINDS[kind] ?? 'empty',
-          data: data.length === 0 ? EMPTY : Buffer.from(data),
-        })),
+        entries: stored[2].map(fromStoredEntry),
       };
     case 'H':
       return {
--- a/src/nodes/member-load-log.ts
+++ b/src/nodes/member-load-log.ts
@@ -60,7 +60,7 @@
       leads: group.isLeader,
       ...describeCommits(times),
       refused: now.refused - before.refused,
-      windowKb: Math.round(group.commitWindowBytes / KIB),
+      windowKb: Math.round(group.admission.windowBytes / KIB),
       voterKb: toKib(now.voterEntries - before.voterEntries),
       learnerKb: toKib(now.learnerEntries - before.learnerEntries),
       repeatedKb: toKib(now.repeatedEntries - before.repeatedEntries),
@@ -97,7 +97,7 @@
   const { user, system } = process.cpuUsage();
   return {
     ...group.traffic,
-    refused: group.refusedProposals,
+    refused: group.admission.refused,
     syncs: wal.counters.syncs,
     logBytes: wal.counters.bytes,
     processorMs: (user + system) / 1_000,
--- a/src/nodes/node-metrics.ts
+++ b/src/nodes/node-metrics.ts
@@ -45,7 +45,7 @@
   add(
     'refused_commands',
     'Commands refused since there were more than were committed in time',
-    ofGroup((group) => group.refusedProposals),
+    ofGroup((group) => group.admission.refused),
   );
   const addTraffic = (name: string, help: string, purpose: keyof ReplicationTraffic): void =>
     add(
--- a/src/value-store/segment-files.ts
+++ b/src/value-store/segment-files.ts
@@ -49,8 +49,6 @@
       segment.file = await this.folder.open(segment.name);
       segment.bytes = await segment.file.size();
       segment.isSealed = true;
-      // What a process had written without a sync is still there after its end, but not durable.
-      if (!names.includes(segment.indexName)) await this.syncSegment(segment);
       const records =
         (names.includes(segment.indexName) && (await this.readIndex(segment))) ||
         scanValueRecords(await readWholeFile(segment.file, segment.bytes));
@@ -88,8 +86,7 @@
   /** Makes everything that was appended durable. @throws StorageFailedError */
   async sync(): Promise<void> {
     const last = this.segments.at(-1);
-    if (!last || last.isSealed || last.syncedBytes === last.bytes) return;
-    await this.syncSegment(last);
+    if (last && !last.isSealed) await this.syncSegment(last);
   }
 
   /**
@@ -136,10 +133,8 @@
   }
 
   private async syncSegment(segment: ValueSegment): Promise<void> {
-    const { bytes } = segment;
     try {
       await segment.file!.datasync();
-      segment.syncedBytes = Math.max(segment.syncedBytes, bytes);
     } catch (cause) {
       const context = { step: 'value-store.sync', peer: segment.name, cause };
       throw new StorageFailedError('sync failed', context);
--- a/src/value-store/value-segment.ts
+++ b/src/value-store/value-segment.ts
@@ -13,8 +13,6 @@
 export class ValueSegment {
   /** Bytes written so far. */
   bytes = 0;
-  /** Bytes that are known to be synced. */
-  syncedBytes = 0;
   /** Bytes of records that are still wanted. */
   liveBytes = 0;
   /** Nothing is appended any more, and everything in it is synced. */
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -11,7 +11,6 @@
 import type { Logger } from '../observability/index.js';
 import { PendingValues } from './pending-values.js';
 import { type AppendedRecord, SegmentFiles } from './segment-files.js';
-import { SharedSync } from './shared-sync.js';
 import type { StoreFolder } from './store-folder.js';
 import {
   decodeValueRecord,
@@ -64,7 +63,6 @@
   private readonly pending = new PendingValues();
   private readonly cache: LRUCache<string, Buffer>;
   private readonly files: SegmentFiles;
-  private readonly sharedSync: SharedSync;
   private readonly segmentBytes: number;
   private readonly maxPendingBytes: number;
   private readonly quotaBytes: number;
@@ -89,7 +87,6 @@
     this.maxPendingBytes = options.maxPendingBytes ?? DEFAULT_MAX_PENDING_BYTES;
     this.quotaBytes = options.quotaBytes ?? Number.POSITIVE_INFINITY;
     this.files = new SegmentFiles(options.folder, this.segmentBytes);
-    this.sharedSync = new SharedSync(() => this.syncFiles());
     this.cache = new LRUCache({
       maxSize: options.cacheBytes ?? DEFAULT_CACHE_BYTES,
       sizeCalculation: (value) => Math.max(1, value.length),
@@ -178,7 +175,7 @@
     } finally {
       this.waitingSyncs -= 1;
     }
-    await this.sharedSync.run();
+    await this.files.sync();
   }
 
   /** Resolves once few enough bytes wait to be written. */
@@ -216,16 +213,6 @@
     this.wakeWriter();
   }
 
-  /** After a failed sync nobody knows what is durable, and a later one would not tell. */
-  private async syncFiles(): Promise<void> {
-    try {
-      await this.files.sync();
-    } catch (error) {
-      this.options.onFatal(error);
-      throw error;
-    }
-  }
-
   private async recover(): Promise<void> {
     for (const { segment, records } of await this.files.recover()) {
       for (const { key, offset, length } of records) this.place(key, { segment, offset, length });
