--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -4,7 +4,7 @@
  */
 import { Backoff, SignalEvent, TimeoutError, monotonicMs, sleep } from '../common/index.js';
 import type { LogEntry, SnapshotReader } from '../log-store/index.js';
-import type { CallOptions, Method } from '../wire/index.js';
+import { type CallOptions, LinkError, type Method } from '../wire/index.js';
 import { BatchLimit } from './batch-limit.js';
 import type { Member } from './configuration.js';
 import type { MemberLog } from './member-log.js';
@@ -236,23 +236,22 @@
   }
 
   private async callAppend(request: AppendRequest): Promise<AppendResponse> {
-    const bytes = this.countEntries(request.entries);
     const sentAt = monotonicMs();
     const options = { timeoutMs: this.appendTimeoutMs, silenceMs: APPEND_SILENCE_MS };
     try {
       const response = await this.leader.call(this.member, APPEND, request, options);
       this.appendTimeoutMs = APPEND_TIMEOUT_MS;
+      this.noteSent(request.entries, monotonicMs() - sentAt);
       return response;
     } catch (error) {
       if (error instanceof TimeoutError) this.appendTimeoutMs = LONGEST_APPEND_TIMEOUT_MS;
+      // Nothing goes out over a link that is down.
+      if (!(error instanceof LinkError)) this.noteSent(request.entries, monotonicMs() - sentAt);
       throw error;
-    } finally {
-      this.batchLimit.note(bytes, monotonicMs() - sentAt);
     }
   }
 
-  /** @returns the bytes of the entries together */
-  private countEntries(entries: readonly LogEntry[]): number {
+  private noteSent(entries: readonly LogEntry[], tookMs: number): void {
     const { traffic } = this.leader;
     const firstSent = this.leader.isVoter(this.member.id) ? 'voterEntries' : 'learnerEntries';
     let bytes = 0;
@@ -261,7 +260,7 @@
       bytes += data.length;
     }
     this.sentIndex = Math.max(this.sentIndex, entries.at(-1)?.index ?? 0);
-    return bytes;
+    this.batchLimit.note(bytes, tookMs);
   }
 
   private async takeResponse(response: AppendResponse, sentAt: number): Promise<void> {
--- a/src/ledger/turn-histories.test.ts
+++ b/src/ledger/turn-histories.test.ts
@@ -190,6 +190,14 @@
     expect(members.requests).toHaveLength(1);
   });
 
+  it('is not taken from gateways without a bound', async () => {
+    const members = new Members();
+    const follower = members.add('follower');
+    const large = Buffer.alloc(1_000_000);
+    for (let turn = 0; turn < 20; turn += 1) follower.external.takeCopy(`t${turn}`, large);
+    expect(members.values.get('follower')!.values.size).toBe(5);
+  });
+
   it('is asked for at once by a member that gets no copies', async () => {
     const members = new Members();
     const learner = members.add('learner');
--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -30,10 +30,10 @@
  */
 const COPY_WAIT_MS = 100;
 /**
- * Values that may wait for their entries, beyond which copies from gateways are not taken: some seconds of
- * what the busiest ledger keeps. A follower asks other members for what it did not take.
+ * Bytes of values that may wait for their entries, beyond which copies are not taken: three seconds of what the
+ * busiest ledger keeps. A follower that is behind, or whose disk is full, asks others for what it did not take.
  */
-const MOST_UNNAMED = 4_000;
+const MOST_UNNAMED_BYTES = 4 * 1024 * 1024;
 
 const REPORT_INTERVAL_MS = 1_000;
 /** In the place of a value that nobody needs any more. */
@@ -108,7 +108,7 @@
 
   /** Takes a value ahead of the entry that names it. */
   takeCopy(turn: string, value: Uint8Array): void {
-    if (this.options.turns.unnamed.size >= MOST_UNNAMED) return;
+    if (this.options.turns.unnamed.bytes >= MOST_UNNAMED_BYTES) return;
     this.put(turn, value);
     this.copyArrived.notify();
   }
@@ -155,7 +155,7 @@
 
   private put(turn: string, value: Uint8Array): void {
     const { turns } = this.options;
-    if (!turns.has(turn)) turns.unnamed.noteHeld(turn);
+    if (!turns.has(turn)) turns.unnamed.noteHeld(turn, value.length);
     // Of its own, since what was received is a view of a frame that holds much else.
     this.options.values.put(turn, Buffer.from(value));
   }
--- a/src/ledger/unnamed-values.test.ts
+++ b/src/ledger/unnamed-values.test.ts
@@ -12,17 +12,19 @@
 describe('a value that no entry has named', () => {
   it('expires once, after its time', () => {
     const { clock, unnamed } = startedAt(0);
-    unnamed.noteHeld('a');
+    unnamed.noteHeld('a', 10);
     expect(unnamed.expire(100)).toEqual([]);
     clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
     expect(unnamed.expire(100)).toEqual(['a']);
+    expect(unnamed.bytes).toBe(0);
     expect(unnamed.expire(100)).toEqual([]);
   });
 
   it('stays for as long as an entry that names it may still be applied', () => {
     const { clock, unnamed } = startedAt(0);
-    unnamed.noteHeld('a');
+    unnamed.noteHeld('a', 10);
     unnamed.noteLogged('a', 7);
+    expect(unnamed.bytes).toBe(10);
     clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
     expect(unnamed.expire(6)).toEqual([]);
     expect(unnamed.has('a')).toBe(true);
@@ -33,7 +35,7 @@
   it('does not lose its entry when it arrives once more', () => {
     const { clock, unnamed } = startedAt(0);
     unnamed.noteLogged('a', 7);
-    unnamed.noteHeld('a');
+    unnamed.noteHeld('a', 10);
     clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
     expect(unnamed.expire(6)).toEqual([]);
   });
--- a/src/ledger/unnamed-values.ts
+++ b/src/ledger/unnamed-values.ts
@@ -12,38 +12,38 @@
 
 interface UnnamedValue {
   since: number;
+  bytes: number;
   /** Log index of the latest entry here that names it, if there is one. */
   loggedAt?: number;
 }
 
 export class UnnamedValues {
   private readonly unnamed = new Map<string, UnnamedValue>();
+  /** Bytes of all values together. */
+  bytes = 0;
 
   /** @param now the monotonic clock, in milliseconds */
   constructor(private readonly now: () => number = monotonicMs) {}
 
-  get size(): number {
-    return this.unnamed.size;
-  }
-
   has(turn: string): boolean {
     return this.unnamed.has(turn);
   }
 
   /** A value was put, or is about to be. */
-  noteHeld(turn: string): void {
-    const known = this.unnamed.get(turn);
-    this.unnamed.set(turn, { since: this.now(), loggedAt: known?.loggedAt });
+  noteHeld(turn: string, bytes: number): void {
+    const loggedAt = this.unnamed.get(turn)?.loggedAt;
+    this.set(turn, { since: this.now(), bytes, loggedAt });
   }
 
   /** An entry that names it stands in this member's log. */
   noteLogged(turn: string, index: number): void {
-    this.unnamed.set(turn, { since: this.now(), loggedAt: index });
+    const bytes = this.unnamed.get(turn)?.bytes ?? 0;
+    this.set(turn, { since: this.now(), bytes, loggedAt: index });
   }
 
   /** The entry was applied. */
   noteNamed(turn: string): void {
-    this.unnamed.delete(turn);
+    this.remove(turn);
   }
 
   /**
@@ -55,9 +55,20 @@
     const before = this.now() - LONGEST_WAIT_MS;
     for (const [turn, { since, loggedAt = 0 }] of this.unnamed) {
       if (since > before || loggedAt > appliedIndex) continue;
-      this.unnamed.delete(turn);
+      this.remove(turn);
       expired.push(turn);
     }
     return expired;
   }
+
+  private set(turn: string, value: UnnamedValue): void {
+    this.remove(turn);
+    this.unnamed.set(turn, value);
+    this.bytes += value.bytes;
+  }
+
+  private remove(turn: string): void {
+    this.bytes -= this.unnamed.get(turn)?.bytes ?? 0;
+    this.unnamed.delete(turn);
+  }
 }
