--- a/lab/ledger/ledger-host.ts
+++ b/lab/ledger/ledger-host.ts
@@ -7,6 +7,7 @@
  * a line of `LedgerHostUsage`; the end of standard input ends the process.
  */
 import { mkdir, writeFile } from 'node:fs/promises';
+import { type PerformanceEntry, PerformanceObserver, constants } from 'node:perf_hooks';
 import { createInterface } from 'node:readline';
 import { join } from 'node:path';
 import { GroupClient, type Member } from '../../src/consensus/index.js';
@@ -37,6 +38,15 @@
   /** Bytes of log entries that were sent to voters so far. */
   voterBytes: number;
   logSyncs: number;
+  /** Collections of young and of all objects so far, and the main thread's time in them, in milliseconds. */
+  collections: CollectionFigures;
+}
+
+export interface CollectionFigures {
+  young: number;
+  youngMs: number;
+  whole: number;
+  wholeMs: number;
 }
 
 const READ_LIMITS = { connectMs: 500, timeoutMs: 2_000 };
@@ -116,10 +126,22 @@
     leads: group?.isLeader ?? false,
     processorMs: (user + system) / 1_000,
     voterBytes: group?.traffic.voterEntries ?? 0,
+    collections,
     logSyncs: group?.times.ownSync.take().count ?? 0,
   };
 }
 
+const collections: CollectionFigures = { young: 0, youngMs: 0, whole: 0, wholeMs: 0 };
+new PerformanceObserver((list) => {
+  for (const entry of list.getEntries()) {
+    const { duration } = entry;
+    const { kind } = (entry as PerformanceEntry & { detail: { kind: number } }).detail;
+    const isYoung = kind === constants.NODE_PERFORMANCE_GC_MINOR;
+    collections[isYoung ? 'young' : 'whole'] += 1;
+    collections[isYoung ? 'youngMs' : 'wholeMs'] += duration;
+  }
+}).observe({ entryTypes: ['gc'] });
+
 const host = await startMember(JSON.parse(process.argv[2]!) as LedgerHostSettings);
 console.log('ready');
 for await (const line of createInterface({ input: process.stdin })) {
--- a/lab/ledger/main.ts
+++ b/lab/ledger/main.ts
@@ -16,7 +16,7 @@
 import { HistoryReader, LedgerClient, ValueCopies } from '../../src/ledger/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
-import type { LedgerHostSettings, LedgerHostUsage } from './ledger-host.js';
+import type { CollectionFigures, LedgerHostSettings, LedgerHostUsage } from './ledger-host.js';
 
 const HOST = fileURLToPath(new URL('ledger-host.js', import.meta.url));
 const FIRST_PORT = 17_540;
@@ -128,12 +128,16 @@
   const followers = used.filter((_, index) => index !== leader);
   const sent = after[leader]!.voterBytes - before[leader]!.voterBytes;
   const syncs = after[leader]!.logSyncs / seconds;
+  const collected = (kind: keyof CollectionFigures): string =>
+    ((after[leader]!.collections[kind] - before[leader]!.collections[kind]) / seconds).toFixed(1);
   const perTurn = (used[leader]! / (perSecond * seconds)) * 1_000;
   console.log(
     `${perSecond} turns/s: reserve ${describe(reserve)} ms, keep ${describe(keep)} ms, failed ${failed}; ` +
       `leader ${(used[leader]! / seconds).toFixed(0)} ms/s (${perTurn.toFixed(0)} us a turn), ` +
       `followers ${followers.map((ms) => (ms / seconds).toFixed(0)).join(' ')} ms/s, ` +
-      `to voters ${(sent / seconds / 1024).toFixed(0)} KiB/s, own syncs of entries ${syncs.toFixed(0)}/s`,
+      `to voters ${(sent / seconds / 1024).toFixed(0)} KiB/s, own syncs of entries ${syncs.toFixed(0)}/s, ` +
+      `young collections ${collected('young')}/s ${collected('youngMs')} ms/s, ` +
+      `others ${collected('whole')}/s ${collected('wholeMs')} ms/s`,
   );
 }
 
