--- a/src/log-store/group-log-state.ts
+++ b/src/log-store/group-log-state.ts
@@ -80,9 +80,14 @@
     this.entries.length = kept;
   }
 
+  /**
+   * An entry that is missing in front of others went with its segment, which a later mark had let go: what
+   * follows it was in the log with it. Dropped, a start would find a gap behind its snapshot.
+   */
   private compact(mark: SnapshotMark): void {
     if (mark.index <= this.snapshot.index) return;
-    const matches = this.termAt(mark.index) === mark.term;
+    const isGone = mark.index < this.lastIndex && this.entryAt(mark.index) === undefined;
+    const matches = isGone || this.termAt(mark.index) === mark.term;
     this.entries = matches ? this.entries.slice(mark.index - this.snapshot.index) : [];
     this.heldBytes = bytesOf(this.entries);
     this.snapshot = mark;
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -26,13 +26,7 @@
  * that much at most; a snapshot names kept turns in some 40 bytes each, where a turn has thousands.
  */
 const SNAPSHOT_EVERY_BYTES = 4 * 1024 * 1024;
-/**
- * What is kept behind a snapshot: some three seconds of a busy ledger. A new member fetches in that time what
- * was kept while it fetched the snapshot's turns, and goes on from the log; with less it was sent one snapshot
- * after the other (908, 1,166 and 1,125 turns in rounds of 2 s).
- */
-const TRAILING_BYTES = 4 * 1024 * 1024;
-const TRAILING_ENTRIES = 5_000;
+const TRAILING_BYTES = 2 * 1024 * 1024;
 /**
  * How long a reservation or settlement may wait for its place in the log, in milliseconds: a turn that
  * waits for longer than an election takes is late whatever becomes of it.
@@ -235,7 +229,6 @@
     snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
     snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
     trailingBytes: TRAILING_BYTES,
-    trailingEntries: TRAILING_ENTRIES,
     maxHeldBytes: budget.heldEntries,
     maxProposalWaitMs: MAX_PROPOSAL_WAIT_MS,
   };
