One way to send a copy, one reading of an entry; supports of tests and of measurements stand once

A member copied each value that it held already once more when its entry went to the log, and a follower decoded each received command twice on its way there: it does neither now. LedgerService sent copies by a loop that ValueCopies has; tests of histories and of copies had the same next turn and reader, three programs of measurements the same silent logger.

--- a/lab/ledger/ledger-host.ts
+++ b/lab/ledger/ledger-host.ts
@@ -20,8 +20,8 @@
 } from '../../src/ledger/index.js';
 import { GroupMemberProcess } from '../../src/nodes/group-member-process.js';
 import { GROUP_TIMING } from '../../src/nodes/node-settings.js';
-import type { Logger } from '../../src/observability/index.js';
 import { ValueStore, openStoreFolder } from '../../src/value-store/index.js';
+import { SILENT } from '../silent-logger.js';
 
 export interface LedgerHostSettings {
   member: Member;
@@ -51,14 +51,6 @@
 
 const READ_LIMITS = { connectMs: 500, timeoutMs: 2_000 };
 
-/** Standard output carries the figures only. */
-const SILENT: Logger = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 function endProcess(error: unknown): never {
   throw error;
 }
--- a/lab/ledger/main.ts
+++ b/lab/ledger/main.ts
@@ -3,6 +3,9 @@
  * there: time, processor time and bytes of the leader and of a follower.
  *
  *     node dist/lab/ledger/main.js TURNS_A_SECOND...
+ *
+ * In the environment: GW gateways (53), KEPT bytes of a kept turn (4300), WARM milliseconds before each measurement
+ * (6000), HOST_FLAGS for the members' Node processes (none).
  */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
@@ -14,8 +17,8 @@
 import { monotonicMs, sleep } from '../../src/common/index.js';
 import { GroupClient, type Member, PeerDirectory } from '../../src/consensus/index.js';
 import { HistoryReader, LedgerClient, ValueCopies } from '../../src/ledger/index.js';
-import type { Logger } from '../../src/observability/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
+import { SILENT } from '../silent-logger.js';
 import type { CollectionFigures, LedgerHostSettings, LedgerHostUsage } from './ledger-host.js';
 
 const HOST = fileURLToPath(new URL('ledger-host.js', import.meta.url));
@@ -24,19 +27,12 @@
 const GATEWAYS = Number(process.env.GW ?? 53);
 const SECRET = 'measurement';
 const KEPT_BYTES = Number(process.env.KEPT ?? 4_300);
-/** Of three turns so many are kept. */
-const KEPT_OF_THREE = 1.5;
+/** One turn of so many is kept. */
+const KEPT_ONE_IN = 3;
 const WARM_UP_MS = Number(process.env.WARM ?? 6_000);
 const MEASURED_MS = 6_000;
 const TURN_MS = 100;
 
-const SILENT: Logger = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 class Host {
   private readonly lines: AsyncIterator<string>;
 
@@ -82,7 +78,7 @@
     times.reserve.push(monotonicMs() - startedAt);
     await sleep(TURN_MS);
     const settlement = { program, attempt, spentTokens: 10 };
-    if ((number % 3) + 0.5 >= KEPT_OF_THREE) {
+    if (number % KEPT_ONE_IN !== 0) {
       client.settleLater(settlement);
       return;
     }
--- a/lab/slopes/kept-turns-host.ts
+++ b/lab/slopes/kept-turns-host.ts
@@ -7,9 +7,9 @@
 import { join } from 'node:path';
 import { monotonicMs, sleep } from '../../src/common/index.js';
 import { LedgerStateMachine, READ_TURNS } from '../../src/ledger/index.js';
-import type { Logger } from '../../src/observability/index.js';
 import { ValueStore, openStoreFolder } from '../../src/value-store/index.js';
 import { MethodRouter, PeerLink, RpcServer, encodeValue } from '../../src/wire/index.js';
+import { SILENT } from '../silent-logger.js';
 import { usedBytes } from './used-bytes.js';
 
 /** What was measured; times in milliseconds. */
@@ -27,14 +27,6 @@
 const CACHE_BYTES = 1024 * 1024;
 const CALL_TIMEOUT_MS = 10_000;
 
-/** Standard output carries the figures only. */
-const SILENT: Logger = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 interface Member {
   values: ValueStore;
   state: LedgerStateMachine;
--- a/src/ledger/copied-values.test.ts
+++ b/src/ledger/copied-values.test.ts
@@ -4,6 +4,7 @@
   KEPT_HISTORY,
   KEPT_TURN,
   LedgerCluster,
+  NEXT_TURN,
   ledgerTestLogger,
 } from '../../tests/support/ledger-cluster.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
@@ -14,13 +15,6 @@
 const LIMITS = { timeoutMs: 5_000 };
 const VOTERS = 5;
 const QUORUM = 3;
-const NEXT_TURN = {
-  program: 'p',
-  attempt: 'turn-2',
-  mostTokens: 10,
-  previousTurn: KEPT_TURN.attempt,
-  wantsHistory: true,
-};
 
 function copiesTaken(ledger: LedgerCluster): number {
   const { requests } = ledger.cluster.network;
--- a/src/ledger/history-reader.test.ts
+++ b/src/ledger/history-reader.test.ts
@@ -7,6 +7,7 @@
   KEPT_HISTORY,
   KEPT_TURN,
   LedgerCluster,
+  NEXT_TURN,
   ledgerTestLogger,
 } from '../../tests/support/ledger-cluster.js';
 import { GroupClient, callLeader } from '../consensus/index.js';
@@ -15,13 +16,6 @@
 import { LEDGER_GROUP, RESERVE, type ReserveAnswer, SETTLE } from './messages.js';
 
 const LIMITS = { timeoutMs: 5_000 };
-const NEXT_TURN = {
-  program: 'p',
-  attempt: 'turn-2',
-  mostTokens: 10,
-  previousTurn: KEPT_TURN.attempt,
-  wantsHistory: true,
-};
 
 async function startLedger(): Promise<{ ledger: LedgerCluster; groups: GroupClient }> {
   const ledger = await LedgerCluster.start();
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -82,7 +82,7 @@
   /**
    * @param holder names this start of the process, for its allowances
    * @param histories reads histories at members that don't lead; without it the leader sends them
-   * @param copies sends kept turns to members that don't lead; without it they ask one another for them
+   * @param copies sends kept turns to members that don't lead; without it the leader sends them
    */
   constructor(
     private readonly groups: GroupClient,
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -32,6 +32,7 @@
   type SettleRequest,
   TAKE_COPY,
 } from './messages.js';
+import { sendCopy } from './value-copies.js';
 
 /** A member that has not answered its leader for so long is not named to readers, in milliseconds. */
 const LATE_MEMBER_MS = 500;
@@ -147,11 +148,8 @@
 
   /** For a gateway that does not know the followers of this leader yet. */
   private sendCopies(values: ReadonlyMap<string, Buffer>, addresses: readonly string[]): void {
-    for (const [turn, value] of values) {
-      for (const address of addresses) {
-        this.options.peers.notify(address, TAKE_COPY, { turn, value });
-      }
-    }
+    const { peers } = this.options;
+    for (const [turn, value] of values) sendCopy(peers, addresses, { turn, value });
   }
 
   /** A clock that goes on from the state's where the leader before left it. */
--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -124,14 +124,15 @@
     sources: readonly Member[],
     getsCopies: boolean,
   ): Promise<readonly LogEntry[]> {
-    const named = entries.flatMap((entry) => this.options.turnsNamedIn(entry));
+    const turnsOf = entries.map((entry) => this.options.turnsNamedIn(entry));
+    const named = turnsOf.flat();
     if (named.length === 0) return entries;
     if (getsCopies) await this.waitForCopies(named);
     // One after the other: a leader that hears nothing in time sends the same entries again.
     const obtained = this.obtaining.then(() => this.obtain(named, sources, entries.at(-1)!.index));
     this.obtaining = obtained.catch(() => undefined);
     await obtained;
-    return Promise.all(entries.map((entry) => this.withValues(entry)));
+    return Promise.all(entries.map((entry, place) => this.withValues(entry, turnsOf[place]!)));
   }
 
   noteLogged(entries: readonly LogEntry[]): void {
@@ -154,10 +155,10 @@
   }
 
   private put(turn: string, value: Uint8Array): void {
-    const { turns } = this.options;
+    const { turns, values } = this.options;
     if (!turns.has(turn)) turns.unnamed.noteHeld(turn, value.length);
-    // Of its own, since what was received is a view of a frame that holds much else.
-    this.options.values.put(turn, Buffer.from(value));
+    // Memory of its own, since what was received is a view of a frame that holds much else.
+    if (!values.has(turn)) values.put(turn, Buffer.from(value));
   }
 
   private async obtain(
@@ -174,8 +175,7 @@
    * Turns that are over have no value any more.
    * @throws TurnValuesMissingError when one is found damaged; it is fetched at the next try
    */
-  private async withValues(entry: LogEntry): Promise<LogEntry> {
-    const turns = this.options.turnsNamedIn(entry);
+  private async withValues(entry: LogEntry, turns: readonly string[]): Promise<LogEntry> {
     if (turns.length === 0) return entry;
     const held = turns.filter((turn) => this.options.values.has(turn));
     const values = await this.valuesOf(turns);
--- a/src/ledger/value-copies.ts
+++ b/src/ledger/value-copies.ts
@@ -5,7 +5,7 @@
 import type { PeerNotifier } from '../consensus/index.js';
 import { valueOf } from './kept-turns.js';
 import { type Settlement, carriesValue } from './ledger-commands.js';
-import { type CopyTargets, TAKE_COPY } from './messages.js';
+import { type CopyTargets, TAKE_COPY, type TakeCopyNotice } from './messages.js';
 
 export class ValueCopies {
   private targets: CopyTargets | undefined;
@@ -27,8 +27,16 @@
    */
   send({ attempt, keep }: Settlement): string | undefined {
     if (!this.targets || !keep || !carriesValue(keep)) return undefined;
-    const copy = { turn: attempt, value: valueOf(keep) };
-    for (const address of this.targets.addresses) this.peers.notify(address, TAKE_COPY, copy);
+    sendCopy(this.peers, this.targets.addresses, { turn: attempt, value: valueOf(keep) });
     return this.targets.version;
   }
 }
+
+/** Sends a value to followers ahead of the entry that names it. */
+export function sendCopy(
+  peers: PeerNotifier,
+  addresses: readonly string[],
+  copy: TakeCopyNotice,
+): void {
+  for (const address of addresses) peers.notify(address, TAKE_COPY, copy);
+}
--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -49,6 +49,15 @@
 /** What a turn after `turn-1` continues from. */
 export const KEPT_HISTORY = Buffer.concat([INPUT, OUTPUT]);
 
+/** Reserves a turn after `turn-1`, whose history it wants. */
+export const NEXT_TURN = {
+  program: 'p',
+  attempt: 'turn-2',
+  mostTokens: 10,
+  previousTurn: KEPT_TURN.attempt,
+  wantsHistory: true,
+};
+
 /** A ledger in place of the cluster's list. */
 class LedgerMachine extends ListMachine {
   readonly values: MemoryValues;
@@ -120,8 +129,8 @@
   }
 
   /** Reads histories as a gateway does. */
-  createReader(): HistoryReader {
-    const peers = this.cluster.network.peersOf('gateway');
+  createReader(name = 'gateway'): HistoryReader {
+    const peers = this.cluster.network.peersOf(name);
     return new HistoryReader({ callWhenConnected: peers.call }, ledgerTestLogger);
   }
 
@@ -130,9 +139,8 @@
     const { network } = this.cluster;
     const peers = network.peersOf(name);
     const groups = new GroupClient({ peers, addresses: this.addresses, tryTimeoutMs: 300 });
-    const reader = new HistoryReader({ callWhenConnected: peers.call }, ledgerTestLogger);
     const copies = new ValueCopies(network.notifierOf(name));
-    return new LedgerClient(groups, ledgerTestLogger, name, reader, copies);
+    return new LedgerClient(groups, ledgerTestLogger, name, this.createReader(name), copies);
   }
 
   /** Starts all members that crashed; their stores have written nothing, their logs all. */
