Keys on the forwarding path: who calls, and for how long what is known of keys is trusted

A deployment's tenants with their keys come with its configuration (hashes only go to the log and the gateways; a key of two tenants, doubled names and negative limits are refused, with the tenant's name and no key). A call on a route that isn't open to all needs a key: 401 for an unknown one, 503 where a gateway can't be sure; the runner is told the tenant, never the key. Ids of programs and turns are those of their tenant. A key that was taken away lets no call run that was sent later than the deployment's bound, also at gateways out of touch: what is known of keys is trusted for 0.9 of the bound, from a moment at which a majority stood behind the leader that answered.

--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -195,13 +195,14 @@
       view = this.viewFor(request);
     }
     if (request.node.role === 'gateway') view.otherLoads = this.loads.othersThan(request.node.name);
+    view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
 
   /** What is newer than the watcher knows; calls under way are added to the answer itself. */
   private viewFor({ node, known }: WatchRequest): DirectoryView {
     const { stateMachine } = this;
-    const view: DirectoryView = { otherLoads: [] };
+    const view: DirectoryView = { otherLoads: [], confirmedAgeMs: Infinity };
     if (this.clusterVersionFor(known)) view.cluster = this.clusterView();
     if (node.role !== 'gateway') return view;
     const { configuration, configurationIndex: index } = stateMachine;
@@ -212,6 +213,11 @@
     return view;
   }
 
+  /** On the monotonic clock, so that a standstill of this process counts. */
+  private get confirmedAgeMs(): number {
+    return this.group ? monotonicMs() - this.group.quorumContactMs() : Infinity;
+  }
+
   private get backendsVersion(): string {
     return `${this.stateMachine.backendsIndex}|${this.silentIds}`;
   }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -65,6 +65,8 @@
   private silentBackends: ReadonlySet<string> = new Set();
   private clusterVersion = '';
   private confirmedAt = Number.NEGATIVE_INFINITY;
+  /** What is held was in force then, whoever led (monotonic, milliseconds). */
+  private certainAt = Number.NEGATIVE_INFINITY;
   private isConnected = false;
   private readonly stopping = new AbortController();
 
@@ -84,6 +86,14 @@
     return monotonicMs() - this.confirmedAt;
   }
 
+  /**
+   * Time since a majority of the directory stood behind what is held, in milliseconds. What only one member told
+   * may bring news, but makes nothing that is held any younger.
+   */
+  get certainAgeMs(): number {
+    return monotonicMs() - this.certainAt;
+  }
+
   private async run(): Promise<void> {
     let isUrgent = true;
     const backoff = new Backoff({
@@ -99,6 +109,7 @@
         isUrgent = false;
         this.noteConnected(true, '');
         this.take(view);
+        this.certainAt = Math.max(this.certainAt, askedAt - view.confirmedAgeMs);
       } catch (error) {
         isUrgent = true;
         this.noteConnected(false, describeError(error));
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -95,6 +95,11 @@
   cluster?: ClusterView;
   /** Calls of the other gateways by back end. */
   otherLoads: BackendLoad[];
+  /**
+   * Time since a majority of the group last stood behind the leader that answers, in milliseconds: what it tells
+   * was in force then, and may have been overtaken by another leader since.
+   */
+  confirmedAgeMs: number;
 }
 
 export type RetirementAnswer = 'accepted' | 'unknown-node' | 'too-few-left';
--- a/src/forwarding/backend-protocol.ts
+++ b/src/forwarding/backend-protocol.ts
@@ -11,6 +11,8 @@
   priority?: number;
   /** Take a stream up after this event. */
   lastEventId?: string;
+  /** Name of the tenant that the call belongs to. */
+  tenant?: string;
 }
 
 export interface RequestHead {
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -41,6 +41,8 @@
   previousTurn?: string;
   /** A stream is taken up after this event. */
   lastEventId?: string;
+  /** The caller's credential; never logged, never passed on. */
+  apiKey?: string;
 }
 
 /** A first turn holds what is shared and its own input. */
@@ -53,6 +55,7 @@
 
 export type RefusalReason =
   | 'no-route'
+  | 'unknown-key'
   | 'missing-id'
   | 'budget-exhausted'
   | 'unknown-predecessor'
--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -84,6 +84,7 @@
       routes: () => this.routes,
       waitForRoutes: (timeoutMs) => this.arrived.waitUpTo(timeoutMs),
       directoryAgeMs: () => 0,
+      access: () => ({ kind: 'allowed', tenant: undefined }),
       backends: new BackendView({
         connections: () => 1,
         cacheTokens: () => Infinity,
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -2,7 +2,8 @@
 import { monotonicMs } from '../common/index.js';
 import type { LedgerClient, ReservationTimes } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
-import type { CompiledRoute, RouteTable } from '../routes/index.js';
+import type { CompiledRoute, Route, RouteTable, Tenant } from '../routes/index.js';
+import type { AccessDecision } from '../tenants/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
 import type { CallExchange, ProgramContext, RefusalReason } from './call-exchange.js';
@@ -21,6 +22,8 @@
   waitForRoutes: (timeoutMs: number) => Promise<void>;
   /** Time since the directory's leader last answered, in milliseconds. */
   directoryAgeMs: () => number;
+  /** Whether the owner of a key may call a route now. */
+  access: (route: Route, key: string | undefined) => AccessDecision;
   backends: BackendView;
   placement: Placement;
   ledger: LedgerClient;
@@ -107,11 +110,12 @@
     const { description } = exchange;
     const limitMs = Math.min(description.patienceMs ?? Infinity, route.route.timeoutMs);
     const deadlineMs = exchange.arrivedAt + limitMs;
+    const tenant = this.identify(exchange, route);
     const service = route.nextService();
     this.admit(exchange, route, service);
     const typicalMs = this.options.backends.typicalMs(service);
     const time = { deadlineMs, typicalMs };
-    const reservation = await this.turns.reserve(exchange, route.route, time);
+    const reservation = await this.turns.reserve(exchange, route.route, time, tenant?.name);
     const run = new CallRun({
       exchange,
       route,
@@ -121,6 +125,8 @@
       backends: this.options.backends,
       placement: this.options.placement,
       promptHolder: reservation?.lastBackend,
+      tenant: tenant?.name,
+      denial: () => this.denialOf(exchange, route),
       protocol: this.options.protocol,
     });
     const ending = await run.run();
@@ -134,6 +140,21 @@
     this.record({ exchange, route, ending: final, run, reservation, keepMs });
   }
 
+  /** @throws RefusedError when the caller may not call the route, or that can't be told */
+  private identify({ description }: CallExchange, { route }: CompiledRoute): Tenant | undefined {
+    const decision = this.options.access(route, description.apiKey);
+    if (decision.kind === 'allowed') return decision.tenant;
+    throw new RefusedError(reasonOf(decision));
+  }
+
+  private denialOf(
+    { description }: CallExchange,
+    { route }: CompiledRoute,
+  ): RefusalReason | undefined {
+    const decision = this.options.access(route, description.apiKey);
+    return decision.kind === 'allowed' ? undefined : reasonOf(decision);
+  }
+
   /** @throws RefusedError when a new program finds its service overloaded */
   private admit({ description }: CallExchange, { route }: CompiledRoute, service: string): void {
     if (description.promptParts.length === 0) return;
@@ -225,6 +246,10 @@
   }
 }
 
+function reasonOf({ kind }: Exclude<AccessDecision, { kind: 'allowed' }>): RefusalReason {
+  return kind === 'unknown-key' ? 'unknown-key' : 'not-ready';
+}
+
 function isTimeLimit(ending: CallEnding): boolean {
   if (ending.kind !== 'refused') return false;
   return ending.reason === 'time-limit' || ending.reason === 'time-limit-before-start';
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -31,6 +31,10 @@
   placement: Placement;
   /** Id of the back end that most likely holds the prompt of the turns before, if that is known. */
   promptHolder?: string;
+  /** Name of the tenant that the call belongs to. */
+  tenant?: string;
+  /** Why the caller may not be served any more, asked right before each send. */
+  denial: () => RefusalReason | undefined;
   protocol: BackendProtocol;
 }
 
@@ -117,7 +121,7 @@
 
   private async sendUntilAnswered(): Promise<CallEnding> {
     for (;;) {
-      const stopped = this.endingOfStop();
+      const stopped = this.endingOfStop() ?? this.endingOfDenial();
       if (stopped) return stopped;
       const choice = this.nextBackend();
       if (!choice) return this.endingWithoutBackend();
@@ -176,6 +180,7 @@
       backendId: backend.id,
       timeLeftMs: Math.max(1, Math.floor(this.options.deadlineMs - monotonicMs())),
       lastEventId: this.answer instanceof StreamRelay ? this.answer.lastEventId : undefined,
+      tenant: this.options.tenant,
     });
     const callId = description.id;
     const sink = this.answer;
@@ -292,6 +297,12 @@
     };
   }
 
+  private endingOfDenial(): CallEnding | undefined {
+    const reason = this.options.denial();
+    if (reason === undefined) return undefined;
+    return this.mayHaveRun ? this.endingOfBroken() : { kind: 'refused', reason };
+  }
+
   private leave(backend: BackendState): void {
     this.excluded.add(backend.id);
     this.stayWith = undefined;
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -12,6 +12,7 @@
 } from '../ledger/index.js';
 import type { Logger } from '../observability/index.js';
 import type { CompiledRoute, Route } from '../routes/index.js';
+import { scopedId } from '../tenants/index.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
 import type { CallEnding, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
@@ -33,7 +34,15 @@
   typicalMs: number;
 }
 
-/** A turn that may be sent. */
+/** What the ledger knows a turn by. */
+interface TurnIds {
+  attempt: string;
+  program: string;
+  /** The turn that it continues, where turns are kept. */
+  previousTurn: string | undefined;
+}
+
+/** A turn that may be sent; its ids are those of its tenant's own things. */
 export interface Reservation {
   program: string;
   attempt: string;
@@ -81,6 +90,7 @@
 
   /**
    * Sets the turn's tokens aside and reads what it continues from.
+   * @param tenant whose programs and turns the ids name; absent where callers have none
    * @returns nothing where the route and the call ask for neither
    * @throws RefusedError when the turn must not be sent
    */
@@ -88,19 +98,28 @@
     exchange: CallExchange,
     route: Route,
     time: TurnTime,
+    tenant?: string,
   ): Promise<Reservation | undefined> {
-    const { id, program } = exchange.description;
+    const { program, previousTurn } = exchange.description;
     const isTurn = route.kind === 'streaming';
     if (!isTurn || (program?.budgetTokens === undefined && !route.retainsTurns)) return undefined;
-    const attempt = id!;
-    const key = program?.id ?? attempt;
+    const call = exchange.description.id!;
+    const turn: TurnIds = {
+      attempt: scopedId(tenant, call),
+      program: scopedId(tenant, program?.id ?? call),
+      previousTurn:
+        route.retainsTurns && previousTurn !== undefined
+          ? scopedId(tenant, previousTurn)
+          : undefined,
+    };
     try {
-      return await this.ask(exchange, route, key, time);
+      return await this.ask(exchange, turn, time);
     } catch (error) {
       if (error instanceof RefusedError) throw error;
       const reason = describeError(error);
-      this.options.logger.warn('reservation failed', { call: attempt, program: key, reason });
+      this.options.logger.warn('reservation failed', { call, program: program?.id, reason });
       if (!(error instanceof NotReservedError)) {
+        const { program: key, attempt } = turn;
         this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
       }
       throw this.ledgerAway();
@@ -128,15 +147,11 @@
   }
 
   private async ask(
-    exchange: CallExchange,
-    route: Route,
-    program: string,
+    { description }: CallExchange,
+    { attempt, program, previousTurn }: TurnIds,
     { deadlineMs, typicalMs }: TurnTime,
   ): Promise<Reservation> {
-    const { description } = exchange;
     const startedAt = monotonicMs();
-    const attempt = description.id!;
-    const previousTurn = route.retainsTurns ? description.previousTurn : undefined;
     const known = previousTurn === undefined ? undefined : this.histories.find(previousTurn);
     const request = {
       program,
@@ -170,7 +185,7 @@
     output: Buffer,
   ): Promise<CallEnding> {
     const { ledger, logger } = this.options;
-    const { program, attempt, previousTurn, history } = reservation;
+    const { attempt, previousTurn, history } = reservation;
     const input = exchange.description.body;
     const keep = { previousTurn, input, output, retentionMs: route.route.retentionMs };
     const timeoutMs = Math.max(KEEP_SLACK_MS, deadlineMs - monotonicMs());
@@ -179,7 +194,9 @@
       this.histories.remember(attempt, history, input, output);
       return ending;
     } catch (error) {
-      logger.warn('turn not kept', { call: attempt, program, reason: describeError(error) });
+      const { id: call, program: context } = exchange.description;
+      const reason = describeError(error);
+      logger.warn('turn not kept', { call, program: context?.id, reason });
       ledger.settleLater(settlement);
       return { kind: 'broken-off' };
     }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -13,6 +13,7 @@
 import { HistoryReader, LedgerClient, ValueCopies } from '../ledger/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
+import { type KeyKnowledge, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
 
@@ -37,12 +38,15 @@
   private readonly watcher: DirectoryWatcher;
   private readonly routesArrived = new SignalEvent();
   private routes: RouteTable | undefined;
+  private tenants = new TenantTable(undefined);
+  private readonly keyLeaseMs: number;
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
 
   private constructor(private readonly options: GatewayNodeOptions) {
     const { settings, logger } = options;
+    this.keyLeaseMs = keyLeaseMs(settings.revocationBoundMs);
     const holder = `${settings.name}-${randomBytes(HOLDER_ID_BYTES).toString('hex')}`;
     this.peers = new PeerDirectory({
       ownName: settings.name,
@@ -63,6 +67,7 @@
       routes: () => this.routes,
       waitForRoutes: (timeoutMs) => this.routesArrived.waitUpTo(timeoutMs),
       directoryAgeMs: () => this.watcher.ageMs,
+      access: (route, key) => decideAccess(route, key, this.keyKnowledge),
       backends: this.backends,
       placement: new Placement({ zone: settings.zone }),
       ledger: new LedgerClient(
@@ -86,7 +91,7 @@
 
   /** Whether new callers should come here. */
   get isReady(): boolean {
-    return this.routes !== undefined && this.hasBackends && !this.isStopping;
+    return this.routes !== undefined && this.hasBackends && this.areKeysCertain && !this.isStopping;
   }
 
   get limits(): RequestLimits | undefined {
@@ -109,6 +114,17 @@
     this.peers.close();
   }
 
+  /** Whether callers with keys can be served. */
+  private get areKeysCertain(): boolean {
+    const { tenants, ageMs, leaseMs } = this.keyKnowledge;
+    return !tenants.areKeysNeeded || ageMs < leaseMs;
+  }
+
+  private get keyKnowledge(): KeyKnowledge {
+    const { tenants, keyLeaseMs: leaseMs } = this;
+    return { tenants, ageMs: this.watcher.certainAgeMs, leaseMs };
+  }
+
   /** How old this gateway's knowledge is, and which configuration it acts by. */
   private addGauges(): void {
     const add = (name: string, help: string, read: () => number): void =>
@@ -134,6 +150,7 @@
       logger: this.options.logger,
       onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
+        this.tenants = new TenantTable(configuration.tenants);
         this.routesArrived.notify();
       },
       onBackends: (records) => {
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -19,6 +19,8 @@
   toleratedLosses: number;
   /** Time between two heartbeats of a back end, in milliseconds. */
   heartbeatIntervalMs: number;
+  /** No call may run that was sent so long after its key was taken away, in milliseconds. @default no bound */
+  revocationBoundMs?: number;
   /** Shared secret of the internal protocol. */
   secret: string;
   /** Bytes of memory beyond which the process is killed. @default no limit */
--- a/src/routes/route-configuration.ts
+++ b/src/routes/route-configuration.ts
@@ -34,6 +34,21 @@
   hasSessionAffinity: boolean;
   /** Whether a broken stream may be taken up again after a known event. */
   isResumable: boolean;
+  /** Whether callers need no key. @default false */
+  isAnonymous?: boolean;
+}
+
+/** Somebody who calls with keys of their own, and how much they may ask for. */
+export interface Tenant {
+  name: string;
+  /** SHA-256 of each key, in hexadecimal digits; none for a tenant that has lost all its keys. */
+  keyHashes: string[];
+  /** 0 is the most urgent; goes before the route's. @default the route's */
+  priority?: number;
+  /** Calls a second, of all gateways together; 0 for no limit. */
+  ratePerSecond: number;
+  /** Calls beyond the rate that may come at once. */
+  burst: number;
 }
 
 /** Properties of the model engines behind a service. */
@@ -64,4 +79,6 @@
   routes: Route[];
   services: Service[];
   limits: RequestLimits;
+  /** Those whose keys callers need; absent where callers need none. */
+  tenants?: Tenant[];
 }
--- a/src/routes/routes.test.ts
+++ b/src/routes/routes.test.ts
@@ -1,7 +1,7 @@
 /** Checks of configurations, the look-up of routes, and weighted choices. */
 import { describe, expect, it } from 'vitest';
 import { InvalidRouteConfigurationError } from './errors.js';
-import type { Route, RouteConfiguration } from './route-configuration.js';
+import type { Route, RouteConfiguration, Tenant } from './route-configuration.js';
 import { RouteTable } from './route-table.js';
 import { validateRouteConfiguration } from './validate-configuration.js';
 import { WeightedChoice } from './weighted-choice.js';
@@ -61,6 +61,37 @@
   });
 });
 
+describe('validation of tenants', () => {
+  function tenant(overrides: Partial<Tenant> = {}): Tenant {
+    return { name: 'a', keyHashes: ['h1'], ratePerSecond: 0, burst: 0, ...overrides };
+  }
+
+  it.each([
+    ['none', undefined],
+    ['an empty list', []],
+    ['one without keys', [tenant({ keyHashes: [] })]],
+    ['one that has a key twice', [tenant({ keyHashes: ['h1', 'h1'] })]],
+    ['two with keys of their own', [tenant(), tenant({ name: 'b', keyHashes: ['h2'] })]],
+  ])('accepts %s', (_, tenants) => {
+    const sound = { ...configuration([route()]), tenants };
+    expect(() => validateRouteConfiguration(sound)).not.toThrow();
+  });
+
+  it.each([
+    ['a key of two', [tenant(), tenant({ name: 'b' })], /a and b/],
+    ['a name of two', [tenant(), tenant({ keyHashes: ['h2'] })], /name a/],
+    ['no name', [tenant({ name: '' })], /no name/],
+    ['a negative rate', [tenant({ ratePerSecond: -1 })], /tenant a.*rate/],
+    ['a negative burst', [tenant({ burst: -1 })], /tenant a.*burst/],
+  ])('refuses %s, names the tenant and no key', (_, tenants, expected) => {
+    const validate = (): void =>
+      validateRouteConfiguration({ ...configuration([route()]), tenants });
+    expect(validate).toThrow(InvalidRouteConfigurationError);
+    expect(validate).toThrow(expected);
+    expect(validate).not.toThrow(/h[12]/);
+  });
+});
+
 describe('route table', () => {
   const table = new RouteTable(
     configuration([
--- a/src/routes/validate-configuration.ts
+++ b/src/routes/validate-configuration.ts
@@ -1,6 +1,6 @@
 /** The checks that every route configuration passes before it is replicated. */
 import { InvalidRouteConfigurationError } from './errors.js';
-import type { Route, RouteConfiguration } from './route-configuration.js';
+import type { Route, RouteConfiguration, Tenant } from './route-configuration.js';
 
 /** @throws InvalidRouteConfigurationError naming the first violated condition */
 export function validateRouteConfiguration(configuration: RouteConfiguration): void {
@@ -13,6 +13,26 @@
     require(!places.has(place), `two routes at ${place}`);
     places.add(place);
   }
+  validateTenants(configuration.tenants ?? []);
+}
+
+/** No complaint holds a key, or what a key could be found out by. */
+function validateTenants(tenants: readonly Tenant[]): void {
+  const names = new Set<string>();
+  const ownerByKey = new Map<string, string>();
+  for (const tenant of tenants) {
+    const { name, ratePerSecond, burst, keyHashes } = tenant;
+    require(name.length > 0, 'a tenant has no name');
+    require(!names.has(name), `two tenants have the name ${name}`);
+    names.add(name);
+    require(ratePerSecond >= 0, `tenant ${name}: rate is negative`);
+    require(burst >= 0, `tenant ${name}: burst is negative`);
+    for (const hash of keyHashes) {
+      const owner = ownerByKey.get(hash) ?? name;
+      require(owner === name, `tenants ${owner} and ${name} have a key in common`);
+      ownerByKey.set(hash, name);
+    }
+  }
 }
 
 function validateRoute(route: Route, services: ReadonlySet<string>): void {
--- a/tests/support/committing-directory.ts
+++ b/tests/support/committing-directory.ts
@@ -33,6 +33,7 @@
       },
       term: 1,
       leadingSince: 0,
+      quorumContactMs: () => performance.now(),
       propose: (command: Uint8Array) => Promise.resolve(this.commit(command)),
     };
     this.group = group as unknown as ReplicatedGroup;
--- a/tests/time-budgets.test.ts
+++ b/tests/time-budgets.test.ts
@@ -26,6 +26,7 @@
 } from '../src/directory/directory-watcher.js';
 import { IN_TOUCH_MS } from '../src/directory/gateway-confirmations.js';
 import { GROUP_TIMING } from '../src/nodes/node-settings.js';
+import { keyLeaseMs } from '../src/tenants/index.js';
 import { RETRY_PACE_MS } from '../src/wire/connection-race.js';
 import {
   CONNECT_TIMEOUT_MS,
@@ -45,6 +46,10 @@
 /** The shortest time within which a deployment wants service again after a loss of everything. */
 const RECOVERED_MS = 12_000;
 
+/** The shortest bound from the acknowledgement of a revocation on, and the share of it for which calls are owed. */
+const REVOKED_MS = 5_000;
+const OWED_SHARE = 0.6;
+
 /** Allowances for what has no constant: tens of times what they take on an idle machine. */
 const ANSWER_MS = 100;
 const HANDSHAKE_MS = 100;
@@ -145,6 +150,18 @@
     boundMs: CONFIGURATION_CONFIRM_MS,
     parts: [IN_TOUCH_MS, ANSWER_MS],
   },
+  { row: 'revoked: out of touch', boundMs: REVOKED_MS, parts: [keyLeaseMs(REVOKED_MS)] },
+  {
+    row: 'owed: a key out of touch',
+    boundMs: keyLeaseMs(REVOKED_MS),
+    parts: [
+      REVOKED_MS * OWED_SHARE,
+      WATCH_WAIT_MS,
+      timing.heartbeatIntervalMs,
+      ANSWER_MS,
+      ANSWER_MS,
+    ],
+  },
   {
     row: 'members: connection reset',
     boundMs: timing.disconnectTimeoutMs,
