--- a/src/directory/backend-registration.ts
+++ b/src/directory/backend-registration.ts
@@ -2,9 +2,11 @@
 
 export type BackendPhase = 'ready' | 'draining';
 
+import type { Incarnation } from './incarnation.js';
+
 /** What a back end says of itself in one heartbeat. */
-export interface BackendRegistration {
-  /** Names one start of the back end; a restart has another id. */
+export interface BackendRegistration extends Incarnation {
+  /** Of this start; see `incarnationId`. */
   id: string;
   service: string;
   /** `host:port` where it serves. */
@@ -13,7 +15,7 @@
   /** Calls that it works on at once. */
   slots: number;
   phase: BackendPhase;
-  /** Rises with every message of this back end, so that a late one can be told. */
+  /** Rises with every message of this start, so that a late one can be told. */
   sequence: number;
 }
 
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -8,6 +8,7 @@
 import type { RouteConfiguration } from '../routes/index.js';
 import type { Method } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
+import type { Incarnation } from './incarnation.js';
 import type { RetirementState } from './directory-state-machine.js';
 import {
   COMMITTED_NEWS,
@@ -58,8 +59,8 @@
     await this.call(HEARTBEAT, registration, REGISTRATION_TIMEOUT_MS);
   }
 
-  async removeBackend(id: string): Promise<void> {
-    await this.call(REMOVE_BACKEND, { id }, REGISTRATION_TIMEOUT_MS);
+  async removeBackend(incarnation: Incarnation): Promise<void> {
+    await this.call(REMOVE_BACKEND, incarnation, REGISTRATION_TIMEOUT_MS);
   }
 
   startRetirement(node: string): Promise<RetirementAnswer> {
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -12,6 +12,7 @@
 import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
 import { type ConfirmedPart, GatewayConfirmations } from './gateway-confirmations.js';
 import { HeartbeatTable } from './heartbeat-table.js';
+import type { Incarnation } from './incarnation.js';
 import { LedgerFounding } from './ledger-founding.js';
 import { LoadBoard } from './load-board.js';
 import type {
@@ -139,8 +140,9 @@
   }
 
   /** Resolves when gateways in touch know, or after a while. */
-  async removeBackend(id: string): Promise<void> {
-    if (!this.stateMachine.hasDeparted(id)) {
+  async removeBackend(incarnation: Incarnation): Promise<void> {
+    for (const id of this.stateMachine.idsOf(incarnation)) {
+      if (this.stateMachine.hasDeparted(id)) continue;
       await this.propose({ kind: 'remove-backend', id, hasDeparted: true });
       this.options.logger.info('back end departed', { id });
     }
--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -31,9 +31,9 @@
       return ACKNOWLEDGED;
     }),
   );
-  router.handle(REMOVE_BACKEND, ({ id }) =>
+  router.handle(REMOVE_BACKEND, (incarnation) =>
     answerAsLeader(findGroup(), async () => {
-      await leader.removeBackend(id);
+      await leader.removeBackend(incarnation);
       return ACKNOWLEDGED;
     }),
   );
--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -5,6 +5,7 @@
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine } from './directory-state-machine.js';
+import { incarnationId } from './incarnation.js';
 import { packConfiguration, unpackSource } from './packed-configuration.js';
 
 class Machine {
@@ -99,6 +100,96 @@
   });
 });
 
+/**
+ * Back ends may start again under their names, with counts that begin anew. Told apart by name alone, one that had said
+ * that it leaves, had left, or had been replaced stayed out for good, and its first heartbeats counted as old ones.
+ */
+describe('a back end that starts again under its name', () => {
+  const before = { startedAt: 1_000, sequence: 40 };
+  const after = { startedAt: 2_000, sequence: 1 };
+  const starts = (machine: Machine): unknown[] =>
+    [...machine.state.backends.values()].map(({ startedAt, phase }) => [startedAt, phase]);
+
+  it('counts anew, at its address and at another one', () => {
+    for (const address of ['127.0.0.1:1000', '127.0.0.1:2000']) {
+      const machine = new Machine();
+      machine.register(before);
+      expect(machine.register({ ...after, address })).toBe(true);
+      expect(starts(machine)).toEqual([[2_000, 'ready']]);
+    }
+  });
+
+  it.each([
+    [
+      'after it had said that it leaves',
+      (machine: Machine) => machine.register({ ...before, sequence: 41, phase: 'draining' }),
+    ],
+    [
+      'after it had left',
+      (machine: Machine) =>
+        machine.run({ kind: 'remove-backend', id: 'i-1@1000', hasDeparted: true }),
+    ],
+    [
+      'after it was silent',
+      (machine: Machine) =>
+        machine.run({ kind: 'remove-backend', id: 'i-1@1000', hasDeparted: false }),
+    ],
+    [
+      'after another one had its address',
+      (machine: Machine) => machine.register({ name: 'i-2', startedAt: 1_500 }),
+    ],
+  ])('takes calls again %s', (_, happens) => {
+    const machine = new Machine();
+    machine.register(before);
+    happens(machine);
+    expect(machine.register(after)).toBe(true);
+    expect(starts(machine)).toEqual([[2_000, 'ready']]);
+  });
+
+  it.each([
+    ['a heartbeat of the start before', { ...before, sequence: 99 }],
+    ['its leaving', { ...before, sequence: 99, phase: 'draining' as const }],
+    ['the same at the address before', { ...before, sequence: 99, address: '127.0.0.1:9' }],
+    ['an entry without a start', { sequence: 99 }],
+  ])('is not harmed by %s that comes late', (_, late) => {
+    const machine = new Machine();
+    machine.register(before);
+    machine.register(after);
+    const copy = new DirectoryStateMachine();
+    copy.restore(Buffer.concat([...machine.state.snapshot()]));
+    expect(copy.isNews(sampleRegistration(late))).toBe(false);
+    expect(machine.register(late)).toBe(false);
+    expect(starts(machine)).toEqual([[2_000, 'ready']]);
+  });
+
+  it('stays out when a start that was silent is heard of after a later one has left', () => {
+    const machine = new Machine();
+    machine.register(before);
+    machine.run({ kind: 'remove-backend', id: 'i-1@1000', hasDeparted: false });
+    machine.register({ ...after, address: '127.0.0.1:2' });
+    machine.run({ kind: 'remove-backend', id: 'i-1@2000', hasDeparted: true });
+    expect(machine.register({ ...before, sequence: 99 })).toBe(false);
+  });
+
+  it('is named by whoever leaves, with its start or without', () => {
+    const machine = new Machine();
+    machine.register(after);
+    expect(machine.state.idsOf({ name: 'i-1' })).toEqual(['i-1@2000']);
+    expect(machine.state.idsOf({ name: 'i-1', startedAt: 1_000 })).toEqual(['i-1@1000']);
+  });
+
+  it('has ids that no other name or start has', () => {
+    const all = [
+      { name: 'a' },
+      { name: 'a', startedAt: 1 },
+      { name: 'a@1' },
+      { name: 'a%401' },
+      { name: 'a@1', startedAt: 1 },
+    ];
+    expect(new Set(all.map(incarnationId)).size).toBe(all.length);
+  });
+});
+
 describe('founding and retirement', () => {
   it('keeps the first founders', () => {
     const machine = new Machine();
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -6,6 +6,7 @@
 import { decodeValue, encodeValue } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
+import { type Incarnation, incarnationId, isLaterStart, isStartOf } from './incarnation.js';
 import type { CommittedNews, CommittedNewsRequest } from './messages.js';
 import type { PackedConfiguration } from './packed-configuration.js';
 
@@ -91,11 +92,21 @@
     return this.state.departed.has(id);
   }
 
+  /** Ids of the starts that somebody who leaves may mean: one that isn't registered is named by itself. */
+  idsOf(incarnation: Incarnation): string[] {
+    const { name, startedAt } = incarnation;
+    const registered = [...this.state.backends.values()].filter(
+      (backend) =>
+        backend.name === name && (startedAt === undefined || backend.startedAt === startedAt),
+    );
+    return registered.length > 0 ? registered.map(({ id }) => id) : [incarnationId(incarnation)];
+  }
+
   /** Whether a registration would change what is kept of its back end. */
   isNews(registration: BackendRegistration): boolean {
     if (this.state.departed.has(registration.id)) return false;
     const known = this.state.backends.get(registration.id);
-    if (!known) return true;
+    if (!known) return !this.isOutdated(registration);
     if (registration.sequence < known.sequence) return false;
     return (
       known.phase !== registration.phase ||
@@ -141,7 +152,7 @@
     this.state = {
       ...encoded,
       configuration: encoded.configuration ?? undefined,
-      backends: new Map(encoded.backends.map((backend) => [backend.id, backend])),
+      backends: new Map(encoded.backends.map((backend) => [backend.id, named(backend)])),
       departed: new Set(encoded.departed),
       lost: new Map(encoded.lost),
       retirements: new Map(encoded.retirements),
@@ -187,8 +198,9 @@
     // A drain is final: a later "ready" of the same incarnation can only be a mistake.
     if (known?.phase === 'draining' && registration.phase === 'ready') return NOTHING_CHANGED;
     for (const other of [...this.state.backends.values()]) {
-      const tookItsAddress = other.address === registration.address && other.id !== registration.id;
-      if (tookItsAddress) this.forget(other.id);
+      if (other.id === registration.id) continue;
+      const isReplaced = other.address === registration.address || other.name === registration.name;
+      if (isReplaced) this.forget(other.id);
     }
     this.replaceLost(registration);
     this.state.backends.set(registration.id, registration);
@@ -196,6 +208,16 @@
     return CHANGED;
   }
 
+  /** Whether a later start is known, of the same back end or of another one that says so at its address. */
+  private isOutdated(registration: BackendRegistration): boolean {
+    const { name, address } = registration;
+    return [...this.state.backends.values()].some((known) => {
+      if (known.name === name) return isLaterStart(known, registration);
+      const bothSay = known.startedAt !== undefined && registration.startedAt !== undefined;
+      return known.address === address && bothSay && isLaterStart(known, registration);
+    });
+  }
+
   private remove(id: string, hasDeparted: boolean, index: number): DirectoryResult {
     const known = this.state.backends.get(id);
     if (hasDeparted) this.forget(id);
@@ -220,12 +242,12 @@
     dropOldest(lost, MAX_REMEMBERED_LOSSES);
   }
 
-  /** Those that were lost at the address are over; the back end itself is lost no more. */
-  private replaceLost({ id, address }: BackendRegistration): void {
+  /** Those that were lost at the address, or before this start, are over; this one is lost no more. */
+  private replaceLost({ id, name, address }: BackendRegistration): void {
     const { lost } = this.state;
     lost.delete(id);
     for (const [other, otherAddress] of [...lost]) {
-      if (otherAddress === address) this.forget(other);
+      if (otherAddress === address || isStartOf(other, name)) this.forget(other);
     }
   }
 
@@ -243,6 +265,11 @@
   }
 }
 
+/** Snapshots of earlier releases hold ids only, which were names of single starts. */
+function named(backend: BackendRegistration): BackendRegistration {
+  return { ...backend, name: backend.name ?? backend.id };
+}
+
 /** Sets and maps keep the order in which their entries came. */
 function dropOldest(remembered: Set<string> | Map<string, string>, most: number): void {
   const oldest = remembered.keys().next().value;
--- a/src/directory/index.ts
+++ b/src/directory/index.ts
@@ -1,6 +1,7 @@
 /** The directory: configuration, back ends and processes, replicated by the control processes. */
 export * from './backend-registration.js';
 export * from './directory-commands.js';
+export * from './incarnation.js';
 export { DirectoryClient } from './directory-client.js';
 export { DirectoryLeader, type DirectoryLeaderOptions } from './directory-leader.js';
 export { registerDirectoryService } from './directory-service.js';
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -2,6 +2,7 @@
 import type { LeaderAnswer, Member } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendRecord, BackendRegistration } from './backend-registration.js';
+import type { Incarnation } from './incarnation.js';
 import type { RetirementState } from './directory-state-machine.js';
 import type { PackedConfiguration } from './packed-configuration.js';
 
@@ -112,9 +113,8 @@
   source?: string;
 }
 
-export interface RemoveBackendRequest {
-  id: string;
-}
+/** The start that leaves; without its time whichever start is registered under the name. */
+export type RemoveBackendRequest = Incarnation;
 
 export type PutConfigurationRequest = PackedConfiguration;
 
--- a/src/forwarding/backend-protocol.ts
+++ b/src/forwarding/backend-protocol.ts
@@ -3,8 +3,8 @@
 
 /** What one send adds to the call. */
 export interface SendOptions {
-  /** Only this incarnation may run the call. */
-  backendId: string;
+  /** Name of the back end that alone may run the call. */
+  backendName: string;
   /** How long the back end may work, in milliseconds; absent when nobody named a limit. */
   timeLeftMs?: number;
   /** 0 is the most urgent. */
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -182,7 +182,7 @@
     const { exchange, protocol, body } = this.options;
     const { description } = exchange;
     const request = protocol.encodeRequest(description, {
-      backendId: backend.id,
+      backendName: backend.record.name,
       timeLeftMs: Math.max(1, Math.floor(this.options.deadlineMs - monotonicMs())),
       lastEventId: this.answer instanceof StreamRelay ? this.answer.lastEventId : undefined,
       tenant: this.options.tenant,
--- a/src/forwarding/placement.test.ts
+++ b/src/forwarding/placement.test.ts
@@ -15,6 +15,7 @@
 function records(overrides: Partial<BackendRecord> = {}): BackendRecord[] {
   return Array.from({ length: ENGINES }, (_, index) => ({
     id: `e${index}`,
+    name: `e${index}`,
     service: SERVICE,
     address: `127.0.0.1:${1_000 + index}`,
     zone: 'z1',
--- a/src/forwarding/program-admission.test.ts
+++ b/src/forwarding/program-admission.test.ts
@@ -96,7 +96,12 @@
     const id = `program-${this.born}`;
     this.born += 1;
     const program = { id, bornAt: this.now, turnsLeft: TURNS, sends: 0 };
-    const admits = this.admission.admits(SERVICE, ROUTE.priority, callOf(program, this.now), this.occupancy);
+    const admits = this.admission.admits(
+      SERVICE,
+      ROUTE.priority,
+      callOf(program, this.now),
+      this.occupancy,
+    );
     if (admits || !this.isControlled) this.send(program);
     else this.outcome.refused += 1;
   }
--- a/tests/support/directory-samples.ts
+++ b/tests/support/directory-samples.ts
@@ -1,5 +1,5 @@
 /** Small values of the directory for tests. */
-import type { BackendRegistration } from '../../src/directory/index.js';
+import { type BackendRegistration, incarnationId } from '../../src/directory/index.js';
 import type { RouteConfiguration } from '../../src/routes/index.js';
 
 /** A configuration without routes. */
@@ -11,8 +11,10 @@
 export function sampleRegistration(
   overrides: Partial<BackendRegistration> = {},
 ): BackendRegistration {
+  const name = overrides.name ?? overrides.id ?? 'i-1';
   return {
-    id: 'i-1',
+    id: incarnationId({ name, startedAt: overrides.startedAt }),
+    name,
     service: 's',
     address: '127.0.0.1:1000',
     zone: 'z',
