Limits: gateways with few calls of a tenant hold no share and ask for each call; whole tokens; scarcity by its time

A demand counts from 3 s, below one a second a gateway holds nothing and asks as calls come, 4 ms together; parts of tokens don't lie idle; a tenant over its limit is refused at once for as long as the leader has no token, not until the next answer; half of a bucket is kept for begun programs from the limit on, not only once it is empty.

--- a/src/quotas/gateway-quotas.ts
+++ b/src/quotas/gateway-quotas.ts
@@ -18,14 +18,14 @@
 
 /** Time between two questions while nothing is short, in milliseconds: a seventh of the lease. */
 const REGULAR_INTERVAL_MS = 500;
-/** Time between two questions at least, in milliseconds; a leader answers in some 5 ms. */
+/** Time between two questions while a bucket is low, in milliseconds; a leader answers in some 5 ms. */
 const SHORTEST_INTERVAL_MS = 40;
-/** The same while the leader has said that a tenant's tokens are used up, in milliseconds. */
-const SCARCE_INTERVAL_MS = 200;
+/** The same while a call waits: calls that come within it are asked for together. */
+const WAITING_INTERVAL_MS = 4;
 /** How long one question may take, in milliseconds. */
 const ASK_TIMEOUT_MS = 400;
 /** How long a call waits for a token at most, in milliseconds: several round trips across zones. */
-const TOKEN_WAIT_MS = 150;
+const TOKEN_WAIT_MS = 250;
 const INCARNATION_BYTES = 6;
 
 /** Whether a call may go on; if not, when its caller had better come back, in milliseconds. */
@@ -76,7 +76,7 @@
     const isTaken = this.shares.take(tenant, beginsProgram, now);
     if (this.shares.isLow(tenant, now)) this.askSoon();
     if (isTaken) return ALLOWED;
-    if (!this.shares.isScarce(tenant) && (await this.waitForToken(tenant, beginsProgram))) {
+    if (!this.shares.isScarce(tenant, now) && (await this.waitForToken(tenant, beginsProgram))) {
       return ALLOWED;
     }
     return { isAllowed: false, retryAfterMs: this.shares.returnAfterMs(tenant, monotonicMs()) };
@@ -102,7 +102,7 @@
         this.askSoon();
         await this.answered.waitUpTo(leftMs);
         if (this.shares.take(tenant, beginsProgram, monotonicMs())) return true;
-        if (this.shares.isScarce(tenant)) return false;
+        if (this.shares.isScarce(tenant, monotonicMs())) return false;
       }
     } finally {
       this.shares.noteWaiting(tenant, -1, monotonicMs());
@@ -123,8 +123,19 @@
       this.isNeeded = false;
       await this.ask();
       this.answered.notify();
-      await sleep(this.shares.isAnyScarce ? SCARCE_INTERVAL_MS : SHORTEST_INTERVAL_MS);
-      if (!this.isNeeded) await this.needed.waitUpTo(REGULAR_INTERVAL_MS - SHORTEST_INTERVAL_MS);
+      await this.pause();
+    }
+  }
+
+  private async pause(): Promise<void> {
+    const startedAt = monotonicMs();
+    const elapsedMs = (): number => monotonicMs() - startedAt;
+    await sleep(WAITING_INTERVAL_MS);
+    while (elapsedMs() < REGULAR_INTERVAL_MS && !this.stopping.signal.aborted) {
+      if (this.shares.isAnyWaiting) return;
+      if (this.isNeeded && elapsedMs() >= SHORTEST_INTERVAL_MS) return;
+      const untilMs = this.isNeeded ? SHORTEST_INTERVAL_MS : REGULAR_INTERVAL_MS;
+      await this.needed.waitUpTo(Math.max(1, untilMs - elapsedMs()));
     }
   }
 
--- a/src/quotas/gateway-shares.ts
+++ b/src/quotas/gateway-shares.ts
@@ -4,6 +4,7 @@
  */
 import type { GrantedShare, HeldShare } from './messages.js';
 import type { QuotaShare } from './quota-budget.js';
+import { isSparse } from './share-allocation.js';
 import { TokenBucket } from './token-bucket.js';
 
 export interface GatewayShare {
@@ -12,18 +13,21 @@
   recentCalls: number;
   recentAt: number;
   waiting: number;
-  isScarce: boolean;
+  /** Until then the leader has no token (monotonic, milliseconds). */
+  scarceUntil: number;
+  /** What the tenant asks for, as a multiple of its limit, as the leader last said. */
+  pressure: number;
   /** The token that the last refused caller was told to come back for (monotonic, milliseconds). */
   promisedAt: number;
 }
 
-/** Demand is what came in about so many seconds. */
-const DEMAND_WINDOW_S = 1;
+/** Demand is what came in about so many seconds: a single call is no demand for a share. */
+const DEMAND_WINDOW_S = 3;
 /** A tenant with less than this a second is forgotten, and its share given back. */
 const LEAST_DEMAND_PER_SECOND = 0.05;
 /** A bucket is low when it holds less than what comes in so many seconds. */
 const LOW_S = 0.25;
-/** While its tenant is scarce of tokens, this part of a bucket is kept for programs that have begun. */
+/** While its tenant asks for more than its limit, this part of a bucket is kept for programs that have begun. */
 const BEGUN_PROGRAMS_SHARE = 0.5;
 /** Soonest and latest time after which a refused caller is told to come back, in milliseconds. */
 const SOONEST_RETURN_MS = 150;
@@ -67,16 +71,18 @@
   isLow(tenant: string, now: number): boolean {
     const share = this.shareOf(tenant, now);
     const demand = decayed(share, now) / DEMAND_WINDOW_S;
-    return share.bucket.level(now) < Math.max(1, demand * LOW_S);
+    return !isSparse(demand) && share.bucket.level(now) < Math.max(1, demand * LOW_S);
   }
 
   /** Whether the tenant asks for more than its limit, as the leader last said. */
-  isScarce(tenant: string): boolean {
-    return this.shares.get(tenant)?.isScarce ?? false;
+  isScarce(tenant: string, now: number): boolean {
+    const share = this.shares.get(tenant);
+    return share !== undefined && now < share.scarceUntil;
   }
 
-  get isAnyScarce(): boolean {
-    return [...this.shares.values()].some(({ isScarce }) => isScarce);
+  /** Whether calls wait for tokens. */
+  get isAnyWaiting(): boolean {
+    return [...this.shares.values()].some(({ waiting }) => waiting > 0);
   }
 
   /** Whether shares may be used at all: they are given for a time. */
@@ -119,13 +125,15 @@
   /** @param leaseEndsAt when the shares are over (monotonic, milliseconds) */
   takeGranted(granted: readonly GrantedShare[], leaseEndsAt: number, now: number): void {
     this.leaseEndsAt = Math.max(this.leaseEndsAt, leaseEndsAt);
-    for (const { tenant, ratePerSecond, capacity, tokens, isScarce } of granted) {
+    for (const grant of granted) {
+      const { tenant, ratePerSecond, capacity, tokens, scarceForMs, pressure } = grant;
       // What was given back meanwhile is not taken up: the leader was told that it is not held.
       const share = this.shares.get(tenant);
       if (!share) continue;
       share.bucket.reshape({ ratePerSecond, capacity }, now);
       share.bucket.add(tokens, now);
-      share.isScarce = isScarce;
+      share.scarceUntil = now + scarceForMs;
+      share.pressure = pressure;
     }
   }
 
@@ -150,7 +158,8 @@
       recentCalls: 0,
       recentAt: now,
       waiting: 0,
-      isScarce: false,
+      scarceUntil: 0,
+      pressure: 0,
       promisedAt: 0,
     };
     this.shares.set(tenant, share);
@@ -158,8 +167,8 @@
   }
 }
 
-function reserveOf({ isScarce, bucket }: GatewayShare, beginsProgram: boolean): number {
-  if (!isScarce || !beginsProgram) return 0;
+function reserveOf({ pressure, bucket }: GatewayShare, beginsProgram: boolean): number {
+  if (!beginsProgram || pressure <= 1) return 0;
   return bucket.share.capacity * BEGUN_PROGRAMS_SHARE;
 }
 
--- a/src/quotas/messages.ts
+++ b/src/quotas/messages.ts
@@ -28,8 +28,13 @@
   tenant: string;
   /** Tokens to be added to its bucket. */
   tokens: number;
-  /** Whether the tenant asks for more than its limit, and its burst is used up. */
-  isScarce: boolean;
+  /**
+   * Until the next token is there, in milliseconds, where the tenant asks for more than its limit and its burst is used
+   * up; 0 where tokens are left.
+   */
+  scarceForMs: number;
+  /** What the tenant asks for, as a multiple of its limit. */
+  pressure: number;
 }
 
 export interface SharesAnswer {
--- a/src/quotas/share-allocation.ts
+++ b/src/quotas/share-allocation.ts
@@ -14,9 +14,22 @@
  * all handed out by demand (simulation of shares, `quotas.test.ts`).
  */
 export const HEADROOM = 1.15;
+const MS_PER_SECOND = 1_000;
+
 /** Tokens that a gateway gets beyond those for calls that wait: for its demand in so many seconds. */
 export const LOOKAHEAD_S = 0.5;
 
+/**
+ * A gateway with less demand than this a second holds no share, and asks for each call. Callers of a small tenant come
+ * through any of dozens of gateways: tokens that each of those held in advance lay idle at most of them and were missing
+ * where the next call came.
+ */
+const SPARSE_PER_SECOND = 1;
+
+export function isSparse(demandPerSecond: number): boolean {
+  return demandPerSecond < SPARSE_PER_SECOND;
+}
+
 export interface AllocationInput {
   budget: QuotaShare;
   /** What other gateways hold, or may hold. */
@@ -38,28 +51,39 @@
   share: QuotaShare;
   /** Tokens that go from the pool to the gateway. */
   tokens: number;
-  /** Whether the tenant asks for more than its limit, and its burst is used up. */
-  isScarce: boolean;
+  /** Until the pool has a token, in milliseconds, where the tenant asks for more than its limit; 0 where it has one. */
+  scarceForMs: number;
+  /** What the tenant asks for, as a multiple of its limit. */
+  pressure: number;
 }
 
 export function allocateShare(input: AllocationInput): Allocation {
   const { budget, others, demandPerSecond, totalDemandPerSecond, waiting, poolTokens } = input;
   const part = totalDemandPerSecond > 0 ? demandPerSecond / totalDemandPerSecond : 0;
+  const sparse = isSparse(demandPerSecond);
   const headroom = input.headroom ?? HEADROOM;
   const pressure = totalDemandPerSecond / budget.ratePerSecond;
-  const wished = part * Math.min(1, pressure * headroom);
+  const wished = sparse ? 0 : part * Math.min(1, pressure * headroom);
   const ratePerSecond = atMost(
     wished * budget.ratePerSecond,
     budget.ratePerSecond - others.ratePerSecond,
   );
-  const needed = waiting + demandPerSecond * LOOKAHEAD_S;
+  const needed = waiting + (sparse ? 0 : demandPerSecond * LOOKAHEAD_S);
   // What is needed now must fit, though its part of the burst would be less.
   const wishedCapacity = Math.max(wished * budget.capacity, needed);
   const capacity = atMost(wishedCapacity, budget.capacity - others.capacity);
   const level = Math.min(input.level, capacity);
-  const tokens = atMost(needed - level, Math.min(poolTokens, capacity - level));
-  const isScarce = totalDemandPerSecond > budget.ratePerSecond && poolTokens - tokens < 1;
-  return { share: { ratePerSecond, capacity }, tokens, isScarce };
+  // A part of a token would lie idle where no share fills it up.
+  const tokens = Math.floor(
+    atMost(Math.ceil(needed - level), Math.min(poolTokens, capacity - level)),
+  );
+  const scarceForMs = pressure > 1 ? msUntilToken(poolTokens - tokens, budget) : 0;
+  return { share: { ratePerSecond, capacity }, tokens, scarceForMs, pressure };
+}
+
+/** What gateways don't hold of the limit is all of it at most. */
+function msUntilToken(poolTokens: number, { ratePerSecond }: QuotaShare): number {
+  return (Math.max(0, 1 - poolTokens) / ratePerSecond) * MS_PER_SECOND;
 }
 
 function atMost(wished: number, limit: number): number {
--- a/src/quotas/share-board.ts
+++ b/src/quotas/share-board.ts
@@ -139,7 +139,7 @@
     const pool = this.pools.get(tenant);
     this.replaceHolding(record, tenant, held, now);
     if (!pool) return undefined;
-    const { share, tokens, isScarce } = allocateShare({
+    const { share, ...granted } = allocateShare({
       budget: pool.limit,
       others: this.othersThan(pool, held, now),
       demandPerSecond,
@@ -149,14 +149,14 @@
       poolTokens: this.isCertain(now) ? pool.tokens(now) : 0,
       headroom: this.options.headroom,
     });
-    pool.takeTokens(tokens, now);
+    pool.takeTokens(granted.tokens, now);
     const mayHold: GatewayHolding = {
       ratePerSecond: Math.max(held.ratePerSecond, share.ratePerSecond),
       capacity: Math.max(held.capacity, share.capacity),
       demandPerSecond,
     };
     this.replaceHolding(record, tenant, mayHold, now);
-    return { tenant, ...share, tokens, isScarce };
+    return { tenant, ...share, ...granted };
   }
 
   /** While some have not been heard they may hold all that is not known to be held by this one. */
