Limits: half of the slack comes as rate; a refusal's line says what it went by

Simulated arrivals of programs at 1.6 times the mean as limit: calls refused by one central bucket at a mean of 6 a second 5.1 % with all of the slack as burst, 4.0 % with half, 2.6 % by a sliding window; nothing at 60 and more.

--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -89,6 +89,7 @@
         take: () => Promise.resolve({ isAllowed: true }),
         giveBack: () => undefined,
         isLeased: true,
+        describe: () => ({}),
       },
       backends: new BackendView({
         connections: () => 1,
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -31,7 +31,7 @@
   /** Whether the owner of a key may call a route now. */
   access: (route: Route, key: string | undefined) => AccessDecision;
   /** Limits of tenants. */
-  quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'isLeased'>;
+  quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'isLeased' | 'describe'>;
   backends: BackendView;
   placement: Placement;
   ledger: LedgerClient;
@@ -57,6 +57,8 @@
   route: CompiledRoute | undefined;
   tenant?: Tenant;
   ending: CallEnding;
+  /** What a refusal went by. */
+  details?: LogFields;
   /** Absent when the call was refused before it was sent anywhere. */
   run?: CallRun;
   reservation?: Reservation;
@@ -103,7 +105,7 @@
       if (!(error instanceof RefusedError)) throw error;
       this.refuse(exchange, error.reason, error.retryAfterMs);
       const ending: CallEnding = { kind: 'refused', reason: error.reason };
-      this.record({ exchange, route, ending });
+      this.record({ exchange, route, ending, details: error.details });
     }
   }
 
@@ -187,7 +189,8 @@
     const decision = await quotas.take(name, isModelCall && isFirstTurn(description));
     if (decision.isAllowed) return;
     const reason = quotas.isLeased ? 'over-limit' : 'not-ready';
-    throw new RefusedError(reason, decision.retryAfterMs);
+    const details = { tenant: name, ...quotas.describe(name) };
+    throw new RefusedError(reason, decision.retryAfterMs, details);
   }
 
   private denialOf(
@@ -259,6 +262,7 @@
     run,
     reservation,
     keepMs,
+    details,
   }: FinishedCall): void {
     const tookMs = monotonicMs() - exchange.arrivedAt;
     const firstEventMs = firstEventOf(exchange, run);
@@ -277,6 +281,7 @@
       events: run?.answer instanceof StreamRelay ? run.answer.events : undefined,
       sends: run && describeSends(run),
       ...describeProgram(exchange.description.program),
+      ...details,
     };
     if (ending.kind === 'answered') this.options.logger.info('call', fields);
     else this.options.logger.warn('call', { ...fields, ...this.situation(route) });
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -10,7 +10,7 @@
   type TurnPlacement,
   TurnHistoryCache,
 } from '../ledger/index.js';
-import type { Logger } from '../observability/index.js';
+import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, Route } from '../routes/index.js';
 import { scopedId } from '../tenants/index.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
@@ -71,10 +71,14 @@
 
 /** A call was refused before it was sent anywhere. */
 export class RefusedError extends Error {
-  /** @param retryAfterMs when the caller had better come back, if that is known, in milliseconds */
+  /**
+   * @param retryAfterMs when the caller had better come back, if that is known, in milliseconds
+   * @param details what the refusal went by, for the log
+   */
   constructor(
     readonly reason: RefusalReason,
     readonly retryAfterMs?: number,
+    readonly details?: LogFields,
   ) {
     super(reason);
   }
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -22,7 +22,7 @@
 }
 
 /** Tenants are never above their limits. */
-const NO_TOLERANCE: QuotaTolerance = { over: 0, slack: 0 };
+const NO_TOLERANCE: QuotaTolerance = { over: 0, slack: 0, windowMs: 5_000 };
 const REFRESH_ADDRESSES_MS = 500;
 
 export class ControlNode {
--- a/src/quotas/gateway-quotas.ts
+++ b/src/quotas/gateway-quotas.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from 'node:crypto';
 import { SignalEvent, describeError, monotonicMs, sleep } from '../common/index.js';
 import { type GroupClient, callLeader } from '../consensus/index.js';
-import type { Logger } from '../observability/index.js';
+import type { LogFields, Logger } from '../observability/index.js';
 import { GatewayShares } from './gateway-shares.js';
 import { QUOTA_SHARES, type SharesAnswer, type SharesRequest } from './messages.js';
 import { type TenantLimit, isLimited } from './quota-budget.js';
@@ -45,6 +45,8 @@
   private isRunning = false;
   private isNeeded = false;
   private wasAnswered = true;
+  /** When the question was asked that was answered last (monotonic, milliseconds). */
+  private answeredAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: GatewayQuotasOptions) {}
 
@@ -87,6 +89,14 @@
     if (this.limits.has(tenant)) this.shares.giveBack(tenant, monotonicMs());
   }
 
+  /** What this gateway holds of a tenant's limit, and since when, for the log of a refusal. */
+  describe(tenant: string): LogFields {
+    const limit = this.limits.get(tenant);
+    const { ratePerSecond: rate, burst } = limit ?? {};
+    const sharesAgeMs = Math.round(monotonicMs() - this.answeredAt);
+    return { rate, burst, sharesAgeMs, ...this.shares.describe(tenant, monotonicMs()) };
+  }
+
   /** Whether anything is known of shares now: if not, a refusal says nothing of the tenant. */
   get isLeased(): boolean {
     return this.shares.isLeased(monotonicMs());
@@ -161,6 +171,7 @@
     this.term = answer.term;
     const now = monotonicMs();
     const leaseEndsAt = askedAt - answer.confirmedAgeMs + SHARE_LEASE_MS;
+    this.answeredAt = askedAt;
     if (leaseEndsAt > now) this.shares.takeGranted(answer.shares, leaseEndsAt, now);
   }
 
--- a/src/quotas/gateway-shares.ts
+++ b/src/quotas/gateway-shares.ts
@@ -2,6 +2,7 @@
  * A gateway's shares of the tenants' limits: which calls may go on, what to ask the leader for, and when a caller that
  * is refused may come back. No input or output, and times are given, so that it can be tested on simulated time.
  */
+import type { LogFields } from '../observability/index.js';
 import type { GrantedShare, HeldShare } from './messages.js';
 import type { QuotaShare } from './quota-budget.js';
 import { isSparse } from './share-allocation.js';
@@ -104,6 +105,17 @@
     return share.promisedAt - now;
   }
 
+  /** What is held of a tenant's limit and asked of it here, for the log of a refusal. */
+  describe(tenant: string, now: number): LogFields {
+    const share = this.shareOf(tenant, now);
+    return {
+      level: round(share.bucket.level(now)),
+      shareRate: round(share.bucket.share.ratePerSecond),
+      demand: round(decayed(share, now) / DEMAND_WINDOW_S),
+      pressure: round(share.pressure),
+    };
+  }
+
   /** What is held, for the leader; what is hardly used is given back. */
   held(now: number): HeldShare[] {
     if (!this.isLeased(now)) this.dropShares(now);
@@ -172,6 +184,10 @@
   return bucket.share.capacity * BEGUN_PROGRAMS_SHARE;
 }
 
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 /** Calls of the last seconds, as of now. */
 function decayed({ recentCalls, recentAt }: GatewayShare, now: number): number {
   const elapsedS = Math.max(0, now - recentAt) / MS_PER_SECOND;
--- a/src/quotas/quota-budget.ts
+++ b/src/quotas/quota-budget.ts
@@ -25,13 +25,23 @@
 export interface QuotaTolerance {
   /** Share of the limit. */
   over: number;
-  /** Calls. */
+  /** Calls in each window. */
   slack: number;
+  /** The window that the slack is for, in milliseconds. */
+  windowMs: number;
 }
 
 /** Share of the tolerance that is handed out; the rest covers sends that are repeated after a broken answer. */
 const TOLERANCE_IN_USE = 0.9;
 
+/**
+ * Part of the slack that comes as rate. All of it as burst lets a small tenant's two programs begin at once and then
+ * starves them: of calls of programs at a mean of 6 a second, 5.1 % were refused with none, 4.0 % with half, 2.6 % by a
+ * sliding window without any bucket (simulated arrivals, limit 1.6 times the mean).
+ */
+const SLACK_AS_RATE = 0.5;
+const MS_PER_SECOND = 1_000;
+
 export function isLimited(limit: TenantLimit): boolean {
   return limit.ratePerSecond > 0;
 }
@@ -41,8 +51,10 @@
   tolerance: QuotaTolerance,
 ): QuotaShare {
   const factor = 1 + tolerance.over * TOLERANCE_IN_USE;
+  const slack = tolerance.slack * TOLERANCE_IN_USE;
+  const slackRate = (slack * SLACK_AS_RATE * MS_PER_SECOND) / tolerance.windowMs;
   return {
-    ratePerSecond: ratePerSecond * factor,
-    capacity: Math.max(1, burst * factor + tolerance.slack * TOLERANCE_IN_USE),
+    ratePerSecond: ratePerSecond * factor + slackRate,
+    capacity: Math.max(1, burst * factor + slack * (1 - SLACK_AS_RATE)),
   };
 }
--- a/tests/support/quota-simulation.ts
+++ b/tests/support/quota-simulation.ts
@@ -8,8 +8,8 @@
 import type { TenantLimit } from '../../src/quotas/quota-budget.js';
 import { ShareBoard } from '../../src/quotas/share-board.js';
 
-export const TOLERANCE = { over: 0.1, slack: 20 };
 export const WINDOW_MS = 5_000;
+export const TOLERANCE = { over: 0.1, slack: 20, windowMs: WINDOW_MS };
 const LEASE_MS = 3_500;
 const STEP_MS = 5;
 const WAIT_MS = 250;
