A back end that answers with errors of its own is avoided for a while, and its errors teach no durations

Cause: a whole answer counted as a success whatever its status; engines that fail at once have the lowest load and the best pace, so that calls went there first. Now such an answer makes the back end suspect for 0.5 s and longer each time, as a failed connection does, and neither model nor pace learns from it.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -97,6 +97,14 @@
     this.suspectUntil = monotonicMs() + suspicion;
   }
 
+  /**
+   * A call was answered whole with an error of the back end's own. One that fails all calls answers them at once: by its
+   * load and its pace it would draw more calls than any other. What was sent before it was suspect says nothing more.
+   */
+  noteErrorAnswer(): void {
+    if (monotonicMs() >= this.suspectUntil) this.noteFailure();
+  }
+
   noteSuccess(): void {
     this.failures = 0;
     this.suspectUntil = 0;
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -56,6 +56,7 @@
   expectedMs?: number;
 }
 
+const HTTP_SERVER_ERROR = 500;
 /** A call is sent again after broken answers so often at most. */
 const MAX_RESENDS = 2;
 /** A repeatable call is sent again after a silence of so many times its route's objective. */
@@ -204,7 +205,8 @@
     result: SendResult,
     { missingTokens, load, tookMs }: { missingTokens: number; load: number; tookMs: number },
   ): number | undefined {
-    if (result.kind !== 'complete' || this.sends.length > 0) return undefined;
+    const isTypical = result.kind === 'complete' && !this.isErrorAnswer;
+    if (!isTypical || this.sends.length > 0) return undefined;
     const events = this.answer instanceof StreamRelay ? this.answer.events : 0;
     const work: CallWork = { missingTokens, load, events };
     const expectedMs = backend.model.predictMs(work);
@@ -249,11 +251,17 @@
 
   private judgeComplete(backend: BackendState): CallEnding | undefined {
     this.noteSent(backend);
-    backend.noteSuccess();
+    if (this.isErrorAnswer) backend.noteErrorAnswer();
+    else backend.noteSuccess();
     const isCut = this.answer instanceof StreamRelay && this.answer.hasPartialEvent;
     return isCut ? this.judgeBroken(backend) : { kind: 'answered' };
   }
 
+  /** Whether the back end's answer is a failure of its own, which tells nothing of how long calls take. */
+  private get isErrorAnswer(): boolean {
+    return (this.answer.status ?? 0) >= HTTP_SERVER_ERROR;
+  }
+
   /** After a broken answer the call goes on only where running it again is allowed. */
   private judgeBroken(backend: BackendState): CallEnding | undefined {
     const { kind, maxAttempts } = this.options.route.route;
