Limits: a new leader serves tenants with few calls at once; only rates that may be out are waited for

Load pattern: the directory's leader changes while gateways are lost, cut off or start again. A new leader gave nothing of any limit until every gateway that might hold shares had spoken, or 3.5 s. Now the group commits of whose limits gateways may hold rates (a few large tenants, before the first rate is given); the limits of all others begin empty at a new leader and fill once the one before can't answer any more. Answers of a leader that no majority has answered for 300 ms are not taken.

--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -38,10 +38,11 @@
   node: string;
 }
 
-/** Gateways that may hold shares of tenants' limits, all of them. */
-export interface SetQuotaHoldersCommand {
-  kind: 'set-quota-holders';
-  names: string[];
+/** What may be out of tenants' limits: all gateways that may hold shares, and tenants of whose limits they may hold rates. */
+export interface SetQuotaSharesCommand {
+  kind: 'set-quota-shares';
+  gateways: string[];
+  tenants: string[];
 }
 
 export type DirectoryCommand =
@@ -51,7 +52,7 @@
   | FoundLedgerCommand
   | StartRetirementCommand
   | CompleteRetirementCommand
-  | SetQuotaHoldersCommand;
+  | SetQuotaSharesCommand;
 
 /** Whether a command changed anything. */
 export interface DirectoryResult {
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -168,10 +168,12 @@
     return 'accepted';
   }
 
-  /** Resolves once it is committed which gateways may hold shares of tenants' limits. */
-  async commitQuotaHolders(names: string[]): Promise<void> {
-    await this.propose({ kind: 'set-quota-holders', names });
-    this.options.logger.info('holders of shares committed', { gateways: names.length });
+  /** Resolves once it is committed what may be out of tenants' limits. */
+  async commitQuotaShares(out: { gateways: string[]; tenants: string[] }): Promise<void> {
+    const { gateways, tenants } = out;
+    await this.propose({ kind: 'set-quota-shares', gateways, tenants });
+    const counts = { gateways: gateways.length, tenants: tenants.length };
+    this.options.logger.info('shares of limits committed', counts);
   }
 
   async completeRetirement(node: string): Promise<void> {
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -17,6 +17,14 @@
 /** Back ends that were silent for long are remembered in the same way. */
 const MAX_REMEMBERED_LOSSES = 2_000;
 
+/** What may be out of tenants' limits. */
+export interface QuotaShares {
+  /** Gateways that may hold shares. */
+  gateways: ReadonlySet<string>;
+  /** Tenants of whose limits gateways may hold rates. */
+  tenants: ReadonlySet<string>;
+}
+
 interface DirectoryState {
   configuration: PackedConfiguration | undefined;
   configurationIndex: number;
@@ -30,8 +38,7 @@
   lost: Map<string, string>;
   ledgerFounders: Member[];
   retirements: Map<string, RetirementState>;
-  /** Gateways that may hold shares of tenants' limits. */
-  quotaHolders: ReadonlySet<string>;
+  quotaShares: QuotaShares;
 }
 
 /** The state with lists in place of maps and sets. */
@@ -45,7 +52,7 @@
   ledgerFounders: Member[];
   retirements: [string, RetirementState][];
   /** Absent in snapshots of releases without limits of tenants. */
-  quotaHolders?: string[];
+  quotaShares?: { gateways: string[]; tenants: string[] };
 }
 
 const NOTHING_CHANGED: DirectoryResult = { changed: false };
@@ -83,9 +90,9 @@
     return this.state.retirements;
   }
 
-  /** Gateways that may hold shares of tenants' limits: a new leader hears them before it gives any away. */
-  get quotaHolders(): ReadonlySet<string> {
-    return this.state.quotaHolders;
+  /** What may be out of tenants' limits: a new leader hears of it before it gives any away. */
+  get quotaShares(): QuotaShares {
+    return this.state.quotaShares;
   }
 
   hasDeparted(id: string): boolean {
@@ -142,7 +149,10 @@
       departed: [...state.departed],
       lost: [...state.lost],
       retirements: [...state.retirements],
-      quotaHolders: [...state.quotaHolders],
+      quotaShares: {
+        gateways: [...state.quotaShares.gateways],
+        tenants: [...state.quotaShares.tenants],
+      },
     };
     return [encodeValue(encoded)];
   }
@@ -156,7 +166,7 @@
       departed: new Set(encoded.departed),
       lost: new Map(encoded.lost),
       retirements: new Map(encoded.retirements),
-      quotaHolders: new Set(encoded.quotaHolders),
+      quotaShares: quotaSharesOf(encoded.quotaShares),
     };
     this.onChange();
   }
@@ -175,8 +185,8 @@
         return this.setRetirement(command.node, 'running');
       case 'complete-retirement':
         return this.setRetirement(command.node, 'complete');
-      case 'set-quota-holders':
-        this.state.quotaHolders = new Set(command.names);
+      case 'set-quota-shares':
+        this.state.quotaShares = quotaSharesOf(command);
         return CHANGED;
     }
   }
@@ -265,6 +275,10 @@
   }
 }
 
+function quotaSharesOf(out: { gateways: string[]; tenants: string[] } | undefined): QuotaShares {
+  return { gateways: new Set(out?.gateways), tenants: new Set(out?.tenants) };
+}
+
 /** Snapshots of earlier releases hold ids only, which were names of single starts. */
 function named(backend: BackendRegistration): BackendRegistration {
   return { ...backend, name: backend.name ?? backend.id };
@@ -286,6 +300,6 @@
     lost: new Map(),
     ledgerFounders: [],
     retirements: new Map(),
-    quotaHolders: new Set(),
+    quotaShares: quotaSharesOf(undefined),
   };
 }
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -131,8 +131,9 @@
     tolerance: settings.quotaTolerance ?? NO_TOLERANCE,
     limits: () => tenantsOf(directory),
     limitsVersion: () => stateMachine.configurationIndex,
-    holders: () => stateMachine.quotaHolders,
-    commitHolders: (names: string[]) => directory.commitQuotaHolders(names),
+    sharesOut: () => stateMachine.quotaShares,
+    commitShares: (out: { gateways: string[]; tenants: string[] }) =>
+      directory.commitQuotaShares(out),
   };
   return new QuotaLeader(options, findGroup);
 }
--- a/src/quotas/gateway-quotas.ts
+++ b/src/quotas/gateway-quotas.ts
@@ -6,7 +6,7 @@
 import { GatewayShares } from './gateway-shares.js';
 import { QUOTA_SHARES, type SharesAnswer, type SharesRequest } from './messages.js';
 import { type TenantLimit, isLimited } from './quota-budget.js';
-import { SHARE_LEASE_MS } from './quota-leader.js';
+import { LEADER_OVERLAP_MS, SHARE_LEASE_MS } from './quota-leader.js';
 
 export interface GatewayQuotasOptions {
   groups: GroupClient;
@@ -167,7 +167,7 @@
   }
 
   private takeAnswer(answer: SharesAnswer, askedAt: number): void {
-    if (answer.term < this.term) return;
+    if (answer.term < this.term || answer.confirmedAgeMs > LEADER_OVERLAP_MS) return;
     this.term = answer.term;
     const now = monotonicMs();
     const leaseEndsAt = askedAt - answer.confirmedAgeMs + SHARE_LEASE_MS;
--- a/src/quotas/quota-leader.ts
+++ b/src/quotas/quota-leader.ts
@@ -8,16 +8,26 @@
 
 /** Shares hold for so long after the answer that gave them, in milliseconds. */
 export const SHARE_LEASE_MS = 3_500;
+/**
+ * Answers of a leader that no majority has answered for so long are not taken, in milliseconds: the time after which it
+ * steps down. A later leader gives nothing of what it doesn't know for as long.
+ */
+export const LEADER_OVERLAP_MS = 300;
+
+/** Gateways that may hold shares, and tenants of whose limits they may hold rates. */
+export interface CommittedShares {
+  gateways: ReadonlySet<string>;
+  tenants: ReadonlySet<string>;
+}
 
 export interface QuotaLeaderOptions {
   tolerance: QuotaTolerance;
   /** What the configuration in force says, and what tells whether it has changed. */
   limits: () => readonly NamedLimit[];
   limitsVersion: () => number;
-  /** Gateways that may hold shares, as the group has committed them. */
-  holders: () => ReadonlySet<string>;
-  /** Commits that these gateways may hold shares. */
-  commitHolders: (names: string[]) => Promise<void>;
+  /** What may be out, as the group has committed it. */
+  sharesOut: () => CommittedShares;
+  commitShares: (out: { gateways: string[]; tenants: string[] }) => Promise<void>;
 }
 
 export class QuotaLeader {
@@ -25,7 +35,7 @@
   private knownTerm = -1;
   private knownVersion = -1;
   private committing: Promise<void> | undefined;
-  private readonly toBeCommitted = new Set<string>();
+  private readonly newGateways = new Set<string>();
   /** When names were committed that this leader may not have heard since (monotonic, milliseconds). */
   private readonly committedAt = new Map<string, number>();
 
@@ -33,7 +43,12 @@
     private readonly options: QuotaLeaderOptions,
     private readonly findGroup: () => ReplicatedGroup | undefined,
   ) {
-    this.board = new ShareBoard({ tolerance: options.tolerance, leaseMs: SHARE_LEASE_MS });
+    this.board = new ShareBoard({
+      tolerance: options.tolerance,
+      leaseMs: SHARE_LEASE_MS,
+      overlapMs: LEADER_OVERLAP_MS,
+      mayShare: (tenant) => options.sharesOut().tenants.has(tenant),
+    });
   }
 
   register(router: MethodRouter): void {
@@ -44,10 +59,15 @@
 
   private async answer(group: ReplicatedGroup, request: SharesRequest): Promise<SharesAnswer> {
     this.refresh(group);
-    while (!this.options.holders().has(request.gateway)) await this.commitHolder(request.gateway);
+    const { gateway } = request;
+    while (!this.options.sharesOut().gateways.has(gateway)) {
+      this.newGateways.add(gateway);
+      await this.commit();
+    }
     this.refresh(group);
     const now = monotonicMs();
     const shares = this.board.report(request, now);
+    if (this.board.wantsTenants) this.commitSoon();
     return { term: group.term, confirmedAgeMs: now - group.quorumContactMs(), shares };
   }
 
@@ -58,7 +78,7 @@
       this.knownTerm = group.term;
       this.knownVersion = -1;
       this.committedAt.clear();
-      this.board.begin(this.options.holders(), now);
+      this.board.begin(this.options.sharesOut(), now);
     }
     const version = this.options.limitsVersion();
     if (version === this.knownVersion) return;
@@ -66,29 +86,49 @@
     this.board.setLimits(this.options.limits(), now);
   }
 
-  /** Names that come while others are committed are committed together. */
-  private commitHolder(name: string): Promise<void> {
-    this.toBeCommitted.add(name);
-    this.committing ??= this.commitNames().finally(() => {
+  /** Rates are given once it is committed that they may be out; until then gateways ask for each call. */
+  private commitSoon(): void {
+    this.commit().catch(() => {
+      // A leader that has lost its lead commits nothing; the next question asks for it again.
+    });
+  }
+
+  /** What comes while a commit is under way is committed together after it. */
+  private commit(): Promise<void> {
+    this.committing ??= this.commitAll().finally(() => {
       this.committing = undefined;
     });
     return this.committing;
   }
 
-  private async commitNames(): Promise<void> {
-    const added = [...this.toBeCommitted];
-    this.toBeCommitted.clear();
-    await this.options.commitHolders([...new Set([...this.namesInUse(), ...added])]);
-    for (const name of added) this.committedAt.set(name, monotonicMs());
+  private async commitAll(): Promise<void> {
+    const newGateways = [...this.newGateways];
+    const newTenants = this.board.takeWantedTenants();
+    this.newGateways.clear();
+    const gateways = [...new Set([...this.gatewaysInUse(), ...newGateways])];
+    const tenants = [...new Set([...this.tenantsInUse(), ...newTenants])];
+    await this.options.commitShares({ gateways, tenants });
+    for (const name of [...newGateways, ...newTenants]) this.committedAt.set(name, monotonicMs());
   }
 
   /** Those that are committed, without those whose leases are over. */
-  private namesInUse(): string[] {
-    const now = monotonicMs();
-    for (const [name, at] of this.committedAt) {
-      if (now - at > SHARE_LEASE_MS) this.committedAt.delete(name);
-    }
-    const inUse = new Set([...this.board.holders(now), ...this.committedAt.keys()]);
-    return [...this.options.holders()].filter((name) => inUse.has(name));
+  private gatewaysInUse(): string[] {
+    const heard = new Set(this.board.holders(monotonicMs()));
+    const { gateways } = this.options.sharesOut();
+    return [...gateways].filter((name) => heard.has(name) || this.isNew(name));
+  }
+
+  /** Those that are committed, without those of whose limits nobody holds a rate. */
+  private tenantsInUse(): string[] {
+    const { tenants } = this.options.sharesOut();
+    return [...tenants].filter((name) => this.board.isShared(name) || this.isNew(name));
+  }
+
+  private isNew(name: string): boolean {
+    const at = this.committedAt.get(name);
+    if (at === undefined) return false;
+    if (monotonicMs() - at <= SHARE_LEASE_MS) return true;
+    this.committedAt.delete(name);
+    return false;
   }
 }
--- a/src/quotas/share-allocation.ts
+++ b/src/quotas/share-allocation.ts
@@ -43,6 +43,8 @@
   waiting: number;
   /** Tokens in the pool. */
   poolTokens: number;
+  /** Whether gateways may hold rates of the tenant's limit. */
+  mayShare: boolean;
   /** Share that a gateway gets, as a multiple of its demand. @default HEADROOM */
   headroom?: number;
 }
@@ -60,7 +62,7 @@
 export function allocateShare(input: AllocationInput): Allocation {
   const { budget, others, demandPerSecond, totalDemandPerSecond, waiting, poolTokens } = input;
   const part = totalDemandPerSecond > 0 ? demandPerSecond / totalDemandPerSecond : 0;
-  const sparse = isSparse(demandPerSecond);
+  const sparse = !input.mayShare || isSparse(demandPerSecond);
   const headroom = input.headroom ?? HEADROOM;
   const pressure = totalDemandPerSecond / budget.ratePerSecond;
   const wished = sparse ? 0 : part * Math.min(1, pressure * headroom);
--- a/src/quotas/share-board.ts
+++ b/src/quotas/share-board.ts
@@ -1,9 +1,11 @@
 /**
  * Who holds which share of which tenant's limit, in the leader's memory only. What a gateway holds is what it last
  * said; what it was offered since counts as well, since the answer may have arrived. A gateway that isn't heard holds
- * its shares until their lease is over. A new leader knows nothing of them: it gives nothing until every gateway
- * that may hold shares has spoken, or their leases are over. Times are given, so that it can be tested on simulated
- * time.
+ * its shares until their lease is over.
+ *
+ * A new leader knows nothing of them. Of tenants whose limits gateways may hold rates of it gives nothing until every gateway
+ * that may hold shares has spoken, or their leases are over; the limits of all others begin empty and fill once the leader
+ * before can't answer any more. Times are given, so that it can be tested on simulated time.
  */
 import type { GrantedShare, HeldShare, SharesRequest } from './messages.js';
 import {
@@ -13,7 +15,7 @@
   budgetOf,
   isLimited,
 } from './quota-budget.js';
-import { allocateShare } from './share-allocation.js';
+import { allocateShare, isSparse } from './share-allocation.js';
 import { type GatewayHolding, NOTHING_HELD, TenantPool } from './tenant-pool.js';
 
 export interface ShareBoardOptions {
@@ -22,6 +24,18 @@
   leaseMs: number;
   /** Share that a gateway gets, as a multiple of its demand. @default HEADROOM */
   headroom?: number;
+  /** An earlier leader may answer for so long after this one has begun to lead, in milliseconds. */
+  overlapMs: number;
+  /** Whether the group has committed that gateways may hold rates of a tenant's limit. */
+  mayShare: (tenant: string) => boolean;
+}
+
+/** What the group has committed of shares that may be out. */
+export interface SharesOut {
+  /** Gateways that may hold shares. */
+  gateways: Iterable<string>;
+  /** Tenants of whose limits they may hold rates. */
+  tenants: Iterable<string>;
 }
 
 /** A tenant's limit, by its name. */
@@ -45,22 +59,26 @@
   private readonly gateways = new Map<string, GatewayRecord>();
   /** Gateways that may hold shares of an earlier leader. */
   private readonly unheard = new Set<string>();
+  /** Tenants of whose limits gateways may hold rates that an earlier leader gave. */
+  private readonly uncertain = new Set<string>();
+  private readonly wanted = new Set<string>();
   private leasesOverAt = 0;
-  private hasBecomeCertain = false;
+  private fillsFrom = 0;
 
   constructor(private readonly options: ShareBoardOptions) {}
 
   /**
    * This process leads from now on.
-   * @param mayHold gateways that an earlier leader may have given shares
+   * @param out what an earlier leader may have given
    */
-  begin(mayHold: Iterable<string>, now: number): void {
-    this.pools.clear();
-    this.gateways.clear();
-    this.unheard.clear();
-    for (const name of mayHold) this.unheard.add(name);
+  begin({ gateways, tenants }: SharesOut, now: number): void {
+    for (const state of [this.pools, this.gateways, this.unheard, this.uncertain, this.wanted]) {
+      state.clear();
+    }
+    for (const name of gateways) this.unheard.add(name);
+    for (const tenant of tenants) this.uncertain.add(tenant);
     this.leasesOverAt = now + this.options.leaseMs;
-    this.hasBecomeCertain = false;
+    this.fillsFrom = now + this.options.overlapMs;
   }
 
   /** Takes over the tenants of a configuration; those without a limit are left out. */
@@ -95,9 +113,21 @@
     return [...this.gateways.keys(), ...this.unheard];
   }
 
-  /** Whether every gateway that may hold shares has been heard, or has none any more. */
-  isCertain(now: number): boolean {
-    return this.unheard.size === 0 || now >= this.leasesOverAt;
+  /** Whether there are tenants of whose limits gateways should hold rates, and may not yet. */
+  get wantsTenants(): boolean {
+    return this.wanted.size > 0;
+  }
+
+  /** These tenants; they are named once. */
+  takeWantedTenants(): string[] {
+    const tenants = [...this.wanted];
+    this.wanted.clear();
+    return tenants;
+  }
+
+  /** Whether a gateway holds, or may hold, a rate of a tenant's limit. */
+  isShared(tenant: string): boolean {
+    return this.uncertain.has(tenant) || (this.pools.get(tenant)?.isShared ?? false);
   }
 
   private setLimit(name: string, limit: TenantLimit, now: number): void {
@@ -107,7 +137,7 @@
       known.setBudget(budget, now);
       return;
     }
-    const pool = new TenantPool(budget, now);
+    const pool = new TenantPool(budget, Math.max(now, this.fillsFrom));
     this.pools.set(name, pool);
     for (const { holdings } of this.gateways.values()) {
       pool.replace(NOTHING_HELD, holdings.get(name) ?? NOTHING_HELD, now);
@@ -127,11 +157,11 @@
     return record;
   }
 
-  /** What filled while some might have held shares, and filled them, was never there. */
+  /** Every gateway that may hold shares has been heard, or has none any more: what filled meanwhile was never there. */
   private becomeCertain(now: number): void {
-    if (this.hasBecomeCertain || !this.isCertain(now)) return;
-    this.hasBecomeCertain = true;
-    for (const pool of this.pools.values()) pool.empty(now);
+    if (this.unheard.size > 0 && now < this.leasesOverAt) return;
+    for (const tenant of this.uncertain) this.pools.get(tenant)?.empty(now);
+    this.uncertain.clear();
   }
 
   private grant(record: GatewayRecord, held: HeldShare, now: number): GrantedShare | undefined {
@@ -139,14 +169,18 @@
     const pool = this.pools.get(tenant);
     this.replaceHolding(record, tenant, held, now);
     if (!pool) return undefined;
+    const isCertain = !this.uncertain.has(tenant);
+    const mayShare = this.options.mayShare(tenant);
+    if (!mayShare && !isSparse(demandPerSecond)) this.wanted.add(tenant);
     const { share, ...granted } = allocateShare({
       budget: pool.limit,
-      others: this.othersThan(pool, held, now),
+      others: isCertain ? pool.heldBesides(held) : allBesides(pool, held),
       demandPerSecond,
       totalDemandPerSecond: pool.demandPerSecond,
       level,
       waiting,
-      poolTokens: this.isCertain(now) ? pool.tokens(now) : 0,
+      poolTokens: isCertain ? pool.tokens(now) : 0,
+      mayShare,
       headroom: this.options.headroom,
     });
     pool.takeTokens(granted.tokens, now);
@@ -159,15 +193,6 @@
     return { tenant, ...share, ...granted };
   }
 
-  /** While some have not been heard they may hold all that is not known to be held by this one. */
-  private othersThan(pool: TenantPool, held: HeldShare, now: number): QuotaShare {
-    if (this.isCertain(now)) return pool.heldBesides(held);
-    return {
-      ratePerSecond: pool.limit.ratePerSecond - held.ratePerSecond,
-      capacity: pool.limit.capacity - held.capacity,
-    };
-  }
-
   private replaceHolding(
     { holdings }: GatewayRecord,
     tenant: string,
@@ -192,3 +217,11 @@
     }
   }
 }
+
+/** While some have not been heard they may hold all that is not known to be held by one gateway. */
+function allBesides({ limit }: TenantPool, held: QuotaShare): QuotaShare {
+  return {
+    ratePerSecond: limit.ratePerSecond - held.ratePerSecond,
+    capacity: limit.capacity - held.capacity,
+  };
+}
--- a/src/quotas/tenant-pool.ts
+++ b/src/quotas/tenant-pool.ts
@@ -9,21 +9,30 @@
 
 export const NOTHING_HELD: GatewayHolding = { ratePerSecond: 0, capacity: 0, demandPerSecond: 0 };
 
+/** What sums of rates are off by, at most. */
+const LEAST_RATE = 1e-6;
+
 export class TenantPool {
   private held: GatewayHolding = NOTHING_HELD;
   private readonly bucket: TokenBucket;
 
+  /** @param fillsFrom when it begins to fill (monotonic, milliseconds) */
   constructor(
     private budget: QuotaShare,
-    now: number,
+    fillsFrom: number,
   ) {
-    this.bucket = new TokenBucket(budget, now);
+    this.bucket = new TokenBucket(budget, fillsFrom);
   }
 
   get limit(): QuotaShare {
     return this.budget;
   }
 
+  /** Whether any gateway holds, or may hold, a rate. */
+  get isShared(): boolean {
+    return this.held.ratePerSecond > LEAST_RATE;
+  }
+
   get demandPerSecond(): number {
     return this.held.demandPerSecond;
   }
--- a/tests/support/program-simulation.ts
+++ b/tests/support/program-simulation.ts
@@ -35,8 +35,13 @@
 export function runPrograms(load: number, tellsFirstCalls = true): ProgramsOutcome {
   const random = new SeededRandom(4);
   const shares = new GatewayShares();
-  const board = new ShareBoard({ tolerance: TOLERANCE, leaseMs: LEASE_MS });
-  board.begin([], 0);
+  const board = new ShareBoard({
+    tolerance: TOLERANCE,
+    leaseMs: LEASE_MS,
+    overlapMs: 0,
+    mayShare: () => true,
+  });
+  board.begin({ gateways: [], tenants: [] }, 0);
   board.setLimits([LIMIT], 0);
   const programsPerStep = (load * LIMIT.ratePerSecond * STEP_MS) / 1_000 / CALLS_IN_PROGRAM;
   let programs: Program[] = [];
--- a/tests/support/quota-simulation.ts
+++ b/tests/support/quota-simulation.ts
@@ -102,7 +102,8 @@
   private readonly ideal: { tokens: number; at: number }[];
   private readonly limits: TenantLimit[];
   private leaders: Leader[] = [];
-  private holders = new Set<string>();
+  private readonly holders = new Set<string>();
+  private readonly sharedTenants = new Set<string>();
   private term = 0;
   private leaderlessUntil = 0;
 
@@ -142,8 +143,14 @@
     this.term += 1;
     this.leaderlessUntil = 0;
     const { headroom } = this.options;
-    const board = new ShareBoard({ tolerance: TOLERANCE, leaseMs: LEASE_MS, headroom });
-    board.begin(this.holders, now);
+    const board = new ShareBoard({
+      tolerance: TOLERANCE,
+      leaseMs: LEASE_MS,
+      overlapMs: STEP_DOWN_MS,
+      mayShare: (tenant) => this.sharedTenants.has(tenant),
+      headroom,
+    });
+    board.begin({ gateways: this.holders, tenants: this.sharedTenants }, now);
     board.setLimits(this.namedLimits(), now);
     const leader: Leader = {
       term: this.term,
@@ -213,6 +220,7 @@
     this.holders.add(gateway);
     const request = { gateway, incarnation: String(incarnation), sequence, held };
     const shares = board.report(request, at);
+    for (const tenant of board.takeWantedTenants()) this.sharedTenants.add(tenant);
     const confirmedAgeMs = Math.max(0, at - confirmedUntil);
     return { term, confirmedAgeMs, shares, askedAt, arrivesAt: at + 1 + this.random.uniform() * 8 };
   }
@@ -220,7 +228,8 @@
   private takeAnswer(gateway: SimulatedGateway, now: number): void {
     const answer = gateway.answer!;
     gateway.answer = undefined;
-    if (now < gateway.cutUntil || answer.term < gateway.term) return;
+    const isLate = answer.confirmedAgeMs > STEP_DOWN_MS;
+    if (now < gateway.cutUntil || isLate || answer.term < gateway.term) return;
     gateway.term = answer.term;
     const leaseEndsAt = answer.askedAt - answer.confirmedAgeMs + LEASE_MS;
     if (leaseEndsAt > now) gateway.shares.takeGranted(answer.shares, leaseEndsAt, now);
