--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -31,7 +31,7 @@
   /** Whether the owner of a key may call a route now. */
   access: (route: Route, key: string | undefined) => AccessDecision;
   /** Limits of tenants. */
-  quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'isLeased' | 'describe'>;
+  quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'describe'>;
   backends: BackendView;
   placement: Placement;
   ledger: LedgerClient;
@@ -188,7 +188,7 @@
     const isModelCall = description.promptParts.length > 0;
     const decision = await quotas.take(name, isModelCall && isFirstTurn(description));
     if (decision.isAllowed) return;
-    const reason = quotas.isLeased ? 'over-limit' : 'not-ready';
+    const reason = decision.reason === 'over-limit' ? 'over-limit' : 'not-ready';
     const details = { tenant: name, ...quotas.describe(name) };
     throw new RefusedError(reason, decision.retryAfterMs, details);
   }
--- a/src/quotas/gateway-quotas.ts
+++ b/src/quotas/gateway-quotas.ts
@@ -28,8 +28,14 @@
 const TOKEN_WAIT_MS = 250;
 const INCARNATION_BYTES = 6;
 
+/** After a question without an answer callers are told to come back after so long: about what an election takes. */
+const OUTAGE_RETURN_MS = 500;
+
 /** Whether a call may go on; if not, when its caller had better come back, in milliseconds. */
-export type QuotaDecision = { isAllowed: true } | { isAllowed: false; retryAfterMs: number };
+export type QuotaDecision =
+  | { isAllowed: true }
+  /** Uncertain where no leader answers: nothing is known then of what the tenant has left. */
+  | { isAllowed: false; reason: 'over-limit' | 'uncertain'; retryAfterMs: number };
 
 const ALLOWED: QuotaDecision = { isAllowed: true };
 
@@ -78,10 +84,26 @@
     const isTaken = this.shares.take(tenant, beginsProgram, now);
     if (this.shares.isLow(tenant, now)) this.askSoon();
     if (isTaken) return ALLOWED;
-    if (!this.shares.isScarce(tenant, now) && (await this.waitForToken(tenant, beginsProgram))) {
+    if (this.mayGetToken(tenant, now) && (await this.waitForToken(tenant, beginsProgram))) {
       return ALLOWED;
     }
-    return { isAllowed: false, retryAfterMs: this.shares.returnAfterMs(tenant, monotonicMs()) };
+    return this.refusal(tenant);
+  }
+
+  /** Nobody waits for a token where the leader has none, or none answers. */
+  private mayGetToken(tenant: string, now: number): boolean {
+    if (this.wasAnswered) return !this.shares.isScarce(tenant, now);
+    this.askSoon();
+    return false;
+  }
+
+  private refusal(tenant: string): QuotaDecision {
+    const now = monotonicMs();
+    const isCertain = this.wasAnswered && this.shares.isLeased(now);
+    if (!isCertain)
+      return { isAllowed: false, reason: 'uncertain', retryAfterMs: OUTAGE_RETURN_MS };
+    const retryAfterMs = this.shares.returnAfterMs(tenant, now);
+    return { isAllowed: false, reason: 'over-limit', retryAfterMs };
   }
 
   /** A call that had taken a token has not run, and never will. */
@@ -97,11 +119,6 @@
     return { rate, burst, sharesAgeMs, ...this.shares.describe(tenant, monotonicMs()) };
   }
 
-  /** Whether anything is known of shares now: if not, a refusal says nothing of the tenant. */
-  get isLeased(): boolean {
-    return this.shares.isLeased(monotonicMs());
-  }
-
   private async waitForToken(tenant: string, beginsProgram: boolean): Promise<boolean> {
     const deadline = monotonicMs() + TOKEN_WAIT_MS;
     this.shares.noteWaiting(tenant, 1, monotonicMs());
