Reverted: waiting in an outage of the leader

The outage of 1.2 s outlasts what calls of tools may wait (their deadlines are 1.2 to 2.0 s), so they fail either way; what can't be served is refused at once.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -134,7 +134,7 @@
     const tenant = this.identify(exchange, route);
     const service = route.nextService();
     this.admit(exchange, tenant?.priority ?? route.route.priority, service);
-    if (tenant) await this.takeToken(exchange, tenant, deadlineMs);
+    if (tenant) await this.takeToken(exchange, tenant);
     try {
       await this.serve({ exchange, route, service, tenant, deadlineMs });
     } catch (error) {
@@ -183,14 +183,10 @@
   }
 
   /** @throws RefusedError when the tenant is beyond its limit, or that can't be told */
-  private async takeToken(
-    { description }: CallExchange,
-    { name }: Tenant,
-    deadlineMs: number,
-  ): Promise<void> {
+  private async takeToken({ description }: CallExchange, { name }: Tenant): Promise<void> {
     const { quotas } = this.options;
     const isModelCall = description.promptParts.length > 0;
-    const decision = await quotas.take(name, isModelCall && isFirstTurn(description), deadlineMs);
+    const decision = await quotas.take(name, isModelCall && isFirstTurn(description));
     if (decision.isAllowed) return;
     const reason = decision.reason === 'over-limit' ? 'over-limit' : 'not-ready';
     const details = { tenant: name, ...quotas.describe(name) };
--- a/src/quotas/gateway-quotas.ts
+++ b/src/quotas/gateway-quotas.ts
@@ -24,15 +24,8 @@
 const WAITING_INTERVAL_MS = 4;
 /** How long one question may take, in milliseconds. */
 const ASK_TIMEOUT_MS = 400;
-/** How long a call waits for a token of a leader that answers, in milliseconds: many round trips across zones. */
+/** How long a call waits for a token at most, in milliseconds: several round trips across zones. */
 const TOKEN_WAIT_MS = 250;
-/**
- * How long a call of a program that has begun waits where no leader answers, in milliseconds: about half of an outage, since
- * its caller comes back once or twice only, and a program fails with one of its calls. New programs don't wait.
- */
-const OUTAGE_WAIT_MS = 600;
-/** Part of the time that a call has left for which it may wait in an outage. */
-const OUTAGE_WAIT_SHARE = 0.4;
 const INCARNATION_BYTES = 6;
 
 /** After a question without an answer callers are told to come back after so long: about what an election takes. */
@@ -85,24 +78,27 @@
   /**
    * Takes a token for a call of a tenant; waits for one where the leader may have some left.
    * @param beginsProgram whether the call is the first of a program
-   * @param deadlineMs monotonic time by which it must have its final answer, in milliseconds
    */
-  async take(tenant: string, beginsProgram: boolean, deadlineMs: number): Promise<QuotaDecision> {
+  async take(tenant: string, beginsProgram: boolean): Promise<QuotaDecision> {
     if (!this.limits.has(tenant)) return ALLOWED;
     const now = monotonicMs();
     this.shares.noteCall(tenant, now);
     const isTaken = this.shares.take(tenant, beginsProgram, now);
     if (this.shares.isLow(tenant, now)) this.askSoon();
     if (isTaken) return ALLOWED;
-    const outageWaitMs = beginsProgram ? 0 : outageWaitOf(deadlineMs - now);
-    const isWorthWaiting = this.wasAnswered ? !this.shares.isScarce(tenant, now) : outageWaitMs > 0;
-    if (isWorthWaiting && (await this.waitForToken(tenant, beginsProgram, outageWaitMs))) {
+    if (this.mayGetToken(tenant, now) && (await this.waitForToken(tenant, beginsProgram))) {
       return ALLOWED;
     }
-    if (!this.wasAnswered) this.askSoon();
     return this.refusal(tenant);
   }
 
+  /** Nobody waits for a token where the leader has none, or none answers. */
+  private mayGetToken(tenant: string, now: number): boolean {
+    if (this.wasAnswered) return !this.shares.isScarce(tenant, now);
+    this.askSoon();
+    return false;
+  }
+
   private refusal(tenant: string): QuotaDecision {
     const now = monotonicMs();
     const isCertain = this.wasAnswered && this.shares.isLeased(now);
@@ -125,19 +121,12 @@
     return { rate, burst, sharesAgeMs, ...this.shares.describe(tenant, monotonicMs()) };
   }
 
-  /** @param outageWaitMs how long to wait while nothing is answered, in milliseconds */
-  private async waitForToken(
-    tenant: string,
-    beginsProgram: boolean,
-    outageWaitMs: number,
-  ): Promise<boolean> {
-    const startedAt = monotonicMs();
-    this.shares.noteWaiting(tenant, 1, startedAt);
+  private async waitForToken(tenant: string, beginsProgram: boolean): Promise<boolean> {
+    const deadline = monotonicMs() + TOKEN_WAIT_MS;
+    this.shares.noteWaiting(tenant, 1, monotonicMs());
     try {
       for (;;) {
-        const isAnswered = this.answeredAt > startedAt;
-        const waitMs = isAnswered ? TOKEN_WAIT_MS : Math.max(TOKEN_WAIT_MS, outageWaitMs);
-        const leftMs = startedAt + waitMs - monotonicMs();
+        const leftMs = deadline - monotonicMs();
         if (leftMs <= 0 || this.stopping.signal.aborted) return false;
         this.askSoon();
         await this.answered.waitUpTo(leftMs);
@@ -225,10 +214,6 @@
   }
 }
 
-function outageWaitOf(leftMs: number): number {
-  return Math.min(OUTAGE_WAIT_MS, leftMs * OUTAGE_WAIT_SHARE);
-}
-
 /** What is left of a limit after a change, as a factor; 1 where nothing was lowered. */
 function loweringOf(before: TenantLimit, after: TenantLimit): number {
   const rateFactor = after.ratePerSecond / before.ratePerSecond;
