--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,22 +1,18 @@
 /** Takes calls from their arrival to their final answer: route, reservation, sends, settlement. */
 import { monotonicMs } from '../common/index.js';
-import type { LedgerClient, ReservationTimes } from '../ledger/index.js';
+import type { LedgerClient } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { GatewayQuotas } from '../quotas/index.js';
 import type { CompiledRoute, Route, RouteTable, Tenant } from '../routes/index.js';
 import type { AccessDecision } from '../tenants/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
-import {
-  type CallExchange,
-  type ProgramContext,
-  type RefusalReason,
-  isFirstTurn,
-} from './call-exchange.js';
-import { type CallEnding, CallRun, type SendRecord } from './call-run.js';
+import { type CallExchange, type RefusalReason, isFirstTurn } from './call-exchange.js';
+import { type CallEnding, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { ProgramAdmission } from './program-admission.js';
+import { describeProgram, describeReservation, describeSends } from './call-log.js';
 import { StallGuard } from './stall-guard.js';
 import { StreamRelay } from './stream-relay.js';
 import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
@@ -321,43 +317,3 @@
 function withHistory(body: Buffer, history: Uint8Array | undefined): Buffer {
   return history && history.length > 0 ? Buffer.concat([history, body]) : body;
 }
-
-function describeProgram(program: ProgramContext | undefined): LogFields {
-  if (!program) return {};
-  const { id, session, budgetTokens: budget, remainingMs } = program;
-  return { program: id, session, budget, remainingMs };
-}
-
-function describeReservation(
-  { description }: CallExchange,
-  reservation: Reservation | undefined,
-  keepMs: number | undefined,
-): LogFields {
-  if (!reservation) return {};
-  const { tookMs, times, lastBackend } = reservation;
-  return {
-    reserveMs: Math.round(tookMs),
-    reserveParts: times && describeTimes(times),
-    keepMs: keepMs && Math.round(keepMs),
-    inputBytes: description.body.length,
-    holder: lastBackend,
-  };
-}
-
-/** In milliseconds: waited in this gateway, asked the leader, read the history elsewhere. */
-function describeTimes({ windowMs, leaderMs, historyMs }: ReservationTimes): string {
-  return [windowMs, leaderMs, historyMs].map(Math.round).join('+');
-}
-
-/** Each send as `backend@own load+others'-expected tokens to read/head/whole(expected):result`. */
-function describeSends(run: CallRun): string {
-  return run.sends.map(describeSend).join(' ');
-}
-
-function describeSend(send: SendRecord): string {
-  const { backend, ownLoad, otherLoad, missingTokens, headMs, tookMs, expectedMs } = send;
-  const place = `${backend}@${ownLoad}+${otherLoad}-${missingTokens}t`;
-  const head = headMs === undefined ? '' : `/${Math.round(headMs)}ms`;
-  const expected = expectedMs === undefined ? '' : `(${Math.round(expectedMs)})`;
-  return `${place}${head}/${Math.round(tookMs)}${expected}ms:${send.cause ?? send.result}`;
-}
--- /dev/null
+++ b/src/forwarding/call-log.ts
@@ -0,0 +1,46 @@
+/** How a call that is over is worded in its log line. */
+import type { ReservationTimes } from '../ledger/index.js';
+import type { LogFields } from '../observability/index.js';
+import type { CallExchange, ProgramContext } from './call-exchange.js';
+import type { CallRun, SendRecord } from './call-run.js';
+import type { Reservation } from './turn-reservations.js';
+
+export function describeProgram(program: ProgramContext | undefined): LogFields {
+  if (!program) return {};
+  const { id, session, budgetTokens: budget, remainingMs } = program;
+  return { program: id, session, budget, remainingMs };
+}
+
+export function describeReservation(
+  { description }: CallExchange,
+  reservation: Reservation | undefined,
+  keepMs: number | undefined,
+): LogFields {
+  if (!reservation) return {};
+  const { tookMs, times, lastBackend } = reservation;
+  return {
+    reserveMs: Math.round(tookMs),
+    reserveParts: times && describeTimes(times),
+    keepMs: keepMs && Math.round(keepMs),
+    inputBytes: description.body.length,
+    holder: lastBackend,
+  };
+}
+
+/** In milliseconds: waited in this gateway, asked the leader, read the history elsewhere. */
+function describeTimes({ windowMs, leaderMs, historyMs }: ReservationTimes): string {
+  return [windowMs, leaderMs, historyMs].map(Math.round).join('+');
+}
+
+/** Each send as `backend@own load+others'-expected tokens to read/head/whole(expected):result`. */
+export function describeSends(run: CallRun): string {
+  return run.sends.map(describeSend).join(' ');
+}
+
+function describeSend(send: SendRecord): string {
+  const { backend, ownLoad, otherLoad, missingTokens, headMs, tookMs, expectedMs } = send;
+  const place = `${backend}@${ownLoad}+${otherLoad}-${missingTokens}t`;
+  const head = headMs === undefined ? '' : `/${Math.round(headMs)}ms`;
+  const expected = expectedMs === undefined ? '' : `(${Math.round(expectedMs)})`;
+  return `${place}${head}/${Math.round(tookMs)}${expected}ms:${send.cause ?? send.result}`;
+}
--- a/src/quotas/gateway-quotas.ts
+++ b/src/quotas/gateway-quotas.ts
@@ -24,10 +24,9 @@
 const WAITING_INTERVAL_MS = 4;
 /** How long one question may take, in milliseconds. */
 const ASK_TIMEOUT_MS = 400;
-/** How long a call waits for a token at most, in milliseconds: several round trips across zones. */
+/** How long a call waits for a token at most, in milliseconds: many round trips across zones. */
 const TOKEN_WAIT_MS = 250;
 const INCARNATION_BYTES = 6;
-
 /** After a question without an answer callers are told to come back after so long: about what an election takes. */
 const OUTAGE_RETURN_MS = 500;
 
@@ -102,8 +101,9 @@
   private refusal(tenant: string): QuotaDecision {
     const now = monotonicMs();
     const isCertain = this.wasAnswered && this.shares.isLeased(now);
-    if (!isCertain)
+    if (!isCertain) {
       return { isAllowed: false, reason: 'uncertain', retryAfterMs: OUTAGE_RETURN_MS };
+    }
     const retryAfterMs = this.shares.returnAfterMs(tenant, now);
     return { isAllowed: false, reason: 'over-limit', retryAfterMs };
   }
--- a/src/quotas/gateway-shares.ts
+++ b/src/quotas/gateway-shares.ts
@@ -8,7 +8,8 @@
 import { isSparse } from './share-allocation.js';
 import { TokenBucket } from './token-bucket.js';
 
-export interface GatewayShare {
+/** What a gateway knows of one tenant. */
+interface GatewayShare {
   bucket: TokenBucket;
   /** Calls of the last seconds, each counted less the older it is. */
   recentCalls: number;
--- a/src/quotas/share-allocation.ts
+++ b/src/quotas/share-allocation.ts
@@ -1,23 +1,24 @@
 /**
  * How much of a tenant's limit a gateway gets: the decision alone.
  *
- * Load pattern: a tenant's calls come through a few of many gateways, and through others when one is lost. Equal shares
+ * Load pattern: a tenant's calls come through any of many gateways, and through others when some are lost. Equal shares
  * would refuse most of them; shares of all that there is leave nothing for a gateway that gets its first call, or the
- * callers of a lost one, whose share stays taken until its lease is over. So a gateway gets what it needs and a little
- * more, by which it works on where no leader answers; the rest stays in a pool for those that run short.
+ * callers of a lost one, whose share stays taken until its lease is over. So a gateway with a steady stream of calls gets
+ * what it needs and a little more, by which it works on where no leader answers; the rest stays in a pool for those that
+ * run short, and for those whose calls are few.
  */
 import type { QuotaShare } from './quota-budget.js';
 
 /**
  * Share that a gateway gets, as a multiple of its demand. Beside four of 40 gateways lost, one cut off and a new leader,
- * 0.7 % of what is inside the limits is refused at 0.62 times the limits with 1.15; 3.5 % with all in the pool, 4.7 % with
- * all handed out by demand (simulation of shares, `quotas.test.ts`).
+ * 1.4 % of what is inside the limits is refused at 0.62 times the limits with 1.15; 3.3 % with all in the pool, 6.1 % with
+ * all handed out by demand (simulation of `quotas.test.ts`).
  */
-export const HEADROOM = 1.15;
+const HEADROOM = 1.15;
 const MS_PER_SECOND = 1_000;
 
 /** Tokens that a gateway gets beyond those for calls that wait: for its demand in so many seconds. */
-export const LOOKAHEAD_S = 0.5;
+const LOOKAHEAD_S = 0.5;
 
 /**
  * A gateway with less demand than this a second holds no share, and asks for each call. Callers of a small tenant come
