--- a/src/quotas/gateway-quotas.test.ts
+++ b/src/quotas/gateway-quotas.test.ts
@@ -76,3 +76,14 @@
   const isServed = async (): Promise<boolean> => (await quotas.take('office', false)).isAllowed;
   await waitUntil('served again', isServed, 3_000);
 });
+
+// A field `level` for the tokens of a bucket took the place of the level of the log line: `"level":0.66,"event":"call"`.
+it('describes a refusal without the names that each log line has', async () => {
+  start();
+  await quotas.take('office', false);
+  const names = Object.keys(quotas.describe('office'));
+  expect(names).toContain('tokens');
+  for (const name of ['time', 'level', 'event', 'message', 'process', 'node']) {
+    expect(names).not.toContain(name);
+  }
+});
--- a/src/quotas/gateway-shares.ts
+++ b/src/quotas/gateway-shares.ts
@@ -110,7 +110,7 @@
   describe(tenant: string, now: number): LogFields {
     const share = this.shareOf(tenant, now);
     return {
-      level: round(share.bucket.level(now)),
+      tokens: round(share.bucket.level(now)),
       shareRate: round(share.bucket.share.ratePerSecond),
       demand: round(decayed(share, now) / DEMAND_WINDOW_S),
       pressure: round(share.pressure),
