--- a/src/quotas/gateway-shares.ts
+++ b/src/quotas/gateway-shares.ts
@@ -72,7 +72,7 @@
   /** Whether the leader should be asked before the regular time. */
   isLow(tenant: string, now: number): boolean {
     const share = this.shareOf(tenant, now);
-    const demand = decayed(share, now) / DEMAND_WINDOW_S;
+    const demand = demandOf(share, now);
     return !isSparse(demand) && share.bucket.level(now) < Math.max(1, demand * LOW_S);
   }
 
@@ -112,7 +112,7 @@
     return {
       tokens: round(share.bucket.level(now)),
       shareRate: round(share.bucket.share.ratePerSecond),
-      demand: round(decayed(share, now) / DEMAND_WINDOW_S),
+      demand: round(demandOf(share, now)),
       pressure: round(share.pressure),
     };
   }
@@ -121,8 +121,7 @@
   held(now: number): HeldShare[] {
     if (!this.isLeased(now)) this.dropShares(now);
     for (const [tenant, share] of this.shares) {
-      const demandPerSecond = decayed(share, now) / DEMAND_WINDOW_S;
-      const isUsed = demandPerSecond >= LEAST_DEMAND_PER_SECOND || share.waiting > 0;
+      const isUsed = demandOf(share, now) >= LEAST_DEMAND_PER_SECOND || share.waiting > 0;
       if (!isUsed) this.shares.delete(tenant);
     }
     return [...this.shares].map(([tenant, share]) => heldOf(tenant, share, now));
@@ -184,7 +183,7 @@
 function heldOf(tenant: string, share: GatewayShare, now: number): HeldShare {
   const { bucket, waiting } = share;
   const { ratePerSecond, capacity } = bucket.share;
-  const demandPerSecond = decayed(share, now) / DEMAND_WINDOW_S;
+  const demandPerSecond = demandOf(share, now);
   return { tenant, ratePerSecond, capacity, level: bucket.level(now), demandPerSecond, waiting };
 }
 
@@ -197,6 +196,11 @@
   return Math.round(value * 100) / 100;
 }
 
+/** Calls a second that a tenant asks for here. */
+function demandOf(share: GatewayShare, now: number): number {
+  return decayed(share, now) / DEMAND_WINDOW_S;
+}
+
 /** Calls of the last seconds, as of now. */
 function decayed({ recentCalls, recentAt }: GatewayShare, now: number): number {
   const elapsedS = Math.max(0, now - recentAt) / MS_PER_SECOND;
--- a/src/tenants/tenant-table.ts
+++ b/src/tenants/tenant-table.ts
@@ -4,12 +4,10 @@
 
 export class TenantTable {
   private readonly byKeyHash = new Map<string, Tenant>();
-  private readonly byName = new Map<string, Tenant>();
 
   /** @param tenants absent where callers need no keys; empty where nobody's keys are good */
   constructor(private readonly tenants: readonly Tenant[] | undefined) {
     for (const tenant of tenants ?? []) {
-      this.byName.set(tenant.name, tenant);
       for (const hash of tenant.keyHashes) this.byKeyHash.set(hash, tenant);
     }
   }
@@ -23,8 +21,4 @@
   findByKey(key: string): Tenant | undefined {
     return this.byKeyHash.get(sha256Hex(key));
   }
-
-  findByName(name: string): Tenant | undefined {
-    return this.byName.get(name);
-  }
 }
