--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -21,6 +21,13 @@
 /** Pause before a snapshot that the disk had no room for is tried again, in milliseconds. */
 const SNAPSHOT_RETRY_MS = 1_000;
 
+/** What a snapshot of this member covers, in log indices. */
+export interface StoredSnapshotMarks {
+  index: number;
+  /** The log holds no entry up to this one any more. */
+  compactedTo: number;
+}
+
 /** What had been applied since the snapshot before. */
 interface SnapshotDue {
   snapshotIndex: number;
@@ -204,11 +211,16 @@
     this.snapshotIndex = index;
     this.bytesSinceSnapshot = 0;
     void this.saveSnapshot(snapshot, compactTo).then(
-      () => this.allowNextSnapshot(),
+      () => this.onSnapshotSaved({ index, compactedTo }),
       (error) => this.onSnapshotFailed(error, { snapshotIndex, bytesSinceSnapshot }),
     );
   }
 
+  private onSnapshotSaved(marks: StoredSnapshotMarks): void {
+    this.environment.onSnapshotStored(this.group, marks);
+    this.allowNextSnapshot();
+  }
+
   /** What was applied meanwhile may be enough for the next one, and nothing more may be coming. */
   private allowNextSnapshot(): void {
     this.isSnapshotting = false;
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -55,6 +55,8 @@
       call: (member, method, request, options) => this.call(member, method, request, options),
       requestHeartbeats: () => this.requestHeartbeats(),
       onLeadershipChange: (group) => this.onLeadershipChange(group),
+      onSnapshotStored: (group, { index, compactedTo }) =>
+        host.logger.info('snapshot stored', { group: group.name, index, compactedTo }),
       onSnapshotSkipped: (group, error) =>
         host.logger.warn('snapshot skipped', { group: group.name, cause: error.describe() }),
       onProposalsRefused: (group, count) =>
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -8,7 +8,7 @@
 import { SignalEvent, monotonicMs } from '../common/index.js';
 import { DiskFullError, type LogEntry, StorageFullError } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
-import { Applier } from './applier.js';
+import { Applier, type StoredSnapshotMarks } from './applier.js';
 import { createCommitTimes } from './commit-times.js';
 import {
   type GroupConfiguration,
@@ -58,6 +58,8 @@
   onLeadershipChange(group: ReplicatedGroup): void;
   /** Called when there was no room for a snapshot; it is tried again later. */
   onSnapshotSkipped(group: ReplicatedGroup, error: StorageFullError): void;
+  /** A snapshot is durable, and the log has let go what stood up to an index. */
+  onSnapshotStored(group: ReplicatedGroup, snapshot: StoredSnapshotMarks): void;
   /** Called at most once a second while a leader refuses commands for their number. */
   onProposalsRefused(group: ReplicatedGroup, count: number): void;
   onFatal(error: unknown): void;
--- a/src/ledger/kept-turns.ts
+++ b/src/ledger/kept-turns.ts
@@ -34,6 +34,13 @@
     return this.turns.has(id);
   }
 
+  /** Turns that the state names and whose values are not held here. */
+  countWithoutValue(): number {
+    let count = 0;
+    for (const id of this.turns.keys()) if (!this.values.has(id)) count += 1;
+    return count;
+  }
+
   /** Log index from which on the state names a turn; undefined when it is not kept. */
   keptAtIndex(id: string): number | undefined {
     return this.turns.get(id)?.keptAtIndex;
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -61,6 +61,11 @@
 
   constructor(private readonly options: LedgerServiceOptions) {}
 
+  /** Turns that the state of this member names. */
+  get namedTurns(): number {
+    return this.options.stateMachine.turns.size;
+  }
+
   registerHandlers(router: MethodRouter): void {
     router.handle(RESERVE, (request) =>
       answerAsLeader(this.options.findGroup(), (group) => this.reserve(group, request)),
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -50,7 +50,7 @@
   /** Log index of the command that is being applied. */
   private index = 0;
 
-  constructor(options: LedgerStateOptions) {
+  constructor(private readonly options: LedgerStateOptions) {
     this.turns = new KeptTurns(options.values);
     this.external = new TurnHistories({
       ...options,
@@ -89,6 +89,15 @@
     this.budgets.restore(head.accounts);
     this.turns.restore(turns);
     this.placements.restore(head.placements);
+    this.reportRestored();
+  }
+
+  /** A turn without its value here can be continued only where another member has it. */
+  private reportRestored(): void {
+    const { turns, options } = this;
+    const restored = { named: turns.size, missing: turns.countWithoutValue() };
+    if (restored.missing > 0) options.logger.warn('kept turns restored', restored);
+    else options.logger.info('kept turns restored', restored);
   }
 
   private reserve(command: ReserveCommand): ReserveResult {
--- a/src/value-store/segment-files.ts
+++ b/src/value-store/segment-files.ts
@@ -18,6 +18,8 @@
 export interface RecoveredSegment {
   segment: ValueSegment;
   records: ScannedRecord[];
+  /** Only a segment that was sealed has an index. */
+  hasIndex: boolean;
 }
 
 export class SegmentFiles {
@@ -49,11 +51,12 @@
       segment.file = await this.folder.open(segment.name);
       segment.bytes = await segment.file.size();
       segment.isSealed = true;
+      const hasIndex = names.includes(segment.indexName);
       const records =
-        (names.includes(segment.indexName) && (await this.readIndex(segment))) ||
+        (hasIndex && (await this.readIndex(segment))) ||
         scanValueRecords(await readWholeFile(segment.file, segment.bytes));
       this.segments.push(segment);
-      recovered.push({ segment, records });
+      recovered.push({ segment, records, hasIndex });
     }
     return recovered;
   }
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -214,9 +214,18 @@
   }
 
   private async recover(): Promise<void> {
-    for (const { segment, records } of await this.files.recover()) {
+    const recovered = await this.files.recover();
+    for (const { segment, records } of recovered) {
       for (const { key, offset, length } of records) this.place(key, { segment, offset, length });
     }
+    const unsealed = recovered.filter(({ hasIndex }) => !hasIndex);
+    this.options.logger.info('value store opened', {
+      values: this.locations.size,
+      segments: recovered.length,
+      bytes: this.files.bytes,
+      unsealedSegments: unsealed.length,
+      unsealedBytes: unsealed.reduce((sum, { segment }) => sum + segment.bytes, 0),
+    });
   }
 
   private async runWriter(): Promise<void> {
