A start of a value store makes durable what it finds before it counts as held

The start syncs segments that were never sealed now, so that whatever is held is durable as far as a sync has covered it, whoever wrote it.

--- a/src/value-store/segment-files.ts
+++ b/src/value-store/segment-files.ts
@@ -42,7 +42,10 @@
     return this.segments.reduce((sum, segment) => sum + segment.bytes, 0);
   }
 
-  /** Opens what the folder holds; every segment found is sealed. */
+  /**
+   * Opens what the folder holds; every segment found is sealed, and durable before anybody reads of it.
+   * @throws StorageFailedError
+   */
   async recover(): Promise<RecoveredSegment[]> {
     const names = await this.folder.list();
     const recovered: RecoveredSegment[] = [];
@@ -52,6 +55,8 @@
       segment.bytes = await segment.file.size();
       segment.isSealed = true;
       const hasIndex = names.includes(segment.indexName);
+      // A process that was killed leaves writes in the machine's memory: a loss of power would take them.
+      if (!hasIndex) await this.syncSegment(segment);
       const records =
         (hasIndex && (await this.readIndex(segment))) ||
         scanValueRecords(await readWholeFile(segment.file, segment.bytes));
--- a/src/value-store/store-folder.ts
+++ b/src/value-store/store-folder.ts
@@ -22,7 +22,7 @@
   list(): Promise<string[]>;
   /** Makes an empty file. @throws DiskFullError when there is no room for it */
   create(name: string): Promise<StoreFile>;
-  /** Opens a file for reading. */
+  /** Opens a file for reading, and for syncing what was written to it before. */
   open(name: string): Promise<StoreFile>;
   /** Writes a whole file: after a crash it is there whole or not at all. */
   replace(name: string, bytes: Uint8Array): Promise<void>;
@@ -44,7 +44,7 @@
         throw storageError(cause, { step: 'value-store.create', peer: join(path, name) });
       }
     },
-    open: async (name) => storeFile(await open(join(path, name), 'r')),
+    open: async (name) => storeFile(await open(join(path, name), 'r+')),
     replace: (name, bytes) => replaceFile(path, name, bytes),
     remove: (name) => rm(join(path, name), { force: true }),
     sync: () => syncFolder(path),
