A value that most voters have lost no longer keeps a new member out of the ledger's group

Seen beside the incident's loss: the new member asked six times a second for the same thousand values that neither of the two others held (asked 8790, missing 6822), was removed and added again, and was never taken in; one more lost machine would have stopped the group. A member now says which values its state names and it has lost; what more than half of the voters have lost is given up, with one line at error level.

--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -61,6 +61,8 @@
   values: [string, Uint8Array][];
   /** Turns that were over by the member's state, which is not older than the sender's. */
   expired: string[];
+  /** Turns that the member's state names, not older than the sender's, and whose values it has lost. */
+  lost: string[];
   /** So many of the turns, from the first on, were looked up. */
   covered: number;
 }
--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -8,6 +8,7 @@
 import type { LogEntry, StoredSnapshot } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
 import type { KeptTurns } from './kept-turns.js';
+import { LossReports } from './loss-reports.js';
 import type { ReadTurnsAnswer, ReadTurnsRequest } from './messages.js';
 import type { TurnValues } from './turn-values.js';
 
@@ -87,10 +88,10 @@
 
   /**
    * Answers another member from what is held here.
-   * @param mayTellExpired whether this member's state is late enough to know which turns are over
+   * @param isStateLateEnough whether this member's state knows which turns are over, and which it must hold
    */
-  async answer({ turns }: ReadTurnsRequest, mayTellExpired: boolean): Promise<ReadTurnsAnswer> {
-    const answer: ReadTurnsAnswer = { values: [], expired: [], covered: 0 };
+  async answer({ turns }: ReadTurnsRequest, isStateLateEnough: boolean): Promise<ReadTurnsAnswer> {
+    const answer: ReadTurnsAnswer = { values: [], expired: [], lost: [], covered: 0 };
     let bytes = 0;
     while (answer.covered < turns.length && bytes < MAX_ANSWER_BYTES) {
       const group = turns.slice(answer.covered, answer.covered + TURNS_READ_TOGETHER);
@@ -98,7 +99,7 @@
       for (const [index, id] of group.entries()) {
         const value = values[index];
         if (value) answer.values.push([id, value]);
-        else if (mayTellExpired && !this.options.turns.has(id)) answer.expired.push(id);
+        else if (isStateLateEnough) this.turnsWithoutValue(answer, id).push(id);
         bytes += value?.length ?? 0;
       }
       answer.covered += group.length;
@@ -106,6 +107,10 @@
     return answer;
   }
 
+  private turnsWithoutValue({ expired, lost }: ReadTurnsAnswer, id: string): string[] {
+    return this.options.turns.has(id) ? lost : expired;
+  }
+
   /** Takes a value ahead of the entry that names it. */
   takeCopy(turn: string, value: Uint8Array): void {
     if (this.options.turns.unnamed.bytes >= MOST_UNNAMED_BYTES) return;
@@ -150,10 +155,17 @@
     const isMissing = (id: string): boolean => !this.options.values.has(id);
     const wanted = new Set(this.options.turnsNamedBy(state).filter(isMissing));
     if (wanted.size === 0) return;
-    await this.fetch(wanted, sources, index);
+    const reports = await this.fetch(wanted, sources, index);
+    this.giveUp(reports.lostByMostOf(sources), wanted);
     if (wanted.size > 0) throw missingError(wanted.size);
   }
 
+  /** Values that nobody can give would keep a member, and with it the group's next loss, out for good. */
+  private giveUp(lost: readonly string[], wanted: Set<string>): void {
+    const given = lost.filter((turn) => wanted.delete(turn));
+    if (given.length > 0) this.options.logger.error('kept turns lost', { turns: given.length });
+  }
+
   private put(turn: string, value: Uint8Array): void {
     const { turns, values } = this.options;
     if (!turns.has(turn)) turns.unnamed.noteHeld(turn, value.length);
@@ -201,23 +213,28 @@
     return Promise.all(turns.map((id) => this.options.values.get(id)));
   }
 
-  /** Takes what was fetched, and what is over, out of the set. */
+  /**
+   * Takes what was fetched, and what is over, out of the set.
+   * @returns what members say that they have lost
+   */
   private async fetch(
     wanted: Set<string>,
     sources: readonly Member[],
     atIndex?: number,
-  ): Promise<void> {
+  ): Promise<LossReports> {
     const asked = wanted.size;
-    for (const { address } of sources) {
+    const reports = new LossReports();
+    for (const source of sources) {
       if (wanted.size === 0) break;
       try {
-        await this.fetchFrom(address, wanted, atIndex);
+        reports.note(source, await this.fetchFrom(source.address, wanted, atIndex));
       } catch (error) {
         const cause = describeError(error);
-        this.options.logger.warn('kept turns not fetched', { peer: address, cause });
+        this.options.logger.warn('kept turns not fetched', { peer: source.address, cause });
       }
     }
     this.reportFetched(asked, wanted.size);
+    return reports;
   }
 
   /** At most once a second: a new member fetches what each batch of entries names. */
@@ -232,8 +249,16 @@
     this.fetched.missing = 0;
   }
 
-  /** One request after the other, each answer written before the next is asked for. */
-  private async fetchFrom(address: string, wanted: Set<string>, atIndex?: number): Promise<void> {
+  /**
+   * One request after the other, each answer written before the next is asked for.
+   * @returns what the member has lost
+   */
+  private async fetchFrom(
+    address: string,
+    wanted: Set<string>,
+    atIndex?: number,
+  ): Promise<string[]> {
+    const lost: string[] = [];
     let waiting = [...wanted];
     while (waiting.length > 0) {
       const turns = waiting.slice(0, MAX_REQUESTED_TURNS);
@@ -244,8 +269,10 @@
         wanted.delete(id);
       }
       for (const id of answer.expired) wanted.delete(id);
+      lost.push(...answer.lost);
       waiting = waiting.slice(Math.max(1, answer.covered));
     }
+    return lost;
   }
 }
 
