The first batch of a log segment brings its head, also in a segment that a start found without one

The head goes with the first batch now, in one write and one sync in place of two, and a start's first batch repeats it. The fixed test kills at the same operation, which now comes with the batch after; it fails on the code before as it did.

--- a/src/log-store/write-ahead-log-power-loss.test.ts
+++ b/src/log-store/write-ahead-log-power-loss.test.ts
@@ -233,13 +233,14 @@
   return log.append([{ kind: 'entries', group: GROUP, entries }]);
 }
 
-/** A member that voted fills the first segment; its process is killed while it makes the second one. */
+/** A member that voted fills the first segment; its process is killed while it makes the second one, or begins it. */
 async function killInSecondSegment(disk: SimulatedDisk, operation: string): Promise<void> {
   const log = await openLog(disk);
   const state = { term: TERM, votedFor: MEMBER };
   await log.append([{ kind: 'hard-state', group: GROUP, state }]);
   disk.killBefore = operation;
-  await expect(appendEntry(log, SEGMENT_BYTES)).rejects.toThrow();
+  const goOnInSecond = appendEntry(log, SEGMENT_BYTES).then(() => appendEntry(log));
+  await expect(goOnInSecond).rejects.toThrow();
 }
 
 describe('a write-ahead log', () => {
--- a/src/log-store/write-ahead-log.ts
+++ b/src/log-store/write-ahead-log.ts
@@ -59,6 +59,11 @@
   bytes: number;
   /** The highest entry index of each group in this segment. */
   highestIndex: Map<string, number>;
+  /**
+   * Whether it repeats term, vote and snapshot mark of every group, which may stand nowhere else once the
+   * segments before it are gone.
+   */
+  hasHead: boolean;
 }
 
 export class WriteAheadLog {
@@ -219,11 +224,13 @@
   }
 
   private async writeBatch(batch: QueuedWrite[]): Promise<void> {
+    const segment = this.currentSegment;
     const records = batch.flatMap((write) => write.records);
-    const bodies = batch.flatMap((write) => write.bodies);
+    const head = segment.hasHead ? [] : this.headRecords().map(encodeLogRecord);
+    const bodies = [...head, ...batch.flatMap((write) => write.bodies)];
     const bytes = Buffer.concat(bodies.map((body) => encodeRecord(body, this.syncedOffset)));
-    const segment = this.currentSegment;
     await appendAndSync(this.file, bytes, segment.bytes, this.options.folder);
+    segment.hasHead = true;
     segment.bytes += bytes.length;
     this.syncedOffset = segment.bytes;
     this.markerNeeded = true;
@@ -250,26 +257,29 @@
     }
   }
 
-  /** @throws DiskFullError when there is no room; the log goes on in the segment before */
-  private async startSegment(number: number): Promise<void> {
-    const { folder } = this.options;
-    const file = await createFile(this.segmentPath(number), this.openFile);
-    const heads = [...this.groups].flatMap(([group, state]): LogRecord[] => [
+  private headRecords(): LogRecord[] {
+    return [...this.groups].flatMap(([group, state]): LogRecord[] => [
       { kind: 'hard-state', group, state: state.hardState },
       { kind: 'snapshot', group, mark: state.snapshot },
     ]);
-    const bytes = Buffer.concat(heads.map((head) => encodeRecord(encodeLogRecord(head), 0)));
+  }
+
+  /**
+   * The first batch that is written to it brings the head.
+   * @throws DiskFullError when there is no room; the log goes on in the segment before
+   */
+  private async startSegment(number: number): Promise<void> {
+    const file = await createFile(this.segmentPath(number), this.openFile);
     try {
-      if (bytes.length > 0) await appendAndSync(file, bytes, 0, folder);
-      await syncFolder(folder);
+      await syncFolder(this.options.folder);
     } catch (error) {
       await file.close();
       throw error;
     }
     const previous: LogFile | undefined = this.file;
     this.file = file;
-    this.segments.push({ number, bytes: bytes.length, highestIndex: new Map() });
-    this.syncedOffset = bytes.length;
+    this.segments.push({ number, bytes: 0, highestIndex: new Map(), hasHead: false });
+    this.syncedOffset = 0;
     await previous?.close();
   }
 
@@ -313,7 +323,8 @@
   private async recoverSegment(number: number, isLast: boolean): Promise<void> {
     const path = this.segmentPath(number);
     const bytes = await readFile(path);
-    const segment: Segment = { number, bytes: 0, highestIndex: new Map() };
+    // A killed process may have left no head, or a part of one: the next batch writes it again.
+    const segment: Segment = { number, bytes: 0, highestIndex: new Map(), hasHead: false };
     while (segment.bytes < bytes.length) {
       const record = decodeRecord(bytes, segment.bytes);
       if (!record) break;
