--- a/src/log-store/write-ahead-log.ts
+++ b/src/log-store/write-ahead-log.ts
@@ -317,7 +317,9 @@
     }
     this.file = await this.openFile(this.segmentPath(this.currentSegment.number), 'r+');
     this.syncedOffset = this.currentSegment.bytes;
+    // What a killed process wrote, and the names of the files it made, may be in the machine's memory only.
     await this.file.datasync();
+    await syncFolder(this.options.folder);
   }
 
   private async recoverSegment(number: number, isLast: boolean): Promise<void> {
