An empty folder that a start finds is synced above: a killed process may have made it

Syncing goes up to the first folder that holds more than the one below it, which an interrupted start cannot have made. The test that said an existing folder costs nothing used an empty one; it says so of one in use now, and a second one what an empty one costs. The simulated disk's root holds a folder of its own, as a file system's does.

--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -1,5 +1,5 @@
 /** File operations of a data folder, with the syncs that make them last. */
-import { type FileHandle, mkdir, open, readFile, rename, rm } from 'node:fs/promises';
+import { type FileHandle, mkdir, open, readFile, readdir, rename, rm } from 'node:fs/promises';
 import { dirname, join } from 'node:path';
 import { DiskFullError, StorageFailedError, StorageFullError } from './errors.js';
 
@@ -27,11 +27,25 @@
  */
 export async function makeFolder(path: string): Promise<void> {
   const firstMade = await mkdir(path, { recursive: true });
-  if (firstMade === undefined) return;
+  if (firstMade === undefined) return syncUnusedFolder(path);
   const stop = dirname(firstMade);
   for (let made = path; made !== stop; made = dirname(made)) await syncFolder(dirname(made));
 }
 
+/**
+ * A process that was killed may have made an empty folder, with some above it that hold nothing else, and not
+ * synced their names.
+ */
+async function syncUnusedFolder(path: string): Promise<void> {
+  let folder = path;
+  let mostNames = 0;
+  while (folder !== dirname(folder) && (await readdir(folder)).length <= mostNames) {
+    folder = dirname(folder);
+    await syncFolder(folder);
+    mostNames = 1;
+  }
+}
+
 /** Syncs a folder, so that created and renamed entries last. */
 export async function syncFolder(path: string): Promise<void> {
   const folder = await open(path, 'r');
--- a/src/log-store/make-folder.test.ts
+++ b/src/log-store/make-folder.test.ts
@@ -1,5 +1,5 @@
 /** Folders that outlive a loss of power together with the files that are synced in them. */
-import { existsSync } from 'node:fs';
+import { existsSync, mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { beforeEach, describe, expect, it, vi } from 'vitest';
 import { temporaryFolder } from '../../tests/support/temporary-folder.js';
@@ -37,12 +37,22 @@
     expect(synced).toEqual([join(root, 'a', 'b'), join(root, 'a'), root]);
   });
 
-  it('costs nothing when it is there', async () => {
+  it('costs nothing when it is there and in use', async () => {
     const path = temporaryFolder();
+    writeFileSync(join(path, 'file'), '');
     await makeFolder(path);
     expect(synced).toEqual([]);
   });
 
+  it('is synced when it is there and empty, up to the first folder that holds more', async () => {
+    const root = temporaryFolder();
+    const path = join(root, 'a', 'b');
+    mkdirSync(path, { recursive: true });
+    writeFileSync(join(root, 'file'), '');
+    await makeFolder(path);
+    expect(synced).toEqual([join(root, 'a'), root]);
+  });
+
   it('is made so by the log and by the value store', async () => {
     const root = temporaryFolder();
     const log = await WriteAheadLog.open({
--- a/tests/support/simulated-disk.ts
+++ b/tests/support/simulated-disk.ts
@@ -41,7 +41,7 @@
 const disks = new Map<string, SimulatedDisk>();
 
 export class SimulatedDisk {
-  private root = new FolderNode(undefined);
+  private root = emptyRoot();
   private process = 0;
   private isProcessAlive = false;
   private readonly random: SeededRandom;
@@ -99,7 +99,7 @@
   /** Ends the running process; another disk without any content takes the place of this one. */
   replaceByEmpty(): void {
     this.kill();
-    this.root = new FolderNode(undefined);
+    this.root = emptyRoot();
   }
 
   /** Names of the files and folders below a path, each with the path in front. */
@@ -153,6 +153,14 @@
   }
 }
 
+/** The top of a new file system, which holds a folder of its own. */
+function emptyRoot(): FolderNode {
+  const root = new FolderNode(undefined);
+  root.add('lost+found', new FolderNode(root));
+  root.sync();
+  return root;
+}
+
 /** Where a path of a simulated disk leads. */
 export interface SimulatedPlace {
   disk: SimulatedDisk;
