--- /dev/null
+++ b/src/ledger/kept-turns-power-loss.test.ts
@@ -0,0 +1,185 @@
+/**
+ * The ledger's group over drawn schedules of killed processes, losses of power and lost disks: every turn whose
+ * keeping was acknowledged can be continued once all members are back, and no token that was spent is forgotten.
+ */
+import { describe, expect, it, vi } from 'vitest';
+import { fuzzSeeds } from '../../tests/support/fuzz-seeds.js';
+import { DiskCluster } from '../../tests/support/simulated-disk-cluster.js';
+import { ChainWriter, readUntilRight } from '../../tests/support/simulated-disk-load.js';
+import { spreadRandom } from '../../tests/support/simulated-disk.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { type SeededRandom, monotonicMs, sleep } from '../common/index.js';
+import { checkConsensusOptions } from '../consensus/index.js';
+
+vi.mock('node:fs/promises', async (importOriginal) => {
+  const { withSimulatedDisks } = await import('../../tests/support/simulated-disk-files.js');
+  return withSimulatedDisks(await importOriginal());
+});
+
+/** How long the group may take, once its members are back, to commit and to give every history. */
+const RECOVERY_BOUND_MS = 12_000;
+const WRITERS = 4;
+const MOST_FAULTS = 4;
+const SCHEDULES = 12;
+const PLAYED_TOGETHER = 12;
+/** Longest time that the members work undisturbed before a fault, in milliseconds. */
+const LONGEST_CALM_MS = 300;
+/** A process dies at an operation of its disk that far ahead at most. */
+const MOST_OPERATIONS_AHEAD = 30;
+const LONGEST_ABSENCE_MS = 150;
+
+const CONSENSUS = checkConsensusOptions({
+  heartbeatIntervalMs: 30,
+  electionTimeoutMs: 150,
+  startupElectionTimeoutMs: 20,
+  disconnectTimeoutMs: 60,
+  snapshotEveryEntries: 20,
+  trailingEntries: 5,
+});
+
+type Fault = 'kill' | 'power' | 'disk';
+
+/** What happens to each member at one moment; undefined for those that are spared. */
+type Blow = readonly (Fault | undefined)[];
+
+function drawBlow(random: SeededRandom): Blow {
+  const one = random.integer(0, 2);
+  const onlyOne = (fault: Fault): Blow =>
+    [0, 1, 2].map((index) => (index === one ? fault : undefined));
+  const kinds: readonly (() => Blow)[] = [
+    () => onlyOne('kill'),
+    () => onlyOne('power'),
+    () => ['kill', 'kill', 'kill'],
+    () => ['kill', 'kill', 'kill'],
+    () => ['power', 'power', 'power'],
+    () => [0, 1, 2].map((index) => (index === one ? 'disk' : 'power')),
+    () => [0, 1, 2].map((index) => (index === one ? 'disk' : 'power')),
+  ];
+  return random.pick(kinds)();
+}
+
+class Schedule {
+  private readonly random: SeededRandom;
+  readonly cluster: DiskCluster;
+  readonly writers: ChainWriter[];
+
+  constructor(readonly seed: number) {
+    this.random = spreadRandom(seed);
+    const { random } = this;
+    this.cluster = new DiskCluster({
+      name: `seed-${seed}`,
+      seed,
+      consensus: CONSENSUS,
+      longestSyncMs: random.pick([0, 3, 10]),
+    });
+    this.writers = Array.from({ length: WRITERS }, (_, index) => {
+      const name = `writer-${index}`;
+      return new ChainWriter(name, this.cluster.createClient(name), random.fork());
+    });
+  }
+
+  /** @returns everything that went wrong */
+  async play(): Promise<string[]> {
+    const { cluster, writers, random } = this;
+    try {
+      await cluster.found();
+      for (const writer of writers) writer.start();
+      const faults = random.integer(2, MOST_FAULTS);
+      for (let count = 0; count < faults; count += 1) {
+        await sleep(random.integer(0, LONGEST_CALM_MS));
+        await this.strike(drawBlow(random));
+      }
+      await Promise.all(writers.map((writer) => writer.stop()));
+      return [...cluster.faults, ...(await this.findLosses())];
+    } catch (error) {
+      return [...cluster.faults, String(error), ...cluster.describeMembers()];
+    } finally {
+      await Promise.all(writers.map((writer) => writer.stop()));
+      cluster.killAll();
+    }
+  }
+
+  private async strike(blow: Blow): Promise<void> {
+    const { cluster, random } = this;
+    cluster.note(`blow ${blow.join(' ')}`);
+    if (random.chance(0.5)) await this.waitOperations(blow);
+    for (const [index, fault] of blow.entries()) {
+      if (fault) this.hit(index, fault);
+    }
+    const order = [0, 1, 2].sort(() => random.uniform() - 0.5);
+    const hit = order.filter((index) => !cluster.disks[index]!.isAlive);
+    await Promise.all(hit.map((index) => this.bringBack(index)));
+    await this.waitServing();
+    if (blow.includes('disk')) {
+      await waitUntil('whole again', () => cluster.isWhole, RECOVERY_BOUND_MS);
+    }
+  }
+
+  /** Lets one of those that are to be hit die in the middle of its work, the others at that moment. */
+  private async waitOperations(blow: Blow): Promise<void> {
+    const index = blow.findIndex((fault) => fault !== undefined);
+    const disk = this.cluster.disks[index]!;
+    disk.killAt = disk.operations.length + this.random.integer(1, MOST_OPERATIONS_AHEAD);
+    const deadline = monotonicMs() + LONGEST_CALM_MS;
+    while (disk.isAlive && monotonicMs() < deadline) await sleep(0);
+  }
+
+  private hit(index: number, fault: Fault): void {
+    const disk = this.cluster.disks[index]!;
+    if (fault === 'kill') disk.kill();
+    else if (fault === 'power') disk.losePower();
+    else disk.replaceByEmpty();
+  }
+
+  private async bringBack(index: number): Promise<void> {
+    await sleep(this.random.integer(0, LONGEST_ABSENCE_MS));
+    await this.cluster.start(index);
+  }
+
+  private async waitServing(): Promise<void> {
+    const { cluster } = this;
+    const index = (): number => cluster.leader?.group.commitIndex ?? 0;
+    await waitUntil('all serve', () => cluster.serving.length === 3, RECOVERY_BOUND_MS);
+    await waitUntil('a leader', () => cluster.leader !== undefined, RECOVERY_BOUND_MS);
+    const committed = index();
+    await waitUntil('commits', () => index() > committed, RECOVERY_BOUND_MS);
+  }
+
+  private async findLosses(): Promise<string[]> {
+    const reader = this.cluster.createClient('reader');
+    const deadline = monotonicMs() + RECOVERY_BOUND_MS;
+    const kept = this.writers.flatMap(({ acknowledged }) => acknowledged);
+    const problems = await Promise.all(
+      kept.map((chain) => readUntilRight(reader, chain, deadline)),
+    );
+    const lost = problems.filter((problem) => problem !== undefined);
+    const report = lost.length > 0 ? [`${lost.length} of ${kept.length} lost, ${lost[0]}`] : [];
+    return [...report, ...this.findForgottenTokens()];
+  }
+
+  private findForgottenTokens(): string[] {
+    const budgets = this.cluster.leader?.process.stateMachine.budgets;
+    return this.writers.flatMap(({ spentTokens }) =>
+      [...spentTokens].flatMap(([program, tokens]) => {
+        const committed = budgets?.committedTokens(program) ?? 0;
+        return committed < tokens ? [`${program}: ${committed} of ${tokens} tokens`] : [];
+      }),
+    );
+  }
+}
+
+describe('kept turns', () => {
+  it('outlive drawn kills, losses of power and lost disks', async () => {
+    const failures: string[] = [];
+    const seeds = fuzzSeeds([], SCHEDULES);
+    while (seeds.length > 0) {
+      const together = seeds.splice(0, PLAYED_TOGETHER).map((seed) => new Schedule(seed));
+      const found = await Promise.all(together.map((schedule) => schedule.play()));
+      for (const [place, problems] of found.entries()) {
+        const { seed } = together[place]!;
+        if (problems.length > 0) failures.push(`seed ${seed}: ${problems.join('; ')}`);
+      }
+    }
+    expect(failures).toEqual([]);
+  });
+});
--- a/src/log-store/write-ahead-log-power-loss.test.ts
+++ b/src/log-store/write-ahead-log-power-loss.test.ts
@@ -12,7 +12,7 @@
   SimulatedDisk,
   spreadRandom,
 } from '../../tests/support/simulated-disk.js';
-import type { SeededRandom } from '../common/index.js';
+import { Deferred, type SeededRandom } from '../common/index.js';
 import { GroupLogState } from './group-log-state.js';
 import type { LogRecord } from './records.js';
 import { WriteAheadLog } from './write-ahead-log.js';
@@ -136,7 +136,8 @@
   random: SeededRandom,
   ending: Ending | undefined,
 ): Promise<void> {
-  const { root, killed } = disk.startProcess();
+  const killed = new Deferred<void>();
+  const root = disk.startProcess(() => killed.resolve());
   disk.killAt = ending?.at ?? Number.POSITIVE_INFINITY;
   const fatal: unknown[] = [];
   const run = async (): Promise<void> => {
@@ -156,7 +157,7 @@
   const ended = run().catch((error: unknown) => {
     if (disk.isAlive || !isOfKill(error)) throw error;
   });
-  await Promise.race([ended, killed]);
+  await Promise.race([ended, killed.promise]);
   await ended;
   if (ending?.losesPower) disk.losePower();
   else disk.kill();
@@ -217,7 +218,7 @@
 
 /** @param killBefore an operation of the new process at which it is killed */
 async function openLog(disk: SimulatedDisk, killBefore?: string): Promise<WriteAheadLog> {
-  const { root } = disk.startProcess();
+  const root = disk.startProcess();
   disk.killBefore = killBefore;
   return WriteAheadLog.open({
     folder: join(root, 'data', 'log'),
--- a/tests/support/simulated-disk.ts
+++ b/tests/support/simulated-disk.ts
@@ -45,7 +45,7 @@
   private process = 0;
   private isProcessAlive = false;
   private readonly random: SeededRandom;
-  private whenKilled: () => void = () => undefined;
+  private onKilled: () => void = () => undefined;
   /** Operations of the running process so far, by name, in order. */
   operations: string[] = [];
   /** The running process is killed at this operation, counted from 1; of a write it does a drawn part. */
@@ -62,18 +62,20 @@
     disks.set(name, this);
   }
 
-  /** Starts a process. @returns its root path, and a promise for the moment in which it is killed */
-  startProcess(): { root: string; killed: Promise<void> } {
+  /**
+   * Starts a process.
+   * @param onKilled called in the moment in which it is killed, or its machine loses power
+   * @returns its root path
+   */
+  startProcess(onKilled: () => void = () => undefined): string {
     this.kill();
     this.process += 1;
     this.isProcessAlive = true;
     this.operations = [];
     this.killAt = Number.POSITIVE_INFINITY;
     this.killBefore = undefined;
-    const killed = new Promise<void>((resolve) => {
-      this.whenKilled = resolve;
-    });
-    return { root: `${SIMULATED_ROOT}/${this.name}/process-${this.process}`, killed };
+    this.onKilled = onKilled;
+    return `${SIMULATED_ROOT}/${this.name}/process-${this.process}`;
   }
 
   get isAlive(): boolean {
@@ -82,8 +84,9 @@
 
   /** Ends the running process; what it wrote stays in the machine's memory. */
   kill(): void {
+    if (!this.isProcessAlive) return;
     this.isProcessAlive = false;
-    this.whenKilled();
+    this.onKilled();
   }
 
   /**
