--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -61,7 +61,17 @@
         peer: group,
       });
     }
-    return new MemberLog(group, wal, snapshots, snapshot);
+    const log = new MemberLog(group, wal, snapshots, snapshot);
+    if (snapshot && !log.holds(snapshot)) await log.adoptSnapshot(snapshot);
+    return log;
+  }
+
+  /**
+   * Whether the log reaches a snapshot: it does not where the process before was killed between storing its
+   * leader's snapshot and letting the log go.
+   */
+  private holds({ index, term }: SnapshotMark): boolean {
+    return this.state.termAt(index) === term;
   }
 
   get hardState(): HardState {
