--- a/src/log-store/snapshot-store.ts
+++ b/src/log-store/snapshot-store.ts
@@ -1,6 +1,6 @@
 /** Snapshot files: one a group, replaced as a whole. */
 import { join } from 'node:path';
-import { makeFolder, replaceFileWith } from './data-folder.js';
+import { makeFolder, replaceFileWith, syncFolder } from './data-folder.js';
 import {
   type SnapshotHead,
   SnapshotReader,
@@ -44,6 +44,8 @@
     const reader = await this.open(group);
     if (!reader) return undefined;
     try {
+      // A killed process may have renamed the file and not synced its name.
+      await syncFolder(this.folder);
       const state = await reader.read(reader.stateBytes);
       const { index } = reader.head;
       this.latestIndex.set(group, Math.max(index, this.latestIndex.get(group) ?? 0));
