A start syncs the name of the identity file that it reads

After a kill between renaming it and syncing the folder, and then a loss of power, a member came back under another identity beside the log of the old one. The fixed test was red and passes now.

--- a/src/control/identity.ts
+++ b/src/control/identity.ts
@@ -12,6 +12,7 @@
   makeFolder,
   readFileIfPresent,
   replaceFile,
+  syncFolder,
 } from '../log-store/index.js';
 
 const IDENTITY_FILE = 'identity.json';
@@ -41,7 +42,11 @@
   static async open(folder: string, name: string): Promise<IdentityStore> {
     await makeFolder(folder);
     const bytes = await readFileIfPresent(join(folder, IDENTITY_FILE));
-    if (bytes) return new IdentityStore(folder, JSON.parse(bytes.toString('utf8')) as Identity);
+    if (bytes) {
+      // A killed process may have renamed the file and not synced its name.
+      await syncFolder(folder);
+      return new IdentityStore(folder, JSON.parse(bytes.toString('utf8')) as Identity);
+    }
     const memberId = `${name}-${randomBytes(ID_BYTES).toString('hex')}`;
     const store = new IdentityStore(folder, { memberId, state: 'new', founders: [] });
     await store.save(store.current);
