--- a/src/clustering/voter-keeper.test.ts
+++ b/src/clustering/voter-keeper.test.ts
@@ -76,7 +76,7 @@
   const victim = cluster.members.find(({ group }) => !group.isLeader)!;
   await present(victim.member);
   const old = await cluster.crash(victim.member.id);
-  cluster.loseDisk(old);
+  await cluster.loseDisk(old);
   const renewed: Member = { ...old, id: `${old.name}-second`, role: 'learner' };
   await cluster.start(renewed, false);
   await waitUntil('voter in its old place', async () => {
--- a/src/consensus/consensus.test.ts
+++ b/src/consensus/consensus.test.ts
@@ -136,7 +136,7 @@
     const leader = await cluster.waitLeader();
     const victim = cluster.members.find(({ member }) => member.id !== leader.member.id)!;
     const old = await cluster.crash(victim.member.id);
-    cluster.loseDisk(old);
+    await cluster.loseDisk(old);
     const renewed = { ...old, id: `${old.name}-second`, role: 'learner' as const };
     const back = await cluster.start(renewed, false);
     await waitUntil('voter again', () => cluster.join(renewed));
@@ -159,7 +159,7 @@
     const leader = await cluster.waitLeader();
     const victim = cluster.members.find(({ member }) => member.id !== leader.member.id)!;
     const old = await cluster.crash(victim.member.id);
-    cluster.loseDisk(old);
+    await cluster.loseDisk(old);
     const renewed = { ...old, id: `${old.name}-second`, role: 'learner' as const };
     const back = await cluster.start(renewed, false);
     const other = cluster.members.find(
--- a/src/ledger/copied-values.test.ts
+++ b/src/ledger/copied-values.test.ts
@@ -68,7 +68,7 @@
     const client = ledger.createClient('gateway');
     await client.settle(KEPT_TURN, LIMITS.timeoutMs);
     const { member } = await cluster.waitLeader();
-    cluster.loseDisk(await cluster.crash(member.id));
+    await cluster.loseDisk(await cluster.crash(member.id));
     await cluster.waitLeader(member.id);
     const groups = new GroupClient({ peers: cluster.network.peersOf('other'), addresses });
     const { outcome, history } = await callLeader(groups, LEDGER_GROUP, RESERVE, NEXT_TURN, LIMITS);
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -1,5 +1,5 @@
 /** A replicated group of several members in one process, over a network that can be cut. */
-import { rmSync } from 'node:fs';
+import { rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { onTestFinished } from 'vitest';
 import {
@@ -143,8 +143,8 @@
     return running.member;
   }
 
-  loseDisk(member: Member): void {
-    rmSync(this.folderOf(member), { recursive: true, force: true });
+  async loseDisk(member: Member): Promise<void> {
+    await rm(this.folderOf(member), { recursive: true, force: true });
   }
 
   async stopAll(): Promise<void> {
--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -164,10 +164,12 @@
     const lost = await Promise.all(
       followers.slice(0, 2).map(({ member }) => cluster.crash(member.id)),
     );
-    const renewed = lost.map((member) => {
-      cluster.loseDisk(member);
-      return { ...member, id: `${member.name}-second`, role: 'learner' as const };
-    });
+    await Promise.all(lost.map((member) => cluster.loseDisk(member)));
+    const renewed = lost.map((member) => ({
+      ...member,
+      id: `${member.name}-second`,
+      role: 'learner' as const,
+    }));
     for (const member of renewed) {
       this.members.push(serveLedger(await cluster.start(member, false), cluster.network));
       await waitUntil('settled', () => group.isConfigurationSettled);
--- a/tests/support/loopback-network.ts
+++ b/tests/support/loopback-network.ts
@@ -23,6 +23,12 @@
   lane: string;
 }
 
+interface CallContext {
+  step: string;
+  peer: string;
+  retriable: boolean;
+}
+
 export class LoopbackNetwork {
   private readonly routers = new Map<string, MethodRouter>();
   private readonly cuts = new Set<string>();
@@ -94,7 +100,7 @@
     const answer = this.call(caller, to, method, request, options);
     if (!this.links) return answer;
     const context = { step: method.name, peer: to, retriable: true };
-    return Promise.race([answer, this.neverAnswers(options, context)]);
+    return this.unlessLate(answer, options, context);
   }
 
   private async call<Request, Response>(
@@ -116,7 +122,7 @@
     let answer: unknown;
     try {
       const answered = handler(decodeValue(requestBytes), { peerName: from });
-      answer = await Promise.race([answered, this.neverAnswers(options, context)]);
+      answer = await this.unlessLate(Promise.resolve(answered), options, context);
     } catch (error) {
       if (error instanceof TimeoutError) throw error;
       const { name, message } = error as Error;
@@ -135,11 +141,26 @@
     return !isCut;
   }
 
+  private async unlessLate<Response>(
+    answer: Promise<Response>,
+    options: CallOptions,
+    context: CallContext,
+  ): Promise<Response> {
+    const answered = new AbortController();
+    try {
+      return await Promise.race([answer, this.neverAnswers(options, context, answered.signal)]);
+    } finally {
+      answered.abort();
+    }
+  }
+
+  /** @param answered ends the wait of a call that has its answer: many calls a second leave no timers behind */
   private async neverAnswers(
     options: CallOptions,
-    context: { step: string; peer: string; retriable: boolean },
+    context: CallContext,
+    answered?: AbortSignal,
   ): Promise<never> {
-    await sleep(options.timeoutMs);
+    await sleep(options.timeoutMs, answered);
     throw new TimeoutError('no response in time', context);
   }
 }
