Heartbeats go to members, not to addresses: a learner's answer no longer counts for the voter before it

A member that lost its disk comes back under another identity at the same address. The leader's message to that address had heartbeats for both, and the new one's answer was taken for the old voter's: a voter that was gone counted for the quorum and for commits, so that an entry held by one voter of three was committed, and the learner was unheard between appends (207 ms of 200). Each message has the heartbeats for one member now; what is on the wire is as before.

--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -33,6 +33,12 @@
   onLeadershipChange: (group: ReplicatedGroup) => void;
 }
 
+/** Heartbeats of all groups that this process leads and one member belongs to. */
+interface MemberHeartbeats {
+  address: string;
+  heartbeats: Heartbeat[];
+}
+
 /** Messages that are small and must not wait behind entries. */
 const URGENT_METHODS: ReadonlySet<string> = new Set([HEARTBEATS.name, VOTE.name, TRANSFER.name]);
 
@@ -190,19 +196,23 @@
     });
   }
 
+  /**
+   * One message a member, not an address: where a member came back without its disk both identities have the
+   * same address, and an answer of the new one must not count for the old.
+   */
   private sendHeartbeats(): void {
-    const byAddress = new Map<string, Heartbeat[]>();
+    const batches = new Map<string, MemberHeartbeats>();
     for (const group of this.groups.values()) {
       if (!group.isLeader) continue;
       for (const member of group.configuration.members) {
         const heartbeat = group.heartbeatFor(member);
         if (!heartbeat) continue;
-        const batch = byAddress.get(member.address);
-        if (batch) batch.push(heartbeat);
-        else byAddress.set(member.address, [heartbeat]);
+        const batch = batches.get(member.id);
+        if (batch) batch.heartbeats.push(heartbeat);
+        else batches.set(member.id, { address: member.address, heartbeats: [heartbeat] });
       }
     }
-    for (const [address, heartbeats] of byAddress) void this.exchange(address, heartbeats);
+    for (const { address, heartbeats } of batches.values()) void this.exchange(address, heartbeats);
   }
 
   private async exchange(address: string, heartbeats: Heartbeat[]): Promise<void> {
