A member that lags behind turns that are over is never brought back, red; drawn schedules with more kinds of blows

A member was away while turns were kept that were over when it came back; another lost its disk. It asks for values as of the last entry of the batch, which the leader can't have applied, since its commit waits for this member; so the leader never says which turns are over. Reduced to fixed steps.

--- a/src/ledger/kept-turns-power-loss.test.ts
+++ b/src/ledger/kept-turns-power-loss.test.ts
@@ -9,7 +9,10 @@
 import { spreadRandom } from '../../tests/support/simulated-disk.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { type SeededRandom, monotonicMs, sleep } from '../common/index.js';
-import { checkConsensusOptions } from '../consensus/index.js';
+import { type ConsensusOptions, checkConsensusOptions } from '../consensus/index.js';
+import { encodeValue } from '../wire/index.js';
+import type { SettleCommand } from './ledger-commands.js';
+import { ValueCopies } from './value-copies.js';
 
 vi.mock('node:fs/promises', async (importOriginal) => {
   const { withSimulatedDisks } = await import('../../tests/support/simulated-disk-files.js');
@@ -19,49 +22,63 @@
 /** How long the group may take, once its members are back, to commit and to give every history. */
 const RECOVERY_BOUND_MS = 12_000;
 const WRITERS = 4;
-const MOST_FAULTS = 4;
+const MOST_BLOWS = 4;
 const SCHEDULES = 12;
 const PLAYED_TOGETHER = 12;
-/** Longest time that the members work undisturbed before a fault, in milliseconds. */
+/** Longest time that the members work undisturbed before a blow, in milliseconds. */
 const LONGEST_CALM_MS = 300;
 /** A process dies at an operation of its disk that far ahead at most. */
 const MOST_OPERATIONS_AHEAD = 30;
-const LONGEST_ABSENCE_MS = 150;
+const SHORT_ABSENCE_MS = 150;
+/** The others make snapshots meanwhile, so that the member is sent one. */
+const LONG_ABSENCE_MS = 600;
+/** By so much the ledger's clock is ahead after each blow: beyond the life of turns that are over soon. */
+const CLOCK_STEP_MS = 12_000;
 
-const CONSENSUS = checkConsensusOptions({
+const TIMING: ConsensusOptions = {
   heartbeatIntervalMs: 30,
   electionTimeoutMs: 150,
   startupElectionTimeoutMs: 20,
   disconnectTimeoutMs: 60,
-  snapshotEveryEntries: 20,
-  trailingEntries: 5,
-});
+};
 
 type Fault = 'kill' | 'power' | 'disk';
 
 /** What happens to each member at one moment; undefined for those that are spared. */
 type Blow = readonly (Fault | undefined)[];
 
-function drawBlow(random: SeededRandom): Blow {
-  const one = random.integer(0, 2);
-  const onlyOne = (fault: Fault): Blow =>
-    [0, 1, 2].map((index) => (index === one ? fault : undefined));
-  const kinds: readonly (() => Blow)[] = [
-    () => onlyOne('kill'),
-    () => onlyOne('power'),
-    () => ['kill', 'kill', 'kill'],
-    () => ['kill', 'kill', 'kill'],
-    () => ['power', 'power', 'power'],
-    () => [0, 1, 2].map((index) => (index === one ? 'disk' : 'power')),
-    () => [0, 1, 2].map((index) => (index === one ? 'disk' : 'power')),
+const MEMBERS = [0, 1, 2];
+
+function strikeOne(random: SeededRandom, one: Fault, others?: Fault): Blow {
+  const struck = random.pick(MEMBERS);
+  return MEMBERS.map((index) => (index === struck ? one : others));
+}
+
+function strikeAll(fault: Fault): Blow {
+  return MEMBERS.map(() => fault);
+}
+
+/** Processes die or machines lose power; no disk is lost. */
+function drawMildBlow(random: SeededRandom): Blow {
+  const kinds = [
+    () => strikeOne(random, 'kill'),
+    () => strikeOne(random, 'power'),
+    () => strikeOne(random, 'kill', 'power'),
+    () => strikeAll('kill'),
+    () => strikeAll('power'),
   ];
   return random.pick(kinds)();
 }
 
+function drawBlow(random: SeededRandom): Blow {
+  if (random.chance(0.6)) return drawMildBlow(random);
+  return strikeOne(random, 'disk', random.pick(['power', 'power', 'kill', undefined]));
+}
+
 class Schedule {
   private readonly random: SeededRandom;
-  readonly cluster: DiskCluster;
-  readonly writers: ChainWriter[];
+  private readonly cluster: DiskCluster;
+  private readonly writers: ChainWriter[];
 
   constructor(readonly seed: number) {
     this.random = spreadRandom(seed);
@@ -69,12 +86,18 @@
     this.cluster = new DiskCluster({
       name: `seed-${seed}`,
       seed,
-      consensus: CONSENSUS,
+      consensus: checkConsensusOptions({
+        ...TIMING,
+        snapshotEveryEntries: random.integer(5, 60),
+        trailingEntries: random.integer(0, 20),
+      }),
       longestSyncMs: random.pick([0, 3, 10]),
     });
+    const { cluster } = this;
     this.writers = Array.from({ length: WRITERS }, (_, index) => {
       const name = `writer-${index}`;
-      return new ChainWriter(name, this.cluster.createClient(name), random.fork());
+      const copies = new ValueCopies(cluster.network.notifierOf(name));
+      return new ChainWriter(name, cluster.createClient(name), copies, random.fork());
     });
   }
 
@@ -84,8 +107,8 @@
     try {
       await cluster.found();
       for (const writer of writers) writer.start();
-      const faults = random.integer(2, MOST_FAULTS);
-      for (let count = 0; count < faults; count += 1) {
+      const blows = random.integer(2, MOST_BLOWS);
+      for (let count = 0; count < blows; count += 1) {
         await sleep(random.integer(0, LONGEST_CALM_MS));
         await this.strike(drawBlow(random));
       }
@@ -101,18 +124,55 @@
 
   private async strike(blow: Blow): Promise<void> {
     const { cluster, random } = this;
-    cluster.note(`blow ${blow.join(' ')}`);
-    if (random.chance(0.5)) await this.waitOperations(blow);
+    await this.hitAll(blow);
+    // While members come back, and a new one is taken in, more may happen, but no other disk may go.
+    if (random.chance(0.3)) await this.hitAgain();
+    await this.bringAllBack();
+    if (blow.includes('disk')) {
+      if (random.chance(0.4)) await this.hitAgain();
+      await this.bringAllBack();
+      await waitUntil('whole again', () => cluster.isWhole, RECOVERY_BOUND_MS);
+    }
+    await this.passTime();
+  }
+
+  private async hitAgain(): Promise<void> {
+    const { random, cluster } = this;
+    const back = MEMBERS.filter((index) => !cluster.disks[index]!.isAlive && random.chance(0.7));
+    for (const index of back) void cluster.start(index);
+    await sleep(random.integer(0, LONGEST_CALM_MS));
+    await this.hitAll(drawMildBlow(random));
+  }
+
+  private async hitAll(blow: Blow): Promise<void> {
+    this.cluster.note(`blow ${blow.map((fault) => fault ?? 'none').join(' ')}`);
+    if (this.random.chance(0.5)) await this.waitOperations(blow);
     for (const [index, fault] of blow.entries()) {
       if (fault) this.hit(index, fault);
     }
-    const order = [0, 1, 2].sort(() => random.uniform() - 0.5);
-    const hit = order.filter((index) => !cluster.disks[index]!.isAlive);
-    await Promise.all(hit.map((index) => this.bringBack(index)));
+  }
+
+  private async bringAllBack(): Promise<void> {
+    const { cluster, random } = this;
+    const absenceMs = random.chance(0.3) ? LONG_ABSENCE_MS : SHORT_ABSENCE_MS;
+    const away = MEMBERS.filter((index) => !cluster.disks[index]!.isAlive);
+    await Promise.all(
+      away.map(async (index) => {
+        await sleep(random.integer(0, absenceMs));
+        await cluster.start(index);
+      }),
+    );
     await this.waitServing();
-    if (blow.includes('disk')) {
-      await waitUntil('whole again', () => cluster.isWhole, RECOVERY_BOUND_MS);
-    }
+  }
+
+  /** Ends the life of turns that are over soon, and with it whole segments of values. */
+  private async passTime(): Promise<void> {
+    const { group, process } = this.cluster.leader ?? {};
+    if (!group || !process) return;
+    const nowMs = process.stateMachine.clockMs + CLOCK_STEP_MS;
+    const command: SettleCommand = { kind: 'settle', settlements: [], nowMs };
+    // Without a leader time passes at the next one.
+    await group.propose(encodeValue(command)).catch(() => undefined);
   }
 
   /** Lets one of those that are to be hit die in the middle of its work, the others at that moment. */
@@ -131,11 +191,6 @@
     else disk.replaceByEmpty();
   }
 
-  private async bringBack(index: number): Promise<void> {
-    await sleep(this.random.integer(0, LONGEST_ABSENCE_MS));
-    await this.cluster.start(index);
-  }
-
   private async waitServing(): Promise<void> {
     const { cluster } = this;
     const index = (): number => cluster.leader?.group.commitIndex ?? 0;
--- /dev/null
+++ b/src/ledger/lagging-member-power-loss.test.ts
@@ -0,0 +1,71 @@
+/** A member that was away while turns were kept and went, and is needed for the next commit. */
+import { describe, expect, it } from 'vitest';
+import { MemoryValues } from '../../tests/support/memory-values.js';
+import type { Member } from '../consensus/index.js';
+import type { LogEntry } from '../log-store/index.js';
+import { createLogger } from '../observability/index.js';
+import { encodeValue } from '../wire/index.js';
+import type { SettleCommand, Settlement } from './ledger-commands.js';
+import { LedgerStateMachine } from './ledger-state-machine.js';
+import type { ReadTurnsAnswer, ReadTurnsRequest } from './messages.js';
+
+const LEADER: Member = { id: 'leader-id', name: 'leader', address: 'leader', role: 'voter' };
+const SHORT_RETENTION_MS = 1_000;
+/** Turns that are kept for so short a time are over by then. */
+const LATER_MS = 60_000;
+/** A leader sends the same entries again where it got no answer. */
+const TRIES = 3;
+
+function createState(
+  readTurnsAt: (request: ReadTurnsRequest) => Promise<ReadTurnsAnswer>,
+): LedgerStateMachine {
+  return new LedgerStateMachine({
+    values: new MemoryValues(),
+    readTurnsAt: (_address, request) => readTurnsAt(request),
+    logger: createLogger({ test: 'lagging-member' }),
+  });
+}
+
+function settle(index: number, nowMs: number, keptTurns: readonly string[]): LogEntry {
+  const settlements = keptTurns.map((attempt): Settlement => {
+    const keep = { retentionMs: SHORT_RETENTION_MS };
+    return { program: 'p', attempt, spentTokens: 1, keep };
+  });
+  const command: SettleCommand = { kind: 'settle', settlements, nowMs };
+  return { index, term: 1, kind: 'command', data: encodeValue(command) };
+}
+
+async function isTaken(state: LedgerStateMachine, entries: LogEntry[]): Promise<boolean> {
+  for (let count = 0; count < TRIES; count += 1) {
+    try {
+      await state.external.attach(entries, [LEADER], false);
+      return true;
+    } catch {
+      // Sent again.
+    }
+  }
+  return false;
+}
+
+describe('a member that was away', () => {
+  /**
+   * One of three members was away while the other two kept turns, some of which were over by the time it came back;
+   * then another lost its disk. The leader sent it all that it lacked in one go, with an entry at the end that nothing
+   * could commit without it. It asked for the values as of that last entry, which the leader had not applied, so that the
+   * leader didn't say which turns were over: `kept turns fetched {"asked":16,"missing":16}` once a second, and no
+   * commit any more, though the leader's state had let these turns go.
+   */
+  it('takes entries that name turns which are over, together with one that waits for its commit', async () => {
+    const kept = settle(5, 0, ['over']);
+    const sweeping = settle(6, LATER_MS, []);
+    const uncommitted = settle(7, LATER_MS, ['new']);
+    const leader = createState(() => Promise.reject(new Error('the leader asks nobody')));
+    for (const { data, index } of [kept, sweeping]) leader.apply(data, index);
+    await leader.external.hold(new Map([['new', Buffer.from('value')]]));
+    const follower = createState(async (request) => {
+      const isStateLateEnough = request.atIndex !== undefined && request.atIndex <= sweeping.index;
+      return leader.external.answer(request, isStateLateEnough);
+    });
+    expect(await isTaken(follower, [kept, sweeping, uncommitted])).toBe(true);
+  });
+});
--- a/tests/support/simulated-disk-load.ts
+++ b/tests/support/simulated-disk-load.ts
@@ -1,9 +1,18 @@
 /** Programs whose turns are kept one after the other, and what may be relied on of them afterwards. */
 import { type SeededRandom, monotonicMs, sleep } from '../../src/common/index.js';
 import { type GroupClient, callLeader } from '../../src/consensus/index.js';
-import { LEDGER_GROUP, RESERVE, SETTLE, type Settlement } from '../../src/ledger/index.js';
+import {
+  LEDGER_GROUP,
+  RESERVE,
+  SETTLE,
+  type Settlement,
+  type ValueCopies,
+} from '../../src/ledger/index.js';
 
 const RETENTION_MS = 600_000;
+/** Of programs whose turns are over soon, so that segments of values are cleaned. */
+const SHORT_RETENTION_MS = 1_000;
+const SHORT_LIVED_SHARE = 0.4;
 const LONGEST_CHAIN = 6;
 const LONGEST_VALUE_BYTES = 400;
 const LONGEST_PAUSE_MS = 6;
@@ -20,7 +29,7 @@
 
 /** One program after the other, each a chain of turns. */
 export class ChainWriter {
-  /** Acknowledged turns, in order. */
+  /** Acknowledged turns that are kept for long, in order. */
   readonly acknowledged: KeptChain[] = [];
   /** Tokens of acknowledged turns by program. */
   readonly spentTokens = new Map<string, number>();
@@ -31,6 +40,7 @@
   constructor(
     readonly name: string,
     private readonly client: GroupClient,
+    private readonly copies: ValueCopies,
     private readonly random: SeededRandom,
   ) {}
 
@@ -50,9 +60,12 @@
 
   private async runProgram(program: string): Promise<void> {
     const length = this.random.integer(1, LONGEST_CHAIN);
+    const isShortLived = this.random.chance(SHORT_LIVED_SHARE);
+    const retentionMs = isShortLived ? SHORT_RETENTION_MS : RETENTION_MS;
     let previous: KeptChain | undefined;
     for (let count = 0; count < length && !this.isStopped; count += 1) {
-      previous = await this.keepTurn(program, previous);
+      previous = await this.keepTurn(program, retentionMs, previous);
+      if (previous && !isShortLived) this.acknowledged.push(previous);
       await sleep(this.random.integer(0, LONGEST_PAUSE_MS));
     }
   }
@@ -60,6 +73,7 @@
   /** Asks again for the same turn until it is acknowledged, as a gateway does. */
   private async keepTurn(
     program: string,
+    retentionMs: number,
     previous: KeptChain | undefined,
   ): Promise<KeptChain | undefined> {
     this.turns += 1;
@@ -73,25 +87,25 @@
         previousTurn: previous?.turn,
         input: Buffer.from(input),
         output: Buffer.from(';'),
-        retentionMs: RETENTION_MS,
+        retentionMs,
       },
     };
     while (!this.isStopped) {
       if (!(await this.settle(settlement))) continue;
-      const kept = { turn, history: `${previous?.history ?? ''}${input};` };
-      this.acknowledged.push(kept);
       this.spentTokens.set(program, (this.spentTokens.get(program) ?? 0) + SPENT_TOKENS);
-      return kept;
+      return { turn, history: `${previous?.history ?? ''}${input};` };
     }
     return undefined;
   }
 
   /** @returns whether it was acknowledged */
   private async settle(settlement: Settlement): Promise<boolean> {
-    const request = { settlements: [settlement] };
+    const request = { settlements: [settlement], copiedTo: this.copies.send(settlement) };
     const limits = { timeoutMs: CALL_TIMEOUT_MS };
     try {
-      return (await callLeader(this.client, LEDGER_GROUP, SETTLE, request, limits)).isSettled;
+      const answer = await callLeader(this.client, LEDGER_GROUP, SETTLE, request, limits);
+      if (answer.copyTargets) this.copies.noteTargets(answer.copyTargets);
+      return answer.isSettled;
     } catch {
       return false;
     }
