A member that lags asks for missing values as of the last entry that names one of them

It asked as of the last entry of the batch. Where the group needs the member to commit that entry, nobody can have applied it, so that the leader never said which turns were over, and a group of two committed nothing: 'asked 16, missing 16' once a second.

--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -40,6 +40,12 @@
 /** In the place of a value that nobody needs any more. */
 const NO_VALUE = Buffer.alloc(0);
 
+/** A turn that a log entry names, and the entry's index. */
+interface TurnAtIndex {
+  turn: string;
+  index: number;
+}
+
 export interface TurnHistoriesOptions {
   turns: KeptTurns;
   values: TurnValues;
@@ -130,11 +136,13 @@
     getsCopies: boolean,
   ): Promise<readonly LogEntry[]> {
     const turnsOf = entries.map((entry) => this.options.turnsNamedIn(entry));
-    const named = turnsOf.flat();
+    const named = entries.flatMap(({ index }, place) =>
+      turnsOf[place]!.map((turn): TurnAtIndex => ({ turn, index })),
+    );
     if (named.length === 0) return entries;
     if (getsCopies) await this.waitForCopies(named);
     // One after the other: a leader that hears nothing in time sends the same entries again.
-    const obtained = this.obtaining.then(() => this.obtain(named, sources, entries.at(-1)!.index));
+    const obtained = this.obtaining.then(() => this.obtain(named, sources));
     this.obtaining = obtained.catch(() => undefined);
     await obtained;
     return Promise.all(entries.map((entry, place) => this.withValues(entry, turnsOf[place]!)));
@@ -173,14 +181,20 @@
     if (!values.has(turn)) values.put(turn, Buffer.from(value));
   }
 
-  private async obtain(
-    named: readonly string[],
-    sources: readonly Member[],
-    atIndex: number,
-  ): Promise<void> {
-    const missing = new Set(this.missingOf(named));
-    if (missing.size > 0) await this.fetch(missing, sources, atIndex);
-    if (missing.size > 0) throw missingError(missing.size);
+  /**
+   * Others are asked as of the last entry that names something missing. They can't have applied one that is still
+   * to be committed, and don't say then which turns are over; once its own turns have come, an earlier entry is the
+   * last.
+   */
+  private async obtain(named: readonly TurnAtIndex[], sources: readonly Member[]): Promise<void> {
+    let missing = this.missingOf(named);
+    while (missing.length > 0) {
+      const wanted = new Set(missing.map(({ turn }) => turn));
+      await this.fetch(wanted, sources, missing.at(-1)!.index);
+      const left = missing.filter(({ turn }) => wanted.has(turn));
+      if (left.length === missing.length) throw missingError(wanted.size);
+      missing = left;
+    }
   }
 
   /**
@@ -196,11 +210,11 @@
     return { ...entry, attachments: values.map((value) => value ?? NO_VALUE) };
   }
 
-  private missingOf(named: readonly string[]): string[] {
-    return named.filter((turn) => !this.options.values.has(turn));
+  private missingOf(named: readonly TurnAtIndex[]): TurnAtIndex[] {
+    return named.filter(({ turn }) => !this.options.values.has(turn));
   }
 
-  private async waitForCopies(named: readonly string[]): Promise<void> {
+  private async waitForCopies(named: readonly TurnAtIndex[]): Promise<void> {
     const deadlineMs = monotonicMs() + COPY_WAIT_MS;
     for (;;) {
       const leftMs = deadlineMs - monotonicMs();
