A leader's refusal is told apart from a member that does not lead

Cause: the answer of a leader that refused (overloaded, log full, history missing) crossed the wire as the same text as 'not the leader'. Its clients forgot the leader, asked the others, and reported what the last of them had said. Before: nine of a second's questions went to members that do not lead; the error was 'no leader answered: ...'. After: none; the error names the leader and its reason (LeaderRefusedError, still a GroupUnavailableError), and the same leader is asked again after a pause, as before. A refusal after the end of leadership stays a redirect. One function words both in place of one each for typed calls and for commands and queries.

--- a/src/consensus/errors.ts
+++ b/src/consensus/errors.ts
@@ -1,4 +1,5 @@
-import { LedgegaugeError } from '../common/index.js';
+import { type ErrorContext, LedgegaugeError } from '../common/index.js';
+import type { LeaderRefusal } from './leader-refusal.js';
 
 /** This member does not lead the group. `leaderAddress` is where to ask instead, when known. */
 export class NotLeaderError extends LedgegaugeError {
@@ -17,6 +18,20 @@
   }
 }
 
+/** The group's leader could not be reached in time; a command may or may not have been committed. */
+export class GroupUnavailableError extends LedgegaugeError {}
+
+/** The group's leader answered, and refused what it was asked until the caller's time was over. */
+export class LeaderRefusedError extends GroupUnavailableError {
+  constructor(
+    readonly leader: string,
+    readonly refusal: LeaderRefusal,
+    context: ErrorContext,
+  ) {
+    super(`${leader} leads and refused: ${refusal.error}: ${refusal.message}`, context);
+  }
+}
+
 /** A message for another member identity arrived here, for example for one whose disk was lost. */
 export class WrongMemberError extends LedgegaugeError {}
 
--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -5,15 +5,20 @@
  * would otherwise do the same work again and again, and none of it in time. Commands may reach the log
  * twice when an answer is lost, so they must be idempotent.
  */
-import { Backoff, LedgegaugeError, monotonicMs } from '../common/index.js';
+import { Backoff, monotonicMs } from '../common/index.js';
 import { type CallOptions, type Method, decodeValue, encodeValue } from '../wire/index.js';
+import { GroupUnavailableError } from './errors.js';
 import { EXECUTE, type GroupRequest, type GroupResponse, QUERY } from './group-messages.js';
 import { LeaderHints } from './leader-hints.js';
-import { type Attempt, OpenTries, type TryResult } from './open-tries.js';
+import {
+  type Attempt,
+  OpenTries,
+  type TryAnswer,
+  type TryResult,
+  readNoAnswer,
+} from './open-tries.js';
 import type { PeerCaller } from './peer-directory.js';
-
-/** The group's leader could not be reached in time; a command may or may not have been committed. */
-export class GroupUnavailableError extends LedgegaugeError {}
+import { SearchProblem } from './search-problem.js';
 
 export interface GroupClientOptions {
   peers: PeerCaller;
@@ -33,6 +38,15 @@
   tryTimeoutMs?: number;
   /** Longest pause between two members that are asked, in milliseconds. @default 50 */
   maximumPauseMs?: number;
+  /** Called each time the leader refuses; it is asked again after a pause. */
+  onRefused?: () => void;
+}
+
+/** The member that was the last to answer as a group's leader. */
+export interface HeardLeader {
+  address: string;
+  /** How long ago it did, in milliseconds. */
+  ageMs: number;
 }
 
 const DEFAULT_TRY_TIMEOUT_MS = 700;
@@ -41,6 +55,8 @@
 
 export class GroupClient {
   private readonly leaders = new Map<string, string>();
+  /** Leaders that have answered, by group, also where they may lead no more. */
+  private readonly heard = new Map<string, { address: string; atMs: number }>();
   private readonly tryTimeoutMs: number;
   private addresses: string[];
   private nextAddress = 0;
@@ -57,6 +73,12 @@
     this.addresses = addresses;
   }
 
+  /** Who answered last as the leader of a group, whether or not it still leads. */
+  lastHeardLeader(group: string): HeardLeader | undefined {
+    const heard = this.heard.get(group);
+    return heard && { address: heard.address, ageMs: monotonicMs() - heard.atMs };
+  }
+
   /** @throws GroupUnavailableError when no leader answered in time */
   execute<Command, Result>(
     group: string,
@@ -74,6 +96,7 @@
   /**
    * Calls any method at the group's leader.
    * @param read tells a result from a redirect to another member
+   * @throws LeaderRefusedError when the leader refused it until the time was over
    * @throws GroupUnavailableError when no leader answered in time
    */
   callWithRedirect<Request, Response, Result>(
@@ -117,7 +140,7 @@
     return this.tryMembers<Answer>(group, method.name, options, async (address, limits) => {
       const answer = await this.options.peers.call(address, method, request, limits);
       if (answer.body) return { response: decodeValue<Answer>(answer.body) };
-      return { leaderAddress: answer.leaderAddress, refusal: answer.refusal };
+      return readNoAnswer(answer);
     });
   }
 
@@ -135,7 +158,7 @@
     });
     const tries = new OpenTries(attempt, { deadline, silenceMs: tryTimeoutMs });
     const hints = new LeaderHints(tries);
-    let lastProblem = 'no member asked';
+    const problem = new SearchProblem();
     let address = this.leaders.get(group) ?? this.anyAddress(tries);
     let waitMs = tryTimeoutMs;
     while (monotonicMs() < deadline) {
@@ -143,28 +166,38 @@
       else waitMs = backoff.nextDelayMs();
       const answer = await tries.next(Math.min(waitMs, deadline - monotonicMs()));
       if (answer && 'response' in answer) {
-        this.leaders.set(group, answer.address);
+        this.noteLeader(group, answer.address);
         return answer.response;
       }
-      lastProblem = answer?.refusal ?? lastProblem;
+      if (answer) problem.note(answer);
       const hint = answer && hints.follow(answer);
       if (hint !== undefined) {
         address = hint;
         waitMs = tryTimeoutMs;
         continue;
       }
-      this.leaders.delete(group);
+      const refusing = refusingMember(answer);
+      if (refusing === undefined) this.leaders.delete(group);
+      else this.noteRefused(group, refusing, options);
       hints.notePause();
       waitMs = Math.min(backoff.nextDelayMs(), Math.max(0, deadline - monotonicMs()));
       // While some are overdue, the pause is the wait for them.
       if (answer) await tries.pause(waitMs, (next) => hints.endsPause(next));
-      address = this.anyAddress(tries);
+      address = refusing ?? this.anyAddress(tries);
+      if (refusing !== undefined) waitMs = tryTimeoutMs;
     }
-    throw new GroupUnavailableError(`no leader answered: ${lastProblem}`, {
-      step,
-      peer: group,
-      retriable: true,
-    });
+    throw problem.toError(step, group);
+  }
+
+  private noteLeader(group: string, address: string): void {
+    this.leaders.set(group, address);
+    this.heard.set(group, { address, atMs: monotonicMs() });
+  }
+
+  /** Others have nothing to add to what the leader says: it is asked again itself. */
+  private noteRefused(group: string, leader: string, { onRefused }: GroupCallOptions): void {
+    this.noteLeader(group, leader);
+    onRefused?.();
   }
 
   /** The next member that may be asked, a connected one if there is any. */
@@ -189,6 +222,10 @@
   }
 }
 
+function refusingMember(answer: TryAnswer<unknown> | undefined): string | undefined {
+  return answer && 'refused' in answer ? answer.address : undefined;
+}
+
 function noMemberError(step: string, group: string): GroupUnavailableError {
   return new GroupUnavailableError('no member is known', { step, peer: group, retriable: true });
 }
--- a/src/consensus/group-messages.ts
+++ b/src/consensus/group-messages.ts
@@ -1,5 +1,6 @@
 /** How users of a replicated group, in any process, reach its leader. */
 import { defineMethod } from '../wire/index.js';
+import type { NoAnswer } from './leader-refusal.js';
 
 export interface GroupRequest {
   group: string;
@@ -7,13 +8,9 @@
   body: Uint8Array;
 }
 
-export interface GroupResponse {
+export interface GroupResponse extends NoAnswer {
   /** The encoded result; absent when this member could not answer as the leader. */
   body?: Uint8Array;
-  /** Where the leader was last known to be. */
-  leaderAddress?: string;
-  /** Why there is no result, for the error that the user finally sees. */
-  refusal?: string;
 }
 
 export const EXECUTE = defineMethod<GroupRequest, GroupResponse>('group.execute');
--- a/src/consensus/group-service.ts
+++ b/src/consensus/group-service.ts
@@ -1,9 +1,8 @@
 /** Serves commands and linearizable reads of the groups that this process leads. */
 import { type MethodRouter, encodeValue } from '../wire/index.js';
-import { LedgegaugeError } from '../common/index.js';
 import type { GroupHost } from './group-host.js';
 import { EXECUTE, type GroupResponse, QUERY } from './group-messages.js';
-import { NotLeaderError } from './errors.js';
+import { describeNoAnswer } from './leader-refusal.js';
 import type { ReplicatedGroup } from './replicated-group.js';
 
 export interface GroupServiceHooks {
@@ -39,12 +38,6 @@
   try {
     return { body: encodeValue(await work(group)) };
   } catch (error) {
-    if (error instanceof NotLeaderError) {
-      return { leaderAddress: error.leaderAddress, refusal: error.message };
-    }
-    if (error instanceof LedgegaugeError && error.retriable) {
-      return { leaderAddress: group.leaderAddress, refusal: error.describe() };
-    }
-    throw error;
+    return describeNoAnswer(group, error);
   }
 }
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -17,7 +17,7 @@
   GroupClient,
   type GroupClientOptions,
   type GroupCallOptions,
-  GroupUnavailableError,
+  type HeardLeader,
 } from './group-client.js';
 export type { TryResult } from './open-tries.js';
 export { type LeaderAnswer, answerAsLeader, callLeader } from './leader-calls.js';
--- a/src/consensus/leader-calls.ts
+++ b/src/consensus/leader-calls.ts
@@ -1,19 +1,18 @@
 /** Calls of typed methods that only the leader of a group answers: both sides of them. */
-import { LedgegaugeError } from '../common/index.js';
 import type { Method } from '../wire/index.js';
-import { NotLeaderError } from './errors.js';
 import type { GroupCallOptions, GroupClient } from './group-client.js';
+import { type NoAnswer, describeNoAnswer } from './leader-refusal.js';
+import { readNoAnswer } from './open-tries.js';
 import type { ReplicatedGroup } from './replicated-group.js';
 
 /** The leader's answer, or where the leader may be. */
-export interface LeaderAnswer<Answer> {
+export interface LeaderAnswer<Answer> extends NoAnswer {
   answer?: Answer;
-  leaderAddress?: string;
-  refusal?: string;
 }
 
 /**
  * Calls a method at the group's leader.
+ * @throws LeaderRefusedError when the leader refused it until the time was over
  * @throws GroupUnavailableError when no leader answered in time; the call may have had its effect
  */
 export function callLeader<Request, Answer>(
@@ -28,9 +27,7 @@
     method,
     request,
     (response) =>
-      response.answer === undefined
-        ? { leaderAddress: response.leaderAddress, refusal: response.refusal }
-        : { response: response.answer },
+      response.answer === undefined ? readNoAnswer(response) : { response: response.answer },
     options,
   );
 }
@@ -46,10 +43,6 @@
   try {
     return { answer: await work(group) };
   } catch (error) {
-    if (error instanceof NotLeaderError) {
-      return { leaderAddress: error.leaderAddress, refusal: error.message };
-    }
-    if (error instanceof LedgegaugeError && error.retriable) return { refusal: error.message };
-    throw error;
+    return describeNoAnswer(group, error);
   }
 }
--- a/src/consensus/leader-hints.ts
+++ b/src/consensus/leader-hints.ts
@@ -25,7 +25,7 @@
 
   /** Whether an answer that comes during a pause is worth reading at once. */
   endsPause(answer: TryAnswer<unknown>): boolean {
-    return 'response' in answer || this.isAwaitedLost(answer);
+    return 'response' in answer || 'refused' in answer || this.isAwaitedLost(answer);
   }
 
   notePause(): void {
--- a/src/consensus/leader-refusal.test.ts
+++ b/src/consensus/leader-refusal.test.ts
@@ -6,8 +6,8 @@
 import { describe, expect, it } from 'vitest';
 import { describeError } from '../common/index.js';
 import { defineMethod } from '../wire/index.js';
-import { GroupOverloadedError } from './errors.js';
-import { GroupClient, GroupUnavailableError } from './group-client.js';
+import { GroupOverloadedError, GroupUnavailableError } from './errors.js';
+import { GroupClient } from './group-client.js';
 import { type LeaderAnswer, answerAsLeader, callLeader } from './leader-calls.js';
 import type { PeerCaller } from './peer-directory.js';
 import type { ReplicatedGroup } from './replicated-group.js';
--- a/src/consensus/open-tries.ts
+++ b/src/consensus/open-tries.ts
@@ -1,10 +1,18 @@
 /** The members of a group that one call has asked and that have not answered yet. */
 import { describeError, monotonicMs } from '../common/index.js';
 import { type CallOptions, LinkError } from '../wire/index.js';
+import type { LeaderRefusal, NoAnswer } from './leader-refusal.js';
 
-/** What one member said: the result, or where else to ask. */
+/** What one member said: the result, that it leads and refuses, or where else to ask. */
 export type TryResult<Response> =
-  { response: Response } | { leaderAddress: string | undefined; refusal: string | undefined };
+  | { response: Response }
+  | { refused: LeaderRefusal }
+  | { leaderAddress: string | undefined; refusal: string | undefined };
+
+/** Reads what a member said in place of an answer. */
+export function readNoAnswer({ refused, leaderAddress, refusal }: NoAnswer): TryResult<never> {
+  return refused ? { refused } : { leaderAddress, refusal };
+}
 
 /** Asks one member. */
 export type Attempt<Response> = (
