A turn whose history is missing is refused for that, and holds no other turn up

Cause: the leader's word that no member holds a history counted as no answer. The turn was asked for until its time was over, in the only place that a silent ledger has in the gateway's window, and the outage estimate counted its time; turns beside it waited or were refused. Its caller was told 'ledger-unavailable'. Change: the leader answers that the turn is reserved without its history and how long a member that may hold it has been silent. With none silent the turn is refused at once, come back after 1 s; else it waits while that member was silent for less than the turn has left. The leader asks only members that answer it. Its tokens are settled; the granted turn without a history was not settled before. Each call's line has its reservation's steps. A leader that refuses all is still waited for as one that is away, but refusals name its reason (test: 'a leader will hardly answer in time' before).

--- a/src/consensus/group-client.ts
+++ b/src/consensus/group-client.ts
@@ -38,8 +38,6 @@
   tryTimeoutMs?: number;
   /** Longest pause between two members that are asked, in milliseconds. @default 50 */
   maximumPauseMs?: number;
-  /** Called each time the leader refuses; it is asked again after a pause. */
-  onRefused?: () => void;
 }
 
 /** The member that was the last to answer as a group's leader. */
@@ -178,11 +176,12 @@
       }
       const refusing = refusingMember(answer);
       if (refusing === undefined) this.leaders.delete(group);
-      else this.noteRefused(group, refusing, options);
+      else this.noteLeader(group, refusing);
       hints.notePause();
       waitMs = Math.min(backoff.nextDelayMs(), Math.max(0, deadline - monotonicMs()));
       // While some are overdue, the pause is the wait for them.
       if (answer) await tries.pause(waitMs, (next) => hints.endsPause(next));
+      // Others have nothing to add to what the leader says.
       address = refusing ?? this.anyAddress(tries);
       if (refusing !== undefined) waitMs = tryTimeoutMs;
     }
@@ -194,12 +193,6 @@
     this.heard.set(group, { address, atMs: monotonicMs() });
   }
 
-  /** Others have nothing to add to what the leader says: it is asked again itself. */
-  private noteRefused(group: string, leader: string, { onRefused }: GroupCallOptions): void {
-    this.noteLeader(group, leader);
-    onRefused?.();
-  }
-
   /** The next member that may be asked, a connected one if there is any. */
   private anyAddress(tries: OpenTries<unknown>): string | undefined {
     return this.nextOf(this.addresses.filter((address) => !tries.has(address)));
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -20,5 +20,6 @@
   type HeardLeader,
 } from './group-client.js';
 export type { TryResult } from './open-tries.js';
+export type { LeaderRefusal } from './leader-refusal.js';
 export { type LeaderAnswer, answerAsLeader, callLeader } from './leader-calls.js';
 export { registerGroupService, type GroupServiceHooks } from './group-service.js';
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -62,6 +62,7 @@
   | 'unknown-predecessor'
   | 'not-ready'
   | 'ledger-unavailable'
+  | 'history-missing'
   | 'no-backend'
   | 'overloaded'
   | 'not-admitted'
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -274,6 +274,7 @@
       firstMs: firstEventMs && Math.round(firstEventMs),
       ...describeReservation(exchange, reservation, keepMs),
       most: exchange.description.mostTokens || undefined,
+      previousTurn: exchange.description.previousTurn,
       events: run?.answer instanceof StreamRelay ? run.answer.events : undefined,
       sends: run && describeSends(run),
       ...describeProgram(exchange.description.program),
--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -1,5 +1,5 @@
 /** How a call that is over is worded in its log line. */
-import type { ReservationTimes } from '../ledger/index.js';
+import type { ReservationSteps, ReservationTimes } from '../ledger/index.js';
 import type { LogFields } from '../observability/index.js';
 import type { CallExchange, ProgramContext } from './call-exchange.js';
 import type { CallRun, SendRecord } from './call-run.js';
@@ -17,16 +17,29 @@
   keepMs: number | undefined,
 ): LogFields {
   if (!reservation) return {};
-  const { tookMs, times, lastBackend } = reservation;
+  const { tookMs, steps, lastBackend } = reservation;
   return {
     reserveMs: Math.round(tookMs),
-    reserveParts: times && describeTimes(times),
+    ...describeSteps(steps),
     keepMs: keepMs && Math.round(keepMs),
     inputBytes: description.body.length,
     holder: lastBackend,
   };
 }
 
+/** What a reservation went through; the leader's age is that of what this gateway knew before it asked. */
+export function describeSteps(steps: ReservationSteps): LogFields {
+  const { times, questions, knownLeader, leader, historyFrom, failed } = steps;
+  return {
+    reserveParts: describeTimes(times),
+    ledgerAsked: questions,
+    leader: leader ?? knownLeader?.address,
+    leaderAgeMs: knownLeader && Math.round(knownLeader.ageMs),
+    historyFrom,
+    failedStep: failed,
+  };
+}
+
 /** In milliseconds: waited in this gateway, asked the leader, read the history elsewhere. */
 function describeTimes({ windowMs, leaderMs, historyMs }: ReservationTimes): string {
   return [windowMs, leaderMs, historyMs].map(Math.round).join('+');
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -1,8 +1,15 @@
 /** Turns that are kept, while the ledger can't be reached for a moment. */
 import { describe, expect, it } from 'vitest';
+import { waitUntil } from '../../tests/support/wait-until.js';
 import { monotonicMs, sleep } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
-import { LedgerClient, RESERVE, SETTLE, type SettleRequest } from '../ledger/index.js';
+import {
+  LedgerClient,
+  RESERVE,
+  type ReserveAnswer,
+  SETTLE,
+  type SettleRequest,
+} from '../ledger/index.js';
 import { createLogger } from '../observability/index.js';
 import type { CompiledRoute, Route } from '../routes/index.js';
 import type { Method } from '../wire/index.js';
@@ -34,6 +41,8 @@
 
 class SwitchedLedger implements PeerCaller {
   isUp = true;
+  /** What reservations are answered with, beside being granted. */
+  granted: Pick<ReserveAnswer, 'missingHistory'> = {};
   readonly settled: SettleRequest[] = [];
 
   isConnected(): boolean {
@@ -49,7 +58,7 @@
     if (method.name === SETTLE.name) this.settled.push(request as SettleRequest);
     const answer =
       method.name === RESERVE.name
-        ? { outcome: 'granted', allowanceTokens: ALLOWANCE }
+        ? { outcome: 'granted', allowanceTokens: ALLOWANCE, ...this.granted }
         : { isSettled: true };
     return { answer } as Response;
   }
@@ -141,3 +150,32 @@
     await expect(turns.run('c', 'of another gateway')).rejects.toBeInstanceOf(RefusedError);
   });
 });
+
+describe('a turn whose history the ledger can not give', () => {
+  async function refusalOf(turns: KeptTurns): Promise<RefusedError> {
+    const error = await turns.run('c', 'of another gateway').catch((reason: unknown) => reason);
+    expect(error).toBeInstanceOf(RefusedError);
+    return error as RefusedError;
+  }
+
+  it('is told when to come back, and the log at which step and by which leader it was refused', async () => {
+    const turns = new KeptTurns();
+    turns.ledger.granted = { missingHistory: { reason: '2 kept turns are held by no member' } };
+    const refusal = await refusalOf(turns);
+    expect(refusal.reason).toBe('history-missing');
+    expect(refusal.retryAfterMs).toBeGreaterThanOrEqual(1_000);
+    expect(refusal.details).toMatchObject({ failedStep: 'read-history', leader: 'leader' });
+  });
+
+  it.each([{ missingHistory: { reason: 'none' } }, {}])(
+    'leaves none of its tokens set aside: %j',
+    async (granted) => {
+      const turns = new KeptTurns();
+      turns.ledger.granted = granted;
+      await refusalOf(turns);
+      await waitUntil('settled', () => turns.ledger.settled.length > 0);
+      const [settlement] = turns.ledger.settled.flatMap(({ settlements }) => settlements);
+      expect(settlement).toMatchObject({ attempt: 'c', spentTokens: 0 });
+    },
+  );
+});
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -3,9 +3,10 @@
  */
 import { describeError, monotonicMs } from '../common/index.js';
 import {
+  HistoryMissingError,
   type LedgerClient,
   NotReservedError,
-  type ReservationTimes,
+  ReservationSteps,
   type Settlement,
   type TurnPlacement,
   TurnHistoryCache,
@@ -14,6 +15,7 @@
 import type { CompiledRoute, Route } from '../routes/index.js';
 import { scopedId } from '../tenants/index.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
+import { describeSteps } from './call-log.js';
 import type { CallEnding, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { StreamRelay } from './stream-relay.js';
@@ -50,8 +52,8 @@
   history?: Uint8Array;
   /** How long the ledger took, in milliseconds. */
   tookMs: number;
-  /** Where that time went; absent where the ledger was not asked. */
-  times?: ReservationTimes;
+  /** Where that time went. */
+  steps: ReservationSteps;
   /** Most tokens taken from this gateway's allowance, if the ledger could not be asked. */
   allowanceTaken?: number;
   /** The back end that most likely holds the prompt of the turns before. */
@@ -116,17 +118,19 @@
           ? scopedId(tenant, previousTurn)
           : undefined,
     };
+    const steps = new ReservationSteps();
     try {
-      return await this.ask(exchange, turn, time);
+      return await this.ask(exchange, turn, time, steps);
     } catch (error) {
       if (error instanceof RefusedError) throw error;
+      const { failed: step } = steps;
       const reason = describeError(error);
-      this.options.logger.warn('reservation failed', { call, program: program?.id, reason });
+      this.options.logger.warn('reservation failed', { call, program: program?.id, step, reason });
       if (!(error instanceof NotReservedError)) {
         const { program: key, attempt } = turn;
         this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
       }
-      throw this.ledgerAway();
+      throw this.refusalOf(error, steps);
     }
   }
 
@@ -154,6 +158,7 @@
     { description }: CallExchange,
     { attempt, program, previousTurn }: TurnIds,
     { deadlineMs, typicalMs }: TurnTime,
+    steps: ReservationSteps,
   ): Promise<Reservation> {
     const startedAt = monotonicMs();
     const known = previousTurn === undefined ? undefined : this.histories.find(previousTurn);
@@ -169,18 +174,25 @@
     const usefulMs = deadlineMs - startedAt - typicalMs;
     // A history that is known here was read from the ledger or committed, so the turn before stands.
     const needsLedger = previousTurn !== undefined && known === undefined;
-    const answer = await this.options.ledger.reserve(request, usefulMs, !needsLedger);
+    const answer = await this.options.ledger.reserve(request, usefulMs, !needsLedger, steps);
     const tookMs = monotonicMs() - startedAt;
     this.options.metrics.reservation.observe(tookMs / 1_000);
-    if (answer.outcome !== 'granted') throw new RefusedError(answer.outcome);
+    if (answer.outcome !== 'granted') {
+      throw new RefusedError(answer.outcome, undefined, describeSteps(steps));
+    }
     const history = known ?? answer.history;
-    if (previousTurn !== undefined && !history) throw this.ledgerAway();
-    const { allowanceTaken, lastBackend, times } = answer;
-    return { program, attempt, previousTurn, history, tookMs, times, allowanceTaken, lastBackend };
+    if (previousTurn !== undefined && !history)
+      throw new HistoryMissingError('the ledger gave none');
+    const { allowanceTaken, lastBackend } = answer;
+    return { program, attempt, previousTurn, history, tookMs, steps, allowanceTaken, lastBackend };
   }
 
-  private ledgerAway(): RefusedError {
-    return new RefusedError('ledger-unavailable', this.options.ledger.expectedOutageMs);
+  private refusalOf(error: unknown, steps: ReservationSteps): RefusedError {
+    const details = describeSteps(steps);
+    if (error instanceof HistoryMissingError) {
+      return new RefusedError('history-missing', error.comeBackMs, details);
+    }
+    return new RefusedError('ledger-unavailable', this.options.ledger.expectedOutageMs, details);
   }
 
   private async keep(
--- a/src/ledger/history-reader.test.ts
+++ b/src/ledger/history-reader.test.ts
@@ -37,7 +37,8 @@
     expect({ outcome, history }).toEqual({ outcome: 'granted', history: undefined });
     const reader = ledger.createReader();
     const read = await reader.read(KEPT_TURN.attempt, historySource!, LIMITS.timeoutMs);
-    expect(Buffer.from(read)).toEqual(KEPT_HISTORY);
+    expect(Buffer.from(read.history)).toEqual(KEPT_HISTORY);
+    expect(historySource!.addresses).toContain(read.address);
     expect(ledger.sentBy(true)).toBe(0);
     expect(ledger.sentBy(false)).toBe(KEPT_HISTORY.length);
   });
--- a/src/ledger/history-reader.ts
+++ b/src/ledger/history-reader.ts
@@ -13,6 +13,12 @@
  */
 const READ_LIMITS = { connectMs: 250, timeoutMs: 250 };
 
+/** A history, and the member that gave it. */
+export interface ReadHistory {
+  history: Uint8Array;
+  address: string;
+}
+
 /** No member that was named gave the history; the reservation stands. */
 export class HistoryNotReadError extends LedgegaugeError {}
 
@@ -30,12 +36,12 @@
     turn: string,
     { addresses, atIndex }: HistorySource,
     limitMs: number,
-  ): Promise<Uint8Array> {
+  ): Promise<ReadHistory> {
     const deadlineMs = monotonicMs() + limitMs;
     for (const address of addresses) {
       if (monotonicMs() >= deadlineMs) break;
       const history = await this.readAt(address, turn, atIndex);
-      if (history) return history;
+      if (history) return { history, address };
     }
     throw new HistoryNotReadError(`${addresses.length} members did not give it`, {
       step: READ_HISTORY.name,
--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -1,7 +1,9 @@
 /** The ledger: what programs may still spend, and the turns that later turns continue. */
 export * from './ledger-commands.js';
 export { TurnHistoryCache } from './history-cache.js';
-export { LedgerClient, NotReservedError, type ReservationTimes } from './ledger-client.js';
+export { LedgerClient } from './ledger-client.js';
+export { HistoryMissingError, NotReservedError } from './ledger-errors.js';
+export { ReservationSteps, type ReservationTimes } from './reservation-steps.js';
 export { LedgerService } from './ledger-service.js';
 export { LedgerStateMachine } from './ledger-state-machine.js';
 export { TurnValuesMissingError } from './turn-histories.js';
--- /dev/null
+++ b/src/ledger/leader-history.ts
@@ -0,0 +1,55 @@
+/** Reads at the ledger's leader what a turn continues from, or says why that can't be had now. */
+import { monotonicMs, sleep } from '../common/index.js';
+import type { Member, ReplicatedGroup } from '../consensus/index.js';
+import type { MissingHistory } from './messages.js';
+import { type TurnHistories, TurnValuesMissingError } from './turn-histories.js';
+
+/** A member that has not answered its leader for so long is asked for nothing, in milliseconds. */
+export const LATE_MEMBER_MS = 500;
+/** How long members have to show that they answer, in milliseconds: two heartbeats, and some for the way. */
+const HEARD_WAIT_MS = 150;
+const HEARD_CHECK_INTERVAL_MS = 10;
+
+export interface LeaderHistory {
+  history?: Uint8Array;
+  missingHistory?: MissingHistory;
+}
+
+/** A member that does not answer is not asked: whoever waits for the leader would wait for it as well. */
+export async function readAtLeader(
+  group: ReplicatedGroup,
+  histories: TurnHistories,
+  turn: string,
+): Promise<LeaderHistory> {
+  const askedAt = monotonicMs();
+  const others = group.configuration.members.filter(({ id }) => id !== group.ownId);
+  const answering = others.filter(({ id }) => group.contactMsOf(id) >= askedAt - LATE_MEMBER_MS);
+  try {
+    return { history: await histories.read(turn, answering) };
+  } catch (error) {
+    if (!(error instanceof TurnValuesMissingError)) throw error;
+    const silentMs = await silenceSince(group, others, askedAt);
+    return { missingHistory: { reason: error.message, silentMs } };
+  }
+}
+
+/**
+ * How long the member that was heard last, of those not heard since `askedAt`, has been silent, in milliseconds;
+ * undefined when all were heard.
+ */
+async function silenceSince(
+  group: ReplicatedGroup,
+  members: readonly Member[],
+  askedAt: number,
+): Promise<number | undefined> {
+  const endsAt = monotonicMs() + HEARD_WAIT_MS;
+  let silent = members;
+  while (silent.length > 0 && monotonicMs() < endsAt) {
+    await sleep(HEARD_CHECK_INTERVAL_MS);
+    silent = silent.filter(({ id }) => group.contactMsOf(id) < askedAt);
+  }
+  if (silent.length === 0) return undefined;
+  const contacts = silent.map(({ id }) => group.contactMsOf(id));
+  // What a leader before heard is not known here.
+  return monotonicMs() - Math.max(group.leadingSince, ...contacts);
+}
--- a/src/ledger/ledger-client.test.ts
+++ b/src/ledger/ledger-client.test.ts
@@ -5,7 +5,7 @@
  * `not the leader` and `leading, but not current yet`, and a leader that was current lost its lead again.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { monotonicMs, sleep } from '../common/index.js';
+import { describeError, monotonicMs, sleep } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
 import { createLogger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
@@ -29,6 +29,8 @@
 /** Members of which the first leads, unless none does; answers take a time that a test sets. */
 class Members implements PeerCaller {
   isLed = true;
+  /** Whether the leader refuses, since the group has more to do than it commits in time. */
+  isOverloaded = false;
   answerMs = 2;
   /** Questions, reservations that were told to the leader, and settlements in all of them. */
   questions = 0;
@@ -58,6 +60,10 @@
         refusal: 'not the leader',
       } as Response;
     }
+    if (this.isOverloaded) {
+      await sleep(this.answerMs);
+      return { refused: { error: 'GroupOverloadedError', message: 'overloaded' } } as Response;
+    }
     this.underWay += 1;
     this.mostUnderWay = Math.max(this.mostUnderWay, this.underWay);
     await sleep(this.answerMs);
@@ -72,7 +78,8 @@
 class Gateway {
   readonly members = new Members();
   granted = 0;
-  failed = 0;
+  /** Why turns were not granted. */
+  readonly reasons = new Set<string>();
   private turns = 0;
   private readonly client: LedgerClient;
 
@@ -101,8 +108,8 @@
     try {
       await this.client.reserve(request, USEFUL_MS, false);
       this.granted += 1;
-    } catch {
-      this.failed += 1;
+    } catch (error) {
+      this.reasons.add(describeError(error));
     }
     this.client.settleLater({ program, attempt, spentTokens: 10 });
   }
@@ -149,6 +156,24 @@
   });
 });
 
+describe('a gateway whose leader refuses for a while', () => {
+  it('says so, asks as one, and is granted turns again within a second', async () => {
+    const gateway = new Gateway();
+    await gateway.play(1_000);
+    const { members } = gateway;
+    const before = members.questions;
+    members.isOverloaded = true;
+    await gateway.play(AWAY_S * 1_000);
+    expect(members.questions - before).toBeLessThan(AWAY_S * MOST_PROBES_PER_S);
+    expect(gateway.reasons.size).toBeGreaterThan(0);
+    for (const reason of gateway.reasons) expect(reason).toMatch(/overloaded|too many wait/);
+    members.isOverloaded = false;
+    const { granted } = gateway;
+    await gateway.play(1_000);
+    expect(gateway.granted - granted).toBeGreaterThan(TURNS_PER_S / 2);
+  });
+});
+
 describe('a gateway whose ledger answers slowly', () => {
   it('has a bounded number of reservations under way', async () => {
     const gateway = new Gateway();
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -6,23 +6,21 @@
 import {
   type GroupCallOptions,
   type GroupClient,
-  GroupUnavailableError,
   type LeaderAnswer,
+  type LeaderRefusal,
+  LeaderRefusedError,
   callLeader,
 } from '../consensus/index.js';
 import { AllowanceBook } from './allowance-book.js';
 import type { HistoryReader } from './history-reader.js';
+import { HistoryMissingError, NotReservedError } from './ledger-errors.js';
 import { OutageEstimate } from './outage-estimate.js';
 import type { Settlement } from './ledger-commands.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
-import {
-  LEDGER_GROUP,
-  RESERVE,
-  type ReserveAnswer,
-  type ReserveRequest,
-  SETTLE,
-} from './messages.js';
+import { LEDGER_GROUP, RESERVE, type ReserveAnswer, SETTLE } from './messages.js';
+import { ReservationAttempt, type TurnRequest } from './reservation-attempt.js';
+import { ReservationSteps } from './reservation-steps.js';
 import { ReservationWindow } from './reservation-window.js';
 import { type SettlementBatch, SettlementQueue } from './settlement-queue.js';
 import type { ValueCopies } from './value-copies.js';
@@ -42,30 +40,13 @@
 /** How long one leader may take over settlements, and over one reservation, in milliseconds. */
 const SETTLE_TRY_TIMEOUT_MS = 400;
 const RESERVE_TRY_TIMEOUT_MS = 250;
-/** Share of a reservation's time for reading a history elsewhere, so that the leader can still be asked for it. */
-const READ_SHARE = 0.5;
 /** How long a reservation may take where an allowance covers the turn, in milliseconds. */
 const COVERED_RESERVE_TIMEOUT_MS = 200;
 /** After a failure, covered turns don't ask the ledger for this time, in milliseconds. */
 const SUSPECT_MS = 400;
 
-/** The reservation was not told to the ledger, so that it can't stand. */
-export class NotReservedError extends GroupUnavailableError {}
-
-/** Where the time of a reservation went, in milliseconds. */
-export interface ReservationTimes {
-  /** In this gateway, until there was room for one more question. */
-  windowMs: number;
-  /** At the ledger's leader, the way there and back included. */
-  leaderMs: number;
-  /** Reading the history at another member. */
-  historyMs: number;
-}
-
 /** A reservation as the caller's side sees it. */
 export interface Reserved extends ReserveAnswer {
-  /** Absent where the ledger was not asked or did not answer. */
-  times?: ReservationTimes;
   /** Most tokens taken from the allowance, if the ledger was not asked or did not answer. */
   allowanceTaken?: number;
 }
@@ -77,6 +58,8 @@
   private readonly window = new ReservationWindow(() => this.outage.remainingMs > 0);
   private isSending = false;
   private isProbing = false;
+  /** Why the leader refused the latest question that has ended, if it did. */
+  private latestRefusal: LeaderRefusal | undefined;
   private suspectUntil = 0;
 
   /**
@@ -106,26 +89,35 @@
    * Reserves a turn's most tokens, and takes waiting settlements along.
    * @param usefulMs how long an answer is of any use, in milliseconds
    * @param mayUseAllowance whether the turn may run without the ledger's word
+   * @param steps notes what the reservation went through
    * @throws NotReservedError when the ledger was not asked
+   * @throws HistoryMissingError when no member that answers holds the history; the reservation stands
    * @throws GroupUnavailableError when no leader answered while waiting for one could pay; the
    *   reservation may stand
    */
   async reserve(
-    request: Omit<ReserveRequest, 'holder' | 'settlements'>,
+    request: TurnRequest,
     usefulMs: number,
     mayUseAllowance: boolean,
+    steps = new ReservationSteps(),
   ): Promise<Reserved> {
+    steps.knownLeader = this.groups.lastHeardLeader(LEDGER_GROUP);
     const { program, mostTokens } = request;
     const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
     if (isCovered && monotonicMs() < this.suspectUntil) return this.takeAllowance(request);
     const limitMs = isCovered ? COVERED_RESERVE_TIMEOUT_MS : this.outage.waitMs(usefulMs);
-    if (limitMs <= 0) throw this.refuseToWait();
+    if (limitMs <= 0) {
+      steps.failed = this.latestRefusal ? 'commit' : 'find-leader';
+      throw this.refuseToWait();
+    }
     try {
-      const answer = await this.askWithHistory(request, limitMs);
+      const answer = await this.attempt(request, limitMs, steps);
       this.suspectUntil = 0;
       this.allowances.update(program, answer.allowanceTokens);
       return answer;
     } catch (error) {
+      // The leader is there and answers.
+      if (error instanceof HistoryMissingError) throw error;
       this.suspectUntil = monotonicMs() + SUSPECT_MS;
       if (isCovered && this.allowances.covers(program, mostTokens)) {
         return this.takeAllowance(request);
@@ -163,70 +155,59 @@
     this.sendSoon();
   }
 
-  /** The history is read at another member, and asked of the leader only where none gave it. */
-  private async askWithHistory(
-    request: Omit<ReserveRequest, 'holder' | 'settlements'>,
+  private attempt(
+    request: TurnRequest,
     limitMs: number,
-  ): Promise<Reserved> {
-    const { histories } = this;
-    const { previousTurn } = request;
-    const deadlineMs = monotonicMs() + limitMs;
-    const mayReadElsewhere = histories !== undefined;
-    const answer = await this.ask({ ...request, mayReadElsewhere }, limitMs);
-    const { historySource } = answer;
-    if (!histories || !historySource || previousTurn === undefined) return answer;
-    const readAt = monotonicMs();
-    try {
-      const history = await histories.read(previousTurn, historySource, limitMs * READ_SHARE);
-      const times = { ...answer.times, historyMs: monotonicMs() - readAt };
-      return { ...answer, history, times };
-    } catch (error) {
-      const reason = describeError(error);
-      this.logger.info('history asked of the leader', { turn: previousTurn, reason });
-      return this.askOnceMore(request, Math.max(1, deadlineMs - monotonicMs()));
-    }
+    steps: ReservationSteps,
+  ): Promise<ReserveAnswer> {
+    const { histories, logger } = this;
+    const ask = this.ask.bind(this);
+    return new ReservationAttempt({ request, limitMs, steps, ask, histories, logger }).run();
   }
 
-  /** For a turn that is reserved already: whatever comes of it, the reservation may stand. */
-  private async askOnceMore(
-    request: Omit<ReserveRequest, 'holder' | 'settlements'>,
+  /** Asks the ledger once there is room for one more question. */
+  private async ask(
+    request: TurnRequest,
     limitMs: number,
-  ): Promise<Reserved> {
+    steps: ReservationSteps,
+  ): Promise<ReserveAnswer> {
+    const askedAt = monotonicMs();
+    const hasEntered = await this.window.enter(limitMs);
+    const enteredAt = monotonicMs();
+    steps.times.windowMs += enteredAt - askedAt;
+    if (!hasEntered) {
+      steps.failed = 'enter-window';
+      throw new NotReservedError('too many wait for the ledger');
+    }
+    const timeoutMs = Math.max(1, askedAt + limitMs - enteredAt);
+    steps.questions += 1;
     try {
-      return await this.ask(request, limitMs);
+      return await this.askLeader(request, timeoutMs);
     } catch (error) {
-      if (!(error instanceof NotReservedError)) throw error;
-      throw new GroupUnavailableError(error.message, {
-        step: RESERVE.name,
-        peer: LEDGER_GROUP,
-        retriable: true,
-      });
+      steps.failed = error instanceof LeaderRefusedError ? 'commit' : 'find-leader';
+      throw error;
+    } finally {
+      steps.times.leaderMs += monotonicMs() - enteredAt;
+      steps.leader = this.groups.lastHeardLeader(LEDGER_GROUP)?.address;
     }
   }
 
-  /** Asks the ledger once there is room for one more question. */
-  private async ask(
-    request: Omit<ReserveRequest, 'holder' | 'settlements'>,
-    limitMs: number,
-  ): Promise<Reserved & { times: ReservationTimes }> {
-    const askedAt = monotonicMs();
-    const deadlineMs = askedAt + limitMs;
-    const hasEntered = await this.window.enter(limitMs);
-    if (!hasEntered) throw this.notReserved('too many wait for the ledger');
+  /** Takes waiting settlements along; the window was entered before. */
+  private async askLeader(request: TurnRequest, timeoutMs: number): Promise<ReserveAnswer> {
+    const startedAt = monotonicMs();
     const batch = this.queue.take(this.mayRide ? undefined : 0);
     const { settlements } = batch;
-    const startedAt = monotonicMs();
-    const timeoutMs = Math.max(1, deadlineMs - startedAt);
+    const copyTargets = this.copies?.version;
+    const whole = { ...request, holder: this.holder, settlements, copyTargets };
     const limits = { timeoutMs, tryTimeoutMs: RESERVE_TRY_TIMEOUT_MS };
     try {
-      const copyTargets = this.copies?.version;
-      const whole = { ...request, holder: this.holder, settlements, copyTargets };
       const answer = await this.call(RESERVE, whole, limits);
       if (answer.copyTargets) this.copies?.noteTargets(answer.copyTargets);
-      const leaderMs = monotonicMs() - startedAt;
-      this.window.leaveAnswered(leaderMs);
+      // The leader has looked for it at others, and waited for them.
+      if (answer.missingHistory) this.window.leaveUnmeasured();
+      else this.window.leaveAnswered(monotonicMs() - startedAt);
       this.noteSettled(batch);
-      return { ...answer, times: { windowMs: startedAt - askedAt, leaderMs, historyMs: 0 } };
+      return answer;
     } catch (error) {
       this.window.leaveFailed(monotonicMs() - startedAt);
       this.queue.putBack(batch);
@@ -288,7 +269,7 @@
     }
   }
 
-  /** Whether no leader has answered for longer than an answer takes. */
+  /** Whether no leader has done what it was asked for longer than an answer takes. */
   private get isAway(): boolean {
     return this.outage.remainingMs > 0;
   }
@@ -302,15 +283,9 @@
   /** Somebody has to find out when a leader is back, also while no call waits for it. */
   private refuseToWait(): NotReservedError {
     void this.probe();
-    return this.notReserved('a leader will hardly answer in time');
-  }
-
-  private notReserved(reason: string): NotReservedError {
-    return new NotReservedError(reason, {
-      step: RESERVE.name,
-      peer: LEDGER_GROUP,
-      retriable: true,
-    });
+    const refusal = this.latestRefusal;
+    if (!refusal) return new NotReservedError('a leader will hardly answer in time');
+    return new NotReservedError(`the leader has refused for a while: ${refusal.message}`);
   }
 
   private async probe(): Promise<void> {
@@ -330,9 +305,12 @@
       const paced = { ...limits, maximumPauseMs: MAXIMUM_PAUSE_MS };
       const answer = await callLeader(this.groups, LEDGER_GROUP, method, request, paced);
       this.outage.noteAnswered();
+      this.latestRefusal = undefined;
       return answer;
     } catch (error) {
+      // A leader that refuses all for long is waited for no longer than one that is away, and asked by as few.
       this.outage.noteFailed();
+      this.latestRefusal = error instanceof LeaderRefusedError ? error.refusal : undefined;
       throw error;
     }
   }
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -8,6 +8,7 @@
 } from '../consensus/index.js';
 import { type MethodRouter, encodeValue } from '../wire/index.js';
 import { valueOf } from './kept-turns.js';
+import { LATE_MEMBER_MS, readAtLeader } from './leader-history.js';
 import {
   type LedgerCommand,
   type ReserveResult,
@@ -34,8 +35,6 @@
 } from './messages.js';
 import { sendCopy } from './value-copies.js';
 
-/** A member that has not answered its leader for so long is not named to readers, in milliseconds. */
-const LATE_MEMBER_MS = 500;
 /** Members named for one history: a second for when the first has just gone. */
 const NAMED_MEMBERS = 2;
 /** How long a read waits here for the entry that brings its turn, in milliseconds: some heartbeats. */
@@ -125,10 +124,10 @@
     if (result.outcome !== 'granted' || previousTurn === undefined || !wantsHistory) return result;
     const source = mayReadElsewhere ? this.historySource(group, previousTurn) : undefined;
     if (source) return { ...result, historySource: source };
-    const others = group.configuration.members.filter(({ id }) => id !== group.ownId);
-    const history = await this.options.stateMachine.external.read(previousTurn, others);
+    const { external } = this.options.stateMachine;
+    const { history, missingHistory } = await readAtLeader(group, external, previousTurn);
     this.sentBytes.histories += history?.length ?? 0;
-    return { ...result, history };
+    return { ...result, history, missingHistory };
   }
 
   private async settle(
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -29,9 +29,22 @@
   atIndex: number;
 }
 
+/** Why a turn that is reserved comes without its history: the turns are kept, their values can't be had now. */
+export interface MissingHistory {
+  /** In words, for logs. */
+  reason: string;
+  /**
+   * How long a member that may hold it has not answered the leader, in milliseconds; absent when all members answer
+   * and none holds it.
+   */
+  silentMs?: number;
+}
+
 export interface ReserveAnswer extends ReserveResult {
   /** What the turn continues from, oldest first, when it names a predecessor. */
   history?: Uint8Array;
+  /** In place of a history that the leader could not get. */
+  missingHistory?: MissingHistory;
   /** Where to read it, in place of it. */
   historySource?: HistorySource;
   /** Present where the gateway knows others. */
--- a/src/ledger/missing-history.test.ts
+++ b/src/ledger/missing-history.test.ts
@@ -13,6 +13,8 @@
 } from '../../tests/support/ledger-cluster.js';
 import { describeError, monotonicMs, sleep } from '../common/index.js';
 import type { LedgerClient } from './ledger-client.js';
+import { HistoryMissingError } from './ledger-errors.js';
+import { ReservationSteps } from './reservation-steps.js';
 
 const USEFUL_MS = 1_500;
 const FIRST_TURNS_MS = 2_500;
@@ -26,6 +28,12 @@
   return { ledger, client };
 }
 
+async function missingErrorOf(reserved: Promise<unknown>): Promise<HistoryMissingError> {
+  const error = await reserved.catch((reason: unknown) => reason);
+  expect(error).toBeInstanceOf(HistoryMissingError);
+  return error as HistoryMissingError;
+}
+
 /** What a turn after the kept one gets: its history, or the error in words. */
 async function goOn(client: LedgerClient, attempt: string): Promise<string> {
   try {
@@ -104,4 +112,20 @@
     await ledger.startMember(member);
     expect(await reply).toBe(KEPT_HISTORY.toString());
   });
+
+  it('is refused once that member has been away for longer than the turn has left', async () => {
+    const { ledger, client } = await startLedger();
+    await ledger.cluster.crash(await ledger.loseAtAllButOneFollower());
+    const awaySince = monotonicMs();
+    const steps = new ReservationSteps();
+    const error = await missingErrorOf(client.reserve(NEXT_TURN, USEFUL_MS, false, steps));
+    const awayMs = monotonicMs() - awaySince;
+    expect(awayMs).toBeGreaterThan(USEFUL_MS / 2 - TRY_MS);
+    expect(awayMs).toBeLessThan(USEFUL_MS);
+    expect(error.message).toMatch(/another has been silent for \d+ ms/);
+    expect(error.comeBackMs).toBeGreaterThan(USEFUL_MS / 2 - TRY_MS);
+    const { group } = await ledger.cluster.waitLeader();
+    expect(steps).toMatchObject({ failed: 'read-history', leader: group.leaderAddress });
+    expect(steps.questions).toBeGreaterThan(1);
+  });
 });
--- a/src/ledger/reservation-window.ts
+++ b/src/ledger/reservation-window.ts
@@ -61,6 +61,11 @@
     this.leave();
   }
 
+  /** The ledger has answered, after a time that does not tell how busy it is. */
+  leaveUnmeasured(): void {
+    this.leave();
+  }
+
   /** The ledger has not answered in time. */
   leaveFailed(tookMs: number): void {
     this.expectedMs += Math.max(0, tookMs - this.expectedMs) * LATEST_SHARE;
--- a/src/ledger/reserved-twice.test.ts
+++ b/src/ledger/reserved-twice.test.ts
@@ -9,7 +9,8 @@
 import { createLogger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
 import { HistoryNotReadError, type HistoryReader } from './history-reader.js';
-import { LedgerClient, NotReservedError } from './ledger-client.js';
+import { LedgerClient } from './ledger-client.js';
+import { NotReservedError } from './ledger-errors.js';
 import { RESERVE, type ReserveRequest } from './messages.js';
 
 const TURN = 'turn-2';
