explain: from a turn whose history was missing to the members that lacked it

Cause: lines of journals name no call, and those of their start lie outside the five seconds that surround a refusal, so that nothing led from its id to the member that had come back without values. Before: of the four lines on such a turn two were shown, and none of what was restored. After: the lines on the turn before, and of each member how many of the kept turns its state named it lacked at its latest start.

--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -1,6 +1,6 @@
 /** `explain`: what became of a call or program, by the decision logs of the processes. */
 import type { CAC } from 'cac';
-import { type Explanation, type LogRecord, explain } from '../explain/index.js';
+import { type Explanation, type LogRecord, type RestoredTurns, explain } from '../explain/index.js';
 import { UsageError } from './daemon-command.js';
 import { readRecords } from './log-files.js';
 import { runAction } from './run-daemon.js';
@@ -19,15 +19,26 @@
     );
 }
 
-function describe(id: string, { direct, surrounding }: Explanation): string {
+function describe(id: string, { direct, surrounding, restoredTurns }: Explanation): string {
   if (direct.length === 0) return `no line names ${id}`;
   const parts = [`lines that name ${id}:`, ...direct.map(describeRecord)];
   if (surrounding.length > 0) {
     parts.push('', 'what changed around them:', ...surrounding.map(describeRecord));
   }
+  if (restoredTurns.length > 0) {
+    parts.push('', 'what members held of the kept turns:', ...restoredTurns.map(describeRestored));
+  }
   return parts.join('\n');
 }
 
+function describeRestored(restored: RestoredTurns): string {
+  const { node, at, startedAt, named, missing, storedValues } = restored;
+  const held = missing === 0 ? `held all ${named}` : `lacked ${missing} of ${named}`;
+  const since = startedAt === undefined ? '' : ` since its start at ${startedAt}`;
+  const store = storedValues === undefined ? '' : `; its store had opened with ${storedValues}`;
+  return `  ${at}  ${node.padEnd(20)}  ${held} kept turns${since}${store}`;
+}
+
 function describeRecord({ time, node, event, fields }: LogRecord): string {
   const details = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`);
   return `  ${time}  ${node.padEnd(20)}  ${event}  ${details.join(' ')}`;
--- a/src/explain/index.ts
+++ b/src/explain/index.ts
@@ -8,4 +8,5 @@
   accountOf,
 } from './account.js';
 export { explain, type Explanation } from './explanation.js';
+export type { RestoredTurns } from './restored-turns.js';
 export { type LogRecord, parseLogLine } from './log-record.js';
