--- a/src/value-store/segment-files.ts
+++ b/src/value-store/segment-files.ts
@@ -18,6 +18,8 @@
 export interface RecoveredSegment {
   segment: ValueSegment;
   records: ScannedRecord[];
+  /** Only a segment that was sealed has an index. */
+  hasIndex: boolean;
 }
 
 export class SegmentFiles {
@@ -40,7 +42,10 @@
     return this.segments.reduce((sum, segment) => sum + segment.bytes, 0);
   }
 
-  /** Opens what the folder holds; every segment found is sealed. */
+  /**
+   * Opens what the folder holds; every segment found is sealed, and durable before anybody reads of it.
+   * @throws StorageFailedError
+   */
   async recover(): Promise<RecoveredSegment[]> {
     const names = await this.folder.list();
     const recovered: RecoveredSegment[] = [];
@@ -49,11 +54,14 @@
       segment.file = await this.folder.open(segment.name);
       segment.bytes = await segment.file.size();
       segment.isSealed = true;
+      const hasIndex = names.includes(segment.indexName);
+      // A process that was killed leaves writes in the machine's memory: a loss of power would take them.
+      if (!hasIndex) await this.syncSegment(segment);
       const records =
-        (names.includes(segment.indexName) && (await this.readIndex(segment))) ||
+        (hasIndex && (await this.readIndex(segment))) ||
         scanValueRecords(await readWholeFile(segment.file, segment.bytes));
       this.segments.push(segment);
-      recovered.push({ segment, records });
+      recovered.push({ segment, records, hasIndex });
     }
     return recovered;
   }
