--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -36,6 +36,7 @@
   'retirement started',
   'retirement complete',
   'kept turns restored',
+  'kept turns lost',
   'kept turns not fetched',
   'value store opened',
   'value damaged',
