A turn whose history is missing does not wait for a member that came back without its disk

Cause: the identity of a member that lost its disk stays in the group, silent, until its successor votes; turns whose values nobody held waited for it for half of their time.

--- a/src/ledger/leader-history.ts
+++ b/src/ledger/leader-history.ts
@@ -33,6 +33,11 @@
   }
 }
 
+/** A member that lost its disk comes back under another id; the values of the one before don't come back. */
+function isReplaced(member: Member, heard: readonly Member[]): boolean {
+  return heard.some(({ id, name }) => id !== member.id && name === member.name);
+}
+
 /**
  * How long the member that was heard last, of those not heard since `askedAt`, has been silent, in milliseconds;
  * undefined when all were heard.
@@ -46,7 +51,8 @@
   let silent = members;
   while (silent.length > 0 && monotonicMs() < endsAt) {
     await sleep(HEARD_CHECK_INTERVAL_MS);
-    silent = silent.filter(({ id }) => group.contactMsOf(id) < askedAt);
+    const heard = members.filter(({ id }) => group.contactMsOf(id) >= askedAt);
+    silent = members.filter((member) => !heard.includes(member) && !isReplaced(member, heard));
   }
   if (silent.length === 0) return undefined;
   const contacts = silent.map(({ id }) => group.contactMsOf(id));
--- a/src/ledger/ledger-client.test.ts
+++ b/src/ledger/ledger-client.test.ts
@@ -10,6 +10,7 @@
 import { createLogger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
 import { LedgerClient } from './ledger-client.js';
+import { HistoryMissingError } from './ledger-errors.js';
 import { RESERVE, type ReserveRequest, type SettleRequest } from './messages.js';
 
 const MEMBERS = ['m1', 'm2', 'm3', 'm4', 'm5'];
@@ -22,6 +23,10 @@
 /** Reservations that one gateway may have under way. */
 const MOST_UNDER_WAY = 16;
 const AWAY_S = 3;
+/** How long a leader takes to find that no member holds a history, the wait for heartbeats included. */
+const MISSING_MS = 160;
+/** How long one member may take over a reservation before others are asked. */
+const TRY_MS = 250;
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -64,6 +69,11 @@
       await sleep(this.answerMs);
       return { refused: { error: 'GroupOverloadedError', message: 'overloaded' } } as Response;
     }
+    if ((request as ReserveRequest).previousTurn !== undefined) {
+      await sleep(MISSING_MS);
+      const missingHistory = { reason: 'held by no member' };
+      return { answer: { outcome: 'granted', allowanceTokens: 0, missingHistory } } as Response;
+    }
     this.underWay += 1;
     this.mostUnderWay = Math.max(this.mostUnderWay, this.underWay);
     await sleep(this.answerMs);
@@ -78,6 +88,10 @@
 class Gateway {
   readonly members = new Members();
   granted = 0;
+  /** Turns that were refused since their history is missing. */
+  missing = 0;
+  /** The longest that a granted turn took. */
+  slowestMs = 0;
   /** Why turns were not granted. */
   readonly reasons = new Set<string>();
   private turns = 0;
@@ -100,7 +114,30 @@
     return this.client.queuedSettlements;
   }
 
+  /** Turns whose history no member holds arrive evenly. */
+  async playMissing(ms: number, intervalMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += intervalMs) {
+      void this.missingTurn(passedMs);
+      await sleep(intervalMs);
+    }
+  }
+
+  get expectedOutageMs(): number {
+    return this.client.expectedOutageMs;
+  }
+
+  private async missingTurn(number: number): Promise<void> {
+    const id = `missing-${number}`;
+    const turn = { program: id, attempt: id, previousTurn: 'lost' };
+    const request = { ...turn, mostTokens: 100, wantsHistory: true };
+    const reserved = this.client.reserve(request, USEFUL_MS, false);
+    await expect(reserved).rejects.toBeInstanceOf(HistoryMissingError);
+    this.client.settleLater({ program: id, attempt: id, spentTokens: 0 });
+    this.missing += 1;
+  }
+
   private async turn(): Promise<void> {
+    const startedAt = monotonicMs();
     const attempt = `turn-${this.turns}`;
     const program = `program-${this.turns}`;
     this.turns += 1;
@@ -108,6 +145,7 @@
     try {
       await this.client.reserve(request, USEFUL_MS, false);
       this.granted += 1;
+      this.slowestMs = Math.max(this.slowestMs, monotonicMs() - startedAt);
     } catch (error) {
       this.reasons.add(describeError(error));
     }
@@ -156,6 +194,26 @@
   });
 });
 
+describe('a gateway beside turns whose history is missing', () => {
+  it.each([50, 200, 1_000])(
+    'grants others as if there were none, one every %i ms',
+    async (everyMs) => {
+      const gateway = new Gateway();
+      const missing = gateway.playMissing(AWAY_S * 1_000, everyMs);
+      for (let passedMs = 0; passedMs < AWAY_S * 1_000; passedMs += TURN_INTERVAL_MS) {
+        await gateway.play(TURN_INTERVAL_MS);
+        expect(gateway.expectedOutageMs).toBe(0);
+      }
+      await vi.advanceTimersByTimeAsync(1_000);
+      await missing;
+      expect(gateway.missing).toBe((AWAY_S * 1_000) / everyMs);
+      expect([...gateway.reasons]).toEqual([]);
+      expect(gateway.slowestMs).toBeLessThan(TRY_MS);
+      expect(gateway.queuedSettlements).toBe(0);
+    },
+  );
+});
+
 describe('a gateway whose leader refuses for a while', () => {
   it('says so, asks as one, and is granted turns again within a second', async () => {
     const gateway = new Gateway();
