Metric: turns refused at a step of their reservation

Gain: a rise of read-history tells of lost values from a gateway's metrics alone, apart from leaders that are away (find-leader). Test: the counter after a refusal.

--- a/src/forwarding/forwarding-metrics.ts
+++ b/src/forwarding/forwarding-metrics.ts
@@ -1,5 +1,6 @@
 /** Counters and latency histograms of forwarded calls. */
 import { Counter, Histogram, Registry } from 'prom-client';
+import type { ReservationStep } from '../ledger/index.js';
 
 const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
 
@@ -8,6 +9,7 @@
   /** Time of reservations at the ledger, in seconds. */
   readonly reservation: Histogram;
   private readonly calls: Counter<'kind' | 'outcome'>;
+  private readonly failedReservations: Counter<'step'>;
   private readonly duration: Histogram<'kind'>;
   private readonly firstEvent: Histogram;
 
@@ -20,6 +22,12 @@
       labelNames: ['kind', 'outcome'],
       registers,
     });
+    this.failedReservations = new Counter({
+      name: 'ledgegauge_failed_reservations_total',
+      help: 'Turns refused at a step of their reservation',
+      labelNames: ['step'],
+      registers,
+    });
     this.duration = new Histogram({
       name: 'ledgegauge_forwarded_call_seconds',
       help: 'From the arrival of a call to its final answer',
@@ -41,6 +49,10 @@
     });
   }
 
+  noteFailedReservation(step: ReservationStep): void {
+    this.failedReservations.inc({ step });
+  }
+
   noteCall(
     kind: string | undefined,
     outcome: string,
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -73,6 +73,7 @@
 
 class KeptTurns {
   readonly ledger = new SwitchedLedger();
+  readonly metrics = new ForwardingMetrics();
   private readonly reservations: TurnReservations;
 
   constructor() {
@@ -81,7 +82,7 @@
     this.reservations = new TurnReservations({
       ledger: new LedgerClient(groups, logger, 'gateway'),
       logger,
-      metrics: new ForwardingMetrics(),
+      metrics: this.metrics,
       tokensPerEvent: () => TOKENS_PER_EVENT,
     });
   }
@@ -165,6 +166,8 @@
     expect(refusal.reason).toBe('history-missing');
     expect(refusal.retryAfterMs).toBeGreaterThanOrEqual(1_000);
     expect(refusal.details).toMatchObject({ failedStep: 'read-history', leader: 'leader' });
+    const counted = await turns.metrics.registry.metrics();
+    expect(counted).toContain('ledgegauge_failed_reservations_total{step="read-history"} 1');
   });
 
   it.each([{ missingHistory: { reason: 'none' } }, {}])(
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -124,6 +124,7 @@
     } catch (error) {
       if (error instanceof RefusedError) throw error;
       const { failed: step } = steps;
+      if (step) this.options.metrics.noteFailedReservation(step);
       const reason = describeError(error);
       this.options.logger.warn('reservation failed', { call, program: program?.id, step, reason });
       if (!(error instanceof NotReservedError)) {
@@ -181,8 +182,10 @@
       throw new RefusedError(answer.outcome, undefined, describeSteps(steps));
     }
     const history = known ?? answer.history;
-    if (previousTurn !== undefined && !history)
+    if (previousTurn !== undefined && !history) {
+      steps.failed = 'read-history';
       throw new HistoryMissingError('the ledger gave none');
+    }
     const { allowanceTaken, lastBackend } = answer;
     return { program, attempt, previousTurn, history, tookMs, steps, allowanceTaken, lastBackend };
   }
