--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -3,7 +3,11 @@
 export { TurnHistoryCache } from './history-cache.js';
 export { LedgerClient } from './ledger-client.js';
 export { HistoryMissingError, NotReservedError } from './ledger-errors.js';
-export { type ReservationStep, ReservationSteps, type ReservationTimes } from './reservation-steps.js';
+export {
+  type ReservationStep,
+  ReservationSteps,
+  type ReservationTimes,
+} from './reservation-steps.js';
 export { LedgerService } from './ledger-service.js';
 export { LedgerStateMachine } from './ledger-state-machine.js';
 export { TurnValuesMissingError } from './turn-histories.js';
--- a/src/ledger/leader-history.ts
+++ b/src/ledger/leader-history.ts
@@ -23,13 +23,15 @@
 ): Promise<LeaderHistory> {
   const askedAt = monotonicMs();
   const others = group.configuration.members.filter(({ id }) => id !== group.ownId);
-  const answering = others.filter(({ id }) => group.contactMsOf(id) >= askedAt - LATE_MEMBER_MS);
+  const asked = others.filter(({ id }) => group.contactMsOf(id) >= askedAt - LATE_MEMBER_MS);
   try {
-    return { history: await histories.read(turn, answering) };
+    return { history: await histories.read(turn, asked) };
   } catch (error) {
     if (!(error instanceof TurnValuesMissingError)) throw error;
-    const silentMs = await silenceSince(group, others, askedAt);
-    return { missingHistory: { reason: error.message, silentMs } };
+    const silent = others.filter((member) => !asked.includes(member) && !isReplaced(member, asked));
+    // One that was not asked may have come back meanwhile; of those that were, some may just have gone.
+    if (silent.length === 0) silent.push(...(await membersNotHeardSince(askedAt, group, asked)));
+    return { missingHistory: { reason: error.message, silentMs: silenceOf(group, silent) } };
   }
 }
 
@@ -38,22 +40,21 @@
   return heard.some(({ id, name }) => id !== member.id && name === member.name);
 }
 
-/**
- * How long the member that was heard last, of those not heard since `askedAt`, has been silent, in milliseconds;
- * undefined when all were heard.
- */
-async function silenceSince(
+/** Returns as soon as all were heard. */
+async function membersNotHeardSince(
+  since: number,
   group: ReplicatedGroup,
   members: readonly Member[],
-  askedAt: number,
-): Promise<number | undefined> {
+): Promise<readonly Member[]> {
   const endsAt = monotonicMs() + HEARD_WAIT_MS;
-  let silent = members;
-  while (silent.length > 0 && monotonicMs() < endsAt) {
-    await sleep(HEARD_CHECK_INTERVAL_MS);
-    const heard = members.filter(({ id }) => group.contactMsOf(id) >= askedAt);
-    silent = members.filter((member) => !heard.includes(member) && !isReplaced(member, heard));
-  }
+  const notHeard = (): Member[] => members.filter(({ id }) => group.contactMsOf(id) < since);
+  while (notHeard().length > 0 && monotonicMs() < endsAt) await sleep(HEARD_CHECK_INTERVAL_MS);
+  const heard = members.filter(({ id }) => group.contactMsOf(id) >= since);
+  return notHeard().filter((member) => !isReplaced(member, heard));
+}
+
+/** How long the one that was heard last has been silent, in milliseconds; undefined when there are none. */
+function silenceOf(group: ReplicatedGroup, silent: readonly Member[]): number | undefined {
   if (silent.length === 0) return undefined;
   const contacts = silent.map(({ id }) => group.contactMsOf(id));
   // What a leader before heard is not known here.
