--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -179,7 +179,7 @@
   async replace(lost: Member): Promise<string> {
     const { cluster } = this;
     const { group } = await cluster.waitLeader();
-    cluster.loseDisk(lost);
+    await cluster.loseDisk(lost);
     const renewed = { ...lost, id: `${lost.name}-second`, role: 'learner' as const };
     this.members.push(serveLedger(await cluster.start(renewed, false), cluster.network));
     await waitUntil('settled', () => group.isConfigurationSettled);
