--- a/src/ledger/ledger-client.test.ts
+++ b/src/ledger/ledger-client.test.ts
@@ -5,11 +5,12 @@
  * `not the leader` and `leading, but not current yet`, and a leader that was current lost its lead again.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { monotonicMs, sleep } from '../common/index.js';
+import { describeError, monotonicMs, sleep } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
 import { createLogger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
 import { LedgerClient } from './ledger-client.js';
+import { HistoryMissingError } from './ledger-errors.js';
 import { RESERVE, type ReserveRequest, type SettleRequest } from './messages.js';
 
 const MEMBERS = ['m1', 'm2', 'm3', 'm4', 'm5'];
@@ -22,6 +23,10 @@
 /** Reservations that one gateway may have under way. */
 const MOST_UNDER_WAY = 16;
 const AWAY_S = 3;
+/** How long a leader takes to find that no member holds a history, the wait for heartbeats included. */
+const MISSING_MS = 160;
+/** How long one member may take over a reservation before others are asked. */
+const TRY_MS = 250;
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -29,6 +34,8 @@
 /** Members of which the first leads, unless none does; answers take a time that a test sets. */
 class Members implements PeerCaller {
   isLed = true;
+  /** Whether the leader refuses, since the group has more to do than it commits in time. */
+  isOverloaded = false;
   answerMs = 2;
   /** Questions, reservations that were told to the leader, and settlements in all of them. */
   questions = 0;
@@ -58,6 +65,15 @@
         refusal: 'not the leader',
       } as Response;
     }
+    if (this.isOverloaded) {
+      await sleep(this.answerMs);
+      return { refused: { error: 'GroupOverloadedError', message: 'overloaded' } } as Response;
+    }
+    if ((request as ReserveRequest).previousTurn !== undefined) {
+      await sleep(MISSING_MS);
+      const missingHistory = { reason: 'held by no member' };
+      return { answer: { outcome: 'granted', allowanceTokens: 0, missingHistory } } as Response;
+    }
     this.underWay += 1;
     this.mostUnderWay = Math.max(this.mostUnderWay, this.underWay);
     await sleep(this.answerMs);
@@ -72,7 +88,12 @@
 class Gateway {
   readonly members = new Members();
   granted = 0;
-  failed = 0;
+  /** Turns that were refused since their history is missing. */
+  missing = 0;
+  /** The longest that a granted turn took. */
+  slowestMs = 0;
+  /** Why turns were not granted. */
+  readonly reasons = new Set<string>();
   private turns = 0;
   private readonly client: LedgerClient;
 
@@ -93,7 +114,30 @@
     return this.client.queuedSettlements;
   }
 
+  /** Turns whose history no member holds arrive evenly. */
+  async playMissing(ms: number, intervalMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += intervalMs) {
+      void this.missingTurn(passedMs);
+      await sleep(intervalMs);
+    }
+  }
+
+  get expectedOutageMs(): number {
+    return this.client.expectedOutageMs;
+  }
+
+  private async missingTurn(number: number): Promise<void> {
+    const id = `missing-${number}`;
+    const turn = { program: id, attempt: id, previousTurn: 'lost' };
+    const request = { ...turn, mostTokens: 100, wantsHistory: true };
+    const reserved = this.client.reserve(request, USEFUL_MS, false);
+    await expect(reserved).rejects.toBeInstanceOf(HistoryMissingError);
+    this.client.settleLater({ program: id, attempt: id, spentTokens: 0 });
+    this.missing += 1;
+  }
+
   private async turn(): Promise<void> {
+    const startedAt = monotonicMs();
     const attempt = `turn-${this.turns}`;
     const program = `program-${this.turns}`;
     this.turns += 1;
@@ -101,8 +145,9 @@
     try {
       await this.client.reserve(request, USEFUL_MS, false);
       this.granted += 1;
-    } catch {
-      this.failed += 1;
+      this.slowestMs = Math.max(this.slowestMs, monotonicMs() - startedAt);
+    } catch (error) {
+      this.reasons.add(describeError(error));
     }
     this.client.settleLater({ program, attempt, spentTokens: 10 });
   }
@@ -149,6 +194,44 @@
   });
 });
 
+describe('a gateway beside turns whose history is missing', () => {
+  it.each([50, 200, 1_000])(
+    'grants others as if there were none, one every %i ms',
+    async (everyMs) => {
+      const gateway = new Gateway();
+      const missing = gateway.playMissing(AWAY_S * 1_000, everyMs);
+      for (let passedMs = 0; passedMs < AWAY_S * 1_000; passedMs += TURN_INTERVAL_MS) {
+        await gateway.play(TURN_INTERVAL_MS);
+        expect(gateway.expectedOutageMs).toBe(0);
+      }
+      await vi.advanceTimersByTimeAsync(1_000);
+      await missing;
+      expect(gateway.missing).toBe((AWAY_S * 1_000) / everyMs);
+      expect([...gateway.reasons]).toEqual([]);
+      expect(gateway.slowestMs).toBeLessThan(TRY_MS);
+      expect(gateway.queuedSettlements).toBe(0);
+    },
+  );
+});
+
+describe('a gateway whose leader refuses for a while', () => {
+  it('says so, asks as one, and is granted turns again within a second', async () => {
+    const gateway = new Gateway();
+    await gateway.play(1_000);
+    const { members } = gateway;
+    const before = members.questions;
+    members.isOverloaded = true;
+    await gateway.play(AWAY_S * 1_000);
+    expect(members.questions - before).toBeLessThan(AWAY_S * MOST_PROBES_PER_S);
+    expect(gateway.reasons.size).toBeGreaterThan(0);
+    for (const reason of gateway.reasons) expect(reason).toMatch(/overloaded|too many wait/);
+    members.isOverloaded = false;
+    const { granted } = gateway;
+    await gateway.play(1_000);
+    expect(gateway.granted - granted).toBeGreaterThan(TURNS_PER_S / 2);
+  });
+});
+
 describe('a gateway whose ledger answers slowly', () => {
   it('has a bounded number of reservations under way', async () => {
     const gateway = new Gateway();
