--- a/src/clustering/free-machine.test.ts
+++ b/src/clustering/free-machine.test.ts
@@ -1,6 +1,7 @@
 /** When a machine that is to be emptied counts as free. */
 import { expect, it, onTestFinished } from 'vitest';
 import { startCluster } from '../../tests/support/consensus-cluster.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
 import { sleep } from '../common/index.js';
 import { createLogger } from '../observability/index.js';
 import { VoterKeeper } from './voter-keeper.js';
@@ -23,6 +24,12 @@
   });
   onTestFinished(() => keeper.stop());
   const victim = cluster.members.find(({ group }) => !group.isLeader)!;
+  const { group } = leader;
+  await waitUntil('all hold the log', () =>
+    cluster.members.every(
+      ({ member: { id } }) => id === group.ownId || group.matchIndexOf(id) === group.log.lastIndex,
+    ),
+  );
   await cluster.loseDisk(await cluster.crash(victim.member.id));
   await sleep(SILENCE_MS);
   expect(leader.group.isCurrentLeader).toBe(true);
