--- a/src/nodes/lost-log.test.ts
+++ b/src/nodes/lost-log.test.ts
@@ -1,11 +1,12 @@
 /** A member whose log is gone while its identity and its snapshot are there. */
 import { rmSync } from 'node:fs';
 import { join } from 'node:path';
-import { expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 import { ListMachine } from '../../tests/support/consensus-cluster.js';
 import { temporaryFolder } from '../../tests/support/temporary-folder.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { GroupClient } from '../consensus/index.js';
+import type { IdentityState } from '../control/identity.js';
 import { DamagedLogError } from '../log-store/index.js';
 import { createLogger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
@@ -44,12 +45,12 @@
 }
 
 /** The only voter of its group, with a snapshot of what it committed. */
-async function runUntilSnapshot(dataFolder: string): Promise<void> {
+async function runUntilSnapshot(dataFolder: string, state: IdentityState): Promise<void> {
   const process = await openProcess(dataFolder);
   await process.listen();
   const { memberId } = process.identity.identity;
   await process.found({ members: [{ ...process.ownMember, role: 'voter' }] });
-  await process.identity.save({ memberId, state: 'member', founders: [] });
+  await process.identity.save({ memberId, state, founders: [] });
   await process.enter(createClient(process));
   const group = process.group!;
   await waitUntil('leads', () => group.isCurrentLeader);
@@ -59,14 +60,9 @@
   await process.stop();
 }
 
-/**
- * A member that has voted and acknowledged entries must not take part without its log: it knows neither its term nor its
- * vote, and not what it acknowledged behind its snapshot. A start that adopts the snapshot where the log doesn't reach
- * it gives an empty log a last index, so that the check for a log that is gone passes: `lastIndex 3, term 0`.
- */
-it('refuses to take part, as it does without a snapshot', async () => {
+async function expectRefusedWithoutLog(state: IdentityState): Promise<void> {
   const dataFolder = temporaryFolder();
-  await runUntilSnapshot(dataFolder);
+  await runUntilSnapshot(dataFolder, state);
   rmSync(join(dataFolder, 'log'), { recursive: true });
   const process = await openProcess(dataFolder);
   await process.listen();
@@ -75,4 +71,23 @@
   } finally {
     await process.stop();
   }
+}
+
+describe('a voter whose log is gone', () => {
+  /**
+   * A member that has voted and acknowledged entries must not take part without its log: it knows neither its term nor its
+   * vote, and not what it acknowledged behind its snapshot. A start that adopts the snapshot where the log doesn't reach
+   * it gives an empty log a last index, so that the check for a log that is gone passes: `lastIndex 3, term 0`.
+   */
+  it('refuses to take part where it founded the group and made a snapshot', async () => {
+    await expectRefusedWithoutLog('member');
+  });
+
+  /**
+   * A journal that came later stays in the state of one that joins, also once it is a voter, and the check for a log that is gone
+   * asks for founders only.
+   */
+  it('refuses to take part where it came later', async () => {
+    await expectRefusedWithoutLog('joining');
+  });
 });
