A log segment's head says what is written, and a mark that drops entries says so in the log

A segment went for a mark that was only queued, and a start found a gap behind its mark. Heads and removals go by what is written now. Where old segments are gone a start could not tell that a mark contradicts the entries it finds behind it: such a mark goes to the log behind a truncation.

--- a/src/log-store/group-log-state.ts
+++ b/src/log-store/group-log-state.ts
@@ -41,6 +41,11 @@
     return result;
   }
 
+  /** Whether a snapshot's mark drops all entries, since they lead to another entry at its index, or to none. */
+  isContradictedBy({ index, term }: SnapshotMark): boolean {
+    return this.entries.length > 0 && index > this.snapshot.index && this.termAt(index) !== term;
+  }
+
   /** Applies a record in the order of the log. */
   apply(record: LogRecord): void {
     switch (record.kind) {
--- a/src/log-store/write-ahead-log.ts
+++ b/src/log-store/write-ahead-log.ts
@@ -19,7 +19,13 @@
 import { DamagedLogError, DiskFullError } from './errors.js';
 import { GroupLogState } from './group-log-state.js';
 import { HEADER_BYTES, decodeRecord, encodeRecord, hasSyncedDataAfter } from './record-codec.js';
-import { type LogRecord, decodeLogRecord, encodeLogRecord } from './records.js';
+import {
+  type HardState,
+  type LogRecord,
+  type SnapshotMark,
+  decodeLogRecord,
+  encodeLogRecord,
+} from './records.js';
 
 const SEGMENT_PREFIX = 'segment-';
 const SEGMENT_SUFFIX = '.log';
@@ -48,6 +54,8 @@
   openFile?: OpenLogFile;
 }
 
+type EntriesRecord = Extract<LogRecord, { kind: 'entries' }>;
+
 interface QueuedWrite {
   records: LogRecord[];
   bodies: Buffer[];
@@ -66,8 +74,24 @@
   hasHead: boolean;
 }
 
+/** What a segment's head repeats of a group, as far as it has been written. */
+interface WrittenHead {
+  hardState: HardState;
+  mark: SnapshotMark;
+}
+
+const NOTHING_WRITTEN: WrittenHead = {
+  hardState: { term: 0, votedFor: undefined },
+  mark: { index: 0, term: 0 },
+};
+
 export class WriteAheadLog {
   private readonly groups = new Map<string, GroupLogState>();
+  /**
+   * By group. The states in memory are ahead by what is queued: a mark in front of the entries that it drops would
+   * not drop them at a start, and a segment must not go for a mark that may never be written.
+   */
+  private readonly written = new Map<string, WrittenHead>();
   private readonly queue: QueuedWrite[] = [];
   private readonly wake = new SignalEvent();
   private readonly quota: StorageQuota;
@@ -119,7 +143,8 @@
    * Applies records to the groups' states in memory at once and resolves when they are synced.
    * @throws StorageFullError (synchronously) when there is no room; nothing was applied then
    */
-  append(records: LogRecord[]): Promise<void> {
+  append(appended: LogRecord[]): Promise<void> {
+    const records = appended.flatMap((record) => this.withTruncation(record));
     const bodies = records.map(encodeLogRecord);
     const isRefusable = records.some((record) => record.kind === 'entries');
     if (isRefusable && this.isDiskFull) throw this.fullError();
@@ -148,6 +173,18 @@
     await this.file.close();
   }
 
+  /**
+   * A start may find the entries that a mark drops without the one at the mark's index, whose segment is gone: it could
+   * not tell then that they contradict the mark.
+   */
+  private withTruncation(record: LogRecord): LogRecord[] {
+    if (record.kind !== 'snapshot') return [record];
+    const { group, mark } = record;
+    const state = this.group(group);
+    if (!state.isContradictedBy(mark)) return [record];
+    return [{ kind: 'truncate', group, fromIndex: state.snapshot.index + 1 }, record];
+  }
+
   private applyToGroup(record: LogRecord): void {
     if (record.kind !== 'sync-marker') this.group(record.group).apply(record);
   }
@@ -234,7 +271,7 @@
     segment.bytes += bytes.length;
     this.syncedOffset = segment.bytes;
     this.markerNeeded = true;
-    for (const record of records) noteHighestIndex(segment, record);
+    for (const record of records) this.noteWritten(segment, record);
     this.counters.syncs += 1;
     this.counters.bytes += bytes.length;
     this.counters.records += records.length;
@@ -258,12 +295,21 @@
   }
 
   private headRecords(): LogRecord[] {
-    return [...this.groups].flatMap(([group, state]): LogRecord[] => [
-      { kind: 'hard-state', group, state: state.hardState },
-      { kind: 'snapshot', group, mark: state.snapshot },
+    return [...this.written].flatMap(([group, { hardState, mark }]): LogRecord[] => [
+      { kind: 'hard-state', group, state: hardState },
+      { kind: 'snapshot', group, mark },
     ]);
   }
 
+  private noteWritten(segment: Segment, record: LogRecord): void {
+    if (record.kind === 'sync-marker') return;
+    const { group } = record;
+    const head = this.written.get(group) ?? NOTHING_WRITTEN;
+    if (record.kind === 'hard-state') this.written.set(group, { ...head, hardState: record.state });
+    if (record.kind === 'snapshot') this.written.set(group, { ...head, mark: record.mark });
+    if (record.kind === 'entries') noteHighestIndex(segment, record);
+  }
+
   /**
    * The first batch that is written to it brings the head.
    * @throws DiskFullError when there is no room; the log goes on in the segment before
@@ -288,7 +334,7 @@
     while (this.segments.length > 1) {
       const oldest = this.segments[0]!;
       for (const [group, index] of oldest.highestIndex) {
-        if (index > this.group(group).snapshot.index) return;
+        if (index > (this.written.get(group) ?? NOTHING_WRITTEN).mark.index) return;
       }
       await rm(this.segmentPath(oldest.number));
       this.quota.release(oldest.bytes);
@@ -332,7 +378,7 @@
       if (!record) break;
       const decoded = decodeLogRecord(record.body);
       this.applyToGroup(decoded);
-      noteHighestIndex(segment, decoded);
+      this.noteWritten(segment, decoded);
       segment.bytes = record.end;
     }
     if (segment.bytes < bytes.length) await this.cutTail(path, bytes, segment.bytes, isLast);
@@ -355,8 +401,7 @@
   return bodies.reduce((sum, body) => sum + HEADER_BYTES + body.length, 0);
 }
 
-function noteHighestIndex(segment: Segment, record: LogRecord): void {
-  if (record.kind !== 'entries') return;
+function noteHighestIndex(segment: Segment, record: EntriesRecord): void {
   const highest = record.entries.at(-1)?.index ?? 0;
   const known = segment.highestIndex.get(record.group) ?? 0;
   segment.highestIndex.set(record.group, Math.max(known, highest));
