--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -118,6 +118,8 @@
     if (whole === 'refused') return { term: group.term, accepted: false };
     if (whole && request.mark.index > group.applier.appliedIndex) {
       const snapshot = { ...request.mark, configuration: request.configuration, state: whole };
+      // A start that finds a snapshot and an empty log takes the log for lost.
+      if (group.log.lastIndex === 0) await group.waitTermDurable();
       await group.applier.install(snapshot);
     }
     await group.waitTermDurable();
--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -47,7 +47,7 @@
     this.rebuildConfigurations(latestSnapshot);
   }
 
-  /** @throws DamagedLogError when the log was compacted but its snapshot is gone */
+  /** @throws DamagedLogError when the log was compacted but its snapshot is gone, or the other way round */
   static async open(
     group: string,
     wal: WriteAheadLog,
@@ -62,10 +62,22 @@
       });
     }
     const log = new MemberLog(group, wal, snapshots, snapshot);
-    if (snapshot && !log.holds(snapshot)) await log.adoptSnapshot(snapshot);
+    if (snapshot) await log.reachSnapshot(snapshot);
     return log;
   }
 
+  /** @throws DamagedLogError when the log is gone: its term and vote were durable before any snapshot */
+  private async reachSnapshot(snapshot: StoredSnapshot): Promise<void> {
+    if (this.holds(snapshot)) return;
+    if (this.hardState.term === 0) {
+      throw new DamagedLogError('the log is gone but its snapshot is not', {
+        step: 'consensus.open',
+        peer: this.group,
+      });
+    }
+    await this.adoptSnapshot(snapshot);
+  }
+
   /**
    * Whether the log reaches a snapshot: it does not where the process before was killed between storing its
    * leader's snapshot and letting the log go.
--- a/src/ledger/member-power-loss.test.ts
+++ b/src/ledger/member-power-loss.test.ts
@@ -64,7 +64,11 @@
   private readonly network = new LoopbackNetwork();
   private readonly peers: PeerCaller = this.network.peersOf(LEADER.address);
 
-  constructor(readonly disk: SimulatedDisk) {
+  /** @param isFounder whether it writes the group's first entry itself */
+  constructor(
+    readonly disk: SimulatedDisk,
+    private readonly isFounder = true,
+  ) {
     onTestFinished(() => disk.kill());
   }
 
@@ -94,7 +98,7 @@
       onLeadershipChange: () => undefined,
     });
     killing.signal.addEventListener('abort', () => host.stopNow());
-    await host.bootstrapGroup(GROUP, { members: FOUNDERS });
+    if (this.isFounder) await host.bootstrapGroup(GROUP, { members: FOUNDERS });
     const machine = new ListMachine();
     const group = await host.openGroup(GROUP, machine);
     const router = new MethodRouter();
@@ -173,6 +177,21 @@
     expect(machine.items).toEqual(itemsUpTo(11));
   });
 
+  /**
+   * A member that comes new may be sent a snapshot before anything else. A snapshot that is stored before the term of its
+   * leader is would look at the next start like one whose log is gone.
+   */
+  it('starts again where the snapshot was the first that it was sent', async () => {
+    const script = new FollowerOfScript(new SimulatedDisk('member', { seed: 1 }), false);
+    await script.start();
+    script.disk.killBefore = LOG_WRITE;
+    await expect(script.sendSnapshot(10)).rejects.toThrow();
+    const { machine, fatal } = await script.start();
+    expect(await script.bringPastSnapshot(10)).toBe(true);
+    expect(machine.items).toEqual(itemsUpTo(10));
+    expect(fatal).toEqual([]);
+  });
+
   /** Entries of an earlier leader, which the snapshot replaces, must not be taken for what was committed. */
   it('lets entries go that the snapshot contradicts', async () => {
     const script = new FollowerOfScript(new SimulatedDisk('member', { seed: 1 }));
--- a/src/log-store/data-folder.ts
+++ b/src/log-store/data-folder.ts
@@ -18,6 +18,9 @@
 
 export type OpenLogFile = (path: string, flags: 'r+' | 'w') => Promise<LogFile>;
 
+/** Error codes of a file that this process may not read. */
+const FORBIDDEN_CODES: ReadonlySet<string | undefined> = new Set(['EACCES', 'EPERM']);
+
 /** Error codes of a disk, or of a share of it, that takes no more bytes. */
 const FULL_CODES: ReadonlySet<string | undefined> = new Set(['ENOSPC', 'EDQUOT']);
 
@@ -39,10 +42,15 @@
 async function syncUnusedFolder(path: string): Promise<void> {
   let folder = path;
   let mostNames = 0;
-  while (folder !== dirname(folder) && (await readdir(folder)).length <= mostNames) {
-    folder = dirname(folder);
-    await syncFolder(folder);
-    mostNames = 1;
+  try {
+    while (folder !== dirname(folder) && (await readdir(folder)).length <= mostNames) {
+      folder = dirname(folder);
+      await syncFolder(folder);
+      mostNames = 1;
+    }
+  } catch (error) {
+    // What this process may not read was made by another, which has synced it or answers for it.
+    if (!FORBIDDEN_CODES.has((error as NodeJS.ErrnoException).code)) throw error;
   }
 }
 
