No segment of values takes the number of an index that is left

Where removals reach the disk in any order, a loss of power leaves the index of a removed segment without the segment. Numbers go on behind the highest that any file has, and a start removes an index without its segment.

--- a/src/value-store/segment-files.ts
+++ b/src/value-store/segment-files.ts
@@ -6,7 +6,13 @@
 import { StorageFailedError, readBytes, storageError, writeWhole } from '../log-store/index.js';
 import type { StoreFile, StoreFolder } from './store-folder.js';
 import { type ScannedRecord, scanValueRecords } from './value-record.js';
-import { ValueSegment, decodeIndex, encodeIndex, segmentNumbers } from './value-segment.js';
+import {
+  ValueSegment,
+  decodeIndex,
+  encodeIndex,
+  indexNumbers,
+  segmentNumbers,
+} from './value-segment.js';
 
 /** One encoded record that is to be appended. */
 export interface AppendedRecord {
@@ -24,6 +30,11 @@
 
 export class SegmentFiles {
   private readonly segments: ValueSegment[] = [];
+  /**
+   * The highest number that a segment or an index had. None is used again: after a loss of power the index of a
+   * removed segment may be there without it.
+   */
+  private highestNumber = 0;
   /** Records of the segment that is written to, for its index. */
   private currentRecords: ScannedRecord[] = [];
 
@@ -48,8 +59,14 @@
    */
   async recover(): Promise<RecoveredSegment[]> {
     const names = await this.folder.list();
+    const numbers = segmentNumbers(names);
+    const indexes = indexNumbers(names);
+    this.highestNumber = Math.max(0, ...numbers, ...indexes);
+    for (const number of indexes.filter((index) => !numbers.includes(index))) {
+      await this.folder.remove(new ValueSegment(number).indexName);
+    }
     const recovered: RecoveredSegment[] = [];
-    for (const number of segmentNumbers(names)) {
+    for (const number of numbers) {
       const segment = new ValueSegment(number);
       segment.file = await this.folder.open(segment.name);
       segment.bytes = await segment.file.size();
@@ -132,7 +149,8 @@
   private async writableSegment(): Promise<ValueSegment> {
     const last = this.segments.at(-1);
     if (last && !last.isSealed) return last;
-    const segment = new ValueSegment((last?.number ?? 0) + 1);
+    const segment = new ValueSegment(this.highestNumber + 1);
+    this.highestNumber = segment.number;
     segment.file = await this.folder.create(segment.name);
     await this.folder.sync();
     this.currentRecords = [];
--- a/src/value-store/value-segment.ts
+++ b/src/value-store/value-segment.ts
@@ -42,9 +42,18 @@
 
 /** Numbers of the segments among the names of files, lowest first. */
 export function segmentNumbers(names: readonly string[]): number[] {
+  return numbersOf(names, SEGMENT_SUFFIX);
+}
+
+/** Numbers of the indexes among the names of files, lowest first. */
+export function indexNumbers(names: readonly string[]): number[] {
+  return numbersOf(names, INDEX_SUFFIX);
+}
+
+function numbersOf(names: readonly string[], suffix: string): number[] {
   return names
-    .filter((name) => name.startsWith(PREFIX) && name.endsWith(SEGMENT_SUFFIX))
-    .map((name) => Number(name.slice(PREFIX.length, -SEGMENT_SUFFIX.length)))
+    .filter((name) => name.startsWith(PREFIX) && name.endsWith(suffix))
+    .map((name) => Number(name.slice(PREFIX.length, -suffix.length)))
     .sort((left, right) => left - right);
 }
 
