A value that can't be read now is neither dropped nor called lost

A failed read counted as damage: a member that was short of memory for a moment dropped the value, removed its segment, and told others that it had lost it, which counts where values are given up. Only a read that the disk can't do (EIO) or a record that does not check out is damage now.

--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -105,7 +105,7 @@
       for (const [index, id] of group.entries()) {
         const value = values[index];
         if (value) answer.values.push([id, value]);
-        else if (isStateLateEnough) this.turnsWithoutValue(answer, id).push(id);
+        else if (isStateLateEnough) this.noteWithoutValue(answer, id);
         bytes += value?.length ?? 0;
       }
       answer.covered += group.length;
@@ -113,8 +113,11 @@
     return answer;
   }
 
-  private turnsWithoutValue({ expired, lost }: ReadTurnsAnswer, id: string): string[] {
-    return this.options.turns.has(id) ? lost : expired;
+  /** A value that is held and can't be read now is neither lost nor over. */
+  private noteWithoutValue({ expired, lost }: ReadTurnsAnswer, id: string): void {
+    const { turns, values } = this.options;
+    if (!turns.has(id)) expired.push(id);
+    else if (!values.has(id)) lost.push(id);
   }
 
   /** Takes a value ahead of the entry that names it. */
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -37,6 +37,8 @@
  */
 const GATHERED_BYTES = 256 * 1024;
 const DEFAULT_GATHER_MS = 100;
+/** Error code of a read that the disk can't do; any other may be over soon, as a lack of memory is. */
+const DAMAGED_CODE = 'EIO';
 /** Pause between two tries on a full disk, in milliseconds: as the write-ahead log's. */
 const FULL_RETRY_MS = 100;
 
@@ -133,20 +135,20 @@
     else this.gatherTimer ??= setTimeout(() => this.endGathering(), this.gatherMs);
   }
 
-  /** @returns undefined when the value is not held, or damaged, which drops it */
+  /** @returns undefined when the value is not held, can't be read now, or is damaged, which drops it */
   async get(key: string): Promise<Buffer | undefined> {
     for (;;) {
       const inMemory = this.pending.find(key) ?? this.cache.get(key);
       if (inMemory) return inMemory;
       const location = this.locations.get(key);
       if (!location) return undefined;
-      const value = await this.readValue(key, location);
+      const read = await this.readValue(key, location);
       // Moved, dropped or written meanwhile: what was read may be of a file that is gone.
       if (this.locations.get(key) !== location) continue;
-      if (this.isClosing) return undefined;
-      if (value) this.cache.set(key, value);
-      else this.dropDamaged(key, location);
-      return value;
+      if (this.isClosing || read === 'unreadable') return undefined;
+      if (read === 'damaged') this.dropDamaged(key, location);
+      else this.cache.set(key, read);
+      return read === 'damaged' ? undefined : read;
     }
   }
 
@@ -358,17 +360,20 @@
       .map(({ key, offset, length }) => ({ key, record: bytes.subarray(offset, offset + length) }));
   }
 
-  private async readValue(key: string, location: ValueLocation): Promise<Buffer | undefined> {
+  private async readValue(
+    key: string,
+    location: ValueLocation,
+  ): Promise<Buffer | 'damaged' | 'unreadable'> {
     const { segment, offset, length } = location;
-    if (!segment.file) return undefined;
+    if (!segment.file) return 'unreadable';
     try {
       const bytes = await readBytes(segment.file, offset, length);
       const record = bytes && decodeValueRecord(bytes, 0);
-      return record?.key === key ? record.value : undefined;
+      return record?.key === key ? record.value : 'damaged';
     } catch (error) {
       const context = { segment: segment.name, cause: describeError(error) };
       this.options.logger.warn('value not read', context);
-      return undefined;
+      return (error as NodeJS.ErrnoException).code === DAMAGED_CODE ? 'damaged' : 'unreadable';
     }
   }
 
