A machine is not free by what a silent voter once acknowledged

What a voter had acknowledged counted also after it lost its disk, while nothing more was committed: the group let a third copy go.

--- a/src/clustering/voter-keeper.ts
+++ b/src/clustering/voter-keeper.ts
@@ -157,7 +157,8 @@
     return this.group.log.lastIndex - this.group.matchIndexOf(id);
   }
 
+  /** What a silent voter acknowledged may be gone with its disk. */
   private holdsLog(id: string): boolean {
-    return this.group.matchIndexOf(id) >= this.group.commitIndex;
+    return this.isReachable(id) && this.group.matchIndexOf(id) >= this.group.commitIndex;
   }
 }
