Who says that a value is lost says who it is

A question for values goes to an address. A learner there that came in place of a lost voter counted as that voter, so that a value could be given up while a voter that holds it was only out of reach. The answer names its member now.

--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -115,7 +115,7 @@
     const mayTellExpired = atIndex !== undefined && appliedIndex >= atIndex;
     const answer = await this.options.stateMachine.external.answer(request, mayTellExpired);
     for (const [, value] of answer.values) this.sentBytes.turns += value.length;
-    return answer;
+    return { ...answer, memberId: this.options.findGroup()?.ownId };
   }
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveAnswer> {
--- a/src/ledger/loss-reports-renewed-member.test.ts
+++ b/src/ledger/loss-reports-renewed-member.test.ts
@@ -12,12 +12,13 @@
 const SNAPSHOT_INDEX = 10;
 
 interface Holder {
+  id: string;
   values: MemoryValues;
   state: LedgerStateMachine;
 }
 
 /** A member whose state names the turn and whose store may lack it. */
-function memberWithState(hasValue: boolean): Holder {
+function memberWithState(id: string, hasValue: boolean): Holder {
   const values = new MemoryValues();
   const state = new LedgerStateMachine({
     values,
@@ -28,7 +29,7 @@
   const settlements = [{ program: 'p', attempt: TURN, spentTokens: 0, keep }];
   state.apply(encodeValue({ kind: 'settle', settlements, nowMs: 0 }));
   if (!hasValue) values.delete(TURN);
-  return { values, state };
+  return { id, values, state };
 }
 
 function member(id: string, address: string, role: Member['role']): Member {
@@ -39,13 +40,13 @@
   /**
    * Of three voters one has lost a value, one is out of reach and may hold it, and the third is gone with its disk.
    * At the third one's address its renewed member answers, a learner that lacks the value as well. The question
-   * goes to an address and the answer doesn't say whose it is: the learner's word counts as the old voter's, two of
-   * three have lost the value then, and the member that asks gives it up.
+   * goes to an address: where the learner's word counts as the old voter's, two of three have lost the value, and the
+   * member that asks gives it up.
    */
   it('is not given up by the word of a learner at the address of a voter that is gone', async () => {
     const holders = new Map([
-      ['one', memberWithState(false)],
-      ['two', memberWithState(false)],
+      ['one', memberWithState('first', false)],
+      ['two', memberWithState('second-renewed', false)],
     ]);
     const sources = [
       member('first', 'one', 'voter'),
@@ -58,7 +59,8 @@
       readTurnsAt: async (address, request) => {
         const holder = holders.get(address);
         if (!holder) throw new Error(`${address} is out of reach`);
-        return holder.state.external.answer(request, true);
+        const answer = await holder.state.external.answer(request, true);
+        return { ...answer, memberId: holder.id };
       },
       logger: createLogger({ test: 'loss-reports' }),
     });
--- a/src/ledger/loss-reports.ts
+++ b/src/ledger/loss-reports.ts
@@ -8,8 +8,9 @@
   /** Ids of the voters that have lost a turn's value, by the turn. */
   private readonly voters = new Map<string, Set<string>>();
 
-  note({ id, role }: Member, turns: readonly string[]): void {
-    if (role !== 'voter') return;
+  /** @param answeredBy identity of the member that answered at the asked one's address */
+  note({ id, role }: Member, answeredBy: string | undefined, turns: readonly string[]): void {
+    if (role !== 'voter' || answeredBy !== id) return;
     for (const turn of turns) {
       const known = this.voters.get(turn);
       if (known) known.add(id);
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -70,6 +70,8 @@
 }
 
 export interface ReadTurnsAnswer {
+  /** Identity of the member that answers, which its address does not tell once a disk was lost. */
+  memberId?: string;
   /** Id of the turn, and its input followed by its output. */
   values: [string, Uint8Array][];
   /** Turns that were over by the member's state, which is not older than the sender's. */
--- a/src/ledger/turn-histories.test.ts
+++ b/src/ledger/turn-histories.test.ts
@@ -47,7 +47,8 @@
     if (left === 0) throw new Error(`${address} is gone`);
     if (left !== undefined) this.diesAfter.set(address, left - 1);
     const mayTell = this.tellsExpired ?? request.atIndex !== undefined;
-    return this.states.get(address)!.external.answer(request, mayTell);
+    const answer = await this.states.get(address)!.external.answer(request, mayTell);
+    return { ...answer, memberId: address };
   }
 }
 
--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -46,6 +46,12 @@
   index: number;
 }
 
+/** What one member says of values that it must hold. */
+interface LossReport {
+  answeredBy: string | undefined;
+  lost: string[];
+}
+
 export interface TurnHistoriesOptions {
   turns: KeptTurns;
   values: TurnValues;
@@ -244,7 +250,8 @@
     for (const source of sources) {
       if (wanted.size === 0) break;
       try {
-        reports.note(source, await this.fetchFrom(source.address, wanted, atIndex));
+        const { answeredBy, lost } = await this.fetchFrom(source.address, wanted, atIndex);
+        reports.note(source, answeredBy, lost);
       } catch (error) {
         const cause = describeError(error);
         this.options.logger.warn('kept turns not fetched', { peer: source.address, cause });
@@ -268,14 +275,14 @@
 
   /**
    * One request after the other, each answer written before the next is asked for.
-   * @returns what the member has lost
+   * @returns what the member says that it has lost
    */
   private async fetchFrom(
     address: string,
     wanted: Set<string>,
     atIndex?: number,
-  ): Promise<string[]> {
-    const lost: string[] = [];
+  ): Promise<LossReport> {
+    const report: LossReport = { answeredBy: undefined, lost: [] };
     let waiting = [...wanted];
     while (waiting.length > 0) {
       const turns = waiting.slice(0, MAX_REQUESTED_TURNS);
@@ -286,10 +293,11 @@
         wanted.delete(id);
       }
       for (const id of answer.expired) wanted.delete(id);
-      lost.push(...answer.lost);
+      report.answeredBy = answer.memberId;
+      report.lost.push(...answer.lost);
       waiting = waiting.slice(Math.max(1, answer.covered));
     }
-    return lost;
+    return report;
   }
 }
 
