--- a/src/ledger/kept-turns.ts
+++ b/src/ledger/kept-turns.ts
@@ -51,7 +51,7 @@
    * @param keptAtIndex log index of the entry that brings it
    */
   keep(id: string, turn: KeptTurn | NamedTurn, nowMs: number, keptAtIndex = 0): void {
-    this.unnamed.noteNamed(id);
+    this.unnamed.noteNamed(id, keptAtIndex);
     if (this.turns.has(id)) return;
     const { previousTurn, retentionMs } = turn;
     const expiresAtMs = nowMs + retentionMs;
@@ -81,7 +81,8 @@
     for (const [id, turn] of this.turns) {
       if (turn.expiresAtMs >= nowMs) continue;
       this.turns.delete(id);
-      this.values.delete(id);
+      // A turn that was settled again is named by an entry that is still to be applied.
+      if (!this.unnamed.has(id)) this.values.delete(id);
     }
     if (!this.mayHoldOthers) return;
     this.mayHoldOthers = false;
@@ -103,7 +104,7 @@
         { previousTurn: previousTurn ?? undefined, expiresAtMs, keptAtIndex: 0 },
       ]),
     );
-    for (const id of this.turns.keys()) this.unnamed.noteNamed(id);
+    for (const id of this.turns.keys()) this.unnamed.noteNamed(id, Number.POSITIVE_INFINITY);
     this.mayHoldOthers = true;
   }
 
--- a/src/ledger/turn-histories.ts
+++ b/src/ledger/turn-histories.ts
@@ -163,7 +163,7 @@
       for (const [place, turn] of this.options.turnsNamedIn(entry).entries()) {
         const value = entry.attachments?.[place];
         if (value && value.length > 0) this.put(turn, value);
-        if (!turns.has(turn)) turns.unnamed.noteLogged(turn, entry.index);
+        turns.unnamed.noteLogged(turn, entry.index);
       }
     }
   }
--- a/src/ledger/unnamed-values.test.ts
+++ b/src/ledger/unnamed-values.test.ts
@@ -44,7 +44,16 @@
 it('a value whose entry was applied is no longer waited for', () => {
   const { clock, unnamed } = startedAt(0);
   unnamed.noteLogged('a', 7);
-  unnamed.noteNamed('a');
+  unnamed.noteNamed('a', 7);
   clock.nowMs = LONGER_THAN_ANY_WAIT_MS;
   expect(unnamed.expire(7)).toEqual([]);
 });
+
+it('a value is waited for while a later entry names it than the one that was applied', () => {
+  const { unnamed } = startedAt(0);
+  unnamed.noteLogged('a', 7);
+  unnamed.noteNamed('a', 5);
+  expect(unnamed.has('a')).toBe(true);
+  unnamed.noteNamed('a', 7);
+  expect(unnamed.has('a')).toBe(false);
+});
--- a/src/ledger/unnamed-values.ts
+++ b/src/ledger/unnamed-values.ts
@@ -41,9 +41,10 @@
     this.set(turn, { since: this.now(), bytes, loggedAt: index });
   }
 
-  /** The entry was applied. */
-  noteNamed(turn: string): void {
-    this.remove(turn);
+  /** The entry at a log index was applied; one behind it may name the turn once more. */
+  noteNamed(turn: string, index: number): void {
+    const { loggedAt = 0 } = this.unnamed.get(turn) ?? {};
+    if (loggedAt <= index) this.remove(turn);
   }
 
   /**
