--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -79,17 +79,18 @@
 
   /**
    * Replaces the state by a snapshot from the leader, one after the other.
+   * @param members of the group today, who are asked for what the snapshot names
    * @throws when data that the snapshot names can't be fetched or stored now; nothing changed then
    */
-  install(snapshot: StoredSnapshot): Promise<void> {
-    const installed = this.installing.then(() => this.installNext(snapshot));
+  install(snapshot: StoredSnapshot, members: GroupConfiguration): Promise<void> {
+    const installed = this.installing.then(() => this.installNext(snapshot, members));
     this.installing = installed.catch(() => undefined);
     return installed;
   }
 
-  private async installNext(snapshot: StoredSnapshot): Promise<void> {
+  private async installNext(snapshot: StoredSnapshot, members: GroupConfiguration): Promise<void> {
     if (snapshot.index <= this.appliedIndex) return;
-    await this.obtainExternal(snapshot);
+    await this.obtainExternal(snapshot, members);
     await this.group.log.storeSnapshot(snapshot);
     if (snapshot.index <= this.appliedIndex) return;
     // From here to the new applied index nothing may come between: the log has a gap meanwhile.
@@ -103,11 +104,13 @@
     await written;
   }
 
-  private async obtainExternal(snapshot: StoredSnapshot): Promise<void> {
+  private async obtainExternal(
+    snapshot: StoredSnapshot,
+    members: GroupConfiguration,
+  ): Promise<void> {
     const { external } = this.stateMachine;
     if (!external) return;
-    const sources = this.sourcesIn(decodeConfiguration(snapshot.configuration));
-    await external.fetchMissing(snapshot, sources);
+    await external.fetchMissing(snapshot, this.sourcesIn(members));
     await external.sync();
   }
 
--- a/src/consensus/external-state.test.ts
+++ b/src/consensus/external-state.test.ts
@@ -183,7 +183,8 @@
     const fetch = new Deferred<void>();
     external.fetched = () => fetch.promise;
     const { applier } = follower.group;
-    const installs = [1, 2].map(() => applier.install({ ...snapshot, configuration }));
+    const members = leader.group.configuration;
+    const installs = [1, 2].map(() => applier.install({ ...snapshot, configuration }, members));
     await sleep(50);
     expect(external.fetches).toBe(1);
     fetch.resolve();
--- a/src/consensus/follower-duty.ts
+++ b/src/consensus/follower-duty.ts
@@ -1,7 +1,7 @@
 /** How a member answers the messages of candidates and leaders. */
 import { monotonicMs } from '../common/index.js';
 import { StorageFullError, type LogEntry } from '../log-store/index.js';
-import { isVoter } from './configuration.js';
+import { decodeConfiguration, isVoter } from './configuration.js';
 import type {
   AppendRequest,
   AppendResponse,
@@ -120,7 +120,7 @@
       const snapshot = { ...request.mark, configuration: request.configuration, state: whole };
       // A start that finds a snapshot and an empty log takes the log for lost.
       if (group.log.lastIndex === 0) await group.waitTermDurable();
-      await group.applier.install(snapshot);
+      await group.applier.install(snapshot, decodeConfiguration(request.latestConfiguration));
     }
     await group.waitTermDurable();
     return { term: request.term, accepted: true };
--- a/src/consensus/learner-relays.ts
+++ b/src/consensus/learner-relays.ts
@@ -188,6 +188,10 @@
     return this.member.log.compactedTo;
   }
 
+  get configuration(): GroupConfiguration {
+    return this.member.configuration;
+  }
+
   termAt(index: number): number | undefined {
     return this.member.log.termAt(index);
   }
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -69,6 +69,8 @@
 export interface SnapshotChunk extends GroupMessage {
   mark: SnapshotMark;
   configuration: Uint8Array;
+  /** The group's members as the leader knows them: those of the snapshot may all have been replaced. */
+  latestConfiguration: Uint8Array;
   /** Bytes of the whole state. */
   stateBytes: number;
   /** Where in the state the chunk belongs. */
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -6,7 +6,7 @@
 import type { LogEntry, SnapshotReader } from '../log-store/index.js';
 import { type CallOptions, LinkError, type Method } from '../wire/index.js';
 import { BatchLimit } from './batch-limit.js';
-import type { Member } from './configuration.js';
+import { type Member, encodeConfiguration } from './configuration.js';
 import type { MemberLog } from './member-log.js';
 import {
   APPEND,
@@ -46,7 +46,7 @@
 /** What the task needs of the log that it sends. */
 export type ReplicatedLog = Pick<
   MemberLog,
-  'lastIndex' | 'compactedTo' | 'termAt' | 'slice' | 'openSnapshot'
+  'lastIndex' | 'compactedTo' | 'termAt' | 'slice' | 'openSnapshot' | 'configuration'
 >;
 
 /** What the task needs of its leader, or of a voter that sends entries on in the leader's name. */
@@ -300,7 +300,9 @@
     const { group, ownId, term } = this.leader;
     const { configuration, ...mark } = reader.head;
     const { stateBytes } = reader;
-    const base = { group, to: this.member.id, from: ownId, term, mark, configuration, stateBytes };
+    const latestConfiguration = encodeConfiguration(this.leader.log.configuration);
+    const head = { group, to: this.member.id, from: ownId, term };
+    const base = { ...head, mark, configuration, latestConfiguration, stateBytes };
     let offset = 0;
     do {
       const chunk = await reader.read(SNAPSHOT_CHUNK_BYTES);
--- a/src/consensus/vote-after-queued-snapshot.test.ts
+++ b/src/consensus/vote-after-queued-snapshot.test.ts
@@ -99,6 +99,7 @@
     term: LATER_TERM,
     mark: { index: 2, term: LATER_TERM },
     configuration: encodeConfiguration({ members: VOTERS }),
+    latestConfiguration: encodeConfiguration({ members: VOTERS }),
     stateBytes: chunk.length,
     offset: 0,
     chunk,
--- a/src/ledger/member-power-loss.test.ts
+++ b/src/ledger/member-power-loss.test.ts
@@ -117,7 +117,9 @@
     const state = encodeValue(itemsUpTo(index));
     const mark = { index, term: TERM };
     const configuration = encodeConfiguration({ members: FOUNDERS });
-    const whole = { mark, configuration, stateBytes: state.length, offset: 0, chunk: state };
+    const latestConfiguration = configuration;
+    const onlyChunk = { stateBytes: state.length, offset: 0, chunk: state };
+    const whole = { mark, configuration, latestConfiguration, ...onlyChunk };
     await this.peers.call(FOLLOWER.address, SNAPSHOT, { ...this.head, ...whole }, CALL_LIMITS);
   }
 
