After a change of leader or of members gateways send the values of kept turns, not the leader

A settlement whose values the followers don't have is answered at once with their addresses; the gateway sends them and asks again, and the leader copies at the third try and for those that can't.

--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -37,6 +37,8 @@
 /** Longest pause between two members that a question goes to, in milliseconds: an election time-out. */
 const MAXIMUM_PAUSE_MS = 250;
 const SETTLE_TIMEOUT_MS = 2_000;
+/** Targets of copies may change between two of them. */
+const MOST_SETTLE_TRIES = 3;
 /** How long one leader may take over settlements, and over one reservation, in milliseconds. */
 const SETTLE_TRY_TIMEOUT_MS = 400;
 const RESERVE_TRY_TIMEOUT_MS = 250;
@@ -138,14 +140,18 @@
 
   /** Resolves once the settlement is committed. @throws GroupUnavailableError when it may not be */
   async settle(settlement: Settlement, timeoutMs: number): Promise<void> {
-    const limits = { timeoutMs, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
-    const copiedTo = this.copies?.send(settlement);
-    const { copyTargets } = await this.call(
-      SETTLE,
-      { settlements: [settlement], copiedTo },
-      limits,
-    );
-    if (copyTargets) this.copies?.noteTargets(copyTargets);
+    const deadlineMs = monotonicMs() + timeoutMs;
+    let isSettled = false;
+    for (let tries = 1; !isSettled; tries += 1) {
+      const leftMs = Math.max(1, deadlineMs - monotonicMs());
+      const limits = { timeoutMs: leftMs, tryTimeoutMs: SETTLE_TRY_TIMEOUT_MS };
+      const copiedTo = this.copies?.send(settlement);
+      const canCopy = this.copies !== undefined && tries < MOST_SETTLE_TRIES;
+      const request = { settlements: [settlement], copiedTo, canCopy };
+      const answer = await this.call(SETTLE, request, limits);
+      if (answer.copyTargets) this.copies?.noteTargets(answer.copyTargets);
+      isSettled = answer.isSettled;
+    }
     if (settlement.draw) this.allowances.confirm(settlement.program);
   }
 
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -137,11 +137,13 @@
 
   private async settle(
     group: ReplicatedGroup,
-    { settlements: received, copiedTo }: SettleRequest,
+    { settlements: received, copiedTo, canCopy }: SettleRequest,
   ): Promise<SettleAnswer> {
     const targets = copyTargetsOf(group);
     const isCopied = copiedTo === targets.version;
     const values = valuesIn(received);
+    // Copies by the leader, of what all gateways keep after its election, would take its link for good.
+    if (!isCopied && canCopy && values.size > 0) return { isSettled: false, copyTargets: targets };
     if (!isCopied) this.sendCopies(values, targets.addresses);
     const settlements = received.map(withoutValue);
     const command: LedgerCommand = { kind: 'settle', settlements, nowMs: this.nowMs(group) };
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -54,10 +54,13 @@
 export interface SettleRequest extends Omit<SettleCommand, 'kind' | 'nowMs'> {
   /** Version of the copy targets to which the values were sent as well; absent when they were not. */
   copiedTo?: string;
+  /** Whether the gateway sends values to the followers itself once it is told who they are. */
+  canCopy?: boolean;
 }
 
 export interface SettleAnswer {
-  isSettled: true;
+  /** False where nothing was done: the gateway is to send the values to the targets and to ask again. */
+  isSettled: boolean;
   /** Present where the gateway sent values to others, or to none. */
   copyTargets?: CopyTargets;
 }
