--- /dev/null
+++ b/lab/directory/profile-purposes.ts
@@ -0,0 +1,117 @@
+/**
+ * Groups the self time of processor profiles by purpose.
+ *
+ *     node dist/lab/directory/profile-purposes.js FILE.cpuprofile...
+ */
+import { readFileSync } from 'node:fs';
+
+interface CallFrame {
+  functionName: string;
+  url: string;
+}
+
+interface ProfileNode {
+  id: number;
+  callFrame: CallFrame;
+  children?: number[];
+}
+
+/** As V8 writes it. */
+interface Profile {
+  nodes: ProfileNode[];
+  samples: number[];
+  /** Time since the sample before, in microseconds. */
+  timeDeltas: number[];
+}
+
+interface Purpose {
+  name: string;
+  /** Matches `URL function`. */
+  pattern: RegExp;
+}
+
+/** Code that others call for their purposes: its time counts for the nearest of the callers named below. */
+const PURPOSES: readonly Purpose[] = [
+  { name: 'garbage collection', pattern: /\(garbage collector\)/ },
+  { name: 'idle', pattern: /\(idle\)/ },
+  {
+    name: 'decoding of messages',
+    pattern: /msgpackr\S*unpack|FrameDecoder|frame-codec\S* (push|decode)/,
+  },
+  { name: 'encoding of messages', pattern: /msgpackr\S*pack\.js|frame-codec\S* encode/ },
+  { name: 'lists of back ends', pattern: /directory-leader\S* (backendsView|get backendsVersion)/ },
+  { name: 'silence of back ends', pattern: /heartbeat-table|directory-leader\S* refreshSilent/ },
+  { name: 'state machine', pattern: /directory-state-machine/ },
+  {
+    name: "cluster's view",
+    pattern: /directory-leader\S* (tellClusterNews|clusterView)|node-roster/,
+  },
+  {
+    name: 'answers to watchers',
+    pattern: /directory-leader\S* \S|load-board|gateway-confirmations|answer-turns/,
+  },
+  { name: 'heartbeats: HTTP', pattern: /node:_?http|node:internal\/(http|streams)|control-host/ },
+  {
+    name: 'heartbeats passed on',
+    pattern: /group-client|open-tries|leader-calls|directory-client/,
+  },
+  { name: 'log and replication', pattern: /log-store|src\/consensus/ },
+  { name: 'writing of logs', pattern: /observability|loglevel/ },
+  { name: 'limits of tenants', pattern: /src\/quotas/ },
+  { name: 'connections', pattern: /src\/wire|node:net|stream_base|writev|node:events/ },
+  { name: 'timers and promises', pattern: /node:internal\/(timers|process)|signal-event|deferred/ },
+];
+const OTHER = 'other';
+const MICROSECONDS = 1_000;
+
+function purposeOf({ functionName, url }: CallFrame): string | undefined {
+  const text = `${url} ${functionName}`;
+  return PURPOSES.find(({ pattern }) => pattern.test(text))?.name;
+}
+
+/** By id of node; what has no purpose of its own has its caller's. */
+function purposesOf(profile: Profile): Map<number, string> {
+  const byId = new Map(profile.nodes.map((node) => [node.id, node]));
+  const purposes = new Map<number, string>();
+  const visit = (node: ProfileNode, callers: string): void => {
+    const purpose = purposeOf(node.callFrame) ?? callers;
+    purposes.set(node.id, purpose);
+    for (const child of node.children ?? []) visit(byId.get(child)!, purpose);
+  };
+  visit(profile.nodes[0]!, OTHER);
+  return purposes;
+}
+
+function selfTimes(profile: Profile, nameOf: (id: number) => string): [string, number][] {
+  const times = new Map<string, number>();
+  profile.samples.forEach((id, sample) => {
+    const name = nameOf(id);
+    times.set(name, (times.get(name) ?? 0) + profile.timeDeltas[sample]! / MICROSECONDS);
+  });
+  return [...times].sort(([, left], [, right]) => right - left);
+}
+
+function printTimes(title: string, times: readonly [string, number][], total: number): void {
+  console.log(`\n${title}\n`);
+  for (const [name, milliseconds] of times) {
+    const share = ((100 * milliseconds) / total).toFixed(1).padStart(5);
+    console.log(`${share} %  ${milliseconds.toFixed(0).padStart(7)} ms  ${name}`);
+  }
+}
+
+const MOST_FUNCTIONS = 25;
+
+for (const file of process.argv.slice(2)) {
+  const profile = JSON.parse(readFileSync(file, 'utf8')) as Profile;
+  const purposes = purposesOf(profile);
+  const frames = new Map(profile.nodes.map(({ id, callFrame }) => [id, callFrame]));
+  const isBusy = ([name]: [string, number]): boolean => !/idle\)?$/.test(name);
+  const byPurpose = selfTimes(profile, (id) => purposes.get(id)!).filter(isBusy);
+  const byFunction = selfTimes(profile, (id) => {
+    const { url, functionName } = frames.get(id)!;
+    return `${url.split('/').slice(-2).join('/')} ${functionName}`;
+  }).filter(isBusy);
+  const total = byPurpose.reduce((sum, [, milliseconds]) => sum + milliseconds, 0);
+  printTimes(`${file}: self time by purpose`, byPurpose, total);
+  printTimes('by function', byFunction.slice(0, MOST_FUNCTIONS), total);
+}
--- a/lab/ledger/main.ts
+++ b/lab/ledger/main.ts
@@ -7,17 +7,15 @@
  * In the environment: GW gateways (53), KEPT bytes of a kept turn (4300), WARM milliseconds before each measurement
  * (6000), HOST_FLAGS for the members' Node processes (none).
  */
-import { type ChildProcess, spawn } from 'node:child_process';
-import { once } from 'node:events';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 import { monotonicMs, sleep } from '../../src/common/index.js';
 import { GroupClient, type Member, PeerDirectory } from '../../src/consensus/index.js';
 import { HistoryReader, LedgerClient, ValueCopies } from '../../src/ledger/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
+import { HostProcess } from '../host-process.js';
 import { SILENT } from '../silent-logger.js';
 import type { CollectionFigures, LedgerHostSettings, LedgerHostUsage } from './ledger-host.js';
 
@@ -33,35 +31,6 @@
 const MEASURED_MS = 6_000;
 const TURN_MS = 100;
 
-class Host {
-  private readonly lines: AsyncIterator<string>;
-
-  private constructor(private readonly child: ChildProcess) {
-    const reader = createInterface({ input: child.stdout! });
-    this.lines = reader[Symbol.asyncIterator]();
-  }
-
-  static async start(settings: LedgerHostSettings, flags: string[]): Promise<Host> {
-    const child = spawn(process.execPath, [...flags, HOST, JSON.stringify(settings)], {
-      stdio: ['pipe', 'pipe', 'inherit'],
-    });
-    const host = new Host(child);
-    await host.lines.next();
-    return host;
-  }
-
-  async usage(): Promise<LedgerHostUsage> {
-    this.child.stdin!.write('usage\n');
-    const { value } = await this.lines.next();
-    return JSON.parse(value) as LedgerHostUsage;
-  }
-
-  async stop(): Promise<void> {
-    this.child.stdin!.end();
-    await once(this.child, 'exit');
-  }
-}
-
 interface Times {
   reserve: number[];
   keep: number[];
@@ -113,11 +82,15 @@
   return `${at(0.5)} / ${at(0.95)}`;
 }
 
-async function measure(hosts: Host[], clients: LedgerClient[], perSecond: number): Promise<void> {
+async function measure(
+  hosts: HostProcess[],
+  clients: LedgerClient[],
+  perSecond: number,
+): Promise<void> {
   await load(clients, perSecond, WARM_UP_MS);
-  const before = await Promise.all(hosts.map((host) => host.usage()));
+  const before = await Promise.all(hosts.map((host) => host.ask<LedgerHostUsage>('usage')));
   const { reserve, keep, failed } = await load(clients, perSecond, MEASURED_MS);
-  const after = await Promise.all(hosts.map((host) => host.usage()));
+  const after = await Promise.all(hosts.map((host) => host.ask<LedgerHostUsage>('usage')));
   const seconds = MEASURED_MS / 1_000;
   const used = after.map(({ processorMs }, index) => processorMs - before[index]!.processorMs);
   const leader = after.findIndex(({ leads }) => leads);
@@ -148,7 +121,8 @@
   const flags = process.env.HOST_FLAGS?.split(' ') ?? [];
   const hosts = await Promise.all(
     founders.map((member, index) =>
-      Host.start(
+      HostProcess.start<LedgerHostSettings>(
+        HOST,
         {
           member,
           founders,
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -74,6 +74,16 @@
     return this.member.group !== undefined;
   }
 
+  /** Whether this process leads the directory's group. */
+  get leads(): boolean {
+    return this.member.group?.isLeader ?? false;
+  }
+
+  /** Term of the directory's group as this process knows it. */
+  get term(): number {
+    return this.member.group?.term ?? 0;
+  }
+
   createMetrics(): Registry {
     return this.member.createMetrics();
   }
