--- a/lab/directory/control-host.ts
+++ b/lab/directory/control-host.ts
@@ -18,7 +18,7 @@
 export interface ControlHostSettings {
   node: NodeSettings;
   /** `host:port` that takes heartbeats: registrations in JSON. */
-  heartbeatAddress: string;
+  registrationAddress: string;
 }
 
 export interface ControlHostUsage extends ProcessUsage {
@@ -49,7 +49,7 @@
   }
 }
 
-async function start({ node, heartbeatAddress }: ControlHostSettings): Promise<ControlNode> {
+async function start({ node, registrationAddress }: ControlHostSettings): Promise<ControlNode> {
   await mkdir(node.dataFolder!, { recursive: true });
   const control = await ControlNode.start(node, {
     logger: createLogger({ node: node.name }),
@@ -61,7 +61,7 @@
     void takeHeartbeat(control, request, response);
   });
   await new Promise<void>((resolve) => {
-    server.listen(portOf(heartbeatAddress), hostOf(heartbeatAddress), resolve);
+    server.listen(portOf(registrationAddress), hostOf(registrationAddress), resolve);
   });
   return control;
 }
--- a/lab/directory/main.ts
+++ b/lab/directory/main.ts
@@ -75,7 +75,7 @@
         heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
         secret: SECRET,
       };
-      const settings = { node, heartbeatAddress: heartbeat[index]! };
+      const settings = { node, registrationAddress: heartbeat[index]! };
       return HostProcess.start<ControlHostSettings>(CONTROL_HOST, settings, flags);
     }),
   );
