Gateways are sent what has changed among the back ends, not the whole list

Cause, by the measurement and profile before: each change of a back end brought each gateway the whole list, encoded for each; a fleet of 240 gateways and 3,000 back ends did nothing else, lost heartbeats and leaders over it, and began anew with each leader.

Each member notes which back ends change at which log index. A watcher names the index that it holds and gets what changed since, packed once for all that hold the same; who is too far behind, or starts, gets a list packed before and the changes behind it. Silence, which only a leader knows, is counted by term. Waiting questions are answered for back ends at most each 100 ms, at once where an order waits for gateways.

Commits gathered for many registrations weren't built: log and replication are 2 to 3 % of the time.

Tests whose messages have changed form ask for as much as before: the same parts are looked at in what a watcher holds of them.

--- a/src/directory/answer-turns.test.ts
+++ b/src/directory/answer-turns.test.ts
@@ -6,7 +6,9 @@
  */
 import { expect, it, onTestFinished } from 'vitest';
 import { CommittingDirectory } from '../../tests/support/committing-directory.js';
-import type { KnownVersions } from './messages.js';
+import { type KnownVersions, NOTHING_KNOWN } from './messages.js';
+import { unpackNews } from './packed-news.js';
+import type { SilenceChanges } from './silence-board.js';
 
 const WATCHERS = 90;
 const MOST_ANSWERS_A_TURN = 8;
@@ -38,7 +40,6 @@
 
 it('a change leaves the event loop free between the answers to those who follow', async () => {
   const directory = new CommittingDirectory();
-  const nothing: KnownVersions = { configuration: 0, backends: '', backendsIndex: 0, cluster: '' };
   const watch = async (name: string, known: KnownVersions, isUrgent: boolean) =>
     directory.leader.watch({
       node: { name, role: 'gateway', address: `${name}:1`, zone: 'z' },
@@ -47,11 +48,11 @@
       loads: [],
     });
   const names = Array.from({ length: WATCHERS }, (_, index) => `gateway-${index}`);
-  for (const name of names) await watch(name, nothing, true);
-  const first = await watch(names[0]!, nothing, true);
+  for (const name of names) await watch(name, NOTHING_KNOWN, true);
+  const first = await watch(names[0]!, NOTHING_KNOWN, true);
   const known: KnownVersions = {
-    ...nothing,
-    backends: first.backends!.version,
+    ...NOTHING_KNOWN,
+    silence: unpackNews<SilenceChanges>(first.silence!).version,
     cluster: first.cluster!.version,
   };
 
--- a/src/directory/confirmed-acknowledgement.test.ts
+++ b/src/directory/confirmed-acknowledgement.test.ts
@@ -10,15 +10,17 @@
 import { CommittingDirectory } from '../../tests/support/committing-directory.js';
 import { sampleRegistration } from '../../tests/support/directory-samples.js';
 import { sleep } from '../common/index.js';
-import type { DirectoryView, KnownVersions } from './messages.js';
+import { HeldBackends } from './held-backends.js';
+import { type DirectoryView, NOTHING_KNOWN } from './messages.js';
+import { unpackNews } from './packed-news.js';
 
-const NOTHING: KnownVersions = { configuration: 0, backends: '', backendsIndex: 0, cluster: '' };
 /** An order must be answered within this time whatever gateways do, in milliseconds. */
 const LONGEST_WAIT_MS = 1_300;
 const GATEWAY_DELAY_MS = 150;
 
 class Gateway {
-  private known = NOTHING;
+  private known = NOTHING_KNOWN;
+  private readonly backends = new HeldBackends();
 
   constructor(
     private readonly directory: CommittingDirectory,
@@ -33,10 +35,12 @@
       isUrgent: true,
       loads: [],
     });
+    if (view.backends) this.backends.take(view.backends);
+    if (view.silence) this.backends.takeSilence(unpackNews(view.silence));
     this.known = {
       configuration: view.configuration?.index ?? this.known.configuration,
-      backends: view.backends?.version ?? this.known.backends,
-      backendsIndex: view.backends?.index ?? this.known.backendsIndex,
+      backendsIndex: this.backends.index,
+      silence: this.backends.silence,
       cluster: view.cluster?.version ?? this.known.cluster,
     };
     return view;
--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -3,7 +3,13 @@
 import { CommittingDirectory } from '../../tests/support/committing-directory.js';
 import { sampleRegistration } from '../../tests/support/directory-samples.js';
 import { sleep } from '../common/index.js';
-import type { NodeAnnouncement, NodeRole, WatchRequest } from './messages.js';
+import { HeldBackends } from './held-backends.js';
+import {
+  type NodeAnnouncement,
+  NOTHING_KNOWN,
+  type NodeRole,
+  type WatchRequest,
+} from './messages.js';
 import { unpackRoutes, unpackSource } from './packed-configuration.js';
 
 const HERD_SIZE = 200;
@@ -24,7 +30,7 @@
 function watchOf(role: NodeRole): WatchRequest {
   return {
     node: { name: role, role, address: 'a:1', zone: 'z' },
-    known: { configuration: 0, backends: '', backendsIndex: 0, cluster: '' },
+    known: NOTHING_KNOWN,
     isUrgent: true,
     loads: [],
   };
@@ -101,6 +107,8 @@
     const after = await committing.leader.watch(watchOf('gateway'));
     expect(version).toBeDefined();
     expect(after.cluster!.version).toBe(settled.cluster!.version);
-    expect(after.backends!.backends).toHaveLength(1);
+    const held = new HeldBackends();
+    held.take(after.backends!);
+    expect(held.records()).toHaveLength(1);
   });
 });
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
 import { AnswerTurns } from './answer-turns.js';
-import type { BackendRecord, BackendRegistration } from './backend-registration.js';
+import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
 import { type ConfirmedPart, GatewayConfirmations } from './gateway-confirmations.js';
@@ -16,7 +16,6 @@
 import { LedgerFounding } from './ledger-founding.js';
 import { LoadBoard } from './load-board.js';
 import type {
-  BackendsView,
   ClusterView,
   DirectoryView,
   KnownVersions,
@@ -25,7 +24,9 @@
   RetirementAnswer,
   WatchRequest,
 } from './messages.js';
+import { NewsPacer } from './news-pacer.js';
 import { NodeRoster } from './node-roster.js';
+import { SilenceBoard } from './silence-board.js';
 
 /** How long a watcher waits for news at most, in milliseconds. */
 export const WATCH_WAIT_MS = 200;
@@ -37,6 +38,11 @@
 const HOUSEKEEPING_INTERVAL_MS = 250;
 /** Changes of the cluster within this time are told together, in milliseconds. */
 const CLUSTER_NEWS_DELAY_MS = 100;
+/**
+ * Changes of back ends within this time are told together, in milliseconds: while a fleet registers, each of its gateways is
+ * answered so often and not once for each back end.
+ */
+const BACKEND_NEWS_INTERVAL_MS = 100;
 /** A new leader has not heard of every process before this time, in milliseconds. */
 const ROSTER_COMPLETE_AFTER_MS = 1_200;
 
@@ -81,7 +87,11 @@
   /** What the latest cluster version stands for, to tell whether anything has changed. */
   private clusterContent = '';
   private clusterTimer: NodeJS.Timeout | undefined;
-  private silentIds = '';
+  private readonly silence = new SilenceBoard();
+  /** Log index of the changes of back ends for which waiting questions are answered. */
+  private toldBackendsIndex = 0;
+  private toldConfigurationIndex = 0;
+  private readonly backendNews = new NewsPacer(BACKEND_NEWS_INTERVAL_MS, () => this.tellBackends());
   private isHousekeeping = false;
 
   constructor(private readonly options: DirectoryLeaderOptions) {
@@ -100,6 +110,7 @@
 
   onLeadershipChange(): void {
     this.heartbeats.clear();
+    this.silence.clear();
     this.loads.clear();
     this.confirmations.clear();
     this.roster.clear();
@@ -110,6 +121,7 @@
   stop(): void {
     clearInterval(this.timer);
     clearTimeout(this.clusterTimer);
+    this.backendNews.stop();
     this.news.notify();
   }
 
@@ -196,30 +208,46 @@
       this.confirmations.note(request.node.name, request.known);
     }
     const deadline = monotonicMs() + WATCH_WAIT_MS;
-    let view = this.viewFor(request);
-    while (isEmpty(view) && !request.isUrgent && this.group?.isLeader) {
+    while (!request.isUrgent && !this.hasNewsFor(request) && this.group?.isLeader) {
       const left = deadline - monotonicMs();
       if (left <= 0) break;
       await this.news.waitUpTo(left);
       await this.answerTurns.next();
-      view = this.viewFor(request);
     }
+    const view = this.viewFor(request);
     if (request.node.role === 'gateway') view.otherLoads = this.loads.othersThan(request.node.name);
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
 
+  /** Whether a question need not wait any longer. */
+  private hasNewsFor({ node, known }: WatchRequest): boolean {
+    if (this.clusterVersionFor(known)) return true;
+    if (node.role !== 'gateway') return false;
+    return (
+      this.stateMachine.configurationIndex > known.configuration ||
+      this.toldBackendsIndex > known.backendsIndex ||
+      this.silence.hasNewsFor(known.silence, this.term)
+    );
+  }
+
   /** What is newer than the watcher knows; calls under way are added to the answer itself. */
   private viewFor({ node, known }: WatchRequest): DirectoryView {
     const { stateMachine } = this;
     const view: DirectoryView = { otherLoads: [], confirmedAgeMs: Infinity };
     if (this.clusterVersionFor(known)) view.cluster = this.clusterView();
     if (node.role !== 'gateway') return view;
-    const { configuration, configurationIndex: index } = stateMachine;
+    const { configuration, configurationIndex: index, backendsIndex, backendNews } = stateMachine;
     if (configuration && index > known.configuration) {
       view.configuration = { index, routes: configuration.routes };
     }
-    if (this.backendsVersion !== known.backends) view.backends = this.backendsView();
+    // One who holds none is told when there are none.
+    if (backendsIndex > known.backendsIndex || known.backendsIndex === 0) {
+      view.backends = backendNews.newsAfter(known.backendsIndex);
+    }
+    if (this.silence.hasNewsFor(known.silence, this.term)) {
+      view.silence = this.silence.newsAfter(known.silence, this.term);
+    }
     return view;
   }
 
@@ -228,8 +256,8 @@
     return this.group ? monotonicMs() - this.group.quorumContactMs() : Infinity;
   }
 
-  private get backendsVersion(): string {
-    return `${this.stateMachine.backendsIndex}|${this.silentIds}`;
+  private get term(): number {
+    return this.group?.term ?? 0;
   }
 
   private clusterVersionFor(known: KnownVersions): boolean {
@@ -237,16 +265,7 @@
   }
 
   private clusterVersionText(): string {
-    return `${this.group?.term ?? 0}.${this.clusterVersion}`;
-  }
-
-  private backendsView(): BackendsView {
-    const { backends, backendsIndex: index } = this.stateMachine;
-    const records = [...backends.values()].map((backend): BackendRecord => ({
-      ...backend,
-      isSilent: this.heartbeats.isSilent(backend.id),
-    }));
-    return { version: this.backendsVersion, index, backends: records };
+    return `${this.term}.${this.clusterVersion}`;
   }
 
   private clusterView(): ClusterView {
@@ -290,12 +309,15 @@
   }
 
   private refreshSilent(): void {
-    const ids = [...this.stateMachine.backends.keys()];
-    this.heartbeats.keepOnly(new Set(ids));
-    const silent = ids.filter((id) => this.heartbeats.isSilent(id)).join(',');
-    if (silent === this.silentIds) return;
-    this.options.logger.info('silent back ends changed', { silent, before: this.silentIds });
-    this.silentIds = silent;
+    const { backends } = this.stateMachine;
+    this.heartbeats.keepOnly(backends);
+    const before = this.silence.ids;
+    const silent = this.heartbeats.silentOf(backends.keys());
+    if (!this.silence.update(silent)) return;
+    this.options.logger.info('silent back ends changed', {
+      silent: namesOf(silent),
+      before: namesOf(before),
+    });
     this.news.notify();
   }
 
@@ -317,10 +339,18 @@
   }
 
   private onStateChanged(): void {
-    this.news.notify();
+    const { configurationIndex, backendsIndex } = this.stateMachine;
+    if (configurationIndex !== this.toldConfigurationIndex) this.news.notify();
+    this.toldConfigurationIndex = configurationIndex;
+    if (backendsIndex !== this.toldBackendsIndex) this.backendNews.note();
     this.scheduleClusterNews();
   }
 
+  private tellBackends(): void {
+    this.toldBackendsIndex = this.stateMachine.backendsIndex;
+    this.news.notify();
+  }
+
   /** Many processes announce themselves at once; each piece of news goes to every watcher. */
   private scheduleClusterNews(): void {
     this.clusterTimer ??= setTimeout(() => {
@@ -344,6 +374,7 @@
     const { configurationIndex, backendsIndex } = this.stateMachine;
     const index = part === 'configuration' ? configurationIndex : backendsIndex;
     const leadingSince = this.group?.leadingSince ?? 0;
+    if (index !== this.toldBackendsIndex && part === 'backendsIndex') this.backendNews.tellNow();
     const lagging = await this.confirmations.wait({ part, index, timeoutMs, leadingSince });
     if (lagging.length === 0) return;
     const names = lagging.slice(0, MAX_LOGGED_GATEWAYS).join(',');
@@ -356,6 +387,6 @@
   }
 }
 
-function isEmpty(view: DirectoryView): boolean {
-  return !view.configuration && !view.backends && !view.cluster;
+function namesOf(ids: ReadonlySet<string>): string {
+  return [...ids].join(',');
 }
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -4,7 +4,9 @@
  */
 import type { Member, StateMachine } from '../consensus/index.js';
 import { decodeValue, encodeValue } from '../wire/index.js';
+import { type BackendChanges, type BackendHistory, BackendNewsSource } from './backend-news.js';
 import type { BackendRegistration } from './backend-registration.js';
+import { ChangeHistory } from './change-history.js';
 import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
 import { type Incarnation, incarnationId, isLaterStart, isStartOf } from './incarnation.js';
 import type { CommittedNews, CommittedNewsRequest } from './messages.js';
@@ -58,11 +60,19 @@
 const NOTHING_CHANGED: DirectoryResult = { changed: false };
 const CHANGED: DirectoryResult = { changed: true };
 
-export class DirectoryStateMachine implements StateMachine {
+export class DirectoryStateMachine implements StateMachine, BackendHistory {
+  /** Packed for those who follow the directory. */
+  readonly backendNews = new BackendNewsSource(this);
   private state: DirectoryState = emptyState();
 
-  /** @param onChange called after each command that changed the state */
-  constructor(private readonly onChange: () => void = () => undefined) {}
+  /**
+   * @param onChange called after each command that changed the state
+   * @param backendHistory not replicated: each member notes what it applies
+   */
+  constructor(
+    private readonly onChange: () => void = () => undefined,
+    private readonly backendHistory = new ChangeHistory(),
+  ) {}
 
   get configuration(): PackedConfiguration | undefined {
     return this.state.configuration;
@@ -82,6 +92,19 @@
     return this.state.backendsIndex;
   }
 
+  backendChangesAfter(afterIndex: number): BackendChanges | undefined {
+    const ids = this.backendHistory.changedAfter(afterIndex);
+    if (!ids) return undefined;
+    const { backends, backendsIndex: index } = this.state;
+    const changes: BackendChanges = { afterIndex, index, changed: [], gone: [] };
+    for (const id of ids) {
+      const backend = backends.get(id);
+      if (backend) changes.changed.push(backend);
+      else changes.gone.push(id);
+    }
+    return changes;
+  }
+
   get ledgerFounders(): readonly Member[] {
     return this.state.ledgerFounders;
   }
@@ -124,13 +147,13 @@
 
   /** What was applied here after what the asker holds. */
   newsSince(held: CommittedNewsRequest): CommittedNews {
-    const { configuration, configurationIndex, backends, backendsIndex } = this.state;
+    const { configuration, configurationIndex, backendsIndex } = this.state;
     const news: CommittedNews = {};
     if (configuration && configurationIndex > held.configurationIndex) {
       news.configuration = { index: configurationIndex, routes: configuration.routes };
     }
     if (backendsIndex > held.backendsIndex) {
-      news.backends = { index: backendsIndex, backends: [...backends.values()] };
+      news.backends = this.backendNews.newsAfter(held.backendsIndex);
     }
     return news;
   }
@@ -168,6 +191,7 @@
       retirements: new Map(encoded.retirements),
       quotaShares: quotaSharesOf(encoded.quotaShares),
     };
+    this.backendHistory.restart(this.state.backendsIndex);
     this.onChange();
   }
 
@@ -210,10 +234,11 @@
     for (const other of [...this.state.backends.values()]) {
       if (other.id === registration.id) continue;
       const isReplaced = other.address === registration.address || other.name === registration.name;
-      if (isReplaced) this.forget(other.id);
+      if (isReplaced) this.forget(other.id, index);
     }
-    this.replaceLost(registration);
+    this.replaceLost(registration, index);
     this.state.backends.set(registration.id, registration);
+    this.backendHistory.note(index, registration.id);
     this.state.backendsIndex = index;
     return CHANGED;
   }
@@ -230,34 +255,38 @@
 
   private remove(id: string, hasDeparted: boolean, index: number): DirectoryResult {
     const known = this.state.backends.get(id);
-    if (hasDeparted) this.forget(id);
-    else if (known) this.noteLost(known);
+    if (hasDeparted) this.forget(id, index);
+    else if (known) this.noteLost(known, index);
     if (!known) return NOTHING_CHANGED;
     this.state.backendsIndex = index;
     return CHANGED;
   }
 
-  private forget(id: string): void {
-    const { backends, departed, lost } = this.state;
-    backends.delete(id);
+  private forget(id: string, index: number): void {
+    const { departed, lost } = this.state;
+    this.takeOut(id, index);
     lost.delete(id);
     departed.add(id);
     dropOldest(departed, MAX_REMEMBERED_DEPARTURES);
   }
 
-  private noteLost({ id, address }: BackendRegistration): void {
-    const { backends, lost } = this.state;
-    backends.delete(id);
+  private noteLost({ id, address }: BackendRegistration, index: number): void {
+    const { lost } = this.state;
+    this.takeOut(id, index);
     lost.set(id, address);
     dropOldest(lost, MAX_REMEMBERED_LOSSES);
   }
 
+  private takeOut(id: string, index: number): void {
+    if (this.state.backends.delete(id)) this.backendHistory.note(index, id);
+  }
+
   /** Those that were lost at the address, or before this start, are over; this one is lost no more. */
-  private replaceLost({ id, name, address }: BackendRegistration): void {
+  private replaceLost({ id, name, address }: BackendRegistration, index: number): void {
     const { lost } = this.state;
     lost.delete(id);
     for (const [other, otherAddress] of [...lost]) {
-      if (otherAddress === address || isStartOf(other, name)) this.forget(other);
+      if (otherAddress === address || isStartOf(other, name)) this.forget(other, index);
     }
   }
 
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -7,11 +7,11 @@
 import type { GroupCallOptions } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
-import type { BackendRecord, BackendRegistration } from './backend-registration.js';
+import type { BackendRecord } from './backend-registration.js';
 import type { DirectoryClient } from './directory-client.js';
+import { HeldBackends } from './held-backends.js';
 import type {
   BackendLoad,
-  BackendsView,
   ClusterView,
   CommittedNews,
   ConfigurationView,
@@ -19,6 +19,8 @@
   NodeAnnouncement,
 } from './messages.js';
 import { unpackRoutes } from './packed-configuration.js';
+import { unpackNews } from './packed-news.js';
+import type { SilenceChanges } from './silence-board.js';
 
 /** The answer of a leader that is behind is waited for so long, in milliseconds. */
 export const WATCH_TIMEOUT_MS = 3_000;
@@ -59,10 +61,7 @@
 
 export class DirectoryWatcher {
   private configurationIndex = 0;
-  private backendsVersion = '';
-  private backendsIndex = -1;
-  /** Back ends whose heartbeats were missing when a leader last told of them. */
-  private silentBackends: ReadonlySet<string> = new Set();
+  private readonly backends = new HeldBackends();
   private clusterVersion = '';
   private confirmedAt = Number.NEGATIVE_INFINITY;
   /** What is held was in force then, whoever led (monotonic, milliseconds). */
@@ -134,9 +133,8 @@
 
   private async askMember(): Promise<void> {
     const { configurationIndex } = this;
-    const backendsIndex = Math.max(0, this.backendsIndex);
     try {
-      const held = { configurationIndex, backendsIndex };
+      const held = { configurationIndex, backendsIndex: this.backends.index };
       this.takeCommitted(await this.options.client.committedNews(held));
     } catch (error) {
       const reason = describeError(error);
@@ -149,8 +147,8 @@
       node: this.options.announce(),
       known: {
         configuration: this.configurationIndex,
-        backends: this.backendsVersion,
-        backendsIndex: Math.max(0, this.backendsIndex),
+        backendsIndex: this.backends.index,
+        silence: this.backends.silence,
         cluster: this.clusterVersion,
       },
       isUrgent,
@@ -163,23 +161,20 @@
       this.clusterVersion = view.cluster.version;
       this.options.onCluster?.(view.cluster);
     }
-    if (view.backends) this.takeBackends(view.backends);
+    this.takeBackends(view);
     if (view.configuration) this.takeConfiguration(view.configuration);
     this.options.onOtherLoads?.(view.otherLoads);
   }
 
-  /** The version of the back ends stays, so that the next leader adds what only it knows. */
+  /** What is held of silent back ends stays: only a leader knows of them. */
   private takeCommitted({ configuration, backends }: CommittedNews): void {
     if (configuration) this.takeConfiguration(configuration);
-    if (!backends || backends.index <= this.backendsIndex) return;
+    if (!backends || backends.index <= this.backends.index) return;
     const { index } = backends;
     const leaderAgeMs = Math.round(this.ageMs);
     this.options.logger.info('back ends told by a member', { index, leaderAgeMs });
-    this.backendsIndex = index;
-    const isSilent = ({ id }: BackendRegistration): boolean => this.silentBackends.has(id);
-    this.options.onBackends?.(
-      backends.backends.map((backend) => ({ ...backend, isSilent: isSilent(backend) })),
-    );
+    this.backends.take(backends);
+    this.options.onBackends?.(this.backends.records());
   }
 
   private takeConfiguration({ index, routes }: ConfigurationView): void {
@@ -192,13 +187,12 @@
     this.options.onConfiguration?.(configuration);
   }
 
-  private takeBackends(view: BackendsView): void {
-    if (view.index < this.backendsIndex) return;
-    this.backendsIndex = view.index;
-    this.backendsVersion = view.version;
-    const silent = view.backends.filter(({ isSilent }) => isSilent);
-    this.silentBackends = new Set(silent.map(({ id }) => id));
-    this.options.onBackends?.(view.backends);
+  /** Both parts are taken before anything acts by either. */
+  private takeBackends({ backends, silence }: DirectoryView): void {
+    if (!backends && !silence) return;
+    if (backends) this.backends.take(backends);
+    if (silence) this.backends.takeSilence(unpackNews<SilenceChanges>(silence));
+    this.options.onBackends?.(this.backends.records());
   }
 
   private noteConnected(isConnected: boolean, reason: string): void {
--- a/src/directory/heartbeat-table.ts
+++ b/src/directory/heartbeat-table.ts
@@ -17,17 +17,19 @@
     this.heardAt.set(id, monotonicMs());
   }
 
-  /** Back ends that a new leader has not heard yet count from its first look at them. */
-  isSilent(id: string): boolean {
-    return this.silenceMs(id) > this.options.silentAfterMs;
+  /** Those of some back ends that are silent; one that a new leader has not heard yet counts from its first look. */
+  silentOf(ids: Iterable<string>): Set<string> {
+    const now = monotonicMs();
+    const { silentAfterMs } = this.options;
+    return new Set([...ids].filter((id) => this.silenceMs(id, now) > silentAfterMs));
   }
 
   isLost(id: string): boolean {
-    return this.silenceMs(id) > this.options.removeAfterMs;
+    return this.silenceMs(id, monotonicMs()) > this.options.removeAfterMs;
   }
 
   /** Forgets back ends that are not registered any more. */
-  keepOnly(ids: ReadonlySet<string>): void {
+  keepOnly(ids: { has(id: string): boolean }): void {
     for (const id of this.heardAt.keys()) if (!ids.has(id)) this.heardAt.delete(id);
   }
 
@@ -35,8 +37,7 @@
     this.heardAt.clear();
   }
 
-  private silenceMs(id: string): number {
-    const now = monotonicMs();
+  private silenceMs(id: string, now: number): number {
     const heardAt = this.heardAt.get(id);
     if (heardAt !== undefined) return now - heardAt;
     this.heardAt.set(id, now);
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,10 +1,12 @@
 /** Messages between the directory's leader and the processes that follow it. */
 import type { LeaderAnswer, Member } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
-import type { BackendRecord, BackendRegistration } from './backend-registration.js';
+import type { BackendNews } from './backend-news.js';
+import type { BackendRegistration } from './backend-registration.js';
 import type { Incarnation } from './incarnation.js';
 import type { RetirementState } from './directory-state-machine.js';
 import type { PackedConfiguration } from './packed-configuration.js';
+import { NO_SILENCE_KNOWN, type SilenceVersion } from './silence-board.js';
 
 export const DIRECTORY_GROUP = 'directory';
 
@@ -31,12 +33,21 @@
 export interface KnownVersions {
   /** Log index of the configuration; 0 for none. */
   configuration: number;
-  backends: string;
   /** Log index of the last change among the back ends that are held; 0 for none. */
   backendsIndex: number;
+  /** Of the silent back ends. */
+  silence: SilenceVersion;
   cluster: string;
 }
 
+/** Of a process that starts. */
+export const NOTHING_KNOWN: KnownVersions = {
+  configuration: 0,
+  backendsIndex: 0,
+  silence: NO_SILENCE_KNOWN,
+  cluster: '',
+};
+
 export interface WatchRequest {
   node: NodeAnnouncement;
   known: KnownVersions;
@@ -45,13 +56,6 @@
   loads: BackendLoad[];
 }
 
-export interface BackendsView {
-  version: string;
-  /** Log index; a lower one than known is stale. */
-  index: number;
-  backends: BackendRecord[];
-}
-
 export interface ClusterView {
   version: string;
   controlAddresses: string[];
@@ -76,23 +80,18 @@
   backendsIndex: number;
 }
 
-/** Back ends without what only a leader knows of them. */
-export interface RegisteredBackends {
-  /** Log index of the last change. */
-  index: number;
-  backends: BackendRegistration[];
-}
-
 /** What one member has applied after what the sender holds; any member tells it, also one that lags. */
 export interface CommittedNews {
   configuration?: ConfigurationView;
-  backends?: RegisteredBackends;
+  backends?: BackendNews;
 }
 
 /** The parts of the directory that are newer than what the watcher holds. */
 export interface DirectoryView {
   configuration?: ConfigurationView;
-  backends?: BackendsView;
+  backends?: BackendNews;
+  /** Packed `SilenceChanges`. */
+  silence?: Uint8Array;
   cluster?: ClusterView;
   /** Calls of the other gateways by back end. */
   otherLoads: BackendLoad[];
--- /dev/null
+++ b/src/directory/news-pacing.test.ts
@@ -0,0 +1,90 @@
+/** How soon, and in how many answers, gateways are told of back ends; on simulated time. */
+import { afterEach, beforeEach, expect, it, vi } from 'vitest';
+import { CommittingDirectory } from '../../tests/support/committing-directory.js';
+import { sampleRegistration } from '../../tests/support/directory-samples.js';
+import type { BackendRegistration } from './backend-registration.js';
+import { HeldBackends } from './held-backends.js';
+import { NOTHING_KNOWN } from './messages.js';
+import { unpackNews } from './packed-news.js';
+
+const BACKENDS = 300;
+/** Between two back ends that register, in milliseconds. */
+const PAUSE_MS = 4;
+/** A gateway may be told each tenth of a second, and once at the beginning and the end. */
+const MOST_ANSWERS = (BACKENDS * PAUSE_MS) / 100 + 2;
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+class Gateway {
+  answers = 0;
+  private readonly held = new HeldBackends();
+  private cluster = '';
+
+  constructor(private readonly directory: CommittingDirectory) {}
+
+  get backends(): BackendRegistration[] {
+    return this.held.records();
+  }
+
+  /** Asks again and again, on links that take no time. */
+  async follow(): Promise<void> {
+    for (;;) await this.ask(false);
+  }
+
+  async ask(isUrgent: boolean): Promise<void> {
+    const { index: backendsIndex, silence } = this.held;
+    const view = await this.directory.leader.watch({
+      node: { name: 'gateway-1', role: 'gateway', address: 'g:1', zone: 'z' },
+      known: { ...NOTHING_KNOWN, backendsIndex, silence, cluster: this.cluster },
+      isUrgent,
+      loads: [],
+    });
+    if (view.backends && view.backends.index > backendsIndex) this.answers += 1;
+    if (view.backends) this.held.take(view.backends);
+    if (view.silence) this.held.takeSilence(unpackNews(view.silence));
+    this.cluster = view.cluster?.version ?? this.cluster;
+  }
+}
+
+function backend(number: number): BackendRegistration {
+  return sampleRegistration({ name: `i-${number}`, address: `127.0.0.1:${number + 1}` });
+}
+
+/** What is due now comes to its end; simulated time stands still. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+}
+
+it('a gateway is told of many back ends that register in few answers', async () => {
+  const directory = new CommittingDirectory();
+  const gateway = new Gateway(directory);
+  void gateway.follow();
+  for (let number = 0; number < BACKENDS; number += 1) {
+    await directory.leader.recordHeartbeat(backend(number));
+    await vi.advanceTimersByTimeAsync(PAUSE_MS);
+  }
+  await vi.advanceTimersByTimeAsync(1_000);
+  await settle();
+  expect(gateway.backends).toHaveLength(BACKENDS);
+  expect(gateway.answers).toBeLessThanOrEqual(MOST_ANSWERS);
+});
+
+it('a gateway is told at once of a back end that leaves, whatever else was told just before', async () => {
+  const directory = new CommittingDirectory();
+  const gateway = new Gateway(directory);
+  await gateway.ask(true);
+  void gateway.follow();
+  for (const number of [0, 1]) {
+    await directory.leader.recordHeartbeat(backend(number));
+    await settle();
+  }
+  expect(gateway.backends).toHaveLength(1);
+  void directory.leader.recordHeartbeat({ ...backend(0), phase: 'draining', sequence: 2 });
+  await settle();
+  expect(gateway.backends.map(({ phase }) => phase)).toEqual(['draining', 'ready']);
+});
--- a/src/directory/silent-members.test.ts
+++ b/src/directory/silent-members.test.ts
@@ -8,9 +8,11 @@
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
 import { createLogger } from '../observability/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
+import type { BackendChanges } from './backend-news.js';
 import { DirectoryClient } from './directory-client.js';
 import { DirectoryWatcher } from './directory-watcher.js';
 import { COMMITTED_NEWS, WATCH } from './messages.js';
+import { packNews } from './packed-news.js';
 
 const TRIES = 40;
 /** Tries begin at different moments of a watcher's questions, this far apart, in milliseconds. */
@@ -35,7 +37,8 @@
   ): Promise<Response> {
     if (address !== 'holder') await this.speak(options);
     if (method.name === COMMITTED_NEWS.name) {
-      return { backends: { index: 50, backends: [] } } as Response;
+      const list: BackendChanges = { index: 50, changed: [], gone: [] };
+      return { backends: { index: 50, pieces: [packNews(list)] } } as Response;
     }
     if (method.name !== WATCH.name || address !== 'leader') {
       return { leaderAddress: 'leader', refusal: 'not the leader' } as Response;
