--- a/lab/directory/main.ts
+++ b/lab/directory/main.ts
@@ -4,8 +4,11 @@
  *
  *     node dist/lab/directory/main.js GATEWAYS/BACKENDS...
  *
- * For example `24/300 80/1000 240/3000`. In the environment: STEADY milliseconds of the steady state (10000), FLAGS
- * for the Node processes of control, for example `--cpu-prof --cpu-prof-dir=DIR` (none). Prints a table in Markdown.
+ * For example `24/300 80/1000 240/3000`. Prints a table in Markdown. In the environment:
+ *
+ * - STEADY: milliseconds of the steady state (10000)
+ * - CALLS: calls under way at each gateway, at back ends drawn anew for each question (0)
+ * - FLAGS: for the Node processes of control, for example `--cpu-prof --cpu-prof-dir=DIR` (none)
  */
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
@@ -30,6 +33,7 @@
 const SECRET = 'measurement';
 const HEARTBEAT_INTERVAL_MS = 1_200;
 const STEADY_MS = Number(process.env.STEADY ?? 10_000);
+const CALLS = Number(process.env.CALLS ?? 0);
 const SETTLE_MS = 3_000;
 /** What takes longer isn't waited for, in milliseconds. */
 const PATIENCE_MS = 60_000;
@@ -88,7 +92,7 @@
   );
   return Promise.all(
     parts.map((part) => {
-      const settings = { addresses, secret: SECRET, names: part };
+      const settings = { addresses, secret: SECRET, names: part, callsUnderWay: CALLS };
       return HostProcess.start<WatcherHostSettings>(WATCHER_HOST, settings, []);
     }),
   );
--- a/lab/directory/watcher-host.ts
+++ b/lab/directory/watcher-host.ts
@@ -9,7 +9,7 @@
 import { createInterface } from 'node:readline';
 import { SignalEvent } from '../../src/common/index.js';
 import { GroupClient, PeerDirectory } from '../../src/consensus/index.js';
-import { DirectoryClient, DirectoryWatcher } from '../../src/directory/index.js';
+import { type BackendLoad, DirectoryClient, DirectoryWatcher } from '../../src/directory/index.js';
 import { MethodRouter } from '../../src/wire/index.js';
 import { SILENT } from '../silent-logger.js';
 import { UsageMeter } from './process-usage.js';
@@ -20,33 +20,49 @@
   secret: string;
   /** Names of the gateways that are played. */
   names: string[];
+  /** Calls under way at each gateway, at back ends drawn anew for each question. */
+  callsUnderWay: number;
 }
 
 interface HeldParts {
   generation: number;
   backends: number;
+  ids: string[];
 }
 
 const changed = new SignalEvent();
 
-function follow(name: string, { addresses, secret }: WatcherHostSettings): HeldParts {
+/** One call at each of some back ends. */
+function drawLoads(ids: readonly string[], calls: number): BackendLoad[] {
+  if (ids.length === 0) return [];
+  const draw = (): string => ids[Math.floor(Math.random() * ids.length)]!;
+  const drawn = new Set(Array.from({ length: calls }, draw));
+  return [...drawn].map((id) => ({ id, inFlight: 1 }));
+}
+
+function follow(
+  name: string,
+  { addresses, secret, callsUnderWay }: WatcherHostSettings,
+): HeldParts {
   const peers = new PeerDirectory({
     ownName: name,
     secret,
     router: new MethodRouter(),
     resolveAddress: (address) => address,
   });
-  const held: HeldParts = { generation: 0, backends: 0 };
+  const held: HeldParts = { generation: 0, backends: 0, ids: [] };
   const watcher = new DirectoryWatcher({
     client: new DirectoryClient(new GroupClient({ peers, addresses })),
     announce: () => ({ name, role: 'gateway', address: `${name}:1`, zone: 'zone' }),
+    loads: () => drawLoads(held.ids, callsUnderWay),
     logger: SILENT,
     onConfiguration: ({ generation }) => {
       held.generation = generation;
       changed.notify();
     },
-    onBackends: ({ length }) => {
-      held.backends = length;
+    onBackends: (records) => {
+      held.backends = records.length;
+      if (callsUnderWay > 0) held.ids = records.map(({ id }) => id);
       changed.notify();
     },
   });
