--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -3,8 +3,16 @@
 import { CommittingDirectory } from '../../tests/support/committing-directory.js';
 import { sampleRegistration } from '../../tests/support/directory-samples.js';
 import { sleep } from '../common/index.js';
-import type { NodeAnnouncement, NodeRole, WatchRequest } from './messages.js';
+import { HeldBackends } from './held-backends.js';
+import {
+  type NodeAnnouncement,
+  NOTHING_KNOWN,
+  type NodeRole,
+  type WatchRequest,
+} from './messages.js';
 import { unpackRoutes, unpackSource } from './packed-configuration.js';
+import { unpackNews } from './packed-news.js';
+import type { SilenceChanges } from './silence-board.js';
 
 const HERD_SIZE = 200;
 const HERD_WINDOW_MS = 700;
@@ -24,7 +32,7 @@
 function watchOf(role: NodeRole): WatchRequest {
   return {
     node: { name: role, role, address: 'a:1', zone: 'z' },
-    known: { configuration: 0, backends: '', backendsIndex: 0, cluster: '' },
+    known: NOTHING_KNOWN,
     isUrgent: true,
     loads: [],
   };
@@ -90,6 +98,24 @@
     expect(answers).toBeLessThan(HERD_SIZE / 10);
   });
 
+  // Versions that only a leader counts carry its term. A leader that was deposed while a question waited answered by the
+  // term of the next one: the asker then took the next leader's versions for what it held, up to the same count.
+  it('tells nothing that only a leader knows once it leads no more', async () => {
+    const committing = new CommittingDirectory();
+    const first = await committing.leader.watch(watchOf('gateway'));
+    const known = {
+      ...NOTHING_KNOWN,
+      silence: unpackNews<SilenceChanges>(first.silence!).version,
+      cluster: first.cluster!.version,
+    };
+    const held = committing.leader.watch({ ...watchOf('gateway'), known, isUrgent: false });
+    Object.assign(committing.group, { isLeader: false, term: 2 });
+    committing.leader.onLeadershipChange();
+    const view = await held;
+    expect(view.silence).toBeUndefined();
+    expect(view.cluster).toBeUndefined();
+  });
+
   it('does not send the cluster again because a back end or a configuration has changed', async () => {
     const committing = new CommittingDirectory();
     const { version } = (await committing.leader.watch(watchOf('gateway'))).cluster!;
@@ -101,6 +127,8 @@
     const after = await committing.leader.watch(watchOf('gateway'));
     expect(version).toBeDefined();
     expect(after.cluster!.version).toBe(settled.cluster!.version);
-    expect(after.backends!.backends).toHaveLength(1);
+    const held = new HeldBackends();
+    held.take(after.backends!);
+    expect(held.records()).toHaveLength(1);
   });
 });
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -4,11 +4,14 @@
  */
 import type { Member, StateMachine } from '../consensus/index.js';
 import { decodeValue, encodeValue } from '../wire/index.js';
+import { type BackendChanges, type BackendHistory, BackendNewsSource } from './backend-news.js';
 import type { BackendRegistration } from './backend-registration.js';
+import { ChangeHistory } from './change-history.js';
 import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
 import { type Incarnation, incarnationId, isLaterStart, isStartOf } from './incarnation.js';
 import type { CommittedNews, CommittedNewsRequest } from './messages.js';
 import type { PackedConfiguration } from './packed-configuration.js';
+import { RegisteredBackends } from './registered-backends.js';
 
 export type RetirementState = 'running' | 'complete';
 
@@ -28,7 +31,7 @@
 interface DirectoryState {
   configuration: PackedConfiguration | undefined;
   configurationIndex: number;
-  backends: Map<string, BackendRegistration>;
+  backends: RegisteredBackends;
   backendsIndex: number;
   departed: Set<string>;
   /**
@@ -58,11 +61,19 @@
 const NOTHING_CHANGED: DirectoryResult = { changed: false };
 const CHANGED: DirectoryResult = { changed: true };
 
-export class DirectoryStateMachine implements StateMachine {
+export class DirectoryStateMachine implements StateMachine, BackendHistory {
+  /** Packed for those who follow the directory. */
+  readonly backendNews = new BackendNewsSource(this);
   private state: DirectoryState = emptyState();
 
-  /** @param onChange called after each command that changed the state */
-  constructor(private readonly onChange: () => void = () => undefined) {}
+  /**
+   * @param onChange called after each command that changed the state
+   * @param backendHistory not replicated: each member notes what it applies
+   */
+  constructor(
+    private readonly onChange: () => void = () => undefined,
+    private readonly backendHistory = new ChangeHistory(),
+  ) {}
 
   get configuration(): PackedConfiguration | undefined {
     return this.state.configuration;
@@ -74,7 +85,7 @@
   }
 
   get backends(): ReadonlyMap<string, BackendRegistration> {
-    return this.state.backends;
+    return this.state.backends.byId;
   }
 
   /** Log index of the last change of back ends. */
@@ -82,6 +93,19 @@
     return this.state.backendsIndex;
   }
 
+  backendChangesAfter(afterIndex: number): BackendChanges | undefined {
+    const ids = this.backendHistory.changedAfter(afterIndex);
+    if (!ids) return undefined;
+    const { backends, backendsIndex: index } = this.state;
+    const changes: BackendChanges = { afterIndex, index, changed: [], gone: [] };
+    for (const id of ids) {
+      const backend = backends.get(id);
+      if (backend) changes.changed.push(backend);
+      else changes.gone.push(id);
+    }
+    return changes;
+  }
+
   get ledgerFounders(): readonly Member[] {
     return this.state.ledgerFounders;
   }
@@ -102,10 +126,9 @@
   /** Ids of the starts that somebody who leaves may mean: one that isn't registered is named by itself. */
   idsOf(incarnation: Incarnation): string[] {
     const { name, startedAt } = incarnation;
-    const registered = [...this.state.backends.values()].filter(
-      (backend) =>
-        backend.name === name && (startedAt === undefined || backend.startedAt === startedAt),
-    );
+    const registered = this.state.backends
+      .named(name)
+      .filter((backend) => startedAt === undefined || backend.startedAt === startedAt);
     return registered.length > 0 ? registered.map(({ id }) => id) : [incarnationId(incarnation)];
   }
 
@@ -124,13 +147,13 @@
 
   /** What was applied here after what the asker holds. */
   newsSince(held: CommittedNewsRequest): CommittedNews {
-    const { configuration, configurationIndex, backends, backendsIndex } = this.state;
+    const { configuration, configurationIndex, backendsIndex } = this.state;
     const news: CommittedNews = {};
     if (configuration && configurationIndex > held.configurationIndex) {
       news.configuration = { index: configurationIndex, routes: configuration.routes };
     }
     if (backendsIndex > held.backendsIndex) {
-      news.backends = { index: backendsIndex, backends: [...backends.values()] };
+      news.backends = this.backendNews.newsAfter(held.backendsIndex);
     }
     return news;
   }
@@ -145,7 +168,7 @@
     const { state } = this;
     const encoded: EncodedDirectoryState = {
       ...state,
-      backends: [...state.backends.values()],
+      backends: [...state.backends.byId.values()],
       departed: [...state.departed],
       lost: [...state.lost],
       retirements: [...state.retirements],
@@ -162,12 +185,13 @@
     this.state = {
       ...encoded,
       configuration: encoded.configuration ?? undefined,
-      backends: new Map(encoded.backends.map((backend) => [backend.id, named(backend)])),
+      backends: new RegisteredBackends(encoded.backends.map(named)),
       departed: new Set(encoded.departed),
       lost: new Map(encoded.lost),
       retirements: new Map(encoded.retirements),
       quotaShares: quotaSharesOf(encoded.quotaShares),
     };
+    this.backendHistory.restart(this.state.backendsIndex);
     this.onChange();
   }
 
@@ -207,13 +231,13 @@
     const known = this.state.backends.get(registration.id);
     // A drain is final: a later "ready" of the same incarnation can only be a mistake.
     if (known?.phase === 'draining' && registration.phase === 'ready') return NOTHING_CHANGED;
-    for (const other of [...this.state.backends.values()]) {
-      if (other.id === registration.id) continue;
-      const isReplaced = other.address === registration.address || other.name === registration.name;
-      if (isReplaced) this.forget(other.id);
+    const { id, name, address } = registration;
+    for (const other of this.state.backends.havingNameOrAddress(name, address)) {
+      if (other.id !== id) this.forget(other.id, index);
     }
-    this.replaceLost(registration);
-    this.state.backends.set(registration.id, registration);
+    this.replaceLost(registration, index);
+    this.state.backends.set(registration);
+    this.backendHistory.note(index, id);
     this.state.backendsIndex = index;
     return CHANGED;
   }
@@ -221,7 +245,7 @@
   /** Whether a later start is known, of the same back end or of another one that says so at its address. */
   private isOutdated(registration: BackendRegistration): boolean {
     const { name, address } = registration;
-    return [...this.state.backends.values()].some((known) => {
+    return this.state.backends.havingNameOrAddress(name, address).some((known) => {
       if (known.name === name) return isLaterStart(known, registration);
       const bothSay = known.startedAt !== undefined && registration.startedAt !== undefined;
       return known.address === address && bothSay && isLaterStart(known, registration);
@@ -230,34 +254,38 @@
 
   private remove(id: string, hasDeparted: boolean, index: number): DirectoryResult {
     const known = this.state.backends.get(id);
-    if (hasDeparted) this.forget(id);
-    else if (known) this.noteLost(known);
+    if (hasDeparted) this.forget(id, index);
+    else if (known) this.noteLost(known, index);
     if (!known) return NOTHING_CHANGED;
     this.state.backendsIndex = index;
     return CHANGED;
   }
 
-  private forget(id: string): void {
-    const { backends, departed, lost } = this.state;
-    backends.delete(id);
+  private forget(id: string, index: number): void {
+    const { departed, lost } = this.state;
+    this.takeOut(id, index);
     lost.delete(id);
     departed.add(id);
     dropOldest(departed, MAX_REMEMBERED_DEPARTURES);
   }
 
-  private noteLost({ id, address }: BackendRegistration): void {
-    const { backends, lost } = this.state;
-    backends.delete(id);
+  private noteLost({ id, address }: BackendRegistration, index: number): void {
+    const { lost } = this.state;
+    this.takeOut(id, index);
     lost.set(id, address);
     dropOldest(lost, MAX_REMEMBERED_LOSSES);
   }
 
+  private takeOut(id: string, index: number): void {
+    if (this.state.backends.delete(id)) this.backendHistory.note(index, id);
+  }
+
   /** Those that were lost at the address, or before this start, are over; this one is lost no more. */
-  private replaceLost({ id, name, address }: BackendRegistration): void {
+  private replaceLost({ id, name, address }: BackendRegistration, index: number): void {
     const { lost } = this.state;
     lost.delete(id);
     for (const [other, otherAddress] of [...lost]) {
-      if (otherAddress === address || isStartOf(other, name)) this.forget(other);
+      if (otherAddress === address || isStartOf(other, name)) this.forget(other, index);
     }
   }
 
@@ -294,7 +322,7 @@
   return {
     configuration: undefined,
     configurationIndex: 0,
-    backends: new Map(),
+    backends: new RegisteredBackends(),
     backendsIndex: 0,
     departed: new Set(),
     lost: new Map(),
