--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -1,5 +1,6 @@
 /** What a gateway does with calls before it can send them anywhere. */
 import { describe, expect, it } from 'vitest';
+import { sampleCall } from '../../tests/support/sample-call.js';
 import { SignalEvent, monotonicMs, sleep } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
 import { LedgerClient } from '../ledger/index.js';
@@ -56,17 +57,7 @@
 }
 
 function callTo(path: string): RecordedExchange {
-  return new RecordedExchange({
-    id: 'a',
-    host: 'h',
-    path,
-    method: 'GET',
-    target: path,
-    headers: [],
-    body: Buffer.alloc(0),
-    mostTokens: 0,
-    promptParts: [],
-  });
+  return new RecordedExchange(sampleCall({ id: 'a', path, method: 'GET', target: path }));
 }
 
 class StartingGateway {
--- a/src/forwarding/error-answers.test.ts
+++ b/src/forwarding/error-answers.test.ts
@@ -3,6 +3,7 @@
  * were the cheapest: of some 7,400 calls in 5.7 s 1,805 ended with their errors, where an even share would have been 690.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { sampleCall } from '../../tests/support/sample-call.js';
 import { SeededRandom } from '../common/index.js';
 import type { BackendRecord } from '../directory/index.js';
 import { type BackendState, BackendView } from './backend-view.js';
@@ -43,21 +44,14 @@
 });
 
 function callOf(program: number): CallDescription {
-  return {
-    id: 'c',
-    host: 'h',
-    path: '/',
-    method: 'POST',
-    target: '/',
-    headers: [],
-    body: Buffer.alloc(0),
+  return sampleCall({
     program: { id: `p${program}` },
     mostTokens: 100,
     promptParts: [
       { id: `shared-${program % 3}`, tokens: 12_000 },
       { id: `own-${program}`, tokens: 800 },
     ],
-  };
+  });
 }
 
 /** @returns the share of calls that ended with an error */
--- a/src/forwarding/placement.test.ts
+++ b/src/forwarding/placement.test.ts
@@ -1,5 +1,6 @@
 /** Where calls are placed. */
 import { describe, expect, it } from 'vitest';
+import { sampleCall } from '../../tests/support/sample-call.js';
 import { rankForKey, SeededRandom, sleep } from '../common/index.js';
 import type { BackendRecord } from '../directory/index.js';
 import { type BackendState, BackendView } from './backend-view.js';
@@ -28,18 +29,11 @@
 }
 
 function turn(program: string, parts: [string, number][]): CallDescription {
-  return {
-    id: 'c',
-    host: 'h',
-    path: '/',
-    method: 'POST',
-    target: '/',
-    headers: [],
-    body: Buffer.alloc(0),
+  return sampleCall({
     program: { id: program },
     mostTokens: 100,
     promptParts: parts.map(([id, tokens]) => ({ id, tokens })),
-  };
+  });
 }
 
 const NO_LIMITS = {
--- a/src/forwarding/program-admission.test.ts
+++ b/src/forwarding/program-admission.test.ts
@@ -1,5 +1,6 @@
 /** Which programs are taken under more load than engines can bear: a seeded simulation, no sockets. */
 import { describe, expect, it } from 'vitest';
+import { sampleCall } from '../../tests/support/sample-call.js';
 import { SeededRandom } from '../common/index.js';
 import type { Route } from '../routes/index.js';
 import type { CallDescription } from './call-exchange.js';
@@ -48,19 +49,11 @@
 function callOf(program: Program, now: number): CallDescription {
   const remainingMs = Math.max(0, program.bornAt + OBJECTIVE_MS - now);
   const isFirst = program.turnsLeft === TURNS;
-  return {
-    id: 'c',
-    host: 'h',
-    path: '/',
-    method: 'POST',
-    target: '/',
-    headers: [],
-    body: Buffer.alloc(0),
+  return sampleCall({
     program: { id: program.id, remainingMs },
-    mostTokens: 0,
     promptParts: [{ id: 'own', tokens: 1 }],
     previousTurn: isFirst ? undefined : 'before',
-  };
+  });
 }
 
 /** Plays programs that arrive at a rate, with or without admission. */
