--- a/src/ledger/member-power-loss.test.ts
+++ b/src/ledger/member-power-loss.test.ts
@@ -2,24 +2,20 @@
  * One member's snapshots and log over a process that is killed between two steps which belong together, and a
  * machine that loses its power later.
  */
-import { join } from 'node:path';
 import { describe, expect, it, onTestFinished, vi } from 'vitest';
-import { GROUP, ListMachine } from '../../tests/support/consensus-cluster.js';
+import { GROUP } from '../../tests/support/consensus-cluster.js';
 import { LoopbackNetwork } from '../../tests/support/loopback-network.js';
+import {
+  type RunningListMember,
+  startListMember,
+} from '../../tests/support/simulated-disk-group.js';
 import { SimulatedDisk } from '../../tests/support/simulated-disk.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
-import {
-  GroupHost,
-  type Member,
-  type PeerCaller,
-  type ReplicatedGroup,
-  checkConsensusOptions,
-} from '../consensus/index.js';
+import type { Member, PeerCaller } from '../consensus/index.js';
 import { encodeConfiguration } from '../consensus/configuration.js';
 import { APPEND, SNAPSHOT, type AppendResponse } from '../consensus/messages.js';
-import { type LogEntry, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
-import { createLogger } from '../observability/index.js';
-import { MethodRouter, encodeValue } from '../wire/index.js';
+import type { LogEntry } from '../log-store/index.js';
+import { encodeValue } from '../wire/index.js';
 
 vi.mock('node:fs/promises', async (importOriginal) => {
   const { withSimulatedDisks } = await import('../../tests/support/simulated-disk-files.js');
@@ -53,12 +49,6 @@
   return Array.from({ length: last - 1 }, (_, place) => `item-${place + 2}`);
 }
 
-interface RunningFollower {
-  group: ReplicatedGroup;
-  machine: ListMachine;
-  fatal: unknown[];
-}
-
 /** A real member on a simulated disk, and a leader that the test plays. */
 class FollowerOfScript {
   private readonly network = new LoopbackNetwork();
@@ -72,39 +62,14 @@
     onTestFinished(() => disk.kill());
   }
 
-  async start(): Promise<RunningFollower> {
+  start(): Promise<RunningListMember> {
     const { disk, network } = this;
-    const killing = new AbortController();
-    const root = disk.startProcess(() => {
-      network.remove(FOLLOWER.address);
-      killing.abort();
-    });
-    const fatal: unknown[] = [];
-    const onFatal = (error: unknown): void => {
-      if (!killing.signal.aborted) fatal.push(error);
+    const consensus = {
+      electionTimeoutMs: NEVER_MS,
+      snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
     };
-    const wal = await WriteAheadLog.open({ folder: join(root, 'data', 'log'), onFatal });
-    const host = new GroupHost({
-      ownId: FOLLOWER.id,
-      wal,
-      snapshots: new SnapshotStore(join(root, 'data', 'snapshots')),
-      peers: network.peersOf(FOLLOWER.address),
-      options: checkConsensusOptions({
-        electionTimeoutMs: NEVER_MS,
-        snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
-      }),
-      logger: createLogger({ test: 'member-power-loss' }),
-      onFatal,
-      onLeadershipChange: () => undefined,
-    });
-    killing.signal.addEventListener('abort', () => host.stopNow());
-    if (this.isFounder) await host.bootstrapGroup(GROUP, { members: FOUNDERS });
-    const machine = new ListMachine();
-    const group = await host.openGroup(GROUP, machine);
-    const router = new MethodRouter();
-    host.registerHandlers(router);
-    network.listen(FOLLOWER.address, router);
-    return { group, machine, fatal };
+    const founders = this.isFounder ? FOUNDERS : [];
+    return startListMember({ disk, network, own: FOLLOWER, founders, consensus });
   }
 
   append(entries: LogEntry[], previousIndex: number, commitIndex: number): Promise<AppendResponse> {
--- /dev/null
+++ b/src/ledger/single-member-power-loss.test.ts
@@ -0,0 +1,128 @@
+/**
+ * A group of one member on a simulated disk, over drawn deaths of its process and losses of power: every command
+ * that was acknowledged, or that a start has found, is found by each start after that.
+ */
+import { describe, expect, it, vi } from 'vitest';
+import { fuzzSeeds } from '../../tests/support/fuzz-seeds.js';
+import { LoopbackNetwork } from '../../tests/support/loopback-network.js';
+import {
+  type RunningListMember,
+  startListMember,
+} from '../../tests/support/simulated-disk-group.js';
+import {
+  type NameDurability,
+  SimulatedDisk,
+  spreadRandom,
+} from '../../tests/support/simulated-disk.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { Deferred, type SeededRandom, sleep } from '../common/index.js';
+import type { Member } from '../consensus/index.js';
+import { encodeValue } from '../wire/index.js';
+
+vi.mock('node:fs/promises', async (importOriginal) => {
+  const { withSimulatedDisks } = await import('../../tests/support/simulated-disk-files.js');
+  return withSimulatedDisks(await importOriginal());
+});
+
+const ONLY_MEMBER: Member = { id: 'only-id', name: 'only', address: 'only', role: 'voter' };
+const SEGMENT_BYTES = 500;
+const COMMANDS = 25;
+/** About as many operations of its disk as a process has. */
+const OPERATIONS = 120;
+const MOST_PROCESSES = 5;
+const SCHEDULES = 60;
+const PLAYED_TOGETHER = 20;
+
+class Schedule {
+  private readonly random: SeededRandom;
+  private readonly disk: SimulatedDisk;
+  private readonly network = new LoopbackNetwork();
+  /** What each later start must find first, in this order. */
+  private reliedOn: string[] = [];
+  private commands = 0;
+
+  constructor(private readonly seed: number) {
+    this.random = spreadRandom(seed);
+    const nameDurability: NameDurability = this.random.pick(['file-sync', 'folder-sync-only']);
+    this.disk = new SimulatedDisk(`only-${seed}`, { seed, nameDurability });
+  }
+
+  /** @returns what was wrong; undefined when nothing was */
+  async play(): Promise<string | undefined> {
+    const { random, disk } = this;
+    const processes = random.integer(2, MOST_PROCESSES);
+    try {
+      for (let count = 0; count < processes; count += 1) {
+        await this.runProcess(random.integer(1, OPERATIONS));
+        if (random.chance(0.5)) disk.losePower();
+      }
+      await this.runProcess(Number.POSITIVE_INFINITY);
+      return undefined;
+    } catch (error) {
+      return `seed ${this.seed}: ${(error as Error).message}`;
+    } finally {
+      disk.kill();
+    }
+  }
+
+  private async runProcess(killAt: number): Promise<void> {
+    const { disk } = this;
+    const ending = new Deferred<void>();
+    let isOver = false;
+    const ended = this.runMember(killAt, ending).catch((error: unknown) => {
+      if (!isOver && disk.isAlive) throw error;
+    });
+    await Promise.race([ended, ending.promise]);
+    isOver = true;
+    disk.kill();
+  }
+
+  private async runMember(killAt: number, ending: Deferred<void>): Promise<void> {
+    const { disk, network, random } = this;
+    const consensus = {
+      heartbeatIntervalMs: 2,
+      electionTimeoutMs: 4,
+      snapshotEveryEntries: random.integer(2, 8),
+      trailingEntries: random.integer(0, 4),
+    };
+    const founders = [ONLY_MEMBER];
+    const options = { disk, network, own: ONLY_MEMBER, founders, consensus };
+    const member = await startListMember({ ...options, segmentBytes: SEGMENT_BYTES }, killAt);
+    member.killed.addEventListener('abort', () => ending.resolve());
+    await waitUntil('leading', () => member.group.isCurrentLeader || member.killed.aborted);
+    member.killed.throwIfAborted();
+    this.checkStart(member);
+    await this.work(member);
+    if (member.fatal.length > 0) throw new Error(`ended by itself: ${String(member.fatal[0])}`);
+  }
+
+  private checkStart({ machine }: RunningListMember): void {
+    const found = machine.items.slice(0, this.reliedOn.length);
+    if (found.join() !== this.reliedOn.join()) {
+      throw new Error(`found ${machine.items.join()} in place of ${this.reliedOn.join()}`);
+    }
+    this.reliedOn = [...machine.items];
+  }
+
+  private async work({ group, machine, killed }: RunningListMember): Promise<void> {
+    for (let count = 0; count < COMMANDS && !killed.aborted; count += 1) {
+      this.commands += 1;
+      await group.propose(encodeValue(`command-${this.commands}`));
+      if (!killed.aborted) this.reliedOn = [...machine.items];
+      if (this.random.chance(0.2)) await sleep(1);
+    }
+  }
+}
+
+describe('a group of one member over drawn deaths and losses of power', () => {
+  it('keeps what was acknowledged and what a start has found', async () => {
+    const failures: string[] = [];
+    const seeds = fuzzSeeds([], SCHEDULES);
+    while (seeds.length > 0) {
+      const together = seeds.splice(0, PLAYED_TOGETHER).map((seed) => new Schedule(seed));
+      const found = await Promise.all(together.map((schedule) => schedule.play()));
+      failures.push(...found.filter((failure) => failure !== undefined));
+    }
+    expect(failures).toEqual([]);
+  });
+});
