--- a/src/ledger/kept-turns-power-loss.test.ts
+++ b/src/ledger/kept-turns-power-loss.test.ts
@@ -2,6 +2,7 @@
  * The ledger's group over drawn schedules of killed processes, losses of power and lost disks: every turn whose
  * keeping was acknowledged can be continued once all members are back, and no token that was spent is forgotten.
  */
+import { setImmediate } from 'node:timers/promises';
 import { describe, expect, it, vi } from 'vitest';
 import { fuzzSeeds } from '../../tests/support/fuzz-seeds.js';
 import { DiskCluster } from '../../tests/support/simulated-disk-cluster.js';
@@ -149,7 +150,8 @@
 
   private async hitAll(blow: Blow): Promise<void> {
     this.cluster.note(`blow ${blow.map((fault) => fault ?? 'none').join(' ')}`);
-    if (this.random.chance(0.5)) await this.waitOperations(blow);
+    const waits = [() => this.waitOperations(blow), () => this.waitAcknowledgement(), undefined];
+    await this.random.pick(waits)?.();
     for (const [index, fault] of blow.entries()) {
       if (fault) this.hit(index, fault);
     }
@@ -187,6 +189,15 @@
     while (disk.isAlive && monotonicMs() < deadline) await sleep(0);
   }
 
+  /** The moment after an acknowledgement is the first in which a turn must not be lost. */
+  private async waitAcknowledgement(): Promise<void> {
+    const acknowledgements = (): number =>
+      this.writers.reduce((sum, { acknowledgements }) => sum + acknowledgements, 0);
+    const before = acknowledgements();
+    const deadline = monotonicMs() + LONGEST_CALM_MS;
+    while (acknowledgements() === before && monotonicMs() < deadline) await setImmediate();
+  }
+
   private hit(index: number, fault: Fault): void {
     const disk = this.cluster.disks[index]!;
     if (fault === 'kill') disk.kill();
--- a/tests/support/simulated-disk-load.ts
+++ b/tests/support/simulated-disk-load.ts
@@ -33,6 +33,8 @@
   readonly acknowledged: KeptChain[] = [];
   /** Tokens of acknowledged turns by program. */
   readonly spentTokens = new Map<string, number>();
+  /** Turns that were acknowledged so far, of all programs. */
+  acknowledgements = 0;
   private turns = 0;
   private isStopped = false;
   private running: Promise<void> = Promise.resolve();
@@ -92,6 +94,7 @@
     };
     while (!this.isStopped) {
       if (!(await this.settle(settlement))) continue;
+      this.acknowledgements += 1;
       this.spentTokens.set(program, (this.spentTokens.get(program) ?? 0) + SPENT_TOKENS);
       return { turn, history: `${previous?.history ?? ''}${input};` };
     }
