--- a/src/ledger/lagging-member-power-loss.test.ts
+++ b/src/ledger/lagging-member-power-loss.test.ts
@@ -18,10 +18,12 @@
 
 function createState(
   readTurnsAt: (request: ReadTurnsRequest) => Promise<ReadTurnsAnswer>,
+  values = new MemoryValues(),
 ): LedgerStateMachine {
   return new LedgerStateMachine({
-    values: new MemoryValues(),
-    readTurnsAt: (_address, request) => readTurnsAt(request),
+    values,
+    readTurnsAt: (address, request) =>
+      address === LEADER.address ? readTurnsAt(request) : Promise.reject(new Error('silent')),
     logger: createLogger({ test: 'lagging-member' }),
   });
 }
@@ -96,3 +98,36 @@
     expect(await external.read('turn', [])).toEqual(value);
   });
 });
+
+describe('a member that came back to a snapshot older than the end of some turns', () => {
+  /**
+   * All three members lost their power and one its disk, while another lagged so far behind that it needed a snapshot.
+   * The leader's latest snapshot named fifteen turns that had been over when the power went: their values had left the
+   * disk with the command that ended them, which the leader may not apply again before the lagging member has caught up.
+   * So that one asked for them for good, `kept turns restored {"named":692,"missing":15}` at the leader, `kept turns
+   * fetched {"asked":105,"missing":105}` at the other, and the group of two committed nothing any more.
+   */
+  it('brings a member up to that snapshot that lags behind it', async () => {
+    const nobody = (): Promise<ReadTurnsAnswer> => Promise.reject(new Error('nobody else runs'));
+    const values = new MemoryValues();
+    const before = createState(nobody, values);
+    await before.external.hold(new Map([['over', Buffer.from('value')]]));
+    const kept = settle(5, 0, ['over']);
+    before.external.noteLogged([kept]);
+    before.apply(kept.data, kept.index);
+    const state = Buffer.concat([...before.snapshot()]);
+    const sweeping = settle(6, LATER_MS, []);
+    before.apply(sweeping.data, sweeping.index);
+    const leader = createState(nobody, values);
+    leader.restore(state);
+    const follower = createState(async (request) => {
+      const answer = await leader.external.answer(request, true);
+      return { ...answer, memberId: LEADER.id };
+    });
+    const snapshot = { index: 5, term: 1, configuration: new Uint8Array(0), state };
+    const silent: Member = { id: 'lost-id', name: 'lost', address: 'lost', role: 'voter' };
+    await expect(follower.external.fetchMissing(snapshot, [LEADER, silent])).resolves.toBe(
+      undefined,
+    );
+  });
+});
