A restarted ledger leader can tell expired turns from lost ones

The two members that were left elected a leader which committed nothing, until an operator stepped in.

Cause: a member deleted the value of a turn when it applied the entry that ended the turn. The leader answered "lost", one of two reachable voters of three.

--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -15,7 +15,9 @@
   isVoter,
   sourcesOf,
 } from './configuration.js';
-import type { GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
+import { ExternalDataCleaner } from './external-data-cleaner.js';
+import type { GroupEnvironment } from './group-environment.js';
+import type { ReplicatedGroup } from './replicated-group.js';
 import type { StateMachine } from './state-machine.js';
 
 /** Delay before a snapshot that failed on a full disk is retried. */
@@ -44,8 +46,9 @@
   private bytesSinceSnapshot = 0;
   private readonly wake = new SignalEvent();
   private readonly applied = new SignalEvent();
-  private isStopped = false;
+  isStopped = false;
   private isSnapshotting = false;
+  private readonly cleaner: ExternalDataCleaner;
   /** Serializes installations: a leader resends the snapshot if the response is late. */
   private installing: Promise<void> = Promise.resolve();
 
@@ -54,6 +57,12 @@
     private readonly stateMachine: StateMachine,
     private readonly environment: GroupEnvironment,
   ) {
+    this.cleaner = new ExternalDataCleaner(
+      this,
+      group,
+      stateMachine.external?.deletions,
+      environment,
+    );
     const snapshot = group.log.latestSnapshot;
     if (snapshot) stateMachine.restore(snapshot.state);
     this.appliedIndex = snapshot?.index ?? 0;
@@ -112,6 +121,7 @@
     if (!external) return;
     await external.fetchMissing(snapshot, this.sourcesIn(members));
     await external.sync();
+    await this.cleaner.saveReportedCommit();
   }
 
   /**
@@ -123,7 +133,9 @@
     if (!external || entries.length === 0) return entries;
     const configuration = this.knownConfiguration(entries);
     const getsCopies = isVoter(configuration, this.environment.ownId);
-    return external.attach(entries, this.sourcesIn(configuration), getsCopies);
+    const attached = await external.attach(entries, this.sourcesIn(configuration), getsCopies);
+    await this.cleaner.saveReportedCommit();
+    return attached;
   }
 
   private sourcesIn(configuration: GroupConfiguration): Member[] {
@@ -159,6 +171,7 @@
       this.applyBatch();
       this.applied.notify();
       this.makeSnapshotIfDue();
+      this.cleaner.deleteUnneeded();
       await new Promise((resolve) => setImmediate(resolve));
     }
   }
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -1,7 +1,8 @@
 /** Runs an election: a pre-vote that does not change terms, then the vote. */
 import { quorumSize, votersOf } from './configuration.js';
 import { VOTE } from './messages.js';
-import type { GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
+import type { GroupEnvironment } from './group-environment.js';
+import type { ReplicatedGroup } from './replicated-group.js';
 
 export const VOTE_TIMEOUT_MS = 400;
 
--- a/src/consensus/follower-request-handler.ts
+++ b/src/consensus/follower-request-handler.ts
@@ -13,7 +13,8 @@
   VoteRequest,
   VoteResponse,
 } from './messages.js';
-import type { GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
+import type { GroupEnvironment } from './group-environment.js';
+import type { ReplicatedGroup } from './replicated-group.js';
 
 /**
  * A follower accepts more uncompacted bytes than a leader: entries before its own latest snapshot,
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -13,7 +13,8 @@
 import { APPEND, HEARTBEATS, type Heartbeat, JOIN, SNAPSHOT, TRANSFER, VOTE } from './messages.js';
 import { type CheckedConsensusOptions } from './options.js';
 import type { PeerCaller } from './peer-directory.js';
-import { type GroupEnvironment, ReplicatedGroup } from './replicated-group.js';
+import type { GroupEnvironment } from './group-environment.js';
+import { ReplicatedGroup } from './replicated-group.js';
 import type { StateMachine } from './state-machine.js';
 
 export interface GroupHostOptions {
@@ -65,6 +66,8 @@
         host.logger.info('snapshot stored', { group: group.name, index, compactedTo }),
       onSnapshotSkipped: (group, error) =>
         host.logger.warn('snapshot skipped', { group: group.name, cause: error.describe() }),
+      onDeletionSkipped: (group, error) =>
+        host.logger.warn('deletion skipped', { group: group.name, cause: error.describe() }),
       onProposalsRefused: (group, count) =>
         host.logger.warn('overloaded, commands refused', { group: group.name, count }),
       onFatal: host.onFatal,
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -14,7 +14,7 @@
 } from './peer-directory.js';
 export { ReplicatedGroup } from './replicated-group.js';
 export type { ReplicationTraffic } from './replication-traffic.js';
-export type { ExternalState, StateMachine } from './state-machine.js';
+export type { ExternalDeletions, ExternalState, StateMachine } from './state-machine.js';
 export {
   GroupClient,
   type GroupClientOptions,
--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -37,6 +37,8 @@
    * The latest write of entries. Writes complete in order, so earlier entries are synced as well.
    */
   private entriesWritten: Promise<void> = Promise.resolve();
+  /** The latest write of the commit index. */
+  private commitIndexWritten: Promise<void> = Promise.resolve();
 
   private constructor(
     readonly group: string,
@@ -150,7 +152,28 @@
     await written;
   }
 
-  saveHardState(state: HardState): Promise<void> {
+  /** Writes term and vote, and keeps the commit index. Resolves when synced. */
+  saveHardState({ term, votedFor }: HardState): Promise<void> {
+    return this.writeHardState({ term, votedFor, commitIndex: this.hardState.commitIndex });
+  }
+
+  /** Index up to which entries are known to be committed after a restart. */
+  get savedCommitIndex(): number {
+    return this.hardState.commitIndex ?? 0;
+  }
+
+  /**
+   * Writes that entries up to an index are committed. Resolves when it is synced, after all
+   * entries that were appended before.
+   * @throws StorageFullError (synchronously) if there is no space
+   */
+  saveCommitIndex(commitIndex: number): Promise<void> {
+    if (commitIndex > this.savedCommitIndex)
+      this.commitIndexWritten = this.writeHardState({ ...this.hardState, commitIndex });
+    return this.commitIndexWritten;
+  }
+
+  private writeHardState(state: HardState): Promise<void> {
     return this.wal.append([{ kind: 'hard-state', group: this.group, state }]);
   }
 
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -8,7 +8,7 @@
 import { SignalEvent, monotonicMs } from '../common/index.js';
 import { DiskFullError, type LogEntry, StorageFullError } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
-import { Applier, type StoredSnapshotMarks } from './applier.js';
+import { Applier } from './applier.js';
 import { createCommitTimings } from './commit-timings.js';
 import {
   type GroupConfiguration,
@@ -25,11 +25,11 @@
 import { ElectionTimer } from './election-timer.js';
 import { MembershipChangeError, NotLeaderError } from './errors.js';
 import { FollowerRequestHandler } from './follower-request-handler.js';
+import type { GroupEnvironment } from './group-environment.js';
 import { LearnerRelays, relayOf } from './learner-relays.js';
 import { transferLeadership } from './leadership-transfer.js';
 import type { MemberLog } from './member-log.js';
 import type { Heartbeat, HeartbeatResponse } from './messages.js';
-import type { CheckedConsensusOptions } from './options.js';
 import { PendingProposals } from './pending-proposals.js';
 import { type Proposal, ProposalLimiter } from './proposal-limiter.js';
 import { QuorumCheck } from './quorum-check.js';
@@ -42,29 +42,6 @@
 
 export type MemberState = 'follower' | 'candidate' | 'leader';
 
-/** Services that a group needs from its process. */
-export interface GroupEnvironment {
-  ownId: string;
-  options: CheckedConsensusOptions;
-  call<Request, Response>(
-    member: Member,
-    method: Method<Request, Response>,
-    request: Request,
-    options: CallOptions,
-  ): Promise<Response>;
-  /** Requests heartbeats soon, for a read that waits for a quorum. */
-  requestHeartbeats(): void;
-  /** Called when this member gains or loses leadership. */
-  onLeadershipChange(group: ReplicatedGroup): void;
-  /** Called when a snapshot failed for lack of space; it is retried later. */
-  onSnapshotSkipped(group: ReplicatedGroup, error: StorageFullError): void;
-  /** Called when a snapshot is durable and the log has been compacted. */
-  onSnapshotStored(group: ReplicatedGroup, snapshot: StoredSnapshotMarks): void;
-  /** Called at most once per second while a leader rejects commands because of overload. */
-  onProposalsRefused(group: ReplicatedGroup, count: number): void;
-  onFatal(error: unknown): void;
-}
-
 export class ReplicatedGroup {
   readonly name: string;
   state: MemberState = 'follower';
@@ -388,6 +365,8 @@
     // The vote for this member was synced after all earlier entries.
     this.syncedIndex = this.log.lastIndex;
     this.termStartIndex = this.log.lastIndex + 1;
+    // The log of a leader contains all committed entries.
+    this.advanceCommit(this.log.savedCommitIndex);
     this.updateReplicators();
     try {
       void this.appendAsLeader({ kind: 'empty', data: new Uint8Array(0) }).catch(() => undefined);
--- a/src/consensus/state-machine.ts
+++ b/src/consensus/state-machine.ts
@@ -59,4 +59,28 @@
    * @throws if no member could provide the data
    */
   fetchMissing(snapshot: StoredSnapshot, sources: readonly Member[]): Promise<void>;
+
+  /** Absent if the data that a snapshot refers to is never deleted. */
+  readonly deletions?: ExternalDeletions;
+}
+
+/**
+ * Deletion of external data that the state no longer refers to, but a snapshot does. A member that
+ * restarts from this snapshot must be able to tell the deleted data from lost data.
+ */
+export interface ExternalDeletions {
+  /** Whether there is data to delete. */
+  readonly isPending: boolean;
+
+  /**
+   * Deletes the data that became unneeded when entries up to `index` were applied. Called once it
+   * is durable that these entries are committed, so that a restart applies them again.
+   */
+  deleteUpTo(index: number): void;
+
+  /**
+   * Highest commit index of the members that reported data as unneeded, which this member therefore
+   * does not store; 0 if there was no such report.
+   */
+  readonly reportedCommitIndex: number;
 }
--- a/src/ledger/kept-turn-index.ts
+++ b/src/ledger/kept-turn-index.ts
@@ -2,6 +2,7 @@
  * Index of the kept turns, each linked to the turn that it continued. Their inputs and outputs are
  * values in this member's value store.
  */
+import { ExpiredValues } from './expired-values.js';
 import { type KeptTurn, type KeptTurnReference, hasInlineValue } from './ledger-commands.js';
 import type { TurnValueStore } from './turn-value-store.js';
 import { UnreferencedValues } from './unreferenced-values.js';
@@ -20,9 +21,13 @@
   private turns = new Map<string, IndexedTurn>();
   /** Whether the store may hold values that no turn refers to, as after a restore. */
   private mayHoldOrphans = true;
+  /** Turns kept up to this log index may be part of a snapshot. */
+  private snapshotIndex = Number.NEGATIVE_INFINITY;
 
   /** Values that no turn of the state refers to yet. */
   readonly unreferenced = new UnreferencedValues();
+  /** Turns that have expired, but that a snapshot may still refer to. */
+  readonly expired = new ExpiredValues();
 
   constructor(private readonly values: TurnValueStore) {}
 
@@ -73,24 +78,41 @@
     return ids.reverse();
   }
 
-  /** @param appliedIndex log index of the last applied entry */
+  /**
+   * Removes expired turns. The values of those in a snapshot remain until `deleteExpired`.
+   * @param appliedIndex log index of the last applied entry
+   */
   expire(nowMs: number, appliedIndex: number): void {
     for (const id of this.unreferenced.expire(appliedIndex)) {
-      if (!this.turns.has(id)) this.values.delete(id);
+      if (!this.isNeeded(id)) this.values.delete(id);
     }
     for (const [id, turn] of this.turns) {
-      if (turn.expiresAtMs >= nowMs) continue;
-      this.turns.delete(id);
-      // A turn that was settled again is referenced by an entry that is not applied yet.
-      if (!this.unreferenced.has(id)) this.values.delete(id);
+      if (turn.expiresAtMs < nowMs) this.remove(id, turn, appliedIndex);
     }
+    this.expired.forgetReportsUpTo(appliedIndex, (id) => this.turns.has(id));
     if (!this.mayHoldOrphans) return;
     this.mayHoldOrphans = false;
-    this.values.retain((id) => this.turns.has(id) || this.unreferenced.has(id));
+    this.values.retain((id) => this.isNeeded(id));
+  }
+
+  /** Deletes values of turns that expired up to a log index. */
+  deleteExpired(index: number): void {
+    for (const id of this.expired.takeHeldUpTo(index)) {
+      if (!this.isNeeded(id)) this.values.delete(id);
+    }
+  }
+
+  /** Whether the turn has ended in this state, and no entry that is not applied yet refers to it. */
+  isOver(id: string): boolean {
+    return !this.turns.has(id) && !this.unreferenced.has(id);
   }
 
-  /** Copies the index, and encodes the copy lazily in groups of `groupSize` turns. */
-  encode(groupSize: number): Iterable<EncodedTurn[]> {
+  /**
+   * Copies the index, and encodes the copy lazily in groups of `groupSize` turns.
+   * @param appliedIndex log index of the state
+   */
+  encode(groupSize: number, appliedIndex: number): Iterable<EncodedTurn[]> {
+    this.snapshotIndex = Math.max(this.snapshotIndex, appliedIndex);
     const ids = [...this.turns.keys()];
     const previous = [...this.turns.values()].map(({ previousTurn }) => previousTurn);
     const expiry = Float64Array.from(this.turns.values(), ({ expiresAtMs }) => expiresAtMs);
@@ -105,9 +127,22 @@
       ]),
     );
     for (const id of this.turns.keys()) this.unreferenced.markApplied(id, Number.POSITIVE_INFINITY);
+    this.snapshotIndex = Math.max(this.snapshotIndex, 0);
     this.mayHoldOrphans = true;
   }
 
+  private remove(id: string, { keptAtIndex }: IndexedTurn, appliedIndex: number): void {
+    this.turns.delete(id);
+    this.expired.forgetReport(id);
+    // A restart needs the value of another turn only with its log entry, which contains the value.
+    if (keptAtIndex <= this.snapshotIndex) this.expired.markHeld(id, appliedIndex);
+    if (!this.isNeeded(id)) this.values.delete(id);
+  }
+
+  private isNeeded(id: string): boolean {
+    return !this.isOver(id) || this.expired.holds(id);
+  }
+
   private extendChain(id: string | undefined, expiresAtMs: number): void {
     let next = id;
     while (next !== undefined) {
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -65,6 +65,11 @@
     return this.options.stateMachine.turns.size;
   }
 
+  /** Number of expired turns whose values this member still holds. */
+  get expiredValueCount(): number {
+    return this.options.stateMachine.turns.expired.heldCount;
+  }
+
   registerHandlers(router: MethodRouter): void {
     router.handle(RESERVE, (request) =>
       answerAsLeader(this.options.findGroup(), (group) => this.reserve(group, request)),
@@ -113,12 +118,11 @@
 
   /** Served by any member. */
   private async readTurns(request: ReadTurnsRequest): Promise<ReadTurnsResponse> {
-    const appliedIndex = this.options.findGroup()?.applier.appliedIndex ?? 0;
-    const { atIndex } = request;
-    const isStateRecentEnough = atIndex !== undefined && appliedIndex >= atIndex;
-    const response = await this.options.stateMachine.external.answer(request, isStateRecentEnough);
+    const group = this.options.findGroup();
+    const isRecent = group !== undefined && isStateRecentEnough(group, request);
+    const response = await this.options.stateMachine.external.answer(request, isRecent);
     for (const [, value] of response.values) this.sentBytes.turns += value.length;
-    return { ...response, memberId: this.options.findGroup()?.ownId };
+    return { ...response, memberId: group?.ownId, commitIndex: group && knownCommitIndex(group) };
   }
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveResponse> {
@@ -172,6 +176,23 @@
   }
 }
 
+/**
+ * Whether a member's state can tell expired turns from lost values. After a restart it cannot until
+ * it has applied all entries that it knows to be committed, since values may have been deleted then.
+ */
+function isStateRecentEnough(
+  { applier, log }: ReplicatedGroup,
+  { atIndex }: ReadTurnsRequest,
+): boolean {
+  if (atIndex === undefined) return false;
+  return applier.appliedIndex >= Math.max(atIndex, log.savedCommitIndex);
+}
+
+/** Index up to which a member knows entries to be committed, in this process or an earlier one. */
+function knownCommitIndex({ commitIndex, log }: ReplicatedGroup): number {
+  return Math.max(commitIndex, log.savedCommitIndex);
+}
+
 /** Encoded inline values by turn id, in the order of the settlements. */
 function inlineValuesOf(settlements: readonly Settlement[]): Map<string, Buffer> {
   const values = new Map<string, Buffer>();
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -76,7 +76,7 @@
       accounts: this.budgets.encode(),
       placements: this.placements.encode(),
     };
-    return encodeChunks(encodeFrame(head), this.turns.encode(TURNS_PER_CHUNK));
+    return encodeChunks(encodeFrame(head), this.turns.encode(TURNS_PER_CHUNK, this.index));
   }
 
   restore(bytes: Uint8Array): void {
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -79,6 +79,8 @@
   values: [string, Uint8Array][];
   /** Turns that have expired in the member's state, which is at least as recent as the sender's. */
   expired: string[];
+  /** Index up to which the member knows entries to be committed, with which these turns expired. @default 0 */
+  commitIndex?: number;
   /** Turns of the member's state whose values it has lost; the state is at least as recent as the sender's. */
   lost: string[];
   /** Number of turns, from the first on, that the response covers. */
--- a/src/ledger/turn-history-store.ts
+++ b/src/ledger/turn-history-store.ts
@@ -7,6 +7,7 @@
 import type { ExternalState, Member } from '../consensus/index.js';
 import type { LogEntry, StoredSnapshot } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
+import { ExpiredValueDeletions } from './expired-value-deletions.js';
 import type { KeptTurnIndex } from './kept-turn-index.js';
 import { LossReports } from './loss-reports.js';
 import type { ReadTurnsResponse, ReadTurnsRequest } from './messages.js';
@@ -67,8 +68,11 @@
   /** Values requested from other members since the latest log message, and those that none returned. */
   private readonly fetched = { asked: 0, missing: 0 };
   private lastLoggedAt = Number.NEGATIVE_INFINITY;
+  readonly deletions: ExpiredValueDeletions;
 
-  constructor(private readonly options: TurnHistoryStoreOptions) {}
+  constructor(private readonly options: TurnHistoryStoreOptions) {
+    this.deletions = new ExpiredValueDeletions(options.turns);
+  }
 
   waitForRoom(): Promise<void> {
     return this.options.values.waitForRoom();
@@ -100,18 +104,24 @@
    * @param isStateRecentEnough whether this member's state can tell expired turns from lost values
    */
   async answer(
-    { turns }: ReadTurnsRequest,
+    { turns, atIndex }: ReadTurnsRequest,
     isStateRecentEnough: boolean,
   ): Promise<ReadTurnsResponse> {
+    const index = this.options.turns;
+    const isExpired = (id: string): boolean =>
+      (isStateRecentEnough && index.isOver(id)) ||
+      (atIndex !== undefined && index.expired.isReported(id));
     const response: ReadTurnsResponse = { values: [], expired: [], lost: [], covered: 0 };
     let bytes = 0;
     while (response.covered < turns.length && bytes < MAX_RESPONSE_BYTES) {
       const group = turns.slice(response.covered, response.covered + READ_CONCURRENCY);
       const values = await this.valuesOf(group);
-      for (const [index, id] of group.entries()) {
-        const value = values[index];
-        if (value) response.values.push([id, value]);
-        else if (isStateRecentEnough) this.reportMissing(response, id);
+      for (const [position, id] of group.entries()) {
+        const value = values[position];
+        if (isExpired(id)) response.expired.push(id);
+        else if (value) response.values.push([id, value]);
+        // A held but unreadable value is neither expired nor lost.
+        else if (isStateRecentEnough && !this.options.values.has(id)) response.lost.push(id);
         bytes += value?.length ?? 0;
       }
       response.covered += group.length;
@@ -119,13 +129,6 @@
     return response;
   }
 
-  /** Reports a turn without a readable value as expired or lost. A held but unreadable value is neither. */
-  private reportMissing({ expired, lost }: ReadTurnsResponse, id: string): void {
-    const { turns, values } = this.options;
-    if (!turns.has(id)) expired.push(id);
-    else if (!values.has(id)) lost.push(id);
-  }
-
   /** Stores a value that arrived ahead of the entry that refers to it. */
   storeCopy(turn: string, value: Uint8Array): void {
     if (this.options.turns.unreferenced.bytes >= MAX_UNREFERENCED_BYTES) return;
@@ -165,6 +168,9 @@
       for (const [position, turn] of this.options.turnIdsInEntry(entry).entries()) {
         const value = entry.attachments?.[position];
         if (value && value.length > 0) this.put(turn, value);
+        // Followers write an empty value for a turn that another member reported as expired.
+        else if (value && !this.options.values.has(turn))
+          turns.expired.markReported(turn, entry.index);
         turns.unreferenced.markLogged(turn, entry.index);
       }
     }
@@ -188,6 +194,7 @@
 
   private put(turn: string, value: Uint8Array): void {
     const { turns, values } = this.options;
+    turns.expired.forgetReport(turn);
     if (!turns.has(turn)) turns.unreferenced.markStored(turn, value.length);
     // Copied, since the received value is a view that would retain the whole frame.
     if (!values.has(turn)) values.put(turn, Buffer.from(value));
@@ -298,7 +305,11 @@
         this.put(id, value);
         wanted.delete(id);
       }
-      for (const id of response.expired) wanted.delete(id);
+      for (const id of response.expired) {
+        wanted.delete(id);
+        if (atIndex !== undefined) this.options.turns.expired.markReported(id, atIndex);
+      }
+      if (response.expired.length > 0) this.deletions.noteReport(response.commitIndex ?? 0);
       report.answeredBy = response.memberId;
       report.lost.push(...response.lost);
       remaining = remaining.slice(Math.max(1, response.covered));
--- a/src/log-store/records.ts
+++ b/src/log-store/records.ts
@@ -25,6 +25,11 @@
 export interface HardState {
   term: number;
   votedFor: string | undefined;
+  /**
+   * Entries up to this index are committed, whether or not this member's log holds them.
+   * @default 0
+   */
+  commitIndex?: number;
 }
 
 /** Position of a snapshot that replaces a group's log up to and including `index`. */
@@ -54,7 +59,7 @@
 /** Compact on-disk format; the order of the fields is fixed. */
 type Stored =
   | ['E', string, StoredEntry[]]
-  | ['H', string, number, string | null]
+  | ['H', string, number, string | null, number?]
   | ['T', string, number]
   | ['S', string, number, number]
   | ['M'];
@@ -81,12 +86,17 @@
   return { ...entry, attachments, attachedBytes };
 }
 
+function toStoredHardState(group: string, { term, votedFor, commitIndex }: HardState): Stored {
+  if (commitIndex === undefined) return ['H', group, term, votedFor ?? null];
+  return ['H', group, term, votedFor ?? null, commitIndex];
+}
+
 function toStored(record: LogRecord): Stored {
   switch (record.kind) {
     case 'entries':
       return ['E', record.group, record.entries.map(toStoredEntry)];
     case 'hard-state':
-      return ['H', record.group, record.state.term, record.state.votedFor ?? null];
+      return toStoredHardState(record.group, record.state);
     case 'truncate':
       return ['T', record.group, record.fromIndex];
     case 'snapshot':
@@ -109,7 +119,7 @@
       return {
         kind: 'hard-state',
         group: stored[1],
-        state: { term: stored[2], votedFor: stored[3] ?? undefined },
+        state: { term: stored[2], votedFor: stored[3] ?? undefined, commitIndex: stored[4] },
       };
     case 'T':
       return { kind: 'truncate', group: stored[1], fromIndex: stored[2] };
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -124,6 +124,11 @@
       addGauge(registry, `ledgegauge_kept_turns${name}`, help, read);
     add('', 'Turns whose values are held', () => values.size);
     add('_named', 'Turns that the state names', () => this.service.keptTurnCount);
+    add(
+      '_awaiting_deletion',
+      'Expired turns whose values are deleted once the commit index is durable',
+      () => this.service.expiredValueCount,
+    );
     add('_disk_bytes', 'Bytes of their segments', () => values.diskBytes.total);
     add('_live_bytes', 'Bytes of those that are still wanted', () => values.diskBytes.live);
     add('_waiting_bytes', 'Bytes that wait to be written', () => values.pendingBytes);
--- a/tests/support/simulated-disk-load.ts
+++ b/tests/support/simulated-disk-load.ts
@@ -12,7 +12,7 @@
 const RETENTION_MS = 600_000;
 /** Retention of short-lived programs, which causes compaction of value segments. */
 const SHORT_RETENTION_MS = 1_000;
-const SHORT_LIVED_SHARE = 0.4;
+const DEFAULT_SHORT_LIVED_SHARE = 0.4;
 const MAX_CHAIN_LENGTH = 6;
 const MAX_VALUE_BYTES = 400;
 const MAX_PAUSE_MS = 6;
@@ -44,6 +44,8 @@
     private readonly client: GroupClient,
     private readonly copies: ValueCopySender,
     private readonly random: SeededRandom,
+    /** Share of programs whose turns have the short retention. @default 0.4 */
+    private readonly shortLivedShare = DEFAULT_SHORT_LIVED_SHARE,
   ) {}
 
   start(): void {
@@ -62,7 +64,7 @@
 
   private async runProgram(program: string): Promise<void> {
     const length = this.random.integer(1, MAX_CHAIN_LENGTH);
-    const isShortLived = this.random.chance(SHORT_LIVED_SHARE);
+    const isShortLived = this.random.chance(this.shortLivedShare);
     const retentionMs = isShortLived ? SHORT_RETENTION_MS : RETENTION_MS;
     let previous: KeptChain | undefined;
     for (let count = 0; count < length && !this.isStopped; count += 1) {
