A build replaces each file at once, so that no program loads half of one

What callers saw: npm start ended with "exited with code 1 before it was ready", a second after another command had begun to build the same folder.

Cause: both commands compile into dist, and the compiler rewrites its files in place while the processes of the other command load them.

Why it works: each output is written under another name and renamed, so a reader finds the previous file or the next one. The same for the bundle in target, whose program comes after its chunks.

--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -4,6 +4,7 @@
  */
 import { fileURLToPath } from 'node:url';
 import { analyzeMetafile, build } from 'esbuild';
+import { writeFileAtomically } from './write-file-atomically.mjs';
 
 /** Lets bundled CommonJS dependencies `require` built-in modules. */
 const REQUIRE_SHIM =
@@ -51,6 +52,17 @@
   plugins: [replaceModules],
   banner: { js: REQUIRE_SHIM },
   logLevel: 'warning',
+  write: false,
   metafile: process.argv.includes('--sizes'),
 });
+/** Chunks come before the program that imports them. */
+const chunksFirst = result.outputFiles.toSorted(
+  (left, right) => Number(isProgram(left)) - Number(isProgram(right)),
+);
+for (const { path, contents } of chunksFirst) writeFileAtomically(path, contents);
+
+function isProgram({ path }) {
+  return path.endsWith('/ledgegauge.mjs');
+}
+
 if (result.metafile) console.log(await analyzeMetafile(result.metafile));
