--- a/src/ledger/member-power-loss.test.ts
+++ b/src/ledger/member-power-loss.test.ts
@@ -101,12 +101,14 @@
 }
 
 const LOG_WRITE = 'write /data/log/segment-0000000001.log';
+/** Last operation that stores a snapshot. */
+const SNAPSHOT_STORED = 'sync folder /data/snapshots';
 
 /** Kills a follower with entries up to 5 after it has stored a snapshot up to 10, before it compacts its log. */
 async function killBetweenSnapshotAndLog(script: FollowerOfScript): Promise<void> {
   await script.start();
   await script.append(commands(2, 5), 1, 1);
-  script.disk.killBefore = LOG_WRITE;
+  script.disk.killBeforeFollowing(SNAPSHOT_STORED, LOG_WRITE);
   await expect(script.sendSnapshot(10)).rejects.toThrow();
   expect(script.disk.list()).toContain(`/data/snapshots/snapshot-${GROUP}`);
 }
@@ -153,7 +155,7 @@
     const script = new FollowerOfScript(new SimulatedDisk('member', { seed: 1 }));
     await script.start();
     await script.append(commands(2, 12, 1), 1, 1);
-    script.disk.killBefore = LOG_WRITE;
+    script.disk.killBeforeFollowing(SNAPSHOT_STORED, LOG_WRITE);
     await expect(script.sendSnapshot(10)).rejects.toThrow();
     const { group, fatal } = await script.start();
     expect(await script.bringPastSnapshot(10)).toBe(true);
@@ -170,7 +172,7 @@
   it('does not compact its log for a snapshot that a power failure can revert', async () => {
     const script = new FollowerOfScript(new SimulatedDisk('member', { seed: 1 }));
     await script.start();
-    script.disk.killBefore = 'sync folder /data/snapshots';
+    script.disk.killBefore = SNAPSHOT_STORED;
     await script.append(commands(2, 5), 1, 1);
     await script.append([], 5, 5).catch(() => undefined);
     await waitUntil('killed', () => !script.disk.isAlive);
--- a/tests/support/simulated-disk.ts
+++ b/tests/support/simulated-disk.ts
@@ -52,6 +52,8 @@
   killAt = Number.POSITIVE_INFINITY;
   /** Description of an operation before which the process is killed. */
   killBefore: string | undefined;
+  /** Description of an operation before which `killBefore` has no effect. */
+  private awaitedOperation: string | undefined;
 
   /** @param name name of the machine; replaces an earlier disk of the same name */
   constructor(
@@ -74,6 +76,7 @@
     this.operations = [];
     this.killAt = Number.POSITIVE_INFINITY;
     this.killBefore = undefined;
+    this.awaitedOperation = undefined;
     this.onKilled = onKilled;
     return `${SIMULATED_ROOT}/${this.name}/process-${this.process}`;
   }
@@ -82,6 +85,12 @@
     return this.isProcessAlive;
   }
 
+  /** Kills the process before an operation, once another operation has been started. */
+  killBeforeFollowing(awaited: string, operation: string): void {
+    this.awaitedOperation = awaited;
+    this.killBefore = operation;
+  }
+
   /** Kills the running process; its writes remain. */
   kill(): void {
     if (!this.isProcessAlive) return;
@@ -137,7 +146,8 @@
     }
     if (!this.isProcessAlive || process !== this.process) throw new ProcessKilledError(operation);
     this.operations.push(operation);
-    const isDue = operation === this.killBefore;
+    const isDue = operation === this.killBefore && this.awaitedOperation === undefined;
+    if (operation === this.awaitedOperation) this.awaitedOperation = undefined;
     if (!isDue && this.operations.length < this.killAt) return;
     if (!isDue) onKill?.();
     this.kill();
