The test of restored values waits until each log has the entry

What callers saw: nothing. The test found the value on 4 of 5 members after all had crashed.

Cause: it waited until all members held the value, which a copy in memory satisfies before the entry arrives. A member that stops then loses the copy; it has acknowledged nothing.

Evidence: with the link from the leader to one follower cut before the settlement, the test fails each time, "expected 4 to be 5": lastIndex 4 at four members, 3 at the fifth, hasValue true at all; after the restart the fifth has none.

Why it works: the leader has all acknowledgements before the members stop, so each log has the entry. The check is as it was.

--- a/src/ledger/value-replication.test.ts
+++ b/src/ledger/value-replication.test.ts
@@ -30,6 +30,15 @@
   ).length;
 }
 
+/** Whether all members have acknowledged all entries of the leader, and so have written them to their logs. */
+function isLoggedByAll(ledger: LedgerCluster): boolean {
+  const { leader, members } = ledger.cluster;
+  if (!leader) return false;
+  const { group } = leader;
+  const followers = members.filter(({ member }) => member.id !== leader.member.id);
+  return followers.every(({ member }) => group.matchIndexOf(member.id) === group.log.lastIndex);
+}
+
 describe('the value of a kept turn', () => {
   it('is on a majority once its settlement is acknowledged', async () => {
     const ledger = await LedgerCluster.start({ voters: VOTERS });
@@ -81,6 +90,8 @@
     const client = ledger.createClient('gateway');
     await client.settle(KEPT_TURN, LIMITS.timeoutMs);
     await waitUntil('with all', () => countHolders(ledger) === VOTERS);
+    // A member may hold a copy in memory before its log has the entry, and loses it when it stops then.
+    await waitUntil('logged by all', () => isLoggedByAll(ledger));
     for (const { member } of ledger.cluster.members) await ledger.cluster.crash(member.id);
     await ledger.restartAll();
     expect(countHolders(ledger)).toBe(VOTERS);
