Tests of value replication run on simulated time

What callers saw: nothing.

Cause: the group's elections are due after 120 ms of wall time.

Why it works: time passes only when the event loop is idle, and the disk is in memory.

--- a/src/ledger/value-replication.test.ts
+++ b/src/ledger/value-replication.test.ts
@@ -1,5 +1,5 @@
 /** Replication of the values of kept turns, which log entries only refer to. */
-import { describe, expect, it } from 'vitest';
+import { beforeEach, describe, expect, it, vi } from 'vitest';
 import {
   KEPT_HISTORY,
   KEPT_TURN,
@@ -7,11 +7,15 @@
   NEXT_TURN,
   ledgerTestLogger,
 } from '../../tests/support/ledger-cluster.js';
+import { simulateTime } from '../../tests/support/simulated-time.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { GroupClient, callLeader } from '../consensus/index.js';
 import { LedgerClient } from './ledger-client.js';
 import { LEDGER_GROUP, RESERVE, TAKE_COPY } from './messages.js';
 
+vi.mock('node:fs/promises', () => import('../../tests/support/memory-files.js'));
+
+const SEED = 1;
 const LIMITS = { timeoutMs: 5_000 };
 const VOTERS = 5;
 const QUORUM = 3;
@@ -39,6 +43,8 @@
   return followers.every(({ member }) => group.matchIndexOf(member.id) === group.log.lastIndex);
 }
 
+beforeEach(() => simulateTime(SEED));
+
 describe('the value of a kept turn', () => {
   it('is on a majority once its settlement is acknowledged', async () => {
     const ledger = await LedgerCluster.start({ voters: VOTERS });
