One reader of CPU profiles, which counts a sample until the next one

Two commands read the same profiles, and one of them (lab/directory/profile-purposes.ts) counted the time before a sample for its function: the format gives each sample the time since the previous one, so the time after it is the next sample's.

--- a/lab/directory/profile-purposes.ts
+++ b/lab/directory/profile-purposes.ts
@@ -3,26 +3,13 @@
  *
  *     node dist/lab/directory/profile-purposes.js FILE.cpuprofile...
  */
-import { readFileSync } from 'node:fs';
-
-interface CallFrame {
-  functionName: string;
-  url: string;
-}
-
-interface ProfileNode {
-  id: number;
-  callFrame: CallFrame;
-  children?: number[];
-}
-
-/** CPU profile in the format of V8. */
-interface Profile {
-  nodes: ProfileNode[];
-  samples: number[];
-  /** Time since the previous sample, in microseconds. */
-  timeDeltas: number[];
-}
+import {
+  type CallFrame,
+  type CpuProfile,
+  type ProfileNode,
+  readCpuProfile,
+  sumSelfTimes,
+} from '../cpu-profile.js';
 
 interface Purpose {
   name: string;
@@ -62,7 +49,6 @@
   { name: 'timers and promises', pattern: /node:internal\/(timers|process)|signal-event|deferred/ },
 ];
 const OTHER = 'other';
-const MICROSECONDS_PER_MS = 1_000;
 
 function purposeOf({ functionName, url }: CallFrame): string | undefined {
   const text = `${url} ${functionName}`;
@@ -70,7 +56,7 @@
 }
 
 /** Purpose by node id; a node without a purpose of its own inherits its caller's. */
-function purposesOf(profile: Profile): Map<number, string> {
+function purposesOf(profile: CpuProfile): Map<number, string> {
   const byId = new Map(profile.nodes.map((node) => [node.id, node]));
   const purposes = new Map<number, string>();
   const visit = (node: ProfileNode, inheritedPurpose: string): void => {
@@ -82,12 +68,8 @@
   return purposes;
 }
 
-function selfTimes(profile: Profile, nameOf: (id: number) => string): [string, number][] {
-  const times = new Map<string, number>();
-  profile.samples.forEach((id, sample) => {
-    const name = nameOf(id);
-    times.set(name, (times.get(name) ?? 0) + profile.timeDeltas[sample]! / MICROSECONDS_PER_MS);
-  });
+function selfTimes(profile: CpuProfile, nameOf: (id: number) => string): [string, number][] {
+  const times = sumSelfTimes(profile, nameOf);
   return [...times].sort(([, left], [, right]) => right - left);
 }
 
@@ -102,7 +84,7 @@
 const MAX_FUNCTIONS = 25;
 
 for (const file of process.argv.slice(2)) {
-  const profile = JSON.parse(readFileSync(file, 'utf8')) as Profile;
+  const profile = readCpuProfile(file);
   const purposes = purposesOf(profile);
   const frames = new Map(profile.nodes.map(({ id, callFrame }) => [id, callFrame]));
   const isBusy = ([name]: [string, number]): boolean => !/idle\)?$/.test(name);
