--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -46,6 +46,7 @@
   private bytesSinceSnapshot = 0;
   private readonly wake = new SignalEvent();
   private readonly applied = new SignalEvent();
+  /** Whether the group has stopped, after which nothing is applied or deleted. */
   isStopped = false;
   private isSnapshotting = false;
   private readonly cleaner: ExternalDataCleaner;
@@ -121,7 +122,7 @@
     if (!external) return;
     await external.fetchMissing(snapshot, this.sourcesIn(members));
     await external.sync();
-    await this.cleaner.saveReportedCommit();
+    await this.cleaner.makeReportedCommitDurable();
   }
 
   /**
--- a/src/consensus/external-data-cleaner.ts
+++ b/src/consensus/external-data-cleaner.ts
@@ -31,13 +31,21 @@
       .finally(() => (this.isRunning = false));
   }
 
-  /** Makes the commit index durable that other members sent with reports of unneeded data. */
+  /**
+   * Writes the commit index that other members sent with reports of unneeded data, unless it has
+   * been passed to the log. Entries that are appended later are durable only after it.
+   */
   async saveReportedCommit(): Promise<void> {
     const { log } = this.group;
     const index = this.deletions?.reportedCommitIndex ?? 0;
     if (index > log.savedCommitIndex) await log.saveCommitIndex(index);
   }
 
+  /** Resolves when this commit index is durable, for what is stored outside of the log. */
+  async makeReportedCommitDurable(): Promise<void> {
+    if (this.deletions) await this.group.log.saveCommitIndex(this.deletions.reportedCommitIndex);
+  }
+
   private async deleteWhilePending(deletions: ExternalDeletions): Promise<void> {
     while (deletions.isPending && !this.applier.isStopped) {
       const index = this.applier.appliedIndex;
--- a/src/consensus/external-deletions.test.ts
+++ b/src/consensus/external-deletions.test.ts
@@ -159,4 +159,30 @@
     await group.applier.install(snapshot, leading.configuration);
     expect(savedAtStore).toEqual([LATER_INDEX]);
   });
+
+  /** A snapshot is in another file than the log, and could be durable before it. */
+  it('is waited for by a snapshot if an entry has begun to save it', async () => {
+    const { cluster, externalOf } = await startDeleting();
+    const { group: leading } = await cluster.waitLeader();
+    const { group, member, disk } = cluster.members.find(({ group: own }) => !own.isLeader)!;
+    const stored: number[] = [];
+    group.log.storeSnapshot = async ({ index }) => void stored.push(index);
+    disk.stall();
+    externalOf(member.id).reportedCommitIndex = LATER_INDEX;
+    const entry = { index: 2, term: leading.term, kind: 'empty', data: new Uint8Array(0) } as const;
+    const attached = group.applier.attachTo([entry]);
+    await sleep(10);
+    const snapshot = {
+      index: LATER_INDEX - 10,
+      term: leading.term,
+      state: encodeValue(['a']),
+      configuration: encodeValue(leading.configuration),
+    };
+    const installed = group.applier.install(snapshot, leading.configuration);
+    await sleep(50);
+    expect(stored).toEqual([]);
+    disk.resume();
+    await Promise.all([attached, installed]);
+    expect(stored).toEqual([snapshot.index]);
+  });
 });
--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -163,8 +163,8 @@
   }
 
   /**
-   * Writes that entries up to an index are committed. Resolves when it is synced, after all
-   * entries that were appended before.
+   * Writes that entries up to an index are committed, unless a later index has been written.
+   * Resolves when it is synced, after all entries that were appended before.
    * @throws StorageFullError (synchronously) if there is no space
    */
   saveCommitIndex(commitIndex: number): Promise<void> {
