Call an expired turn expired

A name only: the platform's bundle before and after has the same statements but for this name (compared without the hashes in file names). Tests of src/ledger pass.

--- a/src/ledger/kept-turn-index.ts
+++ b/src/ledger/kept-turn-index.ts
@@ -103,7 +103,7 @@
   }
 
   /** Whether the turn has ended in this state, and no entry that is not applied yet refers to it. */
-  isOver(id: string): boolean {
+  hasExpired(id: string): boolean {
     return !this.turns.has(id) && !this.unreferenced.has(id);
   }
 
@@ -140,7 +140,7 @@
   }
 
   private isNeeded(id: string): boolean {
-    return !this.isOver(id) || this.expired.holds(id);
+    return !this.hasExpired(id) || this.expired.holds(id);
   }
 
   private extendChain(id: string | undefined, expiresAtMs: number): void {
--- a/src/ledger/turn-history-store.ts
+++ b/src/ledger/turn-history-store.ts
@@ -109,7 +109,7 @@
   ): Promise<ReadTurnsResponse> {
     const index = this.options.turns;
     const isExpired = (id: string): boolean =>
-      (isStateRecentEnough && index.isOver(id)) ||
+      (isStateRecentEnough && index.hasExpired(id)) ||
       (atIndex !== undefined && index.expired.isReported(id));
     const response: ReadTurnsResponse = { values: [], expired: [], lost: [], covered: 0 };
     let bytes = 0;
