Backend statistics: reports, merging, verdicts and candidates

Gateways count latency ratios and failures by backend; the directory's leader merges the reports into a slowdown factor relative to the median of the service and into the zones for which a backend fails.

--- /dev/null
+++ b/src/backend-statistics/failure-detector.ts
@@ -0,0 +1,126 @@
+/**
+ * Decides whether a backend fails for callers, from the merged counts of their gateways. The decision is made on a
+ * binomial test; a single gateway never suffices.
+ */
+import { remainingAfter } from './decay.js';
+import { FAILURE_HALF_LIFE_MS } from './messages.js';
+
+/** Decayed counts of one gateway at one backend. */
+export interface FailureSample {
+  calls: number;
+  failures: number;
+}
+
+/** Ratio of failures that a backend may have without being avoided. */
+export const TOLERATED_FAILURE_RATIO = 0.15;
+/** Number of standard errors by which the ratio must exceed the tolerated one. */
+const SIGNIFICANT_ERRORS = 1;
+/** Minimum number of gateways with failures. */
+const MIN_GATEWAYS = 2;
+/** Failures of a gateway below which it does not count as one that has seen a failure. */
+const MIN_GATEWAY_FAILURES = 0.2;
+/** Maximum calls of one gateway that are counted. */
+const MAX_GATEWAY_CALLS = 3;
+/** Failures below which a failure is considered forgotten. */
+const FORGOTTEN_FAILURES = 0.4;
+/** Calls in a row without a failure after which a backend has recovered. */
+const RECOVERED_CALLS = 5;
+/** Increase of the merged failures that is a new failure, not an effect of rounding or of late reports. */
+const NEW_FAILURE = 0.2;
+
+interface Totals extends FailureSample {
+  /** Monotonic, in milliseconds. */
+  at: number;
+}
+
+export class FailureDetector {
+  isFailing = false;
+  /** Calls when the last failure was forgotten; calls before a failure began say nothing about it. */
+  private baseline: Totals = { calls: 0, failures: 0, at: 0 };
+  private last: Totals = { calls: 0, failures: 0, at: 0 };
+  private successesInRow = 0;
+
+  /** @param minimumFailures decayed number of recent failures below which the backend does not fail */
+  constructor(private readonly minimumFailures: number) {}
+
+  /** Ends a failure; only later calls count from now on. */
+  reset(): void {
+    this.isFailing = false;
+    this.baseline = this.last;
+  }
+
+  /**
+   * Takes the current counts of the gateways of the callers.
+   * @param now monotonic, in milliseconds
+   */
+  update(samples: readonly FailureSample[], now: number): void {
+    const capped = samples.map(cappedSample);
+    const totals = { ...sumOf(capped), at: now };
+    this.noteSuccesses(totals);
+    if (totals.failures < FORGOTTEN_FAILURES) this.baseline = totals;
+    if (this.isFailing) this.isFailing = !this.hasRecovered(totals);
+    else this.isFailing = this.hasBegunToFail(capped, totals);
+    if (this.isFailing) return;
+    // After a recovery the counts still contain old failures: only new ones count.
+    if (this.successesInRow >= RECOVERED_CALLS) this.baseline = totals;
+  }
+
+  private noteSuccesses(totals: Totals): void {
+    const left = remainingAfter(totals.at - this.last.at, FAILURE_HALF_LIFE_MS);
+    const newFailures = totals.failures - this.last.failures * left;
+    const newCalls = totals.calls - this.last.calls * left;
+    if (newFailures > NEW_FAILURE) this.successesInRow = 0;
+    else this.successesInRow += Math.max(0, newCalls);
+    this.last = totals;
+  }
+
+  private hasRecovered({ calls, failures }: Totals): boolean {
+    return (
+      this.successesInRow >= RECOVERED_CALLS ||
+      failures < FORGOTTEN_FAILURES ||
+      failures < calls * TOLERATED_FAILURE_RATIO
+    );
+  }
+
+  private hasBegunToFail(samples: readonly FailureSample[], totals: Totals): boolean {
+    const recent = this.sinceBaseline(totals);
+    if (recent.failures < this.minimumFailures || !isSignificant(recent)) return false;
+    const withFailures = samples.filter(({ failures }) => failures >= MIN_GATEWAY_FAILURES);
+    if (withFailures.length < MIN_GATEWAYS) return false;
+    const worst = withFailures.reduce((left, right) =>
+      right.failures > left.failures ? right : left,
+    );
+    // The other gateways must see failures as well: one with a broken link may report many.
+    const calls = Math.max(0, recent.calls - worst.calls);
+    return recent.failures - worst.failures > calls * TOLERATED_FAILURE_RATIO;
+  }
+
+  private sinceBaseline({ calls, failures, at }: Totals): FailureSample {
+    const left = remainingAfter(at - this.baseline.at, FAILURE_HALF_LIFE_MS);
+    const newFailures = Math.max(0, failures - this.baseline.failures * left);
+    const newCalls = Math.max(newFailures, calls - this.baseline.calls * left);
+    return { calls: newCalls, failures: newFailures };
+  }
+}
+
+/** Whether the failure ratio is significantly over the tolerated one (score test of a binomial proportion). */
+function isSignificant({ calls, failures }: FailureSample): boolean {
+  const expected = calls * TOLERATED_FAILURE_RATIO;
+  const standardError = Math.sqrt(expected * (1 - TOLERATED_FAILURE_RATIO));
+  return failures - expected > SIGNIFICANT_ERRORS * standardError;
+}
+
+function cappedSample({ calls, failures }: FailureSample): FailureSample {
+  if (calls <= MAX_GATEWAY_CALLS) return { calls, failures };
+  return { calls: MAX_GATEWAY_CALLS, failures: (failures * MAX_GATEWAY_CALLS) / calls };
+}
+
+function sumOf(samples: readonly FailureSample[]): FailureSample {
+  let calls = 0;
+  let failures = 0;
+  for (const sample of samples) {
+    calls += sample.calls;
+    failures += sample.failures;
+  }
+  return { calls, failures };
+}
--- /dev/null
+++ b/src/backend-statistics/statistics-collector.ts
@@ -0,0 +1,103 @@
+/** Counts the calls of one gateway by backend and prepares its reports. */
+import { remainingAfter } from './decay.js';
+import {
+  type BackendTally,
+  FAILURE_HALF_LIFE_MS,
+  MAXIMUM_RATIO,
+  MINIMUM_RATIO,
+  SLOWDOWN_HALF_LIFE_MS,
+  type StatisticsReport,
+  encodeReport,
+} from './messages.js';
+
+/** Minimum time between two reports, in milliseconds. */
+export const REPORT_INTERVAL_MS = 400;
+/** Maximum size of a report, in bytes. */
+export const MAX_REPORT_BYTES = 1_000;
+/** Size of an entry besides its id: header of the text and up to three bytes for each number. */
+const ENTRY_BYTES = 14;
+/** Size of the names of the lists. */
+const REPORT_HEADER_BYTES = 60;
+/** Weight and calls below which a backend is no longer reported. */
+const MIN_WEIGHT = 0.05;
+
+interface Entry extends BackendTally {
+  /** Time to which the values are decayed (monotonic, milliseconds). */
+  at: number;
+}
+
+export class StatisticsCollector {
+  private readonly entries = new Map<string, Entry>();
+  private reportedAt = Number.NEGATIVE_INFINITY;
+
+  /** @param clock monotonic clock, in milliseconds */
+  constructor(private readonly clock: () => number) {}
+
+  /** @param expectedMs predicted latency on a backend of normal speed */
+  noteDuration(id: string, tookMs: number, expectedMs: number): void {
+    const ratio = Math.min(MAXIMUM_RATIO, Math.max(MINIMUM_RATIO, tookMs / expectedMs));
+    const entry = this.currentEntry(id);
+    entry.weight += 1;
+    entry.logRatios += Math.log(ratio);
+  }
+
+  noteResult(id: string, isFailure: boolean): void {
+    const entry = this.currentEntry(id);
+    entry.calls += 1;
+    if (isFailure) entry.failures += 1;
+  }
+
+  /** The totals by backend, or undefined if there are none or the last report is too recent. */
+  takeReport(): StatisticsReport | undefined {
+    const now = this.clock();
+    if (now - this.reportedAt < REPORT_INTERVAL_MS) return undefined;
+    this.reportedAt = now;
+    this.removeForgotten(now);
+    const tallies = withinSize([...this.entries.values()].sort(byImportance));
+    return tallies.length === 0 ? undefined : encodeReport(tallies);
+  }
+
+  clear(): void {
+    this.entries.clear();
+  }
+
+  private currentEntry(id: string): Entry {
+    const now = this.clock();
+    const known = this.entries.get(id);
+    if (known) return decayTo(known, now);
+    const entry = { id, weight: 0, logRatios: 0, calls: 0, failures: 0, at: now };
+    this.entries.set(id, entry);
+    return entry;
+  }
+
+  private removeForgotten(now: number): void {
+    for (const entry of this.entries.values()) {
+      const { weight, calls, id } = decayTo(entry, now);
+      if (weight < MIN_WEIGHT && calls < MIN_WEIGHT) this.entries.delete(id);
+    }
+  }
+}
+
+function decayTo(entry: Entry, now: number): Entry {
+  const ofSlowdown = remainingAfter(now - entry.at, SLOWDOWN_HALF_LIFE_MS);
+  const ofCalls = remainingAfter(now - entry.at, FAILURE_HALF_LIFE_MS);
+  entry.weight *= ofSlowdown;
+  entry.logRatios *= ofSlowdown;
+  entry.calls *= ofCalls;
+  entry.failures *= ofCalls;
+  entry.at = now;
+  return entry;
+}
+
+/** Failures first, so that they are never left out of a full report, then the most recent calls. */
+function byImportance(left: BackendTally, right: BackendTally): number {
+  return right.failures - left.failures || right.weight - left.weight;
+}
+
+function withinSize(tallies: readonly BackendTally[]): BackendTally[] {
+  let bytes = REPORT_HEADER_BYTES;
+  return tallies.filter(({ id }) => {
+    bytes += Buffer.byteLength(id) + ENTRY_BYTES;
+    return bytes <= MAX_REPORT_BYTES;
+  });
+}
--- /dev/null
+++ b/src/backend-statistics/zone-failures.ts
@@ -0,0 +1,61 @@
+/** Decides for which callers a backend fails: those of one zone, or all. */
+import {
+  FailureDetector,
+  type FailureSample,
+  TOLERATED_FAILURE_RATIO,
+} from './failure-detector.js';
+import { ALL_ZONES } from './messages.js';
+
+/** Number of zones that must agree for a backend to fail for all callers. */
+const AGREEING_ZONES = 2;
+/** Minimum failures in one zone: two within half a second. */
+const MIN_ZONE_FAILURES = 1.5;
+/** Minimum failures in all zones: three, since many gateways have a failure for other reasons now and then. */
+const MIN_OVERALL_FAILURES = 2;
+/** Minimum failures of a zone that agrees with others. */
+const MIN_AGREEING_FAILURES = 0.4;
+
+export type SamplesByZone = ReadonlyMap<string, readonly FailureSample[]>;
+
+export class ZoneFailures {
+  private readonly zones = new Map<string, FailureDetector>();
+  /** Decides on the counts of all zones, which are significant earlier than those of one zone. */
+  private readonly overall = new FailureDetector(MIN_OVERALL_FAILURES);
+  private hasAgreement = false;
+
+  /** @returns the zones whose callers' calls fail, or `ALL_ZONES` */
+  update(byZone: SamplesByZone, now: number): string[] {
+    this.updateZones(byZone, now);
+    this.updateOverall(byZone, now);
+    const failing = [...this.zones].filter(([, detector]) => detector.isFailing);
+    if (this.hasAgreement || failing.length >= AGREEING_ZONES) return [ALL_ZONES];
+    return failing.map(([zone]) => zone);
+  }
+
+  private updateZones(byZone: SamplesByZone, now: number): void {
+    for (const zone of byZone.keys()) {
+      if (!this.zones.has(zone)) this.zones.set(zone, new FailureDetector(MIN_ZONE_FAILURES));
+    }
+    for (const [zone, detector] of this.zones) detector.update(byZone.get(zone) ?? [], now);
+  }
+
+  private updateOverall(byZone: SamplesByZone, now: number): void {
+    this.overall.update([...byZone.values()].flat(), now);
+    if (this.overall.isFailing) {
+      this.hasAgreement ||= agreeingZones(byZone) >= AGREEING_ZONES;
+      return;
+    }
+    // Calls of all zones end a failure of all sooner than those of each zone. A zone in which it lasts is found again.
+    if (this.hasAgreement) for (const detector of this.zones.values()) detector.reset();
+    this.hasAgreement = false;
+  }
+}
+
+/** Number of zones whose own failure ratio is over the tolerated one. */
+function agreeingZones(byZone: SamplesByZone): number {
+  return [...byZone.values()].filter((samples) => {
+    const calls = samples.reduce((sum, sample) => sum + sample.calls, 0);
+    const failures = samples.reduce((sum, sample) => sum + sample.failures, 0);
+    return failures >= MIN_AGREEING_FAILURES && failures > calls * TOLERATED_FAILURE_RATIO;
+  }).length;
+}
