Gateways use shared backend statistics in coordinated mode

The watch request carries a gateway's totals and the answer the merged conditions. Placement multiplies estimates by the shared factor, avoids failing backends and draws its candidates, so that stale load figures no longer send the plain calls of all gateways to the same server.

--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -2,6 +2,7 @@
  * Duties of the directory's leader besides replication: handles operator requests and registrations,
  * responds to watchers, bootstraps the ledger group, and removes backends that miss heartbeats.
  */
+import { BackendStatisticsStore } from '../backend-statistics/index.js';
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
@@ -73,6 +74,7 @@
   readonly stateMachine: DirectoryStateMachine;
   private readonly roster = new NodeRoster();
   private readonly loads = new LoadReportStore();
+  private readonly statistics: BackendStatisticsStore;
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -100,6 +102,10 @@
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
     });
     this.ledgerBootstrap = new LedgerBootstrap(options.ledgerVoters);
+    this.statistics = new BackendStatisticsStore({
+      serviceOf: (id) => this.stateMachine.backends.get(id)?.service,
+      logger: options.logger,
+    });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
   }
 
@@ -111,6 +117,7 @@
     this.heartbeats.clear();
     this.silentBackends.clear();
     this.loads.clear();
+    this.statistics.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -208,6 +215,8 @@
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
       this.confirmations.record(request.node.name, request.known);
+      const { node, statistics } = request;
+      if (statistics) this.statistics.report(node.name, node.zone, statistics);
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
     while (!request.isUrgent && !this.hasUpdateFor(request) && this.group?.isLeader) {
@@ -218,6 +227,8 @@
     }
     const view = this.viewFor(request);
     if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
+    const statistics = request.node.role === 'gateway' ? this.statistics.viewFor() : undefined;
+    if (statistics) view.statistics = statistics;
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -3,6 +3,7 @@
  * while no leader responds, another one polls the other members. The current state stays in use meanwhile
  * and is never replaced by an older one.
  */
+import type { StatisticsReport } from '../backend-statistics/index.js';
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
@@ -57,6 +58,10 @@
   onBackends?: (backends: BackendRecord[]) => void;
   onCluster?: (view: ClusterView) => void;
   onOtherLoads?: (loads: BackendLoad[]) => void;
+  /** Report of the backend statistics, if one is due. @default none */
+  takeStatistics?: () => StatisticsReport | undefined;
+  /** Receives the packed statistics of the leader. */
+  onStatistics?: (packed: Uint8Array) => void;
 }
 
 export class DirectoryWatcher {
@@ -141,6 +146,7 @@
   }
 
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
+    const statistics = this.options.takeStatistics?.();
     return {
       node: this.options.announce(),
       known: {
@@ -151,6 +157,7 @@
       },
       isUrgent,
       loads: this.options.loads?.() ?? [],
+      ...(statistics && { statistics }),
     };
   }
 
@@ -162,6 +169,7 @@
     this.applyBackends(view);
     if (view.configuration) this.applyConfiguration(view.configuration);
     if (view.loads) this.options.onOtherLoads?.(loadsOfOtherGateways(view.loads));
+    if (view.statistics) this.options.onStatistics?.(view.statistics);
   }
 
   /** Leaves the silent backends unchanged: only a leader knows them. */
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,4 +1,5 @@
 /** Messages between the directory group and its clients. */
+import type { StatisticsReport } from '../backend-statistics/index.js';
 import type { LeaderAnswer, Member } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendUpdate } from './backend-updates.js';
@@ -55,6 +56,8 @@
   /** Respond immediately instead of long polling, for a process that has just started. */
   isUrgent: boolean;
   loads: BackendLoad[];
+  /** Totals of the sender's calls by backend, in the scheduling mode `coordinated`. */
+  statistics?: StatisticsReport;
 }
 
 export interface ClusterView {
@@ -96,6 +99,8 @@
   cluster?: ClusterView;
   /** Calls in flight by backend, for gateways. */
   loads?: LoadTotals;
+  /** Packed conditions of the backends that differ from normal, for gateways in the scheduling mode `coordinated`. */
+  statistics?: Uint8Array;
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,4 +1,5 @@
 /** One gateway's view of the backends: registrations, in-flight calls and observed health. */
+import { type BackendStatistics, callsOverCache } from '../backend-statistics/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { BackendLoad, BackendRecord } from '../directory/index.js';
 import { SlowdownEstimator, LatencyModel } from '../performance/index.js';
@@ -10,6 +11,8 @@
 const MAX_SUSPICION_MS = 5_000;
 /** Time without data after which a backend with calls in flight is unresponsive, in milliseconds. */
 const UNRESPONSIVE_AFTER_MS = 700;
+/** Weight of the newest report in the mean of other gateways' calls. */
+const OTHER_LOAD_WEIGHT = 0.25;
 
 /** Limits of the backends of a service. */
 export interface BackendLimits {
@@ -27,6 +30,10 @@
   inFlight = 0;
   /** Calls in flight from other gateways, as last reported. */
   otherInFlight = 0;
+  /** Moving average of `otherInFlight` over reports. */
+  meanOtherInFlight = 0;
+  /** Tokens of the calls in flight from this gateway, with their expected answers. */
+  tokensInFlight = 0;
   readonly connections: BackendConnectionPool;
   readonly slowdown = new SlowdownEstimator();
   private readonly cache: PromptCacheView;
@@ -39,6 +46,7 @@
     public record: BackendRecord,
     readonly model: LatencyModel,
     private readonly limits: BackendLimits,
+    readonly statistics?: BackendStatistics,
   ) {
     const { service, address } = record;
     this.connections = new BackendConnectionPool(address, () => limits.connections(service));
@@ -62,7 +70,34 @@
   }
 
   get isSuspect(): boolean {
-    return this.record.isSilent || monotonicMs() < this.suspectUntil || this.isUnresponsive;
+    const isSuspect = this.record.isSilent || monotonicMs() < this.suspectUntil;
+    return isSuspect || this.isUnresponsive || this.isFailing;
+  }
+
+  /** Whether calls of this zone fail, by the reports of all gateways; false in independent mode. */
+  get isFailing(): boolean {
+    return this.statistics?.isFailing(this.id) ?? false;
+  }
+
+  /** Latency relative to the median of the service, by the reports of all gateways; 1 in independent mode. */
+  get sharedSlowdown(): number {
+    return this.statistics?.slowdownOf(this.id) ?? 1;
+  }
+
+  /** Latency relative to the prediction of the service's latency model. */
+  get timeFactor(): number {
+    return this.statistics?.isActive ? this.sharedSlowdown : this.slowdown.factor;
+  }
+
+  /** Number of calls that must end before one with `tokens` fits into the cache; 0 in independent mode. */
+  callsOverCache(tokens: number, answerTokens: number): number {
+    if (!this.statistics?.isActive) return 0;
+    return callsOverCache(tokens, {
+      ownTokens: this.tokensInFlight,
+      otherCalls: this.otherInFlight,
+      typicalTokens: this.model.typicalPromptTokens + answerTokens,
+      cacheTokens: this.limits.cacheTokens(this.record.service),
+    });
   }
 
   /** Whether calls are in flight and no data was received for a while. */
@@ -123,7 +158,11 @@
   private byService = new Map<string, BackendState[]>();
   private readonly models = new Map<string, LatencyModel>();
 
-  constructor(private readonly limits: BackendLimits) {}
+  /** @param statistics shared by all gateways in the scheduling mode `coordinated` */
+  constructor(
+    private readonly limits: BackendLimits,
+    private readonly statistics?: BackendStatistics,
+  ) {}
 
   /** Applies the registered backends; removed ones get no further calls. */
   update(records: readonly BackendRecord[]): void {
@@ -143,6 +182,10 @@
       const backend = this.backends.get(id);
       if (backend) backend.otherInFlight = inFlight;
     }
+    for (const backend of this.backends.values()) {
+      const change = backend.otherInFlight - backend.meanOtherInFlight;
+      backend.meanOtherInFlight += change * OTHER_LOAD_WEIGHT;
+    }
   }
 
   /** Number of gateways that send calls to the backends, including this one. */
@@ -183,7 +226,7 @@
       return;
     }
     const model = this.modelOf(record.service);
-    this.backends.set(record.id, new BackendState(record, model, this.limits));
+    this.backends.set(record.id, new BackendState(record, model, this.limits, this.statistics));
   }
 
   private modelOf(service: string): LatencyModel {
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -12,7 +12,7 @@
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { ProgramAdmission } from './program-admission.js';
-import { describeProgram, describeReservation, describeSends } from './call-log.js';
+import { describeProgram, describeReservation, describeSends, slowdownOf } from './call-log.js';
 import { StallDetector } from './stall-detector.js';
 import { StreamRelay } from './stream-relay.js';
 import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
@@ -275,6 +275,7 @@
       previousTurn: exchange.description.previousTurn,
       events: run?.response instanceof StreamRelay ? run.response.events : undefined,
       sends: run && describeSends(run),
+      slowdown: run && slowdownOf(run),
       ...describeProgram(exchange.description.program),
       ...details,
     };
--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -45,6 +45,12 @@
   return [windowMs, leaderMs, historyMs].map(Math.round).join('+');
 }
 
+/** Shared slowdown factor of the last backend, if it is not 1. */
+export function slowdownOf(run: CallRun): number | undefined {
+  const slowdown = run.sends.at(-1)?.slowdown;
+  return slowdown && Number(slowdown.toFixed(2));
+}
+
 /** Each attempt as `backend@ownLoad+otherLoad-uncachedTokens/headMs/totalMs(expectedMs):result`. */
 export function describeSends(run: CallRun): string {
   return run.sends.map(describeSend).join(' ');
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -7,7 +7,7 @@
 import type { BackendState, BackendView } from './backend-view.js';
 import { BufferedResponse } from './buffered-answer.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
-import type { PlacementDecision, Placement } from './placement.js';
+import { type PlacementDecision, type Placement, estimatedMsAt } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 import { StreamRelay } from './stream-relay.js';
 
@@ -51,6 +51,8 @@
   tookMs: number;
   /** Duration predicted by the service's latency model, in milliseconds. */
   expectedMs?: number;
+  /** Shared slowdown factor of the backend, if it is not 1. */
+  slowdown?: number;
 }
 
 const HTTP_SERVER_ERROR = 500;
@@ -75,6 +77,10 @@
   private retries = 0;
   /** Start of the latest attempt (monotonic, milliseconds). */
   private sentAt = 0;
+  /** When the latest attempt last received data, or was sent (monotonic, milliseconds). */
+  private activeAt = 0;
+  /** Whether the latest attempt was aborted because no response had begun in time. */
+  private isGivenUp = false;
   private mayHaveRun = false;
   private isOverdue = false;
 
@@ -145,6 +151,7 @@
       call: this.options.exchange.description,
       excluded: this.excluded,
       promptHolder: this.options.promptHolder,
+      mayProbe: this.sends.length === 0 && this.options.route.route.kind !== 'at-most-once',
     });
   }
 
@@ -155,14 +162,21 @@
     this.model = backend.model;
     this.attempt = attempt;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
-    const { promptParts } = this.options.exchange.description;
+    const { promptParts, mostTokens } = this.options.exchange.description;
+    const tokens = promptParts.reduce((sum, part) => sum + part.tokens, mostTokens);
+    const estimatedMs = estimatedMsAt(backend, this.options.exchange.description, missingTokens);
+    const slowdown = backend.sharedSlowdown;
     backend.beginCall(promptParts);
+    backend.tokensInFlight += tokens;
     this.sentAt = monotonicMs();
+    this.activeAt = this.sentAt;
+    this.isGivenUp = false;
     const timer = this.startResponseTimer(attempt);
     const result = await attempt.run();
     clearTimeout(timer);
     backend.endCall();
-    this.attempt = undefined;
+    backend.tokensInFlight -= tokens;
+    this.noteAttempt(backend, attempt, result, estimatedMs);
     const tookMs = monotonicMs() - this.sentAt;
     const load = ownLoad + otherLoad;
     this.sends.push({
@@ -175,7 +189,9 @@
       headMs: attempt.headAt === undefined ? undefined : attempt.headAt - this.sentAt,
       tookMs,
       expectedMs: this.noteDuration(backend, result, { missingTokens, load, tookMs }),
+      slowdown: slowdown === 1 ? undefined : slowdown,
     });
+    this.attempt = undefined;
     return result;
   }
 
@@ -190,7 +206,10 @@
     });
     const callId = description.id;
     const sink = this.response;
-    const onDataReceived = (): void => backend.noteDataReceived();
+    const onDataReceived = (): void => {
+      this.activeAt = monotonicMs();
+      backend.noteDataReceived();
+    };
     const attempt = new SendAttempt({
       protocol,
       connection,
@@ -218,11 +237,32 @@
     const events = this.response instanceof StreamRelay ? this.response.events : 0;
     const work: CallWork = { missingTokens, load, events };
     const expectedMs = backend.model.predictMs(work);
-    backend.model.observe(work, tookMs / backend.slowdown.factor, backend.capacity);
+    backend.model.observe(work, tookMs / backend.timeFactor, backend.capacity);
     backend.slowdown.note(tookMs, expectedMs);
+    if (!this.attempt?.wasPaused) backend.statistics?.noteDuration(backend.id, tookMs, expectedMs);
     return expectedMs;
   }
 
+  /** Reports the end of an attempt to the shared statistics. */
+  private noteAttempt(
+    backend: BackendState,
+    { wasPaused }: SendAttempt,
+    { kind }: SendResult,
+    estimatedMs: number,
+  ): void {
+    const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
+    const now = monotonicMs();
+    backend.statistics?.noteAttempt(backend.id, {
+      kind,
+      isFaulty: this.isErrorAnswer || isTruncated,
+      isGivenUp: this.isGivenUp,
+      wasPaused,
+      tookMs: now - this.sentAt,
+      silentMs: now - this.activeAt,
+      estimatedMs,
+    });
+  }
+
   /** Aborts the attempt of a repeatable call early enough that a retry can meet the deadline. */
   private startResponseTimer(attempt: SendAttempt): NodeJS.Timeout | undefined {
     const { kind, objectiveMs } = this.options.route.route;
@@ -232,7 +272,10 @@
       objectiveMs * RESPONSE_TIMEOUT_OBJECTIVES,
       leftMs * RESPONSE_TIMEOUT_FRACTION,
     );
-    return setTimeout(() => attempt.abortUnlessStarted(), responseTimeoutMs);
+    return setTimeout(() => {
+      this.isGivenUp = attempt.headAt === undefined;
+      attempt.abortUnlessStarted();
+    }, responseTimeoutMs);
   }
 
   /** @returns the outcome, or undefined if the call is to be sent again */
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,4 +1,10 @@
 /** Selects the backend of a call by estimated cost: cached prompt tokens against queueing. */
+import {
+  type BackendStatistics,
+  drawForModelCall,
+  drawProbe,
+  selectForPlainCall,
+} from '../backend-statistics/index.js';
 import { rankForKey } from '../common/index.js';
 import type { BackendState } from './backend-view.js';
 import { type CallDescription, isFirstTurn } from './call-exchange.js';
@@ -8,6 +14,8 @@
   zone: string;
   /** Random numbers in [0, 1). @default Math.random */
   random?: () => number;
+  /** Selects the candidates of the scheduling mode `coordinated` while it is active. */
+  statistics?: Pick<BackendStatistics, 'isActive' | 'noteProbe'>;
 }
 
 /** Fraction of the prefill time that is charged for each concurrent call, which it delays. */
@@ -35,6 +43,8 @@
   excluded: ReadonlySet<string>;
   /** Id of the backend that probably has the prompt of the previous turns cached. */
   promptHolder?: string;
+  /** Whether the call may be sent to a failing backend as a probe. @default false */
+  mayProbe?: boolean;
 }
 
 export interface PlacementDecision {
@@ -60,19 +70,47 @@
   /** @returns the cheapest backend with a free connection, if any */
   choose(
     candidates: readonly BackendState[],
-    { call, excluded, promptHolder }: PlacementRequest,
+    { call, excluded, promptHolder, mayProbe = false }: PlacementRequest,
   ): PlacementDecision | undefined {
     const usable = candidates.filter(
       (candidate) => !excluded.has(candidate.id) && candidate.connections.hasRoom,
     );
     const preferred = preferredBackends(call, usable, this.options.zone);
     const input = { call, preferred, promptHolder };
-    const isModelCall = call.promptParts.length > 0;
-    const shortlist = isModelCall ? shortlistOf(usable, input, this.random) : usable;
-    const backend = this.cheapest(shortlist, input) ?? this.cheapest(usable, input);
+    const backend = this.options.statistics?.isActive
+      ? this.selectCoordinated(usable, input, mayProbe)
+      : this.selectIndependent(usable, input);
     return backend && { backend, missingTokens: missingTokensAt(backend, input) };
   }
 
+  private selectIndependent(
+    usable: readonly BackendState[],
+    input: CostInput,
+  ): BackendState | undefined {
+    const isModelCall = input.call.promptParts.length > 0;
+    const shortlist = isModelCall ? shortlistOf(usable, input, this.random) : usable;
+    return this.cheapest(shortlist, input) ?? this.cheapest(usable, input);
+  }
+
+  private selectCoordinated(
+    usable: readonly BackendState[],
+    input: CostInput,
+    mayProbe: boolean,
+  ): BackendState | undefined {
+    const probed = mayProbe ? drawProbe(usable, this.random) : undefined;
+    if (probed) {
+      this.options.statistics?.noteProbe();
+      return probed;
+    }
+    if (input.call.promptParts.length === 0) {
+      const selected = selectForPlainCall(usable, input.preferred[0], this.random);
+      return selected ?? this.cheapest(usable, input);
+    }
+    const drawn = drawForModelCall(usable, this.random);
+    const shortlist = new Set([...shortlistOf(usable, input, this.random), ...drawn]);
+    return this.cheapest([...shortlist], input) ?? this.cheapest(usable, input);
+  }
+
   private cheapest(
     candidates: readonly BackendState[],
     input: CostInput,
@@ -91,7 +129,7 @@
   /** Estimated cost in milliseconds: latency of the call plus delay of concurrent calls. */
   private cost(backend: BackendState, input: CostInput): number {
     const isModelCall = input.call.promptParts.length > 0;
-    const workMs = workMsAt(backend, missingTokensAt(backend, input)) + queueMsAt(backend);
+    const workMs = estimatedMsAt(backend, input.call, missingTokensAt(backend, input));
     const suspectMs = backend.isSuspect ? SUSPECT_COST_MS : 0;
     const crossZoneMs = isModelCall ? MODEL_CROSS_ZONE_COST_MS : CROSS_ZONE_COST_MS;
     const zoneMs = backend.record.zone === this.options.zone ? 0 : crossZoneMs;
@@ -101,18 +139,34 @@
   }
 }
 
+/** Estimated latency of a call with its wait at the backend, in milliseconds. */
+export function estimatedMsAt(
+  backend: BackendState,
+  call: CallDescription,
+  missingTokens: number,
+): number {
+  return workMsAt(backend, missingTokens) + queueMsAt(backend, call);
+}
+
 /** Latency of the call plus the delay of concurrent calls by its prefill. */
-function workMsAt({ load, model, slowdown }: BackendState, missingTokens: number): number {
+function workMsAt(
+  { load, model, timeFactor, sharedSlowdown }: BackendState,
+  missingTokens: number,
+): number {
   const normalMs = model.predictMs({ missingTokens, load, events: model.typicalEvents });
-  const ownMs = normalMs * slowdown.factor;
-  const prefillMs = model.msPerToken * missingTokens;
+  const ownMs = normalMs * timeFactor;
+  const prefillMs = model.msPerToken * missingTokens * sharedSlowdown;
   return ownMs + load * prefillMs * PREFILL_DELAY_FRACTION;
 }
 
 /** Estimated queueing time. Since load figures are slightly outdated, high utilization is charged as well. */
-function queueMsAt({ load, model, capacity }: BackendState): number {
-  const waiting = Math.max(0, load + 1 - capacity);
-  return (model.typicalMs * (waiting + UTILIZATION_COST_FRACTION * load)) / capacity;
+function queueMsAt(backend: BackendState, { promptParts, mostTokens }: CallDescription): number {
+  const { load, model, capacity, sharedSlowdown } = backend;
+  const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
+  const overCache = backend.callsOverCache(promptTokens + mostTokens, mostTokens);
+  const waiting = Math.max(0, load + 1 - capacity, overCache);
+  const typicalMs = model.typicalMs * sharedSlowdown;
+  return (typicalMs * (waiting + UTILIZATION_COST_FRACTION * load)) / capacity;
 }
 
 /** Estimated uncached tokens of the prompt at a backend. */
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -46,6 +46,8 @@
   wasSent = false;
   /** Arrival of the response head (monotonic, milliseconds). */
   headAt: number | undefined;
+  /** Whether reading was paused because the caller reads slowly. */
+  wasPaused = false;
   private hadHead = false;
   private stopReason: 'stopped' | 'not-executed' | 'broken' | undefined;
   private verdict: ParsedResponseHead | undefined;
@@ -135,7 +137,10 @@
     if (chunk.length === 0) return;
     this.options.onDataReceived();
     if (this.stopReason) return;
-    if (!this.options.sink.onData(chunk)) controller.pause();
+    if (!this.options.sink.onData(chunk)) {
+      this.wasPaused = true;
+      controller.pause();
+    }
     this.checkRejection();
   }
 
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,5 +1,6 @@
 /** Gateway process: watches the directory and forwards calls. */
 import { randomBytes } from 'node:crypto';
+import { BackendStatistics, StatisticsMetrics } from '../backend-statistics/index.js';
 import { SignalEvent } from '../common/index.js';
 import { GroupClient, PeerDirectory } from '../consensus/index.js';
 import {
@@ -18,7 +19,12 @@
 import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
-import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
+import {
+  type EngineProperties,
+  type RequestLimits,
+  RouteTable,
+  schedulingModeOf,
+} from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
@@ -40,6 +46,7 @@
   private readonly peers: PeerDirectory;
   private readonly controlClient: GroupClient;
   private readonly ledgerGroups: GroupClient;
+  private readonly statistics: BackendStatistics;
   private readonly backends: BackendView;
   private readonly watcher: DirectoryWatcher;
   private readonly routesArrived = new SignalEvent();
@@ -63,11 +70,16 @@
     });
     this.controlClient = new GroupClient({ peers: this.peers, addresses: settings.controlSeeds });
     this.ledgerGroups = new GroupClient({ peers: this.peers, addresses: [] });
-    this.backends = new BackendView({
-      connections: (service) => this.connectionLimit(service),
-      cacheTokens: (service) => this.engineOf(service)?.cacheTokens ?? Infinity,
-      gateways: () => this.gatewayCount,
+    this.statistics = new BackendStatistics({
+      zone: settings.zone,
+      metrics: new StatisticsMetrics(this.metrics.registry),
     });
+    const limits = {
+      connections: (service: string) => this.connectionLimit(service),
+      cacheTokens: (service: string) => this.engineOf(service)?.cacheTokens ?? Infinity,
+      gateways: () => this.gatewayCount,
+    };
+    this.backends = new BackendView(limits, this.statistics);
     this.quotas = new GatewayQuotas({
       groups: this.controlClient,
       group: DIRECTORY_GROUP,
@@ -83,7 +95,7 @@
       access: (route, key) => decideAccess(route, key, this.keyKnowledge),
       quotas: this.quotas,
       backends: this.backends,
-      placement: new Placement({ zone: settings.zone }),
+      placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
       ledger: new LedgerClient(
         this.ledgerGroups,
         logger,
@@ -165,6 +177,7 @@
       logger: this.options.logger,
       onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
+        this.statistics.setMode(schedulingModeOf(configuration));
         this.tenants = new TenantTable(configuration.tenants);
         this.quotas.setLimits(configuration.tenants ?? []);
         this.routesArrived.notify();
@@ -175,6 +188,8 @@
       },
       onCluster: (view) => this.applyClusterView(view),
       onOtherLoads: (loads) => this.backends.updateOtherLoads(loads),
+      takeStatistics: () => this.statistics.takeReport(),
+      onStatistics: (packed) => this.statistics.apply(packed),
     });
   }
 
