Gateways that are cut off or overloaded become not ready in coordinated mode

A gateway that no leader answers stayed ready, and its callers waited in it. It now becomes not ready after 0.7 s of silence of both leaders, refuses turns that need the ledger at once and closes connections with its responses. An overloaded gateway becomes not ready if the directory's leader permits it, up to a third of its zone.

--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -4,6 +4,7 @@
  */
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
+import { ZoneHealthBoard } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
 import { EventLoopThrottle } from './answer-turns.js';
@@ -73,6 +74,7 @@
   readonly stateMachine: DirectoryStateMachine;
   private readonly roster = new NodeRoster();
   private readonly loads = new LoadReportStore();
+  private readonly zoneHealth = new ZoneHealthBoard();
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -111,6 +113,7 @@
     this.heartbeats.clear();
     this.silentBackends.clear();
     this.loads.clear();
+    this.zoneHealth.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -207,6 +210,7 @@
     this.recordNode(request.node);
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
+      this.zoneHealth.report(request.node.name, request.node.zone, request.health);
       this.confirmations.record(request.node.name, request.known);
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
@@ -218,6 +222,7 @@
     }
     const view = this.viewFor(request);
     if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
+    if (request.health) view.zoneHealth = this.zoneHealth.viewFor(request.node.name);
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -5,6 +5,7 @@
  */
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
+import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
 import type { BackendRecord } from './backend-registration.js';
@@ -52,11 +53,15 @@
   announce: () => NodeAnnouncement;
   /** Calls in flight from this process, by backend. @default none */
   loads?: () => BackendLoad[];
+  /** Health of this process, if a report is due. @default none */
+  health?: () => HealthReport | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
   onCluster?: (view: ClusterView) => void;
   onOtherLoads?: (loads: BackendLoad[]) => void;
+  /** Called with the time at which the answered request was sent (monotonic, milliseconds). */
+  onZoneHealth?: (zoneHealth: ZoneHealth, requestedAt: number) => void;
 }
 
 export class DirectoryWatcher {
@@ -108,6 +113,7 @@
         isUrgent = false;
         this.setConnected(true, '');
         this.applyView(view);
+        if (view.zoneHealth) this.options.onZoneHealth?.(view.zoneHealth, requestedAt);
         this.confirmedAt = Math.max(this.confirmedAt, requestedAt - view.confirmedAgeMs);
       } catch (error) {
         isUrgent = true;
@@ -141,6 +147,7 @@
   }
 
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
+    const health = this.options.health?.();
     return {
       node: this.options.announce(),
       known: {
@@ -151,6 +158,7 @@
       },
       isUrgent,
       loads: this.options.loads?.() ?? [],
+      ...(health && { health }),
     };
   }
 
--- a/src/directory/index.ts
+++ b/src/directory/index.ts
@@ -3,7 +3,11 @@
 export * from './directory-commands.js';
 export * from './incarnation.js';
 export { DirectoryClient } from './directory-client.js';
-export { DirectoryLeader, type DirectoryLeaderOptions } from './directory-leader.js';
+export {
+  DirectoryLeader,
+  type DirectoryLeaderOptions,
+  WATCH_LONG_POLL_MS,
+} from './directory-leader.js';
 export { registerDirectoryService } from './directory-service.js';
 export { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
 export { DirectoryWatcher, type DirectoryWatcherOptions } from './directory-watcher.js';
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between the directory group and its clients. */
 import type { LeaderAnswer, Member } from '../consensus/index.js';
+import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendUpdate } from './backend-updates.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -55,6 +56,8 @@
   /** Respond immediately instead of long polling, for a process that has just started. */
   isUrgent: boolean;
   loads: BackendLoad[];
+  /** Health of an overloaded gateway, in `coordinated` mode. */
+  health?: HealthReport;
 }
 
 export interface ClusterView {
@@ -96,6 +99,8 @@
   cluster?: ClusterView;
   /** Calls in flight by backend, for gateways. */
   loads?: LoadTotals;
+  /** Answer to the health that the request reported. */
+  zoneHealth?: ZoneHealth;
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -11,9 +11,10 @@
   LeaderRefusedError,
   callLeader,
 } from '../consensus/index.js';
+import type { CutOffSignal } from '../gateway-health/index.js';
 import { AllowanceTracker } from './allowance-tracker.js';
 import type { HistoryReader } from './history-reader.js';
-import { HistoryMissingError, NotReservedError } from './ledger-errors.js';
+import { HistoryMissingError, MaybeReservedError, NotReservedError } from './ledger-errors.js';
 import { OutageEstimator } from './outage-estimator.js';
 import type { Settlement } from './ledger-commands.js';
 import type { Logger } from '../observability/index.js';
@@ -68,6 +69,7 @@
    * @param holder identifies this process incarnation as the holder of its allowances
    * @param histories reads histories from followers; if absent, the leader sends them
    * @param copies sends kept turns to the followers; if absent, the leader sends them
+   * @param cutOff ends reservations that wait while this gateway is cut off; if absent, they wait until their limit
    */
   constructor(
     private readonly groups: GroupClient,
@@ -75,6 +77,7 @@
     private readonly holder: string,
     private readonly histories?: HistoryReader,
     private readonly copies?: ValueCopySender,
+    private readonly cutOff?: CutOffSignal,
   ) {}
 
   /** Expected time until a leader responds, in milliseconds; 0 while one responds. */
@@ -82,6 +85,16 @@
     return this.outage.remainingMs;
   }
 
+  /** How long a leader's answer has been overdue, in milliseconds; 0 if no request is unanswered. */
+  get silenceMs(): number {
+    return Math.min(this.outage.silenceMs, this.answeredAgeMs);
+  }
+
+  /** Time since a leader's latest answer, even a refusal, in milliseconds; `Infinity` if there was none. */
+  get answeredAgeMs(): number {
+    return this.groups.lastHeardLeader(LEDGER_GROUP)?.ageMs ?? Infinity;
+  }
+
   /** Number of settlements waiting for delivery. */
   get queuedSettlements(): number {
     return this.queue.size;
@@ -107,13 +120,14 @@
     const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
     if (isCovered && monotonicMs() < this.leaderSuspectUntil)
       return this.grantFromAllowance(request);
-    const limitMs = isCovered ? COVERED_RESERVE_TIMEOUT_MS : this.outage.waitMs(usefulMs);
+    const worthMs = this.cutOff?.isCutOff ? 0 : usefulMs;
+    const limitMs = isCovered ? COVERED_RESERVE_TIMEOUT_MS : this.outage.waitMs(worthMs);
     if (limitMs <= 0) {
       trace.failedStep = this.latestRefusal ? 'commit' : 'find-leader';
       throw this.rejectWithoutWaiting();
     }
     try {
-      const response = await this.attempt(request, limitMs, trace);
+      const response = await this.attemptUntilCutOff(request, limitMs, trace);
       this.leaderSuspectUntil = 0;
       this.allowances.update(program, response.allowanceTokens);
       return response;
@@ -161,6 +175,20 @@
     this.startSending();
   }
 
+  /** An attempt that is given up may still be committed; the caller settles it. */
+  private attemptUntilCutOff(
+    request: TurnRequest,
+    limitMs: number,
+    trace: ReservationTrace,
+  ): Promise<ReserveResponse> {
+    const attempt = this.attempt(request, limitMs, trace);
+    if (!this.cutOff) return attempt;
+    return this.cutOff.endWaitWhenCutOff(attempt, () => {
+      trace.failedStep ??= 'find-leader';
+      return new MaybeReservedError('this gateway is cut off from the leader');
+    });
+  }
+
   private attempt(
     request: TurnRequest,
     limitMs: number,
@@ -306,7 +334,8 @@
     return new NotReservedError(`the leader keeps refusing requests: ${refusal.message}`);
   }
 
-  private async probe(): Promise<void> {
+  /** Sends the oldest settlement, or an empty request, unless a reservation is in flight. */
+  async probe(): Promise<void> {
     if (this.isProbing || this.window.hasRequestInFlight) return;
     this.isProbing = true;
     await this.sendBatch(this.queue.take(PROBE_BATCH_SIZE));
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -7,6 +7,7 @@
   DIRECTORY_GROUP,
   DirectoryClient,
   DirectoryWatcher,
+  WATCH_LONG_POLL_MS,
 } from '../directory/index.js';
 import {
   BackendView,
@@ -15,10 +16,21 @@
   ForwardingMetrics,
   Placement,
 } from '../forwarding/index.js';
+import {
+  CutOffSignal,
+  EventLoopMeter,
+  GatewayHealth,
+  HealthMetrics,
+} from '../gateway-health/index.js';
 import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
-import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
+import {
+  type EngineProperties,
+  type RequestLimits,
+  RouteTable,
+  schedulingModeOf,
+} from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
@@ -47,6 +59,10 @@
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
   private readonly quotas: GatewayQuotas;
+  private readonly cutOffSignal = new CutOffSignal();
+  private readonly ledger: LedgerClient;
+  private readonly health: GatewayHealth;
+  private hasLedger = false;
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
@@ -74,6 +90,15 @@
       gateway: settings.name,
       logger,
     });
+    this.ledger = new LedgerClient(
+      this.ledgerGroups,
+      logger,
+      holder,
+      new HistoryReader(this.peers, logger),
+      new ValueCopySender(this.peers),
+      this.cutOffSignal,
+    );
+    this.health = this.createHealth();
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -84,13 +109,7 @@
       quotas: this.quotas,
       backends: this.backends,
       placement: new Placement({ zone: settings.zone }),
-      ledger: new LedgerClient(
-        this.ledgerGroups,
-        logger,
-        holder,
-        new HistoryReader(this.peers, logger),
-        new ValueCopySender(this.peers),
-      ),
+      ledger: this.ledger,
       protocol: options.protocol,
       logger,
       metrics: this.metrics,
@@ -105,7 +124,13 @@
 
   /** Whether the gateway accepts new callers. */
   get isReady(): boolean {
-    return this.routes !== undefined && this.hasBackends && this.areKeysCurrent && !this.isStopping;
+    const isInformed = this.routes !== undefined && this.hasBackends && this.areKeysCurrent;
+    return isInformed && this.health.isReady && !this.isStopping;
+  }
+
+  /** Whether responses close their connections, so that callers move to another gateway. */
+  get shouldCloseConnections(): boolean {
+    return this.health.isActive && !this.isReady;
   }
 
   get limits(): RequestLimits | undefined {
@@ -124,6 +149,7 @@
 
   stop(): void {
     this.watcher.stop();
+    this.health.stop();
     this.quotas.stop();
     this.forwarder.stop();
     this.peers.close();
@@ -156,17 +182,32 @@
     );
   }
 
+  private createHealth(): GatewayHealth {
+    return new GatewayHealth({
+      directoryLeader: () => this.controlClient.lastHeardLeader(DIRECTORY_GROUP),
+      directoryHoldMs: WATCH_LONG_POLL_MS,
+      ledger: this.ledger,
+      hasLedger: () => this.hasLedger,
+      signal: this.cutOffSignal,
+      meter: new EventLoopMeter(),
+      logger: this.options.logger,
+      metrics: new HealthMetrics(this.metrics.registry),
+    });
+  }
+
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
       client: new DirectoryClient(this.controlClient),
       announce: () => ({ name, role: 'gateway', address, zone }),
       loads: () => this.backends.loads(),
+      health: () => this.health.nextReport(),
       logger: this.options.logger,
       onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
         this.tenants = new TenantTable(configuration.tenants);
         this.quotas.setLimits(configuration.tenants ?? []);
+        this.health.setMode(schedulingModeOf(configuration));
         this.routesArrived.notify();
       },
       onBackends: (records) => {
@@ -175,6 +216,7 @@
       },
       onCluster: (view) => this.applyClusterView(view),
       onOtherLoads: (loads) => this.backends.updateOtherLoads(loads),
+      onZoneHealth: (zone, requestedAt) => this.health.applyZoneHealth(zone, requestedAt),
     });
   }
 
@@ -182,6 +224,7 @@
     const seeds = this.options.settings.controlSeeds;
     this.controlClient.setAddresses([...new Set([...view.controlAddresses, ...seeds])]);
     this.ledgerGroups.setAddresses(view.ledgerAddresses);
+    this.hasLedger = view.ledgerAddresses.length > 0;
     this.gatewayCount = view.gatewayCount;
   }
 
