--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -5,6 +5,7 @@
 import { BackendStatisticsStore } from '../backend-statistics/index.js';
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
+import { ZoneHealthBoard } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
 import { EventLoopThrottle } from './answer-turns.js';
@@ -75,6 +76,7 @@
   private readonly roster = new NodeRoster();
   private readonly loads = new LoadReportStore();
   private readonly statistics: BackendStatisticsStore;
+  private readonly zoneHealth = new ZoneHealthBoard();
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -118,6 +120,7 @@
     this.silentBackends.clear();
     this.loads.clear();
     this.statistics.clear();
+    this.zoneHealth.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -214,6 +217,7 @@
     this.recordNode(request.node);
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
+      this.zoneHealth.report(request.node.name, request.node.zone, request.health);
       this.confirmations.record(request.node.name, request.known);
       const { node, statistics } = request;
       if (statistics) this.statistics.report(node.name, node.zone, statistics);
@@ -229,6 +233,7 @@
     if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
     const statistics = request.node.role === 'gateway' ? this.statistics.viewFor() : undefined;
     if (statistics) view.statistics = statistics;
+    if (request.health) view.zoneHealth = this.zoneHealth.viewFor(request.node.name);
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -6,6 +6,7 @@
 import type { StatisticsReport } from '../backend-statistics/index.js';
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
+import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
 import type { BackendRecord } from './backend-registration.js';
@@ -54,6 +55,8 @@
   announce: () => NodeAnnouncement;
   /** Calls in flight from this process, by backend. @default none */
   loads?: () => BackendLoad[];
+  /** Health of this process, if a report is due. @default none */
+  health?: () => HealthReport | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
@@ -63,6 +66,8 @@
   takeStatistics?: () => StatisticsReport | undefined;
   /** Receives the packed statistics of the leader. */
   onStatistics?: (packed: Uint8Array) => void;
+  /** Called with the time at which the answered request was sent (monotonic, milliseconds). */
+  onZoneHealth?: (zoneHealth: ZoneHealth, requestedAt: number) => void;
 }
 
 export class DirectoryWatcher {
@@ -114,6 +119,7 @@
         isUrgent = false;
         this.setConnected(true, '');
         this.applyView(view);
+        if (view.zoneHealth) this.options.onZoneHealth?.(view.zoneHealth, requestedAt);
         this.confirmedAt = Math.max(this.confirmedAt, requestedAt - view.confirmedAgeMs);
       } catch (error) {
         isUrgent = true;
@@ -148,6 +154,7 @@
 
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
     const statistics = this.options.takeStatistics?.();
+    const health = this.options.health?.();
     return {
       node: this.options.announce(),
       known: {
@@ -159,6 +166,7 @@
       isUrgent,
       loads: this.options.loads?.() ?? [],
       ...(statistics && { statistics }),
+      ...(health && { health }),
     };
   }
 
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the directory group and its clients. */
 import type { StatisticsReport } from '../backend-statistics/index.js';
 import type { LeaderAnswer, Member } from '../consensus/index.js';
+import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendUpdate } from './backend-updates.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -58,6 +59,8 @@
   loads: BackendLoad[];
   /** Totals of the sender's calls by backend, in the scheduling mode `coordinated`. */
   statistics?: StatisticsReport;
+  /** Health of an overloaded gateway, in `coordinated` mode. */
+  health?: HealthReport;
 }
 
 export interface ClusterView {
@@ -101,6 +104,8 @@
   loads?: LoadTotals;
   /** Packed conditions of the backends that differ from normal, for gateways in the scheduling mode `coordinated`. */
   statistics?: Uint8Array;
+  /** Answer to the health that the request reported. */
+  zoneHealth?: ZoneHealth;
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
