Calls wait in gateways in order of urgency in coordinated mode

Gateways send an engine only what it can process soon; the other calls wait in the gateway by priority, tenant and remaining time. Calls that can't be served in time are refused with a retry delay.

--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -5,6 +5,7 @@
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
+import { WaitingReportStore } from '../waiting/index.js';
 import { encodeValue } from '../wire/index.js';
 import { EventLoopThrottle } from './answer-turns.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -73,6 +74,7 @@
   readonly stateMachine: DirectoryStateMachine;
   private readonly roster = new NodeRoster();
   private readonly loads = new LoadReportStore();
+  private readonly waiting = new WaitingReportStore();
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -111,6 +113,7 @@
     this.heartbeats.clear();
     this.silentBackends.clear();
     this.loads.clear();
+    this.waiting.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -207,6 +210,7 @@
     this.recordNode(request.node);
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
+      this.waiting.report(request.node.name, request.waiting);
       this.confirmations.record(request.node.name, request.known);
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
@@ -217,7 +221,11 @@
       await this.responseThrottle.next();
     }
     const view = this.viewFor(request);
-    if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
+    if (request.node.role === 'gateway') {
+      view.loads = this.loads.totalsFor(request.node.name);
+      const waiting = this.waiting.viewFor(request.node.name);
+      if (waiting) view.waiting = waiting;
+    }
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -7,6 +7,7 @@
 import type { GroupCallOptions } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
+import type { WaitingCount } from '../waiting/index.js';
 import type { BackendRecord } from './backend-registration.js';
 import type { DirectoryClient } from './directory-client.js';
 import { BackendCache } from './backend-cache.js';
@@ -52,11 +53,15 @@
   announce: () => NodeAnnouncement;
   /** Calls in flight from this process, by backend. @default none */
   loads?: () => BackendLoad[];
+  /** Calls that wait in this process; undefined if the last report still holds. @default none */
+  waiting?: () => WaitingCount[] | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
   onCluster?: (view: ClusterView) => void;
   onOtherLoads?: (loads: BackendLoad[]) => void;
+  /** Called after `onOtherLoads`. */
+  onOtherWaiting?: (waiting: WaitingCount[]) => void;
 }
 
 export class DirectoryWatcher {
@@ -141,6 +146,7 @@
   }
 
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
+    const waiting = this.options.waiting?.();
     return {
       node: this.options.announce(),
       known: {
@@ -151,6 +157,7 @@
       },
       isUrgent,
       loads: this.options.loads?.() ?? [],
+      ...(waiting && { waiting }),
     };
   }
 
@@ -162,6 +169,7 @@
     this.applyBackends(view);
     if (view.configuration) this.applyConfiguration(view.configuration);
     if (view.loads) this.options.onOtherLoads?.(loadsOfOtherGateways(view.loads));
+    if (view.loads) this.options.onOtherWaiting?.(view.waiting ?? []);
   }
 
   /** Leaves the silent backends unchanged: only a leader knows them. */
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -7,6 +7,7 @@
 import type { RetirementState } from './directory-state-machine.js';
 import type { LoadTotals } from './load-totals.js';
 import type { PackedConfiguration } from './packed-configuration.js';
+import type { WaitingCount } from '../waiting/index.js';
 import { INITIAL_SILENCE_VERSION, type SilenceVersion } from './silent-backend-tracker.js';
 
 export const DIRECTORY_GROUP = 'directory';
@@ -55,6 +56,8 @@
   /** Respond immediately instead of long polling, for a process that has just started. */
   isUrgent: boolean;
   loads: BackendLoad[];
+  /** Calls that wait in the gateway; absent if the last report still holds. */
+  waiting?: WaitingCount[];
 }
 
 export interface ClusterView {
@@ -96,6 +99,8 @@
   cluster?: ClusterView;
   /** Calls in flight by backend, for gateways. */
   loads?: LoadTotals;
+  /** Calls that wait in the other gateways; absent if there are none. */
+  waiting?: WaitingCount[];
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -5,6 +5,7 @@
 import type { GatewayQuotas } from '../quotas/index.js';
 import type { CompiledRoute, Route, RouteTable, Tenant } from '../routes/index.js';
 import type { AccessDecision } from '../tenants/index.js';
+import type { PermitGate, PermitRequest } from '../waiting/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
 import { type CallExchange, type RefusalReason, isFirstTurn } from './call-exchange.js';
@@ -12,7 +13,7 @@
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { ProgramAdmission } from './program-admission.js';
-import { describeProgram, describeReservation, describeSends } from './call-log.js';
+import { describeProgram, describeReservation, describeSends, describeWait } from './call-log.js';
 import { StallDetector } from './stall-detector.js';
 import { StreamRelay } from './stream-relay.js';
 import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
@@ -32,6 +33,8 @@
   protocol: BackendProtocol;
   logger: Logger;
   metrics: ForwardingMetrics;
+  /** Lets calls wait for a permit. @default calls are sent at once */
+  permits?: Pick<PermitGate, 'request'>;
 }
 
 /** Maximum age of the directory data by which an unknown route is rejected; with older data it may be new. */
@@ -144,11 +147,12 @@
     const typicalMs = this.options.backends.typicalMs(service);
     const time = { deadlineMs, typicalMs };
     const reservation = await this.turns.reserve(exchange, route.route, time, tenant?.name);
+    const body = withHistory(description.body, reservation?.history);
     const run = new CallRun({
       exchange,
       route,
       service,
-      body: withHistory(description.body, reservation?.history),
+      body,
       deadlineMs,
       backends: this.options.backends,
       placement: this.options.placement,
@@ -156,6 +160,7 @@
       tenant: tenant?.name,
       denial: () => this.currentDenial(exchange, route),
       protocol: this.options.protocol,
+      requestPermit: () => this.requestPermit(call, body.length),
     });
     const ending = await run.run();
     if (tenant && !run.hasRun) this.options.quotas.giveBack(tenant.name);
@@ -169,6 +174,21 @@
     this.record({ exchange, route, tenant, ending: final, run, reservation, keepMs });
   }
 
+  private requestPermit(call: AdmittedCall, bytes: number): PermitRequest | undefined {
+    const { exchange, route, service, tenant, deadlineMs } = call;
+    const { description } = exchange;
+    const isModelCall = description.promptParts.length > 0;
+    return this.options.permits?.request({
+      service,
+      priority: tenant?.priority ?? route.route.priority,
+      tenant: tenant?.name,
+      hasBegun: isModelCall ? !isFirstTurn(description) : description.program !== undefined,
+      deadlineMs,
+      programRemainingMs: description.program?.remainingMs,
+      bytes,
+    });
+  }
+
   /** @throws RefusedError if the caller is not authorized, or authorization cannot be determined */
   private authorize({ description }: CallExchange, { route }: CompiledRoute): Tenant | undefined {
     const decision = this.options.access(route, description.apiKey);
@@ -226,7 +246,7 @@
         run.response.end();
         break;
       case 'refused':
-        this.refuse(exchange, final.reason);
+        this.refuse(exchange, final.reason, final.retryAfterMs);
         break;
       case 'broken-off':
         exchange.abort();
@@ -271,6 +291,7 @@
       ms: Math.round(tookMs),
       firstMs: firstEventMs && Math.round(firstEventMs),
       ...describeReservation(exchange, reservation, keepMs),
+      ...describeWait(run?.permit),
       most: exchange.description.mostTokens || undefined,
       previousTurn: exchange.description.previousTurn,
       events: run?.response instanceof StreamRelay ? run.response.events : undefined,
--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -1,6 +1,7 @@
 /** Formats the log line of a finished call. */
 import type { ReservationTrace, ReservationTimings } from '../ledger/index.js';
 import type { LogFields } from '../observability/index.js';
+import type { PermitRequest } from '../waiting/index.js';
 import type { CallExchange, ProgramContext } from './call-exchange.js';
 import type { CallRun, SendRecord } from './call-run.js';
 import type { Reservation } from './turn-reservations.js';
@@ -27,6 +28,12 @@
   };
 }
 
+/** Time in the queue, and calls ahead on arrival; nothing if the call did not wait. */
+export function describeWait(permit: PermitRequest | undefined): LogFields {
+  if (permit?.waitedMs === undefined) return {};
+  return { waitedMs: Math.round(permit.waitedMs), waitedBehind: permit.waitedBehind };
+}
+
 /** Steps of a reservation; `leaderAgeMs` is the age of the leader information before the first request. */
 export function describeTrace(trace: ReservationTrace): LogFields {
   const { times, requestCount, knownLeader, leader, historyFrom, failedStep: failed } = trace;
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -2,6 +2,7 @@
 import { monotonicMs } from '../common/index.js';
 import type { CompiledRoute } from '../routes/index.js';
 import type { CallWork, LatencyModel } from '../performance/index.js';
+import type { PermitRequest } from '../waiting/index.js';
 import type { BackendConnection } from './backend-connections.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendState, BackendView } from './backend-view.js';
@@ -13,7 +14,7 @@
 
 export type CallOutcome =
   | { kind: 'answered' }
-  | { kind: 'refused'; reason: RefusalReason }
+  | { kind: 'refused'; reason: RefusalReason; retryAfterMs?: number }
   | { kind: 'broken-off' }
   | { kind: 'abandoned' };
 
@@ -33,6 +34,8 @@
   /** Returns why the caller is no longer authorized, if so; called immediately before each attempt. */
   denial: () => RefusalReason | undefined;
   protocol: BackendProtocol;
+  /** Requests the permit for the first send; undefined if none is needed. */
+  requestPermit?: () => PermitRequest | undefined;
 }
 
 /** One attempt, for the log. */
@@ -64,6 +67,8 @@
 export class CallRun {
   readonly sends: SendRecord[] = [];
   readonly response: StreamRelay | BufferedResponse;
+  /** Request for the permit of the first send, if one is needed. */
+  permit: PermitRequest | undefined;
   private readonly service: string;
   private readonly excluded = new Set<string>();
   /** Ids of backends that may have received the call. */
@@ -117,11 +122,15 @@
   async run(): Promise<CallOutcome> {
     const { exchange, deadlineMs } = this.options;
     const timer = setTimeout(() => this.onDeadline(), Math.max(0, deadlineMs - monotonicMs()));
-    exchange.onAbandoned(() => this.attempt?.stop());
+    exchange.onAbandoned(() => this.stopSending());
+    if (!exchange.isAbandoned) this.permit = this.options.requestPermit?.();
     try {
+      const refusal = this.permit && (await this.permit.decision);
+      if (refusal) return { kind: 'refused', reason: 'overloaded', ...refusal };
       return await this.sendUntilAnswered();
     } finally {
       clearTimeout(timer);
+      this.permit?.end(this.sends.length > 0);
     }
   }
 
@@ -341,6 +350,12 @@
 
   private onDeadline(): void {
     this.isOverdue = true;
-    this.attempt?.stop();
+    this.stopSending();
+  }
+
+  /** Stops the attempt in progress, or leaves the queue. */
+  private stopSending(): void {
+    if (this.attempt) this.attempt.stop();
+    else if (this.sends.length === 0) this.permit?.end(false);
   }
 }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -18,8 +18,15 @@
 import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
-import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
+import {
+  type EngineProperties,
+  type RequestLimits,
+  RouteTable,
+  type SchedulingMode,
+  schedulingModeOf,
+} from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
+import { PermitGate, WaitingMetrics } from '../waiting/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
 
@@ -44,6 +51,8 @@
   private readonly watcher: DirectoryWatcher;
   private readonly routesArrived = new SignalEvent();
   private routes: RouteTable | undefined;
+  private schedulingMode: SchedulingMode = 'independent';
+  private readonly permits: PermitGate;
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
   private readonly quotas: GatewayQuotas;
@@ -74,6 +83,14 @@
       gateway: settings.name,
       logger,
     });
+    this.permits = new PermitGate({
+      isActive: () => this.schedulingMode === 'coordinated',
+      backends: (service) => this.backends.serving(service),
+      typicalMs: (service) => this.backends.typicalMs(service),
+      gateways: () => this.gatewayCount,
+      logger,
+      metrics: new WaitingMetrics(this.metrics.registry),
+    });
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -94,6 +111,7 @@
       protocol: options.protocol,
       logger,
       metrics: this.metrics,
+      permits: this.permits,
     });
   }
 
@@ -126,6 +144,7 @@
     this.watcher.stop();
     this.quotas.stop();
     this.forwarder.stop();
+    this.permits.stop();
     this.peers.close();
   }
 
@@ -162,9 +181,11 @@
       client: new DirectoryClient(this.controlClient),
       announce: () => ({ name, role: 'gateway', address, zone }),
       loads: () => this.backends.loads(),
+      waiting: () => this.permits.report(),
       logger: this.options.logger,
       onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
+        this.schedulingMode = schedulingModeOf(configuration);
         this.tenants = new TenantTable(configuration.tenants);
         this.quotas.setLimits(configuration.tenants ?? []);
         this.routesArrived.notify();
@@ -175,6 +196,7 @@
       },
       onCluster: (view) => this.applyClusterView(view),
       onOtherLoads: (loads) => this.backends.updateOtherLoads(loads),
+      onOtherWaiting: (waiting) => this.permits.updateFigures(waiting),
     });
   }
 
--- /dev/null
+++ b/src/waiting/service-queue.ts
@@ -0,0 +1,97 @@
+/** Waiting calls of one service: the most urgent priority first, without starving the others. */
+import { FairTenantQueue } from './fair-tenant-queue.js';
+import type { WaitingCall } from './waiting-call.js';
+
+/** Calls of more urgent priorities after which a waiting less urgent call is taken: one in eight. */
+const MAX_PASSED_OVER = 7;
+
+interface PriorityClass<Call extends WaitingCall> {
+  priority: number;
+  queue: FairTenantQueue<Call>;
+  /** Calls of more urgent priorities taken while calls of this one waited, since it was last taken from. */
+  passedOver: number;
+}
+
+export class ServiceQueue<Call extends WaitingCall> {
+  /** The most urgent first. */
+  private readonly classes: PriorityClass<Call>[] = [];
+  private heldBytes = 0;
+
+  get size(): number {
+    return this.classes.reduce((sum, { queue }) => sum + queue.size, 0);
+  }
+
+  get bytes(): number {
+    return this.heldBytes;
+  }
+
+  /** The last call in order. */
+  get last(): Call | undefined {
+    return this.waitingClasses().at(-1)?.queue.inOrder().at(-1);
+  }
+
+  add(call: Call): void {
+    this.classOf(call.priority).queue.add(call);
+    this.heldBytes += call.bytes;
+  }
+
+  /** Removes the first call in order. */
+  take(): Call | undefined {
+    const waiting = this.waitingClasses();
+    const next = starvedClass(waiting) ?? waiting[0];
+    const call = next?.queue.take();
+    if (!next || !call) return undefined;
+    next.passedOver = 0;
+    for (const other of waiting) if (other.priority > next.priority) other.passedOver += 1;
+    this.heldBytes -= call.bytes;
+    return call;
+  }
+
+  /** @returns whether the call was waiting */
+  remove(call: Call): boolean {
+    const isRemoved = this.classOf(call.priority).queue.remove(call);
+    if (isRemoved) this.heldBytes -= call.bytes;
+    return isRemoved;
+  }
+
+  /**
+   * All calls with the number of calls that will be taken before each, if no others arrive. A less urgent call waits
+   * for all more urgent ones, or for its turn of one in eight, whichever is earlier.
+   */
+  positions(): { call: Call; ahead: number }[] {
+    let moreUrgent = 0;
+    return this.waitingClasses().flatMap(({ queue }) => {
+      const urgentCalls = moreUrgent;
+      moreUrgent += queue.size;
+      return queue.inOrder().map((call, position) => ({
+        call,
+        ahead: position + Math.min(urgentCalls, (position + 1) * MAX_PASSED_OVER),
+      }));
+    });
+  }
+
+  private waitingClasses(): PriorityClass<Call>[] {
+    return this.classes.filter(({ queue }) => queue.size > 0);
+  }
+
+  private classOf(priority: number): PriorityClass<Call> {
+    const known = this.classes.find((other) => other.priority === priority);
+    if (known) return known;
+    const created = { priority, queue: new FairTenantQueue<Call>(), passedOver: 0 };
+    this.classes.push(created);
+    this.classes.sort((left, right) => left.priority - right.priority);
+    return created;
+  }
+}
+
+/** The class that was passed over most often, if that is often enough. */
+function starvedClass<Call extends WaitingCall>(
+  waiting: readonly PriorityClass<Call>[],
+): PriorityClass<Call> | undefined {
+  let starved: PriorityClass<Call> | undefined;
+  for (const candidate of waiting) {
+    if (candidate.passedOver < MAX_PASSED_OVER) continue;
+    if (!starved || candidate.passedOver > starved.passedOver) starved = candidate;
+  }
+  return starved;
+}
