--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -7,6 +7,7 @@
 import type { ReplicatedGroup } from '../consensus/index.js';
 import { ZoneHealthBoard } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
+import { WaitingReportStore } from '../waiting/index.js';
 import { encodeValue } from '../wire/index.js';
 import { EventLoopThrottle } from './answer-turns.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -77,6 +78,7 @@
   private readonly loads = new LoadReportStore();
   private readonly statistics: BackendStatisticsStore;
   private readonly zoneHealth = new ZoneHealthBoard();
+  private readonly waiting = new WaitingReportStore();
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -121,6 +123,7 @@
     this.loads.clear();
     this.statistics.clear();
     this.zoneHealth.clear();
+    this.waiting.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -218,6 +221,7 @@
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
       this.zoneHealth.report(request.node.name, request.node.zone, request.health);
+      this.waiting.report(request.node.name, request.waiting);
       this.confirmations.record(request.node.name, request.known);
       const { node, statistics } = request;
       if (statistics) this.statistics.report(node.name, node.zone, statistics);
@@ -230,14 +234,21 @@
       await this.responseThrottle.next();
     }
     const view = this.viewFor(request);
-    if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
-    const statistics = request.node.role === 'gateway' ? this.statistics.viewFor() : undefined;
-    if (statistics) view.statistics = statistics;
-    if (request.health) view.zoneHealth = this.zoneHealth.viewFor(request.node.name);
+    if (request.node.role === 'gateway') this.addSharedState(view, request);
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
 
+  /** Adds what this leader merges from the reports of all gateways. */
+  private addSharedState(view: DirectoryView, { node, health }: WatchRequest): void {
+    view.loads = this.loads.totalsFor(node.name);
+    const statistics = this.statistics.viewFor();
+    if (statistics) view.statistics = statistics;
+    const waiting = this.waiting.viewFor(node.name);
+    if (waiting) view.waiting = waiting;
+    if (health) view.zoneHealth = this.zoneHealth.viewFor(node.name);
+  }
+
   /** Whether a held request can be answered now. */
   private hasUpdateFor({ node, known }: WatchRequest): boolean {
     if (this.hasClusterUpdateFor(known)) return true;
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -9,6 +9,7 @@
 import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
+import type { WaitingCount } from '../waiting/index.js';
 import type { BackendRecord } from './backend-registration.js';
 import type { DirectoryClient } from './directory-client.js';
 import { BackendCache } from './backend-cache.js';
@@ -57,6 +58,8 @@
   loads?: () => BackendLoad[];
   /** Health of this process, if a report is due. @default none */
   health?: () => HealthReport | undefined;
+  /** Calls that wait in this process; undefined if the last report still holds. @default none */
+  waiting?: () => WaitingCount[] | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
@@ -68,6 +71,8 @@
   onStatistics?: (packed: Uint8Array) => void;
   /** Called with the time at which the answered request was sent (monotonic, milliseconds). */
   onZoneHealth?: (zoneHealth: ZoneHealth, requestedAt: number) => void;
+  /** Called after `onOtherLoads`. */
+  onOtherWaiting?: (waiting: WaitingCount[]) => void;
 }
 
 export class DirectoryWatcher {
@@ -155,6 +160,7 @@
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
     const statistics = this.options.takeStatistics?.();
     const health = this.options.health?.();
+    const waiting = this.options.waiting?.();
     return {
       node: this.options.announce(),
       known: {
@@ -167,6 +173,7 @@
       loads: this.options.loads?.() ?? [],
       ...(statistics && { statistics }),
       ...(health && { health }),
+      ...(waiting && { waiting }),
     };
   }
 
@@ -179,6 +186,7 @@
     if (view.configuration) this.applyConfiguration(view.configuration);
     if (view.loads) this.options.onOtherLoads?.(loadsOfOtherGateways(view.loads));
     if (view.statistics) this.options.onStatistics?.(view.statistics);
+    if (view.loads) this.options.onOtherWaiting?.(view.waiting ?? []);
   }
 
   /** Leaves the silent backends unchanged: only a leader knows them. */
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -9,6 +9,7 @@
 import type { RetirementState } from './directory-state-machine.js';
 import type { LoadTotals } from './load-totals.js';
 import type { PackedConfiguration } from './packed-configuration.js';
+import type { WaitingCount } from '../waiting/index.js';
 import { INITIAL_SILENCE_VERSION, type SilenceVersion } from './silent-backend-tracker.js';
 
 export const DIRECTORY_GROUP = 'directory';
@@ -61,6 +62,8 @@
   statistics?: StatisticsReport;
   /** Health of an overloaded gateway, in `coordinated` mode. */
   health?: HealthReport;
+  /** Calls that wait in the gateway; absent if the last report still holds. */
+  waiting?: WaitingCount[];
 }
 
 export interface ClusterView {
@@ -106,6 +109,8 @@
   statistics?: Uint8Array;
   /** Answer to the health that the request reported. */
   zoneHealth?: ZoneHealth;
+  /** Calls that wait in the other gateways; absent if there are none. */
+  waiting?: WaitingCount[];
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -30,9 +30,11 @@
   type EngineProperties,
   type RequestLimits,
   RouteTable,
+  type SchedulingMode,
   schedulingModeOf,
 } from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
+import { PermitGate, WaitingMetrics } from '../waiting/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
 
@@ -58,6 +60,8 @@
   private readonly watcher: DirectoryWatcher;
   private readonly routesArrived = new SignalEvent();
   private routes: RouteTable | undefined;
+  private schedulingMode: SchedulingMode = 'independent';
+  private readonly permits: PermitGate;
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
   private readonly quotas: GatewayQuotas;
@@ -106,6 +110,14 @@
       this.cutOffSignal,
     );
     this.health = this.createHealth();
+    this.permits = new PermitGate({
+      isActive: () => this.schedulingMode === 'coordinated',
+      backends: (service) => this.backends.serving(service),
+      typicalMs: (service) => this.backends.typicalMs(service),
+      gateways: () => this.gatewayCount,
+      logger,
+      metrics: new WaitingMetrics(this.metrics.registry),
+    });
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -120,6 +132,7 @@
       protocol: options.protocol,
       logger,
       metrics: this.metrics,
+      permits: this.permits,
     });
   }
 
@@ -159,6 +172,7 @@
     this.health.stop();
     this.quotas.stop();
     this.forwarder.stop();
+    this.permits.stop();
     this.peers.close();
   }
 
@@ -209,10 +223,12 @@
       announce: () => ({ name, role: 'gateway', address, zone }),
       loads: () => this.backends.loads(),
       health: () => this.health.nextReport(),
+      waiting: () => this.permits.report(),
       logger: this.options.logger,
       onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
         this.statistics.setMode(schedulingModeOf(configuration));
+        this.schedulingMode = schedulingModeOf(configuration);
         this.tenants = new TenantTable(configuration.tenants);
         this.quotas.setLimits(configuration.tenants ?? []);
         this.health.setMode(schedulingModeOf(configuration));
@@ -227,6 +243,7 @@
       takeStatistics: () => this.statistics.takeReport(),
       onStatistics: (packed) => this.statistics.apply(packed),
       onZoneHealth: (zone, requestedAt) => this.health.applyZoneHealth(zone, requestedAt),
+      onOtherWaiting: (waiting) => this.permits.updateFigures(waiting),
     });
   }
 
