Memory budget: answers are buffered for slow callers in coordinated mode

A caller that reads slowly held up the engine from Node's high-water mark on, until the engine cut the answer off. Up to its fair share an answer is now taken at the engine's speed. Bodies on their way in and answers on their way out are counted against 30 % of the memory limit; when that is used up, the largest holder is ended. Independent mode has no budget.

--- a/src/forwarding/buffered-answer.ts
+++ b/src/forwarding/buffered-answer.ts
@@ -27,6 +27,7 @@
     this.callerResponse.head = undefined;
     this.chunks = [];
     this.bytes = 0;
+    this.callerResponse.noteHeldBytes(0);
   }
 
   onHead(head: ResponseHead): void {
@@ -37,13 +38,18 @@
     if (this.hasBegun) return this.callerResponse.pass(chunk);
     this.chunks.push(chunk);
     this.bytes += chunk.length;
-    if (this.bytes <= MAX_BUFFERED_BYTES) return true;
+    if (this.bytes <= MAX_BUFFERED_BYTES) {
+      this.callerResponse.noteHeldBytes(this.bytes);
+      return true;
+    }
     const buffered = Buffer.concat(this.chunks);
     this.chunks = [];
+    this.callerResponse.noteHeldBytes(0);
     return this.callerResponse.pass(buffered);
   }
 
   end(): void {
+    this.callerResponse.noteHeldBytes(0);
     this.callerResponse.end(this.chunks.length > 0 ? Buffer.concat(this.chunks) : undefined);
   }
 
--- a/src/forwarding/caller-response.ts
+++ b/src/forwarding/caller-response.ts
@@ -24,6 +24,11 @@
     return !this.isBlocked;
   }
 
+  /** Tells how many bytes are held for later calls of `pass` or `end`. */
+  noteHeldBytes(bytes: number): void {
+    this.exchange.noteHeldBytes?.(bytes);
+  }
+
   /** Ends the response as complete. */
   end(chunk?: Buffer): void {
     this.begin();
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -23,6 +23,11 @@
     return this.pending.length > 0;
   }
 
+  /** Size of the incomplete event. */
+  get pendingBytes(): number {
+    return this.pending.length;
+  }
+
   push(chunk: Buffer): StreamEvent[] {
     const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
     const events: StreamEvent[] = [];
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -32,6 +32,7 @@
   /** Undefined if the stream is not resumable, so that its ids need no check. */
   private readonly sequence: EventSequence | undefined;
   private readonly output: Buffer[] = [];
+  private outputBytes = 0;
   private readonly callerResponse: CallerResponse;
   private currentRejection: string | undefined;
 
@@ -96,6 +97,7 @@
       accepted.push(event.bytes);
       this.note(event);
     }
+    this.callerResponse.noteHeldBytes(this.splitter.pendingBytes + this.outputBytes);
     if (accepted.length === 0) return true;
     this.firstEventAt ??= performance.now();
     return this.callerResponse.pass(accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted));
@@ -103,6 +105,7 @@
 
   /** Ends the response as complete. */
   end(): void {
+    this.callerResponse.noteHeldBytes(0);
     this.callerResponse.end();
   }
 
@@ -122,7 +125,10 @@
     if (event.id !== undefined) this.lastEventId = event.id;
     if (!event.hasData) return;
     this.events += 1;
-    if (this.options.collectsOutput) this.output.push(dataOfEvent(event));
+    if (!this.options.collectsOutput) return;
+    const data = dataOfEvent(event);
+    this.output.push(data);
+    this.outputBytes += data.length;
   }
 
   /** Drops the Content-Length of a resumable stream, which covers one run only. */
--- /dev/null
+++ b/src/memory-budget/index.ts
@@ -0,0 +1,11 @@
+/** Budget of the bytes that a process buffers for slow callers. */
+export { type AnswerWriter, OutgoingAnswer } from './outgoing-answer.js';
+export {
+  type HolderKind,
+  type HolderOptions,
+  MemoryBudget,
+  type MemoryBudgetOptions,
+  type MemoryHolder,
+} from './memory-budget.js';
+export { MemoryBudgetMetrics } from './memory-budget-metrics.js';
+export { ReceivedBody } from './received-body.js';
--- /dev/null
+++ b/src/memory-budget/memory-budget.ts
@@ -0,0 +1,173 @@
+/**
+ * Budget of the bytes that a process buffers for its callers. Holders account for the bytes of one request body, waiting
+ * call or answer; when the budget is exhausted, the largest holder is ended.
+ */
+import { describeError } from '../common/index.js';
+import type { LogFields, Logger } from '../observability/index.js';
+
+/** Part of the process's memory that may be buffered; the rest is for code, connections and garbage. */
+const BUDGET_FRACTION = 0.3;
+/** Number of holders that the budget must have room for at their fair share. */
+const FAIR_SHARES = 16;
+/** Maximum fair share. Larger answers are rare, and their callers must read them continuously. */
+const MAX_FAIR_SHARE_BYTES = 1024 * 1024;
+
+export const HOLDER_KINDS = ['request-body', 'waiting-call', 'answer'] as const;
+export type HolderKind = (typeof HOLDER_KINDS)[number];
+
+export interface HolderOptions {
+  kind: HolderKind;
+  /** Id of the call, for the log. */
+  callId?: string;
+  /**
+   * Ends the holder and frees its memory. Called at most once, when the budget is exhausted and this holder is the
+   * largest; its bytes are not counted any more.
+   */
+  end: () => void;
+}
+
+export interface MemoryBudgetOptions {
+  /** Memory limit of the process. @default no limit */
+  memoryLimitBytes?: number;
+  logger: Logger;
+  observer?: MemoryBudgetObserver;
+}
+
+/** Is told what the budget does, for metrics. */
+export interface MemoryBudgetObserver {
+  /** A holder was ended because the budget was exhausted. */
+  noteEnded(kind: HolderKind): void;
+  /** An answer has used up its fair share for the first time. */
+  noteAnswerPaused(): void;
+  /** An answer is complete before its caller has read it. */
+  noteAnswerCompletedEarly(): void;
+}
+
+/** The bytes that one request body, waiting call or answer holds. */
+export class MemoryHolder {
+  private currentBytes = 0;
+
+  constructor(
+    readonly options: HolderOptions,
+    private readonly budget: MemoryBudget,
+  ) {}
+
+  get bytes(): number {
+    return this.currentBytes;
+  }
+
+  /** Sets the number of held bytes; may end this holder or others. No effect after `release` or the end. */
+  resize(bytes: number): void {
+    if (bytes === this.currentBytes || !this.budget.includes(this)) return;
+    const added = bytes - this.currentBytes;
+    this.currentBytes = bytes;
+    this.budget.add(this.options.kind, added);
+    if (added > 0) this.budget.enforceLimit();
+  }
+
+  /** Gives the bytes back. */
+  release(): void {
+    if (!this.budget.remove(this)) return;
+    const added = -this.currentBytes;
+    this.currentBytes = 0;
+    this.budget.add(this.options.kind, added);
+  }
+}
+
+export class MemoryBudget {
+  /** Maximum number of bytes; infinite if the process has no memory limit. */
+  readonly limitBytes: number;
+  /** Number of bytes up to which an answer is buffered for a slow caller. */
+  readonly fairShareBytes: number;
+  private readonly holders = new Set<MemoryHolder>();
+  private readonly bytesByKind: Record<HolderKind, number> = {
+    'request-body': 0,
+    'waiting-call': 0,
+    answer: 0,
+  };
+  private totalBytes = 0;
+
+  constructor(private readonly options: MemoryBudgetOptions) {
+    const { memoryLimitBytes = Infinity } = options;
+    this.limitBytes = Math.floor(memoryLimitBytes * BUDGET_FRACTION);
+    this.fairShareBytes = Math.min(MAX_FAIR_SHARE_BYTES, Math.floor(this.limitBytes / FAIR_SHARES));
+  }
+
+  get observer(): MemoryBudgetObserver | undefined {
+    return this.options.observer;
+  }
+
+  get heldBytes(): number {
+    return this.totalBytes;
+  }
+
+  get holderCount(): number {
+    return this.holders.size;
+  }
+
+  heldBytesOf(kind: HolderKind): number {
+    return this.bytesByKind[kind];
+  }
+
+  /** Registers a holder of 0 bytes, which must be released when its call has ended. */
+  hold(options: HolderOptions): MemoryHolder {
+    const holder = new MemoryHolder(options, this);
+    this.holders.add(holder);
+    return holder;
+  }
+
+  /** Whether the holder has neither been released nor ended. Internal to `MemoryHolder`. */
+  includes(holder: MemoryHolder): boolean {
+    return this.holders.has(holder);
+  }
+
+  /** Internal to `MemoryHolder`. */
+  add(kind: HolderKind, bytes: number): void {
+    this.bytesByKind[kind] += bytes;
+    this.totalBytes += bytes;
+  }
+
+  /** Ends the largest holders while the budget is exceeded. Internal to `MemoryHolder`. */
+  enforceLimit(): void {
+    while (this.totalBytes > this.limitBytes) {
+      const largest = this.findLargest();
+      if (!largest) return;
+      this.end(largest);
+    }
+  }
+
+  /** @returns whether the holder was registered. Internal to `MemoryHolder`. */
+  remove(holder: MemoryHolder): boolean {
+    return this.holders.delete(holder);
+  }
+
+  /** The scan is linear, but it happens once for each ended call. */
+  private findLargest(): MemoryHolder | undefined {
+    let largest: MemoryHolder | undefined;
+    for (const holder of this.holders) {
+      if (holder.bytes > (largest?.bytes ?? 0)) largest = holder;
+    }
+    return largest;
+  }
+
+  private end(holder: MemoryHolder): void {
+    const { kind, callId: call, end } = holder.options;
+    const { logger, observer } = this.options;
+    const fields: LogFields = {
+      kind,
+      call,
+      bytes: holder.bytes,
+      heldBytes: this.totalBytes,
+      limitBytes: this.limitBytes,
+      holders: this.holders.size,
+    };
+    holder.release();
+    logger.warn('memory budget exhausted, largest holder ended', fields);
+    observer?.noteEnded(kind);
+    try {
+      end();
+    } catch (error) {
+      logger.error('memory holder not ended', { kind, call, description: describeError(error) });
+    }
+  }
+}
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -17,8 +17,14 @@
 } from '../forwarding/index.js';
 import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
+import { MemoryBudget, MemoryBudgetMetrics } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
-import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
+import {
+  type EngineProperties,
+  type RequestLimits,
+  RouteTable,
+  schedulingModeOf,
+} from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
@@ -47,6 +53,8 @@
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
   private readonly quotas: GatewayQuotas;
+  private readonly memory: MemoryBudget;
+  private isCoordinated = false;
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
@@ -74,6 +82,7 @@
       gateway: settings.name,
       logger,
     });
+    this.memory = this.createMemoryBudget();
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -112,6 +121,11 @@
     return this.routes?.configuration.limits;
   }
 
+  /** Budget of the bytes that are buffered for callers; undefined in `independent` mode. */
+  get memoryBudget(): MemoryBudget | undefined {
+    return this.isCoordinated ? this.memory : undefined;
+  }
+
   /** Reports the gateway as not ready; requests are still served. */
   startDraining(): void {
     this.isStopping = true;
@@ -156,6 +170,14 @@
     );
   }
 
+  private createMemoryBudget(): MemoryBudget {
+    const { memoryLimitBytes } = this.options.settings;
+    const observer = new MemoryBudgetMetrics(this.metrics.registry);
+    const budget = new MemoryBudget({ memoryLimitBytes, logger: this.options.logger, observer });
+    observer.observe(budget);
+    return budget;
+  }
+
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
@@ -165,6 +187,7 @@
       logger: this.options.logger,
       onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
+        this.isCoordinated = schedulingModeOf(configuration) === 'coordinated';
         this.tenants = new TenantTable(configuration.tenants);
         this.quotas.setLimits(configuration.tenants ?? []);
         this.routesArrived.notify();
