--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -25,10 +25,12 @@
 } from '../gateway-health/index.js';
 import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
+import { MemoryBudget, MemoryBudgetMetrics } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import {
   type EngineProperties,
   type RequestLimits,
+  type RouteConfiguration,
   RouteTable,
   type SchedulingMode,
   schedulingModeOf,
@@ -69,6 +71,7 @@
   private readonly ledger: LedgerClient;
   private readonly health: GatewayHealth;
   private hasLedger = false;
+  private readonly memory: MemoryBudget;
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
@@ -111,13 +114,14 @@
     );
     this.health = this.createHealth();
     this.permits = new PermitGate({
-      isActive: () => this.schedulingMode === 'coordinated',
+      isActive: () => this.isCoordinated,
       backends: (service) => this.backends.serving(service),
       typicalMs: (service) => this.backends.typicalMs(service),
       gateways: () => this.gatewayCount,
       logger,
       metrics: new WaitingMetrics(this.metrics.registry),
     });
+    this.memory = this.createMemoryBudget();
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -157,6 +161,11 @@
     return this.routes?.configuration.limits;
   }
 
+  /** Budget of the bytes that are buffered for callers; undefined in `independent` mode. */
+  get memoryBudget(): MemoryBudget | undefined {
+    return this.isCoordinated ? this.memory : undefined;
+  }
+
   /** Reports the gateway as not ready; requests are still served. */
   startDraining(): void {
     this.isStopping = true;
@@ -203,6 +212,10 @@
     );
   }
 
+  private get isCoordinated(): boolean {
+    return this.schedulingMode === 'coordinated';
+  }
+
   private createHealth(): GatewayHealth {
     return new GatewayHealth({
       directoryLeader: () => this.controlClient.lastHeardLeader(DIRECTORY_GROUP),
@@ -216,6 +229,14 @@
     });
   }
 
+  private createMemoryBudget(): MemoryBudget {
+    const { memoryLimitBytes } = this.options.settings;
+    const observer = new MemoryBudgetMetrics(this.metrics.registry);
+    const budget = new MemoryBudget({ memoryLimitBytes, logger: this.options.logger, observer });
+    observer.observe(budget);
+    return budget;
+  }
+
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
@@ -225,15 +246,7 @@
       health: () => this.health.nextReport(),
       waiting: () => this.permits.report(),
       logger: this.options.logger,
-      onConfiguration: (configuration) => {
-        this.routes = new RouteTable(configuration);
-        this.statistics.setMode(schedulingModeOf(configuration));
-        this.schedulingMode = schedulingModeOf(configuration);
-        this.tenants = new TenantTable(configuration.tenants);
-        this.quotas.setLimits(configuration.tenants ?? []);
-        this.health.setMode(schedulingModeOf(configuration));
-        this.routesArrived.notify();
-      },
+      onConfiguration: (configuration) => this.applyConfiguration(configuration),
       onBackends: (records) => {
         this.hasBackends = true;
         this.backends.update(records);
@@ -247,6 +260,16 @@
     });
   }
 
+  private applyConfiguration(configuration: RouteConfiguration): void {
+    this.routes = new RouteTable(configuration);
+    this.tenants = new TenantTable(configuration.tenants);
+    this.quotas.setLimits(configuration.tenants ?? []);
+    this.schedulingMode = schedulingModeOf(configuration);
+    this.statistics.setMode(this.schedulingMode);
+    this.health.setMode(this.schedulingMode);
+    this.routesArrived.notify();
+  }
+
   private applyClusterView(view: ClusterView): void {
     const seeds = this.options.settings.controlSeeds;
     this.controlClient.setAddresses([...new Set([...view.controlAddresses, ...seeds])]);
