--- a/src/backend-statistics/backend-statistics.ts
+++ b/src/backend-statistics/backend-statistics.ts
@@ -70,7 +70,8 @@
     const result = resultOfAttempt(end);
     this.options.metrics?.attempts.inc({ result });
     if (result === 'success' || result === 'failure') {
-      this.collector.noteResult(id, result === 'failure');
+      const isFailure = result === 'failure';
+      this.collector.noteResult(id, isFailure, isFailure || this.isFailing(id));
     }
     if (isLowerBound(end)) {
       this.collector.noteDuration(id, end.tookMs, end.estimatedMs / this.slowdownOf(id));
--- a/src/backend-statistics/failure-detector.ts
+++ b/src/backend-statistics/failure-detector.ts
@@ -23,11 +23,16 @@
 const MAX_GATEWAY_CALLS = 3;
 /** Failures below which a failure is considered forgotten. */
 const FORGOTTEN_FAILURES = 0.4;
-/** Calls in a row without a failure after which a backend has recovered. */
-const RECOVERED_CALLS = 5;
 /** Increase of the merged failures that is a new failure, not an effect of rounding or of late reports. */
 const NEW_FAILURE = 0.2;
 
+export interface FailureDetectorOptions {
+  /** Decayed number of recent failures below which the backend does not fail. */
+  minimumFailures: number;
+  /** Calls in a row without a failure after which a backend has recovered. */
+  recoveredCalls: number;
+}
+
 interface Totals extends FailureSample {
   /** Monotonic, in milliseconds. */
   at: number;
@@ -40,8 +45,7 @@
   private last: Totals = { calls: 0, failures: 0, at: 0 };
   private successesInRow = 0;
 
-  /** @param minimumFailures decayed number of recent failures below which the backend does not fail */
-  constructor(private readonly minimumFailures: number) {}
+  constructor(private readonly options: FailureDetectorOptions) {}
 
   /** Ends a failure; only later calls count from now on. */
   reset(): void {
@@ -62,7 +66,7 @@
     else this.isFailing = this.hasBegunToFail(capped, totals);
     if (this.isFailing) return;
     // After a recovery the counts still contain old failures: only new ones count.
-    if (this.successesInRow >= RECOVERED_CALLS) this.baseline = totals;
+    if (this.successesInRow >= this.options.recoveredCalls) this.baseline = totals;
   }
 
   private noteSuccesses(totals: Totals): void {
@@ -76,7 +80,7 @@
 
   private hasRecovered({ calls, failures }: Totals): boolean {
     return (
-      this.successesInRow >= RECOVERED_CALLS ||
+      this.successesInRow >= this.options.recoveredCalls ||
       failures < FORGOTTEN_FAILURES ||
       failures < calls * TOLERATED_FAILURE_RATIO
     );
@@ -84,7 +88,7 @@
 
   private hasBegunToFail(samples: readonly FailureSample[], totals: Totals): boolean {
     const recent = this.sinceBaseline(totals);
-    if (recent.failures < this.minimumFailures || !isSignificant(recent)) return false;
+    if (recent.failures < this.options.minimumFailures || !isSignificant(recent)) return false;
     const withFailures = samples.filter(({ failures }) => failures >= MIN_GATEWAY_FAILURES);
     if (withFailures.length < MIN_GATEWAYS) return false;
     const worst = withFailures.reduce((left, right) =>
--- a/src/backend-statistics/slowdown-merge.ts
+++ b/src/backend-statistics/slowdown-merge.ts
@@ -17,32 +17,37 @@
 export const MAX_GATEWAY_WEIGHT = 3;
 /** Weight of the assumption that a backend has the median speed, in calls. */
 const PRIOR_WEIGHT = 2;
-/** Minimum weight of a backend that counts for the median, in calls. */
-const MIN_REFERENCE_WEIGHT = 1;
 /**
  * Maximum difference of a gateway's mean from the median of the gateways, as a logarithm: a factor of two. It bounds
  * the influence of a gateway that reports falsely.
  */
 const MAX_DEVIATION = Math.LN2;
 
-/** @returns logarithms of the slowdown factors by backend id, for the backends of one service */
+/**
+ * @param backendCount number of the service's backends, including those without samples
+ * @returns logarithms of the slowdown factors by backend id, for the backends of one service
+ */
 export function mergeSlowdowns(
   samples: ReadonlyMap<string, readonly RatioSample[]>,
+  backendCount: number,
 ): Map<string, number> {
   const means = new Map<string, RatioSample>();
   for (const [id, ofGateways] of samples) {
     const merged = robustMean(ofGateways);
     if (merged.weight > 0) means.set(id, merged);
   }
-  const reference = medianOf(means.values());
+  const reference = referenceOf([...means.values()], backendCount);
   const slowdowns = new Map<string, number>();
-  for (const [id, { mean, weight }] of means) {
-    const certainty = weight / (weight + PRIOR_WEIGHT);
-    slowdowns.set(id, clampLog((mean - reference) * certainty));
+  for (const [id, sample] of means) {
+    slowdowns.set(id, clampLog((sample.mean - reference) * certaintyOf(sample)));
   }
   return slowdowns;
 }
 
+function certaintyOf({ weight }: RatioSample): number {
+  return weight / (weight + PRIOR_WEIGHT);
+}
+
 /** Mean of the gateways' means, each limited in weight and in its distance from the weighted median. */
 function robustMean(samples: readonly RatioSample[]): RatioSample {
   const capped = samples.map(({ weight, mean }) => ({
@@ -70,13 +75,17 @@
   return 0;
 }
 
-function medianOf(samples: Iterable<RatioSample>): number {
-  const known = [...samples].filter(({ weight }) => weight >= MIN_REFERENCE_WEIGHT);
-  if (known.length === 0) return 0;
-  const means = known.map(({ mean }) => mean).sort((left, right) => left - right);
+/**
+ * Median of the backends' means. A backend with few samples counts as one of normal speed: gateways send few calls to
+ * slow backends, and a median of the others alone would jump to the fast ones.
+ */
+function referenceOf(samples: readonly RatioSample[], backendCount: number): number {
+  const means = samples.map((sample) => sample.mean * certaintyOf(sample));
+  while (means.length < backendCount) means.push(0);
+  if (means.length === 0) return 0;
+  means.sort((left, right) => left - right);
   const middle = means.length / 2;
-  const [low, high] = [means[Math.ceil(middle) - 1]!, means[Math.floor(middle)]!];
-  return (low + high) / 2;
+  return (means[Math.ceil(middle) - 1]! + means[Math.floor(middle)]!) / 2;
 }
 
 function clampLog(log: number): number {
--- a/src/backend-statistics/statistics-collector.ts
+++ b/src/backend-statistics/statistics-collector.ts
@@ -11,7 +11,12 @@
 } from './messages.js';
 
 /** Minimum time between two reports, in milliseconds. */
-export const REPORT_INTERVAL_MS = 400;
+export const MIN_REPORT_INTERVAL_MS = 400;
+/**
+ * Time between two reports without urgent news, in milliseconds. The leader decays a report itself; reports that are
+ * not due leave room for an urgent one.
+ */
+export const REPORT_INTERVAL_MS = 600;
 /** Maximum size of a report, in bytes. */
 export const MAX_REPORT_BYTES = 1_000;
 /** Size of an entry besides its id: header of the text and up to three bytes for each number. */
@@ -29,6 +34,7 @@
 export class StatisticsCollector {
   private readonly entries = new Map<string, Entry>();
   private reportedAt = Number.NEGATIVE_INFINITY;
+  private isUrgent = false;
 
   /** @param clock monotonic clock, in milliseconds */
   constructor(private readonly clock: () => number) {}
@@ -41,17 +47,21 @@
     entry.logRatios += Math.log(ratio);
   }
 
-  noteResult(id: string, isFailure: boolean): void {
+  /** @param isUrgent whether the result is to be reported as soon as possible */
+  noteResult(id: string, isFailure: boolean, isUrgent = isFailure): void {
     const entry = this.currentEntry(id);
     entry.calls += 1;
     if (isFailure) entry.failures += 1;
+    this.isUrgent ||= isUrgent;
   }
 
   /** The totals by backend, or undefined if there are none or the last report is too recent. */
   takeReport(): StatisticsReport | undefined {
     const now = this.clock();
-    if (now - this.reportedAt < REPORT_INTERVAL_MS) return undefined;
+    const intervalMs = this.isUrgent ? MIN_REPORT_INTERVAL_MS : REPORT_INTERVAL_MS;
+    if (now - this.reportedAt < intervalMs) return undefined;
     this.reportedAt = now;
+    this.isUrgent = false;
     this.removeForgotten(now);
     const tallies = withinSize([...this.entries.values()].sort(byImportance));
     return tallies.length === 0 ? undefined : encodeReport(tallies);
--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -27,8 +27,8 @@
 const NEGLIGIBLE_SLOWDOWN = 0.05;
 
 export interface BackendStatisticsStoreOptions {
-  /** Service of a registered backend. */
-  serviceOf: (id: string) => string | undefined;
+  /** Registered backends by id. */
+  backends: () => ReadonlyMap<string, { readonly service: string }>;
   logger: Logger;
   /** Monotonic clock, in milliseconds. */
   clock?: () => number;
@@ -110,11 +110,12 @@
 
   /** Parts of all gateways for the backends that are registered now. */
   private *contributions(now: number): Generator<Contribution> {
+    const backends = this.options.backends();
     for (const { zone, tallies, at } of this.reports.values()) {
       const ofSlowdown = remainingAfter(now - at, SLOWDOWN_HALF_LIFE_MS);
       const ofCalls = remainingAfter(now - at, FAILURE_HALF_LIFE_MS);
       for (const { id, weight, logRatios, calls, failures } of tallies) {
-        if (this.options.serviceOf(id) === undefined) continue;
+        if (!backends.has(id)) continue;
         yield {
           id,
           zone,
@@ -129,11 +130,12 @@
 
   /** Slowdown factors that differ from normal. */
   private slowdownsOf(byBackend: ReadonlyMap<string, Contribution[]>): Map<string, number> {
-    const byService = groupBy(byBackend, ([id]) => this.options.serviceOf(id)!);
+    const byService = groupBy(this.options.backends(), ([, { service }]) => service);
     const factors = new Map<string, number>();
     for (const backends of byService.values()) {
-      const samples = new Map(backends.map(([id, parts]) => [id, ratioSamples(parts)]));
-      for (const [id, log] of mergeSlowdowns(samples)) {
+      const known = backends.filter(([id]) => byBackend.has(id));
+      const samples = new Map(known.map(([id]) => [id, ratioSamples(byBackend.get(id)!)]));
+      for (const [id, log] of mergeSlowdowns(samples, backends.length)) {
         const factor = Math.exp(log);
         if (Math.abs(factor - 1) >= NEGLIGIBLE_SLOWDOWN) factors.set(id, factor);
       }
@@ -142,8 +144,9 @@
   }
 
   private updateFailures(byBackend: ReadonlyMap<string, Contribution[]>, now: number): void {
+    const backends = this.options.backends();
     for (const id of this.failures.keys()) {
-      if (this.options.serviceOf(id) === undefined) this.failures.delete(id);
+      if (!backends.has(id)) this.failures.delete(id);
     }
     for (const id of byBackend.keys()) {
       if (!this.failures.has(id)) this.failures.set(id, new ZoneFailures());
--- a/src/backend-statistics/zone-failures.ts
+++ b/src/backend-statistics/zone-failures.ts
@@ -8,10 +8,10 @@
 
 /** Number of zones that must agree for a backend to fail for all callers. */
 const AGREEING_ZONES = 2;
-/** Minimum failures in one zone: two within half a second. */
-const MIN_ZONE_FAILURES = 1.5;
-/** Minimum failures in all zones: three, since many gateways have a failure for other reasons now and then. */
-const MIN_OVERALL_FAILURES = 2;
+/** In one zone, two failures within about a second suffice. A zone probes rarely: few calls end a failure. */
+const ZONE_OPTIONS = { minimumFailures: 1.2, recoveredCalls: 2 };
+/** In all zones together they must be closer, since some gateway has a failure for other reasons now and then. */
+const OVERALL_OPTIONS = { minimumFailures: 1.5, recoveredCalls: 4 };
 /** Minimum failures of a zone that agrees with others. */
 const MIN_AGREEING_FAILURES = 0.4;
 
@@ -20,7 +20,7 @@
 export class ZoneFailures {
   private readonly zones = new Map<string, FailureDetector>();
   /** Decides on the counts of all zones, which are significant earlier than those of one zone. */
-  private readonly overall = new FailureDetector(MIN_OVERALL_FAILURES);
+  private readonly overall = new FailureDetector(OVERALL_OPTIONS);
   private hasAgreement = false;
 
   /** @returns the zones whose callers' calls fail, or `ALL_ZONES` */
@@ -34,7 +34,7 @@
 
   private updateZones(byZone: SamplesByZone, now: number): void {
     for (const zone of byZone.keys()) {
-      if (!this.zones.has(zone)) this.zones.set(zone, new FailureDetector(MIN_ZONE_FAILURES));
+      if (!this.zones.has(zone)) this.zones.set(zone, new FailureDetector(ZONE_OPTIONS));
     }
     for (const [zone, detector] of this.zones) detector.update(byZone.get(zone) ?? [], now);
   }
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -103,7 +103,7 @@
     });
     this.ledgerBootstrap = new LedgerBootstrap(options.ledgerVoters);
     this.statistics = new BackendStatisticsStore({
-      serviceOf: (id) => this.stateMachine.backends.get(id)?.service,
+      backends: () => this.stateMachine.backends,
       logger: options.logger,
     });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -2,7 +2,7 @@
 import { type BackendStatistics, callsOverCache } from '../backend-statistics/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { BackendLoad, BackendRecord } from '../directory/index.js';
-import { SlowdownEstimator, LatencyModel } from '../performance/index.js';
+import { type CallWork, SlowdownEstimator, LatencyModel } from '../performance/index.js';
 import type { PromptPart } from './call-exchange.js';
 import { BackendConnectionPool } from './backend-connections.js';
 import { PromptCacheView } from './prompt-cache-view.js';
@@ -118,6 +118,19 @@
     this.inFlight -= 1;
   }
 
+  /**
+   * Learns from the duration of a complete response.
+   * @param wasPaused whether reading was paused, so that the duration is not the backend's own
+   * @returns the predicted duration on a backend of normal speed, in milliseconds
+   */
+  noteDuration(work: CallWork, tookMs: number, wasPaused: boolean): number {
+    const expectedMs = this.model.predictMs(work);
+    this.model.observe(work, tookMs / this.timeFactor, this.capacity);
+    this.slowdown.note(tookMs, expectedMs);
+    if (!wasPaused) this.statistics?.noteDuration(this.id, tookMs, expectedMs);
+    return expectedMs;
+  }
+
   noteDataReceived(): void {
     this.dataReceivedAt = monotonicMs();
   }
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -236,11 +236,7 @@
     if (!isTypical || this.sends.length > 0) return undefined;
     const events = this.response instanceof StreamRelay ? this.response.events : 0;
     const work: CallWork = { missingTokens, load, events };
-    const expectedMs = backend.model.predictMs(work);
-    backend.model.observe(work, tookMs / backend.timeFactor, backend.capacity);
-    backend.slowdown.note(tookMs, expectedMs);
-    if (!this.attempt?.wasPaused) backend.statistics?.noteDuration(backend.id, tookMs, expectedMs);
-    return expectedMs;
+    return backend.noteDuration(work, tookMs, this.attempt?.wasPaused ?? false);
   }
 
   /** Reports the end of an attempt to the shared statistics. */
