--- a/src/gateway-health/gateway-health.ts
+++ b/src/gateway-health/gateway-health.ts
@@ -40,8 +40,8 @@
 }
 
 const UPDATE_INTERVAL_MS = 100;
-/** Interval over which the load of the event loop is measured, in milliseconds. */
-const MEASUREMENT_INTERVAL_MS = 250;
+/** The load of the event loop is measured at each second update. */
+const UPDATES_PER_MEASUREMENT = 2;
 /** Silence of the directory's leader from which the ledger is probed, in milliseconds. */
 const PROBE_SILENCE_MS = 100;
 /**
@@ -60,7 +60,7 @@
   private overload = new OverloadDetector();
   private timer: NodeJS.Timeout | undefined;
   private load = NO_LOAD;
-  private measuredAt = Number.NEGATIVE_INFINITY;
+  private updates = 0;
   private reportedAt = Number.NEGATIVE_INFINITY;
   private isRecoveryReported = true;
   /** Until when the directory permits this gateway to be not ready because of overload (monotonic, milliseconds). */
@@ -135,7 +135,8 @@
   update(): void {
     const now = this.now();
     this.updateCutOff(now);
-    if (now - this.measuredAt >= MEASUREMENT_INTERVAL_MS) this.measure(now);
+    this.updates += 1;
+    if (this.updates % UPDATES_PER_MEASUREMENT === 0) this.measure(now);
     this.noteLeaving();
   }
 
@@ -144,9 +145,7 @@
   }
 
   private start(): void {
-    const { meter } = this.options;
-    meter.start();
-    this.measuredAt = this.now();
+    this.options.meter.start();
     this.timer = setInterval(() => this.update(), UPDATE_INTERVAL_MS);
     this.timer.unref();
   }
@@ -190,8 +189,7 @@
   private measure(now: number): void {
     const { meter, logger } = this.options;
     const wasOverloaded = this.isOverloaded;
-    this.measuredAt = now;
-    this.load = meter.read();
+    this.load = meter.read(wasOverloaded);
     this.overload.update(now, this.load);
     if (this.isOverloaded === wasOverloaded) return;
     if (!this.isOverloaded) this.isRecoveryReported = false;
