A false report of having left takes no permission from gateways that have left

The leader counted it against the limit of the zone until it answered, so that gateways that had left lost their permission. Reports of having left now count only until a new leader has heard all gateways.

--- a/src/gateway-health/zone-health-board.test.ts
+++ b/src/gateway-health/zone-health-board.test.ts
@@ -97,6 +97,18 @@
     expect(leader.reportOverload(1).mayLeave).toBe(false);
   });
 
+  it('false reports take no permission from those that have left', () => {
+    const leader = new Leader();
+    leader.see(9);
+    for (const number of [1, 2, 3]) expect(leader.reportOverload(number).mayLeave).toBe(true);
+    for (const number of [4, 5, 6]) {
+      leader.board.report(`${ZONE}-g${number}`, ZONE, { isOverloaded: true, hasLeft: true });
+    }
+    for (const number of [1, 2, 3]) expect(leader.reportOverload(number, true).mayLeave).toBe(true);
+    for (const number of [4, 5, 6])
+      expect(leader.reportOverload(number, true).mayLeave).toBe(false);
+  });
+
   it('never permits more than a third, for any order of reports, losses and recoveries', () => {
     const step = fc.record({
       number: fc.integer({ min: 1, max: 9 }),
--- a/src/gateway-health/zone-health-board.ts
+++ b/src/gateway-health/zone-health-board.ts
@@ -37,7 +37,9 @@
     if (!health) return;
     entry.reportedAt = now;
     entry.isOverloaded = health.isOverloaded;
-    entry.mayLeave = health.isOverloaded && (entry.mayLeave || health.hasLeft);
+    // Later, only the permissions that this leader gave count: others have expired.
+    const mayHaveLeft = health.hasLeft && !this.isComplete(now);
+    entry.mayLeave = health.isOverloaded && (entry.mayLeave || mayHaveLeft);
   }
 
   /** Answer to a gateway that has just reported. */
