Refuse waiting calls early by the permits that their class gets

The latency of calls rises with the engines' queues and made the limit swing, so the ceiling uses the time without them. Gateways that see few free places no longer take all of them at the same time.

--- a/src/waiting/call-queue.ts
+++ b/src/waiting/call-queue.ts
@@ -1,5 +1,5 @@
 /** The calls that wait in this process, ordered for each service and bounded in number and size. */
-import { ServiceQueue } from './service-queue.js';
+import { type QueuePosition, ServiceQueue } from './service-queue.js';
 import type { WaitingCall, WaitingCount } from './waiting-call.js';
 
 /** Bounds of the waiting calls of one process. */
@@ -63,8 +63,13 @@
     return [...this.services].map(([service, queue]) => ({ service, calls: queue.size }));
   }
 
+  /** Priorities of the waiting calls of a service, the most urgent first. */
+  priorities(service: string): number[] {
+    return this.services.get(service)?.priorities ?? [];
+  }
+
   /** The calls of a service with the number of calls that will be taken before each. */
-  positions(service: string): { call: Call; ahead: number }[] {
+  positions(service: string): QueuePosition<Call>[] {
     return this.services.get(service)?.positions() ?? [];
   }
 
--- a/src/waiting/dispatch-limit.ts
+++ b/src/waiting/dispatch-limit.ts
@@ -50,7 +50,7 @@
  * the next figures. Without reuse, the places would be idle until then; with full reuse, a gateway would keep its places
  * whatever the others' waiting calls.
  */
-const REUSED_FRACTION = 0.75;
+const REUSED_FRACTION = 0.8;
 
 /** Calls that a backend may hold: those in process, and those that it processes while figures are in transit. */
 export function ceilingOf(
@@ -151,8 +151,9 @@
   }
 
   /** Calls sent since the figures arrived count as waiting, so that sending does not lower the share. */
-  private share({ ownWaiting, otherWaiting }: ServiceState): number {
-    return shareOf(ownWaiting + this.sent, otherWaiting);
+  private share({ ownWaiting, otherWaiting, gateways }: ServiceState): number {
+    const assumed = (gateways - 1) * Math.max(0, 1 - this.free / gateways);
+    return shareOf(ownWaiting + this.sent, Math.max(otherWaiting, assumed));
   }
 }
 
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -7,11 +7,13 @@
 import type { Logger } from '../observability/index.js';
 import { CallQueue } from './call-queue.js';
 import { type BackendOccupancy, DispatchLimit, type ServiceState } from './dispatch-limit.js';
-import { PermitRate } from './permit-rate.js';
+import { PermitRates } from './permit-rates.js';
 import { type PermitCall, type PermitRequest, PermitTicket } from './permit-request.js';
 import { RefusalLog } from './refusal-log.js';
+import { ServiceTime } from './service-time.js';
 import type { WaitingCount } from './waiting-call.js';
 import type { WaitingMetrics, WaitingOutcome } from './waiting-metrics.js';
+import { WaitEstimate } from './wait-estimate.js';
 import { WaitingReporter } from './waiting-reporter.js';
 
 export interface PermitGateOptions {
@@ -29,16 +31,18 @@
 
 /** Interval at which waiting calls are reviewed, in milliseconds: about the time in which an engine ends a call. */
 const REVIEW_INTERVAL_MS = 25;
-/** Maximum retry delay, in milliseconds, so that calls are admitted soon after an overload. */
-const MAX_RETRY_MS = 1_000;
+/**
+ * Multiple of the expected wait that must fit into the time of a call on arrival. Calls of which the wait would just
+ * fit would often be refused later, after they were held in vain.
+ */
+const ARRIVAL_MARGIN = 1.5;
 
 /** The state of one service. */
 interface ServiceGate {
   limit: DispatchLimit;
-  rate: PermitRate;
+  rates: PermitRates;
   refusals: RefusalLog;
-  /** End of the last observation of the rate (monotonic, milliseconds). */
-  observedAt: number;
+  time: ServiceTime;
 }
 
 export class PermitGate {
@@ -60,10 +64,10 @@
     const now = monotonicMs();
     const { service } = call;
     const ticket = new PermitTicket(call, now, (...end) => this.onEnd(...end));
-    const gate = this.gateOf(service, now);
+    const gate = this.gateOf(service);
     gate.refusals.check(now);
-    if (this.queue.countOf(service) === 0) gate.observedAt = now;
-    for (const removed of this.queue.add(ticket)) this.refuse(removed, 0, 'queue-full', now);
+    if (this.queue.countOf(service) === 0) gate.rates.start(now);
+    this.refuseRemoved(this.queue.add(ticket), 'queue-full', now);
     this.release(service, now);
     this.reviewArrival(ticket, now);
     this.startTimer();
@@ -88,26 +92,25 @@
     clearTimeout(this.timer);
     const now = monotonicMs();
     for (const { service } of this.queue.counts()) {
-      for (const { call } of this.queue.positions(service)) {
-        this.queue.remove(call);
-        this.refuse(call, 0, 'refused-while-waiting', now);
-      }
+      const waiting = this.queue.positions(service).map(({ call }) => call);
+      for (const call of waiting) this.queue.remove(call);
+      this.refuseRemoved(waiting, 'refused-while-waiting', now);
     }
   }
 
   /** Grants permits to the first calls in order, as far as the limit allows. */
   private release(service: string, now: number): void {
-    const gate = this.gateOf(service, now);
-    let granted = 0;
+    const gate = this.gateOf(service);
+    const waiting = this.queue.priorities(service);
+    const granted: number[] = [];
     while (this.queue.countOf(service) > 0 && this.mayRelease(gate, service, now)) {
       const ticket = this.queue.take(service)!;
       gate.limit.noteSent();
-      ticket.grant(now);
+      ticket.grant(now, utilizationOf(this.options.backends(service)));
       this.note(ticket, ticket.waitedMs === undefined ? 'immediate' : 'released');
-      granted += 1;
+      granted.push(ticket.priority);
     }
-    gate.rate.observe(now - gate.observedAt, granted);
-    gate.observedAt = now;
+    gate.rates.observe(now, waiting, granted);
   }
 
   /** Without any backend, a call is not held: it is refused for that reason when it is to be sent. */
@@ -123,45 +126,74 @@
     const position = this.queue.positions(service).find(({ call }) => call === ticket);
     if (!position) return;
     ticket.waitedBehind = position.ahead;
-    if (this.isInTime(ticket, position.ahead, now)) return;
+    const estimate = this.estimateOf(service, now);
+    if (this.isInTime(ticket, ARRIVAL_MARGIN * estimate.waitMs(ticket.priority, position), now))
+      return;
     this.queue.remove(ticket);
-    this.refuse(ticket, position.ahead, 'refused-on-arrival', now);
+    this.refuse(
+      ticket,
+      'refused-on-arrival',
+      estimate.retryAfterMs(ticket.priority, position),
+      now,
+    );
   }
 
   /** Refuses the waiting calls that would wait too long, so that others get their turn in time. */
   private review(service: string, now: number): void {
+    const estimate = this.estimateOf(service, now);
     let refused = 0;
-    for (const { call, ahead } of this.queue.positions(service)) {
-      const remaining = Math.max(0, ahead - refused);
-      if (this.isInTime(call, remaining, now)) continue;
+    for (const { call, ahead, aheadOfSamePriority } of this.queue.positions(service)) {
+      const remaining = {
+        ahead: Math.max(0, ahead - refused),
+        aheadOfSamePriority: Math.max(0, aheadOfSamePriority - refused),
+      };
+      if (this.isInTime(call, estimate.waitMs(call.priority, remaining), now)) continue;
       this.queue.remove(call);
-      this.refuse(call, remaining, 'refused-while-waiting', now);
+      const retryAfterMs = estimate.retryAfterMs(call.priority, remaining);
+      this.refuse(call, 'refused-while-waiting', retryAfterMs, now);
       refused += 1;
     }
   }
 
-  private isInTime(ticket: PermitTicket, ahead: number, now: number): boolean {
-    const { service } = ticket;
-    const startMs = now + ahead / this.ratePerMs(service, now);
-    return startMs <= ticket.latestStartMs(this.options.typicalMs(service));
+  private isInTime(ticket: PermitTicket, waitMs: number, now: number): boolean {
+    return now + waitMs <= ticket.latestStartMs(this.options.typicalMs(ticket.service));
   }
 
-  private refuse(ticket: PermitTicket, ahead: number, outcome: WaitingOutcome, now: number): void {
+  private estimateOf(service: string, now: number): WaitEstimate {
+    const { limit, rates } = this.gateOf(service);
+    const expectedPerMs = limit.expectedRate(this.stateOf(service, now));
+    const mostUrgent = this.queue.priorities(service)[0] ?? 0;
+    return new WaitEstimate({ rates, expectedPerMs, mostUrgent });
+  }
+
+  private refuse(
+    ticket: PermitTicket,
+    outcome: WaitingOutcome,
+    retryAfterMs: number,
+    now: number,
+  ): void {
     const { service } = ticket;
-    const perMs = this.ratePerMs(service, now);
-    const retryAfterMs = Math.min(MAX_RETRY_MS, (ahead + 1) / perMs);
     ticket.refuse({ retryAfterMs }, now);
     this.note(ticket, outcome);
-    this.gateOf(service, now).refusals.noteRefusal(now, {
+    this.gateOf(service).refusals.noteRefusal(now, {
       waiting: this.queue.countOf(service),
       otherWaiting: this.otherWaiting.get(service) ?? 0,
       retryAfterMs: Math.round(retryAfterMs),
     });
   }
 
-  private ratePerMs(service: string, now: number): number {
-    const { limit, rate } = this.gateOf(service, now);
-    return rate.perMs(limit.expectedRate(this.stateOf(service, now)));
+  /** Refuses calls that had to leave the queue for another reason than their expected wait. */
+  private refuseRemoved(
+    calls: readonly PermitTicket[],
+    outcome: WaitingOutcome,
+    now: number,
+  ): void {
+    for (const call of calls) {
+      const ahead = this.queue.countOf(call.service);
+      const estimate = this.estimateOf(call.service, now);
+      const position = { ahead, aheadOfSamePriority: 0 };
+      this.refuse(call, outcome, estimate.retryAfterMs(call.priority, position), now);
+    }
   }
 
   private onEnd(ticket: PermitTicket, hadPermit: boolean, wasSent: boolean): void {
@@ -172,9 +204,11 @@
       this.note(ticket, 'abandoned', now - ticket.queuedAt);
       return;
     }
-    const { limit } = this.gateOf(service, now);
-    if (wasSent) limit.noteEnded(this.stateOf(service, now));
-    else limit.noteUnused();
+    const { limit, time } = this.gateOf(service);
+    if (wasSent) {
+      time.observe(now - ticket.grantedAt, ticket.utilization);
+      limit.noteEnded(this.stateOf(service, now));
+    } else limit.noteUnused();
     if (this.queue.countOf(service) > 0) this.release(service, now);
   }
 
@@ -197,7 +231,7 @@
     return {
       now,
       backends: backends(service),
-      typicalMs: typicalMs(service),
+      typicalMs: this.gateOf(service).time.typicalMs(typicalMs(service)),
       ownWaiting: this.queue.countOf(service),
       otherWaiting: this.otherWaiting.get(service) ?? 0,
       gateways: gateways(),
@@ -205,14 +239,14 @@
     };
   }
 
-  private gateOf(service: string, now: number): ServiceGate {
+  private gateOf(service: string): ServiceGate {
     const known = this.services.get(service);
     if (known) return known;
     const gate: ServiceGate = {
       limit: new DispatchLimit(),
-      rate: new PermitRate(),
+      rates: new PermitRates(),
       refusals: new RefusalLog(service, this.options.logger),
-      observedAt: now,
+      time: new ServiceTime(),
     };
     this.services.set(service, gate);
     return gate;
@@ -222,3 +256,10 @@
     this.options.metrics.note(ticket.service, outcome, waitedMs ?? 0);
   }
 }
+
+/** Calls in flight as a multiple of the capacity. */
+function utilizationOf(backends: readonly BackendOccupancy[]): number {
+  const capacity = backends.reduce((sum, backend) => sum + backend.capacity, 0);
+  const load = backends.reduce((sum, backend) => sum + backend.load, 0);
+  return capacity === 0 ? 0 : load / capacity;
+}
--- a/src/waiting/permit-request.ts
+++ b/src/waiting/permit-request.ts
@@ -44,6 +44,8 @@
 
 /** Fraction of a call's time after which it is not held any longer, so that its caller can still retry. */
 const MAX_HELD_FRACTION = 0.5;
+/** The same for a program that has not begun: nothing is lost if it begins later. */
+const MAX_HELD_FRACTION_OF_FIRST_TURN = 0.25;
 
 /** A request in the queue. */
 export class PermitTicket implements WaitingCall, PermitRequest {
@@ -57,6 +59,10 @@
   readonly bytes: number;
   waitedMs: number | undefined;
   waitedBehind: number | undefined;
+  /** When the permit was granted (monotonic, milliseconds). */
+  grantedAt = 0;
+  /** Calls in flight at the service as a multiple of its capacity when the permit was granted. */
+  utilization = 0;
   private state: TicketState = 'waiting';
   private readonly deferred = new Deferred<PermitRefusal | undefined>();
 
@@ -90,11 +96,14 @@
    * @param typicalMs mean latency of a call of the service
    */
   latestStartMs(typicalMs: number): number {
-    const heldUntil = this.queuedAt + (this.deadlineMs - this.queuedAt) * MAX_HELD_FRACTION;
+    const fraction = this.hasBegun ? MAX_HELD_FRACTION : MAX_HELD_FRACTION_OF_FIRST_TURN;
+    const heldUntil = this.queuedAt + (this.deadlineMs - this.queuedAt) * fraction;
     return Math.min(this.deadlineMs - typicalMs, heldUntil);
   }
 
-  grant(now: number): void {
+  grant(now: number, utilization: number): void {
+    this.grantedAt = now;
+    this.utilization = utilization;
     this.state = 'granted';
     this.noteWait(now);
     this.deferred.resolve(undefined);
--- a/src/waiting/service-queue.ts
+++ b/src/waiting/service-queue.ts
@@ -2,8 +2,16 @@
 import { FairTenantQueue } from './fair-tenant-queue.js';
 import type { WaitingCall } from './waiting-call.js';
 
+/** A waiting call with the numbers of calls that will be taken before it, if no others arrive. */
+export interface QueuePosition<Call extends WaitingCall> {
+  call: Call;
+  ahead: number;
+  /** Those of the same priority. */
+  aheadOfSamePriority: number;
+}
+
 /** Calls of more urgent priorities after which a waiting less urgent call is taken: one in eight. */
-const MAX_PASSED_OVER = 7;
+export const MAX_PASSED_OVER = 7;
 
 interface PriorityClass<Call extends WaitingCall> {
   priority: number;
@@ -30,6 +38,11 @@
     return this.waitingClasses().at(-1)?.queue.inOrder().at(-1);
   }
 
+  /** Priorities with waiting calls, the most urgent first. */
+  get priorities(): number[] {
+    return this.waitingClasses().map(({ priority }) => priority);
+  }
+
   add(call: Call): void {
     this.classOf(call.priority).queue.add(call);
     this.heldBytes += call.bytes;
@@ -54,17 +67,15 @@
     return isRemoved;
   }
 
-  /**
-   * All calls with the number of calls that will be taken before each, if no others arrive. A less urgent call waits
-   * for all more urgent ones, or for its turn of one in eight, whichever is earlier.
-   */
-  positions(): { call: Call; ahead: number }[] {
+  /** All calls. A less urgent one waits for all more urgent ones, or for its turn of one in eight, if that is earlier. */
+  positions(): QueuePosition<Call>[] {
     let moreUrgent = 0;
     return this.waitingClasses().flatMap(({ queue }) => {
       const urgentCalls = moreUrgent;
       moreUrgent += queue.size;
       return queue.inOrder().map((call, position) => ({
         call,
+        aheadOfSamePriority: position,
         ahead: position + Math.min(urgentCalls, (position + 1) * MAX_PASSED_OVER),
       }));
     });
--- a/tests/support/waiting-replay.ts
+++ b/tests/support/waiting-replay.ts
@@ -10,11 +10,11 @@
 import { loadsOfOtherGateways } from '../../src/directory/load-totals.js';
 import { type BackendState, BackendView } from '../../src/forwarding/backend-view.js';
 import { Placement } from '../../src/forwarding/index.js';
-import { createLogger } from '../../src/observability/index.js';
+import { SILENT_LOGGER } from '../../lab/silent-logger.js';
 import { PermitGate, WaitingMetrics, WaitingReportStore } from '../../src/waiting/index.js';
 import { sampleCall } from './sample-call.js';
 
-export const SERVICE = 'engines';
+const SERVICE = 'engines';
 const GATEWAYS = 70;
 const ENGINES = 34;
 const SLOTS = 6;
@@ -23,7 +23,7 @@
 const TURN_MS = 200;
 /** Time until a caller cuts off its turn. */
 const PATIENCE_MS = 1_300;
-const WATCH_INTERVAL_MS = 200;
+const DEFAULT_WATCH_INTERVAL_MS = 150;
 const SNAPSHOT_TTL_MS = 50;
 const MAX_ATTEMPTS = 3;
 /** Turns per second that the engines can process. */
@@ -33,6 +33,7 @@
   gateway: number;
   priority: number;
   tenant: string;
+  hasBegun?: boolean;
   arrivedAt: number;
   outcome: 'pending' | 'in-time' | 'cut-off' | 'refused';
   /** When it was sent or refused. */
@@ -47,7 +48,11 @@
   loadAt: (now: number) => number;
   durationMs: number;
   /** Draws the priority and the tenant of a turn. */
-  draw?: (random: SeededRandom) => { priority: number; tenant: string };
+  draw?: (random: SeededRandom) => Pick<ReplayTurn, 'priority' | 'tenant' | 'hasBegun'>;
+  /** Duration of a turn on an engine as a multiple of the normal one. @default 1 */
+  slownessOf?: (engine: number) => number;
+  /** Time between two exchanges of load figures, in milliseconds, which is also their mean age. @default 150 */
+  watchIntervalMs?: number;
   /** Whether the leader of the directory answers. @default always */
   hasLeader?: (now: number) => boolean;
   /** Called each millisecond. */
@@ -60,6 +65,8 @@
   readonly running: { turn: ReplayTurn; endsAt: number }[] = [];
   readonly queue: ReplayTurn[] = [];
 
+  constructor(private readonly slowness: number) {}
+
   get hasRoom(): boolean {
     return this.queue.length < ENGINE_QUEUE;
   }
@@ -72,11 +79,11 @@
   }
 
   /** @returns the turns that have ended */
-  advance(now: number, durationMs: () => number): ReplayTurn[] {
+  advance(now: number, normalMs: () => number): ReplayTurn[] {
     const ended = this.running.filter(({ endsAt }) => endsAt <= now).map(({ turn }) => turn);
     for (const turn of ended) this.remove(turn);
     while (this.running.length < SLOTS && this.queue.length > 0) {
-      this.running.push({ turn: this.queue.shift()!, endsAt: now + durationMs() });
+      this.running.push({ turn: this.queue.shift()!, endsAt: now + normalMs() * this.slowness });
     }
     return ended;
   }
@@ -97,7 +104,7 @@
       backends: (service) => this.view.serving(service),
       typicalMs: (service) => this.view.typicalMs(service),
       gateways: () => GATEWAYS,
-      logger: createLogger({}),
+      logger: SILENT_LOGGER,
       metrics: new WaitingMetrics(new Registry()),
     });
   }
@@ -125,7 +132,9 @@
     this.random = new SeededRandom(options.seed ?? 1);
     this.placement = new Placement({ zone: 'z0', random: () => this.random.uniform() });
     const records = Array.from({ length: ENGINES }, (_, index) => engineRecord(index));
-    for (const { id } of records) this.engines.set(id, new ReplayEngine());
+    for (const [index, { id }] of records.entries()) {
+      this.engines.set(id, new ReplayEngine(options.slownessOf?.(index) ?? 1));
+    }
     this.gateways = Array.from({ length: GATEWAYS }, () => new ReplayGateway(options.isOrdered));
     for (const { view } of this.gateways) view.update(records);
   }
@@ -136,7 +145,6 @@
   }
 
   async run(): Promise<this> {
-    const startedAt = performance.now();
     for (let now = 0; now < this.options.durationMs; now += 1) {
       vi.advanceTimersByTime(1);
       this.advanceEngines();
@@ -147,7 +155,6 @@
       this.cutOff(performance.now());
       this.measureIdle(now);
     }
-    void startedAt;
     for (const { gate } of this.gateways) gate.stop();
     return this;
   }
@@ -197,7 +204,7 @@
       service: SERVICE,
       priority: turn.priority,
       tenant: turn.tenant,
-      hasBegun: false,
+      hasBegun: turn.hasBegun ?? false,
       deadlineMs: turn.arrivedAt + PATIENCE_MS,
       programRemainingMs: undefined,
       bytes: 1_000,
@@ -237,9 +244,9 @@
 
   private advanceEngines(): void {
     const now = performance.now();
-    const durationMs = (): number => TURN_MS * (0.5 + this.random.uniform());
+    const normalMs = (): number => TURN_MS * (0.5 + this.random.uniform());
     for (const engine of this.engines.values()) {
-      for (const turn of engine.advance(now, durationMs)) {
+      for (const turn of engine.advance(now, normalMs)) {
         const { sentTo, decidedAt } = turn;
         const work = { missingTokens: 10, load: sentTo!.load, events: 10 };
         sentTo!.model.observe(work, now - decidedAt!, sentTo!.capacity);
@@ -257,9 +264,10 @@
       this.waiting.clear();
       return;
     }
+    const intervalMs = this.options.watchIntervalMs ?? DEFAULT_WATCH_INTERVAL_MS;
     for (const [index, { view, gate, isAlive }] of this.gateways.entries()) {
-      const phase = Math.floor((index * WATCH_INTERVAL_MS) / GATEWAYS);
-      if (!isAlive || now % WATCH_INTERVAL_MS !== phase) continue;
+      const phase = Math.floor((index * intervalMs) / GATEWAYS);
+      if (!isAlive || now % intervalMs !== phase) continue;
       const name = `g${index}`;
       view.updateOtherLoads(loadsOfOtherGateways(this.loads.totalsFor(name)));
       gate.updateFigures(this.waiting.viewFor(name) ?? []);
