--- a/src/memory-budget/memory-budget.test.ts
+++ b/src/memory-budget/memory-budget.test.ts
@@ -109,8 +109,9 @@
     expect(recorded.lines).toEqual([
       {
         level: 'warn',
-        message: 'memory budget exhausted, largest holder ended',
+        message: 'memory budget exhausted',
         fields: {
+          effect: 'largest holder ended',
           kind: 'request-body',
           call: 'call-1',
           bytes: 2_500,
--- a/src/memory-budget/memory-budget.ts
+++ b/src/memory-budget/memory-budget.ts
@@ -154,6 +154,7 @@
     const { kind, callId: call, end } = holder.options;
     const { logger, observer } = this.options;
     const fields: LogFields = {
+      effect: 'largest holder ended',
       kind,
       call,
       bytes: holder.bytes,
@@ -162,7 +163,7 @@
       holders: this.holders.size,
     };
     holder.release();
-    logger.warn('memory budget exhausted, largest holder ended', fields);
+    logger.warn('memory budget exhausted', fields);
     observer?.noteEnded(kind);
     try {
       end();
