--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -52,6 +52,8 @@
   private firstReportAt: number | undefined;
   private mergedAt = Number.NEGATIVE_INFINITY;
   private packed: Uint8Array | undefined;
+  /** Slowdown factors of the latest merge that differ from normal. */
+  private slowdowns: ReadonlyMap<string, number> = new Map();
   private readonly clock: () => number;
 
   constructor(private readonly options: BackendStatisticsStoreOptions) {
@@ -82,8 +84,14 @@
     return this.packed;
   }
 
+  /** Slowdown of a backend in the latest merge; undefined if it is not known to differ from normal. */
+  slowdownOf(id: string): number | undefined {
+    return this.slowdowns.get(id);
+  }
+
   clear(): void {
     this.reports.clear();
+    this.slowdowns = new Map();
     this.failures.clear();
     this.failingZones.clear();
     this.firstReportAt = undefined;
@@ -99,6 +107,7 @@
   private merge(now: number): BackendCondition[] {
     const byBackend = groupBy(this.contributions(now), ({ id }) => id);
     const slowdowns = this.slowdownsOf(byBackend);
+    this.slowdowns = slowdowns;
     this.updateFailures(byBackend, now);
     const ids = new Set([...slowdowns.keys(), ...this.failingZones.keys()]);
     return [...ids].map((id) => ({
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -3,6 +3,7 @@
  * responds to watchers, bootstraps the ledger group, and removes backends that miss heartbeats.
  */
 import { BackendStatisticsStore } from '../backend-statistics/index.js';
+import { AdmissionLeader } from '../admission/index.js';
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
 import { ZoneHealthBoard } from '../gateway-health/index.js';
@@ -79,6 +80,7 @@
   private readonly statistics: BackendStatisticsStore;
   private readonly zoneHealth = new ZoneHealthBoard();
   private readonly waiting = new WaitingReportStore();
+  private readonly admission: AdmissionLeader;
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -110,6 +112,12 @@
       backends: () => this.stateMachine.backends,
       logger: options.logger,
     });
+    this.admission = new AdmissionLeader({
+      backends: () => this.stateMachine.backends.values(),
+      isSilent: (id) => this.silentBackends.ids.has(id),
+      slowdownOf: (id) => this.statistics.slowdownOf(id),
+      logger: options.logger,
+    });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
   }
 
@@ -124,6 +132,7 @@
     this.statistics.clear();
     this.zoneHealth.clear();
     this.waiting.clear();
+    this.admission.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -222,6 +231,7 @@
       this.loads.report(request.node.name, request.loads);
       this.zoneHealth.report(request.node.name, request.node.zone, request.health);
       this.waiting.report(request.node.name, request.waiting);
+      this.admission.report(request.node.name, request.demand);
       this.confirmations.record(request.node.name, request.known);
       const { node, statistics } = request;
       if (statistics) this.statistics.report(node.name, node.zone, statistics);
@@ -247,6 +257,8 @@
     const waiting = this.waiting.viewFor(node.name);
     if (waiting) view.waiting = waiting;
     if (health) view.zoneHealth = this.zoneHealth.viewFor(node.name);
+    const admission = this.admission.viewFor(node.name);
+    if (admission) view.admission = admission;
   }
 
   /** Whether a held request can be answered now. */
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -4,6 +4,7 @@
  * and is never replaced by an older one.
  */
 import type { StatisticsReport } from '../backend-statistics/index.js';
+import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
 import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
@@ -60,6 +61,8 @@
   health?: () => HealthReport | undefined;
   /** Calls that wait in this process; undefined if the last report still holds. @default none */
   waiting?: () => WaitingCount[] | undefined;
+  /** The demand to report; undefined unless in coordinated mode. @default never */
+  demand?: () => DemandReport | null | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
@@ -73,6 +76,8 @@
   onZoneHealth?: (zoneHealth: ZoneHealth, requestedAt: number) => void;
   /** Called after `onOtherLoads`. */
   onOtherWaiting?: (waiting: WaitingCount[]) => void;
+  /** Called for each answer of a leader; undefined if it has not decided. */
+  onAdmission?: (admission: ServiceAdmission[] | undefined) => void;
 }
 
 export class DirectoryWatcher {
@@ -161,6 +166,7 @@
     const statistics = this.options.takeStatistics?.();
     const health = this.options.health?.();
     const waiting = this.options.waiting?.();
+    const demand = this.options.demand?.();
     return {
       node: this.options.announce(),
       known: {
@@ -174,6 +180,7 @@
       ...(statistics && { statistics }),
       ...(health && { health }),
       ...(waiting && { waiting }),
+      ...(demand !== undefined && { demand }),
     };
   }
 
@@ -187,6 +194,7 @@
     if (view.loads) this.options.onOtherLoads?.(loadsOfOtherGateways(view.loads));
     if (view.statistics) this.options.onStatistics?.(view.statistics);
     if (view.loads) this.options.onOtherWaiting?.(view.waiting ?? []);
+    this.options.onAdmission?.(view.admission);
   }
 
   /** Leaves the silent backends unchanged: only a leader knows them. */
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between the directory group and its clients. */
 import type { StatisticsReport } from '../backend-statistics/index.js';
+import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
 import type { LeaderAnswer, Member } from '../consensus/index.js';
 import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import { defineMethod } from '../wire/index.js';
@@ -64,6 +65,8 @@
   health?: HealthReport;
   /** Calls that wait in the gateway; absent if the last report still holds. */
   waiting?: WaitingCount[];
+  /** Demand for each service; null if a gateway in coordinated mode has nothing new to report. */
+  demand?: DemandReport | null;
 }
 
 export interface ClusterView {
@@ -111,6 +114,8 @@
   zoneHealth?: ZoneHealth;
   /** Calls that wait in the other gateways; absent if there are none. */
   waiting?: WaitingCount[];
+  /** Services that are not admitted entirely; absent until the leader has decided, or in independent mode. */
+  admission?: ServiceAdmission[];
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,6 +1,7 @@
 /** Gateway process: watches the directory and forwards calls. */
 import { randomBytes } from 'node:crypto';
 import { BackendStatistics, StatisticsMetrics } from '../backend-statistics/index.js';
+import { GatewayAdmission } from '../admission/index.js';
 import { SignalEvent } from '../common/index.js';
 import { GroupClient, PeerDirectory } from '../consensus/index.js';
 import {
@@ -72,6 +73,7 @@
   private readonly health: GatewayHealth;
   private hasLedger = false;
   private readonly memory: MemoryBudget;
+  private readonly admission: GatewayAdmission;
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
@@ -122,6 +124,11 @@
       metrics: new WaitingMetrics(this.metrics.registry),
     });
     this.memory = this.createMemoryBudget();
+    this.admission = new GatewayAdmission({
+      isCoordinated: () => this.isCoordinated,
+      logger,
+      registry: this.metrics.registry,
+    });
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -130,6 +137,7 @@
       directoryAgeMs: () => this.watcher.leaderContactAgeMs,
       access: (route, key) => decideAccess(route, key, this.keyKnowledge),
       quotas: this.quotas,
+      sharedAdmission: this.admission,
       backends: this.backends,
       placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
       ledger: this.ledger,
@@ -245,6 +253,7 @@
       loads: () => this.backends.loads(),
       health: () => this.health.nextReport(),
       waiting: () => this.permits.report(),
+      demand: () => this.admission.demand(),
       logger: this.options.logger,
       onConfiguration: (configuration) => this.applyConfiguration(configuration),
       onBackends: (records) => {
@@ -257,6 +266,7 @@
       onStatistics: (packed) => this.statistics.apply(packed),
       onZoneHealth: (zone, requestedAt) => this.health.applyZoneHealth(zone, requestedAt),
       onOtherWaiting: (waiting) => this.permits.updateFigures(waiting),
+      onAdmission: (admission) => this.admission.apply(admission),
     });
   }
 
