Cheaper merges; a change of a verdict answers the held watch requests

A merge visited each report several times; slowdowns are now merged every 0.4 s. A gateway waited for the end of its long poll to learn that a backend fails. The test of a failure in one zone is red: a single failure elsewhere made it a failure of all zones.

--- a/src/backend-statistics/statistics-collector.ts
+++ b/src/backend-statistics/statistics-collector.ts
@@ -16,7 +16,7 @@
  * Time between two reports without urgent news, in milliseconds. The leader decays a report itself; reports that are
  * not due leave room for an urgent one.
  */
-export const REPORT_INTERVAL_MS = 600;
+export const REPORT_INTERVAL_MS = 800;
 /** Maximum size of a report, in bytes. */
 export const MAX_REPORT_BYTES = 1_000;
 /** Size of an entry besides its id: header of the text and up to three bytes for each number. */
--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -11,6 +11,7 @@
   decodeReport,
   packConditions,
 } from './messages.js';
+import { type FailureSample } from './failure-detector.js';
 import { type RatioSample, mergeSlowdowns } from './slowdown-merge.js';
 import { ZoneFailures } from './zone-failures.js';
 
@@ -18,11 +19,13 @@
 const REPORT_TTL_MS = 1_500;
 /** Minimum time between two merges, in milliseconds: half of a long poll. */
 const MERGE_INTERVAL_MS = 100;
+/** Minimum time between two merges of the slowdowns, in milliseconds: a fifth of their half-life. */
+const SLOWDOWN_INTERVAL_MS = 400;
 /**
  * Time after the first report for which there is no view, in milliseconds. Every gateway reports within it, so that
  * gateways keep the figures of the previous leader until the new one knows as much.
  */
-const WARM_UP_MS = 600;
+const WARM_UP_MS = 1_000;
 /** Difference of a factor from 1 below which it is left out of the view. */
 const NEGLIGIBLE_SLOWDOWN = 0.05;
 
@@ -30,6 +33,8 @@
   /** Registered backends by id. */
   backends: () => ReadonlyMap<string, { readonly service: string }>;
   logger: Logger;
+  /** Called when a backend begins or ceases to fail, so that gateways learn of it at once. */
+  onVerdict?: () => void;
   /** Monotonic clock, in milliseconds. */
   clock?: () => number;
 }
@@ -40,15 +45,14 @@
   at: number;
 }
 
-/** The part of one gateway in the statistics of a backend, decayed to the time of the merge. */
-interface Contribution extends BackendTally {
-  zone: string;
-}
-
 export class BackendStatisticsStore {
   private readonly reports = new Map<string, StoredReport>();
   private readonly failures = new Map<string, ZoneFailures>();
   private failingZones = new Map<string, string[]>();
+  private slowdowns = new Map<string, number>();
+  private slowdownsMergedAt = Number.NEGATIVE_INFINITY;
+  /** Number of changes of the failing backends. */
+  verdictVersion = 0;
   private firstReportAt: number | undefined;
   private mergedAt = Number.NEGATIVE_INFINITY;
   private packed: Uint8Array | undefined;
@@ -63,6 +67,7 @@
     const at = this.clock();
     this.firstReportAt ??= at;
     this.reports.set(gateway, { zone, tallies: decodeReport(report), at });
+    this.viewFor();
   }
 
   /** Packed conditions of the backends that differ from normal; undefined while too little is known. */
@@ -86,6 +91,8 @@
     this.reports.clear();
     this.failures.clear();
     this.failingZones.clear();
+    this.slowdowns.clear();
+    this.slowdownsMergedAt = Number.NEGATIVE_INFINITY;
     this.firstReportAt = undefined;
     this.packed = undefined;
   }
@@ -97,45 +104,27 @@
   }
 
   private merge(now: number): BackendCondition[] {
-    const byBackend = groupBy(this.contributions(now), ({ id }) => id);
-    const slowdowns = this.slowdownsOf(byBackend);
-    this.updateFailures(byBackend, now);
-    const ids = new Set([...slowdowns.keys(), ...this.failingZones.keys()]);
-    return [...ids].map((id) => ({
-      id,
-      ...(slowdowns.has(id) && { slowdown: slowdowns.get(id)! }),
-      ...(this.failingZones.has(id) && { failingZones: this.failingZones.get(id)! }),
-    }));
-  }
-
-  /** Parts of all gateways for the backends that are registered now. */
-  private *contributions(now: number): Generator<Contribution> {
-    const backends = this.options.backends();
-    for (const { zone, tallies, at } of this.reports.values()) {
-      const ofSlowdown = remainingAfter(now - at, SLOWDOWN_HALF_LIFE_MS);
-      const ofCalls = remainingAfter(now - at, FAILURE_HALF_LIFE_MS);
-      for (const { id, weight, logRatios, calls, failures } of tallies) {
-        if (!backends.has(id)) continue;
-        yield {
-          id,
-          zone,
-          weight: weight * ofSlowdown,
-          logRatios: logRatios * ofSlowdown,
-          calls: calls * ofCalls,
-          failures: failures * ofCalls,
-        };
-      }
+    if (now - this.slowdownsMergedAt >= SLOWDOWN_INTERVAL_MS) {
+      this.slowdownsMergedAt = now;
+      this.slowdowns = this.mergeSlowdowns(now);
     }
+    this.updateFailures(now);
+    const ids = new Set([...this.slowdowns.keys(), ...this.failingZones.keys()]);
+    return [...ids].map((id) => {
+      const [slowdown, failingZones] = [this.slowdowns.get(id), this.failingZones.get(id)];
+      return { id, ...(slowdown && { slowdown }), ...(failingZones && { failingZones }) };
+    });
   }
 
-  /** Slowdown factors that differ from normal. */
-  private slowdownsOf(byBackend: ReadonlyMap<string, Contribution[]>): Map<string, number> {
+  /** Slowdown factors of registered backends that differ from normal. */
+  private mergeSlowdowns(now: number): Map<string, number> {
+    const samples = this.ratioSamples(now);
     const byService = groupBy(this.options.backends(), ([, { service }]) => service);
     const factors = new Map<string, number>();
     for (const backends of byService.values()) {
-      const known = backends.filter(([id]) => byBackend.has(id));
-      const samples = new Map(known.map(([id]) => [id, ratioSamples(byBackend.get(id)!)]));
-      for (const [id, log] of mergeSlowdowns(samples, backends.length)) {
+      const known = backends.filter(([id]) => samples.has(id));
+      const ofService = new Map(known.map(([id]) => [id, samples.get(id)!]));
+      for (const [id, log] of mergeSlowdowns(ofService, backends.length)) {
         const factor = Math.exp(log);
         if (Math.abs(factor - 1) >= NEGLIGIBLE_SLOWDOWN) factors.set(id, factor);
       }
@@ -143,39 +132,68 @@
     return factors;
   }
 
-  private updateFailures(byBackend: ReadonlyMap<string, Contribution[]>, now: number): void {
-    const backends = this.options.backends();
-    for (const id of this.failures.keys()) {
-      if (!backends.has(id)) this.failures.delete(id);
-    }
-    for (const id of byBackend.keys()) {
-      if (!this.failures.has(id)) this.failures.set(id, new ZoneFailures());
+  private ratioSamples(now: number): Map<string, RatioSample[]> {
+    const samples = new Map<string, RatioSample[]>();
+    for (const { tallies, at } of this.reports.values()) {
+      const left = remainingAfter(now - at, SLOWDOWN_HALF_LIFE_MS);
+      for (const { id, weight, logRatios } of tallies) {
+        if (weight === 0) continue;
+        const sample = { weight: weight * left, mean: logRatios / weight };
+        const ofBackend = samples.get(id);
+        if (ofBackend) ofBackend.push(sample);
+        else samples.set(id, [sample]);
+      }
     }
+    return samples;
+  }
+
+  private updateFailures(now: number): void {
+    this.retainRegistered();
+    const samples = this.failureSamples(now);
     const failing = new Map<string, string[]>();
     for (const [id, failures] of this.failures) {
-      const byZone = groupBy(byBackend.get(id) ?? [], ({ zone }) => zone);
-      const zones = failures.update(byZone, now);
+      const zones = failures.update(samples.get(id)!, now);
       if (zones.length > 0) failing.set(id, zones);
     }
-    this.logChanges(failing);
-    this.failingZones = failing;
+    this.noteChanges(failing);
   }
 
-  private logChanges(failing: ReadonlyMap<string, string[]>): void {
-    const { logger } = this.options;
-    for (const [id, zones] of failing) {
-      const text = zones.join(',');
-      if (this.failingZones.get(id)?.join(',') === text) continue;
-      logger.warn('back end failing', { id, zones: text });
+  private retainRegistered(): void {
+    const backends = this.options.backends();
+    for (const id of this.failures.keys()) if (!backends.has(id)) this.failures.delete(id);
+    for (const id of backends.keys()) {
+      if (!this.failures.has(id)) this.failures.set(id, new ZoneFailures());
     }
-    for (const id of this.failingZones.keys()) {
-      if (!failing.has(id)) logger.info('back end no longer failing', { id });
+  }
+
+  /** Counts of each gateway by registered backend and zone of the callers. */
+  private failureSamples(now: number): Map<string, Map<string, FailureSample[]>> {
+    const samples = new Map<string, Map<string, FailureSample[]>>();
+    for (const id of this.failures.keys()) samples.set(id, new Map());
+    for (const { zone, tallies, at } of this.reports.values()) {
+      const left = remainingAfter(now - at, FAILURE_HALF_LIFE_MS);
+      for (const { id, calls, failures } of tallies) {
+        const byZone = calls > 0 ? samples.get(id) : undefined;
+        if (!byZone) continue;
+        const sample = { calls: calls * left, failures: failures * left };
+        const ofZone = byZone.get(zone);
+        if (ofZone) ofZone.push(sample);
+        else byZone.set(zone, [sample]);
+      }
     }
+    return samples;
   }
-}
 
-function ratioSamples(parts: readonly Contribution[]): RatioSample[] {
-  return parts
-    .filter(({ weight }) => weight > 0)
-    .map(({ weight, logRatios }) => ({ weight, mean: logRatios / weight }));
+  private noteChanges(failing: Map<string, string[]>): void {
+    const before = this.failingZones;
+    const begun = [...failing].filter(([id, zones]) => before.get(id)?.join() !== zones.join());
+    const ended = [...before.keys()].filter((id) => !failing.has(id));
+    this.failingZones = failing;
+    if (begun.length + ended.length === 0) return;
+    const { logger } = this.options;
+    for (const [id, zones] of begun) logger.warn('back end failing', { id, zones: zones.join() });
+    for (const id of ended) logger.info('back end no longer failing', { id });
+    this.verdictVersion += 1;
+    this.options.onVerdict?.();
+  }
 }
--- a/src/backend-statistics/zone-failures.ts
+++ b/src/backend-statistics/zone-failures.ts
@@ -11,7 +11,7 @@
 /** In one zone, two failures within about a second suffice. A zone probes rarely: few calls end a failure. */
 const ZONE_OPTIONS = { minimumFailures: 1.2, recoveredCalls: 2 };
 /** In all zones together they must be closer, since some gateway has a failure for other reasons now and then. */
-const OVERALL_OPTIONS = { minimumFailures: 1.5, recoveredCalls: 4 };
+const OVERALL_OPTIONS = { minimumFailures: 1.7, recoveredCalls: 4 };
 /** Minimum failures of a zone that agrees with others. */
 const MIN_AGREEING_FAILURES = 0.4;
 
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -105,6 +105,7 @@
     this.statistics = new BackendStatisticsStore({
       backends: () => this.stateMachine.backends,
       logger: options.logger,
+      onVerdict: () => this.updates.notify(),
     });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
   }
@@ -212,6 +213,7 @@
    */
   async watch(request: WatchRequest): Promise<DirectoryView> {
     this.recordNode(request.node);
+    const { verdictVersion } = this.statistics;
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
       this.confirmations.record(request.node.name, request.known);
@@ -224,6 +226,7 @@
       if (remainingMs <= 0) break;
       await this.updates.waitWithTimeout(remainingMs);
       await this.responseThrottle.next();
+      if (this.statistics.verdictVersion !== verdictVersion) break;
     }
     const view = this.viewFor(request);
     if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
