--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -111,6 +111,7 @@
     this.statistics = new BackendStatisticsStore({
       backends: () => this.stateMachine.backends,
       logger: options.logger,
+      onVerdict: () => this.updates.notify(),
     });
     this.admission = new AdmissionLeader({
       backends: () => this.stateMachine.backends.values(),
@@ -227,6 +228,7 @@
    */
   async watch(request: WatchRequest): Promise<DirectoryView> {
     this.recordNode(request.node);
+    const { verdictVersion } = this.statistics;
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
       this.zoneHealth.report(request.node.name, request.node.zone, request.health);
@@ -242,6 +244,7 @@
       if (remainingMs <= 0) break;
       await this.updates.waitWithTimeout(remainingMs);
       await this.responseThrottle.next();
+      if (this.statistics.verdictVersion !== verdictVersion) break;
     }
     const view = this.viewFor(request);
     if (request.node.role === 'gateway') this.addSharedState(view, request);
