--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -145,6 +145,16 @@
     }
   }
 
+  /**
+   * Replaces the other gateways' calls at each backend of a service by their mean. Outdated figures would send the calls
+   * of all gateways to the same backends, while others are idle.
+   */
+  levelOtherLoads(service: string): void {
+    const backends = this.serving(service);
+    const sum = backends.reduce((total, { otherInFlight }) => total + otherInFlight, 0);
+    for (const backend of backends) backend.otherInFlight = sum / backends.length;
+  }
+
   /** Number of gateways that send calls to the backends, including this one. */
   get gateways(): number {
     return this.limits.gateways();
--- a/src/waiting/dispatch-limit.ts
+++ b/src/waiting/dispatch-limit.ts
@@ -39,12 +39,12 @@
 /** Time that load figures are in transit, during which the backends continue to process calls, in milliseconds. */
 const TRANSIT_MS = 150;
 /** Time after which figures of other gateways are no longer used, in milliseconds. */
-export const FIGURES_TTL_MS = 1_500;
+const FIGURES_TTL_MS = 1_500;
 /**
  * Time after which no more figures are expected soon, in milliseconds: more than one long poll of the directory. The
  * places of ended calls are then not divided among the gateways, since the others could not learn of them.
  */
-const FIGURES_OVERDUE_MS = 300;
+export const FIGURES_OVERDUE_MS = 300;
 /**
  * Fraction of the places of its ended calls that a gateway reuses at once. The rest is divided among all gateways with
  * the next figures. Without reuse, the places would be idle until then; with full reuse, a gateway would keep its places
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -6,7 +6,12 @@
 import { monotonicMs } from '../common/index.js';
 import type { Logger } from '../observability/index.js';
 import { CallQueue } from './call-queue.js';
-import { type BackendOccupancy, DispatchLimit, type ServiceState } from './dispatch-limit.js';
+import {
+  type BackendOccupancy,
+  DispatchLimit,
+  FIGURES_OVERDUE_MS,
+  type ServiceState,
+} from './dispatch-limit.js';
 import { PermitRates } from './permit-rates.js';
 import { type PermitCall, type PermitRequest, PermitTicket } from './permit-request.js';
 import { RefusalLog } from './refusal-log.js';
@@ -25,6 +30,8 @@
   typicalMs: (service: string) => number;
   /** Number of gateways, including this one. */
   gateways: () => number;
+  /** Called while calls of a service wait and load figures are overdue. */
+  onFiguresOverdue: (service: string) => void;
   logger: Logger;
   metrics: WaitingMetrics;
 }
@@ -219,7 +226,9 @@
   private onTimer(): void {
     this.timer = undefined;
     const now = monotonicMs();
+    const isOverdue = now - this.figuresAt > FIGURES_OVERDUE_MS;
     for (const { service } of this.queue.counts()) {
+      if (isOverdue) this.options.onFiguresOverdue(service);
       this.review(service, now);
       this.release(service, now);
     }
--- a/tests/support/waiting-replay.ts
+++ b/tests/support/waiting-replay.ts
@@ -17,6 +17,7 @@
 const SERVICE = 'engines';
 const GATEWAYS = 70;
 const ENGINES = 34;
+const ZONES = 3;
 const SLOTS = 6;
 /** Calls that an engine queues beyond its slots. */
 const ENGINE_QUEUE = 18;
@@ -34,6 +35,9 @@
   priority: number;
   tenant: string;
   hasBegun?: boolean;
+  /** Arrival, in milliseconds since the start of the replay. */
+  offsetMs: number;
+  /** The same on the monotonic clock. */
   arrivedAt: number;
   outcome: 'pending' | 'in-time' | 'cut-off' | 'refused';
   /** When it was sent or refused. */
@@ -93,10 +97,12 @@
 class ReplayGateway {
   readonly view: BackendView;
   readonly gate: PermitGate;
+  readonly placement: Placement;
   readonly ends = new Map<ReplayTurn, (wasSent: boolean) => void>();
   isAlive = true;
 
-  constructor(isOrdered: boolean) {
+  constructor(zone: string, isOrdered: boolean, random: () => number) {
+    this.placement = new Placement({ zone, random });
     const limits = { connections: () => 24, cacheTokens: () => 1e9, gateways: () => GATEWAYS };
     this.view = new BackendView(limits);
     this.gate = new PermitGate({
@@ -104,6 +110,7 @@
       backends: (service) => this.view.serving(service),
       typicalMs: (service) => this.view.typicalMs(service),
       gateways: () => GATEWAYS,
+      onFiguresOverdue: (service) => this.view.levelOtherLoads(service),
       logger: SILENT_LOGGER,
       metrics: new WaitingMetrics(new Registry()),
     });
@@ -126,16 +133,18 @@
   private readonly loads = new LoadReportStore(() => SNAPSHOT_TTL_MS);
   private readonly waiting = new WaitingReportStore();
   private readonly random: SeededRandom;
-  private readonly placement: Placement;
 
   constructor(private readonly options: ReplayOptions) {
     this.random = new SeededRandom(options.seed ?? 1);
-    this.placement = new Placement({ zone: 'z0', random: () => this.random.uniform() });
     const records = Array.from({ length: ENGINES }, (_, index) => engineRecord(index));
     for (const [index, { id }] of records.entries()) {
       this.engines.set(id, new ReplayEngine(options.slownessOf?.(index) ?? 1));
     }
-    this.gateways = Array.from({ length: GATEWAYS }, () => new ReplayGateway(options.isOrdered));
+    const random = (): number => this.random.uniform();
+    this.gateways = Array.from(
+      { length: GATEWAYS },
+      (_, index) => new ReplayGateway(zoneOf(index), options.isOrdered, random),
+    );
     for (const { view } of this.gateways) view.update(records);
   }
 
@@ -193,7 +202,7 @@
       if (!this.gateways[gateway]!.isAlive) continue;
       const arrivedAt = performance.now();
       const outcome = 'pending' as const;
-      void this.serve({ gateway, arrivedAt, outcome, ...draw(this.random) });
+      void this.serve({ gateway, offsetMs: now, arrivedAt, outcome, ...draw(this.random) });
     }
   }
 
@@ -213,10 +222,10 @@
     const refusal = permit && (await permit.decision);
     if (turn.outcome !== 'pending') return;
     turn.decidedAt = performance.now();
-    if (refusal || !this.send(turn, gateway.view)) this.leave(turn, 'refused');
+    if (refusal || !this.send(turn, gateway)) this.leave(turn, 'refused');
   }
 
-  private send(turn: ReplayTurn, view: BackendView): boolean {
+  private send(turn: ReplayTurn, { view, placement }: ReplayGateway): boolean {
     const number = this.turns.length;
     const call = sampleCall({
       program: { id: `p${number}` },
@@ -227,7 +236,7 @@
     });
     const excluded = new Set<string>();
     while (excluded.size < MAX_ATTEMPTS) {
-      const chosen = this.placement.choose(view.serving(SERVICE), { call, excluded });
+      const chosen = placement.choose(view.serving(SERVICE), { call, excluded });
       if (!chosen) return false;
       const engine = this.engines.get(chosen.backend.id)!;
       if (engine.hasRoom) {
@@ -300,7 +309,7 @@
     name: `e${index}`,
     service: SERVICE,
     address: `127.0.0.1:${1_000 + index}`,
-    zone: `z${index % 3}`,
+    zone: zoneOf(index),
     slots: SLOTS,
     phase: 'ready',
     sequence: 1,
@@ -308,6 +317,10 @@
   };
 }
 
+function zoneOf(index: number): string {
+  return `z${index % ZONES}`;
+}
+
 async function flushMicrotasks(): Promise<void> {
   for (let round = 0; round < 4; round += 1) await Promise.resolve();
 }
