--- a/src/memory-budget/outgoing-answer.test.ts
+++ b/src/memory-budget/outgoing-answer.test.ts
@@ -74,10 +74,10 @@
   return { budget, writer, answer: new OutgoingAnswer({ writer, budget, onEnded }), events };
 }
 
-/** Writes until the answer asks for a pause. @returns the number of bytes written */
+/** Writes until the answer asks for a pause, four fair shares at most. @returns the number of bytes written */
 function writeUntilPaused(answer: OutgoingAnswer): number {
   let written = CHUNK.length;
-  while (answer.write(CHUNK)) written += CHUNK.length;
+  while (written < 4 * FAIR_SHARE_BYTES && answer.write(CHUNK)) written += CHUNK.length;
   return written;
 }
 
