Shared admission of programs by class and tenant

The limit that each gateway learns from its own turns follows a burst too late, since a gateway sees few of them. In coordinated mode gateways now report their demand with the watch requests, and the directory's leader decides one admitted fraction for each service, priority and tenant. The gateways' own limits stay for independent mode and while no leader has decided.

--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -2,6 +2,7 @@
  * Duties of the directory's leader besides replication: handles operator requests and registrations,
  * responds to watchers, bootstraps the ledger group, and removes backends that miss heartbeats.
  */
+import { AdmissionLeader } from '../admission/index.js';
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
@@ -73,6 +74,7 @@
   readonly stateMachine: DirectoryStateMachine;
   private readonly roster = new NodeRoster();
   private readonly loads = new LoadReportStore();
+  private readonly admission: AdmissionLeader;
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -100,6 +102,11 @@
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
     });
     this.ledgerBootstrap = new LedgerBootstrap(options.ledgerVoters);
+    this.admission = new AdmissionLeader({
+      backends: () => this.stateMachine.backends.values(),
+      isSilent: (id) => this.silentBackends.ids.has(id),
+      logger: options.logger,
+    });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
   }
 
@@ -111,6 +118,7 @@
     this.heartbeats.clear();
     this.silentBackends.clear();
     this.loads.clear();
+    this.admission.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -207,6 +215,7 @@
     this.recordNode(request.node);
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
+      this.admission.report(request.node.name, request.demand);
       this.confirmations.record(request.node.name, request.known);
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
@@ -217,7 +226,11 @@
       await this.responseThrottle.next();
     }
     const view = this.viewFor(request);
-    if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
+    if (request.node.role === 'gateway') {
+      view.loads = this.loads.totalsFor(request.node.name);
+      const admission = this.admission.viewFor(request.node.name);
+      if (admission) view.admission = admission;
+    }
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -3,6 +3,7 @@
  * while no leader responds, another one polls the other members. The current state stays in use meanwhile
  * and is never replaced by an older one.
  */
+import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
@@ -52,11 +53,15 @@
   announce: () => NodeAnnouncement;
   /** Calls in flight from this process, by backend. @default none */
   loads?: () => BackendLoad[];
+  /** The demand to report; undefined unless in coordinated mode. @default never */
+  demand?: () => DemandReport | null | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
   onCluster?: (view: ClusterView) => void;
   onOtherLoads?: (loads: BackendLoad[]) => void;
+  /** Called for each answer of a leader; undefined if it has not decided. */
+  onAdmission?: (admission: ServiceAdmission[] | undefined) => void;
 }
 
 export class DirectoryWatcher {
@@ -141,6 +146,7 @@
   }
 
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
+    const demand = this.options.demand?.();
     return {
       node: this.options.announce(),
       known: {
@@ -151,6 +157,7 @@
       },
       isUrgent,
       loads: this.options.loads?.() ?? [],
+      ...(demand !== undefined && { demand }),
     };
   }
 
@@ -162,6 +169,7 @@
     this.applyBackends(view);
     if (view.configuration) this.applyConfiguration(view.configuration);
     if (view.loads) this.options.onOtherLoads?.(loadsOfOtherGateways(view.loads));
+    this.options.onAdmission?.(view.admission);
   }
 
   /** Leaves the silent backends unchanged: only a leader knows them. */
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,4 +1,5 @@
 /** Messages between the directory group and its clients. */
+import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
 import type { LeaderAnswer, Member } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendUpdate } from './backend-updates.js';
@@ -55,6 +56,8 @@
   /** Respond immediately instead of long polling, for a process that has just started. */
   isUrgent: boolean;
   loads: BackendLoad[];
+  /** Demand for each service; null if a gateway in coordinated mode has nothing new to report. */
+  demand?: DemandReport | null;
 }
 
 export interface ClusterView {
@@ -96,6 +99,8 @@
   cluster?: ClusterView;
   /** Calls in flight by backend, for gateways. */
   loads?: LoadTotals;
+  /** Services that are not admitted entirely; absent until the leader has decided, or in independent mode. */
+  admission?: ServiceAdmission[];
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,4 +1,5 @@
 /** Handles calls from arrival to final response: routing, reservation, sending and settlement. */
+import type { GatewayAdmission, ModelCall } from '../admission/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { LedgerClient } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
@@ -26,6 +27,8 @@
   directoryAgeMs: () => number;
   access: (route: Route, key: string | undefined) => AccessDecision;
   quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'describe'>;
+  /** Admission shared by all gateways, in coordinated mode. @default each gateway decides alone */
+  sharedAdmission?: Pick<GatewayAdmission, 'decide' | 'beginTurn'>;
   backends: BackendView;
   placement: Placement;
   ledger: LedgerClient;
@@ -127,13 +130,18 @@
     const deadlineMs = exchange.arrivedAt + timeoutMs;
     const tenant = this.authorize(exchange, route);
     const service = route.nextService();
-    this.admit(exchange, tenant?.priority ?? route.route.priority, service);
+    const priority = tenant?.priority ?? route.route.priority;
+    const call = { service, priority, tenant: tenant?.name, call: description };
+    this.admit(call);
     if (tenant) await this.takeToken(exchange, tenant);
+    const endTurn = isModelCall(call) ? this.options.sharedAdmission?.beginTurn(call) : undefined;
     try {
       await this.serve({ exchange, route, service, tenant, deadlineMs });
     } catch (error) {
       if (tenant && error instanceof RefusedError) this.options.quotas.giveBack(tenant.name);
       throw error;
+    } finally {
+      endTurn?.();
     }
   }
 
@@ -196,11 +204,16 @@
   }
 
   /** @throws RefusedError if the call starts a new program and its service is overloaded */
-  private admit({ description }: CallExchange, priority: number, service: string): void {
-    if (description.promptParts.length === 0) return;
+  private admit(call: ModelCall): void {
+    if (!isModelCall(call)) return;
+    const { service, priority } = call;
     const engines = this.options.backends.serving(service);
-    if (this.admission.admits(service, priority, description, engines)) return;
+    const isWithinOwnLimit = this.admission.admits(service, priority, call.call, engines);
     const typicalMs = this.options.backends.typicalMs(service);
+    const shared = this.options.sharedAdmission?.decide(call, typicalMs);
+    if (shared?.isAdmitted === false)
+      throw new RefusedError('not-admitted', shared.retryAfterMs, shared.details);
+    if (shared?.isFinal || isWithinOwnLimit) return;
     const drainMs = this.admission.drainMs(service, engines, typicalMs);
     throw new RefusedError('not-admitted', drainMs);
   }
@@ -302,6 +315,10 @@
   return kind === 'unknown-key' ? 'unknown-key' : 'not-ready';
 }
 
+function isModelCall({ call }: ModelCall): boolean {
+  return call.promptParts.length > 0;
+}
+
 function isTimeLimit(ending: CallOutcome): boolean {
   if (ending.kind !== 'refused') return false;
   return ending.reason === 'time-limit' || ending.reason === 'time-limit-before-start';
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,5 +1,6 @@
 /** Gateway process: watches the directory and forwards calls. */
 import { randomBytes } from 'node:crypto';
+import { GatewayAdmission } from '../admission/index.js';
 import { SignalEvent } from '../common/index.js';
 import { GroupClient, PeerDirectory } from '../consensus/index.js';
 import {
@@ -18,7 +19,12 @@
 import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
-import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
+import {
+  type EngineProperties,
+  type RequestLimits,
+  RouteTable,
+  schedulingModeOf,
+} from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
@@ -47,6 +53,8 @@
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
   private readonly quotas: GatewayQuotas;
+  private readonly admission: GatewayAdmission;
+  private isCoordinated = false;
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
@@ -74,6 +82,11 @@
       gateway: settings.name,
       logger,
     });
+    this.admission = new GatewayAdmission({
+      isCoordinated: () => this.isCoordinated,
+      registry: this.metrics.registry,
+      logger,
+    });
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -82,6 +95,7 @@
       directoryAgeMs: () => this.watcher.leaderContactAgeMs,
       access: (route, key) => decideAccess(route, key, this.keyKnowledge),
       quotas: this.quotas,
+      sharedAdmission: this.admission,
       backends: this.backends,
       placement: new Placement({ zone: settings.zone }),
       ledger: new LedgerClient(
@@ -162,9 +176,11 @@
       client: new DirectoryClient(this.controlClient),
       announce: () => ({ name, role: 'gateway', address, zone }),
       loads: () => this.backends.loads(),
+      demand: () => this.admission.demand(),
       logger: this.options.logger,
       onConfiguration: (configuration) => {
         this.routes = new RouteTable(configuration);
+        this.isCoordinated = schedulingModeOf(configuration) === 'coordinated';
         this.tenants = new TenantTable(configuration.tenants);
         this.quotas.setLimits(configuration.tenants ?? []);
         this.routesArrived.notify();
@@ -175,6 +191,7 @@
       },
       onCluster: (view) => this.applyClusterView(view),
       onOtherLoads: (loads) => this.backends.updateOtherLoads(loads),
+      onAdmission: (admission) => this.admission.apply(admission),
     });
   }
 
