--- a/src/admission/demand-totals.ts
+++ b/src/admission/demand-totals.ts
@@ -62,8 +62,8 @@
 }
 
 /**
- * The median is taken as at least a gateway's share of the capacity: while few gateways have any calls, it says nothing
- * about a false report, and a gateway that claims less than three such shares cannot cause a refusal alone.
+ * A gateway always counts for its share of the capacity: while most gateways have hardly any calls, the median says
+ * nothing about a false report, and a single share cannot cause a refusal.
  */
 function sumOf(claims: Claim[], capacity: number): ServiceTotals {
   const share = capacity / claims.length;
@@ -94,7 +94,7 @@
   const values = claims.map(read).filter((value) => value > 0);
   values.sort((left, right) => left - right);
   const median = values[Math.floor((values.length - 1) / 2)] ?? 0;
-  return MAX_MEDIANS * Math.max(median, minimum);
+  return Math.max(MAX_MEDIANS * median, minimum);
 }
 
 function addOffered(totals: ServiceTotals, { demand }: Claim, scale: number): void {
--- a/src/admission/service-decision.ts
+++ b/src/admission/service-decision.ts
@@ -8,23 +8,27 @@
   type ByPriority,
   DECISION_DELAY_MS,
   SessionForecast,
+  type SessionState,
   admittedPerMs,
 } from './session-forecast.js';
 import { limitedTenants } from './tenant-division.js';
 
 /**
- * Time for which the effect of a decision on the pressure is anticipated, in milliseconds. It exceeds the age of reports
- * plus the delay of decisions, so that the fractions settle instead of alternating.
+ * Time for which a change of the fractions is anticipated, in milliseconds. It exceeds the age of reports plus the delay
+ * of decisions, so that the fractions settle instead of alternating.
  */
-const HORIZON_MS = 800;
+const HORIZON_MS = 1_000;
 /** Upper bound of the pressure and precision of its computation. */
 const MAX_PRESSURE = 10;
 const BISECTIONS = 24;
 
-/** The pressure without the programs that the decision admits, and the increase for each of them. */
+/** Determines the pressure that results from a rate of admitted programs. */
 interface PressureModel {
-  fixed: number;
+  /** Pressure when the decision takes effect. */
+  current: number;
+  /** Increase of the pressure for each program in excess of those that end. */
   perProgram: number;
+  recent: SessionState;
 }
 
 export class ServiceDecision {
@@ -60,19 +64,19 @@
     const duty = this.duty.value;
     const expected = this.forecast.expect({ at, sessions }, offeredPerMs, now);
     const reported = Math.max(sessions * duty, inFlight);
-    const growth = expected.sessions - sessions - expected.endedPerMs * HORIZON_MS;
-    return { fixed: (reported + growth * duty) / capacity, perProgram: duty / capacity };
+    const growth = expected.sessions - sessions;
+    const current = (reported + growth * duty) / capacity;
+    return { current, perProgram: duty / capacity, recent: expected };
   }
 
   /** The pressure that results from the fractions that it implies; a higher one would admit fewer programs. */
-  private solve({ fixed, perProgram }: PressureModel, offered: ByPriority, now: number): number {
+  private solve(model: PressureModel, offered: ByPriority, now: number): number {
     let low = 0;
     let high = MAX_PRESSURE;
     for (let step = 0; step < BISECTIONS; step += 1) {
       const pressure = (low + high) / 2;
       const admitted = this.withReturning(fractionsAt(pressure, offered), now);
-      const programs = admittedPerMs(admitted, offered) * HORIZON_MS;
-      if (fixed + programs * perProgram > pressure) low = pressure;
+      if (resultingPressure(model, admittedPerMs(admitted, offered)) > pressure) low = pressure;
       else high = pressure;
     }
     return high;
@@ -90,6 +94,12 @@
   }
 }
 
+/** The load falls at most by the sessions that end, however few programs are admitted. */
+function resultingPressure({ current, perProgram, recent }: PressureModel, perMs: number): number {
+  const changePerMs = Math.max(-recent.endedPerMs, perMs - recent.admittedPerMs);
+  return current + changePerMs * HORIZON_MS * perProgram;
+}
+
 /** Fractions of the given priorities, the most urgent first. */
 function fractionsAt(pressure: number, offered: ByPriority): ByPriority {
   const fractions = admittedFractions(pressure, offered.size);
--- a/src/admission/session-forecast.ts
+++ b/src/admission/session-forecast.ts
@@ -32,8 +32,9 @@
 export interface SessionState {
   /** Expected sessions when a decision made now takes effect. */
   sessions: number;
-  /** Sessions that end per millisecond. */
+  /** Sessions that ended and programs that were admitted per millisecond in the recent past. */
   endedPerMs: number;
+  admittedPerMs: number;
 }
 
 export class SessionForecast {
@@ -53,10 +54,14 @@
   expect(sample: Sample, offeredPerMs: ByPriority, now: number): SessionState {
     this.addSample(sample);
     const until = now + DECISION_DELAY_MS;
-    const endedPerMs = this.endedPerMs(offeredPerMs);
+    const { endedPerMs, admittedPerMs } = this.recent(offeredPerMs);
     const admitted = this.admitted(sample.at, until, offeredPerMs);
     const growth = admitted - endedPerMs * (until - sample.at);
-    return { sessions: Math.max(0, sample.sessions + growth), endedPerMs };
+    return {
+      sessions: Math.max(0, sample.sessions + growth),
+      endedPerMs: Math.max(0, endedPerMs),
+      admittedPerMs,
+    };
   }
 
   private addSample(sample: Sample): void {
@@ -70,14 +75,14 @@
     if (first > 0) this.decisions.splice(0, first);
   }
 
-  /** The admitted sessions minus their increase. */
-  private endedPerMs(offeredPerMs: ByPriority): number {
+  private recent(offeredPerMs: ByPriority): { endedPerMs: number; admittedPerMs: number } {
     const first = this.samples[0]!;
     const last = this.samples.at(-1)!;
     const periodMs = last.at - first.at;
-    if (periodMs < MIN_PERIOD_MS) return 0;
-    const ended = this.admitted(first.at, last.at, offeredPerMs) - (last.sessions - first.sessions);
-    return ended / periodMs;
+    if (periodMs < MIN_PERIOD_MS) return { endedPerMs: 0, admittedPerMs: sumOf(offeredPerMs) };
+    const admitted = this.admitted(first.at, last.at, offeredPerMs);
+    const ended = admitted - (last.sessions - first.sessions);
+    return { endedPerMs: ended / periodMs, admittedPerMs: admitted / periodMs };
   }
 
   private admitted(from: number, until: number, offeredPerMs: ByPriority): number {
@@ -96,3 +101,7 @@
   for (const [priority, perMs] of offeredPerMs) total += perMs * (admitted.get(priority) ?? 1);
   return total;
 }
+
+function sumOf(offeredPerMs: ByPriority): number {
+  return [...offeredPerMs.values()].reduce((sum, perMs) => sum + perMs, 0);
+}
