--- a/src/waiting/dispatch-limit.ts
+++ b/src/waiting/dispatch-limit.ts
@@ -46,11 +46,10 @@
  */
 export const FIGURES_OVERDUE_MS = 300;
 /**
- * Fraction of the places of its ended calls that a gateway reuses at once. The rest is divided among all gateways with
- * the next figures. Without reuse, the places would be idle until then; with full reuse, a gateway would keep its places
- * whatever the others' waiting calls.
+ * Minimum fraction of the places of its ended calls that a gateway reuses at once; the rest is divided among all
+ * gateways with the next figures. Without reuse, the places would be idle until then.
  */
-const REUSED_FRACTION = 0.8;
+const MIN_REUSED_FRACTION = 0.5;
 
 /** Calls that a backend may hold: those in process, and those that it processes while figures are in transit. */
 export function ceilingOf(
@@ -78,6 +77,8 @@
   private basedOn: number | undefined;
   /** Free places of all backends when the figures arrived. */
   private free = 0;
+  /** Calls in flight of all gateways when the figures arrived. */
+  private load = 0;
   /** Calls sent since then. */
   private sent = 0;
   /** Permits in use. */
@@ -121,10 +122,7 @@
     // Figures that are not accounted for yet will be compared with the load after the end.
     if (this.basedOn !== state.figuresAt) return;
     const isOverdue = state.now - state.figuresAt > FIGURES_OVERDUE_MS;
-    const fraction = isOverdue
-      ? 1
-      : Math.max(REUSED_FRACTION, this.share(state)) * (1 - this.surplusFraction);
-    this.reused += fraction;
+    this.reused += isOverdue ? 1 : this.reusedFraction(state) * (1 - this.surplusFraction);
   }
 
   /** Starts to account for the latest figures. */
@@ -140,12 +138,22 @@
     this.free = sumOf(backends, (backend) =>
       Math.max(0, ceilingOf(backend, typicalMs) - backend.load),
     );
-    const load = sumOf(backends, (backend) => backend.load);
-    const surplus = load - sumOf(backends, (backend) => ceilingOf(backend, typicalMs));
-    const processed = load * Math.min(1, TRANSIT_MS / typicalMs);
+    this.load = sumOf(backends, (backend) => backend.load);
+    const surplus = this.load - sumOf(backends, (backend) => ceilingOf(backend, typicalMs));
+    const processed = this.load * Math.min(1, TRANSIT_MS / typicalMs);
     this.surplusFraction = surplus <= 0 ? 0 : Math.min(1, surplus / processed);
   }
 
+  /**
+   * Fraction of the places of ended calls that the gateway reuses. A gateway with more calls in flight than its share of
+   * all leaves some to the others; otherwise it would keep its places whatever the others' waiting calls.
+   */
+  private reusedFraction(state: ServiceState): number {
+    const share = this.share(state);
+    const fairFraction = (share * this.load) / (this.inUse + 1);
+    return Math.min(1, Math.max(MIN_REUSED_FRACTION, share, fairFraction));
+  }
+
   private permits(state: ServiceState): number {
     return this.free * this.share(state) - this.sent + this.reused + this.carried;
   }
