Use at least the own share of places while load figures are overdue

Engines were idle while calls waited: a gateway without figures kept the number of calls in flight that it had by chance.

--- a/src/waiting/dispatch-limit.ts
+++ b/src/waiting/dispatch-limit.ts
@@ -94,7 +94,8 @@
   available(state: ServiceState): number {
     if (areOutdated(state)) return ownPlaces(state) - this.inUse;
     this.rebase(state);
-    return this.permits(state);
+    const permits = this.permits(state);
+    return areOverdue(state) ? Math.max(permits, ownPlaces(state) - this.inUse) : permits;
   }
 
   /** Expected permits per millisecond of a gateway with waiting calls while the service is saturated. */
@@ -121,8 +122,7 @@
     this.inUse -= 1;
     // Figures that are not accounted for yet will be compared with the load after the end.
     if (this.basedOn !== state.figuresAt) return;
-    const isOverdue = state.now - state.figuresAt > FIGURES_OVERDUE_MS;
-    this.reused += isOverdue ? 1 : this.reusedFraction(state) * (1 - this.surplusFraction);
+    this.reused += areOverdue(state) ? 1 : this.reusedFraction(state) * (1 - this.surplusFraction);
   }
 
   /** Starts to account for the latest figures. */
@@ -165,6 +165,10 @@
   }
 }
 
+function areOverdue({ now, figuresAt }: ServiceState): boolean {
+  return now - figuresAt > FIGURES_OVERDUE_MS;
+}
+
 function areOutdated({ now, figuresAt }: ServiceState): boolean {
   return now - figuresAt > FIGURES_TTL_MS;
 }
