--- a/src/admission/faults.test.ts
+++ b/src/admission/faults.test.ts
@@ -67,6 +67,32 @@
   });
 });
 
+describe('a third of the gateways stalls for 1 s', () => {
+  const isConnected = (gateway: number, at: number): boolean =>
+    gateway % 3 !== 0 || at < BURST_FROM_MS + 2_000 || at > BURST_FROM_MS + 3_000;
+
+  // Their reports stay valid for 1.5 s, so that the pressure does not seem to fall.
+  it('costs few programs', () => {
+    expect(onTime(replay({ isConnected }))).toBeGreaterThan(0.9 * onTime(replay({})));
+  });
+});
+
+describe('a third of the engines is lost for 3 s under the usual load', () => {
+  const isRunning = (engine: number, at: number): boolean =>
+    engine % 3 !== 0 || at < BURST_FROM_MS || at > BURST_FROM_MS + 3_000;
+
+  it('leads to refusals instead of late programs, and ends with the loss', () => {
+    const run = replay({ isRunning }, 1);
+    const during = run.programs.filter(
+      ({ offeredAt, wasRefused }) =>
+        offeredAt >= BURST_FROM_MS + 1_000 && offeredAt < BURST_FROM_MS + 3_000 && !wasRefused,
+    );
+    expect(during.filter(isOnTime).length / during.length).toBeGreaterThan(0.9);
+    const recovered = run.observations.find(({ at }) => at >= BURST_FROM_MS + 5_000)!;
+    expect([...recovered.fractions.values()]).toEqual([1, 1]);
+  });
+});
+
 describe('a gateway that reports falsely', () => {
   const claims = (sessions: number): DemandReport => [
     {
--- a/tests/support/overload-replay.ts
+++ b/tests/support/overload-replay.ts
@@ -51,6 +51,8 @@
   falsify?: (gateway: number, report: DemandReport) => DemandReport;
   /** Whether the leader is reachable from a gateway. @default always */
   isConnected?: (gateway: number, atMs: number) => boolean;
+  /** Whether an engine runs; calls at engines that do not run fail. @default always */
+  isRunning?: (engine: number, atMs: number) => boolean;
   /** When the leader is replaced by one without state, and for how long there is none. */
   leaderLost?: { at: number; forMs: number };
 }
@@ -123,7 +125,8 @@
     const backends: BackendRegistration[] = this.engines.map((_, index) =>
       sampleRegistration({ id: `e${index}`, service: SERVICE, slots: SLOTS }),
     );
-    const leaderOptions = { backends: () => backends, isSilent: () => false, clock };
+    const isSilent = (id: string): boolean => !this.isRunning(Number(id.slice(1)));
+    const leaderOptions = { backends: () => backends, isSilent, clock };
     this.leader = new AdmissionLeader({ ...leaderOptions, logger: LOGGER });
     const { leaderLost } = options;
     if (leaderLost) this.at(leaderLost.at, () => this.leader.clear());
@@ -218,11 +221,12 @@
 
   /** Sends to the least loaded of some engines, by the loads that the gateway knows. */
   private send({ loads }: Gateway, onEnd: (wasCompleted: boolean) => void): void {
-    const drawn = Array.from({ length: ENGINES_DRAWN }, () => this.random.integer(0, ENGINES - 1));
+    const known = this.engines.flatMap((_, engine) => (this.isRunning(engine) ? [engine] : []));
+    const drawn = Array.from({ length: ENGINES_DRAWN }, () => this.random.pick(known));
     const chosen = drawn.reduce((best, other) => (loads[other]! < loads[best]! ? other : best));
     const engine = this.engines[chosen]!;
     loads[chosen]! += 1;
-    if (engine.queue.length >= QUEUE_LIMIT) {
+    if (engine.queue.length >= QUEUE_LIMIT || !this.isRunning(chosen)) {
       onEnd(false);
       return;
     }
@@ -232,6 +236,10 @@
     this.startNext(engine);
   }
 
+  private isRunning(engine: number): boolean {
+    return this.options.isRunning?.(engine, this.now) ?? true;
+  }
+
   private cancel(turn: Turn): void {
     if (turn.isCancelled) return;
     turn.isCancelled = true;
