--- a/src/backend-statistics/failure-detector.ts
+++ b/src/backend-statistics/failure-detector.ts
@@ -40,6 +40,8 @@
 
 export class FailureDetector {
   isFailing = false;
+  /** Counts since the last failure before them was forgotten. */
+  recent: FailureSample = { calls: 0, failures: 0 };
   /** Calls when the last failure was forgotten; calls before a failure began say nothing about it. */
   private baseline: Totals = { calls: 0, failures: 0, at: 0 };
   private last: Totals = { calls: 0, failures: 0, at: 0 };
@@ -62,8 +64,9 @@
     const totals = { ...sumOf(capped), at: now };
     this.noteSuccesses(totals);
     if (totals.failures < FORGOTTEN_FAILURES) this.baseline = totals;
+    this.recent = this.sinceBaseline(totals);
     if (this.isFailing) this.isFailing = !this.hasRecovered(totals);
-    else this.isFailing = this.hasBegunToFail(capped, totals);
+    else this.isFailing = this.hasBegunToFail(capped);
     if (this.isFailing) return;
     // After a recovery the counts still contain old failures: only new ones count.
     if (this.successesInRow >= this.options.recoveredCalls) this.baseline = totals;
@@ -86,8 +89,8 @@
     );
   }
 
-  private hasBegunToFail(samples: readonly FailureSample[], totals: Totals): boolean {
-    const recent = this.sinceBaseline(totals);
+  private hasBegunToFail(samples: readonly FailureSample[]): boolean {
+    const { recent } = this;
     if (recent.failures < this.options.minimumFailures || !isSignificant(recent)) return false;
     const withFailures = samples.filter(({ failures }) => failures >= MIN_GATEWAY_FAILURES);
     if (withFailures.length < MIN_GATEWAYS) return false;
--- a/src/backend-statistics/zone-failures.ts
+++ b/src/backend-statistics/zone-failures.ts
@@ -12,8 +12,8 @@
 const ZONE_OPTIONS = { minimumFailures: 1.2, recoveredCalls: 2 };
 /** In all zones together they must be closer, since some gateway has a failure for other reasons now and then. */
 const OVERALL_OPTIONS = { minimumFailures: 1.7, recoveredCalls: 4 };
-/** Minimum failures of a zone that agrees with others. */
-const MIN_AGREEING_FAILURES = 0.4;
+/** Minimum failures outside the zone with the most: more than a single one, which any zone has now and then. */
+const MIN_AGREEING_FAILURES = 1.1;
 
 export type SamplesByZone = ReadonlyMap<string, readonly FailureSample[]>;
 
@@ -42,20 +42,20 @@
   private updateOverall(byZone: SamplesByZone, now: number): void {
     this.overall.update([...byZone.values()].flat(), now);
     if (this.overall.isFailing) {
-      this.hasAgreement ||= agreeingZones(byZone) >= AGREEING_ZONES;
+      this.hasAgreement ||= this.doOthersAgree();
       return;
     }
     // Calls of all zones end a failure of all sooner than those of each zone. A zone in which it lasts is found again.
     if (this.hasAgreement) for (const detector of this.zones.values()) detector.reset();
     this.hasAgreement = false;
   }
-}
 
-/** Number of zones whose own failure ratio is over the tolerated one. */
-function agreeingZones(byZone: SamplesByZone): number {
-  return [...byZone.values()].filter((samples) => {
-    const calls = samples.reduce((sum, sample) => sum + sample.calls, 0);
-    const failures = samples.reduce((sum, sample) => sum + sample.failures, 0);
+  /** Whether calls fail as well without the zone that has the most failures. */
+  private doOthersAgree(): boolean {
+    const counts = [...this.zones.values()].map(({ recent }) => recent);
+    const [, ...others] = counts.sort((left, right) => right.failures - left.failures);
+    const calls = others.reduce((sum, zone) => sum + zone.calls, 0);
+    const failures = others.reduce((sum, zone) => sum + zone.failures, 0);
     return failures >= MIN_AGREEING_FAILURES && failures > calls * TOLERATED_FAILURE_RATIO;
-  }).length;
+  }
 }
