--- a/src/backend-statistics/attempt-result.ts
+++ b/src/backend-statistics/attempt-result.ts
@@ -42,7 +42,9 @@
     case 'not-sent':
       return 'failure';
     case 'broken':
-      return end.isGivenUp ? resultOfSilence(end) : 'failure';
+      if (end.isGivenUp) return resultOfSilence(end);
+      // An engine aborts an answer that its caller leaves unread.
+      return end.wasPaused ? 'unknown' : 'failure';
     case 'stopped':
       return resultOfSilence(end);
   }
--- a/src/backend-statistics/backend-statistics.test.ts
+++ b/src/backend-statistics/backend-statistics.test.ts
@@ -110,6 +110,11 @@
       'failure',
     ],
     ['a caller that left early', { kind: 'stopped', silentMs: 300 }, 'unknown'],
+    [
+      'an answer aborted because the caller does not read',
+      { kind: 'broken', wasPaused: true },
+      'unknown',
+    ],
     ['a caller that does not read', { kind: 'stopped', ...HANGING, wasPaused: true }, 'unknown'],
     ['a wait in a full queue', { kind: 'stopped', ...HANGING, estimatedMs: 900 }, 'unknown'],
   ])('counts %s as it should', (_, end, expected) => {
--- a/src/backend-statistics/failure-detector.ts
+++ b/src/backend-statistics/failure-detector.ts
@@ -3,10 +3,11 @@
  * binomial test; a single gateway never suffices.
  */
 import { remainingAfter } from './decay.js';
+import type { FailureCounts } from './failure-counts.js';
 import { FAILURE_HALF_LIFE_MS } from './messages.js';
 
-/** Decayed counts of one gateway at one backend. */
-export interface FailureSample {
+/** Decayed counts. */
+export interface RecentCounts {
   calls: number;
   failures: number;
 }
@@ -17,10 +18,6 @@
 const SIGNIFICANT_ERRORS = 1;
 /** Minimum number of gateways with failures. */
 const MIN_GATEWAYS = 2;
-/** Failures of a gateway below which it does not count as one that has seen a failure. */
-const MIN_GATEWAY_FAILURES = 0.2;
-/** Maximum calls of one gateway that are counted. */
-const MAX_GATEWAY_CALLS = 3;
 /** Failures below which a failure is considered forgotten. */
 const FORGOTTEN_FAILURES = 0.4;
 /** Increase of the merged failures that is a new failure, not an effect of rounding or of late reports. */
@@ -33,7 +30,7 @@
   recoveredCalls: number;
 }
 
-interface Totals extends FailureSample {
+interface Totals extends RecentCounts {
   /** Monotonic, in milliseconds. */
   at: number;
 }
@@ -41,7 +38,7 @@
 export class FailureDetector {
   isFailing = false;
   /** Counts since the last failure before them was forgotten. */
-  recent: FailureSample = { calls: 0, failures: 0 };
+  recent: RecentCounts = { calls: 0, failures: 0 };
   /** Calls when the last failure was forgotten; calls before a failure began say nothing about it. */
   private baseline: Totals = { calls: 0, failures: 0, at: 0 };
   private last: Totals = { calls: 0, failures: 0, at: 0 };
@@ -59,14 +56,13 @@
    * Takes the current counts of the gateways of the callers.
    * @param now monotonic, in milliseconds
    */
-  update(samples: readonly FailureSample[], now: number): void {
-    const capped = samples.map(cappedSample);
-    const totals = { ...sumOf(capped), at: now };
+  update(counts: FailureCounts, now: number): void {
+    const totals = { calls: counts.calls, failures: counts.failures, at: now };
     this.noteSuccesses(totals);
     if (totals.failures < FORGOTTEN_FAILURES) this.baseline = totals;
     this.recent = this.sinceBaseline(totals);
     if (this.isFailing) this.isFailing = !this.hasRecovered(totals);
-    else this.isFailing = this.hasBegunToFail(capped);
+    else this.isFailing = this.hasBegunToFail(counts);
     if (this.isFailing) return;
     // After a recovery the counts still contain old failures: only new ones count.
     if (this.successesInRow >= this.options.recoveredCalls) this.baseline = totals;
@@ -89,20 +85,16 @@
     );
   }
 
-  private hasBegunToFail(samples: readonly FailureSample[]): boolean {
+  private hasBegunToFail(counts: FailureCounts): boolean {
     const { recent } = this;
     if (recent.failures < this.options.minimumFailures || !isSignificant(recent)) return false;
-    const withFailures = samples.filter(({ failures }) => failures >= MIN_GATEWAY_FAILURES);
-    if (withFailures.length < MIN_GATEWAYS) return false;
-    const worst = withFailures.reduce((left, right) =>
-      right.failures > left.failures ? right : left,
-    );
+    if (counts.failedGateways < MIN_GATEWAYS) return false;
     // The other gateways must see failures as well: one with a broken link may report many.
-    const calls = Math.max(0, recent.calls - worst.calls);
-    return recent.failures - worst.failures > calls * TOLERATED_FAILURE_RATIO;
+    const calls = Math.max(0, recent.calls - counts.worstCalls);
+    return recent.failures - counts.worstFailures > calls * TOLERATED_FAILURE_RATIO;
   }
 
-  private sinceBaseline({ calls, failures, at }: Totals): FailureSample {
+  private sinceBaseline({ calls, failures, at }: Totals): RecentCounts {
     const left = remainingAfter(at - this.baseline.at, FAILURE_HALF_LIFE_MS);
     const newFailures = Math.max(0, failures - this.baseline.failures * left);
     const newCalls = Math.max(newFailures, calls - this.baseline.calls * left);
@@ -111,23 +103,8 @@
 }
 
 /** Whether the failure ratio is significantly over the tolerated one (score test of a binomial proportion). */
-function isSignificant({ calls, failures }: FailureSample): boolean {
+function isSignificant({ calls, failures }: RecentCounts): boolean {
   const expected = calls * TOLERATED_FAILURE_RATIO;
   const standardError = Math.sqrt(expected * (1 - TOLERATED_FAILURE_RATIO));
   return failures - expected > SIGNIFICANT_ERRORS * standardError;
 }
-
-function cappedSample({ calls, failures }: FailureSample): FailureSample {
-  if (calls <= MAX_GATEWAY_CALLS) return { calls, failures };
-  return { calls: MAX_GATEWAY_CALLS, failures: (failures * MAX_GATEWAY_CALLS) / calls };
-}
-
-function sumOf(samples: readonly FailureSample[]): FailureSample {
-  let calls = 0;
-  let failures = 0;
-  for (const sample of samples) {
-    calls += sample.calls;
-    failures += sample.failures;
-  }
-  return { calls, failures };
-}
--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -2,6 +2,7 @@
 import { groupBy, monotonicMs } from '../common/index.js';
 import type { Logger } from '../observability/index.js';
 import { remainingAfter } from './decay.js';
+import { type FailureCounts, addGateway, emptyCounts } from './failure-counts.js';
 import {
   type BackendCondition,
   type BackendTally,
@@ -11,7 +12,6 @@
   decodeReport,
   packConditions,
 } from './messages.js';
-import { type FailureSample } from './failure-detector.js';
 import { type RatioSample, mergeSlowdowns } from './slowdown-merge.js';
 import { ZoneFailures } from './zone-failures.js';
 
@@ -149,10 +149,10 @@
 
   private updateFailures(now: number): void {
     this.retainRegistered();
-    const samples = this.failureSamples(now);
+    const counts = this.failureCounts(now);
     const failing = new Map<string, string[]>();
     for (const [id, failures] of this.failures) {
-      const zones = failures.update(samples.get(id)!, now);
+      const zones = failures.update(counts.get(id)!, now);
       if (zones.length > 0) failing.set(id, zones);
     }
     this.noteChanges(failing);
@@ -166,22 +166,24 @@
     }
   }
 
-  /** Counts of each gateway by registered backend and zone of the callers. */
-  private failureSamples(now: number): Map<string, Map<string, FailureSample[]>> {
-    const samples = new Map<string, Map<string, FailureSample[]>>();
-    for (const id of this.failures.keys()) samples.set(id, new Map());
+  /** Counts by registered backend and zone of the callers. */
+  private failureCounts(now: number): Map<string, Map<string, FailureCounts>> {
+    const counts = new Map<string, Map<string, FailureCounts>>();
+    for (const id of this.failures.keys()) counts.set(id, new Map());
     for (const { zone, tallies, at } of this.reports.values()) {
       const left = remainingAfter(now - at, FAILURE_HALF_LIFE_MS);
       for (const { id, calls, failures } of tallies) {
-        const byZone = calls > 0 ? samples.get(id) : undefined;
+        const byZone = calls > 0 ? counts.get(id) : undefined;
         if (!byZone) continue;
-        const sample = { calls: calls * left, failures: failures * left };
-        const ofZone = byZone.get(zone);
-        if (ofZone) ofZone.push(sample);
-        else byZone.set(zone, [sample]);
+        let ofZone = byZone.get(zone);
+        if (!ofZone) {
+          ofZone = emptyCounts();
+          byZone.set(zone, ofZone);
+        }
+        addGateway(ofZone, calls * left, failures * left);
       }
     }
-    return samples;
+    return counts;
   }
 
   private noteChanges(failing: Map<string, string[]>): void {
--- a/src/backend-statistics/zone-failures.ts
+++ b/src/backend-statistics/zone-failures.ts
@@ -1,9 +1,6 @@
 /** Decides for which callers a backend fails: those of one zone, or all. */
-import {
-  FailureDetector,
-  type FailureSample,
-  TOLERATED_FAILURE_RATIO,
-} from './failure-detector.js';
+import { type FailureCounts, emptyCounts, sumOfCounts } from './failure-counts.js';
+import { FailureDetector, TOLERATED_FAILURE_RATIO } from './failure-detector.js';
 import { ALL_ZONES } from './messages.js';
 
 /** Number of zones that must agree for a backend to fail for all callers. */
@@ -15,7 +12,7 @@
 /** Minimum failures outside the zone with the most: more than a single one, which any zone has now and then. */
 const MIN_AGREEING_FAILURES = 1.1;
 
-export type SamplesByZone = ReadonlyMap<string, readonly FailureSample[]>;
+export type CountsByZone = ReadonlyMap<string, FailureCounts>;
 
 export class ZoneFailures {
   private readonly zones = new Map<string, FailureDetector>();
@@ -24,7 +21,7 @@
   private hasAgreement = false;
 
   /** @returns the zones whose callers' calls fail, or `ALL_ZONES` */
-  update(byZone: SamplesByZone, now: number): string[] {
+  update(byZone: CountsByZone, now: number): string[] {
     this.updateZones(byZone, now);
     this.updateOverall(byZone, now);
     const failing = [...this.zones].filter(([, detector]) => detector.isFailing);
@@ -32,15 +29,16 @@
     return failing.map(([zone]) => zone);
   }
 
-  private updateZones(byZone: SamplesByZone, now: number): void {
+  private updateZones(byZone: CountsByZone, now: number): void {
     for (const zone of byZone.keys()) {
       if (!this.zones.has(zone)) this.zones.set(zone, new FailureDetector(ZONE_OPTIONS));
     }
-    for (const [zone, detector] of this.zones) detector.update(byZone.get(zone) ?? [], now);
+    for (const [zone, detector] of this.zones)
+      detector.update(byZone.get(zone) ?? emptyCounts(), now);
   }
 
-  private updateOverall(byZone: SamplesByZone, now: number): void {
-    this.overall.update([...byZone.values()].flat(), now);
+  private updateOverall(byZone: CountsByZone, now: number): void {
+    this.overall.update(sumOfCounts(byZone.values()), now);
     if (this.overall.isFailing) {
       this.hasAgreement ||= this.doOthersAgree();
       return;
