--- a/src/backend-statistics/unseen-calls.ts
+++ b/src/backend-statistics/unseen-calls.ts
@@ -7,8 +7,8 @@
 
 /** Occupancy of one engine. */
 export interface Occupancy {
-  /** Calls in flight, as last reported. */
-  readonly load: number;
+  /** Calls in flight from other gateways, as last reported. */
+  readonly otherInFlight: number;
   /** Typical calls that it can process at once. */
   readonly capacity: number;
 }
@@ -18,7 +18,7 @@
 
 /**
  * Mean number of calls that were sent to the cheapest engine since the figures were reported. By Little's law the
- * calls in process and their duration tell the rate of calls to all engines; the cheapest one gets those for which it
+ * others' calls in process and their duration tell the rate of their calls; the cheapest one gets those for which it
  * is among the candidates.
  */
 export function meanUnseenCalls(
@@ -27,7 +27,10 @@
   typicalMs: number,
 ): number {
   if (engines.length === 0) return 0;
-  const inProcess = engines.reduce((sum, { load, capacity }) => sum + Math.min(load, capacity), 0);
+  const inProcess = engines.reduce(
+    (sum, { otherInFlight, capacity }) => sum + Math.min(otherInFlight, capacity),
+    0,
+  );
   return ((inProcess * FIGURES_AGE_MS) / typicalMs) * (candidateCount / engines.length);
 }
 
--- a/src/backend-statistics/zone-failures.ts
+++ b/src/backend-statistics/zone-failures.ts
@@ -6,11 +6,13 @@
 /** Number of zones that must agree for a backend to fail for all callers. */
 const AGREEING_ZONES = 2;
 /** In one zone, two failures within about a second suffice. A zone probes rarely: few calls end a failure. */
-const ZONE_OPTIONS = { minimumFailures: 1.2, recoveredCalls: 2 };
+const ZONE_OPTIONS = { minimumFailures: 1.2, recoveredCalls: 1.5 };
 /** In all zones together they must be closer, since some gateway has a failure for other reasons now and then. */
 const OVERALL_OPTIONS = { minimumFailures: 1.7, recoveredCalls: 4 };
-/** Minimum failures outside the zone with the most: more than a single one, which any zone has now and then. */
-const MIN_AGREEING_FAILURES = 1.1;
+/** Failures outside the zone with the most from which they agree: a single recent one. */
+const AGREEING_FAILURES = 0.7;
+/** Failures outside that zone below which they no longer agree, so that one stray failure counts for a short time. */
+const DISAGREEING_FAILURES = 0.4;
 
 export type CountsByZone = ReadonlyMap<string, FailureCounts>;
 
@@ -40,7 +42,7 @@
   private updateOverall(byZone: CountsByZone, now: number): void {
     this.overall.update(sumOfCounts(byZone.values()), now);
     if (this.overall.isFailing) {
-      this.hasAgreement ||= this.doOthersAgree();
+      this.hasAgreement = this.doOthersAgree();
       return;
     }
     // Calls of all zones end a failure of all sooner than those of each zone. A zone in which it lasts is found again.
@@ -54,6 +56,7 @@
     const [, ...others] = counts.sort((left, right) => right.failures - left.failures);
     const calls = others.reduce((sum, zone) => sum + zone.calls, 0);
     const failures = others.reduce((sum, zone) => sum + zone.failures, 0);
-    return failures >= MIN_AGREEING_FAILURES && failures > calls * TOLERATED_FAILURE_RATIO;
+    if (this.hasAgreement) return failures >= DISAGREEING_FAILURES;
+    return failures >= AGREEING_FAILURES && failures > calls * TOLERATED_FAILURE_RATIO;
   }
 }
