--- a/src/backend-statistics/zone-failures.ts
+++ b/src/backend-statistics/zone-failures.ts
@@ -1,21 +1,20 @@
 /** Decides for which callers a backend fails: those of one zone, or all. */
-import {
-  FailureDetector,
-  type FailureSample,
-  TOLERATED_FAILURE_RATIO,
-} from './failure-detector.js';
+import { type FailureCounts, emptyCounts, sumOfCounts } from './failure-counts.js';
+import { FailureDetector, TOLERATED_FAILURE_RATIO } from './failure-detector.js';
 import { ALL_ZONES } from './messages.js';
 
 /** Number of zones that must agree for a backend to fail for all callers. */
 const AGREEING_ZONES = 2;
 /** In one zone, two failures within about a second suffice. A zone probes rarely: few calls end a failure. */
-const ZONE_OPTIONS = { minimumFailures: 1.2, recoveredCalls: 2 };
+const ZONE_OPTIONS = { minimumFailures: 1.2, recoveredCalls: 1.5 };
 /** In all zones together they must be closer, since some gateway has a failure for other reasons now and then. */
 const OVERALL_OPTIONS = { minimumFailures: 1.7, recoveredCalls: 4 };
-/** Minimum failures of a zone that agrees with others. */
-const MIN_AGREEING_FAILURES = 0.4;
+/** Failures outside the zone with the most from which they agree: a single recent one. */
+const AGREEING_FAILURES = 0.7;
+/** Failures outside that zone below which they no longer agree, so that one stray failure counts for a short time. */
+const DISAGREEING_FAILURES = 0.4;
 
-export type SamplesByZone = ReadonlyMap<string, readonly FailureSample[]>;
+export type CountsByZone = ReadonlyMap<string, FailureCounts>;
 
 export class ZoneFailures {
   private readonly zones = new Map<string, FailureDetector>();
@@ -24,7 +23,7 @@
   private hasAgreement = false;
 
   /** @returns the zones whose callers' calls fail, or `ALL_ZONES` */
-  update(byZone: SamplesByZone, now: number): string[] {
+  update(byZone: CountsByZone, now: number): string[] {
     this.updateZones(byZone, now);
     this.updateOverall(byZone, now);
     const failing = [...this.zones].filter(([, detector]) => detector.isFailing);
@@ -32,30 +31,32 @@
     return failing.map(([zone]) => zone);
   }
 
-  private updateZones(byZone: SamplesByZone, now: number): void {
+  private updateZones(byZone: CountsByZone, now: number): void {
     for (const zone of byZone.keys()) {
       if (!this.zones.has(zone)) this.zones.set(zone, new FailureDetector(ZONE_OPTIONS));
     }
-    for (const [zone, detector] of this.zones) detector.update(byZone.get(zone) ?? [], now);
+    for (const [zone, detector] of this.zones)
+      detector.update(byZone.get(zone) ?? emptyCounts(), now);
   }
 
-  private updateOverall(byZone: SamplesByZone, now: number): void {
-    this.overall.update([...byZone.values()].flat(), now);
+  private updateOverall(byZone: CountsByZone, now: number): void {
+    this.overall.update(sumOfCounts(byZone.values()), now);
     if (this.overall.isFailing) {
-      this.hasAgreement ||= agreeingZones(byZone) >= AGREEING_ZONES;
+      this.hasAgreement = this.doOthersAgree();
       return;
     }
     // Calls of all zones end a failure of all sooner than those of each zone. A zone in which it lasts is found again.
     if (this.hasAgreement) for (const detector of this.zones.values()) detector.reset();
     this.hasAgreement = false;
   }
-}
 
-/** Number of zones whose own failure ratio is over the tolerated one. */
-function agreeingZones(byZone: SamplesByZone): number {
-  return [...byZone.values()].filter((samples) => {
-    const calls = samples.reduce((sum, sample) => sum + sample.calls, 0);
-    const failures = samples.reduce((sum, sample) => sum + sample.failures, 0);
-    return failures >= MIN_AGREEING_FAILURES && failures > calls * TOLERATED_FAILURE_RATIO;
-  }).length;
+  /** Whether calls fail as well without the zone that has the most failures. */
+  private doOthersAgree(): boolean {
+    const counts = [...this.zones.values()].map(({ recent }) => recent);
+    const [, ...others] = counts.sort((left, right) => right.failures - left.failures);
+    const calls = others.reduce((sum, zone) => sum + zone.calls, 0);
+    const failures = others.reduce((sum, zone) => sum + zone.failures, 0);
+    if (this.hasAgreement) return failures >= DISAGREEING_FAILURES;
+    return failures >= AGREEING_FAILURES && failures > calls * TOLERATED_FAILURE_RATIO;
+  }
 }
