--- a/src/backend-statistics/candidates.test.ts
+++ b/src/backend-statistics/candidates.test.ts
@@ -18,6 +18,8 @@
     sharedSlowdown: 1,
     inFlight: 0,
     meanOtherInFlight: 0,
+    load: 0,
+    capacity: 6,
     record: { slots: 6 },
     ...overrides[index],
   }));
@@ -72,6 +74,12 @@
     expect(drawForModelCall(states(3), Math.random)).toHaveLength(3);
   });
 
+  it('draw no engine without a free slot, where a call would wait and lose its cached prompt', () => {
+    const full = Array.from({ length: 7 }, () => ({ load: 6 }));
+    expect(drawForModelCall(states(8, full), Math.random).map(({ id }) => id)).toEqual(['b7']);
+    expect(drawForModelCall(states(7, full), Math.random)).toEqual([]);
+  });
+
   it('send one call in fifty to a failing engine as a probe', () => {
     const usable = states(10, [{ isFailing: true, isSuspect: true }]);
     const share = sharesOf((random) => drawProbe(usable, random));
--- a/src/backend-statistics/candidates.ts
+++ b/src/backend-statistics/candidates.ts
@@ -13,6 +13,10 @@
   readonly inFlight: number;
   /** Mean calls in flight from other gateways over the last reports. */
   readonly meanOtherInFlight: number;
+  /** Calls in flight from all gateways, as far as known. */
+  readonly load: number;
+  /** Typical calls that it can process at once. */
+  readonly capacity: number;
   readonly record: { readonly slots: number };
 }
 
@@ -38,12 +42,17 @@
   return draw(failing, 1, random)[0];
 }
 
-/** Candidates of a model call besides its shortlist; the cheapest of both is selected. */
+/**
+ * Candidates of a model call besides its shortlist, among the engines with a free slot; the cheapest of both is
+ * selected. A call moves to an engine without its prompt only to use a slot that would be idle: prefilling the prompt
+ * again takes capacity, which under overload all calls lack.
+ */
 export function drawForModelCall<State extends CandidateState>(
   usable: readonly State[],
   random: Random,
 ): State[] {
-  return draw(usable.filter(isHealthy), DRAWN_FOR_MODEL_CALL, random);
+  const free = usable.filter((state) => isHealthy(state) && state.load < state.capacity);
+  return draw(free, DRAWN_FOR_MODEL_CALL, random);
 }
 
 /**
--- a/src/backend-statistics/index.ts
+++ b/src/backend-statistics/index.ts
@@ -6,4 +6,3 @@
 export type { StatisticsReport } from './messages.js';
 export { StatisticsMetrics } from './statistics-metrics.js';
 export { BackendStatisticsStore } from './statistics-store.js';
-export { drawUnseenCalls, meanUnseenCalls } from './unseen-calls.js';
