--- a/src/admission/admitted-fractions.ts
+++ b/src/admission/admitted-fractions.ts
@@ -1,7 +1,10 @@
 /** Admitted fractions of the priorities of a service as a function of its pressure. */
 
-/** Pressure up to which the most urgent priority is admitted entirely. */
-const MOST_URGENT_START = 0.95;
+/**
+ * Pressure up to which the most urgent priority is admitted entirely. Calls beyond the slots wait, so that a turn takes
+ * about this multiple of its time on idle engines; programs are on time up to about that multiple.
+ */
+const MOST_URGENT_START = 1.3;
 /** The same for the least urgent priority, relative to the most urgent one. */
 const LEAST_URGENT_OFFSET = -0.1;
 /** Width of the range of pressure over which a fraction falls from 1 to 0. */
