--- a/src/backend-statistics/backend-statistics.test.ts
+++ b/src/backend-statistics/backend-statistics.test.ts
@@ -13,6 +13,7 @@
   REPORT_INTERVAL_MS,
 } from './statistics-collector.js';
 import { StatisticsMetrics } from './statistics-metrics.js';
+import { meanUnseenCalls } from './unseen-calls.js';
 
 const ANSWERED: AttemptEnd = {
   kind: 'complete',
@@ -169,4 +170,12 @@
     expect(callsOverCache(900_000, demand)).toBeCloseTo(4.2);
     expect(callsOverCache(8_000, { ...demand, cacheTokens: Infinity })).toBe(0);
   });
+
+  it('allow for unseen calls in proportion to the rate of calls and the share of candidates', () => {
+    const busy = Array.from({ length: 10 }, () => ({ otherInFlight: 20, capacity: 6 }));
+    expect(meanUnseenCalls(busy, 5, 150)).toBeCloseTo(30);
+    expect(meanUnseenCalls(busy, 5, 300)).toBeCloseTo(15);
+    expect(meanUnseenCalls([{ otherInFlight: 0, capacity: 6 }], 1, 150)).toBe(0);
+    expect(meanUnseenCalls([], 0, 150)).toBe(0);
+  });
 });
--- a/src/backend-statistics/candidates.test.ts
+++ b/src/backend-statistics/candidates.test.ts
@@ -3,7 +3,8 @@
 import { SeededRandom } from '../common/index.js';
 import {
   type CandidateState,
-  drawForModelCall,
+  drawForFirstTurn,
+  drawForLaterTurn,
   drawProbe,
   selectForPlainCall,
 } from './candidates.js';
@@ -64,20 +65,31 @@
     expect(selectForPlainCall(usable, usable[0], Math.random)).toBeUndefined();
   });
 
-  it('draw five different healthy engines for a model call', () => {
+  it('draw five different healthy engines for a first turn', () => {
     const usable = states(8, [{ isSuspect: true }]);
     for (let draw = 0; draw < 50; draw += 1) {
-      const drawn = drawForModelCall(usable, Math.random);
+      const drawn = drawForFirstTurn(usable, Math.random);
       expect(new Set(drawn).size).toBe(5);
       expect(drawn).not.toContain(usable[0]);
     }
-    expect(drawForModelCall(states(3), Math.random)).toHaveLength(3);
+    expect(drawForFirstTurn(states(3), Math.random)).toHaveLength(3);
   });
 
-  it('draw no engine without a free slot, where a call would wait and lose its cached prompt', () => {
+  it('draw no engine without a free slot for a later turn, which would wait and lose its cached prompt', () => {
     const full = Array.from({ length: 7 }, () => ({ load: 6 }));
-    expect(drawForModelCall(states(8, full), Math.random).map(({ id }) => id)).toEqual(['b7']);
-    expect(drawForModelCall(states(7, full), Math.random)).toEqual([]);
+    expect(drawForLaterTurn(states(8, full), 0, Math.random).map(({ id }) => id)).toEqual(['b7']);
+    expect(drawForLaterTurn(states(7, full), 0, Math.random)).toEqual([]);
+  });
+
+  it('move no more later turns than there are free slots', () => {
+    const full = Array.from({ length: 7 }, () => ({ load: 6 }));
+    const random = new SeededRandom(5);
+    let moved = 0;
+    for (let draw = 0; draw < DRAWS; draw += 1) {
+      moved += drawForLaterTurn(states(8, full), 60, () => random.uniform()).length;
+    }
+    expect(moved / DRAWS).toBeGreaterThan(0.08);
+    expect(moved / DRAWS).toBeLessThan(0.12);
   });
 
   it('send one call in fifty to a failing engine as a probe', () => {
--- a/src/backend-statistics/candidates.ts
+++ b/src/backend-statistics/candidates.ts
@@ -42,19 +42,36 @@
   return draw(failing, 1, random)[0];
 }
 
+/** Candidates of a first turn besides its shortlist; the cheapest of both is selected. */
+export function drawForFirstTurn<State extends CandidateState>(
+  usable: readonly State[],
+  random: Random,
+): State[] {
+  return draw(usable.filter(isHealthy), DRAWN_FOR_MODEL_CALL, random);
+}
+
 /**
- * Candidates of a model call besides its shortlist, among the engines with a free slot; the cheapest of both is
- * selected. A call moves to an engine without its prompt only to use a slot that would be idle: prefilling the prompt
- * again takes capacity, which under overload all calls lack.
+ * Candidates of a later turn besides its shortlist: engines with a free slot. Such a turn leaves the engines that hold
+ * its prompt only for a slot that would be idle, because prefilling the prompt again takes capacity, which under overload
+ * all calls lack. If more calls were sent since the load figures than slots were free, only as large a part of the
+ * calls gets candidates, so that they don't all move to the same engines.
+ * @param unseenCalls calls that all gateways have sent since the load figures
  */
-export function drawForModelCall<State extends CandidateState>(
+export function drawForLaterTurn<State extends CandidateState>(
   usable: readonly State[],
+  unseenCalls: number,
   random: Random,
 ): State[] {
-  const free = usable.filter((state) => isHealthy(state) && state.load < state.capacity);
+  const free = usable.filter((state) => isHealthy(state) && freeSlots(state) > 0);
+  const slots = free.reduce((sum, state) => sum + freeSlots(state), 0);
+  if (random() * unseenCalls >= slots) return [];
   return draw(free, DRAWN_FOR_MODEL_CALL, random);
 }
 
+function freeSlots({ load, capacity }: CandidateState): number {
+  return Math.max(0, capacity - load);
+}
+
 /**
  * Selects the backend of a plain call among two that are drawn and the one with affinity. Plain calls are shorter than
  * the age of load figures: a backend with less load is preferred only in proportion, since gateways that all prefer it
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,8 +1,11 @@
 /** Selects the backend of a call by estimated cost: cached prompt tokens against queueing. */
 import {
   type BackendStatistics,
-  drawForModelCall,
+  drawForFirstTurn,
+  drawForLaterTurn,
   drawProbe,
+  drawUnseenCalls,
+  meanUnseenCalls,
   selectForPlainCall,
 } from '../backend-statistics/index.js';
 import { rankForKey } from '../common/index.js';
@@ -58,6 +61,8 @@
   call: CallDescription;
   preferred: readonly BackendState[];
   promptHolder?: string;
+  /** Mean number of calls that other gateways have sent to the cheapest backend since the load figures. @default 0 */
+  unseenCalls?: number;
 }
 
 export class Placement {
@@ -106,7 +111,30 @@
       const selected = selectForPlainCall(usable, input.preferred[0], this.random);
       return selected ?? this.cheapest(usable, input);
     }
-    const drawn = drawForModelCall(usable, this.random);
+    return isFirstTurn(input.call)
+      ? this.selectForFirstTurn(usable, input)
+      : this.selectForLaterTurn(usable, input);
+  }
+
+  /** The first turns of programs balance the load, since later turns stay with the engines that hold their prompts. */
+  private selectForFirstTurn(
+    usable: readonly BackendState[],
+    input: CostInput,
+  ): BackendState | undefined {
+    const drawn = drawForFirstTurn(usable, this.random);
+    const shortlist = [...new Set([...shortlistOf(usable, input, this.random), ...drawn])];
+    const typicalMs = shortlist[0]?.model.typicalMs ?? Infinity;
+    const unseenCalls = meanUnseenCalls(usable, shortlist.length, typicalMs);
+    return this.cheapest(shortlist, { ...input, unseenCalls }) ?? this.cheapest(usable, input);
+  }
+
+  private selectForLaterTurn(
+    usable: readonly BackendState[],
+    input: CostInput,
+  ): BackendState | undefined {
+    const typicalMs = usable[0]?.model.typicalMs ?? Infinity;
+    const unseenCalls = meanUnseenCalls(usable, usable.length, typicalMs);
+    const drawn = drawForLaterTurn(usable, unseenCalls, this.random);
     const shortlist = new Set([...shortlistOf(usable, input, this.random), ...drawn]);
     return this.cheapest([...shortlist], input) ?? this.cheapest(usable, input);
   }
@@ -129,7 +157,9 @@
   /** Estimated cost in milliseconds: latency of the call plus delay of concurrent calls. */
   private cost(backend: BackendState, input: CostInput): number {
     const isModelCall = input.call.promptParts.length > 0;
-    const workMs = estimatedMsAt(backend, input.call, missingTokensAt(backend, input));
+    const unseenCalls = drawUnseenCalls(input.unseenCalls ?? 0, this.random);
+    const missingTokens = missingTokensAt(backend, input);
+    const workMs = estimatedMsAt(backend, input.call, missingTokens, unseenCalls);
     const suspectMs = backend.isSuspect ? SUSPECT_COST_MS : 0;
     const crossZoneMs = isModelCall ? MODEL_CROSS_ZONE_COST_MS : CROSS_ZONE_COST_MS;
     const zoneMs = backend.record.zone === this.options.zone ? 0 : crossZoneMs;
@@ -139,13 +169,17 @@
   }
 }
 
-/** Estimated latency of a call with its wait at the backend, in milliseconds. */
+/**
+ * Estimated latency of a call with its wait at the backend, in milliseconds.
+ * @param unseenCalls calls at the backend besides its known load
+ */
 export function estimatedMsAt(
   backend: BackendState,
   call: CallDescription,
   missingTokens: number,
+  unseenCalls = 0,
 ): number {
-  return workMsAt(backend, missingTokens) + queueMsAt(backend, call);
+  return workMsAt(backend, missingTokens) + queueMsAt(backend, call, unseenCalls);
 }
 
 /** Latency of the call plus the delay of concurrent calls by its prefill. */
@@ -160,11 +194,15 @@
 }
 
 /** Estimated queueing time. Since load figures are slightly outdated, high utilization is charged as well. */
-function queueMsAt(backend: BackendState, { promptParts, mostTokens }: CallDescription): number {
+function queueMsAt(
+  backend: BackendState,
+  { promptParts, mostTokens }: CallDescription,
+  unseenCalls: number,
+): number {
   const { load, model, capacity, sharedSlowdown } = backend;
   const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
   const overCache = backend.callsOverCache(promptTokens + mostTokens, mostTokens);
-  const waiting = Math.max(0, load + 1 - capacity, overCache);
+  const waiting = Math.max(0, load + 1 + unseenCalls - capacity, overCache);
   const typicalMs = model.typicalMs * sharedSlowdown;
   return (typicalMs * (waiting + UTILIZATION_COST_FRACTION * load)) / capacity;
 }
