Explain what scheduling did to a call, and sum it over a run

`explain` returns findings: sentences on why a call waited or was refused, that its backend was known to be slow or failing, that its gateway was cut off or had left its zone, and that it was ended for memory. A state counts only if it overlaps the call; the restart of a process and the change of a leader end it.

The line of a call does not tell a refusal for its expected wait from a full queue after a wait; both count as refused by waiting.

--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -1,5 +1,7 @@
 /** Finds in the logs of many processes what happened to a call or program, and the state changes around it. */
+import { type Finding, findingsOf } from './call-findings.js';
 import type { LogRecord } from './log-record.js';
+import { byTime, matchesId, startOf } from './record-fields.js';
 import { type RestoredTurns, isHistoryMissing, restoredTurnsOf } from './restored-turns.js';
 
 export interface Explanation {
@@ -7,6 +9,8 @@
   direct: LogRecord[];
   /** State changes of the processes involved and of the groups they depend on, around that time. */
   surrounding: LogRecord[];
+  /** How scheduling affected the calls, in sentences. */
+  findings: Finding[];
   /** For each ledger member, if a turn was refused because its history was missing. */
   restoredTurns: RestoredTurns[];
 }
@@ -41,6 +45,20 @@
   'value store opened',
   'value damaged',
   'memory tight',
+  'gateway cut off',
+  'gateway not cut off any more',
+  'gateway overloaded',
+  'gateway not overloaded any more',
+  'gateway left its zone',
+  'gateway back in its zone',
+  'waiting calls refused',
+  'waiting calls admitted again',
+  'programs limited',
+  'programs admitted again',
+  'shared admission in force',
+  'shared admission not in force',
+  'back end failing',
+  'back end no longer failing',
   'log.dropped',
 ]);
 
@@ -55,7 +73,7 @@
   const direct = [...new Set([...named, ...previousTurnLines])].sort(byTime);
   const first = direct[0];
   const last = direct.at(-1);
-  if (!first || !last) return { direct, surrounding: [], restoredTurns: [] };
+  if (!first || !last) return { direct, surrounding: [], findings: [], restoredTurns: [] };
   const from = Math.min(...direct.map(startOf)) - SURROUNDING_BEFORE_MS;
   const to = Date.parse(last.time) + SURROUNDING_AFTER_MS;
   const nodes = new Set(direct.map((record) => record.node));
@@ -66,18 +84,13 @@
     .sort(byTime);
   const refusal = direct.findLast(isHistoryMissing);
   const restoredTurns = refusal ? restoredTurnsOf(records, Date.parse(refusal.time)) : [];
-  return { direct, surrounding, restoredTurns };
+  return { direct, surrounding, findings: findingsOf(direct, records), restoredTurns };
 }
 
 function mentions({ fields }: LogRecord, id: string): boolean {
   return ID_FIELDS.some((field) => matchesId(fields[field], id));
 }
 
-/** Internally, ids are prefixed with the name of the tenant. */
-function matchesId(value: unknown, id: string): boolean {
-  return typeof value === 'string' && (value === id || value.endsWith(`:${id}`));
-}
-
 /** Returns the lines about the history of a call, which name its previous turn and not the call itself. */
 function linesOfPreviousTurn(call: LogRecord, records: readonly LogRecord[]): LogRecord[] {
   const { previousTurn } = call.fields;
@@ -95,16 +108,7 @@
   return typeof fields.missing === 'number' && fields.missing > 0;
 }
 
-/** Start of a call in milliseconds since 1970: its line is written at the end and contains the duration. */
-function startOf({ time, fields }: LogRecord): number {
-  return Date.parse(time) - (typeof fields.ms === 'number' ? fields.ms : 0);
-}
-
 function isBetween(record: LogRecord, from: number, to: number): boolean {
   const at = Date.parse(record.time);
   return at >= from && at <= to;
 }
-
-function byTime(left: LogRecord, right: LogRecord): number {
-  return Date.parse(left.time) - Date.parse(right.time);
-}
--- a/src/explain/restored-turns.ts
+++ b/src/explain/restored-turns.ts
@@ -1,5 +1,6 @@
 /** Kept turns that the ledger members had restored when a turn was refused for its missing history. */
 import type { LogRecord } from './log-record.js';
+import { numberOf, optionalNumber } from './record-fields.js';
 
 /** Latest restored state of one member before the refusal. */
 export interface RestoredTurns {
@@ -71,11 +72,3 @@
       undefined,
     );
 }
-
-function numberOf(value: unknown): number {
-  return optionalNumber(value) ?? 0;
-}
-
-function optionalNumber(value: unknown): number | undefined {
-  return typeof value === 'number' ? value : undefined;
-}
--- a/src/explain/run-summary.ts
+++ b/src/explain/run-summary.ts
@@ -1,9 +1,11 @@
 /**
  * Summary of a run from the decision logs of its processes: latency of turns by phase and time window,
- * programs that missed their objectives, and failed calls by outcome and backend.
+ * programs that missed their objectives, effects of scheduling, and failed calls by outcome and backend.
  */
 import { groupBy } from '../common/index.js';
 import type { LogRecord } from './log-record.js';
+import { CALL, backendsSentTo, numberOf } from './record-fields.js';
+import { type SchedulingCounts, countScheduling } from './scheduling-counts.js';
 
 /** Mean durations of the phases of turns, in milliseconds. */
 export interface TurnLatencyBreakdown {
@@ -50,13 +52,12 @@
   turns: TurnLatencyBreakdown;
   windows: SummaryWindow[];
   programs: ProgramCounts;
+  scheduling: SchedulingCounts;
   failures: FailureCount[];
 }
 
 const WINDOW_SECONDS = 2;
 const MAX_EXAMPLES = 3;
-/** Matches the start of each send in a call's line: backend, own load, load of other gateways. */
-const SEND_PATTERN = /(\S+)@\d+\+\d+/g;
 const ANSWERED = 'answered';
 /** Outcomes caused by the caller or the operator. */
 const EXPECTED_OUTCOMES: ReadonlySet<string> = new Set(['budget-exhausted', 'no-route']);
@@ -78,19 +79,20 @@
 }
 
 export function summarizeRun(records: readonly LogRecord[]): RunSummary {
-  const calls = records.filter(({ event }) => event === 'call').map(readCall);
+  const calls = records.filter(({ event }) => event === CALL).map(readCall);
   calls.sort((left, right) => left.endedAt - right.endedAt);
   const turns = calls.filter((call) => call.isTurn && call.outcome === ANSWERED);
   return {
     turns: meanLatencies(turns),
     windows: summarizeWindows(calls),
     programs: countPrograms(calls),
+    scheduling: countScheduling(records),
     failures: countFailures(calls.filter(hasFailed)),
   };
 }
 
-function readCall({ time, fields }: LogRecord): CallLine {
-  const sends = typeof fields.sends === 'string' ? fields.sends : '';
+function readCall(record: LogRecord): CallLine {
+  const { time, fields } = record;
   return {
     id: String(fields.call),
     endedAt: Date.parse(time),
@@ -102,7 +104,7 @@
     reserveMs: numberOf(fields.reserveMs),
     keepMs: numberOf(fields.keepMs),
     isLate: fields.remainingMs === 0,
-    sentTo: [...sends.matchAll(SEND_PATTERN)].map(([, backend]) => backend!),
+    sentTo: backendsSentTo(record),
   };
 }
 
@@ -169,7 +171,3 @@
 function quantile(sorted: readonly number[], share: number): number {
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 }
-
-function numberOf(value: unknown): number {
-  return typeof value === 'number' ? value : 0;
-}
