--- a/src/backend-statistics/candidates.test.ts
+++ b/src/backend-statistics/candidates.test.ts
@@ -77,16 +77,32 @@
 
   it('draw no engine without a free slot for a later turn, which would wait and lose its cached prompt', () => {
     const full = Array.from({ length: 7 }, () => ({ load: 6 }));
-    expect(drawForLaterTurn(states(8, full), 0, Math.random).map(({ id }) => id)).toEqual(['b7']);
-    expect(drawForLaterTurn(states(7, full), 0, Math.random)).toEqual([]);
+    const turn = { holder: undefined, unseenCalls: 0 };
+    expect(drawForLaterTurn(states(8, full), turn, Math.random).map(({ id }) => id)).toEqual([
+      'b7',
+    ]);
+    expect(drawForLaterTurn(states(7, full), turn, Math.random)).toEqual([]);
+  });
+
+  it('keep a later turn with the engine that holds its prompt while capacity is scarce', () => {
+    const busy = Array.from({ length: 8 }, () => ({ load: 5 }));
+    const calm = Array.from({ length: 8 }, () => ({ load: 2 }));
+    const drawnFor = (loads: Partial<CandidateState>[]): number => {
+      const usable = states(8, loads);
+      return drawForLaterTurn(usable, { holder: usable[0], unseenCalls: 0 }, Math.random).length;
+    };
+    expect(drawnFor(busy)).toBe(0);
+    expect(drawnFor([{ load: 6 }, ...busy.slice(1)])).toBe(5);
+    expect(drawnFor(calm)).toBe(5);
   });
 
   it('move no more later turns than there are free slots', () => {
     const full = Array.from({ length: 7 }, () => ({ load: 6 }));
     const random = new SeededRandom(5);
+    const turn = { holder: undefined, unseenCalls: 60 };
     let moved = 0;
     for (let draw = 0; draw < DRAWS; draw += 1) {
-      moved += drawForLaterTurn(states(8, full), 60, () => random.uniform()).length;
+      moved += drawForLaterTurn(states(8, full), turn, () => random.uniform()).length;
     }
     expect(moved / DRAWS).toBeGreaterThan(0.08);
     expect(moved / DRAWS).toBeLessThan(0.12);
--- a/src/cli/account-command.ts
+++ b/src/cli/account-command.ts
@@ -1,6 +1,11 @@
 /** `account`: summarizes a run from the decision logs of the processes. */
 import type { CAC } from 'cac';
-import { type RunSummary, type TurnLatencyBreakdown, summarizeRun } from '../explain/index.js';
+import {
+  type RunSummary,
+  type TurnLatencyBreakdown,
+  describeScheduling,
+  summarizeRun,
+} from '../explain/index.js';
 import { UsageError } from './daemon-command.js';
 import { readLogRecords } from './log-reader.js';
 import { runAction } from './run-daemon.js';
@@ -20,11 +25,12 @@
     );
 }
 
-function formatSummary({ turns, windows, programs, failures }: RunSummary): string {
+function formatSummary({ turns, windows, programs, scheduling, failures }: RunSummary): string {
   const { seen, late, failed } = programs;
   return [
     `programs: ${seen} seen, ${late} late, ${failed} failed`,
     `turns: ${formatLatencies(turns)}`,
+    ...describeScheduling(scheduling),
     '',
     'from s  median  p95 ms  failed  parts',
     ...windows.map(
--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -1,6 +1,12 @@
 /** `explain`: shows what happened to a call or program, from the decision logs of the processes. */
 import type { CAC } from 'cac';
-import { type Explanation, type LogRecord, type RestoredTurns, explain } from '../explain/index.js';
+import {
+  type Explanation,
+  type Finding,
+  type LogRecord,
+  type RestoredTurns,
+  explain,
+} from '../explain/index.js';
 import { UsageError } from './daemon-command.js';
 import { readLogRecords } from './log-reader.js';
 import { runAction } from './run-daemon.js';
@@ -23,10 +29,13 @@
 
 function formatExplanation(
   id: string,
-  { direct, surrounding, restoredTurns }: Explanation,
+  { direct, surrounding, findings, restoredTurns }: Explanation,
 ): string {
   if (direct.length === 0) return `no line names ${id}`;
   const parts = [`lines that name ${id}:`, ...direct.map(formatRecord)];
+  if (findings.length > 0) {
+    parts.push('', 'what scheduling did:', ...findings.map(formatFinding));
+  }
   if (surrounding.length > 0) {
     parts.push('', 'what changed around them:', ...surrounding.map(formatRecord));
   }
@@ -40,6 +49,10 @@
   return parts.join('\n');
 }
 
+function formatFinding({ time, node, call, text }: Finding): string {
+  return `  ${time}  ${node.padEnd(20)}  ${call ?? 'a call'}: ${text}`;
+}
+
 function formatRestoredTurns(restored: RestoredTurns): string {
   const { node, at, startedAt, named, missing, storedValues } = restored;
   const held = missing === 0 ? `held all ${named}` : `lacked ${missing} of ${named}`;
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -134,7 +134,8 @@
   ): BackendState | undefined {
     const typicalMs = usable[0]?.model.typicalMs ?? Infinity;
     const unseenCalls = meanUnseenCalls(usable, usable.length, typicalMs);
-    const drawn = drawForLaterTurn(usable, unseenCalls, this.random);
+    const holder = usable.find(({ id }) => id === input.promptHolder);
+    const drawn = drawForLaterTurn(usable, { holder, unseenCalls }, this.random);
     const shortlist = new Set([...shortlistOf(usable, input, this.random), ...drawn]);
     return this.cheapest([...shortlist], input) ?? this.cheapest(usable, input);
   }
