Permit calls on idle servers without the queue

Every call entered the bounded queue before a permit was looked for: a call over the bound of bytes was refused for ever, and a plain call with a free server was refused when calls of engines filled the queue. A call over the bound that has to wait now counts as the bound.

--- a/src/waiting/call-queue.ts
+++ b/src/waiting/call-queue.ts
@@ -27,9 +27,11 @@
     return this.sumOver((queue) => queue.bytes);
   }
 
-  /** @returns the calls that no longer fit and are not waiting any more; the added call may be among them */
+  /**
+   * A call that alone exceeds the bound of bytes counts as the bound, so that it can wait if nothing else does.
+   * @returns the calls that no longer fit and are not waiting any more; the added call may be among them
+   */
   add(call: Call): Call[] {
-    if (call.bytes > this.bounds.bytes) return [call];
     this.queueOf(call.service).add(call);
     const removed: Call[] = [];
     while (this.size > this.bounds.calls || this.bytes > this.bounds.bytes) {
@@ -94,7 +96,7 @@
   private queueOf(service: string): ServiceQueue<Call> {
     const known = this.services.get(service);
     if (known) return known;
-    const queue = new ServiceQueue<Call>();
+    const queue = new ServiceQueue<Call>(this.bounds.bytes);
     this.services.set(service, queue);
     return queue;
   }
--- a/src/waiting/permit-gate.test.ts
+++ b/src/waiting/permit-gate.test.ts
@@ -83,6 +83,24 @@
     expect(await bench.counted('immediate')).toBe(CEILING);
   });
 
+  // Guards against refusing a call with a long history for ever.
+  it('is permitted at once on an idle engine although it exceeds the bytes of the queue', async () => {
+    const bench = new GateBench();
+    expect(await bench.decisionOf(bench.request({ bytes: 9_000_000 }))).toBe('permitted');
+  });
+
+  // Guards against refusing calls of idle servers because calls of another service fill the queue.
+  it('is permitted at once on idle servers although the queue is full', async () => {
+    const bench = new GateBench();
+    bench.fill();
+    for (let number = 0; number < 300; number += 1) {
+      bench.request({ deadlineMs: performance.now() + 1e9 });
+    }
+    expect(await bench.counted('queue-full')).toBeGreaterThan(0);
+    const plain = bench.request({ service: 'tools', priority: 2 });
+    expect(await bench.decisionOf(plain)).toBe('permitted');
+  });
+
   it('waits once the engine is full, until one of this gateway ends', async () => {
     const bench = new GateBench();
     const [first] = bench.fill();
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -73,7 +73,15 @@
     const ticket = new PermitTicket(call, now, (...end) => this.onEnd(...end));
     const gate = this.gateOf(service);
     gate.refusals.check(now);
-    if (this.queue.countOf(service) === 0) gate.rates.start(now);
+    if (this.queue.countOf(service) === 0) {
+      gate.rates.start(now);
+      // The bounds of the queue don't apply to a call that need not wait.
+      if (this.mayRelease(gate, service, now, 1)) {
+        this.grant(ticket, gate, now);
+        gate.rates.observe(now, [ticket.priority], [ticket.priority]);
+        return ticket;
+      }
+    }
     this.refuseRemoved(this.queue.add(ticket), 'queue-full', now);
     this.release(service, now);
     this.reviewArrival(ticket, now);
@@ -112,18 +120,27 @@
     const granted: number[] = [];
     while (this.queue.countOf(service) > 0 && this.mayRelease(gate, service, now)) {
       const ticket = this.queue.take(service)!;
-      gate.limit.noteSent();
-      ticket.grant(now, utilizationOf(this.options.backends(service)));
-      this.note(ticket, ticket.waitedMs === undefined ? 'immediate' : 'released');
+      this.grant(ticket, gate, now);
       granted.push(ticket.priority);
     }
     gate.rates.observe(now, waiting, granted);
   }
 
+  private grant(ticket: PermitTicket, { limit }: ServiceGate, now: number): void {
+    limit.noteSent();
+    ticket.grant(now, utilizationOf(this.options.backends(ticket.service)));
+    this.note(ticket, ticket.waitedMs === undefined ? 'immediate' : 'released');
+  }
+
   /** Without any backend, a call is not held: it is refused for that reason when it is to be sent. */
-  private mayRelease({ limit }: ServiceGate, service: string, now: number): boolean {
+  private mayRelease(
+    { limit }: ServiceGate,
+    service: string,
+    now: number,
+    ownWaiting = this.queue.countOf(service),
+  ): boolean {
     if (!this.options.isActive()) return true;
-    const state = this.stateOf(service, now);
+    const state = this.stateOf(service, now, ownWaiting);
     return state.backends.length === 0 || limit.available(state) >= 1;
   }
 
@@ -235,13 +252,17 @@
     this.startTimer();
   }
 
-  private stateOf(service: string, now: number): ServiceState {
+  private stateOf(
+    service: string,
+    now: number,
+    ownWaiting = this.queue.countOf(service),
+  ): ServiceState {
     const { backends, typicalMs, gateways } = this.options;
     return {
       now,
       backends: backends(service),
       typicalMs: this.gateOf(service).time.typicalMs(typicalMs(service)),
-      ownWaiting: this.queue.countOf(service),
+      ownWaiting,
       otherWaiting: this.otherWaiting.get(service) ?? 0,
       gateways: gateways(),
       figuresAt: this.figuresAt,
--- a/src/waiting/service-queue.ts
+++ b/src/waiting/service-queue.ts
@@ -25,6 +25,9 @@
   private readonly classes: PriorityClass<Call>[] = [];
   private heldBytes = 0;
 
+  /** @param maxCallBytes larger calls count as this size */
+  constructor(private readonly maxCallBytes: number) {}
+
   get size(): number {
     return this.classes.reduce((sum, { queue }) => sum + queue.size, 0);
   }
@@ -45,7 +48,7 @@
 
   add(call: Call): void {
     this.classOf(call.priority).queue.add(call);
-    this.heldBytes += call.bytes;
+    this.heldBytes += this.sizeOf(call);
   }
 
   /** Removes the first call in order. */
@@ -56,14 +59,14 @@
     if (!next || !call) return undefined;
     next.passedOver = 0;
     for (const other of waiting) if (other.priority > next.priority) other.passedOver += 1;
-    this.heldBytes -= call.bytes;
+    this.heldBytes -= this.sizeOf(call);
     return call;
   }
 
   /** @returns whether the call was waiting */
   remove(call: Call): boolean {
     const isRemoved = this.classOf(call.priority).queue.remove(call);
-    if (isRemoved) this.heldBytes -= call.bytes;
+    if (isRemoved) this.heldBytes -= this.sizeOf(call);
     return isRemoved;
   }
 
@@ -81,6 +84,10 @@
     });
   }
 
+  private sizeOf({ bytes }: Call): number {
+    return Math.min(bytes, this.maxCallBytes);
+  }
+
   private waitingClasses(): PriorityClass<Call>[] {
     return this.classes.filter(({ queue }) => queue.size > 0);
   }
