Take a program for begun only when its turn has been sent

A first turn that passed admission but got no permit, no tokens or no backend counted as begun, so that its repetition passed admission whatever the admitted fraction was.

--- a/src/admission/gateway-admission.test.ts
+++ b/src/admission/gateway-admission.test.ts
@@ -61,11 +61,21 @@
     const gateway = createGateway();
     gateway.apply([]);
     gateway.beginTurn(callOf('p'))();
+    gateway.noteSent(turnOf('p'));
     gateway.apply(REFUSE_ALL);
     const subAgent = turnOf('p', { program: { id: 'p', session: 'sub' } });
     expect(admits(gateway, callOf('p', { call: subAgent }))).toBe(true);
   });
 
+  // Otherwise a first turn that got no permit would pass when it is repeated, whatever the admitted fraction is.
+  it('does not take a program for begun before a turn was sent', () => {
+    const gateway = createGateway();
+    gateway.apply([]);
+    gateway.beginTurn(callOf('p'))();
+    gateway.apply(REFUSE_ALL);
+    expect(admits(gateway, callOf('p'))).toBe(false);
+  });
+
   it('gives retries the same answer at all gateways, and admits the fraction', () => {
     const gateways = [createGateway(), createGateway()];
     for (const gateway of gateways) {
--- a/src/admission/gateway-admission.ts
+++ b/src/admission/gateway-admission.ts
@@ -80,14 +80,20 @@
    */
   beginTurn({ service, priority, call: { program } }: ModelCall): () => void {
     if (!this.options.isCoordinated()) return () => undefined;
-    const now = this.clock();
     const session = program && `${program.id} ${program.session ?? ''}`;
-    if (program) this.programs.noteBegun(program.id, now);
     const turn = { service, priority, session };
     this.tracker.beginTurn(turn);
     return () => this.tracker.endTurn(turn, this.clock());
   }
 
+  /**
+   * Records that a turn has been sent, so that its program has begun. A turn that passed but got no permit does not
+   * count: its repetition would pass admission.
+   */
+  noteSent({ program }: CallDescription): void {
+    if (program && this.options.isCoordinated()) this.programs.noteBegun(program.id, this.clock());
+  }
+
   /** The report for the next watch request: null if none is due, undefined unless in coordinated mode. */
   demand(): DemandReport | null | undefined {
     if (!this.options.isCoordinated()) return undefined;
--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -141,6 +141,7 @@
         begun += 1;
         return () => undefined;
       },
+      noteSent: () => undefined,
     });
     gateway.takeConfiguration();
     const exchange = modelCall();
@@ -151,19 +152,22 @@
   });
 
   // A turn that is never ended would count as active forever.
-  it('ends the turn of a call that fails', async () => {
+  it('ends the turn of a call that fails, and does not take it for sent', async () => {
     let active = 0;
+    let sent = 0;
     const gateway = new StartingGateway({
       decide: () => ({ isAdmitted: true, isFinal: true }),
       beginTurn: () => {
         active += 1;
         return () => (active -= 1);
       },
+      noteSent: () => (sent += 1),
     });
     gateway.takeConfiguration();
     const exchange = modelCall();
     await gateway.forwarder.handle(exchange);
     expect(exchange.refusal?.reason).toBe('no-backend');
     expect(active).toBe(0);
+    expect(sent).toBe(0);
   });
 });
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -35,7 +35,7 @@
   access: (route: Route, key: string | undefined) => AccessDecision;
   quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'describe'>;
   /** Admission shared by all gateways, in coordinated mode. @default each gateway decides alone */
-  sharedAdmission?: Pick<GatewayAdmission, 'decide' | 'beginTurn'>;
+  sharedAdmission?: Pick<GatewayAdmission, 'decide' | 'beginTurn' | 'noteSent'>;
   backends: BackendView;
   placement: Placement;
   ledger: LedgerClient;
@@ -177,6 +177,8 @@
       requestPermit: () => this.requestPermit(call, body.length),
     });
     const ending = await run.run();
+    const isModelCall = description.promptParts.length > 0;
+    if (isModelCall && run.hasRun) this.options.sharedAdmission?.noteSent(description);
     if (tenant && !run.hasRun) this.options.quotas.giveBack(tenant.name);
     this.reportToAdmission(exchange, run, ending);
     const endedAt = monotonicMs();
--- a/tests/support/overload-replay.ts
+++ b/tests/support/overload-replay.ts
@@ -195,6 +195,8 @@
     const sentAt = this.now;
     this.send(gateway, (wasCompleted) => {
       endTurn();
+      // An engine rejects a turn at once; any other turn has been sent.
+      if (this.now > sentAt) gateway.shared.noteSent(call);
       const tookMs = this.now - sentAt;
       const turn = { service: SERVICE, call, ranOutOfTime: !wasCompleted, tookMs };
       gateway.own.noteEnd({ ...turn, unloadedMs: TURN_MS }, occupancy(gateway), GATEWAYS);
