Validate demand reports when they arrive

A priority that is no natural number and a report without priorities threw inside the decision for other gateways, and a priority without demand made a rank of its own, which lowered the fractions of all others.

--- a/src/admission/admission-leader.test.ts
+++ b/src/admission/admission-leader.test.ts
@@ -4,7 +4,7 @@
 import { createLogger } from '../observability/index.js';
 import { AdmissionLeader } from './admission-leader.js';
 import { totalsByService } from './demand-totals.js';
-import type { DemandReport } from './messages.js';
+import type { DemandReport, ServiceAdmission } from './messages.js';
 import { effectiveSlots, serviceCapacities } from './service-capacity.js';
 
 const REPORT_TTL_MS = 1_500;
@@ -71,6 +71,62 @@
   });
 });
 
+describe('a false report', () => {
+  const viewWith = (falsified?: unknown, slots = 6): ServiceAdmission => {
+    const leader = createLeader(slots);
+    reportFromAll(leader, 4);
+    if (falsified !== undefined) leader.report('liar', falsified as DemandReport);
+    now += WARM_UP_MS;
+    return leader.viewFor('a')![0]!;
+  };
+  const limitsWith = (falsified?: unknown): unknown => viewWith(falsified).priorities;
+
+  function withPriorities(...priorities: unknown[]): unknown {
+    return [{ service: 's', inFlight: 0, priorities }];
+  }
+
+  // A rank of its own would lower the fraction of every other priority.
+  it('adds no rank for a priority without demand', () => {
+    const honest = limitsWith();
+    for (const priority of [-1, 0.5, 1, 9]) {
+      const offered = [['', 0]];
+      expect(limitsWith(withPriorities({ priority, sessions: 0, offered: [] }))).toEqual(honest);
+      expect(limitsWith(withPriorities({ priority, sessions: 0, offered }))).toEqual(honest);
+    }
+  });
+
+  it('adds no rank for a priority that none can have', () => {
+    const honest = limitsWith();
+    for (const priority of [-1, 0.5, NaN, Infinity, '0', null]) {
+      const offered = [['', 60]];
+      expect(limitsWith(withPriorities({ priority, sessions: 1, offered }))).toEqual(honest);
+    }
+  });
+
+  it('does not fail the decision for other gateways', () => {
+    const honest = limitsWith();
+    const entries = [null, 1, {}, { service: 's' }, { service: 's', priorities: 1 }];
+    const priorities = [null, 1, {}, { priority: 1, sessions: 1 }];
+    for (const entry of entries) expect(limitsWith([entry])).toEqual(honest);
+    for (const priority of priorities) expect(limitsWith(withPriorities(priority))).toEqual(honest);
+    for (const report of ['text', 1, { service: 's' }]) expect(limitsWith(report)).toEqual(honest);
+  });
+
+  it('counts with at most 16 priorities', () => {
+    const many = Array.from({ length: 40 }, (_, priority) => ({
+      priority,
+      sessions: 1,
+      offered: [],
+    }));
+    expect(limitsWith(withPriorities(...many))).toHaveLength(16);
+  });
+
+  it('counts once for a service, so that repeated entries do not exceed the limit of a gateway', () => {
+    const once = viewWith(reportOf(4), 12);
+    expect(viewWith([...reportOf(4), ...reportOf(1e9), ...reportOf(1e9)], 12)).toEqual(once);
+  });
+});
+
 describe('totals of the reports', () => {
   const totalsOf = (sessions: number[], capacity: number): number => {
     const reports = sessions.map((count) => ({ demand: reportOf(count), at: 0 }));
--- a/src/admission/admission-leader.ts
+++ b/src/admission/admission-leader.ts
@@ -9,6 +9,7 @@
 import type { DemandReport, ServiceAdmission } from './messages.js';
 import { type SlowdownLookup, serviceCapacities } from './service-capacity.js';
 import { ServiceDecision, isLimited } from './service-decision.js';
+import { validDemand } from './valid-demand.js';
 
 /** Time after which a report expires. */
 const REPORT_TTL_MS = 1_500;
@@ -54,7 +55,7 @@
     }
     this.coordinated.add(gateway);
     this.firstRequestAt ??= this.clock();
-    if (demand) this.reports.set(gateway, { demand, at: this.clock() });
+    if (demand) this.reports.set(gateway, { demand: validDemand(demand), at: this.clock() });
   }
 
   /** Services that are not admitted entirely; undefined until all gateways have reported, or in other modes. */
