--- a/src/admission/admission-leader.test.ts
+++ b/src/admission/admission-leader.test.ts
@@ -71,6 +71,18 @@
   });
 });
 
+describe('a gateway that has gone', () => {
+  // Gateways get a new name when they are replaced, so that their names would accumulate.
+  it('is forgotten although it never left the coordinated mode', () => {
+    const leader = createLeader(6);
+    reportFromAll(leader, 4);
+    now += REPORT_TTL_MS + 1;
+    leader.report('a', null);
+    expect(leader.viewFor('a')).toEqual([]);
+    expect(leader.viewFor('b')).toBeUndefined();
+  });
+});
+
 describe('a false report', () => {
   const viewWith = (falsified?: unknown, slots = 6): ServiceAdmission => {
     const leader = createLeader(slots);
--- a/src/admission/admission-leader.ts
+++ b/src/admission/admission-leader.ts
@@ -11,7 +11,7 @@
 import { ServiceDecision, isLimited } from './service-decision.js';
 import { validDemand } from './valid-demand.js';
 
-/** Time after which a report expires. */
+/** Time after which a report expires, and after which a gateway that sends no watch requests is forgotten. */
 const REPORT_TTL_MS = 1_500;
 /** Minimum time between two decisions. */
 const DECISION_INTERVAL_MS = 100;
@@ -33,8 +33,8 @@
 
 export class AdmissionLeader {
   private readonly reports = new Map<string, ReceivedReport>();
-  /** Gateways that schedule in coordinated mode. */
-  private readonly coordinated = new Set<string>();
+  /** Gateways that schedule in coordinated mode, with their last watch request (monotonic, milliseconds). */
+  private readonly coordinated = new Map<string, number>();
   private readonly services = new Map<string, ServiceDecision>();
   /** When each limited service was last limited. */
   private readonly limitedAt = new Map<string, number>();
@@ -53,7 +53,7 @@
       this.coordinated.delete(gateway);
       return;
     }
-    this.coordinated.add(gateway);
+    this.coordinated.set(gateway, this.clock());
     this.firstRequestAt ??= this.clock();
     if (demand) this.reports.set(gateway, { demand: validDemand(demand), at: this.clock() });
   }
@@ -96,6 +96,9 @@
     for (const [gateway, { at }] of this.reports) {
       if (now - at > REPORT_TTL_MS) this.reports.delete(gateway);
     }
+    for (const [gateway, requestedAt] of this.coordinated) {
+      if (now - requestedAt > REPORT_TTL_MS) this.coordinated.delete(gateway);
+    }
   }
 
   private forgetServices(capacities: ReadonlyMap<string, number>): void {
