--- a/src/waiting/waiting-reports.test.ts
+++ b/src/waiting/waiting-reports.test.ts
@@ -49,6 +49,26 @@
       expect(store.viewFor('b')).toBeUndefined();
     }
   });
+
+  // Each entry may be possible while their total exceeds the queue.
+  it('ignores a report whose total no gateway can have', () => {
+    const store = new WaitingReportStore();
+    const half = { service: 'x', calls: 129 };
+    store.report('liar', [half, half]);
+    expect(store.viewFor('b')).toBeUndefined();
+    store.report('liar', [half, { service: 'y', calls: 129 }]);
+    expect(store.viewFor('b')).toBeUndefined();
+  });
+
+  it('adds repeated entries of a service', () => {
+    const store = new WaitingReportStore();
+    store.report('a', [
+      { service: 'x', calls: 2 },
+      { service: 'x', calls: 3 },
+    ]);
+    expect(store.viewFor('b')).toEqual([{ service: 'x', calls: 5 }]);
+    expect(store.viewFor('a')).toBeUndefined();
+  });
 });
 
 describe('a gateway', () => {
--- a/src/waiting/waiting-reports.ts
+++ b/src/waiting/waiting-reports.ts
@@ -23,10 +23,10 @@
   report(gateway: string, counts: readonly WaitingCount[] | undefined): void {
     if (!counts) return;
     this.remove(gateway);
-    const valid = counts.filter(isPlausible);
-    if (valid.length === 0) return;
-    this.reports.set(gateway, { counts: valid, at: monotonicMs() });
-    for (const { service, calls } of valid) this.add(service, calls);
+    const merged = mergedCounts(counts);
+    if (merged.length === 0) return;
+    this.reports.set(gateway, { counts: merged, at: monotonicMs() });
+    for (const { service, calls } of merged) this.add(service, calls);
   }
 
   /** Waiting calls of the other gateways; undefined if there are none. */
@@ -70,7 +70,21 @@
   }
 }
 
-/** A gateway can't hold more calls than its queue; a false count must not take the others' share of the places. */
+/**
+ * The valid counts with one entry for each service. A gateway can't hold more calls than its queue in total; a false
+ * report must not take the others' share of the places.
+ */
+function mergedCounts(counts: readonly WaitingCount[]): WaitingCount[] {
+  const merged = new Map<string, number>();
+  let total = 0;
+  for (const { service, calls } of counts.filter(isPlausible)) {
+    merged.set(service, (merged.get(service) ?? 0) + calls);
+    total += calls;
+  }
+  if (total > DEFAULT_QUEUE_BOUNDS.calls) return [];
+  return [...merged].map(([service, calls]) => ({ service, calls }));
+}
+
 function isPlausible({ service, calls }: WaitingCount): boolean {
   const isCount = Number.isInteger(calls) && calls > 0 && calls <= DEFAULT_QUEUE_BOUNDS.calls;
   return typeof service === 'string' && isCount;
