Learn the service time only from calls answered by their only attempt

Refused connections, errors, retried, aborted and paused calls distorted it, so that a backend that fails at once seemed fast and got twice the calls that it can process. The time is at least 1 ms.

--- a/src/admission/admission-leader.test.ts
+++ b/src/admission/admission-leader.test.ts
@@ -72,7 +72,7 @@
 });
 
 describe('a gateway that has gone', () => {
-  // Gateways get a new name when they are replaced, so that their names would accumulate.
+  // The set would otherwise grow with every gateway that has ever run.
   it('is forgotten although it never left the coordinated mode', () => {
     const leader = createLeader(6);
     reportFromAll(leader, 4);
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -58,6 +58,7 @@
   slowdown?: number;
 }
 
+const HTTP_CLIENT_ERROR = 400;
 const HTTP_SERVER_ERROR = 500;
 /** Maximum number of retries after broken responses. */
 const MAX_RETRIES = 2;
@@ -87,6 +88,7 @@
   /** Whether the latest attempt was aborted because no response had begun in time. */
   private isGivenUp = false;
   private mayHaveRun = false;
+  private wasPaused = false;
   private isOverdue = false;
 
   constructor(private readonly options: CallRunOptions) {
@@ -136,7 +138,7 @@
       return await this.sendUntilAnswered();
     } finally {
       clearTimeout(timer);
-      this.permit?.end(this.sends.length > 0);
+      this.permit?.end(this.sends.length > 0, this.isTypical);
     }
   }
 
@@ -186,6 +188,7 @@
     backend.endCall();
     backend.tokensInFlight -= tokens;
     this.noteAttempt(backend, attempt, result, estimatedMs);
+    this.wasPaused ||= attempt.wasPaused;
     const tookMs = monotonicMs() - this.sentAt;
     const load = ownLoad + otherLoad;
     this.sends.push({
@@ -321,6 +324,14 @@
     return (this.response.status ?? 0) >= HTTP_SERVER_ERROR;
   }
 
+  /** Whether the only attempt was complete, without an error or a pause by the caller. */
+  private get isTypical(): boolean {
+    const isError = (this.response.status ?? 0) >= HTTP_CLIENT_ERROR;
+    const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
+    const isComplete = this.answeredBy !== undefined && !isTruncated;
+    return this.sends.length === 1 && isComplete && !isError && !this.wasPaused;
+  }
+
   /** Retries after a broken response only if executing the call again is allowed. */
   private outcomeOfBroken(backend: BackendState): CallOutcome | undefined {
     const { kind, maxAttempts } = this.options.route.route;
--- a/src/waiting/permit-gate.test.ts
+++ b/src/waiting/permit-gate.test.ts
@@ -4,6 +4,7 @@
 import { SILENT_LOGGER } from '../../lab/silent-logger.js';
 import { PermitGate } from './permit-gate.js';
 import type { PermitCall, PermitRefusal, PermitRequest } from './permit-request.js';
+import { ServiceTime } from './service-time.js';
 import { WaitingMetrics } from './waiting-metrics.js';
 
 const CEILING = 9;
@@ -223,6 +224,43 @@
   });
 });
 
+describe('the ceiling', () => {
+  /** The first figures leave one unused place, which is carried over to the next. */
+  const CARRIED = 1;
+  const endAfter = (bench: GateBench, tookMs: number, isTypical: boolean): void => {
+    const request = bench.request();
+    vi.advanceTimersByTime(tookMs);
+    request.end(true, isTypical);
+    bench.gate.updateFigures([]);
+  };
+  const permitted = async (bench: GateBench): Promise<number> => {
+    const requests = Array.from({ length: 15 }, () => bench.request());
+    const decisions = await Promise.all(requests.map((request) => bench.decisionOf(request)));
+    return decisions.filter((decision) => decision === 'permitted').length;
+  };
+
+  // A backend that refuses connections would otherwise seem fast, and get twice the calls that it can process.
+  it('does not follow calls that failed at once', async () => {
+    const bench = new GateBench();
+    endAfter(bench, 1, false);
+    expect(await permitted(bench)).toBe(CEILING + CARRIED);
+  });
+
+  it('follows the service time of answered calls', async () => {
+    const bench = new GateBench();
+    endAfter(bench, 150, true);
+    expect(await permitted(bench)).toBe(2 * bench.engine.capacity + CARRIED);
+  });
+
+  // With a time of 0, the expected rate of permits would be infinite.
+  it('is based on at least 1 ms', () => {
+    const time = new ServiceTime();
+    expect(time.typicalMs(0)).toBe(1);
+    time.observe(0, 1);
+    expect(time.typicalMs(TYPICAL_MS)).toBe(1);
+  });
+});
+
 describe('a caller that leaves', () => {
   it('releases its queue entry at once', async () => {
     const bench = new GateBench();
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -13,7 +13,12 @@
   type ServiceState,
 } from './dispatch-limit.js';
 import { PermitRates } from './permit-rates.js';
-import { type PermitCall, type PermitRequest, PermitTicket } from './permit-request.js';
+import {
+  type PermitCall,
+  type PermitEnd,
+  type PermitRequest,
+  PermitTicket,
+} from './permit-request.js';
 import { RefusalLog } from './refusal-log.js';
 import { ServiceTime } from './service-time.js';
 import type { WaitingCount } from './waiting-call.js';
@@ -70,7 +75,7 @@
     if (!this.options.isActive()) return undefined;
     const now = monotonicMs();
     const { service } = call;
-    const ticket = new PermitTicket(call, now, (...end) => this.onEnd(...end));
+    const ticket = new PermitTicket(call, now, (ended, end) => this.onEnd(ended, end));
     const gate = this.gateOf(service);
     gate.refusals.check(now);
     if (this.queue.countOf(service) === 0) {
@@ -220,7 +225,7 @@
     }
   }
 
-  private onEnd(ticket: PermitTicket, hadPermit: boolean, wasSent: boolean): void {
+  private onEnd(ticket: PermitTicket, { hadPermit, wasSent, isTypical }: PermitEnd): void {
     const now = monotonicMs();
     const { service } = ticket;
     if (!hadPermit) {
@@ -230,7 +235,7 @@
     }
     const { limit, time } = this.gateOf(service);
     if (wasSent) {
-      time.observe(now - ticket.grantedAt, ticket.utilization);
+      if (isTypical) time.observe(now - ticket.grantedAt, ticket.utilization);
       limit.noteEnded(this.stateOf(service, now));
     } else limit.noteUnused();
     if (this.queue.countOf(service) > 0) this.release(service, now);
--- a/src/waiting/permit-request.ts
+++ b/src/waiting/permit-request.ts
@@ -20,8 +20,9 @@
    * Leaves the queue or returns the permit. Must be called when the call has ended or its caller has left; repeated
    * calls have no effect.
    * @param wasSent whether the call was sent to a backend
+   * @param isTypical whether its duration shows how long a backend needs for a call. @default false
    */
-  end(wasSent: boolean): void;
+  end(wasSent: boolean, isTypical?: boolean): void;
 }
 
 /** What a call tells when it requests a permit. */
@@ -47,6 +48,13 @@
 /** The same for a program that has not begun: nothing is lost if it begins later. */
 const MAX_HELD_FRACTION_OF_FIRST_TURN = 0.25;
 
+/** How a request was ended while it waited or had a permit. */
+export interface PermitEnd {
+  hadPermit: boolean;
+  wasSent: boolean;
+  isTypical: boolean;
+}
+
 /** A request in the queue. */
 export class PermitTicket implements WaitingCall, PermitRequest {
   readonly service: string;
@@ -73,7 +81,7 @@
   constructor(
     call: PermitCall,
     readonly queuedAt: number,
-    private readonly onEnd: (ticket: PermitTicket, hadPermit: boolean, wasSent: boolean) => void,
+    private readonly onEnd: (ticket: PermitTicket, end: PermitEnd) => void,
   ) {
     const { programRemainingMs } = call;
     this.service = call.service;
@@ -115,12 +123,12 @@
     this.deferred.resolve(refusal);
   }
 
-  end(wasSent: boolean): void {
+  end(wasSent: boolean, isTypical = false): void {
     const { state } = this;
     if (state === 'ended') return;
     this.state = 'ended';
     this.deferred.resolve(undefined);
-    this.onEnd(this, state === 'granted', wasSent);
+    this.onEnd(this, { hadPermit: state === 'granted', wasSent, isTypical });
   }
 
   private noteWait(now: number): void {
--- a/src/waiting/service-time.ts
+++ b/src/waiting/service-time.ts
@@ -3,6 +3,8 @@
  * alone would not do: it rises with the queues, and a limit that follows it would swing with them.
  */
 
+/** Minimum of the mean time, in milliseconds; the ceilings of the backends are divided by it. */
+const MIN_MEAN_MS = 1;
 /** Weight of the newest call in the moving average. */
 const MEAN_WEIGHT = 0.05;
 
@@ -14,11 +16,11 @@
    * @returns mean time, in milliseconds
    */
   typicalMs(typicalMs: number): number {
-    return this.meanMs ?? typicalMs;
+    return Math.max(MIN_MEAN_MS, this.meanMs ?? typicalMs);
   }
 
   /**
-   * Records a call that has ended.
+   * Records a call that was answered by its only attempt. Other calls may end far sooner or later.
    * @param tookMs time since it was sent, in milliseconds
    * @param utilization calls in flight as a multiple of the capacity when it was sent
    */
--- a/tests/support/waiting-replay.ts
+++ b/tests/support/waiting-replay.ts
@@ -98,7 +98,7 @@
   readonly view: BackendView;
   readonly gate: PermitGate;
   readonly placement: Placement;
-  readonly ends = new Map<ReplayTurn, (wasSent: boolean) => void>();
+  readonly ends = new Map<ReplayTurn, (wasSent: boolean, isTypical: boolean) => void>();
   isAlive = true;
 
   constructor(zone: string, isOrdered: boolean, random: () => number) {
@@ -189,7 +189,7 @@
       this.engines.get(sentTo.id)!.remove(turn);
       sentTo.endCall();
     }
-    gateway.ends.get(turn)?.(sentTo !== undefined);
+    gateway.ends.get(turn)?.(sentTo !== undefined, outcome === 'in-time');
     gateway.ends.delete(turn);
   }
 
@@ -218,7 +218,7 @@
       programRemainingMs: undefined,
       bytes: 1_000,
     });
-    gateway.ends.set(turn, (wasSent) => permit?.end(wasSent));
+    gateway.ends.set(turn, (...end) => permit?.end(...end));
     const refusal = permit && (await permit.decision);
     if (turn.outcome !== 'pending') return;
     turn.decidedAt = performance.now();
