--- a/src/waiting/permit-gate.test.ts
+++ b/src/waiting/permit-gate.test.ts
@@ -4,6 +4,7 @@
 import { SILENT_LOGGER } from '../../lab/silent-logger.js';
 import { PermitGate } from './permit-gate.js';
 import type { PermitCall, PermitRefusal, PermitRequest } from './permit-request.js';
+import { ServiceTime } from './service-time.js';
 import { WaitingMetrics } from './waiting-metrics.js';
 
 const CEILING = 9;
@@ -83,6 +84,24 @@
     expect(await bench.counted('immediate')).toBe(CEILING);
   });
 
+  // Guards against refusing a call with a long history for ever.
+  it('is permitted at once on an idle engine although it exceeds the bytes of the queue', async () => {
+    const bench = new GateBench();
+    expect(await bench.decisionOf(bench.request({ bytes: 9_000_000 }))).toBe('permitted');
+  });
+
+  // Guards against refusing calls of idle servers because calls of another service fill the queue.
+  it('is permitted at once on idle servers although the queue is full', async () => {
+    const bench = new GateBench();
+    bench.fill();
+    for (let number = 0; number < 300; number += 1) {
+      bench.request({ deadlineMs: performance.now() + 1e9 });
+    }
+    expect(await bench.counted('queue-full')).toBeGreaterThan(0);
+    const plain = bench.request({ service: 'tools', priority: 2 });
+    expect(await bench.decisionOf(plain)).toBe('permitted');
+  });
+
   it('waits once the engine is full, until one of this gateway ends', async () => {
     const bench = new GateBench();
     const [first] = bench.fill();
@@ -205,6 +224,43 @@
   });
 });
 
+describe('the ceiling', () => {
+  /** The first figures leave one unused place, which is carried over to the next. */
+  const CARRIED = 1;
+  const endAfter = (bench: GateBench, tookMs: number, isTypical: boolean): void => {
+    const request = bench.request();
+    vi.advanceTimersByTime(tookMs);
+    request.end(true, isTypical);
+    bench.gate.updateFigures([]);
+  };
+  const permitted = async (bench: GateBench): Promise<number> => {
+    const requests = Array.from({ length: 15 }, () => bench.request());
+    const decisions = await Promise.all(requests.map((request) => bench.decisionOf(request)));
+    return decisions.filter((decision) => decision === 'permitted').length;
+  };
+
+  // A backend that refuses connections would otherwise seem fast, and get twice the calls that it can process.
+  it('does not follow calls that failed at once', async () => {
+    const bench = new GateBench();
+    endAfter(bench, 1, false);
+    expect(await permitted(bench)).toBe(CEILING + CARRIED);
+  });
+
+  it('follows the service time of answered calls', async () => {
+    const bench = new GateBench();
+    endAfter(bench, 150, true);
+    expect(await permitted(bench)).toBe(2 * bench.engine.capacity + CARRIED);
+  });
+
+  // With a time of 0, the expected rate of permits would be infinite.
+  it('is based on at least 1 ms', () => {
+    const time = new ServiceTime();
+    expect(time.typicalMs(0)).toBe(1);
+    time.observe(0, 1);
+    expect(time.typicalMs(TYPICAL_MS)).toBe(1);
+  });
+});
+
 describe('a caller that leaves', () => {
   it('releases its queue entry at once', async () => {
     const bench = new GateBench();
