--- a/src/waiting/permit-gate.test.ts
+++ b/src/waiting/permit-gate.test.ts
@@ -224,6 +224,25 @@
   });
 });
 
+describe('a stopped gateway', () => {
+  // Nothing would review or release the call any more, so that its caller would wait until its deadline.
+  it('refuses later calls at once', async () => {
+    const bench = new GateBench();
+    bench.fill();
+    bench.request();
+    bench.gate.stop();
+    expect(vi.getTimerCount()).toBe(0);
+    expect(await bench.decisionOf(bench.request())).toHaveProperty('retryAfterMs');
+    expect(vi.getTimerCount()).toBe(0);
+  });
+
+  it('refuses later calls although permits are available', async () => {
+    const bench = new GateBench();
+    bench.gate.stop();
+    expect(await bench.decisionOf(bench.request())).toHaveProperty('retryAfterMs');
+  });
+});
+
 describe('the ceiling', () => {
   /** The first figures leave one unused place, which is carried over to the next. */
   const CARRIED = 1;
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -63,6 +63,7 @@
   private otherWaiting = new Map<string, number>();
   private figuresAt = Number.NEGATIVE_INFINITY;
   private timer: NodeJS.Timeout | undefined;
+  private isStopped = false;
 
   constructor(private readonly options: PermitGateOptions) {
     const { queue } = this;
@@ -77,6 +78,10 @@
     const ticket = new PermitTicket(call, now, (ended, end) => this.onEnd(ended, end));
     const gate = this.gateOf(service);
     gate.refusals.check(now);
+    if (this.isStopped) {
+      this.refuseRemoved([ticket], 'refused-on-arrival', now);
+      return ticket;
+    }
     if (this.queue.countOf(service) === 0) {
       gate.rates.start(now);
       // The bounds of the queue don't apply to a call that need not wait.
@@ -106,9 +111,11 @@
     return this.reporter.report(this.queue.counts(), monotonicMs());
   }
 
-  /** Refuses the waiting calls. */
+  /** Refuses the waiting calls and all later ones. */
   stop(): void {
+    this.isStopped = true;
     clearTimeout(this.timer);
+    this.timer = undefined;
     const now = monotonicMs();
     for (const { service } of this.queue.counts()) {
       const waiting = this.queue.positions(service).map(({ call }) => call);
