--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -1,12 +1,13 @@
 /** Calls that arrive before the gateway has a configuration. */
 import { describe, expect, it } from 'vitest';
+import { RawBackend, close } from '../../tests/support/raw-backend.js';
+import { rawProtocol } from '../../tests/support/raw-sends.js';
 import { sampleCall } from '../../tests/support/sample-call.js';
 import { SignalEvent, monotonicMs, sleep } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
 import { LedgerClient } from '../ledger/index.js';
 import { createLogger } from '../observability/index.js';
 import { type RouteConfiguration, RouteTable } from '../routes/index.js';
-import type { BackendProtocol } from './backend-protocol.js';
 import { BackendView } from './backend-view.js';
 import type { CallDescription, CallExchange, Refusal } from './call-exchange.js';
 import { CallForwarder, type CallForwarderOptions } from './call-forwarder.js';
@@ -65,7 +66,14 @@
   private readonly routesChanged = new SignalEvent();
   private routes: RouteTable | undefined;
 
-  constructor(sharedAdmission?: CallForwarderOptions['sharedAdmission']) {
+  constructor(
+    sharedAdmission?: CallForwarderOptions['sharedAdmission'],
+    backends = new BackendView({
+      connections: () => 1,
+      cacheTokens: () => Infinity,
+      gateways: () => 1,
+    }),
+  ) {
     const logger = createLogger({});
     const peers: PeerCaller = {
       call: () => Promise.reject(new Error('nobody is there')),
@@ -82,14 +90,10 @@
         describe: () => ({}),
       },
       sharedAdmission,
-      backends: new BackendView({
-        connections: () => 1,
-        cacheTokens: () => Infinity,
-        gateways: () => 1,
-      }),
+      backends,
       placement: new Placement({ zone: 'z' }),
       ledger: new LedgerClient(new GroupClient({ peers, addresses: [] }), logger, 'holder'),
-      protocol: {} as BackendProtocol,
+      protocol: rawProtocol,
       logger,
       metrics: new ForwardingMetrics(),
     });
@@ -170,4 +174,25 @@
     expect(active).toBe(0);
     expect(sent).toBe(0);
   });
+
+  // Programs that are not noted as begun would be refused again, including their sub-agents.
+  it('is told of a turn that was sent, even if it failed', async () => {
+    const backend = await RawBackend.start(() => [close]);
+    const limits = { connections: () => 1, cacheTokens: () => Infinity, gateways: () => 1 };
+    const backends = new BackendView(limits);
+    const identity = { id: 'e1', name: 'e1', service: 's', address: backend.address, zone: 'z' };
+    const state = { slots: 6, phase: 'ready' as const, sequence: 1, isSilent: false };
+    backends.update([{ ...identity, ...state }]);
+    const sent: (string | undefined)[] = [];
+    const admission = {
+      decide: () => ({ isAdmitted: true as const, isFinal: true }),
+      beginTurn: () => () => undefined,
+      noteSent: ({ program }: CallDescription) => void sent.push(program?.id),
+    };
+    const gateway = new StartingGateway(admission, backends);
+    gateway.takeConfiguration();
+    await gateway.forwarder.handle(modelCall());
+    await backend.stop();
+    expect(sent).toEqual(['p']);
+  });
 });
