--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -2,9 +2,13 @@
  * Duties of the directory's leader besides replication: handles operator requests and registrations,
  * responds to watchers, bootstraps the ledger group, and removes backends that miss heartbeats.
  */
+import { BackendStatisticsStore } from '../backend-statistics/index.js';
+import { AdmissionLeader } from '../admission/index.js';
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
+import { ZoneHealthBoard } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
+import { WaitingReportStore } from '../waiting/index.js';
 import { encodeValue } from '../wire/index.js';
 import { EventLoopThrottle } from './answer-turns.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -73,6 +77,10 @@
   readonly stateMachine: DirectoryStateMachine;
   private readonly roster = new NodeRoster();
   private readonly loads = new LoadReportStore();
+  private readonly statistics: BackendStatisticsStore;
+  private readonly zoneHealth = new ZoneHealthBoard();
+  private readonly waiting = new WaitingReportStore();
+  private readonly admission: AdmissionLeader;
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -100,6 +108,17 @@
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
     });
     this.ledgerBootstrap = new LedgerBootstrap(options.ledgerVoters);
+    this.statistics = new BackendStatisticsStore({
+      backends: () => this.stateMachine.backends,
+      logger: options.logger,
+      onVerdict: () => this.updates.notify(),
+    });
+    this.admission = new AdmissionLeader({
+      backends: () => this.stateMachine.backends.values(),
+      isSilent: (id) => this.silentBackends.ids.has(id),
+      slowdownOf: (id) => this.statistics.slowdownOf(id),
+      logger: options.logger,
+    });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
   }
 
@@ -111,6 +130,10 @@
     this.heartbeats.clear();
     this.silentBackends.clear();
     this.loads.clear();
+    this.statistics.clear();
+    this.zoneHealth.clear();
+    this.waiting.clear();
+    this.admission.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -205,23 +228,42 @@
    */
   async watch(request: WatchRequest): Promise<DirectoryView> {
     this.recordNode(request.node);
+    const { verdictVersion } = this.statistics;
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
+      this.zoneHealth.report(request.node.name, request.node.zone, request.health);
+      this.waiting.report(request.node.name, request.waiting);
+      this.admission.report(request.node.name, request.demand);
       this.confirmations.record(request.node.name, request.known);
+      const { node, statistics } = request;
+      if (statistics) this.statistics.report(node.name, node.zone, statistics);
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
     while (!request.isUrgent && !this.hasUpdateFor(request) && this.group?.isLeader) {
+      if (this.statistics.verdictVersion !== verdictVersion) break;
       const remainingMs = deadline - monotonicMs();
       if (remainingMs <= 0) break;
       await this.updates.waitWithTimeout(remainingMs);
       await this.responseThrottle.next();
     }
     const view = this.viewFor(request);
-    if (request.node.role === 'gateway') view.loads = this.loads.totalsFor(request.node.name);
+    if (request.node.role === 'gateway') this.addSharedState(view, request);
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
 
+  /** Adds what this leader merges from the reports of all gateways. */
+  private addSharedState(view: DirectoryView, { node, health }: WatchRequest): void {
+    view.loads = this.loads.totalsFor(node.name);
+    const statistics = this.statistics.viewFor();
+    if (statistics) view.statistics = statistics;
+    const waiting = this.waiting.viewFor(node.name);
+    if (waiting) view.waiting = waiting;
+    if (health) view.zoneHealth = this.zoneHealth.viewFor(node.name);
+    const admission = this.admission.viewFor(node.name);
+    if (admission) view.admission = admission;
+  }
+
   /** Whether a held request can be answered now. */
   private hasUpdateFor({ node, known }: WatchRequest): boolean {
     if (this.hasClusterUpdateFor(known)) return true;
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -3,10 +3,14 @@
  * while no leader responds, another one polls the other members. The current state stays in use meanwhile
  * and is never replaced by an older one.
  */
+import type { StatisticsReport } from '../backend-statistics/index.js';
+import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
+import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
+import type { WaitingCount } from '../waiting/index.js';
 import type { BackendRecord } from './backend-registration.js';
 import type { DirectoryClient } from './directory-client.js';
 import { BackendCache } from './backend-cache.js';
@@ -34,7 +38,8 @@
 
 /**
  * Time without a response of the leader after which the other members are polled: three long polls. It bounds
- * the time until an acknowledged drain reaches a gateway whose leader is unresponsive.
+ * the time until an acknowledged drain reaches a gateway whose leader is unresponsive. Gateways
+ * must know of a drain within 2 s, which an unresponsive leader alone does not ensure.
  */
 export const LEADER_OVERDUE_MS = 600;
 /** Minimum time between polls of members; jitter is added because all gateways poll at the same time. */
@@ -52,11 +57,27 @@
   announce: () => NodeAnnouncement;
   /** Calls in flight from this process, by backend. @default none */
   loads?: () => BackendLoad[];
+  /** Health of this process, if a report is due. @default none */
+  health?: () => HealthReport | undefined;
+  /** Calls that wait in this process; undefined if the last report still holds. @default none */
+  waiting?: () => WaitingCount[] | undefined;
+  /** The demand to report; undefined unless in coordinated mode. @default never */
+  demand?: () => DemandReport | null | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
   onBackends?: (backends: BackendRecord[]) => void;
   onCluster?: (view: ClusterView) => void;
   onOtherLoads?: (loads: BackendLoad[]) => void;
+  /** Report of the backend statistics, if one is due. @default none */
+  takeStatistics?: () => StatisticsReport | undefined;
+  /** Receives the packed statistics of the leader. */
+  onStatistics?: (packed: Uint8Array) => void;
+  /** Called with the time at which the answered request was sent (monotonic, milliseconds). */
+  onZoneHealth?: (zoneHealth: ZoneHealth, requestedAt: number) => void;
+  /** Called after `onOtherLoads`. */
+  onOtherWaiting?: (waiting: WaitingCount[]) => void;
+  /** Called for each answer of a leader; undefined if it has not decided. */
+  onAdmission?: (admission: ServiceAdmission[] | undefined) => void;
 }
 
 export class DirectoryWatcher {
@@ -108,6 +129,7 @@
         isUrgent = false;
         this.setConnected(true, '');
         this.applyView(view);
+        if (view.zoneHealth) this.options.onZoneHealth?.(view.zoneHealth, requestedAt);
         this.confirmedAt = Math.max(this.confirmedAt, requestedAt - view.confirmedAgeMs);
       } catch (error) {
         isUrgent = true;
@@ -141,6 +163,10 @@
   }
 
   private request(isUrgent: boolean): Parameters<DirectoryClient['watch']>[0] {
+    const statistics = this.options.takeStatistics?.();
+    const health = this.options.health?.();
+    const waiting = this.options.waiting?.();
+    const demand = this.options.demand?.();
     return {
       node: this.options.announce(),
       known: {
@@ -151,6 +177,10 @@
       },
       isUrgent,
       loads: this.options.loads?.() ?? [],
+      ...(statistics && { statistics }),
+      ...(health && { health }),
+      ...(waiting && { waiting }),
+      ...(demand !== undefined && { demand }),
     };
   }
 
@@ -162,6 +192,9 @@
     this.applyBackends(view);
     if (view.configuration) this.applyConfiguration(view.configuration);
     if (view.loads) this.options.onOtherLoads?.(loadsOfOtherGateways(view.loads));
+    if (view.statistics) this.options.onStatistics?.(view.statistics);
+    if (view.loads) this.options.onOtherWaiting?.(view.waiting ?? []);
+    this.options.onAdmission?.(view.admission);
   }
 
   /** Leaves the silent backends unchanged: only a leader knows them. */
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,5 +1,8 @@
 /** Messages between the directory group and its clients. */
+import type { StatisticsReport } from '../backend-statistics/index.js';
+import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
 import type { LeaderAnswer, Member } from '../consensus/index.js';
+import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendUpdate } from './backend-updates.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -7,6 +10,7 @@
 import type { RetirementState } from './directory-state-machine.js';
 import type { LoadTotals } from './load-totals.js';
 import type { PackedConfiguration } from './packed-configuration.js';
+import type { WaitingCount } from '../waiting/index.js';
 import { INITIAL_SILENCE_VERSION, type SilenceVersion } from './silent-backend-tracker.js';
 
 export const DIRECTORY_GROUP = 'directory';
@@ -55,6 +59,14 @@
   /** Respond immediately instead of long polling, for a process that has just started. */
   isUrgent: boolean;
   loads: BackendLoad[];
+  /** Totals of the sender's calls by backend, in the scheduling mode `coordinated`. */
+  statistics?: StatisticsReport;
+  /** Health of an overloaded gateway, in `coordinated` mode. */
+  health?: HealthReport;
+  /** Calls that wait in the gateway; absent if the last report still holds. */
+  waiting?: WaitingCount[];
+  /** Demand for each service; null if a gateway in coordinated mode has nothing new to report. */
+  demand?: DemandReport | null;
 }
 
 export interface ClusterView {
@@ -96,6 +108,14 @@
   cluster?: ClusterView;
   /** Calls in flight by backend, for gateways. */
   loads?: LoadTotals;
+  /** Packed conditions of the backends that differ from normal, for gateways in the scheduling mode `coordinated`. */
+  statistics?: Uint8Array;
+  /** Answer to the health that the request reported. */
+  zoneHealth?: ZoneHealth;
+  /** Calls that wait in the other gateways; absent if there are none. */
+  waiting?: WaitingCount[];
+  /** Services that are not admitted entirely; absent until the leader has decided, or in independent mode. */
+  admission?: ServiceAdmission[];
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
    * then; another leader may have changed the state since.
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,10 +1,12 @@
 /** Handles calls from arrival to final response: routing, reservation, sending and settlement. */
+import type { GatewayAdmission, ModelCall } from '../admission/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { LedgerClient } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { GatewayQuotas } from '../quotas/index.js';
 import type { CompiledRoute, Route, RouteTable, Tenant } from '../routes/index.js';
 import type { AccessDecision } from '../tenants/index.js';
+import type { PermitGate, PermitRequest } from '../waiting/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
 import { type CallExchange, type RefusalReason, isFirstTurn } from './call-exchange.js';
@@ -12,7 +14,13 @@
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { ProgramAdmission } from './program-admission.js';
-import { describeProgram, describeReservation, describeSends } from './call-log.js';
+import {
+  describeProgram,
+  describeReservation,
+  describeSends,
+  describeWait,
+  slowdownOf,
+} from './call-log.js';
 import { StallDetector } from './stall-detector.js';
 import { StreamRelay } from './stream-relay.js';
 import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
@@ -26,12 +34,16 @@
   directoryAgeMs: () => number;
   access: (route: Route, key: string | undefined) => AccessDecision;
   quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'describe'>;
+  /** Admission shared by all gateways, in coordinated mode. @default each gateway decides alone */
+  sharedAdmission?: Pick<GatewayAdmission, 'decide' | 'beginTurn' | 'noteSent'>;
   backends: BackendView;
   placement: Placement;
   ledger: LedgerClient;
   protocol: BackendProtocol;
   logger: Logger;
   metrics: ForwardingMetrics;
+  /** Lets calls wait for a permit. @default calls are sent at once */
+  permits?: Pick<PermitGate, 'request'>;
 }
 
 /** Maximum age of the directory data by which an unknown route is rejected; with older data it may be new. */
@@ -127,13 +139,18 @@
     const deadlineMs = exchange.arrivedAt + timeoutMs;
     const tenant = this.authorize(exchange, route);
     const service = route.nextService();
-    this.admit(exchange, tenant?.priority ?? route.route.priority, service);
+    const priority = tenant?.priority ?? route.route.priority;
+    const call = { service, priority, tenant: tenant?.name, call: description };
+    this.admit(call);
     if (tenant) await this.takeToken(exchange, tenant);
+    const endTurn = isModelCall(call) ? this.options.sharedAdmission?.beginTurn(call) : undefined;
     try {
       await this.serve({ exchange, route, service, tenant, deadlineMs });
     } catch (error) {
       if (tenant && error instanceof RefusedError) this.options.quotas.giveBack(tenant.name);
       throw error;
+    } finally {
+      endTurn?.();
     }
   }
 
@@ -144,11 +161,12 @@
     const typicalMs = this.options.backends.typicalMs(service);
     const time = { deadlineMs, typicalMs };
     const reservation = await this.turns.reserve(exchange, route.route, time, tenant?.name);
+    const body = withHistory(description.body, reservation?.history);
     const run = new CallRun({
       exchange,
       route,
       service,
-      body: withHistory(description.body, reservation?.history),
+      body,
       deadlineMs,
       backends: this.options.backends,
       placement: this.options.placement,
@@ -156,8 +174,11 @@
       tenant: tenant?.name,
       denial: () => this.currentDenial(exchange, route),
       protocol: this.options.protocol,
+      requestPermit: () => this.requestPermit(call, body.length),
     });
     const ending = await run.run();
+    const isModelCall = description.promptParts.length > 0;
+    if (isModelCall && run.hasRun) this.options.sharedAdmission?.noteSent(description);
     if (tenant && !run.hasRun) this.options.quotas.giveBack(tenant.name);
     this.reportToAdmission(exchange, run, ending);
     const endedAt = monotonicMs();
@@ -169,6 +190,21 @@
     this.record({ exchange, route, tenant, ending: final, run, reservation, keepMs });
   }
 
+  private requestPermit(call: AdmittedCall, bytes: number): PermitRequest | undefined {
+    const { exchange, route, service, tenant, deadlineMs } = call;
+    const { description } = exchange;
+    const isModelCall = description.promptParts.length > 0;
+    return this.options.permits?.request({
+      service,
+      priority: tenant?.priority ?? route.route.priority,
+      tenant: tenant?.name,
+      hasBegun: isModelCall ? !isFirstTurn(description) : description.program !== undefined,
+      deadlineMs,
+      programRemainingMs: description.program?.remainingMs,
+      bytes,
+    });
+  }
+
   /** @throws RefusedError if the caller is not authorized, or authorization cannot be determined */
   private authorize({ description }: CallExchange, { route }: CompiledRoute): Tenant | undefined {
     const decision = this.options.access(route, description.apiKey);
@@ -196,11 +232,16 @@
   }
 
   /** @throws RefusedError if the call starts a new program and its service is overloaded */
-  private admit({ description }: CallExchange, priority: number, service: string): void {
-    if (description.promptParts.length === 0) return;
+  private admit(call: ModelCall): void {
+    if (!isModelCall(call)) return;
+    const { service, priority } = call;
     const engines = this.options.backends.serving(service);
-    if (this.admission.admits(service, priority, description, engines)) return;
+    const isWithinOwnLimit = this.admission.admits(service, priority, call.call, engines);
     const typicalMs = this.options.backends.typicalMs(service);
+    const shared = this.options.sharedAdmission?.decide(call, typicalMs);
+    if (shared?.isAdmitted === false)
+      throw new RefusedError('not-admitted', shared.retryAfterMs, shared.details);
+    if (shared?.isFinal || isWithinOwnLimit) return;
     const drainMs = this.admission.drainMs(service, engines, typicalMs);
     throw new RefusedError('not-admitted', drainMs);
   }
@@ -226,7 +267,7 @@
         run.response.end();
         break;
       case 'refused':
-        this.refuse(exchange, final.reason);
+        this.refuse(exchange, final.reason, final.retryAfterMs);
         break;
       case 'broken-off':
         exchange.abort();
@@ -271,10 +312,12 @@
       ms: Math.round(tookMs),
       firstMs: firstEventMs && Math.round(firstEventMs),
       ...describeReservation(exchange, reservation, keepMs),
+      ...describeWait(run?.permit),
       most: exchange.description.mostTokens || undefined,
       previousTurn: exchange.description.previousTurn,
       events: run?.response instanceof StreamRelay ? run.response.events : undefined,
       sends: run && describeSends(run),
+      slowdown: run && slowdownOf(run),
       ...describeProgram(exchange.description.program),
       ...details,
     };
@@ -302,6 +345,10 @@
   return kind === 'unknown-key' ? 'unknown-key' : 'not-ready';
 }
 
+function isModelCall({ call }: ModelCall): boolean {
+  return call.promptParts.length > 0;
+}
+
 function isTimeLimit(ending: CallOutcome): boolean {
   if (ending.kind !== 'refused') return false;
   return ending.reason === 'time-limit' || ending.reason === 'time-limit-before-start';
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -1,19 +1,21 @@
 /** Executes one forwarded call: selects backends and sends the call until it is answered or has failed. */
+import type { AttemptEnd } from '../backend-statistics/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { CompiledRoute } from '../routes/index.js';
 import type { CallWork, LatencyModel } from '../performance/index.js';
+import type { PermitRequest } from '../waiting/index.js';
 import type { BackendConnection } from './backend-connections.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendState, BackendView } from './backend-view.js';
 import { BufferedResponse } from './buffered-answer.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
-import type { PlacementDecision, Placement } from './placement.js';
+import { type PlacementDecision, type Placement, estimatedMsAt } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 import { StreamRelay } from './stream-relay.js';
 
 export type CallOutcome =
   | { kind: 'answered' }
-  | { kind: 'refused'; reason: RefusalReason }
+  | { kind: 'refused'; reason: RefusalReason; retryAfterMs?: number }
   | { kind: 'broken-off' }
   | { kind: 'abandoned' };
 
@@ -33,6 +35,8 @@
   /** Returns why the caller is no longer authorized, if so; called immediately before each attempt. */
   denial: () => RefusalReason | undefined;
   protocol: BackendProtocol;
+  /** Requests the permit for the first send; undefined if none is needed. */
+  requestPermit?: () => PermitRequest | undefined;
 }
 
 /** One attempt, for the log. */
@@ -51,8 +55,11 @@
   tookMs: number;
   /** Duration predicted by the service's latency model, in milliseconds. */
   expectedMs?: number;
+  /** Shared slowdown factor of the backend, if it is not 1. */
+  slowdown?: number;
 }
 
+const HTTP_CLIENT_ERROR = 400;
 const HTTP_SERVER_ERROR = 500;
 /** Maximum number of retries after broken responses. */
 const MAX_RETRIES = 2;
@@ -64,6 +71,8 @@
 export class CallRun {
   readonly sends: SendRecord[] = [];
   readonly response: StreamRelay | BufferedResponse;
+  /** Request for the permit of the first send, if one is needed. */
+  permit: PermitRequest | undefined;
   private readonly service: string;
   private readonly excluded = new Set<string>();
   /** Ids of backends that may have received the call. */
@@ -75,7 +84,12 @@
   private retries = 0;
   /** Start of the latest attempt (monotonic, milliseconds). */
   private sentAt = 0;
+  /** When the latest attempt last received data, or was sent (monotonic, milliseconds). */
+  private activeAt = 0;
+  /** Whether the latest attempt was aborted because no response had begun in time. */
+  private isGivenUp = false;
   private mayHaveRun = false;
+  private wasPaused = false;
   private isOverdue = false;
 
   constructor(private readonly options: CallRunOptions) {
@@ -117,11 +131,15 @@
   async run(): Promise<CallOutcome> {
     const { exchange, deadlineMs } = this.options;
     const timer = setTimeout(() => this.onDeadline(), Math.max(0, deadlineMs - monotonicMs()));
-    exchange.onAbandoned(() => this.attempt?.stop());
+    exchange.onAbandoned(() => this.stopSending());
+    if (!exchange.isAbandoned) this.permit = this.options.requestPermit?.();
     try {
+      const refusal = this.permit && (await this.permit.decision);
+      if (refusal) return { kind: 'refused', reason: 'overloaded', ...refusal };
       return await this.sendUntilAnswered();
     } finally {
       clearTimeout(timer);
+      this.permit?.end(this.sends.length > 0, this.isTypical);
     }
   }
 
@@ -145,6 +163,7 @@
       call: this.options.exchange.description,
       excluded: this.excluded,
       promptHolder: this.options.promptHolder,
+      mayProbe: this.sends.length === 0 && this.options.route.route.kind !== 'at-most-once',
     });
   }
 
@@ -155,14 +174,22 @@
     this.model = backend.model;
     this.attempt = attempt;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
-    const { promptParts } = this.options.exchange.description;
+    const { promptParts, mostTokens } = this.options.exchange.description;
+    const tokens = promptParts.reduce((sum, part) => sum + part.tokens, mostTokens);
+    const estimatedMs = estimatedMsAt(backend, this.options.exchange.description, missingTokens);
+    const slowdown = backend.sharedSlowdown;
     backend.beginCall(promptParts);
+    backend.tokensInFlight += tokens;
     this.sentAt = monotonicMs();
+    this.activeAt = this.sentAt;
+    this.isGivenUp = false;
     const timer = this.startResponseTimer(attempt);
     const result = await attempt.run();
     clearTimeout(timer);
     backend.endCall();
-    this.attempt = undefined;
+    backend.tokensInFlight -= tokens;
+    this.noteAttempt(backend, attempt, result, { estimatedMs, slowdown });
+    this.wasPaused ||= attempt.wasPaused;
     const tookMs = monotonicMs() - this.sentAt;
     const load = ownLoad + otherLoad;
     this.sends.push({
@@ -175,7 +202,9 @@
       headMs: attempt.headAt === undefined ? undefined : attempt.headAt - this.sentAt,
       tookMs,
       expectedMs: this.noteDuration(backend, result, { missingTokens, load, tookMs }),
+      slowdown: slowdown === 1 ? undefined : slowdown,
     });
+    this.attempt = undefined;
     return result;
   }
 
@@ -190,7 +219,10 @@
     });
     const callId = description.id;
     const sink = this.response;
-    const onDataReceived = (): void => backend.noteDataReceived();
+    const onDataReceived = (): void => {
+      this.activeAt = monotonicMs();
+      backend.noteDataReceived();
+    };
     const attempt = new SendAttempt({
       protocol,
       connection,
@@ -217,10 +249,27 @@
     if (!isTypical || this.sends.length > 0) return undefined;
     const events = this.response instanceof StreamRelay ? this.response.events : 0;
     const work: CallWork = { missingTokens, load, events };
-    const expectedMs = backend.model.predictMs(work);
-    backend.model.observe(work, tookMs / backend.slowdown.factor, backend.capacity);
-    backend.slowdown.note(tookMs, expectedMs);
-    return expectedMs;
+    return backend.noteDuration(work, tookMs, this.attempt?.wasPaused ?? false);
+  }
+
+  /** Reports the end of an attempt to the shared statistics. */
+  private noteAttempt(
+    backend: BackendState,
+    { wasPaused }: SendAttempt,
+    { kind }: SendResult,
+    estimate: Pick<AttemptEnd, 'estimatedMs' | 'slowdown'>,
+  ): void {
+    const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
+    const now = monotonicMs();
+    backend.statistics?.noteAttempt(backend.id, {
+      kind,
+      isFaulty: this.isErrorAnswer || isTruncated,
+      isGivenUp: this.isGivenUp,
+      wasPaused,
+      tookMs: now - this.sentAt,
+      silentMs: now - this.activeAt,
+      ...estimate,
+    });
   }
 
   /** Aborts the attempt of a repeatable call early enough that a retry can meet the deadline. */
@@ -232,7 +281,10 @@
       objectiveMs * RESPONSE_TIMEOUT_OBJECTIVES,
       leftMs * RESPONSE_TIMEOUT_FRACTION,
     );
-    return setTimeout(() => attempt.abortUnlessStarted(), responseTimeoutMs);
+    return setTimeout(() => {
+      this.isGivenUp = attempt.headAt === undefined;
+      attempt.abortUnlessStarted();
+    }, responseTimeoutMs);
   }
 
   /** @returns the outcome, or undefined if the call is to be sent again */
@@ -273,6 +325,14 @@
     return (this.response.status ?? 0) >= HTTP_SERVER_ERROR;
   }
 
+  /** Whether the only attempt was complete, without an error or a pause by the caller. */
+  private get isTypical(): boolean {
+    const isError = (this.response.status ?? 0) >= HTTP_CLIENT_ERROR;
+    const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
+    const isComplete = this.answeredBy !== undefined && !isTruncated;
+    return this.sends.length === 1 && isComplete && !isError && !this.wasPaused;
+  }
+
   /** Retries after a broken response only if executing the call again is allowed. */
   private outcomeOfBroken(backend: BackendState): CallOutcome | undefined {
     const { kind, maxAttempts } = this.options.route.route;
@@ -341,6 +401,12 @@
 
   private onDeadline(): void {
     this.isOverdue = true;
-    this.attempt?.stop();
+    this.stopSending();
+  }
+
+  /** Stops the attempt in progress, or leaves the queue. */
+  private stopSending(): void {
+    if (this.attempt) this.attempt.stop();
+    else if (this.sends.length === 0) this.permit?.end(false);
   }
 }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -1,5 +1,7 @@
 /** Gateway process: watches the directory and forwards calls. */
 import { randomBytes } from 'node:crypto';
+import { BackendStatistics, StatisticsMetrics } from '../backend-statistics/index.js';
+import { GatewayAdmission } from '../admission/index.js';
 import { SignalEvent } from '../common/index.js';
 import { GroupClient, PeerDirectory } from '../consensus/index.js';
 import {
@@ -7,6 +9,7 @@
   DIRECTORY_GROUP,
   DirectoryClient,
   DirectoryWatcher,
+  WATCH_LONG_POLL_MS,
 } from '../directory/index.js';
 import {
   BackendView,
@@ -15,11 +18,26 @@
   ForwardingMetrics,
   Placement,
 } from '../forwarding/index.js';
+import {
+  CutOffSignal,
+  EventLoopMeter,
+  GatewayHealth,
+  HealthMetrics,
+} from '../gateway-health/index.js';
 import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
+import { MemoryBudget, MemoryBudgetMetrics } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
-import { type EngineProperties, type RequestLimits, RouteTable } from '../routes/index.js';
+import {
+  type EngineProperties,
+  type RequestLimits,
+  type RouteConfiguration,
+  RouteTable,
+  type SchedulingMode,
+  schedulingModeOf,
+} from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
+import { PermitGate, WaitingMetrics } from '../waiting/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
 
@@ -40,13 +58,22 @@
   private readonly peers: PeerDirectory;
   private readonly controlClient: GroupClient;
   private readonly ledgerGroups: GroupClient;
+  private readonly statistics: BackendStatistics;
   private readonly backends: BackendView;
   private readonly watcher: DirectoryWatcher;
   private readonly routesArrived = new SignalEvent();
   private routes: RouteTable | undefined;
+  private schedulingMode: SchedulingMode = 'independent';
+  private readonly permits: PermitGate;
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
   private readonly quotas: GatewayQuotas;
+  private readonly cutOffSignal = new CutOffSignal();
+  private readonly ledger: LedgerClient;
+  private readonly health: GatewayHealth;
+  private hasLedger = false;
+  private readonly memory: MemoryBudget;
+  private readonly admission: GatewayAdmission;
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
@@ -63,17 +90,46 @@
     });
     this.controlClient = new GroupClient({ peers: this.peers, addresses: settings.controlSeeds });
     this.ledgerGroups = new GroupClient({ peers: this.peers, addresses: [] });
-    this.backends = new BackendView({
-      connections: (service) => this.connectionLimit(service),
-      cacheTokens: (service) => this.engineOf(service)?.cacheTokens ?? Infinity,
-      gateways: () => this.gatewayCount,
+    this.statistics = new BackendStatistics({
+      zone: settings.zone,
+      metrics: new StatisticsMetrics(this.metrics.registry),
     });
+    const limits = {
+      connections: (service: string) => this.connectionLimit(service),
+      cacheTokens: (service: string) => this.engineOf(service)?.cacheTokens ?? Infinity,
+      gateways: () => this.gatewayCount,
+    };
+    this.backends = new BackendView(limits, this.statistics);
     this.quotas = new GatewayQuotas({
       groups: this.controlClient,
       group: DIRECTORY_GROUP,
       gateway: settings.name,
       logger,
     });
+    this.ledger = new LedgerClient(
+      this.ledgerGroups,
+      logger,
+      holder,
+      new HistoryReader(this.peers, logger),
+      new ValueCopySender(this.peers),
+      this.cutOffSignal,
+    );
+    this.health = this.createHealth();
+    this.permits = new PermitGate({
+      isActive: () => this.isCoordinated,
+      backends: (service) => this.backends.serving(service),
+      typicalMs: (service) => this.backends.typicalMs(service),
+      gateways: () => this.gatewayCount,
+      onFiguresOverdue: (service) => this.backends.levelOtherLoads(service),
+      logger,
+      metrics: new WaitingMetrics(this.metrics.registry),
+    });
+    this.memory = this.createMemoryBudget();
+    this.admission = new GatewayAdmission({
+      isCoordinated: () => this.isCoordinated,
+      logger,
+      registry: this.metrics.registry,
+    });
     this.watcher = this.createWatcher();
     this.addGauges();
     this.forwarder = new CallForwarder({
@@ -82,18 +138,14 @@
       directoryAgeMs: () => this.watcher.leaderContactAgeMs,
       access: (route, key) => decideAccess(route, key, this.keyKnowledge),
       quotas: this.quotas,
+      sharedAdmission: this.admission,
       backends: this.backends,
-      placement: new Placement({ zone: settings.zone }),
-      ledger: new LedgerClient(
-        this.ledgerGroups,
-        logger,
-        holder,
-        new HistoryReader(this.peers, logger),
-        new ValueCopySender(this.peers),
-      ),
+      placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
+      ledger: this.ledger,
       protocol: options.protocol,
       logger,
       metrics: this.metrics,
+      permits: this.permits,
     });
   }
 
@@ -105,13 +157,24 @@
 
   /** Whether the gateway accepts new callers. */
   get isReady(): boolean {
-    return this.routes !== undefined && this.hasBackends && this.areKeysCurrent && !this.isStopping;
+    const isInformed = this.routes !== undefined && this.hasBackends && this.areKeysCurrent;
+    return isInformed && this.health.isReady && !this.isStopping;
+  }
+
+  /** Whether responses close their connections, so that callers move to another gateway. */
+  get shouldCloseConnections(): boolean {
+    return this.health.isActive && !this.isReady;
   }
 
   get limits(): RequestLimits | undefined {
     return this.routes?.configuration.limits;
   }
 
+  /** Budget of the bytes that are buffered for callers; undefined in `independent` mode. */
+  get memoryBudget(): MemoryBudget | undefined {
+    return this.isCoordinated ? this.memory : undefined;
+  }
+
   /** Reports the gateway as not ready; requests are still served. */
   startDraining(): void {
     this.isStopping = true;
@@ -124,8 +187,10 @@
 
   stop(): void {
     this.watcher.stop();
+    this.health.stop();
     this.quotas.stop();
     this.forwarder.stop();
+    this.permits.stop();
     this.peers.close();
   }
 
@@ -156,32 +221,71 @@
     );
   }
 
+  private get isCoordinated(): boolean {
+    return this.schedulingMode === 'coordinated';
+  }
+
+  private createHealth(): GatewayHealth {
+    return new GatewayHealth({
+      directoryLeader: () => this.controlClient.lastHeardLeader(DIRECTORY_GROUP),
+      directoryHoldMs: WATCH_LONG_POLL_MS,
+      ledger: this.ledger,
+      hasLedger: () => this.hasLedger,
+      signal: this.cutOffSignal,
+      meter: new EventLoopMeter(),
+      logger: this.options.logger,
+      metrics: new HealthMetrics(this.metrics.registry),
+    });
+  }
+
+  private createMemoryBudget(): MemoryBudget {
+    const { memoryLimitBytes } = this.options.settings;
+    const observer = new MemoryBudgetMetrics(this.metrics.registry);
+    const budget = new MemoryBudget({ memoryLimitBytes, logger: this.options.logger, observer });
+    observer.observe(budget);
+    return budget;
+  }
+
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
       client: new DirectoryClient(this.controlClient),
       announce: () => ({ name, role: 'gateway', address, zone }),
       loads: () => this.backends.loads(),
+      health: () => this.health.nextReport(),
+      waiting: () => this.permits.report(),
+      demand: () => this.admission.demand(),
       logger: this.options.logger,
-      onConfiguration: (configuration) => {
-        this.routes = new RouteTable(configuration);
-        this.tenants = new TenantTable(configuration.tenants);
-        this.quotas.setLimits(configuration.tenants ?? []);
-        this.routesArrived.notify();
-      },
+      onConfiguration: (configuration) => this.applyConfiguration(configuration),
       onBackends: (records) => {
         this.hasBackends = true;
         this.backends.update(records);
       },
       onCluster: (view) => this.applyClusterView(view),
       onOtherLoads: (loads) => this.backends.updateOtherLoads(loads),
+      takeStatistics: () => this.statistics.takeReport(),
+      onStatistics: (packed) => this.statistics.apply(packed),
+      onZoneHealth: (zone, requestedAt) => this.health.applyZoneHealth(zone, requestedAt),
+      onOtherWaiting: (waiting) => this.permits.updateFigures(waiting),
+      onAdmission: (admission) => this.admission.apply(admission),
     });
   }
 
+  private applyConfiguration(configuration: RouteConfiguration): void {
+    this.routes = new RouteTable(configuration);
+    this.tenants = new TenantTable(configuration.tenants);
+    this.quotas.setLimits(configuration.tenants ?? []);
+    this.schedulingMode = schedulingModeOf(configuration);
+    this.statistics.setMode(this.schedulingMode);
+    this.health.setMode(this.schedulingMode);
+    this.routesArrived.notify();
+  }
+
   private applyClusterView(view: ClusterView): void {
     const seeds = this.options.settings.controlSeeds;
     this.controlClient.setAddresses([...new Set([...view.controlAddresses, ...seeds])]);
     this.ledgerGroups.setAddresses(view.ledgerAddresses);
+    this.hasLedger = view.ledgerAddresses.length > 0;
     this.gatewayCount = view.gatewayCount;
   }
 
