--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -202,6 +202,7 @@
       deadlineMs,
       programRemainingMs: description.program?.remainingMs,
       bytes,
+      callId: description.id,
     });
   }
 
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -120,6 +120,7 @@
       backends: (service) => this.backends.serving(service),
       typicalMs: (service) => this.backends.typicalMs(service),
       gateways: () => this.gatewayCount,
+      memoryBudget: () => this.memoryBudget,
       onFiguresOverdue: (service) => this.backends.levelOtherLoads(service),
       logger,
       metrics: new WaitingMetrics(this.metrics.registry),
--- a/src/waiting/permit-gate.test.ts
+++ b/src/waiting/permit-gate.test.ts
@@ -2,6 +2,7 @@
 import { Registry } from 'prom-client';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { SILENT_LOGGER } from '../../lab/silent-logger.js';
+import { MemoryBudget } from '../memory-budget/index.js';
 import { PermitGate } from './permit-gate.js';
 import type { PermitCall, PermitRefusal, PermitRequest } from './permit-request.js';
 import { ServiceTime } from './service-time.js';
@@ -24,7 +25,9 @@
   hasEngine = true;
   readonly engine = { capacity: 6, load: 0, isSuspect: false };
   readonly registry = new Registry();
+  budget = new MemoryBudget({ logger: SILENT_LOGGER });
   readonly gate = new PermitGate({
+    memoryBudget: () => this.budget,
     isActive: () => this.isActive,
     backends: () => (this.hasEngine ? [this.engine] : []),
     typicalMs: () => TYPICAL_MS,
@@ -102,6 +105,20 @@
     expect(await bench.decisionOf(plain)).toBe('permitted');
   });
 
+  it('accounts for waiting calls in the memory budget and refuses the largest beyond it', async () => {
+    const bench = new GateBench();
+    bench.budget = new MemoryBudget({ memoryLimitBytes: 10_000, logger: SILENT_LOGGER });
+    bench.fill();
+    const small = bench.request({ bytes: 1_000 });
+    expect(bench.budget.heldBytesOf('waiting-call')).toBe(1_000);
+    const large = bench.request({ bytes: 2_500 });
+    expect(await bench.decisionOf(large)).toMatchObject({ retryAfterMs: expect.any(Number) });
+    expect(await bench.decisionOf(small)).toBe('waiting');
+    expect(bench.budget.heldBytesOf('waiting-call')).toBe(1_000);
+    small.end(false);
+    expect(bench.budget.heldBytes).toBe(0);
+  });
+
   it('waits once the engine is full, until one of this gateway ends', async () => {
     const bench = new GateBench();
     const [first] = bench.fill();
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -4,6 +4,7 @@
  * time.
  */
 import { monotonicMs } from '../common/index.js';
+import type { MemoryBudget } from '../memory-budget/index.js';
 import type { Logger } from '../observability/index.js';
 import { CallQueue } from './call-queue.js';
 import {
@@ -38,6 +39,8 @@
   gateways: () => number;
   /** Called while calls of a service wait and load figures are overdue. */
   onFiguresOverdue: (service: string) => void;
+  /** Budget of the bytes of waiting calls. @default they are bounded by the queue only */
+  memoryBudget?: () => MemoryBudget | undefined;
   logger: Logger;
   metrics: WaitingMetrics;
 }
@@ -94,10 +97,26 @@
     this.refuseRemoved(this.queue.add(ticket), 'queue-full', now);
     this.release(service, now);
     this.reviewArrival(ticket, now);
+    if (ticket.isWaiting) this.holdBytes(ticket, call.callId);
     this.startTimer();
     return ticket;
   }
 
+  /** Accounts for a waiting call; it is refused if it is the largest holder of an exhausted budget. */
+  private holdBytes(ticket: PermitTicket, callId: string | undefined): void {
+    const holder = this.options.memoryBudget?.()?.hold({
+      kind: 'waiting-call',
+      callId,
+      end: () => {
+        this.queue.remove(ticket);
+        this.refuseRemoved([ticket], 'queue-full', monotonicMs());
+      },
+    });
+    if (!holder) return;
+    ticket.hold(holder);
+    holder.resize(ticket.bytes);
+  }
+
   /** Applies the other gateways' waiting calls; their calls in flight must have been applied before. */
   updateFigures(waiting: readonly WaitingCount[]): void {
     const now = monotonicMs();
--- a/src/waiting/permit-request.ts
+++ b/src/waiting/permit-request.ts
@@ -39,6 +39,13 @@
   programRemainingMs: number | undefined;
   /** Size of the request body, in bytes. */
   bytes: number;
+  /** Id of the call, for the log. */
+  callId?: string;
+}
+
+/** Accounts for the bytes of a call while it waits. */
+export interface HeldBytes {
+  release(): void;
 }
 
 type TicketState = 'waiting' | 'granted' | 'ended';
@@ -74,6 +81,7 @@
   /** Calls in flight at the service as a multiple of its capacity when the permit was granted. */
   utilization = 0;
   private state: TicketState = 'waiting';
+  private heldBytes: HeldBytes | undefined;
   private readonly deferred = new Deferred<PermitRefusal | undefined>();
 
   /**
@@ -97,6 +105,15 @@
     this.bytes = call.bytes;
   }
 
+  get isWaiting(): boolean {
+    return this.state === 'waiting';
+  }
+
+  /** Takes over what accounts for the bytes of the call; released once it no longer waits. */
+  hold(heldBytes: HeldBytes): void {
+    this.heldBytes = heldBytes;
+  }
+
   get decision(): Promise<PermitRefusal | undefined> {
     return this.deferred.promise;
   }
@@ -116,12 +133,14 @@
     this.grantedAt = now;
     this.utilization = utilization;
     this.state = 'granted';
+    this.heldBytes?.release();
     this.noteWait(now);
     this.deferred.resolve(undefined);
   }
 
   refuse(refusal: PermitRefusal, now: number): void {
     this.state = 'ended';
+    this.heldBytes?.release();
     this.noteWait(now);
     this.deferred.resolve(refusal);
   }
@@ -130,6 +149,7 @@
     const { state } = this;
     if (state === 'ended') return;
     this.state = 'ended';
+    this.heldBytes?.release();
     this.deferred.resolve(undefined);
     this.onEnd(this, { hadPermit: state === 'granted', wasSent, isTypical });
   }
