--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -35,6 +35,7 @@
   RouteTable,
   type SchedulingMode,
   schedulingModeOf,
+  usesSharedAdmission,
 } from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
 import { PermitGate, WaitingMetrics } from '../waiting/index.js';
@@ -64,6 +65,7 @@
   private readonly routesArrived = new SignalEvent();
   private routes: RouteTable | undefined;
   private schedulingMode: SchedulingMode = 'independent';
+  private usesSharedAdmission = false;
   private readonly permits: PermitGate;
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
@@ -127,7 +129,7 @@
     });
     this.memory = this.createMemoryBudget();
     this.admission = new GatewayAdmission({
-      isCoordinated: () => this.isCoordinated,
+      isCoordinated: () => this.usesSharedAdmission,
       logger,
       registry: this.metrics.registry,
     });
@@ -277,6 +279,7 @@
     this.tenants = new TenantTable(configuration.tenants);
     this.quotas.setLimits(configuration.tenants ?? []);
     this.schedulingMode = schedulingModeOf(configuration);
+    this.usesSharedAdmission = usesSharedAdmission(configuration);
     this.statistics.setMode(this.schedulingMode);
     this.health.setMode(this.schedulingMode);
     this.routesArrived.notify();
--- a/src/routes/index.ts
+++ b/src/routes/index.ts
@@ -2,6 +2,13 @@
 export * from './errors.js';
 export * from './route-configuration.js';
 export { CompiledRoute, RouteTable } from './route-table.js';
-export { SCHEDULING_MODES, type SchedulingMode, schedulingModeOf } from './scheduling-mode.js';
+export {
+  ADMISSION_MODES,
+  type AdmissionMode,
+  SCHEDULING_MODES,
+  type SchedulingMode,
+  schedulingModeOf,
+  usesSharedAdmission,
+} from './scheduling-mode.js';
 export { validateRouteConfiguration } from './validate-configuration.js';
 export { WeightedRoundRobin } from './weighted-round-robin.js';
--- a/src/routes/route-configuration.ts
+++ b/src/routes/route-configuration.ts
@@ -3,7 +3,7 @@
  * to, tenants, and limits on requests.
  */
 
-import type { SchedulingMode } from './scheduling-mode.js';
+import type { AdmissionMode, SchedulingMode } from './scheduling-mode.js';
 
 /** Retry semantics of a route. */
 export type RouteKind = 'repeatable' | 'at-most-once' | 'streaming';
@@ -85,4 +85,6 @@
   tenants?: Tenant[];
   /** How gateways schedule calls; see `schedulingModeOf` for the default. */
   scheduling?: SchedulingMode;
+  /** How programs are admitted under overload. @default independent */
+  admission?: AdmissionMode;
 }
--- a/src/routes/scheduling-mode.test.ts
+++ b/src/routes/scheduling-mode.test.ts
@@ -1,7 +1,7 @@
 /** Guards against coordinated scheduling on services that did not ask for it. */
 import { describe, expect, it } from 'vitest';
 import type { EngineProperties, RouteConfiguration } from './route-configuration.js';
-import { type SchedulingMode, schedulingModeOf } from './scheduling-mode.js';
+import { type SchedulingMode, schedulingModeOf, usesSharedAdmission } from './scheduling-mode.js';
 
 function configurationWith(
   engine: EngineProperties | undefined,
@@ -36,3 +36,13 @@
     expect(schedulingModeOf(configurationWith(LARGE, 'coordinated'))).toBe('coordinated');
   });
 });
+
+describe('shared admission', () => {
+  it('has to be configured and takes effect in coordinated mode only', () => {
+    const small = configurationWith(SMALL);
+    expect(usesSharedAdmission(small)).toBe(false);
+    expect(usesSharedAdmission({ ...small, admission: 'shared' })).toBe(true);
+    expect(usesSharedAdmission({ ...small, admission: 'independent' })).toBe(false);
+    expect(usesSharedAdmission({ ...configurationWith(LARGE), admission: 'shared' })).toBe(false);
+  });
+});
