--- a/src/admission/admission-leader.ts
+++ b/src/admission/admission-leader.ts
@@ -33,8 +33,8 @@
 
 export class AdmissionLeader {
   private readonly reports = new Map<string, ReceivedReport>();
-  /** Gateways that schedule in coordinated mode, with their last watch request (monotonic, milliseconds). */
-  private readonly coordinated = new Map<string, number>();
+  /** Time of the last watch request of each gateway that uses shared admission (monotonic, milliseconds). */
+  private readonly requestedAt = new Map<string, number>();
   private readonly services = new Map<string, ServiceDecision>();
   /** When each limited service was last limited. */
   private readonly limitedAt = new Map<string, number>();
@@ -47,20 +47,20 @@
     this.clock = options.clock ?? monotonicMs;
   }
 
-  /** @param demand null if a gateway in coordinated mode has nothing new to report; undefined in other modes */
+  /** @param demand null if a gateway with shared admission has nothing new to report; undefined without shared admission */
   report(gateway: string, demand: DemandReport | null | undefined): void {
     if (demand === undefined) {
-      this.coordinated.delete(gateway);
+      this.requestedAt.delete(gateway);
       return;
     }
-    this.coordinated.set(gateway, this.clock());
+    this.requestedAt.set(gateway, this.clock());
     this.firstRequestAt ??= this.clock();
     if (demand) this.reports.set(gateway, { demand: validDemand(demand), at: this.clock() });
   }
 
-  /** Services that are not admitted entirely; undefined until all gateways have reported, or in other modes. */
+  /** Services that are not admitted entirely; undefined until all gateways have reported, or without shared admission. */
   viewFor(gateway: string): ServiceAdmission[] | undefined {
-    if (!this.coordinated.has(gateway) || this.firstRequestAt === undefined) return undefined;
+    if (!this.requestedAt.has(gateway) || this.firstRequestAt === undefined) return undefined;
     const now = this.clock();
     // With reports of some gateways only, the sessions would seem to grow while the others report for the first time.
     if (now - this.firstRequestAt < WARM_UP_MS) return undefined;
@@ -70,7 +70,7 @@
 
   clear(): void {
     this.reports.clear();
-    this.coordinated.clear();
+    this.requestedAt.clear();
     this.services.clear();
     this.limitedAt.clear();
     this.limited = [];
@@ -96,8 +96,8 @@
     for (const [gateway, { at }] of this.reports) {
       if (now - at > REPORT_TTL_MS) this.reports.delete(gateway);
     }
-    for (const [gateway, requestedAt] of this.coordinated) {
-      if (now - requestedAt > REPORT_TTL_MS) this.coordinated.delete(gateway);
+    for (const [gateway, requestedAt] of this.requestedAt) {
+      if (now - requestedAt > REPORT_TTL_MS) this.requestedAt.delete(gateway);
     }
   }
 
--- a/src/admission/admitted-fractions.ts
+++ b/src/admission/admitted-fractions.ts
@@ -1,8 +1,8 @@
 /** Admitted fractions of the priorities of a service as a function of its pressure. */
 
 /**
- * Pressure up to which the most urgent priority is admitted entirely. Calls beyond the slots wait, so that a turn takes
- * about as many times as long as on idle engines. Programs are on time up to about 1.3 times, which the range spans.
+ * Pressure up to which the most urgent priority is admitted entirely. It is above 1 because programs tolerate a short
+ * wait for a slot; the range ends near the slowdown at which they are late.
  */
 const MOST_URGENT_START = 1.15;
 /** The same for the least urgent priority, relative to the most urgent one. */
--- a/src/admission/gateway-admission.ts
+++ b/src/admission/gateway-admission.ts
@@ -13,8 +13,8 @@
 const REPORT_INTERVAL_MS = 400;
 
 export interface GatewayAdmissionOptions {
-  /** Whether the configuration in force schedules in coordinated mode. */
-  isCoordinated: () => boolean;
+  /** Whether the configuration in force uses shared admission. */
+  isEnabled: () => boolean;
   registry: Registry;
   logger: Logger;
   /** Monotonic, in milliseconds. @default monotonicMs */
@@ -55,7 +55,7 @@
    */
   decide({ call, ...programClass }: ModelCall, typicalMs: number): AdmissionDecision {
     const { program } = call;
-    if (!this.options.isCoordinated() || !program) return UNDECIDED;
+    if (!this.options.isEnabled() || !program) return UNDECIDED;
     if (!isFirstTurn(call) || this.programs.hasBegun(program.id)) return ADMITTED;
     const { service, priority, tenant } = programClass;
     const now = this.clock();
@@ -79,7 +79,7 @@
    * @returns must be called when the call has ended
    */
   beginTurn({ service, priority, call: { program } }: ModelCall): () => void {
-    if (!this.options.isCoordinated()) return () => undefined;
+    if (!this.options.isEnabled()) return () => undefined;
     const session = program && `${program.id} ${program.session ?? ''}`;
     const turn = { service, priority, session };
     this.tracker.beginTurn(turn);
@@ -91,12 +91,12 @@
    * count: its repetition would pass admission.
    */
   noteSent({ program }: CallDescription): void {
-    if (program && this.options.isCoordinated()) this.programs.noteBegun(program.id, this.clock());
+    if (program && this.options.isEnabled()) this.programs.noteBegun(program.id, this.clock());
   }
 
-  /** The report for the next watch request: null if none is due, undefined unless in coordinated mode. */
+  /** The report for the next watch request: null if none is due, undefined without shared admission. */
   demand(): DemandReport | null | undefined {
-    if (!this.options.isCoordinated()) return undefined;
+    if (!this.options.isEnabled()) return undefined;
     const now = this.clock();
     if (now - this.reportedAt < REPORT_INTERVAL_MS) return null;
     const report = this.tracker.report(now);
@@ -110,7 +110,7 @@
 
   /** Applies a leader's answer. @param admissions undefined if the leader has not decided yet */
   apply(admissions: readonly ServiceAdmission[] | undefined): void {
-    if (!this.options.isCoordinated()) return;
+    if (!this.options.isEnabled()) return;
     const now = this.clock();
     if (admissions) this.held.apply(admissions, now);
     else this.held.noteUndecided();
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,4 +1,4 @@
-/** Shared admission of programs in coordinated mode: demand reports, the leader's decision and its application. */
+/** Shared admission of programs: demand reports, the leader's decision and its application. */
 export { AdmissionLeader, type AdmissionLeaderOptions } from './admission-leader.js';
 export {
   type AdmissionDecision,
--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -36,7 +36,7 @@
   backends: () => ReadonlyMap<string, { readonly service: string }>;
   logger: Logger;
   /** Called when a backend begins or ceases to fail, so that gateways learn of it at once. */
-  onVerdict?: () => void;
+  onFailingChange?: () => void;
   /** Monotonic clock, in milliseconds. */
   clock?: () => number;
 }
@@ -54,7 +54,7 @@
   private slowdowns = new Map<string, number>();
   private slowdownsMergedAt = Number.NEGATIVE_INFINITY;
   /** Number of changes of the failing backends. */
-  verdictVersion = 0;
+  failingVersion = 0;
   private firstReportAt: number | undefined;
   private mergedAt = Number.NEGATIVE_INFINITY;
   private packed: Uint8Array | undefined;
@@ -202,8 +202,8 @@
     const { logger } = this.options;
     for (const [id, zones] of begun) logger.warn('back end failing', { id, zones: zones.join() });
     for (const id of ended) logger.info('back end no longer failing', { id });
-    this.verdictVersion += 1;
-    this.options.onVerdict?.();
+    this.failingVersion += 1;
+    this.options.onFailingChange?.();
   }
 }
 
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -111,7 +111,7 @@
     this.statistics = new BackendStatisticsStore({
       backends: () => this.stateMachine.backends,
       logger: options.logger,
-      onVerdict: () => this.updates.notify(),
+      onFailingChange: () => this.updates.notify(),
     });
     this.admission = new AdmissionLeader({
       backends: () => this.stateMachine.backends.values(),
@@ -228,7 +228,7 @@
    */
   async watch(request: WatchRequest): Promise<DirectoryView> {
     this.recordNode(request.node);
-    const { verdictVersion } = this.statistics;
+    const { failingVersion } = this.statistics;
     if (request.node.role === 'gateway') {
       this.loads.report(request.node.name, request.loads);
       this.zoneHealth.report(request.node.name, request.node.zone, request.health);
@@ -240,7 +240,7 @@
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
     while (!request.isUrgent && !this.hasUpdateFor(request) && this.group?.isLeader) {
-      if (this.statistics.verdictVersion !== verdictVersion) break;
+      if (this.statistics.failingVersion !== failingVersion) break;
       const remainingMs = deadline - monotonicMs();
       if (remainingMs <= 0) break;
       await this.updates.waitWithTimeout(remainingMs);
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -61,7 +61,7 @@
   health?: () => HealthReport | undefined;
   /** Calls that wait in this process; undefined if the last report still holds. @default none */
   waiting?: () => WaitingCount[] | undefined;
-  /** The demand to report; undefined unless in coordinated mode. @default never */
+  /** The demand to report; undefined without shared admission. @default never */
   demand?: () => DemandReport | null | undefined;
   logger: Logger;
   onConfiguration?: (configuration: RouteConfiguration) => void;
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -65,7 +65,7 @@
   health?: HealthReport;
   /** Calls that wait in the gateway; absent if the last report still holds. */
   waiting?: WaitingCount[];
-  /** Demand for each service; null if a gateway in coordinated mode has nothing new to report. */
+  /** Demand for each service; null if a gateway with shared admission has nothing new to report. */
   demand?: DemandReport | null;
 }
 
@@ -114,7 +114,7 @@
   zoneHealth?: ZoneHealth;
   /** Calls that wait in the other gateways; absent if there are none. */
   waiting?: WaitingCount[];
-  /** Services that are not admitted entirely; absent until the leader has decided, or in independent mode. */
+  /** Services that are not admitted entirely; absent until the leader has decided, or without shared admission. */
   admission?: ServiceAdmission[];
   /**
    * Time since a quorum of the group last confirmed the responding leader, in milliseconds. The view was current
--- a/src/explain/call-findings.ts
+++ b/src/explain/call-findings.ts
@@ -140,7 +140,7 @@
     controls.filter((record) => record.node === node),
   );
   return [...new Set(backendsSentTo(line))].flatMap((backend) => {
-    const verdicts = byNode.flatMap((ofNode) => findOverlapping(line, ofNode, verdictsOn(backend)));
+    const verdicts = byNode.flatMap((ofNode) => findOverlapping(line, ofNode, failureOf(backend)));
     const verdict = verdicts.sort(byTime).at(-1);
     if (!verdict) return [];
     const zones = String(verdict.fields.zones);
@@ -151,7 +151,7 @@
 }
 
 /** A new leader begins without verdicts and logs no end of those before it. */
-function verdictsOn(backend: string): StateEvents {
+function failureOf(backend: string): StateEvents {
   return {
     begins: ({ event, fields }) => event === BACKEND_FAILING && fields.id === backend,
     ends: ({ event, fields }) =>
--- a/src/explain/scheduling-counts.ts
+++ b/src/explain/scheduling-counts.ts
@@ -9,7 +9,7 @@
   maxWaitMs: number;
   /** Programs refused by shared admission or by a gateway's own limit, counted by calls. */
   refusedByAdmission: number;
-  /** Calls refused because they would not have been in time, on arrival or while they waited. */
+  /** Calls refused on arrival at the queue or while they waited. */
   refusedByWaiting: number;
   /** Calls ended as the largest holder of an exhausted memory budget. */
   endedForMemory: number;
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -34,7 +34,7 @@
   directoryAgeMs: () => number;
   access: (route: Route, key: string | undefined) => AccessDecision;
   quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'describe'>;
-  /** Admission shared by all gateways, in coordinated mode. @default each gateway decides alone */
+  /** Admission shared by all gateways, if it is configured. @default each gateway decides alone */
   sharedAdmission?: Pick<GatewayAdmission, 'decide' | 'beginTurn' | 'noteSent'>;
   backends: BackendView;
   placement: Placement;
--- a/src/gateway-health/overload-detector.ts
+++ b/src/gateway-health/overload-detector.ts
@@ -8,7 +8,7 @@
 export interface EventLoopLoad {
   /** Fraction of the time in which the loop was busy, 0 to 1. */
   utilization: number;
-  /** 99th percentile of the delay of timers, in milliseconds. */
+  /** Longest delay of the measuring timer, in milliseconds; 0 if it was not measured. */
   delayMs: number;
 }
 
--- a/src/memory-budget/outgoing-answer.test.ts
+++ b/src/memory-budget/outgoing-answer.test.ts
@@ -82,7 +82,7 @@
 }
 
 describe('an answer to a caller that does not read', () => {
-  // Today the backend is paused at Node's high-water mark.
+  // A pause at Node's high-water mark would tie the backend to the speed of a slow caller.
   it('is taken up to the fair share', () => {
     const { answer, budget, events } = setUp();
     expect(writeUntilPaused(answer)).toBeGreaterThan(0.98 * FAIR_SHARE_BYTES);
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -129,7 +129,7 @@
     });
     this.memory = this.createMemoryBudget();
     this.admission = new GatewayAdmission({
-      isCoordinated: () => this.usesSharedAdmission,
+      isEnabled: () => this.usesSharedAdmission,
       logger,
       registry: this.metrics.registry,
     });
--- a/src/routes/scheduling-mode.ts
+++ b/src/routes/scheduling-mode.ts
@@ -1,7 +1,7 @@
 /** Decides whether gateways schedule calls on their own or with state that all of them share. */
 import type { EngineProperties, RouteConfiguration } from './route-configuration.js';
 
-/** `coordinated`: gateways share admission limits, backend statistics and the order of waiting calls. */
+/** `coordinated`: gateways share backend statistics and the counts of waiting calls; see `AdmissionMode` for admission. */
 export const SCHEDULING_MODES = ['independent', 'coordinated'] as const;
 export type SchedulingMode = (typeof SCHEDULING_MODES)[number];
 
--- a/src/waiting/dispatch-limit.ts
+++ b/src/waiting/dispatch-limit.ts
@@ -24,7 +24,7 @@
   /** Monotonic, in milliseconds. */
   now: number;
   backends: readonly BackendOccupancy[];
-  /** Mean latency of a call, in milliseconds. */
+  /** Mean time that a backend needs for a call, without the wait in its queue, in milliseconds. */
   typicalMs: number;
   /** Calls that wait in this gateway. */
   ownWaiting: number;
