--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -35,6 +35,7 @@
   RouteTable,
   type SchedulingMode,
   schedulingModeOf,
+  usesSharedAdmission,
 } from '../routes/index.js';
 import { type TenantSnapshot, TenantTable, decideAccess, keyLeaseMs } from '../tenants/index.js';
 import { PermitGate, WaitingMetrics } from '../waiting/index.js';
@@ -64,6 +65,7 @@
   private readonly routesArrived = new SignalEvent();
   private routes: RouteTable | undefined;
   private schedulingMode: SchedulingMode = 'independent';
+  private usesSharedAdmission = false;
   private readonly permits: PermitGate;
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
@@ -120,13 +122,14 @@
       backends: (service) => this.backends.serving(service),
       typicalMs: (service) => this.backends.typicalMs(service),
       gateways: () => this.gatewayCount,
+      memoryBudget: () => this.memoryBudget,
       onFiguresOverdue: (service) => this.backends.levelOtherLoads(service),
       logger,
       metrics: new WaitingMetrics(this.metrics.registry),
     });
     this.memory = this.createMemoryBudget();
     this.admission = new GatewayAdmission({
-      isCoordinated: () => this.isCoordinated,
+      isEnabled: () => this.usesSharedAdmission,
       logger,
       registry: this.metrics.registry,
     });
@@ -276,6 +279,7 @@
     this.tenants = new TenantTable(configuration.tenants);
     this.quotas.setLimits(configuration.tenants ?? []);
     this.schedulingMode = schedulingModeOf(configuration);
+    this.usesSharedAdmission = usesSharedAdmission(configuration);
     this.statistics.setMode(this.schedulingMode);
     this.health.setMode(this.schedulingMode);
     this.routesArrived.notify();
