--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -83,7 +83,6 @@
   private constructor(private readonly options: GatewayNodeOptions) {
     const { settings, logger } = options;
     this.keyLeaseMs = keyLeaseMs(settings.revocationBoundMs);
-    const holder = `${settings.name}-${randomBytes(HOLDER_ID_BYTES).toString('hex')}`;
     this.peers = new PeerDirectory({
       ownName: settings.name,
       secret: settings.secret,
@@ -108,25 +107,9 @@
       gateway: settings.name,
       logger,
     });
-    this.ledger = new LedgerClient(
-      this.ledgerGroups,
-      logger,
-      holder,
-      new HistoryReader(this.peers, logger),
-      new ValueCopySender(this.peers),
-      this.cutOffSignal,
-    );
+    this.ledger = this.createLedgerClient();
     this.health = this.createHealth();
-    this.permits = new PermitGate({
-      isActive: () => this.isCoordinated,
-      backends: (service) => this.backends.serving(service),
-      typicalMs: (service) => this.backends.typicalMs(service),
-      gateways: () => this.gatewayCount,
-      memoryBudget: () => this.memoryBudget,
-      onFiguresOverdue: (service) => this.backends.levelOtherLoads(service),
-      logger,
-      metrics: new WaitingMetrics(this.metrics.registry),
-    });
+    this.permits = this.createPermitGate();
     this.memory = this.createMemoryBudget();
     this.admission = new GatewayAdmission({
       isEnabled: () => this.usesSharedAdmission,
@@ -135,21 +118,7 @@
     });
     this.watcher = this.createWatcher();
     this.addGauges();
-    this.forwarder = new CallForwarder({
-      routes: () => this.routes,
-      waitForRoutes: (timeoutMs) => this.routesArrived.waitWithTimeout(timeoutMs),
-      directoryAgeMs: () => this.watcher.leaderContactAgeMs,
-      access: (route, key) => decideAccess(route, key, this.keyKnowledge),
-      quotas: this.quotas,
-      sharedAdmission: this.admission,
-      backends: this.backends,
-      placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
-      ledger: this.ledger,
-      protocol: options.protocol,
-      logger,
-      metrics: this.metrics,
-      permits: this.permits,
-    });
+    this.forwarder = this.createForwarder();
   }
 
   static start(options: GatewayNodeOptions): GatewayNode {
@@ -228,6 +197,51 @@
     return this.schedulingMode === 'coordinated';
   }
 
+  private createLedgerClient(): LedgerClient {
+    const { name } = this.options.settings;
+    const holder = `${name}-${randomBytes(HOLDER_ID_BYTES).toString('hex')}`;
+    return new LedgerClient(
+      this.ledgerGroups,
+      this.options.logger,
+      holder,
+      new HistoryReader(this.peers, this.options.logger),
+      new ValueCopySender(this.peers),
+      this.cutOffSignal,
+    );
+  }
+
+  private createPermitGate(): PermitGate {
+    return new PermitGate({
+      isActive: () => this.isCoordinated,
+      backends: (service) => this.backends.serving(service),
+      typicalMs: (service) => this.backends.typicalMs(service),
+      gateways: () => this.gatewayCount,
+      memoryBudget: () => this.memoryBudget,
+      onFiguresOverdue: (service) => this.backends.levelOtherLoads(service),
+      logger: this.options.logger,
+      metrics: new WaitingMetrics(this.metrics.registry),
+    });
+  }
+
+  private createForwarder(): CallForwarder {
+    const { settings, protocol, logger } = this.options;
+    return new CallForwarder({
+      routes: () => this.routes,
+      waitForRoutes: (timeoutMs) => this.routesArrived.waitWithTimeout(timeoutMs),
+      directoryAgeMs: () => this.watcher.leaderContactAgeMs,
+      access: (route, key) => decideAccess(route, key, this.keyKnowledge),
+      quotas: this.quotas,
+      sharedAdmission: this.admission,
+      backends: this.backends,
+      placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
+      ledger: this.ledger,
+      protocol,
+      logger,
+      metrics: this.metrics,
+      permits: this.permits,
+    });
+  }
+
   private createHealth(): GatewayHealth {
     return new GatewayHealth({
       directoryLeader: () => this.controlClient.lastHeardLeader(DIRECTORY_GROUP),
