--- a/src/admission/gateway-admission.test.ts
+++ b/src/admission/gateway-admission.test.ts
@@ -18,10 +18,10 @@
   isCoordinated = true;
 });
 
-function createGateway(): GatewayAdmission {
+function createGateway(registry = new Registry()): GatewayAdmission {
   return new GatewayAdmission({
     isCoordinated: () => isCoordinated,
-    registry: new Registry(),
+    registry,
     logger: createLogger({}),
     clock: () => now,
   });
@@ -182,3 +182,30 @@
     expect(total).toBe(300 * Math.round(Math.LN2 * 60));
   });
 });
+
+describe('metrics of shared admission', () => {
+  it('count decisions and show the decision in force', async () => {
+    const registry = new Registry();
+    const gateway = createGateway(registry);
+    gateway.apply(REFUSE_ALL);
+    gateway.decide(callOf('p'), TYPICAL_MS);
+    const text = await registry.metrics();
+    for (const line of [
+      'ledgegauge_admission_first_turns_total{service="engines",outcome="refused"} 1',
+      'ledgegauge_admission_fraction{service="engines",priority="0"} 0',
+      'ledgegauge_admission_pressure{service="engines"} 1.5',
+    ]) {
+      expect(text).toContain(line);
+    }
+    gateway.apply([]);
+    expect(await registry.metrics()).not.toContain('ledgegauge_admission_fraction{');
+  });
+
+  it('do not exist in independent mode', async () => {
+    isCoordinated = false;
+    const registry = new Registry();
+    const gateway = createGateway(registry);
+    gateway.decide(callOf('p'), TYPICAL_MS);
+    expect(await registry.metrics()).toBe('\n');
+  });
+});
