Placement: sum a prompt only where its length is used

The cache check of coordinated mode summed the tokens of the prompt for every candidate, and each attempt computed an estimated duration for the shared statistics, also in independent mode, where both results were discarded.

The sum now happens behind the check of the mode, the estimate is computed only while the statistics are active, and the four sums of prompt tokens call one function. Attempts that begin in independent mode are no longer reported when the mode changes while they run: they have no estimate.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -3,7 +3,7 @@
 import { monotonicMs } from '../common/index.js';
 import type { BackendLoad, BackendRecord } from '../directory/index.js';
 import { type CallWork, SlowdownEstimator, LatencyModel } from '../performance/index.js';
-import type { PromptPart } from './call-exchange.js';
+import { type PromptPart, promptTokensOf } from './call-exchange.js';
 import { BackendConnectionPool } from './backend-connections.js';
 import { PromptCacheView } from './prompt-cache-view.js';
 
@@ -89,10 +89,13 @@
     return this.statistics?.isActive ? this.sharedSlowdown : this.slowdown.factor;
   }
 
-  /** Number of calls that must end before one with `tokens` fits into the cache; 0 in independent mode. */
-  callsOverCache(tokens: number, answerTokens: number): number {
+  /**
+   * Number of calls that must end before another one fits into the cache; 0 in independent mode.
+   * @param answerTokens maximum length of its answer
+   */
+  callsOverCache(parts: readonly PromptPart[], answerTokens: number): number {
     if (!this.statistics?.isActive) return 0;
-    return callsOverCache(tokens, {
+    return callsOverCache(promptTokensOf(parts) + answerTokens, {
       ownTokens: this.tokensInFlight,
       otherCalls: this.otherInFlight,
       typicalTokens: this.model.typicalPromptTokens + answerTokens,
@@ -110,7 +113,7 @@
     if (this.inFlight === 0) this.dataReceivedAt = monotonicMs();
     this.inFlight += 1;
     this.cache.noteSent(parts);
-    if (parts.length > 0) this.model.notePrompt(parts.reduce((sum, { tokens }) => sum + tokens, 0));
+    if (parts.length > 0) this.model.notePrompt(promptTokensOf(parts));
   }
 
   /** Must be called when a call has ended. */
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -45,6 +45,11 @@
   apiKey?: string;
 }
 
+/** Length of a prompt, in tokens. */
+export function promptTokensOf(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
 /** The prompt of a first turn consists of a shared prefix and its own input. */
 const FIRST_TURN_PARTS = 2;
 
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -8,7 +8,7 @@
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendState, BackendView } from './backend-view.js';
 import { BufferedResponse } from './buffered-answer.js';
-import type { CallExchange, RefusalReason } from './call-exchange.js';
+import { type CallExchange, type RefusalReason, promptTokensOf } from './call-exchange.js';
 import { type PlacementDecision, type Placement, estimatedMsAt } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 import { StreamRelay } from './stream-relay.js';
@@ -59,6 +59,9 @@
   slowdown?: number;
 }
 
+/** What was known of a backend when an attempt began. */
+type AttemptEstimate = Pick<AttemptEnd, 'estimatedMs' | 'slowdown'>;
+
 const HTTP_CLIENT_ERROR = 400;
 const HTTP_SERVER_ERROR = 500;
 /** Maximum number of retries after broken responses. */
@@ -175,9 +178,8 @@
     this.attempt = attempt;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
     const { promptParts, mostTokens } = this.options.exchange.description;
-    const tokens = promptParts.reduce((sum, part) => sum + part.tokens, mostTokens);
-    const estimatedMs = estimatedMsAt(backend, this.options.exchange.description, missingTokens);
-    const slowdown = backend.sharedSlowdown;
+    const tokens = promptTokensOf(promptParts) + mostTokens;
+    const estimate = this.estimateAt(backend, missingTokens);
     backend.beginCall(promptParts);
     backend.tokensInFlight += tokens;
     this.sentAt = monotonicMs();
@@ -188,7 +190,7 @@
     clearTimeout(timer);
     backend.endCall();
     backend.tokensInFlight -= tokens;
-    this.noteAttempt(backend, attempt, result, { estimatedMs, slowdown });
+    if (estimate) this.noteAttempt(backend, attempt, result, estimate);
     this.wasPaused ||= attempt.wasPaused;
     const tookMs = monotonicMs() - this.sentAt;
     const load = ownLoad + otherLoad;
@@ -202,12 +204,22 @@
       headMs: attempt.headAt === undefined ? undefined : attempt.headAt - this.sentAt,
       tookMs,
       expectedMs: this.noteDuration(backend, result, { missingTokens, load, tookMs }),
-      slowdown: slowdown === 1 ? undefined : slowdown,
+      slowdown: estimate?.slowdown === 1 ? undefined : estimate?.slowdown,
     });
     this.attempt = undefined;
     return result;
   }
 
+  /** Estimate for the shared statistics, which ignore attempts that begin in independent mode. */
+  private estimateAt(backend: BackendState, missingTokens: number): AttemptEstimate | undefined {
+    if (!backend.statistics?.isActive) return undefined;
+    const call = this.options.exchange.description;
+    return {
+      estimatedMs: estimatedMsAt(backend, call, missingTokens),
+      slowdown: backend.sharedSlowdown,
+    };
+  }
+
   private createAttempt(backend: BackendState, connection: BackendConnection): SendAttempt {
     const { exchange, protocol, body } = this.options;
     const { description } = exchange;
@@ -257,7 +269,7 @@
     backend: BackendState,
     { wasPaused }: SendAttempt,
     { kind }: SendResult,
-    estimate: Pick<AttemptEnd, 'estimatedMs' | 'slowdown'>,
+    estimate: AttemptEstimate,
   ): void {
     const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
     const now = monotonicMs();
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -188,8 +188,7 @@
   unseenCalls: number,
 ): number {
   const { load, model, capacity, sharedSlowdown } = backend;
-  const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
-  const overCache = backend.callsOverCache(promptTokens + mostTokens, mostTokens);
+  const overCache = backend.callsOverCache(promptParts, mostTokens);
   const waiting = Math.max(0, load + 1 + unseenCalls - capacity, overCache);
   const typicalMs = model.typicalMs * sharedSlowdown;
   return (typicalMs * (waiting + UTILIZATION_COST_FRACTION * load)) / capacity;
--- a/src/forwarding/prompt-cache-view.ts
+++ b/src/forwarding/prompt-cache-view.ts
@@ -4,7 +4,7 @@
  * since its last use.
  */
 import { createLruMap } from '../common/index.js';
-import type { PromptPart } from './call-exchange.js';
+import { type PromptPart, promptTokensOf } from './call-exchange.js';
 
 const MAX_TRACKED_PARTS = 4_000;
 
@@ -26,7 +26,7 @@
   missingTokens(parts: readonly PromptPart[]): number {
     const firstMissing = parts.findIndex((part) => !this.isCached(part.id));
     if (firstMissing < 0) return 0;
-    return parts.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0);
+    return promptTokensOf(parts.slice(firstMissing));
   }
 
   private isCached(id: string): boolean {
