Sums of expiring gateway reports: one class for loads and waiting calls

The leader's store of waiting calls repeated the store of backend loads: replace a report, add and subtract its counts, forget gateways that have not reported for 1.5 s, checked every 250 ms.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -10,3 +10,4 @@
 export * from './tokens.js';
 export * from './random.js';
 export * from './rendezvous.js';
+export * from './reported-sums.js';
