One function each for exponential decay and moving averages

The decay with a half-life was written six times: in backend-statistics, twice in admission, in waiting, in the slowdown estimator and in the queue policy. The moving average of the service time repeated the one of the latency model. Both functions now stand in src/common and are called everywhere.

--- a/src/admission/decayed-rates.ts
+++ b/src/admission/decayed-rates.ts
@@ -1,4 +1,5 @@
 /** Rates of events by key with exponential decay. */
+import { remainingAfter } from '../common/index.js';
 
 const HALF_LIFE_MS = 1_000;
 /** Events per second that one event just now stands for. */
@@ -35,5 +36,5 @@
 }
 
 function decayed({ count, at }: DecayedCount, now: number): number {
-  return count * 2 ** (-(now - at) / HALF_LIFE_MS);
+  return count * remainingAfter(now - at, HALF_LIFE_MS);
 }
--- a/src/admission/duty-estimate.ts
+++ b/src/admission/duty-estimate.ts
@@ -1,4 +1,5 @@
 /** Fraction of the active sessions of a service that have a call in flight, learned while no call waits. */
+import { remainingAfter } from '../common/index.js';
 
 const INITIAL_DUTY = 0.7;
 const MIN_DUTY = 0.3;
@@ -30,7 +31,7 @@
       this.inFlight = this.sessions * INITIAL_DUTY;
     }
     if (sessions === 0 || inFlight >= capacity * MAX_LEARNING_UTILIZATION) return;
-    const kept = 2 ** (-elapsedMs / HALF_LIFE_MS);
+    const kept = remainingAfter(elapsedMs, HALF_LIFE_MS);
     this.sessions = this.sessions * kept + sessions * elapsedMs;
     this.inFlight = this.inFlight * kept + inFlight * elapsedMs;
   }
--- a/src/backend-statistics/failure-detector.ts
+++ b/src/backend-statistics/failure-detector.ts
@@ -2,7 +2,7 @@
  * Decides whether a backend fails for callers, from the merged counts of their gateways. The decision is made on a
  * binomial test; a single gateway never suffices.
  */
-import { remainingAfter } from './decay.js';
+import { remainingAfter } from '../common/index.js';
 import type { FailureCounts } from './failure-counts.js';
 import { FAILURE_HALF_LIFE_MS } from './messages.js';
 
--- a/src/backend-statistics/shared-conditions.ts
+++ b/src/backend-statistics/shared-conditions.ts
@@ -1,5 +1,5 @@
 /** Conditions of the backends as the directory's leader last reported them, at one gateway. */
-import { remainingAfter } from './decay.js';
+import { remainingAfter } from '../common/index.js';
 import { ALL_ZONES, type BackendCondition, SLOWDOWN_HALF_LIFE_MS } from './messages.js';
 
 /** Age up to which the figures of the leader are used unchanged, in milliseconds: two long polls and a margin. */
--- a/src/backend-statistics/statistics-collector.ts
+++ b/src/backend-statistics/statistics-collector.ts
@@ -1,5 +1,5 @@
 /** Counts the calls of one gateway by backend and prepares its reports. */
-import { remainingAfter } from './decay.js';
+import { remainingAfter } from '../common/index.js';
 import {
   type BackendTally,
   FAILURE_HALF_LIFE_MS,
--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -1,7 +1,6 @@
 /** Statistics of backends as the directory's leader merges them from the latest report of each gateway. */
-import { groupBy, monotonicMs } from '../common/index.js';
+import { groupBy, monotonicMs, remainingAfter } from '../common/index.js';
 import type { Logger } from '../observability/index.js';
-import { remainingAfter } from './decay.js';
 import { type FailureCounts, addGateway, emptyCounts } from './failure-counts.js';
 import {
   type BackendCondition,
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,11 +1,13 @@
 /** Utilities shared by all modules. */
 export * from './backoff.js';
 export * from './clock.js';
+export * from './decay.js';
 export * from './deferred.js';
 export * from './errors.js';
 export * from './group-by.js';
 export * from './hashing.js';
 export * from './lru-map.js';
+export * from './moving-average.js';
 export * from './signal-event.js';
 export * from './tokens.js';
 export * from './random.js';
--- a/src/performance/latency-model.ts
+++ b/src/performance/latency-model.ts
@@ -3,6 +3,7 @@
  * uncached prompt tokens, and the events of the response, which slow down with the number of
  * concurrent calls. No engine speeds are configured.
  */
+import { movingAverage } from '../common/index.js';
 import { DecayingLeastSquares } from './decaying-least-squares.js';
 
 /** The inputs that determine the latency of a call. */
@@ -64,7 +65,7 @@
 
   /** Records the prompt length of a call that is sent. */
   notePrompt(tokens: number): void {
-    this.meanPromptTokens = movingAverage(this.meanPromptTokens, tokens);
+    this.meanPromptTokens = movingAverage(this.meanPromptTokens, tokens, MEAN_WEIGHT);
   }
 
   /**
@@ -76,8 +77,8 @@
     if (work.load <= capacity * UNLOADED_UTILIZATION) {
       learn(this.unloadedRegression, work, tookMs, this.typicalMs);
     }
-    this.meanEvents = movingAverage(this.meanEvents, work.events);
-    this.meanMs = movingAverage(this.meanMs, tookMs);
+    this.meanEvents = movingAverage(this.meanEvents, work.events, MEAN_WEIGHT);
+    this.meanMs = movingAverage(this.meanMs, tookMs, MEAN_WEIGHT);
   }
 
   /** Predicted latency on a backend of normal speed, in milliseconds. */
@@ -120,7 +121,3 @@
   const scaledEvents = events / EVENTS_UNIT;
   return [1, missingTokens / TOKENS_UNIT, scaledEvents, (scaledEvents * load) / LOAD_UNIT];
 }
-
-function movingAverage(before: number | undefined, value: number): number {
-  return before === undefined ? value : before + (value - before) * MEAN_WEIGHT;
-}
--- a/src/performance/slowdown-estimator.ts
+++ b/src/performance/slowdown-estimator.ts
@@ -3,7 +3,7 @@
  * the same work. Since single latencies vary widely, only statistically significant differences count.
  * Without calls the estimate decays to 1, so that a recovered backend is used again.
  */
-import { monotonicMs } from '../common/index.js';
+import { monotonicMs, remainingAfter } from '../common/index.js';
 
 /** Weight of the newest call in the moving averages. */
 const SAMPLE_WEIGHT = 0.2;
@@ -44,6 +44,6 @@
   }
 
   private decayFactor(): number {
-    return 0.5 ** ((this.clock() - this.notedAt) / HALF_LIFE_MS);
+    return remainingAfter(this.clock() - this.notedAt, HALF_LIFE_MS);
   }
 }
--- a/src/scheduling/queue-policy.ts
+++ b/src/scheduling/queue-policy.ts
@@ -1,5 +1,5 @@
 /** The order in which queued calls are served. Policies are selected by name in the settings. */
-import { monotonicMs } from '../common/index.js';
+import { monotonicMs, remainingAfter } from '../common/index.js';
 import type { QueuePolicyName } from '../settings/index.js';
 
 export interface WaitingCall {
@@ -86,7 +86,7 @@
   private recentService(tenant: string, now: number): number {
     const service = this.served.get(tenant);
     if (!service) return 0;
-    return service.tokens * 0.5 ** ((now - service.atMs) / SERVICE_HALF_LIFE_MS);
+    return service.tokens * remainingAfter(now - service.atMs, SERVICE_HALF_LIFE_MS);
   }
 }
 
--- a/src/waiting/permit-rates.ts
+++ b/src/waiting/permit-rates.ts
@@ -1,4 +1,5 @@
 /** Estimates the rates at which permits become available to the waiting calls of a service, by priority. */
+import { remainingAfter } from '../common/index.js';
 
 /** Half-life of observations, in milliseconds: a few rounds of load figures. */
 const HALF_LIFE_MS = 1_000;
@@ -11,7 +12,7 @@
   private permits = 0;
 
   observe(elapsedMs: number, permits: number): void {
-    const retained = 0.5 ** (elapsedMs / HALF_LIFE_MS);
+    const retained = remainingAfter(elapsedMs, HALF_LIFE_MS);
     this.waitedMs = this.waitedMs * retained + elapsedMs;
     this.permits = this.permits * retained + permits;
   }
--- a/src/waiting/service-time.ts
+++ b/src/waiting/service-time.ts
@@ -2,6 +2,7 @@
  * Mean time that a backend needs for a call of a service, without the time in the backend's queue. The latency of calls
  * alone would not do: it rises with the queues, and a limit that follows it would swing with them.
  */
+import { movingAverage } from '../common/index.js';
 
 /** Minimum of the mean time, in milliseconds; the ceilings of the backends are divided by it. */
 const MIN_MEAN_MS = 1;
@@ -26,7 +27,6 @@
    */
   observe(tookMs: number, utilization: number): void {
     const ownMs = tookMs / Math.max(1, utilization);
-    const { meanMs } = this;
-    this.meanMs = meanMs === undefined ? ownMs : meanMs + (ownMs - meanMs) * MEAN_WEIGHT;
+    this.meanMs = movingAverage(this.meanMs, ownMs, MEAN_WEIGHT);
   }
 }
