Latency ratios: one place for their bounds and their logarithm

The bounds 0.25 and 8 of a call's latency ratio stood in the slowdown estimator and in the messages of the shared statistics, and four places limited a ratio or its logarithm to them. logLatencyRatio and clampLogRatio in src/performance now serve the estimator, the collector, the store and the merge.

--- a/src/backend-statistics/messages.ts
+++ b/src/backend-statistics/messages.ts
@@ -5,9 +5,6 @@
 export const SLOWDOWN_HALF_LIFE_MS = 2_000;
 /** Half-life of the counts of calls and failures, in milliseconds. */
 export const FAILURE_HALF_LIFE_MS = 1_000;
-/** Bounds of the latency ratio of a single call and of a slowdown factor. */
-export const MINIMUM_RATIO = 0.25;
-export const MAXIMUM_RATIO = 8;
 
 /** Decayed totals of one gateway's calls to one backend. */
 export interface BackendTally {
--- a/src/backend-statistics/slowdown-merge.ts
+++ b/src/backend-statistics/slowdown-merge.ts
@@ -3,7 +3,7 @@
  * are relative to the median of the service's backends, so that a change that concerns all of them, or the scale of
  * the gateways' latency models, is not taken for a slowdown.
  */
-import { MAXIMUM_RATIO, MINIMUM_RATIO } from './messages.js';
+import { clampLogRatio } from '../performance/index.js';
 
 /** Latency ratios that one gateway observed at a backend. */
 export interface RatioSample {
@@ -39,7 +39,7 @@
   const reference = referenceOf([...means.values()], backendCount);
   const slowdowns = new Map<string, number>();
   for (const [id, sample] of means) {
-    slowdowns.set(id, clampLog((sample.mean - reference) * certaintyOf(sample)));
+    slowdowns.set(id, clampLogRatio((sample.mean - reference) * certaintyOf(sample)));
   }
   return slowdowns;
 }
@@ -87,7 +87,3 @@
   const middle = means.length / 2;
   return (means[Math.ceil(middle) - 1]! + means[Math.floor(middle)]!) / 2;
 }
-
-function clampLog(log: number): number {
-  return Math.min(Math.log(MAXIMUM_RATIO), Math.max(Math.log(MINIMUM_RATIO), log));
-}
--- a/src/backend-statistics/statistics-collector.ts
+++ b/src/backend-statistics/statistics-collector.ts
@@ -1,10 +1,9 @@
 /** Counts the calls of one gateway by backend and prepares its reports. */
 import { remainingAfter } from '../common/index.js';
+import { logLatencyRatio } from '../performance/index.js';
 import {
   type BackendTally,
   FAILURE_HALF_LIFE_MS,
-  MAXIMUM_RATIO,
-  MINIMUM_RATIO,
   SLOWDOWN_HALF_LIFE_MS,
   type StatisticsReport,
   encodeReport,
@@ -41,10 +40,9 @@
 
   /** @param expectedMs predicted latency on a backend of normal speed */
   noteDuration(id: string, tookMs: number, expectedMs: number): void {
-    const ratio = Math.min(MAXIMUM_RATIO, Math.max(MINIMUM_RATIO, tookMs / expectedMs));
     const entry = this.currentEntry(id);
     entry.weight += 1;
-    entry.logRatios += Math.log(ratio);
+    entry.logRatios += logLatencyRatio(tookMs, expectedMs);
   }
 
   /** @param isUrgent whether the result is to be reported as soon as possible */
--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -1,13 +1,12 @@
 /** Statistics of backends as the directory's leader merges them from the latest report of each gateway. */
 import { groupBy, monotonicMs, remainingAfter } from '../common/index.js';
 import type { Logger } from '../observability/index.js';
+import { clampLogRatio } from '../performance/index.js';
 import { type FailureCounts, addGateway, emptyCounts } from './failure-counts.js';
 import {
   type BackendCondition,
   type BackendTally,
   FAILURE_HALF_LIFE_MS,
-  MAXIMUM_RATIO,
-  MINIMUM_RATIO,
   SLOWDOWN_HALF_LIFE_MS,
   type StatisticsReport,
   decodeReport,
@@ -144,7 +143,8 @@
       const left = remainingAfter(now - at, SLOWDOWN_HALF_LIFE_MS);
       for (const { id, weight, logRatios } of tallies) {
         if (weight === 0) continue;
-        const sample = { weight: weight * left, mean: clampMean(logRatios / weight) };
+        // No honest report has a mean beyond the bounds of single calls.
+        const sample = { weight: weight * left, mean: clampLogRatio(logRatios / weight) };
         const ofBackend = samples.get(id);
         if (ofBackend) ofBackend.push(sample);
         else samples.set(id, [sample]);
@@ -205,8 +205,3 @@
     this.options.onFailingChange?.();
   }
 }
-
-/** Limits a mean to those of single ratios, which no honest report exceeds. */
-function clampMean(mean: number): number {
-  return Math.min(Math.log(MAXIMUM_RATIO), Math.max(Math.log(MINIMUM_RATIO), mean));
-}
--- a/src/performance/index.ts
+++ b/src/performance/index.ts
@@ -1,3 +1,4 @@
 /** Latency estimation of backends from the calls of this process. */
 export { SlowdownEstimator } from './slowdown-estimator.js';
 export { type CallWork, LatencyModel } from './latency-model.js';
+export { clampLogRatio, logLatencyRatio } from './latency-ratio.js';
--- a/src/performance/slowdown-estimator.ts
+++ b/src/performance/slowdown-estimator.ts
@@ -4,14 +4,12 @@
  * Without calls the estimate decays to 1, so that a recovered backend is used again.
  */
 import { monotonicMs, remainingAfter } from '../common/index.js';
+import { logLatencyRatio } from './latency-ratio.js';
 
 /** Weight of the newest call in the moving averages. */
 const SAMPLE_WEIGHT = 0.2;
 /** Half-life of the estimate without calls, in milliseconds. */
 const HALF_LIFE_MS = 4_000;
-/** Bounds of the ratio of a single call. */
-const MINIMUM_RATIO = 0.25;
-const MAXIMUM_RATIO = 8;
 /** Initial variance of the logarithm of the ratio. */
 const PRIOR_VARIANCE = 0.5;
 /** Number of standard errors beyond which a difference is significant. */
@@ -35,9 +33,8 @@
 
   /** @param expectedMs predicted latency on a backend of normal speed */
   note(tookMs: number, expectedMs: number): void {
-    const ratio = Math.min(MAXIMUM_RATIO, Math.max(MINIMUM_RATIO, tookMs / expectedMs));
     const before = this.mean * this.decayFactor();
-    const difference = Math.log(ratio) - before;
+    const difference = logLatencyRatio(tookMs, expectedMs) - before;
     this.mean = before + difference * SAMPLE_WEIGHT;
     this.variance += (difference ** 2 - this.variance) * SAMPLE_WEIGHT;
     this.notedAt = this.clock();
