Utilization of backends: one function for ordered waiting and program admission

The gate of waiting calls repeated the utilization that program admission computes, over an interface with the same two fields. Both now use Occupancy and utilizationOf in src/performance.

--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -8,6 +8,7 @@
  * decides, so that retries at any gateway get the same result; less urgent routes are refused first.
  */
 import { hash32 } from '../common/index.js';
+import { type Occupancy, totalCapacityOf, utilizationOf } from '../performance/index.js';
 import { type CallDescription, isFirstTurn } from './call-exchange.js';
 
 /** Tolerated latency of turns, as a multiple of the latency on unloaded engines. */
@@ -28,13 +29,6 @@
 const LESS_URGENT_FRACTION = 0.8;
 const HASH_RANGE = 2 ** 32;
 
-export interface EngineOccupancy {
-  /** Calls in flight. */
-  readonly load: number;
-  /** Typical calls that the engine can process at once. */
-  readonly capacity: number;
-}
-
 export interface EndedTurn {
   service: string;
   call: CallDescription;
@@ -65,10 +59,10 @@
    * Adapts the limit to a finished turn.
    * @param gateways number of gateways that send turns to the engines, each with its own limit
    */
-  noteEnd(turn: EndedTurn, engines: readonly EngineOccupancy[], gateways: number): void {
+  noteEnd(turn: EndedTurn, engines: readonly Occupancy[], gateways: number): void {
     const limit = this.limits.get(turn.service);
     if (!limit) return;
-    const capacityPerGateway = capacityOf(engines) / gateways;
+    const capacityPerGateway = totalCapacityOf(engines) / gateways;
     const step = GAIN / Math.max(1, capacityPerGateway);
     const isTested = utilizationOf(engines) > limit.maxUtilization * TESTED_FRACTION;
     if (!isTested) {
@@ -86,7 +80,7 @@
     service: string,
     priority: number,
     call: CallDescription,
-    engines: readonly EngineOccupancy[],
+    engines: readonly Occupancy[],
   ): boolean {
     const limit = this.limitFor(service, priority);
     const { program } = call;
@@ -102,7 +96,7 @@
    * Estimated time until the load has fallen to the limit, in milliseconds.
    * @param typicalMs mean latency of a call of the service
    */
-  drainMs(service: string, engines: readonly EngineOccupancy[], typicalMs: number): number {
+  drainMs(service: string, engines: readonly Occupancy[], typicalMs: number): number {
     const utilization = utilizationOf(engines);
     const excessFraction = utilization === 0 ? 0 : 1 - this.limitOf(service) / utilization;
     return Math.max(0, excessFraction) * typicalMs;
@@ -131,14 +125,3 @@
   const isLate = call.program?.remainingMs === 0;
   return isLate ? Math.max(0, excess) : excess;
 }
-
-function capacityOf(engines: readonly EngineOccupancy[]): number {
-  return engines.reduce((sum, engine) => sum + engine.capacity, 0);
-}
-
-/** Calls in flight as a fraction of the capacity of all engines. */
-function utilizationOf(engines: readonly EngineOccupancy[]): number {
-  const capacity = capacityOf(engines);
-  const load = engines.reduce((sum, engine) => sum + engine.load, 0);
-  return capacity === 0 ? 0 : load / capacity;
-}
--- a/src/waiting/dispatch-limit.ts
+++ b/src/waiting/dispatch-limit.ts
@@ -5,13 +5,10 @@
  * The load that it handles: 70 gateways with 3 places each, whose figures of each other are 0.1 to 0.2 s old, while an
  * engine ends a call every 30 ms.
  */
+import { type Occupancy, totalCapacityOf } from '../performance/index.js';
 
 /** What is known about a backend. */
-export interface BackendOccupancy {
-  /** Typical calls that the backend can process at once. */
-  readonly capacity: number;
-  /** Calls in flight, including those of other gateways as last reported. */
-  readonly load: number;
+export interface BackendOccupancy extends Occupancy {
   readonly isSuspect: boolean;
   /** Latency as a multiple of the service's normal one. @default 1 */
   readonly sharedSlowdown?: number;
@@ -100,7 +97,7 @@
 
   /** Expected permits per millisecond of a gateway with waiting calls while the service is saturated. */
   expectedRate({ backends, typicalMs, ownWaiting, otherWaiting, gateways }: ServiceState): number {
-    const capacity = sumOf(usableBackends(backends), (backend) => backend.capacity);
+    const capacity = totalCapacityOf(usableBackends(backends));
     const share = otherWaiting > 0 ? shareOf(ownWaiting, otherWaiting) : 1 / gateways;
     return (capacity * share) / typicalMs;
   }
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -6,6 +6,7 @@
 import { monotonicMs } from '../common/index.js';
 import type { MemoryBudget } from '../memory-budget/index.js';
 import type { Logger } from '../observability/index.js';
+import { utilizationOf } from '../performance/index.js';
 import { CallQueue } from './call-queue.js';
 import {
   type BackendOccupancy,
@@ -316,10 +317,3 @@
     this.options.metrics.note(ticket.service, outcome, waitedMs ?? 0);
   }
 }
-
-/** Calls in flight as a multiple of the capacity. */
-function utilizationOf(backends: readonly BackendOccupancy[]): number {
-  const capacity = backends.reduce((sum, backend) => sum + backend.capacity, 0);
-  const load = backends.reduce((sum, backend) => sum + backend.load, 0);
-  return capacity === 0 ? 0 : load / capacity;
-}
