Statistics store: merging is a step of its own; one check of reported counts

BackendStatisticsStore.report() called viewFor() only for the merge in it. The merge is now mergeIfDue(), called by both. The totals of the demand reports call countOf() of the report validation instead of a copy of it.

--- a/src/admission/demand-totals.ts
+++ b/src/admission/demand-totals.ts
@@ -1,5 +1,6 @@
 /** Sums the demand reports of all gateways by service, with a limit on what one gateway can claim. */
 import type { DemandReport, ServiceDemand } from './messages.js';
+import { countOf } from './valid-demand.js';
 
 /** One gateway counts as at most this multiple of the median gateway. */
 const MAX_MEDIANS = 3;
@@ -54,11 +55,11 @@
 }
 
 function claimOf(demand: ServiceDemand, at: number): Claim {
-  const sessions = sum(demand.priorities.map((priority) => count(priority.sessions)));
+  const sessions = sum(demand.priorities.map((priority) => countOf(priority.sessions)));
   const offered = sum(
-    demand.priorities.flatMap((priority) => priority.offered.map(([, rate]) => count(rate))),
+    demand.priorities.flatMap((priority) => priority.offered.map(([, rate]) => countOf(rate))),
   );
-  return { demand, at, sessions, inFlight: count(demand.inFlight), offered };
+  return { demand, at, sessions, inFlight: countOf(demand.inFlight), offered };
 }
 
 /**
@@ -105,7 +106,7 @@
       totals.priorities.set(priority, total);
     }
     for (const [tenant, perMinute] of offered) {
-      const perSecond = (count(perMinute) * scale) / SECONDS_PER_MINUTE;
+      const perSecond = (countOf(perMinute) * scale) / SECONDS_PER_MINUTE;
       total.offeredPerSecond += perSecond;
       if (tenant !== '') {
         total.byTenant.set(tenant, (total.byTenant.get(tenant) ?? 0) + perSecond);
@@ -114,11 +115,6 @@
   }
 }
 
-/** Values that are no counts are ignored. */
-function count(value: number): number {
-  return Number.isFinite(value) && value > 0 ? value : 0;
-}
-
 function sum(values: number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/src/admission/valid-demand.ts
+++ b/src/admission/valid-demand.ts
@@ -37,7 +37,7 @@
 }
 
 /** Values that are no counts are taken as 0. */
-function countOf(value: unknown): number {
+export function countOf(value: unknown): number {
   return typeof value === 'number' && Number.isFinite(value) && value > 0 ? value : 0;
 }
 
--- a/src/backend-statistics/statistics-store.ts
+++ b/src/backend-statistics/statistics-store.ts
@@ -67,23 +67,12 @@
     const at = this.clock();
     this.firstReportAt ??= at;
     this.reports.set(gateway, { zone, tallies: decodeReport(report), at });
-    this.viewFor();
+    this.mergeIfDue();
   }
 
   /** Packed conditions of the backends that differ from normal; undefined while too little is known. */
   viewFor(): Uint8Array | undefined {
-    if (this.firstReportAt === undefined) return undefined;
-    const now = this.clock();
-    if (now - this.mergedAt < MERGE_INTERVAL_MS) return this.packed;
-    this.mergedAt = now;
-    this.expire(now);
-    if (this.reports.size === 0) {
-      this.clear();
-      return undefined;
-    }
-    const conditions = this.merge(now);
-    const isWarm = now - this.firstReportAt >= WARM_UP_MS;
-    this.packed = isWarm ? packConditions(conditions) : undefined;
+    this.mergeIfDue();
     return this.packed;
   }
 
@@ -102,6 +91,21 @@
     this.packed = undefined;
   }
 
+  /** Also called for each report, so that waiting watchers learn at once of a backend that begins to fail. */
+  private mergeIfDue(): void {
+    const now = this.clock();
+    if (this.firstReportAt === undefined || now - this.mergedAt < MERGE_INTERVAL_MS) return;
+    this.mergedAt = now;
+    this.expire(now);
+    if (this.reports.size === 0) {
+      this.clear();
+      return;
+    }
+    const conditions = this.merge(now);
+    const isWarm = now - this.firstReportAt >= WARM_UP_MS;
+    this.packed = isWarm ? packConditions(conditions) : undefined;
+  }
+
   private expire(now: number): void {
     for (const [gateway, { at }] of this.reports) {
       if (now - at > REPORT_TTL_MS) this.reports.delete(gateway);
