--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -2,23 +2,19 @@
  * Duties of the directory's leader besides replication: handles operator requests and registrations,
  * responds to watchers, bootstraps the ledger group, and removes backends that miss heartbeats.
  */
-import { BackendStatisticsStore } from '../backend-statistics/index.js';
-import { AdmissionLeader } from '../admission/index.js';
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
-import { ZoneHealthBoard } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
-import { WaitingReportStore } from '../waiting/index.js';
 import { encodeValue } from '../wire/index.js';
 import { EventLoopThrottle } from './answer-turns.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
 import { type ConfirmedPart, GatewayConfirmations } from './gateway-confirmations.js';
+import { GatewayReports } from './gateway-reports.js';
 import { HeartbeatTable } from './heartbeat-table.js';
 import type { Incarnation } from './incarnation.js';
 import { LedgerBootstrap } from './ledger-bootstrap.js';
-import { LoadReportStore } from './load-board.js';
 import type {
   ClusterView,
   DirectoryView,
@@ -76,11 +72,7 @@
 export class DirectoryLeader {
   readonly stateMachine: DirectoryStateMachine;
   private readonly roster = new NodeRoster();
-  private readonly loads = new LoadReportStore();
-  private readonly statistics: BackendStatisticsStore;
-  private readonly zoneHealth = new ZoneHealthBoard();
-  private readonly waiting = new WaitingReportStore();
-  private readonly admission: AdmissionLeader;
+  private readonly gatewayReports: GatewayReports;
   private readonly confirmations = new GatewayConfirmations();
   private readonly heartbeats: HeartbeatTable;
   private readonly ledgerBootstrap: LedgerBootstrap;
@@ -108,15 +100,10 @@
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
     });
     this.ledgerBootstrap = new LedgerBootstrap(options.ledgerVoters);
-    this.statistics = new BackendStatisticsStore({
+    this.gatewayReports = new GatewayReports({
       backends: () => this.stateMachine.backends,
-      logger: options.logger,
-      onFailingChange: () => this.updates.notify(),
-    });
-    this.admission = new AdmissionLeader({
-      backends: () => this.stateMachine.backends.values(),
       isSilent: (id) => this.silentBackends.ids.has(id),
-      slowdownOf: (id) => this.statistics.slowdownOf(id),
+      onFailingChange: () => this.updates.notify(),
       logger: options.logger,
     });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
@@ -129,11 +116,7 @@
   onLeadershipChange(): void {
     this.heartbeats.clear();
     this.silentBackends.clear();
-    this.loads.clear();
-    this.statistics.clear();
-    this.zoneHealth.clear();
-    this.waiting.clear();
-    this.admission.clear();
+    this.gatewayReports.clear();
     this.confirmations.clear();
     this.roster.clear();
     this.clusterVersion += 1;
@@ -228,42 +211,26 @@
    */
   async watch(request: WatchRequest): Promise<DirectoryView> {
     this.recordNode(request.node);
-    const { failingVersion } = this.statistics;
-    if (request.node.role === 'gateway') {
-      this.loads.report(request.node.name, request.loads);
-      this.zoneHealth.report(request.node.name, request.node.zone, request.health);
-      this.waiting.report(request.node.name, request.waiting);
-      this.admission.report(request.node.name, request.demand);
+    const isGateway = request.node.role === 'gateway';
+    const { failingVersion } = this.gatewayReports;
+    if (isGateway) {
+      this.gatewayReports.record(request);
       this.confirmations.record(request.node.name, request.known);
-      const { node, statistics } = request;
-      if (statistics) this.statistics.report(node.name, node.zone, statistics);
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
     while (!request.isUrgent && !this.hasUpdateFor(request) && this.group?.isLeader) {
-      if (this.statistics.failingVersion !== failingVersion) break;
+      if (this.gatewayReports.failingVersion !== failingVersion) break;
       const remainingMs = deadline - monotonicMs();
       if (remainingMs <= 0) break;
       await this.updates.waitWithTimeout(remainingMs);
       await this.responseThrottle.next();
     }
     const view = this.viewFor(request);
-    if (request.node.role === 'gateway') this.addSharedState(view, request);
+    if (isGateway) this.gatewayReports.addTo(view, request);
     view.confirmedAgeMs = this.confirmedAgeMs;
     return view;
   }
 
-  /** Adds what this leader merges from the reports of all gateways. */
-  private addSharedState(view: DirectoryView, { node, health }: WatchRequest): void {
-    view.loads = this.loads.totalsFor(node.name);
-    const statistics = this.statistics.viewFor();
-    if (statistics) view.statistics = statistics;
-    const waiting = this.waiting.viewFor(node.name);
-    if (waiting) view.waiting = waiting;
-    if (health) view.zoneHealth = this.zoneHealth.viewFor(node.name);
-    const admission = this.admission.viewFor(node.name);
-    if (admission) view.admission = admission;
-  }
-
   /** Whether a held request can be answered now. */
   private hasUpdateFor({ node, known }: WatchRequest): boolean {
     if (this.hasClusterUpdateFor(known)) return true;
@@ -275,7 +242,7 @@
     );
   }
 
-  /** What is newer than the watcher's versions; the caller adds the loads. */
+  /** What is newer than the watcher's versions; the caller adds what is merged from the gateways' reports. */
   private viewFor({ node, known }: WatchRequest): DirectoryView {
     const { stateMachine } = this;
     const view: DirectoryView = { confirmedAgeMs: Infinity };
