--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -147,11 +147,12 @@
 
   /** For a draining backend, resolves once active gateways know of it, or after a time limit. */
   async recordHeartbeat(registration: BackendRegistration): Promise<void> {
-    const { id, service, phase, address } = registration;
+    const { id, service, phase, address, softwareVersion } = registration;
     this.heartbeats.record(id);
     if (this.stateMachine.isChange(registration)) {
       await this.propose({ kind: 'register-backend', registration });
-      this.options.logger.info('back end registered', { id, service, phase, address });
+      const fields = { id, service, phase, address, softwareVersion };
+      this.options.logger.info('back end registered', fields);
     }
     if (phase === 'draining') await this.confirm('backendsIndex', BACKENDS_CONFIRM_MS);
   }
--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -49,6 +49,24 @@
     expect(machine.state.backends.get('i-1')?.phase).toBe('draining');
   });
 
+  it('takes another software version that is reported under the same id', () => {
+    const machine = new Machine();
+    machine.register({ softwareVersion: 'v1', sequence: 1 });
+    expect(machine.register({ softwareVersion: 'v1', sequence: 2 })).toBe(false);
+    expect(machine.register({ softwareVersion: 'v2', sequence: 3 })).toBe(true);
+    expect(machine.state.backends.get('i-1')?.softwareVersion).toBe('v2');
+  });
+
+  it('takes the software version of a backend whose registration an earlier release committed', () => {
+    const machine = new Machine();
+    machine.register({ sequence: 1 });
+    const copy = new DirectoryStateMachine();
+    copy.restore(Buffer.concat([...machine.state.snapshot()]));
+    expect(copy.isChange(sampleRegistration({ sequence: 2 }))).toBe(false);
+    const reported = sampleRegistration({ softwareVersion: 'v1', sequence: 2 });
+    expect(copy.isChange(reported)).toBe(true);
+  });
+
   it('does not revert a drain', () => {
     const machine = new Machine();
     machine.register({ phase: 'draining', sequence: 2 });
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -146,7 +146,8 @@
     return (
       known.phase !== registration.phase ||
       known.service !== registration.service ||
-      known.address !== registration.address
+      known.address !== registration.address ||
+      known.softwareVersion !== registration.softwareVersion
     );
   }
 
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -24,6 +24,14 @@
   gateways(): number;
 }
 
+/** Backends of a service with the same software version. */
+export interface VersionCount {
+  service: string;
+  /** Undefined for backends that report none. */
+  softwareVersion: string | undefined;
+  backends: number;
+}
+
 /** State of one backend at this gateway. */
 export class BackendState {
   /** Calls in flight from this gateway. */
@@ -65,6 +73,10 @@
     return this.record.id;
   }
 
+  get softwareVersion(): string | undefined {
+    return this.record.softwareVersion;
+  }
+
   get load(): number {
     return this.inFlight + this.otherInFlight;
   }
@@ -224,6 +236,20 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Number of backends that accept new calls, by service and software version. */
+  countByVersion(): VersionCount[] {
+    const counts = new Map<string, VersionCount>();
+    for (const [service, backends] of this.byService) {
+      for (const { softwareVersion } of backends) {
+        const key = `${service} ${softwareVersion}`;
+        const count = counts.get(key) ?? { service, softwareVersion, backends: 0 };
+        count.backends += 1;
+        counts.set(key, count);
+      }
+    }
+    return [...counts.values()];
+  }
+
   /** Mean latency of a call of a service, in milliseconds. */
   typicalMs(service: string): number {
     return this.modelOf(service).typicalMs;
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -41,6 +41,8 @@
   previousTurn?: string;
   /** Resume a stream after this event. */
   lastEventId?: string;
+  /** Id of the caller's attempt that brought the first event of the stream that is resumed. */
+  resumedAttempt?: string;
   /** The caller's credential; must not be logged or forwarded. */
   apiKey?: string;
 }
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -17,7 +17,9 @@
 import {
   describeProgram,
   describeReservation,
+  describeResumption,
   describeSends,
+  describeVersions,
   describeWait,
   slowdownOf,
 } from './call-log.js';
@@ -318,6 +320,8 @@
       previousTurn: exchange.description.previousTurn,
       events: run?.response instanceof StreamRelay ? run.response.events : undefined,
       sends: run && describeSends(run),
+      versions: run?.response instanceof StreamRelay ? describeVersions(run) : undefined,
+      ...describeResumption(exchange.description),
       slowdown: run && slowdownOf(run),
       ...describeProgram(exchange.description.program),
       ...details,
--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -2,10 +2,12 @@
 import type { ReservationTrace, ReservationTimings } from '../ledger/index.js';
 import type { LogFields } from '../observability/index.js';
 import type { PermitRequest } from '../waiting/index.js';
-import type { CallExchange, ProgramContext } from './call-exchange.js';
+import type { CallDescription, CallExchange, ProgramContext } from './call-exchange.js';
 import type { CallRun, SendRecord } from './call-run.js';
 import type { Reservation } from './turn-reservations.js';
 
+const UNKNOWN_VERSION = 'unknown';
+
 export function describeProgram(program: ProgramContext | undefined): LogFields {
   if (!program) return {};
   const { id, session, budgetTokens: budget, remainingMs } = program;
@@ -58,6 +60,19 @@
   return slowdown && Number(slowdown.toFixed(2));
 }
 
+/** Software versions of the backends that the call was sent to, in order, without repetitions in succession. */
+export function describeVersions({ sends }: CallRun): string | undefined {
+  const versions = sends.map(({ softwareVersion }) => softwareVersion ?? UNKNOWN_VERSION);
+  return (
+    versions.filter((version, index) => version !== versions[index - 1]).join(' ') || undefined
+  );
+}
+
+/** What the caller resumes; nothing if it begins a stream. */
+export function describeResumption({ lastEventId, resumedAttempt }: CallDescription): LogFields {
+  return { lastEventId, resumes: resumedAttempt };
+}
+
 /** Each attempt as `backend@ownLoad+otherLoad-uncachedTokens/headMs/totalMs(expectedMs):result`. */
 export function describeSends(run: CallRun): string {
   return run.sends.map(describeSend).join(' ');
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -42,6 +42,8 @@
 /** One attempt, for the log. */
 export interface SendRecord {
   backend: string;
+  /** Software version of the backend, if it reports one. */
+  softwareVersion?: string;
   result: SendResult['kind'];
   cause?: string;
   /** Calls in flight from this gateway and from others when it was sent. */
@@ -196,6 +198,7 @@
     const load = ownLoad + otherLoad;
     this.sends.push({
       backend: backend.id,
+      softwareVersion: backend.softwareVersion,
       result: result.kind,
       cause: 'cause' in result ? result.cause : undefined,
       ownLoad,
--- a/src/forwarding/forwarding-metrics.ts
+++ b/src/forwarding/forwarding-metrics.ts
@@ -1,6 +1,10 @@
 /** Counters and latency histograms of forwarded calls. */
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ReservationStep } from '../ledger/index.js';
+import type { VersionCount } from './backend-view.js';
+
+/** Label of backends that report no software version. */
+const UNKNOWN_VERSION = 'unknown';
 
 const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
 
@@ -49,6 +53,21 @@
     });
   }
 
+  /** Adds a gauge of the backends that accept new calls, read at each scrape. */
+  addBackendsGauge(count: () => readonly VersionCount[]): void {
+    new Gauge({
+      name: 'ledgegauge_backends',
+      help: 'Back ends that accept new calls, by service and version of their software',
+      labelNames: ['service', 'version'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const { service, softwareVersion, backends } of count())
+          this.set({ service, version: softwareVersion ?? UNKNOWN_VERSION }, backends);
+      },
+    });
+  }
+
   noteFailedReservation(step: ReservationStep): void {
     this.failedReservations.inc({ step });
   }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -177,8 +177,9 @@
     return { tenants, ageMs: this.watcher.confirmedAgeMs, leaseMs };
   }
 
-  /** Adds gauges for the age of the directory data and the configuration in force. */
+  /** Adds gauges for the backends, the age of the directory data and the configuration in force. */
   private addGauges(): void {
+    this.metrics.addBackendsGauge(() => this.backends.countByVersion());
     const add = (name: string, help: string, read: () => number): void =>
       addGauge(this.metrics.registry, `ledgegauge_directory_${name}`, help, read);
     add(
