A stream goes on at the software version that began it, within one answer

The call forgot what its events came from.

Once a part of the answer was relayed, the call is bound to the version of the back end that sent it, and only back ends of that version are placed or count as an alternative; none left means that the answer is broken off visibly, as before. Before the first event nothing is bound. A back end that reports no version continues only its own streams.

--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -12,6 +12,7 @@
 import { type PlacementDecision, type Placement, estimatedMsAt } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 import { StreamRelay } from './stream-relay.js';
+import { StreamVersion } from './stream-version.js';
 
 export type CallOutcome =
   | { kind: 'answered' }
@@ -82,6 +83,7 @@
   private readonly excluded = new Set<string>();
   /** Ids of backends that may have received the call. */
   private readonly sentTo = new Set<string>();
+  private readonly streamVersion = new StreamVersion();
   private pinnedPlacement: PlacementDecision | undefined;
   private attempt: SendAttempt | undefined;
   /** Latency model of the service, once the call was sent. */
@@ -163,8 +165,7 @@
   private selectBackend(): PlacementDecision | undefined {
     if (this.pinnedPlacement) return this.pinnedPlacement;
     if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
-    const candidates = this.options.backends.serving(this.service);
-    return this.options.placement.choose(candidates, {
+    return this.options.placement.choose(this.candidates, {
       call: this.options.exchange.description,
       excluded: this.excluded,
       promptHolder: this.options.promptHolder,
@@ -172,6 +173,12 @@
     });
   }
 
+  /** Backends that accept new calls and can continue the stream, if it has begun. */
+  private get candidates(): BackendState[] {
+    const serving = this.options.backends.serving(this.service);
+    return serving.filter((backend) => this.streamVersion.accepts(backend));
+  }
+
   private async sendTo({ backend, missingTokens }: PlacementDecision): Promise<SendResult> {
     const connection = backend.connections.acquire();
     if (!connection) return { kind: 'not-sent', cause: 'no connection available' };
@@ -190,6 +197,7 @@
     const timer = this.startResponseTimer(attempt);
     const result = await attempt.run();
     clearTimeout(timer);
+    if (this.response.hasBegun) this.streamVersion.bind(backend);
     backend.endCall();
     backend.tokensInFlight -= tokens;
     if (estimate) this.noteAttempt(backend, attempt, result, estimate);
@@ -369,9 +377,7 @@
   }
 
   private hasAlternative(backend: BackendState): boolean {
-    return this.options.backends
-      .serving(this.service)
-      .some((other) => other !== backend && !this.excluded.has(other.id));
+    return this.candidates.some((other) => other !== backend && !this.excluded.has(other.id));
   }
 
   private brokenOutcome(): CallOutcome {
