JsonReader is part of the HTTP slice; a header that is an ordinary word is looked for as a string

That header's name is an English word: the boundary test looks for it in quotes, where a use as a header would stand; the plain word is in thirteen comments of the core that have nothing to do with it.

--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -70,7 +70,7 @@
 
 /** What the caller resumes; nothing if it begins a stream. */
 export function describeResumption({ lastEventId, resumedAttempt }: CallDescription): LogFields {
-  return { lastEventId, resumes: resumedAttempt };
+  return { lastEventId, resumedAttempt };
 }
 
 /** Each attempt as `backend@ownLoad+otherLoad-uncachedTokens/headMs/totalMs(expectedMs):result`. */
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,4 +1,5 @@
 /** HTTP components shared by the caller API, the operator API and the emulators. */
+export { JsonReader, MalformedBodyError } from './json-reader.js';
 export * from './http-server.js';
 export * from './problem.js';
 export * from './raw-headers.js';
--- a/platform/json-reader.ts
+++ b/src/http/json-reader.ts
@@ -1,6 +1,6 @@
 /** Typed access to parsed JSON; errors name the field. */
 
-/** A body does not match the platform's protocol. */
+/** A body does not match its protocol; the message names the field. */
 export class MalformedBodyError extends Error {}
 
 export class JsonReader {
