A caller's later attempt finds the version that began its stream

Last-Event-Id went to whoever was cheapest; nothing read Resumes, and no one remembered which version had begun a stream. The gateway that began it may be dead by then, so its memory is no place.

The ledger remembers it, by the caller's attempt. A resumable stream with a budget makes a reservation there anyway: it carries the versions that may begin the stream, the ledger takes the one where the session ran last (else the first) and answers with it, and the call is placed among back ends of that version only. An attempt that resumes names the first one in its reservation and gets the recorded version; without a record it is refused at once (503, nothing has run), so that not knowing never joins two versions. If no back end of the reserved version takes the call, the record is replaced before another version may send an event, once; a turn whose reservation nobody confirmed runs on its allowance only where one version was possible. Streams without a reservation, or begun on an allowance, are recorded with their first event in the background. A caller that doesn't name the attempt goes on while all runners have one version.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -2,10 +2,12 @@
 import { type BackendStatistics, callsOverCache } from '../backend-statistics/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { BackendLoad, BackendRecord } from '../directory/index.js';
+import type { VersionKey } from '../ledger/index.js';
 import { type CallWork, SlowdownEstimator, LatencyModel } from '../performance/index.js';
 import { type PromptPart, promptTokensOf } from './call-exchange.js';
 import { BackendConnectionPool } from './backend-connections.js';
 import { PromptCacheView } from './prompt-cache-view.js';
+import { versionKeyOf } from './stream-version.js';
 
 const INITIAL_SUSPICION_MS = 500;
 const MAX_SUSPICION_MS = 5_000;
@@ -184,6 +186,8 @@
 export class BackendView {
   private readonly backends = new Map<string, BackendState>();
   private byService = new Map<string, BackendState[]>();
+  /** Cache of `versions`. */
+  private readonly versionsByService = new Map<string, VersionKey[]>();
   private readonly models = new Map<string, LatencyModel>();
 
   /** @param statistics shared by all gateways in the scheduling mode `coordinated` */
@@ -201,7 +205,7 @@
       this.backends.delete(id);
     }
     for (const record of records) this.take(record);
-    this.byService = groupByService(this.backends.values());
+    this.groupByService();
   }
 
   updateOtherLoads(loads: readonly BackendLoad[]): void {
@@ -236,6 +240,22 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Versions of the backends of a service that accept new calls, those of most backends first. */
+  versions(service: string): readonly VersionKey[] {
+    let versions = this.versionsByService.get(service);
+    if (!versions) {
+      versions = byFrequency(this.serving(service).map(versionKeyOf));
+      this.versionsByService.set(service, versions);
+    }
+    return versions;
+  }
+
+  /** Versions of all registered backends of a service, including those that are leaving. */
+  registeredVersions(service: string): VersionKey[] {
+    const backends = [...this.backends.values()].filter(({ record }) => record.service === service);
+    return [...new Set(backends.map(versionKeyOf))];
+  }
+
   /** Number of backends that accept new calls, by service and software version. */
   countByVersion(): VersionCount[] {
     const counts = new Map<string, VersionCount>();
@@ -261,7 +281,7 @@
     if (!backend) return;
     backend.connections.closeIdle();
     this.backends.delete(id);
-    this.byService = groupByService(this.backends.values());
+    this.groupByService();
   }
 
   loads(): BackendLoad[] {
@@ -270,6 +290,11 @@
       .map((backend) => ({ id: backend.id, inFlight: backend.inFlight }));
   }
 
+  private groupByService(): void {
+    this.byService = groupByService(this.backends.values());
+    this.versionsByService.clear();
+  }
+
   private take(record: BackendRecord): void {
     const known = this.backends.get(record.id);
     if (known && known.record.address === record.address) {
@@ -290,6 +315,13 @@
   }
 }
 
+/** Distinct values, the most frequent first. */
+function byFrequency(values: readonly string[]): string[] {
+  const counts = new Map<string, number>();
+  for (const value of values) counts.set(value, (counts.get(value) ?? 0) + 1);
+  return [...counts].sort(([, left], [, right]) => right - left).map(([value]) => value);
+}
+
 function groupByService(backends: Iterable<BackendState>): Map<string, BackendState[]> {
   const groups = new Map<string, BackendState[]>();
   for (const backend of backends) {
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,7 +1,7 @@
 /** Handles calls from arrival to final response: routing, reservation, sending and settlement. */
 import type { GatewayAdmission, ModelCall } from '../admission/index.js';
 import { monotonicMs } from '../common/index.js';
-import type { LedgerClient } from '../ledger/index.js';
+import type { LedgerClient, ReservedStream } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { GatewayQuotas } from '../quotas/index.js';
 import type { CompiledRoute, Route, RouteTable, Tenant } from '../routes/index.js';
@@ -24,7 +24,9 @@
   slowdownOf,
 } from './call-log.js';
 import { StallDetector } from './stall-detector.js';
+import { ResumableStreams, type StreamCall } from './resumable-streams.js';
 import { StreamRelay } from './stream-relay.js';
+import type { StreamVersion } from './stream-version.js';
 import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
 
 export interface CallForwarderOptions {
@@ -86,11 +88,13 @@
 
 export class CallForwarder {
   private readonly turns: TurnReservations;
+  private readonly streams: ResumableStreams;
   private readonly stallGuard: StallDetector;
   private readonly admission = new ProgramAdmission();
 
   constructor(private readonly options: CallForwarderOptions) {
-    const { ledger, logger, metrics } = options;
+    const { ledger, logger, metrics, backends, placement } = options;
+    this.streams = new ResumableStreams({ backends, placement, ledger });
     this.stallGuard = new StallDetector({ logger });
     this.turns = new TurnReservations({
       ledger,
@@ -162,7 +166,10 @@
     const { description } = exchange;
     const typicalMs = this.options.backends.typicalMs(service);
     const time = { deadlineMs, typicalMs };
-    const reservation = await this.turns.reserve(exchange, route.route, time, tenant?.name);
+    const streamCall = { description, route, service, tenant: tenant?.name, deadlineMs };
+    const stream = this.streams.reservedStream(streamCall);
+    const reservation = await this.turns.reserve(exchange, route.route, time, tenant?.name, stream);
+    const streamVersion = this.versionOfStream(streamCall, stream, reservation);
     const body = withHistory(description.body, reservation?.history);
     const run = new CallRun({
       exchange,
@@ -176,6 +183,7 @@
       tenant: tenant?.name,
       denial: () => this.currentDenial(exchange, route),
       protocol: this.options.protocol,
+      streamVersion,
       requestPermit: () => this.requestPermit(call, body.length),
     });
     const ending = await run.run();
@@ -192,6 +200,20 @@
     this.record({ exchange, route, tenant, ending: final, run, reservation, keepMs });
   }
 
+  /** @throws RefusedError, after the reservation is settled, if it is unknown at which version the stream may run */
+  private versionOfStream(
+    call: StreamCall,
+    stream: ReservedStream | undefined,
+    reservation: Reservation | undefined,
+  ): StreamVersion {
+    try {
+      return this.streams.streamVersion(call, stream, reservation);
+    } catch (error) {
+      if (reservation) this.turns.release(reservation);
+      throw error;
+    }
+  }
+
   private requestPermit(call: AdmittedCall, bytes: number): PermitRequest | undefined {
     const { exchange, route, service, tenant, deadlineMs } = call;
     const { description } = exchange;
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -12,7 +12,7 @@
 import { type PlacementDecision, type Placement, estimatedMsAt } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 import { StreamRelay } from './stream-relay.js';
-import { StreamVersion } from './stream-version.js';
+import type { StreamVersion } from './stream-version.js';
 
 export type CallOutcome =
   | { kind: 'answered' }
@@ -36,6 +36,8 @@
   /** Returns why the caller is no longer authorized, if so; called immediately before each attempt. */
   denial: () => RefusalReason | undefined;
   protocol: BackendProtocol;
+  /** Restricts the backends of a stream that may be resumed. */
+  streamVersion: StreamVersion;
   /** Requests the permit for the first send; undefined if none is needed. */
   requestPermit?: () => PermitRequest | undefined;
 }
@@ -83,9 +85,10 @@
   private readonly excluded = new Set<string>();
   /** Ids of backends that may have received the call. */
   private readonly sentTo = new Set<string>();
-  private readonly streamVersion = new StreamVersion();
   private pinnedPlacement: PlacementDecision | undefined;
   private attempt: SendAttempt | undefined;
+  /** Backend of the latest attempt. */
+  private backend: BackendState | undefined;
   /** Latency model of the service, once the call was sent. */
   private model: LatencyModel | undefined;
   private retries = 0;
@@ -105,14 +108,19 @@
     const { kind, retainsTurns: collectsOutput, isResumable } = route.route;
     this.response =
       kind === 'streaming'
-        ? new StreamRelay({ exchange, collectsOutput, isResumable })
+        ? new StreamRelay({
+            exchange,
+            collectsOutput,
+            isResumable,
+            onBegun: () => this.backend && options.streamVersion.noteBegun(this.backend),
+          })
         : new BufferedResponse(exchange);
   }
 
-  /** Id of the backend whose complete response was relayed. */
-  get answeredBy(): string | undefined {
+  /** The attempt whose complete response was relayed. */
+  get completeSend(): SendRecord | undefined {
     const last = this.sends.at(-1);
-    return last?.result === 'complete' ? last.backend : undefined;
+    return last?.result === 'complete' ? last : undefined;
   }
 
   /** Whether a backend may have executed the call. */
@@ -155,7 +163,10 @@
       const stopped = this.stopOutcome() ?? this.denialOutcome();
       if (stopped) return stopped;
       const decision = this.selectBackend();
-      if (!decision) return this.outcomeWithoutBackend();
+      if (!decision) {
+        if (await this.changeVersion()) continue;
+        return this.outcomeWithoutBackend();
+      }
       const result = await this.sendTo(decision);
       const outcome = this.outcomeOf(decision.backend, result);
       if (outcome) return outcome;
@@ -165,7 +176,11 @@
   private selectBackend(): PlacementDecision | undefined {
     if (this.pinnedPlacement) return this.pinnedPlacement;
     if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
-    return this.options.placement.choose(this.candidates, {
+    return this.placeAmong(this.candidates);
+  }
+
+  private placeAmong(candidates: readonly BackendState[]): PlacementDecision | undefined {
+    return this.options.placement.choose(candidates, {
       call: this.options.exchange.description,
       excluded: this.excluded,
       promptHolder: this.options.promptHolder,
@@ -173,10 +188,29 @@
     });
   }
 
+  /**
+   * Lets a stream that has not begun run at another version, if no backend of its own accepts it.
+   * @returns whether a backend can be selected again
+   */
+  private async changeVersion(): Promise<boolean> {
+    const { streamVersion, backends, route } = this.options;
+    if (!streamVersion.canChange || this.sentTo.size >= route.route.maxAttempts) return false;
+    const other = this.placeAmong(backends.serving(this.service));
+    if (!other) return false;
+    try {
+      await streamVersion.changeTo(other.backend);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
   /** Backends that accept new calls and can continue the stream, if it has begun. */
-  private get candidates(): BackendState[] {
-    const serving = this.options.backends.serving(this.service);
-    return serving.filter((backend) => this.streamVersion.accepts(backend));
+  private get candidates(): readonly BackendState[] {
+    const { backends, streamVersion } = this.options;
+    const serving = backends.serving(this.service);
+    if (streamVersion.version === undefined) return serving;
+    return serving.filter((backend) => streamVersion.accepts(backend));
   }
 
   private async sendTo({ backend, missingTokens }: PlacementDecision): Promise<SendResult> {
@@ -185,6 +219,7 @@
     const attempt = this.createAttempt(backend, connection);
     this.model = backend.model;
     this.attempt = attempt;
+    this.backend = backend;
     const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
     const { promptParts, mostTokens } = this.options.exchange.description;
     const tokens = promptTokensOf(promptParts) + mostTokens;
@@ -197,7 +232,6 @@
     const timer = this.startResponseTimer(attempt);
     const result = await attempt.run();
     clearTimeout(timer);
-    if (this.response.hasBegun) this.streamVersion.bind(backend);
     backend.endCall();
     backend.tokensInFlight -= tokens;
     if (estimate) this.noteAttempt(backend, attempt, result, estimate);
@@ -352,7 +386,7 @@
   private get isTypical(): boolean {
     const isError = (this.response.status ?? 0) >= HTTP_CLIENT_ERROR;
     const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
-    const isComplete = this.answeredBy !== undefined && !isTruncated;
+    const isComplete = this.completeSend !== undefined && !isTruncated;
     return this.sends.length === 1 && isComplete && !isError && !this.wasPaused;
   }
 
@@ -377,7 +411,9 @@
   }
 
   private hasAlternative(backend: BackendState): boolean {
-    return this.candidates.some((other) => other !== backend && !this.excluded.has(other.id));
+    const { streamVersion, backends } = this.options;
+    const candidates = streamVersion.canChange ? backends.serving(this.service) : this.candidates;
+    return candidates.some((other) => other !== backend && !this.excluded.has(other.id));
   }
 
   private brokenOutcome(): CallOutcome {
@@ -388,8 +424,13 @@
   private outcomeWithoutBackend(): CallOutcome {
     if (this.mayHaveRun) return this.brokenOutcome();
     if (this.sentTo.size > 0) return { kind: 'refused', reason: 'not-executed' };
-    const hasAny = this.options.backends.serving(this.service).length > 0;
-    return { kind: 'refused', reason: hasAny ? 'overloaded' : 'no-backend' };
+    return { kind: 'refused', reason: this.reasonWithoutBackend };
+  }
+
+  private get reasonWithoutBackend(): RefusalReason {
+    if (this.candidates.length > 0) return 'overloaded';
+    const hasOthers = this.options.backends.serving(this.service).length > 0;
+    return hasOthers ? 'no-backend-of-version' : 'no-backend';
   }
 
   private stopOutcome(): CallOutcome | undefined {
--- /dev/null
+++ b/src/forwarding/resumable-streams.ts
@@ -0,0 +1,139 @@
+/**
+ * Decides at which software version the stream of a call may run. The ledger remembers it by the id of the caller's attempt,
+ * so that the caller can resume the stream at any gateway.
+ */
+import { monotonicMs } from '../common/index.js';
+import type { LedgerClient, ReservedStream, VersionKey } from '../ledger/index.js';
+import type { CompiledRoute } from '../routes/index.js';
+import { scopedId } from '../tenants/index.js';
+import type { BackendView } from './backend-view.js';
+import type { CallDescription } from './call-exchange.js';
+import type { Placement } from './placement.js';
+import { StreamVersion, versionKeyOf } from './stream-version.js';
+import { RefusedError, type Reservation } from './turn-reservations.js';
+
+/** Limit for the ids of attempts that callers name. */
+const MAX_ATTEMPT_ID_LENGTH = 256;
+/** Maximum number of versions among which the ledger selects. */
+const MAX_VERSIONS = 8;
+const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
+
+/** A call on a streaming route. */
+export interface StreamCall {
+  description: CallDescription;
+  route: CompiledRoute;
+  service: string;
+  tenant: string | undefined;
+  /** Deadline of the final response (monotonic, milliseconds). */
+  deadlineMs: number;
+}
+
+export interface ResumableStreamsOptions {
+  backends: BackendView;
+  placement: Placement;
+  ledger: Pick<LedgerClient, 'recordStreamLater' | 'changeStream'>;
+}
+
+export class ResumableStreams {
+  constructor(private readonly options: ResumableStreamsOptions) {}
+
+  /**
+   * What the reservation of a call does about its stream; undefined if the ledger need not know the stream.
+   * @throws RefusedError if the caller resumes a stream that cannot be known
+   */
+  reservedStream(call: StreamCall): ReservedStream | undefined {
+    const { description, route, tenant, deadlineMs } = call;
+    const { resumedAttempt, lastEventId } = description;
+    if (!route.route.isResumable) return undefined;
+    if (resumedAttempt !== undefined) {
+      if (resumedAttempt.length > MAX_ATTEMPT_ID_LENGTH) throw new RefusedError('unknown-stream');
+      return { kind: 'resume', attempt: scopedId(tenant, resumedAttempt) };
+    }
+    const versions = lastEventId === undefined ? this.preferredVersions(call) : [];
+    const keepMs = Math.max(0, deadlineMs - monotonicMs());
+    return versions.length === 0 ? undefined : { kind: 'begin', versions, keepMs };
+  }
+
+  /**
+   * @param stream as returned by `reservedStream`
+   * @throws RefusedError if it is unknown at which version the stream may run
+   */
+  streamVersion(
+    call: StreamCall,
+    stream: ReservedStream | undefined,
+    reservation: Reservation | undefined,
+  ): StreamVersion {
+    const { description, route } = call;
+    if (!route.route.isResumable) return new StreamVersion();
+    const recorded = reservation?.streamVersion;
+    if (stream?.kind === 'resume') {
+      if (recorded === undefined) throw new RefusedError('unknown-stream');
+      return new StreamVersion({ key: recorded, isResumed: true, isRecorded: true });
+    }
+    if (description.lastEventId !== undefined)
+      return new StreamVersion({ key: this.soleVersion(call), isResumed: true });
+    return this.versionOfNewStream(call, stream, reservation);
+  }
+
+  private versionOfNewStream(
+    call: StreamCall,
+    stream: ReservedStream | undefined,
+    reservation: Reservation | undefined,
+  ): StreamVersion {
+    const { ledger } = this.options;
+    const { description, tenant, deadlineMs } = call;
+    const attempt = scopedId(tenant, description.id!);
+    const recordOf = (version: VersionKey) => {
+      return { attempt, version, keepMs: Math.max(0, deadlineMs - monotonicMs()) };
+    };
+    const recorded = reservation?.streamVersion;
+    return new StreamVersion({
+      key: recorded ?? (reservation && expectedVersion(stream, reservation)),
+      isRecorded: recorded !== undefined,
+      recordLater: (version) => ledger.recordStreamLater(recordOf(version)),
+      recordChange: (version) => {
+        const record = recordOf(version);
+        return ledger.changeStream(record, record.keepMs);
+      },
+    });
+  }
+
+  /**
+   * The versions at which a new stream may begin, best first. With several of them, the first is the one of the backend
+   * that placement selects without knowing the backends of earlier turns.
+   */
+  private preferredVersions({ description, service }: StreamCall): VersionKey[] {
+    const { backends, placement } = this.options;
+    const versions = backends.versions(service);
+    if (versions.length <= 1) return [...versions];
+    const request = { call: description, excluded: NOTHING_EXCLUDED };
+    const selected = placement.choose(backends.serving(service), request);
+    const ordered = selected ? [versionKeyOf(selected.backend), ...versions] : versions;
+    return [...new Set(ordered)].slice(0, MAX_VERSIONS);
+  }
+
+  /**
+   * The version of all backends of a service. Callers of earlier releases do not name the attempt that began a stream.
+   * @throws RefusedError if there are several versions, since any of them may have begun the stream
+   */
+  private soleVersion({ service }: StreamCall): VersionKey | undefined {
+    const versions = this.options.backends.registeredVersions(service);
+    if (versions.length > 1) throw new RefusedError('unknown-stream');
+    return versions[0];
+  }
+}
+
+/**
+ * The version of a stream that the ledger has not confirmed, although it may have recorded one.
+ * @returns undefined if the ledger was not asked
+ * @throws RefusedError if the recorded version cannot be known
+ */
+function expectedVersion(
+  stream: ReservedStream | undefined,
+  { allowanceTaken }: Reservation,
+): VersionKey | undefined {
+  if (stream?.kind !== 'begin') return undefined;
+  if (stream.versions.length === 1) return stream.versions[0];
+  if (allowanceTaken !== undefined) return undefined;
+  throw new RefusedError('ledger-unavailable');
+}
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -19,6 +19,8 @@
   collectsOutput: boolean;
   /** Whether another run may resume the stream. */
   isResumable: boolean;
+  /** Called before the first event is relayed. */
+  onBegun?: () => void;
 }
 
 export class StreamRelay implements ResponseSink {
@@ -99,7 +101,7 @@
     }
     this.callerResponse.noteHeldBytes(this.splitter.pendingBytes + this.outputBytes);
     if (accepted.length === 0) return true;
-    this.firstEventAt ??= performance.now();
+    this.noteBegun();
     return this.callerResponse.pass(accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted));
   }
 
@@ -114,6 +116,12 @@
     this.callerResponse.onceReadable(resume);
   }
 
+  private noteBegun(): void {
+    if (this.firstEventAt !== undefined) return;
+    this.firstEventAt = performance.now();
+    this.options.onBegun?.();
+  }
+
   private isNext({ id, hasData }: StreamEvent): boolean {
     if (!this.sequence || (id === undefined && !hasData)) return true;
     if (this.sequence.take(id)) return true;
--- a/src/forwarding/stream-version.ts
+++ b/src/forwarding/stream-version.ts
@@ -2,12 +2,13 @@
  * Binds a stream to the software version that began it. What backends of two versions generate does not fit together, and
  * they do not check it: once a caller has an event, the rest must come from a backend of the same version.
  */
+import type { VersionKey } from '../ledger/index.js';
 import type { BackendState } from './backend-view.js';
 
-/** Backends with equal keys can continue each other's streams. */
-export type VersionKey = string;
-
-/** A backend that reports no version can continue only its own streams. */
+/**
+ * Backends with equal keys can continue each other's streams. A backend that reports no version can continue only its
+ * own streams.
+ */
 export function versionKeyOf({
   id,
   softwareVersion,
@@ -15,16 +16,64 @@
   return softwareVersion === undefined ? `backend ${id}` : `version ${softwareVersion}`;
 }
 
+export interface StreamVersionOptions {
+  /** The only version at which the stream may run, if it is known before the call is sent. */
+  key?: VersionKey;
+  /** Whether an earlier attempt of the caller began the stream. @default false */
+  isResumed?: boolean;
+  /** Whether later attempts of the caller will find this version. @default false */
+  isRecorded?: boolean;
+  /** Has the version recorded in the background. @default it is not recorded */
+  recordLater?: (version: VersionKey) => void;
+  /** Resolves once this version replaces the recorded one. @default it cannot be replaced */
+  recordChange?: (version: VersionKey) => Promise<void>;
+}
+
 export class StreamVersion {
   private key: VersionKey | undefined;
+  private isRecorded: boolean;
+  private hasBegun: boolean;
+  private hasChanged = false;
+
+  constructor(private readonly options: StreamVersionOptions = {}) {
+    this.key = options.key;
+    this.isRecorded = options.isRecorded ?? false;
+    this.hasBegun = options.isResumed ?? false;
+  }
+
+  /** The version at which the stream runs, once it is known. */
+  get version(): VersionKey | undefined {
+    return this.key;
+  }
 
   /** Whether a call may be sent to a backend. */
   accepts(backend: BackendState): boolean {
     return this.key === undefined || versionKeyOf(backend) === this.key;
   }
 
-  /** Binds the stream to a backend's version, unless it is bound already. */
-  bind(backend: BackendState): void {
+  /**
+   * Whether the stream may begin at another version. Only once: a delayed duplicate of a first change must not replace a
+   * second one.
+   */
+  get canChange(): boolean {
+    const isOpen = !this.hasBegun && !this.hasChanged;
+    return isOpen && this.key !== undefined && this.options.recordChange !== undefined;
+  }
+
+  /** Resolves once later attempts of the caller will find the backend's version. */
+  async changeTo(backend: BackendState): Promise<void> {
+    this.hasChanged = true;
+    const key = versionKeyOf(backend);
+    await this.options.recordChange?.(key);
+    this.key = key;
+    this.isRecorded = true;
+  }
+
+  /** Must be called when the caller gets the first event, which a backend has sent. */
+  noteBegun(backend: BackendState): void {
+    if (this.hasBegun) return;
+    this.hasBegun = true;
     this.key ??= versionKeyOf(backend);
+    if (!this.isRecorded) this.options.recordLater?.(this.key);
   }
 }
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -102,7 +102,7 @@
     const response = { events: EVENTS, isStream: true, collectedOutput: Buffer.from(`${id} out;`) };
     const settled = this.reservations.settle({
       exchange,
-      run: { response, serviceName: 's', answeredBy: 'e1' } as unknown as CallRun,
+      run: { response, serviceName: 's', completeSend: { backend: 'e1' } } as unknown as CallRun,
       ending: { kind: 'answered' },
       route: { route: ROUTE } as CompiledRoute,
       reservation: reservation!,
@@ -129,7 +129,8 @@
     const settlement = turns.ledger.settled.flatMap(({ settlements }) => settlements).at(-1)!;
     expect(settlement.draw).toEqual({ holder: 'gateway', tokens: EVENTS * TOKENS_PER_EVENT });
     expect(settlement.keep?.previousTurn).toBe('a');
-    expect(settlement.placement).toEqual({ session: 's', backend: 'e1' });
+    const placement = { session: 's', backend: 'e1', version: 'backend e1' };
+    expect(settlement.placement).toEqual(placement);
   });
 
   it('runs on the allowance even with less time left than a typical turn takes', async () => {
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -5,9 +5,11 @@
   type LedgerClient,
   NotReservedError,
   ReservationTrace,
+  type ReservedStream,
   type Settlement,
   type TurnPlacement,
   TurnHistoryCache,
+  type VersionKey,
 } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, Route } from '../routes/index.js';
@@ -17,6 +19,7 @@
 import type { CallOutcome, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { StreamRelay } from './stream-relay.js';
+import { versionKeyOf } from './stream-version.js';
 
 export interface TurnReservationsOptions {
   ledger: LedgerClient;
@@ -40,6 +43,8 @@
   program: string;
   /** The turn that it continues, if turns are kept. */
   previousTurn: string | undefined;
+  /** The stream that it begins or resumes, if the ledger has to know it. */
+  stream: ReservedStream | undefined;
 }
 
 /** The reservation of a turn that may be sent; its ids are scoped by tenant. */
@@ -56,6 +61,8 @@
   allowanceTaken?: number;
   /** The backend that probably has the prompt of the previous turns cached. */
   lastBackend?: string;
+  /** The only version at which the stream may run, if the ledger has recorded it. */
+  streamVersion?: VersionKey;
 }
 
 /** A turn that has ended, whether it was sent or not. */
@@ -95,7 +102,8 @@
   /**
    * Reserves the turn's tokens and reads the history that it continues.
    * @param tenant scope of the ids; undefined for anonymous callers
-   * @returns undefined if the turn needs neither a reservation nor a history
+   * @param stream the stream that the call begins or resumes, if the ledger has to know it
+   * @returns undefined if the turn needs neither a reservation nor a history, and resumes no recorded stream
    * @throws RefusedError if the turn must not be sent
    */
   async reserve(
@@ -103,10 +111,12 @@
     route: Route,
     time: TurnTime,
     tenant?: string,
+    stream?: ReservedStream,
   ): Promise<Reservation | undefined> {
     const { program, previousTurn } = exchange.description;
-    const isTurn = route.kind === 'streaming';
-    if (!isTurn || (program?.budgetTokens === undefined && !route.retainsTurns)) return undefined;
+    const needsLedger =
+      program?.budgetTokens !== undefined || route.retainsTurns || stream?.kind === 'resume';
+    if (route.kind !== 'streaming' || !needsLedger) return undefined;
     const call = exchange.description.id!;
     const turn: TurnIds = {
       attempt: scopedId(tenant, call),
@@ -115,6 +125,7 @@
         route.retainsTurns && previousTurn !== undefined
           ? scopedId(tenant, previousTurn)
           : undefined,
+      stream,
     };
     const trace = new ReservationTrace();
     try {
@@ -153,9 +164,19 @@
     return ending;
   }
 
+  /** Settles the reservation of a turn that is not sent. */
+  release({ program, attempt, allowanceTaken }: Reservation): void {
+    const { ledger } = this.options;
+    const settlement: Settlement = { program, attempt, spentTokens: 0 };
+    const isFromAllowance = allowanceTaken !== undefined;
+    ledger.settleLater(
+      isFromAllowance ? ledger.drawFromAllowance(settlement, allowanceTaken) : settlement,
+    );
+  }
+
   private async requestReservation(
     { description }: CallExchange,
-    { attempt, program, previousTurn }: TurnIds,
+    { attempt, program, previousTurn, stream }: TurnIds,
     { deadlineMs, typicalMs }: TurnTime,
     trace: ReservationTrace,
   ): Promise<Reservation> {
@@ -169,11 +190,13 @@
       mostTokens: description.mostTokens,
       previousTurn,
       session: description.program?.session,
+      stream,
       wantsHistory: cachedHistory === undefined,
     };
     const usefulMs = deadlineMs - startedAt - typicalMs;
     // A cached history was read from the ledger or committed, so the previous turn is valid.
-    const requiresLedger = previousTurn !== undefined && cachedHistory === undefined;
+    const requiresHistory = previousTurn !== undefined && cachedHistory === undefined;
+    const requiresLedger = requiresHistory || stream?.kind === 'resume';
     const answer = await this.options.ledger.reserve(request, usefulMs, !requiresLedger, trace);
     const tookMs = monotonicMs() - startedAt;
     this.options.metrics.reservation.observe(tookMs / 1_000);
@@ -185,8 +208,9 @@
       trace.failedStep = 'read-history';
       throw new HistoryMissingError('the ledger returned no history');
     }
-    const { allowanceTaken, lastBackend } = answer;
-    return { program, attempt, previousTurn, history, tookMs, trace, allowanceTaken, lastBackend };
+    const { allowanceTaken, lastBackend, streamVersion } = answer;
+    const granted = { allowanceTaken, lastBackend, streamVersion };
+    return { program, attempt, previousTurn, history, tookMs, trace, ...granted };
   }
 
   private refusalOf(error: unknown, trace: ReservationTrace): RefusedError {
@@ -224,6 +248,8 @@
 /** The backend that answered a turn, for the placement of later turns. */
 function placementOf({ exchange, run }: FinishedTurn): TurnPlacement | undefined {
   const session = exchange.description.program?.session;
-  const backend = run.answeredBy;
-  return session === undefined || backend === undefined ? undefined : { session, backend };
+  const answer = run.completeSend;
+  if (session === undefined || !answer) return undefined;
+  const { backend, softwareVersion } = answer;
+  return { session, backend, version: versionKeyOf({ id: backend, softwareVersion }) };
 }
--- a/src/forwarding/typical-calls.test.ts
+++ b/src/forwarding/typical-calls.test.ts
@@ -16,6 +16,7 @@
 import type { CallExchange } from './call-exchange.js';
 import { CallRun } from './call-run.js';
 import { Placement } from './placement.js';
+import { StreamVersion } from './stream-version.js';
 
 const ROUTE: Route = {
   name: 'r',
@@ -89,6 +90,7 @@
     placement: new Placement({ zone: 'z' }),
     denial: () => undefined,
     protocol: rawProtocol,
+    streamVersion: new StreamVersion(),
     requestPermit: () => ({
       decision,
       waitedMs: undefined,
--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -14,5 +14,6 @@
 export type { TurnValueStore } from './turn-value-store.js';
 export * from './messages.js';
 export type { TurnPlacement } from './program-placements.js';
+export type { ReservedStream, StreamRecord, VersionKey } from './stream-versions.js';
 export { HistoryReader } from './history-reader.js';
 export { ValueCopySender } from './value-copy-sender.js';
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -14,7 +14,12 @@
 import type { CutOffSignal } from '../gateway-health/index.js';
 import { AllowanceTracker } from './allowance-tracker.js';
 import type { HistoryReader } from './history-reader.js';
-import { HistoryMissingError, MaybeReservedError, NotReservedError } from './ledger-errors.js';
+import {
+  HistoryMissingError,
+  MaybeReservedError,
+  NotReservedError,
+  StreamNotRecordedError,
+} from './ledger-errors.js';
 import { OutageEstimator } from './outage-estimator.js';
 import type { Settlement } from './ledger-commands.js';
 import type { Logger } from '../observability/index.js';
@@ -24,6 +29,8 @@
 import { ReservationTrace } from './reservation-trace.js';
 import { ReservationWindow } from './reservation-window.js';
 import { type SettlementBatch, SettlementQueue } from './settlement-queue.js';
+import { StreamRecorder } from './stream-recorder.js';
+import type { StreamRecord } from './stream-versions.js';
 import type { ValueCopySender } from './value-copy-sender.js';
 
 /** How long settlements wait to be piggybacked on a reservation, in milliseconds. */
@@ -59,6 +66,7 @@
   private readonly allowances = new AllowanceTracker();
   private readonly outage = new OutageEstimator();
   private readonly window = new ReservationWindow(() => this.outage.remainingMs > 0);
+  private readonly streamRecorder: StreamRecorder;
   private isSending = false;
   private isProbing = false;
   /** The leader's refusal of the latest completed request, if it refused it. */
@@ -78,7 +86,10 @@
     private readonly histories?: HistoryReader,
     private readonly copies?: ValueCopySender,
     private readonly cutOff?: CutOffSignal,
-  ) {}
+  ) {
+    const send = this.sendStreamRecords.bind(this);
+    this.streamRecorder = new StreamRecorder(send, logger);
+  }
 
   /** Expected time until a leader responds, in milliseconds; 0 while one responds. */
   get expectedOutageMs(): number {
@@ -136,13 +147,18 @@
       // The leader did respond.
       if (error instanceof HistoryMissingError) throw error;
       this.leaderSuspectUntil = monotonicMs() + LEADER_SUSPECT_MS;
-      if (isCovered && this.allowances.covers(program, mostTokens)) {
-        return this.grantFromAllowance(request);
-      }
-      throw error;
+      if (!isCovered || !this.mayRunUnconfirmed(request)) throw error;
+      return this.grantFromAllowance(request);
     }
   }
 
+  /** Whether a turn may run on the allowance, although its reservation may be committed as well. */
+  private mayRunUnconfirmed({ program, mostTokens, stream }: TurnRequest): boolean {
+    // The ledger may have recorded any of the versions, and the stream must begin at the recorded one.
+    if (stream?.kind === 'begin' && stream.versions.length > 1) return false;
+    return this.allowances.covers(program, mostTokens);
+  }
+
   /**
    * Creates the settlement of a turn that ran on the allowance, and returns its unspent tokens to the
    * allowance.
@@ -176,6 +192,25 @@
     this.startSending();
   }
 
+  /** Has the version of a stream recorded in the background. */
+  recordStreamLater(record: StreamRecord): void {
+    this.streamRecorder.recordLater(record);
+  }
+
+  /**
+   * Resolves once this version replaces the one that the attempt's reservation recorded.
+   * @throws GroupUnavailableError or StreamNotRecordedError when either may be recorded
+   */
+  changeStream(record: StreamRecord, timeoutMs: number): Promise<void> {
+    return this.sendStreamRecords([record], timeoutMs);
+  }
+
+  private async sendStreamRecords(streams: StreamRecord[], timeoutMs: number): Promise<void> {
+    const limits = { timeoutMs, tryTimeoutMs: SETTLE_ATTEMPT_TIMEOUT_MS };
+    const response = await this.call(SETTLE, { settlements: [], streams }, limits);
+    if (response.recordedStreams !== streams.length) throw new StreamNotRecordedError();
+  }
+
   /** An attempt that is given up may still be committed; the caller settles it. */
   private attemptUntilCutOff(
     request: TurnRequest,
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -1,5 +1,6 @@
 /** Commands of the replicated ledger of program budgets and kept turns. */
 import type { TurnPlacement } from './program-placements.js';
+import type { ReservedStream, StreamRecord, VersionKey } from './stream-versions.js';
 
 /** Reserves the maximum tokens of a turn before any of them can reach the caller. */
 export interface ReserveCommand {
@@ -17,6 +18,8 @@
   holder?: string;
   /** Session that the turn belongs to. */
   session?: string;
+  /** The stream that the call begins or resumes; absent if it cannot be resumed. */
+  stream?: ReservedStream;
   /** Settlements of finished turns, applied before the reservation. */
   settlements?: Settlement[];
   /** The leader's clock, in milliseconds. */
@@ -60,6 +63,8 @@
 export interface SettleCommand {
   kind: 'settle';
   settlements: Settlement[];
+  /** Versions of streams whose reservations did not record them, or recorded another one. */
+  streams?: StreamRecord[];
   nowMs: number;
 }
 
@@ -70,7 +75,12 @@
 
 export type LedgerCommand = ReserveCommand | SettleCommand;
 
-export type ReserveOutcome = 'granted' | 'budget-exhausted' | 'unknown-predecessor';
+export type ReserveOutcome =
+  | 'granted'
+  | 'budget-exhausted'
+  | 'unknown-predecessor'
+  /** No version is recorded for the stream that the call resumes. */
+  | 'unknown-stream';
 
 export interface ReserveResult {
   outcome: ReserveOutcome;
@@ -78,4 +88,6 @@
   allowanceTokens: number;
   /** The backend that most likely has the prompt of the previous turns cached. */
   lastBackend?: string;
+  /** The only version at which the stream of the call may run. */
+  streamVersion?: VersionKey;
 }
--- a/src/ledger/ledger-errors.ts
+++ b/src/ledger/ledger-errors.ts
@@ -1,7 +1,7 @@
 /** Errors of reservations. */
 import { LedgegaugeError } from '../common/index.js';
 import { GroupUnavailableError } from '../consensus/index.js';
-import { LEDGER_GROUP, type MissingHistory, RESERVE } from './messages.js';
+import { LEDGER_GROUP, type MissingHistory, RESERVE, SETTLE } from './messages.js';
 
 /** Minimum delay before a turn with a missing history is retried, in milliseconds. */
 const MISSING_HISTORY_RETRY_MS = 1_000;
@@ -22,6 +22,13 @@
   }
 }
 
+/** The leader settled a request without recording the versions of its streams, as earlier releases do. */
+export class StreamNotRecordedError extends LedgegaugeError {
+  constructor() {
+    super('the leader records no versions of streams', { ...CONTEXT, step: SETTLE.name });
+  }
+}
+
 /** The turn is reserved, but its history is not available in time. */
 export class HistoryMissingError extends LedgegaugeError {
   /** @param comeBackMs delay after which a retry may succeed, in milliseconds */
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -145,7 +145,7 @@
 
   private async settle(
     group: ReplicatedGroup,
-    { settlements: inlineSettlements, copiedTo, canCopy }: SettleRequest,
+    { settlements: inlineSettlements, streams, copiedTo, canCopy }: SettleRequest,
   ): Promise<SettleResponse> {
     const targets = copyTargetsOf(group);
     const isCopied = copiedTo === targets.version;
@@ -154,10 +154,12 @@
     if (!isCopied && canCopy && values.size > 0) return { isSettled: false, copyTargets: targets };
     if (!isCopied) this.sendCopies(values, targets.addresses);
     const settlements = inlineSettlements.map(withoutInlineValue);
-    const command: LedgerCommand = { kind: 'settle', settlements, nowMs: this.nowMs(group) };
+    const nowMs = this.nowMs(group);
+    const command: LedgerCommand = { kind: 'settle', settlements, streams, nowMs };
     await this.options.stateMachine.external.storeValues(values);
     await group.propose(encodeValue(command), [...values.values()]);
-    return { isSettled: true, copyTargets: isCopied ? undefined : targets };
+    const recordedStreams = streams?.length;
+    return { isSettled: true, recordedStreams, copyTargets: isCopied ? undefined : targets };
   }
 
   /** Sends the values to the followers for a gateway that does not know them yet. */
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -14,6 +14,7 @@
 } from './ledger-commands.js';
 import { type EncodedAccount, ProgramBudgets } from './program-budgets.js';
 import { type EncodedPlacements, ProgramPlacements } from './program-placements.js';
+import { type EncodedStream, StreamVersions, type VersionKey } from './stream-versions.js';
 import { type ReadTurnsAt, TurnHistoryStore } from './turn-history-store.js';
 import type { TurnValueStore } from './turn-value-store.js';
 
@@ -28,6 +29,7 @@
   clockMs: number;
   accounts: EncodedAccount[];
   placements?: EncodedPlacements[];
+  streams?: EncodedStream[];
 }
 
 export interface LedgerStateOptions {
@@ -41,6 +43,7 @@
   readonly budgets = new ProgramBudgets();
   readonly turns: KeptTurnIndex;
   readonly placements = new ProgramPlacements();
+  readonly streams = new StreamVersions();
   readonly external: TurnHistoryStore;
   private clock = 0;
   private sweptAtMs = 0;
@@ -75,6 +78,7 @@
       clockMs: this.clock,
       accounts: this.budgets.encode(),
       placements: this.placements.encode(),
+      streams: this.streams.encode(),
     };
     return encodeChunks(encodeFrame(head), this.turns.encode(TURNS_PER_CHUNK, this.index));
   }
@@ -86,6 +90,7 @@
     this.budgets.restore(head.accounts);
     this.turns.restore(turns);
     this.placements.restore(head.placements);
+    this.streams.restore(head.streams);
     this.logRestored();
   }
 
@@ -98,17 +103,35 @@
   }
 
   private reserve(command: ReserveCommand): ReserveResult {
-    const { previousTurn, program, session } = command;
+    const { previousTurn, program, session, stream } = command;
     for (const settlement of command.settlements ?? []) this.settle(settlement);
     const isKnown = previousTurn === undefined || this.turns.has(previousTurn);
     if (!isKnown) return { outcome: 'unknown-predecessor', allowanceTokens: 0 };
-    const outcome = this.budgets.reserve(command) ? 'granted' : 'budget-exhausted';
-    const allowanceTokens = outcome === 'granted' ? this.budgets.grantAllowance(command) : 0;
-    return { outcome, allowanceTokens, lastBackend: this.placements.find(program, session) };
+    const isResumable =
+      stream?.kind !== 'resume' || this.streams.find(stream.attempt) !== undefined;
+    if (!isResumable) return { outcome: 'unknown-stream', allowanceTokens: 0 };
+    const lastBackend = this.placements.find(program, session)?.backend;
+    if (!this.budgets.reserve(command))
+      return { outcome: 'budget-exhausted', allowanceTokens: 0, lastBackend };
+    const allowanceTokens = this.budgets.grantAllowance(command);
+    const streamVersion = this.streamVersionOf(command);
+    return { outcome: 'granted', allowanceTokens, lastBackend, streamVersion };
+  }
+
+  /** Finds or records the version at which the stream of a granted reservation may run. */
+  private streamVersionOf(command: ReserveCommand): VersionKey | undefined {
+    const { stream, attempt, program, session } = command;
+    if (!stream) return undefined;
+    if (stream.kind === 'resume') return this.streams.find(stream.attempt);
+    const { versions, keepMs } = stream;
+    const last = this.placements.find(program, session)?.version;
+    const version = last !== undefined && versions.includes(last) ? last : versions[0];
+    return version && this.streams.begin({ attempt, version, keepMs }, this.clock);
   }
 
   private settleAll(command: SettleCommand): undefined {
     for (const settlement of command.settlements) this.settle(settlement);
+    for (const stream of command.streams ?? []) this.streams.replace(stream, this.clock);
   }
 
   private settle(settlement: Settlement): void {
@@ -124,6 +147,7 @@
     this.turns.expire(this.clock - EXPIRY_GRACE_MS, this.index);
     this.budgets.expire(this.clock);
     this.placements.expire(this.clock);
+    this.streams.expire(this.clock);
   }
 }
 
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -61,6 +61,8 @@
 export interface SettleResponse {
   /** False if nothing was settled: the gateway must send the values to the targets and retry. */
   isSettled: boolean;
+  /** Number of streams whose versions were recorded; absent if the leader's release records none. */
+  recordedStreams?: number;
   /** Present if the gateway did not send the values to the current targets. */
   copyTargets?: CopyTargets;
 }
--- a/src/ledger/program-placements.ts
+++ b/src/ledger/program-placements.ts
@@ -3,15 +3,23 @@
  * cached. Shared by all gateways, since the turns of a session can arrive at different gateways.
  */
 
+import type { VersionKey } from './stream-versions.js';
+
+/** A backend at which a turn ran. */
+export interface TurnBackend {
+  backend: string;
+  /** Version of its software; absent if the turn was recorded by an earlier release. */
+  version?: VersionKey;
+}
+
 /** Where a turn ran. */
-export interface TurnPlacement {
+export interface TurnPlacement extends TurnBackend {
   session: string;
-  backend: string;
 }
 
 interface ProgramEntry {
-  latestBackend: string;
-  bySession: Map<string, string>;
+  latest: TurnBackend;
+  bySession: Map<string, TurnBackend>;
   notedAtMs: number;
 }
 
@@ -20,6 +28,8 @@
   program: string;
   latestBackend: string;
   bySession: [string, string][];
+  /** Versions of these backends; absent in snapshots of releases that record none. */
+  versions?: [backend: string, version: VersionKey][];
   notedAtMs: number;
 }
 
@@ -29,26 +39,27 @@
 export class ProgramPlacements {
   private programs = new Map<string, ProgramEntry>();
 
-  record(program: string, { session, backend }: TurnPlacement, nowMs: number): void {
+  record(program: string, { session, backend, version }: TurnPlacement, nowMs: number): void {
+    const latest = { backend, version };
     let entry = this.programs.get(program);
     if (!entry) {
-      entry = { latestBackend: backend, bySession: new Map(), notedAtMs: nowMs };
+      entry = { latest, bySession: new Map(), notedAtMs: nowMs };
       this.programs.set(program, entry);
     }
-    entry.latestBackend = backend;
+    entry.latest = latest;
     entry.notedAtMs = nowMs;
-    entry.bySession.set(session, backend);
+    entry.bySession.set(session, latest);
   }
 
   /**
    * Returns the backend of the session's latest turn. A new session shares its prompt prefix with the
    * other sessions of the program, so the program's latest backend is returned for it.
    */
-  find(program: string, session: string | undefined): string | undefined {
+  find(program: string, session: string | undefined): TurnBackend | undefined {
     const entry = this.programs.get(program);
     if (!entry) return undefined;
     const own = session === undefined ? undefined : entry.bySession.get(session);
-    return own ?? entry.latestBackend;
+    return own ?? entry.latest;
   }
 
   expire(nowMs: number): void {
@@ -58,10 +69,11 @@
   }
 
   encode(): EncodedPlacements[] {
-    return [...this.programs].map(([program, { latestBackend, bySession, notedAtMs }]) => ({
+    return [...this.programs].map(([program, { latest, bySession, notedAtMs }]) => ({
       program,
-      latestBackend,
-      bySession: [...bySession],
+      latestBackend: latest.backend,
+      bySession: [...bySession].map(([session, { backend }]) => [session, backend]),
+      versions: versionsOf([latest, ...bySession.values()]),
       notedAtMs,
     }));
   }
@@ -69,10 +81,32 @@
   /** @param encoded absent in snapshots of versions without placements */
   restore(encoded: EncodedPlacements[] | undefined): void {
     this.programs = new Map(
-      (encoded ?? []).map(({ program, latestBackend, bySession, notedAtMs }) => [
-        program,
-        { latestBackend, bySession: new Map(bySession), notedAtMs },
-      ]),
+      (encoded ?? []).map((placements) => [placements.program, entryOf(placements)]),
     );
   }
 }
+
+function versionsOf(backends: TurnBackend[]): [string, VersionKey][] {
+  const versions = new Map<string, VersionKey>();
+  for (const { backend, version } of backends) {
+    if (version !== undefined) versions.set(backend, version);
+  }
+  return [...versions];
+}
+
+function entryOf({
+  latestBackend,
+  bySession,
+  versions: encodedVersions,
+  notedAtMs,
+}: EncodedPlacements): ProgramEntry {
+  const versions = new Map(encodedVersions);
+  const withVersion = (backend: string): TurnBackend => {
+    return { backend, version: versions.get(backend) };
+  };
+  return {
+    latest: withVersion(latestBackend),
+    bySession: new Map(bySession.map(([session, backend]) => [session, withVersion(backend)])),
+    notedAtMs,
+  };
+}
