Admission: a call that resumes a stream is not a new program

Callers that took up the stream of a first turn were refused like new programs when their gateway's limit was low: the turn looked like a first one. The program has begun, and its caller holds events of it. isFirstTurn is false for a call with Last-Event-Id or Resumes, for both admissions, the queue and quotas.

program-admission.test.ts, 'never refuses a call that resumes the stream of a first turn': failed before, passes now.

--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -55,9 +55,16 @@
 /** The prompt of a first turn consists of a shared prefix and its own input. */
 const FIRST_TURN_PARTS = 2;
 
-/** Whether a model call is the first of its program. */
-export function isFirstTurn({ promptParts, previousTurn }: CallDescription): boolean {
-  return promptParts.length <= FIRST_TURN_PARTS && previousTurn === undefined;
+/** Whether a call resumes a stream that an earlier attempt of its caller began. */
+export function resumesStream({ lastEventId, resumedAttempt }: CallDescription): boolean {
+  return lastEventId !== undefined || resumedAttempt !== undefined;
+}
+
+/** Whether a model call is the first of its program. A call that resumes a stream is not: the program has begun. */
+export function isFirstTurn(call: CallDescription): boolean {
+  const { promptParts, previousTurn } = call;
+  const isFirst = promptParts.length <= FIRST_TURN_PARTS && previousTurn === undefined;
+  return isFirst && !resumesStream(call);
 }
 
 export type RefusalReason =
--- a/src/forwarding/program-admission.test.ts
+++ b/src/forwarding/program-admission.test.ts
@@ -189,6 +189,17 @@
     expect(admitted).toBeLessThan(140);
   });
 
+  it('never refuses a call that resumes the stream of a first turn', () => {
+    const admission = new ProgramAdmission();
+    const overLimit = [{ load: 10 * SLOTS, capacity: SLOTS }];
+    const first = callOf({ id: 'p', startedAt: 0, turnsLeft: TURNS, sends: 0 }, 0);
+    const admits = (call: CallDescription): boolean =>
+      admission.admits(SERVICE, ROUTE.priority, call, overLimit);
+    expect(admits(first)).toBe(false);
+    expect(admits({ ...first, lastEventId: '2' })).toBe(true);
+    expect(admits({ ...first, lastEventId: '2', resumedAttempt: 'a' })).toBe(true);
+  });
+
   it('refuses programs of less urgent routes first', () => {
     const admission = new ProgramAdmission();
     const urgent = { priority: 0 } as Route;
