A broken stream does not go on at a back end that may have restarted under its id

Where runners keep their id over a start, a stream that broke was taken up at the same address and id, which may be the next start by then, with other software: a call names the id, and not the start, so that the runner's 421 does not tell. Such a stream goes on at another runner of its version, or is broken off visibly.

Open: a gateway whose registrations are older than a restart sends a later attempt of the caller to the new start as well.

--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -398,13 +398,22 @@
     this.response.restart();
     // A draining backend was promised no new calls when its draining was acknowledged.
     const isLeaving = !this.options.backends.serving(this.service).includes(backend);
-    const maySwitch = (kind === 'repeatable' || isLeaving) && this.sentTo.size < maxAttempts;
+    const mustSwitch = isLeaving || this.mayHaveRestarted(backend);
+    const maySwitch = (kind === 'repeatable' || mustSwitch) && this.sentTo.size < maxAttempts;
     if (maySwitch && this.hasAlternative(backend)) this.excluded.add(backend.id);
-    else if (isLeaving) return this.brokenOutcome();
+    else if (mustSwitch) return this.brokenOutcome();
     else this.pinnedPlacement = { backend, missingTokens: 0 };
     return undefined;
   }
 
+  /**
+   * Whether a broken stream may reach a later start of its backend, with other software: a call names the backend, and
+   * not the start, if the backend keeps its name.
+   */
+  private mayHaveRestarted({ record }: BackendState): boolean {
+    return this.response.hasBegun && record.startedAt !== undefined;
+  }
+
   private get canRetry(): boolean {
     if (this.response instanceof StreamRelay) return this.response.canResume;
     return this.options.route.route.kind === 'repeatable' && !this.response.hasBegun;
