explain and metrics tell where a resumed stream went on, and why it was refused

explain ID follows Resumes from a later attempt to the first one and back, and says at which version the stream began, where that was known from and why it was refused. Gateways count resumptions by caller and by gateway with their outcomes, journals the streams that they know. Replacing a recorded version takes 400 ms at most: it could hold a call until its deadline while no leader answered.

--- a/src/explain/call-findings.ts
+++ b/src/explain/call-findings.ts
@@ -1,4 +1,5 @@
 /** States in sentences how scheduling affected a call: waiting, refusals, backends, its gateway, and memory. */
+import { type Finding, createFinding } from './finding.js';
 import type { LogRecord } from './log-record.js';
 import {
   CALL,
@@ -11,29 +12,7 @@
   startOf,
 } from './record-fields.js';
 import { type StateEvents, findPeriod } from './state-periods.js';
-
-export type FindingCause =
-  | 'waited'
-  | 'refused-by-waiting'
-  | 'refused-without-waiting'
-  | 'refused-by-admission'
-  | 'slow-backend'
-  | 'failing-backend'
-  | 'gateway-cut-off'
-  | 'gateway-left-zone'
-  | 'ended-for-memory';
-
-export interface Finding {
-  /** Time of the line that the finding follows from. */
-  time: string;
-  /** Process that logged this line. */
-  node: string;
-  /** Id of the call; undefined if the line names none. */
-  call?: string;
-  cause: FindingCause;
-  /** One sentence. */
-  text: string;
-}
+import { findResumption } from './stream-findings.js';
 
 const PROCESS_START = 'process.start';
 const GATEWAY_CUT_OFF = 'gateway cut off';
@@ -77,6 +56,7 @@
   // Each call searches these lines; all records would be too many for a program with many calls.
   const changes = records.filter(({ event }) => STATE_EVENTS.has(event));
   const findings = calls.flatMap((call) => [
+    ...findResumption(call, calls),
     ...findWait(call),
     ...findAdmission(call),
     ...findSlowdown(call),
@@ -198,11 +178,3 @@
     `its ${String(kind)} was the largest, with ${numberOf(bytes)} bytes`;
   return createFinding(line, 'ended-for-memory', text);
 }
-
-function createFinding(
-  { time, node, fields: { call } }: LogRecord,
-  cause: FindingCause,
-  text: string,
-): Finding {
-  return { time, node, call: typeof call === 'string' ? call : undefined, cause, text };
-}
--- a/src/explain/explanation.ts
+++ b/src/explain/explanation.ts
@@ -1,11 +1,16 @@
 /** Finds in the logs of many processes what happened to a call or program, and the state changes around it. */
-import { type Finding, findingsOf } from './call-findings.js';
+import { findingsOf } from './call-findings.js';
+import type { Finding } from './finding.js';
 import type { LogRecord } from './log-record.js';
 import { byTime, matchesId, startOf } from './record-fields.js';
+import { linesOfSameStream } from './stream-findings.js';
 import { type RestoredTurns, isHistoryMissing, restoredTurnsOf } from './restored-turns.js';
 
 export interface Explanation {
-  /** Lines that name the call or program, or the call's previous turn while it ran, in order of time. */
+  /**
+   * Lines that name the call or program, the call's previous turn while it ran, or another attempt at the same stream, in
+   * order of time.
+   */
   direct: LogRecord[];
   /** State changes of the processes involved and of the groups they depend on, around that time. */
   surrounding: LogRecord[];
@@ -70,7 +75,8 @@
 export function explain(id: string, records: readonly LogRecord[]): Explanation {
   const named = records.filter((record) => mentions(record, id));
   const previousTurnLines = named.flatMap((record) => linesOfPreviousTurn(record, records));
-  const direct = [...new Set([...named, ...previousTurnLines])].sort(byTime);
+  const streamLines = linesOfSameStream(named, records);
+  const direct = [...new Set([...named, ...previousTurnLines, ...streamLines])].sort(byTime);
   const first = direct[0];
   const last = direct.at(-1);
   if (!first || !last) return { direct, surrounding: [], findings: [], restoredTurns: [] };
--- a/src/explain/index.ts
+++ b/src/explain/index.ts
@@ -8,7 +8,7 @@
   summarizeRun,
 } from './run-summary.js';
 export { type SchedulingCounts, describeScheduling } from './scheduling-counts.js';
-export type { Finding, FindingCause } from './call-findings.js';
+export type { Finding, FindingCause } from './finding.js';
 export { explain, type Explanation } from './explanation.js';
 export type { RestoredTurns } from './restored-turns.js';
 export { type LogRecord, parseLogLine } from './log-record.js';
--- a/src/explain/scheduling.test.ts
+++ b/src/explain/scheduling.test.ts
@@ -3,7 +3,7 @@
  * given a state of a gateway or backend that had ended before the call or belongs to another one.
  */
 import { describe, expect, it } from 'vitest';
-import type { FindingCause } from './call-findings.js';
+import type { FindingCause } from './finding.js';
 import { explain } from './explanation.js';
 import type { LogRecord } from './log-record.js';
 import { summarizeRun } from './run-summary.js';
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -9,7 +9,12 @@
 import type { PermitGate, PermitRequest } from '../waiting/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
-import { type CallExchange, type RefusalReason, isFirstTurn } from './call-exchange.js';
+import {
+  type CallExchange,
+  type RefusalReason,
+  isFirstTurn,
+  resumesStream,
+} from './call-exchange.js';
 import { type CallOutcome, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
@@ -17,9 +22,8 @@
 import {
   describeProgram,
   describeReservation,
-  describeResumption,
   describeSends,
-  describeVersions,
+  describeStream,
   describeWait,
   slowdownOf,
 } from './call-log.js';
@@ -328,6 +332,7 @@
     const firstEventMs = firstEventOf(exchange, run);
     const outcome = ending.kind === 'refused' ? ending.reason : ending.kind;
     this.options.metrics.noteCall(route?.route.kind, outcome, tookMs, firstEventMs);
+    this.noteResumptions(exchange, run, outcome);
     const fields: LogFields = {
       call: exchange.description.id,
       route: route?.route.name,
@@ -340,10 +345,8 @@
       ...describeWait(run?.permit),
       most: exchange.description.mostTokens || undefined,
       previousTurn: exchange.description.previousTurn,
-      events: run?.response instanceof StreamRelay ? run.response.events : undefined,
       sends: run && describeSends(run),
-      versions: run?.response instanceof StreamRelay ? describeVersions(run) : undefined,
-      ...describeResumption(exchange.description),
+      ...describeStream(exchange.description, run),
       slowdown: run && slowdownOf(run),
       ...describeProgram(exchange.description.program),
       ...details,
@@ -352,6 +355,16 @@
     else this.options.logger.warn('call', { ...fields, ...this.gatewayState(route) });
   }
 
+  private noteResumptions(
+    { description }: CallExchange,
+    run: CallRun | undefined,
+    outcome: string,
+  ): void {
+    const { metrics } = this.options;
+    if (resumesStream(description)) metrics.noteResumption('caller', outcome);
+    if (run?.wasResumed) metrics.noteResumption('gateway', outcome);
+  }
+
   /** Admission limits of the route's services, as fractions of their capacity. */
   private admissionLimitsOf({ route }: CompiledRoute): string {
     return route.parts.map(({ service }) => this.admission.limitOf(service).toFixed(2)).join(',');
--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -2,8 +2,14 @@
 import type { ReservationTrace, ReservationTimings } from '../ledger/index.js';
 import type { LogFields } from '../observability/index.js';
 import type { PermitRequest } from '../waiting/index.js';
-import type { CallDescription, CallExchange, ProgramContext } from './call-exchange.js';
+import {
+  type CallDescription,
+  type CallExchange,
+  type ProgramContext,
+  resumesStream,
+} from './call-exchange.js';
 import type { CallRun, SendRecord } from './call-run.js';
+import { StreamRelay } from './stream-relay.js';
 import type { Reservation } from './turn-reservations.js';
 
 const UNKNOWN_VERSION = 'unknown';
@@ -60,17 +66,26 @@
   return slowdown && Number(slowdown.toFixed(2));
 }
 
+/** The stream of a call: its events, the software versions it was sent to, and what the caller resumes. */
+export function describeStream(call: CallDescription, run: CallRun | undefined): LogFields {
+  const resumption = describeResumption(call, run);
+  if (!(run?.response instanceof StreamRelay)) return resumption;
+  return { events: run.response.events, versions: describeVersions(run), ...resumption };
+}
+
 /** Software versions of the backends that the call was sent to, in order, without repetitions in succession. */
-export function describeVersions({ sends }: CallRun): string | undefined {
+function describeVersions({ sends }: CallRun): string | undefined {
   const versions = sends.map(({ softwareVersion }) => softwareVersion ?? UNKNOWN_VERSION);
   return (
     versions.filter((version, index) => version !== versions[index - 1]).join(' ') || undefined
   );
 }
 
-/** What the caller resumes; nothing if it begins a stream. */
-export function describeResumption({ lastEventId, resumedAttempt }: CallDescription): LogFields {
-  return { lastEventId, resumedAttempt };
+/** What the caller resumes, and the version that began the stream, if it is known; nothing if it begins a stream. */
+function describeResumption(call: CallDescription, run: CallRun | undefined): LogFields {
+  if (!resumesStream(call)) return {};
+  const { lastEventId, resumedAttempt } = call;
+  return { lastEventId, resumedAttempt, streamVersion: run?.streamVersion };
 }
 
 /** Each attempt as `backend@ownLoad+otherLoad-uncachedTokens/headMs/totalMs(expectedMs):result`. */
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -1,6 +1,7 @@
 /** Executes one forwarded call: selects backends and sends the call until it is answered or has failed. */
 import type { AttemptEnd } from '../backend-statistics/index.js';
 import { monotonicMs } from '../common/index.js';
+import type { VersionKey } from '../ledger/index.js';
 import type { CompiledRoute } from '../routes/index.js';
 import type { CallWork, LatencyModel } from '../performance/index.js';
 import type { PermitRequest } from '../waiting/index.js';
@@ -91,6 +92,8 @@
   private backend: BackendState | undefined;
   /** Latency model of the service, once the call was sent. */
   private model: LatencyModel | undefined;
+  /** Number of runs after which another one was to continue the stream. */
+  private brokenRuns = 0;
   private retries = 0;
   /** Start of the latest attempt (monotonic, milliseconds). */
   private sentAt = 0;
@@ -128,6 +131,16 @@
     return this.mayHaveRun;
   }
 
+  /** Whether the gateway had another run continue a stream that a run had begun. */
+  get wasResumed(): boolean {
+    return this.brokenRuns > 0;
+  }
+
+  /** The software version at which the stream runs, if it is bound to one. */
+  get streamVersion(): VersionKey | undefined {
+    return this.options.streamVersion.version;
+  }
+
   get serviceName(): string {
     return this.service;
   }
@@ -395,6 +408,7 @@
     const { kind, maxAttempts } = this.options.route.route;
     if (!this.canRetry || this.retries >= MAX_RETRIES) return this.brokenOutcome();
     this.retries += 1;
+    if (this.response.hasBegun) this.brokenRuns += 1;
     this.response.restart();
     // A draining backend was promised no new calls when its draining was acknowledged.
     const isLeaving = !this.options.backends.serving(this.service).includes(backend);
--- a/src/forwarding/forwarding-metrics.ts
+++ b/src/forwarding/forwarding-metrics.ts
@@ -13,6 +13,7 @@
   /** Duration of reservations at the ledger, in seconds. */
   readonly reservation: Histogram;
   private readonly calls: Counter<'kind' | 'outcome'>;
+  private readonly resumptions: Counter<'by' | 'outcome'>;
   private readonly failedReservations: Counter<'step'>;
   private readonly duration: Histogram<'kind'>;
   private readonly firstEvent: Histogram;
@@ -26,6 +27,12 @@
       labelNames: ['kind', 'outcome'],
       registers,
     });
+    this.resumptions = new Counter({
+      name: 'ledgegauge_stream_resumptions_total',
+      help: 'Calls whose stream was resumed by their caller, or by this gateway within the response',
+      labelNames: ['by', 'outcome'],
+      registers,
+    });
     this.failedReservations = new Counter({
       name: 'ledgegauge_failed_reservations_total',
       help: 'Turns refused at a step of their reservation',
@@ -72,6 +79,10 @@
     this.failedReservations.inc({ step });
   }
 
+  noteResumption(by: 'caller' | 'gateway', outcome: string): void {
+    this.resumptions.inc({ by, outcome });
+  }
+
   noteCall(
     kind: string | undefined,
     outcome: string,
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -16,6 +16,8 @@
 const MAX_ATTEMPT_ID_LENGTH = 256;
 /** Maximum number of versions among which the ledger selects. */
 const MAX_VERSIONS = 8;
+/** Maximum time for replacing a recorded version, in milliseconds; the call is refused afterwards. */
+const MAX_CHANGE_MS = 400;
 const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
 
 /** A call on a streaming route. */
@@ -93,7 +95,7 @@
       recordLater: (version) => ledger.recordStreamLater(recordOf(version)),
       recordChange: (version) => {
         const record = recordOf(version);
-        return ledger.changeStream(record, record.keepMs);
+        return ledger.changeStream(record, Math.min(record.keepMs, MAX_CHANGE_MS));
       },
     });
   }
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -65,6 +65,11 @@
     return this.options.stateMachine.turns.size;
   }
 
+  /** Number of streams whose software versions are in the state of this member. */
+  get recordedStreamCount(): number {
+    return this.options.stateMachine.streams.size;
+  }
+
   /** Number of expired turns whose values this member still holds. */
   get expiredValueCount(): number {
     return this.options.stateMachine.turns.expired.heldCount;
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -123,6 +123,12 @@
     const { values } = this;
     const add = (name: string, help: string, read: () => number): void =>
       addGauge(registry, `ledgegauge_kept_turns${name}`, help, read);
+    addGauge(
+      registry,
+      'ledgegauge_recorded_streams',
+      'Streams whose software versions are recorded, so that their callers can resume them',
+      () => this.service.recordedStreamCount,
+    );
     add('', 'Turns whose values are held', () => values.size);
     add('_named', 'Turns that the state names', () => this.service.keptTurnCount);
     add(
