--- a/src/ledger/stream-versions.ts
+++ b/src/ledger/stream-versions.ts
@@ -30,8 +30,8 @@
 /** Encoding of an entry in a snapshot. */
 export type EncodedStream = [attempt: string, version: VersionKey, expiresAtMs: number];
 
-/** Maximum number of entries, about 150 bytes each; the oldest are dropped, and their streams cannot be resumed. */
-const MAX_ENTRIES = 200_000;
+/** Maximum number of entries, about 200 bytes of heap each; the oldest give way, and their streams cannot be resumed. */
+const MAX_ENTRIES = 50_000;
 /** Maximum time that an entry is kept, whatever a caller's deadline is, in milliseconds. */
 const MAX_KEEP_MS = 10 * 60_000;
 /** Added to the time that a caller has, for clock differences between leaders, in milliseconds. */
