--- a/src/forwarding/stream-version.ts
+++ b/src/forwarding/stream-version.ts
@@ -3,16 +3,19 @@
  * they do not check it: once a caller has an event, the rest must come from a backend of the same version.
  */
 import type { VersionKey } from '../ledger/index.js';
-import type { BackendState } from './backend-view.js';
+
+/** A backend, as far as its software version is concerned. */
+export interface VersionedBackend {
+  id: string;
+  /** Undefined if it reports none. */
+  softwareVersion?: string | undefined;
+}
 
 /**
  * Backends with equal keys can continue each other's streams. A backend that reports no version can continue only its
  * own streams.
  */
-export function versionKeyOf({
-  id,
-  softwareVersion,
-}: Pick<BackendState, 'id' | 'softwareVersion'>): VersionKey {
+export function versionKeyOf({ id, softwareVersion }: VersionedBackend): VersionKey {
   return softwareVersion === undefined ? `backend ${id}` : `version ${softwareVersion}`;
 }
 
@@ -47,7 +50,7 @@
   }
 
   /** Whether a call may be sent to a backend. */
-  accepts(backend: BackendState): boolean {
+  accepts(backend: VersionedBackend): boolean {
     return this.key === undefined || versionKeyOf(backend) === this.key;
   }
 
@@ -61,7 +64,7 @@
   }
 
   /** Resolves once later attempts of the caller will find the backend's version. */
-  async changeTo(backend: BackendState): Promise<void> {
+  async changeTo(backend: VersionedBackend): Promise<void> {
     this.hasChanged = true;
     const key = versionKeyOf(backend);
     await this.options.recordChange?.(key);
@@ -70,7 +73,7 @@
   }
 
   /** Must be called when the caller gets the first event, which a backend has sent. */
-  noteBegun(backend: BackendState): void {
+  noteBegun(backend: VersionedBackend): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
     this.key ??= versionKeyOf(backend);
