--- a/src/forwarding/stream-version.ts
+++ b/src/forwarding/stream-version.ts
@@ -32,6 +32,7 @@
   recordChange?: (version: VersionKey) => Promise<void>;
 }
 
+/** The version of the stream of one call, and which backends may continue it. */
 export class StreamVersion {
   private key: VersionKey | undefined;
   private isRecorded: boolean;
