Backends are grouped by version once for each update, not for each call

The review of the change: every selection for a resumable stream filtered the back ends of its service and built a key for each, also where one version serves. The same groups serve the list of versions and the gauge, by the groupBy that the project had. One settlement of a reservation instead of two copies of it, one label of a missing version instead of two constants, the time left written once, a flag instead of a counter.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,6 +1,6 @@
 /** One gateway's view of the backends: registrations, in-flight calls and observed health. */
 import { type BackendStatistics, callsOverCache } from '../backend-statistics/index.js';
-import { monotonicMs } from '../common/index.js';
+import { groupBy, monotonicMs } from '../common/index.js';
 import type { BackendLoad, BackendRecord } from '../directory/index.js';
 import type { VersionKey } from '../ledger/index.js';
 import { type CallWork, SlowdownEstimator, LatencyModel } from '../performance/index.js';
@@ -26,7 +26,7 @@
   gateways(): number;
 }
 
-/** Backends of a service with the same software version. */
+/** Backends of a service that can continue each other's streams. */
 export interface VersionCount {
   service: string;
   /** Undefined for backends that report none. */
@@ -186,8 +186,8 @@
 export class BackendView {
   private readonly backends = new Map<string, BackendState>();
   private byService = new Map<string, BackendState[]>();
-  /** Cache of `versions`. */
-  private readonly versionsByService = new Map<string, VersionKey[]>();
+  /** The same backends by service and version; a service is grouped when it is first asked for. */
+  private readonly byVersion = new Map<string, Map<VersionKey, BackendState[]>>();
   private readonly models = new Map<string, LatencyModel>();
 
   /** @param statistics shared by all gateways in the scheduling mode `coordinated` */
@@ -235,19 +235,20 @@
     return this.limits.gateways();
   }
 
-  /** Backends of a service that accept new calls. */
-  serving(service: string): readonly BackendState[] {
-    return this.byService.get(service) ?? [];
+  /**
+   * Backends of a service that accept new calls.
+   * @param version only those of this version @default those of all versions
+   */
+  serving(service: string, version?: VersionKey): readonly BackendState[] {
+    if (version === undefined) return this.byService.get(service) ?? [];
+    return this.groupsOf(service).get(version) ?? [];
   }
 
   /** Versions of the backends of a service that accept new calls, those of most backends first. */
-  versions(service: string): readonly VersionKey[] {
-    let versions = this.versionsByService.get(service);
-    if (!versions) {
-      versions = byFrequency(this.serving(service).map(versionKeyOf));
-      this.versionsByService.set(service, versions);
-    }
-    return versions;
+  versions(service: string): VersionKey[] {
+    const groups = [...this.groupsOf(service)];
+    groups.sort(([, left], [, right]) => right.length - left.length);
+    return groups.map(([version]) => version);
   }
 
   /** Versions of all registered backends of a service, including those that are leaving. */
@@ -256,18 +257,13 @@
     return [...new Set(backends.map(versionKeyOf))];
   }
 
-  /** Number of backends that accept new calls, by service and software version. */
+  /** Number of backends that accept new calls, by service and version. */
   countByVersion(): VersionCount[] {
-    const counts = new Map<string, VersionCount>();
-    for (const [service, backends] of this.byService) {
-      for (const { softwareVersion } of backends) {
-        const key = `${service} ${softwareVersion}`;
-        const count = counts.get(key) ?? { service, softwareVersion, backends: 0 };
-        count.backends += 1;
-        counts.set(key, count);
-      }
-    }
-    return [...counts.values()];
+    return [...this.byService.keys()].flatMap((service) =>
+      [...this.groupsOf(service).values()].map((group) => {
+        return { service, softwareVersion: group[0]!.softwareVersion, backends: group.length };
+      }),
+    );
   }
 
   /** Mean latency of a call of a service, in milliseconds. */
@@ -291,8 +287,18 @@
   }
 
   private groupByService(): void {
-    this.byService = groupByService(this.backends.values());
-    this.versionsByService.clear();
+    const ready = [...this.backends.values()].filter(({ record }) => record.phase === 'ready');
+    this.byService = groupBy(ready, ({ record }) => record.service);
+    this.byVersion.clear();
+  }
+
+  private groupsOf(service: string): Map<VersionKey, BackendState[]> {
+    let groups = this.byVersion.get(service);
+    if (!groups) {
+      groups = groupBy(this.serving(service), versionKeyOf);
+      this.byVersion.set(service, groups);
+    }
+    return groups;
   }
 
   private take(record: BackendRecord): void {
@@ -314,21 +320,3 @@
     return model;
   }
 }
-
-/** Distinct values, the most frequent first. */
-function byFrequency(values: readonly string[]): string[] {
-  const counts = new Map<string, number>();
-  for (const value of values) counts.set(value, (counts.get(value) ?? 0) + 1);
-  return [...counts].sort(([, left], [, right]) => right - left).map(([value]) => value);
-}
-
-function groupByService(backends: Iterable<BackendState>): Map<string, BackendState[]> {
-  const groups = new Map<string, BackendState[]>();
-  for (const backend of backends) {
-    if (backend.record.phase !== 'ready') continue;
-    const group = groups.get(backend.record.service) ?? [];
-    group.push(backend);
-    groups.set(backend.record.service, group);
-  }
-  return groups;
-}
--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -10,10 +10,9 @@
 } from './call-exchange.js';
 import type { CallRun, SendRecord } from './call-run.js';
 import { StreamRelay } from './stream-relay.js';
+import { versionLabelOf } from './stream-version.js';
 import type { Reservation } from './turn-reservations.js';
 
-const UNKNOWN_VERSION = 'unknown';
-
 export function describeProgram(program: ProgramContext | undefined): LogFields {
   if (!program) return {};
   const { id, session, budgetTokens: budget, remainingMs } = program;
@@ -75,7 +74,7 @@
 
 /** Software versions of the backends that the call was sent to, in order, without repetitions in succession. */
 function describeVersions({ sends }: CallRun): string | undefined {
-  const versions = sends.map(({ softwareVersion }) => softwareVersion ?? UNKNOWN_VERSION);
+  const versions = sends.map(({ softwareVersion }) => versionLabelOf(softwareVersion));
   return (
     versions.filter((version, index) => version !== versions[index - 1]).join(' ') || undefined
   );
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -80,6 +80,8 @@
 export class CallRun {
   readonly sends: SendRecord[] = [];
   readonly response: StreamRelay | BufferedResponse;
+  /** Whether the gateway had another run continue a stream that a run had begun. */
+  wasResumed = false;
   /** Request for the permit of the first send, if one is needed. */
   permit: PermitRequest | undefined;
   private readonly service: string;
@@ -92,8 +94,6 @@
   private backend: BackendState | undefined;
   /** Latency model of the service, once the call was sent. */
   private model: LatencyModel | undefined;
-  /** Number of runs after which another one was to continue the stream. */
-  private brokenRuns = 0;
   private retries = 0;
   /** Start of the latest attempt (monotonic, milliseconds). */
   private sentAt = 0;
@@ -131,11 +131,6 @@
     return this.mayHaveRun;
   }
 
-  /** Whether the gateway had another run continue a stream that a run had begun. */
-  get wasResumed(): boolean {
-    return this.brokenRuns > 0;
-  }
-
   /** The software version at which the stream runs, if it is bound to one. */
   get streamVersion(): VersionKey | undefined {
     return this.options.streamVersion.version;
@@ -221,9 +216,7 @@
   /** Backends that accept new calls and can continue the stream, if it has begun. */
   private get candidates(): readonly BackendState[] {
     const { backends, streamVersion } = this.options;
-    const serving = backends.serving(this.service);
-    if (streamVersion.version === undefined) return serving;
-    return serving.filter((backend) => streamVersion.accepts(backend));
+    return backends.serving(this.service, streamVersion.version);
   }
 
   private async sendTo({ backend, missingTokens }: PlacementDecision): Promise<SendResult> {
@@ -408,7 +401,7 @@
     const { kind, maxAttempts } = this.options.route.route;
     if (!this.canRetry || this.retries >= MAX_RETRIES) return this.brokenOutcome();
     this.retries += 1;
-    if (this.response.hasBegun) this.brokenRuns += 1;
+    this.wasResumed ||= this.response.hasBegun;
     this.response.restart();
     // A draining backend was promised no new calls when its draining was acknowledged.
     const isLeaving = !this.options.backends.serving(this.service).includes(backend);
--- a/src/forwarding/forwarding-metrics.ts
+++ b/src/forwarding/forwarding-metrics.ts
@@ -2,9 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ReservationStep } from '../ledger/index.js';
 import type { VersionCount } from './backend-view.js';
-
-/** Label of backends that report no software version. */
-const UNKNOWN_VERSION = 'unknown';
+import { versionLabelOf } from './stream-version.js';
 
 const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
 
@@ -70,7 +68,7 @@
       collect() {
         this.reset();
         for (const { service, softwareVersion, backends } of count())
-          this.set({ service, version: softwareVersion ?? UNKNOWN_VERSION }, backends);
+          this.inc({ service, version: versionLabelOf(softwareVersion) }, backends);
       },
     });
   }
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -3,7 +3,7 @@
  * so that the caller can resume the stream at any gateway.
  */
 import { monotonicMs } from '../common/index.js';
-import type { LedgerClient, ReservedStream, VersionKey } from '../ledger/index.js';
+import type { LedgerClient, ReservedStream, StreamRecord, VersionKey } from '../ledger/index.js';
 import type { CompiledRoute } from '../routes/index.js';
 import { scopedId } from '../tenants/index.js';
 import type { BackendView } from './backend-view.js';
@@ -44,7 +44,7 @@
    * @throws RefusedError if the caller resumes a stream that cannot be known
    */
   reservedStream(call: StreamCall): ReservedStream | undefined {
-    const { description, route, tenant, deadlineMs } = call;
+    const { description, route, tenant } = call;
     const { resumedAttempt, lastEventId } = description;
     if (!route.route.isResumable) return undefined;
     if (resumedAttempt !== undefined) {
@@ -52,8 +52,7 @@
       return { kind: 'resume', attempt: scopedId(tenant, resumedAttempt) };
     }
     const versions = lastEventId === undefined ? this.preferredVersions(call) : [];
-    const keepMs = Math.max(0, deadlineMs - monotonicMs());
-    return versions.length === 0 ? undefined : { kind: 'begin', versions, keepMs };
+    return versions.length === 0 ? undefined : { kind: 'begin', versions, keepMs: leftMs(call) };
   }
 
   /**
@@ -83,10 +82,10 @@
     reservation: Reservation | undefined,
   ): StreamVersion {
     const { ledger } = this.options;
-    const { description, tenant, deadlineMs } = call;
+    const { description, tenant } = call;
     const attempt = scopedId(tenant, description.id!);
-    const recordOf = (version: VersionKey) => {
-      return { attempt, version, keepMs: Math.max(0, deadlineMs - monotonicMs()) };
+    const recordOf = (version: VersionKey): StreamRecord => {
+      return { attempt, version, keepMs: leftMs(call) };
     };
     const recorded = reservation?.streamVersion;
     return new StreamVersion({
@@ -107,7 +106,7 @@
   private preferredVersions({ description, service }: StreamCall): VersionKey[] {
     const { backends, placement } = this.options;
     const versions = backends.versions(service);
-    if (versions.length <= 1) return [...versions];
+    if (versions.length <= 1) return versions;
     const request = { call: description, excluded: NOTHING_EXCLUDED };
     const selected = placement.choose(backends.serving(service), request);
     const ordered = selected ? [versionKeyOf(selected.backend), ...versions] : versions;
@@ -139,3 +138,8 @@
   if (allowanceTaken !== undefined) return undefined;
   throw new RefusedError('ledger-unavailable');
 }
+
+/** Time until the caller's deadline, in which it may resume the stream. */
+function leftMs({ deadlineMs }: StreamCall): number {
+  return Math.max(0, deadlineMs - monotonicMs());
+}
--- a/src/forwarding/stream-version.ts
+++ b/src/forwarding/stream-version.ts
@@ -19,6 +19,11 @@
   return softwareVersion === undefined ? `backend ${id}` : `version ${softwareVersion}`;
 }
 
+/** The version as operators see it, in logs and metrics. */
+export function versionLabelOf(softwareVersion: string | undefined): string {
+  return softwareVersion ?? 'unknown';
+}
+
 export interface StreamVersionOptions {
   /** The only version at which the stream may run, if it is known before the call is sent. */
   key?: VersionKey;
@@ -32,7 +37,7 @@
   recordChange?: (version: VersionKey) => Promise<void>;
 }
 
-/** The version of the stream of one call, and which backends may continue it. */
+/** The version of the stream of one call. */
 export class StreamVersion {
   private key: VersionKey | undefined;
   private isRecorded: boolean;
@@ -45,16 +50,11 @@
     this.hasBegun = options.isResumed ?? false;
   }
 
-  /** The version at which the stream runs, once it is known. */
+  /** The only version whose backends the call may be sent to; undefined while it may be sent to any. */
   get version(): VersionKey | undefined {
     return this.key;
   }
 
-  /** Whether a call may be sent to a backend. */
-  accepts(backend: VersionedBackend): boolean {
-    return this.key === undefined || versionKeyOf(backend) === this.key;
-  }
-
   /**
    * Whether the stream may begin at another version. Only once: a delayed duplicate of a first change must not replace a
    * second one.
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -150,28 +150,28 @@
    */
   async settle(turn: FinishedTurn): Promise<CallOutcome> {
     const { run, ending, route, reservation } = turn;
-    const { ledger } = this.options;
-    const { program, attempt, allowanceTaken } = reservation;
     const relay = run.response as StreamRelay;
     const spentTokens = relay.events * this.options.tokensPerEvent(run.serviceName);
-    let settlement: Settlement = { program, attempt, spentTokens, placement: placementOf(turn) };
-    if (allowanceTaken !== undefined) {
-      settlement = ledger.drawFromAllowance(settlement, allowanceTaken);
-    }
+    const settlement = this.settlementOf(reservation, spentTokens, placementOf(turn));
     const isKept = route.route.retainsTurns && ending.kind === 'answered' && relay.isStream;
     if (isKept) return this.keep(turn, settlement, relay.collectedOutput);
-    ledger.settleLater(settlement);
+    this.options.ledger.settleLater(settlement);
     return ending;
   }
 
   /** Settles the reservation of a turn that is not sent. */
-  release({ program, attempt, allowanceTaken }: Reservation): void {
-    const { ledger } = this.options;
-    const settlement: Settlement = { program, attempt, spentTokens: 0 };
-    const isFromAllowance = allowanceTaken !== undefined;
-    ledger.settleLater(
-      isFromAllowance ? ledger.drawFromAllowance(settlement, allowanceTaken) : settlement,
-    );
+  release(reservation: Reservation): void {
+    this.options.ledger.settleLater(this.settlementOf(reservation, 0));
+  }
+
+  private settlementOf(
+    { program, attempt, allowanceTaken }: Reservation,
+    spentTokens: number,
+    placement?: TurnPlacement,
+  ): Settlement {
+    const settlement: Settlement = { program, attempt, spentTokens, placement };
+    if (allowanceTaken === undefined) return settlement;
+    return this.options.ledger.drawFromAllowance(settlement, allowanceTaken);
   }
 
   private async requestReservation(
