A request is received only once the first configuration is in force

Cause: the ingress server asked for the memory budget once, when a request's head came. Before the first configuration the scheduling mode stood at its default, independent, which has no budget, and that stood for the whole call; the limits of the body came from defaults too. Not knowing the mode was taken for one of the modes.

Fix: one IngressPolicy (limits and budget), complete or absent. While it is absent only the head is read; the request waits up to 400 ms, then it is received by the policy or refused with 503.

--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -3,7 +3,7 @@
 import { RawBackend, close } from '../../tests/support/raw-backend.js';
 import { rawProtocol } from '../../tests/support/raw-sends.js';
 import { sampleCall } from '../../tests/support/sample-call.js';
-import { SignalEvent, monotonicMs, sleep } from '../common/index.js';
+import { monotonicMs } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
 import { LedgerClient } from '../ledger/index.js';
 import { createLogger } from '../observability/index.js';
@@ -63,7 +63,6 @@
 
 class StartingGateway {
   readonly forwarder: CallForwarder;
-  private readonly routesChanged = new SignalEvent();
   private routes: RouteTable | undefined;
 
   constructor(
@@ -81,7 +80,6 @@
     };
     this.forwarder = new CallForwarder({
       routes: () => this.routes,
-      waitForRoutes: (timeoutMs) => this.routesChanged.waitWithTimeout(timeoutMs),
       directoryAgeMs: () => 0,
       access: () => ({ kind: 'allowed', tenant: undefined }),
       quotas: {
@@ -101,28 +99,23 @@
 
   takeConfiguration(): void {
     this.routes = new RouteTable(CONFIGURATION);
-    this.routesChanged.notify();
   }
 }
 
 describe('a starting gateway', () => {
-  it('lets calls wait for the first configuration', async () => {
-    const gateway = new StartingGateway();
-    const exchange = callTo('/x');
-    const handled = gateway.forwarder.handle(exchange);
-    await sleep(50);
-    expect(exchange.refusal).toBeUndefined();
-    gateway.takeConfiguration();
-    await handled;
-    expect(exchange.refusal?.reason).toBe('no-backend');
-  });
-
-  it('refuses calls after a timeout, with a retry delay', async () => {
-    const exchange = callTo('/x');
-    await new StartingGateway().forwarder.handle(exchange);
-    expect(exchange.refusal?.reason).toBe('not-ready');
-    expect(exchange.refusal?.retryAfterMs).toBeGreaterThan(200);
-    expect(monotonicMs() - exchange.arrivedAt).toBeLessThan(1_000);
+  // The wait for the first configuration is tested with the server that receives calls.
+  it('refuses calls before its first configuration, with a retry delay', async () => {
+    const { forwarder } = new StartingGateway();
+    for (const refuse of [
+      (exchange: RecordedExchange) => forwarder.handle(exchange),
+      (exchange: RecordedExchange) => forwarder.refuseUnconfigured(exchange),
+    ]) {
+      const exchange = callTo('/x');
+      await refuse(exchange);
+      expect(exchange.refusal?.reason).toBe('not-ready');
+      expect(exchange.refusal?.retryAfterMs).toBeGreaterThan(200);
+      expect(monotonicMs() - exchange.arrivedAt).toBeLessThan(1_000);
+    }
   });
 });
 
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -36,8 +36,6 @@
 export interface CallForwarderOptions {
   /** The current routes; undefined before the first configuration. */
   routes: () => RouteTable | undefined;
-  /** Resolves when routes are available or after the timeout. */
-  waitForRoutes: (timeoutMs: number) => Promise<void>;
   /** Time since the directory's leader last responded, in milliseconds. */
   directoryAgeMs: () => number;
   access: (route: Route, key: string | undefined) => AccessDecision;
@@ -56,8 +54,6 @@
 
 /** Maximum age of the directory data by which an unknown route is rejected; with older data it may be new. */
 const FRESH_ROUTES_MAX_AGE_MS = 1_500;
-/** Maximum time that a call waits for the first configuration after startup, in milliseconds. */
-const INITIAL_ROUTES_TIMEOUT_MS = 400;
 /** Minimum retry delay, in milliseconds. */
 const MIN_RETRY_MS = 150;
 /** Retry delay while this gateway starts up, in milliseconds; another gateway is probably ready. */
@@ -113,18 +109,20 @@
     let route: CompiledRoute | undefined;
     try {
       await this.stallGuard.waitAfterStall();
-      if (!this.options.routes()) await this.options.waitForRoutes(INITIAL_ROUTES_TIMEOUT_MS);
       route = this.findRoute(exchange);
       if (exchange.isAbandoned) this.record({ exchange, route, ending: { kind: 'abandoned' } });
       else await this.forward(exchange, route);
     } catch (error) {
       if (!(error instanceof RefusedError)) throw error;
-      this.refuse(exchange, error.reason, error.retryAfterMs);
-      const ending: CallOutcome = { kind: 'refused', reason: error.reason };
-      this.record({ exchange, route, ending, details: error.details });
+      this.refuseAndRecord(exchange, route, error);
     }
   }
 
+  /** Refuses a call that arrived before the first configuration and could not wait for it. */
+  refuseUnconfigured(exchange: CallExchange): void {
+    this.refuseAndRecord(exchange, undefined, new RefusedError('not-ready'));
+  }
+
   /** Stops the background tasks. */
   stop(): void {
     this.stallGuard.stop();
@@ -289,6 +287,15 @@
     this.admission.noteEnd(turn, engines, this.options.backends.gateways);
   }
 
+  private refuseAndRecord(
+    exchange: CallExchange,
+    route: CompiledRoute | undefined,
+    { reason, retryAfterMs, details }: RefusedError,
+  ): void {
+    this.refuse(exchange, reason, retryAfterMs);
+    this.record({ exchange, route, ending: { kind: 'refused', reason }, details });
+  }
+
   /** Sends the final response to the caller. */
   private finish(exchange: CallExchange, run: CallRun, final: CallOutcome): void {
     switch (final.kind) {
--- a/src/forwarding/waiting-calls.test.ts
+++ b/src/forwarding/waiting-calls.test.ts
@@ -115,7 +115,6 @@
     const tenant = { name: 't', keyHashes: [], priority: 1, ratePerSecond: 0, burst: 0 };
     this.forwarder = new CallForwarder({
       routes: () => new RouteTable(CONFIGURATION),
-      waitForRoutes: () => Promise.resolve(),
       directoryAgeMs: () => 0,
       access: () => ({ kind: 'allowed', tenant }),
       quotas: {
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -42,6 +42,13 @@
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
 
+/** How a gateway receives calls. */
+export interface IngressPolicy {
+  limits: RequestLimits;
+  /** Budget of the buffered bytes; undefined if they are not counted. */
+  memoryBudget: MemoryBudget | undefined;
+}
+
 export interface GatewayNodeOptions {
   settings: NodeSettings;
   protocol: BackendProtocol;
@@ -138,13 +145,16 @@
     return this.health.isActive && !this.isReady;
   }
 
-  get limits(): RequestLimits | undefined {
-    return this.routes?.configuration.limits;
+  /** How calls are received; undefined before the first configuration, so that no call is received by a default. */
+  get ingressPolicy(): IngressPolicy | undefined {
+    if (!this.routes) return undefined;
+    const { memoryBudget } = this;
+    return { limits: this.routes.configuration.limits, memoryBudget };
   }
 
-  /** Budget of the bytes that are buffered for callers; undefined in `independent` mode. */
-  get memoryBudget(): MemoryBudget | undefined {
-    return this.isCoordinated ? this.memory : undefined;
+  /** Resolves when a configuration is in force or after the timeout. */
+  async waitForConfiguration(timeoutMs: number): Promise<void> {
+    if (!this.routes) await this.routesArrived.waitWithTimeout(timeoutMs);
   }
 
   /** Reports the gateway as not ready; requests are still served. */
@@ -194,6 +204,11 @@
     );
   }
 
+  /** Budget of the bytes that are buffered for callers; undefined in `independent` mode. */
+  private get memoryBudget(): MemoryBudget | undefined {
+    return this.isCoordinated ? this.memory : undefined;
+  }
+
   private get isCoordinated(): boolean {
     return this.schedulingMode === 'coordinated';
   }
@@ -228,7 +243,6 @@
     const { settings, protocol, logger } = this.options;
     return new CallForwarder({
       routes: () => this.routes,
-      waitForRoutes: (timeoutMs) => this.routesArrived.waitWithTimeout(timeoutMs),
       directoryAgeMs: () => this.watcher.leaderContactAgeMs,
       access: (route, key) => decideAccess(route, key, this.keyKnowledge),
       quotas: this.quotas,
