A caller that leaves early or reads slowly is no evidence of load

Cause: a call that ended as abandoned counted as one that ran out of time, that is as twice the tolerated latency. A slow reader's turn counted with the time that it held its engine up.

Fix: the end of a turn says how its caller interfered. Left early: the duration is a lower bound and can only lower the limit if it is too long already. Read slowly: nothing.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -58,6 +58,11 @@
 const MIN_RETRY_MS = 150;
 /** Retry delay while this gateway starts up, in milliseconds; another gateway is probably ready. */
 const NOT_READY_RETRY_MS = 300;
+/**
+ * A caller that leaves before this fraction of its time has passed left early. Callers leave a little before the
+ * deadline that is known here, since their clock starts when they send.
+ */
+const LEFT_EARLY_FRACTION = 0.9;
 /** Jitter of retry delays, as a fraction of the delay. */
 const RETRY_JITTER = 0.5;
 
@@ -192,7 +197,7 @@
     const isModelCall = description.promptParts.length > 0;
     if (isModelCall && run.hasRun) this.options.sharedAdmission?.noteSent(description);
     if (tenant && !run.hasRun) this.options.quotas.giveBack(tenant.name);
-    this.reportToAdmission(exchange, run, ending);
+    this.reportToAdmission(call, run, ending);
     const endedAt = monotonicMs();
     const final = reservation
       ? await this.turns.settle({ exchange, run, ending, route, reservation, deadlineMs })
@@ -274,16 +279,20 @@
   }
 
   private reportToAdmission(
-    { description: call, arrivedAt }: CallExchange,
+    { exchange, deadlineMs }: AdmittedCall,
     run: CallRun,
     ending: CallOutcome,
   ): void {
+    const { description: call, arrivedAt } = exchange;
     if (call.promptParts.length === 0 || run.unloadedMs === undefined) return;
     const { serviceName: service, unloadedMs } = run;
-    const ranOutOfTime = ending.kind === 'abandoned' || isTimeLimit(ending);
     const tookMs = monotonicMs() - arrivedAt;
+    const hadTime = tookMs < (deadlineMs - arrivedAt) * LEFT_EARLY_FRACTION;
+    const leftEarly = ending.kind === 'abandoned' && hadTime;
+    const ranOutOfTime = isTimeLimit(ending) || (ending.kind === 'abandoned' && !leftEarly);
+    const interference = run.wasPaused ? 'read-slowly' : leftEarly ? 'left-early' : undefined;
+    const turn = { service, call, ranOutOfTime, interference, tookMs, unloadedMs } as const;
     const engines = this.options.backends.serving(service);
-    const turn = { service, call, ranOutOfTime, tookMs, unloadedMs };
     this.admission.noteEnd(turn, engines, this.options.backends.gateways);
   }
 
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -80,6 +80,8 @@
 export class CallRun {
   readonly sends: SendRecord[] = [];
   readonly response: StreamRelay | BufferedResponse;
+  /** Whether an engine had to wait for the caller to read. */
+  wasPaused = false;
   /** Whether the gateway had another run continue a stream that a run had begun. */
   wasResumed = false;
   /** Request for the permit of the first send, if one is needed. */
@@ -102,7 +104,6 @@
   /** Whether the latest attempt was aborted because no response had begun in time. */
   private isGivenUp = false;
   private mayHaveRun = false;
-  private wasPaused = false;
   private isOverdue = false;
 
   constructor(private readonly options: CallRunOptions) {
--- a/src/forwarding/program-admission.test.ts
+++ b/src/forwarding/program-admission.test.ts
@@ -4,7 +4,7 @@
 import { SeededRandom } from '../common/index.js';
 import type { Route } from '../routes/index.js';
 import type { CallDescription } from './call-exchange.js';
-import { ProgramAdmission } from './program-admission.js';
+import { type EndedTurn, ProgramAdmission } from './program-admission.js';
 
 const SERVICE = 'engines';
 const TICK_MS = 10;
@@ -200,6 +200,36 @@
     expect(admits({ ...first, lastEventId: '2', resumedAttempt: 'a' })).toBe(true);
   });
 
+  describe('a turn whose caller interfered', () => {
+    const limitAfter = (turn: Partial<EndedTurn>): number => {
+      const admission = new ProgramAdmission();
+      const call = callOf({ id: 'p', startedAt: 0, turnsLeft: TURNS, sends: 0 }, 0);
+      const busy = [{ load: 1.5 * SLOTS, capacity: SLOTS }];
+      admission.admits(SERVICE, ROUTE.priority, call, busy);
+      const base = { service: SERVICE, call, ranOutOfTime: false, tookMs: 0, unloadedMs: 100 };
+      const ended = { ...base, ...turn };
+      for (let count = 0; count < 12; count += 1) admission.noteEnd(ended, busy, 1);
+      return admission.limitOf(SERVICE);
+    };
+    const highest = limitAfter({ tookMs: 10 });
+
+    it('says nothing if its caller left early', () => {
+      expect(limitAfter({ tookMs: 150, interference: 'left-early' })).toBe(highest);
+    });
+
+    it('shows overload if it took too long before its caller left', () => {
+      const complete = limitAfter({ tookMs: 400 });
+      expect(complete).toBeLessThan(highest);
+      expect(limitAfter({ tookMs: 400, interference: 'left-early' })).toBe(complete);
+    });
+
+    it('says nothing if its caller read slowly, even if it ran out of time', () => {
+      const readSlowly = { tookMs: 400, interference: 'read-slowly' as const };
+      expect(limitAfter(readSlowly)).toBe(highest);
+      expect(limitAfter({ ...readSlowly, ranOutOfTime: true })).toBe(highest);
+    });
+  });
+
   it('refuses programs of less urgent routes first', () => {
     const admission = new ProgramAdmission();
     const urgent = { priority: 0 } as Route;
--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -29,11 +29,19 @@
 const LESS_URGENT_FRACTION = 0.8;
 const HASH_RANGE = 2 ** 32;
 
+/** What a caller did to a turn so that its duration is not that of the engine. */
+export type CallerInterference =
+  /** It left before its deadline: the engine needed at least that long. */
+  | 'left-early'
+  /** It read slowly, so that the engine was paused: the duration says nothing. */
+  | 'read-slowly';
+
 export interface EndedTurn {
   service: string;
   call: CallDescription;
-  /** Whether it ended without a complete response because of its deadline or because the caller left. */
+  /** Whether it ended without a complete response because of its deadline, or because the caller left then. */
   ranOutOfTime: boolean;
+  interference?: CallerInterference;
   tookMs: number;
   /** Predicted latency on unloaded engines, in milliseconds. */
   unloadedMs: number;
@@ -119,9 +127,10 @@
 }
 
 /** Relative deviation of a turn from the tolerated latency: -1 for no time, 1 for twice that latency or more. */
-function excessOf({ call, ranOutOfTime, tookMs, unloadedMs }: EndedTurn): number {
+function excessOf({ call, ranOutOfTime, interference, tookMs, unloadedMs }: EndedTurn): number {
+  if (interference === 'read-slowly') return 0;
   if (ranOutOfTime) return 1;
   const excess = Math.min(1, tookMs / (unloadedMs * TOLERATED_SLOWDOWN) - 1);
   const isLate = call.program?.remainingMs === 0;
-  return isLate ? Math.max(0, excess) : excess;
+  return isLate || interference === 'left-early' ? Math.max(0, excess) : excess;
 }
