Loads of other gateways age while no report of them arrives

What callers saw: through a gateway that had lost the directory's leader at the height of a burst, programs were refused with idle engines for as long as the cut lasted.

Cause: the other gateways' calls at an engine stayed as last reported, without an age, and the gateway's own limit took them for the load of now.

Fix: the last report counts for 1.5 s, loses its weight within 1 s, and gives way to the gateway's own calls as an estimate of the others', never above what was reported. It holds for admission, placement and permits, in every mode.

--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -6,6 +6,7 @@
 import { type CallWork, SlowdownEstimator, LatencyModel } from '../performance/index.js';
 import { type PromptPart, promptTokensOf } from './call-exchange.js';
 import { BackendConnectionPool } from './backend-connections.js';
+import { OutdatedLoads } from './outdated-loads.js';
 import { PromptCacheView } from './prompt-cache-view.js';
 import { versionKeyOf } from './stream-version.js';
 
@@ -38,8 +39,10 @@
 export class BackendState {
   /** Calls in flight from this gateway. */
   inFlight = 0;
-  /** Calls in flight from other gateways, as last reported. */
+  /** Calls in flight from other gateways, as last reported, less with the age of the report. */
   otherInFlight = 0;
+  /** Calls in flight from other gateways in the last report. */
+  reportedCalls = 0;
   /** Moving average of `otherInFlight` over reports. */
   meanOtherInFlight = 0;
   /** Tokens of the calls in flight from this gateway, with their expected answers. */
@@ -148,6 +151,19 @@
     return expectedMs;
   }
 
+  /** @param reportedCalls calls in flight from other gateways */
+  noteReport(reportedCalls: number): void {
+    this.reportedCalls = reportedCalls;
+    this.otherInFlight = reportedCalls;
+    this.meanOtherInFlight += (reportedCalls - this.meanOtherInFlight) * OTHER_LOAD_WEIGHT;
+  }
+
+  /** @param otherCalls calls of other gateways that are assumed without a current report */
+  noteOutdated(otherCalls: number): void {
+    this.otherInFlight = otherCalls;
+    this.meanOtherInFlight = Math.min(this.meanOtherInFlight, otherCalls);
+  }
+
   noteDataReceived(): void {
     this.dataReceivedAt = monotonicMs();
   }
@@ -189,6 +205,7 @@
   /** The same backends by service and version; a service is grouped when it is first asked for. */
   private readonly byVersion = new Map<string, Map<VersionKey, BackendState[]>>();
   private readonly models = new Map<string, LatencyModel>();
+  private readonly outdatedLoads = new Map<string, OutdatedLoads>();
 
   /** @param statistics shared by all gateways in the scheduling mode `coordinated` */
   constructor(
@@ -209,14 +226,19 @@
   }
 
   updateOtherLoads(loads: readonly BackendLoad[]): void {
-    for (const backend of this.backends.values()) backend.otherInFlight = 0;
-    for (const { id, inFlight } of loads) {
-      const backend = this.backends.get(id);
-      if (backend) backend.otherInFlight = inFlight;
-    }
-    for (const backend of this.backends.values()) {
-      const change = backend.otherInFlight - backend.meanOtherInFlight;
-      backend.meanOtherInFlight += change * OTHER_LOAD_WEIGHT;
+    const reported = new Map(loads.map(({ id, inFlight }) => [id, inFlight]));
+    for (const backend of this.backends.values()) backend.noteReport(reported.get(backend.id) ?? 0);
+    const now = monotonicMs();
+    for (const service of this.byService.keys()) this.outdatedOf(service).noteReport(now);
+  }
+
+  /** Lowers the other gateways' calls while no report of them arrives; to be called every `AGING_INTERVAL_MS`. */
+  ageOtherLoads(): void {
+    const now = monotonicMs();
+    for (const [service, backends] of this.byService) {
+      const ownCalls = backends.reduce((sum, { inFlight }) => sum + inFlight, 0);
+      const aged = this.outdatedOf(service).age(backends, ownCalls, this.gateways, now);
+      aged?.forEach((otherCalls, index) => backends[index]!.noteOutdated(otherCalls));
     }
   }
 
@@ -226,8 +248,12 @@
    */
   levelOtherLoads(service: string): void {
     const backends = this.serving(service);
-    const sum = backends.reduce((total, { otherInFlight }) => total + otherInFlight, 0);
-    for (const backend of backends) backend.otherInFlight = sum / backends.length;
+    const mean = meanOf(backends, ({ otherInFlight }) => otherInFlight);
+    const meanReported = meanOf(backends, ({ reportedCalls }) => reportedCalls);
+    for (const backend of backends) {
+      backend.otherInFlight = mean;
+      backend.reportedCalls = meanReported;
+    }
   }
 
   /** Number of gateways that send calls to the backends, including this one. */
@@ -312,6 +338,15 @@
     this.backends.set(record.id, new BackendState(record, model, this.limits, this.statistics));
   }
 
+  private outdatedOf(service: string): OutdatedLoads {
+    let outdated = this.outdatedLoads.get(service);
+    if (!outdated) {
+      outdated = new OutdatedLoads();
+      this.outdatedLoads.set(service, outdated);
+    }
+    return outdated;
+  }
+
   private modelOf(service: string): LatencyModel {
     const known = this.models.get(service);
     if (known) return known;
@@ -320,3 +355,10 @@
     return model;
   }
 }
+
+function meanOf(
+  backends: readonly BackendState[],
+  valueOf: (backend: BackendState) => number,
+): number {
+  return backends.reduce((sum, backend) => sum + valueOf(backend), 0) / backends.length;
+}
--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -94,7 +94,7 @@
 
 function describeSend(send: SendRecord): string {
   const { backend, ownLoad, otherLoad, missingTokens, headMs, tookMs, expectedMs } = send;
-  const place = `${backend}@${ownLoad}+${otherLoad}-${missingTokens}t`;
+  const place = `${backend}@${ownLoad}+${Math.round(otherLoad)}-${missingTokens}t`;
   const head = headMs === undefined ? '' : `/${Math.round(headMs)}ms`;
   const expected = expectedMs === undefined ? '' : `(${Math.round(expectedMs)})`;
   return `${place}${head}/${Math.round(tookMs)}${expected}ms:${send.cause ?? send.result}`;
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -12,6 +12,7 @@
   WATCH_LONG_POLL_MS,
 } from '../directory/index.js';
 import {
+  AGING_INTERVAL_MS,
   BackendView,
   type BackendProtocol,
   CallForwarder,
@@ -86,6 +87,7 @@
   private gatewayCount = 1;
   private hasBackends = false;
   private isStopping = false;
+  private agingTimer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: GatewayNodeOptions) {
     const { settings, logger } = options;
@@ -131,6 +133,7 @@
   static start(options: GatewayNodeOptions): GatewayNode {
     const node = new GatewayNode(options);
     node.watcher.start();
+    node.agingTimer = setInterval(() => node.backends.ageOtherLoads(), AGING_INTERVAL_MS);
     return node;
   }
 
@@ -168,6 +171,7 @@
   }
 
   stop(): void {
+    clearInterval(this.agingTimer);
     this.watcher.stop();
     this.health.stop();
     this.quotas.stop();
--- a/tests/support/overload-replay.ts
+++ b/tests/support/overload-replay.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from '../../src/common/index.js';
 import type { BackendRegistration } from '../../src/directory/index.js';
 import type { CallDescription } from '../../src/forwarding/call-exchange.js';
+import { AGING_INTERVAL_MS, OutdatedLoads } from '../../src/forwarding/outdated-loads.js';
 import { ProgramAdmission } from '../../src/forwarding/program-admission.js';
 import { sampleRegistration } from './directory-samples.js';
 import { sampleCall } from './sample-call.js';
@@ -95,8 +96,12 @@
 class Gateway {
   readonly own = new ProgramAdmission();
   readonly shared: GatewayAdmission;
-  /** Loads of the engines as last reported. */
+  /** Loads of the engines as last reported, and the calls sent since. */
   loads: number[] = Array.from({ length: ENGINES }, () => 0);
+  /** This gateway's calls in flight. */
+  readonly ownCalls: number[] = Array.from({ length: ENGINES }, () => 0);
+  private readonly outdated = new OutdatedLoads();
+  private otherCalls: number[] = [];
 
   constructor(clock: () => number) {
     this.shared = new GatewayAdmission({
@@ -106,6 +111,21 @@
       clock,
     });
   }
+
+  /** @param loads of the engines, including this gateway's */
+  takeReport(loads: number[], now: number): void {
+    this.loads = loads;
+    this.otherCalls = loads.map((load, engine) => Math.max(0, load - this.ownCalls[engine]!));
+    this.outdated.noteReport(now);
+  }
+
+  /** Without reports, the gateway's own calls that end no longer count, and those of others age. */
+  ageLoads(now: number): void {
+    const engines = this.otherCalls.map((reportedCalls) => ({ reportedCalls, capacity: SLOTS }));
+    const ownCalls = this.ownCalls.reduce((sum, calls) => sum + calls, 0);
+    const aged = this.outdated.age(engines, ownCalls, GATEWAYS, now);
+    if (aged) this.loads = aged.map((calls, engine) => calls + this.ownCalls[engine]!);
+  }
 }
 
 export class OverloadReplay {
@@ -142,6 +162,9 @@
       this.timers.delete(this.now);
       if (this.now >= fromMs) this.arrivals();
       if (this.now % 50 === 0) this.observe();
+      if (this.now % AGING_INTERVAL_MS === 0) {
+        for (const gateway of this.gateways) gateway.ageLoads(this.now);
+      }
     }
   }
 
@@ -222,7 +245,7 @@
   }
 
   /** Sends to the least loaded of some engines, by the loads that the gateway knows. */
-  private send({ loads }: Gateway, onEnd: (wasCompleted: boolean) => void): void {
+  private send({ loads, ownCalls }: Gateway, onEnd: (wasCompleted: boolean) => void): void {
     const known = this.engines.flatMap((_, engine) => (this.isRunning(engine) ? [engine] : []));
     const drawn = Array.from({ length: ENGINES_DRAWN }, () => this.random.pick(known));
     const chosen = drawn.reduce((best, other) => (loads[other]! < loads[best]! ? other : best));
@@ -232,7 +255,12 @@
       onEnd(false);
       return;
     }
-    const turn: Turn = { run: onEnd, isCancelled: false };
+    ownCalls[chosen]! += 1;
+    const run = (wasCompleted: boolean): void => {
+      ownCalls[chosen]! -= 1;
+      onEnd(wasCompleted);
+    };
+    const turn: Turn = { run, isCancelled: false };
     engine.queue.push(turn);
     this.at(this.now + TURN_TIMEOUT_MS, () => this.cancel(turn));
     this.startNext(engine);
@@ -275,7 +303,10 @@
     const name = `g${index}`;
     this.leader.report(name, report && (this.options.falsify?.(index, report) ?? report));
     this.at(this.now + LONG_POLL_MS - 1, () => {
-      gateway.loads = this.engines.map((engine) => engine.load);
+      gateway.takeReport(
+        this.engines.map(({ load }) => load),
+        this.now,
+      );
       if (this.reachesLeader(index)) gateway.shared.apply(this.leader.viewFor(name));
     });
   }
