Election timeouts follow the latency that a member measures

What callers saw: nothing is committed in a fleet that starts on busy processors, so nobody is served (drawn schedules: "not in time: a leader").

Cause: until a leader was heard, elections were due each 20 to 80 ms and later each 150 to 300 ms, while a round trip took longer: candidates gave up elections whose votes were on their way, leaders stepped down before answers came, and followers that were held up elected before they read the heartbeats in their sockets.

Evidence: untouched beside five busy processes 9 of 12 groups have no leader (terms 66 to 92).

Fix: timeouts of four measured round trips to a quorum, or two silences of the leader, 1.5 s at most, the configured ones otherwise; a candidate waits for its votes; lost elections spread candidates; a late timer is extended once.

The count of tokens in the drawn schedules waits for a leader: it took the absence of one for no token spent.

--- a/src/consensus/election-timer.test.ts
+++ b/src/consensus/election-timer.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { sleep } from '../common/index.js';
 import { ElectionTimer } from './election-timer.js';
 
 let fired: number;
@@ -17,6 +18,11 @@
   vi.useRealTimers();
 });
 
+function holdUp(milliseconds: number): void {
+  const until = performance.now() + milliseconds;
+  while (performance.now() < until);
+}
+
 describe('election timer', () => {
   it('fires once at its deadline, and again only after it is set again', () => {
     timer.setIn(50);
@@ -51,6 +57,18 @@
     expect(fired).toBe(2);
   });
 
+  // A leader's heartbeats may wait in the sockets of a process that was held up.
+  it('is extended once, by as long as its process was held up', async () => {
+    vi.useRealTimers();
+    timer.setIn(20);
+    holdUp(200);
+    await sleep(60);
+    expect(fired).toBe(0);
+    holdUp(300);
+    await sleep(60);
+    expect(fired).toBe(1);
+  });
+
   it('does not fire after it is stopped', () => {
     timer.setIn(50);
     timer.stop();
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -1,4 +1,5 @@
 /** Runs an election: a pre-vote that does not change terms, then the vote. */
+import { monotonicMs } from '../common/index.js';
 import { quorumSize, votersOf } from './configuration.js';
 import { VOTE } from './messages.js';
 import type { GroupEnvironment } from './group-environment.js';
@@ -25,12 +26,11 @@
     const wouldWin = await requestVotes(group, environment, round);
     if (!wouldWin || group.term !== startTerm || group.isLeader) return;
   }
-  const term = group.term + 1;
-  await group.becomeCandidate();
-  if (group.term !== term || group.state !== 'candidate') return;
-  const round = { term, isPreVote: false, isTransfer };
-  const won = await requestVotes(group, environment, round);
-  if (won && group.term === term && group.state === 'candidate') group.becomeLeader();
+  const round = { term: group.term + 1, isPreVote: false, isTransfer };
+  const won = await group.elections.whileVoting(() =>
+    group.stand(() => requestVotes(group, environment, round)),
+  );
+  if (won) group.becomeLeader();
 }
 
 function requestVotes(
@@ -44,16 +44,26 @@
   const base = { group: group.name, from: group.ownId, lastIndex, lastTerm, ...round };
   return new Promise<boolean>((resolve) => {
     let granted = 1;
+    let answered = 1;
     let pending = others.length;
     const resolveIfDecided = (): void => {
       if (granted >= needed) resolve(true);
-      else if (granted + pending < needed) resolve(false);
+      else if (granted + pending < needed) {
+        if (answered >= needed) group.elections.pacing.noteLostElection();
+        resolve(false);
+      }
     };
     const requestVote = async (voter: (typeof others)[number]): Promise<void> => {
       try {
         const request = { ...base, to: voter.id };
         const options = { timeoutMs: VOTE_TIMEOUT_MS };
+        const wasConnected = environment.isConnected(voter);
+        const sentAt = monotonicMs();
         const response = await environment.call(voter, VOTE, request, options);
+        answered += 1;
+        // One slow voter does not matter, nor does the time until a voter has started.
+        if (wasConnected && answered === needed)
+          group.elections.pacing.noteRoundTrip(monotonicMs() - sentAt);
         if (response.term > group.term) group.onHigherTerm(response.term);
         if (response.granted) granted += 1;
       } catch {
--- a/src/consensus/follower-request-handler.ts
+++ b/src/consensus/follower-request-handler.ts
@@ -31,8 +31,6 @@
 }
 
 export class FollowerRequestHandler {
-  /** Whether a leader has contacted this member since the process started. */
-  hasSeenLeader = false;
   private leaderContactAt = Number.NEGATIVE_INFINITY;
   /** Last index at which the log is known to match that of the leader of `matchedTerm`. */
   private matchedIndex = 0;
@@ -58,7 +56,7 @@
     const granted = request.term === group.term && mayVote && this.isLogUpToDate(request);
     const { term } = group;
     if (granted) {
-      group.resetElectionDeadline();
+      group.elections.postpone();
       void group.saveHardState(term, request.from);
     }
     await group.waitTermDurable();
@@ -136,7 +134,7 @@
   transfer(request: TransferRequest): boolean {
     if (request.term !== this.group.term) return false;
     if (!isVoter(this.group.configuration, this.group.ownId)) return false;
-    this.group.startElection(true);
+    this.group.elections.start(true);
     return true;
   }
 
@@ -148,7 +146,7 @@
   /** Whether the leader made contact within the election timeout. */
   private hasRecentLeaderContact(): boolean {
     if (this.group.isLeader) return true;
-    return monotonicMs() - this.leaderContactAt < this.environment.options.electionTimeoutMs;
+    return monotonicMs() - this.leaderContactAt < this.group.elections.timeoutMs;
   }
 
   private isLogUpToDate(request: VoteRequest): boolean {
@@ -159,12 +157,12 @@
 
   private followLeader(term: number, leaderId: string): void {
     const { group } = this;
-    if (term > group.term || group.state !== 'follower' || group.leaderId !== leaderId) {
-      group.becomeFollower(term, leaderId);
-    }
-    this.leaderContactAt = monotonicMs();
-    this.hasSeenLeader = true;
-    group.resetElectionDeadline();
+    const isNewLeader =
+      term > group.term || group.state !== 'follower' || group.leaderId !== leaderId;
+    if (isNewLeader) group.becomeFollower(term, leaderId);
+    const now = monotonicMs();
+    group.elections.noteLeader(isNewLeader ? 0 : now - this.leaderContactAt);
+    this.leaderContactAt = now;
   }
 
   private async appendEntries(newEntries: LogEntry[]): Promise<AppendResponse | undefined> {
--- a/src/consensus/group-environment.ts
+++ b/src/consensus/group-environment.ts
@@ -16,6 +16,8 @@
     request: Request,
     options: CallOptions,
   ): Promise<Response>;
+  /** Whether the link for votes to a member is established. */
+  isConnected(member: Member): boolean;
   /** Requests heartbeats soon, for a read that waits for a quorum. */
   requestHeartbeats(): void;
   /** Called when this member gains or loses leadership. */
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -60,6 +60,7 @@
       ownId: host.ownId,
       options: host.options,
       call: (member, method, request, options) => this.call(member, method, request, options),
+      isConnected: ({ address }) => this.urgentPeers.isConnected(address),
       requestHeartbeats: () => this.requestHeartbeats(),
       onLeadershipChange: (group) => this.onLeadershipChange(group),
       onSnapshotStored: (group, { index, compactedTo }) =>
--- a/src/consensus/quorum-check.ts
+++ b/src/consensus/quorum-check.ts
@@ -1,5 +1,6 @@
 /** Detects that a leader has lost contact with its quorum and must step down. */
 import { monotonicMs } from '../common/index.js';
+import { ElectionPacing } from './election-pacing.js';
 import type { CheckedConsensusOptions } from './options.js';
 
 type QuorumTiming = Pick<CheckedConsensusOptions, 'heartbeatIntervalMs' | 'electionTimeoutMs'>;
@@ -7,7 +8,10 @@
 export class QuorumCheck {
   private checkedAt = monotonicMs();
 
-  constructor(private readonly timing: QuorumTiming) {}
+  constructor(
+    private readonly timing: QuorumTiming,
+    private readonly pacing = new ElectionPacing(),
+  ) {}
 
   /**
    * Called at every heartbeat interval. The delay of the check itself is not counted, since after a
@@ -20,6 +24,6 @@
     const { heartbeatIntervalMs, electionTimeoutMs } = this.timing;
     const lateMs = Math.max(0, now - this.checkedAt - heartbeatIntervalMs);
     this.checkedAt = now;
-    return now - contactMs - lateMs > electionTimeoutMs;
+    return now - contactMs - lateMs > this.pacing.timeoutMs(electionTimeoutMs);
   }
 }
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -17,12 +17,10 @@
   findMember,
   isVoter,
   quorumValue,
-  startupRank,
   withMember,
   withoutMember,
 } from './configuration.js';
-import { runElection } from './election.js';
-import { ElectionTimer } from './election-timer.js';
+import { ElectionScheduler } from './election-scheduler.js';
 import { MembershipChangeError, NotLeaderError } from './errors.js';
 import { FollowerRequestHandler } from './follower-request-handler.js';
 import type { GroupEnvironment } from './group-environment.js';
@@ -52,6 +50,7 @@
   leadingSince = 0;
   readonly traffic = createReplicationTraffic();
   readonly times = createCommitTimings();
+  readonly elections: ElectionScheduler;
   readonly sendsSnapshots = true;
   private readonly handler: FollowerRequestHandler;
   private readonly replicators = new Map<string, Replicator>();
@@ -64,9 +63,8 @@
   private syncedIndex = 0;
   private hardStateWritten: Promise<void> = Promise.resolve();
   private termStartIndex = 0;
-  private readonly electionTimer = new ElectionTimer(() => this.onElectionDue());
   private isTransferring = false;
-  private isStopped = false;
+  private hasStopped = false;
 
   constructor(
     readonly log: MemberLog,
@@ -87,8 +85,8 @@
     this.commitIndex = log.latestSnapshot?.index ?? 0;
     this.applier = new Applier(this, stateMachine, environment);
     this.handler = new FollowerRequestHandler(this, environment);
-    this.quorumCheck = new QuorumCheck(environment.options);
-    this.setFirstElectionDeadline();
+    this.elections = new ElectionScheduler(this, environment);
+    this.quorumCheck = new QuorumCheck(environment.options, this.elections.pacing);
   }
 
   get ownId(): string {
@@ -109,7 +107,11 @@
   }
 
   get isFollower(): boolean {
-    return this.state === 'follower' && !this.isStopped;
+    return this.state === 'follower' && !this.hasStopped;
+  }
+
+  get isStopped(): boolean {
+    return this.hasStopped;
   }
 
   get group(): string {
@@ -258,8 +260,8 @@
   }
 
   stop(): void {
-    this.isStopped = true;
-    this.electionTimer.stop();
+    this.hasStopped = true;
+    this.elections.stop();
     if (this.isLeader) this.becomeFollower(this.term, undefined);
     this.applier.stop();
     this.relays.stop();
@@ -270,47 +272,16 @@
     this.relays.update();
     const contactMs = Math.max(this.quorumContactMs(), this.leadingSince);
     const isLost = this.quorumCheck.isQuorumLost(contactMs);
-    if (isLost && this.isLeader && !this.isStopped) this.becomeFollower(this.term, undefined);
+    if (isLost && this.isLeader && !this.hasStopped) this.becomeFollower(this.term, undefined);
   }
 
   /**
    * Called when the leader's connection has closed. The leader may have failed, or may reconnect.
    */
   noteLeaderDisconnected(): void {
-    if (this.isStopped || this.isLeader) return;
+    if (this.hasStopped || this.isLeader) return;
     this.handler.forgetLeader();
-    const { disconnectTimeoutMs } = this.environment.options;
-    this.electionTimer.bringForwardTo(disconnectTimeoutMs * (1 + Math.random()));
-  }
-
-  /** Starts an election. `isTransfer` is set if the leader requested it. */
-  startElection(isTransfer: boolean): void {
-    void runElection(this, this.environment, isTransfer).catch((error) =>
-      this.environment.onFatal(error),
-    );
-  }
-
-  /** Postpones the next election. */
-  resetElectionDeadline(): void {
-    const { electionTimeoutMs } = this.environment.options;
-    this.electionTimer.setIn(electionTimeoutMs * (1 + Math.random()));
-  }
-
-  private onElectionDue(): void {
-    if (this.isStopped || this.isLeader) return;
-    if (this.handler.hasSeenLeader) this.resetElectionDeadline();
-    else this.setFirstElectionDeadline();
-    if (isVoter(this.configuration, this.ownId)) this.startElection(false);
-  }
-
-  /**
-   * First elections are staggered by whole timeouts, which spreads the leaders of different groups.
-   * A failed one is repeated soon, since other members may not have started yet.
-   */
-  private setFirstElectionDeadline(): void {
-    const { startupElectionTimeoutMs } = this.environment.options;
-    const timeouts = 1 + Math.random() + startupRank(this.configuration, this.ownId, this.name);
-    this.electionTimer.setIn(startupElectionTimeoutMs * timeouts);
+    this.elections.noteLeaderDisconnected();
   }
 
   heartbeatFor(member: Member): Heartbeat | undefined {
@@ -326,12 +297,21 @@
     }
     if (!this.isLeader || !response.accepted || response.term !== this.term) return;
     const replicator = this.replicators.get(memberId);
-    replicator?.noteAcknowledged(sentAt);
+    this.noteAcknowledged(replicator, sentAt);
     if (response.knowsMatch) replicator?.noteMatch(response.matchIndex);
     else replicator?.probeAgain();
     this.quorumContact.notify();
   }
 
+  /** Only the round trip to a quorum counts for timeouts, not that to a slow or starting member. */
+  private noteAcknowledged(replicator: Replicator | undefined, sentAt: number): void {
+    const before = this.quorumContactMs();
+    replicator?.noteAcknowledged(sentAt);
+    const after = this.quorumContactMs();
+    if (after > before && Number.isFinite(before))
+      this.elections.pacing.noteRoundTrip(monotonicMs() - after);
+  }
+
   onHigherTerm(term: number): void {
     if (term > this.term) this.becomeFollower(term, undefined);
   }
@@ -348,18 +328,26 @@
     this.quorumContact.notify();
     this.proposalLimiter.close(this.notLeader());
     this.proposals.abandonAll();
-    this.resetElectionDeadline();
+    this.elections.postpone();
     this.environment.onLeadershipChange(this);
   }
 
-  becomeCandidate(): Promise<void> {
+  /**
+   * Votes for itself in the next term and requests the others' votes.
+   * @returns whether it was elected
+   */
+  async stand(requestVotes: () => Promise<boolean>): Promise<boolean> {
+    const term = this.term + 1;
+    const isCandidate = (): boolean => this.term === term && this.state === 'candidate';
     this.state = 'candidate';
     this.leaderId = undefined;
-    return this.saveHardState(this.term + 1, this.ownId);
+    await this.saveHardState(term, this.ownId);
+    return isCandidate() && (await requestVotes()) && isCandidate();
   }
 
   becomeLeader(): void {
     this.state = 'leader';
+    this.elections.pacing.noteLeader();
     this.leaderId = this.ownId;
     this.leadingSince = monotonicMs();
     // The vote for this member was synced after all earlier entries.
--- a/src/ledger/kept-turns-power-loss.test.ts
+++ b/src/ledger/kept-turns-power-loss.test.ts
@@ -233,11 +233,14 @@
     }
     const lost = problems.filter((problem) => problem !== undefined);
     const report = lost.length > 0 ? [`${lost.length} of ${problems.length} lost, ${lost[0]}`] : [];
-    return [...report, ...this.findMissingTokens()];
+    return [...report, ...(await this.findMissingTokens())];
   }
 
-  private findMissingTokens(): string[] {
-    const budgets = this.cluster.leader?.process.stateMachine.budgets;
+  /** Only a leader that has applied what earlier terms committed knows all tokens; none is not the same as none spent. */
+  private async findMissingTokens(): Promise<string[]> {
+    const { cluster } = this;
+    await waitUntil('a leader that counts', () => cluster.leader !== undefined, RECOVERY_BOUND_MS);
+    const budgets = cluster.leader?.process.stateMachine.budgets;
     return this.writers.flatMap(({ spentTokens }) =>
       [...spentTokens].flatMap(([program, tokens]) => {
         const committed = budgets?.committedTokens(program) ?? 0;
--- a/src/nodes/node-metrics.ts
+++ b/src/nodes/node-metrics.ts
@@ -4,6 +4,8 @@
 import type { WriteAheadLog } from '../log-store/index.js';
 import { addGauge } from '../observability/index.js';
 
+const MS_PER_SECOND = 1_000;
+
 export interface MemberMetricsOptions {
   findGroup: () => ReplicatedGroup | undefined;
   wal: WriteAheadLog;
@@ -27,6 +29,11 @@
     'Term of this member',
     ofGroup((group) => group.term),
   );
+  add(
+    'election_timeout_seconds',
+    'Election timeout in force; above the configured one while round trips take long',
+    ofGroup((group) => group.elections.timeoutMs / MS_PER_SECOND),
+  );
   add(
     'commit_index',
     'Last log index known to be committed',
