SendMeasurement out of CallRun

What accounts for one send at its backend and measures it for the latency model, the statistics and the log is one class now; CallRun keeps the decisions. No behaviour changes; the tests of src/forwarding and of the consensus (273) pass.

--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -8,7 +8,8 @@
   type ProgramContext,
   resumesStream,
 } from './call-exchange.js';
-import type { CallRun, SendRecord } from './call-run.js';
+import type { CallRun } from './call-run.js';
+import type { SendRecord } from './send-measurement.js';
 import { StreamRelay } from './stream-relay.js';
 import { versionLabelOf } from './stream-version.js';
 import type { Reservation } from './turn-reservations.js';
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -1,17 +1,17 @@
 /** Executes one forwarded call: selects backends and sends the call until it is answered or has failed. */
-import type { AttemptEnd } from '../backend-statistics/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { VersionKey } from '../ledger/index.js';
 import type { CompiledRoute } from '../routes/index.js';
-import type { CallWork, LatencyModel } from '../performance/index.js';
+import type { LatencyModel } from '../performance/index.js';
 import type { PermitRequest } from '../waiting/index.js';
 import type { BackendConnection } from './backend-connections.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendState, BackendView } from './backend-view.js';
 import { BufferedResponse } from './buffered-answer.js';
-import { type CallExchange, type RefusalReason, promptTokensOf } from './call-exchange.js';
-import { type PlacementDecision, type Placement, estimatedMsAt } from './placement.js';
+import type { CallExchange, RefusalReason } from './call-exchange.js';
+import type { PlacementDecision, Placement } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
+import { type SendEnd, SendMeasurement, type SendRecord } from './send-measurement.js';
 import { StreamRelay } from './stream-relay.js';
 import type { StreamVersion } from './stream-version.js';
 
@@ -43,31 +43,6 @@
   requestPermit?: () => PermitRequest | undefined;
 }
 
-/** One attempt, for the log. */
-export interface SendRecord {
-  backend: string;
-  /** Software version of the backend, if it reports one. */
-  softwareVersion?: string;
-  result: SendResult['kind'];
-  cause?: string;
-  /** Calls in flight from this gateway and from others when it was sent. */
-  ownLoad: number;
-  otherLoad: number;
-  /** Estimated uncached prompt tokens. */
-  missingTokens: number;
-  /** Time until the response head, in milliseconds. */
-  headMs?: number;
-  /** Duration of the attempt, in milliseconds. */
-  tookMs: number;
-  /** Duration predicted by the service's latency model, in milliseconds. */
-  expectedMs?: number;
-  /** Shared slowdown factor of the backend, if it is not 1. */
-  slowdown?: number;
-}
-
-/** What was known of a backend when an attempt began. */
-type AttemptEstimate = Pick<AttemptEnd, 'estimatedMs' | 'slowdown'>;
-
 const HTTP_CLIENT_ERROR = 400;
 const HTTP_SERVER_ERROR = 500;
 /** Maximum number of retries after broken responses. */
@@ -99,10 +74,6 @@
   private retries = 0;
   /** Start of the latest attempt (monotonic, milliseconds). */
   private sentAt = 0;
-  /** When the latest attempt last received data, or was sent (monotonic, milliseconds). */
-  private activeAt = 0;
-  /** Whether the latest attempt was aborted because no response had begun in time. */
-  private isGivenUp = false;
   private mayHaveRun = false;
   private isOverdue = false;
 
@@ -223,56 +194,34 @@
   private async sendTo({ backend, missingTokens }: PlacementDecision): Promise<SendResult> {
     const connection = backend.connections.acquire();
     if (!connection) return { kind: 'not-sent', cause: 'no connection available' };
-    const attempt = this.createAttempt(backend, connection);
+    const { description } = this.options.exchange;
+    const measurement = new SendMeasurement(backend, description, missingTokens);
+    const attempt = this.createAttempt(backend, connection, measurement);
     this.model = backend.model;
     this.attempt = attempt;
     this.backend = backend;
-    const { inFlight: ownLoad, otherInFlight: otherLoad } = backend;
-    const { promptParts, mostTokens } = this.options.exchange.description;
-    const tokens = promptTokensOf(promptParts) + mostTokens;
-    const estimate = this.estimateAt(backend, missingTokens);
-    backend.beginCall(promptParts);
-    backend.tokensInFlight += tokens;
-    this.sentAt = monotonicMs();
-    this.activeAt = this.sentAt;
-    this.isGivenUp = false;
-    const timer = this.startResponseTimer(attempt);
+    this.sentAt = measurement.sentAt;
+    const timer = this.startResponseTimer(attempt, measurement);
     const result = await attempt.run();
     clearTimeout(timer);
-    backend.endCall();
-    backend.tokensInFlight -= tokens;
-    if (estimate) this.noteAttempt(backend, attempt, result, estimate);
     this.wasPaused ||= attempt.wasPaused;
-    const tookMs = monotonicMs() - this.sentAt;
-    const load = ownLoad + otherLoad;
-    this.sends.push({
-      backend: backend.id,
-      softwareVersion: backend.softwareVersion,
-      result: result.kind,
-      cause: 'cause' in result ? result.cause : undefined,
-      ownLoad,
-      otherLoad,
-      missingTokens,
-      headMs: attempt.headAt === undefined ? undefined : attempt.headAt - this.sentAt,
-      tookMs,
-      expectedMs: this.noteDuration(backend, result, { missingTokens, load, tookMs }),
-      slowdown: estimate?.slowdown === 1 ? undefined : estimate?.slowdown,
-    });
+    this.sends.push(measurement.end(this.describeEnd(attempt, result)));
     this.attempt = undefined;
     return result;
   }
 
-  /** Estimate for the shared statistics, which ignore attempts that begin in independent mode. */
-  private estimateAt(backend: BackendState, missingTokens: number): AttemptEstimate | undefined {
-    if (!backend.statistics?.isActive) return undefined;
-    const call = this.options.exchange.description;
-    return {
-      estimatedMs: estimatedMsAt(backend, call, missingTokens),
-      slowdown: backend.sharedSlowdown,
-    };
+  private describeEnd({ headAt, wasPaused }: SendAttempt, result: SendResult): SendEnd {
+    const { response, isErrorAnswer, isTruncated } = this;
+    const isFirst = this.sends.length === 0;
+    const events = response instanceof StreamRelay ? response.events : 0;
+    return { result, isFirst, headAt, wasPaused, isErrorAnswer, isTruncated, events };
   }
 
-  private createAttempt(backend: BackendState, connection: BackendConnection): SendAttempt {
+  private createAttempt(
+    backend: BackendState,
+    connection: BackendConnection,
+    measurement: SendMeasurement,
+  ): SendAttempt {
     const { exchange, protocol, body } = this.options;
     const { description } = exchange;
     const request = protocol.encodeRequest(description, {
@@ -283,10 +232,7 @@
     });
     const callId = description.id;
     const sink = this.response;
-    const onDataReceived = (): void => {
-      this.activeAt = monotonicMs();
-      backend.noteDataReceived();
-    };
+    const onDataReceived = (): void => measurement.noteDataReceived();
     const attempt = new SendAttempt({
       protocol,
       connection,
@@ -300,44 +246,11 @@
     return attempt;
   }
 
-  /**
-   * Feeds the duration of a complete response to the latency model and the slowdown estimator.
-   * @returns the predicted duration
-   */
-  private noteDuration(
-    backend: BackendState,
-    result: SendResult,
-    { missingTokens, load, tookMs }: { missingTokens: number; load: number; tookMs: number },
-  ): number | undefined {
-    const isTypical = result.kind === 'complete' && !this.isErrorAnswer;
-    if (!isTypical || this.sends.length > 0) return undefined;
-    const events = this.response instanceof StreamRelay ? this.response.events : 0;
-    const work: CallWork = { missingTokens, load, events };
-    return backend.noteDuration(work, tookMs, this.attempt?.wasPaused ?? false);
-  }
-
-  /** Reports the end of an attempt to the shared statistics. */
-  private noteAttempt(
-    backend: BackendState,
-    { wasPaused }: SendAttempt,
-    { kind }: SendResult,
-    estimate: AttemptEstimate,
-  ): void {
-    const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
-    const now = monotonicMs();
-    backend.statistics?.noteAttempt(backend.id, {
-      kind,
-      isFaulty: this.isErrorAnswer || isTruncated,
-      isGivenUp: this.isGivenUp,
-      wasPaused,
-      tookMs: now - this.sentAt,
-      silentMs: now - this.activeAt,
-      ...estimate,
-    });
-  }
-
   /** Aborts the attempt of a repeatable call early enough that a retry can meet the deadline. */
-  private startResponseTimer(attempt: SendAttempt): NodeJS.Timeout | undefined {
+  private startResponseTimer(
+    attempt: SendAttempt,
+    measurement: SendMeasurement,
+  ): NodeJS.Timeout | undefined {
     const { kind, objectiveMs } = this.options.route.route;
     if (kind !== 'repeatable' || this.retries >= MAX_RETRIES) return undefined;
     const leftMs = this.options.deadlineMs - monotonicMs();
@@ -346,7 +259,7 @@
       leftMs * RESPONSE_TIMEOUT_FRACTION,
     );
     return setTimeout(() => {
-      this.isGivenUp = attempt.headAt === undefined;
+      measurement.isGivenUp = attempt.headAt === undefined;
       attempt.abortUnlessStarted();
     }, responseTimeoutMs);
   }
@@ -380,8 +293,7 @@
     this.noteSent(backend);
     if (this.isErrorAnswer) backend.noteErrorResponse();
     else backend.noteSuccess();
-    const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
-    return isTruncated ? this.outcomeOfBroken(backend) : { kind: 'answered' };
+    return this.isTruncated ? this.outcomeOfBroken(backend) : { kind: 'answered' };
   }
 
   /** Whether the backend responded with a server error, whose latency is not representative. */
@@ -389,11 +301,15 @@
     return (this.response.status ?? 0) >= HTTP_SERVER_ERROR;
   }
 
+  /** Whether the response ends within an event. */
+  private get isTruncated(): boolean {
+    return this.response instanceof StreamRelay && this.response.hasPartialEvent;
+  }
+
   /** Whether the only attempt was complete, without an error or a pause by the caller. */
   private get isTypical(): boolean {
     const isError = (this.response.status ?? 0) >= HTTP_CLIENT_ERROR;
-    const isTruncated = this.response instanceof StreamRelay && this.response.hasPartialEvent;
-    const isComplete = this.completeSend !== undefined && !isTruncated;
+    const isComplete = this.completeSend !== undefined && !this.isTruncated;
     return this.sends.length === 1 && isComplete && !isError && !this.wasPaused;
   }
 
