Lost elections spread candidates only as far as elections take

Doubling the random part of a 300 ms timeout prolongs that although candidates whose round trips take some milliseconds seldom meet.

The random part grows in units of four round trips now; a silence of the leader counts one and a half times.

--- a/src/consensus/election-pacing.ts
+++ b/src/consensus/election-pacing.ts
@@ -7,7 +7,7 @@
 /** Minimum timeout, in round trips: a pre-vote and a vote with its sync, and time for others to hear of them. */
 const ROUND_TRIPS = 4;
 /** Minimum timeout, as a multiple of the time between two messages of the leader. */
-const SILENCES = 2;
+const SILENCES = 1.5;
 /** Maximum adapted timeout, in milliseconds, unless the configured one is longer. */
 const MAX_TIMEOUT_MS = 1_500;
 /** Weight of the newest latency if it is shorter than the one assumed; a longer one is assumed at once. */
@@ -16,8 +16,9 @@
 const MAX_DOUBLINGS = 3;
 
 export class ElectionPacing {
-  /** Shortest timeout that the observed latency allows, in milliseconds. */
-  private minimumMs = 0;
+  /** Longest recent latencies, in milliseconds. */
+  private roundTripMs = 0;
+  private silenceMs = 0;
   /** Elections since the last leader that a quorum answered and that were not won. */
   private lostElections = 0;
 
@@ -26,12 +27,12 @@
 
   /** Records the time until a response. */
   noteRoundTrip(milliseconds: number): void {
-    this.observe(milliseconds * ROUND_TRIPS);
+    this.roundTripMs = longestRecent(this.roundTripMs, milliseconds);
   }
 
   /** Records the time between two messages of the leader. */
   noteSilence(milliseconds: number): void {
-    this.observe(milliseconds * SILENCES);
+    this.silenceMs = longestRecent(this.silenceMs, milliseconds);
   }
 
   /** Records an election that other candidates or voters prevented. */
@@ -45,21 +46,28 @@
 
   /** The configured timeout, or a longer one if the observed latency requires it. */
   timeoutMs(configuredMs: number): number {
-    return Math.max(configuredMs, Math.min(MAX_TIMEOUT_MS, this.minimumMs));
+    const requiredMs = Math.max(this.electionMs, this.silenceMs * SILENCES);
+    return Math.max(configuredMs, Math.min(MAX_TIMEOUT_MS, requiredMs));
   }
 
   /**
-   * Random delay of an election: at least a timeout, at most two before the first lost election. Each lost one doubles
-   * the random part, until candidates are far enough from each other.
+   * Random delay of an election: one to two timeouts, and with each lost election a longer random time, measured by
+   * how long elections take, until candidates are far enough from each other.
    * @param postponedBy timeouts to wait in addition
    */
   electionDelayMs(configuredMs: number, postponedBy = 0): number {
-    const spread = 2 ** Math.min(MAX_DOUBLINGS, this.lostElections);
-    return this.timeoutMs(configuredMs) * (1 + postponedBy + this.random() * spread);
+    const doublings = Math.min(MAX_DOUBLINGS, this.lostElections);
+    const spreadMs = (2 ** doublings - 1) * Math.min(MAX_TIMEOUT_MS, this.electionMs);
+    const timeoutMs = this.timeoutMs(configuredMs);
+    return timeoutMs * (1 + postponedBy) + this.random() * (timeoutMs + spreadMs);
   }
 
-  private observe(requiredMs: number): void {
-    const weight = requiredMs > this.minimumMs ? 1 : SHORTER_WEIGHT;
-    this.minimumMs += (requiredMs - this.minimumMs) * weight;
+  private get electionMs(): number {
+    return this.roundTripMs * ROUND_TRIPS;
   }
 }
+
+function longestRecent(before: number, milliseconds: number): number {
+  const weight = milliseconds > before ? 1 : SHORTER_WEIGHT;
+  return before + (milliseconds - before) * weight;
+}
