--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -99,7 +99,8 @@
     const fatalErrors: unknown[] = [];
     const onFatal = (error: unknown): void => void fatalErrors.push(error);
     const { quotaBytes } = this.options;
-    const disk = new FaultyDisk();
+    const { processors } = this.network;
+    const disk = new FaultyDisk(() => processors?.chargeSync(member.address));
     const wal = await WriteAheadLog.open({
       folder: join(folder, 'log'),
       quotaBytes,
--- a/tests/support/faulty-disk.ts
+++ b/tests/support/faulty-disk.ts
@@ -10,6 +10,9 @@
   refusesNewFiles = false;
   private stalled: Deferred<void> | undefined;
 
+  /** @param onSync called at each sync */
+  constructor(private readonly onSync: () => void = () => undefined) {}
+
   /** Blocks syncs until `resume`. */
   stall(): void {
     this.stalled = new Deferred();
@@ -29,6 +32,7 @@
       truncate: (length) => file.truncate(length),
       datasync: async () => {
         await this.stalled?.promise;
+        this.onSync();
         await file.datasync();
       },
       close: () => file.close(),
--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -24,6 +24,7 @@
 import { LoopbackNetwork } from './loopback-network.js';
 import { MemoryValues } from './memory-values.js';
 import type { MeteredLinks } from './metered-links.js';
+import type { MeteredProcessors } from './metered-processors.js';
 import { waitUntil } from './wait-until.js';
 
 const INPUT = Buffer.alloc(17_000, 'i');
@@ -39,6 +40,10 @@
   learners?: number;
   /** Links with limited bandwidth. @default unlimited */
   links?: MeteredLinks;
+  /** Processors whose time messages and syncs take. @default unlimited */
+  processors?: MeteredProcessors;
+  /** One-way delay of each message, in milliseconds. @default 0 */
+  delayMs?: number;
   consensus?: ConsensusOptions;
 }
 
@@ -108,9 +113,11 @@
     voters = 3,
     learners = 0,
     links,
+    processors,
+    delayMs = 0,
     consensus,
   }: LedgerClusterOptions = {}): Promise<LedgerCluster> {
-    const network = new LoopbackNetwork(undefined, links);
+    const network = new LoopbackNetwork(() => delayMs, links, processors);
     const cluster = await startCluster({
       size: voters,
       network,
--- a/tests/support/loopback-network.ts
+++ b/tests/support/loopback-network.ts
@@ -14,6 +14,7 @@
   encodeValue,
 } from '../../src/wire/index.js';
 import type { MeteredLinks } from './metered-links.js';
+import type { MeteredProcessors } from './metered-processors.js';
 
 const NOTICE_OPTIONS: CallOptions = { timeoutMs: 5_000 };
 
@@ -37,10 +38,12 @@
   /**
    * @param delayMs one-way delay of every message, in milliseconds
    * @param links links with limited bandwidth @default unlimited
+   * @param processors processors whose time messages take @default unlimited
    */
   constructor(
     private readonly delayMs: (from: string, to: string) => number = () => 0,
     private readonly links?: MeteredLinks,
+    readonly processors?: MeteredProcessors,
   ) {}
 
   /** Serves the methods of a router at an address. */
@@ -88,7 +91,7 @@
     };
   }
 
-  /** On metered links the timeout covers the transmission as well as the handler. */
+  /** On metered links and processors the timeout covers the whole exchange, not only the handler. */
   private callWithTimeout<Request, Response>(
     caller: Caller,
     to: string,
@@ -97,7 +100,7 @@
     options: CallOptions,
   ): Promise<Response> {
     const response = this.call(caller, to, method, request, options);
-    if (!this.links) return response;
+    if (!this.links && !this.processors) return response;
     const context = { step: method.name, peer: to, retriable: true };
     return this.withTimeout(response, options, context);
   }
@@ -116,8 +119,10 @@
     if (!handler) throw new LinkError('no handler at this address', context);
     const requestBytes = encodeValue(request);
     const connection = `${from}>${to}${lane}`;
+    this.processors?.chargeSend(from);
     await this.links?.carry(from, to, connection, requestBytes.length);
     if (!(await this.carry(from, to))) return this.timeOut(options, context);
+    await this.processors?.receive(to);
     let response: unknown;
     try {
       const answered = handler(decodeValue(requestBytes), { peerName: from });
@@ -128,8 +133,10 @@
       throw new RemoteError(message, name, context);
     }
     const responseBytes = encodeValue(response);
+    this.processors?.chargeSend(to);
     await this.links?.carry(to, from, connection, responseBytes.length);
     if (!(await this.carry(to, from))) return this.timeOut(options, context);
+    await this.processors?.receive(from);
     return decodeValue<Response>(responseBytes);
   }
 
