--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -16,6 +16,11 @@
   previousTurn?: string;
   /** Gateway incarnation that can be granted an allowance. */
   holder?: string;
+  /**
+   * Whether the holder may draw on its allowance, so that it must not be reclaimed for this turn. Absent in commands
+   * of earlier releases.
+   */
+  keepsAllowance?: boolean;
   /** Session that the turn belongs to. */
   session?: string;
   /** The stream that the call begins or resumes; absent if it cannot be resumed. */
--- a/src/ledger/program-budgets.ts
+++ b/src/ledger/program-budgets.ts
@@ -39,11 +39,12 @@
   /** @returns whether the reservation was granted; a duplicate always is */
   reserve(command: ReserveCommand): boolean {
     const account = this.account(command.program, command.nowMs);
-    const { attempt, mostTokens, budgetTokens, holder } = command;
+    const { attempt, mostTokens, budgetTokens, keepsAllowance } = command;
     if (account.reserved.has(attempt) || account.settled.has(attempt)) return true;
     if (budgetTokens !== undefined) {
       const shortfall = committedOf(account) + mostTokens - budgetTokens;
-      if (shortfall > 0 && !reclaimAllowance(account, holder, shortfall)) return false;
+      const reclaimFrom = keepsAllowance ? undefined : command.holder;
+      if (shortfall > 0 && !reclaimAllowance(account, reclaimFrom, shortfall)) return false;
     }
     account.reserved.set(attempt, mostTokens);
     return true;
