--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -26,10 +26,11 @@
   keepMs: number | undefined,
 ): LogFields {
   if (!reservation) return {};
-  const { tookMs, trace, lastBackend } = reservation;
+  const { tookMs, trace, lastBackend, allowanceTaken } = reservation;
   return {
     reserveMs: Math.round(tookMs),
     ...describeTrace(trace),
+    allowance: allowanceTaken,
     keepMs: keepMs && Math.round(keepMs),
     inputBytes: description.body.length,
     holder: lastBackend,
--- a/src/forwarding/forwarding-metrics.ts
+++ b/src/forwarding/forwarding-metrics.ts
@@ -13,6 +13,7 @@
   private readonly calls: Counter<'kind' | 'outcome'>;
   private readonly resumptions: Counter<'by' | 'outcome'>;
   private readonly failedReservations: Counter<'step'>;
+  private readonly allowanceTurns: Counter;
   private readonly duration: Histogram<'kind'>;
   private readonly firstEvent: Histogram;
 
@@ -37,6 +38,11 @@
       labelNames: ['step'],
       registers,
     });
+    this.allowanceTurns = new Counter({
+      name: 'ledgegauge_allowance_turns_total',
+      help: 'Turns that ran on an allowance of their program instead of a reservation',
+      registers,
+    });
     this.duration = new Histogram({
       name: 'ledgegauge_forwarded_call_seconds',
       help: 'From the arrival of a call to its final answer',
@@ -77,6 +83,10 @@
     this.failedReservations.inc({ step });
   }
 
+  noteAllowanceTurn(): void {
+    this.allowanceTurns.inc();
+  }
+
   noteResumption(by: 'caller' | 'gateway', outcome: string): void {
     this.resumptions.inc({ by, outcome });
   }
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -208,11 +208,17 @@
       trace.failedStep = 'read-history';
       throw new HistoryMissingError('the ledger returned no history');
     }
-    const { allowanceTaken, lastBackend, streamVersion } = answer;
+    const { allowanceTaken, streamVersion } = answer;
+    if (allowanceTaken !== undefined) this.options.metrics.noteAllowanceTurn();
+    const lastBackend = answer.lastBackend ?? this.backendOf(previousTurn);
     const granted = { allowanceTaken, lastBackend, streamVersion };
     return { program, attempt, previousTurn, history, tookMs, trace, ...granted };
   }
 
+  private backendOf(turn: string | undefined): string | undefined {
+    return turn === undefined ? undefined : this.histories.findBackend(turn);
+  }
+
   private refusalOf(error: unknown, trace: ReservationTrace): RefusedError {
     const details = describeTrace(trace);
     if (error instanceof HistoryMissingError) {
@@ -233,7 +239,7 @@
     const timeoutMs = Math.max(MIN_KEEP_TIMEOUT_MS, deadlineMs - monotonicMs());
     try {
       await ledger.settle({ ...settlement, keep }, timeoutMs);
-      this.histories.add(attempt, history, input, output);
+      this.histories.add(attempt, history, input, output, settlement.placement?.backend);
       return ending;
     } catch (error) {
       const { id: call, program: context } = exchange.description;
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -127,12 +127,12 @@
     trace = new ReservationTrace(),
   ): Promise<LedgerReservation> {
     trace.knownLeader = this.groups.lastHeardLeader(LEDGER_GROUP);
-    const { program, mostTokens } = request;
+    const { program, mostTokens, stream } = request;
     const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
-    const isCutOff = this.cutOff?.isCutOff ?? false;
-    if (isCovered && (isCutOff || monotonicMs() < this.leaderSuspectUntil))
-      return this.grantFromAllowance(request);
-    const worthMs = isCutOff ? 0 : usefulMs;
+    // The ledger must record a resumable stream, unless it is unreachable.
+    if (isCovered && stream === undefined) return this.grantFromAllowance(request);
+    if (isCovered && this.isLeaderUnreachable) return this.grantWithoutLeader(request);
+    const worthMs = this.isCutOff ? 0 : usefulMs;
     const limitMs = isCovered ? COVERED_RESERVE_TIMEOUT_MS : this.outage.waitMs(worthMs);
     if (limitMs <= 0) {
       trace.failedStep = this.latestRefusal ? 'commit' : 'find-leader';
@@ -147,10 +147,19 @@
       if (error instanceof HistoryMissingError) throw error;
       this.leaderSuspectUntil = monotonicMs() + LEADER_SUSPECT_MS;
       if (!isCovered || !this.mayRunUnconfirmed(request)) throw error;
-      return this.grantFromAllowance(request);
+      return this.grantWithoutLeader(request);
     }
   }
 
+  private get isCutOff(): boolean {
+    return this.cutOff?.isCutOff ?? false;
+  }
+
+  /** Whether a reservation that can be avoided is not worth waiting for. */
+  private get isLeaderUnreachable(): boolean {
+    return this.isCutOff || monotonicMs() < this.leaderSuspectUntil;
+  }
+
   /** Reserves the turn. The allowance is only reclaimed if the budget does not cover the turn otherwise. */
   private async reserveKeepingAllowance(
     request: TurnRequest,
@@ -331,17 +340,14 @@
     return !this.isLeaderUnavailable && this.outage.silenceMs < normalResponseMs;
   }
 
-  private grantFromAllowance({
-    program,
-    attempt,
-    mostTokens,
-  }: {
-    program: string;
-    attempt: string;
-    mostTokens: number;
-  }): LedgerReservation {
+  private grantWithoutLeader(request: TurnRequest): LedgerReservation {
+    const { attempt: call, program, mostTokens: tokens } = request;
+    this.logger.info('ledger.allowance-used', { call, program, tokens });
+    return this.grantFromAllowance(request);
+  }
+
+  private grantFromAllowance({ program, mostTokens }: TurnRequest): LedgerReservation {
     this.allowances.take(program, mostTokens);
-    this.logger.info('ledger.allowance-used', { call: attempt, program, tokens: mostTokens });
     return { outcome: 'granted', allowanceTokens: 0, allowanceTaken: mostTokens };
   }
 
