--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -3,6 +3,7 @@
 import {
   HistoryMissingError,
   type LedgerClient,
+  type NextTurn,
   NotReservedError,
   ReservationTrace,
   type ReservedStream,
@@ -238,7 +239,7 @@
     const keep = { previousTurn, input, output, retentionMs: route.route.retentionMs };
     const timeoutMs = Math.max(MIN_KEEP_TIMEOUT_MS, deadlineMs - monotonicMs());
     try {
-      await ledger.settle({ ...settlement, keep }, timeoutMs);
+      await ledger.settle({ ...settlement, keep }, timeoutMs, nextTurnOf(exchange));
       this.histories.add(attempt, history, input, output, settlement.placement?.backend);
       return ending;
     } catch (error) {
@@ -251,6 +252,13 @@
   }
 }
 
+/** What the program's next turn may need from the ledger; undefined if the program has no budget. */
+function nextTurnOf({ description }: CallExchange): NextTurn | undefined {
+  const { program, mostTokens } = description;
+  if (program?.budgetTokens === undefined || mostTokens <= 0) return undefined;
+  return { budgetTokens: program.budgetTokens, mostTokens };
+}
+
 /** The backend that answered a turn, for the placement of later turns. */
 function placementOf({ exchange, run }: FinishedTurn): TurnPlacement | undefined {
   const session = exchange.description.program?.session;
--- a/src/ledger/covered-turns.test.ts
+++ b/src/ledger/covered-turns.test.ts
@@ -9,6 +9,7 @@
 
 const MOST_TOKENS = 100;
 const ALLOWANCE_TOKENS = 200;
+const BUDGET_TOKENS = 1_000;
 const LIMIT_MS = 1_000;
 
 class CountingLedger implements PeerCaller {
@@ -26,7 +27,7 @@
     if (isReservation) this.reservations += 1;
     const answer = isReservation
       ? { outcome: 'granted', allowanceTokens: ALLOWANCE_TOKENS }
-      : { isSettled: true };
+      : { isSettled: true, allowanceTokens: ALLOWANCE_TOKENS };
     return { answer } as Response;
   }
 }
@@ -38,8 +39,8 @@
 }
 
 function turn(attempt: string): Parameters<LedgerClient['reserve']>[0] {
-  const budgetTokens = 1_000;
-  return { program: 'p', attempt, budgetTokens, mostTokens: MOST_TOKENS, wantsHistory: false };
+  const tokens = { budgetTokens: BUDGET_TOKENS, mostTokens: MOST_TOKENS };
+  return { program: 'p', attempt, ...tokens, wantsHistory: false };
 }
 
 describe('a turn of a program with an allowance', () => {
@@ -55,6 +56,18 @@
     expect(ledger.reservations).toBe(2);
   });
 
+  it('begins without a reservation as long as settlements renew the allowance', async () => {
+    const { ledger, client } = startGateway();
+    await client.reserve(turn('a'), LIMIT_MS, true);
+    for (const attempt of ['b', 'c', 'd', 'e']) {
+      const { allowanceTaken = 0 } = await client.reserve(turn(attempt), LIMIT_MS, true);
+      const settlement = { program: 'p', attempt, spentTokens: MOST_TOKENS };
+      const nextTurn = { budgetTokens: BUDGET_TOKENS, mostTokens: MOST_TOKENS };
+      await client.settle(client.drawFromAllowance(settlement, allowanceTaken), LIMIT_MS, nextTurn);
+    }
+    expect(ledger.reservations).toBe(1);
+  });
+
   it('is reserved if its history has to be read from the ledger', async () => {
     const { ledger, client } = startGateway();
     await client.reserve(turn('a'), LIMIT_MS, true);
--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -1,7 +1,7 @@
 /** The ledger: token budgets of programs, and kept turns that later turns can continue. */
 export * from './ledger-commands.js';
 export { TurnHistoryCache } from './history-cache.js';
-export { LedgerClient } from './ledger-client.js';
+export { LedgerClient, type NextTurn } from './ledger-client.js';
 export { HistoryMissingError, NotReservedError } from './ledger-errors.js';
 export {
   type ReservationStep,
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -21,7 +21,7 @@
   StreamNotRecordedError,
 } from './ledger-errors.js';
 import { OutageEstimator } from './outage-estimator.js';
-import type { Settlement } from './ledger-commands.js';
+import type { AllowanceRenewal, Settlement } from './ledger-commands.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
 import { LEDGER_GROUP, RESERVE, type ReserveResponse, SETTLE } from './messages.js';
@@ -55,6 +55,9 @@
 /** After a failed reservation, covered turns skip the ledger for this time, in milliseconds. */
 const LEADER_SUSPECT_MS = 400;
 
+/** Budget and maximum tokens of the turns that an allowance is asked for. */
+export type NextTurn = Omit<AllowanceRenewal, 'holder'>;
+
 /** Result of a reservation. */
 export interface LedgerReservation extends ReserveResponse {
   /** Tokens drawn from the allowance, if the ledger was skipped or did not respond. */
@@ -211,9 +214,18 @@
     return { ...settlement, draw: { holder: this.holder, tokens: spentTokens } };
   }
 
-  /** Resolves once the settlement is committed. @throws GroupUnavailableError when it may not be committed */
-  async settle(settlement: Settlement, timeoutMs: number): Promise<void> {
+  /**
+   * Resolves once the settlement is committed.
+   * @param nextTurn budget and maximum tokens of the program's next turns, for which an allowance is asked
+   * @throws GroupUnavailableError when it may not be committed
+   */
+  async settle(finished: Settlement, timeoutMs: number, nextTurn?: NextTurn): Promise<void> {
     const deadlineMs = monotonicMs() + timeoutMs;
+    const renewal = nextTurn && { ...nextTurn, holder: this.holder };
+    const settlement: Settlement = { ...finished, renewal };
+    const { program, draw } = settlement;
+    const version = this.allowances.versionOf(program);
+    let allowanceTokens: number | undefined;
     let isSettled = false;
     for (let attempts = 1; !isSettled; attempts += 1) {
       const remainingMs = Math.max(1, deadlineMs - monotonicMs());
@@ -223,9 +235,10 @@
       const request = { settlements: [settlement], copiedTo, canCopy };
       const response = await this.call(SETTLE, request, limits);
       if (response.copyTargets) this.copies?.updateTargets(response.copyTargets);
-      isSettled = response.isSettled;
+      ({ isSettled, allowanceTokens } = response);
     }
-    if (settlement.draw) this.allowances.confirm(settlement.program);
+    if (draw) this.allowances.confirm(program);
+    if (allowanceTokens !== undefined) this.allowances.update(program, allowanceTokens, version);
   }
 
   /** Queues a settlement, which is retried until it is committed or too old. */
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -37,6 +37,14 @@
   tokens: number;
 }
 
+/** Asks for an allowance for the next turns of a program. */
+export interface AllowanceRenewal {
+  holder: string;
+  budgetTokens: number;
+  /** Maximum number of tokens of one turn. */
+  mostTokens: number;
+}
+
 /** A turn that later turns can continue, with its value. */
 export interface KeptTurn {
   previousTurn?: string;
@@ -61,6 +69,8 @@
   spentTokens: number;
   keep?: KeptTurn | KeptTurnReference;
   draw?: AllowanceDraw;
+  /** Raises the holder's allowance after the settlement. */
+  renewal?: AllowanceRenewal;
   /** Where the turn ran; absent if no backend responded. */
   placement?: TurnPlacement;
 }
@@ -87,6 +97,11 @@
   /** No version is recorded for the stream that the call resumes. */
   | 'unknown-stream';
 
+export interface SettleResult {
+  /** Allowance of the holder that asked for a renewal; absent if none did. */
+  allowanceTokens?: number;
+}
+
 export interface ReserveResult {
   outcome: ReserveOutcome;
   /** Tokens that the holder may spend for the program while the ledger is unreachable. */
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -13,6 +13,7 @@
   type LedgerCommand,
   type ReserveResult,
   type Settlement,
+  type SettleResult,
   hasInlineValue,
 } from './ledger-commands.js';
 import type { LedgerStateMachine } from './ledger-state-machine.js';
@@ -162,9 +163,11 @@
     const nowMs = this.nowMs(group);
     const command: LedgerCommand = { kind: 'settle', settlements, streams, nowMs };
     await this.options.stateMachine.external.storeValues(values);
-    await group.propose(encodeValue(command), [...values.values()]);
+    const attachments = [...values.values()];
+    const result = (await group.propose(encodeValue(command), attachments)) as SettleResult;
     const recordedStreams = streams?.length;
-    return { isSettled: true, recordedStreams, copyTargets: isCopied ? undefined : targets };
+    const copyTargets = isCopied ? undefined : targets;
+    return { ...result, isSettled: true, recordedStreams, copyTargets };
   }
 
   /** Sends the values to the followers for a gateway that does not know them yet. */
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -9,6 +9,7 @@
   type ReserveCommand,
   type ReserveResult,
   type SettleCommand,
+  type SettleResult,
   type Settlement,
   hasInlineValue,
 } from './ledger-commands.js';
@@ -65,7 +66,7 @@
     return this.clock;
   }
 
-  apply(bytes: Uint8Array, index = 0): ReserveResult | undefined {
+  apply(bytes: Uint8Array, index = 0): ReserveResult | SettleResult {
     this.index = index;
     const command = decodeValue<LedgerCommand>(bytes);
     this.clock = Math.max(this.clock, command.nowMs);
@@ -129,9 +130,15 @@
     return version && this.streams.begin({ attempt, version, keepMs }, this.clock);
   }
 
-  private settleAll(command: SettleCommand): undefined {
-    for (const settlement of command.settlements) this.settle(settlement);
+  private settleAll(command: SettleCommand): SettleResult {
+    let allowanceTokens: number | undefined;
+    for (const settlement of command.settlements) {
+      this.settle(settlement);
+      const { program, renewal } = settlement;
+      if (renewal) allowanceTokens = this.budgets.grantAllowance({ program, ...renewal });
+    }
     for (const stream of command.streams ?? []) this.streams.replace(stream, this.clock);
+    return { allowanceTokens };
   }
 
   private settle(settlement: Settlement): void {
--- a/src/ledger/ledger.test.ts
+++ b/src/ledger/ledger.test.ts
@@ -6,11 +6,13 @@
 import { encodeValue } from '../wire/index.js';
 import { AllowanceTracker } from './allowance-tracker.js';
 import { TurnHistoryCache } from './history-cache.js';
-import type { LedgerCommand, ReserveResult, Settlement } from './ledger-commands.js';
+import type { LedgerCommand, ReserveResult, Settlement, SettleResult } from './ledger-commands.js';
 import { LedgerStateMachine } from './ledger-state-machine.js';
 import { SettlementQueue } from './settlement-queue.js';
 
 const RETENTION_MS = 60_000;
+/** Sequences that exhaust a budget while a turn draws on an allowance are rare. */
+const PROPERTY_RUNS = 500;
 
 /** Creates a state machine without peers. */
 function stateMachine(values = new MemoryValues()): LedgerStateMachine {
@@ -25,6 +27,7 @@
 
   reserve(attempt: string, options: ReserveOptions = {}): ReserveResult {
     const { most = 100, budget = 1_000, previousTurn, holder, session, settlements } = options;
+    const { keepsAllowance } = options;
     return this.apply({
       kind: 'reserve',
       program: 'p',
@@ -33,10 +36,11 @@
       mostTokens: most,
       previousTurn,
       holder,
+      keepsAllowance,
       session,
       settlements,
       nowMs: this.nowMs,
-    })!;
+    }) as ReserveResult;
   }
 
   settle(attempt: string, spentTokens: number, draw?: { holder: string; tokens: number }): void {
@@ -50,8 +54,8 @@
     this.settleAll([{ program: 'p', attempt, spentTokens: 1, keep: kept }]);
   }
 
-  settleAll(settlements: Settlement[]): void {
-    this.apply({ kind: 'settle', settlements, nowMs: this.nowMs });
+  settleAll(settlements: Settlement[]): SettleResult {
+    return this.apply({ kind: 'settle', settlements, nowMs: this.nowMs });
   }
 
   async history(id: string): Promise<string | undefined> {
@@ -64,12 +68,31 @@
     this.state = copy;
   }
 
-  private apply(command: LedgerCommand): ReserveResult | undefined {
+  private apply(command: LedgerCommand): ReserveResult | SettleResult {
     return this.state.apply(encodeValue(command));
   }
 }
 
+/** Reserves a turn of 100 tokens of 700 as a gateway does, which gives its unused allowance up if it has to. */
+function reserveAsGateway(
+  ledger: Ledger,
+  tracker: AllowanceTracker,
+  attempt: string,
+  holder: string,
+): ReserveResult {
+  const options = { budget: 700, holder };
+  const result = ledger.reserve(attempt, { ...options, keepsAllowance: true });
+  if (result.outcome === 'budget-exhausted' && tracker.surrender('p')) {
+    const reclaimed = ledger.reserve(attempt, options);
+    tracker.endSurrender('p', reclaimed.allowanceTokens);
+    return reclaimed;
+  }
+  tracker.update('p', result.allowanceTokens);
+  return result;
+}
+
 interface ReserveOptions {
+  keepsAllowance?: boolean;
   most?: number;
   budget?: number;
   previousTurn?: string;
@@ -186,11 +209,21 @@
     expect(ledger.state.budgets.committedTokens('p')).toBe(100 + 60 + 140);
   });
 
+  it('are renewed with a settlement, after its draw', () => {
+    const ledger = new Ledger();
+    ledger.reserve('t0', { holder: 'g' });
+    const renewal = { holder: 'g', budgetTokens: 1_000, mostTokens: 100 };
+    const draw = { holder: 'g', tokens: 60 };
+    const settlement = { program: 'p', attempt: 't1', spentTokens: 60, draw, renewal };
+    expect(ledger.settleAll([settlement]).allowanceTokens).toBe(200);
+    expect(ledger.state.budgets.committedTokens('p')).toBe(100 + 60 + 200);
+  });
+
   it('never let a program exceed its budget, even if turns are not settled', () => {
     const step = fc.record({
-      gateway: fc.constantFrom('g', 'h', 'i'),
+      gateway: fc.constantFrom('g', 'g', 'h', 'i'),
       isLedgerUnavailable: fc.boolean(),
-      spent: fc.integer({ min: 0, max: 100 }),
+      spent: fc.oneof({ weight: 9, arbitrary: fc.constant(100) }, fc.integer({ min: 0, max: 100 })),
       settles: fc.boolean(),
       restarts: fc.boolean(),
     });
@@ -211,12 +244,15 @@
             received += spent;
             tracker.refund('p', 100 - spent);
             if (!settles) continue;
-            ledger.settle(attempt, spent, { holder: gateway, tokens: spent });
+            const draw = { holder: gateway, tokens: spent };
+            const renewal = { holder: gateway, budgetTokens: 700, mostTokens: 100 };
+            const settlement = { program: 'p', attempt, spentTokens: spent, draw, renewal };
+            const { allowanceTokens } = ledger.settleAll([settlement]);
             tracker.confirm('p');
+            tracker.update('p', allowanceTokens!);
           } else {
-            const result = ledger.reserve(attempt, { budget: 700, holder: gateway });
+            const result = reserveAsGateway(ledger, tracker, attempt, gateway);
             if (result.outcome !== 'granted') continue;
-            tracker.update('p', result.allowanceTokens);
             received += spent;
             if (settles) ledger.settle(attempt, spent);
           }
@@ -224,6 +260,7 @@
         }
         expect(received).toBeLessThanOrEqual(700);
       }),
+      { numRuns: PROPERTY_RUNS },
     );
   });
 });
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -1,7 +1,12 @@
 /** RPC methods and messages of the ledger. */
 import type { LeaderAnswer } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
-import type { ReserveCommand, ReserveResult, SettleCommand } from './ledger-commands.js';
+import type {
+  ReserveCommand,
+  ReserveResult,
+  SettleCommand,
+  SettleResult,
+} from './ledger-commands.js';
 
 export const LEDGER_GROUP = 'ledger';
 
@@ -58,7 +63,7 @@
   canCopy?: boolean;
 }
 
-export interface SettleResponse {
+export interface SettleResponse extends SettleResult {
   /** False if nothing was settled: the gateway must send the values to the targets and retry. */
   isSettled: boolean;
   /** Number of streams whose versions were recorded; absent if the leader's release records none. */
--- a/src/ledger/program-budgets.ts
+++ b/src/ledger/program-budgets.ts
@@ -16,6 +16,9 @@
   touchedAtMs: number;
 }
 
+/** A gateway asks for an allowance; programs without a budget have none. */
+type AllowanceRequest = Pick<ReserveCommand, 'program' | 'holder' | 'budgetTokens' | 'mostTokens'>;
+
 /** Encoding of an account in a snapshot. */
 export interface EncodedAccount {
   program: string;
@@ -54,7 +57,7 @@
    * Raises the holder's allowance if the budget permits.
    * @returns the holder's allowance, in tokens
    */
-  grantAllowance({ program, holder, budgetTokens, mostTokens }: ReserveCommand): number {
+  grantAllowance({ program, holder, budgetTokens, mostTokens }: AllowanceRequest): number {
     const account = this.accounts.get(program);
     if (!account || holder === undefined || budgetTokens === undefined) return 0;
     const own = account.allowances.get(holder) ?? 0;
--- a/src/ledger/stream-versions.test.ts
+++ b/src/ledger/stream-versions.test.ts
@@ -68,7 +68,7 @@
   }
 
   private apply(command: LedgerCommand): ReserveResult | undefined {
-    return this.state.apply(encodeValue(command));
+    return this.state.apply(encodeValue(command)) as ReserveResult;
   }
 }
 
--- a/tests/support/program-load.ts
+++ b/tests/support/program-load.ts
@@ -142,6 +142,7 @@
     allowanceTaken === undefined
       ? settlement
       : client.drawFromAllowance(settlement, allowanceTaken);
-  await client.settle(charged, Math.max(1, deadlineMs - monotonicMs()));
+  const nextTurn = { budgetTokens: BUDGET_TOKENS, mostTokens: MOST_TOKENS };
+  await client.settle(charged, Math.max(1, deadlineMs - monotonicMs()), nextTurn);
   cached.add(id);
 }
