--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -12,4 +12,5 @@
 export * from './tokens.js';
 export * from './random.js';
 export * from './rendezvous.js';
+export * from './recent-minimum.js';
 export * from './reported-sums.js';
