--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -9,6 +9,7 @@
 import { DiskFullError, type LogEntry, StorageFullError } from '../log-store/index.js';
 import type { CallOptions, Method } from '../wire/index.js';
 import { Applier } from './applier.js';
+import { CommandDelay } from './command-delay.js';
 import { createCommitTimings } from './commit-timings.js';
 import {
   type GroupConfiguration,
@@ -50,6 +51,8 @@
   leadingSince = 0;
   readonly traffic = createReplicationTraffic();
   readonly times = createCommitTimings();
+  /** Delay of this member's commands while it leads. */
+  readonly commandDelay: CommandDelay;
   readonly elections: ElectionScheduler;
   readonly sendsSnapshots = true;
   private readonly handler: FollowerRequestHandler;
@@ -82,6 +85,8 @@
       times: this.times,
       onRefused: (count) => environment.onProposalsRefused(this, count),
     });
+    // A round trip is much shorter than a heartbeat interval where a leader can be elected.
+    this.commandDelay = new CommandDelay(heartbeatIntervalMs);
     this.commitIndex = log.latestSnapshot?.index ?? 0;
     this.applier = new Applier(this, stateMachine, environment);
     this.handler = new FollowerRequestHandler(this, environment);
@@ -169,7 +174,10 @@
     if (!this.isLeader || this.isTransferring) throw this.notLeader();
     const isFull = this.log.heldBytes >= this.environment.options.maxHeldBytes;
     if (isFull) throw this.memoryLimitError();
-    return this.proposalLimiter.submit({ command, attachments });
+    const proposedAt = monotonicMs();
+    const result = await this.proposalLimiter.submit({ command, attachments });
+    this.commandDelay.note(monotonicMs() - proposedAt);
+    return result;
   }
 
   private appendCommand({ command: data, attachments }: Proposal): Promise<unknown> {
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -18,7 +18,7 @@
 import { type CallOutcome, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
-import { ProgramAdmission } from './program-admission.js';
+import { ProgramAdmission, ledgerLoadOf } from './program-admission.js';
 import {
   describeProgram,
   describeReservation,
@@ -31,7 +31,12 @@
 import { ResumableStreams, type StreamCall } from './resumable-streams.js';
 import { StreamRelay } from './stream-relay.js';
 import type { StreamVersion } from './stream-version.js';
-import { RefusedError, type Reservation, TurnReservations } from './turn-reservations.js';
+import {
+  RefusedError,
+  type Reservation,
+  TurnReservations,
+  needsLedger,
+} from './turn-reservations.js';
 
 export interface CallForwarderOptions {
   /** The current routes; undefined before the first configuration. */
@@ -154,7 +159,7 @@
     const service = route.nextService();
     const priority = tenant?.priority ?? route.route.priority;
     const call = { service, priority, tenant: tenant?.name, call: description };
-    this.admit(call);
+    this.admit(call, route.route);
     if (tenant) await this.takeToken(exchange, tenant);
     const endTurn = isModelCall(call) ? this.options.sharedAdmission?.beginTurn(call) : undefined;
     try {
@@ -264,18 +269,26 @@
   }
 
   /** @throws RefusedError if the call starts a new program and its service is overloaded */
-  private admit(call: ModelCall): void {
+  private admit(call: ModelCall, route: Route): void {
     if (!isModelCall(call)) return;
     const { service, priority } = call;
     const engines = this.options.backends.serving(service);
-    const isWithinOwnLimit = this.admission.admits(service, priority, call.call, engines);
     const typicalMs = this.options.backends.typicalMs(service);
+    const delayMs = needsLedger(call.call, route) ? this.options.ledger.delayMs : 0;
+    const ledgerLoad = ledgerLoadOf(delayMs, typicalMs);
+    const isWithinOwnLimit = this.admission.admits(
+      service,
+      priority,
+      call.call,
+      engines,
+      ledgerLoad,
+    );
     const shared = this.options.sharedAdmission?.decide(call, typicalMs);
     if (shared?.isAdmitted === false)
       throw new RefusedError('not-admitted', shared.retryAfterMs, shared.details);
     if (shared?.isFinal || isWithinOwnLimit) return;
-    const drainMs = this.admission.drainMs(service, engines, typicalMs);
-    throw new RefusedError('not-admitted', drainMs);
+    const drainMs = this.admission.drainMs(service, engines, typicalMs, ledgerLoad);
+    throw new RefusedError('not-admitted', drainMs, { ledgerDelayMs: Math.round(delayMs) });
   }
 
   private reportToAdmission(
--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -6,6 +6,9 @@
  * turns take too long compared to unloaded engines and increases otherwise, so that it converges to the
  * sustainable load. Running programs are always admitted. Near the limit the hash of the program's id
  * decides, so that retries at any gateway get the same result; less urgent routes are refused first.
+ *
+ * Programs that need the ledger are also refused while its commands are delayed: the engines' load does not show that
+ * programs wait for its leader, and is low then. The leader tells the same delay to all gateways.
  */
 import { hash32 } from '../common/index.js';
 import { type Occupancy, totalCapacityOf, utilizationOf } from '../performance/index.js';
@@ -27,6 +30,12 @@
 const FULL_REFUSAL_MULTIPLE = 1.25;
 /** Limit of less urgent programs, as a fraction of the limit. */
 const LESS_URGENT_FRACTION = 0.8;
+/** Tolerated delay of a ledger command, as a fraction of a typical turn, which waits for up to two commands. */
+const TOLERATED_LEDGER_DELAY = 0.08;
+/** Minimum tolerated delay, in milliseconds: a few syncs of a disk, and turns of an unknown service count as short. */
+const MIN_TOLERATED_LEDGER_DELAY_MS = 10;
+/** Load of the ledger at which all new programs are refused; the fraction rises linearly from 1. */
+const FULL_REFUSAL_LEDGER_LOAD = 2;
 const HASH_RANGE = 2 ** 32;
 
 /** What a caller did to a turn so that its duration is not that of the engine. */
@@ -55,6 +64,14 @@
   mostUrgent: number;
 }
 
+/**
+ * Delay of the ledger's commands as a multiple of the tolerated one.
+ * @param typicalMs mean latency of a turn
+ */
+export function ledgerLoadOf(delayMs: number, typicalMs: number): number {
+  return delayMs / Math.max(MIN_TOLERATED_LEDGER_DELAY_MS, typicalMs * TOLERATED_LEDGER_DELAY);
+}
+
 export class ProgramAdmission {
   private readonly limits = new Map<string, ServiceLimit>();
 
@@ -83,31 +100,42 @@
   /**
    * Whether a turn is admitted; only first turns of programs are ever refused.
    * @param priority of the tenant or route; 0 is the most urgent
+   * @param ledgerLoad see `ledgerLoadOf`; 0 if the call does not need the ledger
    */
   admits(
     service: string,
     priority: number,
     call: CallDescription,
     engines: readonly Occupancy[],
+    ledgerLoad = 0,
   ): boolean {
     const limit = this.limitFor(service, priority);
     const { program } = call;
     if (!program || !isFirstTurn(call)) return true;
     const isLessUrgent = priority > (limit.leastUrgent + limit.mostUrgent) / 2;
-    const admittedUtilization = limit.maxUtilization * (isLessUrgent ? LESS_URGENT_FRACTION : 1);
-    const refusedFraction =
-      (utilizationOf(engines) / admittedUtilization - 1) / (FULL_REFUSAL_MULTIPLE - 1);
+    const urgencyFactor = isLessUrgent ? LESS_URGENT_FRACTION : 1;
+    const admittedUtilization = limit.maxUtilization * urgencyFactor;
+    const refusedFraction = Math.max(
+      excessFraction(utilizationOf(engines) / admittedUtilization, FULL_REFUSAL_MULTIPLE),
+      excessFraction(ledgerLoad / urgencyFactor, FULL_REFUSAL_LEDGER_LOAD),
+    );
     return hash32(program.id) / HASH_RANGE >= refusedFraction;
   }
 
   /**
    * Estimated time until the load has fallen to the limit, in milliseconds.
    * @param typicalMs mean latency of a call of the service
+   * @param ledgerLoad as for `admits`
    */
-  drainMs(service: string, engines: readonly Occupancy[], typicalMs: number): number {
-    const utilization = utilizationOf(engines);
-    const excessFraction = utilization === 0 ? 0 : 1 - this.limitOf(service) / utilization;
-    return Math.max(0, excessFraction) * typicalMs;
+  drainMs(
+    service: string,
+    engines: readonly Occupancy[],
+    typicalMs: number,
+    ledgerLoad = 0,
+  ): number {
+    const limit = this.limitOf(service);
+    const excess = Math.max(shareAbove(utilizationOf(engines), limit), shareAbove(ledgerLoad, 1));
+    return excess * typicalMs;
   }
 
   private limitFor(service: string, priority: number): ServiceLimit {
@@ -122,6 +150,16 @@
   }
 }
 
+/** Position of a ratio between 1, where it is 0, and the ratio where it is 1. */
+function excessFraction(ratio: number, fullRatio: number): number {
+  return (ratio - 1) / (fullRatio - 1);
+}
+
+/** Share of a value that lies above a limit; 0 below it. */
+function shareAbove(value: number, limit: number): number {
+  return value > limit ? 1 - limit / value : 0;
+}
+
 function clampLimit(utilization: number): number {
   return Math.min(MAX_LIMIT, Math.max(MIN_LIMIT, utilization));
 }
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -15,7 +15,7 @@
 import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, Route } from '../routes/index.js';
 import { scopedId } from '../tenants/index.js';
-import type { CallExchange, RefusalReason } from './call-exchange.js';
+import type { CallDescription, CallExchange, RefusalReason } from './call-exchange.js';
 import { describeTrace } from './call-log.js';
 import type { CallOutcome, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
@@ -95,6 +95,11 @@
 /** Minimum time for keeping a turn, even past the call's deadline, in milliseconds. */
 const MIN_KEEP_TIMEOUT_MS = 300;
 
+/** Whether each turn on a route is reserved at the ledger, because of its program's budget or to be kept. */
+export function needsLedger({ program }: CallDescription, route: Route): boolean {
+  return program?.budgetTokens !== undefined || route.retainsTurns;
+}
+
 export class TurnReservations {
   private readonly histories = new TurnHistoryCache();
 
@@ -115,9 +120,8 @@
     stream?: ReservedStream,
   ): Promise<Reservation | undefined> {
     const { program, previousTurn } = exchange.description;
-    const needsLedger =
-      program?.budgetTokens !== undefined || route.retainsTurns || stream?.kind === 'resume';
-    if (route.kind !== 'streaming' || !needsLedger) return undefined;
+    const usesLedger = needsLedger(exchange.description, route) || stream?.kind === 'resume';
+    if (route.kind !== 'streaming' || !usesLedger) return undefined;
     const call = exchange.description.id!;
     const turn: TurnIds = {
       attempt: scopedId(tenant, call),
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -24,7 +24,14 @@
 import type { AllowanceRenewal, Settlement } from './ledger-commands.js';
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
-import { LEDGER_GROUP, RESERVE, type ReserveResponse, SETTLE } from './messages.js';
+import { LeaderDelay } from './leader-delay.js';
+import {
+  LEDGER_GROUP,
+  type LeaderStatus,
+  RESERVE,
+  type ReserveResponse,
+  SETTLE,
+} from './messages.js';
 import { ReservationAttempt, type TurnRequest } from './reservation-attempt.js';
 import { ReservationTrace } from './reservation-trace.js';
 import { ReservationWindow } from './reservation-window.js';
@@ -68,6 +75,7 @@
   private readonly queue = new SettlementQueue();
   private readonly allowances = new AllowanceTracker();
   private readonly outage = new OutageEstimator();
+  private readonly delay = new LeaderDelay();
   private readonly window = new ReservationWindow(() => this.outage.remainingMs > 0);
   private readonly streamRecorder: StreamRecorder;
   private isSending = false;
@@ -109,6 +117,11 @@
     return this.groups.lastHeardLeader(LEDGER_GROUP)?.ageMs ?? Infinity;
   }
 
+  /** Mean delay of the leader's commands by load, in milliseconds; 0 if it is not known. */
+  get delayMs(): number {
+    return this.delay.currentMs;
+  }
+
   /** Number of settlements waiting for delivery. */
   get queuedSettlements(): number {
     return this.queue.size;
@@ -430,7 +443,7 @@
     this.isProbing = false;
   }
 
-  private async call<Request, Response>(
+  private async call<Request, Response extends LeaderStatus>(
     method: Method<Request, LeaderAnswer<Response>>,
     request: Request,
     limits: GroupCallOptions,
@@ -440,6 +453,7 @@
       const options = { ...limits, maximumPauseMs: MAX_ATTEMPT_PAUSE_MS };
       const response = await callLeader(this.groups, LEDGER_GROUP, method, request, options);
       this.outage.recordResponse();
+      if (response.delayMs !== undefined) this.delay.note(response.delayMs);
       this.latestRefusal = undefined;
       return response;
     } catch (error) {
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -137,8 +137,8 @@
     const command: LedgerCommand = { kind: 'reserve', ...reservation, nowMs: this.nowMs(group) };
     const reserved = (await group.propose(encodeValue(command))) as ReserveResult;
     const targets = copyTargetsOf(group);
-    const result =
-      targets.version === knownVersion ? reserved : { ...reserved, copyTargets: targets };
+    const copyTargets = targets.version === knownVersion ? undefined : targets;
+    const result = { ...reserved, delayMs: delayOf(group), copyTargets };
     const { previousTurn } = request;
     if (result.outcome !== 'granted' || previousTurn === undefined || !wantsHistory) return result;
     const source = mayReadElsewhere ? this.historySource(group, previousTurn) : undefined;
@@ -167,7 +167,7 @@
     const result = (await group.propose(encodeValue(command), attachments)) as SettleResult;
     const recordedStreams = streams?.length;
     const copyTargets = isCopied ? undefined : targets;
-    return { ...result, isSettled: true, recordedStreams, copyTargets };
+    return { ...result, delayMs: delayOf(group), isSettled: true, recordedStreams, copyTargets };
   }
 
   /** Sends the values to the followers for a gateway that does not know them yet. */
@@ -229,6 +229,11 @@
   };
 }
 
+/** Rounded, since it is sent with each response, in milliseconds. */
+function delayOf({ commandDelay }: ReplicatedGroup): number {
+  return Math.round(commandDelay.meanMs);
+}
+
 function overloadedError(): LedgerOverloadedError {
   return new LedgerOverloadedError('reservation refused: memory limit reached', {
     step: 'ledger.reserve',
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -45,7 +45,13 @@
   silentMs?: number;
 }
 
-export interface ReserveResponse extends ReserveResult {
+/** Told by the leader with each response. */
+export interface LeaderStatus {
+  /** Mean delay of its commands by load, in milliseconds; absent in responses of earlier releases. */
+  delayMs?: number;
+}
+
+export interface ReserveResponse extends ReserveResult, LeaderStatus {
   /** History of the turn, oldest first, if it has a predecessor. */
   history?: Uint8Array;
   /** Present instead of a history that the leader could not read. */
@@ -63,7 +69,7 @@
   canCopy?: boolean;
 }
 
-export interface SettleResponse extends SettleResult {
+export interface SettleResponse extends SettleResult, LeaderStatus {
   /** False if nothing was settled: the gateway must send the values to the targets and retry. */
   isSettled: boolean;
   /** Number of streams whose versions were recorded; absent if the leader's release records none. */
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -206,6 +206,12 @@
       'Generation of the configuration in force; 0 before the first',
       () => this.routes?.configuration.generation ?? 0,
     );
+    addGauge(
+      this.metrics.registry,
+      'ledgegauge_ledger_delay_seconds',
+      "Mean delay of the ledger's commands by load, as last told by its leader",
+      () => this.ledger.delayMs / 1_000,
+    );
   }
 
   /** Budget of the bytes that are buffered for callers; undefined in `independent` mode. */
--- a/src/nodes/member-load-log.ts
+++ b/src/nodes/member-load-log.ts
@@ -58,6 +58,7 @@
     const fields: LogFields = {
       leads: group.isLeader,
       ...describeCommits(times),
+      delayMs: Math.round(group.commandDelay.meanMs),
       refused: now.refused - before.refused,
       windowKb: Math.round(group.admission.windowBytes / KIB),
       voterKb: toKib(now.voterEntries - before.voterEntries),
--- a/tests/support/program-load.ts
+++ b/tests/support/program-load.ts
@@ -3,8 +3,10 @@
  * time if it takes little longer than with an idle ledger.
  */
 import { SeededRandom, monotonicMs, sleep } from '../../src/common/index.js';
+import { ProgramAdmission, ledgerLoadOf } from '../../src/forwarding/program-admission.js';
 import type { LedgerClient } from '../../src/ledger/index.js';
 import type { LedgerCluster } from './ledger-cluster.js';
+import { sampleCall } from './sample-call.js';
 
 const GATEWAYS = 20;
 export const TURNS = 5;
@@ -29,6 +31,11 @@
 /** Probability that a turn arrives at another gateway than the one before it. */
 const MOVE_PROBABILITY = 0.3;
 
+const SERVICE = 'model';
+const PRIORITY = 0;
+/** Engines are never the bottleneck. */
+const NO_ENGINES: [] = [];
+
 interface ProgramRecord {
   beganAt: number;
   tookMs?: number;
@@ -36,6 +43,7 @@
 
 interface Gateway {
   client: LedgerClient;
+  admission: ProgramAdmission;
   /** Turns whose histories this gateway has cached. */
   cached: Set<string>;
 }
@@ -50,6 +58,7 @@
     this.random = new SeededRandom(seed);
     this.gateways = Array.from({ length: GATEWAYS }, (_, index) => ({
       client: ledger.createClient(`gateway-${index}`),
+      admission: new ProgramAdmission(),
       cached: new Set(),
     }));
   }
@@ -119,8 +128,14 @@
 }
 
 /** Reserves the turn, waits for the engine and keeps the turn. @throws if either is not done in time */
-async function attemptTurn({ client, cached }: Gateway, attempt: TurnAttempt): Promise<void> {
+async function attemptTurn(gateway: Gateway, attempt: TurnAttempt): Promise<void> {
+  const { client, cached, admission } = gateway;
   const { program, id, previousTurn } = attempt;
+  const call = sampleCall({ program: { id: program }, previousTurn });
+  if (
+    !admission.admits(SERVICE, PRIORITY, call, NO_ENGINES, ledgerLoadOf(client.delayMs, ENGINE_MS))
+  )
+    throw new Error('not admitted');
   const deadlineMs = monotonicMs() + TURN_LIMIT_MS;
   const hasHistory = previousTurn === undefined || cached.has(previousTurn);
   const request = {
@@ -142,7 +157,9 @@
     allowanceTaken === undefined
       ? settlement
       : client.drawFromAllowance(settlement, allowanceTaken);
-  const nextTurn = { budgetTokens: BUDGET_TOKENS, mostTokens: MOST_TOKENS };
-  await client.settle(charged, Math.max(1, deadlineMs - monotonicMs()), nextTurn);
+  await client.settle(charged, Math.max(1, deadlineMs - monotonicMs()), {
+    budgetTokens: BUDGET_TOKENS,
+    mostTokens: MOST_TOKENS,
+  });
   cached.add(id);
 }
