--- a/src/explain/call-findings.ts
+++ b/src/explain/call-findings.ts
@@ -93,11 +93,12 @@
 }
 
 function findAdmission(line: LogRecord): Finding[] {
-  const { outcome, admission, pressure, admissionLimits } = line.fields;
+  const { outcome, admission, pressure, admissionLimits, ledgerDelayMs } = line.fields;
   if (outcome !== 'not-admitted') return [];
   if (admission === undefined) {
     const limits = admissionLimits === undefined ? '' : ` (${String(admissionLimits)})`;
-    const text = `refused by its gateway's own limit${limits}, which applies without a shared decision`;
+    const delay = ledgerDelayMs ? `; the ledger was delayed by ${String(ledgerDelayMs)} ms` : '';
+    const text = `refused by its gateway's own limit${limits}, which applies without a shared decision${delay}`;
     return [createFinding(line, 'refused-by-admission', text)];
   }
   const at = pressure === undefined ? '' : ` at a pressure of ${String(pressure)}`;
--- a/src/explain/scheduling.test.ts
+++ b/src/explain/scheduling.test.ts
@@ -88,6 +88,12 @@
       "refused by its gateway's own limit (0.85), which applies without a shared decision",
     ]);
   });
+
+  it('tells the delay of the ledger at a refusal by the own limit of the gateway', () => {
+    const refused = call({ outcome: 'not-admitted', admissionLimits: '2.00', ledgerDelayMs: 60 });
+    const [[, text] = []] = findingsFor('c1', refused);
+    expect(text).toContain('the ledger was delayed by 60 ms');
+  });
 });
 
 describe('the explanation of a call to a bad backend', () => {
