--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -236,8 +236,10 @@
   ageOtherLoads(): void {
     const now = monotonicMs();
     for (const [service, backends] of this.byService) {
+      const outdatedLoads = this.outdatedOf(service);
+      if (!outdatedLoads.isOutdated(now)) continue;
       const ownCalls = backends.reduce((sum, { inFlight }) => sum + inFlight, 0);
-      const aged = this.outdatedOf(service).age(backends, ownCalls, this.gateways, now);
+      const aged = outdatedLoads.age(backends, ownCalls, this.gateways, now);
       aged?.forEach((otherCalls, index) => backends[index]!.noteOutdated(otherCalls));
     }
   }
--- a/src/forwarding/outdated-loads.ts
+++ b/src/forwarding/outdated-loads.ts
@@ -33,6 +33,11 @@
     this.meanOwnCalls = undefined;
   }
 
+  /** Whether the last report has begun to lose its weight. @param now monotonic, in milliseconds */
+  isOutdated(now: number): boolean {
+    return Number.isFinite(this.reportedAt) && now - this.reportedAt >= CURRENT_MS;
+  }
+
   /**
    * Must be called every `AGING_INTERVAL_MS`.
    * @param ownCalls calls in flight of this gateway at all backends
@@ -46,8 +51,8 @@
     gateways: number,
     now: number,
   ): number[] | undefined {
+    if (!this.isOutdated(now)) return undefined;
     const outdatedMs = now - this.reportedAt - CURRENT_MS;
-    if (outdatedMs < 0 || !Number.isFinite(outdatedMs)) return undefined;
     this.meanOwnCalls = movingAverage(this.meanOwnCalls, ownCalls, OWN_CALLS_WEIGHT);
     const progress = Math.min(1, outdatedMs / AGING_MS);
     const otherCalls = this.meanOwnCalls * (gateways - 1);
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -12,6 +12,7 @@
   callLeader,
 } from '../consensus/index.js';
 import type { CutOffSignal } from '../gateway-health/index.js';
+import { AllowanceReservations } from './allowance-reservations.js';
 import { AllowanceTracker } from './allowance-tracker.js';
 import type { HistoryReader } from './history-reader.js';
 import {
@@ -74,6 +75,10 @@
 export class LedgerClient {
   private readonly queue = new SettlementQueue();
   private readonly allowances = new AllowanceTracker();
+  private readonly reservations = new AllowanceReservations(
+    this.allowances,
+    this.attemptUntilCutOff.bind(this),
+  );
   private readonly outage = new OutageEstimator();
   private readonly delay = new LeaderDelay();
   private readonly window = new ReservationWindow(() => this.outage.remainingMs > 0);
@@ -155,7 +160,7 @@
       throw this.rejectWithoutWaiting();
     }
     try {
-      const response = await this.reserveKeepingAllowance(request, limitMs, trace);
+      const response = await this.reservations.reserve(request, limitMs, trace);
       this.leaderSuspectUntil = 0;
       return response;
     } catch (error) {
@@ -176,40 +181,6 @@
     return this.isCutOff || monotonicMs() < this.leaderSuspectUntil;
   }
 
-  /** Reserves the turn. The allowance is only reclaimed if the budget does not cover the turn otherwise. */
-  private async reserveKeepingAllowance(
-    request: TurnRequest,
-    limitMs: number,
-    trace: ReservationTrace,
-  ): Promise<ReserveResponse> {
-    const { program } = request;
-    const deadlineMs = monotonicMs() + limitMs;
-    const version = this.allowances.versionOf(program);
-    const keeping = { ...request, keepsAllowance: true };
-    const response = await this.attemptUntilCutOff(keeping, limitMs, trace);
-    if (response.outcome === 'budget-exhausted' && this.allowances.surrender(program)) {
-      return this.reserveBySurrender(request, Math.max(1, deadlineMs - monotonicMs()), trace);
-    }
-    this.allowances.update(program, response.allowanceTokens, version);
-    return response;
-  }
-
-  /** Reserves the turn with the tokens of the surrendered allowance. */
-  private async reserveBySurrender(
-    request: TurnRequest,
-    limitMs: number,
-    trace: ReservationTrace,
-  ): Promise<ReserveResponse> {
-    let allowanceTokens = 0;
-    try {
-      const response = await this.attemptUntilCutOff(request, limitMs, trace);
-      ({ allowanceTokens } = response);
-      return response;
-    } finally {
-      this.allowances.endSurrender(request.program, allowanceTokens);
-    }
-  }
-
   /** Whether a turn may run on the allowance, although its reservation may be committed as well. */
   private mayRunUnconfirmed({ program, mostTokens, stream }: TurnRequest): boolean {
     // The ledger may have recorded any of the versions, and the stream must begin at the recorded one.
