--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -2,14 +2,7 @@
  * Replicates the log to one follower: sends entries, or a snapshot if the entries have been
  * compacted, until the follower is up to date, then waits for new entries.
  */
-import {
-  Backoff,
-  RecentMinimum,
-  SignalEvent,
-  TimeoutError,
-  monotonicMs,
-  sleep,
-} from '../common/index.js';
+import { Backoff, SignalEvent, TimeoutError, monotonicMs, sleep } from '../common/index.js';
 import type { LogEntry, SnapshotReader } from '../log-store/index.js';
 import { type CallOptions, LinkError, type Method } from '../wire/index.js';
 import { BatchLimit } from './batch-limit.js';
@@ -26,15 +19,6 @@
 
 /** Target response time of a batch, in heartbeat intervals. */
 const BATCH_TARGET_HEARTBEATS = 2;
-/**
- * Maximum pause between two batches to a voter, in heartbeat intervals. While responses are late because a processor is
- * busy, it gathers more entries in each batch, since the cost of a batch hardly depends on its size.
- */
-const MAX_PAUSE_HEARTBEATS = 0.25;
-/** Shorter pauses gather next to nothing, and timers are not more precise, in milliseconds. */
-const MIN_PAUSE_MS = 1;
-/** Period in which the response time of an idle voter is taken anew, in milliseconds. */
-const IDLE_RESPONSE_PERIOD_MS = 10_000;
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024;
 const APPEND_TIMEOUT_MS = 1_000;
 /**
@@ -104,7 +88,6 @@
   private readonly wake = new SignalEvent();
   private readonly stopping = new AbortController();
   private readonly batchLimit: BatchLimit;
-  private readonly idleResponse = new RecentMinimum(IDLE_RESPONSE_PERIOD_MS);
   private appendTimeoutMs = APPEND_TIMEOUT_MS;
   private relayFailedAt = Number.NEGATIVE_INFINITY;
   /** Ends a pause early. */
@@ -174,9 +157,7 @@
         const sentAt = monotonicMs();
         await this.sendNext();
         backoff.reset();
-        const tookMs = monotonicMs() - sentAt;
-        await this.throttleLearner(tookMs, this.matchIndex >= lastIndex);
-        await this.gatherEntries(tookMs);
+        await this.throttleLearner(monotonicMs() - sentAt, this.matchIndex >= lastIndex);
         await this.yieldToRelay();
       } catch {
         await sleep(backoff.nextDelayMs(), this.stopping.signal);
@@ -198,15 +179,6 @@
     if (pauseMs > 0) await this.pause(pauseMs);
   }
 
-  /** Pauses for as long as the response of a voter was delayed, so that the next batch holds more entries. */
-  private async gatherEntries(tookMs: number): Promise<void> {
-    const { source, member } = this;
-    if (!source.isVoter(member.id) || this.isStopped) return;
-    const delayedMs = tookMs - this.idleResponse.add(tookMs);
-    const pauseMs = Math.min(delayedMs, MAX_PAUSE_HEARTBEATS * source.heartbeatIntervalMs);
-    if (pauseMs >= MIN_PAUSE_MS) await this.pause(pauseMs);
-  }
-
   /** Sends nothing to a learner while its relay makes progress. */
   private async yieldToRelay(): Promise<void> {
     const { source } = this;
--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -34,6 +34,8 @@
 const TOLERATED_LEDGER_DELAY = 0.08;
 /** Minimum tolerated delay, in milliseconds: a few syncs of a disk, and turns of an unknown service count as short. */
 const MIN_TOLERATED_LEDGER_DELAY_MS = 10;
+/** Tolerated delay of less urgent programs, as a fraction: their classes must not be refused altogether before others. */
+const LESS_URGENT_LEDGER_FRACTION = 0.9;
 /** Load of the ledger at which all new programs are refused; the fraction rises linearly from 1. */
 const FULL_REFUSAL_LEDGER_LOAD = 2;
 const HASH_RANGE = 2 ** 32;
@@ -113,11 +115,11 @@
     const { program } = call;
     if (!program || !isFirstTurn(call)) return true;
     const isLessUrgent = priority > (limit.leastUrgent + limit.mostUrgent) / 2;
-    const urgencyFactor = isLessUrgent ? LESS_URGENT_FRACTION : 1;
-    const admittedUtilization = limit.maxUtilization * urgencyFactor;
+    const admittedUtilization = limit.maxUtilization * (isLessUrgent ? LESS_URGENT_FRACTION : 1);
+    const admittedLedgerLoad = isLessUrgent ? LESS_URGENT_LEDGER_FRACTION : 1;
     const refusedFraction = Math.max(
       excessFraction(utilizationOf(engines) / admittedUtilization, FULL_REFUSAL_MULTIPLE),
-      excessFraction(ledgerLoad / urgencyFactor, FULL_REFUSAL_LEDGER_LOAD),
+      excessFraction(ledgerLoad / admittedLedgerLoad, FULL_REFUSAL_LEDGER_LOAD),
     );
     return hash32(program.id) / HASH_RANGE >= refusedFraction;
   }
