--- a/src/consensus/command-delay.ts
+++ b/src/consensus/command-delay.ts
@@ -12,8 +12,7 @@
 export class CommandDelay {
   private readonly idleLatency = new RecentMinimum(IDLE_PERIOD_MS);
   private notedAt = monotonicMs();
-  /** Mean recent delay, in milliseconds. */
-  meanMs = 0;
+  private averageMs = 0;
 
   /**
    * @param maxIdleMs bound of the latency without load, in milliseconds; the first commands of a leader that starts
@@ -21,13 +20,18 @@
    */
   constructor(private readonly maxIdleMs: number) {}
 
+  /** Mean recent delay, in milliseconds. */
+  get meanMs(): number {
+    return this.averageMs;
+  }
+
   /** Records the latency of a completed command. */
   note(latencyMs: number): void {
     const now = monotonicMs();
     const idleMs = Math.min(this.maxIdleMs, this.idleLatency.add(latencyMs));
     const delayMs = latencyMs - idleMs;
     const weight = 1 - Math.exp((this.notedAt - now) / AVERAGING_MS);
-    this.meanMs += (delayMs - this.meanMs) * weight;
+    this.averageMs += (delayMs - this.averageMs) * weight;
     this.notedAt = now;
   }
 }
