--- a/src/forwarding/program-admission.ts
+++ b/src/forwarding/program-admission.ts
@@ -31,7 +31,7 @@
 /** Limit of less urgent programs, as a fraction of the limit. */
 const LESS_URGENT_FRACTION = 0.8;
 /** Tolerated delay of a ledger command, as a fraction of a typical turn, which waits for up to two commands. */
-const TOLERATED_LEDGER_DELAY = 0.08;
+const TOLERATED_LEDGER_DELAY = 0.2;
 /** Minimum tolerated delay, in milliseconds: a few syncs of a disk, and turns of an unknown service count as short. */
 const MIN_TOLERATED_LEDGER_DELAY_MS = 10;
 /** Tolerated delay of less urgent programs, as a fraction: their classes must not be refused altogether before others. */
