--- a/src/ledger/allowance-tracker.ts
+++ b/src/ledger/allowance-tracker.ts
@@ -12,7 +12,7 @@
   unsettledTurns: number;
   /** Whether the ledger may be reclaiming it. */
   isSurrendered: boolean;
-  /** Number of times that it was surrendered or renewed; grants of earlier requests are outdated. */
+  /** Number of draws, surrenders and their ends so far; grants of earlier requests are outdated. */
   version: number;
 }
 
@@ -47,6 +47,7 @@
     const allowance = this.allowances.get(program)!;
     allowance.availableTokens -= mostTokens;
     allowance.unsettledTurns += 1;
+    allowance.version += 1;
     return true;
   }
 
--- a/src/ledger/ledger.test.ts
+++ b/src/ledger/ledger.test.ts
@@ -209,6 +209,16 @@
     expect(ledger.state.budgets.committedTokens('p')).toBe(100 + 60 + 140);
   });
 
+  it('are not raised by a late response to a request that was sent before a draw', () => {
+    const tracker = new AllowanceTracker();
+    tracker.update('p', 200);
+    const version = tracker.versionOf('p');
+    tracker.take('p', 100);
+    tracker.confirm('p');
+    tracker.update('p', 200, version);
+    expect(tracker.covers('p', 101)).toBe(false);
+  });
+
   it('are renewed with a settlement, after its draw', () => {
     const ledger = new Ledger();
     ledger.reserve('t0', { holder: 'g' });
