--- a/src/ledger/allowance-in-use-reclaimed.test.ts
+++ b/src/ledger/allowance-in-use-reclaimed.test.ts
@@ -1,53 +1,24 @@
 /** A program spent beyond its budget: the ledger reclaimed an allowance that a running turn was drawing on. */
 import { expect, it } from 'vitest';
-import { MemoryValues } from '../../tests/support/memory-values.js';
-import { GroupClient, type PeerCaller } from '../consensus/index.js';
+import { MEMORY_LEDGER_ADDRESS, MemoryLedger } from '../../tests/support/memory-ledger.js';
+import { GroupClient } from '../consensus/index.js';
 import { createLogger } from '../observability/index.js';
-import { type Method, encodeValue } from '../wire/index.js';
 import { LedgerClient } from './ledger-client.js';
-import { LedgerStateMachine } from './ledger-state-machine.js';
-import { RESERVE, type ReserveRequest, type SettleRequest } from './messages.js';
 
 const MOST_TOKENS = 100;
 /** Four turns; an allowance takes a quarter. */
 const BUDGET_TOKENS = 400;
 const LIMIT_MS = 1_000;
 
-/** The leader of a ledger of one member, which can be unreachable. */
-class SingleLedger implements PeerCaller {
-  isUp = true;
-  private readonly state = new LedgerStateMachine({
-    values: new MemoryValues(),
-    readTurnsAt: () => Promise.reject(new Error('no other members')),
-    logger: createLogger({}),
-  });
-
-  isConnected(): boolean {
-    return this.isUp;
-  }
-
-  async call<Request, Response>(
-    _address: string,
-    method: Method<Request, Response>,
-    request: Request,
-  ): Promise<Response> {
-    if (!this.isUp) throw new Error('no response');
-    const kind = method.name === RESERVE.name ? 'reserve' : 'settle';
-    const body = request as ReserveRequest | SettleRequest;
-    const result = this.state.apply(encodeValue({ ...body, kind, nowMs: 0 }));
-    return { answer: result ?? { isSettled: true } } as Response;
-  }
-}
-
 class Program {
-  readonly ledger = new SingleLedger();
+  readonly ledger = new MemoryLedger();
   /** Tokens that the granted turns may spend at most. */
   grantedTokens = 0;
   private turns = 0;
   private readonly client: LedgerClient;
 
   constructor() {
-    const groups = new GroupClient({ peers: this.ledger, addresses: ['leader'] });
+    const groups = new GroupClient({ peers: this.ledger, addresses: [MEMORY_LEDGER_ADDRESS] });
     this.client = new LedgerClient(groups, createLogger({}), 'gateway');
   }
 
--- a/tests/support/memory-ledger.ts
+++ b/tests/support/memory-ledger.ts
@@ -10,7 +10,7 @@
 } from '../../src/ledger/index.js';
 import { createLogger } from '../../src/observability/index.js';
 import { type Method, encodeValue } from '../../src/wire/index.js';
-import { MemoryValues } from '../../tests/support/memory-values.js';
+import { MemoryValues } from './memory-values.js';
 
 export const MEMORY_LEDGER_ADDRESS = 'memory-ledger';
 
@@ -50,8 +50,9 @@
 
   private settle({ settlements, streams }: SettleRequest): object {
     const recorded = this.reportsStreams ? streams : undefined;
-    this.apply({ kind: 'settle', settlements, streams: recorded, nowMs: performance.now() });
-    return { isSettled: true, recordedStreams: recorded?.length };
+    const nowMs = performance.now();
+    const result = this.apply({ kind: 'settle', settlements, streams: recorded, nowMs });
+    return { ...result, isSettled: true, recordedStreams: recorded?.length };
   }
 
   private apply(command: LedgerCommand): ReturnType<LedgerStateMachine['apply']> {
