--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -79,7 +79,7 @@
       });
       response.on('error', finish);
       // The last byte of a whole answer has arrived.
-      response.on('end', () => onEnded?.());
+      response.on('end', () => response.statusCode === 200 && onEnded?.());
       response.on('close', () => {
         result.isComplete = response.complete && result.status === 200 && pending === '';
         finish();
--- a/review/lib/configuration.mjs
+++ b/review/lib/configuration.mjs
@@ -30,6 +30,7 @@
   };
   const routes = [
     { name: 'kept', pathPrefix: '/kept/', ...stream },
+    { name: 'long', pathPrefix: '/long/', ...stream },
     { name: 'first', pathPrefix: '/first/', ...stream, retainHistory: false, priority: 1 },
     { name: 'lookup', pathPrefix: '/lookup/', routeType: 'unsafe', ...plain },
   ];
