The end of a kept turn's answer follows its commit, however the back end frames it

What callers saw: the whole answer of a kept turn, all bytes of its Content-Length, and 404 for the next turn through another gateway; for good if the first gateway was killed, and for as long as the commit takes if it wasn't.

Cause: what ends an answer was left to the back end. StreamRelay dropped the length of resumable streams only, so with a length the caller had the end together with the last event, before TurnReservations.keep had asked for the commit. CallForwarder.finish and abort, which come after it, had nothing left to delay or to cut. For HTTP/1.0 the same: the close of the connection is the end there, and the kernel closes those of a killed gateway as orderly.

Now a length is dropped on routes that keep turns: each event passes at once, the last chunk follows the commit. For callers without chunks the answer waits for the commit as a whole and then has its length (WholeResponseExchange).

--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -109,6 +109,11 @@
   readonly arrivedAt: number;
   /** Whether the caller has disconnected. */
   readonly isAbandoned: boolean;
+  /**
+   * Whether only the close of the connection ends a response without a length, as with HTTP/1.0. The caller cannot tell a
+   * complete response from one whose gateway was killed then. @default false
+   */
+  readonly endsWithConnection?: boolean;
   onAbandoned(listener: () => void): void;
   begin(head: ResponseHead): void;
   /** @returns false on backpressure; `onDrained` is called once it is over */
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -80,12 +80,12 @@
   constructor(private readonly options: CallRunOptions) {
     const { exchange, route } = options;
     this.service = options.service;
-    const { kind, retainsTurns: collectsOutput, isResumable } = route.route;
+    const { kind, retainsTurns: isKept, isResumable } = route.route;
     this.response =
       kind === 'streaming'
         ? new StreamRelay({
             exchange,
-            collectsOutput,
+            isKept,
             isResumable,
             onBegun: () => this.backend && options.streamVersion.noteBegun(this.backend),
           })
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -8,6 +8,7 @@
 import { EventSequence } from './event-sequence.js';
 import { EventSplitter, type StreamEvent, dataOfEvent } from './event-splitter.js';
 import type { ResponseSink } from './send-attempt.js';
+import { WholeResponseExchange } from './whole-response-exchange.js';
 
 const HTTP_OK = 200;
 const CONTENT_TYPE = 'content-type';
@@ -15,8 +16,11 @@
 
 export interface StreamRelayOptions {
   exchange: CallExchange;
-  /** Whether the event data is collected for later turns. */
-  collectsOutput: boolean;
+  /**
+   * Whether the turn is kept for later turns: the event data is collected, and the caller has the end of the response only
+   * with `end`, which follows the commit of the turn.
+   */
+  isKept: boolean;
   /** Whether another run may resume the stream. */
   isResumable: boolean;
   /** Called before the first event is relayed. */
@@ -41,7 +45,7 @@
   constructor(private readonly options: StreamRelayOptions) {
     this.lastEventId = options.exchange.description.lastEventId;
     this.sequence = options.isResumable ? new EventSequence(this.lastEventId) : undefined;
-    this.callerResponse = new CallerResponse(options.exchange);
+    this.callerResponse = new CallerResponse(callerSideOf(options));
   }
 
   get rejectionReason(): string | undefined {
@@ -133,19 +137,28 @@
     if (event.id !== undefined) this.lastEventId = event.id;
     if (!event.hasData) return;
     this.events += 1;
-    if (!this.options.collectsOutput) return;
+    if (!this.options.isKept) return;
     const data = dataOfEvent(event);
     this.output.push(data);
     this.outputBytes += data.length;
   }
 
-  /** Drops the Content-Length of a resumable stream, which covers one run only. */
+  /**
+   * Drops the Content-Length of a resumable stream, which covers one run only, and of a kept turn, whose last byte would
+   * tell the caller that the turn is complete before it is committed.
+   */
   private withoutLength(head: ResponseHead): ResponseHead {
-    if (!this.options.isResumable || head.status !== HTTP_OK) return head;
-    return { ...head, headers: withoutHeader(head.headers, CONTENT_LENGTH) };
+    const { isKept, isResumable } = this.options;
+    const mayState = head.status !== HTTP_OK || !(isKept || isResumable);
+    return mayState ? head : { ...head, headers: withoutHeader(head.headers, CONTENT_LENGTH) };
   }
 }
 
+/** Without chunks, only a length can tell the caller that a kept turn is complete, and it is known at the end. */
+function callerSideOf({ exchange, isKept }: StreamRelayOptions): CallExchange {
+  return isKept && exchange.endsWithConnection ? new WholeResponseExchange(exchange) : exchange;
+}
+
 /** Whether a run with this head can continue the stream. */
 function isContinuation(first: ResponseHead, head: ResponseHead): boolean {
   const typeOf = ({ headers }: ResponseHead): string | undefined =>
--- a/tests/support/strict-caller.ts
+++ b/tests/support/strict-caller.ts
@@ -96,6 +96,11 @@
     return parseResponse(this.bytes, this.end);
   }
 
+  /** How a caller takes the bytes received so far if the gateway is killed now: the kernel closes its connections orderly. */
+  get responseIfGatewayIsKilled(): StrictResponse {
+    return parseResponse(this.bytes, this.end === 'open' ? 'closed' : this.end);
+  }
+
   get hasEnded(): boolean {
     return this.end !== 'open';
   }
