A kept turn that its caller resumes is kept with the events before the cut

What callers saw: nothing. The caller had all events, the first ones by a gateway that was killed, the rest by another one; the model got the next turn with a history that lacked the first ones, without an error to anybody.

Cause: the events of one attempt were taken for the output of the turn, also when the attempt began with Last-Event-Id. On a route without allowResume the header was passed on as well, with the same effect.

Now another run of the call from its start, at the same software version and first at the same back end, generates the events up to Last-Event-Id again once the resumed stream has ended; it is stopped there, the turn is committed with all of them, and then the answer ends. If they can't be read, the answer is cut and nothing is kept. Where the route may not resume, the call is refused before it runs.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -15,7 +15,8 @@
   isFirstTurn,
   resumesStream,
 } from './call-exchange.js';
-import { type CallOutcome, CallRun } from './call-run.js';
+import { type CallOutcome, CallRun, type CallRunOptions } from './call-run.js';
+import { readEarlierEvents } from './earlier-events.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { ProgramAdmission, ledgerLoadOf } from './program-admission.js';
@@ -35,6 +36,7 @@
   RefusedError,
   type Reservation,
   TurnReservations,
+  isTurnToKeep,
   needsLedger,
 } from './turn-reservations.js';
 
@@ -84,6 +86,8 @@
   reservation?: Reservation;
   /** How long the end of the response was delayed until the turn was kept, in milliseconds. */
   keepMs?: number;
+  /** The part of it in which the events of an earlier attempt were read. */
+  earlierMs?: number;
 }
 
 /** An admitted call, whose tokens are not reserved yet. */
@@ -183,7 +187,7 @@
     const reservation = await this.turns.reserve(exchange, route.route, time, tenant?.name, stream);
     const streamVersion = this.versionOfStream(streamCall, stream, reservation);
     const body = withHistory(description.body, reservation?.history);
-    const run = new CallRun({
+    const runOptions: CallRunOptions = {
       exchange,
       route,
       service,
@@ -197,19 +201,41 @@
       protocol: this.options.protocol,
       streamVersion,
       requestPermit: () => this.requestPermit(call, body.length),
-    });
+    };
+    const run = new CallRun(runOptions);
     const ending = await run.run();
     const isModelCall = description.promptParts.length > 0;
     if (isModelCall && run.hasRun) this.options.sharedAdmission?.noteSent(description);
     if (tenant && !run.hasRun) this.options.quotas.giveBack(tenant.name);
     this.reportToAdmission(call, run, ending);
     const endedAt = monotonicMs();
-    const final = reservation
-      ? await this.turns.settle({ exchange, run, ending, route, reservation, deadlineMs })
-      : ending;
+    const earlierOutput = await this.readEarlierOutput(runOptions, run, ending);
+    const earlierMs = earlierOutput && monotonicMs() - endedAt;
+    const turn = { exchange, run, ending, route, deadlineMs, earlierOutput };
+    const final = reservation ? await this.turns.settle({ ...turn, reservation }) : ending;
     const keepMs = monotonicMs() - endedAt;
     this.finish(exchange, run, final);
-    this.record({ exchange, route, tenant, ending: final, run, reservation, keepMs });
+    this.record({ exchange, route, tenant, ending: final, run, reservation, keepMs, earlierMs });
+  }
+
+  /**
+   * The data of the events that the caller has from an earlier attempt, if the turn is to be kept.
+   * @returns undefined if there are none, or if they could not be read
+   */
+  private async readEarlierOutput(
+    options: CallRunOptions,
+    run: CallRun,
+    ending: CallOutcome,
+  ): Promise<Buffer | undefined> {
+    const { lastEventId } = options.exchange.description;
+    if (lastEventId === undefined || !isTurnToKeep({ run, ending, route: options.route }))
+      return undefined;
+    const output = await readEarlierEvents(
+      { ...options, firstBackend: run.lastBackend },
+      lastEventId,
+    );
+    this.options.metrics.noteEarlierEvents(output ? 'read' : 'missing');
+    return output;
   }
 
   /** @throws RefusedError, after the reservation is settled, if it is unknown at which version the stream may run */
@@ -355,6 +381,7 @@
     run,
     reservation,
     keepMs,
+    earlierMs,
     details,
   }: FinishedCall): void {
     const tookMs = monotonicMs() - exchange.arrivedAt;
@@ -371,6 +398,7 @@
       ms: Math.round(tookMs),
       firstMs: firstEventMs && Math.round(firstEventMs),
       ...describeReservation(exchange, reservation, keepMs),
+      earlierMs: earlierMs && Math.round(earlierMs),
       ...describeWait(run?.permit),
       most: exchange.description.mostTokens || undefined,
       previousTurn: exchange.description.previousTurn,
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -33,6 +33,8 @@
   placement: Placement;
   /** Id of the backend that probably has the prompt of the previous turns cached, if known. */
   promptHolder?: string;
+  /** The backend to send to first. @default placement selects it */
+  firstBackend?: BackendState;
   tenant?: string;
   /** Returns why the caller is no longer authorized, if so; called immediately before each attempt. */
   denial: () => RefusalReason | undefined;
@@ -67,7 +69,6 @@
   private readonly sentTo = new Set<string>();
   private pinnedPlacement: PlacementDecision | undefined;
   private attempt: SendAttempt | undefined;
-  /** Backend of the latest attempt. */
   private backend: BackendState | undefined;
   /** Latency model of the service, once the call was sent. */
   private model: LatencyModel | undefined;
@@ -78,8 +79,9 @@
   private isOverdue = false;
 
   constructor(private readonly options: CallRunOptions) {
-    const { exchange, route } = options;
+    const { exchange, route, firstBackend } = options;
     this.service = options.service;
+    if (firstBackend) this.pinnedPlacement = { backend: firstBackend, missingTokens: 0 };
     const { kind, retainsTurns: isKept, isResumable } = route.route;
     this.response =
       kind === 'streaming'
@@ -98,6 +100,11 @@
     return last?.result === 'complete' ? last : undefined;
   }
 
+  /** Backend of the latest attempt. */
+  get lastBackend(): BackendState | undefined {
+    return this.backend;
+  }
+
   /** Whether a backend may have executed the call. */
   get hasRun(): boolean {
     return this.mayHaveRun;
--- a/src/forwarding/forwarding-metrics.ts
+++ b/src/forwarding/forwarding-metrics.ts
@@ -12,6 +12,7 @@
   readonly reservation: Histogram;
   private readonly calls: Counter<'kind' | 'outcome'>;
   private readonly resumptions: Counter<'by' | 'outcome'>;
+  private readonly earlierEvents: Counter<'outcome'>;
   private readonly failedReservations: Counter<'step'>;
   private readonly allowanceTurns: Counter;
   private readonly duration: Histogram<'kind'>;
@@ -32,6 +33,12 @@
       labelNames: ['by', 'outcome'],
       registers,
     });
+    this.earlierEvents = new Counter({
+      name: 'ledgegauge_earlier_events_total',
+      help: 'Kept turns whose stream was resumed, by whether the events before were read again or are missing',
+      labelNames: ['outcome'],
+      registers,
+    });
     this.failedReservations = new Counter({
       name: 'ledgegauge_failed_reservations_total',
       help: 'Turns refused at a step of their reservation',
@@ -87,6 +94,10 @@
     this.allowanceTurns.inc();
   }
 
+  noteEarlierEvents(outcome: 'read' | 'missing'): void {
+    this.earlierEvents.inc({ outcome });
+  }
+
   noteResumption(by: 'caller' | 'gateway', outcome: string): void {
     this.resumptions.inc({ by, outcome });
   }
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -46,7 +46,12 @@
   reservedStream(call: StreamCall): ReservedStream | undefined {
     const { description, route, tenant } = call;
     const { resumedAttempt, lastEventId } = description;
-    if (!route.route.isResumable) return undefined;
+    if (!route.route.isResumable) {
+      // A kept turn would lack the events before that one, and may not run a second time for them.
+      if (route.route.retainsTurns && lastEventId !== undefined)
+        throw new RefusedError('unknown-stream');
+      return undefined;
+    }
     if (resumedAttempt !== undefined) {
       if (resumedAttempt.length > MAX_ATTEMPT_ID_LENGTH) throw new RefusedError('unknown-stream');
       return { kind: 'resume', attempt: scopedId(tenant, resumedAttempt) };
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -75,6 +75,8 @@
   reservation: Reservation;
   /** Deadline of the final response (monotonic, milliseconds). */
   deadlineMs: number;
+  /** Data of the events that the caller has from an earlier attempt, if it resumed the stream and they could be read. */
+  earlierOutput?: Buffer;
 }
 
 /** A call was refused before it was sent. */
@@ -100,6 +102,16 @@
   return program?.budgetTokens !== undefined || route.retainsTurns;
 }
 
+/** Whether a turn was answered by a stream that later turns may continue. */
+export function isTurnToKeep({
+  run,
+  ending,
+  route,
+}: Pick<FinishedTurn, 'run' | 'ending' | 'route'>): boolean {
+  if (!route.route.retainsTurns || ending.kind !== 'answered') return false;
+  return (run.response as StreamRelay).isStream;
+}
+
 export class TurnReservations {
   private readonly histories = new TurnHistoryCache();
 
@@ -154,14 +166,15 @@
    * @returns the outcome that may be reported to the caller
    */
   async settle(turn: FinishedTurn): Promise<CallOutcome> {
-    const { run, ending, route, reservation } = turn;
+    const { run, ending, reservation } = turn;
     const relay = run.response as StreamRelay;
     const spentTokens = relay.events * this.options.tokensPerEvent(run.serviceName);
     const settlement = this.settlementOf(reservation, spentTokens, placementOf(turn));
-    const isKept = route.route.retainsTurns && ending.kind === 'answered' && relay.isStream;
-    if (isKept) return this.keep(turn, settlement, relay.collectedOutput);
+    const mustKeep = isTurnToKeep(turn);
+    const output = mustKeep ? wholeOutputOf(turn, relay) : undefined;
+    if (output) return this.keep(turn, settlement, output);
     this.options.ledger.settleLater(settlement);
-    return ending;
+    return mustKeep ? this.brokenOff(turn, 'the events of an earlier attempt are missing') : ending;
   }
 
   /** Settles the reservation of a turn that is not sent. */
@@ -237,7 +250,7 @@
     settlement: Settlement,
     output: Buffer,
   ): Promise<CallOutcome> {
-    const { ledger, logger } = this.options;
+    const { ledger } = this.options;
     const { attempt, previousTurn, history } = reservation;
     const input = exchange.description.body;
     const keep = { previousTurn, input, output, retentionMs: route.route.retentionMs };
@@ -247,13 +260,27 @@
       this.histories.add(attempt, history, input, output, settlement.placement?.backend);
       return ending;
     } catch (error) {
-      const { id: call, program: context } = exchange.description;
-      const reason = describeError(error);
-      logger.warn('turn not kept', { call, program: context?.id, reason });
       ledger.settleLater(settlement);
-      return { kind: 'broken-off' };
+      return this.brokenOff({ exchange }, describeError(error));
     }
   }
+
+  /** The outcome of a turn that was answered but cannot be kept. */
+  private brokenOff({ exchange }: Pick<FinishedTurn, 'exchange'>, reason: string): CallOutcome {
+    const { id: call, program: context } = exchange.description;
+    this.options.logger.warn('turn not kept', { call, program: context?.id, reason });
+    return { kind: exchange.isAbandoned ? 'abandoned' : 'broken-off' };
+  }
+}
+
+/** @returns undefined if the turn resumed a stream whose earlier events are missing */
+function wholeOutputOf(
+  { exchange, earlierOutput }: FinishedTurn,
+  relay: StreamRelay,
+): Buffer | undefined {
+  const output = relay.collectedOutput;
+  if (exchange.description.lastEventId === undefined) return output;
+  return earlierOutput && Buffer.concat([earlierOutput, output]);
 }
 
 /** What the program's next turn may need from the ledger; undefined if the program has no budget. */
