A full store of kept turns no longer stops the ledger

What callers saw: after a burst of long inputs every kept turn got 503, long after the load, and over a restart of all journals.

Cause: the applier waited before each batch until the store had room for unwritten values. Values go when turns expire, and turns expire when commands are applied. Once live values had reached the store's quota nothing was written, so the wait had no end and nothing was applied that could have ended it. The wait didn't bound memory either: values come with log entries, before these are applied.

Now a committed command needs no room. The leader takes it when it accepts: reservations of turns that will be kept are refused from 0.85 of the quota on, before the turn runs (no-room, 503 with Retry-After), values of answered turns from 0.9 on (the answer is cut). A refusal advances the replicated clock, since turns expire only with commands; its piggybacked settlements are committed. Gateways ask for room for some seconds after a refusal also where an allowance covers the tokens. A leader whose disk is full refuses at once instead of waiting.

--- a/src/consensus/applier.ts
+++ b/src/consensus/applier.ts
@@ -167,8 +167,6 @@
         await this.wake.wait();
         continue;
       }
-      const { external } = this.stateMachine;
-      if (external) await external.waitForRoom();
       this.applyBatch();
       this.applied.notify();
       this.makeSnapshotIfDue();
--- a/src/consensus/state-machine.ts
+++ b/src/consensus/state-machine.ts
@@ -5,7 +5,8 @@
 export interface StateMachine {
   /**
    * Applies one committed command. Must be deterministic: the result may depend only on the state
-   * and the command.
+   * and the command. Must not need room that may be lacking: whoever accepts a command takes the room, since only
+   * further commands may free it.
    */
   apply(command: Uint8Array, index: number): unknown;
 
@@ -24,9 +25,6 @@
 
 /** Data on the local disk that the state refers to and that is not part of snapshots. */
 export interface ExternalState {
-  /** Resolves when there is enough memory for the data of further commands. */
-  waitForRoom(): Promise<void>;
-
   /**
    * Makes all data durable that the state refers to at the time of the call.
    * @throws StorageFullError if the disk is full
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -78,6 +78,7 @@
   | 'not-ready'
   | 'ledger-unavailable'
   | 'history-missing'
+  | 'no-room'
   | 'no-backend'
   | 'no-backend-of-version'
   | 'overloaded'
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -6,6 +6,7 @@
   type NextTurn,
   NotReservedError,
   ReservationTrace,
+  type ReserveOutcome,
   type ReservedStream,
   type Settlement,
   type TurnPlacement,
@@ -38,12 +39,14 @@
   typicalMs: number;
 }
 
-/** Ids of a turn at the ledger. */
-interface TurnIds {
+/** A turn as the ledger knows it. */
+interface ReservedTurn {
   attempt: string;
   program: string;
   /** The turn that it continues, if turns are kept. */
   previousTurn: string | undefined;
+  /** Size of its input, in bytes, if turns are kept. */
+  keptInputBytes: number | undefined;
   /** The stream that it begins or resumes, if the ledger has to know it. */
   stream: ReservedStream | undefined;
 }
@@ -94,6 +97,8 @@
   }
 }
 
+/** Retry delay while the ledger has no room, in milliseconds; it gets room as kept turns expire, some of them each second. */
+const NO_ROOM_RETRY_MS = 1_000;
 /** Minimum time for keeping a turn, even past the call's deadline, in milliseconds. */
 const MIN_KEEP_TIMEOUT_MS = 300;
 
@@ -135,13 +140,14 @@
     const usesLedger = needsLedger(exchange.description, route) || stream?.kind === 'resume';
     if (route.kind !== 'streaming' || !usesLedger) return undefined;
     const call = exchange.description.id!;
-    const turn: TurnIds = {
+    const turn: ReservedTurn = {
       attempt: scopedId(tenant, call),
       program: scopedId(tenant, program?.id ?? call),
       previousTurn:
         route.retainsTurns && previousTurn !== undefined
           ? scopedId(tenant, previousTurn)
           : undefined,
+      keptInputBytes: route.retainsTurns ? exchange.description.body.length : undefined,
       stream,
     };
     const trace = new ReservationTrace();
@@ -194,7 +200,7 @@
 
   private async requestReservation(
     { description }: CallExchange,
-    { attempt, program, previousTurn, stream }: TurnIds,
+    { attempt, program, previousTurn, keptInputBytes, stream }: ReservedTurn,
     { deadlineMs, typicalMs }: TurnTime,
     trace: ReservationTrace,
   ): Promise<Reservation> {
@@ -210,17 +216,17 @@
       session: description.program?.session,
       stream,
       wantsHistory: cachedHistory === undefined,
+      keptInputBytes,
     };
     const usefulMs = deadlineMs - startedAt - typicalMs;
     // A cached history was read from the ledger or committed, so the previous turn is valid.
     const requiresHistory = previousTurn !== undefined && cachedHistory === undefined;
-    const requiresLedger = requiresHistory || stream?.kind === 'resume';
+    const requiresRoom = keptInputBytes !== undefined && this.options.ledger.mayLackRoom;
+    const requiresLedger = requiresHistory || requiresRoom || stream?.kind === 'resume';
     const answer = await this.options.ledger.reserve(request, usefulMs, !requiresLedger, trace);
     const tookMs = monotonicMs() - startedAt;
     this.options.metrics.reservation.observe(tookMs / 1_000);
-    if (answer.outcome !== 'granted') {
-      throw new RefusedError(answer.outcome, undefined, describeTrace(trace));
-    }
+    if (answer.outcome !== 'granted') throw refusalByLedger(answer.outcome, trace);
     const history = cachedHistory ?? answer.history;
     if (previousTurn !== undefined && !history) {
       trace.failedStep = 'read-history';
@@ -283,6 +289,14 @@
   return earlierOutput && Buffer.concat([earlierOutput, output]);
 }
 
+function refusalByLedger(
+  outcome: Exclude<ReserveOutcome, 'granted'>,
+  trace: ReservationTrace,
+): RefusedError {
+  const retryAfterMs = outcome === 'no-room' ? NO_ROOM_RETRY_MS : undefined;
+  return new RefusedError(outcome, retryAfterMs, describeTrace(trace));
+}
+
 /** What the program's next turn may need from the ledger; undefined if the program has no budget. */
 function nextTurnOf({ description }: CallExchange): NextTurn | undefined {
   const { program, mostTokens } = description;
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -20,6 +20,7 @@
   MaybeReservedError,
   NotReservedError,
   StreamNotRecordedError,
+  TurnNotKeptError,
 } from './ledger-errors.js';
 import { OutageEstimator } from './outage-estimator.js';
 import type { AllowanceRenewal, Settlement } from './ledger-commands.js';
@@ -60,6 +61,8 @@
 const RESERVE_ATTEMPT_TIMEOUT_MS = 250;
 /** Timeout of a reservation for a turn that an allowance covers, in milliseconds. */
 const COVERED_RESERVE_TIMEOUT_MS = 200;
+/** After a turn without room, turns that an allowance covers ask for room for this time, in milliseconds. */
+const ROOM_SUSPECT_MS = 2_000;
 /** After a failed reservation, covered turns skip the ledger for this time, in milliseconds. */
 const LEADER_SUSPECT_MS = 400;
 
@@ -88,6 +91,7 @@
   /** The leader's refusal of the latest completed request, if it refused it. */
   private latestRefusal: LeaderRefusal | undefined;
   private leaderSuspectUntil = 0;
+  private roomSuspectUntil = 0;
 
   /**
    * @param holder identifies this process incarnation as the holder of its allowances
@@ -127,6 +131,11 @@
     return this.delay.currentMs;
   }
 
+  /** Whether the leader has recently had no room for a turn. */
+  get mayLackRoom(): boolean {
+    return monotonicMs() < this.roomSuspectUntil;
+  }
+
   /** Number of settlements waiting for delivery. */
   get queuedSettlements(): number {
     return this.queue.size;
@@ -162,6 +171,7 @@
     try {
       const response = await this.reservations.reserve(request, limitMs, trace);
       this.leaderSuspectUntil = 0;
+      if (response.outcome === 'no-room') this.noteNoRoom();
       return response;
     } catch (error) {
       // The leader did respond.
@@ -172,6 +182,10 @@
     }
   }
 
+  private noteNoRoom(): void {
+    this.roomSuspectUntil = monotonicMs() + ROOM_SUSPECT_MS;
+  }
+
   private get isCutOff(): boolean {
     return this.cutOff?.isCutOff ?? false;
   }
@@ -202,6 +216,7 @@
    * Resolves once the settlement is committed.
    * @param nextTurn budget and maximum tokens of the program's next turns, for which an allowance is asked
    * @throws GroupUnavailableError when it may not be committed
+   * @throws TurnNotKeptError when it is committed without the turn
    */
   async settle(finished: Settlement, timeoutMs: number, nextTurn?: NextTurn): Promise<void> {
     const deadlineMs = monotonicMs() + timeoutMs;
@@ -216,9 +231,11 @@
       const limits = { timeoutMs: remainingMs, tryTimeoutMs: SETTLE_ATTEMPT_TIMEOUT_MS };
       const copiedTo = this.copies?.send(settlement);
       const canCopy = this.copies !== undefined && attempts < MAX_SETTLE_ATTEMPTS;
-      const request = { settlements: [settlement], copiedTo, canCopy };
+      const request = { settlements: [settlement], copiedTo, canCopy, readsNotKept: true };
       const response = await this.call(SETTLE, request, limits);
       if (response.copyTargets) this.copies?.updateTargets(response.copyTargets);
+      if (response.notKept === 'no-room') this.noteNoRoom();
+      if (response.notKept) throw new TurnNotKeptError(response.notKept);
       ({ isSettled, allowanceTokens } = response);
     }
     if (draw) this.allowances.confirm(program);
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -95,13 +95,18 @@
   | 'budget-exhausted'
   | 'unknown-predecessor'
   /** No version is recorded for the stream that the call resumes. */
-  | 'unknown-stream';
+  | 'unknown-stream'
+  /** The ledger has no room for the turn; nothing was reserved. */
+  | 'no-room';
 
 export interface SettleResult {
   /** Allowance of the holder that asked for a renewal; absent if none did. */
   allowanceTokens?: number;
 }
 
+/** Why a turn was settled without being kept. */
+export type NotKeptReason = 'no-room';
+
 export interface ReserveResult {
   outcome: ReserveOutcome;
   /** Tokens that the holder may spend for the program while the ledger is unreachable. */
--- a/src/ledger/ledger-errors.ts
+++ b/src/ledger/ledger-errors.ts
@@ -1,6 +1,7 @@
 /** Errors of reservations. */
 import { LedgegaugeError } from '../common/index.js';
 import { GroupUnavailableError } from '../consensus/index.js';
+import type { NotKeptReason } from './ledger-commands.js';
 import { LEDGER_GROUP, type MissingHistory, RESERVE, SETTLE } from './messages.js';
 
 /** Minimum delay before a turn with a missing history is retried, in milliseconds. */
@@ -29,6 +30,13 @@
   }
 }
 
+/** The turn is settled, but the ledger does not keep it. */
+export class TurnNotKeptError extends LedgegaugeError {
+  constructor(reason: NotKeptReason) {
+    super(`the turn is not kept: ${reason}`, { ...CONTEXT, step: SETTLE.name, retriable: false });
+  }
+}
+
 /** The turn is reserved, but its history is not available in time. */
 export class HistoryMissingError extends LedgegaugeError {
   /** @param comeBackMs delay after which a retry may succeed, in milliseconds */
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -40,6 +40,8 @@
 const MAX_HISTORY_SOURCES = 2;
 /** How long a read waits until the entry that adds its turn is applied, in milliseconds. */
 const APPLY_TIMEOUT_MS = 200;
+/** Lag of the replicated clock from which on a refusal for lack of room advances it, in milliseconds. */
+const MAX_CLOCK_LAG_MS = 1_000;
 
 export interface LedgerServiceOptions {
   peers: PeerNotifier;
@@ -49,7 +51,7 @@
   isUnderMemoryPressure: () => boolean;
 }
 
-/** The process refused a reservation because of memory pressure. */
+/** The process refused a request because it lacks memory or room. */
 export class LedgerOverloadedError extends LedgegaugeError {}
 
 export class LedgerService {
@@ -58,6 +60,8 @@
   private nextSource = 0;
   /** Bytes of kept turns sent as histories, and to members that fetched turns. */
   readonly sentBytes = { histories: 0, turns: 0 };
+  /** Turns refused for lack of room before they ran, and turns that were answered and not kept. */
+  readonly withoutRoom = { refused: 0, notKept: 0 };
 
   constructor(private readonly options: LedgerServiceOptions) {}
 
@@ -133,7 +137,14 @@
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveResponse> {
     if (this.options.isUnderMemoryPressure()) throw overloadedError();
-    const { wantsHistory, mayReadElsewhere, copyTargets: knownVersion, ...reservation } = request;
+    const { keptInputBytes, ...withoutRoom } = request;
+    if (!this.hasRoomForTurn(keptInputBytes)) return this.refuseWithoutRoom(group, request);
+    const {
+      wantsHistory,
+      mayReadElsewhere,
+      copyTargets: knownVersion,
+      ...reservation
+    } = withoutRoom;
     const command: LedgerCommand = { kind: 'reserve', ...reservation, nowMs: this.nowMs(group) };
     const reserved = (await group.propose(encodeValue(command))) as ReserveResult;
     const targets = copyTargetsOf(group);
@@ -149,13 +160,54 @@
     return { ...result, history, missingHistory };
   }
 
-  private async settle(
+  private hasRoomForTurn(keptInputBytes: number | undefined): boolean {
+    if (keptInputBytes === undefined) return true;
+    return this.options.stateMachine.external.hasRoomForNewTurn(keptInputBytes);
+  }
+
+  /**
+   * Refuses a reservation before its turn runs in vain. Its settlements are committed all the same, and the leader's clock
+   * with them: kept turns expire, which makes room, only with commands.
+   */
+  private async refuseWithoutRoom(
+    group: ReplicatedGroup,
+    { settlements = [] }: ReserveRequest,
+  ): Promise<ReserveResponse> {
+    this.withoutRoom.refused += 1;
+    if (settlements.length > 0 || this.isClockBehind(group)) {
+      const command: LedgerCommand = { kind: 'settle', settlements, nowMs: this.nowMs(group) };
+      await group.propose(encodeValue(command));
+    }
+    return { outcome: 'no-room', allowanceTokens: 0, delayMs: delayOf(group) };
+  }
+
+  private isClockBehind(group: ReplicatedGroup): boolean {
+    return this.nowMs(group) - this.options.stateMachine.clockMs > MAX_CLOCK_LAG_MS;
+  }
+
+  private async settle(group: ReplicatedGroup, request: SettleRequest): Promise<SettleResponse> {
+    const values = inlineValuesOf(request.settlements);
+    if (this.hasRoomForValues(values)) return this.settleAndKeep(group, request, values);
+    this.withoutRoom.notKept += 1;
+    if (!request.readsNotKept) throw noRoomError();
+    const settlements = request.settlements.map(withoutKeep);
+    const response = await this.settleAndKeep(group, { ...request, settlements }, new Map());
+    return { ...response, notKept: 'no-room' };
+  }
+
+  private hasRoomForValues(values: ReadonlyMap<string, Buffer>): boolean {
+    if (values.size === 0) return true;
+    const bytes = [...values.values()].reduce((sum, { length }) => sum + length, 0);
+    return this.options.stateMachine.external.hasRoomForValues(bytes);
+  }
+
+  private async settleAndKeep(
     group: ReplicatedGroup,
     { settlements: inlineSettlements, streams, copiedTo, canCopy }: SettleRequest,
+    values: ReadonlyMap<string, Buffer>,
   ): Promise<SettleResponse> {
     const targets = copyTargetsOf(group);
     const isCopied = copiedTo === targets.version;
-    const values = inlineValuesOf(inlineSettlements);
     // If the leader sent the copies for all gateways after an election, they would saturate its link.
     if (!isCopied && canCopy && values.size > 0) return { isSettled: false, copyTargets: targets };
     if (!isCopied) this.sendCopies(values, targets.addresses);
@@ -220,6 +272,10 @@
   return { ...settlement, keep: { previousTurn, retentionMs } };
 }
 
+function withoutKeep({ keep: _, ...settlement }: Settlement): Settlement {
+  return settlement;
+}
+
 function copyTargetsOf(group: ReplicatedGroup): CopyTargets {
   const { configuration, ownId, term } = group;
   const followers = votersOf(configuration).filter(({ id }) => id !== ownId);
@@ -234,6 +290,13 @@
   return Math.round(commandDelay.meanMs);
 }
 
+function noRoomError(): LedgerOverloadedError {
+  return new LedgerOverloadedError('no room for the values of kept turns', {
+    step: 'ledger.settle',
+    retriable: true,
+  });
+}
+
 function overloadedError(): LedgerOverloadedError {
   return new LedgerOverloadedError('reservation refused: memory limit reached', {
     step: 'ledger.reserve',
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -2,6 +2,7 @@
 import type { LeaderAnswer } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
 import type {
+  NotKeptReason,
   ReserveCommand,
   ReserveResult,
   SettleCommand,
@@ -17,6 +18,8 @@
   mayReadElsewhere?: boolean;
   /** Version of the copy targets that the gateway knows. */
   copyTargets?: string;
+  /** Size of the turn's input, in bytes, if the turn is to be kept; absent in requests of earlier releases. */
+  keptInputBytes?: number;
 }
 
 /** The followers with a vote, to which a gateway sends copies of the values of kept turns. */
@@ -67,6 +70,8 @@
   copiedTo?: string;
   /** Whether the gateway can send the values to the followers itself. */
   canCopy?: boolean;
+  /** Whether the gateway reads `notKept` from the response; absent in requests of earlier releases. */
+  readsNotKept?: boolean;
 }
 
 export interface SettleResponse extends SettleResult, LeaderStatus {
@@ -76,6 +81,8 @@
   recordedStreams?: number;
   /** Present if the gateway did not send the values to the current targets. */
   copyTargets?: CopyTargets;
+  /** Present if the settlements are committed, but their turns are not kept. */
+  notKept?: NotKeptReason;
 }
 
 /** Requests values of kept turns from a member. */
--- a/src/ledger/turn-history-store.ts
+++ b/src/ledger/turn-history-store.ts
@@ -40,6 +40,13 @@
  */
 const MAX_UNREFERENCED_BYTES = 4 * 1024 * 1024;
 
+/**
+ * Shares of the value store's quota up to which the leader accepts new turns, and the values of answered ones. The rest is
+ * for turns in progress and for other members, which may hold values that the leader has deleted already.
+ */
+const NEW_TURNS_SHARE = 0.85;
+const KEPT_TURNS_SHARE = 0.9;
+
 const LOG_INTERVAL_MS = 1_000;
 /** Placeholder for the value of an expired turn. */
 const EMPTY_VALUE = Buffer.alloc(0);
@@ -80,8 +87,14 @@
     this.deletions = new ExpiredValueDeletions(options.turns);
   }
 
-  waitForRoom(): Promise<void> {
-    return this.options.values.waitForRoom();
+  /** Whether the leader may accept a turn that will be kept with an input of this size. */
+  hasRoomForNewTurn(inputBytes: number): boolean {
+    return this.options.values.hasRoomFor(inputBytes, NEW_TURNS_SHARE);
+  }
+
+  /** Whether the leader may accept the values of turns that have been answered. */
+  hasRoomForValues(bytes: number): boolean {
+    return this.options.values.hasRoomFor(bytes, KEPT_TURNS_SHARE);
   }
 
   sync(): Promise<void> {
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -142,7 +142,9 @@
     add('_written_bytes', 'Bytes written so far', () => values.counters.writtenBytes);
     add('_moved_bytes', 'Bytes of them that were moved', () => values.counters.movedBytes);
     add('_damaged', 'Values found damaged', () => values.counters.damaged);
-    const { sentBytes } = this.service;
+    const { sentBytes, withoutRoom } = this.service;
+    add('_refused_without_room', 'Turns refused before they ran', () => withoutRoom.refused);
+    add('_lost_without_room', 'Turns answered and not kept', () => withoutRoom.notKept);
     add('_sent_history_bytes', 'Bytes sent with reservations', () => sentBytes.histories);
     add('_sent_turn_bytes', 'Bytes sent to readers of turns', () => sentBytes.turns);
     return registry;
--- a/src/value-store/value-store.ts
+++ b/src/value-store/value-store.ts
@@ -167,6 +167,18 @@
     for (const key of this.locations.keys()) if (!isLive(key)) this.delete(key);
   }
 
+  /**
+   * Whether values may be accepted that take a share of the quota at most, together with all live and unwritten ones. A
+   * full disk does not count: until it has room, values wait in memory.
+   * @param bytes size of the values
+   * @param share of the quota
+   */
+  hasRoomFor(bytes: number, share: number): boolean {
+    // Compaction needs room for the moved records, which are smaller than a segment.
+    const limit = (this.quotaBytes - this.segmentBytes) * share;
+    return this.diskBytes.live + this.pending.bytes + bytes <= limit;
+  }
+
   /**
    * Resolves once all values put before are durable.
    * @throws DiskFullError when the disk or the quota is full
@@ -183,9 +195,15 @@
     await this.files.sync();
   }
 
-  /** Applies backpressure: resolves once the unwritten values are below the limit. */
+  /**
+   * Applies backpressure: resolves once the unwritten values are below the limit.
+   * @throws DiskFullError when the disk or the quota is full, since that may last
+   */
   async waitForRoom(): Promise<void> {
-    while (this.pending.bytes > this.maxPendingBytes && !this.isClosing) await this.progress.wait();
+    while (this.pending.bytes > this.maxPendingBytes && !this.isClosing) {
+      if (this.isFull) throw this.fullError();
+      await this.progress.wait();
+    }
   }
 
   /** Closes the store after the current write. Values that are still pending are not written. */
--- a/tests/support/memory-values.ts
+++ b/tests/support/memory-values.ts
@@ -3,6 +3,8 @@
 
 export class MemoryValues implements TurnValueStore {
   readonly values = new Map<string, Buffer>();
+  /** Whether further values may be accepted. */
+  hasRoom = true;
 
   has(key: string): boolean {
     return this.values.has(key);
@@ -27,4 +29,8 @@
   async sync(): Promise<void> {}
 
   async waitForRoom(): Promise<void> {}
+
+  hasRoomFor(): boolean {
+    return this.hasRoom;
+  }
 }
