A reservation keeps the turn that it continues until the new turn is kept

Cause: a reservation checked that the previous turn is kept and did nothing to keep it. A turn that an allowance and a cached history cover wasn't even checked.

Now a reservation extends the retention of the previous turn and its chain until the new turn may be kept (holdMs); a settlement whose predecessor is gone keeps nothing and says so (notKept), and the gateway cuts the answer; a cached history stands for a reservation only while the retention lasts beyond the call's deadline.

It follows from the commands' clock alone now.

--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -147,6 +147,15 @@
     turns.ledger.isUp = true;
   });
 
+  it('is refused if the previous turn may expire before it ends, although it is cached', async () => {
+    const turns = new KeptTurns({ ...ROUTE, retentionMs: ROUTE.timeoutMs - 1 });
+    await (
+      await turns.run('a')
+    ).settled;
+    turns.ledger.isUp = false;
+    await expect(turns.run('b', 'a')).rejects.toBeInstanceOf(RefusedError);
+  });
+
   it('is refused if the previous turn is not cached', async () => {
     const turns = new KeptTurns();
     await (
@@ -157,6 +166,19 @@
   });
 });
 
+describe('a turn that the ledger settles without keeping it', () => {
+  it('is broken off at once', async () => {
+    const turns = new KeptTurns();
+    turns.ledger.notKept = 'unknown-predecessor';
+    const startedAt = monotonicMs();
+    const { settled } = await turns.run('a');
+    expect(await settled).toEqual({ kind: 'broken-off' });
+    expect(monotonicMs() - startedAt).toBeLessThan(ROUTE.timeoutMs / 2);
+    turns.ledger.isUp = false;
+    await expect(turns.run('b', 'a')).rejects.toBeInstanceOf(RefusedError);
+  });
+});
+
 describe('a turn for which the ledger has no room', () => {
   it('is refused before it runs, with a retry delay', async () => {
     const turns = new KeptTurns();
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -1,6 +1,7 @@
 /** Reserves a turn's tokens at the ledger before it is sent, and settles the reservation afterwards. */
 import { describeError, monotonicMs } from '../common/index.js';
 import {
+  type CachedTurn,
   HistoryMissingError,
   type LedgerClient,
   type NextTurn,
@@ -200,47 +201,47 @@
 
   private async requestReservation(
     { description }: CallExchange,
-    { attempt, program, previousTurn, keptInputBytes, stream }: ReservedTurn,
+    turn: ReservedTurn,
     { deadlineMs, typicalMs }: TurnTime,
     trace: ReservationTrace,
   ): Promise<Reservation> {
+    const { attempt, program, previousTurn } = turn;
     const startedAt = monotonicMs();
-    const cachedHistory =
-      previousTurn === undefined ? undefined : this.histories.find(previousTurn);
+    const cached = previousTurn === undefined ? undefined : this.histories.find(previousTurn);
     const request = {
-      program,
-      attempt,
+      ...turn,
       budgetTokens: description.program?.budgetTokens,
       mostTokens: description.mostTokens,
-      previousTurn,
       session: description.program?.session,
-      stream,
-      wantsHistory: cachedHistory === undefined,
-      keptInputBytes,
+      wantsHistory: cached === undefined,
+      holdMs: Math.max(0, deadlineMs - startedAt) + MIN_KEEP_TIMEOUT_MS,
     };
     const usefulMs = deadlineMs - startedAt - typicalMs;
-    // A cached history was read from the ledger or committed, so the previous turn is valid.
-    const requiresHistory = previousTurn !== undefined && cachedHistory === undefined;
-    const requiresRoom = keptInputBytes !== undefined && this.options.ledger.mayLackRoom;
-    const requiresLedger = requiresHistory || requiresRoom || stream?.kind === 'resume';
-    const answer = await this.options.ledger.reserve(request, usefulMs, !requiresLedger, trace);
+    const mayUseAllowance = !this.requiresLedger(turn, cached, deadlineMs);
+    const answer = await this.options.ledger.reserve(request, usefulMs, mayUseAllowance, trace);
     const tookMs = monotonicMs() - startedAt;
     this.options.metrics.reservation.observe(tookMs / 1_000);
     if (answer.outcome !== 'granted') throw refusalByLedger(answer.outcome, trace);
-    const history = cachedHistory ?? answer.history;
-    if (previousTurn !== undefined && !history) {
-      trace.failedStep = 'read-history';
-      throw new HistoryMissingError('the ledger returned no history');
-    }
+    const history = cached?.history ?? answer.history;
+    if (previousTurn !== undefined && !history) throw noHistoryError(trace);
     const { allowanceTaken, streamVersion } = answer;
     if (allowanceTaken !== undefined) this.options.metrics.noteAllowanceTurn();
-    const lastBackend = answer.lastBackend ?? this.backendOf(previousTurn);
+    const lastBackend = answer.lastBackend ?? cached?.backend;
     const granted = { allowanceTaken, lastBackend, streamVersion };
     return { program, attempt, previousTurn, history, tookMs, trace, ...granted };
   }
 
-  private backendOf(turn: string | undefined): string | undefined {
-    return turn === undefined ? undefined : this.histories.findBackend(turn);
+  /** Whether the turn may begin only with an answer of the ledger, even if an allowance covers its tokens. */
+  private requiresLedger(
+    { previousTurn, keptInputBytes, stream }: ReservedTurn,
+    cached: CachedTurn | undefined,
+    deadlineMs: number,
+  ): boolean {
+    if (stream?.kind === 'resume') return true;
+    if (keptInputBytes !== undefined && this.options.ledger.mayLackRoom) return true;
+    if (previousTurn === undefined) return false;
+    // Later, only a reservation keeps the previous turn until this one is kept as well.
+    return cached === undefined || cached.keptUntilMs < deadlineMs;
   }
 
   private refusalOf(error: unknown, trace: ReservationTrace): RefusedError {
@@ -259,11 +260,15 @@
     const { ledger } = this.options;
     const { attempt, previousTurn, history } = reservation;
     const input = exchange.description.body;
-    const keep = { previousTurn, input, output, retentionMs: route.route.retentionMs };
-    const timeoutMs = Math.max(MIN_KEEP_TIMEOUT_MS, deadlineMs - monotonicMs());
+    const { retentionMs } = route.route;
+    const keep = { previousTurn, input, output, retentionMs };
+    const startedAt = monotonicMs();
+    const timeoutMs = Math.max(MIN_KEEP_TIMEOUT_MS, deadlineMs - startedAt);
     try {
       await ledger.settle({ ...settlement, keep }, timeoutMs, nextTurnOf(exchange));
-      this.histories.add(attempt, history, input, output, settlement.placement?.backend);
+      const { backend } = settlement.placement ?? {};
+      const keptUntilMs = startedAt + retentionMs;
+      this.histories.add(attempt, { before: history, input, output, backend, keptUntilMs });
       return ending;
     } catch (error) {
       ledger.settleLater(settlement);
@@ -289,6 +294,11 @@
   return earlierOutput && Buffer.concat([earlierOutput, output]);
 }
 
+function noHistoryError(trace: ReservationTrace): HistoryMissingError {
+  trace.failedStep = 'read-history';
+  return new HistoryMissingError('the ledger returned no history');
+}
+
 function refusalByLedger(
   outcome: Exclude<ReserveOutcome, 'granted'>,
   trace: ReservationTrace,
--- a/src/ledger/history-cache.ts
+++ b/src/ledger/history-cache.ts
@@ -6,9 +6,21 @@
 
 const DEFAULT_MAX_BYTES = 24 * 1024 * 1024;
 
-interface CachedTurn {
+/** A turn with the history up to and including it. */
+export interface CachedTurn {
   history: Buffer;
+  /** The backend that answered it, if known. */
   backend: string | undefined;
+  /** Until then the ledger keeps the turn for certain (monotonic, milliseconds). */
+  keptUntilMs: number;
+}
+
+/** A turn that this process served. */
+export interface ServedTurn extends Omit<CachedTurn, 'history'> {
+  /** History of the turn that it continued; undefined if it was a first turn. */
+  before: Uint8Array | undefined;
+  input: Buffer;
+  output: Buffer;
 }
 
 export class TurnHistoryCache {
@@ -22,28 +34,14 @@
     });
   }
 
-  /** Returns the history up to and including a turn, if it is cached. */
-  find(turn: string): Buffer | undefined {
-    return this.turns.get(turn)?.history;
-  }
-
-  /** Returns the backend that answered a turn, if it is cached and known. */
-  findBackend(turn: string): string | undefined {
-    return this.turns.get(turn)?.backend;
+  /** Returns a turn, if it is cached. */
+  find(turn: string): CachedTurn | undefined {
+    return this.turns.get(turn);
   }
 
-  /**
-   * Caches the history up to and including a turn.
-   * @param backend the backend that answered the turn
-   */
-  add(
-    turn: string,
-    before: Uint8Array | undefined,
-    input: Buffer,
-    output: Buffer,
-    backend?: string,
-  ): void {
+  /** Caches the history up to and including a turn. */
+  add(turn: string, { before, input, output, ...cached }: ServedTurn): void {
     const parts = before === undefined ? [input, output] : [before, input, output];
-    this.turns.set(turn, { history: Buffer.concat(parts), backend });
+    this.turns.set(turn, { ...cached, history: Buffer.concat(parts) });
   }
 }
--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -1,6 +1,6 @@
 /** The ledger: token budgets of programs, and kept turns that later turns can continue. */
 export * from './ledger-commands.js';
-export { TurnHistoryCache } from './history-cache.js';
+export { type CachedTurn, TurnHistoryCache } from './history-cache.js';
 export { LedgerClient, type NextTurn } from './ledger-client.js';
 export { HistoryMissingError, NotReservedError } from './ledger-errors.js';
 export {
--- a/src/ledger/kept-turn-index.ts
+++ b/src/ledger/kept-turn-index.ts
@@ -35,6 +35,15 @@
     return this.turns.size;
   }
 
+  /**
+   * Whether a turn is kept at a time of the replicated clock. Unlike the moments at which expired turns are removed, this
+   * does not depend on when a member has restored a snapshot.
+   */
+  isKeptAt(id: string, nowMs: number): boolean {
+    const turn = this.turns.get(id);
+    return turn !== undefined && turn.expiresAtMs >= nowMs;
+  }
+
   has(id: string): boolean {
     return this.turns.has(id);
   }
@@ -52,7 +61,8 @@
   }
 
   /**
-   * Adds a turn and extends the retention of its whole chain to at least that of the turn.
+   * Adds a turn and extends the retention of its whole chain to at least that of the turn. The turn that it continues must
+   * be kept.
    * @param keptAtIndex log index of the entry that adds the turn
    */
   keep(id: string, turn: KeptTurn | KeptTurnReference, nowMs: number, keptAtIndex = 0): void {
@@ -65,6 +75,12 @@
     this.extendChain(previousTurn, expiresAtMs);
   }
 
+  /** Ends the wait for the entry at a log index, which refers to a turn that it does not add. */
+  dropUnkept(id: string, index: number): void {
+    this.unreferenced.markApplied(id, index);
+    if (!this.isNeeded(id)) this.values.delete(id);
+  }
+
   /** Ids of a turn and its predecessors, oldest first; undefined if one of them is not kept. */
   chain(id: string): string[] | undefined {
     const ids: string[] = [];
@@ -143,7 +159,8 @@
     return !this.hasExpired(id) || this.expired.holds(id);
   }
 
-  private extendChain(id: string | undefined, expiresAtMs: number): void {
+  /** Keeps a turn and its predecessors at least until a time. */
+  extendChain(id: string | undefined, expiresAtMs: number): void {
     let next = id;
     while (next !== undefined) {
       const turn = this.turns.get(next);
--- a/src/ledger/ledger-commands.ts
+++ b/src/ledger/ledger-commands.ts
@@ -14,6 +14,11 @@
   mostTokens: number;
   /** Id of the turn that this turn continues. */
   previousTurn?: string;
+  /**
+   * Time until the turn may be kept, for which the turn that it continues is kept as well, in milliseconds. Absent in
+   * commands of earlier releases.
+   */
+  holdMs?: number;
   /** Gateway incarnation that can be granted an allowance. */
   holder?: string;
   /**
@@ -102,10 +107,15 @@
 export interface SettleResult {
   /** Allowance of the holder that asked for a renewal; absent if none did. */
   allowanceTokens?: number;
+  /** Present if a settlement's turn is not kept. */
+  notKept?: NotKeptReason;
 }
 
 /** Why a turn was settled without being kept. */
-export type NotKeptReason = 'no-room';
+export type NotKeptReason =
+  | 'no-room'
+  /** The turn that it continues is not kept any more. */
+  | 'unknown-predecessor';
 
 export interface ReserveResult {
   outcome: ReserveOutcome;
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -11,6 +11,7 @@
 import { MEMBER_CONTACT_TIMEOUT_MS, readHistoryAsLeader } from './leader-history.js';
 import {
   type LedgerCommand,
+  type NotKeptReason,
   type ReserveResult,
   type Settlement,
   type SettleResult,
@@ -189,7 +190,7 @@
     const values = inlineValuesOf(request.settlements);
     if (this.hasRoomForValues(values)) return this.settleAndKeep(group, request, values);
     this.withoutRoom.notKept += 1;
-    if (!request.readsNotKept) throw noRoomError();
+    if (!request.readsNotKept) throw notKeptError('no-room');
     const settlements = request.settlements.map(withoutKeep);
     const response = await this.settleAndKeep(group, { ...request, settlements }, new Map());
     return { ...response, notKept: 'no-room' };
@@ -203,7 +204,7 @@
 
   private async settleAndKeep(
     group: ReplicatedGroup,
-    { settlements: inlineSettlements, streams, copiedTo, canCopy }: SettleRequest,
+    { settlements: inlineSettlements, streams, copiedTo, canCopy, readsNotKept }: SettleRequest,
     values: ReadonlyMap<string, Buffer>,
   ): Promise<SettleResponse> {
     const targets = copyTargetsOf(group);
@@ -217,6 +218,7 @@
     await this.options.stateMachine.external.storeValues(values);
     const attachments = [...values.values()];
     const result = (await group.propose(encodeValue(command), attachments)) as SettleResult;
+    if (result.notKept && !readsNotKept) throw notKeptError(result.notKept);
     const recordedStreams = streams?.length;
     const copyTargets = isCopied ? undefined : targets;
     return { ...result, delayMs: delayOf(group), isSettled: true, recordedStreams, copyTargets };
@@ -290,8 +292,9 @@
   return Math.round(commandDelay.meanMs);
 }
 
-function noRoomError(): LedgerOverloadedError {
-  return new LedgerOverloadedError('no room for the values of kept turns', {
+/** For gateways that do not read from the response that a turn is not kept. */
+function notKeptError(reason: NotKeptReason): LedgerOverloadedError {
+  return new LedgerOverloadedError(`a turn is not kept: ${reason}`, {
     step: 'ledger.settle',
     retriable: true,
   });
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -5,7 +5,10 @@
 import { decodeFrames, decodeValue, encodeFrame } from '../wire/index.js';
 import { type EncodedTurn, KeptTurnIndex } from './kept-turn-index.js';
 import {
+  type KeptTurn,
+  type KeptTurnReference,
   type LedgerCommand,
+  type NotKeptReason,
   type ReserveCommand,
   type ReserveResult,
   type SettleCommand,
@@ -106,8 +109,7 @@
   private reserve(command: ReserveCommand): ReserveResult {
     const { previousTurn, program, session, stream } = command;
     for (const settlement of command.settlements ?? []) this.settle(settlement);
-    const isKnown = previousTurn === undefined || this.turns.has(previousTurn);
-    if (!isKnown) return { outcome: 'unknown-predecessor', allowanceTokens: 0 };
+    if (!this.isKept(previousTurn)) return { outcome: 'unknown-predecessor', allowanceTokens: 0 };
     const isResumable =
       stream?.kind !== 'resume' || this.streams.find(stream.attempt) !== undefined;
     if (!isResumable) return { outcome: 'unknown-stream', allowanceTokens: 0 };
@@ -115,6 +117,7 @@
     if (!this.budgets.reserve(command))
       return { outcome: 'budget-exhausted', allowanceTokens: 0, lastBackend };
     const allowanceTokens = this.budgets.grantAllowance(command);
+    this.turns.extendChain(previousTurn, this.clock + (command.holdMs ?? 0));
     const streamVersion = this.streamVersionOf(command);
     return { outcome: 'granted', allowanceTokens, lastBackend, streamVersion };
   }
@@ -132,20 +135,38 @@
 
   private settleAll(command: SettleCommand): SettleResult {
     let allowanceTokens: number | undefined;
+    let notKept: NotKeptReason | undefined;
     for (const settlement of command.settlements) {
-      this.settle(settlement);
+      notKept = this.settle(settlement) ?? notKept;
       const { program, renewal } = settlement;
       if (renewal) allowanceTokens = this.budgets.grantAllowance({ program, ...renewal });
     }
     for (const stream of command.streams ?? []) this.streams.replace(stream, this.clock);
-    return { allowanceTokens };
+    return { allowanceTokens, notKept };
   }
 
-  private settle(settlement: Settlement): void {
+  /** @returns why the settlement's turn is not kept, if so */
+  private settle(settlement: Settlement): NotKeptReason | undefined {
     const { program, attempt, keep, placement } = settlement;
     this.budgets.settle(settlement, this.clock);
-    if (keep) this.turns.keep(attempt, keep, this.clock, this.index);
     if (placement) this.placements.record(program, placement, this.clock);
+    return keep && this.keep(attempt, keep);
+  }
+
+  /** A turn is kept only with its whole chain. A repeated settlement finds the turn kept already. */
+  private keep(turn: string, keep: KeptTurn | KeptTurnReference): NotKeptReason | undefined {
+    const isRepeated = this.turns.has(turn);
+    if (isRepeated || this.isKept(keep.previousTurn)) {
+      this.turns.keep(turn, keep, this.clock, this.index);
+      return undefined;
+    }
+    this.turns.dropUnkept(turn, this.index);
+    return 'unknown-predecessor';
+  }
+
+  private isKept(turn: string | undefined | null): boolean {
+    if (turn === undefined || turn === null) return true;
+    return this.turns.isKeptAt(turn, this.clock - EXPIRY_GRACE_MS);
   }
 
   private sweep(): void {
--- a/src/ledger/ledger.test.ts
+++ b/src/ledger/ledger.test.ts
@@ -369,11 +369,15 @@
 describe('history cache', () => {
   it('extends cached histories and evicts the oldest beyond its limit', () => {
     const cache = new TurnHistoryCache(12);
-    cache.add('a', undefined, Buffer.from('i'), Buffer.from('o'));
-    cache.add('b', cache.find('a'), Buffer.from('j'), Buffer.from('p'));
-    expect(cache.find('b')?.toString()).toBe('iojp');
-    cache.add('c', undefined, Buffer.from('12345'), Buffer.from('67890'));
+    const add = (turn: string, before: Buffer | undefined, input: string, output: string): void => {
+      const texts = { input: Buffer.from(input), output: Buffer.from(output) };
+      cache.add(turn, { before, ...texts, backend: 'e', keptUntilMs: 1 });
+    };
+    add('a', undefined, 'i', 'o');
+    add('b', cache.find('a')?.history, 'j', 'p');
+    expect(cache.find('b')?.history.toString()).toBe('iojp');
+    add('c', undefined, '12345', '67890');
     expect(cache.find('a')).toBeUndefined();
-    expect(cache.find('c')?.toString()).toBe('1234567890');
+    expect(cache.find('c')?.history.toString()).toBe('1234567890');
   });
 });
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -2,7 +2,6 @@
 import type { LeaderAnswer } from '../consensus/index.js';
 import { defineMethod } from '../wire/index.js';
 import type {
-  NotKeptReason,
   ReserveCommand,
   ReserveResult,
   SettleCommand,
@@ -81,8 +80,6 @@
   recordedStreams?: number;
   /** Present if the gateway did not send the values to the current targets. */
   copyTargets?: CopyTargets;
-  /** Present if the settlements are committed, but their turns are not kept. */
-  notKept?: NotKeptReason;
 }
 
 /** Requests values of kept turns from a member. */
