Members that were killed in the first start found their group when they are back

What operators saw: all control processes killed at once in the first second came back with their disks, and no configuration was acknowledged any more, for good.

Cause: only the first start of the system may found the group, and that permission was a property of the process, by its settings. Those that were killed before they had founded the group came back without it, and nobody else has it.

Now the data folder remembers it: an identity made in the first start records the members that were to found the group. They may found it later if a majority of exactly these has such a folder and is new, and all of them answer. No group can have committed anything then, since a founder saves its new state before it takes part. An empty disk that comes later has no such record.

--- a/src/control/cluster-formation.ts
+++ b/src/control/cluster-formation.ts
@@ -2,6 +2,10 @@
  * Cluster discovery for a member with an empty data folder. It probes all configured members. If any of them belongs
  * to a cluster, this member joins it as a new member; only if all of them respond that they are new do they bootstrap
  * a cluster together. A member that lost its disk can therefore never bootstrap a second cluster.
+ *
+ * Where only the first start of the system may bootstrap, the data folders remember it, since all processes may be killed
+ * during it. No cluster can have committed anything while a majority of its founders has a folder of the first start and is
+ * new: a founder saves its new state before it takes part in the cluster.
  */
 import { type Logger } from '../observability/index.js';
 import { sleep } from '../common/index.js';
@@ -13,8 +17,12 @@
   memberId: string;
   state: IdentityState;
   founders: Member[];
+  firstSeeds?: readonly string[];
 }
 
+/** `always`: together with all other members if they are new; `first-start`: only at the first start of the system. */
+export type BootstrapPermission = 'always' | 'first-start' | 'never';
+
 export const PROBE = defineMethod<Record<string, never>, ProbeResponse>('cluster.probe');
 
 const PROBE_TIMEOUT_MS = 500;
@@ -34,14 +42,14 @@
   peers: PeerCaller;
   logger: Logger;
   signal: AbortSignal;
-  /** Whether this process may bootstrap a cluster, rather than only join one. @default true */
-  canBootstrap?: boolean;
+  /** Whether this process may bootstrap a cluster, rather than only join one. @default always */
+  mayBootstrap?: BootstrapPermission;
 }
 
 export function registerProbe(router: MethodRouter, identity: IdentityStore): void {
   router.handle(PROBE, () => {
-    const { memberId, state, founders } = identity.identity;
-    return { memberId, state, founders };
+    const { memberId, state, founders, firstSeeds } = identity.identity;
+    return { memberId, state, founders, firstSeeds };
   });
 }
 
@@ -50,10 +58,9 @@
   const { identity, logger, signal } = options;
   while (identity.identity.state === 'new' && !signal.aborted) {
     const responses = await probeOthers(options);
-    const canBootstrap = options.canBootstrap ?? true;
     const founders =
       findExistingFounders(responses) ??
-      (canBootstrap ? proposeFounders(options, responses) : undefined);
+      (mayFound(options, responses) ? proposeFounders(options, responses) : undefined);
     if (!founders) {
       await sleep(PROBE_INTERVAL_MS, signal);
       continue;
@@ -78,6 +85,22 @@
   );
 }
 
+function mayFound(
+  { identity, members, mayBootstrap = 'always' }: ClusterFormationOptions,
+  responses: (ProbeResponse | undefined)[],
+): boolean {
+  if (mayBootstrap !== 'first-start') return mayBootstrap === 'always';
+  const addresses = members.map(({ address }) => address);
+  const fromFirstStart = [identity.identity, ...responses].filter((found) =>
+    hasSameElements(found?.firstSeeds ?? [], addresses),
+  );
+  return fromFirstStart.length > members.length / 2;
+}
+
+function hasSameElements(left: readonly string[], right: readonly string[]): boolean {
+  return [...left].sort().join() === [...right].sort().join();
+}
+
 function findExistingFounders(responses: (ProbeResponse | undefined)[]): Member[] | undefined {
   return responses.find(
     (response) => response && response.state !== 'new' && response.founders.length > 0,
--- a/src/control/identity.ts
+++ b/src/control/identity.ts
@@ -30,6 +30,8 @@
   state: IdentityState;
   /** The members that founded the cluster, once known. */
   founders: Member[];
+  /** Addresses of the members that were to found the cluster, if the folder was created at the first start of the system. */
+  firstSeeds?: readonly string[];
 }
 
 export class IdentityStore {
@@ -38,7 +40,12 @@
     private current: Identity,
   ) {}
 
-  static async open(folder: string, name: string): Promise<IdentityStore> {
+  /** @param firstSeeds recorded if the folder has no identity yet; undefined unless this is the first start of the system */
+  static async open(
+    folder: string,
+    name: string,
+    firstSeeds?: readonly string[],
+  ): Promise<IdentityStore> {
     await makeFolder(folder);
     const bytes = await readFileIfPresent(join(folder, IDENTITY_FILE));
     if (bytes) {
@@ -47,7 +54,7 @@
       return new IdentityStore(folder, JSON.parse(bytes.toString('utf8')) as Identity);
     }
     const memberId = `${name}-${randomBytes(ID_BYTES).toString('hex')}`;
-    const store = new IdentityStore(folder, { memberId, state: 'new', founders: [] });
+    const store = new IdentityStore(folder, { memberId, state: 'new', founders: [], firstSeeds });
     await store.save(store.current);
     return store;
   }
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -110,7 +110,7 @@
       peers,
       logger: this.hooks.logger,
       signal,
-      canBootstrap: settings.isFirstStart && controlSeeds.includes(internalAddress),
+      mayBootstrap: controlSeeds.includes(internalAddress) ? 'first-start' : 'never',
     });
     if (signal.aborted) return;
     if (identity.identity.state === 'founding') {
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -68,7 +68,9 @@
   static async open(options: GroupMemberOptions): Promise<GroupMemberProcess> {
     const { settings, logger, onFatal } = options;
     const folder = settings.dataFolder!;
-    const identity = await IdentityStore.open(folder, settings.name);
+    const { controlSeeds, isFirstStart } = settings;
+    const firstSeeds = isFirstStart ? controlSeeds : undefined;
+    const identity = await IdentityStore.open(folder, settings.name, firstSeeds);
     const wal = await WriteAheadLog.open({
       folder: join(folder, 'log'),
       segmentBytes: SEGMENT_BYTES,
