--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -9,28 +9,15 @@
 import type { PermitGate, PermitRequest } from '../waiting/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendView } from './backend-view.js';
-import {
-  type CallExchange,
-  type RefusalReason,
-  isFirstTurn,
-  resumesStream,
-} from './call-exchange.js';
+import { type CallExchange, type RefusalReason, isFirstTurn } from './call-exchange.js';
 import { type CallOutcome, CallRun, type CallRunOptions } from './call-run.js';
 import { readEarlierEvents } from './earlier-events.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { ProgramAdmission, ledgerLoadOf } from './program-admission.js';
-import {
-  describeProgram,
-  describeReservation,
-  describeSends,
-  describeStream,
-  describeWait,
-  slowdownOf,
-} from './call-log.js';
+import { CallRecorder } from './call-recorder.js';
 import { StallDetector } from './stall-detector.js';
 import { ResumableStreams, type StreamCall } from './resumable-streams.js';
-import { StreamRelay } from './stream-relay.js';
 import type { StreamVersion } from './stream-version.js';
 import {
   RefusedError,
@@ -73,23 +60,6 @@
 /** Jitter of retry delays, as a fraction of the delay. */
 const RETRY_JITTER = 0.5;
 
-/** A finished call, for the log. */
-interface FinishedCall {
-  exchange: CallExchange;
-  route: CompiledRoute | undefined;
-  tenant?: Tenant;
-  ending: CallOutcome;
-  /** Details of a refusal. */
-  details?: LogFields;
-  /** Absent if the call was refused before it was sent. */
-  run?: CallRun;
-  reservation?: Reservation;
-  /** How long the end of the response was delayed until the turn was kept, in milliseconds. */
-  keepMs?: number;
-  /** The part of it in which the events of an earlier attempt were read. */
-  earlierMs?: number;
-}
-
 /** An admitted call, whose tokens are not reserved yet. */
 interface AdmittedCall {
   exchange: CallExchange;
@@ -105,9 +75,12 @@
   private readonly streams: ResumableStreams;
   private readonly stallGuard: StallDetector;
   private readonly admission = new ProgramAdmission();
+  private readonly recorder: CallRecorder;
 
   constructor(private readonly options: CallForwarderOptions) {
     const { ledger, logger, metrics, backends, placement } = options;
+    const gatewayState = this.gatewayState.bind(this);
+    this.recorder = new CallRecorder({ logger, metrics, gatewayState });
     this.streams = new ResumableStreams({ backends, placement, ledger });
     this.stallGuard = new StallDetector({ logger });
     this.turns = new TurnReservations({
@@ -124,7 +97,8 @@
     try {
       await this.stallGuard.waitAfterStall();
       route = this.findRoute(exchange);
-      if (exchange.isAbandoned) this.record({ exchange, route, ending: { kind: 'abandoned' } });
+      if (exchange.isAbandoned)
+        this.recorder.record({ exchange, route, ending: { kind: 'abandoned' } });
       else await this.forward(exchange, route);
     } catch (error) {
       if (!(error instanceof RefusedError)) throw error;
@@ -215,7 +189,16 @@
     const final = reservation ? await this.turns.settle({ ...turn, reservation }) : ending;
     const keepMs = monotonicMs() - endedAt;
     this.finish(exchange, run, final);
-    this.record({ exchange, route, tenant, ending: final, run, reservation, keepMs, earlierMs });
+    this.recorder.record({
+      exchange,
+      route,
+      tenant,
+      ending: final,
+      run,
+      reservation,
+      keepMs,
+      earlierMs,
+    });
   }
 
   /**
@@ -341,7 +324,7 @@
     { reason, retryAfterMs, details }: RefusedError,
   ): void {
     this.refuse(exchange, reason, retryAfterMs);
-    this.record({ exchange, route, ending: { kind: 'refused', reason }, details });
+    this.recorder.record({ exchange, route, ending: { kind: 'refused', reason }, details });
   }
 
   /** Sends the final response to the caller. */
@@ -373,55 +356,6 @@
     exchange.refuse({ reason, retryAfterMs: Math.max(minimumMs, expectedMs) * jitter });
   }
 
-  private record({
-    exchange,
-    route,
-    tenant,
-    ending,
-    run,
-    reservation,
-    keepMs,
-    earlierMs,
-    details,
-  }: FinishedCall): void {
-    const tookMs = monotonicMs() - exchange.arrivedAt;
-    const firstEventMs = firstEventOf(exchange, run);
-    const outcome = ending.kind === 'refused' ? ending.reason : ending.kind;
-    this.options.metrics.noteCall(route?.route.kind, outcome, tookMs, firstEventMs);
-    this.noteResumptions(exchange, run, outcome);
-    const fields: LogFields = {
-      call: exchange.description.id,
-      route: route?.route.name,
-      tenant: tenant?.name,
-      outcome,
-      status: run?.response.status,
-      ms: Math.round(tookMs),
-      firstMs: firstEventMs && Math.round(firstEventMs),
-      ...describeReservation(exchange, reservation, keepMs),
-      earlierMs: earlierMs && Math.round(earlierMs),
-      ...describeWait(run?.permit),
-      most: exchange.description.mostTokens || undefined,
-      previousTurn: exchange.description.previousTurn,
-      sends: run && describeSends(run),
-      ...describeStream(exchange.description, run),
-      slowdown: run && slowdownOf(run),
-      ...describeProgram(exchange.description.program),
-      ...details,
-    };
-    if (ending.kind === 'answered') this.options.logger.info('call', fields);
-    else this.options.logger.warn('call', { ...fields, ...this.gatewayState(route) });
-  }
-
-  private noteResumptions(
-    { description }: CallExchange,
-    run: CallRun | undefined,
-    outcome: string,
-  ): void {
-    const { metrics } = this.options;
-    if (resumesStream(description)) metrics.noteResumption('caller', outcome);
-    if (run?.wasResumed) metrics.noteResumption('gateway', outcome);
-  }
-
   /** Admission limits of the route's services, as fractions of their capacity. */
   private admissionLimitsOf({ route }: CompiledRoute): string {
     return route.parts.map(({ service }) => this.admission.limitOf(service).toFixed(2)).join(',');
@@ -451,12 +385,6 @@
   return ending.reason === 'time-limit' || ending.reason === 'time-limit-before-start';
 }
 
-function firstEventOf(exchange: CallExchange, run: CallRun | undefined): number | undefined {
-  if (!(run?.response instanceof StreamRelay)) return undefined;
-  const { firstEventAt } = run.response;
-  return firstEventAt === undefined ? undefined : firstEventAt - exchange.arrivedAt;
-}
-
 function withHistory(body: Buffer, history: Uint8Array | undefined): Buffer {
   return history && history.length > 0 ? Buffer.concat([history, body]) : body;
 }
--- /dev/null
+++ b/src/forwarding/call-recorder.ts
@@ -0,0 +1,107 @@
+/** Counts finished calls and writes their log lines. */
+import { monotonicMs } from '../common/index.js';
+import type { LogFields, Logger } from '../observability/index.js';
+import type { CompiledRoute, Tenant } from '../routes/index.js';
+import { type CallExchange, resumesStream } from './call-exchange.js';
+import {
+  describeProgram,
+  describeReservation,
+  describeSends,
+  describeStream,
+  describeWait,
+  slowdownOf,
+} from './call-log.js';
+import type { CallOutcome, CallRun } from './call-run.js';
+import type { ForwardingMetrics } from './forwarding-metrics.js';
+import { StreamRelay } from './stream-relay.js';
+import type { Reservation } from './turn-reservations.js';
+
+/** A finished call. */
+export interface FinishedCall {
+  exchange: CallExchange;
+  /** Undefined if none was found. */
+  route: CompiledRoute | undefined;
+  tenant?: Tenant;
+  ending: CallOutcome;
+  /** Details of a refusal. */
+  details?: LogFields;
+  /** Absent if the call was refused before it was sent. */
+  run?: CallRun;
+  reservation?: Reservation;
+  /** How long the end of the response was delayed until the turn was kept, in milliseconds. */
+  keepMs?: number;
+  /** The part of it in which the events of an earlier attempt were read. */
+  earlierMs?: number;
+}
+
+export interface CallRecorderOptions {
+  logger: Logger;
+  metrics: ForwardingMetrics;
+  /** State of this gateway at the time of a failed call. */
+  gatewayState: (route: CompiledRoute | undefined) => LogFields;
+}
+
+export class CallRecorder {
+  constructor(private readonly options: CallRecorderOptions) {}
+
+  record(call: FinishedCall): void {
+    const { exchange, route, ending, run } = call;
+    const { logger, metrics, gatewayState } = this.options;
+    const tookMs = monotonicMs() - exchange.arrivedAt;
+    const firstEventMs = firstEventOf(exchange, run);
+    const outcome = ending.kind === 'refused' ? ending.reason : ending.kind;
+    metrics.noteCall(route?.route.kind, outcome, tookMs, firstEventMs);
+    this.noteResumptions(exchange, run, outcome);
+    const fields = fieldsOf(call, {
+      outcome,
+      status: run?.response.status,
+      ms: Math.round(tookMs),
+      firstMs: rounded(firstEventMs),
+    });
+    if (ending.kind === 'answered') logger.info('call', fields);
+    else logger.warn('call', { ...fields, ...gatewayState(route) });
+  }
+
+  private noteResumptions(
+    { description }: CallExchange,
+    run: CallRun | undefined,
+    outcome: string,
+  ): void {
+    const { metrics } = this.options;
+    if (resumesStream(description)) metrics.noteResumption('caller', outcome);
+    if (run?.wasResumed) metrics.noteResumption('gateway', outcome);
+  }
+}
+
+function fieldsOf(
+  { exchange, route, tenant, run, reservation, keepMs, earlierMs, details }: FinishedCall,
+  end: LogFields,
+): LogFields {
+  const { description } = exchange;
+  return {
+    call: description.id,
+    route: route?.route.name,
+    tenant: tenant?.name,
+    ...end,
+    ...describeReservation(exchange, reservation, keepMs),
+    earlierMs: rounded(earlierMs),
+    ...describeWait(run?.permit),
+    most: description.mostTokens || undefined,
+    previousTurn: description.previousTurn,
+    sends: run && describeSends(run),
+    ...describeStream(description, run),
+    slowdown: run && slowdownOf(run),
+    ...describeProgram(description.program),
+    ...details,
+  };
+}
+
+function firstEventOf(exchange: CallExchange, run: CallRun | undefined): number | undefined {
+  if (!(run?.response instanceof StreamRelay)) return undefined;
+  const { firstEventAt } = run.response;
+  return firstEventAt === undefined ? undefined : firstEventAt - exchange.arrivedAt;
+}
+
+function rounded(ms: number | undefined): number | undefined {
+  return ms && Math.round(ms);
+}
