Without room, first turns are refused before turns that continue others

A ledger that is nearly full of kept turns refused all turns alike, so that begun programs failed as often as new ones. First turns are refused from 0.85 of the quota on, later ones from 0.9 on, values of answered turns from 0.95 on.

--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -12,6 +12,7 @@
 import {
   type LedgerCommand,
   type NotKeptReason,
+  type ReserveCommand,
   type ReserveResult,
   type Settlement,
   type SettleResult,
@@ -138,15 +139,10 @@
 
   private async reserve(group: ReplicatedGroup, request: ReserveRequest): Promise<ReserveResponse> {
     if (this.options.isUnderMemoryPressure()) throw overloadedError();
-    const { keptInputBytes, ...withoutRoom } = request;
-    if (!this.hasRoomForTurn(keptInputBytes)) return this.refuseWithoutRoom(group, request);
-    const {
-      wantsHistory,
-      mayReadElsewhere,
-      copyTargets: knownVersion,
-      ...reservation
-    } = withoutRoom;
-    const command: LedgerCommand = { kind: 'reserve', ...reservation, nowMs: this.nowMs(group) };
+    if (!this.hasRoomForTurn(request)) return this.refuseWithoutRoom(group, request);
+    const { wantsHistory, mayReadElsewhere, copyTargets: knownVersion } = request;
+    const nowMs = this.nowMs(group);
+    const command: LedgerCommand = { kind: 'reserve', ...replicatedPartOf(request), nowMs };
     const reserved = (await group.propose(encodeValue(command))) as ReserveResult;
     const targets = copyTargetsOf(group);
     const copyTargets = targets.version === knownVersion ? undefined : targets;
@@ -161,9 +157,10 @@
     return { ...result, history, missingHistory };
   }
 
-  private hasRoomForTurn(keptInputBytes: number | undefined): boolean {
+  private hasRoomForTurn({ keptInputBytes, previousTurn }: ReserveRequest): boolean {
     if (keptInputBytes === undefined) return true;
-    return this.options.stateMachine.external.hasRoomForNewTurn(keptInputBytes);
+    const { external } = this.options.stateMachine;
+    return external.hasRoomForTurn(keptInputBytes, previousTurn === undefined);
   }
 
   /**
@@ -274,6 +271,17 @@
   return { ...settlement, keep: { previousTurn, retentionMs } };
 }
 
+/** A reservation without what concerns only its leader. */
+function replicatedPartOf({
+  wantsHistory: _wantsHistory,
+  mayReadElsewhere: _mayReadElsewhere,
+  copyTargets: _copyTargets,
+  keptInputBytes: _keptInputBytes,
+  ...reservation
+}: ReserveRequest): Omit<ReserveCommand, 'kind' | 'nowMs'> {
+  return reservation;
+}
+
 function withoutKeep({ keep: _, ...settlement }: Settlement): Settlement {
   return settlement;
 }
--- a/src/ledger/standstill-without-room.test.ts
+++ b/src/ledger/standstill-without-room.test.ts
@@ -90,26 +90,47 @@
   it('refuses turns that would be kept, and no others', async () => {
     const ledger = await LedgerCluster.start();
     const client = ledger.createClient('gateway');
-    ledger.setRoom(false);
+    ledger.setUsedShare(1);
     const turn = { program: 'p', attempt: 'a', mostTokens: 10, wantsHistory: false };
     const refused = await client.reserve({ ...turn, keptInputBytes: 100 }, LIMIT_MS, false);
     expect(refused.outcome).toBe('no-room');
     expect(ledger.leaderState.budgets.committedTokens('p')).toBe(0);
     const other = await client.reserve({ ...turn, attempt: 'b' }, LIMIT_MS, false);
     expect(other.outcome).toBe('granted');
-    ledger.setRoom(true);
+    ledger.setUsedShare(0);
     const later = { ...turn, attempt: 'c', keptInputBytes: 100 };
     expect((await client.reserve(later, LIMIT_MS, false)).outcome).toBe('granted');
   });
 
+  it('refuses first turns before turns that continue others, and these before it keeps none', async () => {
+    const ledger = await LedgerCluster.start();
+    const client = ledger.createClient('gateway');
+    await client.settle(KEPT_TURN, LIMIT_MS);
+    const outcomesAt = async (share: number): Promise<string[]> => {
+      ledger.setUsedShare(share);
+      const { previousTurn, ...first } = { ...NEXT_TURN, keptInputBytes: 100 };
+      const turns = [
+        { ...first, attempt: `first-${share}` },
+        { ...first, attempt: `later-${share}`, previousTurn },
+      ];
+      const answers = turns.map((turn) => client.reserve(turn, LIMIT_MS, false));
+      return (await Promise.all(answers)).map(({ outcome }) => outcome);
+    };
+    expect(await outcomesAt(0.84)).toEqual(['granted', 'granted']);
+    expect(await outcomesAt(0.87)).toEqual(['no-room', 'granted']);
+    expect(await outcomesAt(0.92)).toEqual(['no-room', 'no-room']);
+    await client.settle({ ...KEPT_TURN, attempt: 'answered' }, LIMIT_MS);
+    expect(ledger.leaderState.turns.has('answered')).toBe(true);
+  });
+
   it('settles a turn that was answered without keeping it, and says so', async () => {
     const ledger = await LedgerCluster.start();
     const client = ledger.createClient('gateway');
-    ledger.setRoom(false);
+    ledger.setUsedShare(1);
     const settled = client.settle(KEPT_TURN, LIMIT_MS);
     await expect(settled).rejects.toBeInstanceOf(TurnNotKeptError);
     expect(ledger.leaderState.budgets.committedTokens('p')).toBe(KEPT_TURN.spentTokens);
-    ledger.setRoom(true);
+    ledger.setUsedShare(0);
     const next = await client.reserve(NEXT_TURN, LIMIT_MS, false);
     expect(next.outcome).toBe('unknown-predecessor');
   });
@@ -120,7 +141,7 @@
     const turn = { program: 'p', mostTokens: 10, wantsHistory: false, keptInputBytes: 100 };
     await client.reserve({ ...turn, attempt: 'a' }, LIMIT_MS, false);
     const before = ledger.leaderState.clockMs;
-    ledger.setRoom(false);
+    ledger.setUsedShare(1);
     await sleep(CLOCK_LAG_MS);
     await client.reserve({ ...turn, attempt: 'b' }, LIMIT_MS, false);
     expect(ledger.leaderState.clockMs).toBeGreaterThanOrEqual(before + 1_000);
@@ -131,7 +152,7 @@
     const client = ledger.createClient('gateway');
     const turn = { program: 'p', mostTokens: 10, wantsHistory: false, keptInputBytes: 100 };
     await client.reserve({ ...turn, attempt: 'a' }, LIMIT_MS, false);
-    ledger.setRoom(false);
+    ledger.setUsedShare(1);
     client.settleLater({ program: 'p', attempt: 'a', spentTokens: 4 });
     await client.reserve({ ...turn, attempt: 'b' }, LIMIT_MS, false);
     await waitUntil('settled', () => ledger.leaderState.budgets.committedTokens('p') === 4);
--- a/src/ledger/turn-history-store.ts
+++ b/src/ledger/turn-history-store.ts
@@ -41,11 +41,13 @@
 const MAX_UNREFERENCED_BYTES = 4 * 1024 * 1024;
 
 /**
- * Shares of the value store's quota up to which the leader accepts new turns, and the values of answered ones. The rest is
- * for turns in progress and for other members, which may hold values that the leader has deleted already.
+ * Shares of the value store's quota up to which the leader accepts first turns, turns that continue others, so that begun
+ * programs come first, and the values of answered turns. The rest is for other members, which may hold values that the
+ * leader has deleted already.
  */
-const NEW_TURNS_SHARE = 0.85;
-const KEPT_TURNS_SHARE = 0.9;
+const FIRST_TURNS_SHARE = 0.85;
+const LATER_TURNS_SHARE = 0.9;
+const ANSWERED_TURNS_SHARE = 0.95;
 
 const LOG_INTERVAL_MS = 1_000;
 /** Placeholder for the value of an expired turn. */
@@ -88,13 +90,14 @@
   }
 
   /** Whether the leader may accept a turn that will be kept with an input of this size. */
-  hasRoomForNewTurn(inputBytes: number): boolean {
-    return this.options.values.hasRoomFor(inputBytes, NEW_TURNS_SHARE);
+  hasRoomForTurn(inputBytes: number, isFirst: boolean): boolean {
+    const share = isFirst ? FIRST_TURNS_SHARE : LATER_TURNS_SHARE;
+    return this.options.values.hasRoomFor(inputBytes, share);
   }
 
   /** Whether the leader may accept the values of turns that have been answered. */
   hasRoomForValues(bytes: number): boolean {
-    return this.options.values.hasRoomFor(bytes, KEPT_TURNS_SHARE);
+    return this.options.values.hasRoomFor(bytes, ANSWERED_TURNS_SHARE);
   }
 
   sync(): Promise<void> {
--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -197,9 +197,9 @@
     return replacement.id;
   }
 
-  /** Sets whether the members have room for further values. */
-  setRoom(hasRoom: boolean): void {
-    for (const { machine } of this.members) machine.values.hasRoom = hasRoom;
+  /** Sets the share of the room for values that is used up at each member. */
+  setUsedShare(share: number): void {
+    for (const { machine } of this.members) machine.values.usedShare = share;
   }
 
   /** The state of the leader. */
--- a/tests/support/memory-values.ts
+++ b/tests/support/memory-values.ts
@@ -3,8 +3,8 @@
 
 export class MemoryValues implements TurnValueStore {
   readonly values = new Map<string, Buffer>();
-  /** Whether further values may be accepted. */
-  hasRoom = true;
+  /** Share of the quota that is used up. */
+  usedShare = 0;
 
   has(key: string): boolean {
     return this.values.has(key);
@@ -30,7 +30,7 @@
 
   async waitForRoom(): Promise<void> {}
 
-  hasRoomFor(): boolean {
-    return this.hasRoom;
+  hasRoomFor(_bytes: number, share: number): boolean {
+    return this.usedShare < share;
   }
 }
