The run that reads a resumed turn's earlier events goes to no leaving back end

It was sent to the back end of the resumed stream without a look at whether that one still accepts calls, and could reach it long after its leaving was acknowledged. Found at the reading of the diff. It goes there only while the back end serves; elsewhere otherwise.

--- a/src/control/cluster-formation.ts
+++ b/src/control/cluster-formation.ts
@@ -17,6 +17,7 @@
   memberId: string;
   state: IdentityState;
   founders: Member[];
+  /** See `Identity`. */
   firstSeeds?: readonly string[];
 }
 
@@ -85,6 +86,7 @@
   );
 }
 
+/** Whether this member may found a cluster if all others answer that they are new. */
 function mayFound(
   { identity, members, mayBootstrap = 'always' }: ClusterFormationOptions,
   responses: (ProbeResponse | undefined)[],
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -33,7 +33,7 @@
   placement: Placement;
   /** Id of the backend that probably has the prompt of the previous turns cached, if known. */
   promptHolder?: string;
-  /** The backend to send to first. @default placement selects it */
+  /** The backend to send to first, if it accepts calls. @default placement selects it */
   firstBackend?: BackendState;
   tenant?: string;
   /** Returns why the caller is no longer authorized, if so; called immediately before each attempt. */
@@ -79,9 +79,8 @@
   private isOverdue = false;
 
   constructor(private readonly options: CallRunOptions) {
-    const { exchange, route, firstBackend } = options;
+    const { exchange, route } = options;
     this.service = options.service;
-    if (firstBackend) this.pinnedPlacement = { backend: firstBackend, missingTokens: 0 };
     const { kind, retainsTurns: isKept, isResumable } = route.route;
     this.response =
       kind === 'streaming'
@@ -163,7 +162,12 @@
   private selectBackend(): PlacementDecision | undefined {
     if (this.pinnedPlacement) return this.pinnedPlacement;
     if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
-    return this.placeAmong(this.candidates);
+    const { candidates } = this;
+    const { firstBackend } = this.options;
+    const isFirstSend = this.sends.length === 0;
+    if (isFirstSend && firstBackend && candidates.includes(firstBackend))
+      return { backend: firstBackend, missingTokens: 0 };
+    return this.placeAmong(candidates);
   }
 
   private placeAmong(candidates: readonly BackendState[]): PlacementDecision | undefined {
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -98,7 +98,7 @@
   }
 }
 
-/** Retry delay while the ledger has no room, in milliseconds; it gets room as kept turns expire, some of them each second. */
+/** Retry delay while the ledger has no room, in milliseconds. Room comes as kept turns expire, which takes seconds. */
 const NO_ROOM_RETRY_MS = 1_000;
 /** Minimum time for keeping a turn, even past the call's deadline, in milliseconds. */
 const MIN_KEEP_TIMEOUT_MS = 300;
