FaultProxy passes no end of a connection on behind bytes that it dropped

Cause: while a link drops bytes, the proxy held them back and still passed the end of the connection on. An answer that ends with its connection then looks whole, which no network does: TCP delivers nothing behind a gap.

The proxy already knew which connections have lost bytes, and reset them when the fault ended. The end now follows the same rule, and such a connection stays with its link until then also if one side has closed.

Evidence: the new test of fault-proxy.test.ts is red without the change ("['1', true]" for "['1', false]"), green with it.

--- a/emulator/fault-proxy/fault-proxy.test.ts
+++ b/emulator/fault-proxy/fault-proxy.test.ts
@@ -3,6 +3,7 @@
 import { request } from 'undici';
 import { describe, expect, it, onTestFinished } from 'vitest';
 import { waitUntil } from '../../tests/support/wait-until.js';
+import { sleep } from '../../src/common/index.js';
 import { createLogger, setLogLevel } from '../../src/observability/index.js';
 import { FaultProxy } from './fault-proxy.js';
 import { faultProxySettingsSchema } from './fault-proxy-settings.js';
@@ -17,11 +18,17 @@
   isClosed: boolean;
 }
 
+/** Sent to the echo server, has it end the connection. */
+const END_REQUEST = 'end';
+/** Time in which the end of a connection arrives, in milliseconds. */
+const ARRIVAL_MS = 50;
+
 /** Starts a proxy in front of an echo server. */
 async function startProxy(): Promise<{ port: number; setFault: (fault: object) => Promise<void> }> {
   const echo = createServer((socket) => {
     socket.on('error', () => undefined);
     socket.pipe(socket);
+    socket.on('data', (chunk) => chunk.toString() === END_REQUEST && socket.end());
   });
   await new Promise<void>((resolve) => echo.listen(0, HOST, resolve));
   const [port, controlPort] = await freePorts();
@@ -112,6 +119,20 @@
     await waitUntil('echo', () => other.received === '3');
   });
 
+  // Guards against an answer without a length that looks complete although its last bytes were dropped.
+  it('passes no end of a connection on behind dropped bytes', async () => {
+    const { port, setFault } = await startProxy();
+    const connection = openConnection(port);
+    connection.socket.write('1');
+    await waitUntil('echo', () => connection.received === '1');
+    await setFault({ toClient: { ...NO_DIRECTION_FAULT, drop: true } });
+    connection.socket.write(END_REQUEST);
+    await sleep(ARRIVAL_MS);
+    expect([connection.received, connection.isClosed]).toEqual(['1', false]);
+    await setFault({});
+    await waitUntil('reset', () => connection.isClosed);
+  });
+
   it('delays bytes', async () => {
     const { port, setFault } = await startProxy();
     await setFault({ toTarget: { ...NO_DIRECTION_FAULT, delayMs: 80 } });
--- a/emulator/fault-proxy/proxied-connection.ts
+++ b/emulator/fault-proxy/proxied-connection.ts
@@ -60,7 +60,8 @@
     from.on('error', () => this.reset());
     from.on('close', () => {
       pipe.end();
-      this.onClosed(this);
+      // The other side must notice nothing before the connection is reset.
+      if (!pipe.hasLostBytes) this.onClosed(this);
     });
   }
 
@@ -106,8 +107,9 @@
     this.flush();
   }
 
+  /** Forwards the end of the stream, unless bytes before it were dropped: TCP delivers nothing behind a gap. */
   end(): void {
-    if (this.hasEnded) return;
+    if (this.hasEnded || this.hasLostBytes) return;
     this.hasEnded = true;
     this.queue.push({ dueMs: this.lastDueMs, chunk: undefined });
     this.flush();
