A back end that has received a call counts towards maxAttempts also if it refuses connections afterwards

Cause: after a broken answer the retry goes to the same back end, since no other is allowed. If that refuses the connection, exclude() took it out of the set of those that have the call, as if it had never run it, and the next back end was tried.

Fix: nothing leaves that set but a back end whose address answers as another incarnation: only that is certain to have ended, and the rule excuses it. Refused connections are not: a back end that is full or closed for a moment refuses them too. What it costs: a call with a maxAttempts of 1 whose back end has just crashed ends with 502, where it was sent on before; its caller may send it again.

Evidence: call-at-more-back-ends-than-max-attempts.test.ts, 2 of 2 red before (3 back ends for 1 and for 2), green now.

--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -286,7 +286,7 @@
         return undefined;
       case 'not-executed':
         this.exclude(backend);
-        if (result.isOtherIncarnation) this.options.backends.drop(backend.id);
+        if (result.isOtherIncarnation) this.noteReplaced(backend);
         else this.sentTo.add(backend.id);
         return undefined;
       case 'stopped':
@@ -396,8 +396,12 @@
   private exclude(backend: BackendState): void {
     this.excluded.add(backend.id);
     this.pinnedPlacement = undefined;
-    // A backend that did not execute the call does not count towards the limit of attempts.
-    this.sentTo.delete(backend.id);
+  }
+
+  /** A backend that has ended does not count towards the limit of attempts. One that refuses connections may be alive. */
+  private noteReplaced({ id }: BackendState): void {
+    this.sentTo.delete(id);
+    this.options.backends.drop(id);
   }
 
   private noteSent(backend: BackendState): void {
