Count the back ends that end under a request, over its caller's attempts and all gateways

What callers saw: two requests took all back ends of a service from everybody within half a second. Operators saw a request under which three back ends had ended being sent on.

Cause, of the class of queries of death: repeats are counted by call, in one gateway. Each client attempt is a new call, mostly at another gateway, and may break three sends of its own. Nothing knew the request of another attempt, nor told an end from a lost answer.

Each lost response counts as an end of its back end until that is heard of again. The directory's leader counts, in memory; a suspect request is repeated only with its permit, one at a time, so ends and permits together never pass three. Gateways get the table with their poll, at once before the last permitted send. A blocked request gets 502 at once, and is shown to operators, who can clear it. Calm traffic asks nobody and computes no digest. Without a leader each gateway repeats once.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,5 +1,6 @@
 /** Utilities shared by all modules. */
 export * from './backoff.js';
+export * from './change-history.js';
 export * from './clock.js';
 export * from './decay.js';
 export * from './deferred.js';
--- a/src/directory/backend-updates.test.ts
+++ b/src/directory/backend-updates.test.ts
@@ -5,7 +5,7 @@
 import { encodeValue } from '../wire/index.js';
 import type { BackendUpdate } from './backend-updates.js';
 import type { BackendRegistration } from './backend-registration.js';
-import { ChangeHistory } from './change-history.js';
+import { ChangeHistory } from '../common/index.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine } from './directory-state-machine.js';
 import { BackendCache } from './backend-cache.js';
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -5,6 +5,12 @@
   type LeaderAnswer,
   callLeader,
 } from '../consensus/index.js';
+import {
+  type CrashRecord,
+  LIST_CRASHES,
+  REMOVE_CRASHES,
+  type RequestKey,
+} from '../crash-guard/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
 import type { Method } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -75,6 +81,16 @@
     await this.call(COMPLETE_RETIREMENT, { node }, OPERATOR_REQUEST_TIMEOUT_MS);
   }
 
+  /** Requests under which backends ended. */
+  async listCrashes(): Promise<CrashRecord[]> {
+    return (await this.call(LIST_CRASHES, {}, READ_TIMEOUT_MS)).requests;
+  }
+
+  /** Forgets the ends under a request, so that it is sent again. @returns whether any were known */
+  async removeCrashes(key: RequestKey): Promise<boolean> {
+    return (await this.call(REMOVE_CRASHES, { key }, READ_TIMEOUT_MS)).wasKnown;
+  }
+
   /** Long poll: the leader responds when there is an update, or after `WATCH_LONG_POLL_MS`. */
   watch(request: WatchRequest, limits: GroupCallOptions): Promise<DirectoryView> {
     return callLeader(this.groups, DIRECTORY_GROUP, WATCH, request, limits);
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -4,13 +4,21 @@
  */
 import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
+import {
+  CrashLeader,
+  type CrashLimits,
+  type CrashVersion,
+  DEFAULT_CRASH_LIMITS,
+  INITIAL_CRASH_VERSION,
+  isLater,
+} from '../crash-guard/index.js';
 import type { Logger } from '../observability/index.js';
 import { encodeValue } from '../wire/index.js';
 import { EventLoopThrottle } from './answer-turns.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
 import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
-import { type ConfirmedPart, GatewayConfirmations } from './gateway-confirmations.js';
+import { GatewayConfirmations } from './gateway-confirmations.js';
 import { GatewayReports } from './gateway-reports.js';
 import { HeartbeatTable } from './heartbeat-table.js';
 import type { Incarnation } from './incarnation.js';
@@ -50,6 +58,8 @@
   heartbeatIntervalMs: number;
   /** Addresses of the directory group's members, which are sent to watchers. */
   controlAddresses: () => string[];
+  /** @default three backends */
+  crashLimits?: CrashLimits;
   logger: Logger;
 }
 
@@ -63,6 +73,10 @@
 export const CONFIGURATION_CONFIRM_MS = 800;
 /** The same for a backend that leaves; its request times out after 0.8 s. */
 export const BACKENDS_CONFIRM_MS = 500;
+/** The same for a request that can only be sent once more; its caller waits for the answer to a failed call. */
+const CRASHES_CONFIRM_MS = 150;
+/** Urgent changes of the requests under which backends ended are published together within this time. */
+const CRASH_UPDATE_INTERVAL_MS = 10;
 /** Maximum number of lagging gateways named in a log entry. */
 const MAX_LOGGED_GATEWAYS = 8;
 
@@ -71,6 +85,7 @@
 
 export class DirectoryLeader {
   readonly stateMachine: DirectoryStateMachine;
+  readonly crashes: CrashLeader;
   private readonly roster = new NodeRoster();
   private readonly gatewayReports: GatewayReports;
   private readonly confirmations = new GatewayConfirmations();
@@ -91,6 +106,11 @@
   private readonly backendThrottle = new NotificationThrottle(BACKEND_UPDATE_INTERVAL_MS, () =>
     this.publishBackends(),
   );
+  private readonly crashThrottle = new NotificationThrottle(CRASH_UPDATE_INTERVAL_MS, () =>
+    this.publishCrashes(),
+  );
+  /** Version of the crashes of which waiting watchers were notified. */
+  private publishedCrashes = INITIAL_CRASH_VERSION;
   private isHousekeeping = false;
 
   constructor(private readonly options: DirectoryLeaderOptions) {
@@ -106,6 +126,7 @@
       onFailingChange: () => this.updates.notify(),
       logger: options.logger,
     });
+    this.crashes = this.createCrashLeader();
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
   }
 
@@ -118,6 +139,7 @@
     this.silentBackends.clear();
     this.gatewayReports.clear();
     this.confirmations.clear();
+    this.crashes.clear();
     this.roster.clear();
     this.clusterVersion += 1;
     this.updates.notify();
@@ -127,6 +149,7 @@
     clearInterval(this.timer);
     clearTimeout(this.clusterTimer);
     this.backendThrottle.stop();
+    this.crashThrottle.stop();
     this.updates.notify();
   }
 
@@ -142,19 +165,20 @@
       await this.propose(command);
       this.options.logger.info('configuration committed', { generation });
     }
-    await this.confirm('configuration', CONFIGURATION_CONFIRM_MS);
+    await this.confirmConfiguration();
   }
 
   /** For a draining backend, resolves once active gateways know of it, or after a time limit. */
   async recordHeartbeat(registration: BackendRegistration): Promise<void> {
     const { id, service, phase, address, softwareVersion } = registration;
     this.heartbeats.record(id);
+    this.crashes.noteHeartbeat(id);
     if (this.stateMachine.isChange(registration)) {
       await this.propose({ kind: 'register-backend', registration });
       const fields = { id, service, phase, address, softwareVersion };
       this.options.logger.info('back end registered', fields);
     }
-    if (phase === 'draining') await this.confirm('backendsIndex', BACKENDS_CONFIRM_MS);
+    if (phase === 'draining') await this.confirmBackends();
   }
 
   /** Resolves once active gateways know of it, or after a time limit. */
@@ -164,7 +188,7 @@
       await this.propose({ kind: 'remove-backend', id, hasDeparted: true });
       this.options.logger.info('back end departed', { id });
     }
-    await this.confirm('backendsIndex', BACKENDS_CONFIRM_MS);
+    await this.confirmBackends();
   }
 
   /** @throws RosterIncompleteError while this leader does not know all machines */
@@ -217,6 +241,7 @@
     if (isGateway) {
       this.gatewayReports.record(request);
       this.confirmations.record(request.node.name, request.known);
+      this.crashes.noteGateway(request.node.name);
     }
     const deadline = monotonicMs() + WATCH_LONG_POLL_MS;
     while (!request.isUrgent && !this.hasUpdateFor(request) && this.group?.isLeader) {
@@ -239,6 +264,7 @@
     return (
       this.stateMachine.configurationIndex > known.configuration ||
       this.publishedBackendsIndex > known.backendsIndex ||
+      this.hasUrgentCrashesFor(known) ||
       this.silentBackends.hasUpdateFor(known.silence, this.term)
     );
   }
@@ -267,9 +293,16 @@
     if (isLeader && this.silentBackends.hasUpdateFor(known.silence, this.term)) {
       view.silence = this.silentBackends.updateSince(known.silence, this.term);
     }
+    // A deposed leader has forgotten its table.
+    const crashes = isLeader && known.crashes && this.crashes.viewSince(known.crashes);
+    if (crashes) view.crashes = crashes;
     return view;
   }
 
+  private hasUrgentCrashesFor({ crashes }: KnownVersions): boolean {
+    return crashes !== undefined && isLater(this.publishedCrashes, crashes);
+  }
+
   /** Uses the monotonic clock, so that stalls of this process count. */
   private get confirmedAgeMs(): number {
     return this.group ? monotonicMs() - this.group.quorumContactMs() : Infinity;
@@ -316,6 +349,7 @@
     this.isHousekeeping = true;
     try {
       this.refreshSilent();
+      this.crashes.expire();
       this.roster.removeSilent();
       this.tellClusterNews();
       await this.bootstrapLedgerIfDue();
@@ -388,20 +422,60 @@
     this.updates.notify();
   }
 
-  /** Waits until active gateways have applied the current version of a part of the directory. */
-  private async confirm(part: ConfirmedPart, timeoutMs: number): Promise<void> {
-    const { configurationIndex, backendsIndex } = this.stateMachine;
-    const index = part === 'configuration' ? configurationIndex : backendsIndex;
+  private async confirmConfiguration(): Promise<void> {
+    const index = this.stateMachine.configurationIndex;
+    const isApplied = ({ configuration }: KnownVersions): boolean => configuration >= index;
+    await this.confirm('configuration', isApplied, CONFIGURATION_CONFIRM_MS);
+  }
+
+  private async confirmBackends(): Promise<void> {
+    const index = this.stateMachine.backendsIndex;
+    if (index !== this.publishedBackendsIndex) this.backendThrottle.flush();
+    const isApplied = ({ backendsIndex }: KnownVersions): boolean => backendsIndex >= index;
+    await this.confirm('backendsIndex', isApplied, BACKENDS_CONFIRM_MS);
+  }
+
+  private async confirmCrashes(version: CrashVersion): Promise<void> {
+    const isApplied = ({ crashes }: KnownVersions): boolean =>
+      !crashes || !isLater(version, crashes);
+    await this.confirm('crashes', isApplied, CRASHES_CONFIRM_MS);
+  }
+
+  /** Waits until active gateways have applied a change, or the time limit has passed. */
+  private async confirm(
+    part: keyof KnownVersions,
+    isApplied: (known: KnownVersions) => boolean,
+    timeoutMs: number,
+  ): Promise<void> {
     const leadingSince = this.group?.leadingSince ?? 0;
-    if (index !== this.publishedBackendsIndex && part === 'backendsIndex')
-      this.backendThrottle.flush();
-    const lagging = await this.confirmations.wait({ part, index, timeoutMs, leadingSince });
+    const lagging = await this.confirmations.wait({ isApplied, timeoutMs, leadingSince });
     if (lagging.length === 0) return;
     const names = lagging.slice(0, MAX_LOGGED_GATEWAYS).join(',');
     const gateways = lagging.length;
     this.options.logger.warn('acknowledged before gateways hold it', { part, gateways, names });
   }
 
+  private publishCrashes(): void {
+    this.publishedCrashes = this.crashes.version;
+    this.updates.notify();
+  }
+
+  private createCrashLeader(): CrashLeader {
+    const {
+      crashLimits: limits = DEFAULT_CRASH_LIMITS,
+      heartbeatIntervalMs,
+      logger,
+    } = this.options;
+    return new CrashLeader({
+      limits,
+      heartbeatIntervalMs,
+      term: () => this.term,
+      onUrgentChange: () => this.crashThrottle.schedule(),
+      confirm: (version) => this.confirmCrashes(version),
+      logger,
+    });
+  }
+
   private propose(command: DirectoryCommand): Promise<unknown> {
     return this.group!.propose(encodeValue(command));
   }
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -6,7 +6,7 @@
 import { decodeValue, encodeValue } from '../wire/index.js';
 import { type BackendDelta, type BackendHistory, BackendUpdateSource } from './backend-updates.js';
 import type { BackendRegistration } from './backend-registration.js';
-import { ChangeHistory } from './change-history.js';
+import { ChangeHistory } from '../common/index.js';
 import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
 import {
   type Incarnation,
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -7,6 +7,7 @@
 import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
 import { Backoff, describeError, monotonicMs, sleep } from '../common/index.js';
 import type { GroupCallOptions } from '../consensus/index.js';
+import type { CrashVersion, CrashView } from '../crash-guard/index.js';
 import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import type { Logger } from '../observability/index.js';
 import type { RouteConfiguration } from '../routes/index.js';
@@ -78,6 +79,9 @@
   onOtherWaiting?: (waiting: WaitingCount[]) => void;
   /** Called for each answer of a leader; undefined if it has not decided. */
   onAdmission?: (admission: ServiceAdmission[] | undefined) => void;
+  /** Version of the requests under which backends ended that this process holds. @default they are not counted */
+  crashVersion?: () => CrashVersion;
+  onCrashes?: (view: CrashView) => void;
 }
 
 export class DirectoryWatcher {
@@ -167,6 +171,7 @@
     const health = this.options.health?.();
     const waiting = this.options.waiting?.();
     const demand = this.options.demand?.();
+    const crashes = this.options.crashVersion?.();
     return {
       node: this.options.announce(),
       known: {
@@ -174,6 +179,7 @@
         backendsIndex: this.backends.index,
         silence: this.backends.silence,
         cluster: this.clusterVersion,
+        ...(crashes && { crashes }),
       },
       isUrgent,
       loads: this.options.loads?.() ?? [],
@@ -190,6 +196,7 @@
       this.options.onCluster?.(view.cluster);
     }
     this.applyBackends(view);
+    if (view.crashes) this.options.onCrashes?.(view.crashes);
     if (view.configuration) this.applyConfiguration(view.configuration);
     if (view.loads) this.options.onOtherLoads?.(loadsOfOtherGateways(view.loads));
     if (view.statistics) this.options.onStatistics?.(view.statistics);
--- a/src/directory/gateway-confirmations.ts
+++ b/src/directory/gateway-confirmations.ts
@@ -11,18 +11,14 @@
  */
 export const GATEWAY_ACTIVE_WINDOW_MS = 600;
 
-/** Parts of the directory whose application gateways confirm. */
-export type ConfirmedPart = 'configuration' | 'backendsIndex';
-
 interface GatewayState {
   known: KnownVersions;
   requestedAt: number;
 }
 
 export interface AwaitedChange {
-  part: ConfirmedPart;
-  /** Log index at which the change was made. */
-  index: number;
+  /** Whether a gateway with these versions has applied the change. */
+  isApplied: (known: KnownVersions) => boolean;
   /** Maximum time to wait for gateways, in milliseconds. */
   timeoutMs: number;
   /** Start of this process's leadership (monotonic); a new leader has not heard from all gateways yet. */
@@ -52,12 +48,12 @@
   }
 
   private async waitForAll(change: AwaitedChange): Promise<string[]> {
-    const { part, index, timeoutMs, leadingSince } = change;
+    const { isApplied, timeoutMs, leadingSince } = change;
     const startedAt = monotonicMs();
     const allKnownAt = Math.min(leadingSince + GATEWAY_ACTIVE_WINDOW_MS, startedAt + timeoutMs);
     for (;;) {
       const now = monotonicMs();
-      const lagging = this.lagging(part, index, now);
+      const lagging = this.lagging(isApplied, now);
       const isSettled = lagging.length === 0 && now >= allKnownAt;
       const remainingMs = startedAt + timeoutMs - now;
       if (isSettled || remainingMs <= 0) return lagging;
@@ -72,11 +68,11 @@
   }
 
   /** Active gateways that hold an older version; inactive ones are dropped. */
-  private lagging(part: ConfirmedPart, index: number, now: number): string[] {
+  private lagging(isApplied: AwaitedChange['isApplied'], now: number): string[] {
     const names: string[] = [];
     for (const [name, { known, requestedAt }] of this.gateways) {
       if (now - requestedAt > GATEWAY_ACTIVE_WINDOW_MS) this.gateways.delete(name);
-      else if (known[part] < index) names.push(name);
+      else if (!isApplied(known)) names.push(name);
     }
     return names;
   }
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -1,6 +1,11 @@
 /** Messages between the directory group and its clients. */
 import type { StatisticsReport } from '../backend-statistics/index.js';
 import type { DemandReport, ServiceAdmission } from '../admission/messages.js';
+import {
+  type CrashVersion,
+  type CrashView,
+  INITIAL_CRASH_VERSION,
+} from '../crash-guard/messages.js';
 import type { LeaderAnswer, Member } from '../consensus/index.js';
 import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
 import { defineMethod } from '../wire/index.js';
@@ -43,6 +48,8 @@
   /** Version of the set of silent backends. */
   silence: SilenceVersion;
   cluster: string;
+  /** Version of the requests under which backends ended; absent for processes that do not count them. */
+  crashes?: CrashVersion;
 }
 
 /** Versions of a process that has just started. */
@@ -51,6 +58,7 @@
   backendsIndex: 0,
   silence: INITIAL_SILENCE_VERSION,
   cluster: '',
+  crashes: INITIAL_CRASH_VERSION,
 };
 
 export interface WatchRequest {
@@ -106,6 +114,8 @@
   /** Packed `SilenceDelta`. */
   silence?: Uint8Array;
   cluster?: ClusterView;
+  /** Requests under which backends ended, for gateways that count them. */
+  crashes?: CrashView;
   /** Calls in flight by backend, for gateways. */
   loads?: LoadTotals;
   /** Packed conditions of the backends that differ from normal, for gateways in the scheduling mode `coordinated`. */
--- a/src/directory/silent-backend-tracker.ts
+++ b/src/directory/silent-backend-tracker.ts
@@ -1,5 +1,5 @@
 /** Versioned set of the backends that miss heartbeats, as seen by one leader. */
-import { ChangeHistory } from './change-history.js';
+import { ChangeHistory } from '../common/index.js';
 import { packJson } from './packed-json.js';
 
 /** Version of the set; counts of different leaders are not comparable, so it includes the leader's term. */
--- a/src/explain/call-findings.ts
+++ b/src/explain/call-findings.ts
@@ -22,6 +22,7 @@
 const BACKEND_FAILING = 'back end failing';
 const BACKEND_NOT_FAILING = 'back end no longer failing';
 const STOPPED_LEADING = 'stopped leading';
+const REQUEST_BLOCKED = 'request blocked';
 /** Events that begin or end a state in the findings. */
 const STATE_EVENTS: ReadonlySet<string> = new Set([
   PROCESS_START,
@@ -59,6 +60,7 @@
     ...findResumption(call, calls),
     ...findWait(call),
     ...findAdmission(call),
+    ...findEndedBackends(call, records),
     ...findSlowdown(call),
     ...findFailingBackends(call, changes),
     ...findGatewayStates(call, changes),
@@ -106,6 +108,24 @@
   return [createFinding(line, 'refused-by-admission', text)];
 }
 
+/** What the leader had counted for the request of a call, with lines of all its attempts. */
+function findEndedBackends(line: LogRecord, records: readonly LogRecord[]): Finding[] {
+  const { outcome, request } = line.fields;
+  if (outcome === 'send-pending') {
+    const text =
+      'refused because a back end may have ended under it, while another send of it was in progress or no leader counted';
+    return [createFinding(line, 'refused-as-suspect', text)];
+  }
+  if (outcome !== 'ends-backends') return [];
+  const blocking = records.filter(
+    ({ event, fields }) => event === REQUEST_BLOCKED && fields.request === request,
+  );
+  const { backends, ends } = blocking.sort(byTime).at(-1)?.fields ?? {};
+  const under = backends === undefined ? '' : ` (${String(ends)}: ${String(backends)})`;
+  const text = `refused for good: back ends had ended under its request ${String(request)}${under}`;
+  return [createFinding(line, 'ends-backends', text)];
+}
+
 function findSlowdown(line: LogRecord): Finding[] {
   const slowdown = numberOf(line.fields.slowdown);
   const backend = backendsSentTo(line).at(-1);
--- a/src/explain/finding.ts
+++ b/src/explain/finding.ts
@@ -6,6 +6,8 @@
   | 'refused-by-waiting'
   | 'refused-without-waiting'
   | 'refused-by-admission'
+  | 'refused-as-suspect'
+  | 'ends-backends'
   | 'slow-backend'
   | 'failing-backend'
   | 'gateway-cut-off'
--- a/src/explain/scheduling.test.ts
+++ b/src/explain/scheduling.test.ts
@@ -70,6 +70,24 @@
   });
 });
 
+describe('the explanation of a call under whose request back ends ended', () => {
+  const blocked = { request: 'd1', ends: 3, backends: 'e1,e2,e3' };
+  const refused = call({ outcome: 'ends-backends', request: 'd1' });
+
+  it('names the back ends that the leader had counted for that request', () => {
+    const own = line(5_000, 'request blocked', blocked, 'control-1');
+    const other = line(6_000, 'request blocked', { ...blocked, request: 'd2' }, 'control-1');
+    expect(findingsFor('c1', refused, own, other)).toEqual([
+      ['ends-backends', 'refused for good: back ends had ended under its request d1 (3: e1,e2,e3)'],
+    ]);
+  });
+
+  it('tells a call that may come again from one that may not', () => {
+    const pending = call({ outcome: 'send-pending', request: 'd1' });
+    expect(findingsFor('c1', pending).map(([cause]) => cause)).toEqual(['refused-as-suspect']);
+  });
+});
+
 describe('the explanation of a program that was not admitted', () => {
   it('tells the fraction and the pressure of a shared decision', () => {
     const refused = call({ outcome: 'not-admitted', admission: '0.40', pressure: '1.38' });
--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -84,6 +84,10 @@
   | 'overloaded'
   | 'not-admitted'
   | 'not-executed'
+  /** So many backends have ended under the request that it is not sent again. */
+  | 'ends-backends'
+  /** A backend may have ended under the request, and another send of it is in progress or cannot be ruled out. */
+  | 'send-pending'
   | 'outcome-unknown'
   | 'time-limit-before-start'
   | 'time-limit';
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,6 +1,7 @@
 /** Handles calls from arrival to final response: routing, reservation, sending and settlement. */
 import type { GatewayAdmission, ModelCall } from '../admission/index.js';
 import { monotonicMs } from '../common/index.js';
+import type { GatewayCrashGuard, RequestGuard } from '../crash-guard/index.js';
 import type { LedgerClient, ReservedStream } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { GatewayQuotas } from '../quotas/index.js';
@@ -44,6 +45,8 @@
   metrics: ForwardingMetrics;
   /** Lets calls wait for a permit. @default calls are sent at once */
   permits?: Pick<PermitGate, 'request'>;
+  /** Limits the backends that end under one request. @default they are not counted */
+  crashGuard?: Pick<GatewayCrashGuard, 'guard'>;
 }
 
 /** Maximum age of the directory data by which an unknown route is rejected; with older data it may be new. */
@@ -68,6 +71,7 @@
   tenant: Tenant | undefined;
   /** Deadline of the final response (monotonic, milliseconds). */
   deadlineMs: number;
+  requestGuard: RequestGuard | undefined;
 }
 
 export class CallForwarder {
@@ -134,6 +138,8 @@
     const timeoutMs = Math.min(description.patienceMs ?? Infinity, route.route.timeoutMs);
     const deadlineMs = exchange.arrivedAt + timeoutMs;
     const tenant = this.authorize(exchange, route);
+    const requestGuard = this.options.crashGuard?.guard(description, tenant?.name);
+    if (requestGuard?.isBlocked) throw new RefusedError('ends-backends');
     const service = route.nextService();
     const priority = tenant?.priority ?? route.route.priority;
     const call = { service, priority, tenant: tenant?.name, call: description };
@@ -141,7 +147,7 @@
     if (tenant) await this.takeToken(exchange, tenant);
     const endTurn = isModelCall(call) ? this.options.sharedAdmission?.beginTurn(call) : undefined;
     try {
-      await this.serve({ exchange, route, service, tenant, deadlineMs });
+      await this.serve({ exchange, route, service, tenant, deadlineMs, requestGuard });
     } catch (error) {
       if (tenant && error instanceof RefusedError) this.options.quotas.giveBack(tenant.name);
       throw error;
@@ -152,7 +158,7 @@
 
   /** @throws RefusedError if the turn's tokens cannot be reserved */
   private async serve(call: AdmittedCall): Promise<void> {
-    const { exchange, route, service, tenant, deadlineMs } = call;
+    const { exchange, route, service, tenant, deadlineMs, requestGuard } = call;
     const { description } = exchange;
     const typicalMs = this.options.backends.typicalMs(service);
     const time = { deadlineMs, typicalMs };
@@ -175,6 +181,7 @@
       protocol: this.options.protocol,
       streamVersion,
       requestPermit: () => this.requestPermit(call, body.length),
+      requestGuard,
     };
     const run = new CallRun(runOptions);
     const ending = await run.run();
--- a/src/forwarding/call-recorder.ts
+++ b/src/forwarding/call-recorder.ts
@@ -3,7 +3,7 @@
 import { type RequestKey, requestKeyOf } from '../crash-guard/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, Tenant } from '../routes/index.js';
-import { type CallExchange, resumesStream } from './call-exchange.js';
+import { type CallExchange, type RefusalReason, resumesStream } from './call-exchange.js';
 import {
   describeProgram,
   describeReservation,
@@ -42,6 +42,8 @@
   gatewayState: (route: CompiledRoute | undefined) => LogFields;
 }
 
+const SUSPECT_REASONS: ReadonlySet<RefusalReason> = new Set(['ends-backends', 'send-pending']);
+
 export class CallRecorder {
   constructor(private readonly options: CallRecorderOptions) {}
 
@@ -90,7 +92,7 @@
     most: description.mostTokens || undefined,
     previousTurn: description.previousTurn,
     sends: run && describeSends(run),
-    request: requestKeyOfBroken(call),
+    request: suspectRequestKey(call),
     ...describeStream(description, run),
     slowdown: run && slowdownOf(run),
     ...describeProgram(description.program),
@@ -98,9 +100,19 @@
   };
 }
 
-/** Joins the lines of a request's attempts. Only for calls with a broken send, because it costs a digest of the body. */
-function requestKeyOfBroken({ exchange, tenant, run }: FinishedCall): RequestKey | undefined {
-  if (!run?.sends.some(({ brokenReason }) => brokenReason)) return undefined;
+/**
+ * Joins the lines of a request's attempts. Only for calls with a broken send and those refused as suspect, because it costs
+ * a digest of the body.
+ */
+function suspectRequestKey({
+  exchange,
+  tenant,
+  run,
+  ending,
+}: FinishedCall): RequestKey | undefined {
+  const isBroken = run?.sends.some(({ brokenReason }) => brokenReason);
+  const isSuspect = ending.kind === 'refused' && SUSPECT_REASONS.has(ending.reason);
+  if (!isBroken && !isSuspect) return undefined;
   return requestKeyOf(exchange.description, tenant?.name);
 }
 
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -2,6 +2,7 @@
 import { monotonicMs } from '../common/index.js';
 import type { VersionKey } from '../ledger/index.js';
 import type { CompiledRoute } from '../routes/index.js';
+import type { RequestGuard } from '../crash-guard/index.js';
 import type { LatencyModel } from '../performance/index.js';
 import type { PermitRequest } from '../waiting/index.js';
 import type { BackendConnection } from './backend-connections.js';
@@ -9,6 +10,7 @@
 import type { BackendState, BackendView } from './backend-view.js';
 import { BufferedResponse } from './buffered-answer.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
+import { GuardedSends } from './guarded-sends.js';
 import type { PlacementDecision, Placement } from './placement.js';
 import { SendAttempt, type SendResult } from './send-attempt.js';
 import { type SendEnd, SendMeasurement, type SendRecord } from './send-measurement.js';
@@ -43,6 +45,8 @@
   streamVersion: StreamVersion;
   /** Requests the permit for the first send; undefined if none is needed. */
   requestPermit?: () => PermitRequest | undefined;
+  /** Limits the backends that end under the request. @default they are not counted */
+  requestGuard?: RequestGuard;
 }
 
 const HTTP_CLIENT_ERROR = 400;
@@ -53,6 +57,8 @@
 const RESPONSE_TIMEOUT_OBJECTIVES = 3;
 /** Maximum response timeout, as a fraction of the remaining time. */
 const RESPONSE_TIMEOUT_FRACTION = 0.4;
+/** Number of other backends that a suspect request may be sent to in place of the selected one. */
+const MAX_ALTERNATIVES = 3;
 
 export class CallRun {
   readonly sends: SendRecord[] = [];
@@ -64,6 +70,7 @@
   /** Request for the permit of the first send, if one is needed. */
   permit: PermitRequest | undefined;
   private readonly service: string;
+  private readonly guardedSends: GuardedSends;
   private readonly excluded = new Set<string>();
   /** Ids of backends that may have received the call. */
   private readonly sentTo = new Set<string>();
@@ -81,6 +88,7 @@
   constructor(private readonly options: CallRunOptions) {
     const { exchange, route } = options;
     this.service = options.service;
+    this.guardedSends = new GuardedSends(options.requestGuard, options.deadlineMs);
     const { kind, retainsTurns: isKept, isResumable } = route.route;
     this.response =
       kind === 'streaming'
@@ -148,17 +156,48 @@
     for (;;) {
       const stopped = this.stopOutcome() ?? this.denialOutcome();
       if (stopped) return stopped;
-      const decision = this.selectBackend();
-      if (!decision) {
+      const selected = this.selectBackend();
+      if (!selected) {
         if (await this.changeVersion()) continue;
         return this.outcomeWithoutBackend();
       }
-      const result = await this.sendTo(decision);
-      const outcome = this.outcomeOf(decision.backend, result);
+      const outcome = await this.sendIfCleared(selected);
       if (outcome) return outcome;
     }
   }
 
+  /** @returns the outcome, or undefined if the call is to be sent again */
+  private async sendIfCleared(selected: PlacementDecision): Promise<CallOutcome | undefined> {
+    const findAlternatives = (): PlacementDecision[] => this.alternativesTo(selected);
+    const clearance = await this.guardedSends.clear(selected, findAlternatives);
+    if (clearance.kind === 'refused') return this.mayHaveRun ? this.brokenOutcome() : clearance;
+    const stopped = this.stopOutcome() ?? this.denialOutcome();
+    if (stopped) {
+      this.guardedSends.cancel();
+      return stopped;
+    }
+    const { backend } = clearance.decision;
+    const result = await this.sendTo(clearance.decision);
+    const { isTruncated, sentAt } = this;
+    const outcome = this.outcomeOf(backend, result);
+    const endsCall = outcome !== undefined && !this.options.exchange.isAbandoned;
+    await this.guardedSends.noteEnd({ backend, result, isTruncated, sentAt, endsCall });
+    return outcome;
+  }
+
+  private alternativesTo(selected: PlacementDecision): PlacementDecision[] {
+    if (this.pinnedPlacement) return [];
+    const excluded = new Set([...this.excluded, selected.backend.id]);
+    const alternatives: PlacementDecision[] = [];
+    while (alternatives.length < MAX_ALTERNATIVES) {
+      const next = this.placeAmong(this.candidates, excluded);
+      if (!next) break;
+      alternatives.push(next);
+      excluded.add(next.backend.id);
+    }
+    return alternatives;
+  }
+
   private selectBackend(): PlacementDecision | undefined {
     if (this.pinnedPlacement) return this.pinnedPlacement;
     if (this.sentTo.size >= this.options.route.route.maxAttempts) return undefined;
@@ -170,10 +209,13 @@
     return this.placeAmong(candidates);
   }
 
-  private placeAmong(candidates: readonly BackendState[]): PlacementDecision | undefined {
+  private placeAmong(
+    candidates: readonly BackendState[],
+    excluded: ReadonlySet<string> = this.excluded,
+  ): PlacementDecision | undefined {
     return this.options.placement.choose(candidates, {
       call: this.options.exchange.description,
-      excluded: this.excluded,
+      excluded,
       promptHolder: this.options.promptHolder,
       mayProbe: this.sends.length === 0 && this.options.route.route.kind !== 'at-most-once',
     });
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -9,7 +9,7 @@
   registerDirectoryService,
   unpackRoutes,
 } from '../directory/index.js';
-import type { Logger } from '../observability/index.js';
+import { type Logger, addGauge } from '../observability/index.js';
 import { QuotaLeader, type QuotaTolerance } from '../quotas/index.js';
 import type { Tenant } from '../routes/index.js';
 import { GroupMemberProcess } from './group-member-process.js';
@@ -46,6 +46,7 @@
       ledgerVoters: voterCountFor(settings.toleratedLosses),
       heartbeatIntervalMs: settings.heartbeatIntervalMs,
       controlAddresses: () => memberAddresses(member),
+      crashLimits: settings.crashLimits,
       logger,
     });
     const member: GroupMemberProcess = await GroupMemberProcess.open({
@@ -63,6 +64,7 @@
     const node = new ControlNode(settings, hooks, member, leader, client);
     registerProbe(member.router, member.identity);
     registerDirectoryService(member.router, leader, () => member.group);
+    leader.crashes.register(member.router, () => member.group);
     createQuotaLeader(settings, leader, () => member.group).register(member.router);
     await member.listen();
     void node.joinCluster().catch(onFatal);
@@ -84,7 +86,21 @@
   }
 
   createMetrics(): Registry {
-    return this.member.createMetrics();
+    const registry = this.member.createMetrics();
+    const { crashes } = this.leader;
+    const add = (name: string, help: string, read: () => number): void =>
+      addGauge(registry, `ledgegauge_crash_guard_${name}`, help, read);
+    add(
+      'suspect_requests',
+      'Requests of which ends are counted, at the leader',
+      () => crashes.suspectCount,
+    );
+    add(
+      'blocked_requests',
+      'Requests that are not sent again, at the leader',
+      () => crashes.blockedCount,
+    );
+    return registry;
   }
 
   /** Applies changed seed addresses. */
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -4,6 +4,11 @@
 import { GatewayAdmission } from '../admission/index.js';
 import { SignalEvent } from '../common/index.js';
 import { GroupClient, PeerDirectory } from '../consensus/index.js';
+import {
+  CrashGuardMetrics,
+  DEFAULT_CRASH_LIMITS,
+  GatewayCrashGuard,
+} from '../crash-guard/index.js';
 import {
   type ClusterView,
   DIRECTORY_GROUP,
@@ -78,6 +83,7 @@
   private tenants = new TenantTable(undefined);
   private readonly keyLeaseMs: number;
   private readonly quotas: GatewayQuotas;
+  private readonly crashGuard: GatewayCrashGuard;
   private readonly cutOffSignal = new CutOffSignal();
   private readonly ledger: LedgerClient;
   private readonly health: GatewayHealth;
@@ -116,6 +122,14 @@
       gateway: settings.name,
       logger,
     });
+    this.crashGuard = new GatewayCrashGuard({
+      groups: this.controlClient,
+      group: DIRECTORY_GROUP,
+      gateway: settings.name,
+      limits: settings.crashLimits ?? DEFAULT_CRASH_LIMITS,
+      logger,
+      metrics: new CrashGuardMetrics(this.metrics.registry),
+    });
     this.ledger = this.createLedgerClient();
     this.health = this.createHealth();
     this.permits = this.createPermitGate();
@@ -175,6 +189,7 @@
     this.watcher.stop();
     this.health.stop();
     this.quotas.stop();
+    this.crashGuard.stop();
     this.forwarder.stop();
     this.permits.stop();
     this.peers.close();
@@ -264,6 +279,7 @@
       logger,
       metrics: this.metrics,
       permits: this.permits,
+      crashGuard: this.crashGuard,
     });
   }
 
@@ -310,6 +326,8 @@
       onZoneHealth: (zone, requestedAt) => this.health.applyZoneHealth(zone, requestedAt),
       onOtherWaiting: (waiting) => this.permits.updateFigures(waiting),
       onAdmission: (admission) => this.admission.apply(admission),
+      crashVersion: () => this.crashGuard.version,
+      onCrashes: (view) => this.crashGuard.applyView(view),
     });
   }
 
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of the processes that forward calls, independent of the file format. */
 import type { ConsensusOptions } from '../consensus/index.js';
+import type { CrashLimits } from '../crash-guard/index.js';
 import type { QuotaTolerance } from '../quotas/index.js';
 
 export interface NodeSettings {
@@ -24,6 +25,8 @@
   revocationBoundMs?: number;
   /** By how much tenants may exceed their limits. @default not at all */
   quotaTolerance?: QuotaTolerance;
+  /** Back ends that may end under one request. @default three, counted for five minutes */
+  crashLimits?: CrashLimits;
   /** Shared secret of the internal protocol. */
   secret: string;
   /** Memory limit above which the process is killed. @default no limit */
