A failed call's caller is told after the gateways know of its losses, however the call ended

Cause (log lines of those runs): the gateway asked the leader to confirm only with the loss that ended the call. A call may lose two answers and then end with a refused connection; its caller came to another gateway 10 ms later, where nothing was known, and that sent it as a first send.

Fix: the confirmation is a message of its own, sent for every call that lost an answer and failed, before its caller is told. It waits for gateways only if the request can be sent just once more; 0.4 s at most, since a gateway that is slow to poll is one that would send. A leader that was heard of lately gets 0.4 s to answer, one that was not is not waited for.

--- a/src/crash-guard/crash-leader.ts
+++ b/src/crash-guard/crash-leader.ts
@@ -10,6 +10,8 @@
 import { CrashTable, type PermitDecision } from './crash-table.js';
 import {
   type AliveReport,
+  CONFIRM_LOSSES,
+  type ConfirmationRequest,
   type CrashVersion,
   type CrashView,
   LIST_CRASHES,
@@ -74,6 +76,12 @@
     router.handle(REPORT_LOSSES, (report) =>
       answerAsLeader(findGroup(), () => this.reportLosses(report)),
     );
+    router.handle(CONFIRM_LOSSES, (request) =>
+      answerAsLeader(findGroup(), async () => {
+        await this.confirmLosses(request);
+        return { isNoted: true as const };
+      }),
+    );
     router.handle(REQUEST_SEND, (request) =>
       answerAsLeader(findGroup(), () => this.requestSend(request)),
     );
@@ -151,20 +159,23 @@
     this.changed.notify();
   }
 
-  async reportLosses({ losses, endsCall }: LossReport): Promise<LossReportAnswer> {
+  async reportLosses({ losses }: LossReport): Promise<LossReportAnswer> {
     const now = this.clock();
     for (const { key, backend, sentMsAgo, mayBeShared, permit } of losses) {
+      const before = this.table.endsOf(key).length;
       this.table.noteLost({ key, backend, sentAt: now - sentMsAgo, mayBeShared }, now, permit);
-      this.logLoss(key, backend);
+      if (this.table.endsOf(key).length > before) this.logLoss(key, backend);
     }
     this.changed.notify();
+    return { version: this.version };
+  }
+
+  /** Gateways learn of a request that can be sent more than once with their regular poll. */
+  async confirmLosses({ key }: ConfirmationRequest): Promise<void> {
+    if (!this.isNearLimit(key)) return;
     const { version } = this;
-    const isNearLimit = losses.some(({ key }) => this.isNearLimit(key));
-    if (endsCall && isNearLimit) {
-      this.options.onUrgentChange();
-      await this.options.confirm(version);
-    }
-    return { version };
+    this.options.onUrgentChange();
+    await this.options.confirm(version);
   }
 
   async requestSend(request: SendPermitRequest): Promise<PermitDecision> {
--- a/src/crash-guard/gateway-crash-guard.ts
+++ b/src/crash-guard/gateway-crash-guard.ts
@@ -9,6 +9,7 @@
 import type { CrashLimits } from './crash-limits.js';
 import type { SendOutcome } from './crash-table.js';
 import {
+  CONFIRM_LOSSES,
   type CrashVersion,
   type CrashView,
   INITIAL_CRASH_VERSION,
@@ -27,6 +28,8 @@
   /** Group whose leader counts. */
   group: string;
   gateway: string;
+  /** Time since the leader was last heard of, in milliseconds. */
+  leaderAgeMs: () => number;
   limits: CrashLimits;
   logger: Logger;
   metrics: CrashGuardMetrics;
@@ -50,11 +53,12 @@
   leftMs: number;
 }
 
-/**
- * Time limit of a request to the leader, in milliseconds: many round trips across zones, and the leader's wait for the
- * gateways. Calls wait for it.
- */
-const REQUEST_TIMEOUT_MS = 250;
+/** Time limit of a request to the leader, in milliseconds: many round trips across zones. Calls wait for it. */
+const REQUEST_TIMEOUT_MS = 400;
+/** Time limit for the gateways to learn what was counted, in milliseconds; longer than the leader waits for them. */
+const CONFIRM_TIMEOUT_MS = 600;
+/** Age of the last contact above which calls do not wait for the leader, in milliseconds: over three long polls. */
+const MAX_LEADER_AGE_MS = 700;
 /** Time after a failed request in which calls do not wait for the leader, in milliseconds. */
 const UNREACHABLE_MS = 500;
 /** Time for which a send waits for another one of the same request to end, in milliseconds. */
@@ -134,21 +138,27 @@
     return admission;
   }
 
-  /**
-   * Reports a lost response. Resolves once the leader has counted it, or after a time limit; it is reported again until then.
-   * @param endsCall whether the caller will be told of the failure
-   */
-  async reportLoss(loss: ReportedLoss, endsCall: boolean): Promise<void> {
-    const { sentMsAgo, ...rest } = loss;
+  /** Reports a lost response. Resolves once the leader has counted it, or after a time limit; it is reported again until then. */
+  async reportLoss({ sentMsAgo, ...loss }: ReportedLoss): Promise<void> {
     this.unpermitted.delete(loss.key);
-    this.unconfirmed.push({ ...rest, sentAt: monotonicMs() - sentMsAgo });
+    this.unconfirmed.push({ ...loss, sentAt: monotonicMs() - sentMsAgo });
     this.learntAt.set(loss.backend, monotonicMs());
     if (this.unconfirmed.length > MAX_UNREPORTED) this.unconfirmed.shift();
     this.options.metrics.noteLoss();
-    if (this.isLeaderReachable) await this.report(endsCall);
+    if (this.isLeaderReachable) await this.report();
     void this.reportUntilAcknowledged();
   }
 
+  /** Resolves once all gateways know of the losses of a request that can hardly be sent again, or after a time limit. */
+  async confirmLosses(key: RequestKey): Promise<void> {
+    if (!this.isLeaderReachable) return;
+    const { groups, group } = this.options;
+    const limits = { timeoutMs: CONFIRM_TIMEOUT_MS, tryTimeoutMs: CONFIRM_TIMEOUT_MS };
+    await callLeader(groups, group, CONFIRM_LOSSES, { key }, limits).catch((error) =>
+      this.noteFailure(error),
+    );
+  }
+
   /** Reports how a send of a suspect request ended whose response was not lost. Does not wait for the leader. */
   reportOutcome(key: RequestKey, outcome: SendOutcome, permit?: number): void {
     this.unpermitted.delete(key);
@@ -200,7 +210,8 @@
   }
 
   private get isLeaderReachable(): boolean {
-    return monotonicMs() - this.leaderFailedAt > UNREACHABLE_MS;
+    const hasFailed = monotonicMs() - this.leaderFailedAt <= UNREACHABLE_MS;
+    return !hasFailed && this.options.leaderAgeMs() < MAX_LEADER_AGE_MS;
   }
 
   private get unreported(): UnconfirmedLoss[] {
@@ -242,7 +253,7 @@
     return { kind: 'granted', backend: candidates[0]! };
   }
 
-  private async report(endsCall: boolean): Promise<void> {
+  private async report(): Promise<void> {
     const { groups, group } = this.options;
     const reported = this.unreported;
     const now = monotonicMs();
@@ -252,8 +263,7 @@
     }));
     const limits = { timeoutMs: REQUEST_TIMEOUT_MS, tryTimeoutMs: REQUEST_TIMEOUT_MS };
     try {
-      const report = { losses, endsCall };
-      const { version } = await callLeader(groups, group, REPORT_LOSSES, report, limits);
+      const { version } = await callLeader(groups, group, REPORT_LOSSES, { losses }, limits);
       const isHeld = !isLater(version, this.heldVersion);
       for (const loss of reported) loss.version = version;
       if (isHeld) this.unconfirmed = this.unconfirmed.filter((loss) => !reported.includes(loss));
@@ -268,7 +278,7 @@
     const { signal } = this.stopping;
     while (this.unreported.length > 0 && !signal.aborted) {
       await sleep(REPORT_INTERVAL_MS, signal);
-      if (this.unreported.length > 0 && !signal.aborted) await this.report(false);
+      if (this.unreported.length > 0 && !signal.aborted) await this.report();
     }
     this.isReporting = false;
   }
--- a/src/crash-guard/messages.ts
+++ b/src/crash-guard/messages.ts
@@ -47,11 +47,6 @@
 
 export interface LossReport {
   losses: ReportedLoss[];
-  /**
-   * Whether a call ends with this loss, so that its caller may send the request to another gateway at once. The leader then
-   * answers once all gateways know of a request that can only be sent once more, or after a time limit.
-   */
-  endsCall: boolean;
 }
 
 export interface LossReportAnswer {
@@ -59,6 +54,14 @@
   version: CrashVersion;
 }
 
+/**
+ * Asks the leader to answer once all gateways know what it has counted under a request, or after a time limit: its caller is
+ * about to be told of a failure, and may send it to another gateway at once.
+ */
+export interface ConfirmationRequest {
+  key: RequestKey;
+}
+
 export interface SendPermitRequest {
   key: RequestKey;
   gateway: string;
@@ -101,6 +104,9 @@
 export const REPORT_LOSSES = defineMethod<LossReport, LeaderAnswer<LossReportAnswer>>(
   'crash-guard.report-losses',
 );
+export const CONFIRM_LOSSES = defineMethod<ConfirmationRequest, LeaderAnswer<OutcomeAnswer>>(
+  'crash-guard.confirm-losses',
+);
 export const REQUEST_SEND = defineMethod<SendPermitRequest, LeaderAnswer<PermitDecision>>(
   'crash-guard.request-send',
 );
--- a/src/crash-guard/request-guard.ts
+++ b/src/crash-guard/request-guard.ts
@@ -13,6 +13,8 @@
   private permit: number | undefined;
   /** Whether a send is in progress that was admitted by `requestSend`. */
   private isSending = false;
+  /** Whether a response was lost in this call. */
+  private hasLost = false;
 
   constructor(
     private readonly guard: GatewayCrashGuard,
@@ -43,11 +45,20 @@
   }
 
   /** Must be called when a response was lost. Resolves once the loss is counted, or after a time limit. */
-  async noteLost(backend: string, sentMsAgo: number, endsCall: boolean): Promise<void> {
-    const key = this.key;
+  async noteLost(backend: string, sentMsAgo: number): Promise<void> {
+    const { key } = this;
     const permit = this.endSend();
     const mayBeShared = this.identity.program === undefined;
-    await this.guard.reportLoss({ key, backend, sentMsAgo, mayBeShared, permit }, endsCall);
+    this.hasLost = true;
+    await this.guard.reportLoss({ key, backend, sentMsAgo, mayBeShared, permit });
+  }
+
+  /**
+   * Must be called before the caller is told of a failure. Resolves once the gateways know of the losses of this call that
+   * they must know of, or after a time limit.
+   */
+  async settle(): Promise<void> {
+    if (this.hasLost) await this.guard.confirmLosses(this.key);
   }
 
   /**
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -74,7 +74,7 @@
 /** The same for a backend that leaves; its request times out after 0.8 s. */
 export const BACKENDS_CONFIRM_MS = 500;
 /** The same for a request that can only be sent once more; its caller waits for the answer to a failed call. */
-const CRASHES_CONFIRM_MS = 150;
+const CRASHES_CONFIRM_MS = 400;
 /** Urgent changes of the requests under which backends ended are published together within this time. */
 const CRASH_UPDATE_INTERVAL_MS = 10;
 /** Maximum number of lagging gateways named in a log entry. */
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -145,7 +145,9 @@
     try {
       const refusal = this.permit && (await this.permit.decision);
       if (refusal) return { kind: 'refused', reason: 'overloaded', ...refusal };
-      return await this.sendUntilAnswered();
+      const outcome = await this.sendUntilAnswered();
+      if (outcome.kind !== 'answered') await this.guardedSends.settle();
+      return outcome;
     } finally {
       clearTimeout(timer);
       this.permit?.end(this.sends.length > 0, this.isTypical);
@@ -180,8 +182,7 @@
     const result = await this.sendTo(clearance.decision);
     const { isTruncated, sentAt } = this;
     const outcome = this.outcomeOf(backend, result);
-    const endsCall = outcome !== undefined && !this.options.exchange.isAbandoned;
-    await this.guardedSends.noteEnd({ backend, result, isTruncated, sentAt, endsCall });
+    await this.guardedSends.noteEnd({ backend, result, isTruncated, sentAt });
     return outcome;
   }
 
--- a/src/forwarding/guarded-sends.ts
+++ b/src/forwarding/guarded-sends.ts
@@ -17,8 +17,6 @@
   isTruncated: boolean;
   /** Monotonic, in milliseconds. */
   sentAt: number;
-  /** Whether the call ends with this send, and its caller waits for the response. */
-  endsCall: boolean;
 }
 
 /**
@@ -65,11 +63,16 @@
   /** Must be called when a send has ended. Resolves once a lost response is counted, or after a time limit. */
   async noteEnd(send: EndedSend): Promise<void> {
     if (!this.guard) return;
-    const { backend, result, sentAt, endsCall } = send;
-    if (mayHaveEnded(send)) await this.guard.noteLost(backend.id, monotonicMs() - sentAt, endsCall);
+    const { backend, result, sentAt } = send;
+    if (mayHaveEnded(send)) await this.guard.noteLost(backend.id, monotonicMs() - sentAt);
     else if (result.kind === 'complete') this.guard.noteAnswered(answeringBackend(backend), sentAt);
     else this.guard.noteStopped();
   }
+
+  /** Must be called before the caller is told of a failure. Resolves once it may send the request to another gateway. */
+  async settle(): Promise<void> {
+    await this.guard?.settle();
+  }
 }
 
 /** A call names its back end, and not the start, if the back end keeps its name. */
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -126,6 +126,7 @@
       groups: this.controlClient,
       group: DIRECTORY_GROUP,
       gateway: settings.name,
+      leaderAgeMs: () => this.watcher.leaderContactAgeMs,
       limits: settings.crashLimits ?? DEFAULT_CRASH_LIMITS,
       logger,
       metrics: new CrashGuardMetrics(this.metrics.registry),
--- a/tests/support/crash-simulation.ts
+++ b/tests/support/crash-simulation.ts
@@ -62,7 +62,7 @@
 const MAX_ALTERNATIVES = 3;
 const MAX_DELAY_MS = 15;
 const POLL_MS = 200;
-const CONFIRM_MS = 150;
+const CONFIRM_MS = 400;
 const HEARTBEAT_MS = 1_000;
 const RESTART_MS = 1_500;
 const GATEWAY_RESTART_MS = 700;
@@ -84,6 +84,8 @@
   start: number;
   isUp: boolean;
   cutUntil: number;
+  /** When the leader last answered its poll. */
+  polledAt: number;
   wake: SignalEvent;
 }
 
@@ -94,6 +96,8 @@
   ends: Set<string>;
   /** Sends that began after the third of these ends. */
   sendsAfterThird: number;
+  /** Sends in one attempt. */
+  maxSends: number;
   /** Responses that were lost, at back ends that ended or not. */
   losses: number;
 }
@@ -154,7 +158,7 @@
   private createGateway(index: number): Gateway {
     const name = `g${index}`;
     const guard = this.createGuard(name, () => this.gateways[index]!);
-    return { name, guard, start: 0, isUp: true, cutUntil: 0, wake: new SignalEvent() };
+    return { name, guard, start: 0, isUp: true, cutUntil: 0, polledAt: 0, wake: new SignalEvent() };
   }
 
   private createGuard(name: string, owner: () => Gateway): GatewayCrashGuard {
@@ -167,6 +171,7 @@
       groups: new GroupClient({ peers, addresses: [LEADER] }),
       group: 'directory',
       gateway: name,
+      leaderAgeMs: () => monotonicMs() - owner().polledAt,
       limits: DEFAULT_CRASH_LIMITS,
       logger: createLogger({}),
       metrics: new CrashGuardMetrics(new Registry()),
@@ -223,6 +228,7 @@
       this.leader.noteGateway(gateway.name);
       const view = this.leader.viewSince(gateway.guard.version);
       await this.delay();
+      gateway.polledAt = monotonicMs();
       if (view && gateway.isUp) gateway.guard.applyView(view);
     }
   }
@@ -289,13 +295,7 @@
 
   private async sendDeadly(index: number): Promise<void> {
     const identity = identityOf(`deadly ${index}`, `p${index}`);
-    const request = {
-      identity,
-      isDeadly: true,
-      ends: new Set<string>(),
-      sendsAfterThird: 0,
-      losses: 0,
-    };
+    const request = createRequest(identity, true, this.random.integer(1, MAX_SENDS));
     this.deadlyRequests.push(request);
     await sleep(this.random.integer(1_000, 2_000));
     for (let attempt = 0; attempt < CALL_ATTEMPTS; attempt += 1) {
@@ -320,13 +320,7 @@
     const identity = areInnocentsEqual
       ? identityOf('equal')
       : identityOf(`other ${count}`, `o${count}`);
-    const request = {
-      identity,
-      isDeadly: false,
-      ends: new Set<string>(),
-      sendsAfterThird: 0,
-      losses: 0,
-    };
+    const request = createRequest(identity, false, MAX_SENDS);
     this.innocents.sent += 1;
     for (let attempt = 0; attempt < 2; attempt += 1) {
       const end = await this.attempt(request);
@@ -338,15 +332,27 @@
     }
   }
 
-  /** One attempt of a caller, at a gateway that is up; within it, the request is sent up to `MAX_SENDS` times. */
+  /** One attempt of a caller, at a gateway that is up. */
   private async attempt(request: SimulatedRequest): Promise<CallEnd> {
     const gateway = this.random.pick(this.gateways.filter(({ isUp }) => isUp));
     const { start } = gateway;
     const { isGuarded = true } = this.options;
     const guard = isGuarded ? gateway.guard.guard(request.identity, undefined) : undefined;
+    const end = await this.sendUntilAnswered(request, gateway, guard);
+    if (end !== 'served' && gateway.start === start) await guard?.settle();
+    return end;
+  }
+
+  /** Sends a request as often as its route allows. */
+  private async sendUntilAnswered(
+    request: SimulatedRequest,
+    gateway: Gateway,
+    guard: RequestGuard | undefined,
+  ): Promise<CallEnd> {
+    const { start } = gateway;
     const deadline = monotonicMs() + DEADLINE_MS;
     const excluded = new Set<Backend>();
-    for (let send = 1; send <= MAX_SENDS; send += 1) {
+    for (let send = 1; send <= request.maxSends; send += 1) {
       if (guard?.isBlocked) return 'blocked';
       const usable = this.backends.filter((it) => it.isAlive && !excluded.has(it));
       if (usable.length === 0) return 'failed';
@@ -363,7 +369,7 @@
         return 'served';
       }
       excluded.add(backend);
-      await guard?.noteLost(backend.id, monotonicMs() - sentAt, send === MAX_SENDS);
+      await guard?.noteLost(backend.id, monotonicMs() - sentAt);
       if (gateway.start !== start) return 'failed';
     }
     return 'failed';
@@ -408,6 +414,14 @@
   }
 }
 
+function createRequest(
+  identity: RequestIdentity,
+  isDeadly: boolean,
+  maxSends: number,
+): SimulatedRequest {
+  return { identity, isDeadly, maxSends, ends: new Set(), sendsAfterThird: 0, losses: 0 };
+}
+
 function identityOf(body: string, program?: string): RequestIdentity {
   return {
     host: 'h',
