An event and an answer have a greatest size, so that bytes without end hold no caller until its deadline

What callers saw: a stream whose event never ends, or a plain answer whose chunks never end, held its caller until the deadline; the gateway buffered the event up to its memory budget, and passed the chunks on at the speed of the link.

Cause: a head was bounded, an event and a body were not.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -5,7 +5,14 @@
 import type { LedgerClient, ReservedStream } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { GatewayQuotas } from '../quotas/index.js';
-import type { CompiledRoute, Route, RouteTable, Tenant } from '../routes/index.js';
+import {
+  type CompiledRoute,
+  DEFAULT_RESPONSE_LIMITS,
+  type ResponseLimits,
+  type Route,
+  type RouteTable,
+  type Tenant,
+} from '../routes/index.js';
 import type { AccessDecision } from '../tenants/index.js';
 import type { PermitGate, PermitRequest } from '../waiting/index.js';
 import type { BackendProtocol } from './backend-protocol.js';
@@ -179,6 +186,7 @@
       tenant: tenant?.name,
       denial: () => this.currentDenial(exchange, route),
       protocol: this.options.protocol,
+      responseLimits: this.responseLimits,
       streamVersion,
       requestPermit: () => this.requestPermit(call, body.length),
       requestGuard,
@@ -351,6 +359,10 @@
     }
   }
 
+  private get responseLimits(): ResponseLimits {
+    return this.options.routes()?.configuration.responseLimits ?? DEFAULT_RESPONSE_LIMITS;
+  }
+
   private tokensPerEvent(service: string): number {
     return this.options.routes()?.service(service)?.engine?.tokensPerEvent ?? 1;
   }
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -1,7 +1,7 @@
 /** Executes one forwarded call: selects backends and sends the call until it is answered or has failed. */
 import { monotonicMs } from '../common/index.js';
 import type { VersionKey } from '../ledger/index.js';
-import type { CompiledRoute } from '../routes/index.js';
+import type { CompiledRoute, ResponseLimits } from '../routes/index.js';
 import type { RequestGuard } from '../crash-guard/index.js';
 import type { LatencyModel } from '../performance/index.js';
 import type { PermitRequest } from '../waiting/index.js';
@@ -41,6 +41,7 @@
   /** Returns why the caller is no longer authorized, if so; called immediately before each attempt. */
   denial: () => RefusalReason | undefined;
   protocol: BackendProtocol;
+  responseLimits: ResponseLimits;
   /** Restricts the backends of a stream that may be resumed. */
   streamVersion: StreamVersion;
   /** Requests the permit for the first send; undefined if none is needed. */
@@ -96,6 +97,7 @@
             exchange,
             isKept,
             isResumable,
+            maxEventBytes: options.responseLimits.maxEventBytes,
             onBegun: () => this.backend && options.streamVersion.noteBegun(this.backend),
           })
         : new BufferedResponse(exchange);
@@ -294,6 +296,7 @@
       body,
       callId,
       sink,
+      maxResponseBytes: this.options.responseLimits.maxResponseBytes,
       onDataReceived,
     });
     sink.onceReadable(() => attempt.resume());
--- a/src/forwarding/held-bytes.test.ts
+++ b/src/forwarding/held-bytes.test.ts
@@ -66,7 +66,12 @@
   // Guards against an event without an end that fills the memory uncounted.
   it('tells the size of an incomplete event', () => {
     const exchange = new CountingExchange();
-    const relay = new StreamRelay({ exchange, isKept: false, isResumable: false });
+    const relay = new StreamRelay({
+      exchange,
+      isKept: false,
+      isResumable: false,
+      maxEventBytes: 1_000_000,
+    });
     relay.onHead(HEAD);
     relay.onData(Buffer.from(`id: 1\ndata: ${'x'.repeat(5_000)}`));
     expect(exchange.heldBytes).toBe(5_012);
@@ -76,7 +81,12 @@
 
   it('tells the size of the output that it collects, until it ends', () => {
     const exchange = new CountingExchange();
-    const relay = new StreamRelay({ exchange, isKept: true, isResumable: false });
+    const relay = new StreamRelay({
+      exchange,
+      isKept: true,
+      isResumable: false,
+      maxEventBytes: 1_000_000,
+    });
     relay.onHead(HEAD);
     relay.onData(Buffer.from('data: 12345\n\ndata: 123\n\n'));
     expect(exchange.heldBytes).toBe('12345\n123\n'.length);
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -37,6 +37,8 @@
   onData(chunk: Buffer): boolean;
   /** Why the response cannot be used, if so; the attempt is then aborted. */
   readonly rejectionReason?: string;
+  /** Whether the response is a stream of events, whose length is not limited. @default false */
+  readonly isStream?: boolean;
 }
 
 export interface SendAttemptOptions {
@@ -46,6 +48,8 @@
   body: Buffer;
   callId: string | undefined;
   sink: ResponseSink;
+  /** Maximum size of a response that is not a stream, in bytes. */
+  maxResponseBytes: number;
   /** Called when bytes of the response arrive. */
   onDataReceived: () => void;
 }
@@ -58,6 +62,7 @@
   /** Whether reading was paused because the caller reads slowly. */
   wasPaused = false;
   private hadHead = false;
+  private receivedBytes = 0;
   private stopReason: 'stopped' | 'not-executed' | 'broken' | undefined;
   private verdict: ParsedResponseHead | undefined;
   private brokenCause = '';
@@ -147,6 +152,11 @@
     if (chunk.length === 0) return;
     this.options.onDataReceived();
     if (this.stopReason) return;
+    this.receivedBytes += chunk.length;
+    if (this.isTooLarge) {
+      this.fail('response too large');
+      return;
+    }
     if (!this.options.sink.onData(chunk)) {
       this.wasPaused = true;
       controller.pause();
@@ -168,6 +178,11 @@
     else this.finish(this.brokenResult(error.message, 'connection-lost'));
   }
 
+  private get isTooLarge(): boolean {
+    const { sink, maxResponseBytes } = this.options;
+    return !sink.isStream && this.receivedBytes > maxResponseBytes;
+  }
+
   private checkRejection(): void {
     const { rejectionReason } = this.options.sink;
     if (rejectionReason !== undefined) this.fail(rejectionReason);
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -23,6 +23,8 @@
   isKept: boolean;
   /** Whether another run may resume the stream. */
   isResumable: boolean;
+  /** Maximum size of one event, in bytes. */
+  maxEventBytes: number;
   /** Called before the first event is relayed. */
   onBegun?: () => void;
 }
@@ -104,6 +106,8 @@
       this.note(event);
     }
     this.callerResponse.noteHeldBytes(this.splitter.pendingBytes + this.outputBytes);
+    if (this.splitter.pendingBytes > this.options.maxEventBytes)
+      this.currentRejection = 'event too large';
     if (accepted.length === 0) return true;
     this.noteBegun();
     return this.callerResponse.pass(accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted));
--- a/src/forwarding/typical-calls.test.ts
+++ b/src/forwarding/typical-calls.test.ts
@@ -11,7 +11,7 @@
 import { identityHeaderLines, rawProtocol } from '../../tests/support/raw-sends.js';
 import { sampleCall } from '../../tests/support/sample-call.js';
 import { monotonicMs } from '../common/index.js';
-import { CompiledRoute, type Route } from '../routes/index.js';
+import { CompiledRoute, DEFAULT_RESPONSE_LIMITS, type Route } from '../routes/index.js';
 import { BackendView } from './backend-view.js';
 import type { CallExchange } from './call-exchange.js';
 import { CallRun } from './call-run.js';
@@ -81,6 +81,7 @@
   let ended: unknown[] = [];
   const decision = Promise.resolve(undefined);
   const run = new CallRun({
+    responseLimits: DEFAULT_RESPONSE_LIMITS,
     exchange: exchangeOf(isPausing),
     route: new CompiledRoute(ROUTE),
     service: 's',
--- a/src/routes/index.ts
+++ b/src/routes/index.ts
@@ -1,6 +1,7 @@
 /** Routes of forwarded calls: configuration, validation and lookup. */
 export * from './errors.js';
 export * from './route-configuration.js';
+export { DEFAULT_RESPONSE_LIMITS, responseLimitsOf } from './response-limits.js';
 export { CompiledRoute, RouteTable } from './route-table.js';
 export {
   ADMISSION_MODES,
--- a/src/routes/route-configuration.ts
+++ b/src/routes/route-configuration.ts
@@ -75,12 +75,22 @@
   idleTimeoutMs: number;
 }
 
+/** Limits on what backends send; bytes beyond them are not an answer, and the call's attempt ends at once. */
+export interface ResponseLimits {
+  /** Maximum size of one event of a stream, in bytes. */
+  maxEventBytes: number;
+  /** Maximum size of a response that is not a stream, in bytes. */
+  maxResponseBytes: number;
+}
+
 export interface RouteConfiguration {
   /** Set by operators; the highest generation takes effect. */
   generation: number;
   routes: Route[];
   services: Service[];
   limits: RequestLimits;
+  /** @default `DEFAULT_RESPONSE_LIMITS` */
+  responseLimits?: ResponseLimits;
   /** Tenants whose keys are accepted; absent if calls need no key. */
   tenants?: Tenant[];
   /** How gateways schedule calls; see `schedulingModeOf` for the default. */
--- a/src/routes/validate-configuration.ts
+++ b/src/routes/validate-configuration.ts
@@ -1,6 +1,7 @@
 /** Validates route configurations before they are replicated. */
 import { InvalidRouteConfigurationError } from './errors.js';
-import type { Route, RouteConfiguration, Tenant } from './route-configuration.js';
+import { DEFAULT_RESPONSE_LIMITS } from './response-limits.js';
+import type { ResponseLimits, Route, RouteConfiguration, Tenant } from './route-configuration.js';
 
 /** @throws InvalidRouteConfigurationError with the first violated condition */
 export function validateRouteConfiguration(configuration: RouteConfiguration): void {
@@ -14,6 +15,12 @@
     hostPrefixes.add(hostPrefix);
   }
   validateTenants(configuration.tenants ?? []);
+  validateResponseLimits(configuration.responseLimits ?? DEFAULT_RESPONSE_LIMITS);
+}
+
+function validateResponseLimits({ maxEventBytes, maxResponseBytes }: ResponseLimits): void {
+  require(maxEventBytes > 0, 'maxEventBytes is not positive');
+  require(maxResponseBytes > 0, 'maxResponseBytes is not positive');
 }
 
 /** Error messages must not contain key hashes. */
--- a/tests/support/raw-sends.ts
+++ b/tests/support/raw-sends.ts
@@ -54,6 +54,7 @@
         return shouldContinue(attempt);
       },
     },
+    maxResponseBytes: Infinity,
     onDataReceived: () => undefined,
   });
   return { result: await attempt.run(), body };
