A call of the first interface loses three engines at most

What callers saw: a model call under which its engine ends was begun at four engines before its outcome was unknown.

Fix: a restart records in the call whether the attempt before may have run; a call that has lost three is not begun again. Attempts that were refused count as before. Services are not changed: their lost attempts include those that were merely slow.

The emulated engine learns to end under a request.

--- a/emulator/engine/engine-server.ts
+++ b/emulator/engine/engine-server.ts
@@ -28,6 +28,8 @@
 
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 const RETRY_AFTER_MS = 200;
+/** Exit code of an engine that ends under a request. */
+const EXIT_ENDED = 70;
 /** SSE comment that keeps the stream alive while a request waits. */
 const KEEP_ALIVE = ': keep-alive\n\n';
 const KEEP_ALIVE_INTERVAL_MS = 1_000;
@@ -167,6 +169,7 @@
     if (!parsed.success) throw badRequestProblem(parsed.error.message);
     if (await this.faults.applyBeforeResponse(response)) return;
     const body = parsed.data;
+    if (this.faults.endsUnder(body.messages)) process.exit(EXIT_ENDED);
     const { tenant, program, sequence, attempt, cost_ceiling, hold_ms } = body.ledgegauge;
     if (!this.orderState.serves(body.model))
       throw badRequestProblem('requested model is not loaded', 'no_model', 404);
--- a/emulator/engine/fault-injector.ts
+++ b/emulator/engine/fault-injector.ts
@@ -3,15 +3,17 @@
 import { z } from 'zod';
 
 export const faultModeSchema = z.object({
-  mode: z.enum(['none', 'rubbish', 'half-event', 'nothing', 'cut']),
+  mode: z.enum(['none', 'rubbish', 'half-event', 'nothing', 'cut', 'end']),
   /** Number of responses to affect. */
   count: z.number().int().min(0).default(1),
+  /** In mode `end`, a request that contains this text ends the engine's process. */
+  marker: z.string().default(''),
 });
 
 export type FaultSettings = z.infer<typeof faultModeSchema>;
 
 export class FaultInjector {
-  private settings: FaultSettings = { mode: 'none', count: 0 };
+  private settings: FaultSettings = { mode: 'none', count: 0, marker: '' };
 
   set(settings: FaultSettings): void {
     this.settings = settings;
@@ -32,6 +34,12 @@
     return false;
   }
 
+  /** Whether the engine's process ends under a request with these messages. */
+  endsUnder(messages: readonly { content: string }[]): boolean {
+    const { mode, marker } = this.settings;
+    return mode === 'end' && messages.some(({ content }) => content.includes(marker));
+  }
+
   corruptChunk(data: string): string {
     return this.settings.mode === 'rubbish' && this.consume() ? '{"%%' : data;
   }
--- a/src/callers/model-call.ts
+++ b/src/callers/model-call.ts
@@ -25,6 +25,8 @@
 type Admitted = Extract<AdmissionResult, { kind: 'admitted' }>;
 
 const MAX_ATTEMPTS = 4;
+/** Maximum number of engines that may be lost under one call, over all gateways. */
+const MAX_LOST_ATTEMPTS = 3;
 const SETTLE_WAIT_MS = 1_000;
 
 export class ModelCall {
@@ -153,7 +155,9 @@
   private async replaceAttempt(lost: CallRecord, neverRan: boolean): Promise<CallResult> {
     const { context, specification } = this;
     const { programId, tenant } = specification;
-    const mayRetry = lost.current.attempt < MAX_ATTEMPTS && context.retries.tryTake();
+    const lostAttempts = (lost.lostAttempts ?? 0) + (neverRan ? 0 : 1);
+    const isAllowed = lost.current.attempt < MAX_ATTEMPTS && lostAttempts < MAX_LOST_ATTEMPTS;
+    const mayRetry = isAllowed && context.retries.tryTake();
     if (!mayRetry || !context.lease.isHeld) return this.giveUp(lost, neverRan);
     this.hint ??= (await context.hints.get(programId, tenant))!;
     const admission = await this.admit();
--- a/src/journal/begin.ts
+++ b/src/journal/begin.ts
@@ -91,6 +91,7 @@
   // A lost attempt may have spent its whole reservation.
   settleReservation(chain, reservation, neverRan ? 0 : reservation);
   call.mayHaveRun ||= !neverRan;
+  if (!neverRan) call.lostAttempts = (call.lostAttempts ?? 0) + 1;
   if (!coversReservation(chain, reservation)) {
     call.current.reservation = 0;
     call.settled = {
--- a/src/journal/program-state.ts
+++ b/src/journal/program-state.ts
@@ -70,6 +70,8 @@
   current: CallAttempt;
   /** Whether an earlier attempt may have run. */
   mayHaveRun: boolean;
+  /** Number of earlier attempts that were lost and may have run; their backends may have ended under the call. @default 0 */
+  lostAttempts?: number;
   settled?: SettledCall;
 }
 
