--- a/src/crash-guard/gateway-crash-guard.ts
+++ b/src/crash-guard/gateway-crash-guard.ts
@@ -69,6 +69,8 @@
 const REPORT_INTERVAL_MS = 250;
 /** Maximum number of losses that wait for a leader; the oldest are dropped first. */
 const MAX_UNREPORTED = 1_000;
+/** Maximum number of back ends of which the time of the latest loss is remembered. */
+const MAX_LEARNT = 1_000;
 /**
  * Number of back ends that may end under one request at this gateway while no leader counts: one retry. Each gateway that is
  * cut off has a count of its own then.
@@ -204,7 +206,8 @@
       ({ version }) => !version || isLater(version, view.version),
     );
     if (isNewLeader) this.reportAgain(before);
-    if (!this.hasSuspects) this.learntAt.clear();
+    // Heartbeats prove the same for what is forgotten here.
+    if (!this.hasSuspects || this.learntAt.size > MAX_LEARNT) this.learntAt.clear();
     for (const { backends } of view.suspects)
       for (const backend of backends) this.learntAt.set(backend, monotonicMs());
   }
