--- a/src/crash-guard/request-guard.ts
+++ b/src/crash-guard/request-guard.ts
@@ -22,6 +22,12 @@
     private readonly tenant: string | undefined,
   ) {}
 
+  /** Digest of the request, for logs as well. */
+  get key(): RequestKey {
+    this.knownKey ??= requestKeyOf(this.identity, this.tenant);
+    return this.knownKey;
+  }
+
   /** Whether a back end may have ended under the request. */
   get isSuspect(): boolean {
     return this.guard.hasSuspects && this.guard.isSuspect(this.key);
@@ -85,9 +91,4 @@
     this.isSending = false;
     return permit;
   }
-
-  private get key(): RequestKey {
-    this.knownKey ??= requestKeyOf(this.identity, this.tenant);
-    return this.knownKey;
-  }
 }
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -146,7 +146,8 @@
     const deadlineMs = exchange.arrivedAt + timeoutMs;
     const tenant = this.authorize(exchange, route);
     const requestGuard = this.options.crashGuard?.guard(description, tenant?.name);
-    if (requestGuard?.isBlocked) throw new RefusedError('ends-backends');
+    if (requestGuard?.isBlocked)
+      throw new RefusedError('ends-backends', undefined, { request: requestGuard.key });
     const service = route.nextService();
     const priority = tenant?.priority ?? route.route.priority;
     const call = { service, priority, tenant: tenant?.name, call: description };
--- a/src/forwarding/call-recorder.ts
+++ b/src/forwarding/call-recorder.ts
@@ -110,10 +110,10 @@
   run,
   ending,
 }: FinishedCall): RequestKey | undefined {
-  const isBroken = run?.sends.some(({ brokenReason }) => brokenReason);
+  if (!run) return undefined;
+  const isBroken = run.sends.some(({ brokenReason }) => brokenReason);
   const isSuspect = ending.kind === 'refused' && SUSPECT_REASONS.has(ending.reason);
-  if (!isBroken && !isSuspect) return undefined;
-  return requestKeyOf(exchange.description, tenant?.name);
+  return isBroken || isSuspect ? requestKeyOf(exchange.description, tenant?.name) : undefined;
 }
 
 function firstEventOf(exchange: CallExchange, run: CallRun | undefined): number | undefined {
