--- a/src/cli/account-command.ts
+++ b/src/cli/account-command.ts
@@ -1,15 +1,19 @@
 /** `account`: summarizes a run from the decision logs of the processes. */
 import type { CAC } from 'cac';
 import {
+  type LossSummary,
+  type LossWindow,
   type RunSummary,
   type TurnLatencyBreakdown,
   describeScheduling,
+  summarizeLosses,
   summarizeRun,
 } from '../explain/index.js';
 import { readLogRecords } from './log-reader.js';
 import { UsageError, runAction } from './run-action.js';
 
 const MAX_FAILURES = 12;
+const MAX_REASONS = 12;
 
 export function addAccountCommand(cli: CAC): void {
   cli
@@ -18,8 +22,13 @@
     .action((files: string[], flags: { json?: boolean }) =>
       runAction(() => {
         if (files.length === 0) throw new UsageError('name at least one log file');
-        const summary = summarizeRun(files.flatMap(readLogRecords));
-        process.stdout.write(`${flags.json ? JSON.stringify(summary) : formatSummary(summary)}\n`);
+        const records = files.flatMap(readLogRecords);
+        const summary = summarizeRun(records);
+        const losses = summarizeLosses(records);
+        const text = flags.json
+          ? JSON.stringify({ ...summary, losses })
+          : `${formatSummary(summary)}\n\n${formatLosses(losses)}`;
+        process.stdout.write(`${text}\n`);
       }),
     );
 }
@@ -47,6 +56,25 @@
   ].join('\n');
 }
 
+function formatLosses({ begun, lost, windows, reasons, routes, places }: LossSummary): string {
+  const counts = (rows: LossSummary['reasons']): string[] =>
+    rows.slice(0, MAX_REASONS).map(({ name, programs }) => `${pad(programs)}  ${name}`);
+  return [
+    `programs lost (late, refused or failed): ${lost} of ${begun}`,
+    '',
+    'begun from s  begun    late  refused  failed  main reason',
+    ...windows.map(formatLossWindow),
+    ...['', 'by reason:', ...counts(reasons)],
+    ...['', 'by route and reason:', ...counts(routes)],
+    ...['', 'by place of the last gateway:', ...counts(places)],
+  ].join('\n');
+}
+
+function formatLossWindow(window: LossWindow): string {
+  const { fromSecond, begun, late, refused, failed, mainReason } = window;
+  return `${[fromSecond, begun, late, refused, failed].map(pad).join('  ')}  ${mainReason}`.trimEnd();
+}
+
 function formatLatencies(parts: TurnLatencyBreakdown): string {
   const { turns, ledgerMs, firstEventMs, generatingMs, keepingMs, sentAgain } = parts;
   const times = [
--- a/src/explain/index.ts
+++ b/src/explain/index.ts
@@ -7,6 +7,7 @@
   type TurnLatencyBreakdown,
   summarizeRun,
 } from './run-summary.js';
+export { type LossSummary, type LossWindow, summarizeLosses } from './lost-programs.js';
 export { type SchedulingCounts, describeScheduling } from './scheduling-counts.js';
 export type { Finding, FindingCause } from './finding.js';
 export { explain, type Explanation } from './explanation.js';
--- a/src/nodes/member-load-log.ts
+++ b/src/nodes/member-load-log.ts
@@ -1,11 +1,12 @@
 /**
- * Logs the load of a busy group member once a second: latency of commands, bytes sent by purpose and
- * processor time. This distinguishes a saturated link, a busy processor, a slow disk and a small window.
+ * Logs the load of a busy group member once a second: latency of commands, bytes sent by purpose, processor time
+ * and what it is used for. This distinguishes a saturated link, a busy processor, a slow disk and a small window.
  */
 import { performance } from 'node:perf_hooks';
 import type { ReplicatedGroup, ReplicationTraffic } from '../consensus/index.js';
 import type { WriteAheadLog } from '../log-store/index.js';
 import type { DurationStats, LogFields, Logger } from '../observability/index.js';
+import { type ProcessLoad, ProcessLoadMeter } from './process-load.js';
 
 const INTERVAL_MS = 1_000;
 /** Minimum number of commands or batches per second for a line to be logged. */
@@ -19,15 +20,15 @@
 }
 
 /** Readings of monotonic counters. */
-interface CounterReading extends ReplicationTraffic {
+interface CounterReading extends ReplicationTraffic, ProcessLoad {
   refused: number;
   syncs: number;
   logBytes: number;
-  processorMs: number;
 }
 
 export class MemberLoadLog {
   private readonly timer: NodeJS.Timeout;
+  private readonly meter = new ProcessLoadMeter();
   private before: CounterReading | undefined;
   private loopBefore = performance.eventLoopUtilization();
 
@@ -38,12 +39,13 @@
 
   stop(): void {
     clearInterval(this.timer);
+    this.meter.stop();
   }
 
   private report(): void {
     const group = this.options.findGroup();
     if (!group) return;
-    const now = readCounters(group, this.options.wal);
+    const now = readCounters(group, this.options.wal, this.meter);
     const before = this.before ?? now;
     this.before = now;
     const times = {
@@ -67,7 +69,7 @@
       snapshotKb: toKib(now.snapshots - before.snapshots),
       logKb: toKib(now.logBytes - before.logBytes),
       syncs: now.syncs - before.syncs,
-      processorMs: Math.round(now.processorMs - before.processorMs),
+      ...describeLoad(now, before),
       loopBusy: Number(loop.utilization.toFixed(2)),
     };
     this.options.logger.info('member load', fields);
@@ -90,14 +92,31 @@
   };
 }
 
-function readCounters(group: ReplicatedGroup, wal: WriteAheadLog): CounterReading {
-  const { user, system } = process.cpuUsage();
+function describeLoad(now: ProcessLoad, before: ProcessLoad): LogFields {
   return {
+    processorMs: Math.round(now.processorMs - before.processorMs),
+    reads: now.reads - before.reads,
+    received: now.messagesReceived - before.messagesReceived,
+    writes: now.writes - before.writes,
+    sent: now.messagesSent - before.messagesSent,
+    loopTurns: now.loopTurns - before.loopTurns,
+    loopEvents: now.loopEvents - before.loopEvents,
+    collections: now.collections - before.collections,
+    collectionMs: Math.round(now.collectionMs - before.collectionMs),
+  };
+}
+
+function readCounters(
+  group: ReplicatedGroup,
+  wal: WriteAheadLog,
+  meter: ProcessLoadMeter,
+): CounterReading {
+  return {
+    ...meter.read(),
     ...group.traffic,
     refused: group.admission.refused,
     syncs: wal.counters.syncs,
     logBytes: wal.counters.bytes,
-    processorMs: (user + system) / 1_000,
   };
 }
 
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -5,4 +5,5 @@
 export { EventLog, type EventLogOptions } from './event-log.js';
 export { LineWriter, type LineRateLimit, type LineWriterOptions } from './line-writer.js';
 export * from './logger.js';
+export { startProcessorProfile } from './processor-profile.js';
 export * from './status-server.js';
--- a/src/wire/framed-socket.ts
+++ b/src/wire/framed-socket.ts
@@ -3,6 +3,7 @@
 import { Deferred, TimeoutError, monotonicMs } from '../common/index.js';
 import { LinkError } from './errors.js';
 import { FrameDecoder, encodeFrame } from './frame-codec.js';
+import { wireCounters } from './wire-counters.js';
 
 export class FramedSocket {
   /** Bytes received and sent by this socket. */
@@ -50,6 +51,7 @@
     if (!this.corked) {
       this.corked = true;
       this.socket.cork();
+      wireCounters.writes += 1;
       setImmediate(() => {
         this.corked = false;
         this.socket.uncork();
@@ -57,6 +59,7 @@
     }
     const frame = encodeFrame(value);
     this.traffic.sent += frame.length;
+    wireCounters.messagesSent += 1;
     this.socket.write(frame);
   }
 
@@ -102,6 +105,7 @@
   private receive(chunk: Buffer): void {
     this.lastReceived = monotonicMs();
     this.traffic.received += chunk.length;
+    wireCounters.reads += 1;
     let values: unknown[];
     try {
       values = this.decoder.push(chunk);
@@ -109,6 +113,7 @@
       this.socket.destroy();
       return;
     }
+    wireCounters.messagesReceived += values.length;
     for (const value of values) this.deliver(value);
   }
 
--- /dev/null
+++ b/src/wire/wire-counters.ts
@@ -0,0 +1,17 @@
+/** Counters of the internal protocol of this process, over all its connections; they only grow. */
+
+export interface WireCounters {
+  /** Reads of sockets. A read may contain several messages, or a part of one. */
+  reads: number;
+  messagesReceived: number;
+  /** Writes to sockets; the messages that are sent in one turn of the event loop are written together. */
+  writes: number;
+  messagesSent: number;
+}
+
+export const wireCounters: WireCounters = {
+  reads: 0,
+  messagesReceived: 0,
+  writes: 0,
+  messagesSent: 0,
+};
