--- a/lab/ledger/ledger-host.ts
+++ b/lab/ledger/ledger-host.ts
@@ -88,8 +88,6 @@
       heartbeatIntervalMs: 1_000,
       secret,
     },
-    groupName: LEDGER_GROUP,
-    stateMachine,
     consensus: CONSENSUS_TIMING,
     logQuotaBytes: undefined,
     isRetiring: () => false,
@@ -100,19 +98,20 @@
   const service = new LedgerService({
     peers: host.peers,
     stateMachine,
-    findGroup: () => host.group,
+    findGroup: () => host.find(LEDGER_GROUP),
     isUnderMemoryPressure: () => false,
   });
   service.registerHandlers(host.router);
   await host.listen();
-  await host.bootstrap({ members: founders });
-  await host.joinGroup(
-    new GroupClient({ peers: host.peers, addresses: founders.map(({ address }) => address) }),
-  );
+  await host.bootstrap(LEDGER_GROUP, { members: founders });
+  const addresses = founders.map(({ address }) => address);
+  const client = new GroupClient({ peers: host.peers, addresses });
+  await host.joinGroups([{ name: LEDGER_GROUP, stateMachine, client }]);
   return host;
 }
 
-function readUsage({ group }: GroupMemberProcess): LedgerHostUsage {
+function readUsage(member: GroupMemberProcess): LedgerHostUsage {
+  const group = member.find(LEDGER_GROUP);
   const { user, system } = process.cpuUsage();
   return {
     leads: group?.isLeader ?? false,
--- a/src/clustering/voter-set-manager.ts
+++ b/src/clustering/voter-set-manager.ts
@@ -6,7 +6,7 @@
 import { type Member, type ReplicatedGroup, votersOf } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 import type { MethodRouter } from '../wire/index.js';
-import { REQUEST_ADMISSION } from './messages.js';
+import { type AdmissionRequest, type AdmissionResponse, REQUEST_ADMISSION } from './messages.js';
 import { type MembershipStep, planMembershipStep } from './voter-plan.js';
 
 const CHECK_INTERVAL_MS = 100;
@@ -50,13 +50,15 @@
   }
 
   registerHandler(router: MethodRouter): void {
-    router.handle(REQUEST_ADMISSION, ({ group, member }) => {
-      if (group !== this.group.name || !this.group.isLeader) {
-        return { leads: false, leaderAddress: this.group.leaderAddress };
-      }
-      this.recordCandidate(member);
-      return { leads: true };
-    });
+    router.handle(REQUEST_ADMISSION, (request) => this.requestAdmission(request));
+  }
+
+  requestAdmission({ group, member }: AdmissionRequest): AdmissionResponse {
+    if (group !== this.group.name || !this.group.isLeader) {
+      return { leads: false, leaderAddress: this.group.leaderAddress };
+    }
+    this.recordCandidate(member);
+    return { leads: true };
   }
 
   /** A candidate replaces others with its name or address: their identities are no longer in use. */
@@ -137,6 +139,11 @@
     await this.group.removeMember(member.id);
   }
 
+  /** Whether a voter could lead now: it responds, holds nearly the whole log, and its machine stays. */
+  canLead({ id, name }: Member): boolean {
+    return this.isReachable(id) && this.isCaughtUp(id) && !this.options.isRetiring(name);
+  }
+
   private isReachable(id: string): boolean {
     return monotonicMs() - this.lastContactMs(id) < UNREACHABLE_AFTER_MS;
   }
--- a/src/consensus/follower-request-handler.ts
+++ b/src/consensus/follower-request-handler.ts
@@ -174,7 +174,10 @@
       );
       return this.rejectAppend(0);
     }
-    if (group.log.heldBytes >= FOLLOWER_MEMORY_FACTOR * this.environment.options.maxHeldBytes) {
+    if (
+      group.log.processHeldBytes >=
+      FOLLOWER_MEMORY_FACTOR * this.environment.options.maxHeldBytes
+    ) {
       return this.rejectAsFull();
     }
     try {
--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -75,10 +75,18 @@
     };
   }
 
-  /** Opens a group from the data folder. */
-  async openGroup(name: string, stateMachine: StateMachine): Promise<ReplicatedGroup> {
+  /**
+   * Opens a group from the data folder.
+   * @param options of this group, where they differ from those of the process
+   */
+  async openGroup(
+    name: string,
+    stateMachine: StateMachine,
+    options: Partial<CheckedConsensusOptions> = {},
+  ): Promise<ReplicatedGroup> {
     const log = await MemberLog.open(name, this.host.wal, this.host.snapshots);
-    const group = new ReplicatedGroup(log, stateMachine, this.environment);
+    const environment = { ...this.environment, options: { ...this.host.options, ...options } };
+    const group = new ReplicatedGroup(log, stateMachine, environment);
     this.groups.set(name, group);
     return group;
   }
--- a/src/consensus/leadership-transfer.ts
+++ b/src/consensus/leadership-transfer.ts
@@ -1,4 +1,4 @@
-/** Transfers leadership to the most up-to-date voter before a planned stop. */
+/** Transfers leadership to another voter: to the most up-to-date one before a planned stop, or to a certain one. */
 import { monotonicMs, sleep } from '../common/index.js';
 import { votersOf } from './configuration.js';
 import { TRANSFER } from './messages.js';
@@ -10,16 +10,21 @@
 const TRANSFER_CALL_TIMEOUT_MS = 500;
 
 /**
+ * @param preferredId the voter that shall lead; undefined for the most up-to-date one
  * @returns whether an up-to-date follower has agreed to start an election, or this member no longer
  *   leads
  */
 export async function transferLeadership(
   group: ReplicatedGroup,
   replicators: ReadonlyMap<string, Replicator>,
+  preferredId?: string,
 ): Promise<boolean> {
   const deadline = monotonicMs() + TRANSFER_WAIT_MS;
   while (group.isLeader && monotonicMs() < deadline) {
-    const target = mostUpToDateFollower(group, replicators);
+    const target =
+      preferredId === undefined
+        ? mostUpToDateFollower(group, replicators)
+        : replicators.get(preferredId);
     const isCaughtUp = target !== undefined && target.matchIndex >= group.log.lastIndex;
     if (isCaughtUp && (await requestElection(group, target))) return true;
     await sleep(TRANSFER_POLL_MS);
--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -116,6 +116,11 @@
     return this.state.heldBytes;
   }
 
+  /** Bytes of the entries that all groups of the process hold in memory. */
+  get processHeldBytes(): number {
+    return this.wal.heldBytes;
+  }
+
   /** The latest configuration in the log, committed or not. */
   get configuration(): GroupConfiguration {
     return this.configurations.at(-1)?.configuration ?? EMPTY_CONFIGURATION;
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -172,7 +172,7 @@
    */
   async propose(command: Uint8Array, attachments?: readonly Uint8Array[]): Promise<unknown> {
     if (!this.isLeader || this.isTransferring) throw this.notLeader();
-    const isFull = this.log.heldBytes >= this.environment.options.maxHeldBytes;
+    const isFull = this.log.processHeldBytes >= this.environment.options.maxHeldBytes;
     if (isFull) throw this.memoryLimitError();
     const proposedAt = monotonicMs();
     const result = await this.proposalLimiter.submit({ command, attachments });
@@ -255,13 +255,16 @@
     return this.changeConfiguration(withoutMember(this.configuration, id));
   }
 
-  /** Transfers leadership; commands are rejected meanwhile. Resolves with whether it succeeded. */
-  async transferLeadership(): Promise<boolean> {
+  /**
+   * Transfers leadership; commands are rejected meanwhile. Resolves with whether it succeeded.
+   * @param preferredId the voter that shall lead; undefined for the most up-to-date one
+   */
+  async transferLeadership(preferredId?: string): Promise<boolean> {
     if (!this.isLeader) return true;
     this.isTransferring = true;
     this.proposalLimiter.refuseAll(this.notLeader());
     try {
-      return await transferLeadership(this, this.replicators);
+      return await transferLeadership(this, this.replicators, preferredId);
     } finally {
       this.isTransferring = false;
     }
--- a/src/control/identity.ts
+++ b/src/control/identity.ts
@@ -30,6 +30,10 @@
   state: IdentityState;
   /** The members that founded the cluster, once known. */
   founders: Member[];
+  /** Names of the groups that the process takes part in; absent if there is a single one. */
+  groups?: readonly string[];
+  /** Those of them that it founded, whose logs the folder holds; absent if there is a single one. */
+  foundedGroups?: readonly string[];
   /** Addresses of the members that were to found the cluster, if the folder was created at the first start of the system. */
   firstSeeds?: readonly string[];
 }
--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -77,8 +77,9 @@
     return this.call(RETIREMENT_STATE, { node }, READ_TIMEOUT_MS);
   }
 
-  async completeRetirement(node: string): Promise<void> {
-    await this.call(COMPLETE_RETIREMENT, { node }, OPERATOR_REQUEST_TIMEOUT_MS);
+  /** Tells that a node has left a ledger group; it is retired once it has left all of them. */
+  async completeRetirement(node: string, group: string): Promise<void> {
+    await this.call(COMPLETE_RETIREMENT, { node, group }, OPERATOR_REQUEST_TIMEOUT_MS);
   }
 
   /** Requests under which backends ended. */
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -1,5 +1,6 @@
 /** Commands of the replicated directory. */
 import type { Member } from '../consensus/index.js';
+import type { LedgerGroupFounders } from '../ledger/ledger-groups.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { PackedConfiguration } from './packed-configuration.js';
 
@@ -28,7 +29,10 @@
 /** Sets the initial members of the ledger group; the first such command wins. */
 export interface FoundLedgerCommand {
   kind: 'found-ledger';
+  /** Members that found the first group. */
   founders: Member[];
+  /** The other groups. @default none */
+  furtherGroups?: LedgerGroupFounders[];
 }
 
 export interface StartRetirementCommand {
--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -3,6 +3,7 @@
 import { CommittingDirectory } from '../../tests/support/committing-directory.js';
 import { sampleRegistration } from '../../tests/support/directory-samples.js';
 import { sleep } from '../common/index.js';
+import { encodeValue } from '../wire/index.js';
 import { BackendCache } from './backend-cache.js';
 import {
   type NodeAnnouncement,
@@ -116,6 +117,32 @@
     expect(view.cluster).toBeUndefined();
   });
 
+  /** A machine that still votes in a group must not be switched off, even if the other groups have replaced it. */
+  it('completes a retirement only when the machine has left all ledger groups', async () => {
+    const { leader, group } = new CommittingDirectory();
+    const founders = [{ id: 'a', name: 'a', address: 'a:1', role: 'voter' }];
+    const furtherGroups = [{ name: 'ledger-2', founders }];
+    await group.propose(encodeValue({ kind: 'found-ledger', founders, furtherGroups }));
+    await group.propose(encodeValue({ kind: 'start-retirement', node: 'a' }));
+    await leader.retirements.noteLeftGroup('a', 'ledger');
+    await leader.retirements.noteLeftGroup('a', 'ledger');
+    expect(leader.retirements.stateOf('a')).toBe('running');
+    await leader.retirements.noteLeftGroup('a', 'ledger-2');
+    expect(leader.retirements.stateOf('a')).toBe('complete');
+  });
+
+  it('forgets the groups that a machine has left when the leader changes', async () => {
+    const { leader, group } = new CommittingDirectory();
+    const founders = [{ id: 'a', name: 'a', address: 'a:1', role: 'voter' }];
+    const furtherGroups = [{ name: 'ledger-2', founders }];
+    await group.propose(encodeValue({ kind: 'found-ledger', founders, furtherGroups }));
+    await group.propose(encodeValue({ kind: 'start-retirement', node: 'a' }));
+    await leader.retirements.noteLeftGroup('a', 'ledger');
+    leader.onLeadershipChange();
+    await leader.retirements.noteLeftGroup('a', 'ledger-2');
+    expect(leader.retirements.stateOf('a')).toBe('running');
+  });
+
   it('does not resend the cluster view when a backend or a configuration changes', async () => {
     const committing = new CommittingDirectory();
     const { version } = (await committing.leader.watch(watchOf('gateway'))).cluster!;
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -2,7 +2,7 @@
  * Duties of the directory's leader besides replication: handles operator requests and registrations,
  * responds to watchers, bootstraps the ledger group, and removes backends that miss heartbeats.
  */
-import { LedgegaugeError, SignalEvent, describeError, monotonicMs } from '../common/index.js';
+import { SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
 import {
   CrashLeader,
@@ -17,7 +17,7 @@
 import { EventLoopThrottle } from './answer-turns.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { DirectoryCommand } from './directory-commands.js';
-import { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
+import { DirectoryStateMachine } from './directory-state-machine.js';
 import { GatewayConfirmations } from './gateway-confirmations.js';
 import { GatewayReports } from './gateway-reports.js';
 import { HeartbeatTable } from './heartbeat-table.js';
@@ -29,11 +29,11 @@
   KnownVersions,
   NodeAnnouncement,
   PutConfigurationRequest,
-  RetirementResponse,
   WatchRequest,
 } from './messages.js';
 import { NotificationThrottle } from './notification-throttle.js';
 import { NodeRoster } from './node-roster.js';
+import { RetirementLeader } from './retirement-leader.js';
 import { SilentBackendTracker } from './silent-backend-tracker.js';
 
 /** Maximum time for which the leader holds a watch request. */
@@ -48,12 +48,12 @@
 const CLUSTER_UPDATE_DELAY_MS = 100;
 /** Backend changes within this time are published together, so that a registering fleet wakes watchers less often. */
 const BACKEND_UPDATE_INTERVAL_MS = 100;
-/** Time after which a new leader's roster includes every running process. */
-const ROSTER_COMPLETE_AFTER_MS = 1_200;
 
 export interface DirectoryLeaderOptions {
   /** Target number of voters in the ledger group. */
   ledgerVoters: number;
+  /** Number of ledger groups to found. @default by the number of journal processes */
+  ledgerGroups?: number;
   /** Interval between heartbeats of a backend, in milliseconds. */
   heartbeatIntervalMs: number;
   /** Addresses of the directory group's members, which are sent to watchers. */
@@ -80,12 +80,10 @@
 /** Maximum number of lagging gateways named in a log entry. */
 const MAX_LOGGED_GATEWAYS = 8;
 
-/** A retirement request was rejected because the new leader does not have the complete roster yet. */
-export class RosterIncompleteError extends LedgegaugeError {}
-
 export class DirectoryLeader {
   readonly stateMachine: DirectoryStateMachine;
   readonly crashes: CrashLeader;
+  readonly retirements: RetirementLeader;
   private readonly roster = new NodeRoster();
   private readonly gatewayReports: GatewayReports;
   private readonly confirmations = new GatewayConfirmations();
@@ -119,7 +117,7 @@
       silentAfterMs: options.heartbeatIntervalMs * SILENT_AFTER_INTERVALS,
       removeAfterMs: options.heartbeatIntervalMs * REMOVED_AFTER_INTERVALS,
     });
-    this.ledgerBootstrap = new LedgerBootstrap(options.ledgerVoters);
+    this.ledgerBootstrap = new LedgerBootstrap(options.ledgerVoters, options.ledgerGroups);
     this.gatewayReports = new GatewayReports({
       backends: () => this.stateMachine.backends,
       isSilent: (id) => this.silentBackends.ids.has(id),
@@ -127,6 +125,14 @@
       logger: options.logger,
     });
     this.crashes = this.createCrashLeader();
+    this.retirements = new RetirementLeader({
+      stateMachine: this.stateMachine,
+      roster: this.roster,
+      ledgerVoters: options.ledgerVoters,
+      leadingSince: () => this.group?.leadingSince ?? 0,
+      propose: (command) => this.propose(command),
+      logger: options.logger,
+    });
     this.timer = setInterval(() => void this.runHousekeeping(), HOUSEKEEPING_INTERVAL_MS);
   }
 
@@ -141,6 +147,7 @@
     this.confirmations.clear();
     this.crashes.clear();
     this.roster.clear();
+    this.retirements.clear();
     this.clusterVersion += 1;
     this.updates.notify();
   }
@@ -191,28 +198,6 @@
     await this.confirmBackends();
   }
 
-  /** @throws RosterIncompleteError while this leader does not know all machines */
-  async startRetirement(node: string): Promise<RetirementResponse> {
-    if (this.stateMachine.retirements.has(node)) return 'accepted';
-    const known = this.roster.find(node);
-    const isNew = monotonicMs() - (this.group?.leadingSince ?? 0) < ROSTER_COMPLETE_AFTER_MS;
-    if (isNew) {
-      const context = { step: 'directory.start-retirement', peer: node, retriable: true };
-      throw new RosterIncompleteError(
-        'new leader has not received all node announcements yet',
-        context,
-      );
-    }
-    if (known?.role !== 'journal') return 'unknown-node';
-    const remaining = this.roster
-      .present('journal')
-      .filter((other) => other.name !== node && !this.stateMachine.retirements.has(other.name));
-    if (remaining.length < this.options.ledgerVoters) return 'too-few-left';
-    await this.propose({ kind: 'start-retirement', node });
-    this.options.logger.info('retirement started', { node, remaining: remaining.length });
-    return 'accepted';
-  }
-
   /** Resolves once the gateways and tenants that may hold shares are committed. */
   async commitQuotaShares(shares: { gateways: string[]; tenants: string[] }): Promise<void> {
     const { gateways, tenants } = shares;
@@ -221,15 +206,6 @@
     this.options.logger.info('shares of limits committed', counts);
   }
 
-  async completeRetirement(node: string): Promise<void> {
-    await this.propose({ kind: 'complete-retirement', node });
-    this.options.logger.info('retirement complete', { node });
-  }
-
-  retirementState(node: string): RetirementState | 'none' {
-    return this.stateMachine.retirements.get(node) ?? 'none';
-  }
-
   /**
    * Responds with what is newer than the watcher's versions, or with an empty view after the long-poll
    * time. Configurations and backends are sent to gateways only.
@@ -326,6 +302,7 @@
       controlAddresses: this.options.controlAddresses(),
       ledgerAddresses: this.ledgerAddresses(),
       ledgerFounders: [...this.stateMachine.ledgerFounders],
+      ledgerGroups: [...this.stateMachine.ledgerGroups],
       retirements: [...this.stateMachine.retirements],
       gatewayCount: Math.max(1, this.roster.present('gateway').length),
     };
@@ -333,8 +310,8 @@
 
   private ledgerAddresses(): string[] {
     const announced = this.roster.known('journal').map((node) => node.address);
-    const ledgerBootstrap = this.stateMachine.ledgerFounders.map((member) => member.address);
-    return [...new Set([...announced, ...ledgerBootstrap])];
+    const founders = this.stateMachine.ledgerGroups.flatMap((group) => group.founders);
+    return [...new Set([...announced, ...founders.map(({ address }) => address)])];
   }
 
   private recordNode(node: NodeAnnouncement): void {
@@ -384,11 +361,14 @@
 
   private async bootstrapLedgerIfDue(): Promise<void> {
     if (this.stateMachine.ledgerFounders.length > 0) return;
-    const founders = this.ledgerBootstrap.dueFounders(this.roster.present('journal'));
-    if (!founders) return;
-    await this.propose({ kind: 'found-ledger', founders });
-    const names = founders.map((member) => member.name).join(',');
-    this.options.logger.info('ledger group founded', { founders: names });
+    const groups = this.ledgerBootstrap.dueGroups(this.roster.present('journal'));
+    if (!groups) return;
+    const [{ founders }, ...furtherGroups] = groups;
+    await this.propose({ kind: 'found-ledger', founders, furtherGroups });
+    for (const { name: group, founders: members } of groups) {
+      const names = members.map(({ name }) => name).join(',');
+      this.options.logger.info('ledger group founded', { group, founders: names });
+    }
   }
 
   private onStateChanged(): void {
--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -51,17 +51,17 @@
     }),
   );
   router.handle(START_RETIREMENT, ({ node }) =>
-    answerAsLeader(findGroup(), () => leader.startRetirement(node)),
+    answerAsLeader(findGroup(), () => leader.retirements.start(node)),
   );
   router.handle(RETIREMENT_STATE, ({ node }) =>
     answerAsLeader(findGroup(), async (group) => {
       await group.confirmLeadership();
-      return leader.retirementState(node);
+      return leader.retirements.stateOf(node);
     }),
   );
-  router.handle(COMPLETE_RETIREMENT, ({ node }) =>
+  router.handle(COMPLETE_RETIREMENT, ({ node, group }) =>
     answerAsLeader(findGroup(), async () => {
-      await leader.completeRetirement(node);
+      await leader.retirements.noteLeftGroup(node, group);
       return ACKNOWLEDGED;
     }),
   );
--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -216,6 +216,17 @@
     expect(machine.state.ledgerFounders).toEqual([founder]);
   });
 
+  it('keeps the further groups, also in a snapshot', () => {
+    const machine = new Machine();
+    const founders = [{ id: 'a', name: 'a', address: 'a:1', role: 'voter' as const }];
+    const furtherGroups = [{ name: 'ledger-2', founders }];
+    machine.run({ kind: 'found-ledger', founders, furtherGroups });
+    const copy = new DirectoryStateMachine(() => undefined);
+    copy.restore(Buffer.concat([...machine.state.snapshot()]));
+    const names = copy.ledgerGroups.map(({ name }) => name);
+    expect(names).toEqual(['ledger', 'ledger-2']);
+  });
+
   it('does not restart a completed retirement', () => {
     const machine = new Machine();
     machine.run({ kind: 'start-retirement', node: 'n' });
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -3,11 +3,16 @@
  * of the ledger group and the machines that are being retired.
  */
 import type { Member, StateMachine } from '../consensus/index.js';
+import { LEDGER_GROUP, type LedgerGroupFounders } from '../ledger/ledger-groups.js';
 import { decodeValue, encodeValue } from '../wire/index.js';
 import { type BackendDelta, type BackendHistory, BackendUpdateSource } from './backend-updates.js';
 import type { BackendRegistration } from './backend-registration.js';
 import { ChangeHistory } from '../common/index.js';
-import type { DirectoryCommand, DirectoryResult } from './directory-commands.js';
+import type {
+  DirectoryCommand,
+  DirectoryResult,
+  FoundLedgerCommand,
+} from './directory-commands.js';
 import {
   type Incarnation,
   incarnationId,
@@ -44,7 +49,9 @@
    * another one has taken its address: a delayed heartbeat must not replace the running backend.
    */
   lost: Map<string, string>;
+  /** Members that found the first ledger group; none before it is founded. */
   ledgerFounders: Member[];
+  furtherLedgerGroups: LedgerGroupFounders[];
   retirements: Map<string, RetirementState>;
   quotaShares: QuotaShares;
 }
@@ -58,6 +65,8 @@
   departed: string[];
   lost: [string, string][];
   ledgerFounders: Member[];
+  /** Absent in snapshots of releases with a single ledger group. */
+  furtherLedgerGroups?: LedgerGroupFounders[];
   retirements: [string, RetirementState][];
   /** Absent in snapshots of releases without tenant limits. */
   quotaShares?: { gateways: string[]; tenants: string[] };
@@ -111,10 +120,18 @@
     return changes;
   }
 
+  /** Members that found the first ledger group. */
   get ledgerFounders(): readonly Member[] {
     return this.state.ledgerFounders;
   }
 
+  /** The groups of the ledger; none before it is founded. */
+  get ledgerGroups(): readonly LedgerGroupFounders[] {
+    const { ledgerFounders: founders, furtherLedgerGroups } = this.state;
+    if (founders.length === 0) return [];
+    return [{ name: LEDGER_GROUP, founders }, ...furtherLedgerGroups];
+  }
+
   get retirements(): ReadonlyMap<string, RetirementState> {
     return this.state.retirements;
   }
@@ -191,6 +208,7 @@
     this.state = {
       ...encoded,
       configuration: encoded.configuration ?? undefined,
+      furtherLedgerGroups: encoded.furtherLedgerGroups ?? [],
       backends: new RegisteredBackends(encoded.backends.map(withName)),
       departed: new Set(encoded.departed),
       lost: new Map(encoded.lost),
@@ -210,7 +228,7 @@
       case 'remove-backend':
         return this.remove(command.id, command.hasDeparted, index);
       case 'found-ledger':
-        return this.foundLedger(command.founders);
+        return this.foundLedger(command);
       case 'start-retirement':
         return this.setRetirement(command.node, 'running');
       case 'complete-retirement':
@@ -295,9 +313,10 @@
     }
   }
 
-  private foundLedger(founders: Member[]): DirectoryResult {
+  private foundLedger({ founders, furtherGroups = [] }: FoundLedgerCommand): DirectoryResult {
     if (this.state.ledgerFounders.length > 0) return NOTHING_CHANGED;
     this.state.ledgerFounders = founders;
+    this.state.furtherLedgerGroups = furtherGroups;
     return CHANGED;
   }
 
@@ -333,6 +352,7 @@
     departed: new Set(),
     lost: new Map(),
     ledgerFounders: [],
+    furtherLedgerGroups: [],
     retirements: new Map(),
     quotaShares: quotaSharesOf(undefined),
   };
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -8,6 +8,7 @@
 } from '../crash-guard/messages.js';
 import type { LeaderAnswer, Member } from '../consensus/index.js';
 import type { HealthReport, ZoneHealth } from '../gateway-health/index.js';
+import { LEDGER_GROUP, type LedgerGroupFounders } from '../ledger/ledger-groups.js';
 import { defineMethod } from '../wire/index.js';
 import type { BackendUpdate } from './backend-updates.js';
 import type { BackendRegistration } from './backend-registration.js';
@@ -81,11 +82,23 @@
   version: string;
   controlAddresses: string[];
   ledgerAddresses: string[];
+  /** Members that found the first ledger group; none before it is founded. */
   ledgerFounders: Member[];
+  /** All groups of the ledger; absent in views of releases with a single one. */
+  ledgerGroups?: LedgerGroupFounders[];
   retirements: [string, RetirementState][];
   gatewayCount: number;
 }
 
+/** The groups of the ledger; none before it is founded. */
+export function ledgerGroupsOf({
+  ledgerFounders: founders,
+  ledgerGroups,
+}: ClusterView): LedgerGroupFounders[] {
+  if (ledgerGroups) return ledgerGroups;
+  return founders.length === 0 ? [] : [{ name: LEDGER_GROUP, founders }];
+}
+
 export interface ConfigurationView {
   /** Log index at which the configuration was applied. */
   index: number;
@@ -139,6 +152,12 @@
   node: string;
 }
 
+/** Tells that a node is in no ledger group any more, or no longer in one of them. */
+export interface RetirementReport extends RetirementRequest {
+  /** The group that the node has left; absent in reports of releases with a single one. */
+  group?: string;
+}
+
 export interface ReadConfigurationResponse {
   source?: string;
 }
@@ -177,6 +196,6 @@
   RetirementRequest,
   LeaderAnswer<RetirementState | 'none'>
 >('directory.retirement-state');
-export const COMPLETE_RETIREMENT = defineMethod<RetirementRequest, LeaderAnswer<Acknowledgement>>(
+export const COMPLETE_RETIREMENT = defineMethod<RetirementReport, LeaderAnswer<Acknowledgement>>(
   'directory.complete-retirement',
 );
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -2,7 +2,7 @@
 import type { GatewayAdmission, ModelCall } from '../admission/index.js';
 import { monotonicMs } from '../common/index.js';
 import type { GatewayCrashGuard, RequestGuard } from '../crash-guard/index.js';
-import type { LedgerClient, ReservedStream } from '../ledger/index.js';
+import type { Ledger, ReservedStream } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { GatewayQuotas } from '../quotas/index.js';
 import {
@@ -32,6 +32,7 @@
   type Reservation,
   TurnReservations,
   isTurnToKeep,
+  ledgerProgramOf,
   needsLedger,
 } from './turn-reservations.js';
 
@@ -46,7 +47,7 @@
   sharedAdmission?: Pick<GatewayAdmission, 'decide' | 'beginTurn' | 'noteSent'>;
   backends: BackendView;
   placement: Placement;
-  ledger: LedgerClient;
+  ledger: Ledger;
   protocol: BackendProtocol;
   logger: Logger;
   metrics: ForwardingMetrics;
@@ -299,7 +300,8 @@
     const { service, priority } = call;
     const engines = this.options.backends.serving(service);
     const typicalMs = this.options.backends.typicalMs(service);
-    const delayMs = needsLedger(call.call, route) ? this.options.ledger.delayMs : 0;
+    const program = ledgerProgramOf(call.call, call.tenant);
+    const delayMs = needsLedger(call.call, route) ? this.options.ledger.delayMsOf(program) : 0;
     const ledgerLoad = ledgerLoadOf(delayMs, typicalMs);
     const isWithinOwnLimit = this.admission.admits(
       service,
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -3,14 +3,14 @@
  * so that the caller can resume the stream at any gateway.
  */
 import { monotonicMs } from '../common/index.js';
-import type { LedgerClient, ReservedStream, StreamRecord, VersionKey } from '../ledger/index.js';
+import type { Ledger, ReservedStream, StreamRecord, VersionKey } from '../ledger/index.js';
 import type { CompiledRoute } from '../routes/index.js';
 import { scopedId } from '../tenants/index.js';
 import type { BackendView } from './backend-view.js';
 import type { CallDescription } from './call-exchange.js';
 import type { Placement } from './placement.js';
 import { StreamVersion, versionKeyOf } from './stream-version.js';
-import { RefusedError, type Reservation } from './turn-reservations.js';
+import { RefusedError, type Reservation, ledgerProgramOf } from './turn-reservations.js';
 
 /** Limit for the ids of attempts that callers name. */
 const MAX_ATTEMPT_ID_LENGTH = 256;
@@ -33,7 +33,7 @@
 export interface ResumableStreamsOptions {
   backends: BackendView;
   placement: Placement;
-  ledger: Pick<LedgerClient, 'recordStreamLater' | 'changeStream'>;
+  ledger: Pick<Ledger, 'recordStreamLater' | 'changeStream'>;
 }
 
 export class ResumableStreams {
@@ -89,6 +89,7 @@
     const { ledger } = this.options;
     const { description, tenant } = call;
     const attempt = scopedId(tenant, description.id!);
+    const program = ledgerProgramOf(description, tenant, stream);
     const recordOf = (version: VersionKey): StreamRecord => {
       return { attempt, version, keepMs: leftMs(call) };
     };
@@ -96,10 +97,10 @@
     return new StreamVersion({
       key: recorded ?? (reservation && expectedVersion(stream, reservation)),
       isRecorded: recorded !== undefined,
-      recordLater: (version) => ledger.recordStreamLater(recordOf(version)),
+      recordLater: (version) => ledger.recordStreamLater(program, recordOf(version)),
       recordChange: (version) => {
         const record = recordOf(version);
-        return ledger.changeStream(record, Math.min(record.keepMs, MAX_CHANGE_MS));
+        return ledger.changeStream(program, record, Math.min(record.keepMs, MAX_CHANGE_MS));
       },
     });
   }
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -3,7 +3,7 @@
 import {
   type CachedTurn,
   HistoryMissingError,
-  type LedgerClient,
+  type Ledger,
   type NextTurn,
   NotReservedError,
   ReservationTrace,
@@ -25,7 +25,7 @@
 import { versionKeyOf } from './stream-version.js';
 
 export interface TurnReservationsOptions {
-  ledger: LedgerClient;
+  ledger: Ledger;
   logger: Logger;
   metrics: ForwardingMetrics;
   /** Tokens per event of a service's streams. */
@@ -108,6 +108,19 @@
   return program?.budgetTokens !== undefined || route.retainsTurns;
 }
 
+/**
+ * The program of a call as the ledger knows it. A call without a program is one of its own, which attempts that resume its
+ * stream belong to as well.
+ */
+export function ledgerProgramOf(
+  { program, id }: CallDescription,
+  tenant: string | undefined,
+  stream?: ReservedStream,
+): string {
+  if (!program && stream?.kind === 'resume') return stream.attempt;
+  return scopedId(tenant, program?.id ?? id!);
+}
+
 /** Whether a turn was answered by a stream that later turns may continue. */
 export function isTurnToKeep({
   run,
@@ -143,7 +156,7 @@
     const call = exchange.description.id!;
     const turn: ReservedTurn = {
       attempt: scopedId(tenant, call),
-      program: scopedId(tenant, program?.id ?? call),
+      program: ledgerProgramOf(exchange.description, tenant, stream),
       previousTurn:
         route.retainsTurns && previousTurn !== undefined
           ? scopedId(tenant, previousTurn)
@@ -164,7 +177,7 @@
         const { program: key, attempt } = turn;
         this.options.ledger.settleLater({ program: key, attempt, spentTokens: 0 });
       }
-      throw this.refusalOf(error, trace);
+      throw this.refusalOf(error, turn, trace);
     }
   }
 
@@ -244,12 +257,17 @@
     return cached === undefined || cached.keptUntilMs < deadlineMs;
   }
 
-  private refusalOf(error: unknown, trace: ReservationTrace): RefusedError {
+  private refusalOf(
+    error: unknown,
+    { program }: ReservedTurn,
+    trace: ReservationTrace,
+  ): RefusedError {
     const details = describeTrace(trace);
     if (error instanceof HistoryMissingError) {
       return new RefusedError('history-missing', error.comeBackMs, details);
     }
-    return new RefusedError('ledger-unavailable', this.options.ledger.expectedOutageMs, details);
+    const outageMs = this.options.ledger.expectedOutageMsOf(program);
+    return new RefusedError('ledger-unavailable', outageMs, details);
   }
 
   private async keep(
--- a/src/ledger/acknowledged-turn-power-loss.test.ts
+++ b/src/ledger/acknowledged-turn-power-loss.test.ts
@@ -6,7 +6,8 @@
 import { DiskCluster } from '../../tests/support/simulated-disk-cluster.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { callLeader, checkConsensusOptions } from '../consensus/index.js';
-import { LEDGER_GROUP, SETTLE } from './messages.js';
+import { LEDGER_GROUP } from './ledger-groups.js';
+import { SETTLE } from './messages.js';
 import { ValueCopySender } from './value-copy-sender.js';
 
 vi.mock('node:fs/promises', async (importOriginal) => {
--- a/src/ledger/history-reader.test.ts
+++ b/src/ledger/history-reader.test.ts
@@ -10,7 +10,8 @@
 import { GroupClient, callLeader } from '../consensus/index.js';
 import { HistoryNotReadError } from './history-reader.js';
 import { LedgerClient } from './ledger-client.js';
-import { LEDGER_GROUP, RESERVE, type ReserveResponse, SETTLE } from './messages.js';
+import { LEDGER_GROUP } from './ledger-groups.js';
+import { RESERVE, type ReserveResponse, SETTLE } from './messages.js';
 
 const LIMITS = { timeoutMs: 5_000 };
 
--- a/src/ledger/history-reader.ts
+++ b/src/ledger/history-reader.ts
@@ -23,9 +23,11 @@
 export class HistoryNotReadError extends LedgegaugeError {}
 
 export class HistoryReader {
+  /** @param group the ledger group whose members are read from; undefined for the first one */
   constructor(
     private readonly peers: Pick<PeerDirectory, 'callWhenConnected'>,
     private readonly logger: Logger,
+    private readonly group?: string,
   ) {}
 
   /**
@@ -55,7 +57,7 @@
     atIndex: number,
   ): Promise<Uint8Array | undefined> {
     try {
-      const request = { turn, atIndex };
+      const request = { group: this.group, turn, atIndex };
       const answer = await this.peers.callWhenConnected(
         address,
         READ_HISTORY,
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -27,9 +27,10 @@
 import type { Logger } from '../observability/index.js';
 import type { Method } from '../wire/index.js';
 import { LeaderDelay } from './leader-delay.js';
+import { LEDGER_GROUP } from './ledger-groups.js';
 import {
-  LEDGER_GROUP,
   type LeaderStatus,
+  type LedgerGroupRequest,
   RESERVE,
   type ReserveResponse,
   SETTLE,
@@ -98,6 +99,7 @@
    * @param histories reads histories from followers; if absent, the leader sends them
    * @param copies sends kept turns to the followers; if absent, the leader sends them
    * @param cutOff ends reservations that wait while this gateway is cut off; if absent, they wait until their limit
+   * @param groupName group of the ledger whose programs it serves
    */
   constructor(
     private readonly groups: GroupClient,
@@ -106,6 +108,7 @@
     private readonly histories?: HistoryReader,
     private readonly copies?: ValueCopySender,
     private readonly cutOff?: CutOffSignal,
+    private readonly groupName = LEDGER_GROUP,
   ) {
     const send = this.sendStreamRecords.bind(this);
     this.streamRecorder = new StreamRecorder(send, logger);
@@ -123,7 +126,7 @@
 
   /** Time since a leader's latest answer, even a refusal, in milliseconds; `Infinity` if there was none. */
   get answeredAgeMs(): number {
-    return this.groups.lastHeardLeader(LEDGER_GROUP)?.ageMs ?? Infinity;
+    return this.groups.lastHeardLeader(this.groupName)?.ageMs ?? Infinity;
   }
 
   /** Mean delay of the leader's commands by load, in milliseconds; 0 if it is not known. */
@@ -131,6 +134,16 @@
     return this.delay.currentMs;
   }
 
+  /** As `delayMs`; all programs of this client have one leader. */
+  delayMsOf(): number {
+    return this.delayMs;
+  }
+
+  /** As `expectedOutageMs`; all programs of this client have one leader. */
+  expectedOutageMsOf(): number {
+    return this.expectedOutageMs;
+  }
+
   /** Whether the leader has recently had no room for a turn. */
   get mayLackRoom(): boolean {
     return monotonicMs() < this.roomSuspectUntil;
@@ -156,7 +169,7 @@
     mayUseAllowance: boolean,
     trace = new ReservationTrace(),
   ): Promise<LedgerReservation> {
-    trace.knownLeader = this.groups.lastHeardLeader(LEDGER_GROUP);
+    trace.knownLeader = this.groups.lastHeardLeader(this.groupName);
     const { program, mostTokens, stream } = request;
     const isCovered = mayUseAllowance && this.allowances.covers(program, mostTokens);
     // The ledger must record a resumable stream, unless it is unreachable.
@@ -249,7 +262,7 @@
   }
 
   /** Has the version of a stream recorded in the background. */
-  recordStreamLater(record: StreamRecord): void {
+  recordStreamLater(_program: string, record: StreamRecord): void {
     this.streamRecorder.recordLater(record);
   }
 
@@ -257,7 +270,7 @@
    * Resolves once this version replaces the one that the attempt's reservation recorded.
    * @throws GroupUnavailableError or StreamNotRecordedError when either may be recorded
    */
-  changeStream(record: StreamRecord, timeoutMs: number): Promise<void> {
+  changeStream(_program: string, record: StreamRecord, timeoutMs: number): Promise<void> {
     return this.sendStreamRecords([record], timeoutMs);
   }
 
@@ -321,7 +334,7 @@
       throw error;
     } finally {
       trace.times.leaderMs += monotonicMs() - enteredAt;
-      trace.leader = this.groups.lastHeardLeader(LEDGER_GROUP)?.address;
+      trace.leader = this.groups.lastHeardLeader(this.groupName)?.address;
     }
   }
 
@@ -431,7 +444,7 @@
     this.isProbing = false;
   }
 
-  private async call<Request, Response extends LeaderStatus>(
+  private async call<Request extends LedgerGroupRequest, Response extends LeaderStatus>(
     method: Method<Request, LeaderAnswer<Response>>,
     request: Request,
     limits: GroupCallOptions,
@@ -439,7 +452,9 @@
     this.outage.recordRequest();
     try {
       const options = { ...limits, maximumPauseMs: MAX_ATTEMPT_PAUSE_MS };
-      const response = await callLeader(this.groups, LEDGER_GROUP, method, request, options);
+      const isFirst = this.groupName === LEDGER_GROUP;
+      const addressed = isFirst ? request : { ...request, group: this.groupName };
+      const response = await callLeader(this.groups, this.groupName, method, addressed, options);
       this.outage.recordResponse();
       if (response.delayMs !== undefined) this.delay.note(response.delayMs);
       this.latestRefusal = undefined;
--- a/src/ledger/ledger-errors.ts
+++ b/src/ledger/ledger-errors.ts
@@ -2,7 +2,8 @@
 import { LedgegaugeError } from '../common/index.js';
 import { GroupUnavailableError } from '../consensus/index.js';
 import type { NotKeptReason } from './ledger-commands.js';
-import { LEDGER_GROUP, type MissingHistory, RESERVE, SETTLE } from './messages.js';
+import { LEDGER_GROUP } from './ledger-groups.js';
+import { type MissingHistory, RESERVE, SETTLE } from './messages.js';
 
 /** Minimum delay before a turn with a missing history is retried, in milliseconds. */
 const MISSING_HISTORY_RETRY_MS = 1_000;
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -1,6 +1,7 @@
 /** RPC service of the ledger: reservations and settlements on the leader, reads on any member. */
 import { LedgegaugeError, monotonicMs, sleep } from '../common/index.js';
 import {
+  type LeaderAnswer,
   type PeerNotifier,
   type ReplicatedGroup,
   answerAsLeader,
@@ -35,6 +36,7 @@
   type SettleResponse,
   type SettleRequest,
   TAKE_COPY,
+  type TakeCopyNotice,
 } from './messages.js';
 import { sendCopy } from './value-copy-sender.js';
 
@@ -44,8 +46,12 @@
 const APPLY_TIMEOUT_MS = 200;
 /** Lag of the replicated clock from which on a refusal for lack of room advances it, in milliseconds. */
 const MAX_CLOCK_LAG_MS = 1_000;
+/** Answer for a group that this process does not serve. */
+const NOT_STARTED = { refusal: 'group is not started on this member' };
 
 export interface LedgerServiceOptions {
+  /** Name of the group; undefined for the first one. @default undefined */
+  groupName?: string;
   peers: PeerNotifier;
   stateMachine: LedgerStateMachine;
   findGroup: () => ReplicatedGroup | undefined;
@@ -82,18 +88,21 @@
     return this.options.stateMachine.turns.expired.heldCount;
   }
 
+  /** Serves requests to any group by this one, for a process with a single group. */
   registerHandlers(router: MethodRouter): void {
-    router.handle(RESERVE, (request) =>
-      answerAsLeader(this.options.findGroup(), (group) => this.reserve(group, request)),
-    );
-    router.handle(SETTLE, (request) =>
-      answerAsLeader(this.options.findGroup(), (group) => this.settle(group, request)),
-    );
-    router.handle(READ_HISTORY, (request) => this.readHistory(request));
-    router.handle(TAKE_COPY, ({ turn, value }) =>
-      this.options.stateMachine.external.storeCopy(turn, value),
-    );
-    router.handle(READ_TURNS, (request) => this.readTurns(request));
+    registerLedgerHandlers(router, () => this);
+  }
+
+  answerReserve(request: ReserveRequest): Promise<LeaderAnswer<ReserveResponse>> {
+    return answerAsLeader(this.options.findGroup(), (group) => this.reserve(group, request));
+  }
+
+  answerSettle(request: SettleRequest): Promise<LeaderAnswer<SettleResponse>> {
+    return answerAsLeader(this.options.findGroup(), (group) => this.settle(group, request));
+  }
+
+  takeCopy({ turn, value }: TakeCopyNotice): void {
+    this.options.stateMachine.external.storeCopy(turn, value);
   }
 
   /** Selects reachable members that hold a turn, round-robin. */
@@ -117,7 +126,7 @@
   }
 
   /** Served by any member, from its own store only. */
-  private async readHistory({ turn, atIndex }: ReadHistoryRequest): Promise<ReadHistoryResponse> {
+  async readHistory({ turn, atIndex }: ReadHistoryRequest): Promise<ReadHistoryResponse> {
     const applier = this.options.findGroup()?.applier;
     if (!applier) return {};
     const isApplied = (): boolean => applier.appliedIndex >= atIndex;
@@ -129,7 +138,7 @@
   }
 
   /** Served by any member. */
-  private async readTurns(request: ReadTurnsRequest): Promise<ReadTurnsResponse> {
+  async readTurns(request: ReadTurnsRequest): Promise<ReadTurnsResponse> {
     const group = this.options.findGroup();
     const isRecent = group !== undefined && isStateRecentEnough(group, request);
     const response = await this.options.stateMachine.external.answer(request, isRecent);
@@ -223,8 +232,8 @@
 
   /** Sends the values to the followers for a gateway that does not know them yet. */
   private sendCopies(values: ReadonlyMap<string, Buffer>, addresses: readonly string[]): void {
-    const { peers } = this.options;
-    for (const [turn, value] of values) sendCopy(peers, addresses, { turn, value });
+    const { peers, groupName: group } = this.options;
+    for (const [turn, value] of values) sendCopy(peers, addresses, { group, turn, value });
   }
 
   /** Monotonic clock that continues from the clock of the replicated state. */
@@ -237,6 +246,27 @@
   }
 }
 
+/** Registers the handlers of all ledger groups of a process. @param find the service of a group on this member */
+export function registerLedgerHandlers(
+  router: MethodRouter,
+  find: (group: string | undefined) => LedgerService | undefined,
+): void {
+  router.handle(RESERVE, (request) => find(request.group)?.answerReserve(request) ?? NOT_STARTED);
+  router.handle(SETTLE, (request) => find(request.group)?.answerSettle(request) ?? NOT_STARTED);
+  router.handle(READ_HISTORY, (request) => find(request.group)?.readHistory(request) ?? {});
+  router.handle(TAKE_COPY, (copy) => find(copy.group)?.takeCopy(copy));
+  router.handle(
+    READ_TURNS,
+    (request) =>
+      find(request.group)?.readTurns(request) ?? {
+        values: [],
+        expired: [],
+        lost: [],
+        covered: request.turns.length,
+      },
+  );
+}
+
 /**
  * Whether a member's state can tell expired turns from lost values. After a restart it cannot until
  * it has applied all entries that it knows to be committed, since values may have been deleted then.
@@ -277,6 +307,7 @@
   mayReadElsewhere: _mayReadElsewhere,
   copyTargets: _copyTargets,
   keptInputBytes: _keptInputBytes,
+  group: _group,
   ...reservation
 }: ReserveRequest): Omit<ReserveCommand, 'kind' | 'nowMs'> {
   return reservation;
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -8,9 +8,13 @@
   SettleResult,
 } from './ledger-commands.js';
 
-export const LEDGER_GROUP = 'ledger';
+/** A request to one group of the ledger. */
+export interface LedgerGroupRequest {
+  /** Name of the group; absent for the first one. */
+  group?: string;
+}
 
-export interface ReserveRequest extends Omit<ReserveCommand, 'kind' | 'nowMs'> {
+export interface ReserveRequest extends Omit<ReserveCommand, 'kind' | 'nowMs'>, LedgerGroupRequest {
   /** Whether the response should include the history of the turn. */
   wantsHistory: boolean;
   /** Whether the response may list members to read the history from instead. */
@@ -64,7 +68,7 @@
   copyTargets?: CopyTargets;
 }
 
-export interface SettleRequest extends Omit<SettleCommand, 'kind' | 'nowMs'> {
+export interface SettleRequest extends Omit<SettleCommand, 'kind' | 'nowMs'>, LedgerGroupRequest {
   /** Version of the copy targets that the gateway sent the values to; absent if it sent none. */
   copiedTo?: string;
   /** Whether the gateway can send the values to the followers itself. */
@@ -83,7 +87,7 @@
 }
 
 /** Requests values of kept turns from a member. */
-export interface ReadTurnsRequest {
+export interface ReadTurnsRequest extends LedgerGroupRequest {
   turns: string[];
   /** Log index of the state that refers to the turns; absent if expired turns need not be reported. */
   atIndex?: number;
@@ -105,7 +109,7 @@
 }
 
 /** Requests the history up to and including a turn. */
-export interface ReadHistoryRequest {
+export interface ReadHistoryRequest extends LedgerGroupRequest {
   turn: string;
   /** Log index that the member must have applied before it responds. */
   atIndex: number;
@@ -117,7 +121,7 @@
 }
 
 /** Sends a follower the value of a turn ahead of the log entry that refers to it. */
-export interface TakeCopyNotice {
+export interface TakeCopyNotice extends LedgerGroupRequest {
   turn: string;
   /** The turn's input followed by its output. */
   value: Uint8Array;
--- a/src/ledger/value-copy-sender.ts
+++ b/src/ledger/value-copy-sender.ts
@@ -10,7 +10,11 @@
 export class ValueCopySender {
   private targets: CopyTargets | undefined;
 
-  constructor(private readonly peers: PeerNotifier) {}
+  /** @param group the ledger group whose followers get the copies; undefined for the first one */
+  constructor(
+    private readonly peers: PeerNotifier,
+    private readonly group?: string,
+  ) {}
 
   /** Version of the known targets; undefined if none are known yet. */
   get version(): string | undefined {
@@ -27,7 +31,8 @@
    */
   send({ attempt, keep }: Settlement): string | undefined {
     if (!this.targets || !keep || !hasInlineValue(keep)) return undefined;
-    sendCopy(this.peers, this.targets.addresses, { turn: attempt, value: encodeTurnValue(keep) });
+    const copy = { group: this.group, turn: attempt, value: encodeTurnValue(keep) };
+    sendCopy(this.peers, this.targets.addresses, copy);
     return this.targets.version;
   }
 }
--- a/src/ledger/value-replication.test.ts
+++ b/src/ledger/value-replication.test.ts
@@ -11,7 +11,8 @@
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { GroupClient, callLeader } from '../consensus/index.js';
 import { LedgerClient } from './ledger-client.js';
-import { LEDGER_GROUP, RESERVE, TAKE_COPY } from './messages.js';
+import { LEDGER_GROUP } from './ledger-groups.js';
+import { RESERVE, TAKE_COPY } from './messages.js';
 
 vi.mock('node:fs/promises', () => import('../../tests/support/memory-files.js'));
 
--- a/src/log-store/write-ahead-log.ts
+++ b/src/log-store/write-ahead-log.ts
@@ -138,6 +138,13 @@
     return state;
   }
 
+  /** Bytes of the entries of all groups that are held in memory. */
+  get heldBytes(): number {
+    let bytes = 0;
+    for (const group of this.groups.values()) bytes += group.heldBytes;
+    return bytes;
+  }
+
   get groupNames(): string[] {
     return [...this.groups.keys()];
   }
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -44,6 +44,7 @@
     const { logger, onFatal } = hooks;
     const leader: DirectoryLeader = new DirectoryLeader({
       ledgerVoters: voterCountFor(settings.toleratedLosses),
+      ledgerGroups: settings.ledgerGroups,
       heartbeatIntervalMs: settings.heartbeatIntervalMs,
       controlAddresses: () => memberAddresses(member),
       crashLimits: settings.crashLimits,
@@ -51,8 +52,6 @@
     });
     const member: GroupMemberProcess = await GroupMemberProcess.open({
       settings,
-      groupName: DIRECTORY_GROUP,
-      stateMachine: leader.stateMachine,
       consensus: CONSENSUS_TIMING,
       logQuotaBytes: settings.storageQuotaBytes,
       isRetiring: () => false,
@@ -63,9 +62,10 @@
     const client = new GroupClient({ peers: member.peers, addresses: settings.controlSeeds });
     const node = new ControlNode(settings, hooks, member, leader, client);
     registerProbe(member.router, member.identity);
-    registerDirectoryService(member.router, leader, () => member.group);
-    leader.crashes.register(member.router, () => member.group);
-    createQuotaLeader(settings, leader, () => member.group).register(member.router);
+    const findGroup = (): ReplicatedGroup | undefined => member.find(DIRECTORY_GROUP);
+    registerDirectoryService(member.router, leader, findGroup);
+    leader.crashes.register(member.router, findGroup);
+    createQuotaLeader(settings, leader, findGroup).register(member.router);
     await member.listen();
     void node.joinCluster().catch(onFatal);
     return node;
@@ -73,16 +73,20 @@
 
   /** Whether this process has joined the directory's group. */
   get isReady(): boolean {
-    return this.member.group !== undefined;
+    return this.group !== undefined;
   }
 
   get leads(): boolean {
-    return this.member.group?.isLeader ?? false;
+    return this.group?.isLeader ?? false;
   }
 
   /** Term of the directory's group as known to this process; 0 before it has joined. */
   get term(): number {
-    return this.member.group?.term ?? 0;
+    return this.group?.term ?? 0;
+  }
+
+  private get group(): ReplicatedGroup | undefined {
+    return this.member.find(DIRECTORY_GROUP);
   }
 
   createMetrics(): Registry {
@@ -130,11 +134,12 @@
     });
     if (signal.aborted) return;
     if (identity.identity.state === 'founding') {
-      await this.member.bootstrap({ members: identity.identity.founders });
+      await this.member.bootstrap(DIRECTORY_GROUP, { members: identity.identity.founders });
       await identity.save({ ...identity.identity, state: 'member' });
     }
-    await this.member.joinGroup(this.client);
-    this.leader.attach(this.member.group!);
+    const { stateMachine } = this.leader;
+    await this.member.joinGroups([{ name: DIRECTORY_GROUP, stateMachine, client: this.client }]);
+    this.leader.attach(this.group!);
     this.refreshAddresses();
     this.hooks.logger.info('control serving', { member: identity.identity.memberId });
   }
@@ -169,5 +174,6 @@
 }
 
 function memberAddresses(member: GroupMemberProcess): string[] {
-  return member.group?.configuration.members.map(({ address }) => address) ?? [];
+  const { configuration } = member.find(DIRECTORY_GROUP) ?? {};
+  return configuration?.members.map(({ address }) => address) ?? [];
 }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -15,6 +15,7 @@
   DirectoryClient,
   DirectoryWatcher,
   WATCH_LONG_POLL_MS,
+  ledgerGroupsOf,
 } from '../directory/index.js';
 import {
   AGING_INTERVAL_MS,
@@ -30,7 +31,13 @@
   GatewayHealth,
   HealthMetrics,
 } from '../gateway-health/index.js';
-import { HistoryReader, LedgerClient, ValueCopySender } from '../ledger/index.js';
+import {
+  HistoryReader,
+  LEDGER_GROUP,
+  LedgerClient,
+  LedgerRouter,
+  ValueCopySender,
+} from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
 import { MemoryBudget, MemoryBudgetMetrics } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
@@ -85,7 +92,7 @@
   private readonly quotas: GatewayQuotas;
   private readonly crashGuard: GatewayCrashGuard;
   private readonly cutOffSignal = new CutOffSignal();
-  private readonly ledger: LedgerClient;
+  private readonly ledger: LedgerRouter;
   private readonly health: GatewayHealth;
   private hasLedger = false;
   private readonly memory: MemoryBudget;
@@ -131,7 +138,7 @@
       logger,
       metrics: new CrashGuardMetrics(this.metrics.registry),
     });
-    this.ledger = this.createLedgerClient();
+    this.ledger = this.createLedger();
     this.health = this.createHealth();
     this.permits = this.createPermitGate();
     this.memory = this.createMemoryBudget();
@@ -225,7 +232,7 @@
     addGauge(
       this.metrics.registry,
       'ledgegauge_ledger_delay_seconds',
-      "Mean delay of the ledger's commands by load, as last told by its leader",
+      "Mean delay of the ledger's commands by load, as last told by its leaders; the largest of its groups",
       () => this.ledger.delayMs / 1_000,
     );
   }
@@ -239,16 +246,23 @@
     return this.schedulingMode === 'coordinated';
   }
 
-  private createLedgerClient(): LedgerClient {
+  private createLedger(): LedgerRouter {
     const { name } = this.options.settings;
     const holder = `${name}-${randomBytes(HOLDER_ID_BYTES).toString('hex')}`;
+    return new LedgerRouter((group) => this.createLedgerClient(holder, group));
+  }
+
+  private createLedgerClient(holder: string, group: string): LedgerClient {
+    const { logger } = this.options;
+    const sentGroup = group === LEDGER_GROUP ? undefined : group;
     return new LedgerClient(
       this.ledgerGroups,
-      this.options.logger,
+      logger,
       holder,
-      new HistoryReader(this.peers, this.options.logger),
-      new ValueCopySender(this.peers),
+      new HistoryReader(this.peers, logger, sentGroup),
+      new ValueCopySender(this.peers, sentGroup),
       this.cutOffSignal,
+      group,
     );
   }
 
@@ -346,8 +360,11 @@
   private applyClusterView(view: ClusterView): void {
     const seeds = this.options.settings.controlSeeds;
     this.controlClient.setAddresses([...new Set([...view.controlAddresses, ...seeds])]);
-    this.ledgerGroups.setAddresses(view.ledgerAddresses);
-    this.hasLedger = view.ledgerAddresses.length > 0;
+    const groups = ledgerGroupsOf(view);
+    this.ledger.setGroups(groups.map(({ name }) => name));
+    this.hasLedger = groups.length > 0;
+    // Before the ledger is founded, it is unknown to which group a program belongs.
+    this.ledgerGroups.setAddresses(this.hasLedger ? view.ledgerAddresses : []);
     this.gatewayCount = view.gatewayCount;
   }
 
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -1,4 +1,4 @@
-/** Common base of control and journal processes: storage, internal RPC endpoint and one consensus group. */
+/** Common base of control and journal processes: storage, internal RPC endpoint and consensus groups. */
 import { join } from 'node:path';
 import type { Registry } from 'prom-client';
 import {
@@ -12,7 +12,12 @@
   checkConsensusOptions,
   type ConsensusOptions,
 } from '../consensus/index.js';
-import { runAdmissionTask, VoterSetManager } from '../clustering/index.js';
+import {
+  LeaderBalancer,
+  REQUEST_ADMISSION,
+  VoterSetManager,
+  runAdmissionTask,
+} from '../clustering/index.js';
 import { IdentityStore } from '../control/identity.js';
 import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
@@ -23,8 +28,6 @@
 
 export interface GroupMemberOptions {
   settings: NodeSettings;
-  groupName: string;
-  stateMachine: StateMachine;
   consensus: ConsensusOptions;
   /** Maximum size of the log's segments. @default no limit */
   logQuotaBytes: number | undefined;
@@ -34,18 +37,34 @@
   onFatal: (error: unknown) => void;
 }
 
+/** A group to join. */
+export interface JoinedGroup {
+  name: string;
+  stateMachine: StateMachine;
+  /** Finds the leader. */
+  client: GroupClient;
+  /** Options of this group, where they differ from those of the process. */
+  consensus?: Partial<ConsensusOptions>;
+}
+
+/** This process's part in one group. */
+interface GroupMembership {
+  group: ReplicatedGroup;
+  voterSet: VoterSetManager;
+  loadLog: MemberLoadLog;
+}
+
 const SEGMENT_BYTES = 8 * 1024 * 1024;
 
 export class GroupMemberProcess {
   readonly router = new MethodRouter();
   readonly peers: PeerDirectory;
   private readonly urgentPeers: PeerDirectory;
-  group: ReplicatedGroup | undefined;
-  keeper: VoterSetManager | undefined;
+  private readonly memberships = new Map<string, GroupMembership>();
+  private readonly balancer: LeaderBalancer;
   private readonly stopping = new AbortController();
   private host!: GroupHost;
   private rpcServer!: RpcServer;
-  private readonly loadLog: MemberLoadLog;
 
   private constructor(
     private readonly options: GroupMemberOptions,
@@ -61,8 +80,14 @@
     };
     this.peers = new PeerDirectory(peerOptions);
     this.urgentPeers = new PeerDirectory(peerOptions);
-    const findGroup = (): ReplicatedGroup | undefined => this.group;
-    this.loadLog = new MemberLoadLog({ findGroup, wal, logger: options.logger });
+    this.balancer = new LeaderBalancer({
+      groups: () =>
+        [...this.memberships.values()].map(({ group, voterSet }) => ({
+          group,
+          canLead: (voter) => voterSet.canLead(voter),
+        })),
+      logger: options.logger,
+    });
   }
 
   static async open(options: GroupMemberOptions): Promise<GroupMemberProcess> {
@@ -84,7 +109,21 @@
   }
 
   createMetrics(): Registry {
-    return createMemberMetrics({ findGroup: () => this.group, wal: this.wal });
+    return createMemberMetrics({ groups: () => this.groups, wal: this.wal });
+  }
+
+  /** The groups that this process has joined. */
+  get groups(): ReplicatedGroup[] {
+    return [...this.memberships.values()].map(({ group }) => group);
+  }
+
+  find(name: string): ReplicatedGroup | undefined {
+    return this.memberships.get(name)?.group;
+  }
+
+  /** Whether this process leads the group, and knows that the group works without a machine. */
+  isSafeToRemove(groupName: string, machine: string): boolean {
+    return this.memberships.get(groupName)?.voterSet.isSafeToRemove(machine) ?? false;
   }
 
   get signal(): AbortSignal {
@@ -99,6 +138,11 @@
   async listen(): Promise<void> {
     const { internalAddress, listenAddress = internalAddress, secret } = this.options.settings;
     this.host.registerHandlers(this.router);
+    this.router.handle(
+      REQUEST_ADMISSION,
+      (request) =>
+        this.memberships.get(request.group)?.voterSet.requestAdmission(request) ?? { leads: false },
+    );
     this.rpcServer = await RpcServer.start({
       host: hostOf(listenAddress),
       port: portOf(listenAddress),
@@ -108,33 +152,38 @@
     });
   }
 
-  /** Writes the first entry of the group, which must be identical on every founder. */
-  bootstrap(configuration: GroupConfiguration): Promise<void> {
-    return this.host.bootstrapGroup(this.options.groupName, configuration);
+  /** Writes the first entry of a group, which must be identical on every founder. */
+  bootstrap(groupName: string, configuration: GroupConfiguration): Promise<void> {
+    return this.host.bootstrapGroup(groupName, configuration);
   }
 
-  /** Opens the group from local storage and takes part in it. */
-  async joinGroup(client: GroupClient): Promise<void> {
-    const { groupName, stateMachine, settings, isRetiring, logger } = this.options;
-    const group = await this.host.openGroup(groupName, stateMachine);
-    this.requireLog(group);
-    this.group = group;
-    this.keeper = new VoterSetManager(group, {
-      targetVoters: voterCountFor(settings.toleratedLosses),
-      isRetiring,
-      logger,
-    });
-    this.keeper.registerHandler(this.router);
+  /** Opens groups from local storage and takes part in them. */
+  async joinGroups(joined: readonly JoinedGroup[]): Promise<void> {
+    for (const one of joined) await this.openGroup(one);
     this.host.start();
     const { ownMember: member, signal } = this;
-    void runAdmissionTask({ group, member, client, signal });
+    for (const { name, client } of joined)
+      void runAdmissionTask({ group: this.find(name)!, member, client, signal });
+  }
+
+  private async openGroup({ name, stateMachine, consensus }: JoinedGroup): Promise<void> {
+    const { settings, isRetiring, logger } = this.options;
+    const group = await this.host.openGroup(name, stateMachine, consensus);
+    this.requireLog(group);
+    const targetVoters = voterCountFor(settings.toleratedLosses);
+    const voterSet = new VoterSetManager(group, { targetVoters, isRetiring, logger });
+    const loadLog = new MemberLoadLog({ group, wal: this.wal, logger });
+    this.memberships.set(name, { group, voterSet, loadLog });
   }
 
   /** Transfers leadership and closes everything. */
   async stop(): Promise<void> {
     this.stopping.abort();
-    this.keeper?.stop();
-    this.loadLog.stop();
+    this.balancer.stop();
+    for (const { voterSet, loadLog } of this.memberships.values()) {
+      voterSet.stop();
+      loadLog.stop();
+    }
     await this.host.stop();
     this.rpcServer.close();
     this.peers.close();
@@ -159,7 +208,9 @@
 
   /** A member must not vote after losing its log, because its vote and acknowledged entries are unknown. */
   private requireLog(group: ReplicatedGroup): void {
-    if (this.identity.identity.state !== 'member' || group.log.lastIndex > 0) return;
+    const { state, foundedGroups } = this.identity.identity;
+    const mustHoldLog = foundedGroups ? foundedGroups.includes(group.name) : state === 'member';
+    if (!mustHoldLog || group.log.lastIndex > 0) return;
     throw new DamagedLogError(
       'data folder has an identity but no log; restart with an empty data folder',
       { step: 'nodes.enter', peer: group.name },
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -1,47 +1,36 @@
-/** Journal process: a member of the ledger's consensus group, which it finds through the directory. */
+/** Journal process: a member of the ledger's consensus groups, which it finds through the directory. */
 import { join } from 'node:path';
 import type { Registry } from 'prom-client';
 import { type ConsensusOptions, GroupClient } from '../consensus/index.js';
 import { sleep } from '../common/index.js';
+import type { Identity } from '../control/identity.js';
 import {
   type ClusterView,
   DirectoryClient,
   DirectoryWatcher,
   type NodeAnnouncement,
+  type RetirementState,
+  ledgerGroupsOf,
 } from '../directory/index.js';
-import { LEDGER_GROUP, LedgerService, LedgerStateMachine, READ_TURNS } from '../ledger/index.js';
+import { LEDGER_GROUP, type LedgerGroupFounders, type LedgerService } from '../ledger/index.js';
 import { addGauge } from '../observability/index.js';
 import { ValueStore, openStoreFolder } from '../value-store/index.js';
 import type { NodeHooks } from './control-node.js';
 import { GroupMemberProcess } from './group-member-process.js';
 import { type JournalBudget, journalBudget } from './journal-budget.js';
+import { JournalLedgers } from './journal-ledgers.js';
 import { MemoryPressureMonitor } from './memory-pressure-monitor.js';
 import { CONSENSUS_TIMING, type NodeSettings } from './node-settings.js';
 
 const RETIREMENT_CHECK_MS = 150;
-/** Log entries between two snapshots of the ledger. */
-const SNAPSHOT_EVERY_ENTRIES = 8_000;
-/**
- * Bytes of commands between two snapshots, and bytes of commands retained behind a snapshot. They bound
- * how much of the log is read at the start. A snapshot is small in comparison: it holds some 40 bytes for a kept turn,
- * whose commands have thousands.
- */
-const SNAPSHOT_EVERY_BYTES = 4 * 1024 * 1024;
-const TRAILING_BYTES = 2 * 1024 * 1024;
 /**
  * How long a reservation or settlement may wait for its place in the log. The limit is about the duration
  * of an election; a turn that waits for longer is late in any case.
  */
 const MAX_PROPOSAL_WAIT_MS = 300;
-/**
- * Timeouts for connecting to another member and for reading values of kept turns from it. A response of
- * 512 KiB takes 0.2 s at 21 Mbit/s.
- */
-const READ_TURNS_LIMITS = { connectMs: 500, timeoutMs: 2_000 };
-
 export class JournalNode {
   private readonly watcher: DirectoryWatcher;
-  private readonly retiring = new Set<string>();
+  private readonly retirements = new Map<string, RetirementState>();
   private isJoining = false;
 
   private constructor(
@@ -52,7 +41,7 @@
     private readonly controlClient: GroupClient,
     private readonly ledgerClient: GroupClient,
     private readonly values: ValueStore,
-    private readonly service: LedgerService,
+    private readonly ledgers: JournalLedgers,
   ) {
     this.watcher = new DirectoryWatcher({
       client: directory,
@@ -66,17 +55,9 @@
     const { logger, onFatal } = hooks;
     const budget = journalBudget(settings.memoryLimitBytes, settings.storageQuotaBytes);
     const values = await openValues(settings, hooks, budget);
-    const stateMachine = new LedgerStateMachine({
-      values,
-      readTurnsAt: (address, request) =>
-        member.peers.callWhenConnected(address, READ_TURNS, request, READ_TURNS_LIMITS),
-      logger,
-    });
-    const isRetiringNode = (name: string): boolean => node.retiring.has(name);
+    const isRetiringNode = (name: string): boolean => node.retirements.has(name);
     const member: GroupMemberProcess = await GroupMemberProcess.open({
       settings,
-      groupName: LEDGER_GROUP,
-      stateMachine,
       consensus: consensusOptions(budget),
       logQuotaBytes: budget.logOnDisk,
       isRetiring: isRetiringNode,
@@ -89,13 +70,13 @@
     const ledgerClient = new GroupClient({ peers, addresses: [] });
     const directory = new DirectoryClient(controlClient);
     const memory = new MemoryPressureMonitor(budget.total, logger);
-    const service = new LedgerService({
-      peers,
-      stateMachine,
-      findGroup: () => member.group,
+    const ledgers = new JournalLedgers({
+      member,
+      client: ledgerClient,
+      values,
       isUnderMemoryPressure: () => memory.isUnderPressure(),
+      logger,
     });
-    service.registerHandlers(member.router);
     const node: JournalNode = new JournalNode(
       settings,
       hooks,
@@ -104,37 +85,44 @@
       controlClient,
       ledgerClient,
       values,
-      service,
+      ledgers,
     );
     await member.listen();
     node.watcher.start();
-    void node.rejoinGroup().catch(onFatal);
+    void node.rejoinGroups().catch(onFatal);
     void node.reportRetirements();
     return node;
   }
 
-  /** Whether this process has joined the ledger's group. */
+  /** Whether this process has joined the ledger's groups. */
   get isReady(): boolean {
-    return this.member.group !== undefined;
+    return this.member.groups.length > 0;
   }
 
   createMetrics(): Registry {
     const registry = this.member.createMetrics();
     const { values } = this;
+    const sum = (read: (service: LedgerService) => number): (() => number) => {
+      return () => this.ledgers.services.reduce((total, service) => total + read(service), 0);
+    };
     const add = (name: string, help: string, read: () => number): void =>
       addGauge(registry, `ledgegauge_kept_turns${name}`, help, read);
     addGauge(
       registry,
       'ledgegauge_recorded_streams',
       'Streams whose software versions are recorded, so that their callers can resume them',
-      () => this.service.recordedStreamCount,
+      sum((service) => service.recordedStreamCount),
     );
     add('', 'Turns whose values are held', () => values.size);
-    add('_named', 'Turns that the state names', () => this.service.keptTurnCount);
+    add(
+      '_named',
+      'Turns that the state names',
+      sum((service) => service.keptTurnCount),
+    );
     add(
       '_awaiting_deletion',
       'Expired turns whose values are deleted once the commit index is durable',
-      () => this.service.expiredValueCount,
+      sum((service) => service.expiredValueCount),
     );
     add('_disk_bytes', 'Bytes of their segments', () => values.diskBytes.total);
     add('_live_bytes', 'Bytes of those that are still wanted', () => values.diskBytes.live);
@@ -142,11 +130,28 @@
     add('_written_bytes', 'Bytes written so far', () => values.counters.writtenBytes);
     add('_moved_bytes', 'Bytes of them that were moved', () => values.counters.movedBytes);
     add('_damaged', 'Values found damaged', () => values.counters.damaged);
-    const { sentBytes, withoutRoom } = this.service;
-    add('_refused_without_room', 'Turns refused before they ran', () => withoutRoom.refused);
-    add('_lost_without_room', 'Turns answered and not kept', () => withoutRoom.notKept);
-    add('_sent_history_bytes', 'Bytes sent with reservations', () => sentBytes.histories);
-    add('_sent_turn_bytes', 'Bytes sent to readers of turns', () => sentBytes.turns);
+    const addSum = (name: string, help: string, read: (service: LedgerService) => number): void =>
+      add(name, help, sum(read));
+    addSum(
+      '_refused_without_room',
+      'Turns refused before they ran',
+      ({ withoutRoom }) => withoutRoom.refused,
+    );
+    addSum(
+      '_lost_without_room',
+      'Turns answered and not kept',
+      ({ withoutRoom }) => withoutRoom.notKept,
+    );
+    addSum(
+      '_sent_history_bytes',
+      'Bytes sent with reservations',
+      ({ sentBytes }) => sentBytes.histories,
+    );
+    addSum(
+      '_sent_turn_bytes',
+      'Bytes sent to readers of turns',
+      ({ sentBytes }) => sentBytes.turns,
+    );
     return registry;
   }
 
@@ -171,56 +176,76 @@
     const seeds = this.settings.controlSeeds;
     this.controlClient.setAddresses([...new Set([...view.controlAddresses, ...seeds])]);
     this.ledgerClient.setAddresses(view.ledgerAddresses);
-    this.retiring.clear();
-    for (const [name] of view.retirements) this.retiring.add(name);
-    if (view.ledgerFounders.length === 0 || this.isJoining) return;
+    this.retirements.clear();
+    for (const [name, state] of view.retirements) this.retirements.set(name, state);
+    const groups = ledgerGroupsOf(view);
+    if (groups.length === 0 || this.isJoining) return;
     this.isJoining = true;
-    void this.joinGroup(view).catch(this.hooks.onFatal);
+    void this.joinGroups(groups).catch(this.hooks.onFatal);
   }
 
-  /** A restarted member knows its group from local storage and does not wait for the directory. */
-  private async rejoinGroup(): Promise<void> {
-    const { state, founders } = this.member.identity.identity;
+  /** A restarted member knows its groups from local storage and does not wait for the directory. */
+  private async rejoinGroups(): Promise<void> {
+    const { state, founders, groups = [LEDGER_GROUP] } = this.member.identity.identity;
     if (state === 'new' || this.isJoining) return;
     this.isJoining = true;
     this.ledgerClient.setAddresses(founders.map(({ address }) => address));
-    await this.member.joinGroup(this.ledgerClient);
+    await this.member.joinGroups(this.ledgers.open(groups));
     this.hooks.logger.info('journal serving again', {});
   }
 
-  private async joinGroup(view: ClusterView): Promise<void> {
+  private async joinGroups(groups: readonly LedgerGroupFounders[]): Promise<void> {
     const { identity } = this.member;
     const { memberId, state } = identity.identity;
-    const founders = view.ledgerFounders;
-    const isFounder = founders.some((founder) => founder.id === memberId);
-    if (isFounder && state !== 'member') {
-      await this.member.bootstrap({ members: founders });
-      await identity.save({ memberId, state: 'member', founders });
-    }
-    if (!isFounder && state === 'new') {
-      await identity.save({ memberId, state: 'joining', founders });
+    const founded = groups.filter(({ founders }) => founders.some(({ id }) => id === memberId));
+    if (state === 'new') {
+      for (const { name, founders } of founded)
+        await this.member.bootstrap(name, { members: founders });
+      await identity.save(identityOf(memberId, groups, founded));
     }
-    await this.member.joinGroup(this.ledgerClient);
-    this.hooks.logger.info('journal serving', { member: memberId, isFounder });
+    const names = groups.map(({ name }) => name);
+    await this.member.joinGroups(this.ledgers.open(names));
+    const foundedGroups = founded.map(({ name }) => name).join(',');
+    this.hooks.logger.info('journal serving', { member: memberId, foundedGroups });
   }
 
-  /** While this member leads: reports to the directory which nodes the group has removed. */
+  /** While this member leads a group: reports to the directory which nodes the group has removed. */
   private async reportRetirements(): Promise<void> {
     const { signal } = this.member;
-    const reported = new Set<string>();
     while (!signal.aborted) {
       await sleep(RETIREMENT_CHECK_MS, signal);
-      for (const name of this.retiring) {
-        if (reported.has(name) || !this.member.keeper?.isSafeToRemove(name)) continue;
-        try {
-          await this.directory.completeRetirement(name);
-          reported.add(name);
-        } catch {
-          // Retried in the next round.
-        }
+      for (const [machine, state] of this.retirements) {
+        if (state !== 'complete') await this.reportRetirement(machine);
       }
     }
   }
+
+  /** Repeated until the retirement is complete: a new leader of the directory knows no reports. */
+  private async reportRetirement(machine: string): Promise<void> {
+    for (const { name } of this.member.groups) {
+      if (!this.member.isSafeToRemove(name, machine)) continue;
+      // A failed report is sent again in the next round.
+      await this.directory.completeRetirement(machine, name).catch(() => undefined);
+    }
+  }
+}
+
+/** The identity of a process that takes part in these groups and has written the first entries of some of them. */
+function identityOf(
+  memberId: string,
+  groups: readonly LedgerGroupFounders[],
+  founded: readonly LedgerGroupFounders[],
+): Identity {
+  const byId = new Map(
+    groups.flatMap(({ founders }) => founders.map((founder) => [founder.id, founder])),
+  );
+  return {
+    memberId,
+    state: founded.length > 0 ? 'member' : 'joining',
+    founders: [...byId.values()],
+    groups: groups.map(({ name }) => name),
+    foundedGroups: founded.map(({ name }) => name),
+  };
 }
 
 async function openValues(
@@ -241,9 +266,6 @@
 function consensusOptions(budget: JournalBudget): ConsensusOptions {
   return {
     ...CONSENSUS_TIMING,
-    snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
-    snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
-    trailingBytes: TRAILING_BYTES,
     maxHeldBytes: budget.heldEntries,
     maxProposalWaitMs: MAX_PROPOSAL_WAIT_MS,
   };
--- a/src/nodes/member-load-log.ts
+++ b/src/nodes/member-load-log.ts
@@ -14,7 +14,7 @@
 const KIB = 1024;
 
 export interface MemberLoadLogOptions {
-  findGroup: () => ReplicatedGroup | undefined;
+  group: ReplicatedGroup;
   wal: WriteAheadLog;
   logger: Logger;
 }
@@ -43,8 +43,7 @@
   }
 
   private report(): void {
-    const group = this.options.findGroup();
-    if (!group) return;
+    const { group } = this.options;
     const now = readCounters(group, this.options.wal, this.meter);
     const before = this.before ?? now;
     this.before = now;
@@ -58,6 +57,7 @@
     this.loopBefore = performance.eventLoopUtilization();
     if (times.commit.count + times.append.count < MIN_COMMANDS) return;
     const fields: LogFields = {
+      group: group.name,
       leads: group.isLeader,
       ...describeCommits(times),
       delayMs: Math.round(group.commandDelay.meanMs),
--- a/src/nodes/missing-log.test.ts
+++ b/src/nodes/missing-log.test.ts
@@ -28,8 +28,6 @@
       heartbeatIntervalMs: 100,
       secret: 'secret',
     },
-    groupName: GROUP,
-    stateMachine: new ListMachine(),
     consensus: { heartbeatIntervalMs: 20, electionTimeoutMs: 60 },
     logQuotaBytes: undefined,
     isRetiring: () => false,
@@ -39,9 +37,10 @@
   });
 }
 
-/** A client without addresses, since the member is the only one of its group. */
-function createClient({ peers }: GroupMemberProcess): GroupClient {
-  return new GroupClient({ peers, addresses: [] });
+/** Joins with a client without addresses, since the member is the only one of its group. */
+function joinGroup(process: GroupMemberProcess): Promise<void> {
+  const client = new GroupClient({ peers: process.peers, addresses: [] });
+  return process.joinGroups([{ name: GROUP, stateMachine: new ListMachine(), client }]);
 }
 
 /** Runs the only voter of a group until it has made a snapshot of a committed entry. */
@@ -49,10 +48,10 @@
   const process = await openProcess(dataFolder);
   await process.listen();
   const { memberId } = process.identity.identity;
-  await process.bootstrap({ members: [{ ...process.ownMember, role: 'voter' }] });
+  await process.bootstrap(GROUP, { members: [{ ...process.ownMember, role: 'voter' }] });
   await process.identity.save({ memberId, state, founders: [] });
-  await process.joinGroup(createClient(process));
-  const group = process.group!;
+  await joinGroup(process);
+  const group = process.find(GROUP)!;
   await waitUntil('leads', () => group.isCurrentLeader);
   await group.propose(encodeValue('item'));
   group.applier.requestSnapshot();
@@ -67,7 +66,7 @@
   const process = await openProcess(dataFolder);
   await process.listen();
   try {
-    await expect(process.joinGroup(createClient(process))).rejects.toBeInstanceOf(DamagedLogError);
+    await expect(joinGroup(process)).rejects.toBeInstanceOf(DamagedLogError);
   } finally {
     await process.stop();
   }
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -19,6 +19,8 @@
   dataFolder?: string;
   /** Number of machines that may be lost at the same time. */
   toleratedLosses: number;
+  /** Number of ledger groups founded at the first start of the system. @default by the number of journal processes */
+  ledgerGroups?: number;
   /** Interval between heartbeats of a backend, in milliseconds. */
   heartbeatIntervalMs: number;
   /** Time after the revocation of a key from which calls with it must not run, in milliseconds. @default no bound */
--- a/tests/support/consensus-cluster.ts
+++ b/tests/support/consensus-cluster.ts
@@ -71,6 +71,8 @@
   createMachine?: (member: Member) => ListMachine;
   /** @default a network without delays */
   network?: LoopbackNetwork;
+  /** Precedes the names and addresses of the members. @default '' */
+  namePrefix?: string;
 }
 
 const FAST_TIMING: ConsensusOptions = { heartbeatIntervalMs: 20, electionTimeoutMs: 120 };
@@ -84,7 +86,7 @@
     this.network = options.network ?? new LoopbackNetwork();
     this.founders = {
       members: Array.from({ length: options.size }, (_, index) =>
-        createFounder(`member-${index + 1}`),
+        createFounder(`${options.namePrefix ?? ''}member-${index + 1}`),
       ),
     };
   }
--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -46,6 +46,10 @@
   /** One-way delay of each message, in milliseconds. @default 0 */
   delayMs?: number;
   consensus?: ConsensusOptions;
+  /** @default a network of its own, with the delays, links and processors above */
+  network?: LoopbackNetwork;
+  /** Precedes the names and addresses of the members. @default '' */
+  namePrefix?: string;
 }
 
 export const ledgerTestLogger = createLogger({ test: 'histories' });
@@ -118,11 +122,13 @@
     processors,
     delayMs = 0,
     consensus,
+    network = new LoopbackNetwork(() => delayMs, links, processors),
+    namePrefix,
   }: LedgerClusterOptions = {}): Promise<LedgerCluster> {
-    const network = new LoopbackNetwork(() => delayMs, links, processors);
     const cluster = await startCluster({
       size: voters,
       network,
+      namePrefix,
       consensus,
       createMachine: (member) =>
         new LedgerMachine(network.peersOf(member.address), new MemoryValues()),
@@ -150,12 +156,13 @@
   }
 
   /** Creates a ledger client like that of a gateway. */
-  createClient(name: string): LedgerClient {
+  createClient(name: string, groupName?: string): LedgerClient {
     const { network } = this.cluster;
     const peers = network.peersOf(name);
     const groups = new GroupClient({ peers, addresses: this.addresses, tryTimeoutMs: 300 });
     const copies = new ValueCopySender(network.notifierOf(name));
-    return new LedgerClient(groups, ledgerTestLogger, name, this.createReader(name), copies);
+    const reader = this.createReader(name);
+    return new LedgerClient(groups, ledgerTestLogger, name, reader, copies, undefined, groupName);
   }
 
   /** Restarts all crashed members with their logs and without stored values. */
--- a/tests/support/metered-processors.ts
+++ b/tests/support/metered-processors.ts
@@ -11,6 +11,8 @@
   syncMs: number;
   /** Whether the processor of a machine is metered; others take no time. */
   isMetered: (machine: string) => boolean;
+  /** The machine of an address. @default each address has a machine of its own */
+  machineOf?: (address: string) => string;
 }
 
 export class MeteredProcessors {
@@ -25,22 +27,27 @@
   }
 
   /** Charges a message that a running handler sends; it leaves at once, and what waits is delayed. */
-  chargeSend(machine: string): void {
-    this.occupy(machine, this.options.messageMs);
+  chargeSend(address: string): void {
+    this.occupy(this.machineOf(address), this.options.messageMs);
   }
 
   /** Charges a sync of a machine's disk. */
-  chargeSync(machine: string): void {
-    this.occupy(machine, this.options.syncMs);
+  chargeSync(address: string): void {
+    this.occupy(this.machineOf(address), this.options.syncMs);
   }
 
   /** Resolves when the machine has processed all that arrived before, and then this message. */
-  async receive(machine: string): Promise<void> {
+  async receive(address: string): Promise<void> {
+    const machine = this.machineOf(address);
     if (!this.options.isMetered(machine)) return;
     const doneAt = this.occupy(machine, this.options.messageMs);
     await sleep(Math.max(0, doneAt - monotonicMs()));
   }
 
+  private machineOf(address: string): string {
+    return this.options.machineOf?.(address) ?? address;
+  }
+
   /** @returns the time at which the work is done */
   private occupy(machine: string, workMs: number): number {
     const now = monotonicMs();
--- a/tests/support/program-load.ts
+++ b/tests/support/program-load.ts
@@ -4,8 +4,7 @@
  */
 import { SeededRandom, monotonicMs, sleep } from '../../src/common/index.js';
 import { ProgramAdmission, ledgerLoadOf } from '../../src/forwarding/program-admission.js';
-import type { LedgerClient } from '../../src/ledger/index.js';
-import type { LedgerCluster } from './ledger-cluster.js';
+import type { Ledger } from '../../src/ledger/index.js';
 import { sampleCall } from './sample-call.js';
 
 const GATEWAYS = 20;
@@ -42,7 +41,7 @@
 }
 
 interface Gateway {
-  client: LedgerClient;
+  client: Ledger;
   admission: ProgramAdmission;
   /** Turns whose histories this gateway has cached. */
   cached: Set<string>;
@@ -54,7 +53,8 @@
   private readonly random: SeededRandom;
   private readonly running: Promise<void>[] = [];
 
-  constructor(ledger: LedgerCluster, seed: number) {
+  /** @param ledger creates the clients of gateways, by their names */
+  constructor(ledger: { createClient(name: string): Ledger }, seed: number) {
     this.random = new SeededRandom(seed);
     this.gateways = Array.from({ length: GATEWAYS }, (_, index) => ({
       client: ledger.createClient(`gateway-${index}`),
@@ -132,9 +132,8 @@
   const { client, cached, admission } = gateway;
   const { program, id, previousTurn } = attempt;
   const call = sampleCall({ program: { id: program }, previousTurn });
-  if (
-    !admission.admits(SERVICE, PRIORITY, call, NO_ENGINES, ledgerLoadOf(client.delayMs, ENGINE_MS))
-  )
+  const ledgerLoad = ledgerLoadOf(client.delayMsOf(program), ENGINE_MS);
+  if (!admission.admits(SERVICE, PRIORITY, call, NO_ENGINES, ledgerLoad))
     throw new Error('not admitted');
   const deadlineMs = monotonicMs() + TURN_LIMIT_MS;
   const hasHistory = previousTurn === undefined || cached.has(previousTurn);
--- a/tests/support/simulated-disk-cluster.ts
+++ b/tests/support/simulated-disk-cluster.ts
@@ -1,5 +1,5 @@
 /**
- * Members of the ledger group, each on its own simulated disk. They can be killed, lose power or their disk, and
+ * Members of the ledger's groups, each on its own simulated disk. They can be killed, lose power or their disk, and
  * restart at any time.
  */
 import { describeError, monotonicMs } from '../../src/common/index.js';
@@ -10,6 +10,7 @@
   type ReplicatedGroup,
 } from '../../src/consensus/index.js';
 import type { VoteRequest, VoteResponse } from '../../src/consensus/messages.js';
+import { LEDGER_GROUP, ledgerGroupName } from '../../src/ledger/index.js';
 import type { Logger } from '../../src/observability/index.js';
 import { LoopbackNetwork } from './loopback-network.js';
 import { type NameDurability, SimulatedDisk } from './simulated-disk.js';
@@ -22,20 +23,25 @@
   /** Distinguishes the disks of concurrent clusters. */
   name: string;
   seed: number;
+  /** Number of ledger groups, which have the same members. @default 1 */
+  groups?: number;
   consensus: CheckedConsensusOptions;
   /** Maximum duration of a sync, in milliseconds. */
   maxSyncMs: number;
   nameDurability?: NameDurability;
 }
 
-/** A member that has joined its group. */
+/** A member that has joined its groups. */
 export interface ServingMember {
   process: DiskMember;
+  /** The first group. */
   group: ReplicatedGroup;
 }
 
 export class DiskCluster {
   readonly network = new LoopbackNetwork();
+  /** Names of the ledger's groups. */
+  readonly groups: readonly string[];
   /** One disk for each member. */
   readonly disks: readonly SimulatedDisk[];
   /** Violations: failed starts, unexpected exits and conflicting votes. */
@@ -48,7 +54,8 @@
   private founders: Member[] = [];
 
   constructor(private readonly options: DiskClusterOptions) {
-    const { name, seed, nameDurability, maxSyncMs } = options;
+    const { name, seed, nameDurability, maxSyncMs, groups = 1 } = options;
+    this.groups = Array.from({ length: groups }, (_, index) => ledgerGroupName(index));
     this.disks = MEMBER_NAMES.map((member, index) => {
       const diskSeed = seed * MEMBER_NAMES.length + index;
       return new SimulatedDisk(`${name}-${member}`, {
@@ -65,13 +72,24 @@
     );
   }
 
+  /** The leader of the first group. */
   get leader(): ServingMember | undefined {
-    return this.serving.find(({ group }) => group.isCurrentLeader);
+    return this.leaderOf(LEDGER_GROUP);
   }
 
-  /** Whether all members of the group are voters and serving. */
+  leaderOf(name: string): ServingMember | undefined {
+    return this.serving
+      .map(({ process }) => ({ process, group: process.joined.get(name)! }))
+      .find(({ group }) => group.isCurrentLeader);
+  }
+
+  /** Whether all members of all groups are voters and serving. */
   get isComplete(): boolean {
-    const { group } = this.leader ?? {};
+    return this.groups.every((name) => this.isGroupComplete(name));
+  }
+
+  private isGroupComplete(name: string): boolean {
+    const { group } = this.leaderOf(name) ?? {};
     if (!group?.isConfigurationSettled) return false;
     const { members } = group.configuration;
     const servingIds = new Set(this.serving.map(({ group: { ownId } }) => ownId));
@@ -112,15 +130,18 @@
 
   /** Describes each serving member in one line, to diagnose a group without progress. */
   describeMembers(): string[] {
-    return this.serving.map(({ process, group }) => {
-      const { state, term, commitIndex, log, applier } = group;
+    const joined = this.serving.flatMap(({ process }) =>
+      [...process.joined.values()].map((group) => ({ process, group })),
+    );
+    return joined.map(({ process, group }) => {
+      const { name, state, term, commitIndex, log, applier } = group;
       const { lastIndex, compactedTo, latestSnapshot } = log;
       const { appliedIndex } = applier;
       const snapshotIndex = latestSnapshot?.index;
-      const turns = process.stateMachine.turns.size;
+      const turns = process.stateMachineOf(name).turns.size;
       const values = process.values.size;
       const indexes = { lastIndex, commitIndex, appliedIndex, snapshotIndex, compactedTo };
-      return `${group.ownId} ${JSON.stringify({ state, term, ...indexes, turns, values })}`;
+      return `${group.ownId} ${name} ${JSON.stringify({ state, term, ...indexes, turns, values })}`;
     });
   }
 
@@ -143,6 +164,7 @@
       name,
       root,
       network,
+      groups: this.groups,
       addresses: MEMBER_NAMES,
       consensus: this.options.consensus,
       logger: this.createLogger(name),
@@ -168,7 +190,7 @@
     if (request.isPreVote) return;
     const voter = response ? request.to : request.from;
     if (response && !response.granted) return;
-    const vote = `${voter} in term ${request.term}`;
+    const vote = `${voter} in term ${request.term} of ${request.group}`;
     const earlier = this.votes.get(vote) ?? request.from;
     if (earlier !== request.from) this.faults.push(`${vote} voted for ${earlier}, ${request.from}`);
     this.votes.set(vote, request.from);
--- a/tests/support/simulated-disk-load.ts
+++ b/tests/support/simulated-disk-load.ts
@@ -46,6 +46,8 @@
     private readonly random: SeededRandom,
     /** Share of programs whose turns have the short retention. @default 0.4 */
     private readonly shortLivedShare = DEFAULT_SHORT_LIVED_SHARE,
+    /** The ledger group of its programs. @default the first one */
+    readonly group = LEDGER_GROUP,
   ) {}
 
   start(): void {
@@ -105,10 +107,11 @@
 
   /** @returns whether it was acknowledged */
   private async settle(settlement: Settlement): Promise<boolean> {
-    const request = { settlements: [settlement], copiedTo: this.copies.send(settlement) };
+    const { group } = this;
+    const request = { group, settlements: [settlement], copiedTo: this.copies.send(settlement) };
     const limits = { timeoutMs: CALL_TIMEOUT_MS };
     try {
-      const response = await callLeader(this.client, LEDGER_GROUP, SETTLE, request, limits);
+      const response = await callLeader(this.client, group, SETTLE, request, limits);
       if (response.copyTargets) this.copies.updateTargets(response.copyTargets);
       return response.isSettled;
     } catch {
@@ -125,9 +128,11 @@
   client: GroupClient,
   { turn, history }: KeptChain,
   deadlineMs: number,
+  group = LEDGER_GROUP,
 ): Promise<string | undefined> {
   let problem = 'no request sent';
   const request = {
+    group,
     program: `reader-of-${turn}`,
     attempt: `after-${turn}`,
     mostTokens: 1,
@@ -137,7 +142,7 @@
   while (monotonicMs() < deadlineMs) {
     try {
       const limits = { timeoutMs: CALL_TIMEOUT_MS };
-      const response = await callLeader(client, LEDGER_GROUP, RESERVE, request, limits);
+      const response = await callLeader(client, group, RESERVE, request, limits);
       if (response.history && Buffer.from(response.history).toString() === history)
         return undefined;
       problem = `${response.outcome}, wrong history`;
--- a/tests/support/simulated-disk-member.ts
+++ b/tests/support/simulated-disk-member.ts
@@ -1,6 +1,10 @@
-/** A process of the ledger group with real stores on a simulated disk. */
+/** A process of the ledger's groups with real stores on a simulated disk. */
 import { join } from 'node:path';
-import { VoterSetManager, runAdmissionTask } from '../../src/clustering/index.js';
+import {
+  REQUEST_ADMISSION,
+  VoterSetManager,
+  runAdmissionTask,
+} from '../../src/clustering/index.js';
 import {
   type CheckedConsensusOptions,
   GroupClient,
@@ -13,10 +17,12 @@
 import { VOTE, type VoteRequest, type VoteResponse } from '../../src/consensus/messages.js';
 import { IdentityStore } from '../../src/control/identity.js';
 import {
+  GroupValueStore,
   LEDGER_GROUP,
   LedgerService,
   LedgerStateMachine,
   READ_TURNS,
+  registerLedgerHandlers,
 } from '../../src/ledger/index.js';
 import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../../src/log-store/index.js';
 import type { Logger } from '../../src/observability/index.js';
@@ -38,6 +44,8 @@
   /** Root path of the process on the disk. */
   root: string;
   network: LoopbackNetwork;
+  /** Names of the ledger's groups, the first one first. */
+  groups: readonly string[];
   /** Addresses of all members, which equal their names. */
   addresses: readonly string[];
   consensus: CheckedConsensusOptions;
@@ -50,14 +58,15 @@
 }
 
 export class DiskMember {
-  group: ReplicatedGroup | undefined;
+  /** The groups that this process has joined, by name. */
+  readonly joined = new Map<string, ReplicatedGroup>();
 
   private constructor(
     private readonly environment: MemberEnvironment,
     private readonly identity: IdentityStore,
     private readonly wal: WriteAheadLog,
     readonly values: ValueStore,
-    readonly stateMachine: LedgerStateMachine,
+    private readonly stateMachines: ReadonlyMap<string, LedgerStateMachine>,
     private readonly peers: PeerCaller,
   ) {}
 
@@ -73,18 +82,38 @@
       cacheBytes: CACHE_BYTES,
     });
     const peers = peersUntilKilled(environment);
-    const stateMachine = new LedgerStateMachine({
-      values,
-      readTurnsAt: (address, request) => peers.call(address, READ_TURNS, request, READ_LIMITS),
-      logger,
-    });
+    const createStateMachine = (group: string): LedgerStateMachine =>
+      new LedgerStateMachine({
+        values: new GroupValueStore(values, group),
+        readTurnsAt: (address, request) =>
+          peers.call(address, READ_TURNS, { ...request, group }, READ_LIMITS),
+        logger,
+      });
+    const stateMachines = new Map(
+      environment.groups.map((group) => [group, createStateMachine(group)]),
+    );
     const identity = await IdentityStore.open(folder, name);
     const wal = await WriteAheadLog.open({
       folder: join(folder, 'log'),
       segmentBytes: LOG_SEGMENT_BYTES,
       onFatal,
     });
-    return new DiskMember(environment, identity, wal, values, stateMachine, peers);
+    return new DiskMember(environment, identity, wal, values, stateMachines, peers);
+  }
+
+  /** The first group, once this process has joined all groups. */
+  get group(): ReplicatedGroup | undefined {
+    const hasJoinedAll = this.joined.size === this.stateMachines.size;
+    return hasJoinedAll ? this.joined.get(LEDGER_GROUP) : undefined;
+  }
+
+  /** State of the first group. */
+  get stateMachine(): LedgerStateMachine {
+    return this.stateMachineOf(LEDGER_GROUP);
+  }
+
+  stateMachineOf(group: string): LedgerStateMachine {
+    return this.stateMachines.get(group)!;
   }
 
   get member(): Member {
@@ -92,14 +121,18 @@
     return { id: this.identity.identity.memberId, name, address: name, role: 'learner' };
   }
 
-  /** Joins the group, or bootstraps it if the disk has no group state. */
+  /** Joins the groups, or bootstraps them if the disk has no group state. */
   async joinGroup(founders: Member[]): Promise<void> {
     const host = this.createHost();
     await this.joinCluster(host, founders);
-    const group = await host.openGroup(LEDGER_GROUP, this.stateMachine);
-    this.requireLog(group);
-    this.group = group;
-    this.serve(host, group);
+    const groups: ReplicatedGroup[] = [];
+    for (const [name, stateMachine] of this.stateMachines) {
+      const group = await host.openGroup(name, stateMachine);
+      this.requireLog(group);
+      groups.push(group);
+    }
+    for (const group of groups) this.joined.set(group.name, group);
+    this.serve(host, groups);
   }
 
   private createHost(): GroupHost {
@@ -122,7 +155,8 @@
     const { memberId, state } = this.identity.identity;
     const isFounder = founders.some(({ id }) => id === memberId);
     if (isFounder && state !== 'member') {
-      await host.bootstrapGroup(LEDGER_GROUP, { members: founders });
+      for (const name of this.stateMachines.keys())
+        await host.bootstrapGroup(name, { members: founders });
       await this.identity.save({ memberId, state: 'member', founders });
     }
     if (!isFounder && state === 'new') {
@@ -136,27 +170,29 @@
     throw new DamagedLogError('data folder has an identity but no log', context);
   }
 
-  private serve(host: GroupHost, group: ReplicatedGroup): void {
+  private serve(host: GroupHost, groups: readonly ReplicatedGroup[]): void {
     const { name, network, addresses, logger, killed: signal } = this.environment;
     if (signal.aborted) return;
     const router = new MethodRouter();
     host.registerHandlers(router);
-    const { stateMachine } = this;
-    const service = new LedgerService({
-      peers: notifierOf(this.peers),
-      stateMachine,
-      findGroup: () => group,
-      isUnderMemoryPressure: () => false,
+    const services = new Map(groups.map((group) => [group.name, this.createService(group)]));
+    registerLedgerHandlers(router, (name = LEDGER_GROUP) => services.get(name));
+    const voterSets = new Map(
+      groups.map((group) => [
+        group.name,
+        new VoterSetManager(group, {
+          targetVoters: TARGET_VOTERS,
+          isRetiring: () => false,
+          logger,
+        }),
+      ]),
+    );
+    router.handle(REQUEST_ADMISSION, (request) =>
+      voterSets.get(request.group)!.requestAdmission(request),
+    );
+    signal.addEventListener('abort', () => {
+      for (const voterSet of voterSets.values()) voterSet.stop();
     });
-    service.registerHandlers(router);
-    const isRetiring = (): boolean => false;
-    const voterSet = new VoterSetManager(group, {
-      targetVoters: TARGET_VOTERS,
-      isRetiring,
-      logger,
-    });
-    voterSet.registerHandler(router);
-    signal.addEventListener('abort', () => voterSet.stop());
     network.listen(name, router);
     host.start();
     const client = new GroupClient({
@@ -164,7 +200,18 @@
       addresses: [...addresses],
       tryTimeoutMs: TRY_TIMEOUT_MS,
     });
-    void runAdmissionTask({ group, member: this.member, client, signal });
+    for (const group of groups)
+      void runAdmissionTask({ group, member: this.member, client, signal });
+  }
+
+  private createService(group: ReplicatedGroup): LedgerService {
+    return new LedgerService({
+      groupName: group.name,
+      peers: notifierOf(this.peers),
+      stateMachine: this.stateMachineOf(group.name),
+      findGroup: () => group,
+      isUnderMemoryPressure: () => false,
+    });
   }
 }
 
