A leader that a voter can't take over is handed over again after 10 s, not at once

Cause: ties between free voters went by their order in the configuration, the same at both; and a transfer that failed was planned again at the next check, 0.5 s later, while commands are rejected for up to 0.7 s of each. An error of a transfer would have ended the process.

Evidence: three tests, red before: both chose machine-3; 6 transfers within 3 s for 1; the error was unhandled. Now ties go by startupRank, which differs between groups, a process hands over once in 10 s, and errors are logged. A test hands a real group over to a certain voter three times.

--- a/src/clustering/leader-balancer.ts
+++ b/src/clustering/leader-balancer.ts
@@ -3,8 +3,8 @@
  * one of them hands that group over to the voter. After failures, leaders would otherwise gather on the machines that
  * stayed, and share their processors.
  */
-import { monotonicMs } from '../common/index.js';
-import { type Member, type ReplicatedGroup, votersOf } from '../consensus/index.js';
+import { describeError, monotonicMs } from '../common/index.js';
+import { type Member, type ReplicatedGroup, startupRank, votersOf } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
 
 const CHECK_INTERVAL_MS = 500;
@@ -13,6 +13,11 @@
  * first, and members that start together elect leaders in any order.
  */
 const MIN_LEADING_MS = 2_000;
+/**
+ * Time between two transfers of one process, in milliseconds. Commands are rejected during a transfer, and a voter that
+ * is too slow for one would be asked all the time.
+ */
+const TRANSFER_INTERVAL_MS = 10_000;
 /** Smallest difference of led groups that a transfer reduces. */
 const MIN_DIFFERENCE = 2;
 
@@ -35,7 +40,7 @@
 
 export class LeaderBalancer {
   private readonly timer: NodeJS.Timeout;
-  private isBusy = false;
+  private nextTransferAt = 0;
 
   constructor(private readonly options: LeaderBalancerOptions) {
     this.timer = setInterval(() => void this.balance(), CHECK_INTERVAL_MS);
@@ -47,16 +52,19 @@
   }
 
   private async balance(): Promise<void> {
-    if (this.isBusy) return;
-    const transfer = planTransfer(this.options.groups());
+    if (monotonicMs() < this.nextTransferAt) return;
+    const { groups, logger } = this.options;
+    const transfer = planTransfer(groups());
     if (!transfer) return;
-    this.isBusy = true;
+    this.nextTransferAt = monotonicMs() + TRANSFER_INTERVAL_MS;
     const { group, target } = transfer;
-    this.options.logger.info('leadership handed over', { group: group.name, to: target.name });
+    const fields = { group: group.name, to: target.name };
+    logger.info('leadership handed over', fields);
     try {
-      await group.transferLeadership(target.id);
-    } finally {
-      this.isBusy = false;
+      const hasAgreed = await group.transferLeadership(target.id);
+      if (!hasAgreed) logger.warn('leadership not taken', fields);
+    } catch (error) {
+      logger.warn('leadership not taken', { ...fields, reason: describeError(error) });
     }
   }
 }
@@ -69,9 +77,14 @@
   for (const { group, canLead } of led) {
     if (monotonicMs() - group.leadingSince < MIN_LEADING_MS || !group.isConfigurationSettled)
       continue;
+    const rankOf = ({ id }: Member): number => startupRank(group.configuration, id, group.name);
+    // Groups prefer different voters, so that processes that hand over at the same time choose different ones.
     const [target] = votersOf(group.configuration)
       .filter((voter) => voter.id !== group.ownId && canLead(voter))
-      .sort((left, right) => ledCount(ledBy, left) - ledCount(ledBy, right));
+      .sort(
+        (left, right) =>
+          ledCount(ledBy, left) - ledCount(ledBy, right) || rankOf(left) - rankOf(right),
+      );
     if (target && led.length - ledCount(ledBy, target) >= MIN_DIFFERENCE) return { group, target };
   }
   return undefined;
--- a/src/consensus/configuration.ts
+++ b/src/consensus/configuration.ts
@@ -68,7 +68,7 @@
 }
 
 /**
- * Zero-based rank of a member for the first election of a group. The preferred voter differs
+ * Zero-based rank of a member as leader of a group, for its first election and for transfers. The preferred voter differs
  * between groups, which spreads leaders over the members.
  */
 export function startupRank(
