--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -23,6 +23,7 @@
 import type { Logger } from '../observability/index.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
 import { MemberLoadLog } from './member-load-log.js';
+import { ProcessLoadMeter } from './process-load.js';
 import { createMemberMetrics } from './node-metrics.js';
 import { type NodeSettings, hostOf, portOf, voterCountFor } from './node-settings.js';
 
@@ -62,6 +63,7 @@
   private readonly urgentPeers: PeerDirectory;
   private readonly memberships = new Map<string, GroupMembership>();
   private readonly balancer: LeaderBalancer;
+  private readonly meter = new ProcessLoadMeter();
   private readonly stopping = new AbortController();
   private host!: GroupHost;
   private rpcServer!: RpcServer;
@@ -172,7 +174,7 @@
     this.requireLog(group);
     const targetVoters = voterCountFor(settings.toleratedLosses);
     const voterSet = new VoterSetManager(group, { targetVoters, isRetiring, logger });
-    const loadLog = new MemberLoadLog({ group, wal: this.wal, logger });
+    const loadLog = new MemberLoadLog({ group, wal: this.wal, meter: this.meter, logger });
     this.memberships.set(name, { group, voterSet, loadLog });
   }
 
@@ -180,6 +182,7 @@
   async stop(): Promise<void> {
     this.stopping.abort();
     this.balancer.stop();
+    this.meter.stop();
     for (const { voterSet, loadLog } of this.memberships.values()) {
       voterSet.stop();
       loadLog.stop();
--- a/src/nodes/member-load-log.ts
+++ b/src/nodes/member-load-log.ts
@@ -6,7 +6,7 @@
 import type { ReplicatedGroup, ReplicationTraffic } from '../consensus/index.js';
 import type { WriteAheadLog } from '../log-store/index.js';
 import type { DurationStats, LogFields, Logger } from '../observability/index.js';
-import { type ProcessLoad, ProcessLoadMeter } from './process-load.js';
+import type { ProcessLoad, ProcessLoadMeter } from './process-load.js';
 
 const INTERVAL_MS = 1_000;
 /** Minimum number of commands or batches per second for a line to be logged. */
@@ -16,6 +16,8 @@
 export interface MemberLoadLogOptions {
   group: ReplicatedGroup;
   wal: WriteAheadLog;
+  /** Shared by all groups of the process. */
+  meter: ProcessLoadMeter;
   logger: Logger;
 }
 
@@ -28,7 +30,6 @@
 
 export class MemberLoadLog {
   private readonly timer: NodeJS.Timeout;
-  private readonly meter = new ProcessLoadMeter();
   private before: CounterReading | undefined;
   private loopBefore = performance.eventLoopUtilization();
 
@@ -39,12 +40,11 @@
 
   stop(): void {
     clearInterval(this.timer);
-    this.meter.stop();
   }
 
   private report(): void {
     const { group } = this.options;
-    const now = readCounters(group, this.options.wal, this.meter);
+    const now = readCounters(this.options);
     const before = this.before ?? now;
     this.before = now;
     const times = {
@@ -106,11 +106,7 @@
   };
 }
 
-function readCounters(
-  group: ReplicatedGroup,
-  wal: WriteAheadLog,
-  meter: ProcessLoadMeter,
-): CounterReading {
+function readCounters({ group, wal, meter }: MemberLoadLogOptions): CounterReading {
   return {
     ...meter.read(),
     ...group.traffic,
