The summary of lost programs reads runs of any size, and shares what run-summary knows

A run of over some 120,000 programs ended with a RangeError, since their begins were spread as arguments; a test with 200,000 fails without the fix. The outcome of an answer, the expected outcomes and the length of a window stood twice; they stand in record-fields.

--- a/src/explain/lost-programs.test.ts
+++ b/src/explain/lost-programs.test.ts
@@ -65,6 +65,11 @@
     ]);
   });
 
+  it('reads runs of more programs than a call may have arguments', () => {
+    const records = Array.from({ length: 200_000 }, (_, number) => call(500, `p${number}`, {}));
+    expect(summarizeLosses(records).begun).toBe(records.length);
+  });
+
   it('is empty for logs without programs', () => {
     expect(summarizeLosses([])).toMatchObject({ begun: 0, lost: 0, windows: [] });
   });
--- a/src/explain/lost-programs.ts
+++ b/src/explain/lost-programs.ts
@@ -1,13 +1,20 @@
 /** Programs that earned less than they could: which were late, refused or failed, when, where and for what reason. */
 import { groupBy } from '../common/group-by.js';
 import type { LogRecord } from './log-record.js';
-import { CALL, byTime, numberOf, startOf } from './record-fields.js';
+import {
+  ANSWERED,
+  CALL,
+  EXPECTED_OUTCOMES,
+  WINDOW_MS,
+  byTime,
+  numberOf,
+  startOf,
+} from './record-fields.js';
 
 export type LossKind = 'late' | 'refused' | 'failed';
 
 /** A program whose last call had no answer, or that was answered after its objective. */
 export interface LostProgram {
-  program: string;
   kind: LossKind;
   /** What took longest in the calls of a late program; outcome and failed step of the last call of any other. */
   reason: string;
@@ -42,8 +49,6 @@
   programs: number;
 }
 
-const WINDOW_MS = 2_000;
-const ANSWERED = 'answered';
 /** Outcomes of calls that are turned away before they are sent to a back end. */
 const REFUSALS: ReadonlySet<unknown> = new Set([
   'not-admitted',
@@ -53,8 +58,6 @@
   'ends-backends',
   'send-pending',
 ]);
-/** Outcomes caused by the caller or the operator. */
-const EXPECTED_OUTCOMES: ReadonlySet<unknown> = new Set(['budget-exhausted', 'no-route']);
 
 export function summarizeLosses(records: readonly LogRecord[]): LossSummary {
   const calls = records.filter(({ event, fields }) => event === CALL && fields.program);
@@ -80,9 +83,8 @@
 /** @param calls of one program, oldest first */
 function findLoss(calls: readonly LogRecord[]): LostProgram[] {
   const last = calls.at(-1)!;
-  const { program, route, outcome } = last.fields;
+  const { route, outcome } = last.fields;
   const base = {
-    program: String(program),
     begunAt: beginOf(calls),
     route: String(route),
     place: last.node.replace(/-?\d+$/, ''),
@@ -107,13 +109,11 @@
 function longestPart(calls: readonly LogRecord[]): string {
   const parts: Record<string, number> = { ledger: 0, waiting: 0, 'first event': 0, generating: 0 };
   for (const { fields } of calls) {
-    const [ms, firstMs, reserveMs, keepMs, waitedMs] = [
-      fields.ms,
-      fields.firstMs,
-      fields.reserveMs,
-      fields.keepMs,
-      fields.waitedMs,
-    ].map(numberOf) as [number, number, number, number, number];
+    const ms = numberOf(fields.ms);
+    const firstMs = numberOf(fields.firstMs);
+    const reserveMs = numberOf(fields.reserveMs);
+    const keepMs = numberOf(fields.keepMs);
+    const waitedMs = numberOf(fields.waitedMs);
     parts.ledger! += reserveMs + keepMs;
     parts.waiting! += waitedMs;
     parts['first event']! += Math.max(0, firstMs - reserveMs - waitedMs);
@@ -127,7 +127,8 @@
 }
 
 function summarizeWindows(begins: readonly number[], lost: readonly LostProgram[]): LossWindow[] {
-  const start = Math.min(...begins);
+  // Not `Math.min(...begins)`: a long run has more programs than a call may have arguments.
+  const start = begins.reduce((first, at) => Math.min(first, at), Infinity);
   const windowOf = (at: number): number => Math.floor((at - start) / WINDOW_MS);
   const begunByWindow = groupBy(begins, (at) => String(windowOf(at)));
   const lostByWindow = groupBy(lost, ({ begunAt }) => String(windowOf(begunAt)));
--- a/src/explain/record-fields.ts
+++ b/src/explain/record-fields.ts
@@ -4,6 +4,12 @@
 /** Event of the line of a finished call. */
 export const CALL = 'call';
 export const MEMORY_EXHAUSTED = 'memory budget exhausted';
+/** Outcome of a call that was answered. */
+export const ANSWERED = 'answered';
+/** Outcomes caused by the caller or the operator. */
+export const EXPECTED_OUTCOMES: ReadonlySet<unknown> = new Set(['budget-exhausted', 'no-route']);
+/** Length of the time windows of summaries, in milliseconds. */
+export const WINDOW_MS = 2_000;
 
 /** Matches the start of each send in a call's line: backend, own load, load of other gateways. */
 const SEND_PATTERN = /(\S+)@\d+\+\d+/g;
--- a/src/explain/run-summary.ts
+++ b/src/explain/run-summary.ts
@@ -4,7 +4,14 @@
  */
 import { groupBy } from '../common/group-by.js';
 import type { LogRecord } from './log-record.js';
-import { CALL, backendsSentTo, numberOf } from './record-fields.js';
+import {
+  ANSWERED,
+  CALL,
+  EXPECTED_OUTCOMES,
+  WINDOW_MS,
+  backendsSentTo,
+  numberOf,
+} from './record-fields.js';
 import { type SchedulingCounts, countScheduling } from './scheduling-counts.js';
 
 /** Mean durations of the phases of turns, in milliseconds. */
@@ -56,11 +63,7 @@
   failures: FailureCount[];
 }
 
-const WINDOW_SECONDS = 2;
 const MAX_EXAMPLES = 3;
-const ANSWERED = 'answered';
-/** Outcomes caused by the caller or the operator. */
-const EXPECTED_OUTCOMES: ReadonlySet<string> = new Set(['budget-exhausted', 'no-route']);
 
 /** Parsed log line of one call. */
 interface CallLine {
@@ -128,13 +131,13 @@
 function summarizeWindows(calls: readonly CallLine[]): SummaryWindow[] {
   const start = calls[0]?.endedAt ?? 0;
   const windowIndexOf = ({ endedAt }: CallLine): number =>
-    Math.floor((endedAt - start) / (WINDOW_SECONDS * 1_000));
+    Math.floor((endedAt - start) / WINDOW_MS);
   const callsByWindow = groupBy(calls, (call) => String(windowIndexOf(call)));
   return [...callsByWindow].map(([windowIndex, inWindow]) => {
     const turns = inWindow.filter((call) => call.isTurn && call.outcome === ANSWERED);
     const times = turns.map(({ ms }) => ms).sort((left, right) => left - right);
     return {
-      fromSecond: Number(windowIndex) * WINDOW_SECONDS,
+      fromSecond: (Number(windowIndex) * WINDOW_MS) / 1_000,
       ...meanLatencies(turns),
       medianMs: quantile(times, 0.5),
       p95Ms: quantile(times, 0.95),
