Profiles of processes and of the lab are summed by the same code

The sums of samples, the purpose of the nearest caller and the types of a profile stood in lab/ already and were written again in src/observability; they stand there once, and lab/ reads files. A profile that fails is logged; its error would have ended the process.

--- a/lab/directory/profile-purposes.ts
+++ b/lab/directory/profile-purposes.ts
@@ -5,9 +5,9 @@
  */
 import {
   type CallFrame,
-  type CpuProfile,
-  type ProfileNode,
+  inheritPurposes,
   readCpuProfile,
+  sortedTimes,
   sumSelfTimes,
 } from '../cpu-profile.js';
 
@@ -55,24 +55,6 @@
   return PURPOSES.find(({ pattern }) => pattern.test(text))?.name;
 }
 
-/** Purpose by node id; a node without a purpose of its own inherits its caller's. */
-function purposesOf(profile: CpuProfile): Map<number, string> {
-  const byId = new Map(profile.nodes.map((node) => [node.id, node]));
-  const purposes = new Map<number, string>();
-  const visit = (node: ProfileNode, inheritedPurpose: string): void => {
-    const purpose = purposeOf(node.callFrame) ?? inheritedPurpose;
-    purposes.set(node.id, purpose);
-    for (const child of node.children ?? []) visit(byId.get(child)!, purpose);
-  };
-  visit(profile.nodes[0]!, OTHER);
-  return purposes;
-}
-
-function selfTimes(profile: CpuProfile, nameOf: (id: number) => string): [string, number][] {
-  const times = sumSelfTimes(profile, nameOf);
-  return [...times].sort(([, left], [, right]) => right - left);
-}
-
 function printTimes(title: string, times: readonly [string, number][], total: number): void {
   console.log(`\n${title}\n`);
   for (const [name, milliseconds] of times) {
@@ -85,14 +67,15 @@
 
 for (const file of process.argv.slice(2)) {
   const profile = readCpuProfile(file);
-  const purposes = purposesOf(profile);
+  const purposes = inheritPurposes(profile.nodes, purposeOf, OTHER);
   const frames = new Map(profile.nodes.map(({ id, callFrame }) => [id, callFrame]));
   const isBusy = ([name]: [string, number]): boolean => !/idle\)?$/.test(name);
-  const byPurpose = selfTimes(profile, (id) => purposes.get(id)!).filter(isBusy);
-  const byFunction = selfTimes(profile, (id) => {
+  const byPurpose = sortedTimes(sumSelfTimes(profile, (id) => purposes.get(id)!)).filter(isBusy);
+  const functionTimes = sumSelfTimes(profile, (id) => {
     const { url, functionName } = frames.get(id)!;
     return `${url.split('/').slice(-2).join('/')} ${functionName}`;
-  }).filter(isBusy);
+  });
+  const byFunction = sortedTimes(functionTimes).filter(isBusy);
   const total = byPurpose.reduce((sum, [, milliseconds]) => sum + milliseconds, 0);
   printTimes(`${file}: self time by purpose`, byPurpose, total);
   printTimes('by function', byFunction.slice(0, MAX_FUNCTIONS), total);
--- a/src/observability/processor-profile.test.ts
+++ b/src/observability/processor-profile.test.ts
@@ -1,13 +1,10 @@
 /** Sums of sampled processor time. */
 import { describe, expect, it } from 'vitest';
-import { type SampledProfile, summarizeProfile } from './processor-profile.js';
+import type { ProfileNode } from './cpu-profile.js';
+import { summarizeProfile } from './processor-profile.js';
 
-function node(
-  id: number,
-  functionName: string,
-  children: number[] = [],
-): SampledProfile['nodes'][number] {
-  return { id, callFrame: { functionName }, children };
+function node(id: number, functionName: string, children: number[] = []): ProfileNode {
+  return { id, callFrame: { functionName, url: '' }, children };
 }
 
 describe('summarizeProfile', () => {
--- a/src/observability/processor-profile.ts
+++ b/src/observability/processor-profile.ts
@@ -2,6 +2,8 @@
  * Samples the functions of this process and logs every few seconds how much processor time each purpose took. Sampling
  * takes processor time itself, so it runs only on request (`--profile`).
  */
+import { describeError } from '../common/index.js';
+import { type CpuProfile, inheritPurposes, sortedTimes, sumSelfTimes } from './cpu-profile.js';
 import type { LogFields, Logger } from './logger.js';
 
 /** Period of a log line, in milliseconds. */
@@ -10,41 +12,23 @@
 const SAMPLE_INTERVAL_US = 1_000;
 /** Number of functions with the most time of their own that a line lists. */
 const MAX_FUNCTIONS = 30;
-const MICROSECONDS_PER_MS = 1_000;
-
-/** A node of a profile's call tree, as defined by the inspector protocol. */
-interface ProfileNode {
-  id: number;
-  callFrame: { functionName: string };
-  /** Ids of the called functions' nodes. */
-  children?: number[];
-}
-
-/** A profile, as defined by the inspector protocol. */
-export interface SampledProfile {
-  nodes: ProfileNode[];
-  /** Ids of the sampled nodes. */
-  samples: number[];
-  /** Time since the previous sample, or since the start of the profile, in microseconds. */
-  timeDeltas: number[];
-}
 
 /** Milliseconds by name, most first. */
-export type TimesByName = Map<string, number>;
-
 export interface ProfileSummary {
-  byPurpose: TimesByName;
-  byFunction: TimesByName;
+  byPurpose: [string, number][];
+  byFunction: [string, number][];
 }
 
 const OTHER = 'other';
+const IDLE = '(idle)';
 
 /**
- * Purposes by function name. Functions without a purpose count for their nearest caller with one. V8 accounts for time in
+ * Purposes by function name: a bundled program is one file, so that files tell nothing. Functions without a purpose count for their nearest caller with one. V8 accounts for time in
  * system calls and in its own code outside functions as `(program)`.
  */
 const PURPOSES: ReadonlyMap<string, string> = new Map(
   Object.entries({
+    [IDLE]: [IDLE],
     native: ['(program)'],
     collections: ['(garbage collector)'],
     decode: ['unpack', 'read', 'readMap', 'push', 'decodeValue'],
@@ -62,43 +46,19 @@
 );
 
 /** Sums the time of samples by purpose and by function; idle time does not count. */
-export function summarizeProfile({ nodes, samples, timeDeltas }: SampledProfile): ProfileSummary {
-  const byId = new Map(nodes.map((node) => [node.id, node]));
-  const purposes = purposesOf(nodes, byId);
-  const byPurpose: TimesByName = new Map();
-  const byFunction: TimesByName = new Map();
-  samples.forEach((id, index) => {
-    const name = byId.get(id)!.callFrame.functionName || '(anonymous)';
-    if (name === '(idle)') return;
-    // A sample's function counts until the next sample is taken.
-    const ms = (timeDeltas[index + 1] ?? 0) / MICROSECONDS_PER_MS;
-    add(byPurpose, purposes.get(id) ?? OTHER, ms);
-    add(byFunction, name, ms);
-  });
-  return { byPurpose: sorted(byPurpose), byFunction: sorted(byFunction) };
-}
-
-function purposesOf(
-  nodes: readonly ProfileNode[],
-  byId: ReadonlyMap<number, ProfileNode>,
-): Map<number, string> {
-  const purposes = new Map<number, string>();
-  const pending: [ProfileNode, string][] = nodes[0] ? [[nodes[0], OTHER]] : [];
-  for (let next = pending.pop(); next; next = pending.pop()) {
-    const [{ id, callFrame, children }, inherited] = next;
-    const purpose = PURPOSES.get(callFrame.functionName) ?? inherited;
-    purposes.set(id, purpose);
-    for (const child of children ?? []) pending.push([byId.get(child)!, purpose]);
-  }
-  return purposes;
-}
-
-function add(times: TimesByName, name: string, ms: number): void {
-  times.set(name, (times.get(name) ?? 0) + ms);
-}
-
-function sorted(times: TimesByName): TimesByName {
-  return new Map([...times].sort(([, left], [, right]) => right - left));
+export function summarizeProfile(profile: CpuProfile): ProfileSummary {
+  const purposes = inheritPurposes(
+    profile.nodes,
+    ({ functionName }) => PURPOSES.get(functionName),
+    OTHER,
+  );
+  const names = new Map(profile.nodes.map(({ id, callFrame }) => [id, callFrame.functionName]));
+  const busyTimes = (nameOf: (id: number) => string): [string, number][] =>
+    sortedTimes(sumSelfTimes(profile, nameOf)).filter(([name]) => name !== IDLE);
+  return {
+    byPurpose: busyTimes((id) => purposes.get(id)!),
+    byFunction: busyTimes((id) => names.get(id) || '(anonymous)'),
+  };
 }
 
 /** Starts sampling. It ends with the process. */
@@ -116,16 +76,18 @@
     const { samples = [], timeDeltas = [], nodes } = profile;
     logger.info('processor profile', describe(summarizeProfile({ nodes, samples, timeDeltas })));
   };
-  setInterval(() => void report(), REPORT_INTERVAL_MS).unref();
+  const onError = (error: unknown): void =>
+    logger.warn('processor not profiled', { reason: describeError(error) });
+  setInterval(() => void report().catch(onError), REPORT_INTERVAL_MS).unref();
 }
 
 function describe({ byPurpose, byFunction }: ProfileSummary): LogFields {
   return {
     purposes: format(byPurpose),
-    functions: format(new Map([...byFunction].slice(0, MAX_FUNCTIONS))),
+    functions: format(byFunction.slice(0, MAX_FUNCTIONS)),
   };
 }
 
-function format(times: TimesByName): string {
-  return [...times].map(([name, ms]) => `${name}=${Math.round(ms)}`).join(' ');
+function format(times: readonly [string, number][]): string {
+  return times.map(([name, ms]) => `${name}=${Math.round(ms)}`).join(' ');
 }
