Requests name their ledger group always; a turn over two groups is reserved in a method of its own

The first group's name was left out of requests, which took a conversion at each of three senders. Members of earlier releases ignore the field, and requests without it are for the first group. LedgerRouter.reserve did two things; the client's method that reports that a machine has left a group was named as if it completed the retirement. Two tests of retirement share their setup.

--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -77,8 +77,8 @@
     return this.call(RETIREMENT_STATE, { node }, READ_TIMEOUT_MS);
   }
 
-  /** Tells that a node has left a ledger group; it is retired once it has left all of them. */
-  async completeRetirement(node: string, group: string): Promise<void> {
+  /** Reports that a ledger group has removed a node, which is retired once all of them have. */
+  async reportLeftGroup(node: string, group: string): Promise<void> {
     await this.call(COMPLETE_RETIREMENT, { node, group }, OPERATOR_REQUEST_TIMEOUT_MS);
   }
 
--- a/src/directory/directory-commands.ts
+++ b/src/directory/directory-commands.ts
@@ -26,7 +26,7 @@
   hasDeparted: boolean;
 }
 
-/** Sets the initial members of the ledger group; the first such command wins. */
+/** Sets the groups of the ledger and their initial members; the first such command wins. */
 export interface FoundLedgerCommand {
   kind: 'found-ledger';
   /** Members that found the first group. */
--- a/src/directory/directory-leader.test.ts
+++ b/src/directory/directory-leader.test.ts
@@ -5,6 +5,7 @@
 import { sleep } from '../common/index.js';
 import { encodeValue } from '../wire/index.js';
 import { BackendCache } from './backend-cache.js';
+import type { DirectoryLeader } from './directory-leader.js';
 import {
   type NodeAnnouncement,
   INITIAL_KNOWN_VERSIONS,
@@ -39,6 +40,16 @@
   };
 }
 
+/** A leader of a directory whose ledger has two groups with one machine, which is being retired. */
+async function startRetirement(machine: string): Promise<DirectoryLeader> {
+  const { leader, group } = new CommittingDirectory();
+  const founders = [{ id: machine, name: machine, address: `${machine}:1`, role: 'voter' }];
+  const furtherGroups = [{ name: 'ledger-2', founders }];
+  await group.propose(encodeValue({ kind: 'found-ledger', founders, furtherGroups }));
+  await group.propose(encodeValue({ kind: 'start-retirement', node: machine }));
+  return leader;
+}
+
 describe('the directory leader', () => {
   it('commits a configuration once, however often it is sent, and never an older generation', async () => {
     const committing = new CommittingDirectory();
@@ -119,11 +130,7 @@
 
   /** A machine that still votes in a group must not be switched off, even if the other groups have replaced it. */
   it('completes a retirement only when the machine has left all ledger groups', async () => {
-    const { leader, group } = new CommittingDirectory();
-    const founders = [{ id: 'a', name: 'a', address: 'a:1', role: 'voter' }];
-    const furtherGroups = [{ name: 'ledger-2', founders }];
-    await group.propose(encodeValue({ kind: 'found-ledger', founders, furtherGroups }));
-    await group.propose(encodeValue({ kind: 'start-retirement', node: 'a' }));
+    const leader = await startRetirement('a');
     await leader.retirements.noteLeftGroup('a', 'ledger');
     await leader.retirements.noteLeftGroup('a', 'ledger');
     expect(leader.retirements.stateOf('a')).toBe('running');
@@ -132,11 +139,7 @@
   });
 
   it('forgets the groups that a machine has left when the leader changes', async () => {
-    const { leader, group } = new CommittingDirectory();
-    const founders = [{ id: 'a', name: 'a', address: 'a:1', role: 'voter' }];
-    const furtherGroups = [{ name: 'ledger-2', founders }];
-    await group.propose(encodeValue({ kind: 'found-ledger', founders, furtherGroups }));
-    await group.propose(encodeValue({ kind: 'start-retirement', node: 'a' }));
+    const leader = await startRetirement('a');
     await leader.retirements.noteLeftGroup('a', 'ledger');
     leader.onLeadershipChange();
     await leader.retirements.noteLeftGroup('a', 'ledger-2');
--- a/src/directory/directory-leader.ts
+++ b/src/directory/directory-leader.ts
@@ -1,6 +1,6 @@
 /**
  * Duties of the directory's leader besides replication: handles operator requests and registrations,
- * responds to watchers, bootstraps the ledger group, and removes backends that miss heartbeats.
+ * responds to watchers, bootstraps the ledger groups, and removes backends that miss heartbeats.
  */
 import { SignalEvent, describeError, monotonicMs } from '../common/index.js';
 import type { ReplicatedGroup } from '../consensus/index.js';
@@ -50,7 +50,7 @@
 const BACKEND_UPDATE_INTERVAL_MS = 100;
 
 export interface DirectoryLeaderOptions {
-  /** Target number of voters in the ledger group. */
+  /** Target number of voters in each ledger group. */
   ledgerVoters: number;
   /** Number of ledger groups to found. @default by the number of journal processes */
   ledgerGroups?: number;
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -152,7 +152,7 @@
   node: string;
 }
 
-/** Tells that a node is in no ledger group any more, or no longer in one of them. */
+/** Reports that a ledger group has removed a node. */
 export interface RetirementReport extends RetirementRequest {
   /** The group that the node has left; absent in reports of releases with a single one. */
   group?: string;
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -300,8 +300,7 @@
     const { service, priority } = call;
     const engines = this.options.backends.serving(service);
     const typicalMs = this.options.backends.typicalMs(service);
-    const program = ledgerProgramOf(call.call, call.tenant);
-    const delayMs = needsLedger(call.call, route) ? this.options.ledger.delayMsOf(program) : 0;
+    const delayMs = needsLedger(call.call, route) ? this.ledgerDelayMs(call) : 0;
     const ledgerLoad = ledgerLoadOf(delayMs, typicalMs);
     const isWithinOwnLimit = this.admission.admits(
       service,
@@ -318,6 +317,10 @@
     throw new RefusedError('not-admitted', drainMs, { ledgerDelayMs: Math.round(delayMs) });
   }
 
+  private ledgerDelayMs({ call, tenant }: ModelCall): number {
+    return this.options.ledger.delayMsOf(ledgerProgramOf(call, tenant));
+  }
+
   private reportToAdmission(
     { exchange, deadlineMs }: AdmittedCall,
     run: CallRun,
--- a/src/ledger/history-reader.ts
+++ b/src/ledger/history-reader.ts
@@ -5,6 +5,7 @@
 import { LedgegaugeError, describeError, monotonicMs } from '../common/index.js';
 import type { PeerDirectory } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
+import { LEDGER_GROUP } from './ledger-groups.js';
 import { type HistorySource, READ_HISTORY } from './messages.js';
 
 /**
@@ -23,11 +24,11 @@
 export class HistoryNotReadError extends LedgegaugeError {}
 
 export class HistoryReader {
-  /** @param group the ledger group whose members are read from; undefined for the first one */
+  /** @param group the ledger group whose members are read from */
   constructor(
     private readonly peers: Pick<PeerDirectory, 'callWhenConnected'>,
     private readonly logger: Logger,
-    private readonly group?: string,
+    private readonly group = LEDGER_GROUP,
   ) {}
 
   /**
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -452,9 +452,8 @@
     this.outage.recordRequest();
     try {
       const options = { ...limits, maximumPauseMs: MAX_ATTEMPT_PAUSE_MS };
-      const isFirst = this.groupName === LEDGER_GROUP;
-      const addressed = isFirst ? request : { ...request, group: this.groupName };
-      const response = await callLeader(this.groups, this.groupName, method, addressed, options);
+      const { groups, groupName: group } = this;
+      const response = await callLeader(groups, group, method, { ...request, group }, options);
       this.outage.recordResponse();
       if (response.delayMs !== undefined) this.delay.note(response.delayMs);
       this.latestRefusal = undefined;
--- a/src/ledger/ledger-router.ts
+++ b/src/ledger/ledger-router.ts
@@ -80,21 +80,35 @@
   ): Promise<LedgerReservation> {
     const { program, previousTurn } = request;
     const own = this.clientOf(program);
-    const known = previousTurn === undefined ? undefined : this.keepers.get(previousTurn);
-    const keeper = known === own ? undefined : known;
-    const startedAt = monotonicMs();
-    if (!keeper) {
-      const reservation = await own.reserve(request, usefulMs, mayUseAllowance, trace);
-      const mayBeElsewhere = reservation.outcome === 'unknown-predecessor';
-      if (!mayBeElsewhere || this.clients.length === 1) return reservation;
-    }
-    const others = keeper ? [keeper] : this.clients.filter((client) => client !== own);
-    const leftMs = usefulMs - (monotonicMs() - startedAt);
-    const held = await this.holdPredecessor(others, request, leftMs, trace);
+    const keeper = previousTurn === undefined ? undefined : this.keepers.get(previousTurn);
+    const deadlineMs = monotonicMs() + usefulMs;
+    const charge = (limitMs: number): Promise<LedgerReservation> =>
+      own.reserve(withoutPredecessor(request), limitMs, mayUseAllowance, trace);
+    if (keeper && keeper !== own)
+      return this.reserveInTwoGroups([keeper], request, deadlineMs, charge, trace);
+    const reservation = await own.reserve(request, usefulMs, mayUseAllowance, trace);
+    const others = this.clients.filter((client) => client !== own);
+    if (reservation.outcome !== 'unknown-predecessor' || others.length === 0) return reservation;
+    return this.reserveInTwoGroups(others, request, deadlineMs, charge, trace);
+  }
+
+  /**
+   * Reserves a turn whose predecessor another group keeps: that group holds it, then the own group charges the program.
+   * @param candidates groups that may keep the predecessor
+   * @param deadlineMs time from which the response is of no use (monotonic, milliseconds)
+   * @param charge reserves the tokens within a time limit in milliseconds
+   */
+  private async reserveInTwoGroups(
+    candidates: readonly LedgerClient[],
+    request: TurnRequest,
+    deadlineMs: number,
+    charge: (limitMs: number) => Promise<LedgerReservation>,
+    trace: ReservationTrace,
+  ): Promise<LedgerReservation> {
+    const held = await this.holdPredecessor(candidates, request, deadlineMs - monotonicMs(), trace);
     if (!('keeper' in held)) return held;
-    const chargeMs = usefulMs - (monotonicMs() - startedAt);
     const charged = await this.chargeHeldTurn(held, request, () =>
-      own.reserve(withoutPredecessor(request), chargeMs, mayUseAllowance, trace),
+      charge(deadlineMs - monotonicMs()),
     );
     return { ...charged, history: held.reservation.history };
   }
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -50,7 +50,7 @@
 const NOT_STARTED = { refusal: 'group is not started on this member' };
 
 export interface LedgerServiceOptions {
-  /** Name of the group; undefined for the first one. @default undefined */
+  /** @default the first group */
   groupName?: string;
   peers: PeerNotifier;
   stateMachine: LedgerStateMachine;
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -10,7 +10,7 @@
 
 /** A request to one group of the ledger. */
 export interface LedgerGroupRequest {
-  /** Name of the group; absent for the first one. */
+  /** Name of the group; absent in requests of releases with a single one. */
   group?: string;
 }
 
--- a/src/ledger/programs-late-with-one-leader.test.ts
+++ b/src/ledger/programs-late-with-one-leader.test.ts
@@ -1,6 +1,6 @@
 /**
- * Programs ended late because one process ordered the commands of all of them, however many machines the ledger had: four
- * groups bear twice what one leader bears.
+ * Programs ended late because one process ordered the commands of all of them, however many machines the ledger had. Four
+ * groups must bear twice what one leader bears.
  */
 import { expect, it, vi } from 'vitest';
 import { LedgerGroupsCluster } from '../../tests/support/ledger-groups-cluster.js';
--- a/src/ledger/value-copy-sender.ts
+++ b/src/ledger/value-copy-sender.ts
@@ -5,15 +5,16 @@
 import type { PeerNotifier } from '../consensus/index.js';
 import { encodeTurnValue } from './kept-turn-index.js';
 import { type Settlement, hasInlineValue } from './ledger-commands.js';
+import { LEDGER_GROUP } from './ledger-groups.js';
 import { type CopyTargets, TAKE_COPY, type TakeCopyNotice } from './messages.js';
 
 export class ValueCopySender {
   private targets: CopyTargets | undefined;
 
-  /** @param group the ledger group whose followers get the copies; undefined for the first one */
+  /** @param group the ledger group whose followers get the copies */
   constructor(
     private readonly peers: PeerNotifier,
-    private readonly group?: string,
+    private readonly group = LEDGER_GROUP,
   ) {}
 
   /** Version of the known targets; undefined if none are known yet. */
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -31,13 +31,7 @@
   GatewayHealth,
   HealthMetrics,
 } from '../gateway-health/index.js';
-import {
-  HistoryReader,
-  LEDGER_GROUP,
-  LedgerClient,
-  LedgerRouter,
-  ValueCopySender,
-} from '../ledger/index.js';
+import { HistoryReader, LedgerClient, LedgerRouter, ValueCopySender } from '../ledger/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
 import { MemoryBudget, MemoryBudgetMetrics } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
@@ -254,13 +248,12 @@
 
   private createLedgerClient(holder: string, group: string): LedgerClient {
     const { logger } = this.options;
-    const sentGroup = group === LEDGER_GROUP ? undefined : group;
     return new LedgerClient(
       this.ledgerGroups,
       logger,
       holder,
-      new HistoryReader(this.peers, logger, sentGroup),
-      new ValueCopySender(this.peers, sentGroup),
+      new HistoryReader(this.peers, logger, group),
+      new ValueCopySender(this.peers, group),
       this.cutOffSignal,
       group,
     );
--- a/src/nodes/journal-ledgers.ts
+++ b/src/nodes/journal-ledgers.ts
@@ -68,20 +68,19 @@
 
   private create(name: string): JournalLedger {
     const { member, values, logger, isUnderMemoryPressure } = this.options;
-    const groupName = name === LEDGER_GROUP ? undefined : name;
     const stateMachine = new LedgerStateMachine({
       values: new GroupValueStore(values, name),
       readTurnsAt: (address, request) =>
         member.peers.callWhenConnected(
           address,
           READ_TURNS,
-          { ...request, group: groupName },
+          { ...request, group: name },
           READ_TURNS_LIMITS,
         ),
       logger,
     });
     const service = new LedgerService({
-      groupName,
+      groupName: name,
       peers: member.peers,
       stateMachine,
       findGroup: (): ReplicatedGroup | undefined => member.find(name),
--- a/src/nodes/journal-node.ts
+++ b/src/nodes/journal-node.ts
@@ -225,7 +225,7 @@
     for (const { name } of this.member.groups) {
       if (!this.member.isSafeToRemove(name, machine)) continue;
       // A failed report is sent again in the next round.
-      await this.directory.completeRetirement(machine, name).catch(() => undefined);
+      await this.directory.reportLeftGroup(machine, name).catch(() => undefined);
     }
   }
 }
