Heartbeats are left out where entries and their acknowledgements say the same

A follower that was sent entries within the last interval, and acknowledged a message sent within the last two, gets none; a read that waits for a quorum still asks all.

Own tests: few heartbeats under load (red without the change), all of them to a follower that acknowledges nothing, and for reads.

--- a/src/consensus/group-host.ts
+++ b/src/consensus/group-host.ts
@@ -188,7 +188,7 @@
 
   private tick(): void {
     for (const group of this.groups.values()) group.tick();
-    this.sendHeartbeats();
+    this.sendHeartbeats(false);
     this.keepVotersConnected();
     for (const name of this.host.wal.groupsHoldingOldSegments()) {
       this.groups.get(name)?.applier.requestSnapshot();
@@ -214,20 +214,21 @@
     this.heartbeatsRequested = true;
     setImmediate(() => {
       this.heartbeatsRequested = false;
-      this.sendHeartbeats();
+      this.sendHeartbeats(true);
     });
   }
 
   /**
    * Batches by member id, not address: a member that lost its disk and its replacement share an
    * address, and a response of the new member must not count for the old one.
+   * @param isRequested whether a read waits for the responses
    */
-  private sendHeartbeats(): void {
+  private sendHeartbeats(isRequested: boolean): void {
     const batches = new Map<string, MemberHeartbeats>();
     for (const group of this.groups.values()) {
       if (!group.isLeader) continue;
       for (const member of group.configuration.members) {
-        const heartbeat = group.heartbeatFor(member);
+        const heartbeat = group.heartbeatFor(member, isRequested);
         if (!heartbeat) continue;
         const batch = batches.get(member.id);
         if (batch) batch.heartbeats.push(heartbeat);
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -295,8 +295,14 @@
     this.elections.noteLeaderDisconnected();
   }
 
-  heartbeatFor(member: Member): Heartbeat | undefined {
-    if (!this.replicators.has(member.id)) return undefined;
+  /**
+   * @param isRequested whether a read waits for the response, so that a heartbeat is sent in any case
+   * @returns undefined if the member gets none
+   */
+  heartbeatFor(member: Member, isRequested: boolean): Heartbeat | undefined {
+    const replicator = this.replicators.get(member.id);
+    if (!replicator || !(isRequested || replicator.isHeartbeatDue)) return undefined;
+    replicator.noteHeartbeatSent();
     const { name: group, ownId: from, term, commitIndex } = this;
     return { group, to: member.id, from, term, commitIndex };
   }
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -19,6 +19,10 @@
 
 /** Target response time of a batch, in heartbeat intervals. */
 const BATCH_TARGET_HEARTBEATS = 2;
+/** Age of the latest acknowledged message up to which data replaces heartbeats, in heartbeat intervals. */
+const MAX_CONTACT_HEARTBEATS = 2;
+/** Minimum time between heartbeats to a relayed learner, in heartbeat intervals: with late ticks, every other one. */
+const RELAYED_LEARNER_HEARTBEATS = 1.5;
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024;
 const APPEND_TIMEOUT_MS = 1_000;
 /**
@@ -81,6 +85,9 @@
   matchIndex = 0;
   /** Send time of the latest message that the follower acknowledged (monotonic, milliseconds). */
   acknowledgedSentAt = Number.NEGATIVE_INFINITY;
+  /** Send time of the latest entries or snapshot chunk (monotonic, milliseconds). */
+  private dataSentAt = Number.NEGATIVE_INFINITY;
+  private heartbeatSentAt = Number.NEGATIVE_INFINITY;
   private nextIndex: number;
   /** Last index that has been sent, whether or not it was acknowledged. */
   private sentIndex = 0;
@@ -141,6 +148,25 @@
     this.acknowledgedSentAt = Math.max(this.acknowledgedSentAt, sentAt);
   }
 
+  noteHeartbeatSent(): void {
+    this.heartbeatSentAt = monotonicMs();
+  }
+
+  /**
+   * Whether a heartbeat would tell the follower or the leader anything new. A follower that receives and acknowledges data
+   * needs none. A learner that a voter relays entries to reports its progress at every other interval.
+   */
+  get isHeartbeatDue(): boolean {
+    const now = monotonicMs();
+    const { heartbeatIntervalMs } = this.source;
+    const isReceiving = now - this.dataSentAt < heartbeatIntervalMs;
+    const isResponding =
+      now - this.acknowledgedSentAt < MAX_CONTACT_HEARTBEATS * heartbeatIntervalMs;
+    if (isReceiving && isResponding) return false;
+    const pauseMs = this.canYieldToRelay ? RELAYED_LEARNER_HEARTBEATS * heartbeatIntervalMs : 0;
+    return now - this.heartbeatSentAt >= pauseMs;
+  }
+
   private get isStopped(): boolean {
     return this.stopping.signal.aborted;
   }
@@ -232,6 +258,7 @@
     const base = { group, to: this.member.id, from: ownId, term };
     const request = { ...base, previousIndex, previousTerm, entries, commitIndex };
     const sentAt = monotonicMs();
+    if (entries.length > 0) this.dataSentAt = sentAt;
     const response = await this.callAppend(request);
     if (this.isStopped) return;
     await this.processResponse(response, sentAt);
@@ -318,6 +345,7 @@
 
   private async sendChunk(chunk: SnapshotChunk): Promise<void> {
     const sentAt = monotonicMs();
+    this.dataSentAt = sentAt;
     const response = await this.source.call(this.member, SNAPSHOT, chunk, {
       timeoutMs: SNAPSHOT_TIMEOUT_MS,
     });
