A member decodes each command once; commits leave less garbage

Seen: a follower decodes each command three times (when it arrives, is logged and is applied), a leader twice; a third of what a follower allocates (1.5 of 4.5 MB a second at 600 commands, lab/ledger) is decoded commands. A leader allocates 20 KB for each command: a promise for each notification that nobody waits for, a sort for each acknowledgement, and one for each entry of a batch that is synced at once.

--- a/src/common/deferred.ts
+++ b/src/common/deferred.ts
@@ -1,3 +1,5 @@
+function ignore(): void {}
+
 /** A promise with public `resolve` and `reject`. */
 export class Deferred<T> {
   readonly promise: Promise<T>;
@@ -10,6 +12,6 @@
       this.reject = reject;
     });
     // A rejection while nothing awaits the promise yet must not terminate the process.
-    this.promise.catch(() => undefined);
+    this.promise.catch(ignore);
   }
 }
--- a/src/consensus/configuration.ts
+++ b/src/consensus/configuration.ts
@@ -52,10 +52,20 @@
   configuration: GroupConfiguration,
   valueOf: (memberId: string) => number,
 ): number {
-  const values = votersOf(configuration)
-    .map((voter) => valueOf(voter.id))
-    .sort((left, right) => right - left);
-  return values[quorumSize(configuration) - 1] ?? Number.NEGATIVE_INFINITY;
+  const descending: number[] = [];
+  for (const { id, role } of configuration.members) {
+    if (role === 'voter') insertDescending(descending, valueOf(id));
+  }
+  return descending[Math.floor(descending.length / 2)] ?? Number.NEGATIVE_INFINITY;
+}
+
+/** Called for each command and follower: a sort with a comparison function would leave more garbage than the command. */
+function insertDescending(descending: number[], value: number): void {
+  let position = descending.length;
+  descending.push(value);
+  for (; position > 0 && descending[position - 1]! < value; position -= 1)
+    descending[position] = descending[position - 1]!;
+  descending[position] = value;
 }
 
 /** Adds a member, or replaces the one with the same id. */
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -65,6 +65,7 @@
   /** On a leader, the last index synced locally. */
   private syncedIndex = 0;
   private hardStateWritten: Promise<void> = Promise.resolve();
+  private isProgressDue = false;
   private termStartIndex = 0;
   private isTransferring = false;
   private hasStopped = false;
@@ -461,7 +462,17 @@
   private onOwnEntrySynced(entry: LogEntry): void {
     if (this.term !== entry.term || !this.isLeader) return;
     this.syncedIndex = Math.max(this.syncedIndex, entry.index);
-    this.onFollowerProgress();
+    this.noteProgressOnce();
+  }
+
+  /** Entries that were written together are reported one after the other, in one turn of the event loop. */
+  private noteProgressOnce(): void {
+    if (this.isProgressDue) return;
+    this.isProgressDue = true;
+    queueMicrotask(() => {
+      this.isProgressDue = false;
+      this.onFollowerProgress();
+    });
   }
 
   private changeConfiguration(configuration: GroupConfiguration): Promise<unknown> {
--- a/src/ledger/ledger-state-machine.ts
+++ b/src/ledger/ledger-state-machine.ts
@@ -2,12 +2,12 @@
 import type { StateMachine } from '../consensus/index.js';
 import type { LogEntry } from '../log-store/index.js';
 import type { Logger } from '../observability/index.js';
-import { decodeFrames, decodeValue, encodeFrame } from '../wire/index.js';
+import { decodeFrames, encodeFrame } from '../wire/index.js';
+import { DecodedCommands } from './decoded-commands.js';
 import { type EncodedTurn, KeptTurnIndex } from './kept-turn-index.js';
 import {
   type KeptTurn,
   type KeptTurnReference,
-  type LedgerCommand,
   type NotKeptReason,
   type ReserveCommand,
   type ReserveResult,
@@ -49,6 +49,7 @@
   readonly placements = new ProgramPlacements();
   readonly streams = new StreamVersions();
   readonly external: TurnHistoryStore;
+  private readonly commands = new DecodedCommands();
   private clock = 0;
   private sweptAtMs = 0;
   /** Log index of the latest applied command. */
@@ -60,7 +61,7 @@
       ...options,
       turns: this.turns,
       turnIdsInSnapshot,
-      turnIdsInEntry,
+      turnIdsInEntry: (entry) => this.turnIdsInEntry(entry),
     });
   }
 
@@ -71,7 +72,7 @@
 
   apply(bytes: Uint8Array, index = 0): ReserveResult | SettleResult {
     this.index = index;
-    const command = decodeValue<LedgerCommand>(bytes);
+    const command = this.commands.take(index, bytes);
     this.clock = Math.max(this.clock, command.nowMs);
     this.sweep();
     return command.kind === 'reserve' ? this.reserve(command) : this.settleAll(command);
@@ -88,6 +89,7 @@
   }
 
   restore(bytes: Uint8Array): void {
+    this.commands.clear();
     const { head, turns } = decodeState(bytes);
     this.clock = head.clockMs;
     this.sweptAtMs = head.clockMs;
@@ -169,6 +171,16 @@
     return this.turns.isKeptAt(turn, this.clock - EXPIRY_GRACE_MS);
   }
 
+  /** Ids of the kept turns that an entry refers to without their values. */
+  private turnIdsInEntry({ index, kind, data }: LogEntry): string[] {
+    if (kind !== 'command') return [];
+    const command = this.commands.decode(index, data);
+    if (command.kind !== 'settle') return [];
+    return command.settlements.flatMap(({ attempt, keep }) =>
+      keep && !hasInlineValue(keep) ? [attempt] : [],
+    );
+  }
+
   private sweep(): void {
     if (this.clock - this.sweptAtMs < SWEEP_INTERVAL_MS) return;
     this.sweptAtMs = this.clock;
@@ -192,16 +204,6 @@
   return { head, turns: groups.flat() };
 }
 
-/** Ids of the kept turns that an entry refers to without their values. */
-function turnIdsInEntry({ kind, data }: LogEntry): string[] {
-  if (kind !== 'command') return [];
-  const command = decodeValue<LedgerCommand>(data);
-  if (command.kind !== 'settle') return [];
-  return command.settlements.flatMap(({ attempt, keep }) =>
-    keep && !hasInlineValue(keep) ? [attempt] : [],
-  );
-}
-
 function turnIdsInSnapshot(state: Uint8Array): string[] {
   return decodeState(state).turns.map(([id]) => id);
 }
--- a/src/ledger/turn-history-store.ts
+++ b/src/ledger/turn-history-store.ts
@@ -179,9 +179,12 @@
     const fetched = this.pendingFetch.then(() => this.fetchReferenced(referenced, sources));
     this.pendingFetch = fetched.catch(() => undefined);
     await fetched;
-    return Promise.all(
-      entries.map((entry, position) => this.attachValues(entry, turnsOf[position]!)),
-    );
+    const attached: LogEntry[] = [];
+    for (const [position, entry] of entries.entries()) {
+      const turns = turnsOf[position]!;
+      attached.push(turns.length === 0 ? entry : await this.attachValues(entry, turns));
+    }
+    return attached;
   }
 
   noteLogged(entries: readonly LogEntry[]): void {
@@ -246,7 +249,6 @@
    * @throws TurnValuesMissingError when a value is damaged; the next attempt fetches it
    */
   private async attachValues(entry: LogEntry, turns: readonly string[]): Promise<LogEntry> {
-    if (turns.length === 0) return entry;
     const held = turns.filter((turn) => this.options.values.has(turn));
     const values = await this.valuesOf(turns);
     const read = values.filter((value) => value !== undefined);
