--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -303,7 +303,6 @@
   heartbeatFor(member: Member, isRequested: boolean): Heartbeat | undefined {
     const replicator = this.replicators.get(member.id);
     if (!replicator || !(isRequested || replicator.isHeartbeatDue)) return undefined;
-    replicator.noteHeartbeatSent();
     const { name: group, ownId: from, term, commitIndex } = this;
     return { group, to: member.id, from, term, commitIndex };
   }
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -19,10 +19,6 @@
 
 /** Target response time of a batch, in heartbeat intervals. */
 const BATCH_TARGET_HEARTBEATS = 2;
-/** Age of the latest acknowledged message up to which data replaces heartbeats, in heartbeat intervals. */
-const MAX_CONTACT_HEARTBEATS = 2;
-/** Minimum time between heartbeats to a relayed learner, in heartbeat intervals: with late ticks, every other one. */
-const RELAYED_LEARNER_HEARTBEATS = 1.5;
 const SNAPSHOT_CHUNK_BYTES = 512 * 1024;
 const APPEND_TIMEOUT_MS = 1_000;
 /**
@@ -87,7 +83,6 @@
   acknowledgedSentAt = Number.NEGATIVE_INFINITY;
   /** Send time of the latest entries or snapshot chunk (monotonic, milliseconds). */
   private dataSentAt = Number.NEGATIVE_INFINITY;
-  private heartbeatSentAt = Number.NEGATIVE_INFINITY;
   private nextIndex: number;
   /** Last index that has been sent, whether or not it was acknowledged. */
   private sentIndex = 0;
@@ -148,23 +143,13 @@
     this.acknowledgedSentAt = Math.max(this.acknowledgedSentAt, sentAt);
   }
 
-  noteHeartbeatSent(): void {
-    this.heartbeatSentAt = monotonicMs();
-  }
-
   /**
-   * Whether a heartbeat would tell the follower or the leader anything new. A follower that receives and acknowledges data
-   * needs none. A learner that a voter relays entries to reports its progress at every other interval.
+   * Whether a heartbeat would tell the follower or the leader anything new. A follower that was sent data within the last
+   * interval, and acknowledged a message sent within it, needs none.
    */
   get isHeartbeatDue(): boolean {
-    const now = monotonicMs();
-    const { heartbeatIntervalMs } = this.source;
-    const isReceiving = now - this.dataSentAt < heartbeatIntervalMs;
-    const isResponding =
-      now - this.acknowledgedSentAt < MAX_CONTACT_HEARTBEATS * heartbeatIntervalMs;
-    if (isReceiving && isResponding) return false;
-    const pauseMs = this.canYieldToRelay ? RELAYED_LEARNER_HEARTBEATS * heartbeatIntervalMs : 0;
-    return now - this.heartbeatSentAt >= pauseMs;
+    const since = monotonicMs() - this.source.heartbeatIntervalMs;
+    return this.dataSentAt < since || this.acknowledgedSentAt < since;
   }
 
   private get isStopped(): boolean {
--- a/src/ledger/leader-history.ts
+++ b/src/ledger/leader-history.ts
@@ -6,8 +6,8 @@
 
 /** Time without contact after which the leader sends a member no reads, in milliseconds. */
 export const MEMBER_CONTACT_TIMEOUT_MS = 500;
-/** Maximum time between contacts with a reachable member, in milliseconds: two heartbeats of a learner plus latency. */
-const CONTACT_INTERVAL_MS = 270;
+/** Maximum time between contacts with a reachable member, in milliseconds: two heartbeats plus latency. */
+const CONTACT_INTERVAL_MS = 150;
 const CONTACT_POLL_INTERVAL_MS = 10;
 
 export interface LeaderHistory {
