--- a/src/consensus/member-log.ts
+++ b/src/consensus/member-log.ts
@@ -285,9 +285,9 @@
 }
 
 /**
- * Copies the data: decoded entries are views of large shared buffers, which they would keep alive. The copies share
- * small buffers, which is cheaper to allocate and to collect than a buffer for each.
+ * Copies the data: decoded entries are views of large shared buffers, which they would keep alive. A copy
+ * has a buffer of its own: one shared with frames would keep those alive.
  */
 function withCopiedData(entry: LogEntry): LogEntry {
-  return { ...entry, data: Buffer.from(entry.data) };
+  return { ...entry, data: new Uint8Array(entry.data) };
 }
