What only tests called goes: handlers of a single group, and a client that passes for a whole ledger

Gateways use LedgerRouter since there are several groups; LedgerClient kept two methods and two unused parameters so that tests and a stand-in could pass it as a Ledger. They use a router with one client now, as a gateway does before the ledger is founded. The voter set's and the service's registration for one group stood beside those for all groups.

--- a/lab/ledger/ledger-host.ts
+++ b/lab/ledger/ledger-host.ts
@@ -17,6 +17,7 @@
   LedgerService,
   LedgerStateMachine,
   READ_TURNS,
+  registerLedgerHandlers,
 } from '../../src/ledger/index.js';
 import { GroupMemberProcess } from '../../src/nodes/group-member-process.js';
 import { CONSENSUS_TIMING } from '../../src/nodes/node-settings.js';
@@ -101,7 +102,7 @@
     findGroup: () => host.find(LEDGER_GROUP),
     isUnderMemoryPressure: () => false,
   });
-  service.registerHandlers(host.router);
+  registerLedgerHandlers(host.router, () => service);
   await host.listen();
   await host.bootstrap(LEDGER_GROUP, { members: founders });
   const addresses = founders.map(({ address }) => address);
--- a/src/clustering/voter-set-manager.test.ts
+++ b/src/clustering/voter-set-manager.test.ts
@@ -34,7 +34,7 @@
   });
   onTestFinished(() => manager.stop());
   const router = new MethodRouter();
-  manager.registerHandler(router);
+  router.handle(REQUEST_ADMISSION, (request) => manager.requestAdmission(request));
   const announce = (member: Member) =>
     router.find(REQUEST_ADMISSION.name)!({ group: GROUP, member }, { peerName: member.name });
   const steps = () => recorder.steps.map(({ step, member }) => `${step} ${member}`);
--- a/src/clustering/voter-set-manager.ts
+++ b/src/clustering/voter-set-manager.ts
@@ -5,8 +5,7 @@
 import { describeError, monotonicMs } from '../common/index.js';
 import { type Member, type ReplicatedGroup, votersOf } from '../consensus/index.js';
 import type { Logger } from '../observability/index.js';
-import type { MethodRouter } from '../wire/index.js';
-import { type AdmissionRequest, type AdmissionResponse, REQUEST_ADMISSION } from './messages.js';
+import type { AdmissionRequest, AdmissionResponse } from './messages.js';
 import { type MembershipStep, planMembershipStep } from './voter-plan.js';
 
 const CHECK_INTERVAL_MS = 100;
@@ -49,10 +48,6 @@
     this.timer = setInterval(() => void this.reconcile(), CHECK_INTERVAL_MS);
   }
 
-  registerHandler(router: MethodRouter): void {
-    router.handle(REQUEST_ADMISSION, (request) => this.requestAdmission(request));
-  }
-
   requestAdmission({ group, member }: AdmissionRequest): AdmissionResponse {
     if (group !== this.group.name || !this.group.isLeader) {
       return { leads: false, leaderAddress: this.group.leaderAddress };
--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -5,7 +5,7 @@
 import { sampleCall } from '../../tests/support/sample-call.js';
 import { monotonicMs } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
-import { LedgerClient } from '../ledger/index.js';
+import { LedgerClient, LedgerRouter } from '../ledger/index.js';
 import { createLogger } from '../observability/index.js';
 import { type RouteConfiguration, RouteTable } from '../routes/index.js';
 import { BackendView } from './backend-view.js';
@@ -90,7 +90,9 @@
       sharedAdmission,
       backends,
       placement: new Placement({ zone: 'z' }),
-      ledger: new LedgerClient(new GroupClient({ peers, addresses: [] }), logger, 'holder'),
+      ledger: new LedgerRouter(
+        () => new LedgerClient(new GroupClient({ peers, addresses: [] }), logger, 'holder'),
+      ),
       protocol: rawProtocol,
       logger,
       metrics: new ForwardingMetrics(),
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -5,6 +5,7 @@
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
 import {
   LedgerClient,
+  LedgerRouter,
   type NotKeptReason,
   RESERVE,
   type ReserveResponse,
@@ -83,7 +84,7 @@
     const logger = createLogger({});
     const groups = new GroupClient({ peers: this.ledger, addresses: ['leader'] });
     this.reservations = new TurnReservations({
-      ledger: new LedgerClient(groups, logger, 'gateway'),
+      ledger: new LedgerRouter(() => new LedgerClient(groups, logger, 'gateway')),
       logger,
       metrics: this.metrics,
       tokensPerEvent: () => TOKENS_PER_EVENT,
--- a/src/forwarding/waiting-calls.test.ts
+++ b/src/forwarding/waiting-calls.test.ts
@@ -5,7 +5,13 @@
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { monotonicMs } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
-import { LedgerClient, RESERVE, SETTLE, type SettleRequest } from '../ledger/index.js';
+import {
+  LedgerClient,
+  LedgerRouter,
+  RESERVE,
+  SETTLE,
+  type SettleRequest,
+} from '../ledger/index.js';
 import { type RouteConfiguration, RouteTable } from '../routes/index.js';
 import type { PermitCall, PermitRefusal, PermitRequest } from '../waiting/index.js';
 import type { Method } from '../wire/index.js';
@@ -124,10 +130,13 @@
       },
       backends,
       placement: new Placement({ zone: 'z' }),
-      ledger: new LedgerClient(
-        new GroupClient({ peers: this.ledger, addresses: ['leader'] }),
-        SILENT_LOGGER,
-        'holder',
+      ledger: new LedgerRouter(
+        () =>
+          new LedgerClient(
+            new GroupClient({ peers: this.ledger, addresses: ['leader'] }),
+            SILENT_LOGGER,
+            'holder',
+          ),
       ),
       protocol: {
         encodeRequest: () => {
--- a/src/ledger/expired-turns-restart.test.ts
+++ b/src/ledger/expired-turns-restart.test.ts
@@ -11,7 +11,7 @@
 import { MethodRouter, encodeValue } from '../wire/index.js';
 import type { SettleCommand, Settlement } from './ledger-commands.js';
 import { LedgerStateMachine } from './ledger-state-machine.js';
-import { LedgerService } from './ledger-service.js';
+import { LedgerService, registerLedgerHandlers } from './ledger-service.js';
 import { READ_TURNS, type ReadTurnsRequest, type ReadTurnsResponse } from './messages.js';
 
 const SHORT_RETENTION_MS = 1_000;
@@ -143,7 +143,7 @@
     });
     const network = new LoopbackNetwork();
     const router = new MethodRouter();
-    service.registerHandlers(router);
+    registerLedgerHandlers(router, () => service);
     network.listen(FIRST.address, router);
     const request = { turns: ['over'], atIndex: KEEPING_INDEX };
     const peers = network.peersOf(SECOND.address);
--- a/src/ledger/ledger-client.ts
+++ b/src/ledger/ledger-client.ts
@@ -134,16 +134,6 @@
     return this.delay.currentMs;
   }
 
-  /** As `delayMs`; all programs of this client have one leader. */
-  delayMsOf(): number {
-    return this.delayMs;
-  }
-
-  /** As `expectedOutageMs`; all programs of this client have one leader. */
-  expectedOutageMsOf(): number {
-    return this.expectedOutageMs;
-  }
-
   /** Whether the leader has recently had no room for a turn. */
   get mayLackRoom(): boolean {
     return monotonicMs() < this.roomSuspectUntil;
@@ -262,7 +252,7 @@
   }
 
   /** Has the version of a stream recorded in the background. */
-  recordStreamLater(_program: string, record: StreamRecord): void {
+  recordStreamLater(record: StreamRecord): void {
     this.streamRecorder.recordLater(record);
   }
 
@@ -270,7 +260,7 @@
    * Resolves once this version replaces the one that the attempt's reservation recorded.
    * @throws GroupUnavailableError or StreamNotRecordedError when either may be recorded
    */
-  changeStream(_program: string, record: StreamRecord, timeoutMs: number): Promise<void> {
+  changeStream(record: StreamRecord, timeoutMs: number): Promise<void> {
     return this.sendStreamRecords([record], timeoutMs);
   }
 
--- a/src/ledger/ledger-router.ts
+++ b/src/ledger/ledger-router.ts
@@ -132,11 +132,11 @@
   }
 
   recordStreamLater(program: string, record: StreamRecord): void {
-    this.clientOf(program).recordStreamLater(program, record);
+    this.clientOf(program).recordStreamLater(record);
   }
 
   changeStream(program: string, record: StreamRecord, timeoutMs: number): Promise<void> {
-    return this.clientOf(program).changeStream(program, record, timeoutMs);
+    return this.clientOf(program).changeStream(record, timeoutMs);
   }
 
   private clientOf(program: string): LedgerClient {
--- a/src/ledger/ledger-service.ts
+++ b/src/ledger/ledger-service.ts
@@ -88,11 +88,6 @@
     return this.options.stateMachine.turns.expired.heldCount;
   }
 
-  /** Serves requests to any group by this one, for a process with a single group. */
-  registerHandlers(router: MethodRouter): void {
-    registerLedgerHandlers(router, () => this);
-  }
-
   answerReserve(request: ReserveRequest): Promise<LeaderAnswer<ReserveResponse>> {
     return answerAsLeader(this.options.findGroup(), (group) => this.reserve(group, request));
   }
--- a/src/ledger/programs-late-behind-busy-leader.test.ts
+++ b/src/ledger/programs-late-behind-busy-leader.test.ts
@@ -5,6 +5,7 @@
 import { ProgramLoad, TURNS } from '../../tests/support/program-load.js';
 import { simulateTime } from '../../tests/support/simulated-time.js';
 import { monotonicMs } from '../common/index.js';
+import { LedgerRouter } from './ledger-router.js';
 
 vi.mock('node:fs/promises', () => import('../../tests/support/memory-files.js'));
 
@@ -41,21 +42,24 @@
 const MIN_GOODPUT = 0.9;
 const MIN_SHARE_AFTER = 0.95;
 
-async function startLedger(): Promise<LedgerCluster> {
+async function startPrograms(): Promise<ProgramLoad> {
   const processors = new MeteredProcessors({
     messageMs: MESSAGE_MS,
     syncMs: SYNC_MS,
     isMetered: (machine) => machine.startsWith('member'),
   });
   const options = { voters: VOTERS, processors, delayMs: DELAY_MS, consensus: TIMING };
-  return LedgerCluster.start(options);
+  const ledger = await LedgerCluster.start(options);
+  const createClient = (name: string): LedgerRouter =>
+    new LedgerRouter(() => ledger.createClient(name));
+  return new ProgramLoad({ createClient }, SEED);
 }
 
 it.each([1, 1.3, 1.6, 2])(
   'programs end on time in a burst of %d times what the ledger leader bears',
   async (load) => {
     simulateTime(SEED);
-    const programs = new ProgramLoad(await startLedger(), SEED);
+    const programs = await startPrograms();
     await programs.begin(REGULAR_LOAD * BORNE_PER_SECOND, WARM_UP_MS);
     const burstAt = monotonicMs();
     await programs.begin(load * BORNE_PER_SECOND, BURST_MS);
--- a/tests/support/ledger-cluster.ts
+++ b/tests/support/ledger-cluster.ts
@@ -10,6 +10,7 @@
   LedgerClient,
   LedgerService,
   LedgerStateMachine,
+  registerLedgerHandlers,
   READ_TURNS,
   type Settlement,
   type TurnValueStore,
@@ -263,6 +264,6 @@
     findGroup,
     isUnderMemoryPressure: () => false,
   });
-  service.registerHandlers(running.router);
+  registerLedgerHandlers(running.router, () => service);
   return { running, machine, service };
 }
