Drawn schedules of faults are played by one piece of code

Two files had the same loop over seeds and the same course of a schedule: start, write, apply faults, stop, look for losses. Both call tests/support/schedule-runner.ts; seeds, draws, bounds and descriptions are as before.

--- a/src/ledger/lagging-member-schedules.test.ts
+++ b/src/ledger/lagging-member-schedules.test.ts
@@ -4,6 +4,11 @@
  */
 import { describe, expect, it, vi } from 'vitest';
 import { fuzzSeeds } from '../../tests/support/fuzz-seeds.js';
+import {
+  type FaultSchedule,
+  playSchedulesOf,
+  playUnderLoad,
+} from '../../tests/support/schedule-runner.js';
 import { DiskCluster } from '../../tests/support/simulated-disk-cluster.js';
 import { ChainWriter, readUntilCorrect } from '../../tests/support/simulated-disk-load.js';
 import { simulateTime } from '../../tests/support/simulated-time.js';
@@ -30,7 +35,6 @@
 const TEST_TIMEOUT_MS = 240_000;
 /** Seed of everything random that is not drawn by a schedule. */
 const TIME_SEED = 1;
-const SCHEDULE_CONCURRENCY = 12;
 /** Time for which the lagging member is away while the others take snapshots, in milliseconds. */
 const MAX_ABSENCE_MS = 500;
 /** Time between the expiry of turns and the loss of a disk, in milliseconds. */
@@ -46,12 +50,14 @@
   disconnectTimeoutMs: 60,
 };
 
-class Schedule {
+class Schedule implements FaultSchedule {
+  readonly label: string;
   private readonly random: SeededRandom;
   private readonly cluster: DiskCluster;
   private readonly writers: ChainWriter[];
 
-  constructor(readonly seed: number) {
+  constructor(seed: number) {
+    this.label = `seed ${seed}`;
     this.random = createDecorrelatedRandom(seed);
     const { random } = this;
     const shortLivedShare = random.pick([0.4, 0.8, 0.95]);
@@ -79,21 +85,10 @@
     });
   }
 
-  /** @returns descriptions of all failures */
-  async play(): Promise<string[]> {
+  play(): Promise<string[]> {
     const { cluster, writers } = this;
-    try {
-      await cluster.bootstrap();
-      for (const writer of writers) writer.start();
-      await this.loseDiskWhileOneLags();
-      await Promise.all(writers.map((writer) => writer.stop()));
-      return [...cluster.faults, ...(await this.findLosses())];
-    } catch (error) {
-      return [...cluster.faults, String(error), ...cluster.describeMembers()];
-    } finally {
-      await Promise.all(writers.map((writer) => writer.stop()));
-      cluster.killAll();
-    }
+    const findLosses = (): Promise<string[]> => this.findLosses();
+    return playUnderLoad({ cluster, writers, findLosses }, () => this.loseDiskWhileOneLags());
   }
 
   private async loseDiskWhileOneLags(): Promise<void> {
@@ -159,16 +154,8 @@
     { timeout: TEST_TIMEOUT_MS },
     async () => {
       simulateTime(TIME_SEED);
-      const failures: string[] = [];
       const seeds = fuzzSeeds(FAILED_SEEDS, SCHEDULES);
-      while (seeds.length > 0) {
-        const together = seeds.splice(0, SCHEDULE_CONCURRENCY).map((seed) => new Schedule(seed));
-        const found = await Promise.all(together.map((schedule) => schedule.play()));
-        for (const [place, problems] of found.entries()) {
-          if (problems.length > 0)
-            failures.push(`seed ${together[place]!.seed}: ${problems.join('; ')}`);
-        }
-      }
+      const failures = await playSchedulesOf(seeds, (seed) => new Schedule(seed));
       expect(failures).toEqual([]);
     },
   );
--- a/tests/support/ledger-schedules.ts
+++ b/tests/support/ledger-schedules.ts
@@ -8,6 +8,7 @@
 import { type SettleCommand, ValueCopySender } from '../../src/ledger/index.js';
 import { encodeValue } from '../../src/wire/index.js';
 import { fuzzSeeds } from './fuzz-seeds.js';
+import { type FaultSchedule, playSchedulesOf, playUnderLoad } from './schedule-runner.js';
 import { DiskCluster } from './simulated-disk-cluster.js';
 import { ChainWriter, readUntilCorrect } from './simulated-disk-load.js';
 import { type NameDurability, createDecorrelatedRandom } from './simulated-disk.js';
@@ -19,7 +20,6 @@
 /** Number of histories read concurrently, limited to avoid overload. */
 const READ_CONCURRENCY = 100;
 const MAX_FAULT_EVENTS = 4;
-const SCHEDULE_CONCURRENCY = 12;
 /** Maximum time without faults between two events, in milliseconds. */
 const MAX_QUIET_MS = 300;
 /** Maximum number of disk operations until a scheduled kill. */
@@ -70,20 +70,18 @@
   return faultOne(random, 'disk', random.pick(['power', 'power', 'kill', undefined]));
 }
 
-class Schedule {
+class Schedule implements FaultSchedule {
   private readonly random: SeededRandom;
-  readonly nameDurability: NameDurability;
+  readonly label: string;
   private readonly cluster: DiskCluster;
   private readonly writers: ChainWriter[];
 
   /** @param groups number of ledger groups */
-  constructor(
-    readonly seed: number,
-    groups: number,
-  ) {
+  constructor(seed: number, groups: number) {
     this.random = createDecorrelatedRandom(seed);
     const { random } = this;
-    this.nameDurability = random.pick(['file-sync', 'folder-sync-only']);
+    const nameDurability: NameDurability = random.pick(['file-sync', 'folder-sync-only']);
+    this.label = `seed ${seed}, ${nameDurability}`;
     this.cluster = new DiskCluster({
       name: `seed-${seed}`,
       seed,
@@ -93,7 +91,7 @@
         snapshotEveryEntries: random.integer(5, 60),
         trailingEntries: random.integer(0, 20),
       }),
-      nameDurability: this.nameDurability,
+      nameDurability,
       maxSyncMs: random.pick([0, 3, 10]),
     });
     const { cluster } = this;
@@ -106,25 +104,16 @@
     });
   }
 
-  /** @returns descriptions of all failures */
-  async play(): Promise<string[]> {
+  play(): Promise<string[]> {
     const { cluster, writers, random } = this;
-    try {
-      await cluster.bootstrap();
-      for (const writer of writers) writer.start();
+    const findLosses = (): Promise<string[]> => this.findLosses();
+    return playUnderLoad({ cluster, writers, findLosses }, async () => {
       const eventCount = random.integer(2, MAX_FAULT_EVENTS);
       for (let count = 0; count < eventCount; count += 1) {
         await sleep(random.integer(0, MAX_QUIET_MS));
         await this.applyAndRecover(drawEvent(random));
       }
-      await Promise.all(writers.map((writer) => writer.stop()));
-      return [...cluster.faults, ...(await this.findLosses())];
-    } catch (error) {
-      return [...cluster.faults, String(error), ...cluster.describeMembers()];
-    } finally {
-      await Promise.all(writers.map((writer) => writer.stop()));
-      cluster.killAll();
-    }
+    });
   }
 
   private async applyAndRecover(event: FaultEvent): Promise<void> {
@@ -260,17 +249,6 @@
  * @param groups number of ledger groups
  * @returns descriptions of all failures
  */
-export async function playSchedules(count: number, groups: number): Promise<string[]> {
-  const failures: string[] = [];
-  const seeds = fuzzSeeds([], count);
-  while (seeds.length > 0) {
-    const some = seeds.splice(0, SCHEDULE_CONCURRENCY).map((seed) => new Schedule(seed, groups));
-    const found = await Promise.all(some.map((schedule) => schedule.play()));
-    for (const [place, problems] of found.entries()) {
-      if (problems.length === 0) continue;
-      const { seed, nameDurability } = some[place]!;
-      failures.push(`seed ${seed}, ${nameDurability}: ${problems.join('; ')}`);
-    }
-  }
-  return failures;
+export function playSchedules(count: number, groups: number): Promise<string[]> {
+  return playSchedulesOf(fuzzSeeds([], count), (seed) => new Schedule(seed, groups));
 }
