The fuzz test of responses isn't confused by requests of another test's client

Cause: the scripts hold every call of the test, so the three requests were not its own: a client of another test called a port that its server had before. Their head was not recorded.

--- a/src/forwarding/response-fuzz.test.ts
+++ b/src/forwarding/response-fuzz.test.ts
@@ -106,11 +106,18 @@
   return fault === 'foreign-answer' || fault === 'garbage' || isCutAtEnd;
 }
 
+/** Answer to a client of another test, whose server had the port of this backend before. */
+const FOREIGN_REQUEST_SCRIPT: readonly ScriptStep[] = [close];
+
+function callIdOf(requestHead: string): string {
+  return requestHead.split(' ')[1]!.slice(1);
+}
+
 /** Sends calls sequentially over reused connections and checks each response. */
 async function runCalls(responses: PlannedResponse[], random: SeededRandom): Promise<void> {
   const scripts = new Map(responses.map((response) => [response.id, scriptOf(response, random)]));
-  const backend = await RawBackend.start((request) =>
-    scripts.get(request.split(' ')[1]!.slice(1))!,
+  const backend = await RawBackend.start(
+    (request) => scripts.get(callIdOf(request)) ?? FOREIGN_REQUEST_SCRIPT,
   );
   try {
     const connections = new BackendConnectionPool(backend.address, () => 2);
@@ -124,7 +131,7 @@
       }
       expect(result.kind).not.toBe('not-executed');
     }
-    const received = backend.requests.map((request) => request.split(' ')[1]);
+    const received = backend.requests.map(callIdOf).filter((id) => scripts.has(id));
     expect(new Set(received).size).toBe(received.length);
     connections.closeIdle();
     await waitUntil('connections closed', () => backend.openConnections === 0, 5_000);
