Observability: who holds a gateway's memory, near its limit and in every mode

Now bytes are counted in every mode (holders are still ended in coordinated mode only), each holder names its peer (back end or caller), and two warnings give bytes by kind and by peer beside heap, external and array buffers: 'memory budget nearly exhausted' and 'memory nearly exhausted' (resident memory). No logic of calls changes.

--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -138,6 +138,8 @@
   /** @returns false on backpressure; `onDrained` is called once it is over */
   write(chunk: Uint8Array): boolean;
   onDrained(listener: () => void): void;
+  /** Tells which backend the call is sent to, for the log. */
+  noteBackend?(id: string): void;
   /** Tells the number of bytes of the response that are held and not written yet, if these are counted. */
   noteHeldBytes?(bytes: number): void;
   /** Ends the response as complete. */
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -274,6 +274,7 @@
     this.model = backend.model;
     this.attempt = attempt;
     this.backend = backend;
+    this.options.exchange.noteBackend?.(backend.record.id);
     this.sentAt = measurement.sentAt;
     const timer = this.startResponseTimer(attempt, measurement);
     const result = await attempt.run();
--- a/src/forwarding/whole-response-exchange.ts
+++ b/src/forwarding/whole-response-exchange.ts
@@ -51,6 +51,10 @@
     this.exchange.onDrained(listener);
   }
 
+  noteBackend(id: string): void {
+    this.exchange.noteBackend?.(id);
+  }
+
   noteHeldBytes(bytes: number): void {
     this.senderBytes = bytes;
     this.exchange.noteHeldBytes?.(bytes + this.bytes);
--- a/src/memory-budget/index.ts
+++ b/src/memory-budget/index.ts
@@ -8,4 +8,5 @@
   type MemoryHolder,
 } from './memory-budget.js';
 export { MemoryBudgetMetrics } from './memory-budget-metrics.js';
+export { MemoryWatch } from './memory-watch.js';
 export { ReceivedBody } from './received-body.js';
--- a/src/memory-budget/memory-budget.ts
+++ b/src/memory-budget/memory-budget.ts
@@ -1,6 +1,6 @@
 /**
- * Budget of the bytes that a process buffers for its callers. Holders account for the bytes of one request body, waiting
- * call or answer; when the budget is exhausted, the largest holder is ended.
+ * Budget of the bytes that a process holds for peers outside: callers, and back ends whose answers are incomplete. Holders
+ * account for the bytes of one connection, request or answer; when the budget is exhausted, the largest holder is ended.
  */
 import { describeError } from '../common/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
@@ -12,23 +12,47 @@
 /** Maximum fair share. Larger answers are rare, and their callers must read them continuously. */
 const MAX_FAIR_SHARE_BYTES = 1024 * 1024;
 
-export const HOLDER_KINDS = ['request-body', 'waiting-call', 'answer'] as const;
+/** Part of the budget above which its state is logged. */
+const NEARLY_EXHAUSTED_FRACTION = 0.8;
+/** Part of the budget below which the next rise is logged again. */
+const ROOM_AGAIN_FRACTION = 0.5;
+/** Number of peers that a log line names. */
+const LOGGED_PEERS = 4;
+
+export const HOLDER_KINDS = [
+  /** A connection's bytes that are not yet a whole request head, and those that wait to be parsed. */
+  'connection',
+  /** A body that is being received. */
+  'request-body',
+  /** The body of a request that is carried out. It may have run, so it is never ended. */
+  'running-request',
+  /** A call that waits for a back end. */
+  'waiting-call',
+  /** An answer that its caller has not read, and what is kept of it besides. */
+  'answer',
+  /** The body of an answer to a request of this process's own. */
+  'document',
+] as const;
 export type HolderKind = (typeof HOLDER_KINDS)[number];
 
 export interface HolderOptions {
   kind: HolderKind;
   /** Id of the call, for the log. */
   callId?: string;
+  /** The peer that sends the bytes, for the log. */
+  peer?: () => string | undefined;
   /**
    * Ends the holder and frees its memory. Called at most once, when the budget is exhausted and this holder is the
-   * largest; its bytes are not counted any more.
+   * largest; its bytes are not counted any more. Absent if the holder can't be ended.
    */
-  end: () => void;
+  end?: () => void;
 }
 
 export interface MemoryBudgetOptions {
   /** Memory limit of the process. @default no limit */
   memoryLimitBytes?: number;
+  /** Whether holders are ended when the budget is exhausted. @default yes */
+  isEnforced?: () => boolean;
   logger: Logger;
   observer?: MemoryBudgetObserver;
 }
@@ -43,7 +67,14 @@
   noteAnswerCompletedEarly(): void;
 }
 
-/** The bytes that one request body, waiting call or answer holds. */
+/** What is held of one peer. */
+interface PeerBytes {
+  peer: string;
+  bytes: number;
+  holders: number;
+}
+
+/** The bytes that one connection, request or answer holds. */
 export class MemoryHolder {
   private currentBytes = 0;
 
@@ -80,12 +111,11 @@
   /** Number of bytes up to which an answer is buffered for a slow caller. */
   readonly fairShareBytes: number;
   private readonly holders = new Set<MemoryHolder>();
-  private readonly bytesByKind: Record<HolderKind, number> = {
-    'request-body': 0,
-    'waiting-call': 0,
-    answer: 0,
-  };
+  private readonly bytesByKind = Object.fromEntries(
+    HOLDER_KINDS.map((kind) => [kind, 0]),
+  ) as Record<HolderKind, number>;
   private totalBytes = 0;
+  private isNearlyExhausted = false;
 
   constructor(private readonly options: MemoryBudgetOptions) {
     const { memoryLimitBytes = Infinity } = options;
@@ -125,10 +155,13 @@
   add(kind: HolderKind, bytes: number): void {
     this.bytesByKind[kind] += bytes;
     this.totalBytes += bytes;
+    if (this.totalBytes < this.limitBytes * ROOM_AGAIN_FRACTION) this.isNearlyExhausted = false;
   }
 
   /** Ends the largest holders while the budget is exceeded. Internal to `MemoryHolder`. */
   enforceLimit(): void {
+    if (this.totalBytes > this.limitBytes * NEARLY_EXHAUSTED_FRACTION) this.noteNearlyExhausted();
+    if (!(this.options.isEnforced?.() ?? true)) return;
     while (this.totalBytes > this.limitBytes) {
       const largest = this.findLargest();
       if (!largest) return;
@@ -145,18 +178,55 @@
   private findLargest(): MemoryHolder | undefined {
     let largest: MemoryHolder | undefined;
     for (const holder of this.holders) {
-      if (holder.bytes > (largest?.bytes ?? 0)) largest = holder;
+      if (holder.options.end && holder.bytes > (largest?.bytes ?? 0)) largest = holder;
     }
     return largest;
   }
 
+  /** Who held the memory must be in the log before a process without memory ends. */
+  private noteNearlyExhausted(): void {
+    if (this.isNearlyExhausted) return;
+    this.isNearlyExhausted = true;
+    this.options.logger.warn('memory budget nearly exhausted', this.describe());
+  }
+
+  /** What is held, by kind and by the peers that hold the most, beside the memory of the process. */
+  describe(): LogFields {
+    const { rss, heapUsed, external, arrayBuffers } = process.memoryUsage();
+    return {
+      heldBytes: this.totalBytes,
+      limitBytes: this.limitBytes,
+      holders: this.holders.size,
+      byKind: JSON.stringify(this.bytesByKind),
+      largest: JSON.stringify(this.largestPeers()),
+      rss,
+      heapUsed,
+      external,
+      arrayBuffers,
+    };
+  }
+
+  private largestPeers(): PeerBytes[] {
+    const byPeer = new Map<string, PeerBytes>();
+    for (const holder of this.holders) {
+      const peer = holder.options.peer?.() ?? 'unknown';
+      const sum = byPeer.get(peer) ?? { peer, bytes: 0, holders: 0 };
+      sum.bytes += holder.bytes;
+      sum.holders += 1;
+      byPeer.set(peer, sum);
+    }
+    const sums = [...byPeer.values()].sort((left, right) => right.bytes - left.bytes);
+    return sums.slice(0, LOGGED_PEERS);
+  }
+
   private end(holder: MemoryHolder): void {
-    const { kind, callId: call, end } = holder.options;
+    const { kind, callId: call, peer, end } = holder.options;
     const { logger, observer } = this.options;
     const fields: LogFields = {
       effect: 'largest holder ended',
       kind,
       call,
+      peer: peer?.(),
       bytes: holder.bytes,
       heldBytes: this.totalBytes,
       limitBytes: this.limitBytes,
@@ -166,7 +236,7 @@
     logger.warn('memory budget exhausted', fields);
     observer?.noteEnded(kind);
     try {
-      end();
+      end?.();
     } catch (error) {
       logger.error('memory holder not ended', { kind, call, description: describeError(error) });
     }
--- a/src/memory-budget/outgoing-answer.ts
+++ b/src/memory-budget/outgoing-answer.ts
@@ -18,8 +18,12 @@
 export interface OutgoingAnswerOptions {
   writer: AnswerWriter;
   budget: MemoryBudget;
+  /** Unsent bytes up to which the backend is not paused. @default the budget's fair share */
+  shareBytes?: number;
   /** Id of the call, for the log. */
   callId?: string;
+  /** The backend that sends the answer, for the log. */
+  peer?: () => string | undefined;
   /** Breaks the answer off; called when the budget is exhausted and this answer is the largest holder. */
   onEnded: () => void;
 }
@@ -92,7 +96,8 @@
   }
 
   private get isWithinFairShare(): boolean {
-    return this.unsentBytes <= this.options.budget.fairShareBytes;
+    const { budget, shareBytes = budget.fairShareBytes } = this.options;
+    return this.unsentBytes <= shareBytes;
   }
 
   private send(chunk: Uint8Array): void {
@@ -130,11 +135,11 @@
   }
 
   private register(): MemoryHolder {
-    const { budget, callId, onEnded } = this.options;
+    const { budget, callId, peer, onEnded } = this.options;
     const end = (): void => {
       this.close();
       onEnded();
     };
-    return budget.hold({ kind: 'answer', callId, end });
+    return budget.hold({ kind: 'answer', callId, peer, end });
   }
 }
--- a/src/memory-budget/received-body.ts
+++ b/src/memory-budget/received-body.ts
@@ -7,6 +7,8 @@
   budget: MemoryBudget | undefined;
   /** Id of the call, for the log. */
   callId?: string;
+  /** The caller that sends the body, for the log. */
+  peer?: () => string | undefined;
   /** Called when the budget is exhausted and this body is discarded as the largest holder. */
   onEnded: () => void;
 }
@@ -51,11 +53,11 @@
   }
 
   private register(): MemoryHolder | undefined {
-    const { budget, callId, onEnded } = this.options;
+    const { budget, callId, peer, onEnded } = this.options;
     const end = (): void => {
       this.discard();
       onEnded();
     };
-    return budget?.hold({ kind: 'request-body', callId, end });
+    return budget?.hold({ kind: 'request-body', callId, peer, end });
   }
 }
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -34,7 +34,7 @@
 import { HistoryReader, LedgerClient, LedgerRouter, ValueCopySender } from '../ledger/index.js';
 import type { ServerConnections } from '../http/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
-import { MemoryBudget, MemoryBudgetMetrics } from '../memory-budget/index.js';
+import { MemoryBudget, MemoryBudgetMetrics, MemoryWatch } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import {
   type EngineProperties,
@@ -59,8 +59,10 @@
 /** How a gateway receives calls. */
 export interface IngressPolicy {
   limits: RequestLimits;
-  /** Budget of the buffered bytes; undefined if they are not counted. */
+  /** Undefined for a server that holds nothing for long, as in tests. */
   memoryBudget: MemoryBudget | undefined;
+  /** Unsent bytes of an answer up to which its backend is not paused. */
+  answerShareBytes?: number;
 }
 
 /** The server of a gateway's callers. */
@@ -104,6 +106,7 @@
   private readonly health: GatewayHealth;
   private hasLedger = false;
   private readonly memory: MemoryBudget;
+  private memoryWatch: MemoryWatch | undefined;
   private readonly admission: GatewayAdmission;
   private gatewayCount = 1;
   private hasBackends = false;
@@ -163,6 +166,7 @@
   static start(options: GatewayNodeOptions): GatewayNode {
     const node = new GatewayNode(options);
     node.watcher.start();
+    node.watchMemory();
     node.agingTimer = setInterval(() => node.backends.ageOtherLoads(), AGING_INTERVAL_MS);
     return node;
   }
@@ -181,8 +185,12 @@
   /** How calls are received; undefined before the first configuration, so that no call is received by a default. */
   get ingressPolicy(): IngressPolicy | undefined {
     if (!this.routes) return undefined;
-    const { memoryBudget } = this;
-    return { limits: this.routes.configuration.limits, memoryBudget };
+    const { memory } = this;
+    return {
+      limits: this.routes.configuration.limits,
+      memoryBudget: memory,
+      answerShareBytes: this.isCoordinated ? memory.fairShareBytes : 0,
+    };
   }
 
   /** Resolves when a configuration is in force or after the timeout. */
@@ -219,6 +227,7 @@
 
   stop(): void {
     clearInterval(this.agingTimer);
+    this.memoryWatch?.stop();
     this.watcher.stop();
     this.health.stop();
     this.quotas.stop();
@@ -262,11 +271,6 @@
     );
   }
 
-  /** Budget of the bytes that are buffered for callers; undefined in `independent` mode. */
-  private get memoryBudget(): MemoryBudget | undefined {
-    return this.isCoordinated ? this.memory : undefined;
-  }
-
   private get isCoordinated(): boolean {
     return this.schedulingMode === 'coordinated';
   }
@@ -296,7 +300,7 @@
       backends: (service) => this.backends.serving(service),
       typicalMs: (service) => this.backends.typicalMs(service),
       gateways: () => this.gatewayCount,
-      memoryBudget: () => this.memoryBudget,
+      memoryBudget: () => this.memory,
       onFiguresOverdue: (service) => this.backends.levelOtherLoads(service),
       logger: this.options.logger,
       metrics: new WaitingMetrics(this.metrics.registry),
@@ -339,11 +343,23 @@
   private createMemoryBudget(): MemoryBudget {
     const { memoryLimitBytes } = this.options.settings;
     const observer = new MemoryBudgetMetrics(this.metrics.registry);
-    const budget = new MemoryBudget({ memoryLimitBytes, logger: this.options.logger, observer });
+    const budget = new MemoryBudget({
+      memoryLimitBytes,
+      isEnforced: () => this.isCoordinated,
+      logger: this.options.logger,
+      observer,
+    });
     observer.observe(budget);
     return budget;
   }
 
+  private watchMemory(): void {
+    const { settings, logger } = this.options;
+    const { memoryLimitBytes } = settings;
+    if (memoryLimitBytes === undefined) return;
+    this.memoryWatch = new MemoryWatch({ memoryLimitBytes, budget: this.memory, logger });
+  }
+
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
