--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -305,7 +305,6 @@
       lastEventId: this.response instanceof StreamRelay ? this.response.lastEventId : undefined,
       tenant: this.options.tenant,
     });
-    const callId = description.id;
     const sink = this.response;
     const onDataReceived = (): void => measurement.noteDataReceived();
     const attempt = new SendAttempt({
@@ -313,7 +312,7 @@
       connection,
       request,
       body,
-      callId,
+      callId: description.id,
       sink,
       maxResponseBytes: this.options.responseLimits.maxResponseBytes,
       onDataReceived,
