What follows a request of HTTP/1.0 doesn't take the place of its response

A caller that pipelines behind a request of HTTP/1.0 got 400 in the place of its response. Cause: llhttp 9.3 raises HPE_CLOSED_CONNECTION for what follows such a request, in the same read; llhttp 8.1.2 (Node 20.19.0) doesn't. Without a handler of 'clientError' Node then writes 400 and closes, so the turn that ends a moment later can't respond and is dropped. The order of requests relied on its owner to install that handler: ServerConnections does, so the gateway, control and the first interface weren't hit; RequestOrder by itself was, which the test uses. Now entering a request installs it where a server has none.

--- a/src/http/request-order.ts
+++ b/src/http/request-order.ts
@@ -2,9 +2,12 @@
  * The order of pipelined requests. The requests of a connection are handled one at a time, because a request behind a
  * response that closes the connection would run without an answer.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+/** A connection that a server has accepted; Node sets its server. */
+type AcceptedSocket = Socket & { server?: Server };
+
 /** What happens to a request that was received completely. */
 export interface ReceivedRequestHandler {
   /** Called at once, or when the responses to the requests before are sent. */
@@ -180,11 +183,21 @@
 
   /** Must be called for each request once its head was received. */
   enter(request: IncomingMessage, response: ServerResponse): RequestTurn {
+    const { server } = request.socket as AcceptedSocket;
+    if (server && server.listenerCount('clientError') === 0) this.listenForErrors(server);
     const connection = this.connectionOf(request.socket);
     response.once('finish', () => connection.advance());
     return connection.enter(request);
   }
 
+  /**
+   * Handles what the server's connections send that is no request. Done by `enter` for a server without a handler: some of
+   * Node's parsers report what follows a request that is the last of its connection, before that request is answered.
+   */
+  listenForErrors(server: Server): void {
+    server.on('clientError', (error, socket) => this.handleClientError(error, socket as Socket));
+  }
+
   /**
    * Must be called when a connection sends what is no request, or none in time. Node would write the response at once, in the
    * place of that to a request before.
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -1,6 +1,6 @@
 /** The connections of an HTTP server: the order of their requests, responses until they are sent, and how they are closed. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as NetServer, type Socket } from 'node:net';
+import { Server as NetServer } from 'node:net';
 import { LingeringConnections } from './lingering-close.js';
 import { RequestOrder, type RequestTurn } from './request-order.js';
 import { waitUntilSent } from './responses.js';
@@ -12,9 +12,7 @@
   private unsentResponses = 0;
 
   constructor(private readonly server: Server) {
-    server.on('clientError', (error, socket) =>
-      this.order.handleClientError(error, socket as Socket),
-    );
+    this.order.listenForErrors(server);
   }
 
   /** Number of completely received requests that wait for the response of an earlier one. */
