--- a/src/memory-budget/memory-budget.test.ts
+++ b/src/memory-budget/memory-budget.test.ts
@@ -102,11 +102,16 @@
     expect(recorded.ended).toEqual(['d', 'c']);
   });
 
-  it('logs one line for each ended holder', () => {
+  it('logs that it is nearly exhausted, and one line for each ended holder', () => {
     const recorded = new RecordedBudget();
     recorded.hold('call-1', 2_500, 'request-body');
     recorded.hold('call-2', 600);
     expect(recorded.lines).toEqual([
+      {
+        level: 'warn',
+        message: 'memory budget nearly exhausted',
+        fields: expect.objectContaining({ heldBytes: 2_500, limitBytes: BUDGET_BYTES, holders: 1 }),
+      },
       {
         level: 'warn',
         message: 'memory budget exhausted',
@@ -136,7 +141,11 @@
     recorded.hold('next', 1_500);
     expect(recorded.ended).toEqual([]);
     expect(recorded.budget.heldBytes).toBe(1_500);
-    expect(recorded.lines.map(({ level }) => level)).toEqual(['warn', 'error']);
+    expect(recorded.lines.map(({ level, message }) => [level, message])).toEqual([
+      ['warn', 'memory budget nearly exhausted'],
+      ['warn', 'memory budget exhausted'],
+      ['error', 'memory holder not ended'],
+    ]);
   });
 
   // Guards against bytes that are counted twice or never given back.
