A success that ends with its connection is whole only if it brought content

Callers got a 200 with an empty body, framed as whole, when a back end stopped in or right after the head of its answer and closed in order: the head had neither length nor chunks, or had lost that line to the cut and was ended by an empty line on the way. For streams, also in a second run, it was the end of the stream before its last piece.

Cause: without length and chunks, the orderly close is the end of the body, also of one without a byte.

A cut that leaves the head unfinished was never taken for an answer, nor on a connection that had brought an answer before.

Now such a send is broken unless it brought a byte, or an event of a stream: it is sent again where that is allowed, and 502 otherwise. Empty failures, 204 and 304 pass as before.

--- a/src/forwarding/response-fuzz.test.ts
+++ b/src/forwarding/response-fuzz.test.ts
@@ -93,13 +93,19 @@
 /** Whether the response may count as complete, given the bytes that the backend sent. */
 function isCompleteAllowed(response: PlannedResponse, body: string): boolean {
   const { framing, fault, cutAt, bytes, headBytes } = response;
+  if (endsWithoutContent(response)) return false;
   if (fault !== 'close' && fault !== 'reset') return body === response.body;
   if (cutAt === bytes.length && framing !== 'until-close') return body === response.body;
-  // An orderly close ends a close-delimited response at any position.
-  const isOrderlyEnd = fault === 'close' && framing === 'until-close' && cutAt >= headBytes;
+  // An orderly close ends a close-delimited response at any position of its body.
+  const isOrderlyEnd = fault === 'close' && framing === 'until-close' && cutAt > headBytes;
   return isOrderlyEnd && body === bytes.slice(headBytes, cutAt);
 }
 
+/** Whether nothing but the close of the connection tells that the body is empty, as after a cut. */
+function endsWithoutContent({ framing, body }: PlannedResponse): boolean {
+  return framing === 'until-close' && body === '';
+}
+
 /** Whether the connection may fail the next call after a complete response. */
 function mayFailNextCall({ fault, cutAt, bytes }: PlannedResponse): boolean {
   const isCutAtEnd = (fault === 'close' || fault === 'reset') && cutAt === bytes.length;
@@ -125,6 +131,8 @@
       const { result, body } = await sendRaw(connections, { id: response.id });
       if (result.kind === 'complete') {
         expect(isCompleteAllowed(response, body), JSON.stringify({ response, body })).toBe(true);
+      } else if (endsWithoutContent(response)) {
+        expect(['broken', 'not-sent']).toContain(result.kind);
       } else if (response.fault === 'none' && result.kind === 'broken') {
         // An undamaged response may only break because of an earlier response on the connection.
         expect(responses.some(mayFailNextCall)).toBe(true);
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -39,6 +39,8 @@
   readonly rejectionReason?: string;
   /** Whether the response is a stream of events, whose length is not limited. @default false */
   readonly isStream?: boolean;
+  /** Whether this response has brought content. @default whether it has brought a byte of its body */
+  readonly hasContent?: boolean | undefined;
 }
 
 export interface SendAttemptOptions {
@@ -54,6 +56,9 @@
   onDataReceived: () => void;
 }
 
+const FIRST_REDIRECTION = 300;
+const NO_CONTENT = 'the connection closed before any content';
+
 export class SendAttempt implements Dispatcher.DispatchHandler {
   /** Whether the call may have reached the backend. */
   wasSent = false;
@@ -69,6 +74,7 @@
   private brokenReason: BrokenReason = 'unusable-answer';
   private isLastOnConnection = false;
   private framing: ResponseFraming = 'close';
+  private isSuccess = false;
   private controller: Dispatcher.DispatchController | undefined;
   private finish!: (result: SendResult) => void;
 
@@ -127,6 +133,7 @@
     const verdict = this.options.protocol.readHead(statusCode, rawHeaders);
     this.verdict = verdict;
     this.framing = responseFraming(this.options.request.method, statusCode, rawHeaders);
+    this.isSuccess = statusCode < FIRST_REDIRECTION;
     this.isLastOnConnection = announcesClose(rawHeaders) || this.framing === 'close';
     if (verdict.callId !== undefined && verdict.callId !== this.options.callId) {
       this.fail('the response belongs to another call');
@@ -168,6 +175,7 @@
     if (this.isLastOnConnection) this.options.connection.discard();
     else this.options.connection.release();
     if (this.stopReason !== undefined) this.finish(this.stopResult(''));
+    else if (this.mayLackBody) this.finish(this.brokenResult(NO_CONTENT, 'connection-lost'));
     else this.finish({ kind: 'complete', framing: this.framing });
   }
 
@@ -178,6 +186,12 @@
     else this.finish(this.brokenResult(error.message, 'connection-lost'));
   }
 
+  /** A success without content whose connection has closed may have been cut after its head, or within it. */
+  private get mayLackBody(): boolean {
+    if (this.framing !== 'close' || !this.isSuccess) return false;
+    return !(this.options.sink.hasContent ?? this.receivedBytes > 0);
+  }
+
   private get isTooLarge(): boolean {
     const { sink, maxResponseBytes } = this.options;
     return !sink.isStream && this.receivedBytes > maxResponseBytes;
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -43,6 +43,8 @@
   private outputBytes = 0;
   private readonly callerResponse: CallerResponse;
   private currentRejection: string | undefined;
+  /** Number of events relayed before the current run. */
+  private earlierEvents = 0;
 
   constructor(private readonly options: StreamRelayOptions) {
     this.lastEventId = options.exchange.description.lastEventId;
@@ -73,6 +75,11 @@
     return this.callerResponse.head?.status;
   }
 
+  /** For a stream, whether the current run has brought an event. */
+  get hasContent(): boolean | undefined {
+    return this.isStream ? this.events > this.earlierEvents : undefined;
+  }
+
   get hasPartialEvent(): boolean {
     return this.splitter.hasPartialEvent;
   }
@@ -84,6 +91,7 @@
   /** Discards the data of a failed attempt; the next one continues after the last event. */
   restart(): void {
     this.splitter = new EventSplitter();
+    this.earlierEvents = this.events;
     this.currentRejection = undefined;
     this.sequence?.beginRun();
     if (!this.hasBegun) this.callerResponse.head = undefined;
