The memory budget is enforced in every mode

What callers saw: in independent mode, back ends that sent bytes without end filled a gateway until its process ended, and with it the calls of all others. The budget counted what was held, but ended a holder in coordinated mode only, and a process that was told no memory limit had none at all.

Cause: the budget had been added for slow callers of coordinated deployments, and took the mode as its switch. What back ends send is the same in each mode, and limits for each call do not bound their sum.

Now every gateway ends the largest holder once its budget is exhausted. A fair share, which lets answers of slow callers be buffered, is still of coordinated mode alone; it is a matter of speed and not of safety. Without a limit, half of the machine's memory, or of its control group's, takes its place.

Evidence: 24 streams whose events of 1 MB do not end, at a gateway process with a budget of 6 MB in independent mode. Before, no holder was ended within 15 s (red); now the largest ones get 502, an ordinary call beside them is answered, and the process lives.

--- a/src/memory-budget/memory-budget-metrics.ts
+++ b/src/memory-budget/memory-budget-metrics.ts
@@ -58,7 +58,7 @@
     });
     new Gauge({
       name: 'ledgegauge_memory_budget_bytes',
-      help: 'Size of the budget; +Inf without a memory limit',
+      help: 'Size of the budget',
       registers,
       collect() {
         this.set(budget.limitBytes);
--- a/src/memory-budget/memory-budget.ts
+++ b/src/memory-budget/memory-budget.ts
@@ -51,8 +51,6 @@
 export interface MemoryBudgetOptions {
   /** Memory limit of the process. @default no limit */
   memoryLimitBytes?: number;
-  /** Whether holders are ended when the budget is exhausted. @default yes */
-  isEnforced?: () => boolean;
   logger: Logger;
   observer?: MemoryBudgetObserver;
 }
@@ -161,7 +159,6 @@
   /** Ends the largest holders while the budget is exceeded. Internal to `MemoryHolder`. */
   enforceLimit(): void {
     if (this.totalBytes > this.limitBytes * NEARLY_EXHAUSTED_FRACTION) this.noteNearlyExhausted();
-    if (!(this.options.isEnforced?.() ?? true)) return;
     while (this.totalBytes > this.limitBytes) {
       const largest = this.findLargest();
       if (!largest) return;
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -34,7 +34,12 @@
 import { HistoryReader, LedgerClient, LedgerRouter, ValueCopySender } from '../ledger/index.js';
 import type { ServerConnections } from '../http/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
-import { MemoryBudget, MemoryBudgetMetrics, MemoryWatch } from '../memory-budget/index.js';
+import {
+  MemoryBudget,
+  MemoryBudgetMetrics,
+  MemoryWatch,
+  defaultMemoryLimitBytes,
+} from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import {
   type EngineProperties,
@@ -340,12 +345,15 @@
     });
   }
 
+  private get memoryLimitBytes(): number {
+    return this.options.settings.memoryLimitBytes ?? defaultMemoryLimitBytes();
+  }
+
   private createMemoryBudget(): MemoryBudget {
-    const { memoryLimitBytes } = this.options.settings;
+    const { memoryLimitBytes } = this;
     const observer = new MemoryBudgetMetrics(this.metrics.registry);
     const budget = new MemoryBudget({
       memoryLimitBytes,
-      isEnforced: () => this.isCoordinated,
       logger: this.options.logger,
       observer,
     });
@@ -354,10 +362,9 @@
   }
 
   private watchMemory(): void {
-    const { settings, logger } = this.options;
-    const { memoryLimitBytes } = settings;
-    if (memoryLimitBytes === undefined) return;
-    this.memoryWatch = new MemoryWatch({ memoryLimitBytes, budget: this.memory, logger });
+    const { memoryLimitBytes, memory: budget } = this;
+    const { logger } = this.options;
+    this.memoryWatch = new MemoryWatch({ memoryLimitBytes, budget, logger });
   }
 
   private createWatcher(): DirectoryWatcher {
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -31,7 +31,7 @@
   crashLimits?: CrashLimits;
   /** Shared secret of the internal protocol. */
   secret: string;
-  /** Memory limit above which the process is killed. @default no limit */
+  /** Memory limit above which the process is killed. @default no limit, for a gateway's budget half of the machine's memory */
   memoryLimitBytes?: number;
   /** Maximum size of the data folder. @default no limit */
   storageQuotaBytes?: number;
