An incomplete event is copied once, and only new bytes are searched

What callers saw: a stream whose event comes in many chunks held up its whole gateway, and its memory grew by many times the event.

Cause: EventSplitter joined all pending bytes with each chunk, copied them once more to keep them, and searched them from their start: quadratic in time and in garbage outside the heap, which is collected late.

Pending bytes are now copied once, into blocks that grow with the event, and joined once when it is complete. A blank line is searched in new bytes and across the border of two chunks. The blocks also end that a chunk of a few bytes keeps the 64 KB buffer of which it is a part, and what is counted is what they take.

--- a/src/forwarding/event-splitter.test.ts
+++ b/src/forwarding/event-splitter.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { EventSplitter, dataOfEvent } from './event-splitter.js';
 
 const STREAM =
@@ -45,4 +45,31 @@
     expect(events).toHaveLength(1);
     expect(splitter.hasPartialEvent).toBe(true);
   });
+
+  // Guards against an incomplete event that was copied with each of its chunks.
+  it('copies an event in many chunks twice at most', () => {
+    const chunk = Buffer.alloc(64 * 1024, 'x');
+    const splitter = new EventSplitter();
+    const join = vi.spyOn(Buffer, 'concat');
+    const allocate = vi.spyOn(Buffer, 'allocUnsafeSlow');
+    const copyOf = vi.spyOn(Buffer, 'from');
+    splitter.push(Buffer.from('data: '));
+    for (let count = 0; count < 64; count += 1) splitter.push(chunk);
+    const [event] = splitter.push(Buffer.from('\n\n'));
+    const copies = [join, allocate, copyOf].flatMap(({ mock }) => mock.results);
+    vi.restoreAllMocks();
+    expect(event!.bytes.length).toBe(8 + 64 * chunk.length);
+    const copiedBytes = copies.reduce((sum, { value }) => sum + (value as Buffer).length, 0);
+    expect(copiedBytes).toBeLessThan(2.1 * event!.bytes.length);
+  });
+
+  it.each(['\n\n', '\n\r\n'])('finds the blank line %j across chunks of one byte', (blankLine) => {
+    const stream = `\ndata: a${blankLine}data: b\ndata: \r\n\rc${blankLine}`;
+    const { events, splitter } = split([...stream].map((character) => Buffer.from(character)));
+    expect(events.map(({ bytes }) => bytes.toString())).toEqual(
+      split([Buffer.from(stream)]).events.map(({ bytes }) => bytes.toString()),
+    );
+    expect(events).toHaveLength(2);
+    expect(splitter.hasPartialEvent).toBe(false);
+  });
 });
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -1,4 +1,5 @@
 /** Splits a stream of server-sent events into complete events without decoding their text. */
+import { ByteAccumulator } from '../memory-budget/index.js';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -6,6 +7,8 @@
 const SPACE = 0x20;
 const ID_FIELD = Buffer.from('id');
 const DATA_FIELD = Buffer.from('data');
+/** The line feed of the line before, a carriage return and a line feed. */
+const MAX_BLANK_LINE_BYTES = 3;
 
 /** A complete event. */
 export interface StreamEvent {
@@ -16,31 +19,53 @@
 }
 
 export class EventSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly partial = new ByteAccumulator();
 
   /** Whether an incomplete event is buffered. */
   get hasPartialEvent(): boolean {
-    return this.pending.length > 0;
+    return !this.partial.isEmpty;
   }
 
   /** Size of the incomplete event. */
   get pendingBytes(): number {
-    return this.pending.length;
+    return this.partial.length;
+  }
+
+  /** Memory that the incomplete event takes, in bytes. */
+  get heldBytes(): number {
+    return this.partial.heldBytes;
   }
 
   push(chunk: Buffer): StreamEvent[] {
-    const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
-    let end = endOfEvent(bytes, start);
+    let end = this.endOfFirstEvent(chunk);
     while (end > 0) {
-      events.push(readEvent(bytes.subarray(start, end)));
+      events.push(readEvent(this.completeEvent(chunk.subarray(start, end))));
       start = end;
-      end = endOfEvent(bytes, start);
+      end = endOfEvent(chunk, start);
     }
-    this.pending = start === bytes.length ? Buffer.alloc(0) : Buffer.from(bytes.subarray(start));
+    this.partial.append(chunk.subarray(start));
     return events;
   }
+
+  private completeEvent(rest: Buffer): Buffer {
+    return this.partial.isEmpty ? rest : this.partial.take(rest);
+  }
+
+  /** Position in the chunk after the blank line that ends the first event, or -1. */
+  private endOfFirstEvent(chunk: Buffer): number {
+    const endAcrossChunks = this.partial.isEmpty ? -1 : this.endAcrossChunks(chunk);
+    return endAcrossChunks > 0 ? endAcrossChunks : endOfEvent(chunk, 0);
+  }
+
+  /** Position in the chunk after a blank line that begins before the chunk, or -1. */
+  private endAcrossChunks(chunk: Buffer): number {
+    const before = this.partial.tail(MAX_BLANK_LINE_BYTES - 1);
+    const bytes = Buffer.concat([before, chunk.subarray(0, MAX_BLANK_LINE_BYTES - 1)]);
+    const end = endOfEvent(bytes, 0);
+    return end < 0 ? -1 : end - before.length;
+  }
 }
 
 /** Position after the blank line that ends the event at `start`, or -1. */
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -113,7 +113,7 @@
       accepted.push(event.bytes);
       this.note(event);
     }
-    this.callerResponse.noteHeldBytes(this.splitter.pendingBytes + this.outputBytes);
+    this.callerResponse.noteHeldBytes(this.splitter.heldBytes + this.outputBytes);
     if (this.splitter.pendingBytes > this.options.maxEventBytes)
       this.currentRejection = 'event too large';
     if (accepted.length === 0) return true;
--- a/src/memory-budget/index.ts
+++ b/src/memory-budget/index.ts
@@ -9,5 +9,6 @@
 } from './memory-budget.js';
 export { MemoryBudgetMetrics } from './memory-budget-metrics.js';
 export { MemoryWatch } from './memory-watch.js';
+export { ByteAccumulator } from './byte-accumulator.js';
 export { defaultMemoryLimitBytes } from './default-memory-limit.js';
 export { ReceivedBody } from './received-body.js';
