A kept turn has a greatest size, and all that is held of it is counted

The bound on one event did not apply, since each event was whole.

Cause: the output of a kept turn had no bound but time. Each event's data was a buffer of its own, which takes several times its content and which the budget does not see; so were the small chunks of a buffered answer and of one that is sent as a whole. The copies that the commit makes, the second run that reads a resumed turn's earlier events, and a failed attempt's incomplete event were counted wrongly or not at all. Bytes stayed until the call's last confirmation although it had failed.

Outputs are collected in blocks. The commit's copies, earlier events and what a failed call held are counted, and freed as soon as the call has failed.

The unit tests of what is counted use methods that did not exist before.

--- a/src/forwarding/buffered-answer.ts
+++ b/src/forwarding/buffered-answer.ts
@@ -1,4 +1,5 @@
 /** Buffers a short response until it is complete; long responses are relayed as they arrive. */
+import { ByteAccumulator } from '../memory-budget/index.js';
 import type { ResponseHead, CallExchange } from './call-exchange.js';
 import { CallerResponse } from './caller-response.js';
 import type { ResponseSink } from './send-attempt.js';
@@ -6,8 +7,7 @@
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
 export class BufferedResponse implements ResponseSink {
-  private chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly buffered = new ByteAccumulator();
   private readonly callerResponse: CallerResponse;
 
   constructor(exchange: CallExchange) {
@@ -18,6 +18,10 @@
     return this.callerResponse.hasBegun;
   }
 
+  get heldBytes(): number {
+    return this.buffered.heldBytes;
+  }
+
   get status(): number | undefined {
     return this.callerResponse.head?.status;
   }
@@ -25,8 +29,12 @@
   /** Discards the data of a failed attempt. */
   restart(): void {
     this.callerResponse.head = undefined;
-    this.chunks = [];
-    this.bytes = 0;
+    this.discard();
+  }
+
+  /** Frees what is held; the response will not be completed. */
+  discard(): void {
+    this.buffered.clear();
     this.callerResponse.noteHeldBytes(0);
   }
 
@@ -36,21 +44,19 @@
 
   onData(chunk: Buffer): boolean {
     if (this.hasBegun) return this.callerResponse.pass(chunk);
-    this.chunks.push(chunk);
-    this.bytes += chunk.length;
-    if (this.bytes <= MAX_BUFFERED_BYTES) {
-      this.callerResponse.noteHeldBytes(this.bytes);
-      return true;
+    if (this.buffered.length + chunk.length > MAX_BUFFERED_BYTES) {
+      const whole = this.buffered.take(chunk);
+      this.callerResponse.noteHeldBytes(0);
+      return this.callerResponse.pass(whole);
     }
-    const buffered = Buffer.concat(this.chunks);
-    this.chunks = [];
-    this.callerResponse.noteHeldBytes(0);
-    return this.callerResponse.pass(buffered);
+    this.buffered.append(chunk);
+    this.callerResponse.noteHeldBytes(this.buffered.heldBytes);
+    return true;
   }
 
   end(): void {
     this.callerResponse.noteHeldBytes(0);
-    this.callerResponse.end(this.chunks.length > 0 ? Buffer.concat(this.chunks) : undefined);
+    this.callerResponse.end(this.buffered.isEmpty ? undefined : this.buffered.take());
   }
 
   onceReadable(resume: () => void): void {
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -281,6 +281,7 @@
     const output = await readEarlierEvents(
       { ...options, firstBackend: run.lastBackend },
       lastEventId,
+      run.response.heldBytes,
     );
     this.options.metrics.noteEarlierEvents(output ? 'read' : 'missing');
     return output;
--- a/src/forwarding/call-run.ts
+++ b/src/forwarding/call-run.ts
@@ -8,8 +8,8 @@
 import type { BackendConnection } from './backend-connections.js';
 import type { BackendProtocol } from './backend-protocol.js';
 import type { BackendState, BackendView } from './backend-view.js';
-import { BufferedResponse } from './buffered-answer.js';
 import type { CallExchange, RefusalReason } from './call-exchange.js';
+import { type CallResponse, createCallResponse } from './call-response.js';
 import { GuardedSends } from './guarded-sends.js';
 import type { PlacementDecision, Placement } from './placement.js';
 import { responseTimeoutMs } from './response-timeout.js';
@@ -51,6 +51,8 @@
   requestPermit?: () => PermitRequest | undefined;
   /** Limits the backends that end under the request. @default they are not counted */
   requestGuard?: RequestGuard;
+  /** Whether the output of a stream is collected. @default if the route retains turns */
+  isKept?: boolean;
 }
 
 const HTTP_CLIENT_ERROR = 400;
@@ -62,7 +64,7 @@
 
 export class CallRun {
   readonly sends: SendRecord[] = [];
-  readonly response: StreamRelay | BufferedResponse;
+  readonly response: CallResponse;
   /** Whether an engine had to wait for the caller to read. */
   wasPaused = false;
   /** Whether the gateway had another run continue a stream that a run had begun. */
@@ -88,20 +90,10 @@
   private isOverdue = false;
 
   constructor(private readonly options: CallRunOptions) {
-    const { exchange, route } = options;
     this.service = options.service;
     this.guardedSends = new GuardedSends(options.requestGuard, options.deadlineMs);
-    const { kind, retainsTurns: isKept, isResumable } = route.route;
-    this.response =
-      kind === 'streaming'
-        ? new StreamRelay({
-            exchange,
-            isKept,
-            isResumable,
-            maxEventBytes: options.responseLimits.maxEventBytes,
-            onBegun: () => this.backend && options.streamVersion.noteBegun(this.backend),
-          })
-        : new BufferedResponse(exchange);
+    const onBegun = (): void => this.noteBegun();
+    this.response = createCallResponse({ ...options, onBegun });
   }
 
   /** The attempt whose complete response was relayed. */
@@ -150,15 +142,19 @@
     const timer = setTimeout(() => this.onDeadline(), Math.max(0, deadlineMs - monotonicMs()));
     exchange.onAbandoned(() => this.stopSending());
     if (!exchange.isAbandoned) this.permit = this.options.requestPermit?.();
+    let isTypical = false;
     try {
       const refusal = this.permit && (await this.permit.decision);
       if (refusal) return { kind: 'refused', reason: 'overloaded', ...refusal };
       const outcome = await this.sendUntilAnswered();
-      if (outcome.kind !== 'answered') await this.guardedSends.settle();
+      isTypical = this.isTypical;
+      if (outcome.kind === 'answered') return outcome;
+      this.response.discard();
+      await this.guardedSends.settle();
       return outcome;
     } finally {
       clearTimeout(timer);
-      this.permit?.end(this.sends.length > 0, this.isTypical);
+      this.permit?.end(this.sends.length > 0, isTypical);
     }
   }
 
@@ -468,6 +464,10 @@
     return this.mayHaveRun ? this.brokenOutcome() : { kind: 'refused', reason };
   }
 
+  private noteBegun(): void {
+    if (this.backend) this.options.streamVersion.noteBegun(this.backend);
+  }
+
   private exclude(backend: BackendState): void {
     this.excluded.add(backend.id);
     this.pinnedPlacement = undefined;
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -3,6 +3,7 @@
  * of several runs; events that do not continue where the previous run broke off are rejected.
  */
 import { firstHeader } from '../http/index.js';
+import { ByteAccumulator } from '../memory-budget/index.js';
 import type { ResponseHead, CallExchange } from './call-exchange.js';
 import { CallerResponse } from './caller-response.js';
 import { EventSequence } from './event-sequence.js';
@@ -13,6 +14,8 @@
 const HTTP_OK = 200;
 const CONTENT_TYPE = 'content-type';
 const CONTENT_LENGTH = 'content-length';
+/** Of a turn's output: the one that is committed, and the ledger's message. */
+const COPIES_DURING_COMMIT = 2;
 
 export interface StreamRelayOptions {
   exchange: CallExchange;
@@ -25,6 +28,8 @@
   isResumable: boolean;
   /** Maximum size of one event, in bytes. */
   maxEventBytes: number;
+  /** Maximum size of all events of a kept turn, in bytes. */
+  maxTurnBytes: number;
   /** Called before the first event is relayed. */
   onBegun?: () => void;
 }
@@ -39,8 +44,11 @@
   private splitter = new EventSplitter();
   /** Undefined if the stream is not resumable, so that its ids need no check. */
   private readonly sequence: EventSequence | undefined;
-  private readonly output: Buffer[] = [];
-  private outputBytes = 0;
+  private readonly output = new ByteAccumulator();
+  /** Size of the relayed events. */
+  private relayedBytes = 0;
+  /** Size of what the commit of the output holds. */
+  private commitBytes = 0;
   private readonly callerResponse: CallerResponse;
   private currentRejection: string | undefined;
   /** Number of events relayed before the current run. */
@@ -58,7 +66,7 @@
 
   /** Whether another run can continue where the last one broke off. */
   get canResume(): boolean {
-    if (!this.sequence) return false;
+    if (!this.sequence || this.isTooLarge) return false;
     return !this.hasBegun || (this.isStream && this.sequence.canResume);
   }
 
@@ -84,8 +92,24 @@
     return this.splitter.hasPartialEvent;
   }
 
-  get collectedOutput(): Buffer {
-    return Buffer.concat(this.output);
+  /** Memory that the incomplete event and the collected output take, in bytes. */
+  get heldBytes(): number {
+    return this.splitter.heldBytes + this.output.heldBytes + this.commitBytes;
+  }
+
+  /** Takes the collected output for the commit of the turn, whose copies of it are counted until the response ends. */
+  takeOutput(): Buffer {
+    const output = this.output.take();
+    this.commitBytes = COPIES_DURING_COMMIT * output.length;
+    this.noteHeldBytes();
+    return output;
+  }
+
+  /** Frees what is held; the response will not be completed. */
+  discard(): void {
+    this.splitter = new EventSplitter();
+    this.output.clear();
+    this.noteHeldBytes();
   }
 
   /** Discards the data of a failed attempt; the next one continues after the last event. */
@@ -93,6 +117,7 @@
     this.splitter = new EventSplitter();
     this.earlierEvents = this.events;
     this.currentRejection = undefined;
+    this.noteHeldBytes();
     this.sequence?.beginRun();
     if (!this.hasBegun) this.callerResponse.head = undefined;
   }
@@ -113,9 +138,10 @@
       accepted.push(event.bytes);
       this.note(event);
     }
-    this.callerResponse.noteHeldBytes(this.splitter.heldBytes + this.outputBytes);
+    this.noteHeldBytes();
     if (this.splitter.pendingBytes > this.options.maxEventBytes)
       this.currentRejection = 'event too large';
+    else if (this.isTooLarge) this.currentRejection = 'turn too large';
     if (accepted.length === 0) return true;
     this.noteBegun();
     return this.callerResponse.pass(accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted));
@@ -123,7 +149,8 @@
 
   /** Ends the response as complete. */
   end(): void {
-    this.callerResponse.noteHeldBytes(0);
+    this.commitBytes = 0;
+    this.discard();
     this.callerResponse.end();
   }
 
@@ -132,6 +159,15 @@
     this.callerResponse.onceReadable(resume);
   }
 
+  /** Whether the turn is larger than one that can be kept. */
+  private get isTooLarge(): boolean {
+    return this.options.isKept && this.relayedBytes > this.options.maxTurnBytes;
+  }
+
+  private noteHeldBytes(): void {
+    this.callerResponse.noteHeldBytes(this.heldBytes);
+  }
+
   private noteBegun(): void {
     if (this.firstEventAt !== undefined) return;
     this.firstEventAt = performance.now();
@@ -146,13 +182,11 @@
   }
 
   private note(event: StreamEvent): void {
+    this.relayedBytes += event.bytes.length;
     if (event.id !== undefined) this.lastEventId = event.id;
     if (!event.hasData) return;
     this.events += 1;
-    if (!this.options.isKept) return;
-    const data = dataOfEvent(event);
-    this.output.push(data);
-    this.outputBytes += data.length;
+    if (this.options.isKept) this.output.append(dataOfEvent(event));
   }
 
   /**
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -104,7 +104,11 @@
       deadlineMs,
       typicalMs: TYPICAL_TURN_MS,
     });
-    const response = { events: EVENTS, isStream: true, collectedOutput: Buffer.from(`${id} out;`) };
+    const response = {
+      events: EVENTS,
+      isStream: true,
+      takeOutput: () => Buffer.from(`${id} out;`),
+    };
     const settled = this.reservations.settle({
       exchange,
       run: { response, serviceName: 's', completeSend: { backend: 'e1' } } as unknown as CallRun,
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -307,7 +307,7 @@
   { exchange, earlierOutput }: FinishedTurn,
   relay: StreamRelay,
 ): Buffer | undefined {
-  const output = relay.collectedOutput;
+  const output = relay.takeOutput();
   if (exchange.description.lastEventId === undefined) return output;
   return earlierOutput && Buffer.concat([earlierOutput, output]);
 }
--- a/src/forwarding/whole-response-exchange.ts
+++ b/src/forwarding/whole-response-exchange.ts
@@ -3,6 +3,7 @@
  * the connection of a killed gateway for the end of the response.
  */
 import { firstHeader } from '../http/index.js';
+import { ByteAccumulator } from '../memory-budget/index.js';
 import type {
   CallDescription,
   CallExchange,
@@ -13,8 +14,7 @@
 
 export class WholeResponseExchange implements CallExchange {
   private head: ResponseHead | undefined;
-  private readonly chunks: Uint8Array[] = [];
-  private bytes = 0;
+  private readonly body = new ByteAccumulator();
   /** Bytes that the sender of the response holds besides. */
   private senderBytes = 0;
 
@@ -41,8 +41,7 @@
   }
 
   write(chunk: Uint8Array): boolean {
-    this.chunks.push(chunk);
-    this.bytes += chunk.length;
+    this.body.append(chunk);
     this.noteHeldBytes(this.senderBytes);
     return true;
   }
@@ -57,14 +56,13 @@
 
   noteHeldBytes(bytes: number): void {
     this.senderBytes = bytes;
-    this.exchange.noteHeldBytes?.(bytes + this.bytes);
+    this.exchange.noteHeldBytes?.(bytes + this.body.heldBytes);
   }
 
   end(chunk?: Uint8Array): void {
     if (chunk) this.write(chunk);
-    if (this.head) this.exchange.begin(withLength(this.head, this.bytes));
-    const body = Buffer.concat(this.chunks.splice(0));
-    this.bytes = 0;
+    if (this.head) this.exchange.begin(withLength(this.head, this.body.length));
+    const body = this.body.take();
     this.exchange.noteHeldBytes?.(0);
     this.exchange.end(body);
   }
--- a/src/memory-budget/byte-accumulator.ts
+++ b/src/memory-budget/byte-accumulator.ts
@@ -5,6 +5,8 @@
 
 /** Maximum size of a block, unless a chunk is larger. */
 const MAX_BLOCK_BYTES = 64 * 1024;
+/** A chunk of at least this part of the content has a block of its own size. */
+const OWN_BLOCK_FRACTION = 0.25;
 
 const EMPTY = Buffer.alloc(0);
 
@@ -75,8 +77,9 @@
   private addBlock(bytes: number): void {
     if (this.lastLength > 0) this.fullBlocks.push(this.lastBlock);
     this.fullBytes += this.lastLength;
-    const size = Math.max(bytes, Math.min(this.fullBytes, MAX_BLOCK_BYTES));
-    this.lastBlock = Buffer.allocUnsafeSlow(size);
+    const isLarge = bytes >= this.fullBytes * OWN_BLOCK_FRACTION;
+    const size = isLarge ? bytes : Math.min(this.fullBytes, MAX_BLOCK_BYTES);
+    this.lastBlock = Buffer.allocUnsafeSlow(Math.max(bytes, size));
     this.lastLength = 0;
   }
 }
--- a/src/routes/route-configuration.ts
+++ b/src/routes/route-configuration.ts
@@ -81,6 +81,8 @@
   maxEventBytes: number;
   /** Maximum size of a response that is not a stream, in bytes. */
   maxResponseBytes: number;
+  /** Maximum size of all events of a turn that is kept for later turns, in bytes. */
+  maxTurnBytes: number;
 }
 
 export interface RouteConfiguration {
--- a/src/routes/validate-configuration.ts
+++ b/src/routes/validate-configuration.ts
@@ -18,9 +18,11 @@
   validateResponseLimits(configuration.responseLimits ?? DEFAULT_RESPONSE_LIMITS);
 }
 
-function validateResponseLimits({ maxEventBytes, maxResponseBytes }: ResponseLimits): void {
+function validateResponseLimits(limits: ResponseLimits): void {
+  const { maxEventBytes, maxResponseBytes, maxTurnBytes } = limits;
   require(maxEventBytes > 0, 'maxEventBytes is not positive');
   require(maxResponseBytes > 0, 'maxResponseBytes is not positive');
+  require(maxTurnBytes > 0, 'maxTurnBytes is not positive');
 }
 
 /** Error messages must not contain key hashes. */
