A turn that was ended for memory is not committed

What callers saw: nothing different; its answer was cut already. But the output and the ledger's message of a turn whose answer had given way to others were made and held until the commit had ended, uncounted.

The test plays six answers without an end at a budget of 3 MB (incomplete events, whole events on a kept route): each caller gets 502 or a visible cut, the back end's connections close, an ordinary call beside is served, and all bytes are given back. It was green before as well, with a budget that is enforced; in independent mode none was.

--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -192,9 +192,14 @@
     const settlement = this.settlementOf(reservation, spentTokens, placementOf(turn));
     const mustKeep = isTurnToKeep(turn);
     const output = mustKeep ? wholeOutputOf(turn, relay) : undefined;
-    if (output) return this.keep(turn, settlement, output);
+    const isEndedForMemory = turn.exchange.disconnectedBy === 'memory-budget';
+    if (output && !isEndedForMemory) return this.keep(turn, settlement, output);
     this.options.ledger.settleLater(settlement);
-    return mustKeep ? this.brokenOff(turn, 'the events of an earlier attempt are missing') : ending;
+    if (!mustKeep) return ending;
+    const reason = isEndedForMemory
+      ? 'the memory budget is exhausted'
+      : 'the events of an earlier attempt are missing';
+    return this.brokenOff(turn, reason);
   }
 
   /** Settles the reservation of a turn that is not sent. */
