Whether a service has one version only is asked of the directory, after the call has arrived

Callers got streams of two software versions during a release: a stream began at a runner of the new version through one gateway, broke, and was taken up by Last-Event-Id at a gateway that had stood still or was cut off while those runners joined. It went on at the old version.

Cause: a call that names no earlier attempt goes on while all registered back ends have one version, and the gateway took its own registrations for all. A gateway out of step knows one version and concludes that there is one. One that knew no back end at all bound the call to no version.

Now the directory's leader is asked for the versions of the service. It answers from the applied state once a quorum has confirmed it after the request, so each version at which another gateway can have begun the stream is in the answer. Without an answer in 400 ms, with none or with several versions, the call is refused at once as not run (503). A gateway whose own view has several versions refuses without asking.

--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -15,6 +15,7 @@
 import type { Method } from '../wire/index.js';
 import type { BackendRegistration } from './backend-registration.js';
 import type { Incarnation } from './incarnation.js';
+import type { ServiceVersions } from './service-versions.js';
 import type { RetirementState } from './directory-state-machine.js';
 import {
   COMMITTED_UPDATE,
@@ -29,6 +30,7 @@
   REMOVE_BACKEND,
   RETIREMENT_STATE,
   type RetirementResponse,
+  SERVICE_VERSIONS,
   START_RETIREMENT,
   WATCH,
   type WatchRequest,
@@ -43,6 +45,8 @@
 export const REGISTRATION_TIMEOUT_MS = 800;
 const READ_TIMEOUT_MS = 900;
 const TRY_TIMEOUT_MS = 400;
+/** Time limit for the versions of a service, for which a call waits. */
+const VERSIONS_TIMEOUT_MS = 400;
 
 export class DirectoryClient {
   /** @param groups client that has the addresses of the control processes */
@@ -69,6 +73,11 @@
     await this.call(REMOVE_BACKEND, incarnation, REGISTRATION_TIMEOUT_MS);
   }
 
+  /** Software versions of a service's backends that are registered when this is called. */
+  serviceVersions(service: string): Promise<ServiceVersions> {
+    return this.call(SERVICE_VERSIONS, { service }, VERSIONS_TIMEOUT_MS);
+  }
+
   startRetirement(node: string): Promise<RetirementResponse> {
     return this.call(START_RETIREMENT, { node }, READ_TIMEOUT_MS);
   }
--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -11,6 +11,7 @@
   READ_CONFIGURATION,
   REMOVE_BACKEND,
   RETIREMENT_STATE,
+  SERVICE_VERSIONS,
   START_RETIREMENT,
   WATCH,
 } from './messages.js';
@@ -50,6 +51,12 @@
       return { source: configuration && unpackSource(configuration) };
     }),
   );
+  router.handle(SERVICE_VERSIONS, ({ service }) =>
+    answerAsLeader(findGroup(), async (group) => {
+      await group.confirmLeadership();
+      return leader.stateMachine.versionsOf(service);
+    }),
+  );
   router.handle(START_RETIREMENT, ({ node }) =>
     answerAsLeader(findGroup(), () => leader.retirements.start(node)),
   );
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -22,6 +22,7 @@
 import type { CommittedUpdate, CommittedUpdateRequest } from './messages.js';
 import type { PackedConfiguration } from './packed-configuration.js';
 import { RegisteredBackends } from './registered-backends.js';
+import { type ServiceVersions, distinctVersions } from './service-versions.js';
 
 export type RetirementState = 'running' | 'complete';
 
@@ -168,6 +169,12 @@
     );
   }
 
+  /** Software versions of a service's backends that are registered. */
+  versionsOf(service: string): ServiceVersions {
+    const backends = [...this.backends.values()].filter((backend) => backend.service === service);
+    return { versions: distinctVersions(backends) };
+  }
+
   /** What this member has applied after the versions that the watcher holds. */
   committedUpdateSince(held: CommittedUpdateRequest): CommittedUpdate {
     const { configuration, configurationIndex, backendsIndex } = this.state;
--- a/src/directory/index.ts
+++ b/src/directory/index.ts
@@ -12,4 +12,5 @@
 export { DirectoryStateMachine, type RetirementState } from './directory-state-machine.js';
 export { DirectoryWatcher, type DirectoryWatcherOptions } from './directory-watcher.js';
 export * from './messages.js';
+export { type BackendVersion, type ServiceVersions, versionKeyOf } from './service-versions.js';
 export { unpackRoutes } from './packed-configuration.js';
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -17,6 +17,7 @@
 import type { LoadTotals } from './load-totals.js';
 import type { PackedConfiguration } from './packed-configuration.js';
 import type { WaitingCount } from '../waiting/index.js';
+import type { ServiceVersions } from './service-versions.js';
 import { INITIAL_SILENCE_VERSION, type SilenceVersion } from './silent-backend-tracker.js';
 
 export const DIRECTORY_GROUP = 'directory';
@@ -162,6 +163,10 @@
   source?: string;
 }
 
+export interface ServiceVersionsRequest {
+  service: string;
+}
+
 /** The incarnation that leaves; without a start time, all that are registered under the name. */
 export type RemoveBackendRequest = Incarnation;
 
@@ -199,3 +204,6 @@
 export const COMPLETE_RETIREMENT = defineMethod<RetirementReport, LeaderAnswer<Acknowledgement>>(
   'directory.complete-retirement',
 );
+export const SERVICE_VERSIONS = defineMethod<ServiceVersionsRequest, LeaderAnswer<ServiceVersions>>(
+  'directory.service-versions',
+);
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -1,14 +1,13 @@
 /** One gateway's view of the backends: registrations, in-flight calls and observed health. */
 import { type BackendStatistics, callsOverCache } from '../backend-statistics/index.js';
 import { groupBy, monotonicMs } from '../common/index.js';
-import type { BackendLoad, BackendRecord } from '../directory/index.js';
+import { type BackendLoad, type BackendRecord, versionKeyOf } from '../directory/index.js';
 import type { VersionKey } from '../ledger/index.js';
 import { type CallWork, SlowdownEstimator, LatencyModel } from '../performance/index.js';
 import { type PromptPart, promptTokensOf } from './call-exchange.js';
 import { BackendConnectionPool } from './backend-connections.js';
 import { OutdatedLoads } from './outdated-loads.js';
 import { PromptCacheView } from './prompt-cache-view.js';
-import { versionKeyOf } from './stream-version.js';
 
 const INITIAL_SUSPICION_MS = 500;
 const MAX_SUSPICION_MS = 5_000;
--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -81,6 +81,7 @@
     this.forwarder = new CallForwarder({
       routes: () => this.routes,
       directoryAgeMs: () => 0,
+      findServiceVersions: () => Promise.reject(new Error('no directory in this test')),
       access: () => ({ kind: 'allowed', tenant: undefined }),
       quotas: {
         take: () => Promise.resolve({ isAllowed: true }),
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -31,7 +31,11 @@
 import type { Placement } from './placement.js';
 import { CallRecorder } from './call-recorder.js';
 import { StallDetector } from './stall-detector.js';
-import { ResumableStreams, type StreamCall } from './resumable-streams.js';
+import {
+  type FindServiceVersions,
+  ResumableStreams,
+  type StreamCall,
+} from './resumable-streams.js';
 import type { StreamVersion } from './stream-version.js';
 import { TurnAdmission, isModelCall } from './turn-admission.js';
 import {
@@ -54,6 +58,7 @@
   backends: BackendView;
   placement: Placement;
   ledger: Ledger;
+  findServiceVersions: FindServiceVersions;
   protocol: BackendProtocol;
   logger: Logger;
   metrics: ForwardingMetrics;
@@ -98,12 +103,12 @@
   private readonly shutdown: GracefulShutdown;
 
   constructor(private readonly options: CallForwarderOptions) {
-    const { ledger, logger, metrics, backends, placement } = options;
+    const { ledger, logger, metrics, backends, placement, findServiceVersions } = options;
     const gatewayState = this.gatewayState.bind(this);
     const { shutdown = new GracefulShutdown() } = options;
     this.shutdown = shutdown;
     this.recorder = new CallRecorder({ logger, metrics, gatewayState, shutdown });
-    this.streams = new ResumableStreams({ backends, placement, ledger });
+    this.streams = new ResumableStreams({ backends, placement, ledger, findServiceVersions });
     this.turnAdmission = new TurnAdmission(options);
     this.stallGuard = new StallDetector({ logger });
     this.turns = new TurnReservations({
@@ -214,11 +219,11 @@
     const streamCall = { description, route, service, tenant: tenant?.name, deadlineMs };
     const stream = this.streams.reservedStream(streamCall);
     const reservation = await this.turns.reserve(exchange, route.route, time, tenant?.name, stream);
+    const streamVersion = await this.versionOfStream(streamCall, stream, reservation);
     if (active.isEnded) {
       if (reservation) this.turns.release(reservation);
       throw new RefusedError('shutting-down');
     }
-    const streamVersion = this.versionOfStream(streamCall, stream, reservation);
     const body = withHistory(description.body, reservation?.history);
     const runOptions: CallRunOptions = {
       exchange,
@@ -288,13 +293,13 @@
   }
 
   /** @throws RefusedError, after the reservation is settled, if it is unknown at which version the stream may run */
-  private versionOfStream(
+  private async versionOfStream(
     call: StreamCall,
     stream: ReservedStream | undefined,
     reservation: Reservation | undefined,
-  ): StreamVersion {
+  ): Promise<StreamVersion> {
     try {
-      return this.streams.streamVersion(call, stream, reservation);
+      return await this.streams.streamVersion(call, stream, reservation);
     } catch (error) {
       if (reservation) this.turns.release(reservation);
       throw error;
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -2,14 +2,15 @@
  * Decides at which software version the stream of a call may run. The ledger remembers it by the id of the caller's attempt,
  * so that the caller can resume the stream at any gateway.
  */
-import { monotonicMs } from '../common/index.js';
+import { describeError, monotonicMs } from '../common/index.js';
+import { type ServiceVersions, versionKeyOf } from '../directory/index.js';
 import type { Ledger, ReservedStream, StreamRecord, VersionKey } from '../ledger/index.js';
 import type { CompiledRoute } from '../routes/index.js';
 import { scopedId } from '../tenants/index.js';
 import type { BackendView } from './backend-view.js';
 import type { CallDescription } from './call-exchange.js';
 import type { Placement } from './placement.js';
-import { StreamVersion, versionKeyOf } from './stream-version.js';
+import { StreamVersion } from './stream-version.js';
 import { RefusedError, type Reservation, ledgerProgramOf } from './turn-reservations.js';
 
 /** Limit for the ids of attempts that callers name. */
@@ -30,10 +31,14 @@
   deadlineMs: number;
 }
 
+/** Asks for the versions of a service's backends that are registered at the time of the call. Rejects if that cannot be known. */
+export type FindServiceVersions = (service: string) => Promise<ServiceVersions>;
+
 export interface ResumableStreamsOptions {
   backends: BackendView;
   placement: Placement;
   ledger: Pick<Ledger, 'recordStreamLater' | 'changeStream'>;
+  findServiceVersions: FindServiceVersions;
 }
 
 export class ResumableStreams {
@@ -64,11 +69,11 @@
    * @param stream as returned by `reservedStream`
    * @throws RefusedError if it is unknown at which version the stream may run
    */
-  streamVersion(
+  async streamVersion(
     call: StreamCall,
     stream: ReservedStream | undefined,
     reservation: Reservation | undefined,
-  ): StreamVersion {
+  ): Promise<StreamVersion> {
     const { description, route } = call;
     if (!route.route.isResumable) return new StreamVersion();
     const recorded = reservation?.streamVersion;
@@ -77,7 +82,7 @@
       return new StreamVersion({ key: recorded, isResumed: true, isRecorded: true });
     }
     if (description.lastEventId !== undefined)
-      return new StreamVersion({ key: this.soleVersion(call), isResumed: true });
+      return new StreamVersion({ key: await this.soleVersion(call), isResumed: true });
     return this.versionOfNewStream(call, stream, reservation);
   }
 
@@ -120,13 +125,26 @@
   }
 
   /**
-   * The version of all backends of a service. Callers of earlier releases do not name the attempt that began a stream.
-   * @throws RefusedError if there are several versions, since any of them may have begun the stream
+   * The only version at which the stream of a caller that names no attempt may have begun. This gateway's view does not tell:
+   * it may lack a version that others know.
+   * @throws RefusedError unless there is exactly one
    */
-  private soleVersion({ service }: StreamCall): VersionKey | undefined {
-    const versions = this.options.backends.registeredVersions(service);
-    if (versions.length > 1) throw new RefusedError('unknown-stream');
-    return versions[0];
+  private async soleVersion({ service }: StreamCall): Promise<VersionKey> {
+    if (this.options.backends.registeredVersions(service).length > 1)
+      throw new RefusedError('unknown-stream');
+    const { versions } = await this.findServiceVersions(service);
+    const [version] = versions;
+    if (!version || versions.length > 1) throw new RefusedError('unknown-stream');
+    return versionKeyOf(version);
+  }
+
+  private async findServiceVersions(service: string): Promise<ServiceVersions> {
+    try {
+      return await this.options.findServiceVersions(service);
+    } catch (error) {
+      const details = { reason: describeError(error) };
+      throw new RefusedError('unknown-stream', undefined, details);
+    }
   }
 }
 
--- a/src/forwarding/stream-version.ts
+++ b/src/forwarding/stream-version.ts
@@ -2,23 +2,9 @@
  * Binds a stream to the software version that began it. What backends of two versions generate does not fit together, and
  * they do not check it: once a caller has an event, the rest must come from a backend of the same version.
  */
+import { type BackendVersion, versionKeyOf } from '../directory/index.js';
 import type { VersionKey } from '../ledger/index.js';
 
-/** A backend, as far as its software version is concerned. */
-export interface VersionedBackend {
-  id: string;
-  /** Undefined if it reports none. */
-  softwareVersion?: string | undefined;
-}
-
-/**
- * Backends with equal keys can continue each other's streams. A backend that reports no version can continue only its
- * own streams.
- */
-export function versionKeyOf({ id, softwareVersion }: VersionedBackend): VersionKey {
-  return softwareVersion === undefined ? `backend ${id}` : `version ${softwareVersion}`;
-}
-
 /** The version as operators see it, in logs and metrics. */
 export function versionLabelOf(softwareVersion: string | undefined): string {
   return softwareVersion ?? 'unknown';
@@ -65,7 +51,7 @@
   }
 
   /** Resolves once later attempts of the caller will find the backend's version. */
-  async changeTo(backend: VersionedBackend): Promise<void> {
+  async changeTo(backend: BackendVersion): Promise<void> {
     this.hasChanged = true;
     const key = versionKeyOf(backend);
     await this.options.recordChange?.(key);
@@ -74,7 +60,7 @@
   }
 
   /** Must be called when the caller gets the first event, which a backend has sent. */
-  noteBegun(backend: VersionedBackend): void {
+  noteBegun(backend: BackendVersion): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
     this.key ??= versionKeyOf(backend);
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -14,6 +14,7 @@
   TurnHistoryCache,
   type VersionKey,
 } from '../ledger/index.js';
+import { versionKeyOf } from '../directory/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
 import type { CompiledRoute, Route } from '../routes/index.js';
 import { scopedId } from '../tenants/index.js';
@@ -22,7 +23,6 @@
 import type { CallOutcome, CallRun } from './call-run.js';
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { StreamRelay } from './stream-relay.js';
-import { versionKeyOf } from './stream-version.js';
 
 export interface TurnReservationsOptions {
   ledger: Ledger;
--- a/src/forwarding/waiting-calls.test.ts
+++ b/src/forwarding/waiting-calls.test.ts
@@ -122,6 +122,7 @@
     this.forwarder = new CallForwarder({
       routes: () => new RouteTable(CONFIGURATION),
       directoryAgeMs: () => 0,
+      findServiceVersions: () => Promise.reject(new Error('no directory in this test')),
       access: () => ({ kind: 'allowed', tenant }),
       quotas: {
         take: () => Promise.resolve({ isAllowed: true }),
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -93,6 +93,7 @@
   readonly forwarder: CallForwarder;
   private readonly peers: PeerDirectory;
   private readonly controlClient: GroupClient;
+  private readonly directory: DirectoryClient;
   private readonly ledgerGroups: GroupClient;
   private readonly statistics: BackendStatistics;
   private readonly backends: BackendView;
@@ -128,6 +129,7 @@
       resolveAddress: (address) => address,
     });
     this.controlClient = new GroupClient({ peers: this.peers, addresses: settings.controlSeeds });
+    this.directory = new DirectoryClient(this.controlClient);
     this.ledgerGroups = new GroupClient({ peers: this.peers, addresses: [] });
     this.statistics = new BackendStatistics({
       zone: settings.zone,
@@ -323,6 +325,7 @@
       backends: this.backends,
       placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
       ledger: this.ledger,
+      findServiceVersions: (service) => this.directory.serviceVersions(service),
       protocol,
       logger,
       metrics: this.metrics,
@@ -370,7 +373,7 @@
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
-      client: new DirectoryClient(this.controlClient),
+      client: this.directory,
       announce: () => ({ name, role: 'gateway', address, zone }),
       loads: () => this.backends.loads(),
       health: () => this.health.nextReport(),
--- a/tests/support/stopping-gateway.ts
+++ b/tests/support/stopping-gateway.ts
@@ -182,6 +182,7 @@
     this.forwarder = new CallForwarder({
       routes: () => routes,
       directoryAgeMs: () => 0,
+      findServiceVersions: () => Promise.reject(new Error('no directory in this test')),
       access: () => ({ kind: 'allowed', tenant }),
       quotas: {
         take: async () => {
