A version whose last runners have left still counts for streams that it began

Callers got streams of two software versions at the end of a release: a stream began at a runner of the old version, broke when the last of these left, and was taken up by Last-Event-Id. It went on at the new version, at any gateway, in step or not.

Cause: the only registered version was taken for the only one that can have begun the stream. A version that is gone was forgotten at once.

Now each member of the directory remembers when the last back end of a version was removed, and the leader counts the version for the time limit of the call's route and 10 s more, as long as the ledger keeps a stream's record.

--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -51,10 +51,10 @@
       return { source: configuration && unpackSource(configuration) };
     }),
   );
-  router.handle(SERVICE_VERSIONS, ({ service }) =>
+  router.handle(SERVICE_VERSIONS, ({ service, withinMs }) =>
     answerAsLeader(findGroup(), async (group) => {
       await group.confirmLeadership();
-      return leader.stateMachine.versionsOf(service);
+      return leader.stateMachine.versionsOf(service, withinMs);
     }),
   );
   router.handle(START_RETIREMENT, ({ node }) =>
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -21,8 +21,9 @@
 } from './incarnation.js';
 import type { CommittedUpdate, CommittedUpdateRequest } from './messages.js';
 import type { PackedConfiguration } from './packed-configuration.js';
+import { RecentVersions } from './recent-versions.js';
 import { RegisteredBackends } from './registered-backends.js';
-import { type ServiceVersions, distinctVersions } from './service-versions.js';
+import type { ServiceVersions } from './service-versions.js';
 
 export type RetirementState = 'running' | 'complete';
 
@@ -80,6 +81,7 @@
   /** Packed updates for watchers. */
   readonly backendUpdates = new BackendUpdateSource(this);
   private state: DirectoryState = emptyState();
+  private readonly recentVersions = new RecentVersions();
 
   /**
    * @param onChange called after each command that changed the state
@@ -169,10 +171,12 @@
     );
   }
 
-  /** Software versions of a service's backends that are registered. */
-  versionsOf(service: string): ServiceVersions {
-    const backends = [...this.backends.values()].filter((backend) => backend.service === service);
-    return { versions: distinctVersions(backends) };
+  /**
+   * Software versions of a service's backends that are registered, or were within a time.
+   * @param withinMs in milliseconds
+   */
+  versionsOf(service: string, withinMs: number): ServiceVersions {
+    return this.recentVersions.of(service, this.backends.values(), withinMs);
   }
 
   /** What this member has applied after the versions that the watcher holds. */
@@ -223,6 +227,7 @@
       quotaShares: quotaSharesOf(encoded.quotaShares),
     };
     this.backendHistory.reset(this.state.backendsIndex);
+    this.recentVersions.reset();
     this.onChange();
   }
 
@@ -267,6 +272,7 @@
       if (other.id !== id) this.markDeparted(other.id, index);
     }
     this.replaceLost(registration, index);
+    if (known && !isSameVersion(known, registration)) this.recentVersions.noteRemoved(known);
     this.state.backends.set(registration);
     this.backendHistory.record(index, id);
     this.state.backendsIndex = index;
@@ -308,7 +314,11 @@
   }
 
   private removeRegistration(id: string, index: number): void {
-    if (this.state.backends.delete(id)) this.backendHistory.record(index, id);
+    const removed = this.state.backends.get(id);
+    if (!removed) return;
+    this.state.backends.delete(id);
+    this.backendHistory.record(index, id);
+    this.recentVersions.noteRemoved(removed);
   }
 
   /** Marks lost backends with the same address or name as departed; the registering one is no longer lost. */
@@ -344,6 +354,10 @@
   return { ...backend, name: backend.name ?? backend.id };
 }
 
+function isSameVersion(left: BackendRegistration, right: BackendRegistration): boolean {
+  return left.service === right.service && left.softwareVersion === right.softwareVersion;
+}
+
 /** Relies on the insertion order of sets and maps. */
 function dropOldest(entries: Set<string> | Map<string, string>, maximum: number): void {
   const oldest = entries.keys().next().value;
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -165,6 +165,8 @@
 
 export interface ServiceVersionsRequest {
   service: string;
+  /** Time within which a version counts that is not registered any more, in milliseconds. */
+  withinMs: number;
 }
 
 /** The incarnation that leaves; without a start time, all that are registered under the name. */
--- a/src/directory/service-versions.ts
+++ b/src/directory/service-versions.ts
@@ -7,10 +7,12 @@
   softwareVersion?: string | undefined;
 }
 
-/** Versions of a service. */
+/** Versions of a service within a time. */
 export interface ServiceVersions {
   /** One backend of each version. */
   versions: BackendVersion[];
+  /** Whether they are all. */
+  isComplete: boolean;
 }
 
 /**
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -19,6 +19,8 @@
 const MAX_VERSIONS = 8;
 /** Maximum time for replacing a recorded version, in milliseconds; the call is refused afterwards. */
 const MAX_CHANGE_MS = 400;
+/** Time after the time limit of a route in which its streams may still be resumed, in milliseconds. */
+const RESUMPTION_GRACE_MS = 10_000;
 const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
 
 /** A call on a streaming route. */
@@ -31,8 +33,11 @@
   deadlineMs: number;
 }
 
-/** Asks for the versions of a service's backends that are registered at the time of the call. Rejects if that cannot be known. */
-export type FindServiceVersions = (service: string) => Promise<ServiceVersions>;
+/**
+ * Asks for the versions of a service's backends that are registered at the time of the call, or were within a time in
+ * milliseconds. Rejects if that cannot be known.
+ */
+export type FindServiceVersions = (service: string, withinMs: number) => Promise<ServiceVersions>;
 
 export interface ResumableStreamsOptions {
   backends: BackendView;
@@ -126,21 +131,22 @@
 
   /**
    * The only version at which the stream of a caller that names no attempt may have begun. This gateway's view does not tell:
-   * it may lack a version that others know.
+   * it may lack a version that others know, and one whose backends have left.
    * @throws RefusedError unless there is exactly one
    */
-  private async soleVersion({ service }: StreamCall): Promise<VersionKey> {
+  private async soleVersion({ service, route }: StreamCall): Promise<VersionKey> {
     if (this.options.backends.registeredVersions(service).length > 1)
       throw new RefusedError('unknown-stream');
-    const { versions } = await this.findServiceVersions(service);
+    const withinMs = route.route.timeoutMs + RESUMPTION_GRACE_MS;
+    const { versions, isComplete } = await this.findServiceVersions(service, withinMs);
     const [version] = versions;
-    if (!version || versions.length > 1) throw new RefusedError('unknown-stream');
+    if (!version || versions.length > 1 || !isComplete) throw new RefusedError('unknown-stream');
     return versionKeyOf(version);
   }
 
-  private async findServiceVersions(service: string): Promise<ServiceVersions> {
+  private async findServiceVersions(service: string, withinMs: number): Promise<ServiceVersions> {
     try {
-      return await this.options.findServiceVersions(service);
+      return await this.options.findServiceVersions(service, withinMs);
     } catch (error) {
       const details = { reason: describeError(error) };
       throw new RefusedError('unknown-stream', undefined, details);
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -325,7 +325,7 @@
       backends: this.backends,
       placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
       ledger: this.ledger,
-      findServiceVersions: (service) => this.directory.serviceVersions(service),
+      findServiceVersions: (service, withinMs) => this.directory.serviceVersions(service, withinMs),
       protocol,
       logger,
       metrics: this.metrics,
