Logs tell why a stream whose caller names no attempt was refused

The line of such a call has the versions at which the stream may have begun, or why the directory did not tell them, and explain says so instead of naming the ledger, which was not asked.

--- a/src/explain/resumed-stream.test.ts
+++ b/src/explain/resumed-stream.test.ts
@@ -42,6 +42,21 @@
     );
   });
 
+  it('tells why it was refused without the name of an attempt', () => {
+    const { resumedAttempt: _named, ...unnamed } = SECOND.fields;
+    const textOf = (fields: Record<string, unknown>): string =>
+      explain('b', [{ ...SECOND, fields: { ...unnamed, outcome: 'unknown-stream', ...fields } }])
+        .findings[0]!.text;
+    expect(textOf({ possibleVersions: 'version v1,version v2' })).toBe(
+      'refused to resume the stream of attempt unknown after event 2: the caller names no attempt, ' +
+        'and not exactly one version may have begun it (known: version v1,version v2)',
+    );
+    expect(textOf({ reason: 'no leader answered' })).toBe(
+      'refused to resume the stream of attempt unknown after event 2: ' +
+        'the directory did not tell versions: no leader answered',
+    );
+  });
+
   it('tells why it was refused', () => {
     const textOf = (fields: Record<string, unknown>): string =>
       explain('b', [{ ...SECOND, fields: { ...SECOND.fields, ...fields } }]).findings[0]!.text;
--- a/src/explain/stream-findings.ts
+++ b/src/explain/stream-findings.ts
@@ -31,7 +31,7 @@
   const what = `the stream of attempt ${String(resumedAttempt ?? 'unknown')} after event ${String(lastEventId)}`;
   const began = versionsOfAttempt(resumedAttempt, records);
   if (outcome === 'unknown-stream') {
-    const text = `refused to resume ${what}: the ledger has no software version of it${began}`;
+    const text = `refused to resume ${what}: ${whyUnknown(line)}${began}`;
     return [createFinding(line, 'unknown-stream', text)];
   }
   if (outcome === 'no-backend-of-version') {
@@ -42,6 +42,14 @@
   return [createFinding(line, 'resumed-stream', `resumed ${what}${at}${began}`)];
 }
 
+function whyUnknown({ fields: { resumedAttempt, possibleVersions, reason } }: LogRecord): string {
+  if (resumedAttempt !== undefined) return 'the ledger has no software version of it';
+  if (possibleVersions === undefined)
+    return `the directory did not tell versions: ${String(reason)}`;
+  const known = possibleVersions === '' ? 'none is known' : `known: ${String(possibleVersions)}`;
+  return `the caller names no attempt, and not exactly one version may have begun it (${known})`;
+}
+
 /** The versions that the line of the first attempt names, if it was logged. */
 function versionsOfAttempt(attempt: unknown, records: readonly LogRecord[]): string {
   const first = records.find(
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -15,7 +15,7 @@
 
 /** Limit for the ids of attempts that callers name. */
 const MAX_ATTEMPT_ID_LENGTH = 256;
-/** Maximum number of versions among which the ledger selects. */
+/** Maximum number of versions among which the ledger selects, and that a log entry names. */
 const MAX_VERSIONS = 8;
 /** Maximum time for replacing a recorded version, in milliseconds; the call is refused afterwards. */
 const MAX_CHANGE_MS = 400;
@@ -135,13 +135,13 @@
    * @throws RefusedError unless there is exactly one
    */
   private async soleVersion({ service, route }: StreamCall): Promise<VersionKey> {
-    if (this.options.backends.registeredVersions(service).length > 1)
-      throw new RefusedError('unknown-stream');
+    const registered = this.options.backends.registeredVersions(service);
+    if (registered.length > 1) throw unknownVersion(registered);
     const withinMs = route.route.timeoutMs + RESUMPTION_GRACE_MS;
     const { versions, isComplete } = await this.findServiceVersions(service, withinMs);
-    const [version] = versions;
-    if (!version || versions.length > 1 || !isComplete) throw new RefusedError('unknown-stream');
-    return versionKeyOf(version);
+    const keys = versions.map(versionKeyOf);
+    if (keys.length !== 1 || !isComplete) throw unknownVersion(keys);
+    return keys[0]!;
   }
 
   private async findServiceVersions(service: string, withinMs: number): Promise<ServiceVersions> {
@@ -154,6 +154,13 @@
   }
 }
 
+/** @param known versions at which the stream may have begun; there may be others */
+function unknownVersion(known: readonly VersionKey[]): RefusedError {
+  return new RefusedError('unknown-stream', undefined, {
+    possibleVersions: known.slice(0, MAX_VERSIONS).join(','),
+  });
+}
+
 /**
  * The version of a stream that the ledger has not confirmed, although it may have recorded one.
  * @returns undefined if the ledger was not asked
