Each service of a divided route may have begun a stream whose caller names no attempt

A stream on a route that is divided among services began at a runner of one service, and was taken up by Last-Event-Id at another service, which had one version, but a different one: callers could get a stream of two software versions while one of the services had a release.

Cause: the versions of one service were looked at, that which the division gave the later attempt.

Now the versions of all services of the route count together.

--- a/src/directory/directory-client.ts
+++ b/src/directory/directory-client.ts
@@ -73,9 +73,9 @@
     await this.call(REMOVE_BACKEND, incarnation, REGISTRATION_TIMEOUT_MS);
   }
 
-  /** Software versions of a service's backends that are registered when this is called, or were within a time. */
-  serviceVersions(service: string, withinMs: number): Promise<ServiceVersions> {
-    return this.call(SERVICE_VERSIONS, { service, withinMs }, VERSIONS_TIMEOUT_MS);
+  /** Software versions of the services' backends that are registered when this is called, or were within a time. */
+  serviceVersions(services: readonly string[], withinMs: number): Promise<ServiceVersions> {
+    return this.call(SERVICE_VERSIONS, { services, withinMs }, VERSIONS_TIMEOUT_MS);
   }
 
   startRetirement(node: string): Promise<RetirementResponse> {
--- a/src/directory/directory-service.ts
+++ b/src/directory/directory-service.ts
@@ -51,10 +51,10 @@
       return { source: configuration && unpackSource(configuration) };
     }),
   );
-  router.handle(SERVICE_VERSIONS, ({ service, withinMs }) =>
+  router.handle(SERVICE_VERSIONS, ({ services, withinMs }) =>
     answerAsLeader(findGroup(), async (group) => {
       await group.confirmLeadership();
-      return leader.stateMachine.versionsOf(service, withinMs);
+      return leader.stateMachine.versionsOf(services, withinMs);
     }),
   );
   router.handle(START_RETIREMENT, ({ node }) =>
--- a/src/directory/directory-state-machine.ts
+++ b/src/directory/directory-state-machine.ts
@@ -172,11 +172,11 @@
   }
 
   /**
-   * Software versions of a service's backends that are registered, or were within a time.
+   * Software versions of the services' backends that are registered, or were within a time.
    * @param withinMs in milliseconds
    */
-  versionsOf(service: string, withinMs: number): ServiceVersions {
-    return this.recentVersions.of(service, this.backends.values(), withinMs);
+  versionsOf(services: readonly string[], withinMs: number): ServiceVersions {
+    return this.recentVersions.of(services, this.backends.values(), withinMs);
   }
 
   /** What this member has applied after the versions that the watcher holds. */
--- a/src/directory/messages.ts
+++ b/src/directory/messages.ts
@@ -164,7 +164,7 @@
 }
 
 export interface ServiceVersionsRequest {
-  service: string;
+  services: readonly string[];
   /** Time within which a version counts that is not registered any more, in milliseconds. */
   withinMs: number;
 }
--- a/src/directory/recent-versions.test.ts
+++ b/src/directory/recent-versions.test.ts
@@ -25,7 +25,7 @@
 }
 
 function labelsOf(recent: RecentVersions, registered: BackendRegistration[] = []): string[] {
-  const { versions } = recent.of(SERVICE, registered, WITHIN_MS);
+  const { versions } = recent.of([SERVICE], registered, WITHIN_MS);
   return versions.map(({ id, softwareVersion }) => softwareVersion ?? id).sort();
 }
 
@@ -49,7 +49,7 @@
 it('does not claim to know all versions after a snapshot, or after more removals than it holds', () => {
   const now = { ms: 0 };
   const recent = at(now);
-  const isComplete = (): boolean => recent.of(SERVICE, [], WITHIN_MS).isComplete;
+  const isComplete = (): boolean => recent.of([SERVICE], [], WITHIN_MS).isComplete;
   expect(isComplete()).toBe(true);
   recent.reset();
   expect(isComplete()).toBe(false);
@@ -68,7 +68,7 @@
     run({ kind: 'register-backend', registration });
   const versions = (): (string | undefined)[] =>
     state
-      .versionsOf(SERVICE, WITHIN_MS)
+      .versionsOf([SERVICE], WITHIN_MS)
       .versions.map(({ softwareVersion }) => softwareVersion)
       .sort();
   register(backendOf('a', 'v1'));
@@ -80,5 +80,5 @@
   expect(versions()).toEqual(['v1', 'v2', 'v3']);
   const restored = new DirectoryStateMachine();
   restored.restore(Buffer.concat([...state.snapshot()]));
-  expect(restored.versionsOf(SERVICE, WITHIN_MS)).toMatchObject({ isComplete: false });
+  expect(restored.versionsOf([SERVICE], WITHIN_MS)).toMatchObject({ isComplete: false });
 });
--- a/src/directory/recent-versions.ts
+++ b/src/directory/recent-versions.ts
@@ -45,13 +45,15 @@
    * @param withinMs time within which a version counts that is not registered any more, in milliseconds
    */
   of(
-    service: string,
+    services: readonly string[],
     registered: Iterable<BackendRegistration>,
     withinMs: number,
   ): ServiceVersions {
     const since = this.nowMs() - withinMs;
     const removed = [...this.removed.values()].filter(({ removedAt }) => removedAt >= since);
-    const backends = [...removed, ...registered].filter((backend) => backend.service === service);
+    const backends = [...removed, ...registered].filter(({ service }) =>
+      services.includes(service),
+    );
     return { versions: distinctVersions(backends), isComplete: this.knownSince < since };
   }
 
--- a/src/directory/service-versions.ts
+++ b/src/directory/service-versions.ts
@@ -7,7 +7,7 @@
   softwareVersion?: string | undefined;
 }
 
-/** Versions of a service within a time. */
+/** Versions of some services within a time. */
 export interface ServiceVersions {
   /** One backend of each version. */
   versions: BackendVersion[];
--- a/src/forwarding/backend-versions.test.ts
+++ b/src/forwarding/backend-versions.test.ts
@@ -32,7 +32,7 @@
   expect(VIEW.serving('s', 'backend e5').map(({ id }) => id)).toEqual(['e5']);
   expect(VIEW.serving('s', 'version v3')).toEqual([]);
   expect(VIEW.serving('s')).toHaveLength(5);
-  expect(VIEW.registeredVersions('s')).toHaveLength(5);
+  expect(VIEW.registeredVersions(['s'])).toHaveLength(5);
 });
 
 it('forgets the versions of backends that are gone', () => {
--- a/src/forwarding/backend-view.ts
+++ b/src/forwarding/backend-view.ts
@@ -278,9 +278,10 @@
     return groups.map(([version]) => version);
   }
 
-  /** Versions of all registered backends of a service, including those that are leaving. */
-  registeredVersions(service: string): VersionKey[] {
-    const backends = [...this.backends.values()].filter(({ record }) => record.service === service);
+  /** Versions of all registered backends of some services, including those that are leaving. */
+  registeredVersions(services: readonly string[]): VersionKey[] {
+    const all = [...this.backends.values()];
+    const backends = all.filter(({ record }) => services.includes(record.service));
     return [...new Set(backends.map(versionKeyOf))];
   }
 
--- a/src/forwarding/resumable-streams.ts
+++ b/src/forwarding/resumable-streams.ts
@@ -34,10 +34,13 @@
 }
 
 /**
- * Asks for the versions of a service's backends that are registered at the time of the call, or were within a time in
+ * Asks for the versions of the services' backends that are registered at the time of the call, or were within a time in
  * milliseconds. Rejects if that cannot be known.
  */
-export type FindServiceVersions = (service: string, withinMs: number) => Promise<ServiceVersions>;
+export type FindServiceVersions = (
+  services: readonly string[],
+  withinMs: number,
+) => Promise<ServiceVersions>;
 
 export interface ResumableStreamsOptions {
   backends: BackendView;
@@ -131,22 +134,26 @@
 
   /**
    * The only version at which the stream of a caller that names no attempt may have begun. This gateway's view does not tell:
-   * it may lack a version that others know, and one whose backends have left.
+   * it may lack a version that others know, and one whose backends have left. Any service of the route may have begun it.
    * @throws RefusedError unless there is exactly one
    */
-  private async soleVersion({ service, route }: StreamCall): Promise<VersionKey> {
-    const registered = this.options.backends.registeredVersions(service);
+  private async soleVersion({ route: { route } }: StreamCall): Promise<VersionKey> {
+    const services = route.parts.map(({ service }) => service);
+    const registered = this.options.backends.registeredVersions(services);
     if (registered.length > 1) throw unknownVersion(registered);
-    const withinMs = route.route.timeoutMs + RESUMPTION_GRACE_MS;
-    const { versions, isComplete } = await this.findServiceVersions(service, withinMs);
+    const withinMs = route.timeoutMs + RESUMPTION_GRACE_MS;
+    const { versions, isComplete } = await this.findServiceVersions(services, withinMs);
     const keys = versions.map(versionKeyOf);
     if (keys.length !== 1 || !isComplete) throw unknownVersion(keys);
     return keys[0]!;
   }
 
-  private async findServiceVersions(service: string, withinMs: number): Promise<ServiceVersions> {
+  private async findServiceVersions(
+    services: readonly string[],
+    withinMs: number,
+  ): Promise<ServiceVersions> {
     try {
-      return await this.options.findServiceVersions(service, withinMs);
+      return await this.options.findServiceVersions(services, withinMs);
     } catch (error) {
       const details = { reason: describeError(error) };
       throw new RefusedError('unknown-stream', undefined, details);
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -325,7 +325,8 @@
       backends: this.backends,
       placement: new Placement({ zone: settings.zone, statistics: this.statistics }),
       ledger: this.ledger,
-      findServiceVersions: (service, withinMs) => this.directory.serviceVersions(service, withinMs),
+      findServiceVersions: (services, withinMs) =>
+        this.directory.serviceVersions(services, withinMs),
       protocol,
       logger,
       metrics: this.metrics,
