Bytes of a back end that are in neither head nor body are bounded

What callers saw: a back end that sent interim responses, a status line or a chunk extension without end held its call for all of its time, which ended with 504, and its connection was read as fast as it sent.

Cause: limits applied to heads and bodies as undici reports them. It reports nothing of a chunk extension or a status line until they end, and the 1xx responses that it reports were ignored.

The socket now counts the bytes since the last part that undici reported, and closes the connection above 256 KiB; the attempt counts interim responses, up to 16. Both end as an unusable answer: 502, or a repeat where the call may be repeated, and never as a lost connection, which would count as an end of the back end.

Evidence: the four tests of such bytes were red before (no result within 60 s without a deadline); a fifth, with 16 interim responses and 2,000 chunk extensions of 1 KB in an answer that ends, was green and is.

--- a/src/forwarding/backend-connections.ts
+++ b/src/forwarding/backend-connections.ts
@@ -3,9 +3,14 @@
  * connections is limited to this process's share of the backend's limit.
  */
 import { Client, type Dispatcher } from 'undici';
-import { backendConnector } from '../http/index.js';
+import { type BackendSocket, backendConnector } from '../http/index.js';
 
 const CONNECT_TIMEOUT_MS = 450;
+/**
+ * Maximum number of bytes of an answer between two parts of its head or body, many times what undici takes as one head. What a
+ * paused connection has buffered, 128 KiB at most, counts until it is read.
+ */
+const MAX_FRAMING_BYTES = 256 * 1024;
 /** Idle timeout, shorter than the usual timeout of backends, in milliseconds. */
 const KEEP_ALIVE_MS = 4_000;
 /** Margin subtracted from a keep-alive timeout announced by the backend, in milliseconds. */
@@ -19,6 +24,7 @@
 /** A connection that carries one call at a time. */
 export class BackendConnection {
   private isOpen = true;
+  private socket: BackendSocket | undefined;
 
   constructor(
     private readonly client: Client,
@@ -28,7 +34,17 @@
     client.on('connectionError', () => this.discard());
   }
 
+  noteConnected(socket: BackendSocket): void {
+    this.socket = socket;
+  }
+
+  /** A head or a part of a body was received. */
+  notePart(): void {
+    this.socket?.notePart();
+  }
+
   dispatch(options: DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.notePart();
     this.client.dispatch({ ...options, headersTimeout: 0, bodyTimeout: 0 }, handler);
   }
 
@@ -64,15 +80,19 @@
     const idleConnection = this.idle.pop();
     if (idleConnection) return idleConnection;
     if (this.open.size >= this.limit()) return undefined;
+    const connect = backendConnector(CONNECT_TIMEOUT_MS, {
+      maxUnreportedBytes: MAX_FRAMING_BYTES,
+      onConnected: (socket) => connection.noteConnected(socket),
+    });
     const client = new Client(`http://${this.address}`, {
       pipelining: 1,
-      connect: backendConnector(CONNECT_TIMEOUT_MS),
+      connect,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    const connection = new BackendConnection(client, this);
+    const connection: BackendConnection = new BackendConnection(client, this);
     this.open.add(connection);
     return connection;
   }
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -3,7 +3,7 @@
  * call.
  */
 import type { Dispatcher } from 'undici';
-import { headerValues } from '../http/index.js';
+import { FramingTooLargeError, headerValues } from '../http/index.js';
 import type { BackendConnection } from './backend-connections.js';
 import type { ParsedResponseHead, BackendProtocol, RequestHead } from './backend-protocol.js';
 import { type ResponseFraming, responseFraming } from './answer-end.js';
@@ -58,6 +58,8 @@
 
 const FIRST_REDIRECTION = 300;
 const NO_CONTENT = 'the connection closed before any content';
+/** Maximum number of responses with status 1xx before the final one. */
+const MAX_INTERIM_RESPONSES = 16;
 
 export class SendAttempt implements Dispatcher.DispatchHandler {
   /** Whether the call may have reached the backend. */
@@ -68,6 +70,7 @@
   wasPaused = false;
   private hadHead = false;
   private receivedBytes = 0;
+  private interimResponses = 0;
   private stopReason: 'stopped' | 'not-executed' | 'broken' | undefined;
   private verdict: ParsedResponseHead | undefined;
   private brokenCause = '';
@@ -126,7 +129,11 @@
     _headers: unknown,
     statusMessage?: string,
   ): void {
-    if (statusCode < 200) return;
+    this.options.connection.notePart();
+    if (statusCode < 200) {
+      this.noteInterimResponse();
+      return;
+    }
     this.headAt = performance.now();
     this.options.onDataReceived();
     const rawHeaders = textOf(controller.rawHeaders);
@@ -157,6 +164,7 @@
     // When resumed, undici's parser repeats its last callback without data; pausing it again would
     // leave it paused at the end of the stream, which it does not support.
     if (chunk.length === 0) return;
+    this.options.connection.notePart();
     this.options.onDataReceived();
     if (this.stopReason) return;
     this.receivedBytes += chunk.length;
@@ -183,7 +191,7 @@
     this.options.connection.discard();
     if (this.stopReason !== undefined) this.finish(this.stopResult(error.message));
     else if (!this.wasSent) this.finish({ kind: 'not-sent', cause: error.message });
-    else this.finish(this.brokenResult(error.message, 'connection-lost'));
+    else this.finish(this.brokenResult(error.message, reasonOf(error)));
   }
 
   /** A success without content whose connection has closed may have been cut after its head, or within it. */
@@ -197,6 +205,11 @@
     return !sink.isStream && this.receivedBytes > maxResponseBytes;
   }
 
+  private noteInterimResponse(): void {
+    this.interimResponses += 1;
+    if (this.interimResponses > MAX_INTERIM_RESPONSES) this.fail('too many interim responses');
+  }
+
   private checkRejection(): void {
     const { rejectionReason } = this.options.sink;
     if (rejectionReason !== undefined) this.fail(rejectionReason);
@@ -230,6 +243,10 @@
   }
 }
 
+function reasonOf(error: Error): BrokenReason {
+  return error instanceof FramingTooLargeError ? 'unusable-answer' : 'connection-lost';
+}
+
 function announcesClose(rawHeaders: readonly string[]): boolean {
   return headerValues(rawHeaders, 'connection').some((value) => value.toLowerCase() === 'close');
 }
