Blocks of what is collected of answers are used again

Cause: blocks live long enough to be old, and V8 frees old buffers only after 64 MB more of them; so events that are dropped leave a multiple of what is held outside the heap.

--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -36,6 +36,11 @@
     return this.partial.heldBytes;
   }
 
+  /** Discards the incomplete event. */
+  clear(): void {
+    this.partial.clear();
+  }
+
   push(chunk: Buffer): StreamEvent[] {
     const events: StreamEvent[] = [];
     let start = 0;
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -41,7 +41,7 @@
   lastEventId: string | undefined;
   /** When the first event was relayed (monotonic, milliseconds). */
   firstEventAt: number | undefined;
-  private splitter = new EventSplitter();
+  private readonly splitter = new EventSplitter();
   /** Undefined if the stream is not resumable, so that its ids need no check. */
   private readonly sequence: EventSequence | undefined;
   private readonly output = new ByteAccumulator();
@@ -107,14 +107,14 @@
 
   /** Frees what is held; the response will not be completed. */
   discard(): void {
-    this.splitter = new EventSplitter();
+    this.splitter.clear();
     this.output.clear();
     this.noteHeldBytes();
   }
 
   /** Discards the data of a failed attempt; the next one continues after the last event. */
   restart(): void {
-    this.splitter = new EventSplitter();
+    this.splitter.clear();
     this.earlierEvents = this.events;
     this.currentRejection = undefined;
     this.noteHeldBytes();
--- a/src/memory-budget/byte-accumulator.ts
+++ b/src/memory-budget/byte-accumulator.ts
@@ -3,10 +3,12 @@
  * neither a chunk's larger buffer nor an object for each small chunk stays in memory.
  */
 
-/** Maximum size of a block, unless a chunk is larger. */
-const MAX_BLOCK_BYTES = 64 * 1024;
+import { POOLED_BLOCK_BYTES, processBlockPool } from './block-pool.js';
+
 /** A chunk of at least this part of the content has a block of its own size. */
 const OWN_BLOCK_FRACTION = 0.25;
+/** Content of at least this size is kept in pooled blocks. */
+const POOLED_CONTENT_BYTES = POOLED_BLOCK_BYTES / 2;
 
 const EMPTY = Buffer.alloc(0);
 
@@ -31,13 +33,14 @@
   }
 
   append(chunk: Uint8Array): void {
-    const room = this.lastBlock.length - this.lastLength;
-    const fitting = chunk.subarray(0, room);
-    this.copy(fitting);
-    const rest = chunk.subarray(fitting.length);
-    if (rest.length === 0) return;
-    this.addBlock(rest.length);
-    this.copy(rest);
+    let rest = chunk;
+    for (;;) {
+      const fitting = rest.subarray(0, this.lastBlock.length - this.lastLength);
+      this.copy(fitting);
+      rest = rest.subarray(fitting.length);
+      if (rest.length === 0) return;
+      this.addBlock(rest.length);
+    }
   }
 
   /** The last bytes, or all of them if there are fewer. */
@@ -62,6 +65,8 @@
   }
 
   clear(): void {
+    for (const block of this.fullBlocks) processBlockPool.giveBack(block);
+    processBlockPool.giveBack(this.lastBlock);
     this.fullBlocks.length = 0;
     this.fullBytes = 0;
     this.lastBlock = EMPTY;
@@ -77,9 +82,14 @@
   private addBlock(bytes: number): void {
     if (this.lastLength > 0) this.fullBlocks.push(this.lastBlock);
     this.fullBytes += this.lastLength;
-    const isLarge = bytes >= this.fullBytes * OWN_BLOCK_FRACTION;
-    const size = isLarge ? bytes : Math.min(this.fullBytes, MAX_BLOCK_BYTES);
-    this.lastBlock = Buffer.allocUnsafeSlow(Math.max(bytes, size));
+    this.lastBlock = this.createBlock(bytes);
     this.lastLength = 0;
   }
+
+  /** @param bytes number of bytes to come */
+  private createBlock(bytes: number): Buffer {
+    if (this.fullBytes + bytes >= POOLED_CONTENT_BYTES) return processBlockPool.take();
+    const isLarge = bytes >= this.fullBytes * OWN_BLOCK_FRACTION;
+    return Buffer.allocUnsafeSlow(isLarge ? bytes : Math.max(bytes, this.fullBytes));
+  }
 }
