Garbage is collected before it fills a process that is near its memory limit

Cause: V8 doesn't know the process's limit; buffers that were read and copied are freed after 32 MB (young) and 64 MB (old) more of them. Metric ledgegauge_memory_triggered_collections.

--- a/src/http/backend-socket.ts
+++ b/src/http/backend-socket.ts
@@ -15,6 +15,7 @@
 import { Socket } from 'node:net';
 import type { buildConnector } from 'undici';
 import { LedgegaugeError } from '../common/index.js';
+import { processGcTrigger } from '../memory-budget/index.js';
 import { isPeerLost } from './lost-peer.js';
 
 /** The peer reset the connection; data that was not delivered is lost. */
@@ -78,6 +79,7 @@
 
   /** @returns false if the limit is exceeded and the connection is closed */
   private noteReceived({ length }: Buffer): boolean {
+    processGcTrigger.noteReceived(length);
     this.unreportedBytes += length;
     if (this.unreportedBytes <= this.maxUnreportedBytes) return true;
     const context = { step: 'backend.receive', peer: this.peerAddress, retriable: true };
--- a/src/memory-budget/index.ts
+++ b/src/memory-budget/index.ts
@@ -12,3 +12,4 @@
 export { ByteAccumulator } from './byte-accumulator.js';
 export { defaultMemoryLimitBytes } from './default-memory-limit.js';
 export { ReceivedBody } from './received-body.js';
+export { processGcTrigger } from './gc-trigger.js';
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -39,6 +39,7 @@
   MemoryBudgetMetrics,
   MemoryWatch,
   defaultMemoryLimitBytes,
+  processGcTrigger,
 } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import {
@@ -270,6 +271,12 @@
       'Generation of the configuration in force; 0 before the first',
       () => this.routes?.configuration.generation ?? 0,
     );
+    addGauge(
+      this.metrics.registry,
+      'ledgegauge_memory_triggered_collections',
+      'Garbage collections that received bytes have triggered before the garbage filled the process',
+      () => processGcTrigger.collections,
+    );
     addGauge(
       this.metrics.registry,
       'ledgegauge_ledger_delay_seconds',
@@ -368,6 +375,7 @@
   private watchMemory(): void {
     const { memoryLimitBytes, memory: budget } = this;
     const { logger } = this.options;
+    processGcTrigger.configure({ memoryLimitBytes, budget });
     this.memoryWatch = new MemoryWatch({ memoryLimitBytes, budget, logger });
   }
 
