A request's body is counted while it runs, and a further one isn't begun without room

A body was given back to the memory budget the moment its call began, so any number of complete bodies, and the histories put before them, were held for callers without anybody counting them. Callers saw a gateway that ran out of memory with all its calls.

The body's holder now changes its kind instead: request-body until the call begins, running-request until its answer is sent, waiting-call while the call waits for a back end (before, a waiting call's body had a holder of its own). A running request may have run, so it never gives way; a body that would bring running requests above half of the budget, beside another one, is refused as not run, with 503, Retry-After and a closed connection.

Tests red before: two of received-body.test.ts (0 bytes counted for 6,000; a second body begun), one of permit-gate.test.ts (2,000 bytes counted for 1,000). In "that arrives byte by byte holds little more than its length" the budget is now empty after `release` rather than after `take`, and the whole length is checked between them.

--- a/src/forwarding/call-exchange.ts
+++ b/src/forwarding/call-exchange.ts
@@ -1,4 +1,5 @@
 /** Interface of the caller's side of forwarded calls, implemented by a protocol adapter. */
+import type { MemoryHolder } from '../memory-budget/index.js';
 
 /** A part of a prompt; parts with equal ids have equal tokens. */
 export interface PromptPart {
@@ -124,6 +125,8 @@
   readonly description: CallDescription;
   /** Time at which the call was received (monotonic, milliseconds). */
   readonly arrivedAt: number;
+  /** Accounts for the request's body while the call runs; undefined if that is empty or not counted. */
+  readonly heldRequest?: MemoryHolder;
   /** Whether the caller has left, or the call was ended by `abort`: it takes no response any more. */
   readonly isAbandoned: boolean;
   /** Who ended the call so; undefined while it takes a response. @default not known */
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -224,7 +224,7 @@
       if (reservation) this.turns.release(reservation);
       throw new RefusedError('shutting-down');
     }
-    const body = withHistory(description.body, reservation?.history);
+    const body = bodyToSend(exchange, reservation?.history);
     const runOptions: CallRunOptions = {
       exchange,
       route,
@@ -318,6 +318,7 @@
       deadlineMs,
       programRemainingMs: description.program?.remainingMs,
       bytes,
+      held: exchange.heldRequest,
       callId: description.id,
     });
   }
@@ -445,6 +446,13 @@
   return Math.min(patienceMs ?? Infinity, routeTimeoutMs);
 }
 
-function withHistory(body: Buffer, history: Uint8Array | undefined): Buffer {
-  return history && history.length > 0 ? Buffer.concat([history, body]) : body;
+/** The body behind the history of its program; both are held until the call has ended. */
+function bodyToSend(
+  { description: { body }, heldRequest }: CallExchange,
+  history: Uint8Array | undefined,
+): Buffer {
+  if (!history || history.length === 0) return body;
+  const whole = Buffer.concat([history, body]);
+  heldRequest?.resize(body.length + whole.length);
+  return whole;
 }
--- a/src/memory-budget/memory-budget.ts
+++ b/src/memory-budget/memory-budget.ts
@@ -7,6 +7,8 @@
 
 /** Part of the process's memory that may be buffered; the rest is for code, connections and garbage. */
 const BUDGET_FRACTION = 0.3;
+/** Bytes of running requests up to which a further one may begin, as a part of the budget. */
+const RUNNING_FRACTION = 0.5;
 /** Number of holders that the budget must have room for at their fair share. */
 const FAIR_SHARES = 16;
 /** Maximum fair share. Larger answers are rare, and their callers must read them continuously. */
@@ -77,10 +79,14 @@
   private currentBytes = 0;
 
   constructor(
-    readonly options: HolderOptions,
+    private currentOptions: HolderOptions,
     private readonly budget: MemoryBudget,
   ) {}
 
+  get options(): HolderOptions {
+    return this.currentOptions;
+  }
+
   get bytes(): number {
     return this.currentBytes;
   }
@@ -94,6 +100,15 @@
     if (added > 0) this.budget.enforceLimit();
   }
 
+  /** Counts the bytes as those of another kind, with another end. No effect after `release` or the end. */
+  changeTo(options: HolderOptions): void {
+    if (!this.budget.includes(this)) return;
+    this.budget.add(this.options.kind, -this.currentBytes);
+    this.currentOptions = options;
+    this.budget.add(options.kind, this.currentBytes);
+    this.budget.enforceLimit();
+  }
+
   /** Gives the bytes back. */
   release(): void {
     if (!this.budget.remove(this)) return;
@@ -137,6 +152,12 @@
     return this.bytesByKind[kind];
   }
 
+  /** Whether a request of so many bytes may begin beside those that run. One that runs alone always may. */
+  hasRoomToRun(bytes: number): boolean {
+    const runningBytes = this.bytesByKind['running-request'];
+    return runningBytes === 0 || runningBytes + bytes <= this.runningLimitBytes;
+  }
+
   /** Registers a holder of 0 bytes, which must be released when its call has ended. */
   hold(options: HolderOptions): MemoryHolder {
     const holder = new MemoryHolder(options, this);
@@ -158,14 +179,23 @@
 
   /** Ends the largest holders while the budget is exceeded. Internal to `MemoryHolder`. */
   enforceLimit(): void {
-    if (this.totalBytes > this.limitBytes * NEARLY_EXHAUSTED_FRACTION) this.noteNearlyExhausted();
-    while (this.totalBytes > this.limitBytes) {
+    if (this.totalBytes > this.allowedBytes * NEARLY_EXHAUSTED_FRACTION) this.noteNearlyExhausted();
+    while (this.totalBytes > this.allowedBytes) {
       const largest = this.findLargest();
       if (!largest) return;
       this.end(largest);
     }
   }
 
+  private get runningLimitBytes(): number {
+    return this.limitBytes * RUNNING_FRACTION;
+  }
+
+  /** Running requests can't give way, so they take no room from holders that can until they use as much as those. */
+  private get allowedBytes(): number {
+    return this.limitBytes + Math.min(this.bytesByKind['running-request'], this.limitBytes);
+  }
+
   /** @returns whether the holder was registered. Internal to `MemoryHolder`. */
   remove(holder: MemoryHolder): boolean {
     return this.holders.delete(holder);
--- a/src/memory-budget/received-body.test.ts
+++ b/src/memory-budget/received-body.test.ts
@@ -8,12 +8,22 @@
   return new MemoryBudget({ memoryLimitBytes: limitBytes / 0.3, logger: createLogger({}) });
 }
 
+function bodyOf(
+  budget: MemoryBudget,
+  bytes: number,
+  onEnded: () => void = () => undefined,
+): ReceivedBody {
+  const body = new ReceivedBody({ budget, onEnded });
+  body.add(Buffer.alloc(bytes));
+  return body;
+}
+
 describe('a request body', () => {
   it('is put together from its parts', () => {
     const body = new ReceivedBody({ budget: undefined, onEnded: () => undefined });
     for (const part of ['a', 'bc', 'd'.repeat(20_000), 'e']) body.add(Buffer.from(part));
     expect(body.length).toBe(20_004);
-    expect(body.take().toString()).toBe(`abc${'d'.repeat(20_000)}e`);
+    expect(body.take()?.toString()).toBe(`abc${'d'.repeat(20_000)}e`);
   });
 
   it('is passed on without a copy if it arrives as a whole', () => {
@@ -31,9 +41,39 @@
     expect(budget.heldBytesOf('request-body')).toBeGreaterThanOrEqual(50_000);
     expect(budget.heldBytesOf('request-body')).toBeLessThan(50_000 + 8 * 1024 + 1);
     body.take();
+    expect(budget.heldBytes).toBe(50_000);
+    body.release();
     expect([budget.heldBytes, budget.holderCount]).toEqual([0, 0]);
   });
 
+  // Bodies of requests under way were counted by nobody.
+  it('stays counted while its request runs, and does not give way', () => {
+    const budget = budgetOf(10_000);
+    const ended: string[] = [];
+    const running = bodyOf(budget, 6_000, () => ended.push('running'));
+    running.take();
+    running.discard();
+    expect([budget.heldBytesOf('request-body'), budget.heldBytesOf('running-request')]).toEqual([
+      0, 6_000,
+    ]);
+    bodyOf(budget, 11_000, () => ended.push('receiving'));
+    expect([ended, budget.heldBytes]).toEqual([['receiving'], 6_000]);
+    running.release();
+    expect([budget.heldBytes, budget.holderCount]).toEqual([0, 0]);
+  });
+
+  it('is refused while running requests leave no room for it, and runs alone at any size', () => {
+    const budget = budgetOf(10_000);
+    let ended = 0;
+    const first = bodyOf(budget, 5_500);
+    expect(first.take()).toHaveLength(5_500);
+    const second = bodyOf(budget, 1_000, () => (ended += 1));
+    expect([second.take(), second.isDiscarded, ended]).toEqual([undefined, true, 1]);
+    expect(budget.heldBytes).toBe(5_500);
+    first.release();
+    expect(bodyOf(budget, 1_000).take()).toHaveLength(1_000);
+  });
+
   it('that is ended gives its bytes back and takes no more', () => {
     const budget = budgetOf(10_000);
     let ended = 0;
--- a/src/waiting/permit-gate.test.ts
+++ b/src/waiting/permit-gate.test.ts
@@ -119,6 +119,19 @@
     expect(bench.budget.heldBytes).toBe(0);
   });
 
+  // Guards against a body that is counted twice while its call waits.
+  it('lets the body of a waiting call give way, and no longer once it is sent', async () => {
+    const bench = new GateBench();
+    const [first] = bench.fill();
+    const held = bench.budget.hold({ kind: 'running-request' });
+    held.resize(1_000);
+    bench.request({ bytes: 1_000, held });
+    expect([held.options.kind, bench.budget.heldBytes]).toEqual(['waiting-call', 1_000]);
+    first!.end(true);
+    expect([held.options.kind, held.options.end]).toEqual(['running-request', undefined]);
+    expect(bench.budget.heldBytes).toBe(1_000);
+  });
+
   it('waits once the engine is full, until one of this gateway ends', async () => {
     const bench = new GateBench();
     const [first] = bench.fill();
--- a/src/waiting/permit-gate.ts
+++ b/src/waiting/permit-gate.ts
@@ -4,7 +4,7 @@
  * time.
  */
 import { monotonicMs } from '../common/index.js';
-import type { MemoryBudget } from '../memory-budget/index.js';
+import type { HolderOptions, MemoryBudget, MemoryHolder } from '../memory-budget/index.js';
 import type { Logger } from '../observability/index.js';
 import { utilizationOf } from '../performance/index.js';
 import { CallQueue } from './call-queue.js';
@@ -16,6 +16,7 @@
 } from './dispatch-limit.js';
 import { PermitRates } from './permit-rates.js';
 import {
+  type HeldBytes,
   type PermitCall,
   type PermitEnd,
   type PermitRequest,
@@ -98,21 +99,26 @@
     this.refuseRemoved(this.queue.add(ticket), 'queue-full', now);
     this.release(service, now);
     this.reviewArrival(ticket, now);
-    if (ticket.isWaiting) this.holdBytes(ticket, call.callId);
+    if (ticket.isWaiting) this.holdBytes(ticket, call);
     this.startTimer();
     return ticket;
   }
 
   /** Accounts for a waiting call; it is refused if it is the largest holder of an exhausted budget. */
-  private holdBytes(ticket: PermitTicket, callId: string | undefined): void {
-    const holder = this.options.memoryBudget?.()?.hold({
+  private holdBytes(ticket: PermitTicket, { callId, held }: PermitCall): void {
+    const options: HolderOptions = {
       kind: 'waiting-call',
       callId,
       end: () => {
         this.queue.remove(ticket);
         this.refuseRemoved([ticket], 'queue-full', monotonicMs());
       },
-    });
+    };
+    if (held) {
+      ticket.hold(changedWhileWaiting(held, options));
+      return;
+    }
+    const holder = this.options.memoryBudget?.()?.hold(options);
     if (!holder) return;
     ticket.hold(holder);
     holder.resize(ticket.bytes);
@@ -317,3 +323,10 @@
     this.options.metrics.note(ticket.service, outcome, waitedMs ?? 0);
   }
 }
+
+/** Lets a holder give way for as long as its call waits. */
+function changedWhileWaiting(held: MemoryHolder, options: HolderOptions): HeldBytes {
+  const running = held.options;
+  held.changeTo({ ...options, peer: running.peer });
+  return { release: () => held.changeTo(running) };
+}
--- a/src/waiting/permit-request.ts
+++ b/src/waiting/permit-request.ts
@@ -1,5 +1,6 @@
 /** One call's request for a permit, from its arrival until the call has ended. */
 import { Deferred } from '../common/index.js';
+import type { MemoryHolder } from '../memory-budget/index.js';
 import type { WaitingCall } from './waiting-call.js';
 
 /** Why a call got no permit: it would not be served in time. */
@@ -39,6 +40,8 @@
   programRemainingMs: number | undefined;
   /** Size of the request body, in bytes. */
   bytes: number;
+  /** Accounts for the call already. @default the gate accounts for `bytes` while the call waits */
+  held?: MemoryHolder;
   /** Id of the call, for the log. */
   callId?: string;
 }
