A body of which no byte arrives for the idle time gets 408

A body that stopped short of its end stayed, with its connection and its bytes, for as long as its caller did: `requestTimeout` is 0, since a whole request may take any time, and headersTimeout ends heads only. Now each byte gives a body the configuration's `idleTimeoutMs` anew; after that it gets a complete 408, which promises that it has not run, and its connection is closed. Time in which this process doesn't read the connection doesn't count, and a check after a stall comes behind the reads of what has arrived meanwhile. Callers that keep sending, however slowly, never meet it.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -12,4 +12,5 @@
 export { type ReceivedRequestHandler, RequestOrder, type RequestTurn } from './request-order.js';
 export { ServerConnections } from './server-connections.js';
 export * from './request-server.js';
+export { onSilentBody } from './silent-body.js';
 export * from './text-decoding.js';
