A control process counts the bodies and answers that it holds

Bodies of orders were bounded each (32 MiB) and nothing bounded their sum, nor answers that nobody read: in the trial of the issue's opening position 346 MB of bodies took a control process to 1,684 MB. A control process now has the memory budget that a gateway has, by the same `memoryLimitBytes`, with the same metrics, log lines and watch. The largest body or unread answer gives way; a body is refused with 503 and Retry-After as not carried out, also when the orders under way leave no room, which never give way and stay counted until they have ended. A body of which no byte arrives for 15 s gets 408 as not carried out; Node's own timeout was 300 s.

--- a/src/http/request-server.ts
+++ b/src/http/request-server.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { type MemoryBudget, type MemoryHolder, ReceivedBody } from '../memory-budget/index.js';
 import {
   type DrainableServer,
   GracefulShutdown,
@@ -12,6 +13,7 @@
 } from '../shutdown/index.js';
 import type { RequestTurn } from './request-order.js';
 import { ServerConnections } from './server-connections.js';
+import { onSilentBody } from './silent-body.js';
 
 /** A request that was received completely. */
 export interface WholeRequest {
@@ -24,6 +26,8 @@
   status: number;
   /** JSON. */
   body: string;
+  /** Time after which a request that was not carried out may come again, in seconds. */
+  retryAfterS?: number;
 }
 
 export interface RequestServerOptions {
@@ -34,6 +38,14 @@
   answer: (request: WholeRequest) => Promise<WholeResponse>;
   /** Answers a request whose body exceeds `maxBodyBytes`, and of which the rest is not read. */
   refuseTooLarge: (method: string, url: string) => WholeResponse;
+  /** Counts the bytes of requests and answers. @default they are not counted */
+  memoryBudget?: MemoryBudget;
+  /** Time without a byte after which a body is not waited for any longer, in milliseconds. @default 15000 */
+  bodySilenceMs?: number;
+  /** Answer to a request that is not carried out because no further byte of its body arrived in time. */
+  silent: WholeResponse;
+  /** Answer to a request that is not carried out because the memory for requests is used up. */
+  withoutRoom: WholeResponse;
   /** Answer to a request that is not carried out because the process stops. */
   stopping: WholeResponse;
   /** Answer to a request that is still carried out when the process ends. */
@@ -51,11 +63,16 @@
   unsent: number;
 }
 
+const DEFAULT_BODY_SILENCE_MS = 15_000;
+
 /** A request whose response is not sent yet. */
 interface OpenRequest {
   request: IncomingMessage;
   response: ServerResponse;
   turn: RequestTurn;
+  body: ReceivedBody;
+  /** Accounts for the answer's bytes. */
+  answerHolder?: MemoryHolder;
   state: 'receiving' | 'waiting' | 'running' | 'answered';
 }
 
@@ -130,7 +147,12 @@
     request.on('error', () => undefined);
     response.on('error', () => undefined);
     const turn = this.connections.enter(request, response);
-    const open: OpenRequest = { request, response, turn, state: 'receiving' };
+    const body = new ReceivedBody({
+      budget: this.options.memoryBudget,
+      peer: () => request.socket.remoteAddress,
+      onEnded: () => this.respond(open, this.options.withoutRoom),
+    });
+    const open: OpenRequest = { request, response, turn, body, state: 'receiving' };
     this.trackUntilSent(open);
     turn.receive(() => this.readBody(open));
   }
@@ -141,6 +163,7 @@
     const forget = (): void => {
       this.open.delete(open);
       socket.off('close', forget);
+      this.release(open);
     };
     this.open.add(open);
     response.once('close', forget);
@@ -149,34 +172,45 @@
   }
 
   private readBody(open: OpenRequest): void {
-    const { maxBodyBytes, refuseTooLarge } = this.options;
-    const { method = '', url = '' } = open.request;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    open.request.on('data', (chunk: Buffer) => {
+    const { maxBodyBytes, refuseTooLarge, silent } = this.options;
+    const { bodySilenceMs = DEFAULT_BODY_SILENCE_MS } = this.options;
+    const { request, body } = open;
+    const { method = '', url = '' } = request;
+    request.on('data', (chunk: Buffer) => {
       if (open.state !== 'receiving') return;
-      bytes += chunk.length;
-      if (bytes <= maxBodyBytes) chunks.push(chunk);
+      if (body.length + chunk.length <= maxBodyBytes) body.add(chunk);
       else this.respond(open, refuseTooLarge(method, url));
     });
-    open.request.on('end', () => {
+    onSilentBody(request, bodySilenceMs, () => {
+      if (open.state === 'receiving') this.respond(open, silent);
+    });
+    request.on('end', () => {
       if (open.state !== 'receiving') return;
       open.state = 'waiting';
       open.turn.noteReceived({
-        begin: () => void this.carryOut(open, Buffer.concat(chunks)),
-        drop: () => this.open.delete(open),
+        begin: () => void this.carryOut(open),
+        drop: () => this.drop(open),
       });
     });
   }
 
-  private async carryOut(open: OpenRequest, body: Buffer): Promise<void> {
+  private drop(open: OpenRequest): void {
+    this.open.delete(open);
+    this.release(open);
+  }
+
+  private async carryOut(open: OpenRequest): Promise<void> {
+    if (open.state !== 'waiting') return;
     if (this.isDraining) {
       this.refuse(open);
       return;
     }
+    const body = open.body.take();
+    if (!body) return;
     open.state = 'running';
     const { method = '', url = '' } = open.request;
     const answer = await this.options.answer({ method, url, body });
+    open.body.release();
     if (open.state === 'running') this.respond(open, answer);
   }
 
@@ -185,19 +219,41 @@
     this.respond(open, this.options.stopping);
   }
 
-  private respond(open: OpenRequest, { status, body }: WholeResponse): void {
+  private respond(open: OpenRequest, { status, body, retryAfterS }: WholeResponse): void {
     const { request, response, turn, state } = open;
     // The rest of a request that is received in part is not read.
     const isClosing = state === 'receiving' || (this.isDraining && turn.isLast);
     open.state = 'answered';
+    open.body.discard();
     if (response.destroyed) return;
     if (state === 'receiving') this.connections.lingerAfter(request);
+    const bytes = Buffer.byteLength(body);
     response.writeHead(status, {
       'Content-Type': 'application/json',
-      'Content-Length': String(Buffer.byteLength(body)),
+      'Content-Length': String(bytes),
+      ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
       ...(isClosing ? { Connection: 'close' } : {}),
     });
     response.end(body);
+    this.holdAnswer(open, bytes);
     void this.connections.waitUntilSent(request, response);
   }
+
+  /** Counts an answer until it is sent. As the largest holder it gives way: its caller doesn't read it. */
+  private holdAnswer(open: OpenRequest, bytes: number): void {
+    const { response, request } = open;
+    if (response.writableFinished) return;
+    open.answerHolder = this.options.memoryBudget?.hold({
+      kind: 'answer',
+      peer: () => request.socket.remoteAddress,
+      end: () => request.socket.destroy(),
+    });
+    open.answerHolder?.resize(bytes);
+  }
+
+  /** The body of a request that is still carried out stays counted. */
+  private release(open: OpenRequest): void {
+    open.answerHolder?.release();
+    if (open.state !== 'running') open.body.release();
+  }
 }
--- a/src/memory-budget/index.ts
+++ b/src/memory-budget/index.ts
@@ -11,5 +11,6 @@
 export { MemoryWatch } from './memory-watch.js';
 export { ByteAccumulator } from './byte-accumulator.js';
 export { defaultMemoryLimitBytes } from './default-memory-limit.js';
+export { ProcessMemory } from './process-memory.js';
 export { ReceivedBody } from './received-body.js';
 export { processGcTrigger } from './gc-trigger.js';
--- a/src/nodes/control-node.ts
+++ b/src/nodes/control-node.ts
@@ -1,6 +1,6 @@
 /** Control process: a member of the directory's consensus group that serves requests to the directory. */
 import { discoverCluster, registerProbe } from '../control/cluster-formation.js';
-import type { Registry } from 'prom-client';
+import { Registry } from 'prom-client';
 import { GroupClient, type ReplicatedGroup } from '../consensus/index.js';
 import {
   DIRECTORY_GROUP,
@@ -10,6 +10,7 @@
   unpackRoutes,
 } from '../directory/index.js';
 import type { RequestServer } from '../http/index.js';
+import { ProcessMemory } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import { QuotaLeader, type QuotaTolerance } from '../quotas/index.js';
 import type { Tenant } from '../routes/index.js';
@@ -32,6 +33,7 @@
 
 export class ControlNode {
   readonly directory: DirectoryClient;
+  readonly memory: ProcessMemory;
   private readonly timer: NodeJS.Timeout;
 
   private constructor(
@@ -42,6 +44,8 @@
     private readonly client: GroupClient,
   ) {
     this.directory = new DirectoryClient(client);
+    const { memoryLimitBytes } = settings;
+    this.memory = new ProcessMemory({ memoryLimitBytes, logger: hooks.logger });
     this.timer = setInterval(() => this.refreshAddresses(), ADDRESS_REFRESH_MS);
   }
 
@@ -109,7 +113,7 @@
       'Requests that are not sent again, at the leader',
       () => crashes.blockedCount,
     );
-    return registry;
+    return Registry.merge([registry, this.memory.registry]);
   }
 
   /** Applies changed seed addresses. */
@@ -129,6 +133,7 @@
 
   async stop(): Promise<void> {
     clearInterval(this.timer);
+    this.memory.stop();
     await this.member.stop();
     this.leader.stop();
   }
