Peers that are not authenticated may send 4 KiB each and are bounded

A connection of the internal protocol was held for a second before its handshake, whatever arrived on it: a frame of up to 64 MiB each, and any number of them at once. Now it is closed after 4 KiB (a proof has about 250 bytes), and the oldest of more than 512 gives way, so that members, whose handshake takes a round trip, still get in. Failed handshakes are counted.

--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -21,7 +21,7 @@
 import { monotonicMs } from '../common/index.js';
 import { IdentityStore } from '../control/identity.js';
 import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
-import type { Logger } from '../observability/index.js';
+import { type Logger, addGauge } from '../observability/index.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
 import { MemberLoadLog } from './member-load-log.js';
 import { ProcessLoadMeter } from './process-load.js';
@@ -114,7 +114,14 @@
   }
 
   createMetrics(): Registry {
-    return createMemberMetrics({ groups: () => this.groups, wal: this.wal });
+    const registry = createMemberMetrics({ groups: () => this.groups, wal: this.wal });
+    addGauge(
+      registry,
+      'ledgegauge_wire_failed_handshakes',
+      'Connections of the internal protocol that were closed without being authenticated',
+      () => this.rpcServer.failedHandshakes,
+    );
+    return registry;
   }
 
   /** The groups that this process has joined. */
--- a/src/wire/framed-socket.ts
+++ b/src/wire/framed-socket.ts
@@ -14,6 +14,7 @@
   private pendingRead: Deferred<unknown> | undefined;
   private listener: ((value: unknown) => void) | undefined;
   private corked = false;
+  private maxReceivedBytes = Infinity;
   private lastReceived = monotonicMs();
 
   constructor(
@@ -46,6 +47,11 @@
     return this.socket.writableLength;
   }
 
+  /** Closes the socket once more bytes than that have been received in all. */
+  limitReceived(maxBytes: number): void {
+    this.maxReceivedBytes = maxBytes;
+  }
+
   send(value: unknown): void {
     if (!this.socket.writable) return;
     if (!this.corked) {
@@ -111,6 +117,10 @@
     this.lastReceived = monotonicMs();
     this.traffic.received += chunk.length;
     wireCounters.reads += 1;
+    if (this.traffic.received > this.maxReceivedBytes) {
+      this.socket.destroy();
+      return;
+    }
     let values: unknown[];
     try {
       values = this.decoder.push(chunk);
--- a/src/wire/rpc-server.ts
+++ b/src/wire/rpc-server.ts
@@ -16,6 +16,9 @@
 import { MAX_SILENCE_LIMIT_MS, RpcConnection } from './rpc-connection.js';
 
 const HANDSHAKE_TIMEOUT_MS = 1_000;
+/** A peer's proof takes about 250 bytes beside its name. */
+const MAX_HANDSHAKE_BYTES = 4 * 1024;
+const DEFAULT_MAX_HANDSHAKES = 512;
 
 export interface RpcServerOptions {
   host: string;
@@ -28,10 +31,15 @@
    * reported, since a false report for a leader would cause an election. @default nothing
    */
   onDisconnect?: (peerName: string) => void;
+  /** Connections that may be unauthenticated at once; the oldest gives way to a further one. @default 512 */
+  maxHandshakes?: number;
 }
 
 export class RpcServer {
   private readonly connections = new Set<RpcConnection>();
+  /** Connections that are not authenticated yet, oldest first. */
+  private readonly handshakes = new Set<FramedSocket>();
+  private failed = 0;
   private isDraining = false;
 
   private constructor(
@@ -54,6 +62,16 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Number of connections that are not authenticated yet. */
+  get unauthenticatedConnections(): number {
+    return this.handshakes.size;
+  }
+
+  /** Number of connections that were closed without being authenticated. */
+  get failedHandshakes(): number {
+    return this.failed;
+  }
+
   /** Requests that are handled at the moment. */
   get runningRequests(): number {
     return [...this.connections].reduce((sum, { runningRequests }) => sum + runningRequests, 0);
@@ -93,7 +111,7 @@
   private async serve(socket: Socket): Promise<void> {
     const framed = new FramedSocket(socket, `${socket.remoteAddress}:${socket.remotePort}`);
     try {
-      const name = await acceptHandshake(framed, this.options.secret);
+      const name = await this.authenticate(framed);
       const connection = new RpcConnection(framed, this.options.router, name);
       this.connections.add(connection);
       if (this.isDraining) connection.drain();
@@ -104,10 +122,32 @@
       framed.destroy();
     }
   }
+
+  private async authenticate(framed: FramedSocket): Promise<string> {
+    const { secret, maxHandshakes = DEFAULT_MAX_HANDSHAKES } = this.options;
+    this.handshakes.add(framed);
+    if (this.handshakes.size > maxHandshakes) this.closeOldestHandshake();
+    try {
+      return await acceptHandshake(framed, secret);
+    } catch (error) {
+      this.failed += 1;
+      throw error;
+    } finally {
+      this.handshakes.delete(framed);
+    }
+  }
+
+  private closeOldestHandshake(): void {
+    const [oldest] = this.handshakes;
+    if (!oldest) return;
+    this.handshakes.delete(oldest);
+    oldest.destroy();
+  }
 }
 
 async function acceptHandshake(framed: FramedSocket, secret: string): Promise<string> {
   const nonce = createNonce();
+  framed.limitReceived(MAX_HANDSHAKE_BYTES);
   framed.send({ nonce } satisfies ServerChallenge);
   const response = await framed.readFrame<ClientProof>('wire.authenticate', HANDSHAKE_TIMEOUT_MS);
   const expected = clientProof(secret, nonce, String(response.nonce), String(response.name));
@@ -117,6 +157,7 @@
       peer: framed.peer,
     });
   }
+  framed.limitReceived(Infinity);
   framed.send({ proof: serverProof(secret, nonce, response.nonce) } satisfies ServerProof);
   return response.name;
 }
