A peer that leaves more than a frame's maximum size unread is closed

Responses and requests to a peer that read nothing were queued without a bound; only notifications were dropped above 256 KiB. Above 64 MiB, the maximum size of one frame, the connection is now closed, as after a silence. A single frame of any allowed size still passes, since the bound is on what was unsent before it.

Test red before: "is closed once more than the maximum size of a frame is unsent" (128 MiB queued, the socket open).

--- a/src/wire/bounded-peers.test.ts
+++ b/src/wire/bounded-peers.test.ts
@@ -1,7 +1,8 @@
-/** What peers may make this process hold before they are authenticated. */
+/** What peers may make this process hold: before they are authenticated, and by reading nothing. */
 import { type Socket, connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { waitUntil } from '../../tests/support/wait-until.js';
+import { FramedSocket } from './framed-socket.js';
 import { MAX_FRAME_BYTES } from './frame-codec.js';
 import { MethodRouter, defineMethod } from './method.js';
 import { PeerLink } from './peer-link.js';
@@ -78,3 +79,16 @@
     await expectServed();
   });
 });
+
+describe('a peer that reads nothing', () => {
+  it('is closed once more than the maximum size of a frame is unsent', async () => {
+    const socket = open();
+    socket.pause();
+    await new Promise((resolve) => socket.once('connect', resolve));
+    const framed = new FramedSocket(socket, 'test');
+    const value = Buffer.alloc(MAX_FRAME_BYTES / 4);
+    for (let sent = 0; sent < 8; sent += 1) framed.send(value);
+    expect(framed.isOpen).toBe(false);
+    await framed.closed;
+  });
+});
--- a/src/wire/framed-socket.ts
+++ b/src/wire/framed-socket.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { Deferred, TimeoutError, monotonicMs } from '../common/index.js';
 import { LinkError } from './errors.js';
-import { FrameDecoder, encodeFrame } from './frame-codec.js';
+import { FrameDecoder, MAX_FRAME_BYTES, encodeFrame } from './frame-codec.js';
 import { wireCounters } from './wire-counters.js';
 
 export class FramedSocket {
@@ -52,8 +52,13 @@
     this.maxReceivedBytes = maxBytes;
   }
 
+  /** Closes the socket instead if its peer has left more than the maximum size of a frame unread. */
   send(value: unknown): void {
     if (!this.socket.writable) return;
+    if (this.bufferedBytes > MAX_FRAME_BYTES) {
+      this.socket.destroy();
+      return;
+    }
     if (!this.corked) {
       this.corked = true;
       this.socket.cork();
