Answers of other processes are read up to a size and a total time

Refusals were read whole before their length was compared with 4,096, and load reports, lists of held programs and machines, answers of services and documents at clients without any bound: a back end that sent bytes without end filled the process that had asked it, since the time limit between two chunks never ends a body that keeps coming. One shared reader now closes the connection at a stated size or total time; each use states both.

Test red before: "is not read to its end if it is that of a refusal" (bounded-body.test.ts: all of the 64 MiB that the server has were read).

--- a/src/backends/http-call.ts
+++ b/src/backends/http-call.ts
@@ -1,6 +1,7 @@
 /** Sends one HTTP request to a backend and classifies failures. */
 import type { Dispatcher } from 'undici';
 import { request } from 'undici';
+import { readBoundedText } from '../http/index.js';
 import {
   AttemptFencedError,
   BackendLostError,
@@ -25,7 +26,7 @@
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
 const HTTP_CONFLICT = 409;
-const MAX_ERROR_BODY_LENGTH = 4_096;
+const MAX_ERROR_BODY_BYTES = 4_096;
 
 /** Error codes of failures before any byte of the request was sent. */
 const CONNECT_FAILURES: ReadonlySet<string> = new Set([
@@ -71,7 +72,8 @@
   options: BackendRequest,
   response: Dispatcher.ResponseData,
 ): Promise<Error> {
-  const text = await response.body.text().catch(() => '');
+  const bounds = { maxBytes: MAX_ERROR_BODY_BYTES, timeoutMs: options.idleTimeoutMs };
+  const text = await readBoundedText(response.body, bounds).catch(() => '');
   const code = readCode(text);
   const context = { step: options.step, peer: options.address, retriable: true };
   if (code === 'no_stream' && response.statusCode === HTTP_NOT_FOUND) {
@@ -88,7 +90,6 @@
 
 /** The `code` of a problem document that states that the request was not executed. */
 function readCode(text: string): string | undefined {
-  if (text.length > MAX_ERROR_BODY_LENGTH) return undefined;
   try {
     const problem = JSON.parse(text) as { code?: unknown; outcome?: unknown };
     return problem.outcome === 'not_run' && typeof problem.code === 'string'
--- a/src/backends/load-poller.ts
+++ b/src/backends/load-poller.ts
@@ -4,7 +4,7 @@
  */
 import { Agent } from 'undici';
 import { monotonicMs, sleep } from '../common/index.js';
-import { backendConnector } from '../http/index.js';
+import { backendConnector, readBoundedJson } from '../http/index.js';
 import type { Backend } from './backend.js';
 import type { BackendTable } from './backend-table.js';
 import { callBackend } from './http-call.js';
@@ -21,6 +21,7 @@
 const MINIMUM_TICK_MS = 50;
 const MS_PER_SECOND = 1_000;
 const TIMEOUT_MS = 1_000;
+const REPORT_BOUNDS = { maxBytes: 1024 * 1024, timeoutMs: TIMEOUT_MS };
 
 export class LoadPoller {
   private readonly stopping = new AbortController();
@@ -94,7 +95,7 @@
       headersTimeoutMs: TIMEOUT_MS,
       idleTimeoutMs: TIMEOUT_MS,
     });
-    return loadReportSchema.parse(await response.body.json());
+    return loadReportSchema.parse(await readBoundedJson(response.body, REPORT_BOUNDS));
   }
 
   close(): Promise<void> {
--- a/src/backends/service-client.ts
+++ b/src/backends/service-client.ts
@@ -1,7 +1,7 @@
 /** HTTP client of small services, such as build status, log retrieval, heartbeats and payments. */
 import { Agent } from 'undici';
 import { z } from 'zod';
-import { backendConnector } from '../http/index.js';
+import { backendConnector, readBoundedJson } from '../http/index.js';
 import { BackendProtocolError } from './errors.js';
 import { callBackend } from './http-call.js';
 
@@ -14,6 +14,7 @@
 }
 
 const CONNECT_TIMEOUT_MS = 500;
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const answerSchema = z.object({ answer: z.string() });
 
 export class ServiceClient {
@@ -38,7 +39,8 @@
       idleTimeoutMs: timeoutMs,
     });
     try {
-      return answerSchema.parse(await response.body.json()).answer;
+      const bounds = { maxBytes: MAX_ANSWER_BYTES, timeoutMs };
+      return answerSchema.parse(await readBoundedJson(response.body, bounds)).answer;
     } catch (cause) {
       throw new BackendProtocolError('invalid response body', {
         step: 'service.execute',
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { request } from 'undici';
 import { LedgegaugeError } from '../common/index.js';
+import { readBoundedJson } from '../http/index.js';
 
 /** The control API returned a problem or could not be reached. */
 export class OperatorRequestError extends LedgegaugeError {}
@@ -14,6 +15,8 @@
 
 const MAX_ATTEMPTS = 6;
 const TIMEOUT_MS = 8_000;
+/** Documents have up to 32 MiB. */
+const ANSWER_BOUNDS = { maxBytes: 64 * 1024 * 1024, timeoutMs: 60_000 };
 
 export class OperatorClient {
   constructor(private readonly options: OperatorClientOptions) {}
@@ -71,6 +74,7 @@
       headersTimeout: TIMEOUT_MS,
       bodyTimeout: TIMEOUT_MS,
     });
-    return { status: response.statusCode, body: await response.body.json() };
+    const answer = await readBoundedJson(response.body, ANSWER_BOUNDS);
+    return { status: response.statusCode, body: answer };
   }
 }
--- a/src/client/transport.ts
+++ b/src/client/transport.ts
@@ -1,7 +1,7 @@
 /** One HTTP exchange with one gateway, which results in an answer, a problem or a broken connection. */
 import { Agent, request } from 'undici';
 import type { Problem } from '../http/index.js';
-import { EventParser } from '../http/index.js';
+import { EventParser, readBoundedJson } from '../http/index.js';
 
 export interface GatewayAnswer {
   content: string;
@@ -41,6 +41,8 @@
   choices: { delta: { content?: string }; finish_reason: string | null }[];
 }
 
+const DOCUMENT_BOUNDS = { maxBytes: 64 * 1024 * 1024, timeoutMs: 60_000 };
+
 export class Transport {
   private readonly agent: Agent;
 
@@ -68,7 +70,7 @@
         response.body.setEncoding('utf8');
         return await readStream(response.body as AsyncIterable<string>, startedAt);
       }
-      const body = await response.body.json();
+      const body = await readBoundedJson(response.body, DOCUMENT_BOUNDS);
       if (response.statusCode >= 300) return { kind: 'problem', problem: readProblem(body) };
       return { kind: 'document', body };
     } catch (error) {
--- a/src/control/held-program-reconciler.ts
+++ b/src/control/held-program-reconciler.ts
@@ -8,6 +8,7 @@
 import { sendRelease } from '../backends/control-requests.js';
 import { groupBy, rankForKey, sleep } from '../common/index.js';
 import type { GroupClient } from '../consensus/index.js';
+import { readBoundedJson } from '../http/index.js';
 import type { BackendIntent, IntentDocument } from '../intents/index.js';
 import {
   type EndedProgramsResponse,
@@ -32,6 +33,7 @@
 /** Number of rounds of the first member per round of the second. */
 const SECOND_RANK_ROUNDS = 2;
 const TIMEOUT_MS = 1_500;
+const LIST_BOUNDS = { maxBytes: 4 * 1024 * 1024, timeoutMs: TIMEOUT_MS };
 const heldSchema = z.object({ held: z.array(z.string()) });
 
 /** Engines that this member checks, by its rank for them. */
@@ -101,7 +103,7 @@
       headersTimeout: TIMEOUT_MS,
       bodyTimeout: TIMEOUT_MS,
     });
-    const { held } = heldSchema.parse(await response.body.json());
+    const { held } = heldSchema.parse(await readBoundedJson(response.body, LIST_BOUNDS));
     const ended = await this.findEnded(held.filter(isProgramId));
     if (ended.length > 0) await sendRelease(agent, target, ended, this.round);
   }
--- a/src/control/machine-list.ts
+++ b/src/control/machine-list.ts
@@ -5,6 +5,7 @@
 import { type Agent, request } from 'undici';
 import { z } from 'zod';
 import { sleep } from '../common/index.js';
+import { readBoundedJson } from '../http/index.js';
 
 const listSchema = z.object({
   machines: z.array(z.object({ id: z.string(), state: z.enum(['live', 'leaving', 'gone']) })),
@@ -12,6 +13,7 @@
 
 const POLL_INTERVAL_MS = 500;
 const TIMEOUT_MS = 1_000;
+const LIST_BOUNDS = { maxBytes: 4 * 1024 * 1024, timeoutMs: TIMEOUT_MS };
 
 export interface MachineListOptions {
   agent: Agent;
@@ -59,7 +61,7 @@
       headersTimeout: TIMEOUT_MS,
       bodyTimeout: TIMEOUT_MS,
     });
-    const { machines } = listSchema.parse(await response.body.json());
+    const { machines } = listSchema.parse(await readBoundedJson(response.body, LIST_BOUNDS));
     return machines.filter((machine) => machine.state !== 'live').map((machine) => machine.id);
   }
 }
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,4 +1,10 @@
 /** HTTP components shared by the caller API, the operator API and the emulators. */
+export {
+  type BodyBounds,
+  BodyBoundError,
+  readBoundedJson,
+  readBoundedText,
+} from './bounded-body.js';
 export { JsonReader, MalformedBodyError } from './json-reader.js';
 export * from './http-router.js';
 export * from './http-server.js';
