Bodies of the first interface count in a budget of their process

A body was bounded by `calls.maxBody` (8 MiB) or 32 MiB for an operator's document, and nothing bounded the sum of those that were received at once. The gateways and control processes of the first interface now have a memory budget, with a setting `memory.limit` (half of the machine's memory without it), the same metrics, log lines and watch. The largest body gives way with 503 `no_memory`, which says that the request has not run and may be sent again. What is made of a body once it is read isn't counted.

Test red before: "give way as not run once the memory for them is used up" (http.test.ts; no body was counted).

--- a/src/callers/call-context.ts
+++ b/src/callers/call-context.ts
@@ -3,6 +3,7 @@
 import type { GatewayIdentity, CallRequest, JournalClient } from '../journal/index.js';
 import type { RetryBudget } from '../limits/index.js';
 import type { LeaseHolder } from '../membership/index.js';
+import type { MemoryBudget } from '../memory-budget/index.js';
 import type { HoldPolicy } from '../retention/index.js';
 import type { PrefixHints } from '../routing/index.js';
 import type { Admission } from '../scheduling/index.js';
@@ -15,6 +16,7 @@
 export interface CallContext {
   identity: GatewayIdentity;
   settings: GatewaySettings;
+  memoryBudget: MemoryBudget;
   lease: LeaseHolder;
   journal: JournalClient;
   backends: BackendTable;
--- a/src/callers/caller-api.ts
+++ b/src/callers/caller-api.ts
@@ -288,7 +288,8 @@
   }
 
   private readBody(request: HttpExchange['request']): Promise<unknown> {
-    return readJson(request, this.options.context.settings.calls.maxBody);
+    const { settings, memoryBudget } = this.options.context;
+    return readJson(request, settings.calls.maxBody, memoryBudget);
   }
 }
 
--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -1,5 +1,6 @@
 /** The control process: replicated groups, the tasks of their leaders, and the operator API. */
 import { join } from 'node:path';
+import { Registry } from 'prom-client';
 import { Agent } from 'undici';
 import { sendOrder, sendRelease } from '../backends/control-requests.js';
 import {
@@ -17,6 +18,7 @@
 import { AWAIT_SETTLED, JournalLeader, journalGroupNames } from '../journal/index.js';
 import { DamagedLogError, SnapshotStore, WriteAheadLog } from '../log-store/index.js';
 import { FETCH_CONFIGURATION, RENEW_LEASE } from '../membership/index.js';
+import { ProcessMemory } from '../memory-budget/index.js';
 import { type Logger, StatusServer } from '../observability/index.js';
 import { CONFIGURATION_STATUS, OperatorApi } from '../operators/index.js';
 import { type ControlSettings, createAddressResolver } from '../settings/index.js';
@@ -51,6 +53,7 @@
   private readonly agent = new Agent({ connections: 4 });
   private readonly resolveAddress: (address: string) => string;
   private readonly intents: IntentsLeader;
+  private readonly memory: ProcessMemory;
   private identity!: IdentityStore;
   private wal!: WriteAheadLog;
   private peers!: PeerDirectory;
@@ -67,6 +70,8 @@
     private readonly hooks: ControlProcessHooks,
   ) {
     this.resolveAddress = createAddressResolver(settings.network);
+    const { logger } = hooks;
+    this.memory = new ProcessMemory({ memoryLimitBytes: settings.memory.limit, logger });
     const address = settings.platform.machineList;
     this.intents = new IntentsLeader({
       leaseMs: settings.lease.duration,
@@ -97,6 +102,7 @@
     for (const leader of this.leaders.values()) leader.stop();
     await this.rpcServer.drain(MAX_ANSWER_MS);
     this.peers.close();
+    this.memory.stop();
     this.statusServer.close();
     await this.wal.close();
     await this.agent.destroy();
@@ -126,7 +132,12 @@
     this.registerHandlers();
     this.rpcServer = await RpcServer.start({ host, port: internalPort, secret, router });
     const { operators } = settings;
-    const api = new OperatorApi({ groups: this.client, host: this.host, operators });
+    const api = new OperatorApi({
+      groups: this.client,
+      host: this.host,
+      operators,
+      memoryBudget: this.memory.budget,
+    });
     const onError = (description: string): void =>
       hooks.logger.error('operator request failed', { description });
     this.operatorServer = await HttpServer.start({
@@ -139,7 +150,10 @@
     this.statusServer = await StatusServer.start({
       host,
       port: statusPort,
-      registry: createControlMetrics({ host: this.host, wal: this.wal, peers: this.peers }),
+      registry: Registry.merge([
+        createControlMetrics({ host: this.host, wal: this.wal, peers: this.peers }),
+        this.memory.registry,
+      ]),
       isReady: () => this.isReady,
     });
   }
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -1,5 +1,6 @@
 /** Gateway process: serves callers and forwards their calls to backends; keeps no durable state. */
 import { randomBytes } from 'node:crypto';
+import { Registry } from 'prom-client';
 import {
   BackendTable,
   EngineClient,
@@ -22,6 +23,7 @@
 import { JournalClient } from '../journal/index.js';
 import { RetryBudget } from '../limits/index.js';
 import { ConfigurationFetcher, LeaseHolder } from '../membership/index.js';
+import { ProcessMemory } from '../memory-budget/index.js';
 import { GatewayMetrics, type Logger, StatusServer } from '../observability/index.js';
 import { HoldPolicy } from '../retention/index.js';
 import { PrefixHints, createRoutingPolicy } from '../routing/index.js';
@@ -36,6 +38,7 @@
 export class GatewayProcess {
   private readonly incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   private readonly metrics = new GatewayMetrics();
+  private readonly memory: ProcessMemory;
   private readonly tenants = new TenantAuthentication(() => this.isCurrent);
   private readonly backends: BackendTable;
   private readonly loads: LoadFetcher;
@@ -51,7 +54,8 @@
     private readonly settings: GatewaySettings,
     private readonly logger: Logger,
   ) {
-    const { queue, routing, calls, retention, cluster } = settings;
+    const { queue, routing, calls, retention, cluster, memory } = settings;
+    this.memory = new ProcessMemory({ memoryLimitBytes: memory.limit, logger });
     const resolveAddress = createAddressResolver(settings.network);
     this.backends = new BackendTable({
       ...queue,
@@ -80,6 +84,7 @@
     this.context = {
       identity: { id: settings.node.name, incarnation: this.incarnation },
       settings,
+      memoryBudget: this.memory.budget,
       lease: this.createLease(groups),
       journal,
       backends: this.backends,
@@ -126,6 +131,7 @@
     this.logger.info('drained', { ms: Math.round(this.shutdown.elapsedMs ?? 0), unsent });
     this.context.lease.stop();
     this.poller.stop();
+    this.memory.stop();
     await this.loads.close();
     this.context.engineAdmission.close();
     this.context.serviceAdmission.close();
@@ -154,7 +160,7 @@
     this.statusServer = await StatusServer.start({
       host,
       port: statusPort,
-      registry: this.metrics.registry,
+      registry: Registry.merge([this.metrics.registry, this.memory.registry]),
       isReady: () => this.isCurrent && !this.shutdown.hasBegun,
     });
   }
--- a/src/http/http.test.ts
+++ b/src/http/http.test.ts
@@ -5,6 +5,8 @@
 import { StrictCaller } from '../../tests/support/strict-caller.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { Deferred } from '../common/index.js';
+import { SILENT_LOGGER } from '../../lab/silent-logger.js';
+import { MemoryBudget } from '../memory-budget/index.js';
 import { HttpRouter, HttpServer, readJson, sendJson } from './index.js';
 import { EventParser, type ServerSentEvent, formatEvent } from './server-sent-events.js';
 
@@ -54,6 +56,42 @@
   });
 });
 
+describe('bodies of many callers', () => {
+  // Each body was bounded, and their sum was not.
+  it('give way as not run once the memory for them is used up', async () => {
+    const memoryBudget = new MemoryBudget({ memoryLimitBytes: 200_000, logger: SILENT_LOGGER });
+    const router = new HttpRouter().on('POST', '/size', async ({ request: sent, response }) =>
+      sendJson(response, 200, {
+        length: JSON.stringify(await readJson(sent, 50_000, memoryBudget)).length,
+      }),
+    );
+    const { server } = await startServer(router);
+    const callers: StrictCaller[] = [];
+    for (const bytes of [30_000, 20_000, 15_000]) {
+      const caller = await StrictCaller.connect(`127.0.0.1:${server.port}`);
+      callers.push(caller);
+      const head = `POST /size HTTP/1.1\r\nHost: test\r\nContent-Length: ${bytes + 1}\r\n\r\n`;
+      const before = memoryBudget.heldBytes;
+      caller.socket.write(`${head}"${'x'.repeat(bytes - 1)}`);
+      await waitUntil('counted', () => memoryBudget.heldBytes !== before, 5_000);
+    }
+    const [largest, second, third] = callers;
+    await waitUntil('refused', () => largest!.response.isComplete, 5_000);
+    expect(largest!.response.status).toBe(503);
+    expect(JSON.parse(largest!.response.body)).toMatchObject({
+      code: 'no_memory',
+      outcome: 'not_run',
+    });
+    for (const caller of [second!, third!]) {
+      caller.socket.write('"');
+      await waitUntil('answered', () => caller.response.isComplete, 5_000);
+      expect(caller.response.status).toBe(200);
+    }
+    for (const { socket } of callers) socket.destroy();
+    expect([memoryBudget.heldBytes, memoryBudget.holderCount]).toEqual([0, 0]);
+  });
+});
+
 describe('bodies', () => {
   it.each([
     ['{"a":1}', 200],
--- a/src/http/json-body.ts
+++ b/src/http/json-body.ts
@@ -1,7 +1,8 @@
 /** Reads bounded JSON bodies, and gives up reading the body of a request that was refused meanwhile. */
 import type { IncomingMessage } from 'node:http';
 import { Deferred } from '../common/index.js';
-import { badRequestProblem, unknownOutcomeProblem } from './problem.js';
+import { type MemoryBudget, ReceivedBody } from '../memory-budget/index.js';
+import { badRequestProblem, unknownOutcomeProblem, withoutMemoryProblem } from './problem.js';
 
 const HTTP_BAD_REQUEST = 400;
 const HTTP_PAYLOAD_TOO_LARGE = 413;
@@ -24,10 +25,15 @@
 
 /**
  * Reads a JSON body.
- * @throws HttpProblem when it is longer than `maxBytes`, truncated or not JSON
+ * @param memoryBudget counts the body until it is read. @default it is not counted
+ * @throws HttpProblem when it is longer than `maxBytes`, truncated or not JSON, or when there is no memory for it
  */
-export async function readJson(request: IncomingMessage, maxBytes: number): Promise<unknown> {
-  const body = await readBody(request, maxBytes);
+export async function readJson(
+  request: IncomingMessage,
+  maxBytes: number,
+  memoryBudget?: MemoryBudget,
+): Promise<unknown> {
+  const body = await readBody(request, maxBytes, memoryBudget);
   try {
     return JSON.parse(body.toString('utf8')) as unknown;
   } catch {
@@ -36,16 +42,23 @@
 }
 
 /** Keeps the connection usable when the body is rejected, so that the response can be sent. */
-async function readBody(request: IncomingMessage, maxBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
+async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+  budget: MemoryBudget | undefined,
+): Promise<Buffer> {
   const result = new Deferred<Buffer>();
-  let bytes = 0;
+  const body = new ReceivedBody({
+    budget,
+    peer: () => request.socket.remoteAddress,
+    onEnded: () => result.reject(withoutMemoryProblem()),
+  });
   const onData = (chunk: Buffer): void => {
-    bytes += chunk.length;
-    if (bytes <= maxBytes) {
-      chunks.push(chunk);
+    if (body.length + chunk.length <= maxBytes) {
+      body.add(chunk);
       return;
     }
+    body.discard();
     const detail = `the body exceeds ${maxBytes} bytes`;
     result.reject(badRequestProblem(detail, 'body_too_large', HTTP_PAYLOAD_TOO_LARGE));
   };
@@ -54,7 +67,10 @@
       unknownOutcomeProblem('the body was truncated', 'body_cut_off', HTTP_BAD_REQUEST),
     );
   request.on('data', onData);
-  request.once('end', () => result.resolve(Buffer.concat(chunks)));
+  request.once('end', () => {
+    const whole = body.take();
+    if (whole) result.resolve(whole);
+  });
   request.once('error', onTruncated);
   request.once('close', onTruncated);
   readings.set(request, result);
@@ -63,5 +79,7 @@
   } finally {
     readings.delete(request);
     request.off('data', onData);
+    body.discard();
+    body.release();
   }
 }
--- a/src/http/problem.ts
+++ b/src/http/problem.ts
@@ -25,6 +25,7 @@
 const HTTP_UNAVAILABLE = 503;
 /** When a caller whose request a stopping process did not complete should come back; another process has room meanwhile. */
 export const SHUTDOWN_RETRY_AFTER_MS = 300;
+const MEMORY_RETRY_AFTER_MS = 300;
 
 /** Thrown by an HTTP handler to respond with a problem document. */
 export class HttpProblem extends LedgegaugeError {
@@ -78,6 +79,18 @@
   });
 }
 
+/** The body of the request was not kept, because the memory for requests is used up. */
+export function withoutMemoryProblem(): HttpProblem {
+  return new HttpProblem({
+    status: HTTP_UNAVAILABLE,
+    code: 'no_memory',
+    detail: 'this process has no memory for the request now; send it again',
+    outcome: 'not_run',
+    sendAgain: true,
+    retryAfterMs: MEMORY_RETRY_AFTER_MS,
+  });
+}
+
 /** The process stopped while the request was under way; the same request may be sent again to any process. */
 export function interruptedProblem(): HttpProblem {
   return new HttpProblem({
--- a/src/operators/operator-api.ts
+++ b/src/operators/operator-api.ts
@@ -9,6 +9,7 @@
   votersOf,
 } from '../consensus/index.js';
 import type { ConfigurationStatus } from '../control/intents-leader.js';
+import type { MemoryBudget } from '../memory-budget/index.js';
 import {
   type HttpExchange,
   HttpProblem,
@@ -50,6 +51,8 @@
   groups: GroupClient;
   host: GroupHost;
   operators: readonly Operator[];
+  /** Counts the bodies that are received. @default they are not counted */
+  memoryBudget?: MemoryBudget;
 }
 
 export class OperatorApi {
@@ -67,7 +70,9 @@
 
   private async plan({ request, response }: HttpExchange): Promise<void> {
     const operator = this.authenticate(request);
-    const declared = readDeclaration(await readJson(request, MAX_DOCUMENT_BYTES));
+    const declared = readDeclaration(
+      await readJson(request, MAX_DOCUMENT_BYTES, this.options.memoryBudget),
+    );
     const command = { operator, ...declared };
     const result = await this.execute<typeof command, PlanResult>(command);
     if (result.status === 'inconsistent') {
--- a/src/settings/common-settings.ts
+++ b/src/settings/common-settings.ts
@@ -1,6 +1,6 @@
 /** Settings shared by several kinds of process. */
 import { z } from 'zod';
-import { duration } from './units.js';
+import { duration, size } from './units.js';
 
 export const port = z.number().int().min(0).max(65_535);
 export const address = z
@@ -28,6 +28,11 @@
 /** Shortest grace time in which calls are still served before the last responses are sent. */
 const MIN_GRACE_MS = 3_000;
 
+export const memorySettingsSchema = z.strictObject({
+  /** Memory limit above which the process is killed. @default half of the machine's memory */
+  limit: size().optional(),
+});
+
 /** How a process stops after SIGTERM. */
 export const shutdownSettingsSchema = z.strictObject({
   /** Time from the signal until the process has ended. Whatever kills it must wait longer. */
--- a/src/settings/control-settings.ts
+++ b/src/settings/control-settings.ts
@@ -4,6 +4,7 @@
   address,
   durationWithDefault,
   logSettingsSchema,
+  memorySettingsSchema,
   name,
   networkSettingsSchema,
   nodeSettingsSchema,
@@ -60,6 +61,7 @@
   storage: z
     .strictObject({ quota: size().optional(), segment: size().prefault('32MiB') })
     .prefault({}),
+  memory: memorySettingsSchema.prefault({}),
   shutdown: shutdownSettingsSchema.prefault({}),
   network: networkSettingsSchema.prefault({}),
   log: logSettingsSchema.prefault({}),
--- a/src/settings/gateway-settings.ts
+++ b/src/settings/gateway-settings.ts
@@ -4,6 +4,7 @@
   address,
   durationWithDefault,
   logSettingsSchema,
+  memorySettingsSchema,
   networkSettingsSchema,
   nodeSettingsSchema,
   port,
@@ -100,6 +101,7 @@
       idleTimeout: durationWithDefault('10min'),
     })
     .prefault({}),
+  memory: memorySettingsSchema.prefault({}),
   shutdown: shutdownSettingsSchema.prefault({}),
   network: networkSettingsSchema.prefault({}),
   log: logSettingsSchema.prefault({}),
