What is remembered of callers' ids holds short keys, not their headers

A gateway remembers up to 4,000 parts of prompts for each back end, and 4,096 programs, by ids that callers choose. Their number was bounded, their bytes were not: an id may have 16 KiB, and a short one that was split off kept the whole header that it came in, since a part of a string refers to the string. Callers that send a new id with each request made that 66 MB for each back end. Longer ids are now held as their hash, and all keys as copies of their own.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -7,6 +7,7 @@
 export * from './errors.js';
 export * from './group-by.js';
 export * from './hashing.js';
+export * from './held-key.js';
 export * from './lru-map.js';
 export * from './moving-average.js';
 export * from './signal-event.js';
--- a/src/forwarding/prompt-cache-view.ts
+++ b/src/forwarding/prompt-cache-view.ts
@@ -3,7 +3,7 @@
  * it. Assumes LRU eviction: a part counts as evicted once more new tokens than the capacity were sent
  * since its last use.
  */
-import { createLruMap } from '../common/index.js';
+import { createLruMap, detachedKey, heldKeyOf } from '../common/index.js';
 import { type PromptPart, promptTokensOf } from './call-exchange.js';
 
 const MAX_TRACKED_PARTS = 4_000;
@@ -19,7 +19,7 @@
 
   noteSent(parts: readonly PromptPart[]): void {
     this.newTokens += this.missingTokens(parts);
-    for (const part of parts) this.usedAt.set(part.id, this.newTokens);
+    for (const part of parts) this.noteUse(part.id);
   }
 
   /** Tokens from the first uncached part on. */
@@ -29,8 +29,13 @@
     return promptTokensOf(parts.slice(firstMissing));
   }
 
+  private noteUse(id: string): void {
+    const key = heldKeyOf(id);
+    this.usedAt.set(this.usedAt.has(key) ? key : detachedKey(key), this.newTokens);
+  }
+
   private isCached(id: string): boolean {
-    const usedAt = this.usedAt.get(id);
+    const usedAt = this.usedAt.get(heldKeyOf(id));
     return usedAt !== undefined && this.newTokens - usedAt <= this.capacity();
   }
 }
