Ended sessions are forgotten while no leader asks for their number

A gateway with shared admission held each program's session until its next report to the directory's leader; without a leader that was never, so callers with new ids filled it. Above 4,096 sessions of a service, those without a turn in flight are now forgotten at once.

Test red before: "forgets ended sessions while nothing asks for their number" (12,289 held).

--- a/src/admission/active-sessions.ts
+++ b/src/admission/active-sessions.ts
@@ -3,6 +3,9 @@
 /** Time after a turn during which its session counts as active; a tool call takes less. */
 const ACTIVE_AFTER_TURN_MS = 400;
 
+/** Sessions above which those that are not active are forgotten at once, also while no report is asked for. */
+const MAX_SESSIONS = 4_096;
+
 interface Session {
   priority: number;
   inFlight: number;
@@ -11,6 +14,7 @@
 }
 
 export class ActiveSessions {
+  /** In the order of their begin. */
   private readonly sessions = new Map<string, Session>();
 
   begin(key: string, priority: number): void {
@@ -20,6 +24,7 @@
       session.priority = priority;
     } else {
       this.sessions.set(key, { priority, inFlight: 1, endedAt: 0 });
+      if (this.sessions.size > MAX_SESSIONS) this.forgetEnded();
     }
   }
 
@@ -30,6 +35,11 @@
     session.endedAt = now;
   }
 
+  /** Number of sessions that are held. */
+  get size(): number {
+    return this.sessions.size;
+  }
+
   /** Numbers of active sessions by priority; forgets the others. */
   countByPriority(now: number): Map<number, number> {
     const counts = new Map<number, number>();
@@ -39,4 +49,9 @@
     }
     return counts;
   }
+
+  /** Forgets all but those with a turn in flight, which are bounded by the calls. */
+  private forgetEnded(): void {
+    for (const [key, { inFlight }] of this.sessions) if (inFlight === 0) this.sessions.delete(key);
+  }
 }
