Requests that are sent ahead wait unparsed

Callers that sent hundreds of small requests ahead filled a gateway: Node's parser takes a whole read of 64 KB at once, and creates an IncomingMessage and a ServerResponse for each request in it, before the pause behind the 16th waiting request can stop the connection. A bound on requests was no bound on what one read holds. In the same way one read of tiny chunks kept the event loop from all others.

ConnectionReader takes Node's data listener off each connection and hands it what was received in parts: a part ends behind the first empty line or after 64 lines, so it completes at most one head and holds a bounded number of chunks. The first part of a read is parsed at once, as is the beginning of a body behind its head; the rest waits with the connection not read, and takes turns with that of other connections, 16 parts in a turn of the event loop.

Before, a connection that sent 200 requests in one write had 200 received; the new test (at most 17) failed with that figure.

--- /dev/null
+++ b/src/http/connection-reader.ts
@@ -0,0 +1,136 @@
+/**
+ * Reads one connection of an HTTP server in bounded parts. Node parses all bytes of a read at once, which may be hundreds of
+ * requests; here what follows the first request waits unparsed, and meanwhile the connection is not read.
+ */
+import { Socket } from 'node:net';
+import type { ReadScheduler, ReadTask } from './read-scheduler.js';
+import { lengthOfFirstPart } from './received-part.js';
+
+type DataListener = (bytes: Buffer) => void;
+type Listener = (this: Socket) => void;
+
+export interface ConnectionReaderOptions {
+  socket: Socket;
+  scheduler: ReadScheduler;
+  /** Whether the head of the newest request was received, and its body was not yet received completely. */
+  isReceivingBody: () => boolean;
+}
+
+/** Parts of a fresh read that are parsed at once if they belong to one request: a head and the beginning of its body. */
+const MAX_PARTS_AT_ONCE = 3;
+
+export class ConnectionReader implements ReadTask {
+  /** Node's listener, which parses what it is given. */
+  private readonly parse: DataListener;
+  private unparsed: Buffer | undefined;
+  /** Whether the requests that were received so far must be answered first. */
+  private isHeld = false;
+  /** Whether Node holds back the connection because of an unread body or unsent responses. */
+  private isPausedByNode = false;
+  private isFlowing = true;
+
+  /** Must be created before the first bytes arrive. */
+  constructor(private readonly options: ConnectionReaderOptions) {
+    const { socket } = options;
+    [this.parse] = socket.listeners('data') as [DataListener];
+    this.replaceDataListener();
+    socket.pause = () => this.notePausedByNode(true);
+    socket.resume = () => this.notePausedByNode(false);
+    socket.once('close', () => this.discard());
+  }
+
+  /** Number of received bytes that are not parsed yet. */
+  get unparsedBytes(): number {
+    return this.unparsed?.length ?? 0;
+  }
+
+  /** From now on nothing is parsed, until `release`. */
+  hold(): void {
+    this.isHeld = true;
+    this.update();
+  }
+
+  release(): void {
+    this.isHeld = false;
+    this.update();
+  }
+
+  readNext(): void {
+    if (this.canParse) this.parsePart();
+    this.update();
+  }
+
+  /**
+   * Node reads a connection natively until another listener is added, and then it also takes off its listeners that stop the
+   * handle in a pause. They are added again; otherwise the end of the stream would be reported before the unparsed bytes.
+   */
+  private replaceDataListener(): void {
+    const { socket } = this.options;
+    const pauseListeners = listenersOf(socket, 'pause');
+    const resumeListeners = listenersOf(socket, 'resume');
+    socket.off('data', this.parse);
+    socket.on('data', (bytes: Buffer) => this.receive(bytes));
+    for (const listener of pauseListeners) socket.off('pause', listener);
+    for (const listener of resumeListeners) socket.off('resume', listener);
+    socket.on('pause', () => callAll(socket, pauseListeners));
+    // Node emits it later, when the connection may have been paused again.
+    socket.on('resume', () => {
+      if (this.isFlowing) callAll(socket, resumeListeners);
+    });
+    // A stream fills its own buffer in a pause.
+    socket._read = (size) => {
+      if (this.isFlowing) Socket.prototype._read.call(socket, size);
+    };
+  }
+
+  private get canParse(): boolean {
+    const { destroyed } = this.options.socket;
+    return this.unparsed !== undefined && !destroyed && !this.isHeld && !this.isPausedByNode;
+  }
+
+  private receive(bytes: Buffer): void {
+    this.unparsed = this.unparsed ? Buffer.concat([this.unparsed, bytes]) : bytes;
+    for (let parts = 0; parts < MAX_PARTS_AT_ONCE && this.canParse; parts += 1) {
+      this.parsePart();
+      if (!this.options.isReceivingBody()) break;
+    }
+    this.update();
+  }
+
+  private parsePart(): void {
+    const bytes = this.unparsed!;
+    const length = lengthOfFirstPart(bytes);
+    this.unparsed = length < bytes.length ? bytes.subarray(length) : undefined;
+    this.parse(length < bytes.length ? bytes.subarray(0, length) : bytes);
+  }
+
+  private notePausedByNode(isPaused: boolean): Socket {
+    this.isPausedByNode = isPaused;
+    this.update();
+    return this.options.socket;
+  }
+
+  /** Reads on once all bytes are parsed. */
+  private update(): void {
+    const { socket, scheduler } = this.options;
+    if (this.canParse) scheduler.add(this);
+    const mustFlow = this.unparsed === undefined && !this.isHeld && !this.isPausedByNode;
+    if (mustFlow === this.isFlowing || socket.destroyed) return;
+    this.isFlowing = mustFlow;
+    if (mustFlow) Socket.prototype.resume.call(socket);
+    else Socket.prototype.pause.call(socket);
+  }
+
+  private discard(): void {
+    this.unparsed = undefined;
+    this.options.scheduler.delete(this);
+  }
+}
+
+function listenersOf(socket: Socket, event: string): Listener[] {
+  return socket.listeners(event) as Listener[];
+}
+
+function callAll(socket: Socket, listeners: Listener[]): void {
+  for (const listener of listeners) listener.call(socket);
+}
--- a/src/http/request-order.ts
+++ b/src/http/request-order.ts
@@ -16,7 +16,16 @@
   drop: () => void;
 }
 
-/** Completely received requests that may wait on one connection; it is not read while so many do. */
+/** How the reading of a connection is controlled. */
+export interface ReadControl {
+  /** Number of received bytes that are not parsed yet. */
+  readonly unparsedBytes: number;
+  /** From now on nothing is read, until `release`. */
+  hold(): void;
+  release(): void;
+}
+
+/** Requests that may wait on one connection behind the first; it is not read while so many do. */
 const MAX_WAITING_REQUESTS = 16;
 /** Node's code if a caller closes its side of the connection within a request. */
 const CLOSED_WITHIN_REQUEST = 'HPE_INVALID_EOF_STATE';
@@ -88,12 +97,13 @@
 /** The requests of one connection, oldest first. */
 class ConnectionTurns {
   private readonly turns: RequestTurn[] = [];
-  private isPaused = false;
+  private isHeld = false;
   /** Whether what follows on the connection can't be read. */
   private isBroken = false;
 
   constructor(
     private readonly socket: Socket,
+    private readonly control: ReadControl,
     private readonly noteDropped: () => void,
   ) {}
 
@@ -101,10 +111,21 @@
     return this.turns.filter((turn) => turn.isWaiting).length;
   }
 
+  /** Whether another request may be received completely. */
   get hasRoom(): boolean {
     return this.waitingRequests < MAX_WAITING_REQUESTS;
   }
 
+  /** Whether the head of another request may be received. */
+  private get mayRead(): boolean {
+    return this.hasRoom && this.turns.length <= MAX_WAITING_REQUESTS;
+  }
+
+  /** Whether the newest request was received in part. */
+  get isReceiving(): boolean {
+    return this.turns.at(-1)?.isReceived === false;
+  }
+
   get hasReceivedRequest(): boolean {
     return this.turns.some((turn) => turn.isReceived);
   }
@@ -112,12 +133,12 @@
   enter(request: IncomingMessage): RequestTurn {
     const turn = new RequestTurn(request, this);
     this.turns.push(turn);
-    if (!this.hasRoom) this.pause();
+    if (!this.mayRead) this.hold();
     return turn;
   }
 
   isLast(turn: RequestTurn): boolean {
-    return this.turns.at(-1) === turn;
+    return this.turns.at(-1) === turn && this.control.unparsedBytes === 0;
   }
 
   noteReceived(turn: RequestTurn): void {
@@ -134,13 +155,13 @@
       return;
     }
     this.turns[0]?.beginIfWaiting();
-    if (this.hasRoom) this.resume();
+    if (this.hasRoom) this.release();
   }
 
   /** The requests that were received completely are still answered before the connection is closed. */
   breakOff(): void {
     this.isBroken = true;
-    this.pause();
+    this.hold();
   }
 
   dropAll(): void {
@@ -156,16 +177,16 @@
     if (turn.dropIfWaiting()) this.noteDropped();
   }
 
-  private pause(): void {
-    this.isPaused = true;
-    this.socket.pause();
+  private hold(): void {
+    this.isHeld = true;
+    this.control.hold();
   }
 
-  private resume(): void {
+  private release(): void {
     for (const turn of this.turns) turn.readIfHeld();
-    if (!this.isPaused || this.isBroken) return;
-    this.isPaused = false;
-    this.socket.resume();
+    if (!this.isHeld || this.isBroken || !this.mayRead) return;
+    this.isHeld = false;
+    this.control.release();
   }
 }
 
@@ -174,6 +195,9 @@
   droppedRequests = 0;
   private readonly connections = new Map<Socket, ConnectionTurns>();
 
+  /** @param controlOf returns the control of a connection's reading. @default the flow of its socket */
+  constructor(private readonly controlOf: (socket: Socket) => ReadControl = flowOf) {}
+
   /** Number of completely received requests that wait for the response of an earlier one. */
   get waitingRequests(): number {
     let count = 0;
@@ -181,6 +205,11 @@
     return count;
   }
 
+  /** Whether the head of the connection's newest request was received, and its body was not yet received completely. */
+  isReceivingBody(socket: Socket): boolean {
+    return this.connections.get(socket)?.isReceiving ?? false;
+  }
+
   /** Must be called for each request once its head was received. */
   enter(request: IncomingMessage, response: ServerResponse): RequestTurn {
     const { server } = request.socket as AcceptedSocket;
@@ -213,7 +242,11 @@
   private connectionOf(socket: Socket): ConnectionTurns {
     const known = this.connections.get(socket);
     if (known) return known;
-    const connection = new ConnectionTurns(socket, () => (this.droppedRequests += 1));
+    const connection = new ConnectionTurns(
+      socket,
+      this.controlOf(socket),
+      () => (this.droppedRequests += 1),
+    );
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
@@ -223,6 +256,14 @@
   }
 }
 
+function flowOf(socket: Socket): ReadControl {
+  return {
+    unparsedBytes: 0,
+    hold: () => void socket.pause(),
+    release: () => void socket.resume(),
+  };
+}
+
 function responseTo({ code }: NodeJS.ErrnoException): string {
   if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return TIMEOUT_RESPONSE;
   if (code === 'HPE_HEADER_OVERFLOW') return TOO_LARGE_HEAD_RESPONSE;
--- /dev/null
+++ b/src/http/requests-sent-ahead.test.ts
@@ -0,0 +1,85 @@
+/** Requests that a caller sends ahead: they wait unread, and other callers' requests don't wait for them. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { StrictCaller } from '../../tests/support/strict-caller.js';
+import { waitUntil } from '../../tests/support/wait-until.js';
+import { Deferred, sleep } from '../common/index.js';
+import { RequestServer, type WholeResponse } from './request-server.js';
+
+const HOST = '127.0.0.1';
+const REQUEST = 'GET /x HTTP/1.1\r\nHost: test\r\n\r\n';
+const SENT_AHEAD = 200;
+/** The running request and those that may wait on a connection. */
+const MAX_RECEIVED = 17;
+/** Time in which all of them would be received. */
+const SETTLE_MS = 200;
+const OK: WholeResponse = { status: 200, body: '"ok"' };
+
+let server: RequestServer;
+let answer: Deferred<WholeResponse>;
+let carriedOut = 0;
+beforeEach(async () => {
+  carriedOut = 0;
+  answer = new Deferred();
+  server = await RequestServer.start({
+    host: HOST,
+    port: 0,
+    maxBodyBytes: 1_000_000,
+    answer: () => {
+      carriedOut += 1;
+      return answer.promise;
+    },
+    refuseTooLarge: () => OK,
+    stopping: OK,
+    interrupted: OK,
+  });
+});
+afterEach(() => server.close());
+
+function connect(): Promise<StrictCaller> {
+  return StrictCaller.connect(`${HOST}:${server.port}`);
+}
+
+describe('requests that are sent ahead in one write', () => {
+  it('are not parsed beyond those that may wait', async () => {
+    const caller = await connect();
+    caller.socket.write(REQUEST.repeat(SENT_AHEAD));
+    await waitUntil('received', () => server.activeRequests > 0);
+    await sleep(SETTLE_MS);
+    expect(server.activeRequests).toBeLessThanOrEqual(MAX_RECEIVED);
+    caller.socket.destroy();
+  });
+
+  it('are all answered, also if the caller closes its side behind them', async () => {
+    answer.resolve(OK);
+    const caller = await connect();
+    const last = REQUEST.replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n');
+    caller.socket.end(REQUEST.repeat(SENT_AHEAD - 1) + last);
+    const answers = await caller.waitUntilAllAnswers();
+    expect(answers).toHaveLength(SENT_AHEAD);
+    expect(answers.every(({ isComplete, status }) => isComplete && status === OK.status)).toBe(
+      true,
+    );
+  });
+
+  it('are noticed to be abandoned while the first is carried out', async () => {
+    const caller = await connect();
+    caller.socket.write(REQUEST.repeat(MAX_RECEIVED - 1));
+    await waitUntil('received', () => server.activeRequests === MAX_RECEIVED - 1);
+    caller.socket.destroy();
+    await waitUntil('forgotten', () => server.activeRequests === 0);
+    expect(carriedOut).toBe(1);
+  });
+});
+
+describe('a body in chunks of one byte', () => {
+  const CHUNK = '1\r\nx\r\n';
+  const CHUNKS = 4_000;
+  const HEAD = 'POST /x HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+  it('is received completely', async () => {
+    answer.resolve(OK);
+    const caller = await connect();
+    caller.socket.write(`${HEAD}${CHUNK.repeat(CHUNKS)}0\r\n\r\n${REQUEST}`);
+    await waitUntil('answered', () => carriedOut === 2);
+  });
+});
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -1,18 +1,23 @@
 /** The connections of an HTTP server: the order of their requests, responses until they are sent, and how they are closed. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as NetServer } from 'node:net';
+import { Server as NetServer, type Socket } from 'node:net';
+import { ConnectionReader } from './connection-reader.js';
 import { LingeringConnections } from './lingering-close.js';
+import { processReadScheduler } from './read-scheduler.js';
 import { RequestOrder, type RequestTurn } from './request-order.js';
 import { waitUntilSent } from './responses.js';
 
 export class ServerConnections {
-  private readonly order = new RequestOrder();
+  private readonly readers = new WeakMap<Socket, ConnectionReader>();
+  private readonly order = new RequestOrder((socket) => this.readers.get(socket)!);
   private readonly lingering = new LingeringConnections();
   /** Number of responses that are written completely, but not yet sent. */
   private unsentResponses = 0;
 
+  /** Must be created before the server accepts connections. */
   constructor(private readonly server: Server) {
     this.order.listenForErrors(server);
+    server.on('connection', (socket) => this.read(socket));
   }
 
   /** Number of completely received requests that wait for the response of an earlier one. */
@@ -47,6 +52,15 @@
     this.unsentResponses -= 1;
   }
 
+  private read(socket: Socket): void {
+    const reader = new ConnectionReader({
+      socket,
+      scheduler: processReadScheduler,
+      isReceivingBody: () => this.order.isReceivingBody(socket),
+    });
+    this.readers.set(socket, reader);
+  }
+
   /** Stops accepting connections; open ones may finish their requests. */
   stopListening(): void {
     // The `close` of an HTTP server would also interrupt unsent responses to slow clients.
