Requests that wait are bounded for all connections of a server

A crowd whose connections each send requests ahead had 17 requests received on each: a bound for a connection is none for the process.

--- a/src/http/http-server.ts
+++ b/src/http/http-server.ts
@@ -18,7 +18,7 @@
   shuttingDownProblem,
 } from './problem.js';
 import { onHead, sendProblem } from './responses.js';
-import { ServerConnections } from './server-connections.js';
+import { ServerConnections, type ServerConnectionsOptions } from './server-connections.js';
 
 export interface HttpServerOptions {
   host: string;
@@ -30,6 +30,7 @@
   shutdown?: GracefulShutdown;
   /** Called for each request that this server answers by itself because of the stop. */
   onEndedByShutdown?: (outcome: RequestOutcome) => void;
+  connections?: ServerConnectionsOptions;
 }
 
 export interface DrainRequest {
@@ -65,7 +66,7 @@
     private readonly options: HttpServerOptions,
   ) {
     this.shutdown = options.shutdown ?? new GracefulShutdown();
-    this.connections = new ServerConnections(server);
+    this.connections = new ServerConnections(server, options.connections);
   }
 
   static async start(options: HttpServerOptions): Promise<HttpServer> {
--- a/src/http/request-order.ts
+++ b/src/http/request-order.ts
@@ -25,6 +25,24 @@
   release(): void;
 }
 
+export interface RequestOrderOptions {
+  /** Returns the control of a connection's reading. @default the flow of its socket */
+  controlOf?: (socket: Socket) => ReadControl;
+  /** Requests that may wait behind the first of their connection, on all connections. @default no limit */
+  maxWaitingRequests?: number;
+}
+
+/** The requests of all connections that wait behind the first of their connection. */
+class WaitingRequests {
+  count = 0;
+
+  constructor(private readonly max: number) {}
+
+  get isFull(): boolean {
+    return this.count >= this.max;
+  }
+}
+
 /** Requests that may wait on one connection behind the first; it is not read while so many do. */
 const MAX_WAITING_REQUESTS = 16;
 /** Node's code if a caller closes its side of the connection within a request. */
@@ -104,6 +122,7 @@
   constructor(
     private readonly socket: Socket,
     private readonly control: ReadControl,
+    private readonly waiting: WaitingRequests,
     private readonly noteDropped: () => void,
   ) {}
 
@@ -118,7 +137,8 @@
 
   /** Whether the head of another request may be received. */
   private get mayRead(): boolean {
-    return this.hasRoom && this.turns.length <= MAX_WAITING_REQUESTS;
+    const isFull = this.waiting.isFull && this.turns.length > 1;
+    return this.hasRoom && this.turns.length <= MAX_WAITING_REQUESTS && !isFull;
   }
 
   /** Whether the newest request was received in part. */
@@ -133,6 +153,7 @@
   enter(request: IncomingMessage): RequestTurn {
     const turn = new RequestTurn(request, this);
     this.turns.push(turn);
+    if (this.turns.length > 1) this.waiting.count += 1;
     if (!this.mayRead) this.hold();
     return turn;
   }
@@ -148,6 +169,7 @@
 
   /** The first response is sent. */
   advance(): void {
+    if (this.turns.length > 1) this.waiting.count -= 1;
     this.turns.shift();
     if (this.isBroken && !this.hasReceivedRequest) this.socket.destroySoon();
     if (!this.canRespond) {
@@ -164,7 +186,14 @@
     this.hold();
   }
 
-  dropAll(): void {
+  /** The connection is closed. */
+  close(): void {
+    this.dropAll();
+    this.waiting.count -= Math.max(0, this.turns.length - 1);
+    this.turns.length = 0;
+  }
+
+  private dropAll(): void {
     for (const turn of this.turns) this.drop(turn);
   }
 
@@ -195,8 +224,13 @@
   droppedRequests = 0;
   private readonly connections = new Map<Socket, ConnectionTurns>();
 
-  /** @param controlOf returns the control of a connection's reading. @default the flow of its socket */
-  constructor(private readonly controlOf: (socket: Socket) => ReadControl = flowOf) {}
+  private readonly controlOf: (socket: Socket) => ReadControl;
+  private readonly waiting: WaitingRequests;
+
+  constructor({ controlOf = flowOf, maxWaitingRequests = Infinity }: RequestOrderOptions = {}) {
+    this.controlOf = controlOf;
+    this.waiting = new WaitingRequests(maxWaitingRequests);
+  }
 
   /** Number of completely received requests that wait for the response of an earlier one. */
   get waitingRequests(): number {
@@ -245,12 +279,13 @@
     const connection = new ConnectionTurns(
       socket,
       this.controlOf(socket),
+      this.waiting,
       () => (this.droppedRequests += 1),
     );
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
-      connection.dropAll();
+      connection.close();
     });
     return connection;
   }
--- a/src/http/request-server.ts
+++ b/src/http/request-server.ts
@@ -12,8 +12,8 @@
   drainServer,
 } from '../shutdown/index.js';
 import type { RequestTurn } from './request-order.js';
-import { ServerConnections } from './server-connections.js';
 import { onSilentBody } from './silent-body.js';
+import { ServerConnections, type ServerConnectionsOptions } from './server-connections.js';
 
 /** A request that was received completely. */
 export interface WholeRequest {
@@ -50,6 +50,7 @@
   stopping: WholeResponse;
   /** Answer to a request that is still carried out when the process ends. */
   interrupted: WholeResponse;
+  connections?: ServerConnectionsOptions;
 }
 
 /** What a drained server did since the request to stop. */
@@ -88,7 +89,7 @@
     this.server = createServer({ noDelay: true }, (request, response) =>
       this.receive(request, response),
     );
-    this.connections = new ServerConnections(this.server);
+    this.connections = new ServerConnections(this.server, options.connections);
   }
 
   static async start(options: RequestServerOptions): Promise<RequestServer> {
--- a/src/http/requests-sent-ahead.test.ts
+++ b/src/http/requests-sent-ahead.test.ts
@@ -10,6 +10,8 @@
 const SENT_AHEAD = 200;
 /** The running request and those that may wait on a connection. */
 const MAX_RECEIVED = 17;
+/** More than one connection may have waiting. */
+const MAX_WAITING_OF_ALL = 20;
 /** Time in which all of them would be received. */
 const SETTLE_MS = 200;
 const OK: WholeResponse = { status: 200, body: '"ok"' };
@@ -31,6 +33,7 @@
     refuseTooLarge: () => OK,
     stopping: OK,
     interrupted: OK,
+    connections: { limits: { maxWaitingRequests: MAX_WAITING_OF_ALL } },
   });
 });
 afterEach(() => server.close());
@@ -71,6 +74,23 @@
   });
 });
 
+describe('requests that are sent ahead on many connections', () => {
+  const CONNECTIONS = 10;
+  const REQUESTS = 10;
+
+  it('are bounded together, and all are answered', async () => {
+    const callers = await Promise.all(Array.from({ length: CONNECTIONS }, connect));
+    for (const { socket } of callers) socket.write(REQUEST.repeat(REQUESTS));
+    await waitUntil('received', () => carriedOut === CONNECTIONS);
+    await sleep(SETTLE_MS);
+    // One running and one waiting on each connection, beside those of the limit.
+    expect(server.activeRequests).toBeLessThanOrEqual(MAX_WAITING_OF_ALL + 2 * CONNECTIONS);
+    answer.resolve(OK);
+    await waitUntil('answered', () => carriedOut === CONNECTIONS * REQUESTS);
+    for (const { socket } of callers) socket.destroy();
+  });
+});
+
 describe('a body in chunks of one byte', () => {
   const CHUNK = '1\r\nx\r\n';
   const CHUNKS = 4_000;
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -1,21 +1,33 @@
 /** The connections of an HTTP server: the order of their requests, responses until they are sent, and how they are closed. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
+import { type ConnectionLimits, DEFAULT_CONNECTION_LIMITS } from './connection-limits.js';
 import { ConnectionReader } from './connection-reader.js';
 import { LingeringConnections } from './lingering-close.js';
 import { processReadScheduler } from './read-scheduler.js';
 import { RequestOrder, type RequestTurn } from './request-order.js';
 import { waitUntilSent } from './responses.js';
 
+export interface ServerConnectionsOptions {
+  /** @default DEFAULT_CONNECTION_LIMITS */
+  limits?: Partial<ConnectionLimits>;
+}
+
 export class ServerConnections {
   private readonly readers = new WeakMap<Socket, ConnectionReader>();
-  private readonly order = new RequestOrder((socket) => this.readers.get(socket)!);
+  private readonly order: RequestOrder;
   private readonly lingering = new LingeringConnections();
   /** Number of responses that are written completely, but not yet sent. */
   private unsentResponses = 0;
 
   /** Must be created before the server accepts connections. */
-  constructor(private readonly server: Server) {
+  constructor(
+    private readonly server: Server,
+    options: ServerConnectionsOptions = {},
+  ) {
+    const { maxWaitingRequests } = { ...DEFAULT_CONNECTION_LIMITS, ...options.limits };
+    const controlOf = (socket: Socket): ConnectionReader => this.readers.get(socket)!;
+    this.order = new RequestOrder({ controlOf, maxWaitingRequests });
     this.order.listenForErrors(server);
     server.on('connection', (socket) => this.read(socket));
   }
