Heads that stop short and waiting requests count in the memory budget

2,000 heads of 60 KB that stop short, or requests that wait behind a slow one, filled a process: nothing counted what a connection holds beside bodies and answers. Each connection is now a holder of kind `connection`: the bytes of its incomplete head, those that wait to be parsed, and its waiting requests without their bodies. The largest is ended when the budget is exhausted: with 503 and Retry-After if none of its requests was begun; else the one that runs is answered, the waiting ones are dropped unrun, and the connection is closed. Bytes that still arrive are discarded.

--- a/src/http/connection-reader.ts
+++ b/src/http/connection-reader.ts
@@ -2,7 +2,9 @@
  * Reads one connection of an HTTP server in bounded parts. Node parses all bytes of a read at once, which may be hundreds of
  * requests; here what follows the first request waits unparsed, and meanwhile the connection is not read.
  */
+import type { IncomingMessage } from 'node:http';
 import { Socket } from 'node:net';
+import type { MemoryBudget, MemoryHolder } from '../memory-budget/index.js';
 import type { ReadScheduler, ReadTask } from './read-scheduler.js';
 import { lengthOfFirstPart } from './received-part.js';
 
@@ -12,8 +14,10 @@
 export interface ConnectionReaderOptions {
   socket: Socket;
   scheduler: ReadScheduler;
-  /** Whether the head of the newest request was received, and its body was not yet received completely. */
-  isReceivingBody: () => boolean;
+  /** Absent if the bytes are not counted. */
+  budget?: MemoryBudget;
+  /** Called when the budget is exhausted and this connection is the largest holder; must end it. */
+  onEnded: () => void;
 }
 
 /** Parts of a fresh read that are parsed at once if they belong to one request: a head and the beginning of its body. */
@@ -28,6 +32,14 @@
   /** Whether Node holds back the connection because of an unread body or unsent responses. */
   private isPausedByNode = false;
   private isFlowing = true;
+  private isDiscarding = false;
+  /** The request whose body is received. */
+  private receiving: IncomingMessage | undefined;
+  /** Bytes of a head that is not complete. */
+  private partialHeadBytes = 0;
+  /** Memory of the requests that wait for the response of an earlier one, without their bodies. */
+  private waitingBytes = 0;
+  private holder: MemoryHolder | undefined;
 
   /** Must be created before the first bytes arrive. */
   constructor(private readonly options: ConnectionReaderOptions) {
@@ -36,7 +48,7 @@
     this.replaceDataListener();
     socket.pause = () => this.notePausedByNode(true);
     socket.resume = () => this.notePausedByNode(false);
-    socket.once('close', () => this.discard());
+    socket.once('close', () => this.close());
   }
 
   /** Number of received bytes that are not parsed yet. */
@@ -60,6 +72,27 @@
     this.update();
   }
 
+  noteHead(request: IncomingMessage): void {
+    this.receiving = request;
+    this.partialHeadBytes = 0;
+  }
+
+  noteWaitingBytes(bytes: number): void {
+    const isLess = bytes < this.waitingBytes;
+    this.waitingBytes = bytes;
+    // More is counted behind the part that is being parsed, since the connection may be ended for it.
+    if (isLess) this.account();
+  }
+
+  /** Drops what is not parsed, and what is still to come. */
+  discard(): void {
+    this.isDiscarding = true;
+    this.unparsed = undefined;
+    this.partialHeadBytes = 0;
+    this.isHeld = false;
+    this.update();
+  }
+
   /**
    * Node reads a connection natively until another listener is added, and then it also takes off its listeners that stop the
    * handle in a pause. They are added again; otherwise the end of the stream would be reported before the unparsed bytes.
@@ -89,10 +122,11 @@
   }
 
   private receive(bytes: Buffer): void {
+    if (this.isDiscarding) return;
     this.unparsed = this.unparsed ? Buffer.concat([this.unparsed, bytes]) : bytes;
     for (let parts = 0; parts < MAX_PARTS_AT_ONCE && this.canParse; parts += 1) {
       this.parsePart();
-      if (!this.options.isReceivingBody()) break;
+      if (!this.receiving) break;
     }
     this.update();
   }
@@ -101,7 +135,9 @@
     const bytes = this.unparsed!;
     const length = lengthOfFirstPart(bytes);
     this.unparsed = length < bytes.length ? bytes.subarray(length) : undefined;
+    if (!this.receiving) this.partialHeadBytes += length;
     this.parse(length < bytes.length ? bytes.subarray(0, length) : bytes);
+    if (this.receiving?.complete) this.receiving = undefined;
   }
 
   private notePausedByNode(isPaused: boolean): Socket {
@@ -115,15 +151,27 @@
     const { socket, scheduler } = this.options;
     if (this.canParse) scheduler.add(this);
     const mustFlow = this.unparsed === undefined && !this.isHeld && !this.isPausedByNode;
-    if (mustFlow === this.isFlowing || socket.destroyed) return;
-    this.isFlowing = mustFlow;
-    if (mustFlow) Socket.prototype.resume.call(socket);
-    else Socket.prototype.pause.call(socket);
+    if (mustFlow !== this.isFlowing && !socket.destroyed) {
+      this.isFlowing = mustFlow;
+      if (mustFlow) Socket.prototype.resume.call(socket);
+      else Socket.prototype.pause.call(socket);
+    }
+    this.account();
+  }
+
+  private account(): void {
+    const { socket, budget, onEnded } = this.options;
+    const bytes = this.unparsedBytes + this.partialHeadBytes + this.waitingBytes;
+    if ((bytes === 0 && !this.holder) || socket.destroyed) return;
+    const peer = (): string | undefined => socket.remoteAddress;
+    this.holder ??= budget?.hold({ kind: 'connection', peer, end: onEnded });
+    this.holder?.resize(bytes);
   }
 
-  private discard(): void {
+  private close(): void {
     this.unparsed = undefined;
     this.options.scheduler.delete(this);
+    this.holder?.release();
   }
 }
 
--- a/src/http/lingering-close.ts
+++ b/src/http/lingering-close.ts
@@ -28,7 +28,8 @@
     };
   }
 
-  private linger(socket: Socket): void {
+  /** Ends this side of the connection; must be called once nothing more is written to it. */
+  linger(socket: Socket): void {
     if (socket.destroyed) return;
     this.sockets.add(socket);
     const timer = setTimeout(() => socket.destroy(), MAX_LINGER_MS);
--- a/src/http/request-order.ts
+++ b/src/http/request-order.ts
@@ -23,6 +23,10 @@
   /** From now on nothing is read, until `release`. */
   hold(): void;
   release(): void;
+  /** Is told that the head of the request was received. */
+  noteHead(request: IncomingMessage): void;
+  /** Is told the memory of the requests that wait behind the first, without their bodies. */
+  noteWaitingBytes(bytes: number): void;
 }
 
 export interface RequestOrderOptions {
@@ -45,6 +49,8 @@
 
 /** Requests that may wait on one connection behind the first; it is not read while so many do. */
 const MAX_WAITING_REQUESTS = 16;
+/** Memory of a request and its response beside its headers and its body. */
+const REQUEST_BYTES = 4_096;
 /** Node's code if a caller closes its side of the connection within a request. */
 const CLOSED_WITHIN_REQUEST = 'HPE_INVALID_EOF_STATE';
 const TIMEOUT_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
@@ -57,6 +63,7 @@
   /** Set once the request was received completely. */
   private handler: ReceivedRequestHandler | undefined;
   private hasBegun = false;
+  private isCancelled = false;
   private read: (() => void) | undefined;
 
   constructor(
@@ -88,7 +95,18 @@
   /** Must be called once the request was received completely. */
   noteReceived(handler: ReceivedRequestHandler): void {
     this.handler = handler;
-    this.connection.noteReceived(this);
+    if (this.isCancelled) this.connection.drop(this);
+    else this.connection.noteReceived(this);
+  }
+
+  /** Memory that the request holds while it waits, without its body. */
+  get waitingBytes(): number {
+    return this.request.rawHeaders.reduce((sum, text) => sum + text.length, REQUEST_BYTES);
+  }
+
+  /** The request will be dropped as soon as it is received completely. */
+  cancel(): void {
+    this.isCancelled = true;
   }
 
   readIfHeld(): void {
@@ -115,6 +133,7 @@
 /** The requests of one connection, oldest first. */
 class ConnectionTurns {
   private readonly turns: RequestTurn[] = [];
+  private waitingBytes = 0;
   private isHeld = false;
   /** Whether what follows on the connection can't be read. */
   private isBroken = false;
@@ -141,9 +160,8 @@
     return this.hasRoom && this.turns.length <= MAX_WAITING_REQUESTS && !isFull;
   }
 
-  /** Whether the newest request was received in part. */
-  get isReceiving(): boolean {
-    return this.turns.at(-1)?.isReceived === false;
+  get hasRequest(): boolean {
+    return this.turns.length > 0;
   }
 
   get hasReceivedRequest(): boolean {
@@ -153,7 +171,8 @@
   enter(request: IncomingMessage): RequestTurn {
     const turn = new RequestTurn(request, this);
     this.turns.push(turn);
-    if (this.turns.length > 1) this.waiting.count += 1;
+    this.control.noteHead(request);
+    if (this.turns.length > 1) this.noteWaiting(1, turn);
     if (!this.mayRead) this.hold();
     return turn;
   }
@@ -169,8 +188,9 @@
 
   /** The first response is sent. */
   advance(): void {
-    if (this.turns.length > 1) this.waiting.count -= 1;
     this.turns.shift();
+    const [first] = this.turns;
+    if (first) this.noteWaiting(-1, first);
     if (this.isBroken && !this.hasReceivedRequest) this.socket.destroySoon();
     if (!this.canRespond) {
       this.dropAll();
@@ -193,6 +213,17 @@
     this.turns.length = 0;
   }
 
+  /** Closes the connection behind the response to the request that runs, if any, and drops the others. */
+  closeBehindFirst(): void {
+    const [first] = this.turns;
+    if (!first?.isReceived) {
+      this.socket.destroy();
+      return;
+    }
+    this.isBroken = true;
+    for (const turn of this.turns.slice(1)) this.removeWaiting(turn);
+  }
+
   private dropAll(): void {
     for (const turn of this.turns) this.drop(turn);
   }
@@ -202,10 +233,23 @@
     return this.socket.writable;
   }
 
-  private drop(turn: RequestTurn): void {
+  drop(turn: RequestTurn): void {
     if (turn.dropIfWaiting()) this.noteDropped();
   }
 
+  private removeWaiting(turn: RequestTurn): void {
+    this.turns.splice(this.turns.indexOf(turn), 1);
+    this.noteWaiting(-1, turn);
+    turn.cancel();
+    this.drop(turn);
+  }
+
+  private noteWaiting(change: 1 | -1, turn: RequestTurn): void {
+    this.waiting.count += change;
+    this.waitingBytes += change * turn.waitingBytes;
+    this.control.noteWaitingBytes(this.waitingBytes);
+  }
+
   private hold(): void {
     this.isHeld = true;
     this.control.hold();
@@ -239,11 +283,6 @@
     return count;
   }
 
-  /** Whether the head of the connection's newest request was received, and its body was not yet received completely. */
-  isReceivingBody(socket: Socket): boolean {
-    return this.connections.get(socket)?.isReceiving ?? false;
-  }
-
   /** Must be called for each request once its head was received. */
   enter(request: IncomingMessage, response: ServerResponse): RequestTurn {
     const { server } = request.socket as AcceptedSocket;
@@ -273,6 +312,16 @@
     else connection.breakOff();
   }
 
+  /** Whether a request of the connection was begun, waits, or is received. */
+  hasRequest(socket: Socket): boolean {
+    return this.connections.get(socket)?.hasRequest ?? false;
+  }
+
+  /** Closes the connection behind the response to its first request; no other is begun on it. */
+  closeBehindFirst(socket: Socket): void {
+    this.connections.get(socket)?.closeBehindFirst();
+  }
+
   private connectionOf(socket: Socket): ConnectionTurns {
     const known = this.connections.get(socket);
     if (known) return known;
@@ -296,6 +345,8 @@
     unparsedBytes: 0,
     hold: () => void socket.pause(),
     release: () => void socket.resume(),
+    noteHead: () => undefined,
+    noteWaitingBytes: () => undefined,
   };
 }
 
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -1,6 +1,7 @@
 /** The connections of an HTTP server: the order of their requests, responses until they are sent, and how they are closed. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
+import type { MemoryBudget } from '../memory-budget/index.js';
 import { type ConnectionLimits, DEFAULT_CONNECTION_LIMITS } from './connection-limits.js';
 import { ConnectionReader } from './connection-reader.js';
 import { LingeringConnections } from './lingering-close.js';
@@ -11,8 +12,14 @@
 export interface ServerConnectionsOptions {
   /** @default DEFAULT_CONNECTION_LIMITS */
   limits?: Partial<ConnectionLimits>;
+  /** Budget of what callers have sent and is no whole request. @default it is not counted */
+  budget?: MemoryBudget;
 }
 
+/** Response in place of a request that was not received completely; the caller may send it again. */
+const NOT_READ_RESPONSE =
+  'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
+
 export class ServerConnections {
   private readonly readers = new WeakMap<Socket, ConnectionReader>();
   private readonly order: RequestOrder;
@@ -23,7 +30,7 @@
   /** Must be created before the server accepts connections. */
   constructor(
     private readonly server: Server,
-    options: ServerConnectionsOptions = {},
+    private readonly options: ServerConnectionsOptions = {},
   ) {
     const { maxWaitingRequests } = { ...DEFAULT_CONNECTION_LIMITS, ...options.limits };
     const controlOf = (socket: Socket): ConnectionReader => this.readers.get(socket)!;
@@ -68,11 +75,28 @@
     const reader = new ConnectionReader({
       socket,
       scheduler: processReadScheduler,
-      isReceivingBody: () => this.order.isReceivingBody(socket),
+      budget: this.options.budget,
+      onEnded: () => this.end(socket),
     });
     this.readers.set(socket, reader);
   }
 
+  /** Closes a connection that holds too much, after a response if none of its requests has run. */
+  private end(socket: Socket): void {
+    this.readers.get(socket)!.discard();
+    if (this.order.hasRequest(socket)) this.order.closeBehindFirst(socket);
+    else this.refuse(socket);
+  }
+
+  private refuse(socket: Socket): void {
+    if (!socket.writable) {
+      socket.destroy();
+      return;
+    }
+    socket.write(NOT_READ_RESPONSE);
+    this.lingering.linger(socket);
+  }
+
   /** Stops accepting connections; open ones may finish their requests. */
   stopListening(): void {
     // The `close` of an HTTP server would also interrupt unsent responses to slow clients.
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -190,6 +190,11 @@
     return this.health.isActive && !this.isReady;
   }
 
+  /** Budget of all that the gateway holds for its callers and back ends. */
+  get memoryBudget(): MemoryBudget {
+    return this.memory;
+  }
+
   /** How calls are received; undefined before the first configuration, so that no call is received by a default. */
   get ingressPolicy(): IngressPolicy | undefined {
     if (!this.routes) return undefined;
