Connections are bounded below the process's file descriptors

12,000 connections at once had a gateway hold 5,105 descriptors of its 4,100: nothing bounded accepted connections, which share descriptors with back ends, the group, the disk and the log, and an accept that fails for want of one goes on failing. Beyond it, the connection that has been idle longest is closed; if each has a request, the new one gets 503 with Retry-After and is closed, so that at most 64 more wait for their callers to read that.

--- a/src/http/request-order.ts
+++ b/src/http/request-order.ts
@@ -34,6 +34,10 @@
   controlOf?: (socket: Socket) => ReadControl;
   /** Requests that may wait behind the first of their connection, on all connections. @default no limit */
   maxWaitingRequests?: number;
+  /** Called when a request is received on a connection without one. */
+  onBusy?: (socket: Socket) => void;
+  /** Called when the last response on a connection is sent. */
+  onIdle?: (socket: Socket) => void;
 }
 
 /** The requests of all connections that wait behind the first of their connection. */
@@ -271,7 +275,8 @@
   private readonly controlOf: (socket: Socket) => ReadControl;
   private readonly waiting: WaitingRequests;
 
-  constructor({ controlOf = flowOf, maxWaitingRequests = Infinity }: RequestOrderOptions = {}) {
+  constructor(private readonly options: RequestOrderOptions = {}) {
+    const { controlOf = flowOf, maxWaitingRequests = Infinity } = options;
     this.controlOf = controlOf;
     this.waiting = new WaitingRequests(maxWaitingRequests);
   }
@@ -288,7 +293,11 @@
     const { server } = request.socket as AcceptedSocket;
     if (server && server.listenerCount('clientError') === 0) this.listenForErrors(server);
     const connection = this.connectionOf(request.socket);
-    response.once('finish', () => connection.advance());
+    response.once('finish', () => {
+      connection.advance();
+      if (!connection.hasRequest) this.options.onIdle?.(request.socket);
+    });
+    if (!connection.hasRequest) this.options.onBusy?.(request.socket);
     return connection.enter(request);
   }
 
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -5,6 +5,7 @@
 import { type ConnectionLimits, DEFAULT_CONNECTION_LIMITS } from './connection-limits.js';
 import { ConnectionReader } from './connection-reader.js';
 import { LingeringConnections } from './lingering-close.js';
+import { OpenConnections } from './open-connections.js';
 import { processReadScheduler } from './read-scheduler.js';
 import { RequestOrder, type RequestTurn } from './request-order.js';
 import { waitUntilSent } from './responses.js';
@@ -20,9 +21,13 @@
 const NOT_READ_RESPONSE =
   'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
 
+/** Refused connections that may wait for their callers to read the response, beside those that are served. */
+const MAX_REFUSED_CONNECTIONS = 64;
+
 export class ServerConnections {
   private readonly readers = new WeakMap<Socket, ConnectionReader>();
   private readonly order: RequestOrder;
+  private readonly open: OpenConnections;
   private readonly lingering = new LingeringConnections();
   /** Number of responses that are written completely, but not yet sent. */
   private unsentResponses = 0;
@@ -32,11 +37,33 @@
     private readonly server: Server,
     private readonly options: ServerConnectionsOptions = {},
   ) {
-    const { maxWaitingRequests } = { ...DEFAULT_CONNECTION_LIMITS, ...options.limits };
+    const limits = { ...DEFAULT_CONNECTION_LIMITS, ...options.limits };
+    const { maxConnections, maxWaitingRequests } = limits;
     const controlOf = (socket: Socket): ConnectionReader => this.readers.get(socket)!;
-    this.order = new RequestOrder({ controlOf, maxWaitingRequests });
+    this.open = new OpenConnections(maxConnections);
+    this.order = new RequestOrder({
+      controlOf,
+      maxWaitingRequests,
+      onBusy: (socket) => this.open.noteBusy(socket),
+      onIdle: (socket) => this.open.noteIdle(socket),
+    });
     this.order.listenForErrors(server);
-    server.on('connection', (socket) => this.read(socket));
+    server.on('connection', (socket) => this.accept(socket));
+  }
+
+  /** Number of open connections, without those that were refused. */
+  get openConnections(): number {
+    return this.open.count;
+  }
+
+  /** Number of idle connections that were closed in favour of new ones. */
+  get closedIdleConnections(): number {
+    return this.open.closedIdle;
+  }
+
+  /** Number of connections that were refused because all others were in use. */
+  get refusedConnections(): number {
+    return this.open.refused;
   }
 
   /** Number of completely received requests that wait for the response of an earlier one. */
@@ -71,6 +98,14 @@
     this.unsentResponses -= 1;
   }
 
+  private accept(socket: Socket): void {
+    this.read(socket);
+    if (this.open.admit(socket)) return;
+    this.readers.get(socket)!.discard();
+    if (this.lingering.count < MAX_REFUSED_CONNECTIONS) this.refuse(socket);
+    else socket.destroy();
+  }
+
   private read(socket: Socket): void {
     const reader = new ConnectionReader({
       socket,
--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -33,6 +33,8 @@
   secret: string;
   /** Memory limit above which the process is killed. @default no limit, for a gateway's budget half of the machine's memory */
   memoryLimitBytes?: number;
+  /** File descriptors that the process may have open. @default 4,096 */
+  maxFileDescriptors?: number;
   /** Maximum size of the data folder. @default no limit */
   storageQuotaBytes?: number;
 }
