Probe ports take few connections and give up incomplete requests

The servers of readiness and of metrics had Node's defaults: any number of connections, a minute for a head, five for a body, and requests sent ahead without a bound, in the same process as the main port. Both now come from createProbeServer: 32 connections, of which the longest idle gives way, heads of 8 KiB within 2 s, no bodies, and requests one at a time.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -11,6 +11,7 @@
 export { readJson } from './json-body.js';
 export { sendJson } from './responses.js';
 export * from './problem.js';
+export { createProbeServer } from './probe-server.js';
 export * from './raw-headers.js';
 export * from './server-sent-events.js';
 export * from './backend-socket.js';
--- a/src/observability/status-server.ts
+++ b/src/observability/status-server.ts
@@ -1,7 +1,8 @@
 /** HTTP server for `/healthz`, `/readyz` and `/metrics` (Prometheus text format). */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Registry } from 'prom-client';
+import { createProbeServer } from '../http/probe-server.js';
 
 export interface StatusServerOptions {
   host: string;
@@ -22,7 +23,7 @@
   ) {}
 
   static async start(options: StatusServerOptions): Promise<StatusServer> {
-    const server = createServer((request, response) => {
+    const server = createProbeServer((request, response) => {
       void createPage(options, request.url ?? '/').then((page) => {
         response.writeHead(page.status, { 'content-type': page.contentType });
         response.end(page.body);
