Callers that take nothing of their answer lose the connection

A caller that sent requests ahead and read no answer kept its connection, its answer and its waiting requests for as long as it liked: Node bounds the time of idle connections only, and a response that is written completely has no deadline of its own. Connections in use that have unsent bytes now have a timeout of 15 s, which every byte that the caller takes starts again; they are looked at once a second, so an ordinary request costs nothing.

--- a/src/http/connection-limits.ts
+++ b/src/http/connection-limits.ts
@@ -5,6 +5,8 @@
   maxConnections: number;
   /** Requests that may wait behind the first of their connection; beyond them, no connection with one is read. */
   maxWaitingRequests: number;
+  /** Time in which a caller must take a part of what it is sent, in milliseconds; otherwise its connection is closed. */
+  unreadTimeoutMs: number;
 }
 
 /** File descriptors of a process whose settings name no limit. */
@@ -24,4 +26,5 @@
 export const DEFAULT_CONNECTION_LIMITS: ConnectionLimits = {
   maxConnections: maxConnectionsFor(),
   maxWaitingRequests: 1_024,
+  unreadTimeoutMs: 15_000,
 };
--- a/src/http/open-connections.ts
+++ b/src/http/open-connections.ts
@@ -9,9 +9,15 @@
   private readonly open = new Set<Socket>();
   /** Connections without a request, the one that has been idle longest first. */
   private readonly idle = new Set<Socket>();
+  private readonly busy = new Set<Socket>();
 
   constructor(private readonly max: number) {}
 
+  /** Connections with a request. */
+  get inUse(): ReadonlySet<Socket> {
+    return this.busy;
+  }
+
   get count(): number {
     return this.open.size;
   }
@@ -31,10 +37,12 @@
   /** Must be called when a request is received on a connection without one. */
   noteBusy(socket: Socket): void {
     this.idle.delete(socket);
+    if (this.open.has(socket)) this.busy.add(socket);
   }
 
   /** Must be called when the last response on a connection is sent. */
   noteIdle(socket: Socket): void {
+    this.busy.delete(socket);
     if (this.open.has(socket)) this.idle.add(socket);
   }
 
@@ -50,5 +58,6 @@
   private forget(socket: Socket): void {
     this.open.delete(socket);
     this.idle.delete(socket);
+    this.busy.delete(socket);
   }
 }
--- a/src/http/probe-server.ts
+++ b/src/http/probe-server.ts
@@ -6,7 +6,11 @@
 import type { ConnectionLimits } from './connection-limits.js';
 import { ServerConnections } from './server-connections.js';
 
-const LIMITS: ConnectionLimits = { maxConnections: 32, maxWaitingRequests: 32 };
+const LIMITS: ConnectionLimits = {
+  maxConnections: 32,
+  maxWaitingRequests: 32,
+  unreadTimeoutMs: 2_000,
+};
 const OPTIONS: ServerOptions = {
   maxHeaderSize: 8 * 1024,
   headersTimeout: 2_000,
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -8,6 +8,7 @@
 import { OpenConnections } from './open-connections.js';
 import { processReadScheduler } from './read-scheduler.js';
 import { RequestOrder, type RequestTurn } from './request-order.js';
+import { UnreadConnections } from './unread-connections.js';
 import { waitUntilSent } from './responses.js';
 
 export interface ServerConnectionsOptions {
@@ -38,7 +39,7 @@
     private readonly options: ServerConnectionsOptions = {},
   ) {
     const limits = { ...DEFAULT_CONNECTION_LIMITS, ...options.limits };
-    const { maxConnections, maxWaitingRequests } = limits;
+    const { maxConnections, maxWaitingRequests, unreadTimeoutMs } = limits;
     const controlOf = (socket: Socket): ConnectionReader => this.readers.get(socket)!;
     this.open = new OpenConnections(maxConnections);
     this.order = new RequestOrder({
@@ -48,6 +49,9 @@
       onIdle: (socket) => this.open.noteIdle(socket),
     });
     this.order.listenForErrors(server);
+    const unread = new UnreadConnections(unreadTimeoutMs, () => this.open.inUse);
+    server.on('listening', () => unread.start());
+    server.on('close', () => unread.stop());
     server.on('connection', (socket) => this.accept(socket));
   }
 
