--- a/src/nodes/node-settings.ts
+++ b/src/nodes/node-settings.ts
@@ -1,6 +1,7 @@
 /** Settings of the processes that forward calls, independent of the file format. */
 import type { ConsensusOptions } from '../consensus/index.js';
 import type { CrashLimits } from '../crash-guard/index.js';
+import type { ConnectionLimits } from '../http/index.js';
 import type { QuotaTolerance } from '../quotas/index.js';
 
 export interface NodeSettings {
@@ -33,8 +34,8 @@
   secret: string;
   /** Memory limit above which the process is killed. @default no limit, for a gateway's budget half of the machine's memory */
   memoryLimitBytes?: number;
-  /** File descriptors that the process may have open. @default 4,096 */
-  maxFileDescriptors?: number;
+  /** Bounds of the server of callers or operators. @default DEFAULT_CONNECTION_LIMITS */
+  connectionLimits?: Partial<ConnectionLimits>;
   /** Maximum size of the data folder. @default no limit */
   storageQuotaBytes?: number;
 }
