Sockets with many waiting requests print no warning of listeners

Each waiting request listens to the close of its socket, so a crowd that sends requests ahead had Node print MaxListenersExceededWarning once for each connection. The number is bounded by the requests that may wait.

--- a/src/http/connection-reader.ts
+++ b/src/http/connection-reader.ts
@@ -23,6 +23,9 @@
 /** Parts of a fresh read that are parsed at once if they belong to one request: a head and the beginning of its body. */
 const MAX_PARTS_AT_ONCE = 3;
 
+/** More than the requests that may wait on a connection add to each event of its socket. */
+const MAX_LISTENERS = 100;
+
 export class ConnectionReader implements ReadTask {
   /** Node's listener, which parses what it is given. */
   private readonly parse: DataListener;
@@ -46,6 +49,7 @@
     const { socket } = options;
     [this.parse] = socket.listeners('data') as [DataListener];
     this.replaceDataListener();
+    socket.setMaxListeners(MAX_LISTENERS);
     socket.pause = () => this.notePausedByNode(true);
     socket.resume = () => this.notePausedByNode(false);
     socket.once('close', () => this.close());
