An unparsed remainder counts with the memory of its whole read

Bytes that wait to be parsed are a part of the buffer of their read and keep all of it, up to 64 KB. The budget counted the part only, so many small remainders held far more than it knew of. Read in the code, not played.

--- a/src/http/connection-reader.ts
+++ b/src/http/connection-reader.ts
@@ -165,7 +165,9 @@
 
   private account(): void {
     const { socket, budget, onEnded } = this.options;
-    const bytes = this.unparsedBytes + this.partialHeadBytes + this.waitingBytes;
+    // A remainder keeps the memory of its whole read.
+    const unparsedBytes = this.unparsed?.buffer.byteLength ?? 0;
+    const bytes = unparsedBytes + this.partialHeadBytes + this.waitingBytes;
     if ((bytes === 0 && !this.holder) || socket.destroyed) return;
     const peer = (): string | undefined => socket.remoteAddress;
     this.holder ??= budget?.hold({ kind: 'connection', peer, end: onEnded });
