Incomplete heads are given up after ten seconds at every server

The servers of operators, runners and the first interface waited a minute for the rest of a head, and looked for such connections twice a minute only, so a connection that stops short was kept for up to 90 s. They are given up after 10 s now, with 408, and looked for every second. With Node's defaults the new test fails (not closed within 30 s).

--- a/src/http/connection-limits.ts
+++ b/src/http/connection-limits.ts
@@ -9,6 +9,13 @@
   unreadTimeoutMs: number;
 }
 
+/** Options of servers whose timeouts are not configured. */
+export const HEAD_TIMEOUTS = {
+  /** Time from the first byte of a head to its end, in milliseconds. */
+  headersTimeout: 10_000,
+  connectionsCheckingInterval: 1_000,
+};
+
 /** File descriptors of a process whose settings name no limit. */
 const DEFAULT_MAX_FILE_DESCRIPTORS = 4_096;
 /** File descriptors for the program's own files. */
--- a/src/http/http-server.ts
+++ b/src/http/http-server.ts
@@ -8,6 +8,7 @@
   type ShutdownTiming,
   drainServer,
 } from '../shutdown/index.js';
+import { HEAD_TIMEOUTS } from './connection-limits.js';
 import { ActiveExchange } from './active-exchange.js';
 import type { HttpRouter, MatchedRoute } from './http-router.js';
 import {
@@ -70,7 +71,10 @@
   }
 
   static async start(options: HttpServerOptions): Promise<HttpServer> {
-    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS });
+    const server = createServer({
+      ...HEAD_TIMEOUTS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    });
     const httpServer = new HttpServer(server, options);
     server.on('request', (request, response) => httpServer.receive(request, response));
     const listening = new Deferred<void>();
--- a/src/http/request-server.ts
+++ b/src/http/request-server.ts
@@ -11,6 +11,7 @@
   type ShutdownTiming,
   drainServer,
 } from '../shutdown/index.js';
+import { HEAD_TIMEOUTS } from './connection-limits.js';
 import type { RequestTurn } from './request-order.js';
 import { onSilentBody } from './silent-body.js';
 import { ServerConnections, type ServerConnectionsOptions } from './server-connections.js';
@@ -86,7 +87,7 @@
   private interrupted = 0;
 
   private constructor(private readonly options: RequestServerOptions) {
-    this.server = createServer({ noDelay: true }, (request, response) =>
+    this.server = createServer({ ...HEAD_TIMEOUTS, noDelay: true }, (request, response) =>
       this.receive(request, response),
     );
     this.connections = new ServerConnections(this.server, options.connections);
--- a/src/http/unfinished-heads.test.ts
+++ b/src/http/unfinished-heads.test.ts
@@ -13,6 +13,8 @@
 const REQUEST = 'GET /x HTTP/1.1\r\nHost: test\r\n\r\n';
 const UNFINISHED_HEAD = `GET /x HTTP/1.1\r\nHost: test\r\n${`X-A: ${'a'.repeat(1_000)}\r\n`.repeat(10)}`;
 const CALLERS = 20;
+/** More than the server waits for the rest of a head, and less than Node does by default. */
+const HEAD_TIMEOUT_MS = 30_000;
 const OK: WholeResponse = { status: 200, body: '"ok"' };
 
 let server: RequestServer;
@@ -71,6 +73,15 @@
   });
 });
 
+describe('a head that is not continued', () => {
+  it('is given up, and its connection is closed', async () => {
+    const caller = await connect();
+    caller.socket.write('GET /x HTTP/1.1\r\n');
+    await waitUntil('closed', () => caller.hasEnded, HEAD_TIMEOUT_MS);
+    expect(caller.response.status).toBe(408);
+  }, 60_000);
+});
+
 describe('requests that wait on their connection', () => {
   it('are dropped as the largest holder, and the one that runs is answered', async () => {
     const caller = await connect();
