Incomplete heads count with the parser's copy, and few connections linger after their end

Heads that stop short still filled a gateway of 178 MB with 290 MB: the budget counted the received bytes once, while the parser holds a copy beside the buffer, and each connection that was ended kept its memory for up to a second, until its caller had read the 503. Incomplete heads count twice now, and beyond 64 lingering connections an ended one is closed as soon as its response is written.

--- a/src/http/connection-reader.ts
+++ b/src/http/connection-reader.ts
@@ -26,6 +26,9 @@
 /** More than the requests that may wait on a connection add to each event of its socket. */
 const MAX_LISTENERS = 100;
 
+/** The parser copies an incomplete head, whose received buffer is collected later. */
+const PARTIAL_HEAD_COPIES = 2;
+
 export class ConnectionReader implements ReadTask {
   /** Node's listener, which parses what it is given. */
   private readonly parse: DataListener;
@@ -167,7 +170,7 @@
     const { socket, budget, onEnded } = this.options;
     // A remainder keeps the memory of its whole read.
     const unparsedBytes = this.unparsed?.buffer.byteLength ?? 0;
-    const bytes = unparsedBytes + this.partialHeadBytes + this.waitingBytes;
+    const bytes = unparsedBytes + PARTIAL_HEAD_COPIES * this.partialHeadBytes + this.waitingBytes;
     if ((bytes === 0 && !this.holder) || socket.destroyed) return;
     const peer = (): string | undefined => socket.remoteAddress;
     this.holder ??= budget?.hold({ kind: 'connection', peer, end: onEnded });
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -22,7 +22,7 @@
 const NOT_READ_RESPONSE =
   'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
 
-/** Refused connections that may wait for their callers to read the response, beside those that are served. */
+/** Refused connections that may wait for their callers to read the response; others are closed as soon as it is written. */
 const MAX_REFUSED_CONNECTIONS = 64;
 
 export class ServerConnections {
@@ -106,8 +106,7 @@
     this.read(socket);
     if (this.open.admit(socket)) return;
     this.readers.get(socket)!.discard();
-    if (this.lingering.count < MAX_REFUSED_CONNECTIONS) this.refuse(socket);
-    else socket.destroy();
+    this.refuse(socket);
   }
 
   private read(socket: Socket): void {
@@ -133,7 +132,8 @@
       return;
     }
     socket.write(NOT_READ_RESPONSE);
-    this.lingering.linger(socket);
+    if (this.lingering.count < MAX_REFUSED_CONNECTIONS) this.lingering.linger(socket);
+    else socket.destroySoon();
   }
 
   /** Stops accepting connections; open ones may finish their requests. */
