--- a/src/http/requests-sent-ahead.test.ts
+++ b/src/http/requests-sent-ahead.test.ts
@@ -33,6 +33,8 @@
     refuseTooLarge: () => OK,
     stopping: OK,
     interrupted: OK,
+    silent: OK,
+    withoutRoom: OK,
     connections: { limits: { maxWaitingRequests: MAX_WAITING_OF_ALL } },
   });
 });
--- a/src/http/too-many-connections.test.ts
+++ b/src/http/too-many-connections.test.ts
@@ -27,6 +27,8 @@
     refuseTooLarge: () => OK,
     stopping: OK,
     interrupted: OK,
+    silent: OK,
+    withoutRoom: OK,
     connections: { limits: { maxConnections: MAX_CONNECTIONS } },
   });
 });
--- a/src/http/unfinished-heads.test.ts
+++ b/src/http/unfinished-heads.test.ts
@@ -36,6 +36,8 @@
     refuseTooLarge: () => OK,
     stopping: OK,
     interrupted: OK,
+    silent: OK,
+    withoutRoom: OK,
     connections: { budget },
   });
 });
--- a/src/http/unread-answers.test.ts
+++ b/src/http/unread-answers.test.ts
@@ -22,6 +22,8 @@
     refuseTooLarge: () => LARGE,
     stopping: LARGE,
     interrupted: LARGE,
+    silent: LARGE,
+    withoutRoom: LARGE,
     connections: { limits: { unreadTimeoutMs: UNREAD_TIMEOUT_MS } },
   });
 });
