Received bytes of callers count for the collection trigger, at every process with a memory budget

Cause: only bytes of back ends counted for the trigger, and only a gateway configured it; control and the first interface had the budget without it. Now each connection's bytes count, and ProcessMemory, the one owner of budget, metrics, watch and trigger, configures it for gateway, control and the first interface. GatewayNode uses it in place of the same lines of its own.

--- a/src/http/connection-reader.ts
+++ b/src/http/connection-reader.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { Socket } from 'node:net';
-import type { MemoryBudget, MemoryHolder } from '../memory-budget/index.js';
+import { type MemoryBudget, type MemoryHolder, processGcTrigger } from '../memory-budget/index.js';
 import type { ReadScheduler, ReadTask } from './read-scheduler.js';
 import { lengthOfFirstPart } from './received-part.js';
 
@@ -129,6 +129,7 @@
   }
 
   private receive(bytes: Buffer): void {
+    processGcTrigger.noteReceived(bytes.length);
     if (this.isDiscarding) return;
     this.unparsed = this.unparsed ? Buffer.concat([this.unparsed, bytes]) : bytes;
     for (let parts = 0; parts < MAX_PARTS_AT_ONCE && this.canParse; parts += 1) {
--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -34,13 +34,7 @@
 import { HistoryReader, LedgerClient, LedgerRouter, ValueCopySender } from '../ledger/index.js';
 import type { ServerConnections } from '../http/index.js';
 import { GatewayQuotas } from '../quotas/index.js';
-import {
-  MemoryBudget,
-  MemoryBudgetMetrics,
-  MemoryWatch,
-  defaultMemoryLimitBytes,
-  processGcTrigger,
-} from '../memory-budget/index.js';
+import { type MemoryBudget, ProcessMemory } from '../memory-budget/index.js';
 import { type Logger, addGauge } from '../observability/index.js';
 import {
   type EngineProperties,
@@ -112,8 +106,7 @@
   private readonly ledger: LedgerRouter;
   private readonly health: GatewayHealth;
   private hasLedger = false;
-  private readonly memory: MemoryBudget;
-  private memoryWatch: MemoryWatch | undefined;
+  private readonly memory: ProcessMemory;
   private readonly admission: GatewayAdmission;
   private gatewayCount = 1;
   private hasBackends = false;
@@ -160,7 +153,11 @@
     this.ledger = this.createLedger();
     this.health = this.createHealth();
     this.permits = this.createPermitGate();
-    this.memory = this.createMemoryBudget();
+    this.memory = new ProcessMemory({
+      memoryLimitBytes: settings.memoryLimitBytes,
+      logger,
+      registry: this.metrics.registry,
+    });
     this.admission = new GatewayAdmission({
       isEnabled: () => this.usesSharedAdmission,
       logger,
@@ -174,7 +171,6 @@
   static start(options: GatewayNodeOptions): GatewayNode {
     const node = new GatewayNode(options);
     node.watcher.start();
-    node.watchMemory();
     node.agingTimer = setInterval(() => node.backends.ageOtherLoads(), AGING_INTERVAL_MS);
     return node;
   }
@@ -192,17 +188,17 @@
 
   /** Budget of all that the gateway holds for its callers and back ends. */
   get memoryBudget(): MemoryBudget {
-    return this.memory;
+    return this.memory.budget;
   }
 
   /** How calls are received; undefined before the first configuration, so that no call is received by a default. */
   get ingressPolicy(): IngressPolicy | undefined {
     if (!this.routes) return undefined;
-    const { memory } = this;
+    const { budget } = this.memory;
     return {
       limits: this.routes.configuration.limits,
-      memoryBudget: memory,
-      answerShareBytes: this.isCoordinated ? memory.fairShareBytes : 0,
+      memoryBudget: budget,
+      answerShareBytes: this.isCoordinated ? budget.fairShareBytes : 0,
     };
   }
 
@@ -240,7 +236,7 @@
 
   stop(): void {
     clearInterval(this.agingTimer);
-    this.memoryWatch?.stop();
+    this.memory.stop();
     this.watcher.stop();
     this.health.stop();
     this.quotas.stop();
@@ -276,12 +272,6 @@
       'Generation of the configuration in force; 0 before the first',
       () => this.routes?.configuration.generation ?? 0,
     );
-    addGauge(
-      this.metrics.registry,
-      'ledgegauge_memory_triggered_collections',
-      'Garbage collections that received bytes have triggered before the garbage filled the process',
-      () => processGcTrigger.collections,
-    );
     addGauge(
       this.metrics.registry,
       'ledgegauge_ledger_delay_seconds',
@@ -319,7 +309,7 @@
       backends: (service) => this.backends.serving(service),
       typicalMs: (service) => this.backends.typicalMs(service),
       gateways: () => this.gatewayCount,
-      memoryBudget: () => this.memory,
+      memoryBudget: () => this.memory.budget,
       onFiguresOverdue: (service) => this.backends.levelOtherLoads(service),
       logger: this.options.logger,
       metrics: new WaitingMetrics(this.metrics.registry),
@@ -361,29 +351,6 @@
     });
   }
 
-  private get memoryLimitBytes(): number {
-    return this.options.settings.memoryLimitBytes ?? defaultMemoryLimitBytes();
-  }
-
-  private createMemoryBudget(): MemoryBudget {
-    const { memoryLimitBytes } = this;
-    const observer = new MemoryBudgetMetrics(this.metrics.registry);
-    const budget = new MemoryBudget({
-      memoryLimitBytes,
-      logger: this.options.logger,
-      observer,
-    });
-    observer.observe(budget);
-    return budget;
-  }
-
-  private watchMemory(): void {
-    const { memoryLimitBytes, memory: budget } = this;
-    const { logger } = this.options;
-    processGcTrigger.configure({ memoryLimitBytes, budget });
-    this.memoryWatch = new MemoryWatch({ memoryLimitBytes, budget, logger });
-  }
-
   private createWatcher(): DirectoryWatcher {
     const { name, zone, internalAddress: address } = this.options.settings;
     return new DirectoryWatcher({
