The data of a kept turn's events is collected without a buffer for each

Each event's data was joined in a buffer of its own before it was copied to the turn's output. It is appended to the output directly, with the line feed that follows it.

--- a/src/forwarding/earlier-events.ts
+++ b/src/forwarding/earlier-events.ts
@@ -6,7 +6,7 @@
 import { ByteAccumulator } from '../memory-budget/index.js';
 import type { CallDescription, CallExchange, ResponseHead } from './call-exchange.js';
 import { CallRun, type CallRunOptions } from './call-run.js';
-import { EventSplitter, type StreamEvent, dataOfEvent } from './event-splitter.js';
+import { EventSplitter, type StreamEvent, appendData } from './event-splitter.js';
 
 const HTTP_OK = 200;
 
@@ -105,7 +105,7 @@
     if (this.hasLeft) return;
     const { lastEventId } = this.options;
     const isLater = isLaterThan(event.id, lastEventId);
-    if (event.hasData && !isLater) this.data.append(dataOfEvent(event));
+    if (event.hasData && !isLater) appendData(event, this.data);
     this.isComplete = isLater || event.id === lastEventId;
     if (this.isComplete) this.leave();
   }
--- a/src/forwarding/event-splitter.test.ts
+++ b/src/forwarding/event-splitter.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it, vi } from 'vitest';
-import { EventSplitter, dataOfEvent } from './event-splitter.js';
+import { ByteAccumulator } from '../memory-budget/index.js';
+import { EventSplitter, type StreamEvent, appendData } from './event-splitter.js';
 
 const STREAM =
   'id: 1\ndata: one\n\nid:2\ndata:two\ndata:more\n\n: comment\n\nid: 3\r\ndata: x\r\n\r\n';
@@ -11,17 +12,18 @@
   return { splitter, events };
 }
 
+function dataOf(event: StreamEvent): string {
+  const output = new ByteAccumulator();
+  appendData(event, output);
+  return output.take().toString();
+}
+
 describe('event splitter', () => {
   it('reads ids and data', () => {
     const { events, splitter } = split([Buffer.from(STREAM)]);
     expect(events.map((event) => event.id)).toEqual(['1', '2', undefined, '3']);
     expect(events.map((event) => event.hasData)).toEqual([true, true, false, true]);
-    expect(events.map((event) => dataOfEvent(event).toString())).toEqual([
-      'one\n',
-      'two\nmore\n',
-      '',
-      'x\n',
-    ]);
+    expect(events.map((event) => dataOf(event))).toEqual(['one\n', 'two\nmore\n', '', 'x\n']);
     expect(splitter.hasPartialEvent).toBe(false);
   });
 
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -98,16 +98,20 @@
   return { bytes, id, hasData };
 }
 
-/** The data of an event, one line feed after each of its data lines. */
-export function dataOfEvent({ bytes }: StreamEvent): Buffer {
-  const parts: Buffer[] = [];
+/** Appends the data of an event, one line feed after each of its data lines. */
+export function appendData({ bytes }: StreamEvent, output: ByteAccumulator): void {
   for (let start = 0; start < bytes.length; start = startOfNextLine(bytes, start)) {
     const end = endOfLine(bytes, start);
     if (!hasField(bytes, start, end, DATA_FIELD)) continue;
     const valueStart = startOfValue(bytes, start, end, DATA_FIELD);
-    parts.push(bytes.subarray(valueStart, end), LINE_FEED_BYTES);
+    const next = startOfNextLine(bytes, start);
+    if (next === end + 1) {
+      output.append(bytes.subarray(valueStart, next));
+    } else {
+      output.append(bytes.subarray(valueStart, end));
+      output.append(LINE_FEED_BYTES);
+    }
   }
-  return Buffer.concat(parts);
 }
 
 const LINE_FEED_BYTES = Buffer.from('\n');
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -7,7 +7,7 @@
 import type { ResponseHead, CallExchange } from './call-exchange.js';
 import { CallerResponse } from './caller-response.js';
 import { EventSequence } from './event-sequence.js';
-import { EventSplitter, type StreamEvent, dataOfEvent } from './event-splitter.js';
+import { EventSplitter, type StreamEvent, appendData } from './event-splitter.js';
 import type { ResponseSink } from './send-attempt.js';
 import { WholeResponseExchange } from './whole-response-exchange.js';
 
@@ -186,7 +186,7 @@
     if (event.id !== undefined) this.lastEventId = event.id;
     if (!event.hasData) return;
     this.events += 1;
-    if (this.options.isKept) this.output.append(dataOfEvent(event));
+    if (this.options.isKept) appendData(event, this.output);
   }
 
   /**
