Heads and waiting requests of the first interface count in its process's budget

Found by the reviewer, by reading: HttpServer was started without the budget at the gateway's and the operators' port of the first interface, so connections' bytes had no bound for the process there.

--- a/src/control/control-process.ts
+++ b/src/control/control-process.ts
@@ -146,6 +146,7 @@
       router: api.router,
       onError,
       shutdown: this.shutdown,
+      connections: { budget: this.memory.budget },
     });
     this.statusServer = await StatusServer.start({
       host,
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -154,6 +154,7 @@
       router: api.router,
       onError,
       shutdown: this.shutdown,
+      connections: { budget: this.memory.budget },
       onEndedByShutdown: (outcome) => this.noteEndedByShutdown(outcome),
     });
     this.registerGauges();
