--- a/src/http/read-scheduler.ts
+++ b/src/http/read-scheduler.ts
@@ -36,14 +36,21 @@
   }
 
   private run(): void {
+    this.isScheduled = false;
+    try {
+      this.readParts();
+    } finally {
+      this.schedule();
+    }
+  }
+
+  private readParts(): void {
     for (let parts = 0; parts < PARTS_PER_TURN; parts += 1) {
       const [task] = this.waiting;
-      if (!task) break;
+      if (!task) return;
       this.waiting.delete(task);
       task.readNext();
     }
-    this.isScheduled = false;
-    this.schedule();
   }
 }
 
