A caller that reads nothing loses its connection also after a request in between

Found by the reviewer: Node sets a connection's timeout to 0 between two requests, and if the next answer was unread before the next check, the connection counted as timed and stayed for ever.

--- a/src/http/unread-connections.ts
+++ b/src/http/unread-connections.ts
@@ -31,10 +31,15 @@
       else if (socket.writableLength === 0) this.stopTimeout(socket);
     }
     for (const socket of inUse) {
-      if (socket.writableLength > 0 && !this.timed.has(socket)) this.startTimeout(socket);
+      if (socket.writableLength > 0 && !this.isTimed(socket)) this.startTimeout(socket);
     }
   }
 
+  /** Node sets the timeout of a connection anew between two requests. */
+  private isTimed(socket: Socket): boolean {
+    return this.timed.has(socket) && socket.timeout === this.timeoutMs;
+  }
+
   /** Node destroys a socket after its timeout. */
   private startTimeout(socket: Socket): void {
     this.timed.add(socket);
