Requests behind a refused body are not parsed while its connection lingers

Found by the reviewer: after a 413, a client could end its body and send thousands of requests in the second in which the connection lingers; Node kept a request and a response for each, which nothing bounded. Now the connection's remaining bytes are discarded unparsed.

--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -90,6 +90,12 @@
     return this.order.enter(request, response);
   }
 
+  /** Discards a request behind a response that has closed its connection, and what follows it. */
+  discardRest(request: IncomingMessage): void {
+    this.readers.get(request.socket)?.discard();
+    request.resume();
+  }
+
   /** Must be called before the response that refuses a request of which not all was read. */
   lingerAfter(request: IncomingMessage): void {
     this.lingering.lingerAfter(request);
