What follows an unreadable head doesn't destroy the connection before its 400

Found by the reviewer: the rest of a read was parsed part by part, so each part raised the parser's error again, and the second one destroyed the connection that was still sending its 400 or 431.

--- a/src/http/request-order.ts
+++ b/src/http/request-order.ts
@@ -23,6 +23,8 @@
   /** From now on nothing is read, until `release`. */
   hold(): void;
   release(): void;
+  /** Drops what is not parsed, and what is still to come. */
+  discard(): void;
   /** Is told that the head of the request was received. */
   noteHead(request: IncomingMessage): void;
   /** Is told the memory of the requests that wait behind the first, without their bodies. */
@@ -316,11 +318,17 @@
   handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
     if (!socket.writable) socket.destroy(error);
-    else if (!connection?.hasReceivedRequest) socket.end(responseTo(error));
+    else if (!connection?.hasReceivedRequest) this.refuseUnreadable(error, socket);
     else if (error.code === CLOSED_WITHIN_REQUEST) socket.destroy(error);
     else connection.breakOff();
   }
 
+  private refuseUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+    // The parser would report each further part, and the connection would be destroyed before the response is sent.
+    this.controlOf(socket).discard();
+    socket.end(responseTo(error));
+  }
+
   /** Whether a request of the connection was begun, waits, or is received. */
   hasRequest(socket: Socket): boolean {
     return this.connections.get(socket)?.hasRequest ?? false;
@@ -354,6 +362,7 @@
     unparsedBytes: 0,
     hold: () => void socket.pause(),
     release: () => void socket.resume(),
+    discard: () => undefined,
     noteHead: () => undefined,
     noteWaitingBytes: () => undefined,
   };
