A planned stop waits for requests that are received and not parsed

Found by the reviewer: a request that waited unparsed behind an answered one was in no count, and Node took its connection for idle, so a stop could close it although the answer before it had kept the connection. The drain counts connections with unparsed bytes now, and idle connections are not closed while there are any. The window is narrow: the new test of a stop passes without the mend as well.

--- a/src/http/connection-reader.ts
+++ b/src/http/connection-reader.ts
@@ -16,6 +16,8 @@
   scheduler: ReadScheduler;
   /** Absent if the bytes are not counted. */
   budget?: MemoryBudget;
+  /** Called when bytes begin or cease to wait unparsed. */
+  onWaiting: (isWaiting: boolean) => void;
   /** Called when the budget is exhausted and this connection is the largest holder; must end it. */
   onEnded: () => void;
 }
@@ -158,6 +160,7 @@
   private update(): void {
     const { socket, scheduler } = this.options;
     if (this.canParse) scheduler.add(this);
+    this.options.onWaiting(this.unparsed !== undefined);
     const mustFlow = this.unparsed === undefined && !this.isHeld && !this.isPausedByNode;
     if (mustFlow !== this.isFlowing && !socket.destroyed) {
       this.isFlowing = mustFlow;
@@ -180,6 +183,7 @@
 
   private close(): void {
     this.unparsed = undefined;
+    this.options.onWaiting(false);
     this.options.scheduler.delete(this);
     this.holder?.release();
   }
--- a/src/http/requests-sent-ahead.test.ts
+++ b/src/http/requests-sent-ahead.test.ts
@@ -105,3 +105,17 @@
     await waitUntil('answered', () => carriedOut === 2);
   });
 });
+
+describe('a stop while requests wait unparsed', () => {
+  it('answers them before the server closes', async () => {
+    const caller = await connect();
+    caller.socket.write(REQUEST.repeat(MAX_RECEIVED + 3));
+    await waitUntil('received', () => server.activeRequests === MAX_RECEIVED);
+    const drained = server.drain({ graceMs: 5_000, noticeMs: 0, closingMs: 500 });
+    answer.resolve(OK);
+    await drained;
+    const answers = await caller.waitUntilAllAnswers();
+    expect(answers).toHaveLength(MAX_RECEIVED + 3);
+    expect(answers.every(({ isComplete }) => isComplete)).toBe(true);
+  });
+});
--- a/src/http/server-connections.ts
+++ b/src/http/server-connections.ts
@@ -27,6 +27,8 @@
 
 export class ServerConnections {
   private readonly readers = new WeakMap<Socket, ConnectionReader>();
+  /** Connections with received bytes that are not parsed yet. */
+  private readonly unparsed = new Set<Socket>();
   private readonly order: RequestOrder;
   private readonly open: OpenConnections;
   private readonly lingering = new LingeringConnections();
@@ -75,6 +77,11 @@
     return this.order.waitingRequests;
   }
 
+  /** Number of connections with received bytes that are not parsed yet, which may be requests. */
+  get unparsedConnections(): number {
+    return this.unparsed.size;
+  }
+
   /** Number of completely received requests that got no response, because their connection was closed. */
   get droppedRequests(): number {
     return this.order.droppedRequests;
@@ -120,6 +127,8 @@
       socket,
       scheduler: processReadScheduler,
       budget: this.options.budget,
+      onWaiting: (isWaiting) =>
+        isWaiting ? this.unparsed.add(socket) : this.unparsed.delete(socket),
       onEnded: () => this.end(socket),
     });
     this.readers.set(socket, reader);
@@ -151,7 +160,7 @@
   /** Closes connections without a request, unless a response is still unsent. */
   closeIdle(): void {
     // Node considers a connection idle as soon as its response is written, even if it is not sent.
-    if (this.unsentResponses === 0) this.server.closeIdleConnections();
+    if (this.unsentResponses === 0 && this.unparsed.size === 0) this.server.closeIdleConnections();
   }
 
   /** Stops accepting connections, and closes the open ones. */
--- a/src/shutdown/drain-server.ts
+++ b/src/shutdown/drain-server.ts
@@ -5,6 +5,8 @@
 export interface DrainableConnections {
   /** Connections whose caller may still be sending the rest of a refused request; each is closed after a time limit. */
   readonly lingeringConnections: number;
+  /** Connections with received bytes that are not parsed yet, which may be requests. @default none */
+  readonly unparsedConnections?: number;
   /** Stops accepting connections; open ones may finish their requests. */
   stopListening(): void;
   /** Closes the connections without a request. */
@@ -72,5 +74,6 @@
 }
 
 function isDone({ activeRequests, connections }: DrainableServer): boolean {
-  return activeRequests + connections.lingeringConnections === 0;
+  const { lingeringConnections, unparsedConnections = 0 } = connections;
+  return activeRequests + lingeringConnections + unparsedConnections === 0;
 }
