--- a/src/http/crowded-probes.test.ts
+++ b/src/http/crowded-probes.test.ts
@@ -8,7 +8,7 @@
 
 const CROWD = 100;
 const MAX_CONNECTIONS = 32;
-const REQUEST = 'GET /v1/readyz HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n';
+const REQUEST = 'GET /ready HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n';
 
 let server: Server;
 beforeEach(async () => {
