--- a/src/memory-budget/byte-accumulator.ts
+++ b/src/memory-budget/byte-accumulator.ts
@@ -7,8 +7,8 @@
 
 /** A chunk of at least this part of the content has a block of its own size. */
 const OWN_BLOCK_FRACTION = 0.25;
-/** Content of at least this size is kept in pooled blocks. */
-const POOLED_CONTENT_BYTES = POOLED_BLOCK_BYTES / 2;
+/** Content of at least this size is kept in pooled blocks, whose unused part is small beside it. */
+const POOLED_CONTENT_BYTES = 4 * POOLED_BLOCK_BYTES;
 
 const EMPTY = Buffer.alloc(0);
 
@@ -90,6 +90,8 @@
   private createBlock(bytes: number): Buffer {
     if (this.fullBytes + bytes >= POOLED_CONTENT_BYTES) return processBlockPool.take();
     const isLarge = bytes >= this.fullBytes * OWN_BLOCK_FRACTION;
-    return Buffer.allocUnsafeSlow(isLarge ? bytes : Math.max(bytes, this.fullBytes));
+    return Buffer.allocUnsafeSlow(
+      isLarge ? bytes : Math.max(bytes, Math.min(this.fullBytes, POOLED_BLOCK_BYTES)),
+    );
   }
 }
