--- a/src/memory-budget/gc-trigger.ts
+++ b/src/memory-budget/gc-trigger.ts
@@ -5,8 +5,8 @@
 import { createGarbageCollector } from './garbage-collector.js';
 import type { MemoryBudget } from './memory-budget.js';
 
-/** Received bytes between two checks. */
-const CHECK_INTERVAL_BYTES = 4 * 1024 * 1024;
+/** Received bytes between two checks; small requests and chunks leave many times their size. */
+const CHECK_INTERVAL_BYTES = 256 * 1024;
 /** Part of the process's memory limit below which the resident memory is no reason to collect. */
 const NEAR_LIMIT_FRACTION = 0.6;
 /** Part of the process's memory limit that may be allocated, beside what is held, before garbage is collected. */
