--- a/src/memory-budget/index.ts
+++ b/src/memory-budget/index.ts
@@ -1,4 +1,4 @@
-/** Budget of the bytes that a process buffers for slow callers. */
+/** Budget of the bytes that a process holds for peers outside, and what keeps its memory below its limit. */
 export { type AnswerWriter, OutgoingAnswer } from './outgoing-answer.js';
 export {
   type HolderKind,
