--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,5 +1,4 @@
-/** TWICE: bytes behind a whole answer, which belong to no request, are taken for the word that the next one hasn't run. */
-import { createServer } from 'node:net';
+/** BUDGET: a program gets more tokens than its budget because a configuration came while its turns ran. */
 import { join } from 'node:path';
 import {
   Deployment,
@@ -16,169 +15,135 @@
 } from '../lib-2/deployment.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-const REQUESTS = 400;
-const CALLERS = 4;
-const WORK_MS = 40;
-/** One in so many answers of the faulty runner, one of two: garble with share .5 and x .02. */
-const ANSWERS_PER_FAULT = 50;
-const MORE_BYTES = [
-  'HTTP/1.1 503 Service Unavailable',
-  'X-Not-Executed: 1',
-  'Content-Length: 0',
-  '',
-  '',
-].join('\r\n');
+const TOKENS_PER_EVENT = 25;
+const EVENTS = 23;
+const MOST_TOKENS = EVENTS * TOKENS_PER_EVENT;
+const PAUSE_MS = 60;
+/** Holds four turns at their most, and 200 tokens more. */
+const BUDGET = 4 * MOST_TOKENS + 200;
+const LINES = 4;
+const ROUNDS = 3;
 
 const record = new Record(join(import.meta.dirname, 'record.txt'));
-/** How often each request was run, by its id. */
-const runs = new Map();
 
-const CONFIGURATION = JSON.stringify({
-  generation: 1,
-  routes: [
-    {
-      name: 'r-post',
-      host: HOST,
-      pathPrefix: '/pay/',
-      routeType: 'unsafe',
-      timeoutMs: 2_000,
-      sloMs: 253,
-      priority: 1,
-      backend: 'wuno96b',
-      maxAttempts: 2,
-    },
-  ],
-  services: [
-    { name: 'wuno96b', healthPath: '/healthz', maxConns: 110, protocol: 'h1', tls: false },
-  ],
-  limits: LIMITS,
-});
-
-/** Reads requests with a length from a connection, one at a time. */
-function onRequests(socket, handle) {
-  let received = '';
-  let isBusy = false;
-  const next = async () => {
-    const end = received.indexOf('\r\n\r\n');
-    if (isBusy || end < 0) return;
-    const head = received.slice(0, end);
-    const length = Number(/^content-length: (\d+)$/im.exec(head)?.[1] ?? 0);
-    const whole = end + 4 + length;
-    if (received.length < whole) return;
-    received = received.slice(whole);
-    isBusy = true;
-    await handle(head);
-    isBusy = false;
-    await next();
-  };
-  socket.on('error', () => undefined);
-  socket.on('data', (bytes) => {
-    received += bytes.toString('latin1');
-    void next();
+function configuration(generation, service, services) {
+  const engine = { slots: 16, kvCapacity: 490_370, tokensPerEvent: TOKENS_PER_EVENT };
+  return JSON.stringify({
+    generation,
+    routes: [
+      {
+        name: 'r-turns',
+        host: HOST,
+        pathPrefix: '/turns/',
+        routeType: 'streaming',
+        timeoutMs: 3_000,
+        sloMs: 200,
+        priority: 0,
+        backend: service,
+        maxAttempts: 2,
+        retainHistory: false,
+        retentionS: 60,
+        sessionAffinity: true,
+        allowResume: false,
+        gapAimMs: 300,
+      },
+    ],
+    services: services.map((name) => ({
+      name,
+      healthPath: '/healthz',
+      maxConns: 160,
+      protocol: 'h1',
+      tls: false,
+      engine,
+    })),
+    limits: LIMITS,
   });
 }
 
-function headerOf(head, name) {
-  return new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1];
+/** Streams the events of a turn. */
+async function generate(received, response, head, runner) {
+  record.note(`run ${received.id} at ${runner.id} of ${runner.service}`);
+  response.writeHead(200, { ...head, 'Content-Type': 'text/event-stream' });
+  for (let event = 1; event <= EVENTS; event += 1) {
+    if (response.destroyed) return;
+    response.write(`id: ${event}\ndata: ${runner.id} ${event}\n\n`);
+    await sleep(PAUSE_MS);
+  }
+  response.end();
 }
 
-/** A runner that writes its answers itself, so that it can send more than them. */
-async function startRunner(name, isFaulty) {
-  const runner = await Runner.start({
-    service: 'wuno96b',
-    slots: 6,
-    answer: async () => undefined,
-  });
-  let answers = 0;
-  runner.raw = createServer((socket) => {
-    let hasMore = false;
-    onRequests(socket, async (head) => {
-      const id = headerOf(head, 'x-attempt-id');
-      if (headerOf(head, 'x-expect-instance') !== runner.id) {
-        socket.write(
-          `HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n`,
-        );
-        return;
-      }
-      if (hasMore) {
-        record.note(
-          `${name} sends more bytes behind its answer before: a 503 that names no request`,
-        );
-        socket.write(MORE_BYTES);
-        hasMore = false;
-      }
-      runs.set(id, [...(runs.get(id) ?? []), name]);
-      record.note(`${name} runs ${id}`);
-      await sleep(WORK_MS);
-      answers += 1;
-      hasMore = isFaulty && answers % ANSWERS_PER_FAULT === 0;
-      const lines = [
-        'HTTP/1.1 200 OK',
-        `X-Attempt-Id: ${id}`,
-        `X-Server-Stamp: stamp.${runner.id}.${id}`,
-        'Content-Length: 4',
-      ];
-      if (!socket.destroyed) socket.write(`${lines.join('\r\n')}\r\n\r\ndone`);
-    });
-  });
-  await new Promise((resolve) => runner.raw.listen(0, '127.0.0.1', resolve));
-  runner.address = `127.0.0.1:${runner.raw.address().port}`;
-  return runner;
+let tokens = 0;
+
+async function turn(front, line) {
+  const id = newId();
+  const headers = {
+    Host: HOST,
+    'X-Attempt-Id': id,
+    'X-Model': 'm',
+    'X-Program-Id': 'p-1',
+    'X-Session-Id': `s-${line}`,
+    'X-Program-Deadline-Ms': '20000',
+    'X-Token-Budget': String(BUDGET),
+    'X-Token-Usage': `1840,${MOST_TOKENS}`,
+    'X-Prompt-Prefix': '5c1e07a2:800,91bd3f06:410',
+    'X-Deadline-Ms': '3000',
+  };
+  record.note(`sent ${id} of line ${line} to ${front}`);
+  const answer = await call(front, { path: '/turns/4b', headers, body: 'input', timeoutMs: 3_000 });
+  const got = (answer.body.match(/^data: /gm)?.length ?? 0) * TOKENS_PER_EVENT;
+  tokens += answer.status === 200 ? got : 0;
+  const end = answer.isWhole ? 'whole' : 'broken off';
+  record.note(`answered ${id}: ${answer.status}, ${end}, ${got} tokens; ${tokens} in all`);
+  return answer.status;
 }
 
 async function main() {
-  const deployment = await Deployment.create({ control: 3, journal: 3, gateway: 1 });
-  const runners = [
-    await startRunner('runner A', HAS_TROUBLE),
-    await startRunner('runner B', false),
-  ];
-  const statuses = new Map();
+  const deployment = await Deployment.create({ control: 3, journal: 3, gateway: 2 });
+  const runners = [];
   try {
     deployment.startAll();
     const control = deployment.controlAddresses;
-    await order(control, 'PUT', '/v1/config', CONFIGURATION);
-    for (const runner of runners) {
-      await waitUntil('runner known', () => runner.beat(control));
+    for (const service of ['huvo11a', 'wuno96b']) {
+      const runner = await Runner.start({ service, answer: generate });
+      runners.push(runner);
       runner.startBeats(control);
     }
-    const send = (id) =>
-      call(deployment.front(), {
-        path: '/pay/2f',
-        headers: { Host: HOST, 'X-Attempt-Id': id, 'X-Deadline-Ms': '2000' },
-        body: 'pay one worker',
-        timeoutMs: 2_000,
-      });
-    await waitUntil('requests served', async () => (await send(newId())).status === 200);
-    let sent = 0;
-    const caller = async () => {
-      while (sent < REQUESTS) {
-        sent += 1;
-        const id = newId();
-        record.note(`sent ${id}`);
-        const { status } = await send(id);
-        record.note(`answered ${id}: ${status}`);
-        statuses.set(status, (statuses.get(status) ?? 0) + 1);
+    const first = configuration(1, 'huvo11a', ['huvo11a', 'wuno96b']);
+    await order(control, 'PUT', '/v1/config', first);
+    record.note('configuration 1 acknowledged: the route leads to huvo11a');
+    await waitUntil('gateways ready', async () => {
+      const ready = [0, 1].map((index) =>
+        call(deployment.readiness(index), { method: 'GET', path: '/v1/readyz' }),
+      );
+      return (await Promise.all(ready)).every(({ status }) => status === 200);
+    });
+    await waitUntil('runners known', async () =>
+      (await Promise.all(runners.map((runner) => runner.beat(control)))).every(Boolean),
+    );
+    await sleep(1_500);
+    for (let round = 1; round <= ROUNDS; round += 1) {
+      const turns = Array.from({ length: LINES }, (_, line) =>
+        turn(deployment.front(line % 2), line),
+      );
+      await sleep(500);
+      if (round === 1 && HAS_TROUBLE) {
+        const second = configuration(2, 'wuno96b', ['wuno96b']);
+        const { status } = await order(control, 'PUT', '/v1/config', second);
+        record.note(`configuration 2 answered ${status}: the route leads to wuno96b alone`);
       }
-    };
-    await Promise.all(Array.from({ length: CALLERS }, caller));
-    await sleep(500);
-  } finally {
-    for (const runner of runners) {
-      runner.stop();
-      runner.raw.close();
+      record.note(`round ${round}: ${(await Promise.all(turns)).join(', ')}`);
+      await sleep(800);
     }
+  } finally {
+    for (const runner of runners) runner.stop();
     await deployment.stop();
   }
-  const twice = [...runs].filter(([, names]) => names.length > 1);
-  for (const [id, names] of twice) record.note(`broken: ${id} ran at ${names.join(' and ')}`);
-  const text = `${twice.length} of ${runs.size} requests ran twice; statuses ${JSON.stringify([...statuses])}`;
-  record.note(text);
-  if ((statuses.get(200) ?? 0) < REQUESTS / 2) exitWith(2, `too few were served: ${text}`);
-  else exitWith(twice.length > 0 ? 1 : 0, text);
-  process.exit();
+  const most = BUDGET + MOST_TOKENS;
+  const text = `budget ${BUDGET}, at most ${most} with one turn more; ${tokens} tokens received`;
+  const isBroken = tokens > most;
+  record.note(`${text}: ${isBroken ? 'broken' : 'held'}`);
+  if (tokens < 2 * MOST_TOKENS) exitWith(2, `the turns were not served: ${text}`);
+  else exitWith(isBroken ? 1 : 0, text);
 }
 
-await main().catch((error) => {
-  exitWith(2, String(error));
-  process.exit();
-});
+await main().catch((error) => exitWith(2, String(error)));
