--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -111,12 +111,7 @@
     this.streams = new ResumableStreams({ backends, placement, ledger, findServiceVersions });
     this.turnAdmission = new TurnAdmission(options);
     this.stallGuard = new StallDetector({ logger });
-    this.turns = new TurnReservations({
-      ledger,
-      logger,
-      metrics,
-      tokensPerEvent: (service) => this.tokensPerEvent(service),
-    });
+    this.turns = new TurnReservations({ ledger, logger, metrics });
   }
 
   /** Resolves when the call has its final response. */
@@ -400,10 +395,6 @@
     return this.options.routes()?.configuration.responseLimits ?? DEFAULT_RESPONSE_LIMITS;
   }
 
-  private tokensPerEvent(service: string): number {
-    return this.options.routes()?.service(service)?.engine?.tokensPerEvent ?? 1;
-  }
-
   /** @param expectedMs estimated time until a retry can succeed, if known */
   private refuse(exchange: CallExchange, reason: RefusalReason, expectedMs = 0): void {
     if (exchange.isAbandoned) return;
--- a/src/forwarding/turn-reservations.test.ts
+++ b/src/forwarding/turn-reservations.test.ts
@@ -13,7 +13,7 @@
   type SettleRequest,
 } from '../ledger/index.js';
 import { createLogger } from '../observability/index.js';
-import type { CompiledRoute, Route } from '../routes/index.js';
+import { CompiledRoute, type Route, type Service } from '../routes/index.js';
 import type { Method } from '../wire/index.js';
 import type { CallExchange } from './call-exchange.js';
 import type { CallOutcome, CallRun } from './call-run.js';
@@ -41,6 +41,11 @@
   isResumable: false,
 };
 
+const ENGINE = { slots: 4, cacheTokens: 1_000, tokensPerEvent: TOKENS_PER_EVENT };
+const SERVICES = new Map<string, Service>([
+  ['s', { name: 's', maxConnections: 10, engine: ENGINE }],
+]);
+
 class SwitchableLedger implements PeerCaller {
   isUp = true;
   /** Additional fields of granted reservations. */
@@ -87,7 +92,6 @@
       ledger: new LedgerRouter(() => new LedgerClient(groups, logger, 'gateway')),
       logger,
       metrics: this.metrics,
-      tokensPerEvent: () => TOKENS_PER_EVENT,
     });
   }
 
@@ -113,7 +117,7 @@
       exchange,
       run: { response, serviceName: 's', completeSend: { backend: 'e1' } } as unknown as CallRun,
       ending: { kind: 'answered' },
-      route: { route } as CompiledRoute,
+      route: new CompiledRoute(route, SERVICES),
       reservation: reservation!,
       deadlineMs,
     });
--- a/src/forwarding/turn-reservations.ts
+++ b/src/forwarding/turn-reservations.ts
@@ -28,8 +28,6 @@
   ledger: Ledger;
   logger: Logger;
   metrics: ForwardingMetrics;
-  /** Tokens per event of a service's streams. */
-  tokensPerEvent: (service: string) => number;
 }
 
 /** Deadline and expected duration of a turn. */
@@ -75,6 +73,7 @@
   exchange: CallExchange;
   run: CallRun;
   ending: CallOutcome;
+  /** The route with which it was reserved, which also prices it. */
   route: CompiledRoute;
   reservation: Reservation;
   /** Deadline of the final response (monotonic, milliseconds). */
@@ -186,9 +185,9 @@
    * @returns the outcome that may be reported to the caller
    */
   async settle(turn: FinishedTurn): Promise<CallOutcome> {
-    const { run, ending, reservation } = turn;
+    const { run, ending, route, reservation } = turn;
     const relay = run.response as StreamRelay;
-    const spentTokens = relay.events * this.options.tokensPerEvent(run.serviceName);
+    const spentTokens = relay.events * route.tokensPerEvent(run.serviceName);
     const settlement = this.settlementOf(reservation, spentTokens, placementOf(turn));
     const mustKeep = isTurnToKeep(turn);
     const output = mustKeep ? wholeOutputOf(turn, relay) : undefined;
--- a/src/forwarding/typical-calls.test.ts
+++ b/src/forwarding/typical-calls.test.ts
@@ -83,7 +83,7 @@
   const run = new CallRun({
     responseLimits: DEFAULT_RESPONSE_LIMITS,
     exchange: exchangeOf(isPausing),
-    route: new CompiledRoute(ROUTE),
+    route: new CompiledRoute(ROUTE, new Map()),
     service: 's',
     body: Buffer.alloc(0),
     deadlineMs: monotonicMs() + ROUTE.timeoutMs,
--- a/src/routes/route-table.ts
+++ b/src/routes/route-table.ts
@@ -2,11 +2,18 @@
 import type { Route, RouteConfiguration, Service } from './route-configuration.js';
 import { WeightedRoundRobin } from './weighted-round-robin.js';
 
-/** A route with the state of its weighted round robin. */
+/** Tokens per event of a service without an engine. */
+const DEFAULT_TOKENS_PER_EVENT = 1;
+
+/** A route of one configuration, with its services and the state of its weighted round robin. */
 export class CompiledRoute {
   private readonly roundRobin: WeightedRoundRobin;
 
-  constructor(readonly route: Route) {
+  /** @param services of the configuration that has the route, by name */
+  constructor(
+    readonly route: Route,
+    private readonly services: ReadonlyMap<string, Service>,
+  ) {
     this.roundRobin = new WeightedRoundRobin(route.parts.map((part) => part.weight));
   }
 
@@ -14,6 +21,15 @@
   nextService(): string {
     return this.route.parts[this.roundRobin.next()]!.service;
   }
+
+  /**
+   * Tokens that an event of a service's streams counts for calls on this route. Later configurations do not change it, so
+   * that a call is settled at the price at which its tokens were reserved.
+   * @param service one of the route's services
+   */
+  tokensPerEvent(service: string): number {
+    return this.services.get(service)?.engine?.tokensPerEvent ?? DEFAULT_TOKENS_PER_EVENT;
+  }
 }
 
 export class RouteTable {
@@ -25,7 +41,7 @@
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const routes = this.routesByHost.get(host) ?? [];
-      routes.push(new CompiledRoute(route));
+      routes.push(new CompiledRoute(route, this.services));
       this.routesByHost.set(host, routes);
     }
     for (const routes of this.routesByHost.values()) {
--- a/tests/support/stopping-gateway.ts
+++ b/tests/support/stopping-gateway.ts
@@ -8,7 +8,7 @@
 import { ForwardingMetrics } from '../../src/forwarding/forwarding-metrics.js';
 import { Placement } from '../../src/forwarding/placement.js';
 import type { Ledger, Settlement } from '../../src/ledger/index.js';
-import { type Route, RouteTable } from '../../src/routes/index.js';
+import { type Route, RouteTable, type Service } from '../../src/routes/index.js';
 import { GracefulShutdown, type ShutdownTiming } from '../../src/shutdown/index.js';
 import type { PermitRefusal, PermitRequest } from '../../src/waiting/index.js';
 import type { RawBackend } from './raw-backend.js';
@@ -19,7 +19,7 @@
 export const TIMEOUT_MS = 2_000;
 /** Time frame of a stop whose calls are due at once. */
 const CALLS_DUE: ShutdownTiming = { graceMs: 0, noticeMs: 0, closingMs: 0 };
-const ROUTE: Route = {
+export const ROUTE: Route = {
   name: 'r',
   host: 'h',
   pathPrefix: '/',
@@ -35,6 +35,12 @@
   isResumable: false,
 };
 
+/** The routes of a configuration. */
+export function routeTableOf(routes: Route[], services: Service[]): RouteTable {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  return new RouteTable({ generation: 1, routes, services, limits });
+}
+
 /** Records what a caller is sent, so that a second final response shows. */
 export class OneAnswerExchange implements CallExchange {
   readonly arrivedAt = monotonicMs();
@@ -160,6 +166,8 @@
   private readonly waiting: Deferred<PermitRefusal | undefined>[] = [];
   /** Resolves when tenants' limits are decided; undefined: at once. */
   limits: Deferred<void> | undefined;
+  /** The routes in force. */
+  routes: RouteTable | undefined;
   readonly forwarder: CallForwarder;
 
   constructor(
@@ -173,14 +181,9 @@
     const state = { slots: 6, phase: 'ready' as const, sequence: 1, isSilent: false };
     backends.update([{ ...identity, ...state }]);
     const tenant = { name: 't', keyHashes: [], priority: 1, ratePerSecond: 0, burst: 0 };
-    const routes = new RouteTable({
-      generation: 1,
-      routes: [{ ...ROUTE, ...route }],
-      services: [{ name: 's', maxConnections: 10 }],
-      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    });
+    this.routes = routeTableOf([{ ...ROUTE, ...route }], [{ name: 's', maxConnections: 10 }]);
     this.forwarder = new CallForwarder({
-      routes: () => routes,
+      routes: () => this.routes,
       directoryAgeMs: () => 0,
       findServiceVersions: () => Promise.reject(new Error('no directory in this test')),
       access: () => ({ kind: 'allowed', tenant }),
