--- a/src/forwarding/call-forwarder.test.ts
+++ b/src/forwarding/call-forwarder.test.ts
@@ -85,7 +85,6 @@
       access: () => ({ kind: 'allowed', tenant: undefined }),
       quotas: {
         take: () => Promise.resolve({ isAllowed: true }),
-        giveBack: () => undefined,
         describe: () => ({}),
       },
       sharedAdmission,
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -4,7 +4,7 @@
 import type { GatewayCrashGuard, RequestGuard } from '../crash-guard/index.js';
 import type { Ledger, ReservedStream } from '../ledger/index.js';
 import type { LogFields, Logger } from '../observability/index.js';
-import type { GatewayQuotas } from '../quotas/index.js';
+import { type GatewayQuotas, isLimited } from '../quotas/index.js';
 import {
   type CompiledRoute,
   DEFAULT_RESPONSE_LIMITS,
@@ -52,7 +52,7 @@
   /** Time since the directory's leader last responded, in milliseconds. */
   directoryAgeMs: () => number;
   access: (route: Route, key: string | undefined) => AccessDecision;
-  quotas: Pick<GatewayQuotas, 'take' | 'giveBack' | 'describe'>;
+  quotas: Pick<GatewayQuotas, 'take' | 'describe'>;
   /** Admission shared by all gateways, if it is configured. @default each gateway decides alone */
   sharedAdmission?: Pick<GatewayAdmission, 'decide' | 'beginTurn' | 'noteSent'>;
   backends: BackendView;
@@ -198,7 +198,7 @@
     try {
       await this.serve({ active, exchange, route, service, tenant, deadlineMs, requestGuard });
     } catch (error) {
-      if (tenant && error instanceof RefusedError) this.options.quotas.giveBack(tenant.name);
+      if (error instanceof RefusedError) this.noteUnusedToken(tenant, error.reason);
       throw error;
     } finally {
       endTurn?.();
@@ -243,7 +243,7 @@
     const ending = await run.run();
     const isTurn = isModelCall(description);
     if (isTurn && run.hasRun) this.options.sharedAdmission?.noteSent(description);
-    if (tenant && !run.hasRun) this.options.quotas.giveBack(tenant.name);
+    if (!run.hasRun) this.noteUnusedToken(tenant, reasonOfEnding(ending));
     this.turnAdmission.noteEnd(exchange, deadlineMs, run, ending);
     const endedAt = monotonicMs();
     const earlierOutput = await this.readEarlierOutput(runOptions, run, ending);
@@ -336,6 +336,11 @@
     throw new RefusedError(reason, decision.retryAfterMs, details);
   }
 
+  /** A call that took a token of its tenant's limit will not run. */
+  private noteUnusedToken(tenant: Tenant | undefined, reason: string): void {
+    if (tenant && isLimited(tenant)) this.options.metrics.noteUnusedToken(reason);
+  }
+
   private currentDenial(
     { description }: CallExchange,
     { route }: CompiledRoute,
@@ -414,6 +419,10 @@
   }
 }
 
+function reasonOfEnding(ending: CallOutcome): string {
+  return ending.kind === 'refused' ? ending.reason : ending.kind;
+}
+
 function reasonOf({ kind }: Exclude<AccessDecision, { kind: 'allowed' }>): RefusalReason {
   return kind === 'unknown-key' ? 'unknown-key' : 'not-ready';
 }
--- a/src/forwarding/forwarding-metrics.ts
+++ b/src/forwarding/forwarding-metrics.ts
@@ -18,6 +18,7 @@
   private readonly earlierEvents: Counter<'outcome'>;
   private readonly failedReservations: Counter<'step'>;
   private readonly allowanceTurns: Counter;
+  private readonly unusedTokens: Counter<'reason'>;
   private readonly duration: Histogram<'kind'>;
   private readonly firstEvent: Histogram;
 
@@ -65,6 +66,12 @@
       help: 'Turns that ran on an allowance of their program instead of a reservation',
       registers,
     });
+    this.unusedTokens = new Counter({
+      name: 'ledgegauge_unused_quota_tokens_total',
+      help: "Tokens of tenants' limits whose calls have not run, by reason; they are not returned",
+      labelNames: ['reason'],
+      registers,
+    });
     this.duration = new Histogram({
       name: 'ledgegauge_forwarded_call_seconds',
       help: 'From the arrival of a call to its final answer',
@@ -105,6 +112,10 @@
     this.failedReservations.inc({ step });
   }
 
+  noteUnusedToken(reason: string): void {
+    this.unusedTokens.inc({ reason });
+  }
+
   noteAllowanceTurn(): void {
     this.allowanceTurns.inc();
   }
--- a/src/forwarding/stopped-calls.test.ts
+++ b/src/forwarding/stopped-calls.test.ts
@@ -14,6 +14,7 @@
   StoppingGateway,
   TIMEOUT_MS,
 } from '../../tests/support/stopping-gateway.js';
+import { unusedTokens } from '../../tests/support/unused-tokens.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { Deferred, monotonicMs, sleep } from '../common/index.js';
 import type { ShutdownTiming } from '../shutdown/index.js';
@@ -50,12 +51,12 @@
 });
 afterEach(() => backend.stop());
 
-function expectNotRun(gateway: StoppingGateway): void {
+async function expectNotRun(gateway: StoppingGateway): Promise<void> {
   expect(exchange.refusal?.reason).toBe('shutting-down');
   expect(exchange.refusal?.retryAfterMs).toBeGreaterThan(0);
   expect(exchange.answers).toEqual(['refuse']);
   expect(backend.requests).toEqual([]);
-  expect(gateway.tokensGivenBack).toBe(gateway.tokensTaken);
+  expect(await unusedTokens(gateway.metrics)).toBe(gateway.tokensTaken);
 }
 
 describe('a call that does not fit into what is left of a stop', () => {
@@ -63,7 +64,7 @@
     const gateway = new StoppingGateway(backend);
     gateway.shutdown.begin(TOO_SHORT);
     await gateway.forwarder.handle(exchange);
-    expectNotRun(gateway);
+    await expectNotRun(gateway);
     expect([gateway.tokensTaken, gateway.ledger.reservationsBegun]).toEqual([0, 0]);
   });
 
@@ -77,7 +78,7 @@
     gateway.forwarder.noteShutdown();
     await handled;
     expect(monotonicMs() - stoppedAt).toBeLessThan(TIMEOUT_MS / 4);
-    expectNotRun(gateway);
+    await expectNotRun(gateway);
     expect(gateway.permitsEnded).not.toContain(true);
     expect(gateway.ledger.settled).toMatchObject([{ spentTokens: 0 }]);
   });
@@ -91,7 +92,7 @@
     gateway.forwarder.noteShutdown();
     gateway.ledger.reservations.resolve();
     await handled;
-    expectNotRun(gateway);
+    await expectNotRun(gateway);
     expect(gateway.ledger.settled).toMatchObject([{ spentTokens: 0 }]);
   });
 });
@@ -125,7 +126,7 @@
     gateway.ledger.reservations.resolve();
     await sleep(SETTLE_MS);
     expect(gateway.ledger.settled).toMatchObject([{ spentTokens: 0 }]);
-    expectNotRun(gateway);
+    await expectNotRun(gateway);
   });
 
   it('is not sent if the ledger answers while calls are ended', async () => {
@@ -136,11 +137,11 @@
     const ended = gateway.end();
     gateway.ledger.reservations.resolve();
     await Promise.all([ended, handled]);
-    expectNotRun(gateway);
+    await expectNotRun(gateway);
     expect(gateway.ledger.settled).toMatchObject([{ spentTokens: 0 }]);
   });
 
-  it('does not keep the token of its tenant if its limit is decided later', async () => {
+  it('counts the token of its tenant as unused if its limit is decided later', async () => {
     const gateway = new StoppingGateway(backend);
     gateway.limits = new Deferred();
     const handled = gateway.forwarder.handle(exchange);
@@ -149,7 +150,7 @@
     await handled;
     gateway.limits.resolve();
     await sleep(SETTLE_MS);
-    expectNotRun(gateway);
+    await expectNotRun(gateway);
     expect(gateway.ledger.reservationsBegun).toBe(gateway.ledger.settled.length);
   });
 
@@ -162,7 +163,7 @@
     await handled;
     guard.admission.resolve();
     await sleep(SETTLE_MS);
-    expectNotRun(gateway);
+    await expectNotRun(gateway);
     expect(guard.openSends).toBe(0);
     expect(gateway.ledger.settled).toMatchObject([{ spentTokens: 0 }]);
   });
@@ -179,7 +180,7 @@
       await handled;
       expect(exchange.refusal?.reason).toBe('outcome-unknown');
       expect(exchange.answers).toEqual(['refuse']);
-      expect(gateway.tokensGivenBack).toBe(0);
+      expect(await unusedTokens(gateway.metrics)).toBe(0);
     },
   );
 
--- a/src/forwarding/waiting-calls.test.ts
+++ b/src/forwarding/waiting-calls.test.ts
@@ -1,7 +1,8 @@
-/** Calls that wait for a permit: a refused one is never sent, and what was reserved for it is given back. */
+/** Calls that wait for a permit: a refused one is never sent, and the tokens reserved for it are released. */
 import { describe, expect, it } from 'vitest';
 import { SILENT_LOGGER } from '../../lab/silent-logger.js';
 import { sampleCall } from '../../tests/support/sample-call.js';
+import { unusedTokens } from '../../tests/support/unused-tokens.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { monotonicMs } from '../common/index.js';
 import { GroupClient, type PeerCaller } from '../consensus/index.js';
@@ -104,7 +105,7 @@
   readonly ledger = new RecordingLedger();
   readonly requested: PermitCall[] = [];
   readonly ended: boolean[] = [];
-  tokensGivenBack = 0;
+  readonly metrics = new ForwardingMetrics();
   encodedRequests = 0;
   decide: ((refusal: PermitRefusal | undefined) => void) | undefined;
   readonly forwarder: CallForwarder;
@@ -118,7 +119,7 @@
     const identity = { id: 'e1', name: 'e1', service: 's', address: '127.0.0.1:1', zone: 'z' };
     const state = { slots: 6, phase: 'ready' as const, sequence: 1, isSilent: false };
     backends.update([{ ...identity, ...state }]);
-    const tenant = { name: 't', keyHashes: [], priority: 1, ratePerSecond: 0, burst: 0 };
+    const tenant = { name: 't', keyHashes: [], priority: 1, ratePerSecond: 5, burst: 5 };
     this.forwarder = new CallForwarder({
       routes: () => new RouteTable(CONFIGURATION),
       directoryAgeMs: () => 0,
@@ -126,7 +127,6 @@
       access: () => ({ kind: 'allowed', tenant }),
       quotas: {
         take: () => Promise.resolve({ isAllowed: true }),
-        giveBack: () => (this.tokensGivenBack += 1),
         describe: () => ({}),
       },
       backends,
@@ -146,7 +146,7 @@
         },
       } as unknown as BackendProtocol,
       logger: SILENT_LOGGER,
-      metrics: new ForwardingMetrics(),
+      metrics: this.metrics,
       permits: { request: (call) => this.requestPermit(call) },
     });
   }
@@ -171,7 +171,7 @@
   await waitUntil('settled', () => gateway.ledger.settled.length > 0);
   const settlements = gateway.ledger.settled.flatMap((request) => request.settlements);
   expect(settlements).toMatchObject([{ spentTokens: 0 }]);
-  expect(gateway.tokensGivenBack).toBe(1);
+  expect(await unusedTokens(gateway.metrics)).toBe(1);
   expect(gateway.encodedRequests).toBe(0);
 }
 
--- a/src/quotas/gateway-quotas.ts
+++ b/src/quotas/gateway-quotas.ts
@@ -106,11 +106,6 @@
     return { isAllowed: false, reason: 'over-limit', retryAfterMs };
   }
 
-  /** Refunds the token of a call that will not run. */
-  giveBack(tenant: string): void {
-    if (this.limits.has(tenant)) this.shares.giveBack(tenant, monotonicMs());
-  }
-
   /** Limit, share and age of the share, for the log line of a rejected call. */
   describe(tenant: string): LogFields {
     const limit = this.limits.get(tenant);
--- a/src/quotas/gateway-shares.ts
+++ b/src/quotas/gateway-shares.ts
@@ -50,7 +50,8 @@
   }
 
   /**
-   * Takes a token for a call.
+   * Takes a token for a call. There is no way to return it: a later call that got it could run in a window in which it
+   * did not become available, in addition to the tokens of that window.
    * @param beginsProgram whether the call is the first of a program; running programs take precedence when tokens are
    *   scarce, since an unfinished program is of no use
    */
@@ -60,11 +61,6 @@
     return share.bucket.take(now, reserveOf(share, beginsProgram));
   }
 
-  /** Refunds the token of a call that has not run. */
-  giveBack(tenant: string, now: number): void {
-    this.shares.get(tenant)?.bucket.add(1, now);
-  }
-
   /** @param change +1 when a call starts to wait for a token, -1 when it stops waiting */
   noteWaiting(tenant: string, change: 1 | -1, now: number): void {
     this.shareOf(tenant, now).waiting += change;
--- a/src/quotas/quotas.test.ts
+++ b/src/quotas/quotas.test.ts
@@ -10,6 +10,7 @@
   type SimulatedTenant,
   allowedInWindow,
   maxInWindow,
+  maxRunsInWindow,
 } from '../../tests/support/quota-simulation.js';
 import { runPrograms } from '../../tests/support/program-simulation.js';
 
@@ -65,6 +66,30 @@
     );
   });
 
+  // Refused calls once gave their tokens back: tokens of an earlier window, on top of what flowed in.
+  it('hold for calls that wait after they got a token, and are sent or refused', () => {
+    const refusal = fc.record({
+      kind: fc.constant('refuse-calls' as const),
+      at,
+      forMs,
+      afterMs: fc.integer({ min: 0, max: 3_000 }),
+    });
+    const events = fc.array(fc.oneof(event, refusal), { maxLength: 12 });
+    const maxDelayMs = fc.integer({ min: 0, max: 3_000 });
+    fc.assert(
+      fc.property(events, maxDelayMs, fc.integer(), (drawn, delayMs, seed) => {
+        const options = { gateways: GATEWAYS, tenants, events: drawn, lengthMs: DURATION_MS, seed };
+        const simulation = new QuotaSimulation({ ...options, maxDelayMs: delayMs });
+        simulation.run();
+        for (const [index, { runs }] of simulation.outcomes.entries()) {
+          const allowed = allowedInWindow(tenants[index]!.limit);
+          expect(maxRunsInWindow(runs), tenants[index]!.name).toBeLessThanOrEqual(allowed);
+        }
+      }),
+      { numRuns: 60, seed: 3 },
+    );
+  });
+
   it('hold after a limit was lowered', () => {
     for (const factor of [0.5, 0.1]) {
       const loweredAt = 8_000;
--- a/tests/support/quota-simulation.ts
+++ b/tests/support/quota-simulation.ts
@@ -31,6 +31,8 @@
   | { kind: 'kill-gateway'; at: number; gateway: number; forMs: number }
   | { kind: 'cut-gateway'; at: number; gateway: number; forMs: number }
   | { kind: 'change-leader'; at: number; withoutMs: number; overlapMs: number }
+  /** Calls that get a token in this time wait for `afterMs`, as for a ledger that is away, and are then refused. */
+  | { kind: 'refuse-calls'; at: number; forMs: number; afterMs: number }
   | { kind: 'lower-limit'; at: number; tenant: number; factor: number };
 
 export interface QuotaSimulationOptions {
@@ -40,11 +42,20 @@
   lengthMs: number;
   seed: number;
   headroom?: number;
+  /** Maximum time between a call's token and its run, in milliseconds. @default 0 */
+  maxDelayMs?: number;
+}
+
+/** A call that ran. */
+export interface SimulatedRun {
+  sentAt: number;
+  ranAt: number;
 }
 
 export interface TenantOutcome {
-  /** Times of admitted calls, in milliseconds. */
+  /** Times at which calls got their tokens, in milliseconds. */
   passedAt: number[];
+  runs: SimulatedRun[];
   /** Calls that one central token bucket would have admitted. */
   idealCount: number;
   callCount: number;
@@ -72,11 +83,21 @@
   isPartial: boolean;
 }
 
+/** A call that waits for a token. */
 interface Waiting {
   tenant: number;
+  sentAt: number;
   until: number;
 }
 
+/** A call that has its token. */
+interface Admitted {
+  tenant: number;
+  sentAt: number;
+  endsAt: number;
+  isRefused: boolean;
+}
+
 class SimulatedGateway {
   shares = new GatewayShares();
   incarnation = 0;
@@ -89,6 +110,7 @@
   isReportNeeded = false;
   response: DelayedResponse | undefined;
   waiting: Waiting[] = [];
+  admitted: Admitted[] = [];
 
   restart(upAt: number): void {
     this.shares = new GatewayShares();
@@ -97,6 +119,7 @@
     this.term = 0;
     this.response = undefined;
     this.waiting = [];
+    this.admitted = [];
     this.upAt = upAt;
     this.reportedAt = Number.NEGATIVE_INFINITY;
     this.fullReportAt = Number.NEGATIVE_INFINITY;
@@ -115,6 +138,7 @@
   private readonly sharedTenants = new Set<string>();
   private term = 0;
   private leaderlessUntil = 0;
+  private refusal: { until: number; afterMs: number } = { until: 0, afterMs: 0 };
 
   constructor(private readonly options: QuotaSimulationOptions) {
     this.random = new SeededRandom(options.seed);
@@ -123,6 +147,7 @@
     this.ideal = this.limits.map(({ burst }) => ({ tokens: burst, at: 0 }));
     this.outcomes = this.limits.map(() => ({
       passedAt: [],
+      runs: [],
       idealCount: 0,
       callCount: 0,
       waited: 0,
@@ -144,6 +169,8 @@
     if (event.kind === 'kill-gateway') this.gateways[event.gateway]!.restart(now + event.forMs);
     if (event.kind === 'cut-gateway') this.gateways[event.gateway]!.cutUntil = now + event.forMs;
     if (event.kind === 'lower-limit') this.lowerLimit(event.tenant, event.factor, now);
+    if (event.kind === 'refuse-calls')
+      this.refusal = { until: now + event.forMs, afterMs: event.afterMs };
     if (event.kind !== 'change-leader') return;
     const leader = this.leaders.at(-1);
     if (leader) {
@@ -193,6 +220,7 @@
     if (now < gateway.upAt) return;
     if (gateway.response && now >= gateway.response.arrivesAt) this.receiveResponse(gateway, now);
     this.serveWaiting(gateway, now);
+    this.endAdmitted(gateway, now);
     const sinceReportMs = now - gateway.reportedAt;
     const isDue =
       now - gateway.fullReportAt >= FULL_REPORT_INTERVAL_MS ||
@@ -263,16 +291,42 @@
   }
 
   private serveWaiting(gateway: SimulatedGateway, now: number): void {
-    gateway.waiting = gateway.waiting.filter(({ tenant, until }) => {
+    gateway.waiting = gateway.waiting.filter(({ tenant, sentAt, until }) => {
       const { name } = this.options.tenants[tenant]!;
       const isTaken = gateway.shares.take(name, false, now);
-      if (isTaken) this.outcomes[tenant]!.passedAt.push(now);
+      if (isTaken) this.admit(gateway, { tenant, sentAt }, now);
       const isOver = isTaken || now >= until || gateway.shares.isScarce(name, now);
       if (isOver) gateway.shares.noteWaiting(name, -1, now);
       return !isOver;
     });
   }
 
+  private admit(
+    gateway: SimulatedGateway,
+    { tenant, sentAt }: Pick<Admitted, 'tenant' | 'sentAt'>,
+    now: number,
+  ): void {
+    this.outcomes[tenant]!.passedAt.push(now);
+    const isRefused = now < this.refusal.until;
+    const delayMs = isRefused ? this.refusal.afterMs : this.drawDelayMs();
+    gateway.admitted.push({ tenant, sentAt, endsAt: now + delayMs, isRefused });
+  }
+
+  private drawDelayMs(): number {
+    const { maxDelayMs = 0 } = this.options;
+    return maxDelayMs > 0 ? this.random.uniform() * maxDelayMs : 0;
+  }
+
+  /** Runs or refuses the calls whose time has come. */
+  private endAdmitted(gateway: SimulatedGateway, now: number): void {
+    gateway.admitted = gateway.admitted.filter((call) => {
+      if (now < call.endsAt) return true;
+      const { tenant, sentAt, isRefused } = call;
+      if (!isRefused) this.outcomes[tenant]!.runs.push({ sentAt, ranAt: now });
+      return false;
+    });
+  }
+
   private stepTenant(index: number, now: number): void {
     const { limit, load, gateways } = this.options.tenants[index]!;
     const expected = (load(now) * limit.ratePerSecond * STEP_MS) / 1_000;
@@ -298,11 +352,11 @@
     shares.noteCall(name, now);
     const isTaken = shares.take(name, false, now);
     if (shares.isLow(name, now)) gateway.isReportNeeded = true;
-    if (isTaken) outcome.passedAt.push(now);
+    if (isTaken) this.admit(gateway, { tenant: index, sentAt: now }, now);
     else if (!shares.isScarce(name, now)) {
       outcome.waited += 1;
       shares.noteWaiting(name, 1, now);
-      gateway.waiting.push({ tenant: index, until: now + MAX_WAIT_MS });
+      gateway.waiting.push({ tenant: index, sentAt: now, until: now + MAX_WAIT_MS });
     }
   }
 
@@ -329,6 +383,23 @@
   return most;
 }
 
+/**
+ * Maximum number of calls that were both sent and run within one window.
+ * @param runs none of which took longer than the window
+ */
+export function maxRunsInWindow(runs: readonly SimulatedRun[], windowMs = WINDOW_MS): number {
+  const sentAt = runs.map((run) => run.sentAt).sort((left, right) => left - right);
+  const ranAt = runs.map((run) => run.ranAt).sort((left, right) => left - right);
+  let most = 0;
+  let ended = 0;
+  for (const [sentBefore, from] of sentAt.entries()) {
+    while (ended < ranAt.length && ranAt[ended]! <= from + windowMs) ended += 1;
+    // Calls that were sent before the window ran before its end.
+    most = Math.max(most, ended - sentBefore);
+  }
+  return most;
+}
+
 export function allowedInWindow({ ratePerSecond, burst }: TenantLimit): number {
   const { over, slack } = TOLERANCE;
   return (ratePerSecond * (WINDOW_MS / 1_000) + burst) * (1 + over) + slack;
--- a/tests/support/stopping-gateway.ts
+++ b/tests/support/stopping-gateway.ts
@@ -4,7 +4,7 @@
 import type { RequestGuard } from '../../src/crash-guard/index.js';
 import { BackendView } from '../../src/forwarding/backend-view.js';
 import type { CallExchange, Disconnector, Refusal } from '../../src/forwarding/call-exchange.js';
-import { CallForwarder } from '../../src/forwarding/call-forwarder.js';
+import { CallForwarder, type CallForwarderOptions } from '../../src/forwarding/call-forwarder.js';
 import { ForwardingMetrics } from '../../src/forwarding/forwarding-metrics.js';
 import { Placement } from '../../src/forwarding/placement.js';
 import type { Ledger, Settlement } from '../../src/ledger/index.js';
@@ -159,11 +159,13 @@
   readonly shutdown = new GracefulShutdown();
   readonly permitsEnded: boolean[] = [];
   tokensTaken = 0;
-  tokensGivenBack = 0;
+  readonly metrics = new ForwardingMetrics();
   permitsRequested = 0;
   /** Whether calls wait for a permit until `grantPermits` or until they leave the queue. */
   keepsCallsWaiting = false;
   private readonly waiting: Deferred<PermitRefusal | undefined>[] = [];
+  /** Decides on permits in place of `grantPermits`. */
+  decidePermit: (() => Promise<PermitRefusal | undefined>) | undefined;
   /** Resolves when tenants' limits are decided; undefined: at once. */
   limits: Deferred<void> | undefined;
   /** The routes in force. */
@@ -174,26 +176,26 @@
     readonly backend: RawBackend,
     route: Partial<Route> = {},
     guard?: FakeGuard,
+    quotas?: CallForwarderOptions['quotas'],
   ) {
-    const limits = { connections: () => 4, cacheTokens: () => Infinity, gateways: () => 1 };
+    const limits = { connections: () => 128, cacheTokens: () => Infinity, gateways: () => 1 };
     const backends = new BackendView(limits);
     const identity = { id: 'e1', name: 'e1', service: 's', address: backend.address, zone: 'z' };
     const state = { slots: 6, phase: 'ready' as const, sequence: 1, isSilent: false };
     backends.update([{ ...identity, ...state }]);
-    const tenant = { name: 't', keyHashes: [], priority: 1, ratePerSecond: 0, burst: 0 };
+    const tenant = { name: 't', keyHashes: [], priority: 1, ratePerSecond: 5, burst: 5 };
     this.routes = routeTableOf([{ ...ROUTE, ...route }], [{ name: 's', maxConnections: 10 }]);
     this.forwarder = new CallForwarder({
       routes: () => this.routes,
       directoryAgeMs: () => 0,
       findServiceVersions: () => Promise.reject(new Error('no directory in this test')),
       access: () => ({ kind: 'allowed', tenant }),
-      quotas: {
+      quotas: quotas ?? {
         take: async () => {
           this.tokensTaken += 1;
           await this.limits?.promise;
           return { isAllowed: true };
         },
-        giveBack: () => (this.tokensGivenBack += 1),
         describe: () => ({}),
       },
       backends,
@@ -201,7 +203,7 @@
       ledger: this.ledger as unknown as Ledger,
       protocol: rawProtocol,
       logger: SILENT_LOGGER,
-      metrics: new ForwardingMetrics(),
+      metrics: this.metrics,
       permits: { request: () => this.requestPermit() },
       crashGuard: guard && { guard: () => guard as unknown as RequestGuard },
       shutdown: this.shutdown,
@@ -221,8 +223,9 @@
   private requestPermit(): PermitRequest {
     this.permitsRequested += 1;
     const decision = new Deferred<PermitRefusal | undefined>();
-    this.waiting.push(decision);
-    if (!this.keepsCallsWaiting) decision.resolve(undefined);
+    if (this.decidePermit) void this.decidePermit().then((refusal) => decision.resolve(refusal));
+    else this.waiting.push(decision);
+    if (!this.keepsCallsWaiting && !this.decidePermit) decision.resolve(undefined);
     const end = (wasSent: boolean): void => {
       this.permitsEnded.push(wasSent);
       decision.resolve(undefined);
