--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -15,6 +15,8 @@
   | 'connection-lost'
   /** No response had begun in time; the sender gave up. */
   | 'no-answer-in-time'
+  /** The response has a status that HTTP does not define. */
+  | 'invalid-status'
   /** The sender rejected what the backend sent. */
   | 'unusable-answer';
 
@@ -56,6 +58,10 @@
   onDataReceived: () => void;
 }
 
+/** Bounds of valid status codes (RFC 9110, section 15). */
+const FIRST_STATUS = 100;
+const LAST_STATUS = 599;
+const FIRST_FINAL_STATUS = 200;
 const FIRST_REDIRECTION = 300;
 const NO_CONTENT = 'the connection closed before any content';
 /** Maximum number of responses with status 1xx before the final one. */
@@ -130,7 +136,11 @@
     statusMessage?: string,
   ): void {
     this.options.connection.notePart();
-    if (statusCode < 200) {
+    if (!isValidStatus(statusCode)) {
+      this.fail(`no valid status: ${statusCode}`, 'invalid-status');
+      return;
+    }
+    if (statusCode < FIRST_FINAL_STATUS) {
       this.noteInterimResponse();
       return;
     }
@@ -247,6 +257,10 @@
   return error instanceof FramingTooLargeError ? 'unusable-answer' : 'connection-lost';
 }
 
+function isValidStatus(statusCode: number): boolean {
+  return statusCode >= FIRST_STATUS && statusCode <= LAST_STATUS;
+}
+
 function announcesClose(rawHeaders: readonly string[]): boolean {
   return headerValues(rawHeaders, 'connection').some((value) => value.toLowerCase() === 'close');
 }
