--- a/src/forwarding/backend-connections.ts
+++ b/src/forwarding/backend-connections.ts
@@ -24,6 +24,7 @@
 /** A connection that carries one call at a time. */
 export class BackendConnection {
   private isOpen = true;
+  private calls = 0;
   private socket: BackendSocket | undefined;
 
   constructor(
@@ -38,6 +39,11 @@
     this.socket = socket;
   }
 
+  /** Whether it has carried other calls before the current one, of which late bytes may follow. */
+  get wasUsedBefore(): boolean {
+    return this.calls > 1;
+  }
+
   /** A head or a part of a body was received. */
   notePart(): void {
     this.socket?.notePart();
@@ -45,6 +51,7 @@
 
   dispatch(options: DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.notePart();
+    this.calls += 1;
     this.client.dispatch({ ...options, headersTimeout: 0, bodyTimeout: 0 }, handler);
   }
 
--- a/src/forwarding/send-attempt.ts
+++ b/src/forwarding/send-attempt.ts
@@ -152,8 +152,9 @@
     this.framing = responseFraming(this.options.request.method, statusCode, rawHeaders);
     this.isSuccess = statusCode < FIRST_REDIRECTION;
     this.isLastOnConnection = announcesClose(rawHeaders) || this.framing === 'close';
-    if (verdict.callId !== undefined && verdict.callId !== this.options.callId) {
-      this.fail('the response belongs to another call');
+    const doubt = this.doubtAbout(verdict);
+    if (doubt !== undefined) {
+      this.fail(doubt);
       return;
     }
     if (verdict.isNotExecuted) {
@@ -204,6 +205,13 @@
     else this.finish(this.brokenResult(error.message, reasonOf(error)));
   }
 
+  /** Why the response may be that to another call, if so. */
+  private doubtAbout({ callId }: ParsedResponseHead): string | undefined {
+    if (callId === this.options.callId) return undefined;
+    if (callId !== undefined) return 'the response belongs to another call';
+    return this.options.connection.wasUsedBefore ? 'the response names no call' : undefined;
+  }
+
   /** A success without content whose connection has closed may have been cut after its head, or within it. */
   private get mayLackBody(): boolean {
     if (this.framing !== 'close' || !this.isSuccess) return false;
