--- a/src/directory/directory-state-machine.test.ts
+++ b/src/directory/directory-state-machine.test.ts
@@ -117,6 +117,22 @@
   });
 });
 
+// Without start times nothing but further heartbeats tells which of two incarnations at an address is the later one.
+it('a backend that goes on sending heartbeats stays registered after a late first one of its predecessor', () => {
+  const machine = new Machine();
+  machine.register({ id: 'i-2', sequence: 1 });
+  machine.register({ id: 'i-1', sequence: 1 });
+  for (const sequence of [2, 3, 4, 5]) machine.register({ id: 'i-2', sequence });
+  expect([...machine.state.backends.keys()]).toEqual(['i-2']);
+});
+
+it('a backend with a start time stays registered after a late first heartbeat of its predecessor', () => {
+  const machine = new Machine();
+  machine.register({ id: 'i-2', sequence: 1, startedAt: 2_000 });
+  machine.register({ id: 'i-1', sequence: 1, startedAt: 1_000 });
+  expect([...machine.state.backends.keys()]).toEqual(['i-2']);
+});
+
 /**
  * Guards against telling incarnations apart by name alone: a restarted backend would stay removed, and its first
  * heartbeats would count as outdated.
