--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -30,6 +30,7 @@
 import type { ForwardingMetrics } from './forwarding-metrics.js';
 import type { Placement } from './placement.js';
 import { CallRecorder } from './call-recorder.js';
+import { CallTimeLimits } from './call-time-limits.js';
 import { StallDetector } from './stall-detector.js';
 import {
   type FindServiceVersions,
@@ -39,7 +40,6 @@
 import type { StreamVersion } from './stream-version.js';
 import { TurnAdmission, isModelCall } from './turn-admission.js';
 import {
-  MIN_KEEP_TIMEOUT_MS,
   RefusedError,
   type Reservation,
   TurnReservations,
@@ -76,8 +76,6 @@
 const MIN_RETRY_MS = 150;
 /** Retry delay while this gateway starts up, in milliseconds; another gateway is probably ready. */
 const NOT_READY_RETRY_MS = 300;
-/** Time within which repeatable calls usually end, as a multiple of the objective of their route. */
-const USUAL_END_OBJECTIVES = 3;
 /** Jitter of retry delays, as a fraction of the delay. */
 const RETRY_JITTER = 0.5;
 
@@ -100,13 +98,13 @@
   private readonly turnAdmission: TurnAdmission;
   private readonly recorder: CallRecorder;
   private readonly activeCalls = new ActiveCalls();
-  private readonly shutdown: GracefulShutdown;
+  private readonly timeLimits: CallTimeLimits;
 
   constructor(private readonly options: CallForwarderOptions) {
     const { ledger, logger, metrics, backends, placement, findServiceVersions } = options;
     const gatewayState = this.gatewayState.bind(this);
     const { shutdown = new GracefulShutdown() } = options;
-    this.shutdown = shutdown;
+    this.timeLimits = new CallTimeLimits(shutdown);
     this.recorder = new CallRecorder({ logger, metrics, gatewayState, shutdown });
     this.streams = new ResumableStreams({ backends, placement, ledger, findServiceVersions });
     this.turnAdmission = new TurnAdmission(options);
@@ -141,8 +139,7 @@
   /** Whether a call that arrived completely now could end before the process does. */
   canEndInTime(description: CallDescription): boolean {
     const route = this.options.routes()?.find(description.host, description.path)?.route;
-    if (!route) return this.shutdown.allows(monotonicMs());
-    return this.fitsShutdown(route, monotonicMs() + timeLimitMs(description, route.timeoutMs));
+    return this.timeLimits.allowArrival(description, route);
   }
 
   /** The process will end: refuses calls that wait to be sent, unless they can still end in time. */
@@ -181,8 +178,8 @@
   private async forward(active: ActiveCall, route: CompiledRoute): Promise<void> {
     const { exchange } = active;
     const { description } = exchange;
-    const deadlineMs = exchange.arrivedAt + timeLimitMs(description, route.route.timeoutMs);
-    this.requireTime(route.route, deadlineMs);
+    const deadlineMs = this.timeLimits.deadlineMs(exchange, route.route);
+    this.timeLimits.requireTime(route.route, deadlineMs);
     const tenant = this.authorize(exchange, route);
     const requestGuard = this.options.crashGuard?.guard(description, tenant?.name);
     if (requestGuard?.isBlocked)
@@ -231,7 +228,7 @@
       promptHolder: reservation?.lastBackend,
       tenant: tenant?.name,
       denial: () => this.currentDenial(exchange, route),
-      fitsShutdown: () => this.fitsShutdown(route.route, deadlineMs),
+      fitsShutdown: () => this.timeLimits.fitsShutdown(route.route, deadlineMs),
       protocol: this.options.protocol,
       responseLimits: this.responseLimits,
       streamVersion,
@@ -349,17 +346,6 @@
     return decision.kind === 'allowed' ? undefined : reasonOf(decision);
   }
 
-  /** @throws RefusedError if the call has no time left, or ends too late for a process that is to stop */
-  private requireTime(route: Route, deadlineMs: number): void {
-    if (deadlineMs <= monotonicMs()) throw new RefusedError('time-limit-before-start');
-    if (!this.fitsShutdown(route, deadlineMs)) throw new RefusedError('shutting-down');
-  }
-
-  /** @param deadlineMs of a call (monotonic, milliseconds) */
-  private fitsShutdown(route: Route, deadlineMs: number): boolean {
-    return this.shutdown.allows(Math.min(deadlineMs, usualEndMs(route)) + keepMs(route));
-  }
-
   private endInterrupted(
     { exchange, run }: ActiveCall,
     route: CompiledRoute | undefined,
@@ -427,25 +413,6 @@
   return kind === 'unknown-key' ? 'unknown-key' : 'not-ready';
 }
 
-/**
- * Time at which a call of the route that begins now has usually ended (monotonic, milliseconds). A call that may not be
- * repeated, and a stream, must end in any case; another is taken if it probably does, since its caller may repeat it.
- */
-function usualEndMs({ kind, objectiveMs }: Route): number {
-  if (kind !== 'repeatable') return Infinity;
-  return monotonicMs() + objectiveMs * USUAL_END_OBJECTIVES;
-}
-
-/** Time that the turn of a call may take to be kept after its deadline, in milliseconds. */
-function keepMs({ retainsTurns }: Route): number {
-  return retainsTurns ? MIN_KEEP_TIMEOUT_MS : 0;
-}
-
-/** Time from the arrival of a call until its deadline, in milliseconds. */
-function timeLimitMs({ patienceMs }: CallDescription, routeTimeoutMs: number): number {
-  return Math.min(patienceMs ?? Infinity, routeTimeoutMs);
-}
-
 /** The body behind the history of its program; both are held until the call has ended. */
 function bodyToSend(
   { description: { body }, heldRequest }: CallExchange,
--- a/src/forwarding/refused-calls-keep-their-tokens.test.ts
+++ b/src/forwarding/refused-calls-keep-their-tokens.test.ts
@@ -5,7 +5,7 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { SILENT_LOGGER } from '../../lab/silent-logger.js';
 import { RawBackend, type ScriptStep, wait, write } from '../../tests/support/raw-backend.js';
-import { identityHeaderLines } from '../../tests/support/raw-sends.js';
+import { streamHeadOf } from '../../tests/support/raw-sends.js';
 import { chunk } from '../../tests/support/stream-scripts.js';
 import { OneAnswerExchange, StoppingGateway } from '../../tests/support/stopping-gateway.js';
 import { monotonicMs, sleep } from '../common/index.js';
@@ -23,14 +23,7 @@
 const WINDOW_MS = 500;
 /** Time that the test's own processor may be late by, in milliseconds. */
 const LATE_MS = 50;
-const HEAD = [
-  'HTTP/1.1 200 OK',
-  ...identityHeaderLines('a'),
-  'Content-Type: text/event-stream',
-  'Transfer-Encoding: chunked',
-  '',
-  '',
-].join('\r\n');
+const HEAD = streamHeadOf('a');
 const ANSWER = [write(HEAD + chunk('id: 1\ndata: x\n\n') + chunk(''))];
 const NOT_EXECUTED = [
   wait(REFUSED_AFTER_MS),
--- a/src/forwarding/stopped-calls.test.ts
+++ b/src/forwarding/stopped-calls.test.ts
@@ -7,13 +7,14 @@
   wait,
   write,
 } from '../../tests/support/raw-backend.js';
-import { identityHeaderLines } from '../../tests/support/raw-sends.js';
+import { streamHeadOf } from '../../tests/support/raw-sends.js';
 import {
   FakeGuard,
   OneAnswerExchange,
   StoppingGateway,
   TIMEOUT_MS,
 } from '../../tests/support/stopping-gateway.js';
+import { chunk } from '../../tests/support/stream-scripts.js';
 import { unusedTokens } from '../../tests/support/unused-tokens.js';
 import { waitUntil } from '../../tests/support/wait-until.js';
 import { Deferred, monotonicMs, sleep } from '../common/index.js';
@@ -25,18 +26,7 @@
 const TOO_SHORT: ShutdownTiming = { graceMs: TIMEOUT_MS / 2, noticeMs: 0, closingMs: 0 };
 /** Time in which something would happen that must not happen. */
 const SETTLE_MS = 100;
-const HEAD = [
-  'HTTP/1.1 200 OK',
-  ...identityHeaderLines('a'),
-  'Content-Type: text/event-stream',
-  'Transfer-Encoding: chunked',
-  '',
-  '',
-].join('\r\n');
-
-function chunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
+const HEAD = streamHeadOf('a');
 
 const FIRST_EVENT = write(HEAD + chunk('id: 1\ndata: x\n\n'));
 const LAST_CHUNK = write(chunk('id: 2\ndata: y\n\n') + chunk(''));
--- a/src/forwarding/turn-priced-by-a-later-configuration.test.ts
+++ b/src/forwarding/turn-priced-by-a-later-configuration.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { RawBackend, type ScriptStep, wait, write } from '../../tests/support/raw-backend.js';
-import { identityHeaderLines } from '../../tests/support/raw-sends.js';
+import { streamHeadOf } from '../../tests/support/raw-sends.js';
 import { LAST_CHUNK, chunk } from '../../tests/support/stream-scripts.js';
 import {
   OneAnswerExchange,
@@ -18,14 +18,7 @@
 const TOKENS_PER_EVENT = 25;
 const EVENTS = 3;
 const EVENT_PAUSE_MS = 60;
-const HEAD = [
-  'HTTP/1.1 200 OK',
-  ...identityHeaderLines('a'),
-  'Content-Type: text/event-stream',
-  'Transfer-Encoding: chunked',
-  '',
-  '',
-].join('\r\n');
+const HEAD = streamHeadOf('a');
 
 function serviceOf(name: string, tokensPerEvent: number): Service {
   const engine = { slots: 4, cacheTokens: 1_000, tokensPerEvent };
--- a/tests/support/raw-sends.ts
+++ b/tests/support/raw-sends.ts
@@ -11,6 +11,12 @@
   return [`X-Call: ${callId}`, 'X-Stamp: s'];
 }
 
+/** Head of a stream of events, in chunks, that answers a call. */
+export function streamHeadOf(callId: string): string {
+  const lines = ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'];
+  return ['HTTP/1.1 200 OK', ...identityHeaderLines(callId), ...lines, '', ''].join('\r\n');
+}
+
 export const rawProtocol: BackendProtocol = {
   encodeRequest: ({ id }) => ({ method: 'GET', target: `/${id}`, headers: [] }),
   readHead: (status, rawHeaders) => ({
