--- a/src/forwarding/response-without-valid-status.test.ts
+++ b/src/forwarding/response-without-valid-status.test.ts
@@ -20,7 +20,7 @@
   ['chunks', ['Transfer-Encoding: chunked'], '4\r\nbody\r\n0\r\n\r\n'],
   ['an empty body', ['Content-Length: 0'], ''],
   ['no length', [], 'body'],
-  ['a claim that the call has not run', ['Content-Length: 0', 'X-Not-Executed: 1'], ''],
+  ['a claim that the call has not run', ['Content-Length: 0', 'X-Refused: 1'], ''],
 ];
 
 let backend: RawBackend | undefined;
--- a/tests/support/raw-sends.ts
+++ b/tests/support/raw-sends.ts
@@ -21,7 +21,7 @@
   encodeRequest: ({ id }) => ({ method: 'GET', target: `/${id}`, headers: [] }),
   readHead: (status, rawHeaders) => ({
     callId: headerValues(rawHeaders, 'x-call')[0],
-    isNotExecuted: status === HTTP_MISDIRECTED,
+    isNotExecuted: status === HTTP_MISDIRECTED || headerValues(rawHeaders, 'x-refused').length > 0,
     isOtherIncarnation: false,
     isAuthentic: headerValues(rawHeaders, 'x-stamp').length > 0,
     headers: [...rawHeaders],
