--- a/tests/support/stopping-gateway.ts
+++ b/tests/support/stopping-gateway.ts
@@ -224,8 +224,8 @@
     this.permitsRequested += 1;
     const decision = new Deferred<PermitRefusal | undefined>();
     if (this.decidePermit) void this.decidePermit().then((refusal) => decision.resolve(refusal));
-    else this.waiting.push(decision);
-    if (!this.keepsCallsWaiting && !this.decidePermit) decision.resolve(undefined);
+    else if (this.keepsCallsWaiting) this.waiting.push(decision);
+    else decision.resolve(undefined);
     const end = (wasSent: boolean): void => {
       this.permitsEnded.push(wasSent);
       decision.resolve(undefined);
