Process load: messages by method, and processor time for each

Whether a process of the ledger has too many messages or dear ones could not be told: 'member load' has their number, and nothing says what they are for. Each process, gateways too, now logs once a second the requests by method beside its processor time.

--- a/src/nodes/gateway-node.ts
+++ b/src/nodes/gateway-node.ts
@@ -55,6 +55,7 @@
 import { PermitGate, WaitingMetrics } from '../waiting/index.js';
 import { MethodRouter } from '../wire/index.js';
 import type { NodeSettings } from './node-settings.js';
+import { ProcessLoadLog } from './process-load-log.js';
 
 /** How a gateway receives calls. */
 export interface IngressPolicy {
@@ -112,6 +113,7 @@
   private hasBackends = false;
   private readonly shutdown = new GracefulShutdown();
   private agingTimer: NodeJS.Timeout | undefined;
+  private loadLog: ProcessLoadLog | undefined;
 
   private constructor(private readonly options: GatewayNodeOptions) {
     const { settings, logger } = options;
@@ -172,6 +174,7 @@
     const node = new GatewayNode(options);
     node.watcher.start();
     node.agingTimer = setInterval(() => node.backends.ageOtherLoads(), AGING_INTERVAL_MS);
+    node.loadLog = new ProcessLoadLog(options.logger);
     return node;
   }
 
@@ -236,6 +239,7 @@
 
   stop(): void {
     clearInterval(this.agingTimer);
+    this.loadLog?.stop();
     this.memory.stop();
     this.watcher.stop();
     this.health.stop();
--- a/src/nodes/group-member-process.ts
+++ b/src/nodes/group-member-process.ts
@@ -24,6 +24,7 @@
 import { type Logger, addGauge } from '../observability/index.js';
 import { MethodRouter, RpcServer } from '../wire/index.js';
 import { MemberLoadLog } from './member-load-log.js';
+import { ProcessLoadLog } from './process-load-log.js';
 import { ProcessLoadMeter } from './process-load.js';
 import { createMemberMetrics } from './node-metrics.js';
 import { type NodeSettings, hostOf, portOf, voterCountFor } from './node-settings.js';
@@ -67,6 +68,7 @@
   private readonly memberships = new Map<string, GroupMembership>();
   private readonly balancer: LeaderBalancer;
   private readonly meter = new ProcessLoadMeter();
+  private readonly loadLog: ProcessLoadLog;
   private readonly stopping = new AbortController();
   private host!: GroupHost;
   private rpcServer!: RpcServer;
@@ -83,6 +85,7 @@
       router: this.router,
       resolveAddress: (address: string) => address,
     };
+    this.loadLog = new ProcessLoadLog(options.logger);
     this.peers = new PeerDirectory(peerOptions);
     this.urgentPeers = new PeerDirectory(peerOptions);
     this.balancer = new LeaderBalancer({
@@ -193,6 +196,7 @@
     this.stopping.abort();
     this.balancer.stop();
     this.meter.stop();
+    this.loadLog.stop();
     for (const { voterSet, loadLog } of this.memberships.values()) {
       voterSet.stop();
       loadLog.stop();
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -11,4 +11,9 @@
 export { PeerLink, type PeerLinkOptions, parseAddress } from './peer-link.js';
 export { RpcServer, type RpcServerOptions } from './rpc-server.js';
 export type { CallOptions } from './rpc-connection.js';
-export { type WireCounters, wireCounters } from './wire-counters.js';
+export {
+  type WireCounters,
+  receivedByMethod,
+  sentByMethod,
+  wireCounters,
+} from './wire-counters.js';
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -4,6 +4,7 @@
 import { LinkError, NotExecutedError, RemoteError } from './errors.js';
 import type { FramedSocket } from './framed-socket.js';
 import type { Method, MethodRouter } from './method.js';
+import { receivedByMethod, sentByMethod } from './wire-counters.js';
 
 /** Single-character kinds and keys keep messages small. */
 type Envelope =
@@ -136,6 +137,7 @@
       method: method.name,
       responseDueAt: now + Math.min(timeoutMs, silenceMs ?? timeoutMs),
     });
+    sentByMethod.note(method.name);
     this.socket.send({ k: 'q', i: id, m: method.name, b: request } satisfies Envelope);
     return deferred.promise as Promise<Response>;
   }
@@ -146,6 +148,7 @@
    */
   notify<Request>(method: Method<Request, void>, request: Request): void {
     if (this.isSuspect || this.socket.bufferedBytes > MAX_BUFFERED_NOTIFICATION_BYTES) return;
+    sentByMethod.note(method.name);
     this.socket.send({ k: 'n', m: method.name, b: request } satisfies Envelope);
   }
 
@@ -250,6 +253,7 @@
   }
 
   private async runHandler(method: string, request: unknown): Promise<unknown> {
+    receivedByMethod.note(method);
     if (this.isDraining) throw this.notExecutedError(method);
     const handler = this.router.find(method);
     if (!handler) {
--- a/src/wire/wire-counters.ts
+++ b/src/wire/wire-counters.ts
@@ -15,3 +15,19 @@
   writes: 0,
   messagesSent: 0,
 };
+
+/** Requests and notifications by method, without their responses; they only grow. */
+export class MethodCounts {
+  private readonly counts = new Map<string, number>();
+
+  note(method: string): void {
+    this.counts.set(method, (this.counts.get(method) ?? 0) + 1);
+  }
+
+  read(): ReadonlyMap<string, number> {
+    return new Map(this.counts);
+  }
+}
+
+export const receivedByMethod = new MethodCounts();
+export const sentByMethod = new MethodCounts();
