--- a/src/clustering/voter-set-manager.ts
+++ b/src/clustering/voter-set-manager.ts
@@ -21,7 +21,7 @@
  * Alternatively, it may lag by the entries of this many intervals: under load even an up-to-date learner lags by
  * more than `CAUGHT_UP_LAG`, and could otherwise not replace a lost voter.
  */
-const CAUGHT_UP_INTERVALS = 5;
+const CAUGHT_UP_INTERVALS = 8;
 
 export interface VoterSetManagerOptions {
   targetVoters: number;
--- a/src/consensus/follower-request-handler.ts
+++ b/src/consensus/follower-request-handler.ts
@@ -161,10 +161,16 @@
       term > group.term || group.state !== 'follower' || group.leaderId !== leaderId;
     if (isNewLeader) group.becomeFollower(term, leaderId);
     const now = monotonicMs();
-    group.elections.noteLeader(isNewLeader ? 0 : now - this.leaderContactAt);
+    group.elections.noteLeader(isNewLeader ? 0 : this.silenceBefore(now));
     this.leaderContactAt = now;
   }
 
+  /** Leaders send learners less, which says nothing about the latency that election timeouts follow. */
+  private silenceBefore(now: number): number {
+    const { configuration, ownId } = this.group;
+    return isVoter(configuration, ownId) ? now - this.leaderContactAt : Infinity;
+  }
+
   private async appendEntries(newEntries: LogEntry[]): Promise<AppendResponse | undefined> {
     const { group } = this;
     const first = newEntries[0]!;
--- a/src/consensus/replicated-group.ts
+++ b/src/consensus/replicated-group.ts
@@ -234,6 +234,11 @@
     return this.replicators.get(memberId)?.acknowledgedSentAt ?? Number.NEGATIVE_INFINITY;
   }
 
+  /** Asks all members for a sign of life at once, learners as well. */
+  requestContact(): void {
+    this.environment.requestHeartbeats();
+  }
+
   /** Whether commands are waiting to be appended. */
   get isOverloaded(): boolean {
     return this.proposalLimiter.hasWaiting;
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -36,10 +36,17 @@
  */
 const LEARNER_PAUSE_FACTOR = 3;
 /**
- * Time without progress of a learner after which its relay is considered failed and the leader sends the entries itself.
- * It spans several heartbeats, in which a working voter sends several batches.
+ * Heartbeat intervals between two batches, and between two heartbeats, for a learner that is up to date. Commits don't
+ * depend on it, while each message takes as much processor time as one to a voter.
  */
-const RELAY_PROGRESS_TIMEOUT_MS = 600;
+export const LEARNER_INTERVAL_HEARTBEATS = 4;
+/**
+ * Time without progress of a learner after which its relay is considered failed and the leader sends the entries itself,
+ * in learner intervals. The leader hears of progress up to two intervals late.
+ */
+const RELAY_PROGRESS_INTERVALS = 4;
+/** Time for which a relay leaves a learner that needs a snapshot to the leader, in milliseconds. */
+const LEADER_SNAPSHOT_WAIT_MS = 600;
 /** Time for which the leader replicates to a learner itself after its relay failed. */
 const DIRECT_REPLICATION_MS = 3_000;
 
@@ -144,14 +151,21 @@
   }
 
   /**
-   * Whether a heartbeat would tell the follower or the leader anything new. A follower that was sent data within the last
-   * interval, and acknowledged a message sent within it, needs none.
+   * Whether a heartbeat would tell the follower or the leader anything new. A voter that was sent data within the last
+   * interval, and acknowledged a message sent within it, needs none; nor does a learner that acknowledged one recently.
    */
   get isHeartbeatDue(): boolean {
-    const since = monotonicMs() - this.source.heartbeatIntervalMs;
+    const now = monotonicMs();
+    if (!this.source.isVoter(this.member.id))
+      return this.acknowledgedSentAt < now - this.learnerIntervalMs;
+    const since = now - this.source.heartbeatIntervalMs;
     return this.dataSentAt < since || this.acknowledgedSentAt < since;
   }
 
+  private get learnerIntervalMs(): number {
+    return LEARNER_INTERVAL_HEARTBEATS * this.source.heartbeatIntervalMs;
+  }
+
   private get isStopped(): boolean {
     return this.stopping.signal.aborted;
   }
@@ -178,13 +192,13 @@
 
   /**
    * Commits do not depend on learners. A learner that is up to date gets new entries in batches,
-   * once per heartbeat interval; a lagging one yields to waiting commands.
+   * once per learner interval; a lagging one yields to waiting commands.
    */
   private async throttleLearner(tookMs: number, isUpToDate: boolean): Promise<void> {
     const { source, member } = this;
     if (source.isVoter(member.id) || this.isStopped) return;
     const pauseMs = Math.max(
-      isUpToDate ? source.heartbeatIntervalMs : 0,
+      isUpToDate ? this.learnerIntervalMs : 0,
       source.isOverloaded ? LEARNER_PAUSE_FACTOR * tookMs : 0,
     );
     if (pauseMs > 0) await this.pause(pauseMs);
@@ -197,7 +211,7 @@
       if (monotonicMs() - this.relayFailedAt < DIRECT_REPLICATION_MS) return;
       const { lastIndex } = source.log;
       const { matchIndex } = this;
-      await this.pause(RELAY_PROGRESS_TIMEOUT_MS);
+      await this.pause(RELAY_PROGRESS_INTERVALS * this.learnerIntervalMs);
       if (this.matchIndex < lastIndex && this.matchIndex === matchIndex) {
         this.relayFailedAt = monotonicMs();
       }
@@ -230,7 +244,7 @@
   }
 
   private async waitForLeaderSnapshot(): Promise<void> {
-    await this.pause(RELAY_PROGRESS_TIMEOUT_MS);
+    await this.pause(LEADER_SNAPSHOT_WAIT_MS);
     this.nextIndex = this.source.log.lastIndex + 1;
     this.hasProbed = false;
   }
--- a/src/ledger/leader-history.test.ts
+++ b/src/ledger/leader-history.test.ts
@@ -15,8 +15,8 @@
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
-function memberOf(name: string, id = name): Member {
-  return { id, name, address: name, role: 'voter' };
+function memberOf(name: string, id = name, role: Member['role'] = 'voter'): Member {
+  return { id, name, address: name, role };
 }
 
 /** A group with leader `m1`, in which no member holds the history. */
@@ -27,6 +27,7 @@
   /** Members that respond to heartbeats. */
   readonly answering = new Set(['m2', 'm3']);
   readonly readFrom: string[] = [];
+  private readonly withoutHeartbeats = new Set<string>();
   private readonly contacts = new Map<string, number>();
 
   constructor() {
@@ -38,6 +39,15 @@
     return this.contacts.get(id) ?? Number.NEGATIVE_INFINITY;
   }
 
+  /** The member answers only when it is asked for a sign of life. */
+  stopHeartbeatsTo(id: string): void {
+    this.withoutHeartbeats.add(id);
+  }
+
+  requestContact(): void {
+    for (const id of this.answering) this.contacts.set(id, monotonicMs());
+  }
+
   async read(): Promise<LeaderHistory> {
     const read = async (_turn: string, sources: readonly Member[]): Promise<undefined> => {
       this.readFrom.push(...sources.map(({ id }) => id));
@@ -51,7 +61,8 @@
   }
 
   private recordHeartbeats(): void {
-    for (const id of this.answering) this.contacts.set(id, monotonicMs());
+    for (const id of this.answering)
+      if (!this.withoutHeartbeats.has(id)) this.contacts.set(id, monotonicMs());
   }
 }
 
@@ -106,4 +117,17 @@
     await vi.advanceTimersByTimeAsync(HEARTBEAT_MS);
     expect((await group.read()).missingHistory!.silentMs).toBeUndefined();
   });
+
+  it('reads again from a learner that is reachable and has not been asked for a while', async () => {
+    const group = await groupAfter(1_000);
+    group.configuration.members.push(memberOf('m4', 'm4', 'learner'));
+    group.answering.add('m4');
+    await vi.advanceTimersByTimeAsync(HEARTBEAT_MS);
+    group.answering.delete('m4');
+    await vi.advanceTimersByTimeAsync(200);
+    group.answering.add('m4');
+    group.stopHeartbeatsTo('m4');
+    expect((await group.read()).missingHistory!.silentMs).toBeUndefined();
+    expect(group.readFrom).toEqual(['m2', 'm3', 'm4', 'm4']);
+  });
 });
--- a/src/ledger/leader-history.ts
+++ b/src/ledger/leader-history.ts
@@ -6,8 +6,10 @@
 
 /** Time without contact after which the leader sends a member no reads, in milliseconds. */
 export const MEMBER_CONTACT_TIMEOUT_MS = 500;
-/** Maximum time between contacts with a reachable member, in milliseconds: two heartbeats plus latency. */
+/** Maximum time between contacts with a reachable voter, in milliseconds: two heartbeats plus latency. */
 const CONTACT_INTERVAL_MS = 150;
+/** The same of a learner, which gets fewer heartbeats. */
+const LEARNER_CONTACT_INTERVAL_MS = 390;
 const CONTACT_POLL_INTERVAL_MS = 10;
 
 export interface LeaderHistory {
@@ -23,24 +25,40 @@
 ): Promise<LeaderHistory> {
   const startedAt = monotonicMs();
   const others = group.configuration.members.filter(({ id }) => id !== group.ownId);
-  const sources = others.filter(
-    ({ id }) => group.contactMsOf(id) >= startedAt - MEMBER_CONTACT_TIMEOUT_MS,
-  );
+  const contactWithin = (member: Member, ms: number): boolean =>
+    group.contactMsOf(member.id) >= startedAt - ms;
+  const sources = others.filter((member) => contactWithin(member, MEMBER_CONTACT_TIMEOUT_MS));
   // Reachability is taken before the read: a member that returns during it was not read from.
-  const responsive = others.filter(
-    ({ id }) => group.contactMsOf(id) >= startedAt - CONTACT_INTERVAL_MS,
-  );
+  const responsive = others.filter((member) => contactWithin(member, contactIntervalOf(member)));
+  const unconfirmed = responsive.filter((member) => !contactWithin(member, CONTACT_INTERVAL_MS));
   const silent = others.filter(
     (member) => !responsive.includes(member) && !isReplaced(member, responsive),
   );
+  const read = await readFrom(histories, turn, sources);
+  if (!(read instanceof TurnValuesMissingError)) return { history: read };
+  if (silent.length === 0)
+    silent.push(...(await membersWithoutContactSince(startedAt, group, responsive)));
+  if (silent.length === 0 && unconfirmed.length > 0) {
+    const readAgain = await readFrom(histories, turn, unconfirmed);
+    if (!(readAgain instanceof TurnValuesMissingError)) return { history: readAgain };
+  }
+  return { missingHistory: { reason: read.message, silentMs: silenceMsOf(group, silent) } };
+}
+
+function contactIntervalOf({ role }: Member): number {
+  return role === 'learner' ? LEARNER_CONTACT_INTERVAL_MS : CONTACT_INTERVAL_MS;
+}
+
+async function readFrom(
+  histories: TurnHistoryStore,
+  turn: string,
+  sources: readonly Member[],
+): Promise<Buffer | undefined | TurnValuesMissingError> {
   try {
-    return { history: await histories.read(turn, sources) };
+    return await histories.read(turn, sources);
   } catch (error) {
     if (!(error instanceof TurnValuesMissingError)) throw error;
-    if (silent.length === 0)
-      silent.push(...(await membersWithoutContactSince(startedAt, group, responsive)));
-    const silentMs = silenceMsOf(group, silent);
-    return { missingHistory: { reason: error.message, silentMs } };
+    return error;
   }
 }
 
@@ -49,7 +67,7 @@
   return responsive.some(({ id, name }) => id !== member.id && name === member.name);
 }
 
-/** Waits for contact with all members, at most for the contact interval. */
+/** Asks the members for a sign of life, and waits for it, at most for the contact interval of a voter. */
 async function membersWithoutContactSince(
   since: number,
   group: ReplicatedGroup,
@@ -57,6 +75,7 @@
 ): Promise<readonly Member[]> {
   const deadline = monotonicMs() + CONTACT_INTERVAL_MS;
   const withoutContact = (): Member[] => members.filter(({ id }) => group.contactMsOf(id) < since);
+  group.requestContact();
   while (withoutContact().length > 0 && monotonicMs() < deadline)
     await sleep(CONTACT_POLL_INTERVAL_MS);
   return withoutContact();
