--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -198,7 +198,7 @@
     const { source, member } = this;
     if (source.isVoter(member.id) || this.isStopped) return;
     const pauseMs = Math.max(
-      isUpToDate ? this.learnerIntervalMs : 0,
+      isUpToDate ? source.heartbeatIntervalMs : 0,
       source.isOverloaded ? LEARNER_PAUSE_FACTOR * tookMs : 0,
     );
     if (pauseMs > 0) await this.pause(pauseMs);
