--- a/src/wire/frame-codec.ts
+++ b/src/wire/frame-codec.ts
@@ -1,5 +1,5 @@
 /** Frames of the internal protocol: a 4-byte big-endian length, then a MessagePack value. */
-import { Packr } from 'msgpackr';
+import { Packr, RESERVE_START_SPACE } from 'msgpackr';
 import { FrameError } from './errors.js';
 
 const LENGTH_BYTES = 4;
@@ -19,10 +19,8 @@
 }
 
 export function encodeFrame(value: unknown): Buffer {
-  const body = packr.pack(value);
-  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, LENGTH_BYTES);
+  const frame = packr.pack(value, RESERVE_START_SPACE + LENGTH_BYTES);
+  frame.writeUInt32BE(frame.length - LENGTH_BYTES, 0);
   return frame;
 }
 
--- a/src/wire/framed-socket.ts
+++ b/src/wire/framed-socket.ts
@@ -5,6 +5,9 @@
 import { FrameDecoder, MAX_FRAME_BYTES, encodeFrame } from './frame-codec.js';
 import { wireCounters } from './wire-counters.js';
 
+/** Frames of one turn of the event loop are joined up to this size; copying more would cost more than separate writes. */
+const MAX_JOINED_BYTES = 64 * 1024;
+
 export class FramedSocket {
   /** Bytes received and sent by this socket. */
   readonly traffic = { received: 0, sent: 0 };
@@ -13,7 +16,9 @@
   private readonly closedEvent = new Deferred<void>();
   private pendingRead: Deferred<unknown> | undefined;
   private listener: ((value: unknown) => void) | undefined;
-  private corked = false;
+  /** Frames sent in this turn of the event loop. */
+  private unsentFrames: Buffer[] = [];
+  private unsentBytes = 0;
   private maxReceivedBytes = Infinity;
   private lastReceived = monotonicMs();
 
@@ -44,7 +49,7 @@
 
   /** Bytes that are buffered and not yet sent. */
   get bufferedBytes(): number {
-    return this.socket.writableLength;
+    return this.socket.writableLength + this.unsentBytes;
   }
 
   /** Closes the socket once more bytes than that have been received in all. */
@@ -59,19 +64,12 @@
       this.socket.destroy();
       return;
     }
-    if (!this.corked) {
-      this.corked = true;
-      this.socket.cork();
-      wireCounters.writes += 1;
-      setImmediate(() => {
-        this.corked = false;
-        this.socket.uncork();
-      });
-    }
     const frame = encodeFrame(value);
     this.traffic.sent += frame.length;
     wireCounters.messagesSent += 1;
-    this.socket.write(frame);
+    if (this.unsentFrames.length === 0) setImmediate(() => this.writeFrames());
+    this.unsentFrames.push(frame);
+    this.unsentBytes += frame.length;
   }
 
   /** Passes all frames to `listener`, including those already received. */
@@ -103,6 +101,7 @@
 
   /** Sends what is buffered, and closes. */
   end(): void {
+    this.writeFrames();
     this.socket.end();
   }
 
@@ -110,6 +109,24 @@
     this.socket.destroy();
   }
 
+  private writeFrames(): void {
+    const frames = this.unsentFrames;
+    const bytes = this.unsentBytes;
+    this.unsentFrames = [];
+    this.unsentBytes = 0;
+    if (frames.length === 0 || !this.socket.writable) return;
+    wireCounters.writes += 1;
+    if (bytes <= MAX_JOINED_BYTES) this.socket.write(joinFrames(frames, bytes));
+    else this.writeSeparately(frames);
+  }
+
+  /** The system still gets them in one call. */
+  private writeSeparately(frames: readonly Buffer[]): void {
+    this.socket.cork();
+    for (const frame of frames) this.socket.write(frame);
+    this.socket.uncork();
+  }
+
   private timeoutError(step: string): TimeoutError {
     return new TimeoutError('no handshake message in time', {
       step,
@@ -150,3 +167,8 @@
     this.closedEvent.resolve();
   }
 }
+
+function joinFrames(frames: readonly Buffer[], bytes: number): Buffer {
+  const [first] = frames;
+  return frames.length === 1 ? first! : Buffer.concat(frames, bytes);
+}
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -10,7 +10,7 @@
 export * from './method.js';
 export { PeerLink, type PeerLinkOptions, parseAddress } from './peer-link.js';
 export { RpcServer, type RpcServerOptions } from './rpc-server.js';
-export type { CallOptions } from './rpc-connection.js';
+export type { CallOptions } from './pending-calls.js';
 export {
   type WireCounters,
   receivedByMethod,
--- a/src/wire/peer-link.ts
+++ b/src/wire/peer-link.ts
@@ -22,7 +22,8 @@
 import { FramedSocket } from './framed-socket.js';
 import type { Method } from './method.js';
 import { MethodRouter } from './method.js';
-import { type CallOptions, RpcConnection, createSilenceLimit } from './rpc-connection.js';
+import type { CallOptions } from './pending-calls.js';
+import { RpcConnection, createSilenceLimit } from './rpc-connection.js';
 
 /**
  * Short, because the operating system retransmits an unanswered SYN only after a second; a new
--- a/src/wire/rpc-connection.ts
+++ b/src/wire/rpc-connection.ts
@@ -4,6 +4,7 @@
 import { LinkError, NotExecutedError, RemoteError } from './errors.js';
 import type { FramedSocket } from './framed-socket.js';
 import type { Method, MethodRouter } from './method.js';
+import { type CallOptions, type PendingCall, PendingCalls } from './pending-calls.js';
 import { receivedByMethod, sentByMethod } from './wire-counters.js';
 
 /** Single-character kinds and keys keep messages small. */
@@ -13,15 +14,6 @@
   | { k: 'e'; i: number; c: string; b: string; t: boolean }
   | { k: 'n'; m: string; b: unknown };
 
-interface PendingCall {
-  deferred: Deferred<unknown>;
-  timer: NodeJS.Timeout;
-  silenceTimer: NodeJS.Timeout | undefined;
-  method: string;
-  /** A response until then is in time (monotonic, milliseconds). */
-  responseDueAt: number;
-}
-
 /** Minimum silence limit. Shorter silences after a request do not indicate a failure. */
 export const SUSPECT_AFTER_SILENCE_MS = 250;
 /**
@@ -33,16 +25,6 @@
 /** Notifications are dropped while more than this many bytes are queued for a peer. */
 const MAX_BUFFERED_NOTIFICATION_BYTES = 256 * 1024;
 
-export interface CallOptions {
-  /** Timeout of the response, in milliseconds. */
-  timeoutMs: number;
-  /**
-   * Time without data from the peer after which the connection is suspect, in milliseconds. The
-   * call continues. @default timeoutMs
-   */
-  silenceMs?: number;
-}
-
 export interface RpcConnectionOptions {
   /** Called when a request reached the silence limit. @default closes the connection */
   onSuspect?: () => void;
@@ -61,8 +43,10 @@
 }
 
 export class RpcConnection {
-  private nextId = 1;
-  private readonly pending = new Map<number, PendingCall>();
+  private readonly pending = new PendingCalls({
+    onTimeout: (call) => this.rejectTimedOut(call),
+    onOverdue: () => this.evaluateSilence(),
+  });
   /** Send time of the first request after the last received message (monotonic, milliseconds). */
   private awaitingSince: number | undefined;
   private suspicionTimer: NodeJS.Timeout | undefined;
@@ -124,19 +108,9 @@
     options: CallOptions,
   ): Promise<Response> {
     if (!this.socket.isOpen) return Promise.reject(this.linkError(method.name));
-    const id = this.nextId++;
     const deferred = new Deferred<unknown>();
-    const now = monotonicMs();
-    this.awaitingSince ??= now;
-    const { timeoutMs, silenceMs } = options;
-    this.pending.set(id, {
-      deferred,
-      timer: setTimeout(() => this.onTimeout(id), timeoutMs),
-      silenceTimer:
-        silenceMs === undefined ? undefined : setTimeout(() => this.checkSilence(), silenceMs),
-      method: method.name,
-      responseDueAt: now + Math.min(timeoutMs, silenceMs ?? timeoutMs),
-    });
+    this.awaitingSince ??= monotonicMs();
+    const id = this.pending.add(deferred, method.name, options);
     sentByMethod.note(method.name);
     this.socket.send({ k: 'q', i: id, m: method.name, b: request } satisfies Envelope);
     return deferred.promise as Promise<Response>;
@@ -162,25 +136,12 @@
     this.socket.destroy();
   }
 
-  /**
-   * After a stall of the process, timers run before sockets are read. The check is deferred so that
-   * received responses are processed first.
-   */
-  private onTimeout(id: number): void {
-    setImmediate(() => {
-      const call = this.removePending(id);
-      call?.deferred.reject(
-        new TimeoutError('no response in time', {
-          step: call.method,
-          peer: this.peerName,
-          retriable: true,
-        }),
-      );
-    });
-    this.checkSilence();
+  private rejectTimedOut({ deferred, method: step }: PendingCall): void {
+    const context = { step, peer: this.peerName, retriable: true };
+    deferred.reject(new TimeoutError('no response in time', context));
   }
 
-  /** Deferred for the same reason as in `onTimeout`. */
+  /** Deferred so that after a stall of the process received responses are processed first. */
   private checkSilence(): void {
     setImmediate(() => this.evaluateSilence());
   }
@@ -209,10 +170,10 @@
     this.clearSuspicion();
     switch (envelope.k) {
       case 'q':
-        void this.respond(envelope.i, envelope.m, envelope.b);
+        this.respond(envelope.i, envelope.m, envelope.b);
         break;
       case 'n':
-        void this.runHandler(envelope.m, envelope.b).catch(() => undefined);
+        this.takeNotification(envelope.m, envelope.b);
         break;
       case 'r':
         this.completePending(envelope.i)?.deferred.resolve(envelope.b);
@@ -236,23 +197,59 @@
     if (this.isDraining && this.running === 0) this.socket.end();
   }
 
-  private async respond(id: number, method: string, request: unknown): Promise<void> {
+  private respond(id: number, method: string, request: unknown): void {
     this.running += 1;
+    let response: unknown;
+    try {
+      response = this.runHandler(method, request);
+    } catch (error) {
+      this.sendError(id, error);
+      return;
+    }
+    if (!(response instanceof Promise)) {
+      this.sendResponse(id, response);
+      return;
+    }
+    response.then(
+      (value) => this.sendResponse(id, value),
+      (error) => this.sendError(id, error),
+    );
+  }
+
+  private takeNotification(method: string, notification: unknown): void {
+    try {
+      const handled = this.runHandler(method, notification);
+      if (handled instanceof Promise) handled.catch(() => undefined);
+    } catch {
+      // Nobody waits for the result of a notification.
+    }
+  }
+
+  private sendResponse(id: number, response: unknown): void {
     try {
-      const response = await this.runHandler(method, request);
       this.socket.send({ k: 'r', i: id, b: response } satisfies Envelope);
     } catch (error) {
-      const code = error instanceof Error ? error.name : 'Error';
-      const message = error instanceof Error ? error.message : String(error);
-      const retriable = error instanceof LedgegaugeError && error.retriable;
-      this.socket.send({ k: 'e', i: id, c: code, b: message, t: retriable } satisfies Envelope);
-    } finally {
-      this.running -= 1;
-      this.endIfDrained();
+      this.sendError(id, error);
+      return;
     }
+    this.endRequest();
+  }
+
+  private sendError(id: number, error: unknown): void {
+    const code = error instanceof Error ? error.name : 'Error';
+    const message = error instanceof Error ? error.message : String(error);
+    const retriable = error instanceof LedgegaugeError && error.retriable;
+    this.socket.send({ k: 'e', i: id, c: code, b: message, t: retriable } satisfies Envelope);
+    this.endRequest();
+  }
+
+  private endRequest(): void {
+    this.running -= 1;
+    this.endIfDrained();
   }
 
-  private async runHandler(method: string, request: unknown): Promise<unknown> {
+  /** @returns the handler's response or a promise of it, without a promise of its own */
+  private runHandler(method: string, request: unknown): unknown {
     receivedByMethod.note(method);
     if (this.isDraining) throw this.notExecutedError(method);
     const handler = this.router.find(method);
@@ -263,20 +260,11 @@
   }
 
   private completePending(id: number): PendingCall | undefined {
-    const call = this.removePending(id);
+    const call = this.pending.take(id);
     if (call && monotonicMs() <= call.responseDueAt) this.silenceLimit.reset();
     return call;
   }
 
-  private removePending(id: number): PendingCall | undefined {
-    const call = this.pending.get(id);
-    if (!call) return undefined;
-    this.pending.delete(id);
-    clearTimeout(call.timer);
-    clearTimeout(call.silenceTimer);
-    return call;
-  }
-
   private rejectCall(id: number, code: string, message: string, retriable: boolean): void {
     const call = this.completePending(id);
     call?.deferred.reject(
@@ -286,10 +274,8 @@
 
   private failPending(): void {
     clearTimeout(this.suspicionTimer);
-    for (const id of [...this.pending.keys()]) {
-      const call = this.removePending(id);
-      call?.deferred.reject(this.linkError(call.method));
-    }
+    for (const { deferred, method } of this.pending.takeAll())
+      deferred.reject(this.linkError(method));
   }
 
   private notExecutedError(step: string): NotExecutedError {
