--- a/src/consensus/follower-request-handler.ts
+++ b/src/consensus/follower-request-handler.ts
@@ -165,7 +165,7 @@
     this.leaderContactAt = now;
   }
 
-  /** Leaders send learners less, which says nothing about the latency that election timeouts follow. */
+  /** A learner gets fewer heartbeats, whose distance says nothing about the latency. */
   private silenceBefore(now: number): number {
     const { configuration, ownId } = this.group;
     return isVoter(configuration, ownId) ? now - this.leaderContactAt : Infinity;
--- a/src/consensus/replicator.ts
+++ b/src/consensus/replicator.ts
@@ -36,15 +36,15 @@
  */
 const LEARNER_PAUSE_FACTOR = 3;
 /**
- * Heartbeat intervals between two batches, and between two heartbeats, for a learner that is up to date. Commits don't
- * depend on it, while each message takes as much processor time as one to a voter.
+ * Interval of the heartbeats to a learner, in heartbeat intervals. Commits and elections don't depend on it, while a
+ * heartbeat takes as much processor time as one to a voter.
  */
-export const LEARNER_INTERVAL_HEARTBEATS = 4;
+export const LEARNER_HEARTBEAT_INTERVALS = 4;
 /**
  * Time without progress of a learner after which its relay is considered failed and the leader sends the entries itself,
- * in learner intervals. The leader hears of progress up to two intervals late.
+ * in heartbeats to the learner, whose responses tell of the progress.
  */
-const RELAY_PROGRESS_INTERVALS = 4;
+const RELAY_PROGRESS_HEARTBEATS = 4;
 /** Time for which a relay leaves a learner that needs a snapshot to the leader, in milliseconds. */
 const LEADER_SNAPSHOT_WAIT_MS = 600;
 /** Time for which the leader replicates to a learner itself after its relay failed. */
@@ -157,13 +157,13 @@
   get isHeartbeatDue(): boolean {
     const now = monotonicMs();
     if (!this.source.isVoter(this.member.id))
-      return this.acknowledgedSentAt < now - this.learnerIntervalMs;
+      return this.acknowledgedSentAt < now - this.learnerHeartbeatIntervalMs;
     const since = now - this.source.heartbeatIntervalMs;
     return this.dataSentAt < since || this.acknowledgedSentAt < since;
   }
 
-  private get learnerIntervalMs(): number {
-    return LEARNER_INTERVAL_HEARTBEATS * this.source.heartbeatIntervalMs;
+  private get learnerHeartbeatIntervalMs(): number {
+    return LEARNER_HEARTBEAT_INTERVALS * this.source.heartbeatIntervalMs;
   }
 
   private get isStopped(): boolean {
@@ -192,7 +192,7 @@
 
   /**
    * Commits do not depend on learners. A learner that is up to date gets new entries in batches,
-   * once per learner interval; a lagging one yields to waiting commands.
+   * once per heartbeat interval; a lagging one yields to waiting commands.
    */
   private async throttleLearner(tookMs: number, isUpToDate: boolean): Promise<void> {
     const { source, member } = this;
@@ -211,7 +211,7 @@
       if (monotonicMs() - this.relayFailedAt < DIRECT_REPLICATION_MS) return;
       const { lastIndex } = source.log;
       const { matchIndex } = this;
-      await this.pause(RELAY_PROGRESS_INTERVALS * this.learnerIntervalMs);
+      await this.pause(RELAY_PROGRESS_HEARTBEATS * this.learnerHeartbeatIntervalMs);
       if (this.matchIndex < lastIndex && this.matchIndex === matchIndex) {
         this.relayFailedAt = monotonicMs();
       }
--- a/src/wire/pending-calls.ts
+++ b/src/wire/pending-calls.ts
@@ -92,7 +92,7 @@
     let isOverdue = false;
     let nextDueAt = Infinity;
     for (const [id, call] of this.calls) {
-      if (call.responseDueAt <= now) isOverdue = true;
+      if (Math.min(call.timeoutAt, call.silenceCheckAt) <= now) isOverdue = true;
       if (call.timeoutAt <= now) {
         this.calls.delete(id);
         this.options.onTimeout(call);
